--- /dev/null
+++ b/libs/base/burdockmast/base/__init__.py
@@ -0,0 +1,1 @@
+"""What every part shares: ids, outcomes, failures, time and records."""
--- /dev/null
+++ b/libs/bench/burdockmast/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Loads, experiments and the capacity page, against the stand-ins."""
--- /dev/null
+++ b/libs/bench/burdockmast/bench/program.py
@@ -0,0 +1,147 @@
+"""Command line of loads and experiments; for development, not daemons."""
+
+import warnings
+
+warnings.filterwarnings('ignore', message=r'\s*Eventlet is deprecated')
+
+import eventlet  # noqa: E402
+
+eventlet.monkey_patch()
+
+import itertools  # noqa: E402
+import pathlib  # noqa: E402
+
+import click  # noqa: E402
+import msgspec  # noqa: E402
+
+from burdockmast.bench import capacity  # noqa: E402
+from burdockmast.bench import demo  # noqa: E402
+from burdockmast.bench import experiments  # noqa: E402
+from burdockmast.bench import loading  # noqa: E402
+from burdockmast.bench import loads  # noqa: E402
+from burdockmast.bench import measures  # noqa: E402
+from burdockmast.bench import mixes  # noqa: E402
+from burdockmast.bench import plots  # noqa: E402
+from burdockmast.bench import report  # noqa: E402
+from burdockmast.bench import slopes  # noqa: E402
+from burdockmast.routing import policies  # noqa: E402
+
+FILE = click.Path(path_type=pathlib.Path)
+
+
+@click.group()
+def main() -> None:
+    """Measure the fleet against its stand-ins."""
+
+
+@main.command('demo')
+@click.option('--seconds', default=0.0, help='End after this time.')
+def run_demo(seconds: float) -> None:
+    """Bring the whole path up on this machine and answer a request."""
+    demo.run(seconds)
+
+
+@main.command('slopes')
+@click.option(
+    '--only',
+    multiple=True,
+    type=click.Choice(sorted(experiments.EXPERIMENTS)),
+    help='Run only these experiments.',
+)
+@click.option('--output', type=FILE, help='JSON file to write or update.')
+def run_slopes(only: tuple[str, ...], output: pathlib.Path | None) -> None:
+    """Measure costs as slopes over several sizes."""
+    kept: dict[str, list[slopes.Slope]] = {}
+    if output and output.exists():
+        kind = dict[str, list[slopes.Slope]]
+        kept = msgspec.json.decode(output.read_bytes(), type=kind)
+    for name in only or tuple(experiments.EXPERIMENTS):
+        kept[name] = experiments.EXPERIMENTS[name]()
+        for slope in kept[name]:
+            click.echo(
+                f'{name:10} {slope.name:36} {slope.value:12.2f} '
+                f'+- {slope.error:.2f} {slope.unit}/{slope.per}  '
+                f'base {slope.base:.0f}'
+            )
+        if output:
+            encoded = msgspec.json.encode(kept)
+            output.write_bytes(msgspec.json.format(encoded, indent=1))
+
+
+@main.command('load')
+@click.option(
+    '--mix',
+    'mix_name',
+    default='swap-desk',
+    type=click.Choice(sorted(mixes.MIX_BY_NAME)),
+)
+@click.option('--fraction', multiple=True, type=float, default=(0.9,))
+@click.option('--seconds', default=20.0)
+@click.option('--seed', default=1)
+@click.option(
+    '--policy',
+    multiple=True,
+    default=('lowest-cost',),
+    type=click.Choice(sorted(policies.POLICY_BY_NAME)),
+)
+@click.option(
+    '--fault',
+    multiple=True,
+    default=('none',),
+    type=click.Choice(loads.FAULTS),
+)
+@click.option('--output', type=FILE, help='JSON file; a plot beside it.')
+def run_loads(
+    mix_name: str,
+    fraction: tuple[float, ...],
+    seconds: float,
+    seed: int,
+    policy: tuple[str, ...],
+    fault: tuple[str, ...],
+    output: pathlib.Path | None,
+) -> None:
+    """Run loads on a fleet: each policy, fraction of the bound and fault."""
+    found: list[measures.Figures] = []
+    for one in itertools.product(policy, fraction, fault):
+        name = f'{mix_name} {one[0]} {one[1]:g} {one[2]}'
+        figures = loads.measure(
+            name,
+            mixes.MIX_BY_NAME[mix_name],
+            one[1],
+            seconds,
+            seed,
+            one[0],
+            one[2],
+        )
+        found.append(figures)
+        click.echo(report.line(figures))
+    if output:
+        encoded = msgspec.json.encode(found)
+        output.write_bytes(msgspec.json.format(encoded, indent=1))
+        plots.draw(found, output.with_suffix('.svg'))
+
+
+@main.command('loading')
+@click.option('--at-once', multiple=True, type=int, default=(2, 100))
+def run_loading(at_once: tuple[int, ...]) -> None:
+    """Measure how soon a fleet serves whose engines all load."""
+    for count in at_once:
+        found = loading.measure(count)
+        click.echo(
+            f'{count} at once: all layers held after {found.first:.1f} s, '
+            f'by all engines after {found.all:.1f} s'
+        )
+
+
+@main.command('capacity')
+@click.argument('measured', type=FILE)
+@click.argument('page', type=FILE)
+def write_capacity(measured: pathlib.Path, page: pathlib.Path) -> None:
+    """Write the capacity page from measured slopes."""
+    kind = dict[str, list[slopes.Slope]]
+    found = msgspec.json.decode(measured.read_bytes(), type=kind)
+    page.write_text(capacity.page(found))
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/libs/claims/burdockmast/claims/__init__.py
@@ -0,0 +1,1 @@
+"""At-most-once execution, by claims kept in journals."""
--- /dev/null
+++ b/libs/entry/burdockmast/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry instance: callers' HTTP in front of the pipelines."""
--- /dev/null
+++ b/libs/entry/burdockmast/entry/attempts.py
@@ -0,0 +1,82 @@
+"""What is known of a request for an answer and of its attempts."""
+
+import dataclasses
+
+from burdockmast.base import failures
+from burdockmast.base import ids
+from burdockmast.entry import mailboxes
+from burdockmast.fleet import changes
+from burdockmast.routing import demands
+from burdockmast.wire import links
+from burdockmast.wire import messages
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """A checked request for an answer.
+
+    :ivar deadline: monotonic seconds
+    """
+
+    id: ids.RequestId
+    organisation: changes.Organisation
+    priority: int
+    deadline: float
+    model: changes.Model
+    prompt: tuple[int, ...]
+    max_tokens: int
+    fingerprint: ids.Fingerprint
+
+
+Received = (
+    messages.Token | messages.Finished | messages.Failed | failures.Failure
+)
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """A running attempt.
+
+    :ivar first: index of its first token in the whole answer
+    :ivar heard_at: monotonic seconds of its start or its newest tokens
+    :ivar patience_until: monotonic seconds at which silence ends it
+    :ivar demand: what was believed of caches when the path was chosen
+    :ivar early: what was received while waiting for admission
+    :ivar pause: smoothed seconds between tokens
+    """
+
+    number: int
+    link: links.Link
+    hops: tuple[messages.Hop, ...]
+    first: int
+    heard_at: float
+    patience_until: float
+    demand: demands.Demand = dataclasses.field(default_factory=demands.Demand)
+    mailbox: mailboxes.Mailbox[Received] = dataclasses.field(
+        default_factory=mailboxes.Mailbox
+    )
+    early: list[Received] = dataclasses.field(default_factory=list)
+    pause: float = 0.0
+
+    def hop_at(self, address: ids.Address) -> messages.Hop | None:
+        """Return the hop of the path that is at an address."""
+        for hop in self.hops:
+            if hop.address == address:
+                return hop
+        return None
+
+
+@dataclasses.dataclass(slots=True)
+class Progress:
+    """How far a request has come, over all its attempts.
+
+    :ivar delivered: tokens that the caller already has
+    :ivar excluded: servers that failed this request
+    :ivar number: number of the newest attempt
+    :ivar has_run: whether any stage may have run any of it
+    """
+
+    delivered: list[int] = dataclasses.field(default_factory=list)
+    excluded: set[ids.ServerId] = dataclasses.field(default_factory=set)
+    number: int = 0
+    has_run: bool = False
--- /dev/null
+++ b/libs/entry/burdockmast/entry/completions.py
@@ -0,0 +1,151 @@
+"""Bodies of model requests and answers, as chat clients know them.
+
+Source: the widespread chat completions interface, of which the fields
+below are served; others are ignored as clients send many.
+"""
+
+import hashlib
+import time
+from typing import Annotated
+from typing import Literal
+
+import msgspec
+
+from burdockmast.base import failures
+from burdockmast.base import ids
+
+DEFAULT_TOKENS = 128
+MOST_TOKENS = 8192
+FINGERPRINT_BYTES = 12
+
+
+class ChatMessage(msgspec.Struct):
+    """One message of a chat."""
+
+    role: Literal['system', 'developer', 'user', 'assistant']
+    content: str
+
+
+class ChatRequest(msgspec.Struct):
+    """Body of a request for an answer.
+
+    ``prompt`` holds token ids and takes the place of ``messages``.
+    """
+
+    model: str
+    messages: list[ChatMessage] = []
+    prompt: list[Annotated[int, msgspec.Meta(ge=0, lt=2**32)]] = []
+    stream: bool = False
+    max_tokens: Annotated[int, msgspec.Meta(ge=1, le=MOST_TOKENS)] | None = (
+        None
+    )
+    max_completion_tokens: (
+        Annotated[int, msgspec.Meta(ge=1, le=MOST_TOKENS)] | None
+    ) = None
+
+    @property
+    def limit(self) -> int:
+        """Number of tokens asked for."""
+        return self.max_completion_tokens or self.max_tokens or DEFAULT_TOKENS
+
+    def tokens(self) -> tuple[int, ...]:
+        """Return the prompt as tokens."""
+        if self.prompt:
+            return tuple(self.prompt)
+        return tokenize(self.messages)
+
+
+def parse(body: bytes) -> ChatRequest | failures.Failure:
+    """Read a body; a failure names the field and what is allowed."""
+    try:
+        request = msgspec.json.decode(body, type=ChatRequest)
+    except msgspec.DecodeError as error:
+        return _bad(str(error))
+    if not request.messages and not request.prompt:
+        return _bad('`messages` or `prompt` must not be empty')
+    return request
+
+
+def tokenize(messages: list[ChatMessage]) -> tuple[int, ...]:
+    """Return a chat as byte-level tokens, one for each byte of UTF-8."""
+    text = ''.join(f'{m.role}: {m.content}\n' for m in messages)
+    return tuple(text.encode())
+
+
+def fingerprint_of(model: str, tokens: tuple[int, ...]) -> ids.Fingerprint:
+    """Return what equal requests have in common."""
+    digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
+    digest.update(model.encode())
+    digest.update(','.join(map(str, tokens)).encode())
+    return ids.Fingerprint(digest.hexdigest())
+
+
+class ChunkWriter:
+    """Writes the server-sent events of one answer."""
+
+    def __init__(self, request: ids.RequestId, model: str):
+        """Prepare what is equal in all chunks."""
+        head = msgspec.json.encode(
+            {
+                'id': request,
+                'object': 'chat.completion.chunk',
+                'created': int(time.time()),
+                'model': model,
+            }
+        )
+        self._before = (
+            b'data: '
+            + head[:-1]
+            + b',"choices":[{"index":0,"delta":{"content":"'
+        )
+        self._after = b'"},"finish_reason":null}]}\n\n'
+        self._head = head
+
+    def token(self, token: int) -> bytes:
+        """Return the event of one token."""
+        return b'%s%d %s' % (self._before, token, self._after)
+
+    def end(self, count: int) -> bytes:
+        """Return the events that close a whole answer of ``count``."""
+        tail = (
+            ',"choices":[{"index":0,"delta":{},"finish_reason":"length"}],'
+            f'"usage":{{"completion_tokens":{count}}}}}\n\n'
+        )
+        return (
+            b'data: ' + self._head[:-1] + tail.encode() + b'data: [DONE]\n\n'
+        )
+
+
+def whole(
+    request: ids.RequestId, model: str, prompt: int, tokens: list[int]
+) -> bytes:
+    """Return the body of an answer that is not streamed."""
+    return msgspec.json.encode(
+        {
+            'id': request,
+            'object': 'chat.completion',
+            'created': int(time.time()),
+            'model': model,
+            'choices': [
+                {
+                    'index': 0,
+                    'message': {
+                        'role': 'assistant',
+                        'content': ''.join(f'{token} ' for token in tokens),
+                    },
+                    'finish_reason': 'length',
+                }
+            ],
+            'usage': {
+                'prompt_tokens': prompt,
+                'completion_tokens': len(tokens),
+                'total_tokens': prompt + len(tokens),
+            },
+        }
+    )
+
+
+def _bad(detail: str) -> failures.Failure:
+    return failures.Failure(
+        failures.Reason.BAD_REQUEST, 'request.body', detail=detail
+    )
--- /dev/null
+++ b/libs/entry/burdockmast/entry/hedges.py
@@ -0,0 +1,137 @@
+"""Tries of a call that may be repeated: one after another, or hedged.
+
+A hedge is a second try that starts while the first is slower than nearly
+all recent ones. The first good answer is taken. Source: J. Dean and L. A.
+Barroso, "The Tail at Scale", Communications of the ACM 56(2), 2013.
+"""
+
+import collections
+from collections.abc import Callable
+import math
+from typing import Generic
+from typing import TypeVar
+
+import eventlet
+import eventlet.queue
+
+from burdockmast.base import failures
+from burdockmast.base import outcomes
+from burdockmast.base import timers
+
+Answer = TypeVar('Answer')
+
+# Tries of one call, and those of them that are under way at once.
+TRIES = 4
+OPEN_TRIES = 2
+# Share of recent calls that are faster than the delay of a hedge.
+SLOW_SHARE = 0.95
+# Recent calls that the delay is taken from, and how many it takes at least.
+SAMPLES = 200
+FEWEST_SAMPLES = 20
+# Shortest delay of a hedge, in seconds.
+SHORTEST_SECONDS = 0.02
+
+
+class Latencies:
+    """Times of the recent good answers of one service."""
+
+    def __init__(self):
+        """Create a record without calls."""
+        self._recent: collections.deque[float] = collections.deque(
+            maxlen=SAMPLES
+        )
+
+    def note(self, seconds: float) -> None:
+        """Take in the time of a good answer."""
+        self._recent.append(seconds)
+
+    def delay(self) -> float:
+        """Return the seconds after which a call is slow.
+
+        It is infinite while too little is known.
+        """
+        if len(self._recent) < FEWEST_SAMPLES:
+            return math.inf
+        ordered = sorted(self._recent)
+        slow = ordered[int(len(ordered) * SLOW_SHARE)]
+        return max(SHORTEST_SECONDS, slow)
+
+
+class Tries(Generic[Answer]):
+    """The tries of one call; at most ``OPEN_TRIES`` are under way."""
+
+    def __init__(
+        self,
+        attempt: Callable[[], Answer | failures.Failure],
+        may_repeat: Callable[[], bool],
+        deadline: float,
+    ):
+        """Prepare a call; ``run`` makes it.
+
+        :param attempt: makes one try on a server not tried before
+        :param may_repeat: tells whether one more try is within the budget
+        :param deadline: monotonic seconds
+        """
+        self._attempt = attempt
+        self._may_repeat = may_repeat
+        self._deadline = deadline
+        self._results: eventlet.queue.LightQueue = eventlet.queue.LightQueue()
+        self._started = 0
+        self._open = 0
+
+    def run(self, hedge_after: float) -> Answer | failures.Failure:
+        """Return the first good answer, or the failure of the last try.
+
+        :param hedge_after: seconds until a second try is made beside a
+            slow one, and between looks whether it may be made
+        """
+        self._start()
+        hedge_at = timers.now() + hedge_after
+        while True:
+            result = self._wait(min(hedge_at, self._deadline))
+            if result is None and timers.now() >= self._deadline:
+                return _late()
+            if result is None:
+                # A server may join, or the budget recover, while we wait.
+                hedge_at = timers.now() + hedge_after
+                self._hedge()
+                continue
+            self._open -= 1
+            if not isinstance(result, failures.Failure):
+                return result
+            if not self._open and not self._repeat():
+                return result
+
+    def _start(self) -> None:
+        self._started += 1
+        self._open += 1
+        eventlet.spawn(lambda: self._results.put(self._attempt()))
+
+    def _hedge(self) -> None:
+        if self._open < OPEN_TRIES:
+            self._repeat()
+
+    def _repeat(self) -> bool:
+        """Start one more try if that is allowed; tell whether it was."""
+        if self._started == TRIES or timers.now() >= self._deadline:
+            return False
+        if not self._may_repeat():
+            return False
+        self._start()
+        return True
+
+    def _wait(self, until: float) -> Answer | failures.Failure | None:
+        seconds = max(0.0, until - timers.now())
+        try:
+            return self._results.get(timeout=seconds)
+        except eventlet.queue.Empty:
+            return None
+
+
+def _late() -> failures.Failure:
+    return failures.Failure(
+        failures.Reason.DEADLINE,
+        'service.execute',
+        detail='no server answered in time',
+        outcome=outcomes.Outcome.UNKNOWN,
+    )
--- /dev/null
+++ b/libs/entry/burdockmast/entry/openings.py
@@ -0,0 +1,185 @@
+"""Starts attempts at answers on paths that accept them."""
+
+import dataclasses
+
+import eventlet
+
+from burdockmast.base import failures
+from burdockmast.base import ids
+from burdockmast.base import timers
+from burdockmast.entry import attempts
+from burdockmast.entry import fleet
+from burdockmast.limits import queues
+from burdockmast.node import node
+from burdockmast.routing import demands
+from burdockmast.wire import messages
+
+# Longest time for the first token, and in addition for each prompt token that
+# may have to be prefilled, in seconds.
+FIRST_TOKEN_SECONDS = 5.0
+PREFILL_SECONDS = 0.002
+# Paths tried for one attempt before it waits for its turn.
+OPEN_TRIES = 8
+# Seconds that a new request waits for a path while servers change places.
+PATH_SECONDS = 5.0
+# Seconds that an answer that has begun waits for a path.
+RESUME_SECONDS = 20.0
+PATH_POLL_SECONDS = 0.05
+
+
+class Openings:
+    """The attempts of one entry that are under way, and how they start."""
+
+    def __init__(
+        self,
+        process: node.Node,
+        view: fleet.FleetView,
+        queue: queues.FairQueue,
+    ):
+        """Create the record of attempts, empty."""
+        self.attempt_by_answer: dict[ids.RequestId, attempts.Attempt] = {}
+        self._strikes = process.strikes
+        self._events = process.events
+        self._metrics = process.metrics
+        self._view = view
+        self._queue = queue
+
+    def open(
+        self, request: attempts.Request, progress: attempts.Progress
+    ) -> attempts.Attempt | failures.Failure:
+        """Start an attempt on the first path that accepts it."""
+        for _ in range(OPEN_TRIES):
+            opened = self._try_open(request, progress)
+            match opened:
+                case attempts.Attempt():
+                    return opened
+                case failures.Failure() if opened.step == 'routing.choose':
+                    return opened
+                case failures.Failure(reason=failures.Reason.CRASHES_SERVERS):
+                    return opened
+        return dataclasses.replace(opened, reason=failures.Reason.OVERLOADED)
+
+    def _try_open(
+        self, request: attempts.Request, progress: attempts.Progress
+    ) -> attempts.Attempt | failures.Failure:
+        demand = self._view.affinity.demand(
+            (*request.prompt, *progress.delivered),
+            request.max_tokens - len(progress.delivered),
+        )
+        hops = self._choose(request, progress, demand)
+        if isinstance(hops, failures.Failure):
+            return hops
+        link = self._view.peers.get(hops[0].address)
+        if isinstance(link, failures.Failure):
+            self._view.loads.forget(hops[0].server)
+            return link
+        progress.number += 1
+        attempt = attempts.Attempt(
+            progress.number,
+            link,
+            hops,
+            len(progress.delivered),
+            timers.now(),
+            self._patience(request, progress),
+            demand,
+        )
+        self._view.loads.begin(hops)
+        self.attempt_by_answer[request.id] = attempt
+        link.send(self._start(request, progress, attempt))
+        refusal = self._await_opened(attempt)
+        if refusal is None:
+            self._view.affinity.note(request.prompt, hops)
+            return attempt
+        self.leave(request, attempt)
+        self._view.loads.full(refusal.server)
+        return self._refused(refusal)
+
+    def _choose(
+        self,
+        request: attempts.Request,
+        progress: attempts.Progress,
+        demand: demands.Demand,
+    ) -> tuple[messages.Hop, ...] | failures.Failure:
+        """Choose a path, waiting while servers are changing places."""
+        seconds = RESUME_SECONDS if progress.delivered else PATH_SECONDS
+        until = min(request.deadline, timers.now() + seconds)
+        while True:
+            hops = self._view.choose(
+                request.model, frozenset(progress.excluded), demand
+            )
+            if not isinstance(hops, failures.Failure):
+                return hops
+            if hops.reason is not failures.Reason.NO_PATH:
+                return hops
+            if timers.now() > until:
+                return hops
+            eventlet.sleep(PATH_POLL_SECONDS)
+
+    def _await_opened(
+        self, attempt: attempts.Attempt
+    ) -> messages.Failed | None:
+        """Return the refusal if a stage of the path did not accept."""
+        attempt.early = attempt.mailbox.take_all()
+        match attempt.early[0]:
+            case messages.Failed(step=messages.OPEN_STEP) as refusal:
+                return refusal
+        return None
+
+    def _patience(
+        self, request: attempts.Request, progress: attempts.Progress
+    ) -> float:
+        """Return until when an attempt may take for its first token."""
+        known = len(request.prompt) + len(progress.delivered)
+        seconds = FIRST_TOKEN_SECONDS + PREFILL_SECONDS * known
+        return min(timers.now() + seconds, request.deadline)
+
+    def _refused(self, refusal: messages.Failed) -> failures.Failure:
+        self._events.witness(refusal.clock)
+        return failures.Failure(
+            refusal.reason,
+            refusal.step,
+            refusal.server,
+            retry_after=max(0.5, refusal.retry_after_ms / 1000),
+        )
+
+    def _start(
+        self,
+        request: attempts.Request,
+        progress: attempts.Progress,
+        attempt: attempts.Attempt,
+    ) -> messages.Start:
+        delivered = progress.delivered
+        clock = self._events.add(
+            'answer.started',
+            request.id,
+            attempt=attempt.number,
+            path=[f'{h.server}:{h.first}-{h.end}' for h in attempt.hops],
+            resumed_at=len(delivered),
+        )
+        if delivered:
+            self._metrics.count('answers.resumed')
+        return messages.Start(
+            request.id,
+            attempt.number,
+            request.model.id,
+            attempt.hops,
+            0,
+            (*request.prompt, *delivered),
+            len(request.prompt),
+            request.max_tokens - len(delivered),
+            int((request.deadline - timers.now()) * 1000),
+            request.priority,
+            request.fingerprint,
+            clock,
+            self._strikes.count(request.fingerprint),
+        )
+
+    def leave(
+        self, request: attempts.Request, attempt: attempts.Attempt
+    ) -> None:
+        """End an attempt; its messages from now on are late."""
+        self._view.loads.end(attempt.hops)
+        if self.attempt_by_answer.get(request.id) is attempt:
+            del self.attempt_by_answer[request.id]
+        attempt.link.send(messages.Cancel(request.id, attempt.number))
+        self._queue.wake()
--- /dev/null
+++ b/libs/entry/burdockmast/entry/probes.py
@@ -0,0 +1,69 @@
+"""Looks whether a silent peer still answers, by a fresh connection.
+
+A heartbeat that is missed says so only after seconds, and an open
+connection may be silent while the peer is well. A greeting over a new
+connection tells within a few round trips.
+"""
+
+from collections.abc import Callable
+
+import eventlet
+
+from burdockmast.base import addresses
+from burdockmast.base import failures
+from burdockmast.base import ids
+from burdockmast.base import metrics
+from burdockmast.base import timers
+from burdockmast.wire import connections
+from burdockmast.wire import peers
+
+# Shortest time between two probes of a peer, in seconds.
+INTERVAL_SECONDS = 1.0
+# Seconds that a peer has to greet, and the same in round trips to it.
+GREET_SECONDS = 0.3
+GREET_ROUND_TRIPS = 6
+
+
+class Probes:
+    """Probes of one process, at most one of each peer at a time."""
+
+    def __init__(
+        self,
+        connections: peers.Peers,
+        measures: metrics.Metrics,
+        silent: Callable[[ids.Address], None],
+    ):
+        """Create a prober.
+
+        :param silent: called with the address of a peer that did not greet
+        """
+        self._peers = connections
+        self._metrics = measures
+        self._silent = silent
+        self._probed_at_by_address: dict[ids.Address, float] = {}
+
+    def look(self, address: ids.Address) -> None:
+        """Probe a peer in a task of its own, unless one was just made."""
+        now = timers.now()
+        probed_at = self._probed_at_by_address.get(address, float('-inf'))
+        if now - probed_at < INTERVAL_SECONDS:
+            return
+        self._probed_at_by_address[address] = now
+        eventlet.spawn(self._probe, address)
+
+    def _probe(self, address: ids.Address) -> None:
+        self._metrics.count('probes')
+        failure = connections.greet(
+            address,
+            addresses.split(address),
+            self._peers.hello,
+            self._seconds(address),
+        )
+        if isinstance(failure, failures.Failure):
+            self._metrics.count('probes.failed')
+            self._silent(address)
+
+    def _seconds(self, address: ids.Address) -> float:
+        link = self._peers.link_by_address.get(address)
+        rtt = link.rtt if link else 0.0
+        return max(GREET_SECONDS, GREET_ROUND_TRIPS * rtt)
--- /dev/null
+++ b/libs/entry/burdockmast/entry/server.py
@@ -0,0 +1,136 @@
+"""The entry process: its parts, and which part gets which message."""
+
+import socket
+
+import eventlet
+import eventlet.wsgi
+
+from burdockmast.base import addresses
+from burdockmast.base import failures
+from burdockmast.base import logs
+from burdockmast.base import timers
+from burdockmast.entry import answers
+from burdockmast.entry import fleet
+from burdockmast.entry import services
+from burdockmast.entry import stalls
+from burdockmast.entry import web
+from burdockmast.limits import queues
+from burdockmast.node import node
+from burdockmast.routing import policies
+from burdockmast.settings import models
+from burdockmast.wire import links
+from burdockmast.wire import messages
+
+LOG = logs.get('entry')
+
+# Connections that may wait to be accepted.
+BACKLOG = 4096
+# Requests served at once.
+CONCURRENCY = 8192
+# Seconds that the balancer has to see that this instance is not ready.
+LEAVE_SECONDS = 0.5
+# Seconds that a planned stop waits for answers.
+DRAIN_SECONDS = 60.0
+IDLE_SECONDS = 0.05
+
+
+class Entry:
+    """One entry instance."""
+
+    def __init__(self, settings: models.EntrySettings):
+        """Create the instance's parts; ``start`` begins their work."""
+        self.settings = settings
+        self.node = node.Node.from_config(settings, messages.Role.ENTRY, self)
+        self.node.describe_role = self._details
+        policy = policies.POLICY_BY_NAME[settings.routing]
+        self.view = fleet.FleetView(self.node, policy, settings.subset)
+        self.queue = queues.FairQueue(settings.queue)
+        self.answers = answers.Answers(self.node, self.view, self.queue)
+        self._is_stopping = False
+        self.node.instances.subscribers.append(self._instance_listed)
+        self.application = web.Application(
+            self.node,
+            self.answers,
+            services.Services(self.node, self.view),
+            settings.default_deadline,
+            settings.body_bytes,
+        )
+
+    def start(self) -> socket.socket:
+        """Begin all work but that for callers; return their socket.
+
+        :raises OSError: if an address is taken
+        """
+        self.node.start()
+        self.node.timers.subscribe('dial', fleet.DIAL_SECONDS, self.view.dial)
+        self.node.timers.subscribe(
+            'stalls', stalls.WATCH_SECONDS, self.answers.stalls.look
+        )
+        return eventlet.listen(
+            addresses.split(self.settings.http_address), backlog=BACKLOG
+        )
+
+    def serve(self, sock: socket.socket) -> None:
+        """Serve callers until ``stop`` has closed the socket."""
+        eventlet.wsgi.server(
+            sock,
+            self.application,
+            log_output=False,
+            max_size=CONCURRENCY,
+            # The default gathers 4 KiB, which are 20 tokens, before it sends.
+            minimum_chunk_size=1,
+            debug=False,
+        )
+
+    def stop(self, sock: socket.socket) -> None:
+        """Let the balancer turn away, then end when all is answered."""
+        LOG.info('Stopping; answers in flight go on.')
+        self._is_stopping = True
+        self.application.leaving = True
+        eventlet.sleep(LEAVE_SECONDS)
+        deadline = timers.now() + DRAIN_SECONDS
+        while self.application.running and timers.now() < deadline:
+            eventlet.sleep(IDLE_SECONDS)
+        sock.close()
+
+    def _instance_listed(self) -> None:
+        """Let the balancer turn away before the platform stops us."""
+        is_leaving = self.node.instances.is_leaving
+        self.application.leaving = self._is_stopping or is_leaving
+
+    def receive(self, link: links.Link, message: messages.AnyMessage) -> None:
+        """Hand a message to its part."""
+        match message:
+            case messages.Token() | messages.Finished() | messages.Failed():
+                self.answers.receive(message)
+            case messages.Begun():
+                self.answers.begun(message)
+            case _ if self.node.receive(link, message):
+                if isinstance(message, messages.Heartbeat) and message.load:
+                    self._learn(message)
+
+    def _learn(self, heartbeat: messages.Heartbeat) -> None:
+        load = heartbeat.load
+        self.view.loads.learn(load, heartbeat.period_ms / 1000)
+        self.queue.wake(load.slots - load.running)
+
+    def describe(self, link: links.Link) -> messages.Heartbeat:
+        """Return the heartbeat for a peer."""
+        return self.node.heartbeat()
+
+    def period(self) -> float:
+        """Return the seconds between heartbeats."""
+        return self.node.peers.period()
+
+    def closed(self, link: links.Link, why: failures.Failure) -> None:
+        """End what depended on a lost link."""
+        self.view.closed(link)
+        self.answers.link_closed(link, why)
+
+    def _details(self) -> dict:
+        return {
+            'http_address': self.settings.http_address,
+            'requests': self.application.running,
+            'waiting': len(self.queue),
+            'servers': len(self.view.servers),
+        }
--- /dev/null
+++ b/libs/entry/burdockmast/entry/stalls.py
@@ -0,0 +1,86 @@
+"""Finds attempts that stand still, and ends them so that they can move."""
+
+from burdockmast.base import failures
+from burdockmast.base import ids
+from burdockmast.base import metrics
+from burdockmast.base import timers
+from burdockmast.entry import attempts
+from burdockmast.entry import fleet
+from burdockmast.entry import probes
+
+# Seconds without a token after which the servers of a path are probed.
+SUSPECT_SECONDS = 0.3
+# Seconds without a token after which an attempt is given up, and the same in
+# times between its tokens of late: a slow answer may pause for longer.
+PROGRESS_SECONDS = 1.5
+PROGRESS_TOKENS = 8
+# Weight of the newest pause in the smoothed time between tokens.
+PAUSE_WEIGHT = 0.2
+# Seconds between looks for such attempts.
+WATCH_SECONDS = 0.1
+PROBE_STEP = 'answer.probe'
+PROGRESS_STEP = 'answer.progress'
+
+
+def note_progress(attempt: attempts.Attempt, deadline: float) -> None:
+    """Note that tokens have just come.
+
+    :param deadline: monotonic seconds, of the caller
+    """
+    now = timers.now()
+    pause = now - attempt.heard_at
+    attempt.heard_at = now
+    attempt.pause += PAUSE_WEIGHT * (pause - attempt.pause)
+    patience = max(PROGRESS_SECONDS, PROGRESS_TOKENS * attempt.pause)
+    attempt.patience_until = min(now + patience, deadline)
+
+
+class Stalls:
+    """The watch over all attempts of one entry."""
+
+    def __init__(
+        self,
+        attempt_by_answer: dict[ids.RequestId, attempts.Attempt],
+        view: fleet.FleetView,
+        measures: metrics.Metrics,
+    ):
+        """Create a watch; ``look`` has to be called periodically.
+
+        :param attempt_by_answer: the attempts that run now, kept by others
+        """
+        self._attempt_by_answer = attempt_by_answer
+        self._view = view
+        self._probes = probes.Probes(
+            view.peers, measures, self._end_silent_through
+        )
+
+    def look(self) -> None:
+        """Probe the servers of silent attempts; end those silent too long."""
+        now = timers.now()
+        for attempt in self._attempt_by_answer.values():
+            if now > attempt.patience_until:
+                attempt.patience_until = float('inf')
+                _end(attempt, PROGRESS_STEP, attempt.hops[0].server)
+            elif _is_suspect(attempt, now):
+                for hop in attempt.hops:
+                    self._probes.look(hop.address)
+
+    def _end_silent_through(self, address: ids.Address) -> None:
+        """End the silent attempts through a server that did not greet."""
+        now = timers.now()
+        for attempt in self._attempt_by_answer.values():
+            hop = attempt.hop_at(address)
+            if hop and _is_suspect(attempt, now):
+                # Nothing new goes there until it is heard of again.
+                self._view.loads.forget(hop.server)
+                _end(attempt, PROBE_STEP, hop.server)
+
+
+def _is_suspect(attempt: attempts.Attempt, now: float) -> bool:
+    return now > attempt.heard_at + SUSPECT_SECONDS
+
+
+def _end(attempt: attempts.Attempt, step: str, server: ids.ServerId) -> None:
+    attempt.mailbox.put(
+        failures.Failure(failures.Reason.PEER_SILENT, step, server)
+    )
--- /dev/null
+++ b/libs/entry/burdockmast/entry/web.py
@@ -0,0 +1,395 @@
+"""The WSGI application that callers talk to."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Iterator
+import itertools
+from typing import Any
+
+import msgspec
+
+from burdockmast.base import failures
+from burdockmast.base import ids
+from burdockmast.base import logs
+from burdockmast.base import outcomes
+from burdockmast.base import timers
+from burdockmast.claims import records
+from burdockmast.entry import answers
+from burdockmast.entry import attempts
+from burdockmast.entry import completions
+from burdockmast.entry import headers
+from burdockmast.entry import refusals
+from burdockmast.entry import services
+from burdockmast.node import node
+
+LOG = logs.get('web')
+
+SERVICES_PREFIX = '/v1/services/'
+STREAM_TYPE = 'text/event-stream'
+JSON_TYPE = 'application/json'
+# Headers of a caller that go on to a plain service.
+PASSED_HEADERS = {
+    'CONTENT_TYPE': 'Content-Type',
+    'HTTP_ACCEPT': 'Accept',
+    'HTTP_IDEMPOTENCY_KEY': 'Idempotency-Key',
+    'HTTP_BURDOCKMAST_ORGANISATION': 'Burdockmast-Organisation',
+}
+
+Body = Iterable[bytes]
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+
+
+class Counted:
+    """A response body that counts as a running request until it is closed."""
+
+    def __init__(self, body: Body, application: 'Application'):
+        """Wrap a body; the server closes it, also if the caller leaves."""
+        self._body = body
+        self._items = iter(body)
+        self._application = application
+
+    def __iter__(self) -> 'Counted':
+        """Return the iterator itself."""
+        return self
+
+    def __next__(self) -> bytes:
+        """Return the next part."""
+        return next(self._items)
+
+    def close(self) -> None:
+        """End the request."""
+        if self._application:
+            self._application.running -= 1
+            self._application = None
+        if hasattr(self._body, 'close'):
+            self._body.close()
+
+
+class Application:
+    """Callers' requests to one entry."""
+
+    def __init__(
+        self,
+        process: node.Node,
+        given: answers.Answers,
+        called: services.Services,
+        default_seconds: float,
+        body_bytes: int,
+    ):
+        """Create an application.
+
+        :param default_seconds: deadline of requests that name none
+        :param body_bytes: largest body of a request
+        """
+        self.leaving = False
+        self.running = 0
+        self._follower = process.follower
+        self._answers = given
+        self._services = called
+        self._metrics = process.metrics
+        self._timeline = process.events
+        self._default_seconds = default_seconds
+        self._body_bytes = body_bytes
+
+    def __call__(self, environ: dict, start_response: StartResponse) -> Body:
+        """Serve one request."""
+        if self.leaving:
+            start_response = _closing(start_response)
+        self.running += 1
+        try:
+            body = self._route(environ, start_response)
+        except BaseException:
+            self.running -= 1
+            raise
+        return Counted(body, self)
+
+    def _route(self, environ: dict, start_response: StartResponse) -> Body:
+        path = environ['PATH_INFO']
+        request = ids.RequestId(ids.new_id())
+        match path:
+            case '/livez':
+                return _respond(start_response, '200 OK', {'live': True})
+            case '/readyz':
+                return self._ready(start_response)
+            case '/v1/models':
+                return self._models(start_response)
+            case '/v1/chat/completions' | '/v1/completions':
+                return self._complete(environ, start_response, request)
+        if path.startswith(SERVICES_PREFIX):
+            return self._serve(environ, start_response, request)
+        failure = failures.Failure(
+            failures.Reason.UNKNOWN_SERVICE,
+            'request.path',
+            detail=f'no such path {path}',
+        )
+        return self._refuse(start_response, request, failure)
+
+    def _ready(self, start_response: StartResponse) -> Body:
+        state = {
+            'ready': not self.leaving and self._follower.version > 0,
+            'version': self._follower.version,
+            'preset': self._follower.configuration.in_force,
+        }
+        status = '200 OK' if state['ready'] else refusals.OTHER_STATUS
+        return _respond(start_response, status, state)
+
+    def _models(self, start_response: StartResponse) -> Body:
+        preset = self._follower.configuration.preset
+        models = preset.models if preset else ()
+        listing = {
+            'object': 'list',
+            'data': [{'id': m.id, 'object': 'model'} for m in models],
+        }
+        return _respond(start_response, '200 OK', listing)
+
+    def _complete(
+        self,
+        environ: dict,
+        start_response: StartResponse,
+        request: ids.RequestId,
+    ) -> Body:
+        if environ['REQUEST_METHOD'] != 'POST':
+            failure = _bad_request('only POST is served here')
+            return self._refuse(start_response, request, failure)
+        checked = self._check(environ, request)
+        if isinstance(checked, failures.Failure):
+            return self._refuse(start_response, request, checked)
+        asked, chat = checked
+        items = self._answers.stream(asked)
+        # A refusal before the first token can still have a status.
+        first = next(items, None)
+        if isinstance(first, failures.Failure):
+            return self._refuse(start_response, request, first)
+        items = itertools.chain([first], items)
+        self._metrics.count('answers.begun')
+        if chat.stream:
+            start_response(
+                '200 OK',
+                [
+                    ('Content-Type', STREAM_TYPE),
+                    ('Cache-Control', 'no-store'),
+                    ('Burdockmast-Request-Id', request),
+                ],
+            )
+            return self._events(asked, items)
+        return self._whole(start_response, asked, items)
+
+    def _check(
+        self, environ: dict, request: ids.RequestId
+    ) -> tuple[attempts.Request, completions.ChatRequest] | failures.Failure:
+        said = headers.parse(environ, self._default_seconds)
+        if isinstance(said, failures.Failure):
+            return said
+        body = self._read_body(environ)
+        if isinstance(body, failures.Failure):
+            return body
+        chat = completions.parse(body)
+        if isinstance(chat, failures.Failure):
+            return chat
+        current = self._follower.configuration
+        organisation = current.organisation(said.organisation)
+        if organisation is None:
+            return _unknown_organisation(said)
+        model = current.model(ids.ModelId(chat.model))
+        if model is None:
+            return failures.Failure(
+                failures.Reason.UNKNOWN_MODEL,
+                'request.model',
+                detail=f'preset {current.in_force} has no model {chat.model}',
+            )
+        tokens = chat.tokens()
+        asked = attempts.Request(
+            request,
+            organisation,
+            said.priority,
+            timers.now() + said.seconds,
+            model,
+            tokens,
+            chat.limit,
+            completions.fingerprint_of(chat.model, tokens),
+        )
+        return asked, chat
+
+    def _read_body(self, environ: dict) -> bytes | failures.Failure:
+        length = environ.get('CONTENT_LENGTH') or ''
+        if length and not length.isdigit():
+            return _bad_request(f'Content-Length: found {length!r}')
+        if int(length or 0) > self._body_bytes:
+            return _too_large(self._body_bytes)
+        body = environ['wsgi.input'].read(self._body_bytes + 1)
+        if len(body) > self._body_bytes:
+            return _too_large(self._body_bytes)
+        return body
+
+    def _events(
+        self,
+        asked: attempts.Request,
+        items: Iterator[list[int] | failures.Failure],
+    ) -> Iterator[bytes]:
+        writer = completions.ChunkWriter(asked.id, asked.model.id)
+        count = 0
+        for item in items:
+            if isinstance(item, failures.Failure):
+                self._note_refusal(item, asked.id)
+                body = refusals.body_of(item, asked.id)
+                yield b'data: ' + body + b'\n\n'
+                return
+            count += len(item)
+            yield b''.join(map(writer.token, item))
+        yield writer.end(count)
+
+    def _whole(
+        self,
+        start_response: StartResponse,
+        asked: attempts.Request,
+        items: Iterator[list[int] | failures.Failure],
+    ) -> Body:
+        tokens: list[int] = []
+        for item in items:
+            if isinstance(item, failures.Failure):
+                return self._refuse(start_response, asked.id, item)
+            tokens.extend(item)
+        body = completions.whole(
+            asked.id, asked.model.id, len(asked.prompt), tokens
+        )
+        found = [
+            ('Content-Type', JSON_TYPE),
+            ('Burdockmast-Request-Id', asked.id),
+        ]
+        return _send(start_response, '200 OK', found, body)
+
+    def _serve(
+        self,
+        environ: dict,
+        start_response: StartResponse,
+        request: ids.RequestId,
+    ) -> Body:
+        call = self._check_call(environ, request)
+        if isinstance(call, failures.Failure):
+            return self._refuse(start_response, request, call)
+        result = self._services.call(call)
+        if isinstance(result, failures.Failure):
+            return self._refuse(start_response, request, result)
+        replayed = (
+            [('Idempotent-Replayed', 'true')] if result.is_replay else []
+        )
+        found = [
+            *result.headers,
+            ('Burdockmast-Outcome', outcomes.Outcome.RAN.value),
+            ('Burdockmast-Request-Id', request),
+            *replayed,
+        ]
+        status = f'{result.status} Answered'
+        return _send(start_response, status, found, result.body)
+
+    def _check_call(
+        self, environ: dict, request: ids.RequestId
+    ) -> services.Call | failures.Failure:
+        said = headers.parse(environ, self._default_seconds)
+        if isinstance(said, failures.Failure):
+            return said
+        organisation = self._follower.configuration.organisation(
+            said.organisation
+        )
+        if organisation is None:
+            return _unknown_organisation(said)
+        body = self._read_body(environ)
+        if isinstance(body, failures.Failure):
+            return body
+        rest = environ['PATH_INFO'][len(SERVICES_PREFIX) :]
+        name, _, path = rest.partition('/')
+        service = ids.ServiceId(name)
+        query = environ.get('QUERY_STRING')
+        key = ''
+        if said.key:
+            key = records.key_of(said.organisation, service, said.key)
+        return services.Call(
+            request,
+            service,
+            environ['REQUEST_METHOD'],
+            f'/{path}?{query}' if query else f'/{path}',
+            tuple(
+                (name, environ[variable])
+                for variable, name in PASSED_HEADERS.items()
+                if environ.get(variable)
+            ),
+            body,
+            key,
+            said.is_idempotent,
+            timers.now() + said.seconds,
+        )
+
+    def _refuse(
+        self,
+        start_response: StartResponse,
+        request: ids.RequestId,
+        failure: failures.Failure,
+    ) -> Body:
+        self._note_refusal(failure, request)
+        return _send(
+            start_response,
+            refusals.status_of(failure),
+            refusals.headers_of(failure, request),
+            refusals.body_of(failure, request),
+        )
+
+    def _note_refusal(
+        self, failure: failures.Failure, request: ids.RequestId
+    ) -> None:
+        self._metrics.count(f'refusals.{failure.reason.value}')
+        self._timeline.add(
+            'request.refused',
+            request,
+            reason=failure.reason.value,
+            step=failure.step,
+            peer=failure.peer,
+            detail=failure.detail,
+        )
+
+
+def _closing(start_response: StartResponse) -> StartResponse:
+    """Make the caller's next request open a new connection."""
+
+    def start(status: str, found: list[tuple[str, str]]) -> Any:
+        return start_response(status, [*found, ('Connection', 'close')])
+
+    return start
+
+
+def _respond(
+    start_response: StartResponse, status: str, value: object
+) -> Body:
+    found = [('Content-Type', JSON_TYPE)]
+    return _send(start_response, status, found, msgspec.json.encode(value))
+
+
+def _send(
+    start_response: StartResponse,
+    status: str,
+    found: list[tuple[str, str]],
+    body: bytes,
+) -> Body:
+    start_response(status, [*found, ('Content-Length', str(len(body)))])
+    return [body]
+
+
+def _bad_request(detail: str) -> failures.Failure:
+    return failures.Failure(
+        failures.Reason.BAD_REQUEST, 'request.read', detail=detail
+    )
+
+
+def _too_large(limit: int) -> failures.Failure:
+    return failures.Failure(
+        failures.Reason.TOO_LARGE,
+        'request.body',
+        detail=f'the body is larger than {limit} bytes',
+    )
+
+
+def _unknown_organisation(said: headers.Headers) -> failures.Failure:
+    return failures.Failure(
+        failures.Reason.UNKNOWN_ORGANISATION,
+        'request.organisation',
+        detail=f'no organisation {said.organisation}',
+    )
--- /dev/null
+++ b/libs/fleet/burdockmast/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The configuration of the fleet and how it reaches every process."""
--- /dev/null
+++ b/libs/fleet/burdockmast/fleet/encoding.py
@@ -0,0 +1,44 @@
+"""Changes and whole configurations as they travel between processes.
+
+JSON, compressed: presets name the same few keys over and over.
+"""
+
+import hashlib
+from typing import TypeVar
+import zlib
+
+import msgspec
+
+from burdockmast.fleet import changes
+from burdockmast.fleet import configuration
+
+Decoded = TypeVar('Decoded', changes.Change, configuration.Configuration)
+
+# Bytes that a decompressed value may have.
+MAX_BYTES = 64 * 1024 * 1024
+DIGEST_BYTES = 16
+
+
+def encode(value: changes.Change | configuration.Configuration) -> bytes:
+    """Return a value as neighbours get it."""
+    return zlib.compress(msgspec.json.encode(value))
+
+
+def decode(encoded: bytes, kind: type[Decoded]) -> Decoded:
+    """Return the value of what ``encode`` made.
+
+    :raises ValueError: if it is damaged or too large
+    """
+    unpacker = zlib.decompressobj()
+    try:
+        data = unpacker.decompress(encoded, MAX_BYTES)
+    except zlib.error as error:
+        raise ValueError(f'damaged: {error}') from error
+    if not unpacker.eof:
+        raise ValueError(f'cut short, or larger than {MAX_BYTES} bytes')
+    return msgspec.json.decode(data, type=kind)
+
+
+def digest(encoded: bytes) -> bytes:
+    """Return what tells whether an encoded value has been damaged."""
+    return hashlib.blake2b(encoded, digest_size=DIGEST_BYTES).digest()
--- /dev/null
+++ b/libs/fleet/burdockmast/fleet/snapshots.py
@@ -0,0 +1,123 @@
+"""The whole configuration in the store, so that its journal can be cut.
+
+Without it a new process and every operator's command would read all changes
+that ever were. A watcher writes one object now and then, by a conditional
+update, and has the journal cut some way behind it.
+"""
+
+import base64
+
+import msgspec
+
+from burdockmast.base import failures
+from burdockmast.base import ids
+from burdockmast.base import logs
+from burdockmast.fleet import configuration
+from burdockmast.fleet import encoding
+from burdockmast.store import cuts
+from burdockmast.store import objects
+
+LOG = logs.get('fleet')
+
+KIND = 'config-snapshot'
+NAME = 'newest'
+# Changes after which a new snapshot is written.
+INTERVAL_CHANGES = 512
+# Seconds between looks whether the snapshot is as it should be.
+LOOK_SECONDS = 600.0
+# Changes before a snapshot that stay, for processes that are a little behind.
+KEPT_CHANGES = 256
+
+
+class Snapshot(msgspec.Struct):
+    """The configuration as of a version.
+
+    :ivar data: what ``encoding`` made of it, in base 64
+    """
+
+    version: ids.Version
+    digest: str
+    data: str
+
+
+class Snapshots:
+    """The newest snapshot of one platform's configuration."""
+
+    def __init__(self, store: objects.Objects, journal: cuts.CutJournal):
+        """Create a client.
+
+        :param journal: the journal that is cut behind snapshots
+        """
+        self._store = store
+        self._journal = journal
+
+    def read(self) -> configuration.Configuration | failures.Failure:
+        """Return the newest snapshot; empty if there is none yet."""
+        found = self._store.get(KIND, NAME)
+        match found:
+            case objects.Absent():
+                return configuration.Configuration()
+            case objects.Stored(value=value):
+                return _decode(msgspec.convert(value, Snapshot))
+        return found
+
+    def write(
+        self, current: configuration.Configuration
+    ) -> failures.Failure | None:
+        """Write a snapshot if it is due, and cut the journal behind it.
+
+        A damaged one is always due.
+
+        Any number of processes may do this at once.
+        """
+        version = current.version
+        # Encoded before any call, while nothing can change it.
+        snapshot = encode(current)
+        found = self._store.get(KIND, NAME)
+        match found:
+            case objects.Absent():
+                written = self._store.create(KIND, NAME, snapshot)
+            case objects.Stored(value=value, revision=revision):
+                known = msgspec.convert(value, Snapshot)
+                is_damaged = isinstance(_decode(known), failures.Failure)
+                if not is_damaged and not is_due(version, known.version):
+                    return None
+                written = self._store.update(KIND, NAME, snapshot, revision)
+            case failure:
+                return failure
+        match written:
+            case objects.Conflict():
+                return None
+            case failures.Failure():
+                return written
+        LOG.info('Wrote a snapshot of version {}.', version)
+        return self._journal.cut(max(0, version - KEPT_CHANGES))
+
+
+def is_due(version: ids.Version, since: ids.Version) -> bool:
+    """Tell whether enough changes have come since a snapshot."""
+    return version - since >= INTERVAL_CHANGES
+
+
+def encode(current: configuration.Configuration) -> Snapshot:
+    """Return the object that holds a configuration."""
+    encoded = encoding.encode(current)
+    data = base64.b64encode(encoded).decode()
+    return Snapshot(current.version, encoding.digest(encoded).hex(), data)
+
+
+def _decode(
+    snapshot: Snapshot,
+) -> configuration.Configuration | failures.Failure:
+    try:
+        encoded = base64.b64decode(snapshot.data, validate=True)
+        if encoding.digest(encoded).hex() != snapshot.digest:
+            raise ValueError('its digest is another')
+        return encoding.decode(encoded, configuration.Configuration)
+    except ValueError as error:
+        return failures.Failure(
+            failures.Reason.STORE_UNAVAILABLE,
+            'snapshot.read',
+            KIND,
+            f'the snapshot is damaged: {error}',
+        )
--- /dev/null
+++ b/libs/limits/burdockmast/limits/__init__.py
@@ -0,0 +1,1 @@
+"""What keeps a busy or hurt fleet useful."""
--- /dev/null
+++ b/libs/node/burdockmast/node/__init__.py
@@ -0,0 +1,1 @@
+"""What entry instances and side processes have in common."""
--- /dev/null
+++ b/libs/operator/burdockmast/operator/__init__.py
@@ -0,0 +1,1 @@
+"""The program ``burdockmast`` and its command line."""
--- /dev/null
+++ b/libs/operator/burdockmast/operator/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Definition, argument types and checks of the command line."""
--- /dev/null
+++ b/libs/operator/burdockmast/operator/cli/definition.py
@@ -0,0 +1,226 @@
+"""The commands and options of the program."""
+
+import functools
+import pathlib
+
+import click
+
+from burdockmast.base import ids
+from burdockmast.operator import context
+from burdockmast.operator import daemons
+from burdockmast.operator import observation
+from burdockmast.operator import presets
+from burdockmast.operator import servers
+from burdockmast.operator.cli import types
+from burdockmast.settings import loader
+
+
+@click.group(context_settings={'help_option_names': ['-h', '--help']})
+@click.version_option('0.1.0', prog_name='burdockmast')
+def program() -> None:
+    """Route model pipelines over mixed accelerators."""
+
+
+def operator_command(command):
+    """Give a command the operators' options, as a ``context.Context``."""
+
+    @types.operator_options
+    @functools.wraps(command)
+    def run(*, settings, store, is_json, **arguments):
+        made = context.Context.from_config(settings, store, is_json)
+        return command(made, **arguments)
+
+    return run
+
+
+@program.command()
+@click.argument('settings', type=types.FILE)
+def entry(settings: pathlib.Path) -> int:
+    """Run an entry instance.
+
+    Example: burdockmast entry entry.json
+    """
+    return daemons.run_entry(settings)
+
+
+@program.command()
+@click.argument('settings', type=types.FILE)
+def side(settings: pathlib.Path) -> int:
+    """Run the process beside a backend server.
+
+    Example: burdockmast side side.json
+    """
+    return daemons.run_side(settings)
+
+
+@program.group()
+def preset() -> None:
+    """Work on presets."""
+
+
+@preset.command('check')
+@click.argument('path', metavar='FILE', type=types.FILE)
+def check_preset(path: pathlib.Path) -> None:
+    """Check a preset's file without creating it.
+
+    Example: burdockmast preset check examples/swap-desk/ordinary.json
+    """
+    found = presets.load(path)
+    click.echo(f'{path}: preset {found.id} is valid.')
+
+
+@preset.command('create')
+@click.argument('path', metavar='FILE', type=types.FILE)
+@operator_command
+def create_preset(run: context.Context, path: pathlib.Path) -> None:
+    """Create or replace a preset that is not in force.
+
+    Example: burdockmast preset create ordinary.json
+    """
+    presets.create(run, path)
+
+
+@preset.command('list')
+@operator_command
+def list_presets(run: context.Context) -> None:
+    """Show all presets and the one in force."""
+    presets.list_all(run)
+
+
+@preset.command('show')
+@click.argument('preset_id', metavar='PRESET')
+@operator_command
+def show_preset(run: context.Context, preset_id: str) -> None:
+    """Show one preset."""
+    presets.show(run, ids.PresetId(preset_id))
+
+
+@preset.command('diff')
+@click.argument('before', metavar='PRESET')
+@click.argument('after', metavar='PRESET')
+@operator_command
+def diff_presets(run: context.Context, before: str, after: str) -> None:
+    """Show what differs between two presets.
+
+    Example: burdockmast preset diff ordinary peak
+    """
+    presets.diff(run, ids.PresetId(before), ids.PresetId(after))
+
+
+@preset.command('switch')
+@click.argument('preset_id', metavar='PRESET')
+@click.option('--expected', help='Refuse if another preset is in force.')
+@click.option(
+    '--unserved',
+    is_flag=True,
+    help='Even if no active server would hold some layers.',
+)
+@operator_command
+def switch_preset(
+    run: context.Context,
+    preset_id: str,
+    expected: str | None,
+    unserved: bool,
+) -> None:
+    """Put a preset in force in place of the present one.
+
+    Example: burdockmast preset switch peak --expected ordinary
+    """
+    presets.switch(run, ids.PresetId(preset_id), expected, unserved)
+
+
+@program.group()
+def server() -> None:
+    """Work on backend servers."""
+
+
+@server.command('add')
+@click.argument('path', metavar='FILE', type=types.FILE)
+@operator_command
+def add_server(run: context.Context, path: pathlib.Path) -> None:
+    """Add the backend server that a file describes.
+
+    Example: burdockmast server add e41.json
+    """
+    servers.add(run, path)
+
+
+@server.command('retire')
+@click.argument('server_id', metavar='SERVER')
+@click.option('--wait', default=0.0, help='Seconds to wait until idle.')
+@operator_command
+def retire_server(run: context.Context, server_id: str, wait: float) -> None:
+    """Give a backend server no new work.
+
+    Example: burdockmast server retire e41 --wait 60
+    """
+    servers.retire(run, ids.ServerId(server_id), wait)
+
+
+@server.command('remove')
+@click.argument('server_id', metavar='SERVER')
+@operator_command
+def remove_server(run: context.Context, server_id: str) -> None:
+    """Forget a backend server that is leaving."""
+    servers.remove(run, ids.ServerId(server_id))
+
+
+@server.command('list')
+@operator_command
+def list_servers(run: context.Context) -> None:
+    """Show all backend servers."""
+    servers.list_all(run)
+
+
+@program.command()
+@operator_command
+def status(run: context.Context) -> None:
+    """Show every process of the fleet."""
+    observation.status(run)
+
+
+@program.command()
+@click.option('--request', default='', help='Only events of one request.')
+@click.option('--limit', default=200, help='Newest events to show.')
+@operator_command
+def timeline(run: context.Context, request: str, limit: int) -> None:
+    """Show the events of all processes in causal order."""
+    observation.show_timeline(run, request, limit)
+
+
+@program.command()
+@click.argument('request')
+@operator_command
+def explain(run: context.Context, request: str) -> None:
+    """Tell why a request was routed or refused as it was.
+
+    The id is that of the answer's header Burdockmast-Request-Id.
+    """
+    observation.explain(run, request)
+
+
+@program.group()
+def settings() -> None:
+    """Work on settings files."""
+
+
+@settings.command('check')
+@click.argument('role', type=types.ROLE)
+@click.argument('path', metavar='FILE', type=types.FILE)
+def check_settings(role: str, path: pathlib.Path) -> None:
+    """Check a settings file.
+
+    Example: burdockmast settings check entry entry.json
+    """
+    loader.load(path, types.SETTINGS_BY_ROLE[role])
+    click.echo(f'{path}: valid settings of role {role}.')
+
+
+@program.command()
+@click.argument('shell', type=types.SHELL)
+def completion(shell: str) -> None:
+    """Print a shell's completion script.
+
+    Example: burdockmast completion bash > burdockmast.bash
+    """
+    observation.print_completion(shell)
--- /dev/null
+++ b/libs/operator/burdockmast/operator/cli/types.py
@@ -0,0 +1,40 @@
+"""Arguments and options that several commands share."""
+
+from collections.abc import Callable
+import pathlib
+from typing import TypeVar
+
+import click
+
+from burdockmast.settings import models
+
+Command = TypeVar('Command', bound=Callable)
+
+FILE = click.Path(path_type=pathlib.Path)
+SETTINGS_BY_ROLE = {
+    'entry': models.EntrySettings,
+    'side': models.SideSettings,
+    'operator': models.OperatorSettings,
+}
+ROLE = click.Choice(sorted(SETTINGS_BY_ROLE))
+SHELL = click.Choice(['bash', 'zsh', 'fish'])
+
+
+def operator_options(command: Command) -> Command:
+    """Add the options of all operators' commands."""
+    for option in (
+        click.option('--json', 'is_json', is_flag=True, help='Print JSON.'),
+        click.option(
+            '--store',
+            envvar='BURDOCKMAST_STORE',
+            help="URL of the platform's Object API.",
+        ),
+        click.option(
+            '--settings',
+            type=FILE,
+            envvar='BURDOCKMAST_SETTINGS',
+            help="Operators' settings file.",
+        ),
+    ):
+        command = option(command)
+    return command
--- /dev/null
+++ b/libs/operator/burdockmast/operator/daemons.py
@@ -0,0 +1,79 @@
+"""Runs an entry instance or a side process until it is told to stop."""
+
+from collections.abc import Callable
+import os
+import pathlib
+import signal
+
+import eventlet
+import eventlet.event
+
+from burdockmast.base import logs
+from burdockmast.entry import server as entry_server
+from burdockmast.operator import exit_status
+from burdockmast.settings import loader
+from burdockmast.settings import models
+from burdockmast.side import server as side_server
+
+LOG = logs.get('daemon')
+
+
+def run_entry(path: pathlib.Path) -> exit_status.ExitStatus:
+    """Serve callers by the settings at ``path``.
+
+    :raises loader.SettingsError: if the settings are wrong
+    """
+    settings = loader.load(path, models.EntrySettings)
+    logs.set_up(settings.log_level)
+    entry = entry_server.Entry(settings)
+    try:
+        sock = entry.start()
+    except OSError as error:
+        return _address_taken(error)
+    eventlet.spawn(entry.serve, sock)
+    LOG.info(
+        'Entry {} serves {}.', entry.node.events.process, sock.getsockname()
+    )
+    _wait_for_stop()
+    entry.stop(sock)
+    return exit_status.ExitStatus.SUCCESS
+
+
+def run_side(path: pathlib.Path) -> exit_status.ExitStatus:
+    """Serve a backend server by the settings at ``path``.
+
+    :raises loader.SettingsError: if the settings are wrong
+    """
+    settings = loader.load(path, models.SideSettings)
+    logs.set_up(settings.log_level)
+    side = side_server.Side(settings)
+    try:
+        side.start()
+    except OSError as error:
+        return _address_taken(error)
+    LOG.info('Side {} of {} runs.', side.node.events.process, settings.server)
+    _wait_for_stop()
+    side.stop()
+    return exit_status.ExitStatus.SUCCESS
+
+
+def _address_taken(error: OSError) -> exit_status.ExitStatus:
+    LOG.error('The address is not free: {}.', error)
+    return exit_status.ExitStatus.ADDRESS_TAKEN
+
+
+def _wait_for_stop() -> None:
+    """Wait for SIGTERM or SIGINT; a second one ends the process at once."""
+    stopped = eventlet.event.Event()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, _stopper(stopped))
+    stopped.wait()
+
+
+def _stopper(stopped: eventlet.event.Event) -> Callable[..., None]:
+    def stop(number: int, frame: object) -> None:
+        if stopped.ready():
+            os._exit(exit_status.ExitStatus.ERROR)
+        stopped.send(number)
+
+    return stop
--- /dev/null
+++ b/libs/operator/burdockmast/operator/presets.py
@@ -0,0 +1,181 @@
+"""Operators' work on presets."""
+
+import dataclasses
+import pathlib
+import time
+
+import click
+import msgspec
+
+from burdockmast.base import ids
+from burdockmast.base import timers
+from burdockmast.fleet import changes
+from burdockmast.fleet import configuration
+from burdockmast.operator import asking
+from burdockmast.operator import context
+from burdockmast.settings import loader
+
+# Seconds that a switch waits for all processes to follow.
+FOLLOW_SECONDS = 10.0
+POLL_SECONDS = 0.1
+
+
+def load(path: pathlib.Path) -> changes.Preset:
+    """Read and check a preset's file.
+
+    :raises loader.SettingsError: if it is wrong
+    """
+    preset = loader.load(path, changes.Preset)
+    refusal = configuration.Configuration().check(changes.PutPreset(preset))
+    if refusal:
+        raise loader.SettingsError(f'{path}: {refusal.detail}')
+    return preset
+
+
+def create(run: context.Context, path: pathlib.Path) -> None:
+    """Create or replace a preset."""
+    preset = load(path)
+    accepted = run.submit(changes.PutPreset(preset))
+    text = f'Preset {preset.id} is accepted as version {accepted.version}.'
+    run.show(accepted, text)
+
+
+def list_all(run: context.Context) -> None:
+    """Show all presets and which one is in force."""
+    current = run.writer().configuration
+    rows = [
+        (
+            preset.id,
+            'in force' if preset.id == current.in_force else '',
+            ','.join(model.id for model in preset.models),
+            len(preset.placements),
+        )
+        for preset in current.preset_by_id.values()
+    ]
+    header = ('PRESET', 'STATE', 'MODELS', 'PLACEMENTS')
+    run.show(list(current.preset_by_id), context.table(header, rows))
+
+
+def show(run: context.Context, preset: ids.PresetId) -> None:
+    """Show one preset as it can be created again."""
+    found = _find(run.writer().configuration, preset)
+    encoded = msgspec.json.format(msgspec.json.encode(found), indent=2)
+    run.show(found, encoded.decode())
+
+
+def diff(
+    run: context.Context, before: ids.PresetId, after: ids.PresetId
+) -> None:
+    """Show what a switch between two presets would change."""
+    current = run.writer().configuration
+    lines = [
+        *_diff_placements(_find(current, before), _find(current, after)),
+        *_diff_organisations(_find(current, before), _find(current, after)),
+    ]
+    run.show(lines, '\n'.join(lines) or 'No difference.')
+
+
+def _diff_placements(
+    before: changes.Preset, after: changes.Preset
+) -> list[str]:
+    old = {placement.target: placement for placement in before.placements}
+    new = {placement.target: placement for placement in after.placements}
+    return [
+        f'{target}: {_layers(old.get(target))} -> {_layers(new.get(target))}'
+        for target in sorted(old.keys() | new.keys())
+        if old.get(target) != new.get(target)
+    ]
+
+
+def _diff_organisations(
+    before: changes.Preset, after: changes.Preset
+) -> list[str]:
+    old = {o.id: o.weight for o in before.organisations}
+    new = {o.id: o.weight for o in after.organisations}
+    return [
+        f'organisation {name}: {old.get(name, "none")} -> '
+        f'{new.get(name, "none")}'
+        for name in sorted(old.keys() | new.keys())
+        if old.get(name) != new.get(name)
+    ]
+
+
+def _layers(placement: changes.Placement | None) -> str:
+    if placement is None:
+        return 'nothing'
+    return f'{placement.model} {placement.first}-{placement.end}'
+
+
+def switch(
+    run: context.Context,
+    preset: ids.PresetId,
+    expected: str | None,
+    unserved: bool,
+) -> None:
+    """Put a preset in force and wait until all processes follow.
+
+    :param unserved: also if no active server would hold some layers
+    """
+    writer = run.writer()
+    if expected is None:
+        expected = writer.configuration.in_force
+    known = writer.configuration.preset_by_id.get(preset)
+    if known and not unserved:
+        _check_served(writer.configuration, known)
+    body = changes.SwitchPreset(preset, ids.PresetId(expected))
+    began = time.monotonic()
+    accepted = context.check(writer.submit(body))
+    current, total, silent = _await_version(run, accepted.version)
+    seconds = time.monotonic() - began
+    text = (
+        f'Preset {preset} is in force as version {accepted.version}, on '
+        f'{current} of {total} processes after {seconds:.1f} s.'
+    )
+    if silent:
+        text += f' No answer from {", ".join(silent)}.'
+    run.show(
+        {
+            'version': accepted.version,
+            'processes_current': current,
+            'processes': total,
+            'silent': silent,
+            'seconds': seconds,
+        },
+        text,
+    )
+
+
+def _check_served(
+    current: configuration.Configuration, preset: changes.Preset
+) -> None:
+    refusal = current.unserved(preset)
+    if refusal:
+        detail = (
+            f'of the active servers, {refusal.detail}; '
+            'give --unserved to switch nevertheless'
+        )
+        context.check(dataclasses.replace(refusal, detail=detail))
+
+
+def _await_version(
+    run: context.Context, version: ids.Version
+) -> tuple[int, int, list[str]]:
+    """Return how many processes follow, of how many, and the silent."""
+    deadline = timers.now() + FOLLOW_SECONDS
+    while True:
+        statuses, answers = asking.statuses(run.addresses())
+        current = sum(s.version >= version for s in statuses.values())
+        if current == len(statuses) or timers.now() > deadline:
+            silent = sorted(answers.failure_by_address)
+            return current, len(statuses), silent
+        time.sleep(POLL_SECONDS)
+
+
+def _find(
+    current: configuration.Configuration, preset: ids.PresetId
+) -> changes.Preset:
+    found = current.preset_by_id.get(preset)
+    if found is None:
+        known = ', '.join(current.preset_by_id) or 'none'
+        raise click.BadParameter(f'no preset {preset}; there are: {known}')
+    return found
--- /dev/null
+++ b/libs/operator/burdockmast/operator/servers.py
@@ -0,0 +1,96 @@
+"""Operators' work on backend servers."""
+
+import pathlib
+import time
+
+from burdockmast.base import failures
+from burdockmast.base import ids
+from burdockmast.base import timers
+from burdockmast.fleet import changes
+from burdockmast.fleet import moves
+from burdockmast.node import inspection
+from burdockmast.operator import asking
+from burdockmast.operator import context
+from burdockmast.settings import loader
+
+POLL_SECONDS = 0.1
+
+
+def add(run: context.Context, path: pathlib.Path) -> None:
+    """Add the backend server that a file describes."""
+    server = loader.load(path, changes.Server)
+    accepted = run.submit(changes.AddServer(server))
+    text = f'Server {server.id} is added as version {accepted.version}.'
+    run.show(accepted, text)
+
+
+def retire(run: context.Context, server: ids.ServerId, wait: float) -> None:
+    """Give a backend server no new work; wait until it is idle."""
+    accepted = run.submit(changes.RetireServer(server))
+    text = f'Server {server} is leaving as of version {accepted.version}.'
+    if wait:
+        is_idle = _await_idle(run, server, wait)
+        text += ' It is idle.' if is_idle else f' Busy after {wait:.0f} s.'
+    run.show(accepted, text)
+
+
+def remove(run: context.Context, server: ids.ServerId) -> None:
+    """Forget a backend server that is leaving."""
+    accepted = run.submit(changes.RemoveServer(server))
+    text = f'Server {server} is removed as of version {accepted.version}.'
+    run.show(accepted, text)
+
+
+def list_all(run: context.Context) -> None:
+    """Show all backend servers."""
+    current = run.writer().configuration
+    holds_by_server = _holds(run)
+    rows = []
+    for server in current.server_by_id.values():
+        placed = current.placement(server.id)
+        layers = f'{placed.first}-{placed.end}' if placed else ''
+        rows.append(
+            (
+                server.id,
+                server.state.value,
+                server.zone,
+                server.address,
+                server.accelerator or server.kind.value,
+                server.service or (placed.model if placed else ''),
+                layers,
+                holds_by_server.get(server.id, ''),
+            )
+        )
+    header = (
+        'SERVER', 'STATE', 'ZONE', 'ADDRESS', 'KIND', 'SERVES', 'LAYERS',
+        'HOLDS',
+    )  # fmt: skip
+    servers = list(current.server_by_id.values())
+    run.show(servers, context.table(header, rows))
+
+
+def _holds(run: context.Context) -> dict[ids.ServerId, str]:
+    """Return what servers hold, or that they change it now."""
+    found: dict[ids.ServerId, str] = {}
+    for state in context.check(moves.read_all(run.store())).values():
+        for server, span in state.held_by_server.items():
+            found[server] = f'{span.first}-{span.end}'
+        for server in state.turn_by_server:
+            found[server] = 'changing'
+    return found
+
+
+def _await_idle(
+    run: context.Context, server: ids.ServerId, seconds: float
+) -> bool:
+    address = run.writer().configuration.server_by_id[server].address
+    deadline = timers.now() + seconds
+    while timers.now() < deadline:
+        reply = asking.ask(address, 'status')
+        if isinstance(reply, failures.Failure):
+            return True
+        details = inspection.decode_status(reply).details
+        if not details.get('running') and not details.get('executing'):
+            return True
+        time.sleep(POLL_SECONDS)
+    return False
--- /dev/null
+++ b/libs/routing/burdockmast/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which backend servers run an answer."""
--- /dev/null
+++ b/libs/settings/burdockmast/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of each role, read from JSON with comments and checked."""
--- /dev/null
+++ b/libs/side/burdockmast/side/__init__.py
@@ -0,0 +1,1 @@
+"""The process beside each backend server."""
--- /dev/null
+++ b/libs/standins/burdockmast/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems, for tests, demos and benches."""
--- /dev/null
+++ b/libs/store/burdockmast/store/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's Object API, and journals kept in it."""
--- /dev/null
+++ b/libs/wire/burdockmast/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Streams of typed msgpack messages between the system's processes."""
--- /dev/null
+++ b/tests/test_hedges.py
@@ -0,0 +1,119 @@
+"""Calls that may be repeated are tried elsewhere while the first is slow."""
+
+from concurrent import futures
+import math
+
+import eventlet
+import program
+
+from burdockmast.base import failures
+from burdockmast.base import timers
+from burdockmast.entry import hedges
+
+WARM = 60
+LOST = failures.Failure(failures.Reason.PEER_LOST, 'test')
+
+
+def tries(results, may_repeat=lambda: True, seconds=5.0):
+    """Return a call whose tries take times and end as ``results`` say."""
+    left = iter(results)
+
+    def attempt():
+        delay, result = next(left)
+        eventlet.sleep(delay)
+        return result
+
+    return hedges.Tries(attempt, may_repeat, timers.now() + seconds)
+
+
+def test_good_answer_needs_one_try():
+    assert tries([(0, 'first')]).run(math.inf) == 'first'
+
+
+def test_failed_try_is_followed_by_another():
+    assert tries([(0, LOST), (0, 'second')]).run(math.inf) == 'second'
+
+
+def test_slow_try_is_hedged():
+    assert tries([(60, 'slow'), (0, 'hedge')]).run(0.01) == 'hedge'
+
+
+def test_hedge_that_fails_leaves_the_first_try():
+    assert tries([(0.1, 'first'), (0, LOST)]).run(0.01) == 'first'
+
+
+def test_no_budget_no_hedge():
+    call = tries([(0.05, 'first')], may_repeat=lambda: False)
+    assert call.run(0.01) == 'first'
+
+
+def test_tries_end_with_the_last_failure():
+    call = tries([(0, LOST)] * hedges.TRIES)
+    assert call.run(math.inf) is LOST
+
+
+def test_hedge_waits_for_a_server_to_join():
+    allowed = iter([False, False, True])
+    call = tries([(60, 'slow'), (0, 'hedge')], lambda: next(allowed))
+    assert call.run(0.01) == 'hedge'
+
+
+def test_failed_hedge_is_followed_by_another():
+    call = tries([(60, 'slow'), (0, LOST), (0, 'second hedge')])
+    assert call.run(0.01) == 'second hedge'
+
+
+def test_deadline_ends_all():
+    call = tries([(60, 'slow'), (60, 'slow')], seconds=0.05)
+    assert call.run(0.01).reason is failures.Reason.DEADLINE
+
+
+def test_delay_is_known_after_some_calls():
+    latencies = hedges.Latencies()
+    for _ in range(hedges.FEWEST_SAMPLES - 1):
+        latencies.note(0.5)
+    assert latencies.delay() == math.inf
+    latencies.note(0.5)
+    assert latencies.delay() == 0.5
+
+
+def test_reads_do_not_wait_for_a_service_that_stands_still(own_fleet):
+    """Proves: a read is not lost with the server that it went to."""
+    fleet = own_fleet()
+    for _ in range(WARM):
+        assert fleet.call('stock/x', method='GET').status == 200
+    fleet.freeze('service-s1')
+    deadline = {'Burdockmast-Deadline': '10'}
+    for _ in range(20):
+        reply = fleet.call('stock/x', method='GET', **deadline)
+        assert reply.status == 200
+    fleet.thaw('service-s1')
+
+
+def test_read_goes_to_a_server_that_joins_while_it_waits(own_fleet):
+    """Proves: a read is not lost with the server that it went to."""
+    fleet = own_fleet()
+    fleet.wait_for_services()
+    fleet.kill('side-s2')
+    for _ in range(WARM):
+        assert fleet.call('stock/x', method='GET').status == 200
+    fleet.freeze('service-s1')
+    deadline = {'Burdockmast-Deadline': '30'}
+    with futures.ThreadPoolExecutor(1) as pool:
+        read = pool.submit(fleet.call, 'stock/x', method='GET', **deadline)
+        fleet.start('side-s2')
+        assert read.result().status == 200
+    fleet.thaw('service-s1')
+
+
+def test_command_is_never_hedged(own_fleet):
+    """Proves: what may not be repeated has one try, however slow."""
+    fleet = own_fleet()
+    for _ in range(WARM):
+        fleet.call('stock/x', method='GET')
+    for service in ('service-s1', 'service-s2'):
+        fleet.set_faults(service, delay=0.5)
+    reply = fleet.call('stock/ship', '{"slow": 1}')
+    assert reply.status == 200
+    program.wait_until(lambda: '{"slow": 1}' in fleet.runs(), 'counted')
+    assert fleet.runs()['{"slow": 1}'] == 1
--- /dev/null
+++ b/tests/test_input.py
@@ -0,0 +1,217 @@
+"""Bad input: a clear error each, and nothing else is disturbed."""
+
+import json
+import socket
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+import msgpack
+import program
+import pytest
+
+from burdockmast.wire import messages
+from burdockmast.wire import streams
+
+GOOD = {'model': 'draft', 'prompt': [1], 'max_tokens': 1}
+SAID = {'Burdockmast-Organisation': 'souk'}
+BAD_BODIES = {
+    'not JSON': (b'{"model": ', 400, 'bad_request'),
+    'not an object': (b'[1, 2]', 400, 'bad_request'),
+    'no model': (b'{"prompt": [1]}', 400, 'bad_request'),
+    'wrong type': (
+        json.dumps({**GOOD, 'max_tokens': 'many'}).encode(),
+        400,
+        'bad_request',
+    ),
+    'too many tokens': (
+        json.dumps({**GOOD, 'max_tokens': 10**9}).encode(),
+        400,
+        'bad_request',
+    ),
+    'no tokens wanted': (
+        json.dumps({**GOOD, 'max_tokens': 0}).encode(),
+        400,
+        'bad_request',
+    ),
+    'empty prompt': (b'{"model": "draft"}', 400, 'bad_request'),
+    'unknown role': (
+        b'{"model":"draft","messages":[{"role":"boss","content":"x"}]}',
+        400,
+        'bad_request',
+    ),
+    'unknown model': (
+        json.dumps({**GOOD, 'model': 'other'}).encode(),
+        404,
+        'unknown_model',
+    ),
+    'oversized': (b' ' * (1024 * 1024 + 1), 413, 'too_large'),
+}
+BAD_HEADERS = {
+    'no organisation': ({}, 400, 'bad_request'),
+    'unknown organisation': (
+        {'Burdockmast-Organisation': 'nobody'},
+        403,
+        'unknown_organisation',
+    ),
+    'unknown priority': (
+        {**SAID, 'Burdockmast-Priority': 'highest'},
+        400,
+        'bad_request',
+    ),
+    'deadline is no number': (
+        {**SAID, 'Burdockmast-Deadline': 'soon'},
+        400,
+        'bad_request',
+    ),
+    'deadline is not finite': (
+        {**SAID, 'Burdockmast-Deadline': 'nan'},
+        400,
+        'bad_request',
+    ),
+    'deadline outlives keys': (
+        {**SAID, 'Burdockmast-Deadline': '601'},
+        400,
+        'bad_request',
+    ),
+    'deadline has passed': (
+        {**SAID, 'Burdockmast-Deadline': '-1'},
+        504,
+        'deadline_exceeded',
+    ),
+    'key too long': (
+        {**SAID, 'Idempotency-Key': 'k' * 300},
+        400,
+        'bad_request',
+    ),
+    'two keys': (
+        {**SAID, 'Idempotency-Key': 'a,b'},
+        400,
+        'bad_request',
+    ),
+}
+
+
+def post(fleet, body, headers):
+    url = f'{fleet.url("entry-0")}/v1/chat/completions'
+    return program.request('POST', url, body=body, headers=headers)
+
+
+def check_refusal(reply, status, kind):
+    error = program.error_of(reply)
+    assert (reply.status, error['type']) == (status, kind)
+    assert error['outcome'] == 'not_run'
+    assert error['message'] and error['step'] and error['request_id']
+
+
+@pytest.mark.parametrize('name', BAD_BODIES)
+def test_bad_body_is_refused(shared_fleet, name):
+    body, status, kind = BAD_BODIES[name]
+    check_refusal(post(shared_fleet, body, SAID), status, kind)
+    assert program.answer_tokens(shared_fleet.complete([1], 1))
+
+
+@pytest.mark.parametrize('name', BAD_HEADERS)
+def test_bad_header_is_refused(shared_fleet, name):
+    said, status, kind = BAD_HEADERS[name]
+    reply = post(shared_fleet, json.dumps(GOOD), said)
+    check_refusal(reply, status, kind)
+
+
+def test_unknown_service_and_path_are_refused(shared_fleet):
+    reply = shared_fleet.call('nothing/here', '{}')
+    check_refusal(reply, 404, 'unknown_service')
+    url = f'{shared_fleet.url("entry-0")}/v2/nothing'
+    check_refusal(program.request('GET', url), 404, 'unknown_service')
+
+
+def test_two_headers_of_one_name_are_refused(shared_fleet):
+    host, port = shared_fleet.address_by_name['entry-0'].split(':')
+    with socket.create_connection((host, int(port)), 5) as sock:
+        sock.sendall(
+            b'POST /v1/services/stock/x HTTP/1.1\r\nHost: x\r\n'
+            b'Burdockmast-Organisation: souk\r\nIdempotency-Key: a\r\n'
+            b'Idempotency-Key: b\r\nContent-Length: 0\r\n'
+            b'Connection: close\r\n\r\n'
+        )
+        data = b''
+        while part := sock.recv(65536):
+            data += part
+    assert b'400 Bad Request' in data and b'only once' in data
+
+
+BAD_FRAMES = {
+    'random bytes': b'\x93\x01\x02\x03' * 50,
+    'not a message': msgpack.packb({'a': 1}),
+    'unknown tag': msgpack.packb([999, 1, 2]),
+    'wrong type': msgpack.packb([1, 'one', 2, 3, 4, 5]),
+    'wrong protocol': streams.encode(
+        messages.Hello(99, messages.Role.ENTRY, 'p', 'a', 'z')
+    ),
+    'oversized': b'\xc6\x7f\xff\xff\xff' + b'x' * 100_000,
+    'huge array': b'\xdd\x7f\xff\xff\xff' + b'\x01' * 1000,
+    'truncated': streams.encode(
+        messages.Hello(1, messages.Role.ENTRY, 'p', 'a', 'z')
+    )[:5],
+}
+
+
+@pytest.mark.parametrize('name', BAD_FRAMES)
+def test_bad_frame_ends_its_connection_only(shared_fleet, name):
+    host, port = shared_fleet.address_by_name['side-e1'].split(':')
+    with socket.create_connection((host, int(port)), 5) as sock:
+        sock.sendall(BAD_FRAMES[name])
+        sock.shutdown(socket.SHUT_WR)
+        while sock.recv(65536):
+            pass
+    assert program.answer_tokens(shared_fleet.complete([2], 2))
+
+
+@given(strategies.binary(max_size=300))
+@settings(derandomize=True, max_examples=300, deadline=None)
+def test_any_bytes_give_messages_or_a_failure(data):
+    streams.Decoder(limit=4096).feed(data)
+
+
+MESSAGES = [
+    messages.Hello(1, messages.Role.SIDE, 'p', 'a', 'z', 's'),
+    messages.Step('a', 3, 4, 5, b'1234'),
+    messages.Token('a', 3, 4, 5),
+    messages.Start(
+        'a', 1, 'm', (messages.Hop('s', 'x', 0, 4),), 0, (1, 2), 2, 9, 100,
+        1, 'f', 7,
+    ),
+    messages.Heartbeat(
+        1, 2, 3, 4, 5, 6,
+        messages.Load('s', 1, 2, 3, False, (messages.LayerRange('m', 0, 1),)),
+        (messages.Strike('f', 'c'),),
+    ),
+]  # fmt: skip
+
+
+@given(
+    strategies.lists(strategies.sampled_from(MESSAGES), max_size=8),
+    strategies.lists(strategies.integers(1, 40), min_size=1, max_size=50),
+)
+@settings(derandomize=True, max_examples=200, deadline=None)
+def test_messages_survive_any_division_into_parts(sent, sizes):
+    data = b''.join(map(streams.encode, sent))
+    decoder = streams.Decoder()
+    received = []
+    at = 0
+    turn = 0
+    while at < len(data):
+        size = sizes[turn % len(sizes)]
+        found, broken = decoder.feed(data[at : at + size])
+        assert broken is None
+        received += found
+        at += size
+        turn += 1
+    assert received == sent
+
+
+def test_message_over_the_limit_is_named():
+    decoder = streams.Decoder(limit=100)
+    step = messages.Step('a', 1, 2, 3, b'x' * 200_000)
+    _, broken = decoder.feed(streams.encode(step))
+    assert broken is not None
--- /dev/null
+++ b/tests/test_limits.py
@@ -0,0 +1,177 @@
+"""Admission, fair shares, budgets, and paths by cost."""
+
+import collections
+import random
+
+import eventlet
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+import pytest
+
+from burdockmast.base import failures
+from burdockmast.fleet import changes
+from burdockmast.limits import budgets
+from burdockmast.limits import queues
+from burdockmast.routing import loads
+from burdockmast.routing import paths
+from burdockmast.routing import policies
+from burdockmast.wire import messages
+
+
+def fill(queue, wanted):
+    """Let requests wait; return the order in which they were admitted."""
+    admitted = []
+
+    def wait(name, priority, weight):
+        waiter = queues.Waiter(name, priority, weight)
+        refusal = queue.wait(waiter, 5.0)
+        admitted.append((name, refusal))
+
+    for name, priority, weight in wanted:
+        eventlet.spawn(wait, name, priority, weight)
+    # Once to begin waiting, and once to hear of a refusal.
+    eventlet.sleep(0)
+    eventlet.sleep(0)
+    return admitted
+
+
+def names(admitted):
+    return [name for name, refusal in admitted if refusal is None]
+
+
+def test_large_organisation_does_not_crowd_out_small_ones():
+    queue = queues.FairQueue(100)
+    admitted = fill(queue, [('large', 1, 1.0)] * 40 + [('small', 1, 1.0)] * 5)
+    for _ in range(10):
+        queue.wake()
+        eventlet.sleep(0)
+    assert collections.Counter(names(admitted)) == {'large': 5, 'small': 5}
+
+
+def test_shares_follow_weights():
+    queue = queues.FairQueue(100)
+    admitted = fill(queue, [('a', 1, 3.0)] * 40 + [('b', 1, 1.0)] * 40)
+    for _ in range(20):
+        queue.wake()
+        eventlet.sleep(0)
+    assert collections.Counter(names(admitted)) == {'a': 15, 'b': 5}
+
+
+def test_higher_priority_goes_first():
+    queue = queues.FairQueue(100)
+    admitted = fill(queue, [('low', 0, 1.0)] * 3 + [('high', 2, 1.0)] * 3)
+    queue.wake(3)
+    eventlet.sleep(0)
+    assert names(admitted) == ['high'] * 3
+
+
+def test_full_queue_refuses_the_largest_at_once_with_a_time():
+    queue = queues.FairQueue(10)
+    admitted = fill(queue, [('large', 1, 1.0)] * 10 + [('small', 1, 1.0)] * 2)
+    refused = [(name, refusal) for name, refusal in admitted if refusal]
+    assert [name for name, _ in refused] == ['large', 'large']
+    for _, refusal in refused:
+        assert refusal.reason is failures.Reason.OVERLOADED
+        assert refusal.retry_after > 0
+
+
+def test_wait_beyond_the_deadline_is_refused_at_once():
+    queue = queues.FairQueue(100)
+    fill(queue, [('a', 1, 1.0)] * 50)
+    for _ in range(10):
+        queue.wake()
+        eventlet.sleep(0.005)
+    waiter = queues.Waiter('a', 1, 1.0)
+    refusal = queue.wait(waiter, 0.01)
+    assert refusal.reason is failures.Reason.OVERLOADED
+
+
+def test_retries_are_a_small_share_of_requests():
+    budget = budgets.RetryBudget(ratio=0.2, reserve=10)
+    for _ in range(10):
+        assert budget.withdraw()
+    assert not budget.withdraw()
+    for _ in range(100):
+        budget.deposit()
+    assert sum(budget.withdraw() for _ in range(100)) == 10
+
+
+def table_of(ranges, layer_ns=1000, running=0, slots=64):
+    table = loads.Loads()
+    servers = []
+    for number, (first, end) in enumerate(ranges):
+        name = f'e{number}'
+        servers.append(changes.Server(name, f'127.0.0.1:{number + 1}', 'za'))
+        held = (messages.LayerRange('draft', first, end),)
+        load = messages.Load(name, running, slots, layer_ns, False, held)
+        table.learn(load, 1.0)
+    return table, servers
+
+
+POLICIES = [
+    policies.LowestCost(),
+    policies.ShortestPath(),
+    policies.LeastLoaded(),
+    policies.RoundRobin(),
+]
+RANGE = strategies.tuples(
+    strategies.integers(0, 23), strategies.integers(1, 24)
+).filter(lambda r: r[0] < r[1])
+
+
+@pytest.mark.parametrize('policy', POLICIES)
+@given(ranges=strategies.lists(RANGE, min_size=1, max_size=12))
+@settings(derandomize=True, max_examples=100, deadline=None)
+def test_path_runs_each_layer_once_in_order_or_there_is_none(policy, ranges):
+    """Proves: every layer once, in order, over any overlapping ranges."""
+    table, servers = table_of(ranges)
+    router = paths.Router(table, policy, seed=1)
+    path = router.choose(changes.Model('draft', 24), servers)
+    covered = 0
+    for first, end in sorted(ranges):
+        if first <= covered:
+            covered = max(covered, end)
+    if covered < 24:
+        assert path.reason is failures.Reason.NO_PATH
+        return
+    held = {s.id: r for s, r in zip(servers, ranges, strict=True)}
+    reached = 0
+    for hop in path:
+        first, end = held[hop.server]
+        assert first <= hop.first == reached < hop.end <= end
+        reached = hop.end
+    assert reached == 24
+
+
+def test_slow_server_is_avoided_and_full_one_is_not_used():
+    table, servers = table_of([(0, 24)] * 3)
+    for name, running, step in (('e0', 0, 9000), ('e1', 64, 100)):
+        held = (messages.LayerRange('draft', 0, 24),)
+        load = messages.Load(name, running, 64, step, False, held)
+        table.learn(load, 1.0)
+    router = paths.Router(table, policies.LowestCost(), seed=1)
+    path = router.choose(changes.Model('draft', 24), servers)
+    assert [hop.server for hop in path] == ['e2']
+
+
+def test_own_answers_count_until_the_next_report():
+    table, servers = table_of([(0, 24)], slots=2)
+    router = paths.Router(table, policies.LowestCost(), seed=1)
+    model = changes.Model('draft', 24)
+    for _ in range(2):
+        table.begin(router.choose(model, servers))
+    full = router.choose(model, servers)
+    assert full.reason is failures.Reason.OVERLOADED
+
+
+def test_sampling_is_repeatable_with_a_seed():
+    ranges = [(0, 24)] * 20
+    rng = random.Random(5)
+    chosen = []
+    for _ in range(2):
+        table, servers = table_of(ranges, layer_ns=rng.choice([1000]))
+        router = paths.Router(table, policies.LowestCost(), seed=7)
+        path = router.choose(changes.Model('draft', 24), servers)
+        chosen.append([hop.server for hop in path])
+    assert chosen[0] == chosen[1]
--- /dev/null
+++ b/tests/test_links.py
@@ -0,0 +1,163 @@
+"""Links between processes, and metrics, without a whole fleet."""
+
+import socket
+
+import eventlet
+import pytest
+
+from burdockmast.base import failures
+from burdockmast.base import ids
+from burdockmast.base import metrics
+from burdockmast.base import timeline
+from burdockmast.standins import processes
+from burdockmast.wire import links
+from burdockmast.wire import messages
+from burdockmast.wire import peers
+
+
+class Recorder:
+    """Handler that keeps what its links receive."""
+
+    def __init__(self):
+        self.received = []
+        self.ended = []
+
+    def receive(self, link, message):
+        self.received.append(message)
+
+    def describe(self, link):
+        return messages.Heartbeat(0, ids.Version(0), 0, 0, 0, 0)
+
+    def closed(self, link, why):
+        self.ended.append(why.reason)
+
+    def period(self):
+        return links.HEARTBEAT_SECONDS
+
+
+def new_peers(handler, address=''):
+    hello = messages.Hello(
+        messages.PROTOCOL, messages.Role.SIDE, 'p', address, 'za'
+    )
+    return peers.Peers(hello, handler)
+
+
+def wait_for(condition):
+    with eventlet.Timeout(5.0):
+        while not condition():
+            eventlet.sleep(0.01)
+
+
+def tokens_of(handler):
+    return [m.index for m in handler.received if isinstance(m, messages.Token)]
+
+
+@pytest.fixture
+def address():
+    return f'{processes.HOST}:{processes.free_ports(1)[0]}'
+
+
+def test_messages_stay_in_order_while_the_peer_is_dialled(address):
+    there = Recorder()
+    new_peers(there, address).listen(address)
+    here = new_peers(Recorder())
+    for index in range(100):
+        here.post(address, messages.Token('a', 1, index, 0), pytest.fail)
+        if index == 50:
+            eventlet.sleep(0.05)
+    wait_for(lambda: len(tokens_of(there)) == 100)
+    assert tokens_of(there) == list(range(100))
+
+
+def test_failed_dial_is_told_and_does_not_hold_back_later_messages(address):
+    here = new_peers(Recorder())
+    told = []
+    here.post(address, messages.Token('a', 1, 0, 0), told.append)
+    wait_for(lambda: told)
+    assert told[0].reason is failures.Reason.PEER_LOST
+    there = Recorder()
+    new_peers(there, address).listen(address)
+    here.post(address, messages.Token('a', 1, 1, 0), pytest.fail)
+    wait_for(lambda: tokens_of(there) == [1])
+
+
+def test_dial_that_raises_does_not_hold_back_later_messages(
+    address, monkeypatch
+):
+    there = Recorder()
+    new_peers(there, address).listen(address)
+    here = new_peers(Recorder())
+
+    def explode(_):
+        raise RuntimeError('a fault in dialling')
+
+    with monkeypatch.context() as patch:
+        patch.setattr(here, 'get', explode)
+        here.post(address, messages.Token('a', 1, 0, 0), pytest.fail)
+        eventlet.sleep(0.01)
+    here.post(address, messages.Token('a', 1, 1, 0), pytest.fail)
+    wait_for(lambda: tokens_of(there) == [1])
+
+
+def test_closed_link_tells_its_owner_and_those_who_wait(address):
+    there, here = Recorder(), Recorder()
+    listening = new_peers(there, address)
+    listening.listen(address)
+    link = new_peers(here).get(address)
+    asked = eventlet.spawn(link.ask, messages.Query('q', 'status'), 5.0)
+    wait_for(lambda: listening.accepted)
+    why = failures.Failure(failures.Reason.LEAVING, 'test')
+    for accepted in list(listening.accepted):
+        accepted.close(why)
+    assert asked.wait().reason is failures.Reason.PEER_LOST
+    assert here.ended == [failures.Reason.PEER_LOST]
+    assert there.ended == [failures.Reason.LEAVING]
+
+
+def test_what_is_read_after_a_link_lapsed_is_dropped(address):
+    """Proves: a process that was paused acts on nothing that waited."""
+    there, here = Recorder(), Recorder()
+    listening = new_peers(there, address)
+    listening.listen(address)
+    link = new_peers(here).get(address)
+    wait_for(lambda: here.received and there.received)
+    for accepted in listening.accepted:
+        accepted._heard_at -= 10 * links.HEARTBEAT_SECONDS
+    link.send(messages.Token('a', 1, 0, 0))
+    wait_for(lambda: there.ended)
+    assert there.ended == [failures.Reason.PEER_SILENT]
+    assert tokens_of(there) == []
+
+
+def test_heartbeats_spread_with_the_number_of_links():
+    one = new_peers(Recorder())
+    one.link_by_address = {str(n): None for n in range(10)}
+    assert one.period() == links.HEARTBEAT_SECONDS
+    one.link_by_address = {str(n): None for n in range(1000)}
+    sent = 1000 * peers.HEARTBEAT_BYTES / one.period()
+    assert sent <= peers.CONTROL_BYTES
+
+
+def test_counters_are_sent_by_statsd():
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as server:
+        server.bind((processes.HOST, 0))
+        server.settimeout(5.0)
+        host, port = server.getsockname()
+        measures = metrics.Metrics.from_config(f'{host}:{port}', 'entry')
+        measures.count('answers.begun', 3)
+        assert server.recv(1000) == b'burdockmast.entry.answers.begun:3|c'
+    assert measures.count_by_name['answers.begun'] == 3
+
+
+def test_time_line_puts_causes_first_whatever_the_clocks_say():
+    early, late = timeline.Timeline('early'), timeline.Timeline('late')
+    for _ in range(5):
+        early.add('busy')
+    late.witness(early.add('sent'))
+    late.add('received')
+    early.witness(late.add('answered'))
+    early.add('heard')
+    merged = timeline.merge([late.select(), early.select(), late.select()])
+    names = [event.what for event in merged]
+    assert names[-4:] == ['sent', 'received', 'answered', 'heard']
+    assert len(merged) == 9
--- /dev/null
+++ b/tests/test_moves.py
@@ -0,0 +1,322 @@
+"""Changes of layers: some servers always hold each layer meanwhile."""
+
+import json
+import random
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies
+import msgspec
+import program
+import pytest
+import stores
+
+from burdockmast.base import failures
+from burdockmast.base import timers
+from burdockmast.fleet import changes
+from burdockmast.fleet import configuration
+from burdockmast.fleet import moves
+from burdockmast.standins import layouts
+
+LAYERS = 24
+MODEL = layouts.MODEL
+GROUPS = (layouts.Group(0, 14, 3), layouts.Group(10, 24, 3))
+MOVED = layouts.Layout(
+    groups=(layouts.Group(0, 12, 3), layouts.Group(12, 24, 3))
+)
+
+
+def configured(groups, leaving=()):
+    """Return a configuration with servers in such groups."""
+    layout = layouts.Layout(groups=groups)
+    current = configuration.Configuration()
+    bodies = [
+        changes.AddServer(
+            changes.Server(name, f'127.0.0.1:{number + 1}', 'za')
+        )
+        for number, (name, _) in enumerate(layout.engines())
+    ]
+    bodies.append(changes.PutPreset(layout.preset('p')))
+    bodies.append(changes.SwitchPreset('p', ''))
+    bodies += [changes.RetireServer(name) for name in leaving]
+    for number, body in enumerate(bodies):
+        assert current.apply(changes.Change(str(number), 'me', body)) is None
+    return current
+
+
+def spans(groups):
+    """Return what the servers of a layout are to hold."""
+    return {
+        name: moves.Span(group.first, group.end)
+        for name, group in layouts.Layout(groups=groups).engines()
+    }
+
+
+def turns_of(store, names, at_once=8):
+    return {
+        name: moves.Turns(store, name, at_once, seed=number)
+        for number, name in enumerate(names)
+    }
+
+
+def loaded(store, groups):
+    """Let all servers of a layout tell that they hold their layers."""
+    by_server = turns_of(store, spans(groups))
+    for name, span in spans(groups).items():
+        assert by_server[name].finish(MODEL, span)
+    return by_server
+
+
+def state(store):
+    return msgspec.convert(store.get(moves.KIND, MODEL).value, moves.Moves)
+
+
+# Eight servers, of which two may be away at once.
+RANGES = strategies.sampled_from(
+    [
+        (layouts.Group(0, 14, 4), layouts.Group(10, 24, 4)),
+        (layouts.Group(0, 12, 6), layouts.Group(12, 24, 2)),
+        (
+            layouts.Group(0, 10, 2),
+            layouts.Group(8, 16, 3),
+            layouts.Group(16, 24, 3),
+        ),
+        (layouts.Group(0, 24, 8),),
+    ]
+)
+
+
+@given(
+    before=RANGES,
+    after=RANGES,
+    at_once=strategies.integers(1, 8),
+    seed=strategies.integers(0, 1000),
+)
+@settings(derandomize=True, max_examples=150, deadline=None)
+def test_every_layer_is_held_while_servers_move(before, after, at_once, seed):
+    """Proves: a switch of preset does not leave a model without a path."""
+    store = stores.Store()
+    loaded(store, before)
+    wanted = spans(after)
+    by_server = turns_of(store, wanted, at_once)
+    current = configured(after)
+    rng = random.Random(seed)
+    held = spans(before)
+    moving = set()
+    steps = 0
+    while held != wanted:
+        steps += 1
+        assert steps < 2000
+        name = rng.choice(sorted(wanted))
+        if name in moving and rng.random() < 0.3:
+            moving.discard(name)
+            held[name] = wanted[name]
+            assert by_server[name].finish(MODEL, wanted[name])
+        elif name not in moving and held.get(name) != wanted[name]:
+            turn = by_server[name].take(MODEL, current, True)
+            if isinstance(turn, moves.Taken):
+                moving.add(name)
+                held.pop(name, None)
+        staying = moves.Moves(dict(held))
+        assert staying.covers(LAYERS, set())
+        assert len(moving) <= at_once
+    assert state(store).held_by_server == wanted
+    assert state(store).turn_by_server == {}
+
+
+def test_server_whose_layers_no_other_holds_goes_after_a_while(monkeypatch):
+    store = stores.Store()
+    alone = (layouts.Group(0, 12, 1), layouts.Group(12, 24, 1))
+    by_server = loaded(store, alone)
+    current = configured(alone)
+    now = timers.now()
+    monkeypatch.setattr(timers, 'now', lambda: now)
+    assert isinstance(by_server['e1'].take(MODEL, current, True), moves.Later)
+    now += moves.UNCOVERED_SECONDS + 1
+    assert isinstance(by_server['e1'].take(MODEL, current, True), moves.Taken)
+    assert isinstance(by_server['e2'].take(MODEL, current, True), moves.Later)
+
+
+def test_empty_servers_load_a_few_at_once():
+    store = stores.Store()
+    current = configured(GROUPS)
+    by_server = turns_of(store, spans(GROUPS), at_once=2)
+    taken = [
+        name
+        for name, turns in by_server.items()
+        if isinstance(turns.take(MODEL, current, False), moves.Taken)
+    ]
+    assert len(taken) == 2
+    assert by_server[taken[0]].finish(MODEL, moves.Span(0, 14))
+    waiting = next(name for name in by_server if name not in taken)
+    turn = by_server[waiting].take(MODEL, current, False)
+    assert isinstance(turn, moves.Taken)
+
+
+def test_turn_that_nobody_renews_lapses(monkeypatch):
+    store = stores.Store()
+    by_server = loaded(store, GROUPS)
+    current = configured(MOVED.groups)
+    now = timers.now()
+    monkeypatch.setattr(timers, 'now', lambda: now)
+    assert isinstance(by_server['e1'].take(MODEL, current, True), moves.Taken)
+    for seconds in (0, 20, 20):
+        now += seconds
+        by_server['e1'].renew(MODEL)
+        turn = by_server['e2'].take(MODEL, current, True)
+        assert isinstance(turn, moves.Later)
+    for seconds in (20, 20):
+        now += seconds
+        turn = by_server['e2'].take(MODEL, current, True)
+    assert isinstance(turn, moves.Taken)
+    # What a lapsed holder has is not known, so it counts for nothing.
+    assert 'e1' not in state(store).held_by_server
+    # A renewal that comes late takes nothing back.
+    by_server['e1'].renew(MODEL)
+    assert list(state(store).turn_by_server) == ['e2']
+
+
+def test_turn_whose_answer_was_lost_is_known_again():
+    store = stores.Store()
+    by_server = loaded(store, GROUPS)
+    current = configured(MOVED.groups)
+    store.lost = 1
+    lost = by_server['e1'].take(MODEL, current, True)
+    assert isinstance(lost, failures.Failure)
+    assert isinstance(by_server['e1'].take(MODEL, current, True), moves.Taken)
+    assert list(state(store).turn_by_server) == ['e1']
+
+
+def test_leaving_and_removed_servers_do_not_count():
+    store = stores.Store()
+    by_server = loaded(store, GROUPS)
+    current = configured(MOVED.groups, leaving=('e2', 'e3'))
+    turn = by_server['e1'].take(MODEL, current, True)
+    assert isinstance(turn, moves.Later)
+    del current.server_by_id['e4']
+    assert isinstance(by_server['e5'].take(MODEL, current, True), moves.Taken)
+    assert 'e4' not in state(store).held_by_server
+
+
+def test_moves_of_many_models_are_read_in_pages(monkeypatch):
+    monkeypatch.setattr(moves, 'PAGE', 2)
+    store = stores.Store()
+    names = [f'model-{number}' for number in range(5)]
+    for name in names:
+        turns = moves.Turns(store, 'e1', 8, seed=1)
+        assert turns.finish(name, moves.Span(0, 4))
+    assert list(moves.read_all(store)) == names
+
+
+def test_server_that_lags_removes_nobody():
+    store = stores.Store()
+    by_server = loaded(store, GROUPS)
+    old = configured(MOVED.groups)
+    del old.server_by_id['e6']
+    newer = configured(MOVED.groups)
+    newer.version += 1
+    assert isinstance(by_server['e1'].take(MODEL, newer, True), moves.Taken)
+    assert by_server['e1'].finish(MODEL, moves.Span(0, 12))
+    assert isinstance(by_server['e2'].take(MODEL, old, True), moves.Taken)
+    assert 'e6' in state(store).held_by_server
+
+
+def intervals(fleet):
+    """Return when each engine was between layers, by wall clock."""
+    shown = program.run_on(fleet, 'timeline', '--limit', '5000', '--json')
+    begun = {}
+    found = []
+    for event in sorted(json.loads(shown.stdout), key=lambda e: e['wall']):
+        process = event['process']
+        if event['what'] == 'engine.moving':
+            begun[process] = event['wall']
+        elif event['what'] == 'engine.ordered' and process in begun:
+            found.append((begun.pop(process), event['wall'], process))
+    assert not begun
+    return found
+
+
+def all_hold(fleet):
+    """Tell whether each listed server holds what it is to hold."""
+    listed = program.run_on(fleet, 'server', 'list').stdout.splitlines()
+    header, *rows = [line.split() for line in listed]
+    assert header[-2:] == ['LAYERS', 'HOLDS']
+    return all(row[-2] == row[-1] for row in rows)
+
+
+def test_switch_does_not_leave_a_model_without_servers(own_fleet):
+    """Proves: a change of preset cuts nothing, though layers load slowly."""
+    fleet = own_fleet(
+        groups=GROUPS,
+        services=0,
+        engine_options=('--load-seconds-per-layer', '0.1'),
+    )
+    before = len(intervals(fleet))
+    fleet.operate(
+        changes.PutPreset(MOVED.preset('moved')),
+        changes.SwitchPreset('moved', 'ordinary'),
+    )
+    names = [name for name, _ in layouts.Layout(groups=GROUPS).engines()]
+    wanted = spans(MOVED.groups)
+
+    def has_moved():
+        for number, entry in enumerate(fleet.entries):
+            reply = fleet.complete([number, 4], 3, entry)
+            assert reply.status == 200, reply.data
+        return all(
+            moves.Span(held['first'], held['end']) == wanted[name]
+            for name in names
+            for held in [
+                fleet.get_json(f'engine-{name}', '/v1/status')['held']
+            ]
+        )
+
+    program.wait_until(has_moved, 'all layers changed')
+    program.wait_until(
+        lambda: len(intervals(fleet)) == before + len(names), 'all told'
+    )
+    program.wait_until(lambda: all_hold(fleet), 'all are listed so')
+    moved = intervals(fleet)[before:]
+    for begin, _, process in moved:
+        # A quarter of six servers is one: they go one after another.
+        others = [m for m in moved if m[2] != process]
+        assert not any(other[0] < begin < other[1] for other in others)
+
+
+@pytest.mark.parametrize('rate', [20.0])
+def test_engines_load_from_a_slow_weight_store(own_fleet, rate):
+    fleet = own_fleet(
+        groups=GROUPS,
+        services=0,
+        weight_rate=rate,
+        side_settings={'loads_at_once': 2},
+    )
+    for number in range(6):
+        reply = fleet.complete([number], 3)
+        expected = program.expected_tokens([number], 3)
+        assert program.answer_tokens(reply) == expected
+    assert fleet.get_json('weights', '/counts')['given'] == 6 * 14
+
+
+def test_empty_engine_loads_while_the_store_is_out(own_fleet):
+    """Proves: running processes go on while the platform's store is down."""
+    fleet = own_fleet(groups=GROUPS, services=0)
+    fleet.set_faults('store', outage=True)
+    for name in ('e1', 'e2', 'e3'):
+        fleet.kill(f'engine-{name}')
+    for name in ('e1', 'e2', 'e3'):
+        fleet.start(f'engine-{name}')
+    program.wait_until(
+        lambda: fleet.complete([2], 2).status == 200, 'served again'
+    )
+
+
+def test_engine_that_restarts_unnoticed_gets_its_layers_again(own_fleet):
+    """Proves: a backend server that lost its layers is not kept in use."""
+    fleet = own_fleet(groups=(layouts.Group(0, 24, 1),), services=0)
+    fleet.kill('engine-e1')
+    fleet.start('engine-e1')
+    program.wait_until(lambda: fleet.holds_layers('e1'), 'loaded again')
+    program.wait_until(
+        lambda: fleet.complete([2], 2).status == 200, 'served again'
+    )
--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,225 @@
+"""Answers that outlive the processes that were giving them."""
+
+from concurrent import futures
+import time
+
+import program
+import pytest
+
+from burdockmast.base import ids
+from burdockmast.fleet import changes
+from burdockmast.operator import asking
+from burdockmast.standins import layouts
+
+COUNT = 60
+CALLERS = 12
+GROUPS = (
+    layouts.Group(0, 10, 2, program.UNHURRIED),
+    layouts.Group(8, 16, 2, program.UNHURRIED),
+    layouts.Group(16, 24, 2, program.UNHURRIED),
+)
+
+
+def ask_all(fleet, pool, count=COUNT, callers=CALLERS):
+    """Start streamed answers; return their prompts and futures."""
+    asked = []
+    for number in range(callers):
+        prompt = [number, 1]
+        entry = fleet.entries[number % len(fleet.entries)]
+        future = pool.submit(fleet.complete, prompt, count, entry, True)
+        asked.append((prompt, future))
+    return asked
+
+
+def check_all(asked, count=COUNT):
+    """Check that each caller got its whole answer."""
+    for prompt, future in asked:
+        tokens = program.streamed_tokens(future.result(60).data)
+        assert tokens == program.expected_tokens(prompt, count)
+
+
+STAGES = {'head': ('e1', 'e2'), 'middle': ('e3', 'e4'), 'last': ('e5', 'e6')}
+
+
+def running_server(fleet, stage):
+    """Return a server of a stage that runs answers now."""
+
+    def find():
+        for server in STAGES[stage]:
+            status = fleet.get_json(f'engine-{server}', '/v1/status')
+            if status['sequences']:
+                return server
+        return None
+
+    return program.wait_until(find, f'answers at the {stage} stage')
+
+
+def steps_by_server(fleet, stage):
+    """Return how many steps each engine of a stage has run."""
+    return {
+        server: fleet.get_json(f'engine-{server}', '/v1/status')['steps']
+        for server in STAGES[stage]
+    }
+
+
+def stepping_server(fleet, stage, before):
+    """Return the server of a stage that has run steps since ``before``.
+
+    An open sequence does not show it: those of answers that have ended are
+    closed a little later.
+    """
+    now = steps_by_server(fleet, stage)
+    return next((name for name in now if now[name] > before[name]), None)
+
+
+def wait_until_any_running(fleet):
+    """Wait until some engine runs answers."""
+    program.wait_until(
+        lambda: any(
+            (fleet.get_json(name, '/v1/status') or {}).get('sequences')
+            for name in fleet.address_by_name
+            if name.startswith('engine-')
+        ),
+        'answers under way',
+    )
+
+
+@pytest.mark.parametrize('stage', STAGES)
+@pytest.mark.parametrize('kind', ['side', 'engine'])
+def test_answers_go_on_when_a_process_dies(own_fleet, kind, stage):
+    """Proves: a stage dying in mid-answer neither repeats nor skips."""
+    fleet = own_fleet(groups=GROUPS)
+    with futures.ThreadPoolExecutor(CALLERS) as pool:
+        asked = ask_all(fleet, pool)
+        fleet.kill(f'{kind}-{running_server(fleet, stage)}')
+        check_all(asked)
+
+
+@pytest.mark.parametrize('stage', STAGES)
+@pytest.mark.parametrize('kind', ['side', 'engine'])
+def test_answers_go_on_when_a_process_freezes(own_fleet, kind, stage):
+    fleet = own_fleet(groups=GROUPS)
+    with futures.ThreadPoolExecutor(CALLERS) as pool:
+        asked = ask_all(fleet, pool)
+        victim = f'{kind}-{running_server(fleet, stage)}'
+        fleet.freeze(victim)
+        check_all(asked)
+        fleet.thaw(victim)
+
+
+@pytest.mark.parametrize('fault', ['silence_open', 'cut_open'])
+def test_answers_go_on_when_connections_are_lost(own_fleet, fault):
+    """Proves: connections that are cut, or go silent for good, are replaced.
+
+    New ones work.
+    """
+    fleet = own_fleet(relay_sides=True, groups=GROUPS)
+    with futures.ThreadPoolExecutor(CALLERS) as pool:
+        asked = ask_all(fleet, pool)
+        wait_until_any_running(fleet)
+        for server, _ in fleet.layout.engines():
+            control = f'relay-side-{server}-control'
+            fleet.post_json(control, '/network', {fault: True})
+        check_all(asked)
+
+
+STALLS = {'side': 'answer.probe', 'engine': 'answer.progress'}
+
+
+@pytest.mark.parametrize('kind', STALLS)
+def test_stalled_answer_moves_before_its_peers_time_out(own_fleet, kind):
+    """Proves: recovery does not wait for heartbeats or engine calls."""
+    fleet = own_fleet(groups=GROUPS)
+    before = steps_by_server(fleet, 'middle')
+    with futures.ThreadPoolExecutor(1) as pool:
+        asked = ask_all(fleet, pool, callers=1)
+        server = program.wait_until(
+            lambda: stepping_server(fleet, 'middle', before), 'under way'
+        )
+        fleet.freeze(f'{kind}-{server}')
+        check_all(asked)
+    entry = ids.Address(fleet.address_by_name['entry-0-peer'])
+    events, _ = asking.events([entry], '')
+    steps = [
+        event.fields['step']
+        for event in events
+        if event.what == 'answer.attempt_failed'
+    ]
+    assert steps == [STALLS[kind]]
+
+
+def test_tokens_are_sent_as_they_come(own_fleet):
+    fleet = own_fleet(groups=GROUPS)
+    answer = fleet.complete([1, 2], COUNT, stream=True, preload=False)
+    parts = [answer.read1(65536)]
+    while parts[-1]:
+        parts.append(answer.read1(65536))
+    # Each takes 24 ms to make, so they can't come in a few large parts.
+    assert len(parts) > COUNT / 2
+    tokens = program.streamed_tokens(b''.join(parts))
+    assert tokens == program.expected_tokens([1, 2], COUNT)
+
+
+def test_planned_stop_of_a_side_cuts_no_answer(own_fleet):
+    """Proves: a planned stop is graceful; it cuts no request."""
+    fleet = own_fleet(groups=GROUPS)
+    with futures.ThreadPoolExecutor(CALLERS) as pool:
+        asked = ask_all(fleet, pool)
+        server = running_server(fleet, 'head')
+        assert fleet.stop(f'side-{server}') == 0
+        check_all(asked)
+    assert fleet.complete([3], 3).status == 200
+
+
+def test_planned_stop_of_an_entry_cuts_no_answer(own_fleet):
+    fleet = own_fleet(groups=GROUPS)
+    with futures.ThreadPoolExecutor(CALLERS) as pool:
+        asked = ask_all(fleet, pool)
+        wait_until_any_running(fleet)
+        assert fleet.stop('entry-1') == 0
+        check_all(asked)
+
+
+def test_retired_server_ends_its_answers_and_gets_no_new_ones(own_fleet):
+    """Proves: a leaving server gets no new work after a few seconds."""
+    fleet = own_fleet(groups=GROUPS)
+    with futures.ThreadPoolExecutor(CALLERS) as pool:
+        asked = ask_all(fleet, pool)
+        server = running_server(fleet, 'head')
+        fleet.operate(changes.RetireServer(server))
+        check_all(asked)
+    engine = f'engine-{server}'
+    program.wait_until(
+        lambda: fleet.get_json(engine, '/v1/status')['sequences'] == 0,
+        'idle',
+    )
+    steps = fleet.get_json(engine, '/v1/status')['steps']
+    for number in range(20):
+        program.answer_tokens(fleet.complete([number], 2))
+    assert fleet.get_json(engine, '/v1/status')['steps'] == steps
+
+
+def test_switch_of_preset_under_load_cuts_no_answer(own_fleet):
+    """Proves: a switch of preset is made without cutting work in flight."""
+    fleet = own_fleet(groups=GROUPS)
+    moved = layouts.Layout(
+        groups=(
+            layouts.Group(0, 12, 3, program.UNHURRIED),
+            layouts.Group(12, 24, 3, program.UNHURRIED),
+        )
+    )
+    fleet.operate(changes.PutPreset(moved.preset('peak')))
+    with futures.ThreadPoolExecutor(CALLERS) as pool:
+        asked = ask_all(fleet, pool)
+        wait_until_any_running(fleet)
+        fleet.operate(changes.SwitchPreset('peak', 'ordinary'))
+        began = time.monotonic()
+        for entry in fleet.entries:
+            program.wait_until(
+                lambda e=entry: fleet.ready(e)['preset'] == 'peak', 'switched'
+            )
+        # The target: in force everywhere within 4 s.
+        assert time.monotonic() - began < 4.0
+        check_all(asked)
+    tokens = program.answer_tokens(fleet.complete([8, 8], 9))
+    assert tokens == program.expected_tokens([8, 8], 9)
