--- a/libs/routing/burdockmast/routing/paths.py
+++ b/libs/routing/burdockmast/routing/paths.py
@@ -156,9 +156,7 @@
         # A sample may have holes that the whole does not have.
         return path or self._cheapest(model, free, costs)
 
-    def _trial(
-        self, free: list[search.Candidate]
-    ) -> frozenset[ids.ServerId]:
+    def _trial(self, free: list[search.Candidate]) -> frozenset[ids.ServerId]:
         """Now and then return one server that is due to be measured again.
 
         While there is little load, all of it goes to the server that seems
