Write structured logs, serve metrics, refuse at once what can't be served

Cause: on call there are only logs and metrics, and the log was text on standard error with few decisions in it; a reader that stops would have stopped the process. Writing the page for operators showed a fault: with both engines of a layer range dead, a request waited for its whole deadline. Ruled out: statsd alone (nobody can ask a process for its counters); logbook's own queue (its thread would be one of eventlet's); for the fault, a shorter wait for paths, which switches of preset need. Change: every event of the time line is a JSON line on standard output, from a bounded queue and a thread of the system; lines of one kind are limited and counted. Counters, gauges and histograms on `metrics_address`. A side tells that its engine is lost and finds out by itself; an entry waits for a path only if servers that can be reached are to hold the missing layers. A call with a key whose outcome is unknown is told when to come back. Conclusion: both came up together and are one commit for that reason.

--- a/libs/base/burdockmast/base/timeline.py
+++ b/libs/base/burdockmast/base/timeline.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+from collections.abc import Callable
 import dataclasses
 import time
 from typing import Any
@@ -44,6 +45,7 @@
         """Create an empty record of ``process``."""
         self.process = process
         self.clock = 0
+        self.subscribers: list[Callable[[Event], None]] = []
         self._number = 0
         self._events: collections.deque[Event] = collections.deque(
             maxlen=RING_SIZE
@@ -70,6 +72,8 @@
             fields,
         )
         self._events.append(event)
+        for subscriber in self.subscribers:
+            subscriber(event)
         return self.clock
 
     def select(self, request: str = '', limit: int = RING_SIZE) -> list[Event]:
--- a/libs/entry/burdockmast/entry/answers.py
+++ b/libs/entry/burdockmast/entry/answers.py
@@ -11,7 +11,6 @@
 
 from burdockmast.base import failures
 from burdockmast.base import ids
-from burdockmast.base import logs
 from burdockmast.base import outcomes
 from burdockmast.base import timers
 from burdockmast.entry import attempts
@@ -24,8 +23,6 @@
 from burdockmast.wire import links
 from burdockmast.wire import messages
 
-LOG = logs.get('answers')
-
 # Attempts of one answer beside those refused for want of a slot.
 ATTEMPTS = 8
 # Seconds until a caller may come back after many attempts have failed.
@@ -54,7 +51,10 @@
         self._events = process.events
         self._metrics = process.metrics
         self.stalls = stalls.Stalls(
-            self._openings.attempt_by_answer, view, process.metrics
+            self._openings.attempt_by_answer,
+            view,
+            process.metrics,
+            process.events,
         )
 
     def receive(
@@ -147,7 +147,14 @@
         self._strikes.clear(request.fingerprint)
         count = len(progress.delivered)
         self._paces.note(request.model.id, count, request.max_tokens, seconds)
-        self._events.add('answer.ended', request.id, tokens=count)
+        self._events.add(
+            'answer.ended',
+            request.id,
+            tokens=count,
+            attempts=progress.number,
+            seconds=round(seconds, 3),
+            late_seconds=round(max(0.0, timers.now() - request.deadline), 3),
+        )
 
     def _final(
         self, failure: failures.Failure, progress: attempts.Progress
@@ -275,9 +282,6 @@
         ended: failures.Failure,
         progress: attempts.Progress,
     ) -> None:
-        LOG.info(
-            'Answer {} attempt {}: {}.', request.id, attempt.number, ended
-        )
         self._metrics.count(f'answers.attempt_failed.{ended.reason.value}')
         self._events.add(
             'answer.attempt_failed',
@@ -286,6 +290,9 @@
             reason=ended.reason.value,
             step=ended.step,
             peer=ended.peer,
+            path=[hop.server for hop in attempt.hops],
+            delivered=len(progress.delivered),
+            silent_ms=int((timers.now() - attempt.heard_at) * 1000),
         )
         names = {hop.server for hop in attempt.hops}
         if ended.step == stalls.PROGRESS_STEP:
--- a/libs/entry/burdockmast/entry/openings.py
+++ b/libs/entry/burdockmast/entry/openings.py
@@ -43,6 +43,7 @@
         self._metrics = process.metrics
         self._view = view
         self._queue = queue
+        self._follower = process.follower
 
     def open(
         self, request: attempts.Request, progress: attempts.Progress
@@ -50,6 +51,8 @@
         """Start an attempt on the first path that accepts it."""
         for _ in range(OPEN_TRIES):
             opened = self._try_open(request, progress)
+            if isinstance(opened, failures.Failure):
+                self._note_unopened(request, opened)
             match opened:
                 case attempts.Attempt():
                     return opened
@@ -59,6 +62,20 @@
                     return opened
         return dataclasses.replace(opened, reason=failures.Reason.OVERLOADED)
 
+    def _note_unopened(
+        self, request: attempts.Request, why: failures.Failure
+    ) -> None:
+        self._events.add(
+            'answer.unopened',
+            request.id,
+            reason=why.reason.value,
+            step=why.step,
+            peer=why.peer,
+            detail=why.detail,
+            waiting=len(self._queue),
+            version=self._follower.version,
+        )
+
     def _try_open(
         self, request: attempts.Request, progress: attempts.Progress
     ) -> attempts.Attempt | failures.Failure:
@@ -113,6 +130,10 @@
                 return hops
             if timers.now() > until:
                 return hops
+            # An answer that has begun is worth waiting for a restart.
+            is_begun = bool(progress.delivered)
+            if not is_begun and not self._view.may_have_path(request.model):
+                return hops
             eventlet.sleep(PATH_POLL_SECONDS)
 
     def _await_opened(
@@ -155,6 +176,10 @@
             attempt=attempt.number,
             path=[f'{h.server}:{h.first}-{h.end}' for h in attempt.hops],
             resumed_at=len(delivered),
+            version=self._follower.version,
+            believed=[
+                self._view.loads.describe(h.server) for h in attempt.hops
+            ],
         )
         if delivered:
             self._metrics.count('answers.resumed')
--- a/libs/entry/burdockmast/entry/probes.py
+++ b/libs/entry/burdockmast/entry/probes.py
@@ -13,6 +13,7 @@
 from burdockmast.base import failures
 from burdockmast.base import ids
 from burdockmast.base import metrics
+from burdockmast.base import timeline
 from burdockmast.base import timers
 from burdockmast.wire import connections
 from burdockmast.wire import peers
@@ -31,6 +32,7 @@
         self,
         connections: peers.Peers,
         measures: metrics.Metrics,
+        events: timeline.Timeline,
         silent: Callable[[ids.Address], None],
     ):
         """Create a prober.
@@ -39,6 +41,7 @@
         """
         self._peers = connections
         self._metrics = measures
+        self._events = events
         self._silent = silent
         self._probed_at_by_address: dict[ids.Address, float] = {}
 
@@ -61,6 +64,13 @@
         )
         if isinstance(failure, failures.Failure):
             self._metrics.count('probes.failed')
+            self._events.add(
+                'server.silent',
+                peer=address,
+                reason=failure.reason.value,
+                step=failure.step,
+                detail=failure.detail,
+            )
             self._silent(address)
 
     def _seconds(self, address: ids.Address) -> float:
--- a/libs/entry/burdockmast/entry/server.py
+++ b/libs/entry/burdockmast/entry/server.py
@@ -7,7 +7,6 @@
 
 from burdockmast.base import addresses
 from burdockmast.base import failures
-from burdockmast.base import logs
 from burdockmast.base import timers
 from burdockmast.entry import answers
 from burdockmast.entry import fleet
@@ -21,8 +20,6 @@
 from burdockmast.wire import links
 from burdockmast.wire import messages
 
-LOG = logs.get('entry')
-
 # Connections that may wait to be accepted.
 BACKLOG = 4096
 # Requests served at once.
@@ -84,7 +81,9 @@
 
     def stop(self, sock: socket.socket) -> None:
         """Let the balancer turn away, then end when all is answered."""
-        LOG.info('Stopping; answers in flight go on.')
+        self.node.events.add(
+            'process.stopping', requests=self.application.running
+        )
         self._is_stopping = True
         self.application.leaving = True
         eventlet.sleep(LEAVE_SECONDS)
@@ -111,9 +110,22 @@
 
     def _learn(self, heartbeat: messages.Heartbeat) -> None:
         load = heartbeat.load
+        earlier = self.view.loads.report_by_server.get(load.server)
+        if earlier is None or _standing(earlier.load) != _standing(load):
+            self._note_standing(load)
         self.view.loads.learn(load, heartbeat.period_ms / 1000)
         self.queue.wake(load.slots - load.running)
 
+    def _note_standing(self, load: messages.Load) -> None:
+        held = [f'{h.model}:{h.first}-{h.end}' for h in load.held]
+        self.node.events.add(
+            'server.standing',
+            server=load.server,
+            held=held,
+            leaving=load.leaving,
+            engine_lost=load.is_engine_lost,
+        )
+
     def describe(self, link: links.Link) -> messages.Heartbeat:
         """Return the heartbeat for a peer."""
         return self.node.heartbeat()
@@ -124,6 +136,7 @@
 
     def closed(self, link: links.Link, why: failures.Failure) -> None:
         """End what depended on a lost link."""
+        self.node.closed(link, why)
         self.view.closed(link)
         self.answers.link_closed(link, why)
 
@@ -134,3 +147,8 @@
             'waiting': len(self.queue),
             'servers': len(self.view.servers),
         }
+
+
+def _standing(load: messages.Load) -> tuple[object, ...]:
+    """Return what decides whether a server may get new answers at all."""
+    return load.held, load.leaving, load.is_engine_lost
--- a/libs/entry/burdockmast/entry/services.py
+++ b/libs/entry/burdockmast/entry/services.py
@@ -9,7 +9,6 @@
 
 from burdockmast.base import failures
 from burdockmast.base import ids
-from burdockmast.base import logs
 from burdockmast.base import outcomes
 from burdockmast.base import timers
 from burdockmast.claims import directory
@@ -22,8 +21,6 @@
 from burdockmast.wire import links
 from burdockmast.wire import messages
 
-LOG = logs.get('services')
-
 # Tries of a call while it is certain that nothing ran.
 TRIES = 4
 # Seconds for a claim to be in the store.
@@ -31,6 +28,9 @@
 # Seconds until a caller may come back when the store is out.
 STORE_RETRY_SECONDS = 2.0
 NO_SERVER_RETRY_SECONDS = 1.0
+# Seconds until a repeat with the same key may learn what became of a call;
+# a replaced side is known to entries within this time.
+KEYED_RETRY_SECONDS = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -126,7 +126,7 @@
                 return link
             tried.add(link.hello.server)
             began = timers.now()
-            result = self._ask(link, self._message(call, link))
+            result = self._ask(call.id, link, self._message(call, link))
             if isinstance(result, Reply):
                 latencies.note(timers.now() - began)
             return result
@@ -149,7 +149,7 @@
             if isinstance(link, failures.Failure):
                 return link
             tried.add(link.hello.server)
-            result = self._ask(link, self._message(call, link))
+            result = self._ask(call.id, link, self._message(call, link))
             if _has_run_or_may_have(result):
                 break
         return result
@@ -163,7 +163,7 @@
             if isinstance(link, failures.Failure):
                 return link
             claim = self._claim(call, attempt, link)
-            state = self._submit(claim, call.deadline)
+            state = self._submit(call.id, claim, call.deadline)
             match state:
                 case failures.Failure():
                     return state
@@ -176,18 +176,29 @@
                 case records.State(is_released=True):
                     attempt = state.claim.attempt + 1
                     continue
+            self._events.add(
+                'claim.written',
+                call.id,
+                attempt=state.claim.attempt,
+                server=state.claim.server,
+                is_own=state.claim == claim,
+            )
             if state.claim != claim:
                 result = self._settle(call, state.claim)
             else:
-                result = self._ask(link, self._message(call, link, claim))
+                message = self._message(call, link, claim)
+                result = self._ask(call.id, link, message)
                 tried.add(link.hello.server)
             if isinstance(result, Reply):
                 self._record(call, state.claim, result)
                 return result
             if _has_run_or_may_have(result):
-                return result
+                # With its key a repeat is safe, and may tell the outcome.
+                return dataclasses.replace(
+                    result, retry_after=KEYED_RETRY_SECONDS
+                )
             released = records.Released(call.key, state.claim.attempt)
-            refusal = self._submit(released, call.deadline)
+            refusal = self._submit(call.id, released, call.deadline)
             if isinstance(refusal, failures.Failure):
                 return refusal
             attempt = state.claim.attempt + 1
@@ -209,7 +220,10 @@
         )
 
     def _submit(
-        self, record: records.Record, deadline: float
+        self,
+        request: ids.RequestId,
+        record: records.Record,
+        deadline: float,
     ) -> records.State | failures.Failure:
         """Append a record through one of its shard's homes."""
         shard = records.shard_of(record.key)
@@ -227,6 +241,7 @@
                 return records.decode_state(reply.record)
             break
         self._metrics.count('claims.refused')
+        self._events.add('claim.refused', request, shard=shard)
         return failures.Failure(
             failures.Reason.STORE_UNAVAILABLE,
             'service.claim',
@@ -241,7 +256,8 @@
         done = records.Done(
             claim.key, claim.attempt, reply.status, reply.headers, reply.body
         )
-        eventlet.spawn(self._submit, done, timers.now() + CLAIM_SECONDS)
+        until = timers.now() + CLAIM_SECONDS
+        eventlet.spawn(self._submit, call.id, done, until)
 
     def _settle(self, call: Call, claim: records.Claim) -> Result:
         """Ask the claim's process what became of it.
@@ -260,7 +276,7 @@
             claim.incarnation,
             self._events.clock,
         )
-        result = self._ask(link, settle, call.deadline)
+        result = self._ask(call.id, link, settle, call.deadline)
         if isinstance(result, Reply):
             return dataclasses.replace(result, is_replay=True)
         if result.outcome is outcomes.Outcome.UNKNOWN:
@@ -328,6 +344,7 @@
 
     def _ask(
         self,
+        request: ids.RequestId,
         link: links.Link,
         message: messages.ServiceCall | messages.Settle,
         deadline: float | None = None,
@@ -346,12 +363,27 @@
         finally:
             self._open_by_server[link.hello.server] -= 1
         if isinstance(reply, failures.Failure):
+            self._events.add(
+                'service.lost',
+                request,
+                server=link.hello.server,
+                reason=reply.reason.value,
+                step=reply.step,
+            )
             return dataclasses.replace(
                 reply,
                 outcome=outcomes.Outcome.UNKNOWN,
                 detail='the answer was lost; the call may have run',
             )
         self._events.witness(reply.clock)
+        self._events.add(
+            'service.answered',
+            request,
+            server=link.hello.server,
+            status=reply.status,
+            outcome=reply.outcome.value,
+            reason=reply.reason.value if reply.reason else '',
+        )
         if reply.outcome is outcomes.Outcome.RAN:
             return Reply(reply.status, reply.headers, reply.body)
         return failures.Failure(
--- a/libs/entry/burdockmast/entry/stalls.py
+++ b/libs/entry/burdockmast/entry/stalls.py
@@ -3,6 +3,7 @@
 from burdockmast.base import failures
 from burdockmast.base import ids
 from burdockmast.base import metrics
+from burdockmast.base import timeline
 from burdockmast.base import timers
 from burdockmast.entry import attempts
 from burdockmast.entry import fleet
@@ -43,6 +44,7 @@
         attempt_by_answer: dict[ids.RequestId, attempts.Attempt],
         view: fleet.FleetView,
         measures: metrics.Metrics,
+        events: timeline.Timeline,
     ):
         """Create a watch; ``look`` has to be called periodically.
 
@@ -51,7 +53,7 @@
         self._attempt_by_answer = attempt_by_answer
         self._view = view
         self._probes = probes.Probes(
-            view.peers, measures, self._end_silent_through
+            view.peers, measures, events, self._end_silent_through
         )
 
     def look(self) -> None:
--- a/libs/entry/burdockmast/entry/web.py
+++ b/libs/entry/burdockmast/entry/web.py
@@ -10,7 +10,6 @@
 
 from burdockmast.base import failures
 from burdockmast.base import ids
-from burdockmast.base import logs
 from burdockmast.base import outcomes
 from burdockmast.base import timers
 from burdockmast.claims import records
@@ -22,9 +21,10 @@
 from burdockmast.entry import services
 from burdockmast.node import node
 
-LOG = logs.get('web')
-
 SERVICES_PREFIX = '/v1/services/'
+# One pause between tokens in as many is measured; an entry relays thousands a
+# second.
+MEASURED_PAUSES = 16
 STREAM_TYPE = 'text/event-stream'
 JSON_TYPE = 'application/json'
 # Headers of a caller that go on to a plain service.
@@ -155,13 +155,15 @@
         if isinstance(checked, failures.Failure):
             return self._refuse(start_response, request, checked)
         asked, chat = checked
+        began = timers.now()
         items = self._answers.stream(asked)
         # A refusal before the first token can still have a status.
         first = next(items, None)
         if isinstance(first, failures.Failure):
             return self._refuse(start_response, request, first)
-        items = itertools.chain([first], items)
         self._metrics.count('answers.begun')
+        self._metrics.timing('answer.first_token', timers.now() - began)
+        items = self._timed(itertools.chain([first], items), began)
         if chat.stream:
             start_response(
                 '200 OK',
@@ -174,6 +176,20 @@
             return self._events(asked, items)
         return self._whole(start_response, asked, items)
 
+    def _timed(
+        self, items: Iterator[list[int] | failures.Failure], began: float
+    ) -> Iterator[list[int] | failures.Failure]:
+        """Pass an answer on, and measure its whole time and some pauses."""
+        for number, item in enumerate(items):
+            match number % MEASURED_PAUSES:
+                case 0:
+                    paused_at = timers.now()
+                case 1:
+                    pause = timers.now() - paused_at
+                    self._metrics.timing('answer.pause', pause)
+            yield item
+        self._metrics.timing('answer.whole', timers.now() - began)
+
     def _check(
         self, environ: dict, request: ids.RequestId
     ) -> tuple[attempts.Request, completions.ChatRequest] | failures.Failure:
@@ -267,7 +283,9 @@
         call = self._check_call(environ, request)
         if isinstance(call, failures.Failure):
             return self._refuse(start_response, request, call)
+        began = timers.now()
         result = self._services.call(call)
+        self._metrics.timing('service.call', timers.now() - began)
         if isinstance(result, failures.Failure):
             return self._refuse(start_response, request, result)
         replayed = (
@@ -344,6 +362,9 @@
             step=failure.step,
             peer=failure.peer,
             detail=failure.detail,
+            outcome=failure.outcome.value,
+            retry_after=failure.retry_after,
+            version=self._follower.version,
         )
 
 
--- /dev/null
+++ b/libs/node/burdockmast/node/dependencies.py
@@ -0,0 +1,83 @@
+"""What a process depends on, and a record of when it is lost and back."""
+
+from burdockmast.base import failures
+from burdockmast.base import metrics
+from burdockmast.base import timeline
+from burdockmast.base import timers
+from burdockmast.wire import links
+from burdockmast.wire import messages
+
+
+class Dependencies:
+    """Writes an event whenever the store or a peer is lost or back."""
+
+    def __init__(self, events: timeline.Timeline, measures: metrics.Metrics):
+        """Create a record in which all is well."""
+        self._events = events
+        self._metrics = measures
+        self._store_lost_at: float | None = None
+
+    def store_answered(
+        self, call: str, seconds: float, failure: failures.Failure | None
+    ) -> None:
+        """Take in the end of a call to the store.
+
+        A call that was refused for its rate, or because of a condition,
+        reached the store.
+        """
+        self._metrics.timing('store.call', seconds)
+        if failure is None:
+            self._store_is_back()
+            return
+        self._metrics.count('store.failed')
+        if self._store_lost_at is not None:
+            return
+        self._store_lost_at = timers.now()
+        self._events.add(
+            'store.lost',
+            call=call,
+            step=failure.step,
+            peer=failure.peer,
+            detail=failure.detail,
+        )
+
+    def _store_is_back(self) -> None:
+        if self._store_lost_at is None:
+            return
+        seconds = timers.now() - self._store_lost_at
+        self._store_lost_at = None
+        self._events.add('store.back', seconds=round(seconds, 3))
+
+    def connected(self, link: links.Link) -> None:
+        """Note a new link to a peer."""
+        if _is_operator(link):
+            return
+        self._events.add('peer.connected', **_identity(link))
+
+    def lost(self, link: links.Link, why: failures.Failure) -> None:
+        """Note that a link has ended."""
+        if _is_operator(link):
+            return
+        self._events.add(
+            'peer.lost',
+            reason=why.reason.value,
+            step=why.step,
+            detail=why.detail,
+            silent_seconds=round(link.silent_for, 3),
+            **_identity(link),
+        )
+
+
+def _is_operator(link: links.Link) -> bool:
+    """Tell whether a link is an operator's, who asks once and leaves."""
+    return link.hello.role is messages.Role.OPERATOR
+
+
+def _identity(link: links.Link) -> dict[str, str]:
+    hello = link.hello
+    return {
+        'peer': link.address,
+        'peer_role': hello.role.value,
+        'peer_process': hello.process,
+        'peer_server': hello.server,
+    }
--- a/libs/node/burdockmast/node/node.py
+++ b/libs/node/burdockmast/node/node.py
@@ -4,14 +4,20 @@
 import dataclasses
 
 import eventlet
+import eventlet.wsgi
+import prometheus_client
 
+from burdockmast.base import addresses
+from burdockmast.base import failures
 from burdockmast.base import ids
+from burdockmast.base import logs
 from burdockmast.base import metrics
 from burdockmast.base import timeline
 from burdockmast.base import timers
 from burdockmast.fleet import follower
 from burdockmast.fleet import instances
 from burdockmast.limits import strikes
+from burdockmast.node import dependencies
 from burdockmast.node import inspection
 from burdockmast.settings import models
 from burdockmast.store import instancelist
@@ -41,6 +47,8 @@
     instances: instances.Instances
     strikes: strikes.Strikes
     timers: timers.TimerService
+    dependencies: dependencies.Dependencies
+    log: logs.Log
     describe_role: Callable[[], dict] = dict
 
     @classmethod
@@ -57,7 +65,12 @@
         :param server: the backend server beside it, empty if none
         """
         events = timeline.Timeline(ids.new_id())
+        measures = metrics.Metrics.from_config(
+            settings.statsd_address, role.value
+        )
+        depended = dependencies.Dependencies(events, measures)
         store = objects.Objects(settings.store_url)
+        store.answered.append(depended.store_answered)
         configuration = follower.Follower(store, server, settings.zone, events)
         hello = messages.Hello(
             messages.PROTOCOL,
@@ -68,6 +81,7 @@
             server,
         )
         process_peers = peers.Peers(hello, handler)
+        process_peers.connected.append(depended.connected)
         configuration.neighbours = process_peers.all
         configuration.period = process_peers.period
         listing = None
@@ -76,14 +90,35 @@
         return cls(
             settings,
             events,
-            metrics.Metrics.from_config(settings.statsd_address, role.value),
+            measures,
             store,
             configuration,
             process_peers,
             instances.Instances(listing, settings.instance, configuration),
             strikes.Strikes(),
             timers.TimerService(),
+            depended,
+            cls._log(settings, events, hello),
+        )
+
+    @staticmethod
+    def _log(
+        settings: models.Settings,
+        events: timeline.Timeline,
+        hello: messages.Hello,
+    ) -> logs.Log:
+        """Send this process's log, with all its events, to standard output."""
+        log = logs.Log.from_config(
+            settings.log_level,
+            {
+                'process': hello.process,
+                'role': hello.role.value,
+                'zone': hello.zone,
+                **({'beside': hello.server} if hello.server else {}),
+            },
         )
+        events.subscribers.append(logs.event)
+        return log
 
     def start(self) -> None:
         """Listen for peers and begin to follow the configuration.
@@ -91,7 +126,16 @@
         :raises OSError: if the address is taken
         """
         self.peers.listen(self.settings.peer_address)
+        self._serve_metrics()
+        self.events.add(
+            'process.started',
+            peer_address=self.settings.peer_address,
+            store=self.settings.store_url,
+        )
         self.follower.start()
+        self.timers.subscribe(
+            'logs', logs.REPORT_SECONDS, self.log.handler.report
+        )
         self.timers.subscribe(
             'strikes', CLEAR_SECONDS, self.strikes.forget_old
         )
@@ -101,6 +145,31 @@
         for address in self.settings.peers:
             eventlet.spawn(self.peers.get, address)
 
+    def _serve_metrics(self) -> None:
+        """Serve metrics, if the settings name an address for them.
+
+        :raises OSError: if the address is taken
+        """
+        self.metrics.gauge('log.lines_dropped', lambda: self.log.dropped)
+        self.metrics.gauge(
+            'configuration.version', lambda: self.follower.version
+        )
+        self.metrics.gauge(
+            'configuration.age_seconds', lambda: self.follower.store_age
+        )
+        if not self.settings.metrics_address:
+            return
+        sock = eventlet.listen(addresses.split(self.settings.metrics_address))
+        application = prometheus_client.make_wsgi_app(self.metrics.registry)
+        eventlet.spawn(
+            eventlet.wsgi.server, sock, application, log_output=False
+        )
+
+    def closed(self, link: links.Link, why: failures.Failure) -> None:
+        """Forget a link that has ended."""
+        self.peers.forget(link)
+        self.dependencies.lost(link, why)
+
     def receive(self, link: links.Link, message: messages.AnyMessage) -> bool:
         """Handle what concerns every role; tell whether it did."""
         match message:
--- a/libs/operator/burdockmast/operator/daemons.py
+++ b/libs/operator/burdockmast/operator/daemons.py
@@ -10,6 +10,7 @@
 
 from burdockmast.base import logs
 from burdockmast.entry import server as entry_server
+from burdockmast.node import node
 from burdockmast.operator import exit_status
 from burdockmast.settings import loader
 from burdockmast.settings import models
@@ -24,19 +25,15 @@
     :raises loader.SettingsError: if the settings are wrong
     """
     settings = loader.load(path, models.EntrySettings)
-    logs.set_up(settings.log_level)
     entry = entry_server.Entry(settings)
     try:
         sock = entry.start()
     except OSError as error:
-        return _address_taken(error)
+        return _address_taken(entry.node, error)
     eventlet.spawn(entry.serve, sock)
-    LOG.info(
-        'Entry {} serves {}.', entry.node.events.process, sock.getsockname()
-    )
     _wait_for_stop()
     entry.stop(sock)
-    return exit_status.ExitStatus.SUCCESS
+    return _stopped(entry.node)
 
 
 def run_side(path: pathlib.Path) -> exit_status.ExitStatus:
@@ -45,23 +42,30 @@
     :raises loader.SettingsError: if the settings are wrong
     """
     settings = loader.load(path, models.SideSettings)
-    logs.set_up(settings.log_level)
     side = side_server.Side(settings)
     try:
         side.start()
     except OSError as error:
-        return _address_taken(error)
-    LOG.info('Side {} of {} runs.', side.node.events.process, settings.server)
+        return _address_taken(side.node, error)
     _wait_for_stop()
     side.stop()
-    return exit_status.ExitStatus.SUCCESS
+    return _stopped(side.node)
 
 
-def _address_taken(error: OSError) -> exit_status.ExitStatus:
+def _address_taken(
+    process: node.Node, error: OSError
+) -> exit_status.ExitStatus:
     LOG.error('The address is not free: {}.', error)
+    process.log.close()
     return exit_status.ExitStatus.ADDRESS_TAKEN
 
 
+def _stopped(process: node.Node) -> exit_status.ExitStatus:
+    process.events.add('process.stopped')
+    process.log.close()
+    return exit_status.ExitStatus.SUCCESS
+
+
 def _wait_for_stop() -> None:
     """Wait for SIGTERM or SIGINT; a second one ends the process at once."""
     stopped = eventlet.event.Event()
--- a/libs/operator/burdockmast/operator/observation.py
+++ b/libs/operator/burdockmast/operator/observation.py
@@ -13,6 +13,9 @@
 SENTENCES = {
     'answer.started': 'attempt {attempt} took the path {path}, from token '
     '{resumed_at} on',
+    'answer.opened': 'all stages accepted attempt {attempt}; tokens of its '
+    'prompt that they had cached: {cached}',
+    'answer.unopened': 'it found no place: {reason} at {step} {peer} {detail}',
     'answer.attempt_failed': 'attempt {attempt} ended: {reason} at {step} '
     'with {peer}',
     'answer.convicted': 'it was refused since it crashes backend servers',
@@ -22,6 +25,10 @@
     'stage.failed': 'a stage ended attempt {attempt}: {reason} at {step}',
     'stage.finished': 'the head stage finished attempt {attempt}',
     'service.sent': 'it was sent to {server}',
+    'service.answered': '{server} answered: {outcome} {reason}',
+    'service.lost': 'the answer of {server} was lost: {reason} at {step}',
+    'claim.written': 'attempt {attempt} is claimed for {server}',
+    'claim.refused': 'its claim could not be written',
     'service.settle': 'an earlier claim was settled with {server}',
     'execution.began': 'the plain service was called',
     'execution.ended': 'the plain service answered',
--- a/libs/routing/burdockmast/routing/loads.py
+++ b/libs/routing/burdockmast/routing/loads.py
@@ -92,6 +92,13 @@
             return None
         return report.load
 
+    def may_load(self, server: ids.ServerId) -> bool:
+        """Tell whether a server may soon hold what is placed on it."""
+        report = self.report_by_server.get(server)
+        if report is None:
+            return True
+        return not report.load.leaving and not report.load.is_engine_lost
+
     def running(self, server: ids.ServerId) -> int:
         """Return how many answers probably run on a server now."""
         report = self.report_by_server[server]
@@ -116,6 +123,19 @@
         slots = self.report_by_server[server].load.slots
         return self.running(server) / slots if slots else 1.0
 
+    def describe(self, server: ids.ServerId) -> dict[str, str | float]:
+        """Return what is believed of a server, and how old that is."""
+        report = self.report_by_server.get(server)
+        if not report:
+            return {'server': server, 'reported': False}
+        return {
+            'server': server,
+            'running': self.running(server),
+            'slots': report.load.slots,
+            'layer_us': report.load.layer_ns / 1000,
+            'age_ms': int((timers.now() - report.at) * 1000),
+        }
+
     def link_seconds(
         self, server: ids.ServerId, address: ids.Address, default: float
     ) -> float:
--- a/libs/settings/burdockmast/settings/models.py
+++ b/libs/settings/burdockmast/settings/models.py
@@ -29,6 +29,8 @@
     :ivar instance: this instance's id in the platform's list
     :ivar instances_url: the platform's instance list; empty for none
     :ivar statsd_address: empty to send no metrics
+    :ivar metrics_address: where counters and histograms are served over
+        HTTP; none unless set
     """
 
     zone: ids.ZoneId
@@ -38,6 +40,7 @@
     instance: ids.PlatformInstance = ids.PlatformInstance('')
     instances_url: HttpUrl | None = None
     statsd_address: str = ''
+    metrics_address: IpPort | None = None
     log_level: LogLevel = 'info'
 
 
--- a/libs/side/burdockmast/side/driver.py
+++ b/libs/side/burdockmast/side/driver.py
@@ -102,6 +102,11 @@
         if len(self._closes) == 1:
             eventlet.spawn_after(CLOSE_SECONDS, self._wake.release)
 
+    def found_dead(self, why: failures.Failure) -> None:
+        """Take in that the engine could not be reached."""
+        if self.ready:
+            self._lose(why, [])
+
     def _drive(self) -> None:
         while True:
             self._wake.acquire()
--- a/libs/side/burdockmast/side/executions.py
+++ b/libs/side/burdockmast/side/executions.py
@@ -7,13 +7,10 @@
 import urllib3
 
 from burdockmast.base import failures
-from burdockmast.base import logs
 from burdockmast.base import outcomes
 from burdockmast.node import node
 from burdockmast.wire import messages
 
-LOG = logs.get('executions')
-
 # Keys whose executions are remembered.
 REMEMBERED = 100_000
 # Headers that belong to one connection and are not passed on.
--- a/libs/side/burdockmast/side/holding.py
+++ b/libs/side/burdockmast/side/holding.py
@@ -10,11 +10,14 @@
 always hold each layer; see :mod:`burdockmast.fleet.moves`.
 """
 
+from collections.abc import Callable
+
 import eventlet
 
 from burdockmast.base import failures
 from burdockmast.base import ids
 from burdockmast.base import logs
+from burdockmast.base import outcomes
 from burdockmast.base import timers
 from burdockmast.fleet import changes
 from burdockmast.fleet import moves
@@ -53,6 +56,7 @@
         """
         self.held: engine.Held | None = None
         self.is_idle = lambda: True
+        self.found_dead: Callable[[failures.Failure], None] = lambda _: None
         self._server = process.peers.hello.server
         self._engine = engine_client
         self._follower = process.follower
@@ -94,7 +98,12 @@
             status = self._engine.status()
         finally:
             self._is_looking = False
-        if isinstance(status, failures.Failure) or self._is_working:
+        if isinstance(status, failures.Failure):
+            if status.outcome is outcomes.Outcome.NOT_RUN:
+                # Nothing listens there: it is dead, not slow.
+                self.found_dead(status)
+            return
+        if self._is_working:
             return
         if status.held != self.held:
             LOG.warning('The engine no longer holds {}.', self.held)
--- a/libs/side/burdockmast/side/server.py
+++ b/libs/side/burdockmast/side/server.py
@@ -3,7 +3,6 @@
 import eventlet
 
 from burdockmast.base import failures
-from burdockmast.base import logs
 from burdockmast.base import timers
 from burdockmast.claims import home
 from burdockmast.claims import records
@@ -18,8 +17,6 @@
 from burdockmast.wire import links
 from burdockmast.wire import messages
 
-LOG = logs.get('side')
-
 IDLE_SECONDS = 0.05
 
 
@@ -52,6 +49,7 @@
                 self.node, client, self.holding, settings.slots
             )
             self.holding.is_idle = self._is_idle
+            self.holding.found_dead = self.stage.driver.found_dead
         if settings.service_url:
             self.executions = executions.Executions(
                 self.node, settings.service_url
@@ -77,7 +75,7 @@
     def stop(self) -> None:
         """Refuse new work and wait until work in flight has ended."""
         self._is_stopping = True
-        LOG.info('Stopping; no new work is accepted.')
+        self.node.events.add('process.stopping', drain=self.settings.drain)
         deadline = timers.now() + self.settings.drain
         self._set_leaving(True)
         while not self._is_idle() and timers.now() < deadline:
@@ -153,12 +151,13 @@
 
     def closed(self, link: links.Link, why: failures.Failure) -> None:
         """End what depended on a lost link."""
-        self.node.peers.forget(link)
+        self.node.closed(link, why)
         if self.stage:
             self.stage.link_closed(link, why)
 
     def _load(self) -> messages.Load:
         running = len(self.stage.running_by_answer)
+        is_engine_lost = not self.stage.driver.ready
         times = tuple(
             messages.LinkTime(address, int(link.rtt * 1e6))
             for address, link in self.node.peers.link_by_address.items()
@@ -169,9 +168,10 @@
             running + self.stage.free_slots,
             int(self.stage.driver.layer_seconds * 1e9),
             self.stage.leaving,
-            self.holding.ranges(),
+            () if is_engine_lost else self.holding.ranges(),
             times,
             int(self.stage.driver.prefill_seconds * 1e9),
+            is_engine_lost,
         )
 
     def _details(self) -> dict:
--- a/libs/standins/burdockmast/standins/processes.py
+++ b/libs/standins/burdockmast/standins/processes.py
@@ -74,6 +74,8 @@
         self.folder = pathlib.Path(folder)
         self.process_by_name: dict[str, subprocess.Popen] = {}
         self.address_by_name: dict[str, str] = {}
+        # What gets a process's log in place of a file, if anything.
+        self.output_by_name: dict[str, int] = {}
         self._command_by_name: dict[str, tuple[str, ...]] = {}
         self._host = own_host()
         self._ports = own_ports()
@@ -96,7 +98,7 @@
             self.process_by_name[name] = subprocess.Popen(
                 [sys.executable, '-W', 'ignore', '-m', *command],
                 stdin=subprocess.DEVNULL,
-                stdout=log,
+                stdout=self.output_by_name.get(name, log),
                 stderr=log,
             )
 
--- a/libs/store/burdockmast/store/objects.py
+++ b/libs/store/burdockmast/store/objects.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+from collections.abc import Callable
 from typing import Any
 
 import msgspec
@@ -14,6 +15,7 @@
 from burdockmast.base import failures
 from burdockmast.base import logs
 from burdockmast.base import outcomes
+from burdockmast.base import timers
 
 LOG = logs.get('store')
 
@@ -53,7 +55,11 @@
 
 
 class Objects:
-    """Objects of one platform, over HTTP."""
+    """Objects of one platform, over HTTP.
+
+    :ivar answered: called with the kind of each call, its seconds, and why
+        it failed, if it did
+    """
 
     def __init__(self, url: str):
         """Create a client; it connects when it is used.
@@ -62,6 +68,9 @@
         """
         self.url = url
         self.calls_by_kind: collections.Counter[str] = collections.Counter()
+        self.answered: list[
+            Callable[[str, float, failures.Failure | None], None]
+        ] = []
         self._pool = urllib3.PoolManager(
             maxsize=CONNECTIONS, retries=False, block=False
         )
@@ -127,6 +136,16 @@
         return self._parse(response, Stored, 'write')
 
     def _call(
+        self, method: str, kind: str, name: str = '', **options: Any
+    ) -> urllib3.BaseHTTPResponse | failures.Failure:
+        began = timers.now()
+        found = self._request(method, kind, name, **options)
+        failure = found if isinstance(found, failures.Failure) else None
+        for subscriber in self.answered:
+            subscriber(f'{method} {kind}', timers.now() - began, failure)
+        return found
+
+    def _request(
         self,
         method: str,
         kind: str,
--- a/libs/wire/burdockmast/wire/messages.py
+++ b/libs/wire/burdockmast/wire/messages.py
@@ -64,7 +64,8 @@
 
     ``layer_ns`` is the engine's time for one layer of one sequence, at the
     batches of late; ``held`` are the layer ranges that are loaded now;
-    ``prefill_ns`` is its time for one layer of one prompt token.
+    ``prefill_ns`` is its time for one layer of one prompt token. A side whose
+    engine is lost holds nothing until the engine is back and has loaded.
     """
 
     server: ids.ServerId
@@ -75,6 +76,7 @@
     held: tuple[LayerRange, ...] = ()
     links: tuple[LinkTime, ...] = ()
     prefill_ns: int = 0
+    is_engine_lost: bool = False
 
 
 class Strike(Record):
--- a/libs/wire/burdockmast/wire/peers.py
+++ b/libs/wire/burdockmast/wire/peers.py
@@ -32,6 +32,7 @@
         self.hello = hello
         self.link_by_address: dict[ids.Address, links.Link] = {}
         self.accepted: set[links.Link] = set()
+        self.connected: list[Callable[[links.Link], None]] = []
         self._handler = handler
         self._lock_by_address: dict[
             ids.Address, eventlet.semaphore.Semaphore
@@ -47,9 +48,17 @@
             addresses.split(address),
             lambda: self.hello,
             self._handler,
-            self.accepted.add,
+            self._accept,
         )
 
+    def _accept(self, link: links.Link) -> None:
+        self.accepted.add(link)
+        self._tell(link)
+
+    def _tell(self, link: links.Link) -> None:
+        for subscriber in self.connected:
+            subscriber(link)
+
     def get(self, address: ids.Address) -> links.Link | failures.Failure:
         """Return the link to ``address``, dialling if there is none."""
         link = self.link_by_address.get(address)
@@ -72,6 +81,7 @@
             # The dialled address counts: a relay may stand in between.
             link.address = address
             self.link_by_address[address] = link
+            self._tell(link)
         return link
 
     def forget(self, link: links.Link) -> None:
--- /dev/null
+++ b/tests/test_unserved.py
@@ -0,0 +1,197 @@
+"""What no server can serve is refused at once, unrun."""
+
+import types
+
+import program
+import pytest
+
+from burdockmast.base import failures
+from burdockmast.base import ids
+from burdockmast.base import timers
+from burdockmast.entry import attempts
+from burdockmast.entry import fleet as fleets
+from burdockmast.entry import openings
+from burdockmast.fleet import changes
+from burdockmast.routing import demands
+from burdockmast.routing import loads
+from burdockmast.routing import policies
+from burdockmast.standins import layouts
+from burdockmast.wire import messages
+
+MODEL = changes.Model('draft', 24)
+NO_PATH = failures.Failure(failures.Reason.NO_PATH, 'routing.choose')
+GROUPS = (
+    layouts.Group(0, 12, 2, program.UNHURRIED),
+    layouts.Group(12, 24, 2, program.UNHURRIED),
+)
+LOW = changes.Placement('low', MODEL.id, 0, 12)
+HIGH = changes.Placement('high', MODEL.id, 12, 24)
+
+
+class View:
+    """A view of a fleet in which no path is to be found."""
+
+    def __init__(self, may_come):
+        self.may_come = may_come
+        self.looks = 0
+
+    def choose(self, model, excluded, demand):
+        self.looks += 1
+        return NO_PATH
+
+    def may_have_path(self, model):
+        return self.may_come
+
+
+def choose(view, delivered=()):
+    """Return the choice of a request that has a minute left."""
+    request = attempts.Request(
+        ids.RequestId('r'),
+        None,
+        0,
+        timers.now() + 60.0,
+        MODEL,
+        (1,),
+        8,
+        ids.Fingerprint('f'),
+    )
+    process = types.SimpleNamespace(
+        strikes=None, events=None, metrics=None, follower=None
+    )
+    opening = openings.Openings(process, view, None)
+    progress = attempts.Progress(list(delivered))
+    return opening._choose(request, progress, demands.Demand())
+
+
+@pytest.fixture
+def sleeps(monkeypatch):
+    """The waits for a path, none of which takes any time."""
+    found = []
+    now = [1000.0]
+
+    def sleep(seconds):
+        found.append(seconds)
+        now[0] += seconds
+
+    monkeypatch.setattr(openings.eventlet, 'sleep', sleep)
+    monkeypatch.setattr(timers, 'now', lambda: now[0])
+    return found
+
+
+def test_request_that_no_server_will_serve_does_not_wait(sleeps):
+    assert choose(View(may_come=False)) is NO_PATH
+    assert not sleeps
+
+
+def test_request_waits_while_servers_change_places(sleeps):
+    assert choose(View(may_come=True)) is NO_PATH
+    waited = sum(sleeps)
+    assert waited == pytest.approx(openings.PATH_SECONDS, abs=0.2)
+
+
+def test_answer_that_has_begun_waits_for_an_engine_to_come_back(sleeps):
+    choose(View(may_come=False), delivered=[1, 2])
+    waited = sum(sleeps)
+    assert waited == pytest.approx(openings.RESUME_SECONDS, abs=0.2)
+
+
+def load(server, held=(), is_leaving=False, is_engine_lost=False):
+    ranges = tuple(messages.LayerRange(MODEL.id, a, b) for a, b in held)
+    return messages.Load(
+        server,
+        0,
+        64,
+        1000,
+        is_leaving,
+        ranges,
+        is_engine_lost=is_engine_lost,
+    )
+
+
+ALL_HELD = [load('low', [(0, 12)]), load('high', [(12, 24)])]
+CASES = {
+    'all held': (ALL_HELD, True),
+    'one loads': ([load('low'), ALL_HELD[1]], True),
+    'one has not reported yet': ([ALL_HELD[1]], True),
+    'engine lost': ([load('low', is_engine_lost=True), ALL_HELD[1]], False),
+    'leaving': ([load('low', [(0, 12)], is_leaving=True), ALL_HELD[1]], False),
+}
+
+
+@pytest.mark.parametrize('case', CASES)
+def test_path_may_come_only_from_servers_that_will_hold_it(case):
+    reports, expected = CASES[case]
+    table = loads.Loads()
+    for report in reports:
+        table.learn(report, 1.0)
+    found = fleets.expected_ranges(MODEL, {'low': LOW, 'high': HIGH}, table)
+    assert (fleets.covers(MODEL, found)) is expected
+
+
+@pytest.fixture
+def view():
+    """A view of two servers, none of which has been reached yet."""
+    servers = {
+        name: changes.Server(name, f'127.0.0.1:{number}', 'za')
+        for number, name in enumerate(('low', 'high'), 1)
+    }
+    placed = {'low': LOW, 'high': HIGH}
+    current = types.SimpleNamespace(server_by_id=servers, placement=placed.get)
+    process = types.SimpleNamespace(
+        peers=types.SimpleNamespace(
+            hello=types.SimpleNamespace(process='entry'),
+            link_by_address={},
+            get=lambda address: NO_PATH,
+        ),
+        follower=types.SimpleNamespace(subscribers=[], configuration=current),
+    )
+    found = fleets.FleetView(process, policies.LowestCost(), 24)
+    found._subset.learn(current, None)
+    return found
+
+
+def dial_all(view):
+    for server in view.servers:
+        view._dial(server.address)
+
+
+def test_server_counts_as_gone_only_once_a_dial_has_failed(view):
+    """A connection that is lost may only have been cut."""
+    assert len(view.servers) == 2
+    assert view.may_have_path(MODEL)
+    dial_all(view)
+    assert not view.may_have_path(MODEL)
+
+
+def test_server_whose_connection_was_just_lost_may_be_reached_again(view):
+    dial_all(view)
+    for server in view.servers:
+        hello = types.SimpleNamespace(server=server.id)
+        link = types.SimpleNamespace(address=server.address, hello=hello)
+        view.closed(link)
+    assert view.may_have_path(MODEL)
+    dial_all(view)
+    assert not view.may_have_path(MODEL)
+
+
+def test_request_is_refused_unrun_while_all_engines_of_a_range_are_dead(
+    own_fleet,
+):
+    """Proves: the final answer comes as soon as it is known."""
+    fleet = own_fleet(groups=GROUPS, services=0)
+    for server in ('e1', 'e2'):
+        fleet.kill(f'engine-{server}')
+    for server in ('e1', 'e2'):
+        program.wait_until(
+            lambda s=server: 'engine.lost' in fleet.log(f'side-{s}'),
+            f'{server} lost',
+        )
+
+    def refused():
+        reply = fleet.complete([3], 4, **{'Burdockmast-Deadline': '5'})
+        error = program.error_of(reply)
+        return error if error['outcome'] == 'not_run' else None
+
+    error = program.wait_until(refused, 'refused unrun')
+    assert error['type'] == 'no_path'
+    assert error['retry_after'] > 0
