Expect the wait of one's own turn, and return refused callers one by one

Cause: a request was refused for the length of the whole queue, so one organisation's rush refused others that would have been next; and all who were refused at once were told the same time to come back. Ruled out: a longer queue, since those in it would end after their deadlines. Change: the expected wait counts those that will be admitted earlier, by priority and share; each refusal takes the next place in a schedule of returns at half of the pace of service; times without a known pace are spread.

--- a/libs/entry/burdockmast/entry/answers.py
+++ b/libs/entry/burdockmast/entry/answers.py
@@ -194,17 +194,17 @@
             case failures.Failure(step=queues.WAIT_STEP) if (
                 timers.now() < request.deadline
             ):
-                return self._too_late_to_begin(admitted)
+                return self._too_late_to_begin(admitted, waiter)
         return admitted
 
     def _too_late_to_begin(
-        self, refusal: failures.Failure
+        self, refusal: failures.Failure, waiter: queues.Waiter
     ) -> failures.Failure:
         return dataclasses.replace(
             refusal,
             reason=failures.Reason.OVERLOADED,
             detail='the answer would not be whole in time',
-            retry_after=self._queue.retry_after(),
+            retry_after=self._queue.retry_after(waiter),
         )
 
     def _receive(
--- a/libs/entry/burdockmast/entry/web.py
+++ b/libs/entry/burdockmast/entry/web.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
+import dataclasses
 import itertools
+import random
 from typing import Any
 
 import msgspec
@@ -19,6 +21,8 @@
 from burdockmast.entry import headers
 from burdockmast.entry import refusals
 from burdockmast.entry import services
+from burdockmast.limits import queues
+from burdockmast.limits import returns
 from burdockmast.node import node
 
 SERVICES_PREFIX = '/v1/services/'
@@ -90,6 +94,7 @@
         self._timeline = process.events
         self._default_seconds = default_seconds
         self._body_bytes = body_bytes
+        self._random = random.Random()
 
     def __call__(self, environ: dict, start_response: StartResponse) -> Body:
         """Serve one request."""
@@ -246,6 +251,7 @@
         count = 0
         for item in items:
             if isinstance(item, failures.Failure):
+                item = self._spread(item)
                 self._note_refusal(item, asked.id)
                 body = refusals.body_of(item, asked.id)
                 yield b'data: ' + body + b'\n\n'
@@ -343,6 +349,7 @@
         request: ids.RequestId,
         failure: failures.Failure,
     ) -> Body:
+        failure = self._spread(failure)
         self._note_refusal(failure, request)
         return _send(
             start_response,
@@ -351,6 +358,14 @@
             refusals.body_of(failure, request),
         )
 
+    def _spread(self, failure: failures.Failure) -> failures.Failure:
+        """Spread times to come back that the queue has not spread already."""
+        seconds = failure.retry_after
+        if seconds is None or failure.step == queues.WAIT_STEP:
+            return failure
+        later = returns.spread(seconds, self._random)
+        return dataclasses.replace(failure, retry_after=round(later, 3))
+
     def _note_refusal(
         self, failure: failures.Failure, request: ids.RequestId
     ) -> None:
--- a/libs/limits/burdockmast/limits/queues.py
+++ b/libs/limits/burdockmast/limits/queues.py
@@ -1,8 +1,11 @@
 """A bounded waiting line, fair between organisations."""
 
+import collections
 from collections.abc import Callable
 import dataclasses
 import itertools
+import math
+import random
 
 import eventlet
 import eventlet.event
@@ -10,12 +13,10 @@
 from burdockmast.base import failures
 from burdockmast.base import ids
 from burdockmast.base import timers
+from burdockmast.limits import returns
 
 # Weight of the newest sample in the smoothed time between admissions.
 PACE_WEIGHT = 0.1
-# Shortest and longest time that a refused caller is told to wait.
-RETRY_FLOOR_SECONDS = 0.5
-RETRY_CEILING_SECONDS = 30.0
 # Step of a refusal by the queue.
 WAIT_STEP = 'admission.wait'
 
@@ -47,10 +48,11 @@
     of the organisation that waits most beyond its share.
     """
 
-    def __init__(self, limit: int):
+    def __init__(self, limit: int, seed: int | None = None):
         """Create an empty queue.
 
         :param limit: requests that may wait
+        :param seed: makes times to come back repeatable
         """
         self._limit = limit
         self._numbers = itertools.count()
@@ -59,22 +61,50 @@
         self._virtual = 0.0
         self._pace = 0.0
         self._woken_at = 0.0
+        self._returns = returns.Returns(random.Random(seed))
 
     def __len__(self) -> int:
         """Return how many wait."""
         return len(self._waiting)
 
-    def expected_wait(self) -> float:
+    def expected_wait(self, waiter: Waiter) -> float:
         """Return the seconds that a new request is likely to wait."""
-        return self._pace * len(self._waiting)
+        return self._pace * self._ahead(waiter)
+
+    def _ahead(self, waiter: Waiter) -> int:
+        """Return how many of those that wait would be admitted earlier.
+
+        Answers the rush of one large organisation, whose requests must not
+        make those of others look hopeless.
+        """
+        count = 0
+        waiting_by_share: collections.Counter[
+            tuple[ids.OrganisationId, float]
+        ] = collections.Counter()
+        for other in self._waiting:
+            if other.priority > waiter.priority:
+                count += 1
+            elif other.priority == waiter.priority:
+                waiting_by_share[other.organisation, other.weight] += 1
+        own = waiting_by_share.pop((waiter.organisation, waiter.weight), 0)
+        turn = self._start(waiter.organisation) + own / waiter.weight
+        for (name, weight), waiting in waiting_by_share.items():
+            turns = (turn - self._start(name)) * weight
+            count += min(waiting, max(0, math.floor(turns) + 1))
+        return count + own
+
+    def _start(self, organisation: ids.OrganisationId) -> float:
+        """Return the virtual time of an organisation's next request."""
+        virtual = self._virtual_by_organisation.get(organisation, 0.0)
+        return max(virtual, self._virtual)
 
     def wait(self, waiter: Waiter, seconds: float) -> failures.Failure | None:
         """Wait for admission; return why there was none.
 
         :param seconds: until the request would be of no use
         """
-        if self.expected_wait() > seconds:
-            return self._refusal('wait would exceed the deadline')
+        if self.expected_wait(waiter) > seconds:
+            return self._refusal(waiter, 'wait would exceed the deadline')
         if waiter.number is None:
             waiter.number = next(self._numbers)
         self._waiting.append(waiter)
@@ -96,8 +126,8 @@
             waiter.event.send(None)
 
     def _order(self, waiter: Waiter) -> tuple[int, float, int]:
-        virtual = self._virtual_by_organisation.get(waiter.organisation, 0.0)
-        return (-waiter.priority, max(virtual, self._virtual), waiter.number)
+        start = self._start(waiter.organisation)
+        return (-waiter.priority, start, waiter.number)
 
     def _note_admission(self, waiter: Waiter) -> None:
         _, start, _ = self._order(waiter)
@@ -124,20 +154,21 @@
             key=lambda w: (excess_by_organisation[w.organisation], w.number),
         )
         self._waiting.remove(victim)
-        victim.event.send(self._refusal('too many requests wait'))
+        refusal = self._refusal(victim, 'too many requests wait')
+        victim.event.send(refusal)
 
-    def _refusal(self, detail: str) -> failures.Failure:
+    def _refusal(self, waiter: Waiter, detail: str) -> failures.Failure:
         return failures.Failure(
             failures.Reason.OVERLOADED,
             WAIT_STEP,
             detail=detail,
-            retry_after=self.retry_after(),
+            retry_after=self.retry_after(waiter),
         )
 
-    def retry_after(self) -> float:
+    def retry_after(self, waiter: Waiter) -> float:
         """Return the seconds after which a refused caller may come back."""
-        expected = self.expected_wait()
-        return min(max(expected, RETRY_FLOOR_SECONDS), RETRY_CEILING_SECONDS)
+        wait = self.expected_wait(waiter)
+        return self._returns.plan(timers.now(), wait, self._pace)
 
 
 def admit(
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -12,6 +12,7 @@
 from burdockmast.base import ids
 from burdockmast.base import outcomes
 from burdockmast.claims import records
+from burdockmast.entry import services
 from burdockmast.operator import asking
 from burdockmast.standins import layouts
 from burdockmast.store import journals
@@ -143,6 +144,19 @@
     assert error['outcome'] == 'not_run'
     assert error['retry_after'] > 0
     assert 'out' not in fleet.runs()
+
+
+def test_those_refused_in_an_outage_do_not_come_back_together(own_fleet):
+    """Load: all callers of commands while the store is out."""
+    fleet = own_fleet()
+    fleet.set_faults('store', outage=True)
+    backs = [
+        program.error_of(command(fleet, f'out-{n}'))['retry_after']
+        for n in range(20)
+    ]
+    least = services.STORE_RETRY_SECONDS
+    assert all(least <= back <= 2 * least for back in backs)
+    assert len(set(backs)) > len(backs) / 2
     assert fleet.call('stock/read', method='GET').status == 200
     assert program.answer_tokens(fleet.complete([1], 2))
     fleet.set_faults('store')
