End a planned stop of an entry though callers keep coming

Ruled out: refusing with 503, which a caller sees and a refused connection behind a balancer does not. Change: not ready for 2 s, then no connections any more, then the end once all that was accepted has been answered.

--- a/libs/entry/burdockmast/entry/server.py
+++ b/libs/entry/burdockmast/entry/server.py
@@ -3,11 +3,13 @@
 import socket
 
 import eventlet
+import eventlet.greenthread
+import eventlet.patcher
 import eventlet.wsgi
 
 from burdockmast.base import addresses
 from burdockmast.base import failures
-from burdockmast.base import timers
+from burdockmast.base import logs
 from burdockmast.entry import answers
 from burdockmast.entry import fleet
 from burdockmast.entry import services
@@ -20,15 +22,22 @@
 from burdockmast.wire import links
 from burdockmast.wire import messages
 
+LOG = logs.get('entry')
+
+# eventlet's own has no poll.
+_select = eventlet.patcher.original('select')
+
 # Connections that may wait to be accepted.
 BACKLOG = 4096
 # Requests served at once.
 CONCURRENCY = 8192
-# Seconds that the balancer has to see that this instance is not ready.
-LEAVE_SECONDS = 0.5
+# Seconds that the balancer has to see that this instance is not ready: it may
+# look once a second.
+LEAVE_SECONDS = 2.0
 # Seconds that a planned stop waits for answers.
 DRAIN_SECONDS = 60.0
-IDLE_SECONDS = 0.05
+# Looks for connections that wait to be accepted, before none are any more.
+ACCEPT_LOOKS = 100
 
 
 class Entry:
@@ -68,29 +77,44 @@
         )
 
     def serve(self, sock: socket.socket) -> None:
-        """Serve callers until ``stop`` has closed the socket."""
-        eventlet.wsgi.server(
-            sock,
-            self.application,
-            log_output=False,
-            max_size=CONCURRENCY,
-            # The default gathers 4 KiB, which are 20 tokens, before it sends.
-            minimum_chunk_size=1,
-            debug=False,
-        )
+        """Serve callers until ``stop`` has closed the socket.
 
-    def stop(self, sock: socket.socket) -> None:
-        """Let the balancer turn away, then end when all is answered."""
+        Returns when all that was accepted before has been answered.
+        """
+        try:
+            eventlet.wsgi.server(
+                sock,
+                self.application,
+                log_output=False,
+                max_size=CONCURRENCY,
+                # The default gathers 4 KiB, which are 20 tokens.
+                minimum_chunk_size=1,
+                debug=False,
+            )
+        except OSError as error:
+            if not self._is_stopping:
+                LOG.error('Callers are not served any more: {}.', error)
+                raise
+
+    def stop(
+        self, sock: socket.socket, serving: eventlet.greenthread.GreenThread
+    ) -> None:
+        """Let the balancer turn away, then end when all is answered.
+
+        Callers that keep coming are turned away when they connect, before
+        they have sent anything, so that whatever was sent is answered.
+
+        :param serving: the task that runs ``serve``
+        """
         self.node.events.add(
             'process.stopping', requests=self.application.running
         )
         self._is_stopping = True
         self.application.leaving = True
         eventlet.sleep(LEAVE_SECONDS)
-        deadline = timers.now() + DRAIN_SECONDS
-        while self.application.running and timers.now() < deadline:
-            eventlet.sleep(IDLE_SECONDS)
-        sock.close()
+        _end_listening(sock)
+        with eventlet.Timeout(DRAIN_SECONDS, False):
+            serving.wait()
 
     def _instance_listed(self) -> None:
         """Let the balancer turn away before the platform stops us."""
@@ -149,6 +173,26 @@
         }
 
 
+def _end_listening(sock: socket.socket) -> None:
+    """End listening on a socket once nobody waits to be accepted.
+
+    The system then resets connections that still wait, and with them requests
+    that may have been sent already.
+    """
+    for _ in range(ACCEPT_LOOKS):
+        if not _is_waited_for(sock):
+            break
+        eventlet.sleep(0)
+    # Unlike closing, this wakes the task that accepts.
+    sock.shutdown(socket.SHUT_RDWR)
+
+
+def _is_waited_for(sock: socket.socket) -> bool:
+    poll = _select.poll()
+    poll.register(sock.fileno(), _select.POLLIN)
+    return bool(poll.poll(0))
+
+
 def _standing(load: messages.Load) -> tuple[object, ...]:
     """Return what decides whether a server may get new answers at all."""
     return load.held, load.leaving, load.is_engine_lost
--- a/libs/operator/burdockmast/operator/daemons.py
+++ b/libs/operator/burdockmast/operator/daemons.py
@@ -30,9 +30,9 @@
         sock = entry.start()
     except OSError as error:
         return _address_taken(entry.node, error)
-    eventlet.spawn(entry.serve, sock)
+    serving = eventlet.spawn(entry.serve, sock)
     _wait_for_stop()
-    entry.stop(sock)
+    entry.stop(sock, serving)
     return _stopped(entry.node)
 
 
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -5,6 +5,7 @@
 
 import program
 import pytest
+import urllib3
 
 from burdockmast.base import ids
 from burdockmast.fleet import changes
@@ -13,6 +14,8 @@
 
 COUNT = 60
 CALLERS = 12
+# Half of the time for which a stop would wait for answers under way.
+STOP_SECONDS = 30.0
 GROUPS = (
     layouts.Group(0, 10, 2, program.UNHURRIED),
     layouts.Group(8, 16, 2, program.UNHURRIED),
@@ -180,6 +183,52 @@
         check_all(asked)
 
 
+def ask_until_refused(fleet, entry, caller):
+    """Ask again and again as one who knows no balancer.
+
+    :returns: answers got, and the error that ended it
+    """
+    with urllib3.PoolManager(retries=False) as own:
+        for number in range(100_000):
+            try:
+                reply = own.request(
+                    'POST',
+                    f'{fleet.url(entry)}/v1/chat/completions',
+                    json={
+                        'model': program.MODEL,
+                        'prompt': [caller, number],
+                        'max_tokens': 3,
+                    },
+                    headers={'Burdockmast-Organisation': 'souk'},
+                    retries=False,
+                )
+            except urllib3.exceptions.HTTPError as error:
+                return number, error
+            found = program.answer_tokens(reply)
+            assert found == program.expected_tokens([caller, number], 3)
+
+
+def test_planned_stop_ends_though_callers_keep_coming(own_fleet):
+    """Proves: a planned stop cuts no request, of whoever keeps asking.
+
+    Callers are turned away when they connect, before they have sent
+    anything.
+    """
+    fleet = own_fleet(groups=GROUPS)
+    with futures.ThreadPoolExecutor(CALLERS) as pool:
+        asked = [
+            pool.submit(ask_until_refused, fleet, 'entry-1', caller)
+            for caller in range(CALLERS)
+        ]
+        wait_until_any_running(fleet)
+        # As long as the answers under way take, and a little for leaving.
+        assert fleet.stop('entry-1', STOP_SECONDS) == 0
+        for future in asked:
+            count, error = future.result(60)
+            assert count
+            assert isinstance(error, urllib3.exceptions.NewConnectionError)
+
+
 def test_retired_server_ends_its_answers_and_gets_no_new_ones(own_fleet):
     """Proves: a leaving server gets no new work after a few seconds."""
     fleet = own_fleet(groups=GROUPS)
