Add a randomized soak of faults on real processes

Cause: faults came alone or in fifteen chosen pairs; series and overlaps were not tried. Change: `burdockmast-bench soak` plays seeded plans of kills, stops, freezes, cut, silent and slow networks, troubles of the store and switches of preset under answers and commands, and checks tokens, runs of commands, honest refusals, versions that only go up, cuts, and healing.

--- a/libs/bench/burdockmast/bench/program.py
+++ b/libs/bench/burdockmast/bench/program.py
@@ -24,6 +24,7 @@
 from burdockmast.bench import plots  # noqa: E402
 from burdockmast.bench import report  # noqa: E402
 from burdockmast.bench import slopes  # noqa: E402
+from burdockmast.bench import soak  # noqa: E402
 from burdockmast.routing import policies  # noqa: E402
 
 FILE = click.Path(path_type=pathlib.Path)
@@ -133,6 +134,27 @@
         )
 
 
+@main.command('soak')
+@click.option('--seed', default=1, help='First seed.')
+@click.option('--count', default=1, help='Seeds to play, one after another.')
+@click.option('--keep', type=FILE, help='Folder for logs of broken promises.')
+def run_soak(seed: int, count: int, keep: pathlib.Path | None) -> None:
+    """Play random faults; exit with 1 if a promise is broken."""
+    is_broken = False
+    for number in range(seed, seed + count):
+        report = soak.play(number, keep)
+        click.echo(
+            f'seed {number}: {len(report.strikes)} faults, '
+            f'{report.answered} answered, {report.refused} refused, '
+            f'{report.cut} cut, {len(report.violations)} broken promises'
+        )
+        if report.violations:
+            is_broken = True
+            for line in (*report.strikes, *report.violations):
+                click.echo(f'  {line}')
+    raise SystemExit(int(is_broken))
+
+
 @main.command('capacity')
 @click.argument('measured', type=FILE)
 @click.argument('page', type=FILE)
