Name the soak's units, drop a label that nothing uses

Cause: reading the change as a newcomer would: two constants without a unit, one without a source, and a label for counters that do not exist.

--- a/libs/base/burdockmast/base/metrics.py
+++ b/libs/base/burdockmast/base/metrics.py
@@ -17,7 +17,6 @@
 LABEL_BY_PREFIX = {
     'refusals': 'reason',
     'answers.attempt_failed': 'reason',
-    'store.calls': 'call',
 }
 # Upper ends of histograms, in seconds. The target's 26 ms between tokens and
 # 0.32 s for the first one are among them.
--- a/libs/bench/burdockmast/bench/soak.py
+++ b/libs/bench/burdockmast/bench/soak.py
@@ -34,15 +34,18 @@
 )
 CALLERS = 8
 TOKENS = 40
-# Deadline of each request; a reply may be late by the slack.
+# Deadline of each request.
 DEADLINE_SECONDS = 10.0
+# Seconds by which a reply may be late: an entry may be frozen for the longest
+# fault, and the machine may be busy with other seeds.
 SLACK_SECONDS = 15.0
 # Seconds until a fleet without faults must serve everything again.
 HEAL_SECONDS = 30.0
 POLL_SECONDS = 0.05
 BROKEN = (urllib3.exceptions.HTTPError, OSError)
-SLOW_NETWORK = 0.2
-SLOW_STORE = 0.5
+# Seconds that a slow network adds one way, and a slow store to each call.
+SLOW_NETWORK_SECONDS = 0.2
+SLOW_STORE_SECONDS = 0.5
 
 
 @dataclasses.dataclass(slots=True)
@@ -141,13 +144,13 @@
             case soakplans.Fault.CONNECTIONS_SILENT:
                 self._network(target, silence_open=True)
             case soakplans.Fault.NETWORK_SLOW:
-                self._network(target, delay=SLOW_NETWORK)
+                self._network(target, delay=SLOW_NETWORK_SECONDS)
             case soakplans.Fault.NETWORK_GONE:
                 self._network(target, silence_open=True, refuse=True)
             case soakplans.Fault.STORE_OUT:
                 fleet.set_faults(target, outage=True)
             case soakplans.Fault.STORE_SLOW:
-                fleet.set_faults(target, delay=SLOW_STORE)
+                fleet.set_faults(target, delay=SLOW_STORE_SECONDS)
             case soakplans.Fault.STORE_SILENT:
                 fleet.set_faults(target, silent=True)
             case soakplans.Fault.STORE_LOSES_ANSWERS:
