Let a closed link's reader see the end before its socket is closed

A link closed by another task than its reader's was shut down and closed at once; the system forgets a closed socket, so the reader waited on until its number was another socket's. Reproduced apart from the project: 20 of 20 readers waited; with one turn of the loop in between, none. Ruled out: an error in a daemon, where all descriptors are sockets and eventlet ends such readers then; a closed link was only kept for longer. Change: the socket is closed one turn of the loop after it is shut down. Before/after: the new test waited for its guard of 60 s; passes now.

--- a/libs/wire/burdockmast/wire/links.py
+++ b/libs/wire/burdockmast/wire/links.py
@@ -127,7 +127,9 @@
             self._sock.shutdown(socket.SHUT_RDWR)
         except OSError:
             pass
-        self._sock.close()
+        # The reader has to see the end before the socket's number is free for
+        # another one.
+        eventlet.spawn(self._sock.close)
         self._wake.release()
         for event in list(self._waiting_by_call.values()):
             event.send(why)
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -129,6 +129,18 @@
     assert tokens_of(there) == []
 
 
+def test_closed_link_leaves_nothing_that_waits_for_its_socket(address):
+    """The number of a closed socket is soon another one's."""
+    there = Recorder()
+    new_peers(there, address).listen(address)
+    link = new_peers(Recorder()).get(address)
+    fileno = link._sock.fileno()
+    readers = eventlet.hubs.get_hub().listeners['read']
+    wait_for(lambda: fileno in readers)
+    link.close(failures.Failure(failures.Reason.CANCELLED, 'test'))
+    wait_for(lambda: fileno not in readers)
+
+
 def test_heartbeats_spread_with_the_number_of_links():
     one = new_peers(Recorder())
     one.link_by_address = {str(n): None for n in range(10)}
