--- a/libs/base/burdockmast/base/timers.py
+++ b/libs/base/burdockmast/base/timers.py
@@ -20,6 +20,14 @@
     return time.monotonic()
 
 
+def real_now() -> float:
+    """Return seconds that go on while the machine is suspended.
+
+    What was believed before a suspension is as old as this clock says.
+    """
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 @dataclasses.dataclass(slots=True)
 class Subscription:
     """A periodic call.
--- /dev/null
+++ b/libs/gateway/burdockmast/gateway/paths.py
@@ -0,0 +1,184 @@
+"""The cheapest path through all layers of a model.
+
+Answers a fleet of unequal servers whose ranges overlap: each request takes
+the path that is likely to give its answer soonest, by what stages cost and
+what already runs on them. The search goes over places where ranges begin or
+end, and over availability zones, so it stays cheap for each request.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+import random
+
+from burdockmast.base import ids
+from burdockmast.gateway import backends
+from burdockmast.gateway import deployment
+
+# Milliseconds of one more stage for each token: a transfer and the wait for
+# the server's present step.
+HOP_MS = 0.3
+# Milliseconds of a token's way to another availability zone and its share of
+# what others send there; the users' sheets name 0.25 one way.
+ZONE_HOP_MS = 0.4
+# A link between zones is shared by all transfers, and a prompt of 800 tokens
+# takes it for 37 ms: what one request takes, others wait for.
+SHARED_LINK = 8.0
+# Mean share of a step that a token waits for, of each request that runs at a
+# stage: their steps are taken together, and their prompts in between.
+SHARED_STEP = 0.03
+# Random share added to costs, so that gateways which know the same do not
+# all choose the same.
+NOISE = 0.05
+BITS_PER_BYTE = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Work:
+    """What a request asks of a path.
+
+    :ivar prompt: tokens to read
+    :ivar answer: tokens that are likely to be written
+    """
+
+    prompt: int
+    answer: int
+
+    @property
+    def tokens(self) -> int:
+        """Tokens that are in memory at the end."""
+        return self.prompt + self.answer
+
+
+def stage_ms(
+    engine: deployment.Engine,
+    server: backends.BackendServer,
+    layers: int,
+    work: Work,
+    running: int,
+) -> float:
+    """Return milliseconds that a stage adds to a whole answer.
+
+    :param running: other requests that run at the server
+    """
+    kind = engine.kind_by_name.get(server.kind)
+    step_pace = kind.step_pace if kind else 1.0
+    prefill_pace = kind.prefill_pace if kind else 1.0
+    share = layers / engine.layers
+    step = engine.step_ms + engine.sequence_ms * (running + 1)
+    step += engine.context_ms * (running + 1) * work.tokens / 1000
+    step *= step_pace * share * (1 + SHARED_STEP * running)
+    prefill = work.prompt / engine.prefill_per_s * 1000 * prefill_pace * share
+    return step * work.answer + prefill * (1 + SHARED_STEP * running)
+
+
+def zone_ms(engine: deployment.Engine, work: Work) -> float:
+    """Return milliseconds that a way to another zone adds to an answer."""
+    if not engine.zone_link_mbps:
+        return ZONE_HOP_MS * work.answer
+    bits = engine.activation_bytes * BITS_PER_BYTE
+    prompt_ms = work.prompt * bits / engine.zone_link_mbps / 1000
+    return ZONE_HOP_MS * work.answer + SHARED_LINK * prompt_ms
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Reached:
+    """The cheapest way to a layer that ends in a zone."""
+
+    cost: float
+    stages: tuple[backends.Stage, ...]
+
+
+def cheapest(
+    engine: deployment.Engine,
+    servers: Iterable[backends.BackendServer],
+    work: Work,
+    zone: ids.ZoneId,
+    running: Callable[[ids.ServerId], int],
+    crowding: Callable[[backends.BackendServer], float],
+    source: random.Random,
+) -> tuple[backends.Stage, ...]:
+    """Return the stages of the cheapest path, empty if there is none.
+
+    :param zone: where the answer is wanted
+    :param crowding: factor on the cost of a server whose memory fills up
+    """
+    holding = [s for s in servers if len(s.held)]
+    cuts = sorted(
+        {0, engine.layers}
+        | {s.held.first for s in holding}
+        | {s.held.end for s in holding}
+    )
+    cuts = [cut for cut in cuts if cut <= engine.layers]
+    factors = {
+        s.id: crowding(s) * (1 + NOISE * source.random()) for s in holding
+    }
+    between_zones = zone_ms(engine, work)
+    reached: dict[int, dict[ids.ZoneId, _Reached]] = {
+        0: {zone: _Reached(0.0, ())}
+    }
+    for number, cut in enumerate(cuts):
+        here = reached.get(cut)
+        if not here:
+            continue
+        for server in holding:
+            if not server.held.first <= cut < server.held.end:
+                continue
+            before = min(
+                here.items(),
+                key=lambda item: (
+                    item[1].cost
+                    + (between_zones if item[0] != server.zone else 0.0)
+                ),
+            )
+            base = before[1].cost + HOP_MS * work.answer
+            if before[0] != server.zone:
+                base += between_zones
+            for end in cuts[number + 1 :]:
+                if end > server.held.end:
+                    break
+                cost = base + factors[server.id] * stage_ms(
+                    engine, server, end - cut, work, running(server.id)
+                )
+                best = reached.setdefault(end, {}).get(server.zone)
+                if best is None or cost < best.cost:
+                    stage = backends.Stage(server, cut, end)
+                    reached[end][server.zone] = _Reached(
+                        cost, (*before[1].stages, stage)
+                    )
+    found = reached.get(engine.layers)
+    if not found:
+        return ()
+    best = min(found.values(), key=lambda way: way.cost)
+    return _without_returns(best.stages)
+
+
+def _without_returns(
+    stages: tuple[backends.Stage, ...],
+) -> tuple[backends.Stage, ...]:
+    """Let a server that comes twice run the layers in between as well."""
+    kept: list[backends.Stage] = []
+    for stage in stages:
+        for index, earlier in enumerate(kept):
+            if earlier.server.id == stage.server.id:
+                stage = backends.Stage(
+                    earlier.server, earlier.first, stage.end
+                )
+                del kept[index:]
+                break
+        kept.append(stage)
+    return tuple(kept)
+
+
+def missing(
+    engine: deployment.Engine, servers: Iterable[backends.BackendServer]
+) -> int | None:
+    """Return the first layer that no server holds, None if all are held."""
+    reached = 0
+    for held in sorted(
+        (s.held for s in servers if len(s.held)), key=lambda r: r.first
+    ):
+        if held.first > reached:
+            return reached
+        reached = max(reached, held.end)
+    return reached if reached < engine.layers else None
--- /dev/null
+++ b/libs/gateway/burdockmast/gateway/planner.py
@@ -0,0 +1,200 @@
+"""Orders servers to hold layers, from one process at a time.
+
+Whoever holds the seat gives orders, and keeps it without renewing it.
+Another process takes it over when it sees that what is needed does not
+happen. Its fencing number is higher, and servers refuse the older one.
+"""
+
+import dataclasses
+import random
+
+import eventlet
+
+from burdockmast.base import failures
+from burdockmast.base import ids
+from burdockmast.base import logs
+from burdockmast.base import timers
+from burdockmast.gateway import backends
+from burdockmast.gateway import interfaces
+from burdockmast.gateway import placing
+from burdockmast.gateway import view
+
+LOG = logs.get('planner')
+
+# Seconds between looks at what servers hold.
+LOOK_SECONDS = 0.3
+# Seconds until the effect of an order shows in the list; then the order may
+# be given again. Lists lag by up to 0.8 s, orders are late by up to 12.
+ORDER_SECONDS = 5.0
+# Seconds for which the list must stand still before a fleet that holds
+# nothing is given its first layers: a plan for all servers is better than
+# one for the first few. Servers list themselves within 4 s of their start.
+SETTLE_SECONDS = 0.8
+SETTLE_LIMIT_SECONDS = 5.0
+# Seconds for which a need must last until another process takes the seat.
+TAKEOVER_SECONDS = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """An order that was given.
+
+    :ivar until: monotonic seconds for which its effect is awaited
+    """
+
+    layers: backends.LayerRange
+    born: int
+    until: float
+
+
+class Planner:
+    """The planning part of one gateway."""
+
+    def __init__(
+        self,
+        fleet: view.View,
+        seat: interfaces.Seat,
+        engines: interfaces.EngineControl,
+        source: random.Random,
+    ):
+        """Create a planner that holds no seat."""
+        self._view = fleet
+        self._seat = seat
+        self._engines = engines
+        self._random = source
+        self._fence: int | None = None
+        self._needed_since: float | None = None
+        self._patience = 0.0
+        self._listed = 0
+        self._listed_at = 0.0
+        self._first_listed_at = 0.0
+        self._order_by_server: dict[ids.ServerId, Order] = {}
+        self._orders_by_start: dict[tuple[ids.ServerId, int], int] = {}
+        self._ordered: set[tuple[ids.ServerId, int]] = set()
+
+    def look(self) -> None:
+        """Give the orders that are due, if this process is to give them."""
+        self._forget_done()
+        if not self._has_settled():
+            return
+        wanted = self._wanted()
+        if not wanted:
+            self._needed_since = None
+            return
+        if self._fence is None and not self._take_seat():
+            return
+        pool = eventlet.GreenPool(len(wanted))
+        for placement in wanted:
+            pool.spawn_n(self._order, placement)
+        pool.waitall()
+
+    def _has_settled(self) -> bool:
+        """Tell whether a fleet that holds nothing is listed completely."""
+        services = self._view.model_services()
+        listed = [s for found in services for s in self._view.listed(found.id)]
+        if not listed or any(len(server.held) for server in listed):
+            return bool(listed)
+        now = timers.now()
+        if len(listed) != self._listed:
+            self._listed = len(listed)
+            self._listed_at = now
+            self._first_listed_at = self._first_listed_at or now
+        return (
+            now - self._listed_at >= SETTLE_SECONDS
+            or now - self._first_listed_at >= SETTLE_LIMIT_SECONDS
+        )
+
+    def _wanted(self) -> list[placing.Placement]:
+        pending = {
+            server: order.layers
+            for server, order in self._order_by_server.items()
+        }
+        found = []
+        for service in self._view.model_services():
+            servers = self._view.listed(service.id)
+            found += placing.plan(service.engine, servers, pending)
+        return found
+
+    def _forget_done(self) -> None:
+        now = timers.now()
+        for server_id, order in list(self._order_by_server.items()):
+            server = self._view.server(server_id)
+            gone = server is None or server.born != order.born
+            if gone or server.held == order.layers or now > order.until:
+                del self._order_by_server[server_id]
+
+    def _take_seat(self) -> bool:
+        """Take the seat, if nobody has it or its holder does nothing."""
+        now = timers.now()
+        seen = self._seat.revision()
+        if isinstance(seen, failures.Failure):
+            self._log_failure('seat not read', seen)
+            return False
+        if self._needed_since is None:
+            self._needed_since = now
+            self._patience = TAKEOVER_SECONDS * self._random.uniform(1, 2)
+        if seen and now - self._needed_since < self._patience:
+            eventlet.sleep(LOOK_SECONDS)
+            return False
+        taken = self._seat.take(seen)
+        if isinstance(taken, failures.Failure):
+            self._log_failure('seat not taken', taken)
+            self._needed_since = now
+            return False
+        LOG.info('seat taken', extra={'fence': taken, 'before': seen})
+        self._fence = taken
+        return True
+
+    def _order(self, placement: placing.Placement) -> None:
+        server, layers = placement.server, placement.layers
+        fence = self._fence
+        if fence is None:
+            return
+        self._order_by_server[server.id] = Order(
+            layers, server.born, timers.now() + ORDER_SECONDS
+        )
+        orders = self._orders(server)
+        if isinstance(orders, failures.Failure):
+            self._log_failure('report not read', orders)
+            return
+        failure = self._engines.place(server, layers, fence, orders)
+        LOG.info(
+            'order given',
+            extra={
+                'server': server.id,
+                'address': server.address,
+                'first': layers.first,
+                'end': layers.end,
+                'fence': fence,
+                'orders': orders,
+                'list_age': round(self._view.server_age, 3),
+                'outcome': str(failure) if failure else 'accepted',
+            },
+        )
+        if failure is None:
+            self._orders_by_start[server.id, server.born] = orders + 1
+            return
+        self._orders_by_start.pop((server.id, server.born), None)
+        if failure.reason is failures.Reason.STALE_INCARNATION:
+            LOG.warning('seat lost', extra={'fence': fence})
+            self._fence = None
+            self._needed_since = None
+
+    def _orders(
+        self, server: backends.BackendServer
+    ) -> int | failures.Failure:
+        """Return how many orders a server has accepted, asking if need be.
+
+        A server that holds nothing has mostly got no order yet.
+        """
+        start = (server.id, server.born)
+        known = self._orders_by_start.get(start)
+        if known is None and start not in self._ordered:
+            known = 0
+        self._ordered.add(start)
+        return self._engines.orders(server) if known is None else known
+
+    def _log_failure(self, what: str, failure: failures.Failure) -> None:
+        LOG.warning(
+            what, extra={'reason': failure.detail, 'step': failure.step}
+        )
--- /dev/null
+++ b/libs/gateway/burdockmast/gateway/retries.py
@@ -0,0 +1,66 @@
+"""One budget for all sends of a service's requests beyond the first.
+
+Answers a failure of many servers in a busy hour: retries may add only a
+share to the load, however many requests fail.
+"""
+
+import collections
+from collections.abc import Callable
+
+from burdockmast.base import ids
+from burdockmast.base import timers
+
+# Gateways that are assumed to share the slack; more than the largest known
+# deployment has, so that the sum stays below it.
+GATEWAYS = 32
+# Share of the allowed ratio that is used; the rest allows for requests that
+# arrive unevenly in the two windows that are compared.
+RATIO_SHARE = 0.75
+
+
+class Budget:
+    """Retries of each service in a sliding window."""
+
+    def __init__(
+        self,
+        ratio: float,
+        slack: float,
+        window: float,
+        now: Callable[[], float] = timers.now,
+    ):
+        """Create an unspent budget.
+
+        :param ratio: retries that each request pays for, over all gateways
+        :param slack: retries beyond those in a window, over all gateways
+        :param window: seconds
+        """
+        self._ratio = ratio * RATIO_SHARE
+        self._slack = slack / GATEWAYS
+        self._window = window
+        self._now = now
+        self._requests: dict[ids.ServiceId, collections.deque[float]] = {}
+        self._retries: dict[ids.ServiceId, collections.deque[float]] = {}
+
+    def deposit(self, service: ids.ServiceId) -> None:
+        """Note a request."""
+        self._recent(self._requests, service).append(self._now())
+
+    def withdraw(self, service: ids.ServiceId) -> bool:
+        """Take one retry; false if there is none left."""
+        retries = self._recent(self._retries, service)
+        requests = self._recent(self._requests, service)
+        if len(retries) >= self._slack + self._ratio * len(requests):
+            return False
+        retries.append(self._now())
+        return True
+
+    def _recent(
+        self,
+        times_by_service: dict[ids.ServiceId, collections.deque[float]],
+        service: ids.ServiceId,
+    ) -> collections.deque[float]:
+        times = times_by_service.setdefault(service, collections.deque())
+        since = self._now() - self._window
+        while times and times[0] < since:
+            times.popleft()
+        return times
--- /dev/null
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -0,0 +1,232 @@
+"""Assembles a gateway process and runs it until it is told to stop."""
+
+import dataclasses
+import random
+import signal
+
+import eventlet
+import eventlet.event
+import eventlet.wsgi
+import prometheus_client
+
+from burdockmast.base import addresses
+from burdockmast.base import failures
+from burdockmast.base import ids
+from burdockmast.base import logs
+from burdockmast.base import metrics
+from burdockmast.base import timers
+from burdockmast.gateway import backends
+from burdockmast.gateway import callers
+from burdockmast.gateway import calls
+from burdockmast.gateway import deployment
+from burdockmast.gateway import following
+from burdockmast.gateway import interfaces
+from burdockmast.gateway import planner
+from burdockmast.gateway import retries
+from burdockmast.gateway import streams
+from burdockmast.gateway import view
+
+LOG = logs.get('gateway')
+
+# Connections that wait to be accepted.
+BACKLOG = 1024
+# Connections that are served at once.
+CONNECTIONS = 3000
+# Seconds that one call waits for a change of the configuration. Keys are
+# trusted while it was confirmed within the time to revoke them.
+CONFIGURATION_WAIT_SECONDS = 2.0
+# Seconds that one call waits for a change of the list of servers.
+SERVERS_WAIT_SECONDS = 3.0
+# Share of the time to revoke keys for which an old configuration is trusted;
+# the rest is for requests that are on their way here.
+TRUSTED_SHARE = 0.9
+# Seconds for which a leaving process still accepts connections: the balancer
+# asks once a second and gives up after two misses.
+ACCEPT_SECONDS = 3.0
+# Seconds before the end of the grace at which a leaving process exits.
+EXIT_MARGIN_SECONDS = 0.5
+# Seconds for which a caller's connection may stand still while it is read or
+# written.
+SOCKET_SECONDS = 20.0
+DEFAULT_IDLE_SECONDS = 15.0
+POLL_SECONDS = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Settings:
+    """What a gateway is told about its place and its bounds.
+
+    :ivar revoke_seconds: within which a revoked key must stop working
+    :ivar grace_seconds: from the request to stop until the process is killed
+    """
+
+    instance: str
+    zone: ids.ZoneId
+    callers_address: ids.Address
+    ready_address: ids.Address
+    metrics_address: ids.Address
+    revoke_seconds: float
+    grace_seconds: float
+    retry_ratio: float
+    retry_slack: float
+    retry_window: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Platform:
+    """The platform that a gateway runs on."""
+
+    deployments: interfaces.Feed[deployment.Deployment]
+    servers: interfaces.Feed[backends.BackendServer]
+    seat: interfaces.Seat
+    engines: interfaces.EngineControl
+    dialect: interfaces.Dialect
+
+
+class Gateway:
+    """One gateway process."""
+
+    def __init__(self, settings: Settings, platform: Platform):
+        """Create the parts; nothing runs yet."""
+        source = random.Random()
+        self._settings = settings
+        self._metrics = metrics.Metrics()
+        self._timers = timers.TimerService()
+        self._log = logs.Log.from_config(
+            'info', {'instance': settings.instance, 'zone': settings.zone}
+        )
+        self._deployments = following.Follower(
+            'configuration', platform.deployments, CONFIGURATION_WAIT_SECONDS
+        )
+        self._servers = following.Follower(
+            'servers',
+            platform.servers,
+            SERVERS_WAIT_SECONDS,
+            keeps_lapsed=True,
+            is_older=backends.BackendServer.is_older_than,
+        )
+        self.view = view.View(self._deployments, self._servers)
+        budget = retries.Budget(
+            settings.retry_ratio, settings.retry_slack, settings.retry_window
+        )
+        self.application = callers.Application(
+            self.view,
+            platform.dialect,
+            calls.Calls(
+                self.view, platform.dialect, budget, settings.zone, source
+            ),
+            streams.Streams(
+                self.view,
+                platform.dialect,
+                platform.engines,
+                budget,
+                settings.zone,
+                self._metrics,
+                source,
+            ),
+            budget,
+            self._metrics,
+            settings.revoke_seconds * TRUSTED_SHARE,
+            source,
+        )
+        self._planner = planner.Planner(
+            self.view, platform.seat, platform.engines, source
+        )
+        self._stopped = eventlet.event.Event()
+
+    def run(self) -> None:
+        """Serve until a signal to stop, then end what runs."""
+        signal.signal(signal.SIGTERM, self._stop)
+        signal.signal(signal.SIGINT, self._stop)
+        signal.signal(signal.SIGHUP, self._reload)
+        self._deployments.start()
+        self._servers.start()
+        self._timers.subscribe(
+            'logs', logs.REPORT_SECONDS, self._log.handler.report
+        )
+        self._timers.subscribe(
+            'planner', planner.LOOK_SECONDS, self._planner.look
+        )
+        self._serve_metrics()
+        self._listen(
+            self._settings.ready_address, callers.Readiness(self.application)
+        )
+        listener = self._listen(
+            self._settings.callers_address, self.application
+        )
+        LOG.info(
+            'started',
+            extra={
+                'callers': self._settings.callers_address,
+                'ready': self._settings.ready_address,
+                'metrics': self._settings.metrics_address,
+            },
+        )
+        self._stopped.wait()
+        self._leave(listener)
+
+    def _leave(self, listener: object) -> None:
+        """Refuse nothing, but end: new callers are sent elsewhere."""
+        began = timers.now()
+        self.application.is_leaving = True
+        LOG.info('stopping', extra={'running': self.application.running})
+        until = began + self._settings.grace_seconds - EXIT_MARGIN_SECONDS
+        while timers.now() < until:
+            eventlet.sleep(POLL_SECONDS)
+            waited = timers.now() - began
+            if waited > ACCEPT_SECONDS and not self.application.running:
+                break
+        LOG.info(
+            'stopped',
+            extra={
+                'running': self.application.running,
+                'seconds': round(timers.now() - began, 3),
+            },
+        )
+        self._log.close()
+
+    def _listen(self, address: ids.Address, application: object) -> object:
+        sock = eventlet.listen(addresses.split(address), backlog=BACKLOG)
+        eventlet.spawn(
+            eventlet.wsgi.server,
+            sock,
+            application,
+            log_output=False,
+            keepalive=DEFAULT_IDLE_SECONDS,
+            socket_timeout=SOCKET_SECONDS,
+            max_size=CONNECTIONS,
+            minimum_chunk_size=1,
+            debug=False,
+        )
+        return sock
+
+    def _serve_metrics(self) -> None:
+        self._metrics.gauge('log.lines_dropped', lambda: self._log.dropped)
+        self._metrics.gauge(
+            'configuration.age_seconds', lambda: self.view.configuration_age
+        )
+        self._metrics.gauge(
+            'servers.age_seconds', lambda: self.view.server_age
+        )
+        self._metrics.gauge(
+            'requests.running', lambda: self.application.running
+        )
+        self._listen(
+            self._settings.metrics_address,
+            prometheus_client.make_wsgi_app(self._metrics.registry),
+        )
+
+    def _stop(self, number: int, frame: object) -> None:
+        if not self._stopped.ready():
+            self._stopped.send(number)
+
+    def _reload(self, number: int, frame: object) -> None:
+        LOG.info('reload asked for; all settings hold until the next start')
+
+
+def store_answered(
+    call: str, seconds: float, failure: failures.Failure | None
+) -> None:
+    """Log calls to the store that failed."""
+    if failure:
+        LOG.debug('store call failed', extra={'call': call})
--- /dev/null
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -0,0 +1,373 @@
+"""Streams of events that go on over the loss of a path."""
+
+from collections.abc import Iterator
+import dataclasses
+import random
+
+import eventlet
+
+from burdockmast.base import failures
+from burdockmast.base import ids
+from burdockmast.base import logs
+from burdockmast.base import metrics
+from burdockmast.base import outcomes
+from burdockmast.base import timers
+from burdockmast.gateway import backends
+from burdockmast.gateway import deployment
+from burdockmast.gateway import events
+from burdockmast.gateway import interfaces
+from burdockmast.gateway import jobs
+from burdockmast.gateway import memory
+from burdockmast.gateway import paths
+from burdockmast.gateway import retries
+from burdockmast.gateway import upstream
+from burdockmast.gateway import view
+
+LOG = logs.get('streams')
+
+# Sends of a request while it is certain that none has run.
+UNRUN_SENDS = 4
+# Seconds until a caller may come back when no path can be had.
+RETRY_SECONDS = 0.3
+# Seconds until the first event after which another path is tried. Callers
+# leave after 2 s, so this leaves time for one more path.
+FIRST_EVENT_SECONDS = 1.0
+# Seconds between events after which a stream goes on elsewhere.
+PAUSE_SECONDS = 0.6
+# Largest event, in bytes.
+EVENT_BYTES = 1024 * 1024
+OK = 200
+
+
+class Cut(Exception):
+    """A stream that has begun can't be brought to its end."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Progress:
+    """How far a stream has come.
+
+    :ivar last: id of the last event that the caller has
+    :ivar sends: to any server
+    :ivar runs: sends that may have run
+    """
+
+    last: int | None
+    sends: int = 0
+    runs: int = 0
+    events: int = 0
+    has_begun: bool = False
+    lost: list[ids.ServerId] = dataclasses.field(default_factory=list)
+
+
+class Streams:
+    """Streamed answers of one gateway."""
+
+    def __init__(
+        self,
+        fleet: view.View,
+        dialect: interfaces.Dialect,
+        engines: interfaces.EngineControl,
+        budget: retries.Budget,
+        zone: ids.ZoneId,
+        measures: metrics.Metrics,
+        source: random.Random,
+    ):
+        """Create a relay of streams."""
+        self._view = fleet
+        self._dialect = dialect
+        self._engines = engines
+        self._budget = budget
+        self._zone = zone
+        self._metrics = measures
+        self._random = source
+        self._reservations = memory.Reservations()
+
+    def stream(
+        self, job: jobs.Job
+    ) -> Iterator[jobs.Reply | failures.Failure | bytes]:
+        """Yield the head or a refusal, then whole events.
+
+        :raises Cut: if the stream can't be brought to its end
+        """
+        progress = _Progress(job.request.after_event)
+        while True:
+            path = self._path(job, progress)
+            failure = None
+            if path:
+                failure = yield from self._attempt(job, path, progress)
+                if failure is None:
+                    return
+            failure = failure or self._no_path(job)
+            if path and self._may_go_on(job, progress, failure):
+                continue
+            if progress.has_begun:
+                raise Cut(str(failure))
+            yield failure
+            return
+
+    def _may_go_on(
+        self, job: jobs.Job, progress: _Progress, failure: failures.Failure
+    ) -> bool:
+        if failure.outcome is not outcomes.Outcome.NOT_RUN:
+            if not job.may_repeat or progress.runs >= job.route.attempts:
+                return False
+        elif progress.sends - progress.runs >= UNRUN_SENDS:
+            return False
+        if job.left <= 0:
+            return False
+        if self._budget.withdraw(job.service.id):
+            return True
+        LOG.info(
+            'retry budget spent',
+            extra={'request': job.id, 'sends': progress.sends},
+        )
+        return False
+
+    def _path(
+        self, job: jobs.Job, progress: _Progress
+    ) -> tuple[backends.Stage, ...]:
+        engine = job.service.engine
+        if engine is None:
+            servers = self._view.usable(job.service.id, progress.lost)
+            return tuple(backends.Stage(s, 0, 0) for s in servers[:1])
+        work = self._work(job, engine)
+        for excluded in (progress.lost, ()):
+            path = paths.cheapest(
+                engine,
+                self._view.usable(job.service.id, excluded),
+                work,
+                self._zone,
+                self._view.running,
+                lambda s: memory.crowding(
+                    self._reservations.occupancy(engine, s)
+                ),
+                self._random,
+            )
+            if path:
+                return path
+        return ()
+
+    def _work(self, job: jobs.Job, engine: deployment.Engine) -> paths.Work:
+        answer = min(engine.usual_answer, job.request.answer_tokens or 1)
+        return paths.Work(
+            job.request.prompt_tokens or engine.usual_prompt, max(1, answer)
+        )
+
+    def _no_path(self, job: jobs.Job) -> failures.Failure:
+        engine = job.service.engine
+        usable = self._view.usable(job.service.id)
+        layer = paths.missing(engine, usable) if engine else None
+        return failures.Failure(
+            failures.Reason.NO_PATH,
+            'stream.path',
+            detail=f'no usable server of {job.service.id} holds layer {layer}',
+            retry_after=RETRY_SECONDS,
+        )
+
+    def _attempt(
+        self,
+        job: jobs.Job,
+        path: tuple[backends.Stage, ...],
+        progress: _Progress,
+    ) -> Iterator[jobs.Reply | bytes]:
+        """Relay one attempt's events; return why it ended early, or None."""
+        exchange = upstream.Exchange(path[0].server)
+        servers = [stage.server.id for stage in path]
+        began = timers.now()
+        first = progress.events
+        self._view.begin(servers)
+        tokens = 0
+        if job.service.engine:
+            tokens = self._work(job, job.service.engine).tokens
+        self._reservations.reserve(path, tokens)
+        progress.sends += 1
+        try:
+            failure = yield from self._relay(job, exchange, path, progress)
+        finally:
+            exchange.close()
+            self._view.end(servers)
+            self._reservations.release(path, tokens)
+        LOG.info(
+            'stream ended' if failure is None else 'stream broke',
+            extra={
+                'request': job.id,
+                'path': [
+                    f'{stage.server.id}={stage.first}-{stage.end}'
+                    for stage in path
+                ],
+                'events': progress.events - first,
+                'last_event': progress.last,
+                'seconds': round(timers.now() - began, 3),
+                'list_age': round(self._view.server_age, 3),
+                'outcome': str(failure) if failure else 'whole',
+            },
+        )
+        if failure is None:
+            return None
+        if failure.outcome is not outcomes.Outcome.NOT_RUN:
+            progress.runs += 1
+        self._blame(job, path, progress, failure)
+        return failure
+
+    def _relay(
+        self,
+        job: jobs.Job,
+        exchange: upstream.Exchange,
+        path: tuple[backends.Stage, ...],
+        progress: _Progress,
+    ) -> Iterator[jobs.Reply | bytes]:
+        sending = interfaces.Sending(
+            exchange.server,
+            job.organisation,
+            job.left,
+            path if job.service.engine else (),
+            progress.last,
+            min(9, job.priority),
+        )
+        headers = self._dialect.backend_headers(job.request, sending)
+        failure = exchange.send(job.request, headers)
+        if failure:
+            return failure
+        patience = min(job.deadline, timers.now() + FIRST_EVENT_SECONDS)
+        head = exchange.head(job.id, patience, self._dialect)
+        if isinstance(head, failures.Failure):
+            return head
+        if head.facts.is_not_run:
+            return failures.Failure(
+                failures.Reason.ENGINE_REFUSED,
+                'backend.head',
+                head.facts.culprit or exchange.server.id,
+                f'status {head.status}',
+                retry_after=RETRY_SECONDS,
+            )
+        if head.status != OK:
+            return (
+                yield from self._other_status(job, exchange, head, progress)
+            )
+        if not head.facts.is_sealed or head.facts.is_encoded:
+            return self._lost(exchange, 'answer without signature')
+        return (yield from self._events(job, exchange, head, progress))
+
+    def _other_status(
+        self,
+        job: jobs.Job,
+        exchange: upstream.Exchange,
+        head: upstream.Head,
+        progress: _Progress,
+    ) -> Iterator[jobs.Reply]:
+        """Pass a server's own failure on, unless the stream has begun."""
+        if progress.has_begun or (
+            job.may_repeat and progress.runs + 1 < job.route.attempts
+        ):
+            return self._lost(exchange, f'status {head.status}')
+        try:
+            body = exchange.whole(job.deadline, EVENT_BYTES)
+        except (upstream.Broken, TimeoutError) as error:
+            return self._lost(exchange, f'body: {error}')
+        yield jobs.Reply.from_head(head, self._dialect, body)
+        return None
+
+    def _events(
+        self,
+        job: jobs.Job,
+        exchange: upstream.Exchange,
+        head: upstream.Head,
+        progress: _Progress,
+    ) -> Iterator[jobs.Reply | bytes]:
+        reader = events.Reader(progress.last)
+        patience = min(job.deadline, timers.now() + FIRST_EVENT_SECONDS)
+        while True:
+            try:
+                data = exchange.some(patience)
+            except TimeoutError:
+                return self._silent(exchange)
+            except upstream.Broken as error:
+                return self._lost(exchange, str(error))
+            if not data:
+                if reader.rest or not exchange.is_framed:
+                    return self._lost(exchange, 'ended without its end')
+                if not progress.has_begun:
+                    progress.has_begun = True
+                    yield jobs.Reply.from_head(head, self._dialect)
+                return None
+            whole = reader.feed(data)
+            if reader.is_broken:
+                return self._lost(exchange, 'events out of order')
+            if not whole:
+                continue
+            if not progress.has_begun:
+                progress.has_begun = True
+                self._metrics.timing(
+                    'stream.first_event', timers.now() - job.began
+                )
+                yield jobs.Reply.from_head(head, self._dialect)
+            progress.last = reader.last
+            progress.events += reader.count
+            yield whole
+            patience = min(job.deadline, timers.now() + PAUSE_SECONDS)
+
+    def _silent(self, exchange: upstream.Exchange) -> failures.Failure:
+        return failures.Failure(
+            failures.Reason.PEER_SILENT,
+            'backend.events',
+            exchange.server.id,
+            'no event in time',
+            outcomes.Outcome.UNKNOWN,
+        )
+
+    def _lost(
+        self, exchange: upstream.Exchange, detail: str
+    ) -> failures.Failure:
+        return failures.Failure(
+            failures.Reason.ENGINE_LOST,
+            'backend.events',
+            exchange.server.id,
+            detail,
+            outcomes.Outcome.UNKNOWN,
+        )
+
+    def _blame(
+        self,
+        job: jobs.Job,
+        path: tuple[backends.Stage, ...],
+        progress: _Progress,
+        failure: failures.Failure,
+    ) -> None:
+        """Note which server of a path is likely to have failed."""
+        first = path[0].server
+        match failure:
+            case failures.Failure(step='backend.connect'):
+                progress.lost.append(first.id)
+                self._view.eject(first.id, failure.detail, job.id)
+            case failures.Failure(reason=failures.Reason.ENGINE_REFUSED):
+                culprit = next(
+                    (
+                        stage.server.id
+                        for stage in path
+                        if stage.server.address == failure.peer
+                    ),
+                    first.id,
+                )
+                progress.lost.append(culprit)
+                self._view.eject(
+                    culprit, failure.detail, job.id, view.REFUSED_SECONDS
+                )
+            case failures.Failure(
+                reason=failures.Reason.PEER_SILENT | failures.Reason.DEADLINE
+            ):
+                progress.lost.extend(stage.server.id for stage in path)
+                eventlet.spawn_n(self._find_stalled, job.id, first)
+            case _:
+                progress.lost.append(first.id)
+
+    def _find_stalled(
+        self, request: ids.RequestId, first: backends.BackendServer
+    ) -> None:
+        """Ask a path's first server which server its requests wait for."""
+        found = self._engines.stalled(first)
+        if isinstance(found, failures.Failure):
+            self._view.eject(first.id, found.detail, request)
+            return
+        for address in {stalled.address for stalled in found}:
+            self._view.eject_address(address, 'requests stall', request)
--- /dev/null
+++ b/libs/gateway/burdockmast/gateway/view.py
@@ -0,0 +1,141 @@
+"""What a gateway believes of the deployment and its backend servers."""
+
+import collections
+from collections.abc import Iterable
+
+from burdockmast.base import ids
+from burdockmast.base import logs
+from burdockmast.base import timers
+from burdockmast.gateway import backends
+from burdockmast.gateway import deployment
+from burdockmast.gateway import following
+
+LOG = logs.get('view')
+
+# Seconds for which a server that failed gets no work: a dead one is removed
+# from the list after three of its heartbeats, 3.6 s.
+EJECT_SECONDS = 4.0
+# Seconds for which a server that refused gets none; one that is full has
+# room again when one of its answers ends.
+REFUSED_SECONDS = 0.3
+
+
+class View:
+    """The newest configuration, the servers, and own requests there."""
+
+    def __init__(
+        self,
+        deployments: following.Follower[deployment.Deployment],
+        servers: following.Follower[backends.BackendServer],
+    ):
+        """Create a view of two followed kinds."""
+        self._deployments = deployments
+        self._servers = servers
+        self._ejected_until: dict[ids.ServerId, float] = {}
+        self._running_by_server: collections.Counter[ids.ServerId] = (
+            collections.Counter()
+        )
+        self._version = 0
+
+    @property
+    def configuration(self) -> deployment.Deployment | None:
+        """The newest configuration, None before the first is known."""
+        newest = max(
+            self._deployments.item_by_name.values(),
+            key=lambda found: found.version,
+            default=None,
+        )
+        if newest and newest.version != self._version:
+            LOG.info(
+                'configuration in force',
+                extra={'version': newest.version, 'before': self._version},
+            )
+            self._version = newest.version
+        return newest
+
+    @property
+    def configuration_age(self) -> float:
+        """Seconds since the configuration was last confirmed."""
+        return self._deployments.age
+
+    @property
+    def server_age(self) -> float:
+        """Seconds since the list of servers was last confirmed."""
+        return self._servers.age
+
+    def model_services(self) -> list[deployment.Service]:
+        """Return the services whose servers hold layers of a model."""
+        known = self.configuration
+        if known is None:
+            return []
+        return [s for s in known.service_by_id.values() if s.engine]
+
+    def listed(self, service: ids.ServiceId) -> list[backends.BackendServer]:
+        """Return all listed servers of a service."""
+        return [
+            server
+            for server in self._servers.item_by_name.values()
+            if server.service == service
+        ]
+
+    def server(self, server: ids.ServerId) -> backends.BackendServer | None:
+        """Return a listed server."""
+        return self._servers.item_by_name.get(server)
+
+    def usable(
+        self,
+        service: ids.ServiceId,
+        excluded: Iterable[ids.ServerId] = (),
+    ) -> list[backends.BackendServer]:
+        """Return servers that may get new work."""
+        now = timers.now()
+        return [
+            server
+            for server in self.listed(service)
+            if server.is_ready
+            and server.id not in excluded
+            and self._ejected_until.get(server.id, 0.0) <= now
+        ]
+
+    def running(self, server: ids.ServerId) -> int:
+        """Return how many requests of this gateway run at a server."""
+        return self._running_by_server[server]
+
+    def begin(self, servers: Iterable[ids.ServerId]) -> None:
+        """Count a request at servers."""
+        self._running_by_server.update(servers)
+
+    def end(self, servers: Iterable[ids.ServerId]) -> None:
+        """Count a request no longer."""
+        self._running_by_server.subtract(servers)
+
+    def eject(
+        self,
+        server: ids.ServerId,
+        why: str,
+        request: str,
+        seconds: float = EJECT_SECONDS,
+    ) -> None:
+        """Give a server no work for a while."""
+        until = max(
+            self._ejected_until.get(server, 0.0), timers.now() + seconds
+        )
+        self._ejected_until[server] = until
+        LOG.info(
+            'server ejected',
+            extra={
+                'server': server,
+                'reason': why,
+                'request': request,
+                'seconds': seconds,
+                'list_age': round(self.server_age, 3),
+            },
+        )
+
+    def eject_address(
+        self, address: ids.Address, why: str, request: str
+    ) -> None:
+        """Give the server at an address no work for a while."""
+        for server in self._servers.item_by_name.values():
+            if server.address == address:
+                self.eject(server.id, why, request)
--- /dev/null
+++ b/libs/gateway/burdockmast/gateway/watching.py
@@ -0,0 +1,69 @@
+"""Notices callers that leave while their request runs."""
+
+import errno
+import socket
+
+import eventlet.hubs
+import greenlet
+
+
+class CallerGone(Exception):
+    """The caller has closed its connection."""
+
+
+class Watch:
+    """Raises ``CallerGone`` in the present task when a connection ends.
+
+    Used as a context manager by the task that serves the connection, which
+    must not read from it meanwhile.
+    """
+
+    def __init__(self, sock: socket.socket):
+        """Prepare to watch a caller's connection."""
+        self._sock = sock
+        self._listener = None
+        self._task: greenlet.greenlet | None = None
+
+    def __enter__(self) -> 'Watch':
+        """Begin to watch."""
+        self._task = greenlet.getcurrent()
+        hub = eventlet.hubs.get_hub()
+        self._listener = hub.add(
+            hub.READ, self._sock.fileno(), self._readable, self._end, self._end
+        )
+        return self
+
+    def __exit__(self, *error: object) -> None:
+        """Stop watching."""
+        self._task = None
+        self._stop()
+
+    def _stop(self) -> None:
+        if self._listener is not None:
+            eventlet.hubs.get_hub().remove(self._listener)
+            self._listener = None
+
+    def _readable(self, _: object) -> None:
+        try:
+            data = self._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+        except OSError as error:
+            if error.errno in (errno.EAGAIN, errno.EINTR):
+                return
+            data = b''
+        if data:
+            # The next request is here early; the server reads it later.
+            self._stop()
+            return
+        self._end()
+
+    def _end(self, *_: object) -> None:
+        self._stop()
+        task, self._task = self._task, None
+        if task is not None and not task.dead:
+            hub = eventlet.hubs.get_hub()
+            hub.schedule_call_global(0, _throw, task)
+
+
+def _throw(task: greenlet.greenlet) -> None:
+    if not task.dead:
+        task.throw(CallerGone('the caller has left'))
--- /dev/null
+++ b/libs/platform/burdockmast/platform/configuration.py
@@ -0,0 +1,188 @@
+"""Decodes the operator's configuration."""
+
+import msgspec
+
+from burdockmast.base import ids
+from burdockmast.gateway import deployment
+
+# Kind and name of the object that holds the newest configuration.
+KIND = 'config'
+NAME = 'main'
+
+
+class _Split(msgspec.Struct, frozen=True):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct, frozen=True, rename='kebab'):
+    """A route.
+
+    ``slo_ms`` is the objective for an answer or its first event;
+    ``gap_aim_ms`` the one for pauses between events.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float = 30000
+    slo_ms: float = 1000
+    priority: int = 5
+    service: str | None = None
+    traffic_split: list[_Split] = []
+    max_attempts: int = 1
+    public: bool = False
+    resumable: bool = False
+    gap_aim_ms: float = 0
+
+
+class _Kind(msgspec.Struct, frozen=True, rename='kebab'):
+    """``pace`` is for token steps, ``read_x`` for prompts."""
+
+    name: str
+    mb: float
+    pace: float = 1.0
+    read_x: float = 1.0
+
+
+class _Usual(msgspec.Struct, frozen=True):
+    prompt: int = 500
+    answer: int = 100
+
+
+class _Model(msgspec.Struct, frozen=True, rename='kebab'):
+    load_s: float = 0.0
+
+
+class _Engine(msgspec.Struct, frozen=True):
+    """Most names here have dashes, some have underscores."""
+
+    step_ms: float = 1.0
+    per_seq_ms: float = 0.0
+    context_per_k: float = 0.0
+    read_per_s: float = 100000.0
+    loads_at_once: int = 1
+    layers: int = 0
+    layer_mb: float = msgspec.field(default=0.0, name='layer-mb')
+    kv_bytes: float = msgspec.field(default=0.0, name='kv-bytes')
+    act_bytes: float = msgspec.field(default=0.0, name='act-bytes')
+    pipe_mbps: float = msgspec.field(default=0.0, name='pipe-mbps')
+    usual: _Usual = _Usual()
+    models: list[_Model] = []
+    kinds: list[_Kind] = []
+
+
+class _Service(msgspec.Struct, frozen=True):
+    name: str
+    engine: _Engine | None = None
+
+
+class _Tenant(msgspec.Struct, frozen=True, rename='kebab'):
+    """The platform's tenant is our organisation."""
+
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+
+
+class _Limits(msgspec.Struct, frozen=True, rename='kebab'):
+    max_body_bytes: int = 4194304
+    idle_timeout_ms: float = 15000
+
+
+class _Configuration(msgspec.Struct, frozen=True):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    tenants: list[_Tenant] = []
+    limits: _Limits = _Limits()
+
+
+def decode(name: str, spec: object) -> deployment.Deployment:
+    """Decode the object that holds the configuration.
+
+    :raises msgspec.ValidationError: if it is none
+    """
+    found = msgspec.convert(spec, _Configuration)
+    routes = [_route(route) for route in found.routes]
+    # The longest prefix comes first, so that the first match is the best.
+    routes.sort(key=lambda route: -len(route.prefix))
+    by_host: dict[str, list[deployment.Route]] = {}
+    for route in routes:
+        by_host.setdefault(route.host, []).append(route)
+    return deployment.Deployment(
+        found.version,
+        {host: tuple(of_host) for host, of_host in by_host.items()},
+        {
+            ids.ServiceId(service.name): deployment.Service(
+                ids.ServiceId(service.name),
+                service.engine and _engine(service.engine),
+            )
+            for service in found.services
+        },
+        {
+            key: deployment.Organisation(
+                ids.OrganisationId(tenant.name), tenant.priority
+            )
+            for tenant in found.tenants
+            for key in tenant.api_keys
+        },
+        deployment.CallerLimits(
+            found.limits.max_body_bytes, found.limits.idle_timeout_ms / 1000
+        ),
+    )
+
+
+def _route(route: _Route) -> deployment.Route:
+    is_stream = route.kind == 'streaming'
+    may_repeat = route.kind == 'safe' or (is_stream and route.resumable)
+    weights = {
+        ids.ServiceId(split.service): split.weight
+        for split in route.traffic_split
+    }
+    if not weights and route.service:
+        weights = {ids.ServiceId(route.service): 1.0}
+    return deployment.Route(
+        name=route.name,
+        host=route.host,
+        prefix=route.path_prefix,
+        weight_by_service=weights,
+        repeats=(
+            deployment.Repeats.ANY if may_repeat else deployment.Repeats.ONCE
+        ),
+        is_stream=is_stream,
+        is_resumable=is_stream and route.resumable,
+        is_public=route.public,
+        timeout=route.timeout_ms / 1000,
+        objective=route.slo_ms / 1000,
+        gap_objective=route.gap_aim_ms / 1000,
+        attempts=max(1, route.max_attempts),
+        priority=route.priority,
+    )
+
+
+def _engine(engine: _Engine) -> deployment.Engine | None:
+    if not engine.layers:
+        return None
+    return deployment.Engine(
+        layers=engine.layers,
+        layer_mb=engine.layer_mb,
+        cache_bytes=engine.kv_bytes,
+        step_ms=engine.step_ms,
+        sequence_ms=engine.per_seq_ms,
+        context_ms=engine.context_per_k,
+        prefill_per_s=engine.read_per_s,
+        usual_prompt=engine.usual.prompt,
+        usual_answer=engine.usual.answer,
+        activation_bytes=engine.act_bytes,
+        zone_link_mbps=engine.pipe_mbps,
+        loads_at_once=max(1, engine.loads_at_once),
+        load_seconds=max((m.load_s for m in engine.models), default=0.0),
+        kind_by_name={
+            kind.name: deployment.AcceleratorKind(
+                kind.name, kind.mb, kind.pace, kind.read_x
+            )
+            for kind in engine.kinds
+        },
+    )
--- /dev/null
+++ b/libs/platform/burdockmast/platform/headers.py
@@ -0,0 +1,164 @@
+"""Decodes and writes the headers of requests and replies."""
+
+import re
+
+from burdockmast.base import failures
+from burdockmast.base import ids
+from burdockmast.gateway import backends
+from burdockmast.gateway import interfaces
+
+REQUEST_ID = 'Burdockmast-Request-Id'
+DEADLINE = 'Burdockmast-Deadline-Ms'
+KEY = 'Burdockmast-Key'
+# The name of the caller's organisation, as backend servers get it.
+ORGANISATION = 'Burdockmast-Tenant'
+EXPECTED_SERVER = 'Burdockmast-Expect-Instance'
+# The urgency of a request, 0 to 9; 0 is first.
+URGENCY = 'Burdockmast-Request-Priority'
+# "PROMPT,ANSWER": tokens of the prompt, and of the answer at most.
+TOKENS = 'Burdockmast-Token-Counts'
+LENGTH_HINT = 'Burdockmast-Length-Hint'
+# Despite its name, the stages of a path: "IP:PORT=FROM-TO", comma-separated.
+PATH = 'Burdockmast-Hop-Count'
+LAST_EVENT = 'Last-Event-Id'
+# A server's signature of its answer.
+SIGNATURE = 'Burdockmast-Response-Seal'
+NOT_RUN = 'Burdockmast-Not-Executed'
+# The server that caused a refusal.
+CULPRIT = 'At-Server'
+
+MILLISECONDS = 1000.0
+# Headers that concern one connection only.
+_OF_CONNECTION = frozenset(
+    (
+        'connection',
+        'keep-alive',
+        'proxy-connection',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+        'content-length',
+        'expect',
+    )
+)
+# Headers of requests that the gateway writes itself.
+_OWN = frozenset(
+    name.lower()
+    for name in (
+        DEADLINE,
+        KEY,
+        ORGANISATION,
+        EXPECTED_SERVER,
+        URGENCY,
+        PATH,
+        LAST_EVENT,
+    )
+)
+_NUMBER = re.compile(r'\d{1,12}')
+
+Headers = tuple[tuple[str, str], ...]
+
+
+class PlatformDialect:
+    """The platform's names of headers."""
+
+    def read_request(
+        self, method: str, target: str, headers: Headers, body: bytes
+    ) -> interfaces.CallerRequest | failures.Failure:
+        """Read a caller's request."""
+        value_by_name = {name.lower(): value for name, value in headers}
+        request = value_by_name.get(REQUEST_ID.lower(), '')
+        milliseconds = _number(value_by_name.get(DEADLINE.lower()))
+        prompt, _, answer = value_by_name.get(TOKENS.lower(), '').partition(
+            ','
+        )
+        return interfaces.CallerRequest(
+            id=ids.RequestId(request),
+            method=method,
+            target=target,
+            path=target.partition('?')[0],
+            host=value_by_name.get('host', ''),
+            key=value_by_name.get(KEY.lower(), ''),
+            seconds=(
+                None if milliseconds is None else milliseconds / MILLISECONDS
+            ),
+            prompt_tokens=_number(prompt) or 0,
+            answer_tokens=_number(answer) or 0,
+            length_hint=_number(value_by_name.get(LENGTH_HINT.lower())) or 0,
+            after_event=_number(value_by_name.get(LAST_EVENT.lower())),
+            headers=_passed_on(headers, value_by_name, _OWN),
+            body=body,
+        )
+
+    def backend_headers(
+        self, request: interfaces.CallerRequest, sending: interfaces.Sending
+    ) -> list[tuple[str, str]]:
+        """Return the headers of a request as it is sent on."""
+        left = max(1, int(sending.seconds * MILLISECONDS))
+        found = [
+            *request.headers,
+            (DEADLINE, str(left)),
+            (EXPECTED_SERVER, sending.server.id),
+        ]
+        if sending.organisation:
+            found.append((ORGANISATION, sending.organisation))
+        if sending.path:
+            found.append((PATH, path_text(sending.path)))
+            found.append((URGENCY, str(sending.urgency)))
+        if sending.after_event is not None:
+            found.append((LAST_EVENT, str(sending.after_event)))
+        return found
+
+    def read_reply(
+        self, headers: list[tuple[str, str]]
+    ) -> interfaces.ReplyFacts:
+        """Read the head of a reply."""
+        value_by_name = {name.lower(): value for name, value in headers}
+        return interfaces.ReplyFacts(
+            request=value_by_name.get(REQUEST_ID.lower(), ''),
+            is_sealed=SIGNATURE.lower() in value_by_name,
+            is_not_run=NOT_RUN.lower() in value_by_name,
+            culprit=ids.Address(value_by_name.get(CULPRIT.lower(), '')),
+            is_encoded='content-encoding' in value_by_name,
+        )
+
+    def caller_headers(
+        self, headers: list[tuple[str, str]]
+    ) -> list[tuple[str, str]]:
+        """Return the headers of a reply that the caller gets."""
+        value_by_name = {name.lower(): value for name, value in headers}
+        return list(_passed_on(headers, value_by_name, frozenset()))
+
+
+def path_text(path: tuple[backends.Stage, ...]) -> str:
+    """Return a path as the platform writes it."""
+    return ','.join(
+        f'{stage.server.address}={stage.first}-{stage.end}' for stage in path
+    )
+
+
+def _passed_on(
+    headers: list[tuple[str, str]] | Headers,
+    value_by_name: dict[str, str],
+    left_out: frozenset[str],
+) -> Headers:
+    named = {
+        name.strip().lower()
+        for name in value_by_name.get('connection', '').split(',')
+    }
+    return tuple(
+        (name, value)
+        for name, value in headers
+        if name.lower() not in _OF_CONNECTION
+        and name.lower() not in named
+        and name.lower() not in left_out
+    )
+
+
+def _number(text: str | None) -> int | None:
+    if text is None or not _NUMBER.fullmatch(text.strip()):
+        return None
+    return int(text)
