Place pipelines by zone, share retries, avoid slow servers

A fast server of one zone was put behind that of another, so prompts crossed zones. The local share of the retry budget, cut for 32 gateways, was spent at the first dark server, and streams were cut.

Change: a zone's first pipeline takes its layers in order; gateways count each other through the store; servers are asked for a report where events come slowly; a stopping process refuses, unrun, what comes 3 s after SIGTERM.

Ruled out: the load of 503s alone; each takes 3 ms and is sent elsewhere.

--- a/libs/gateway/burdockmast/gateway/callers.py
+++ b/libs/gateway/burdockmast/gateway/callers.py
@@ -76,10 +76,14 @@
     ):
         """Create an application.
 
+        ``is_leaving`` tells the balancer and callers to go elsewhere;
+        ``is_closed`` refuses what still comes.
+
         :param trusted_seconds: age of the configuration up to which keys
             that it names are accepted
         """
         self.is_leaving = False
+        self.is_closed = False
         self.running = 0
         self._view = fleet
         self._dialect = dialect
@@ -163,6 +167,13 @@
     def _job(
         self, request: interfaces.CallerRequest, began: float
     ) -> jobs.Job | failures.Failure:
+        if self.is_closed:
+            return failures.Failure(
+                failures.Reason.LEAVING,
+                'request.admit',
+                detail='this process is stopping',
+                retry_after=RETRY_SECONDS,
+            )
         known = self._view.configuration
         if known is None:
             return _unready('no configuration is known yet')
--- a/libs/gateway/burdockmast/gateway/interfaces.py
+++ b/libs/gateway/burdockmast/gateway/interfaces.py
@@ -162,6 +162,22 @@
     address: ids.Address
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report:
+    """What a server says of itself, some hundred milliseconds late.
+
+    :ivar orders: accepted since its start
+    :ivar pace: its time for the same work, as a multiple of the usual
+    :ivar occupancy: share of its memory that is in use and can't yield
+    :ivar stalled: requests that it runs first and that wait for others
+    """
+
+    orders: int
+    pace: float
+    occupancy: float
+    stalled: tuple[Stalled, ...]
+
+
 class EngineControl(Protocol):
     """Orders to backend servers that run engines."""
 
@@ -179,10 +195,17 @@
         ``STALE_INCARNATION`` says that a higher fencing number was used.
         """
 
-    def orders(self, server: backends.BackendServer) -> int | failures.Failure:
-        """Return how many orders a server has accepted since its start."""
-
-    def stalled(
+    def report(
         self, server: backends.BackendServer
-    ) -> list[Stalled] | failures.Failure:
-        """Return the requests that stand still on a first server."""
+    ) -> Report | failures.Failure:
+        """Ask a server what it says of itself."""
+
+
+class Roster(Protocol):
+    """The gateways that share the budget of retries."""
+
+    def join(self) -> failures.Failure | None:
+        """Make this gateway known."""
+
+    def count(self) -> int | failures.Failure:
+        """Return how many gateways are known; some may be gone."""
--- a/libs/gateway/burdockmast/gateway/paths.py
+++ b/libs/gateway/burdockmast/gateway/paths.py
@@ -56,10 +56,12 @@
     layers: int,
     work: Work,
     running: int,
+    pace: float = 1.0,
 ) -> float:
     """Return milliseconds that a stage adds to a whole answer.
 
     :param running: other requests that run at the server
+    :param pace: how many times slower than usual the server is
     """
     kind = engine.kind_by_name.get(server.kind)
     step_pace = kind.step_pace if kind else 1.0
@@ -69,7 +71,8 @@
     step += engine.context_ms * (running + 1) * work.tokens / 1000
     step *= step_pace * share * (1 + SHARED_STEP * running)
     prefill = work.prompt / engine.prefill_per_s * 1000 * prefill_pace * share
-    return step * work.answer + prefill * (1 + SHARED_STEP * running)
+    prefill *= 1 + SHARED_STEP * running
+    return pace * (step * work.answer + prefill)
 
 
 def zone_ms(engine: deployment.Engine, work: Work) -> float:
@@ -96,12 +99,14 @@
     zone: ids.ZoneId,
     running: Callable[[ids.ServerId], int],
     crowding: Callable[[backends.BackendServer], float],
+    pace: Callable[[backends.BackendServer], float],
     source: random.Random,
 ) -> tuple[backends.Stage, ...]:
     """Return the stages of the cheapest path, empty if there is none.
 
     :param zone: where the answer is wanted
     :param crowding: factor on the cost of a server whose memory fills up
+    :param pace: how many times slower than usual a server is
     """
     holding = [s for s in servers if len(s.held)]
     cuts = sorted(
@@ -113,6 +118,7 @@
     factors = {
         s.id: crowding(s) * (1 + NOISE * source.random()) for s in holding
     }
+    paces = {s.id: pace(s) for s in holding}
     between_zones = zone_ms(engine, work)
     reached: dict[int, dict[ids.ZoneId, _Reached]] = {
         0: {zone: _Reached(0.0, ())}
@@ -138,7 +144,12 @@
                 if end > server.held.end:
                     break
                 cost = base + factors[server.id] * stage_ms(
-                    engine, server, end - cut, work, running(server.id)
+                    engine,
+                    server,
+                    end - cut,
+                    work,
+                    running(server.id),
+                    paces[server.id],
                 )
                 best = reached.setdefault(end, {}).get(server.zone)
                 if best is None or cost < best.cost:
--- a/libs/gateway/burdockmast/gateway/placing.py
+++ b/libs/gateway/burdockmast/gateway/placing.py
@@ -69,8 +69,8 @@
         for layer in range(held.first, min(held.end, engine.layers)):
             zone[layer] += 1
             fleet[layer] += 1
-    # Fast servers first: they make up the first pipeline of a zone.
-    empty.sort(key=lambda s: (_pace(engine, s), s.id))
+    # Servers with much room first: a pipeline of few stages is faster.
+    empty.sort(key=lambda s: (-most_layers(engine, s.kind), s.id))
     placements = []
     for server in empty:
         size = most_layers(engine, server.kind)
@@ -87,11 +87,6 @@
     return placements
 
 
-def _pace(engine: deployment.Engine, server: backends.BackendServer) -> float:
-    kind = engine.kind_by_name.get(server.kind)
-    return kind.step_pace if kind else 1.0
-
-
 def _window(
     zone: list[int], fleet: list[int], size: int, is_whole: bool
 ) -> backends.LayerRange:
@@ -102,10 +97,15 @@
     :param is_whole: the zone has room for a pipeline of its own; if not, what
         nobody holds goes first
     """
-    needs = [
-        (not is_whole and fleet[layer] > 0, zone[layer], fleet[layer])
-        for layer in range(len(zone))
-    ]
+    if is_whole and not min(zone):
+        # The zone's first pipeline has its ranges in order, whatever others
+        # hold.
+        needs = [(0, in_zone, 0) for in_zone in zone]
+    else:
+        needs = [
+            (not is_whole and anywhere > 0, in_zone, anywhere)
+            for in_zone, anywhere in zip(zone, fleet, strict=True)
+        ]
     least = min(needs)
     first = needs.index(least)
     end = min(first + size, len(zone))
--- a/libs/gateway/burdockmast/gateway/planner.py
+++ b/libs/gateway/burdockmast/gateway/planner.py
@@ -192,7 +192,12 @@
         if known is None and start not in self._ordered:
             known = 0
         self._ordered.add(start)
-        return self._engines.orders(server) if known is None else known
+        if known is not None:
+            return known
+        report = self._engines.report(server)
+        if isinstance(report, failures.Failure):
+            return report
+        return report.orders
 
     def _log_failure(self, what: str, failure: failures.Failure) -> None:
         LOG.warning(
--- a/libs/gateway/burdockmast/gateway/retries.py
+++ b/libs/gateway/burdockmast/gateway/retries.py
@@ -10,9 +10,12 @@
 from burdockmast.base import ids
 from burdockmast.base import timers
 
-# Gateways that are assumed to share the slack; more than the largest known
-# deployment has, so that the sum stays below it.
+# Gateways that are assumed to share the slack until they are counted; more
+# than the largest known deployment has, so that the sum stays below it.
 GATEWAYS = 32
+# Share of the slack that is used; the rest is for gateways that came after
+# the count.
+SLACK_SHARE = 0.7
 # Share of the allowed ratio that is used; the rest allows for requests that
 # arrive unevenly in the two windows that are compared.
 RATIO_SHARE = 0.75
@@ -35,7 +38,8 @@
         :param window: seconds
         """
         self._ratio = ratio * RATIO_SHARE
-        self._slack = slack / GATEWAYS
+        self._slack = slack * SLACK_SHARE
+        self.gateways = GATEWAYS
         self._window = window
         self._now = now
         self._requests: dict[ids.ServiceId, collections.deque[float]] = {}
@@ -49,7 +53,9 @@
         """Take one retry; false if there is none left."""
         retries = self._recent(self._retries, service)
         requests = self._recent(self._requests, service)
-        if len(retries) >= self._slack + self._ratio * len(requests):
+        if len(retries) >= self._slack / self.gateways + self._ratio * len(
+            requests
+        ):
             return False
         retries.append(self._now())
         return True
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 import signal
+import socket
 
 import eventlet
 import eventlet.event
@@ -50,6 +51,8 @@
 SOCKET_SECONDS = 20.0
 DEFAULT_IDLE_SECONDS = 15.0
 POLL_SECONDS = 0.05
+# Seconds between counts of gateways.
+ROSTER_SECONDS = 4.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -79,6 +82,7 @@
     deployments: interfaces.Feed[deployment.Deployment]
     servers: interfaces.Feed[backends.BackendServer]
     seat: interfaces.Seat
+    roster: interfaces.Roster
     engines: interfaces.EngineControl
     dialect: interfaces.Dialect
 
@@ -132,6 +136,9 @@
         self._planner = planner.Planner(
             self.view, platform.seat, platform.engines, source
         )
+        self._budget = budget
+        self._roster = platform.roster
+        self._has_joined = False
         self._stopped = eventlet.event.Event()
 
     def run(self) -> None:
@@ -147,6 +154,7 @@
         self._timers.subscribe(
             'planner', planner.LOOK_SECONDS, self._planner.look
         )
+        self._timers.subscribe('roster', ROSTER_SECONDS, self._count)
         self._serve_metrics()
         self._listen(
             self._settings.ready_address, callers.Readiness(self.application)
@@ -165,17 +173,42 @@
         self._stopped.wait()
         self._leave(listener)
 
+    def _count(self) -> None:
+        """Count the gateways that share the budget of retries."""
+        if not self._has_joined:
+            failure = self._roster.join()
+            if failure:
+                LOG.warning(
+                    'not on the roster', extra={'reason': str(failure)}
+                )
+                return
+            self._has_joined = True
+        count = self._roster.count()
+        if isinstance(count, failures.Failure):
+            LOG.warning('roster not read', extra={'reason': str(count)})
+            return
+        count = max(1, count)
+        if count != self._budget.gateways:
+            LOG.info(
+                'gateways counted',
+                extra={'count': count, 'before': self._budget.gateways},
+            )
+        self._budget.gateways = count
+
     def _leave(self, listener: object) -> None:
         """Refuse nothing, but end: new callers are sent elsewhere."""
         began = timers.now()
         self.application.is_leaving = True
         LOG.info('stopping', extra={'running': self.application.running})
+        eventlet.sleep(ACCEPT_SECONDS)
+        # Callers that still come are refused unrun, or find no listener: what
+        # is begun now might not end before the process is killed.
+        self.application.is_closed = True
+        listener.shutdown(socket.SHUT_RDWR)
+        listener.close()
         until = began + self._settings.grace_seconds - EXIT_MARGIN_SECONDS
-        while timers.now() < until:
+        while self.application.running and timers.now() < until:
             eventlet.sleep(POLL_SECONDS)
-            waited = timers.now() - began
-            if waited > ACCEPT_SECONDS and not self.application.running:
-                break
         LOG.info(
             'stopped',
             extra={
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -4,8 +4,6 @@
 import dataclasses
 import random
 
-import eventlet
-
 from burdockmast.base import failures
 from burdockmast.base import ids
 from burdockmast.base import logs
@@ -19,6 +17,7 @@
 from burdockmast.gateway import jobs
 from burdockmast.gateway import memory
 from burdockmast.gateway import paths
+from burdockmast.gateway import reports
 from burdockmast.gateway import retries
 from burdockmast.gateway import upstream
 from burdockmast.gateway import view
@@ -34,6 +33,8 @@
 FIRST_EVENT_SECONDS = 1.0
 # Seconds between events after which a stream goes on elsewhere.
 PAUSE_SECONDS = 0.6
+# Share of the objective for pauses from which a path counts as slow.
+SLOW_SHARE = 0.4
 # Largest event, in bytes.
 EVENT_BYTES = 1024 * 1024
 OK = 200
@@ -76,7 +77,7 @@
         """Create a relay of streams."""
         self._view = fleet
         self._dialect = dialect
-        self._engines = engines
+        self._reports = reports.Reports(fleet, engines)
         self._budget = budget
         self._zone = zone
         self._metrics = measures
@@ -142,6 +143,7 @@
                 lambda s: memory.crowding(
                     self._reservations.occupancy(engine, s)
                 ),
+                self._reports.pace,
                 self._random,
             )
             if path:
@@ -247,7 +249,7 @@
             )
         if not head.facts.is_sealed or head.facts.is_encoded:
             return self._lost(exchange, 'answer without signature')
-        return (yield from self._events(job, exchange, head, progress))
+        return (yield from self._events(job, exchange, path, head, progress))
 
     def _other_status(
         self,
@@ -272,10 +274,12 @@
         self,
         job: jobs.Job,
         exchange: upstream.Exchange,
+        path: tuple[backends.Stage, ...],
         head: upstream.Head,
         progress: _Progress,
     ) -> Iterator[jobs.Reply | bytes]:
         reader = events.Reader(progress.last)
+        waited_since = timers.now()
         patience = min(job.deadline, timers.now() + FIRST_EVENT_SECONDS)
         while True:
             try:
@@ -291,6 +295,8 @@
                     progress.has_begun = True
                     yield jobs.Reply.from_head(head, self._dialect)
                 return None
+            self._look_at_pause(job, path, timers.now() - waited_since)
+            waited_since = timers.now()
             whole = reader.feed(data)
             if reader.is_broken:
                 return self._lost(exchange, 'events out of order')
@@ -307,6 +313,17 @@
             yield whole
             patience = min(job.deadline, timers.now() + PAUSE_SECONDS)
 
+    def _look_at_pause(
+        self,
+        job: jobs.Job,
+        path: tuple[backends.Stage, ...],
+        seconds: float,
+    ) -> None:
+        """Ask the servers of a path that is slow what is the matter."""
+        aim = job.route.gap_objective or PAUSE_SECONDS
+        if job.service.engine and seconds > aim * SLOW_SHARE:
+            self._reports.ask([stage.server for stage in path], job.id)
+
     def _silent(self, exchange: upstream.Exchange) -> failures.Failure:
         return failures.Failure(
             failures.Reason.PEER_SILENT,
@@ -357,17 +374,6 @@
                 reason=failures.Reason.PEER_SILENT | failures.Reason.DEADLINE
             ):
                 progress.lost.extend(stage.server.id for stage in path)
-                eventlet.spawn_n(self._find_stalled, job.id, first)
+                self._reports.ask([stage.server for stage in path], job.id)
             case _:
                 progress.lost.append(first.id)
-
-    def _find_stalled(
-        self, request: ids.RequestId, first: backends.BackendServer
-    ) -> None:
-        """Ask a path's first server which server its requests wait for."""
-        found = self._engines.stalled(first)
-        if isinstance(found, failures.Failure):
-            self._view.eject(first.id, found.detail, request)
-            return
-        for address in {stalled.address for stalled in found}:
-            self._view.eject_address(address, 'requests stall', request)
--- a/libs/platform/burdockmast/platform/orders.py
+++ b/libs/platform/burdockmast/platform/orders.py
@@ -28,10 +28,17 @@
     address: str
 
 
-class _Report(msgspec.Struct, frozen=True):
-    """``sequence`` counts the orders that were accepted since the start."""
+class _Report(msgspec.Struct, frozen=True, rename='kebab'):
+    """A report.
+
+    ``sequence`` counts the orders that were accepted since the start;
+    ``kv_used`` and ``kv_total`` are in tokens times layers.
+    """
 
     sequence: int = 0
+    pace: float = 1.0
+    kv_used: float = 0.0
+    kv_total: float = 0.0
     stalled: list[_Stalled] = []
 
 
@@ -80,24 +87,23 @@
             f'status {response.status}: {response.data[:200]!r}',
         )
 
-    def stalled(
+    def report(
         self, server: backends.BackendServer
-    ) -> list[interfaces.Stalled] | failures.Failure:
-        """Return the requests that stand still on a first server."""
-        report = self._report(server)
-        if isinstance(report, failures.Failure):
-            return report
-        return [
-            interfaces.Stalled(found.id, ids.Address(found.address))
-            for found in report.stalled
-        ]
-
-    def orders(self, server: backends.BackendServer) -> int | failures.Failure:
-        """Return how many orders a server has accepted since its start."""
-        report = self._report(server)
-        if isinstance(report, failures.Failure):
-            return report
-        return report.sequence
+    ) -> interfaces.Report | failures.Failure:
+        """Ask a server what it says of itself."""
+        found = self._report(server)
+        if isinstance(found, failures.Failure):
+            return found
+        total = found.kv_total
+        return interfaces.Report(
+            orders=found.sequence,
+            pace=found.pace,
+            occupancy=found.kv_used / total if total else 0.0,
+            stalled=tuple(
+                interfaces.Stalled(stalled.id, ids.Address(stalled.address))
+                for stalled in found.stalled
+            ),
+        )
 
     def _report(
         self, server: backends.BackendServer
--- a/libs/platform/burdockmast/platform/program.py
+++ b/libs/platform/burdockmast/platform/program.py
@@ -55,6 +55,7 @@
             ),
             servers=store.Feed(client, servers.KIND, servers.decode),
             seat=store.Seat(client, found.instance),
+            roster=store.Roster(client, found.instance),
             engines=orders.PlatformEngines(),
             dialect=headers.PlatformDialect(),
         ),
--- a/libs/platform/burdockmast/platform/store.py
+++ b/libs/platform/burdockmast/platform/store.py
@@ -253,6 +253,34 @@
             return None
 
 
+class Roster:
+    """The gateways, each an object of a kind of our own."""
+
+    KIND = 'burdockmast-gateways'
+
+    def __init__(self, store: Store, instance: str):
+        """Create the roster as the gateway ``instance`` sees it."""
+        self._store = store
+        self._instance = instance
+
+    def join(self) -> failures.Failure | None:
+        """Make this gateway known; it may be so already."""
+        found = self._store.call(
+            'POST',
+            self.KIND,
+            body={'metadata': {'name': self._instance}, 'spec': {}},
+        )
+        return found if isinstance(found, failures.Failure) else None
+
+    def count(self) -> int | failures.Failure:
+        """Return how many gateways are known; some may be gone."""
+        found = self._store.call('GET', self.KIND, query={'stale-ok': 1})
+        page = self._store.parse(found, _Page, self.KIND)
+        if isinstance(page, failures.Failure):
+            return page
+        return len(page.items)
+
+
 class Seat:
     """A mutex that is one object of a kind of our own.
 
--- /dev/null
+++ b/tests/test_gateway_paths.py
@@ -0,0 +1,195 @@
+"""Paths of pipelines and placements, played without a network."""
+
+import random
+
+import pytest
+
+from burdockmast.gateway import backends
+from burdockmast.gateway import deployment
+from burdockmast.gateway import memory
+from burdockmast.gateway import paths
+from burdockmast.gateway import placing
+
+ENGINE = deployment.Engine(
+    layers=80,
+    layer_mb=1750.0,
+    cache_bytes=918000,
+    step_ms=0.85,
+    sequence_ms=0.006,
+    context_ms=0.008,
+    prefill_per_s=252000,
+    usual_prompt=772,
+    usual_answer=154,
+    activation_bytes=45800,
+    zone_link_mbps=7900,
+    loads_at_once=6,
+    load_seconds=14,
+    kind_by_name={
+        'large': deployment.AcceleratorKind('large', 36000, 3.1, 3.2),
+        'middle': deployment.AcceleratorKind('middle', 21600, 16, 8.2),
+        'small': deployment.AcceleratorKind('small', 14400, 15, 15),
+    },
+)
+# Servers of each kind in each zone, as the swap desk has them.
+FLEET = {
+    'a': {'large': 3, 'middle': 3, 'small': 5},
+    'b': {'large': 1, 'middle': 5, 'small': 8},
+    'c': {'large': 1, 'middle': 7, 'small': 5},
+}
+WORK = paths.Work(800, 154)
+
+
+def server(name, zone='a', kind='large', held=None, ready=True):
+    return backends.BackendServer(
+        id=name,
+        service='draft',
+        address=f'{name}:1',
+        zone=zone,
+        is_ready=ready,
+        held=backends.LayerRange(*held) if held else backends.EMPTY,
+        kind=kind,
+        born=1,
+        beat=1,
+    )
+
+
+def empty_fleet():
+    return [
+        server(f'{zone}-{kind}-{number}', zone, kind)
+        for zone, counts in FLEET.items()
+        for kind, count in counts.items()
+        for number in range(count)
+    ]
+
+
+def placed(servers):
+    layers_by_server = {
+        p.server.id: p.layers for p in placing.plan(ENGINE, servers, {})
+    }
+    return [
+        server(
+            s.id,
+            s.zone,
+            s.kind,
+            (layers_by_server[s.id].first, layers_by_server[s.id].end),
+        )
+        for s in servers
+    ]
+
+
+def path(servers, zone='a', **given):
+    found = {
+        'running': lambda s: 0,
+        'crowding': lambda s: 1.0,
+        'pace': lambda s: 1.0,
+        **given,
+    }
+    return paths.cheapest(
+        ENGINE, servers, WORK, zone, source=random.Random(1), **found
+    )
+
+
+def assert_runs_every_layer_once(found):
+    reached = 0
+    for stage in found:
+        assert stage.first == reached
+        assert stage.end > stage.first
+        assert stage.server.held.first <= stage.first
+        assert stage.end <= stage.server.held.end
+        reached = stage.end
+    assert reached == ENGINE.layers
+    assert len({stage.server.id for stage in found}) == len(found)
+
+
+@pytest.mark.parametrize('zone', FLEET)
+def test_each_zone_gets_a_pipeline_of_its_own(zone):
+    servers = [s for s in placed(empty_fleet()) if s.zone == zone]
+    assert_runs_every_layer_once(path(servers, zone))
+
+
+@pytest.mark.parametrize('zone', FLEET)
+def test_prompts_are_not_sent_between_zones_while_all_is_well(zone):
+    found = path(placed(empty_fleet()), zone)
+    assert len({stage.server.zone for stage in found}) == 1
+
+
+def test_no_server_holds_more_than_its_memory():
+    for found in placed(empty_fleet()):
+        kind = ENGINE.kind_by_name[found.kind]
+        assert len(found.held) * ENGINE.layer_mb < kind.memory_mb
+        tokens = WORK.tokens * len(found.held)
+        assert memory.capacity(ENGINE, found) > 20 * tokens
+
+
+def test_a_replacement_takes_what_its_zone_lacks():
+    servers = placed(empty_fleet())
+    lost = servers.pop(0)
+    new = server('new', lost.zone, lost.kind)
+    (placement,) = placing.plan(ENGINE, [*servers, new], {})
+    assert placement.layers == lost.held
+
+
+def test_a_pending_order_is_not_given_twice():
+    servers = [server('one')]
+    pending = {'one': backends.LayerRange(0, 17)}
+    assert placing.plan(ENGINE, servers, pending) == []
+
+
+def test_layers_that_nobody_holds_go_first_without_room_for_a_pipeline():
+    servers = [
+        server('far', 'b', 'large', (0, 17)),
+        server('near', 'a', 'large'),
+    ]
+    (placement,) = placing.plan(ENGINE, servers, {})
+    assert placement.layers.first == 17
+
+
+@pytest.mark.parametrize('seed', range(20))
+def test_paths_over_random_ranges_run_every_layer_once(seed):
+    source = random.Random(seed)
+    servers = []
+    for number in range(40):
+        first = source.randrange(80)
+        end = min(80, first + source.randrange(1, 25))
+        zone = source.choice('abc')
+        servers.append(server(f's{number}', zone, 'small', (first, end)))
+    loads = {s.id: source.randrange(30) for s in servers}
+    found = path(servers, running=loads.__getitem__)
+    if paths.missing(ENGINE, servers) is None:
+        assert_runs_every_layer_once(found)
+    else:
+        assert found == ()
+
+
+def test_missing_names_the_first_layer_that_nobody_holds():
+    servers = [server('one', held=(0, 20)), server('two', held=(30, 80))]
+    assert paths.missing(ENGINE, servers) == 20
+
+
+def test_a_slow_server_is_avoided():
+    servers = [
+        server('slow', held=(0, 40)),
+        server('other', held=(0, 40)),
+        server('rest', held=(40, 80)),
+    ]
+    found = path(servers, pace=lambda s: 5.0 if s.id == 'slow' else 1.0)
+    assert [stage.server.id for stage in found] == ['other', 'rest']
+
+
+def test_a_server_that_fills_up_is_avoided():
+    servers = placed(empty_fleet())
+    reservations = memory.Reservations()
+    used = set()
+    for _ in range(60):
+        found = path(
+            servers,
+            crowding=lambda s: memory.crowding(
+                reservations.occupancy(ENGINE, s)
+            ),
+        )
+        assert_runs_every_layer_once(found)
+        reservations.reserve(found, WORK.tokens)
+        used.update(stage.server.id for stage in found)
+    most = max(reservations.occupancy(ENGINE, s) for s in servers)
+    assert most < 1.5
+    assert len(used) > 20
