--- a/libs/base/burdockmast/base/logs.py
+++ b/libs/base/burdockmast/base/logs.py
@@ -7,7 +7,6 @@
 
 from collections.abc import Callable
 import dataclasses
-import os
 import time
 from typing import Any
 
@@ -21,6 +20,7 @@
 # The thread that writes must not be one of eventlet's.
 _queue = eventlet.patcher.original('queue')
 _threading = eventlet.patcher.original('threading')
+_os = eventlet.patcher.original('os')
 
 LEVELS = ('debug', 'info', 'warning', 'error')
 STANDARD_OUTPUT = 1
@@ -96,7 +96,7 @@
 
     def _write(self, data: bytes) -> None:
         while data:
-            data = data[os.write(self._descriptor, data) :]
+            data = data[_os.write(self._descriptor, data) :]
 
 
 class Handler(logbook.Handler):
--- a/libs/gateway/burdockmast/gateway/memory.py
+++ b/libs/gateway/burdockmast/gateway/memory.py
@@ -14,11 +14,16 @@
 from burdockmast.gateway import deployment
 
 MEGABYTE = 1e6
-# What all gateways use of a server, as a multiple of what this one uses:
-# gateways of a zone share its servers, and two of them are usual.
-OTHERS = 1.5
-# Share of a server's memory beyond which costs stop rising.
-FULL = 0.95
+# Gateways that are taken to use a server as much as this one does. Most use
+# those of their own zone; taking all gateways to do alike sent many requests
+# over the links between zones, which cost more than it saved.
+ALIKE = 2
+# By how much a full server's cost is multiplied: a detour within the zone is
+# worth it, one over a link between zones is not.
+FULL_FACTOR = 3.0
+# Occupancy from which a server is a last resort, and its factor.
+OVERFULL = 1.25
+OVERFULL_FACTOR = 10.0
 
 
 def capacity(
@@ -56,13 +61,21 @@
             )
 
     def occupancy(
-        self, engine: deployment.Engine, server: backends.BackendServer
+        self,
+        engine: deployment.Engine,
+        server: backends.BackendServer,
+        gateways: int,
     ) -> float:
-        """Return the share of a server's memory that is likely in use."""
-        used = OTHERS * self._reserved[server.id]
+        """Return the share of a server's memory that is likely in use.
+
+        :param gateways: how many there are
+        """
+        used = min(ALIKE, gateways) * self._reserved[server.id]
         return used / capacity(engine, server)
 
 
 def crowding(occupancy: float) -> float:
     """Return by how much a full server's cost is multiplied."""
-    return 1.0 / (1.0 - min(occupancy, FULL))
+    if occupancy >= OVERFULL:
+        return OVERFULL_FACTOR
+    return 1.0 + (FULL_FACTOR - 1.0) * min(occupancy, 1.0) ** 2
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -198,6 +198,7 @@
                 extra={'count': count, 'before': self._budget.gateways},
             )
         self._budget.gateways = count
+        self.view.gateways = count
 
     def _leave(self, listener: object) -> None:
         """Refuse nothing, but end: new callers are sent elsewhere."""
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -140,9 +140,11 @@
                 self._view.usable(job.service.id, excluded),
                 work,
                 self._zone,
-                self._view.running,
+                self._view.running_of_all,
                 lambda s: memory.crowding(
-                    self._reservations.occupancy(engine, s)
+                    self._reservations.occupancy(
+                        engine, s, self._view.gateways
+                    )
                 ),
                 self._reports.pace,
                 self._random,
--- a/libs/gateway/burdockmast/gateway/view.py
+++ b/libs/gateway/burdockmast/gateway/view.py
@@ -9,6 +9,7 @@
 from burdockmast.gateway import backends
 from burdockmast.gateway import deployment
 from burdockmast.gateway import following
+from burdockmast.gateway import memory
 
 LOG = logs.get('view')
 
@@ -28,7 +29,10 @@
         deployments: following.Follower[deployment.Deployment],
         servers: following.Follower[backends.BackendServer],
     ):
-        """Create a view of two followed kinds."""
+        """Create a view of two followed kinds.
+
+        ``gateways`` is how many gateways were counted, this one included.
+        """
         self._deployments = deployments
         self._servers = servers
         self._ejected_until: dict[ids.ServerId, float] = {}
@@ -36,6 +40,7 @@
             collections.Counter()
         )
         self._version = 0
+        self.gateways = 1
 
     @property
     def configuration(self) -> deployment.Deployment | None:
@@ -101,6 +106,14 @@
         """Return how many requests of this gateway run at a server."""
         return self._running_by_server[server]
 
+    def running_of_all(self, server: ids.ServerId) -> int:
+        """Return how many requests are likely to run at a server.
+
+        Some other gateways are taken to run as many.
+        """
+        alike = min(memory.ALIKE, self.gateways)
+        return self._running_by_server[server] * alike
+
     def begin(self, servers: Iterable[ids.ServerId]) -> None:
         """Count a request at servers."""
         self._running_by_server.update(servers)
--- a/libs/platform/burdockmast/platform/standin.py
+++ b/libs/platform/burdockmast/platform/standin.py
@@ -41,12 +41,14 @@
 
     :ivar is_down: answers every call with 503
     :ivar first_revision: of the history that is kept
+    :ivar next_break_after: events after which the next stream breaks off
     """
 
     def __init__(self):
         """Create an empty store."""
         self.is_down = False
         self.first_revision = 0
+        self.next_break_after: int | None = None
         self.revision = 1
         self.calls: collections.Counter[str] = collections.Counter()
         self.object_by_name: dict[str, dict[str, dict]] = (
@@ -172,7 +174,6 @@
     """A backend server: takes layers, and streams numbered events.
 
     :ivar events: of each stream
-    :ivar breaks_after: events after which the next stream breaks off
     :ivar refuses: answer requests with a promise that they have not run
     :ivar is_silent: take requests and say nothing
     """
@@ -180,7 +181,6 @@
     def __init__(self, host: str, parent: MetadataStore, entry: dict):
         """Start an engine and list it."""
         self.events = 5
-        self.breaks_after: int | None = None
         self.refuses = False
         self.is_silent = False
         self.seen: list[Seen] = []
@@ -258,7 +258,8 @@
 
     def _stream(self, header_by_name: dict[str, str]) -> Any:
         last = int(header_by_name.get(headers.LAST_EVENT.lower(), 0))
-        breaks_after, self.breaks_after = self.breaks_after, None
+        breaks_after = self._store.next_break_after
+        self._store.next_break_after = None
         for sent in itertools.count():
             number = last + sent + 1
             if number > self.events:
--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -184,12 +184,34 @@
         found = path(
             servers,
             crowding=lambda s: memory.crowding(
-                reservations.occupancy(ENGINE, s)
+                reservations.occupancy(ENGINE, s, 1)
             ),
         )
         assert_runs_every_layer_once(found)
         reservations.reserve(found, WORK.tokens)
         used.update(stage.server.id for stage in found)
-    most = max(reservations.occupancy(ENGINE, s) for s in servers)
+    most = max(reservations.occupancy(ENGINE, s, 1) for s in servers)
     assert most < 1.5
     assert len(used) > 20
+
+
+def test_gateways_that_do_not_see_each_other_share_the_fleet():
+    """Four gateways with 25 streams each, as on the heaviest days."""
+    servers = placed(empty_fleet())
+    gateways = [memory.Reservations() for _ in range(4)]
+    zones = ['a', 'a', 'b', 'c']
+
+    for _ in range(25):
+        for own, zone in zip(gateways, zones, strict=True):
+            found = path(
+                servers,
+                zone,
+                crowding=lambda s, own=own: memory.crowding(
+                    own.occupancy(ENGINE, s, len(gateways))
+                ),
+            )
+            own.reserve(found, WORK.tokens)
+    used = [
+        sum(own.occupancy(ENGINE, s, 1) for own in gateways) for s in servers
+    ]
+    assert max(used) <= 1.0
