Let gateways hear of each other's use, close holes by moves

Change: a server that nobody misses takes over layers that nobody holds, or that its zone lacks; the seat is taken over after 3 to 6 s, not 2 to 4, and at once by its holder after a restart; gateways send each other what they use, by UDP; a path that serves others meanwhile is waited for 1.9 s; a safe call is tried again after a server's own failure.

Ruled out: refusals by full servers as the cause, since each takes 3 ms.

--- a/libs/gateway/burdockmast/gateway/calls.py
+++ b/libs/gateway/burdockmast/gateway/calls.py
@@ -25,6 +25,8 @@
 # Largest body of an answer that is kept until it is complete, in bytes.
 BODY_BYTES = 16 * 1024 * 1024
 SUCCESSES = range(200, 300)
+# The first status by which a server says that it failed.
+FAILED = 500
 
 
 class Calls:
@@ -63,7 +65,12 @@
             tried.append(server.id)
             last = self._send(job, server)
             if isinstance(last, jobs.Reply):
-                return last
+                ran += 1
+                if last.status < FAILED or not job.may_repeat:
+                    return last
+                if ran >= job.route.attempts or job.left <= MARGIN_SECONDS:
+                    return last
+                continue
             if last.outcome is not outcomes.Outcome.NOT_RUN:
                 ran += 1
                 if not job.may_repeat or ran >= job.route.attempts:
--- a/libs/gateway/burdockmast/gateway/interfaces.py
+++ b/libs/gateway/burdockmast/gateway/interfaces.py
@@ -51,6 +51,18 @@
         """
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Seating:
+    """The last time that a seat was taken.
+
+    :ivar revision: 0 if it never was
+    :ivar is_own: by this gateway, perhaps before its restart
+    """
+
+    revision: int
+    is_own: bool
+
+
 class Seat(Protocol):
     """A mutex in the store, taken by a conditional write."""
 
@@ -60,8 +72,8 @@
         :returns: a fencing number that is above all earlier ones
         """
 
-    def revision(self) -> int | failures.Failure:
-        """Return the revision at which the seat was taken last, or 0."""
+    def seen(self) -> 'Seating | failures.Failure':
+        """Return who took the seat last."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -202,10 +214,13 @@
 
 
 class Roster(Protocol):
-    """The gateways that share the budget of retries."""
+    """The gateways that share servers and the budget of retries."""
 
-    def join(self) -> failures.Failure | None:
-        """Make this gateway known."""
+    def join(self, address: ids.Address) -> failures.Failure | None:
+        """Make this gateway known.
+
+        :param address: where it takes news of its neighbours
+        """
 
-    def count(self) -> int | failures.Failure:
-        """Return how many gateways are known; some may be gone."""
+    def members(self) -> dict[str, ids.Address] | failures.Failure:
+        """Return the known gateways' addresses; some may be gone."""
--- a/libs/gateway/burdockmast/gateway/placing.py
+++ b/libs/gateway/burdockmast/gateway/placing.py
@@ -1,9 +1,11 @@
-"""Which layers an empty server should hold.
+"""Which layers servers should hold.
 
 Answers two loads. At a start, all servers are empty: each availability zone
 gets whole pipelines of its own, since prompts are large on the links between
 zones. Later, servers come and go one by one: a new one takes over what its
-zone has least of, or what the whole fleet lacks.
+zone has least of, or what the whole fleet lacks. When servers leave and
+nothing replaces them, one whose layers are held elsewhere takes over what
+nobody holds, or what its zone needs for a pipeline of its own.
 """
 
 import collections
@@ -45,30 +47,55 @@
     return min(engine.layers, max(by_room, 1))
 
 
+class _Coverage:
+    """How many servers hold each layer, in each zone and in all."""
+
+    def __init__(self, engine: deployment.Engine):
+        self.fleet = [0] * engine.layers
+        self.by_zone: collections.defaultdict[ids.ZoneId, list[int]] = (
+            collections.defaultdict(lambda: [0] * engine.layers)
+        )
+        self.room_by_zone: collections.Counter[ids.ZoneId] = (
+            collections.Counter()
+        )
+
+    def add(
+        self, zone: ids.ZoneId, layers: backends.LayerRange, count: int = 1
+    ) -> None:
+        """Count a server that holds layers."""
+        in_zone = self.by_zone[zone]
+        for layer in range(layers.first, min(layers.end, len(self.fleet))):
+            in_zone[layer] += count
+            self.fleet[layer] += count
+
+    def has_room(self, zone: ids.ZoneId) -> bool:
+        """Tell whether a zone can hold a pipeline of its own."""
+        return self.room_by_zone[zone] >= len(self.fleet)
+
+
 def plan(
     engine: deployment.Engine,
     servers: Iterable[backends.BackendServer],
     pending: Mapping[ids.ServerId, backends.LayerRange],
 ) -> list[Placement]:
-    """Return placements for servers that are empty and have no order.
+    """Return placements for servers that have no order.
 
     :param pending: layers that servers have been ordered to hold
     """
-    live = [server for server in servers if server.is_ready]
-    by_zone: dict[ids.ZoneId, list[int]] = {}
-    fleet = [0] * engine.layers
+    coverage = _Coverage(engine)
     empty: list[backends.BackendServer] = []
-    room_by_zone: collections.Counter[ids.ZoneId] = collections.Counter()
-    for server in live:
+    holding: list[backends.BackendServer] = []
+    for server in servers:
+        if not server.is_ready:
+            continue
         held = pending.get(server.id, server.held)
-        room_by_zone[server.zone] += most_layers(engine, server.kind)
-        zone = by_zone.setdefault(server.zone, [0] * engine.layers)
+        coverage.room_by_zone[server.zone] += most_layers(engine, server.kind)
         if not len(held):
             empty.append(server)
             continue
-        for layer in range(held.first, min(held.end, engine.layers)):
-            zone[layer] += 1
-            fleet[layer] += 1
+        coverage.add(server.zone, held)
+        if server.id not in pending:
+            holding.append(server)
     # Servers with much room first: a pipeline of few stages is faster.
     empty.sort(key=lambda s: (-most_layers(engine, s.kind), s.id))
     placements = []
@@ -76,17 +103,80 @@
         size = most_layers(engine, server.kind)
         if not size:
             continue
-        zone = by_zone[server.zone]
         layers = _window(
-            zone, fleet, size, room_by_zone[server.zone] >= engine.layers
+            coverage.by_zone[server.zone],
+            coverage.fleet,
+            size,
+            coverage.has_room(server.zone),
         )
         placements.append(Placement(server, layers))
-        for layer in range(layers.first, layers.end):
-            zone[layer] += 1
-            fleet[layer] += 1
+        coverage.add(server.zone, layers)
+    if holding and not placements:
+        placements += _moves(engine, holding, coverage)
     return placements
 
 
+def _moves(
+    engine: deployment.Engine,
+    holding: list[backends.BackendServer],
+    coverage: _Coverage,
+) -> list[Placement]:
+    """Return moves that close holes: in the fleet first, then in zones."""
+    if not min(coverage.fleet):
+        return _close(engine, holding, coverage, coverage.fleet)
+    for zone, in_zone in coverage.by_zone.items():
+        if min(in_zone) or not coverage.has_room(zone):
+            continue
+        own = [server for server in holding if server.zone == zone]
+        found = _close(engine, own, coverage, in_zone)
+        if found:
+            return found
+    return []
+
+
+def _close(
+    engine: deployment.Engine,
+    movable: list[backends.BackendServer],
+    coverage: _Coverage,
+    counts: list[int],
+) -> list[Placement]:
+    """Return the move of a server that nobody misses to the first hole.
+
+    :param counts: servers that hold each layer, where the hole is
+    """
+    first = counts.index(0)
+    spare = [
+        server
+        for server in movable
+        if len(server.held)
+        and all(
+            counts[layer] > 1
+            for layer in range(server.held.first, server.held.end)
+        )
+    ]
+    if not spare:
+        return []
+    hole = next(
+        (end for end in range(first, len(counts)) if counts[end]),
+        len(counts),
+    )
+    # The smallest server that closes the hole, or the largest there is.
+    server = min(
+        spare,
+        key=lambda s: (
+            max(0, hole - first - most_layers(engine, s.kind)),
+            most_layers(engine, s.kind),
+            s.id,
+        ),
+    )
+    size = most_layers(engine, server.kind)
+    end = min(first + size, len(counts))
+    layers = backends.LayerRange(max(0, end - size), end)
+    coverage.add(server.zone, server.held, -1)
+    coverage.add(server.zone, layers)
+    return [Placement(server, layers)]
+
+
 def _window(
     zone: list[int], fleet: list[int], size: int, is_whole: bool
 ) -> backends.LayerRange:
--- a/libs/gateway/burdockmast/gateway/planner.py
+++ b/libs/gateway/burdockmast/gateway/planner.py
@@ -24,15 +24,19 @@
 # Seconds between looks at what servers hold.
 LOOK_SECONDS = 0.3
 # Seconds until the effect of an order shows in the list; then the order may
-# be given again. Lists lag by up to 0.8 s, orders are late by up to 12.
-ORDER_SECONDS = 5.0
+# be given again. A server with the most layers loads 3 s, longer if others
+# load as well; lists lag by up to 0.8 s.
+ORDER_SECONDS = 8.0
+# The same for an order that was refused, or may not have arrived. A server
+# carries out only the order whose count it expects, so none is done twice.
+FAILED_ORDER_SECONDS = 1.0
 # Seconds for which the list must stand still before a fleet that holds
 # nothing is given its first layers: a plan for all servers is better than
 # one for the first few. Servers list themselves within 4 s of their start.
 SETTLE_SECONDS = 0.8
 SETTLE_LIMIT_SECONDS = 5.0
 # Seconds for which a need must last until another process takes the seat.
-TAKEOVER_SECONDS = 2.0
+TAKEOVER_SECONDS = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -126,22 +130,23 @@
     def _take_seat(self) -> bool:
         """Take the seat, if nobody has it or its holder does nothing."""
         now = timers.now()
-        seen = self._seat.revision()
+        seen = self._seat.seen()
         if isinstance(seen, failures.Failure):
             self._log_failure('seat not read', seen)
             return False
         if self._needed_since is None:
             self._needed_since = now
             self._patience = TAKEOVER_SECONDS * self._random.uniform(1, 2)
-        if seen and now - self._needed_since < self._patience:
+        is_held = seen.revision and not seen.is_own
+        if is_held and now - self._needed_since < self._patience:
             eventlet.sleep(LOOK_SECONDS)
             return False
-        taken = self._seat.take(seen)
+        taken = self._seat.take(seen.revision)
         if isinstance(taken, failures.Failure):
             self._log_failure('seat not taken', taken)
             self._needed_since = now
             return False
-        LOG.info('seat taken', extra={'fence': taken, 'before': seen})
+        LOG.info('seat taken', extra={'fence': taken, 'before': seen.revision})
         self._fence = taken
         return True
 
@@ -175,6 +180,9 @@
             self._orders_by_start[server.id, server.born] = orders + 1
             return
         self._orders_by_start.pop((server.id, server.born), None)
+        self._order_by_server[server.id] = Order(
+            layers, server.born, timers.now() + FAILED_ORDER_SECONDS
+        )
         if failure.reason is failures.Reason.STALE_INCARNATION:
             LOG.warning('seat lost', extra={'fence': fence})
             self._fence = None
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -22,6 +22,8 @@
 from burdockmast.gateway import deployment
 from burdockmast.gateway import following
 from burdockmast.gateway import interfaces
+from burdockmast.gateway import memory
+from burdockmast.gateway import neighbours
 from burdockmast.gateway import planner
 from burdockmast.gateway import retries
 from burdockmast.gateway import streams
@@ -71,6 +73,7 @@
     callers_address: ids.Address
     ready_address: ids.Address
     metrics_address: ids.Address
+    neighbours_address: ids.Address
     revoke_seconds: float
     grace_seconds: float
     retry_ratio: float
@@ -116,6 +119,10 @@
         budget = retries.Budget(
             settings.retry_ratio, settings.retry_slack, settings.retry_window
         )
+        usage = memory.Usage()
+        self._neighbours = neighbours.Neighbours(
+            settings.neighbours_address, settings.instance, usage
+        )
         self.application = callers.Application(
             self.view,
             platform.dialect,
@@ -127,6 +134,7 @@
                 platform.dialect,
                 platform.engines,
                 budget,
+                usage,
                 settings.zone,
                 self._metrics,
                 source,
@@ -158,6 +166,7 @@
         self._timers.subscribe(
             'planner', planner.LOOK_SECONDS, self._planner.look
         )
+        self._neighbours.start()
         self._timers.subscribe('roster', ROSTER_SECONDS, self._count)
         self._serve_metrics()
         self._listen(
@@ -180,25 +189,25 @@
     def _count(self) -> None:
         """Count the gateways that share the budget of retries."""
         if not self._has_joined:
-            failure = self._roster.join()
+            failure = self._roster.join(self._settings.neighbours_address)
             if failure:
                 LOG.warning(
                     'not on the roster', extra={'reason': str(failure)}
                 )
                 return
             self._has_joined = True
-        count = self._roster.count()
-        if isinstance(count, failures.Failure):
-            LOG.warning('roster not read', extra={'reason': str(count)})
+        members = self._roster.members()
+        if isinstance(members, failures.Failure):
+            LOG.warning('roster not read', extra={'reason': str(members)})
             return
-        count = max(1, count)
+        self._neighbours.address_by_instance = members
+        count = max(1, len(members))
         if count != self._budget.gateways:
             LOG.info(
                 'gateways counted',
                 extra={'count': count, 'before': self._budget.gateways},
             )
         self._budget.gateways = count
-        self.view.gateways = count
 
     def _leave(self, listener: object) -> None:
         """Refuse nothing, but end: new callers are sent elsewhere."""
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -31,6 +31,13 @@
 # Seconds until the first event after which another path is tried. Callers
 # leave after 2 s, so this leaves time for one more path.
 FIRST_EVENT_SECONDS = 1.0
+# Seconds until the first event on a path that serves others meanwhile, so is
+# busy and not dead: callers leave after 2 s.
+BUSY_EVENT_SECONDS = 1.9
+# Seconds for which a path that was heard counts as alive.
+HEARD_SECONDS = 0.4
+# Seconds for a head whose first bytes are there.
+HEAD_SECONDS = 0.1
 # Seconds between events after which a stream goes on elsewhere.
 PAUSE_SECONDS = 0.6
 # Share of the objective for pauses from which a path counts as slow.
@@ -38,6 +45,8 @@
 # Largest event, in bytes.
 EVENT_BYTES = 1024 * 1024
 OK = 200
+# Requests and cache entries at a server that runs none.
+NOTHING = (0, 0.0)
 
 
 class Cut(Exception):
@@ -71,6 +80,7 @@
         dialect: interfaces.Dialect,
         engines: interfaces.EngineControl,
         budget: retries.Budget,
+        usage: memory.Usage,
         zone: ids.ZoneId,
         measures: metrics.Metrics,
         source: random.Random,
@@ -80,10 +90,10 @@
         self._dialect = dialect
         self._reports = reports.Reports(fleet, engines)
         self._budget = budget
+        self._usage = usage
         self._zone = zone
         self._metrics = measures
         self._random = source
-        self._reservations = memory.Reservations()
 
     def stream(
         self, job: jobs.Job
@@ -134,18 +144,20 @@
             servers = self._view.usable(job.service.id, progress.lost)
             return tuple(backends.Stage(s, 0, 0) for s in servers[:1])
         work = self._work(job, engine)
+        totals = self._usage.totals()
+
+        def crowding(server: backends.BackendServer) -> float:
+            _, reserved = totals.get(server.id, NOTHING)
+            return memory.crowding(reserved / memory.capacity(engine, server))
+
         for excluded in (progress.lost, ()):
             path = paths.cheapest(
                 engine,
                 self._view.usable(job.service.id, excluded),
                 work,
                 self._zone,
-                self._view.running_of_all,
-                lambda s: memory.crowding(
-                    self._reservations.occupancy(
-                        engine, s, self._view.gateways
-                    )
-                ),
+                lambda server: totals.get(server, NOTHING)[0],
+                crowding,
                 self._reports.pace,
                 self._random,
             )
@@ -154,7 +166,9 @@
         return ()
 
     def _work(self, job: jobs.Job, engine: deployment.Engine) -> paths.Work:
-        answer = min(engine.usual_answer, job.request.answer_tokens or 1)
+        answer = job.request.length_hint or engine.usual_answer
+        if job.request.answer_tokens:
+            answer = min(answer, job.request.answer_tokens)
         return paths.Work(
             job.request.prompt_tokens or engine.usual_prompt, max(1, answer)
         )
@@ -178,21 +192,18 @@
     ) -> Iterator[jobs.Reply | bytes]:
         """Relay one attempt's events; return why it ended early, or None."""
         exchange = upstream.Exchange(path[0].server)
-        servers = [stage.server.id for stage in path]
         began = timers.now()
         first = progress.events
-        self._view.begin(servers)
         tokens = 0
         if job.service.engine:
             tokens = self._work(job, job.service.engine).tokens
-        self._reservations.reserve(path, tokens)
+        self._usage.reserve(path, tokens)
         progress.sends += 1
         try:
             failure = yield from self._relay(job, exchange, path, progress)
         finally:
             exchange.close()
-            self._view.end(servers)
-            self._reservations.release(path, tokens)
+            self._usage.release(path, tokens)
         LOG.info(
             'stream ended' if failure is None else 'stream broke',
             extra={
@@ -235,8 +246,10 @@
         failure = exchange.send(job.request, headers)
         if failure:
             return failure
-        patience = min(job.deadline, timers.now() + FIRST_EVENT_SECONDS)
-        head = exchange.head(job.id, patience, self._dialect)
+        self._wait_for_head(job, exchange, path)
+        head = exchange.head(
+            job.id, timers.now() + HEAD_SECONDS, self._dialect
+        )
         if isinstance(head, failures.Failure):
             return head
         if head.facts.is_not_run:
@@ -255,6 +268,22 @@
             return self._lost(exchange, 'answer without signature')
         return (yield from self._events(job, exchange, path, head, progress))
 
+    def _wait_for_head(
+        self,
+        job: jobs.Job,
+        exchange: upstream.Exchange,
+        path: tuple[backends.Stage, ...],
+    ) -> None:
+        """Wait for the reply, longer on a path that is busy."""
+        servers = [stage.server.id for stage in path]
+        began = timers.now()
+        if exchange.wait(min(job.left, FIRST_EVENT_SECONDS)):
+            return
+        while self._view.all_heard(servers, timers.now() - HEARD_SECONDS):
+            left = min(job.left, began + BUSY_EVENT_SECONDS - timers.now())
+            if left <= 0 or exchange.wait(min(left, HEARD_SECONDS)):
+                return
+
     def _other_status(
         self,
         job: jobs.Job,
@@ -283,6 +312,7 @@
         progress: _Progress,
     ) -> Iterator[jobs.Reply | bytes]:
         reader = events.Reader(progress.last)
+        servers = [stage.server.id for stage in path]
         waited_since = timers.now()
         patience = min(job.deadline, timers.now() + FIRST_EVENT_SECONDS)
         while True:
@@ -317,6 +347,7 @@
                 yield jobs.Reply.from_head(head, self._dialect)
             progress.last = reader.last
             progress.events += reader.count
+            self._view.heard(servers)
             yield whole
             patience = min(job.deadline, timers.now() + PAUSE_SECONDS)
 
--- a/libs/gateway/burdockmast/gateway/upstream.py
+++ b/libs/gateway/burdockmast/gateway/upstream.py
@@ -119,6 +119,19 @@
             return self._failure('send', outcomes.Outcome.UNKNOWN, error)
         return None
 
+    def wait(self, seconds: float) -> bool:
+        """Wait for the reply to begin; false if it does not in time."""
+        try:
+            hubs.trampoline(
+                self._sock.fd,
+                read=True,
+                timeout=max(0.0, seconds),
+                timeout_exc=TimeoutError('no reply in time'),
+            )
+        except TimeoutError:
+            return False
+        return True
+
     def head(
         self, request: str, deadline: float, dialect: interfaces.Dialect
     ) -> Head | failures.Failure:
--- a/libs/gateway/burdockmast/gateway/view.py
+++ b/libs/gateway/burdockmast/gateway/view.py
@@ -9,7 +9,6 @@
 from burdockmast.gateway import backends
 from burdockmast.gateway import deployment
 from burdockmast.gateway import following
-from burdockmast.gateway import memory
 
 LOG = logs.get('view')
 
@@ -29,10 +28,7 @@
         deployments: following.Follower[deployment.Deployment],
         servers: following.Follower[backends.BackendServer],
     ):
-        """Create a view of two followed kinds.
-
-        ``gateways`` is how many gateways were counted, this one included.
-        """
+        """Create a view of two followed kinds."""
         self._deployments = deployments
         self._servers = servers
         self._ejected_until: dict[ids.ServerId, float] = {}
@@ -40,7 +36,7 @@
             collections.Counter()
         )
         self._version = 0
-        self.gateways = 1
+        self._heard_at: dict[ids.ServerId, float] = {}
 
     @property
     def configuration(self) -> deployment.Deployment | None:
@@ -106,14 +102,6 @@
         """Return how many requests of this gateway run at a server."""
         return self._running_by_server[server]
 
-    def running_of_all(self, server: ids.ServerId) -> int:
-        """Return how many requests are likely to run at a server.
-
-        Some other gateways are taken to run as many.
-        """
-        alike = min(memory.ALIKE, self.gateways)
-        return self._running_by_server[server] * alike
-
     def begin(self, servers: Iterable[ids.ServerId]) -> None:
         """Count a request at servers."""
         self._running_by_server.update(servers)
@@ -122,6 +110,19 @@
         """Count a request no longer."""
         self._running_by_server.subtract(servers)
 
+    def heard(self, servers: Iterable[ids.ServerId]) -> None:
+        """Note that an event came through servers."""
+        now = timers.now()
+        for server in servers:
+            self._heard_at[server] = now
+
+    def all_heard(self, servers: Iterable[ids.ServerId], since: float) -> bool:
+        """Tell whether events came through each of the servers.
+
+        :param since: monotonic seconds
+        """
+        return all(self._heard_at.get(s, 0.0) >= since for s in servers)
+
     def eject(
         self,
         server: ids.ServerId,
--- a/libs/platform/burdockmast/platform/program.py
+++ b/libs/platform/burdockmast/platform/program.py
@@ -43,6 +43,7 @@
             callers_address=found.callers_address,
             ready_address=found.ready_address,
             metrics_address=found.metrics_address,
+            neighbours_address=found.neighbours_address,
             revoke_seconds=found.revoke_seconds,
             grace_seconds=found.grace_seconds,
             retry_ratio=found.retry_ratio,
--- a/libs/platform/burdockmast/platform/settings.py
+++ b/libs/platform/burdockmast/platform/settings.py
@@ -54,6 +54,7 @@
     :ivar callers_address: where callers are served
     :ivar ready_address: where the balancer asks for readiness
     :ivar metrics_address: where metrics are served
+    :ivar neighbours_address: where news of other gateways is taken (UDP)
     :ivar revoke_seconds: within which a revoked key must stop working
     :ivar grace_seconds: from the request to stop until the process is killed
     :ivar retry_ratio: retries that each request pays for, over all instances
@@ -69,6 +70,7 @@
     callers_address: ids.Address
     ready_address: ids.Address
     metrics_address: ids.Address
+    neighbours_address: ids.Address
     revoke_seconds: float
     grace_seconds: float
     retry_ratio: float
@@ -110,7 +112,10 @@
         store_address=ids.Address(found.platform.address),
         callers_address=ids.Address(found.listen.front),
         ready_address=ids.Address(found.listen.ready),
-        metrics_address=ids.Address(f'{found.ip}:{found.internal_ports[0]}'),
+        metrics_address=ids.Address(f'{found.ip}:{found.internal_ports[1]}'),
+        neighbours_address=ids.Address(
+            f'{found.ip}:{found.internal_ports[0]}'
+        ),
         revoke_seconds=bounds.revoke_ms / 1000,
         grace_seconds=bounds.grace_s,
         retry_ratio=bounds.budget_ratio,
--- a/libs/platform/burdockmast/platform/store.py
+++ b/libs/platform/burdockmast/platform/store.py
@@ -263,22 +263,48 @@
         self._store = store
         self._instance = instance
 
-    def join(self) -> failures.Failure | None:
-        """Make this gateway known; it may be so already."""
+    def join(self, address: ids.Address) -> failures.Failure | None:
+        """Make this gateway known, perhaps at another address than before."""
+        spec = {'address': address}
+        metadata: dict[str, object] = {'name': self._instance}
         found = self._store.call(
-            'POST',
+            'POST', self.KIND, body={'metadata': metadata, 'spec': spec}
+        )
+        if isinstance(found, failures.Failure):
+            return found
+        if found.status != HTTP_CONFLICT:
+            return None
+        try:
+            known = msgspec.json.decode(found.data, type=_Object)
+        except msgspec.MsgspecError as error:
+            return failures.Failure(
+                failures.Reason.PROTOCOL,
+                'store.join',
+                self._store.address,
+                str(error),
+            )
+        if known.spec == spec:
+            return None
+        metadata['revision'] = known.metadata.revision
+        found = self._store.call(
+            'PUT',
             self.KIND,
-            body={'metadata': {'name': self._instance}, 'spec': {}},
+            self._instance,
+            body={'metadata': metadata, 'spec': spec},
         )
         return found if isinstance(found, failures.Failure) else None
 
-    def count(self) -> int | failures.Failure:
-        """Return how many gateways are known; some may be gone."""
+    def members(self) -> dict[str, ids.Address] | failures.Failure:
+        """Return the known gateways' addresses; some may be gone."""
         found = self._store.call('GET', self.KIND, query={'stale-ok': 1})
         page = self._store.parse(found, _Page, self.KIND)
         if isinstance(page, failures.Failure):
             return page
-        return len(page.items)
+        return {
+            item.metadata.name: ids.Address(item.spec['address'])
+            for item in page.items
+            if isinstance(item.spec, dict) and 'address' in item.spec
+        }
 
 
 class Seat:
@@ -296,16 +322,19 @@
         self._store = store
         self._holder = holder
 
-    def revision(self) -> int | failures.Failure:
-        """Return the revision at which the seat was taken last, or 0."""
+    def seen(self) -> interfaces.Seating | failures.Failure:
+        """Return who took the seat last."""
         found = self._store.call('GET', self.KIND, self.NAME)
         if not isinstance(found, failures.Failure):
             if found.status == HTTP_NOT_FOUND:
-                return 0
+                return interfaces.Seating(0, False)
         seat = self._store.parse(found, _Object, self.KIND)
         if isinstance(seat, failures.Failure):
             return seat
-        return seat.metadata.revision
+        holder = seat.spec.get('holder') if seat.spec else None
+        return interfaces.Seating(
+            seat.metadata.revision, holder == self._holder
+        )
 
     def take(self, seen: int) -> int | failures.Failure:
         """Take the seat, if nobody has since revision ``seen``.
