Let one gateway at a time give orders

A holder never looked whether another had taken the seat, and others took it while the holder's orders were still being carried out.

Change: the holder reads the seat before it orders; others wait 8 to 16 s while the holder is heard, 2 to 4 s if not; a zone that lacks layers gets a server only after 5 s. Tests play holders that are lost, replaced and restarted.

--- a/libs/gateway/burdockmast/gateway/interfaces.py
+++ b/libs/gateway/burdockmast/gateway/interfaces.py
@@ -56,11 +56,11 @@
     """The last time that a seat was taken.
 
     :ivar revision: 0 if it never was
-    :ivar is_own: by this gateway, perhaps before its restart
+    :ivar holder: the gateway that took it, perhaps before a restart
     """
 
     revision: int
-    is_own: bool
+    holder: str
 
 
 class Seat(Protocol):
--- a/libs/gateway/burdockmast/gateway/memory.py
+++ b/libs/gateway/burdockmast/gateway/memory.py
@@ -97,6 +97,11 @@
         """Take in what another gateway uses."""
         self._news_by_instance[instance] = _News(used, self._now())
 
+    def is_heard(self, instance: str) -> bool:
+        """Tell whether a gateway has sent news lately."""
+        news = self._news_by_instance.get(instance)
+        return bool(news and news.at >= self._now() - NEWS_SECONDS)
+
     def totals(self) -> dict[ids.ServerId, tuple[int, float]]:
         """Return what all gateways are likely to use of each server."""
         since = self._now() - NEWS_SECONDS
--- a/libs/gateway/burdockmast/gateway/placing.py
+++ b/libs/gateway/burdockmast/gateway/placing.py
@@ -28,10 +28,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Placement:
-    """A server and the layers that it is to hold."""
+    """A server and the layers that it is to hold.
+
+    :ivar is_urgent: the server is empty, or nobody holds these layers
+    """
 
     server: backends.BackendServer
     layers: backends.LayerRange
+    is_urgent: bool = True
 
 
 def most_layers(engine: deployment.Engine, kind: str) -> int:
@@ -174,7 +178,7 @@
     layers = backends.LayerRange(max(0, end - size), end)
     coverage.add(server.zone, server.held, -1)
     coverage.add(server.zone, layers)
-    return [Placement(server, layers)]
+    return [Placement(server, layers, counts is coverage.fleet)]
 
 
 def _window(
--- a/libs/gateway/burdockmast/gateway/planner.py
+++ b/libs/gateway/burdockmast/gateway/planner.py
@@ -16,6 +16,7 @@
 from burdockmast.base import timers
 from burdockmast.gateway import backends
 from burdockmast.gateway import interfaces
+from burdockmast.gateway import memory
 from burdockmast.gateway import placing
 from burdockmast.gateway import view
 
@@ -35,8 +36,16 @@
 # one for the first few. Servers list themselves within 4 s of their start.
 SETTLE_SECONDS = 0.8
 SETTLE_LIMIT_SECONDS = 5.0
-# Seconds for which a need must last until another process takes the seat.
-TAKEOVER_SECONDS = 3.0
+# Seconds for which a need must last until another process takes the seat: if
+# its holder is not heard, and if it is but does nothing.
+TAKEOVER_SECONDS = 2.0
+LIVE_TAKEOVER_SECONDS = 8.0
+# Seconds for which the seat is taken to be as it was seen last.
+SEAT_SECONDS = 1.0
+# Seconds for which a zone must lack layers until a server is moved for it: one
+# that has crashed is mostly back, empty, within that time. Also the time
+# between two such moves.
+MOVE_SECONDS = 5.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,16 +68,27 @@
         fleet: view.View,
         seat: interfaces.Seat,
         engines: interfaces.EngineControl,
+        instance: str,
+        usage: memory.Usage,
         source: random.Random,
     ):
-        """Create a planner that holds no seat."""
+        """Create a planner that holds no seat.
+
+        :param instance: this gateway's name as holder of the seat
+        :param usage: tells which other gateways are heard
+        """
         self._view = fleet
         self._seat = seat
         self._engines = engines
+        self._instance = instance
+        self._usage = usage
         self._random = source
         self._fence: int | None = None
         self._needed_since: float | None = None
-        self._patience = 0.0
+        self._spread = 1.0
+        self._seen_at = float('-inf')
+        self._seen_revision = 0
+        self._lacking_since: float | None = None
         self._listed = 0
         self._listed_at = 0.0
         self._first_listed_at = 0.0
@@ -85,7 +105,7 @@
         if not wanted:
             self._needed_since = None
             return
-        if self._fence is None and not self._take_seat():
+        if not self._may_order():
             return
         pool = eventlet.GreenPool(len(wanted))
         for placement in wanted:
@@ -109,6 +129,7 @@
         )
 
     def _wanted(self) -> list[placing.Placement]:
+        """Return placements that are due; moves for a zone have time."""
         pending = {
             server: order.layers
             for server, order in self._order_by_server.items()
@@ -117,7 +138,14 @@
         for service in self._view.model_services():
             servers = self._view.listed(service.id)
             found += placing.plan(service.engine, servers, pending)
-        return found
+        urgent = [placement for placement in found if placement.is_urgent]
+        if urgent or not found:
+            self._lacking_since = None
+            return urgent
+        now = timers.now()
+        if self._lacking_since is None:
+            self._lacking_since = now
+        return found if now - self._lacking_since >= MOVE_SECONDS else []
 
     def _forget_done(self) -> None:
         now = timers.now()
@@ -127,40 +155,61 @@
             if gone or server.held == order.layers or now > order.until:
                 del self._order_by_server[server_id]
 
-    def _take_seat(self) -> bool:
-        """Take the seat, if nobody has it or its holder does nothing."""
+    def _may_order(self) -> bool:
+        """Tell whether this process has the seat, taking it if it is due."""
         now = timers.now()
+        if now < self._seen_at + SEAT_SECONDS:
+            return self._fence is not None
+        self._seen_at = now
         seen = self._seat.seen()
         if isinstance(seen, failures.Failure):
             self._log_failure('seat not read', seen)
             return False
-        if self._needed_since is None:
-            self._needed_since = now
-            self._patience = TAKEOVER_SECONDS * self._random.uniform(1, 2)
-        is_held = seen.revision and not seen.is_own
-        if is_held and now - self._needed_since < self._patience:
-            eventlet.sleep(LOOK_SECONDS)
+        if self._fence is not None:
+            if seen.revision == self._fence:
+                return True
+            self._lose_seat(f'{seen.holder} has taken it')
+        if seen.revision and not self._is_due(seen, now):
             return False
+        return self._take_seat(seen)
+
+    def _is_due(self, seen: interfaces.Seating, now: float) -> bool:
+        """Tell whether the holder has had its time for what is needed."""
+        if seen.holder == self._instance:
+            return True
+        if self._needed_since is None or seen.revision != self._seen_revision:
+            self._needed_since = now
+            self._seen_revision = seen.revision
+            self._spread = self._random.uniform(1, 2)
+        patience = TAKEOVER_SECONDS
+        if self._usage.is_heard(seen.holder):
+            patience = LIVE_TAKEOVER_SECONDS
+        return now - self._needed_since >= patience * self._spread
+
+    def _take_seat(self, seen: interfaces.Seating) -> bool:
         taken = self._seat.take(seen.revision)
         if isinstance(taken, failures.Failure):
             self._log_failure('seat not taken', taken)
-            self._needed_since = now
             return False
         LOG.info('seat taken', extra={'fence': taken, 'before': seen.revision})
         self._fence = taken
         return True
 
+    def _lose_seat(self, why: str) -> None:
+        LOG.warning('seat lost', extra={'fence': self._fence, 'reason': why})
+        self._fence = None
+        self._needed_since = None
+
     def _order(self, placement: placing.Placement) -> None:
         server, layers = placement.server, placement.layers
         fence = self._fence
         if fence is None:
             return
-        self._order_by_server[server.id] = Order(
-            layers, server.born, timers.now() + ORDER_SECONDS
-        )
+        self._await_effect(placement, ORDER_SECONDS)
         orders = self._orders(server)
         if isinstance(orders, failures.Failure):
             self._log_failure('report not read', orders)
+            self._await_effect(placement, FAILED_ORDER_SECONDS)
             return
         failure = self._engines.place(server, layers, fence, orders)
         LOG.info(
@@ -180,13 +229,19 @@
             self._orders_by_start[server.id, server.born] = orders + 1
             return
         self._orders_by_start.pop((server.id, server.born), None)
+        self._await_effect(placement, FAILED_ORDER_SECONDS)
+        is_stale = failure.reason is failures.Reason.STALE_INCARNATION
+        if is_stale and self._fence == fence:
+            self._lose_seat(f'{server.id} has seen a higher number')
+
+    def _await_effect(
+        self, placement: placing.Placement, seconds: float
+    ) -> None:
+        """Take a server to hold what it was ordered to, for a while."""
+        server = placement.server
         self._order_by_server[server.id] = Order(
-            layers, server.born, timers.now() + FAILED_ORDER_SECONDS
+            placement.layers, server.born, timers.now() + seconds
         )
-        if failure.reason is failures.Reason.STALE_INCARNATION:
-            LOG.warning('seat lost', extra={'fence': fence})
-            self._fence = None
-            self._needed_since = None
 
     def _orders(
         self, server: backends.BackendServer
@@ -197,8 +252,8 @@
         """
         start = (server.id, server.born)
         known = self._orders_by_start.get(start)
-        if known is None and start not in self._ordered:
-            known = 0
+        if known is None and not len(server.held):
+            known = None if start in self._ordered else 0
         self._ordered.add(start)
         if known is not None:
             return known
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -146,7 +146,12 @@
             source,
         )
         self._planner = planner.Planner(
-            self.view, platform.seat, platform.engines, source
+            self.view,
+            platform.seat,
+            platform.engines,
+            settings.instance,
+            usage,
+            source,
         )
         self._budget = budget
         self._roster = platform.roster
--- a/libs/platform/burdockmast/platform/store.py
+++ b/libs/platform/burdockmast/platform/store.py
@@ -327,13 +327,13 @@
         found = self._store.call('GET', self.KIND, self.NAME)
         if not isinstance(found, failures.Failure):
             if found.status == HTTP_NOT_FOUND:
-                return interfaces.Seating(0, False)
+                return interfaces.Seating(0, '')
         seat = self._store.parse(found, _Object, self.KIND)
         if isinstance(seat, failures.Failure):
             return seat
-        holder = seat.spec.get('holder') if seat.spec else None
+        spec = seat.spec if isinstance(seat.spec, dict) else {}
         return interfaces.Seating(
-            seat.metadata.revision, holder == self._holder
+            seat.metadata.revision, str(spec.get('holder', ''))
         )
 
     def take(self, seen: int) -> int | failures.Failure:
--- /dev/null
+++ b/tests/test_gateway_planner.py
@@ -0,0 +1,219 @@
+"""One gateway at a time gives orders, also when the holder is lost."""
+
+import random
+
+import pytest
+
+from burdockmast.base import failures
+from burdockmast.base import timers
+from burdockmast.gateway import backends
+from burdockmast.gateway import deployment
+from burdockmast.gateway import interfaces
+from burdockmast.gateway import memory
+from burdockmast.gateway import planner
+
+ENGINE = deployment.Engine(
+    layers=10,
+    layer_mb=100.0,
+    cache_bytes=1,
+    step_ms=1,
+    sequence_ms=0,
+    context_ms=0,
+    prefill_per_s=1000,
+    usual_prompt=1,
+    usual_answer=1,
+    activation_bytes=1,
+    zone_link_mbps=1,
+    loads_at_once=1,
+    load_seconds=1,
+    kind_by_name={'k': deployment.AcceleratorKind('k', 1000.5, 1, 1)},
+)
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    class Clock:
+        now = 100.0
+
+    monkeypatch.setattr(timers, 'now', lambda: Clock.now)
+    return Clock
+
+
+class Seat:
+    """The store's side of the seat, shared by all gateways."""
+
+    def __init__(self):
+        self.revision = 0
+        self.holder = ''
+
+    def of(self, instance):
+        seat = self
+
+        class Own:
+            def seen(self):
+                return interfaces.Seating(seat.revision, seat.holder)
+
+            def take(self, seen):
+                if seen != seat.revision:
+                    return failures.Failure(
+                        failures.Reason.STORE_UNAVAILABLE, 'seat'
+                    )
+                seat.revision += 1
+                seat.holder = instance
+                return seat.revision
+
+        return Own()
+
+
+class Fleet:
+    """Servers that take orders, and the view of them."""
+
+    server_age = 0.0
+
+    def __init__(self):
+        self.by_id = {}
+        self.accepted = {}
+        self.fences = []
+
+    def add(self, name, held=None):
+        self.by_id[name] = backends.BackendServer(
+            name,
+            'draft',
+            f'{name}:1',
+            'a',
+            True,
+            backends.LayerRange(*held) if held else backends.EMPTY,
+            'k',
+            1,
+            1,
+        )
+
+    def model_services(self):
+        return [deployment.Service('draft', ENGINE)]
+
+    def listed(self, service):
+        return list(self.by_id.values())
+
+    def server(self, name):
+        return self.by_id.get(name)
+
+    def place(self, server, layers, fence, orders):
+        self.fences.append((server.id, fence))
+        if orders != self.accepted.get(server.id, 0):
+            return failures.Failure(failures.Reason.ENGINE_REFUSED, 'place')
+        self.accepted[server.id] = orders + 1
+        self.add(server.id, (layers.first, layers.end))
+        return None
+
+    def report(self, server):
+        orders = self.accepted.get(server.id, 0)
+        return interfaces.Report(orders, 1.0, 0.0, ())
+
+
+@pytest.fixture
+def fleet():
+    return Fleet()
+
+
+@pytest.fixture
+def seat():
+    return Seat()
+
+
+@pytest.fixture
+def start(fleet, seat):
+    def build(name):
+        usage = memory.Usage()
+        found = planner.Planner(
+            fleet, seat.of(name), fleet, name, usage, random.Random(1)
+        )
+        found.usage = usage
+        return found
+
+    return build
+
+
+def look(clock, planners, seconds, heard=()):
+    """Let planners look for some seconds; ``heard`` are alive."""
+    for _ in range(int(seconds / planner.LOOK_SECONDS)):
+        clock.now += planner.LOOK_SECONDS
+        for found in planners:
+            for name in heard:
+                found.usage.learn(name, {})
+            found.look()
+
+
+def test_one_gateway_orders_what_servers_hold(clock, fleet, seat, start):
+    planners = [start('g1'), start('g2')]
+    fleet.add('s1')
+    look(clock, planners, 5, heard=['g1', 'g2'])
+    assert fleet.accepted == {'s1': 1}
+    assert seat.revision == 1
+
+
+def test_the_holder_goes_on_while_it_is_heard(clock, fleet, seat, start):
+    planners = [start('g1'), start('g2'), start('g3')]
+    fleet.add('s1')
+    look(clock, planners, 3, heard=['g1', 'g2', 'g3'])
+    for number in range(2, 7):
+        fleet.add(f's{number}')
+        look(clock, planners, 3, heard=['g1', 'g2', 'g3'])
+    assert seat.revision == 1
+    assert {fence for _, fence in fleet.fences} == {1}
+
+
+def test_a_lost_holder_is_replaced(clock, fleet, seat, start):
+    first, second = start('g1'), start('g2')
+    fleet.add('s1')
+    look(clock, [first], 3)
+    fleet.add('s2')
+    look(clock, [second], 3 * planner.TAKEOVER_SECONDS)
+    assert seat.holder == 'g2'
+    assert fleet.accepted['s2'] == 1
+
+
+def test_a_holder_that_was_replaced_gives_no_order(clock, fleet, seat, start):
+    first, second = start('g1'), start('g2')
+    fleet.add('s1')
+    look(clock, [first], 3)
+    fleet.add('s2')
+    look(clock, [second], 3 * planner.TAKEOVER_SECONDS)
+    clock.now += planner.SEAT_SECONDS
+    fleet.add('s3')
+    before = len(fleet.fences)
+    first.look()
+    assert len(fleet.fences) == before
+
+
+def test_a_restarted_holder_takes_its_seat_again_at_once(
+    clock, fleet, seat, start
+):
+    fleet.add('s1')
+    look(clock, [start('g1')], 3)
+    fleet.add('s2')
+    look(clock, [start('g1')], 1)
+    assert fleet.accepted['s2'] == 1
+
+
+def test_a_zone_that_lacks_layers_gets_a_server_after_a_while(
+    clock, fleet, start
+):
+    own = start('g1')
+    fleet.add('s1', (0, 5))
+    fleet.add('s2', (0, 5))
+    fleet.add('s3', (0, 5))
+    fleet.by_id['far'] = backends.BackendServer(
+        'far',
+        'draft',
+        'far:1',
+        'b',
+        True,
+        backends.LayerRange(5, 10),
+        'k',
+        1,
+        1,
+    )
+    look(clock, [own], planner.MOVE_SECONDS - 1)
+    assert not fleet.accepted
+    look(clock, [own], 3)
+    assert len(fleet.accepted) == 1
