Steer by the memory that servers report

Estimates of what requests will use are late by up to a second.

Change: a server's own report of used memory counts where it is higher than the estimate; costs rise earlier; the log of a stream has its sizes.

--- a/libs/gateway/burdockmast/gateway/memory.py
+++ b/libs/gateway/burdockmast/gateway/memory.py
@@ -25,9 +25,10 @@
 NEWS_SECONDS = 4.0
 # By how much a full server's cost is multiplied: a detour within the zone is
 # worth it, one over a link between zones is not.
-FULL_FACTOR = 3.0
-# Occupancy from which a server is a last resort, and its factor.
-OVERFULL = 0.9
+FULL_FACTOR = 5.0
+# Occupancy from which a server is a last resort, and its factor. What is
+# known of it is up to a second old, in which a fifth of it may be added.
+OVERFULL = 0.8
 OVERFULL_FACTOR = 10.0
 
 
--- a/libs/gateway/burdockmast/gateway/reports.py
+++ b/libs/gateway/burdockmast/gateway/reports.py
@@ -23,6 +23,8 @@
 # Seconds for which a report of a slow server holds; then it gets some work,
 # and is asked again if that is slow.
 HOLD_SECONDS = 3.0
+# Seconds for which a report of used memory holds: about an answer's length.
+OCCUPANCY_SECONDS = 1.5
 # Seconds between two questions to the same server.
 ASK_SECONDS = 1.0
 # Pace from which a server counts as slow.
@@ -34,6 +36,7 @@
     """What a server reported, and when in monotonic seconds."""
 
     pace: float
+    occupancy: float
     at: float
 
 
@@ -54,6 +57,13 @@
             return 1.0
         return known.pace
 
+    def occupancy(self, server: backends.BackendServer) -> float:
+        """Return the share of a server's memory that was in use just now."""
+        known = self._known_by_server.get(server.id)
+        if known is None or timers.now() - known.at > OCCUPANCY_SECONDS:
+            return 0.0
+        return known.occupancy
+
     def ask(
         self, servers: Iterable[backends.BackendServer], request: str
     ) -> None:
@@ -73,7 +83,9 @@
         if isinstance(found, failures.Failure):
             self._view.eject(server.id, f'no report: {found.detail}', request)
             return
-        self._known_by_server[server.id] = _Known(found.pace, timers.now())
+        self._known_by_server[server.id] = _Known(
+            found.pace, found.occupancy, timers.now()
+        )
         if found.pace >= SLOW_PACE or found.stalled:
             LOG.info(
                 'server reported',
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -148,7 +148,8 @@
 
         def crowding(server: backends.BackendServer) -> float:
             _, reserved = totals.get(server.id, NOTHING)
-            return memory.crowding(reserved / memory.capacity(engine, server))
+            used = reserved / memory.capacity(engine, server)
+            return memory.crowding(max(used, self._reports.occupancy(server)))
 
         for excluded in (progress.lost, ()):
             path = paths.cheapest(
@@ -214,6 +215,9 @@
                 ],
                 'events': progress.events - first,
                 'last_event': progress.last,
+                'prompt_tokens': job.request.prompt_tokens,
+                'answer_tokens': job.request.answer_tokens,
+                'length_hint': job.request.length_hint,
                 'longest_pause': round(progress.longest_pause, 3),
                 'seconds': round(timers.now() - began, 3),
                 'list_age': round(self._view.server_age, 3),
