--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -123,22 +123,23 @@
         self._neighbours = neighbours.Neighbours(
             settings.neighbours_address, settings.instance, usage
         )
+        self._streams = streams.Streams(
+            self.view,
+            platform.dialect,
+            platform.engines,
+            budget,
+            usage,
+            settings.zone,
+            self._metrics,
+            source,
+        )
         self.application = callers.Application(
             self.view,
             platform.dialect,
             calls.Calls(
                 self.view, platform.dialect, budget, settings.zone, source
             ),
-            streams.Streams(
-                self.view,
-                platform.dialect,
-                platform.engines,
-                budget,
-                usage,
-                settings.zone,
-                self._metrics,
-                source,
-            ),
+            self._streams,
             budget,
             self._metrics,
             settings.revoke_seconds * TRUSTED_SHARE,
@@ -172,6 +173,9 @@
             'planner', planner.LOOK_SECONDS, self._planner.look
         )
         self._neighbours.start()
+        self._timers.subscribe(
+            'queue', streams.WAKE_SECONDS, self._streams.wake
+        )
         self._timers.subscribe('roster', ROSTER_SECONDS, self._count)
         self._serve_metrics()
         self._listen(
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -21,6 +21,7 @@
 from burdockmast.gateway import retries
 from burdockmast.gateway import upstream
 from burdockmast.gateway import view
+from burdockmast.limits import queues
 
 LOG = logs.get('streams')
 
@@ -28,6 +29,13 @@
 UNRUN_SENDS = 4
 # Seconds until a caller may come back when no path can be had.
 RETRY_SECONDS = 0.3
+# Seconds from its arrival for which a request may wait for a path. Callers
+# leave after 2 s without an event, and the first takes some tenths of one.
+QUEUE_SECONDS = 1.2
+# Requests that may wait at once.
+QUEUE_LIMIT = 256
+# Seconds between looks whether a refusing server may be tried again.
+WAKE_SECONDS = 0.1
 # Seconds until the first event after which another path is tried. Callers
 # leave after 2 s, so this leaves time for one more path.
 FIRST_EVENT_SECONDS = 1.0
@@ -91,6 +99,7 @@
         self._reports = reports.Reports(fleet, engines)
         self._budget = budget
         self._usage = usage
+        self.queue = queues.FairQueue(QUEUE_LIMIT)
         self._zone = zone
         self._metrics = measures
         self._random = source
@@ -104,8 +113,10 @@
         """
         progress = _Progress(job.request.after_event)
         while True:
-            path = self._path(job, progress)
+            path = self._path_in_turn(job, progress)
             failure = None
+            if isinstance(path, failures.Failure):
+                failure, path = path, ()
             if path:
                 failure = yield from self._attempt(job, path, progress)
                 if failure is None:
@@ -136,6 +147,48 @@
         )
         return False
 
+    def _path_in_turn(
+        self, job: jobs.Job, progress: _Progress
+    ) -> tuple[backends.Stage, ...] | failures.Failure:
+        """Return a path, waiting for one while all are busy.
+
+        Answers bursts, in which every server that holds some layer is full:
+        a place is free when the next answer ends, and the caller would
+        rather wait for that than come back.
+        """
+        path = self._path(job, progress)
+        until = timers.now() + PAUSE_SECONDS
+        if not progress.has_begun:
+            until = job.began + QUEUE_SECONDS
+        until = min(until, job.deadline)
+        while not path and self._is_busy(job):
+            waiter = queues.Waiter(job.organisation, -job.priority, 1.0)
+            refusal = self.queue.wait(waiter, until - timers.now())
+            if refusal:
+                LOG.info(
+                    'no turn',
+                    extra={
+                        'request': job.id,
+                        'waiting': len(self.queue),
+                        'outcome': str(refusal),
+                    },
+                )
+                return refusal
+            path = self._path(job, progress)
+        return path
+
+    def _is_busy(self, job: jobs.Job) -> bool:
+        """Tell whether servers for a path are there, but may not be used."""
+        engine = job.service.engine
+        if engine is None:
+            return False
+        ready = [s for s in self._view.listed(job.service.id) if s.is_ready]
+        return paths.missing(engine, ready) is None
+
+    def wake(self) -> None:
+        """Let one waiting request look for a path again."""
+        self.queue.wake()
+
     def _path(
         self, job: jobs.Job, progress: _Progress
     ) -> tuple[backends.Stage, ...]:
@@ -205,6 +258,7 @@
         finally:
             exchange.close()
             self._usage.release(path, tokens)
+            self.queue.wake()
         LOG.info(
             'stream ended' if failure is None else 'stream broke',
             extra={
--- a/libs/operator/burdockmast/operator/cli/definition.py
+++ b/libs/operator/burdockmast/operator/cli/definition.py
@@ -12,6 +12,8 @@
 from burdockmast.operator import presets
 from burdockmast.operator import servers
 from burdockmast.operator.cli import types
+from burdockmast.platform import program as platform_program
+from burdockmast.platform import settings as platform_settings
 from burdockmast.settings import loader
 
 
@@ -53,6 +55,18 @@
     return daemons.run_side(settings)
 
 
+@program.command()
+@click.argument('settings', type=types.FILE, required=False)
+def gateway(settings: pathlib.Path | None) -> None:
+    """Run a gateway on the prepared platform.
+
+    SETTINGS is the platform's file; without it, the environment names one.
+
+    Example: burdockmast gateway /etc/burdockmast/local.toml
+    """
+    platform_program.run(settings)
+
+
 @program.group()
 def preset() -> None:
     """Work on presets."""
@@ -212,7 +226,10 @@
 
     Example: burdockmast settings check entry entry.json
     """
-    loader.load(path, types.SETTINGS_BY_ROLE[role])
+    if role == types.GATEWAY:
+        platform_settings.parse(path)
+    else:
+        loader.load(path, types.SETTINGS_BY_ROLE[role])
     click.echo(f'{path}: valid settings of role {role}.')
 
 
--- a/libs/operator/burdockmast/operator/cli/types.py
+++ b/libs/operator/burdockmast/operator/cli/types.py
@@ -16,7 +16,9 @@
     'side': models.SideSettings,
     'operator': models.OperatorSettings,
 }
-ROLE = click.Choice(sorted(SETTINGS_BY_ROLE))
+# Its settings file is the platform's, in the platform's format.
+GATEWAY = 'gateway'
+ROLE = click.Choice(sorted([*SETTINGS_BY_ROLE, GATEWAY]))
 SHELL = click.Choice(['bash', 'zsh', 'fish'])
 
 
--- a/libs/platform/burdockmast/platform/program.py
+++ b/libs/platform/burdockmast/platform/program.py
@@ -14,6 +14,7 @@
 
 eventlet.monkey_patch()
 
+import pathlib  # noqa: E402
 import sys  # noqa: E402
 
 from burdockmast.gateway import server  # noqa: E402
@@ -31,10 +32,20 @@
 def main() -> None:
     """Run a gateway by the settings file that the environment names."""
     try:
-        found = settings.read()
+        run()
     except loader.SettingsError as error:
         print(f'burdockmast: {error}', file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
+
+
+def run(path: pathlib.Path | None = None) -> None:
+    """Run a gateway until it is told to stop.
+
+    :param path: the platform's settings file; the environment names one if
+        this is None
+    :raises loader.SettingsError: if the file is missing or wrong
+    """
+    found = settings.parse(path) if path else settings.read()
     client = store.Store(found.store_address)
     server.Gateway(
         server.Settings(
--- /dev/null
+++ b/tests/test_platform_decoding.py
@@ -0,0 +1,202 @@
+"""What the platform writes, decoded into the project's types."""
+
+import msgspec
+import program
+import pytest
+
+from burdockmast.base import failures
+from burdockmast.gateway import deployment
+from burdockmast.gateway import interfaces
+from burdockmast.platform import configuration
+from burdockmast.platform import headers
+from burdockmast.platform import servers
+from burdockmast.platform import settings
+from burdockmast.settings import loader
+
+SETTINGS = """
+node = "front-1"
+ip = "10.1.0.40"
+zone = "a"
+internal-ports = [7340, 7355]
+unknown-field = 7
+[zones]
+a = "r"
+[listen]
+front = "10.1.0.40:8227"
+ready = "10.1.0.40:8220"
+[bounds]
+revoke-ms = 4000
+stall_ms = 2500
+[platform]
+address = "10.200.1.7:8223"
+"""
+ENTRY = {
+    'service': 'llm',
+    'address': '10.1.0.9:8080',
+    'zone': 'a',
+    'state': 'ready',
+    'sequence': 4,
+    'kind': 'l4',
+    'born': 1779457132009,
+    'layers': {'from': 20, 'to': 31, 'version': 1},
+}
+REQUEST = (
+    ('Host', 'h.example'),
+    ('Burdockmast-Request-Id', '9c41'),
+    ('Burdockmast-Deadline-Ms', '20000'),
+    ('Burdockmast-Key', 'secret'),
+    ('Burdockmast-Tenant', 'forged'),
+    ('Burdockmast-Token-Counts', '1460,80'),
+    ('Burdockmast-Length-Hint', '60'),
+    ('Last-Event-Id', '12'),
+    ('X-Own', 'kept'),
+    ('Connection', 'close, X-Hop'),
+    ('X-Hop', 'dropped'),
+)
+
+
+@pytest.fixture
+def file(tmp_path):
+    path = tmp_path / 'local.toml'
+    path.write_text(SETTINGS)
+    return path
+
+
+def test_settings_are_read_and_unknown_fields_ignored(file):
+    found = settings.parse(file)
+    assert found.callers_address == '10.1.0.40:8227'
+    assert found.revoke_seconds == 4.0
+    assert found.grace_seconds == 8.0
+    assert found.metrics_address != found.neighbours_address
+
+
+def test_the_command_line_checks_the_platforms_settings(file):
+    done = program.run_command('settings', 'check', 'gateway', str(file))
+    assert done.returncode == 0, done.stderr
+
+
+@pytest.mark.parametrize(
+    ('text', 'named'),
+    [
+        ('node = 7', '$.node'),
+        ('node = ', 'local.toml'),
+        (SETTINGS.replace('front =', 'other ='), 'front'),
+        (SETTINGS.replace('4000', '"soon"'), 'revoke-ms'),
+    ],
+)
+def test_wrong_settings_name_the_place(file, text, named):
+    file.write_text(text)
+    with pytest.raises(loader.SettingsError, match=named.replace('$', r'\$')):
+        settings.parse(file)
+
+
+def test_a_servers_entry_is_decoded():
+    found = servers.decode('i-1', ENTRY)
+    assert (found.held.first, found.held.end) == (20, 31)
+    assert found.is_ready
+    assert found.beat == 4
+
+
+def test_an_entry_without_layers_holds_none():
+    found = servers.decode('i-1', {**ENTRY, 'layers': None})
+    assert len(found.held) == 0
+
+
+def test_an_older_beat_is_older_but_a_new_start_is_newer():
+    old = servers.decode('i-1', {**ENTRY, 'sequence': 3})
+    new = servers.decode('i-1', ENTRY)
+    restarted = servers.decode(
+        'i-1', {**ENTRY, 'sequence': 1, 'born': ENTRY['born'] + 1}
+    )
+    assert old.is_older_than(new)
+    assert new.is_older_than(restarted)
+    assert not restarted.is_older_than(old)
+
+
+@pytest.mark.parametrize(
+    'changed',
+    [
+        {'state': 'odd'},
+        {'state': 7},
+        {'service': None},
+        {'address': 'nowhere'},
+        {'address': '10.0.0.1:x'},
+        {'born': 'today'},
+        {'layers': [1, 2]},
+    ],
+)
+def test_an_entry_of_another_writer_is_refused(changed):
+    with pytest.raises(msgspec.ValidationError):
+        servers.decode('i-1', {**ENTRY, **changed})
+
+
+@pytest.mark.parametrize(
+    ('kind', 'resumable', 'repeats'),
+    [
+        ('safe', False, deployment.Repeats.ANY),
+        ('unsafe', False, deployment.Repeats.ONCE),
+        ('unsafe', True, deployment.Repeats.ONCE),
+        ('streaming', False, deployment.Repeats.ONCE),
+        ('streaming', True, deployment.Repeats.ANY),
+        ('unheard-of', True, deployment.Repeats.ONCE),
+    ],
+)
+def test_what_may_repeat_follows_from_the_kind(kind, resumable, repeats):
+    route = {
+        'name': 'r',
+        'host': 'h',
+        'path-prefix': '/a/',
+        'kind': kind,
+        'resumable': resumable,
+        'service': 's',
+    }
+    found = configuration.decode('main', {'version': 1, 'routes': [route]})
+    assert found.route('h', '/a/b').repeats is repeats
+
+
+def test_the_longest_prefix_wins():
+    routes = [
+        {'name': n, 'host': 'h', 'path-prefix': p, 'kind': 'safe'}
+        for n, p in [('short', '/a/'), ('long', '/a/b/'), ('other', '/c/')]
+    ]
+    found = configuration.decode('main', {'version': 1, 'routes': routes})
+    assert found.route('h', '/a/b/c').name == 'long'
+    assert found.route('h', '/a/bc').name == 'short'
+    assert found.route('h', '/b/') is None
+    assert found.route('other', '/a/') is None
+
+
+def read(given=REQUEST):
+    return headers.PlatformDialect().read_request(
+        'POST', '/a/b?c=d', given, b'body'
+    )
+
+
+def test_a_request_is_decoded():
+    found = read()
+    assert not isinstance(found, failures.Failure)
+    assert found.path == '/a/b'
+    assert found.seconds == 20.0
+    assert (found.prompt_tokens, found.answer_tokens) == (1460, 80)
+    assert found.length_hint == 60
+    assert found.after_event == 12
+
+
+@pytest.mark.parametrize('value', ['', 'soon', '-5', '1e3', '9' * 40])
+def test_numbers_that_are_none_are_left_out(value):
+    found = read((('Burdockmast-Deadline-Ms', value),))
+    assert found.seconds is None
+
+
+def test_keys_and_forged_headers_are_not_passed_on():
+    server = servers.decode('i-1', ENTRY)
+    sending = interfaces.Sending(server, 'fes', 1.5, (), None, 0)
+    found = headers.PlatformDialect().backend_headers(read(), sending)
+    value_by_name = dict(found)
+    assert len(value_by_name) == len(found)
+    assert value_by_name['Burdockmast-Tenant'] == 'fes'
+    assert value_by_name['Burdockmast-Deadline-Ms'] == '1500'
+    assert value_by_name['Burdockmast-Expect-Instance'] == 'i-1'
+    assert value_by_name['X-Own'] == 'kept'
+    for name in ('Burdockmast-Key', 'X-Hop', 'Connection'):
+        assert name not in value_by_name
