Never call unrun what may have run before; split the choice of paths

A repeatable request whose first send may have run was refused as unrun (503) when the last server refused it; its test failed with 503 before. A body was read whole before its limit was looked at.

Change: such refusals say that it may have run (502); a body is read up to one byte over the limit; one type of settings; paths are chosen in a module of their own; calls to the store are measured.

--- a/libs/gateway/burdockmast/gateway/callers.py
+++ b/libs/gateway/burdockmast/gateway/callers.py
@@ -24,6 +24,8 @@
 
 LOG = logs.get('callers')
 
+# Largest body until the configuration names a limit, in bytes.
+DEFAULT_BODY_BYTES = 4 * 1024 * 1024
 # Seconds for requests that name no deadline, up to their route's.
 DEFAULT_SECONDS = 60.0
 # Seconds until a caller may come back when this gateway can't serve it.
@@ -95,6 +97,7 @@
         self._metrics = measures
         self._trusted_seconds = trusted_seconds
         self._ready_seconds = ready_seconds
+        self._body_bytes = DEFAULT_BODY_BYTES
         self._random = source
 
     def is_ready(self) -> bool:
@@ -158,7 +161,8 @@
         if query:
             target = f'{target}?{query}'
         try:
-            body = environ['wsgi.input'].read()
+            # One byte over the limit is enough to know that it is exceeded.
+            body = environ['wsgi.input'].read(self._body_bytes + 1)
         except (OSError, ValueError) as error:
             return failures.Failure(
                 failures.Reason.BAD_REQUEST, 'request.body', detail=str(error)
@@ -202,7 +206,8 @@
                     'request.key',
                     detail=f'the key is not in version {known.version}',
                 )
-        if len(request.body) > known.limits.body_bytes:
+        self._body_bytes = known.limits.body_bytes
+        if len(request.body) > self._body_bytes:
             return failures.Failure(
                 failures.Reason.TOO_LARGE,
                 'request.body',
--- a/libs/gateway/burdockmast/gateway/calls.py
+++ b/libs/gateway/burdockmast/gateway/calls.py
@@ -1,5 +1,6 @@
 """Calls to plain services: repeated only where nothing can run twice."""
 
+import dataclasses
 import random
 
 from burdockmast.base import failures
@@ -77,6 +78,9 @@
                     break
             if job.left <= MARGIN_SECONDS:
                 break
+        if ran and isinstance(last, failures.Failure):
+            # An earlier send may have run, whatever the last one did.
+            return dataclasses.replace(last, outcome=outcomes.Outcome.UNKNOWN)
         return last or failures.Failure(
             failures.Reason.NO_SERVER,
             'call.choose',
--- /dev/null
+++ b/libs/gateway/burdockmast/gateway/choosing.py
@@ -0,0 +1,168 @@
+"""Chooses the path of each request, and lets requests wait for one."""
+
+from collections.abc import Collection
+import random
+
+from burdockmast.base import failures
+from burdockmast.base import ids
+from burdockmast.base import logs
+from burdockmast.base import timers
+from burdockmast.gateway import backends
+from burdockmast.gateway import deployment
+from burdockmast.gateway import jobs
+from burdockmast.gateway import memory
+from burdockmast.gateway import paths
+from burdockmast.gateway import reports
+from burdockmast.gateway import view
+from burdockmast.limits import queues
+
+LOG = logs.get('choosing')
+
+# Seconds until a caller may come back when no path can be had.
+RETRY_SECONDS = 0.3
+# Seconds from its arrival for which a request may wait for a path. Callers
+# leave after 2 s without an event, and the first takes some tenths of one.
+QUEUE_SECONDS = 1.2
+# Requests that may wait at once.
+QUEUE_LIMIT = 256
+# Seconds between looks whether a refusing server may be tried again.
+WAKE_SECONDS = 0.1
+# Seconds for which a stream that has begun may wait for another path.
+GO_ON_SECONDS = 0.6
+# Requests and cache entries at a server that runs none.
+NOTHING = (0, 0.0)
+
+
+class Chooser:
+    """Paths for the requests of one gateway."""
+
+    def __init__(
+        self,
+        fleet: view.View,
+        found: reports.Reports,
+        usage: memory.Usage,
+        zone: ids.ZoneId,
+        source: random.Random,
+    ):
+        """Create a chooser.
+
+        :param zone: where this gateway's callers are
+        """
+        self.reports = found
+        self._view = fleet
+        self._usage = usage
+        self._zone = zone
+        self._random = source
+        self._queue = queues.FairQueue(QUEUE_LIMIT)
+
+    def reserve(self, job: jobs.Job, path: tuple[backends.Stage, ...]) -> None:
+        """Count a request on its path."""
+        self._usage.reserve(path, self._tokens(job))
+
+    def release(self, job: jobs.Job, path: tuple[backends.Stage, ...]) -> None:
+        """Count a request no longer, and let another look for a path."""
+        self._usage.release(path, self._tokens(job))
+        self.wake()
+
+    def _tokens(self, job: jobs.Job) -> int:
+        engine = job.service.engine
+        return self._work(job, engine).tokens if engine else 0
+
+    def path_in_turn(
+        self,
+        job: jobs.Job,
+        lost: Collection[ids.ServerId],
+        has_begun: bool,
+    ) -> tuple[backends.Stage, ...] | failures.Failure:
+        """Return a path, waiting for one while all are busy.
+
+        :param lost: servers that failed this request
+        :param has_begun: the caller has got events
+        :returns: no stages if no path can be had soon
+
+        Answers bursts, in which every server that holds some layer is full:
+        a place is free when the next answer ends, and the caller would
+        rather wait for that than come back.
+        """
+        path = self._path(job, lost)
+        until = timers.now() + GO_ON_SECONDS
+        if not has_begun:
+            until = job.began + QUEUE_SECONDS
+        until = min(until, job.deadline)
+        while not path and self._is_busy(job):
+            waiter = queues.Waiter(job.organisation, -job.priority, 1.0)
+            refusal = self._queue.wait(waiter, until - timers.now())
+            if refusal:
+                LOG.info(
+                    'no turn',
+                    extra={
+                        'request': job.id,
+                        'waiting': len(self._queue),
+                        'outcome': str(refusal),
+                    },
+                )
+                return refusal
+            path = self._path(job, lost)
+        return path
+
+    def _is_busy(self, job: jobs.Job) -> bool:
+        """Tell whether servers for a path are there, but may not be used."""
+        engine = job.service.engine
+        if engine is None:
+            return False
+        ready = [s for s in self._view.listed(job.service.id) if s.is_ready]
+        return paths.missing(engine, ready) is None
+
+    def wake(self) -> None:
+        """Let one waiting request look for a path again."""
+        self._queue.wake()
+
+    def _path(
+        self, job: jobs.Job, lost: Collection[ids.ServerId]
+    ) -> tuple[backends.Stage, ...]:
+        engine = job.service.engine
+        if engine is None:
+            servers = self._view.usable(job.service.id, lost)
+            return tuple(backends.Stage(s, 0, 0) for s in servers[:1])
+        work = self._work(job, engine)
+        totals = self._usage.totals()
+
+        def crowding(server: backends.BackendServer) -> float:
+            _, reserved = totals.get(server.id, NOTHING)
+            used = reserved / memory.capacity(engine, server)
+            return memory.crowding(max(used, self.reports.occupancy(server)))
+
+        for excluded in (lost, ()):
+            path = paths.cheapest(
+                engine,
+                self._view.usable(job.service.id, excluded),
+                work,
+                self._zone,
+                lambda server: totals.get(server, NOTHING)[0],
+                crowding,
+                self.reports.pace,
+                self._random,
+            )
+            if path:
+                return path
+        return ()
+
+    def _work(self, job: jobs.Job, engine: deployment.Engine) -> paths.Work:
+        answer = job.request.length_hint or engine.usual_answer
+        if job.request.answer_tokens:
+            answer = min(answer, job.request.answer_tokens)
+        return paths.Work(
+            job.request.prompt_tokens or engine.usual_prompt, max(1, answer)
+        )
+
+    def no_path(self, job: jobs.Job) -> failures.Failure:
+        """Return why a request can't be served now."""
+        engine = job.service.engine
+        usable = self._view.usable(job.service.id)
+        layer = paths.missing(engine, usable) if engine else None
+        return failures.Failure(
+            failures.Reason.NO_PATH,
+            'stream.path',
+            detail=f'no usable server of {job.service.id} holds layer {layer}',
+            retry_after=RETRY_SECONDS,
+        )
--- a/libs/gateway/burdockmast/gateway/deployment.py
+++ b/libs/gateway/burdockmast/gateway/deployment.py
@@ -113,10 +113,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerLimits:
-    """What callers may send, in bytes and seconds."""
+    """What callers may send, in bytes."""
 
     body_bytes: int
-    idle_seconds: float
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -19,13 +19,16 @@
 from burdockmast.gateway import backends
 from burdockmast.gateway import callers
 from burdockmast.gateway import calls
+from burdockmast.gateway import choosing
 from burdockmast.gateway import deployment
 from burdockmast.gateway import following
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import memory
 from burdockmast.gateway import neighbours
 from burdockmast.gateway import planner
+from burdockmast.gateway import reports
 from burdockmast.gateway import retries
+from burdockmast.gateway import settings
 from burdockmast.gateway import streams
 from burdockmast.gateway import view
 
@@ -60,27 +63,6 @@
 ROSTER_SECONDS = 4.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Settings:
-    """What a gateway is told about its place and its bounds.
-
-    :ivar revoke_seconds: within which a revoked key must stop working
-    :ivar grace_seconds: from the request to stop until the process is killed
-    """
-
-    instance: str
-    zone: ids.ZoneId
-    callers_address: ids.Address
-    ready_address: ids.Address
-    metrics_address: ids.Address
-    neighbours_address: ids.Address
-    revoke_seconds: float
-    grace_seconds: float
-    retry_ratio: float
-    retry_slack: float
-    retry_window: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Platform:
     """The platform that a gateway runs on."""
@@ -96,14 +78,14 @@
 class Gateway:
     """One gateway process."""
 
-    def __init__(self, settings: Settings, platform: Platform):
+    def __init__(self, given: settings.Settings, platform: Platform):
         """Create the parts; nothing runs yet."""
         source = random.Random()
-        self._settings = settings
+        self._settings = given
         self._metrics = metrics.Metrics()
         self._timers = timers.TimerService()
         self._log = logs.Log.from_config(
-            'info', {'instance': settings.instance, 'zone': settings.zone}
+            'info', {'instance': given.instance, 'zone': given.zone}
         )
         self._deployments = following.Follower(
             'configuration', platform.deployments, CONFIGURATION_WAIT_SECONDS
@@ -117,40 +99,43 @@
         )
         self.view = view.View(self._deployments, self._servers)
         budget = retries.Budget(
-            settings.retry_ratio, settings.retry_slack, settings.retry_window
+            given.retry_ratio, given.retry_slack, given.retry_window
         )
         usage = memory.Usage()
         self._neighbours = neighbours.Neighbours(
-            settings.neighbours_address, settings.instance, usage
+            given.neighbours_address, given.instance, usage
         )
-        self._streams = streams.Streams(
+        self._chooser = choosing.Chooser(
             self.view,
-            platform.dialect,
-            platform.engines,
-            budget,
+            reports.Reports(self.view, platform.engines),
             usage,
-            settings.zone,
-            self._metrics,
+            given.zone,
             source,
         )
         self.application = callers.Application(
             self.view,
             platform.dialect,
             calls.Calls(
-                self.view, platform.dialect, budget, settings.zone, source
+                self.view, platform.dialect, budget, given.zone, source
+            ),
+            streams.Streams(
+                self.view,
+                platform.dialect,
+                budget,
+                self._chooser,
+                self._metrics,
             ),
-            self._streams,
             budget,
             self._metrics,
-            settings.revoke_seconds * TRUSTED_SHARE,
-            settings.revoke_seconds * READY_SHARE,
+            given.revoke_seconds * TRUSTED_SHARE,
+            given.revoke_seconds * READY_SHARE,
             source,
         )
         self._planner = planner.Planner(
             self.view,
             platform.seat,
             platform.engines,
-            settings.instance,
+            given.instance,
             usage,
             source,
         )
@@ -174,8 +159,9 @@
         )
         self._neighbours.start()
         self._timers.subscribe(
-            'queue', streams.WAKE_SECONDS, self._streams.wake
+            'queue', choosing.WAKE_SECONDS, self._chooser.wake
         )
+        eventlet.spawn(self._count)
         self._timers.subscribe('roster', ROSTER_SECONDS, self._count)
         self._serve_metrics()
         self._listen(
@@ -218,6 +204,14 @@
             )
         self._budget.gateways = count
 
+    def store_answered(
+        self, call: str, seconds: float, failure: failures.Failure | None
+    ) -> None:
+        """Measure the end of a call to the store."""
+        self._metrics.timing('store.call', seconds)
+        if failure:
+            self._metrics.count('store.failed')
+
     def _leave(self, listener: object) -> None:
         """Refuse nothing, but end: new callers are sent elsewhere."""
         began = timers.now()
@@ -278,11 +272,3 @@
 
     def _reload(self, number: int, frame: object) -> None:
         LOG.info('reload asked for; all settings hold until the next start')
-
-
-def store_answered(
-    call: str, seconds: float, failure: failures.Failure | None
-) -> None:
-    """Log calls to the store that failed."""
-    if failure:
-        LOG.debug('store call failed', extra={'call': call})
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Iterator
 import dataclasses
-import random
 
 from burdockmast.base import failures
 from burdockmast.base import ids
@@ -11,31 +10,18 @@
 from burdockmast.base import outcomes
 from burdockmast.base import timers
 from burdockmast.gateway import backends
-from burdockmast.gateway import deployment
+from burdockmast.gateway import choosing
 from burdockmast.gateway import events
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import jobs
-from burdockmast.gateway import memory
-from burdockmast.gateway import paths
-from burdockmast.gateway import reports
 from burdockmast.gateway import retries
 from burdockmast.gateway import upstream
 from burdockmast.gateway import view
-from burdockmast.limits import queues
 
 LOG = logs.get('streams')
 
 # Sends of a request while it is certain that none has run.
 UNRUN_SENDS = 4
-# Seconds until a caller may come back when no path can be had.
-RETRY_SECONDS = 0.3
-# Seconds from its arrival for which a request may wait for a path. Callers
-# leave after 2 s without an event, and the first takes some tenths of one.
-QUEUE_SECONDS = 1.2
-# Requests that may wait at once.
-QUEUE_LIMIT = 256
-# Seconds between looks whether a refusing server may be tried again.
-WAKE_SECONDS = 0.1
 # Seconds until the first event after which another path is tried. Callers
 # leave after 2 s, so this leaves time for one more path.
 FIRST_EVENT_SECONDS = 1.0
@@ -53,8 +39,6 @@
 # Largest event, in bytes.
 EVENT_BYTES = 1024 * 1024
 OK = 200
-# Requests and cache entries at a server that runs none.
-NOTHING = (0, 0.0)
 
 
 class Cut(Exception):
@@ -86,23 +70,16 @@
         self,
         fleet: view.View,
         dialect: interfaces.Dialect,
-        engines: interfaces.EngineControl,
         budget: retries.Budget,
-        usage: memory.Usage,
-        zone: ids.ZoneId,
+        chooser: choosing.Chooser,
         measures: metrics.Metrics,
-        source: random.Random,
     ):
         """Create a relay of streams."""
         self._view = fleet
         self._dialect = dialect
-        self._reports = reports.Reports(fleet, engines)
         self._budget = budget
-        self._usage = usage
-        self.queue = queues.FairQueue(QUEUE_LIMIT)
-        self._zone = zone
+        self._chooser = chooser
         self._metrics = measures
-        self._random = source
 
     def stream(
         self, job: jobs.Job
@@ -113,7 +90,9 @@
         """
         progress = _Progress(job.request.after_event)
         while True:
-            path = self._path_in_turn(job, progress)
+            path = self._chooser.path_in_turn(
+                job, progress.lost, progress.has_begun
+            )
             failure = None
             if isinstance(path, failures.Failure):
                 failure, path = path, ()
@@ -121,9 +100,14 @@
                 failure = yield from self._attempt(job, path, progress)
                 if failure is None:
                     return
-            failure = failure or self._no_path(job)
+            failure = failure or self._chooser.no_path(job)
             if path and self._may_go_on(job, progress, failure):
                 continue
+            if progress.runs:
+                # An earlier attempt may have run, whatever the last one did.
+                failure = dataclasses.replace(
+                    failure, outcome=outcomes.Outcome.UNKNOWN
+                )
             if progress.has_begun:
                 raise Cut(str(failure))
             yield failure
@@ -147,97 +131,6 @@
         )
         return False
 
-    def _path_in_turn(
-        self, job: jobs.Job, progress: _Progress
-    ) -> tuple[backends.Stage, ...] | failures.Failure:
-        """Return a path, waiting for one while all are busy.
-
-        Answers bursts, in which every server that holds some layer is full:
-        a place is free when the next answer ends, and the caller would
-        rather wait for that than come back.
-        """
-        path = self._path(job, progress)
-        until = timers.now() + PAUSE_SECONDS
-        if not progress.has_begun:
-            until = job.began + QUEUE_SECONDS
-        until = min(until, job.deadline)
-        while not path and self._is_busy(job):
-            waiter = queues.Waiter(job.organisation, -job.priority, 1.0)
-            refusal = self.queue.wait(waiter, until - timers.now())
-            if refusal:
-                LOG.info(
-                    'no turn',
-                    extra={
-                        'request': job.id,
-                        'waiting': len(self.queue),
-                        'outcome': str(refusal),
-                    },
-                )
-                return refusal
-            path = self._path(job, progress)
-        return path
-
-    def _is_busy(self, job: jobs.Job) -> bool:
-        """Tell whether servers for a path are there, but may not be used."""
-        engine = job.service.engine
-        if engine is None:
-            return False
-        ready = [s for s in self._view.listed(job.service.id) if s.is_ready]
-        return paths.missing(engine, ready) is None
-
-    def wake(self) -> None:
-        """Let one waiting request look for a path again."""
-        self.queue.wake()
-
-    def _path(
-        self, job: jobs.Job, progress: _Progress
-    ) -> tuple[backends.Stage, ...]:
-        engine = job.service.engine
-        if engine is None:
-            servers = self._view.usable(job.service.id, progress.lost)
-            return tuple(backends.Stage(s, 0, 0) for s in servers[:1])
-        work = self._work(job, engine)
-        totals = self._usage.totals()
-
-        def crowding(server: backends.BackendServer) -> float:
-            _, reserved = totals.get(server.id, NOTHING)
-            used = reserved / memory.capacity(engine, server)
-            return memory.crowding(max(used, self._reports.occupancy(server)))
-
-        for excluded in (progress.lost, ()):
-            path = paths.cheapest(
-                engine,
-                self._view.usable(job.service.id, excluded),
-                work,
-                self._zone,
-                lambda server: totals.get(server, NOTHING)[0],
-                crowding,
-                self._reports.pace,
-                self._random,
-            )
-            if path:
-                return path
-        return ()
-
-    def _work(self, job: jobs.Job, engine: deployment.Engine) -> paths.Work:
-        answer = job.request.length_hint or engine.usual_answer
-        if job.request.answer_tokens:
-            answer = min(answer, job.request.answer_tokens)
-        return paths.Work(
-            job.request.prompt_tokens or engine.usual_prompt, max(1, answer)
-        )
-
-    def _no_path(self, job: jobs.Job) -> failures.Failure:
-        engine = job.service.engine
-        usable = self._view.usable(job.service.id)
-        layer = paths.missing(engine, usable) if engine else None
-        return failures.Failure(
-            failures.Reason.NO_PATH,
-            'stream.path',
-            detail=f'no usable server of {job.service.id} holds layer {layer}',
-            retry_after=RETRY_SECONDS,
-        )
-
     def _attempt(
         self,
         job: jobs.Job,
@@ -248,17 +141,13 @@
         exchange = upstream.Exchange(path[0].server)
         began = timers.now()
         first = progress.events
-        tokens = 0
-        if job.service.engine:
-            tokens = self._work(job, job.service.engine).tokens
-        self._usage.reserve(path, tokens)
+        self._chooser.reserve(job, path)
         progress.sends += 1
         try:
             failure = yield from self._relay(job, exchange, path, progress)
         finally:
             exchange.close()
-            self._usage.release(path, tokens)
-            self.queue.wake()
+            self._chooser.release(job, path)
         LOG.info(
             'stream ended' if failure is None else 'stream broke',
             extra={
@@ -316,7 +205,7 @@
                 'backend.head',
                 head.facts.culprit or exchange.server.id,
                 f'status {head.status}',
-                retry_after=RETRY_SECONDS,
+                retry_after=choosing.RETRY_SECONDS,
             )
         if head.status != OK:
             return (
@@ -418,7 +307,7 @@
         """Ask the servers of a path that is slow what is the matter."""
         aim = job.route.gap_objective or PAUSE_SECONDS
         if job.service.engine and seconds > aim * SLOW_SHARE:
-            self._reports.ask([stage.server for stage in path], job.id)
+            self._chooser.reports.ask([stage.server for stage in path], job.id)
 
     def _silent(self, exchange: upstream.Exchange) -> failures.Failure:
         return failures.Failure(
@@ -470,6 +359,8 @@
                 reason=failures.Reason.PEER_SILENT | failures.Reason.DEADLINE
             ):
                 progress.lost.extend(stage.server.id for stage in path)
-                self._reports.ask([stage.server for stage in path], job.id)
+                self._chooser.reports.ask(
+                    [stage.server for stage in path], job.id
+                )
             case _:
                 progress.lost.append(first.id)
--- a/libs/gateway/burdockmast/gateway/view.py
+++ b/libs/gateway/burdockmast/gateway/view.py
@@ -37,6 +37,7 @@
         )
         self._version = 0
         self._heard_at: dict[ids.ServerId, float] = {}
+        servers.changed.append(self._forget_gone)
 
     @property
     def configuration(self) -> deployment.Deployment | None:
@@ -98,6 +99,13 @@
             and self._ejected_until.get(server.id, 0.0) <= now
         ]
 
+    def _forget_gone(self) -> None:
+        """Drop what is known of servers that are listed no more."""
+        listed = self._servers.item_by_name
+        for known in (self._ejected_until, self._heard_at):
+            for server in known.keys() - listed.keys():
+                del known[server]
+
     def running(self, server: ids.ServerId) -> int:
         """Return how many requests of this gateway run at a server."""
         return self._running_by_server[server]
--- a/libs/platform/burdockmast/platform/configuration.py
+++ b/libs/platform/burdockmast/platform/configuration.py
@@ -88,7 +88,6 @@
 
 class _Limits(msgspec.Struct, frozen=True, rename='kebab'):
     max_body_bytes: int = 4194304
-    idle_timeout_ms: float = 15000
 
 
 class _Configuration(msgspec.Struct, frozen=True):
@@ -128,9 +127,7 @@
             for tenant in found.tenants
             for key in tenant.api_keys
         },
-        deployment.CallerLimits(
-            found.limits.max_body_bytes, found.limits.idle_timeout_ms / 1000
-        ),
+        deployment.CallerLimits(found.limits.max_body_bytes),
     )
 
 
--- a/libs/platform/burdockmast/platform/program.py
+++ b/libs/platform/burdockmast/platform/program.py
@@ -47,31 +47,21 @@
     """
     found = settings.parse(path) if path else settings.read()
     client = store.Store(found.store_address)
-    server.Gateway(
-        server.Settings(
-            instance=found.instance,
-            zone=found.zone,
-            callers_address=found.callers_address,
-            ready_address=found.ready_address,
-            metrics_address=found.metrics_address,
-            neighbours_address=found.neighbours_address,
-            revoke_seconds=found.revoke_seconds,
-            grace_seconds=found.grace_seconds,
-            retry_ratio=found.retry_ratio,
-            retry_slack=found.retry_slack,
-            retry_window=found.retry_window,
-        ),
+    gateway = server.Gateway(
+        found.gateway,
         server.Platform(
             deployments=store.Feed(
                 client, configuration.KIND, configuration.decode
             ),
             servers=store.Feed(client, servers.KIND, servers.decode),
-            seat=store.Seat(client, found.instance),
-            roster=store.Roster(client, found.instance),
+            seat=store.Seat(client, found.gateway.instance),
+            roster=store.Roster(client, found.gateway.instance),
             engines=orders.PlatformEngines(),
             dialect=headers.PlatformDialect(),
         ),
-    ).run()
+    )
+    client.answered.append(gateway.store_answered)
+    gateway.run()
 
 
 if __name__ == '__main__':
--- a/libs/platform/burdockmast/platform/settings.py
+++ b/libs/platform/burdockmast/platform/settings.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from burdockmast.base import ids
+from burdockmast.gateway import settings
 from burdockmast.settings import loader
 
 # Holds the path of the settings file.
@@ -20,13 +21,11 @@
 
 
 class _Bounds(msgspec.Struct, frozen=True, rename='kebab'):
-    drain_ms: float = 2000
     grace_s: float = 8
     revoke_ms: float = 5000
     budget_ratio: float = 0.2
     budget_window_s: float = 10
     retry_slack: float = 0
-    stall_ms: float = msgspec.field(default=2500, name='stall_ms')
 
 
 class _Platform(msgspec.Struct, frozen=True):
@@ -42,44 +41,18 @@
     internal_ports: tuple[int, int]
     listen: _Listen
     platform: _Platform
-    zones: dict[str, str] = {}
     bounds: _Bounds = _Bounds()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class GatewaySettings:
-    """Settings of a gateway process.
-
-    :ivar instance: name of the machine
-    :ivar callers_address: where callers are served
-    :ivar ready_address: where the balancer asks for readiness
-    :ivar metrics_address: where metrics are served
-    :ivar neighbours_address: where news of other gateways is taken (UDP)
-    :ivar revoke_seconds: within which a revoked key must stop working
-    :ivar grace_seconds: from the request to stop until the process is killed
-    :ivar retry_ratio: retries that each request pays for, over all instances
-    :ivar retry_slack: retries in each window beyond those, likewise
-    :ivar retry_window: seconds
-    :ivar stall_seconds: for which engines wait for a lost stage
-    """
+class PlatformSettings:
+    """The settings of a gateway, and where the platform's store is."""
 
-    instance: str
-    zone: ids.ZoneId
-    zones: int
     store_address: ids.Address
-    callers_address: ids.Address
-    ready_address: ids.Address
-    metrics_address: ids.Address
-    neighbours_address: ids.Address
-    revoke_seconds: float
-    grace_seconds: float
-    retry_ratio: float
-    retry_slack: float
-    retry_window: float
-    stall_seconds: float
-
-
-def read() -> GatewaySettings:
+    gateway: settings.Settings
+
+
+def read() -> PlatformSettings:
     """Read the file that the environment names.
 
     :raises loader.SettingsError: naming file, place and what is allowed
@@ -90,7 +63,7 @@
     return parse(pathlib.Path(path))
 
 
-def parse(path: pathlib.Path) -> GatewaySettings:
+def parse(path: pathlib.Path) -> PlatformSettings:
     """Read and check a settings file.
 
     :raises loader.SettingsError: naming file, place and what is allowed
@@ -105,21 +78,23 @@
             f'{path}: at $.listen: a gateway needs "front" and "ready"'
         )
     bounds = found.bounds
-    return GatewaySettings(
-        instance=found.node,
-        zone=ids.ZoneId(found.zone),
-        zones=max(1, len(found.zones)),
-        store_address=ids.Address(found.platform.address),
-        callers_address=ids.Address(found.listen.front),
-        ready_address=ids.Address(found.listen.ready),
-        metrics_address=ids.Address(f'{found.ip}:{found.internal_ports[1]}'),
-        neighbours_address=ids.Address(
-            f'{found.ip}:{found.internal_ports[0]}'
+    return PlatformSettings(
+        ids.Address(found.platform.address),
+        settings.Settings(
+            instance=found.node,
+            zone=ids.ZoneId(found.zone),
+            callers_address=ids.Address(found.listen.front),
+            ready_address=ids.Address(found.listen.ready),
+            metrics_address=ids.Address(
+                f'{found.ip}:{found.internal_ports[1]}'
+            ),
+            neighbours_address=ids.Address(
+                f'{found.ip}:{found.internal_ports[0]}'
+            ),
+            revoke_seconds=bounds.revoke_ms / 1000,
+            grace_seconds=bounds.grace_s,
+            retry_ratio=bounds.budget_ratio,
+            retry_slack=bounds.retry_slack,
+            retry_window=bounds.budget_window_s,
         ),
-        revoke_seconds=bounds.revoke_ms / 1000,
-        grace_seconds=bounds.grace_s,
-        retry_ratio=bounds.budget_ratio,
-        retry_slack=bounds.retry_slack,
-        retry_window=bounds.budget_window_s,
-        stall_seconds=bounds.stall_ms / 1000,
     )
--- a/libs/platform/burdockmast/platform/standin.py
+++ b/libs/platform/burdockmast/platform/standin.py
@@ -175,6 +175,7 @@
 
     :ivar events: of each stream
     :ivar refuses: answer requests with a promise that they have not run
+    :ivar is_unsigned: answer without a signature
     :ivar is_silent: take requests and say nothing
     """
 
@@ -182,6 +183,7 @@
         """Start an engine and list it."""
         self.events = 5
         self.refuses = False
+        self.is_unsigned = False
         self.is_silent = False
         self.seen: list[Seen] = []
         self.orders: list[dict] = []
@@ -244,6 +246,8 @@
                 [(headers.NOT_RUN, '1'), ('Content-Length', '0')],
             )
             return [b'']
+        if self.is_unsigned:
+            return _answer(start_response, 200, 'of nobody')
         sealed = [
             (headers.REQUEST_ID, request),
             (headers.SIGNATURE, f'seal-{self.id}'),
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -63,7 +63,7 @@
 
 
 def test_settings_are_read_and_unknown_fields_ignored(file):
-    found = settings.parse(file)
+    found = settings.parse(file).gateway
     assert found.callers_address == '10.1.0.40:8227'
     assert found.revoke_seconds == 4.0
     assert found.grace_seconds == 8.0
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -130,7 +130,7 @@
         except OSError:
             return False
 
-    def ask(self, path, method='POST', **given):
+    def ask(self, path, method='POST', body=b'', **given):
         """Send a caller's request; return status, headers and body."""
         found = {
             'Host': 'h.example',
@@ -143,9 +143,11 @@
         found.update(
             {name.replace('_', '-'): value for name, value in given.items()}
         )
-        return self._call(self.callers, method, path, found)
+        if body:
+            found['Content-Length'] = str(len(body))
+        return self._call(self.callers, method, path, found, body)
 
-    def _call(self, address, method, path, headers):
+    def _call(self, address, method, path, headers, body=b''):
         connection = http.client.HTTPConnection(address)
         connection.sock = eventlet.connect(
             (self.host, int(address.rpartition(':')[2]))
@@ -154,7 +156,7 @@
             connection.putrequest(method, path, skip_host='Host' in headers)
             for name, value in headers.items():
                 connection.putheader(name, value)
-            connection.endheaders()
+            connection.endheaders(body or None)
             response = connection.getresponse()
             body = response.read()
             return response.status, dict(response.getheaders()), body
@@ -241,6 +243,29 @@
     assert float(headers['Retry-After']) > 0
 
 
+def test_a_read_that_may_have_run_is_not_said_to_be_unrun(platform):
+    first, second = platform.apps
+    first.is_unsigned = True
+    second.refuses = True
+    for _ in range(10):
+        assert platform.ask('/lookup/x', 'GET')[0] == 502
+    # Either may be asked first; what matters is that both were.
+    assert len(first.seen) == len(second.seen) == 10
+
+
+def test_a_body_over_the_limit_is_refused_unrun(platform):
+    changed = {**CONFIGURATION, 'version': 9, 'limits': {'max-body-bytes': 10}}
+    platform.store.put('config', 'main', changed)
+    platform.wait_for(
+        lambda: platform.ask('/confirm/x', body=b'x' * 11)[0] == 413
+    )
+    for app in platform.apps:
+        app.seen.clear()
+    assert platform.ask('/confirm/x', body=b'x' * 11)[0] == 413
+    assert not requests_at(platform.apps)
+    assert platform.ask('/confirm/x', body=b'x' * 10)[0] == 200
+
+
 @pytest.mark.parametrize(
     ('path', 'key', 'status'),
     [('/draft/x', 'unknown', 401), ('/none/x', KEY, 404)],
