Wait on for a busy path that can't be replaced

Ruled out: a longer time for all paths; a dead server would cost more.

Change: such a path is waited for up to 1.9 s, after which callers leave; the socket asks whether to, since a reader that has timed out is of no more use.

--- a/libs/gateway/burdockmast/gateway/retries.py
+++ b/libs/gateway/burdockmast/gateway/retries.py
@@ -51,15 +51,18 @@
 
     def withdraw(self, service: ids.ServiceId) -> bool:
         """Take one retry; false if there is none left."""
-        retries = self._recent(self._retries, service)
-        requests = self._recent(self._requests, service)
-        if len(retries) >= self._slack / self.gateways + self._ratio * len(
-            requests
-        ):
+        if not self.has_left(service):
             return False
-        retries.append(self._now())
+        self._retries[service].append(self._now())
         return True
 
+    def has_left(self, service: ids.ServiceId) -> bool:
+        """Tell whether there is a retry left."""
+        retries = self._recent(self._retries, service)
+        requests = self._recent(self._requests, service)
+        allowed = self._slack / self.gateways + self._ratio * len(requests)
+        return len(retries) < allowed
+
     def _recent(
         self,
         times_by_service: dict[ids.ServiceId, collections.deque[float]],
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 import dataclasses
+import functools
 
 from burdockmast.base import failures
 from burdockmast.base import ids
@@ -25,9 +26,9 @@
 # Seconds until the first event after which another path is tried. Callers
 # leave after 2 s, so this leaves time for one more path.
 FIRST_EVENT_SECONDS = 1.0
-# Seconds until the first event on a path that serves others meanwhile, so is
-# busy and not dead: callers leave after 2 s.
-BUSY_EVENT_SECONDS = 1.9
+# Seconds without an event for which a path is waited for that is busy, or that
+# can't be replaced: callers leave after 2 s.
+CALLER_SECONDS = 1.9
 # Seconds for which a path that was heard counts as alive.
 HEARD_SECONDS = 0.4
 # Seconds for a head whose first bytes are there.
@@ -193,7 +194,7 @@
         failure = exchange.send(job.request, headers)
         if failure:
             return failure
-        self._wait_for_head(job, exchange, path)
+        self._wait_for_head(job, exchange, path, progress)
         head = exchange.head(
             job.id, timers.now() + HEAD_SECONDS, self._dialect
         )
@@ -220,17 +221,39 @@
         job: jobs.Job,
         exchange: upstream.Exchange,
         path: tuple[backends.Stage, ...],
+        progress: _Progress,
     ) -> None:
         """Wait for the reply, longer on a path that is busy."""
         servers = [stage.server.id for stage in path]
         began = timers.now()
         if exchange.wait(min(job.left, FIRST_EVENT_SECONDS)):
             return
-        while self._view.all_heard(servers, timers.now() - HEARD_SECONDS):
-            left = min(job.left, began + BUSY_EVENT_SECONDS - timers.now())
-            if left <= 0 or exchange.wait(min(left, HEARD_SECONDS)):
+        while self._is_patient(job, progress, servers, began):
+            if exchange.wait(min(job.left, HEARD_SECONDS)):
                 return
 
+    def _is_patient(
+        self,
+        job: jobs.Job,
+        progress: _Progress,
+        servers: list[ids.ServerId],
+        since: float,
+    ) -> bool:
+        """Tell whether to wait on for a path that is silent.
+
+        Answers overload: a path that serves others is busy and not dead, and
+        without another try left, a late event is better than none.
+
+        :param since: monotonic seconds of the last event, or of the sending
+        """
+        now = timers.now()
+        if job.left <= 0 or now - since > CALLER_SECONDS:
+            return False
+        has_try = job.may_repeat and progress.runs + 1 < job.route.attempts
+        if not has_try or not self._budget.has_left(job.service.id):
+            return True
+        return self._view.all_heard(servers, now - HEARD_SECONDS)
+
     def _other_status(
         self,
         job: jobs.Job,
@@ -264,7 +287,12 @@
         patience = min(job.deadline, timers.now() + FIRST_EVENT_SECONDS)
         while True:
             try:
-                data = exchange.some(patience)
+                data = exchange.some(
+                    patience,
+                    functools.partial(
+                        self._is_patient, job, progress, servers, waited_since
+                    ),
+                )
             except TimeoutError:
                 return self._silent(exchange)
             except upstream.Broken as error:
--- a/libs/gateway/burdockmast/gateway/upstream.py
+++ b/libs/gateway/burdockmast/gateway/upstream.py
@@ -4,6 +4,7 @@
 connection; neither can reach another request where none shares one.
 """
 
+from collections.abc import Callable
 import dataclasses
 import http.client
 import socket
@@ -25,6 +26,8 @@
 # Seconds to connect to a live server, which takes 1 ms and a round trip.
 CONNECT_SECONDS = 0.25
 READ_BYTES = 65536
+# Seconds between questions whether to wait on for a silent server.
+PATIENCE_SECONDS = 0.2
 
 ERRORS = (
     OSError,
@@ -55,6 +58,10 @@
     length look whole when its connection is reset.
     """
 
+    # Asked when nothing comes in time; true waits on. An error would leave
+    # the reply's reader unusable, so it is raised only for good.
+    is_patient: Callable[[], bool] | None = None
+
     def recv_into(
         self, buffer: bytearray, nbytes: int = 0, flags: int = 0
     ) -> int:
@@ -62,16 +69,23 @@
 
         :raises OSError: if the connection is reset
         """
+        seconds = self.gettimeout()
         while True:
             try:
                 return self.fd.recv_into(buffer, nbytes, flags)
             except BlockingIOError:
+                pass
+            try:
                 hubs.trampoline(
                     self.fd,
                     read=True,
-                    timeout=self.gettimeout(),
+                    timeout=seconds,
                     timeout_exc=TimeoutError('no bytes in time'),
                 )
+            except TimeoutError:
+                if self.is_patient is None or not self.is_patient():
+                    raise
+                seconds = PATIENCE_SECONDS
 
 
 class Exchange:
@@ -172,14 +186,20 @@
         response = self._response
         return response.chunked or response.length_remaining is not None
 
-    def some(self, deadline: float) -> bytes:
+    def some(
+        self,
+        deadline: float,
+        is_patient: Callable[[], bool] | None = None,
+    ) -> bytes:
         """Return the next bytes of the body, empty at its end.
 
+        :param is_patient: asked after ``deadline`` whether to wait on
         :raises TimeoutError: if nothing comes until ``deadline``
         :raises Broken: if the connection breaks
         """
         try:
             self._wait_until(deadline)
+            self._sock.is_patient = is_patient
             data = self._response.read1(READ_BYTES)
         except TimeoutError:
             raise
--- a/libs/platform/burdockmast/platform/standin.py
+++ b/libs/platform/burdockmast/platform/standin.py
@@ -175,6 +175,7 @@
 
     :ivar events: of each stream
     :ivar refuses: answer requests with a promise that they have not run
+    :ivar pauses_before: event before which a stream stands still
     :ivar is_unsigned: answer without a signature
     :ivar is_silent: take requests and say nothing
     """
@@ -184,6 +185,8 @@
         self.events = 5
         self.refuses = False
         self.is_unsigned = False
+        self.pauses_before: int | None = None
+        self.pause_seconds = 0.0
         self.is_silent = False
         self.seen: list[Seen] = []
         self.orders: list[dict] = []
@@ -271,6 +274,8 @@
             if sent == breaks_after:
                 yield b'id: 99'
                 raise ConnectionError('the stream breaks off')
+            if number == self.pauses_before:
+                eventlet.sleep(self.pause_seconds)
             yield b'id: %d\ndata: token %d\n\n' % (number, number)
             eventlet.sleep(EVENT_SECONDS)
 
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -31,6 +31,16 @@
             'resumable': True,
             'gap-aim-ms': 200,
         },
+        {
+            'name': 'once',
+            'host': 'h.example',
+            'path-prefix': '/draft/once/',
+            'kind': 'streaming',
+            'timeout-ms': 20000,
+            'service': 'llm',
+            'max-attempts': 1,
+            'resumable': True,
+        },
         {
             'name': 'confirm',
             'host': 'h.example',
@@ -217,6 +227,15 @@
     assert sorted(resumed, key=str) == ['2', None]
 
 
+@pytest.mark.parametrize('event', [1, 3])
+def test_a_busy_path_that_cannot_be_replaced_is_waited_for(platform, event):
+    for engine in platform.engines:
+        engine.pauses_before = event
+        engine.pause_seconds = 1.2
+    assert platform.ask('/draft/once/x')[2] == events(1, 5)
+    assert len(requests_at(platform.engines)) == 1
+
+
 @pytest.mark.parametrize('path', ['/draft/x', '/lookup/x'])
 def test_a_silent_server_is_replaced_by_another(platform, path):
     silent = platform.engines[0] if 'draft' in path else platform.apps[0]
