Remove an exchange between gateways that never worked; tidy the gateway

Cause: read once more. Every datagram between gateways was refused by a wrong keyword, whose TypeError was logged as bad news; no test sent one.

Measured: unit and stand-in suites of the gateway pass.

--- a/libs/gateway/burdockmast/gateway/calls.py
+++ b/libs/gateway/burdockmast/gateway/calls.py
@@ -17,8 +17,6 @@
 
 LOG = logs.get('calls')
 
-# Sends of a request while it is certain that none has run.
-UNRUN_SENDS = 4
 # Seconds until a caller may come back when no server can be reached.
 RETRY_SECONDS = 0.1
 # Seconds kept back from the caller's time for the way of the answer.
@@ -53,7 +51,7 @@
         tried: list[ids.ServerId] = []
         ran = 0
         last: jobs.Reply | failures.Failure | None = None
-        for number in range(UNRUN_SENDS):
+        for number in range(retries.UNRUN_SENDS):
             server = self._choose(job, tried)
             if server is None:
                 break
@@ -137,21 +135,15 @@
         if isinstance(head, failures.Failure):
             return head
         if head.facts.is_not_run:
-            return failures.Failure(
-                failures.Reason.ENGINE_REFUSED,
-                'backend.head',
-                exchange.server.id,
-                f'status {head.status}',
-                retry_after=RETRY_SECONDS,
-            )
+            return exchange.refused(head, RETRY_SECONDS)
         try:
             body = exchange.whole(job.deadline, BODY_BYTES)
         except (upstream.Broken, TimeoutError) as error:
-            return _unknown(exchange.server, f'body: {error}')
+            return exchange.lost('body', f'body: {error}')
         if head.facts.is_encoded or (
             head.status in SUCCESSES and not head.facts.is_sealed
         ):
-            return _unknown(exchange.server, 'answer without signature')
+            return exchange.lost('body', 'answer without signature')
         return jobs.Reply.from_head(head, self._dialect, body)
 
     def _note(
@@ -186,13 +178,3 @@
                 )
                 if result.step == 'backend.connect':
                     self._view.eject(server.id, result.detail, job.id)
-
-
-def _unknown(server: backends.BackendServer, detail: str) -> failures.Failure:
-    return failures.Failure(
-        failures.Reason.ENGINE_LOST,
-        'backend.body',
-        server.id,
-        detail,
-        outcomes.Outcome.UNKNOWN,
-    )
--- a/libs/gateway/burdockmast/gateway/choosing.py
+++ b/libs/gateway/burdockmast/gateway/choosing.py
@@ -29,8 +29,6 @@
 WAKE_SECONDS = 0.1
 # Seconds for which a stream that has begun may wait for another path.
 GO_ON_SECONDS = 0.6
-# Requests and cache entries at a server that runs none.
-NOTHING = (0, 0.0)
 
 
 class Chooser:
@@ -76,13 +74,13 @@
     ) -> tuple[backends.Stage, ...] | failures.Failure:
         """Return a path, waiting for one while all are busy.
 
-        :param lost: servers that failed this request
-        :param has_begun: the caller has got events
-        :returns: no stages if no path can be had soon
-
         Answers bursts, in which every server that holds some layer is full:
         a place is free when the next answer ends, and the caller would
         rather wait for that than come back.
+
+        :param lost: servers that failed this request
+        :param has_begun: the caller has got events
+        :returns: no stages if no path can be had soon
         """
         path = self._path(job, lost)
         until = timers.now() + GO_ON_SECONDS
@@ -128,7 +126,7 @@
         totals = self._usage.totals()
 
         def crowding(server: backends.BackendServer) -> float:
-            _, reserved = totals.get(server.id, NOTHING)
+            _, reserved = totals.get(server.id, memory.NOTHING)
             used = reserved / memory.capacity(engine, server)
             return memory.crowding(max(used, self.reports.occupancy(server)))
 
@@ -138,7 +136,7 @@
                 self._view.usable(job.service.id, excluded),
                 work,
                 self._zone,
-                lambda server: totals.get(server, NOTHING)[0],
+                lambda server: totals.get(server, memory.NOTHING)[0],
                 crowding,
                 self.reports.pace,
                 self._random,
--- a/libs/gateway/burdockmast/gateway/deployment.py
+++ b/libs/gateway/burdockmast/gateway/deployment.py
@@ -43,8 +43,6 @@
     :ivar usual_answer: mean tokens of an answer
     :ivar activation_bytes: sent from stage to stage for each token
     :ivar zone_link_mbps: shared by all transfers between two zones
-    :ivar loads_at_once: weight loads that don't slow each other down
-    :ivar load_seconds: load time of all layers
     """
 
     layers: int
@@ -58,8 +56,6 @@
     usual_answer: int
     activation_bytes: float
     zone_link_mbps: float
-    loads_at_once: int
-    load_seconds: float
     kind_by_name: dict[str, AcceleratorKind]
 
 
--- a/libs/gateway/burdockmast/gateway/following.py
+++ b/libs/gateway/burdockmast/gateway/following.py
@@ -1,7 +1,6 @@
 """Keeps a copy of one kind of object from the platform's store."""
 
 from collections.abc import Callable
-import dataclasses
 from typing import Generic
 from typing import TypeVar
 
@@ -25,16 +24,6 @@
 T = TypeVar('T')
 
 
-@dataclasses.dataclass(slots=True)
-class Lapsed:
-    """An object that vanished around an outage.
-
-    :ivar until: monotonic seconds at which it counts as gone
-    """
-
-    until: float
-
-
 class Follower(Generic[T]):
     """A copy of all objects of a kind, and how old it is.
 
@@ -67,7 +56,8 @@
         self._wait_seconds = wait_seconds
         self._keeps_lapsed = keeps_lapsed
         self._is_older = is_older
-        self._lapsed_by_name: dict[str, Lapsed] = {}
+        # Objects that vanished around an outage, and when they count as gone.
+        self._gone_at_by_name: dict[str, float] = {}
         self._confirmed_at = float('-inf')
         self._lost_at: float | None = None
         self._returned_at = float('-inf')
@@ -118,11 +108,9 @@
                     self._confirmed_at += wait
 
     def _next_wait(self) -> float:
-        if not self._lapsed_by_name:
+        if not self._gone_at_by_name:
             return self._wait_seconds
-        earliest = min(
-            lapsed.until for lapsed in self._lapsed_by_name.values()
-        )
+        earliest = min(at for at in self._gone_at_by_name.values())
         return min(self._wait_seconds, max(0.05, earliest - timers.now()))
 
     def _failed(self, failure: failures.Failure) -> None:
@@ -168,7 +156,7 @@
             for name, item in listing.item_by_name.items()
         }
         for name in listing.item_by_name:
-            self._lapsed_by_name.pop(name, None)
+            self._gone_at_by_name.pop(name, None)
         for name, item in kept.items():
             if self._may_come_back(name):
                 self.item_by_name[name] = item
@@ -188,7 +176,7 @@
         self.revision = changes.revision
         for change in changes.changes:
             if change.item is not None:
-                self._lapsed_by_name.pop(change.name, None)
+                self._gone_at_by_name.pop(change.name, None)
                 if not self._is_stale(change.name, change.item):
                     self.item_by_name[change.name] = change.item
             elif not self._may_come_back(change.name):
@@ -212,20 +200,20 @@
         """Tell whether a missing object may have lapsed in an outage."""
         if not self._keeps_lapsed:
             return False
-        known = self._lapsed_by_name.get(name)
-        if known:
-            return timers.now() < known.until
+        known = self._gone_at_by_name.get(name)
+        if known is not None:
+            return timers.now() < known
         until = self._returned_at + LAPSE_GRACE_SECONDS
         if timers.now() >= until:
             return False
-        self._lapsed_by_name[name] = Lapsed(until)
+        self._gone_at_by_name[name] = until
         return True
 
     def _drop_lapsed(self) -> None:
         now = timers.now()
-        gone = [n for n, p in self._lapsed_by_name.items() if now >= p.until]
+        gone = [n for n, p in self._gone_at_by_name.items() if now >= p]
         for name in gone:
-            del self._lapsed_by_name[name]
+            del self._gone_at_by_name[name]
             self.item_by_name.pop(name, None)
             LOG.info(
                 'lapsed for good', extra={'what': self._name, 'name': name}
--- a/libs/gateway/burdockmast/gateway/interfaces.py
+++ b/libs/gateway/burdockmast/gateway/interfaces.py
@@ -214,13 +214,10 @@
 
 
 class Roster(Protocol):
-    """The gateways that share servers and the budget of retries."""
+    """The gateways that share the budget of retries."""
 
-    def join(self, address: ids.Address) -> failures.Failure | None:
-        """Make this gateway known.
+    def join(self) -> failures.Failure | None:
+        """Make this gateway known."""
 
-        :param address: where it takes news of its neighbours
-        """
-
-    def members(self) -> dict[str, ids.Address] | failures.Failure:
-        """Return the known gateways' addresses; some may be gone."""
+    def count(self) -> int | failures.Failure:
+        """Return how many gateways are known; some may be gone."""
--- a/libs/gateway/burdockmast/gateway/jobs.py
+++ b/libs/gateway/burdockmast/gateway/jobs.py
@@ -8,9 +8,6 @@
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import upstream
 
-# Urgency in the middle of the range that servers know.
-MIDDLE_URGENCY = 5
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Job:
--- a/libs/gateway/burdockmast/gateway/memory.py
+++ b/libs/gateway/burdockmast/gateway/memory.py
@@ -2,27 +2,24 @@
 
 Answers bursts and slow servers: requests stay longer, their caches pile up on
 the fastest path, and servers that run out of memory start some anew. Each
-gateway counts what its own requests will need at their end, hears the same of
-its neighbours, and takes paths around servers that fill up.
+gateway counts what its own requests will need at their end, and takes paths
+around servers that fill up.
 """
 
 import collections
-from collections.abc import Callable
 from collections.abc import Iterable
-import dataclasses
 
 from burdockmast.base import ids
-from burdockmast.base import timers
 from burdockmast.gateway import backends
 from burdockmast.gateway import deployment
 
 MEGABYTE = 1e6
-# By how much own use is multiplied where no neighbour is heard. Most gateways
+# Requests and cache entries at a server that runs none.
+NOTHING = (0, 0.0)
+# By how much own use is multiplied for what other gateways use. Most gateways
 # use servers of their own zone; taking all to do alike sent many requests over
 # the links between zones, which cost more than it saved.
 ALIKE = 2
-# Seconds for which a neighbour's news counts.
-NEWS_SECONDS = 4.0
 # By how much a full server's cost is multiplied: a detour within the zone is
 # worth it, one over a link between zones is not.
 FULL_FACTOR = 5.0
@@ -43,30 +40,17 @@
     return max(1.0, free_mb * MEGABYTE / engine.cache_bytes * engine.layers)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _News:
-    """What another gateway uses, and when it said so.
-
-    :ivar used: requests and cache entries by server
-    """
-
-    used: dict[ids.ServerId, tuple[int, float]]
-    at: float
-
-
 class Usage:
-    """What requests use of servers: own ones, and those of neighbours."""
+    """What this gateway's requests use of servers."""
 
-    def __init__(self, now: Callable[[], float] = timers.now):
+    def __init__(self):
         """Create an empty record."""
-        self._now = now
         self._running: collections.Counter[ids.ServerId] = (
             collections.Counter()
         )
         self._reserved: collections.Counter[ids.ServerId] = (
             collections.Counter()
         )
-        self._news_by_instance: dict[str, _News] = {}
 
     def reserve(self, path: Iterable[backends.Stage], tokens: int) -> None:
         """Count a request of ``tokens`` on a path."""
@@ -92,31 +76,12 @@
             if running
         }
 
-    def learn(
-        self, instance: str, used: dict[ids.ServerId, tuple[int, float]]
-    ) -> None:
-        """Take in what another gateway uses."""
-        self._news_by_instance[instance] = _News(used, self._now())
-
-    def is_heard(self, instance: str) -> bool:
-        """Tell whether a gateway has sent news lately."""
-        news = self._news_by_instance.get(instance)
-        return bool(news and news.at >= self._now() - NEWS_SECONDS)
-
     def totals(self) -> dict[ids.ServerId, tuple[int, float]]:
         """Return what all gateways are likely to use of each server."""
-        since = self._now() - NEWS_SECONDS
-        fresh = [n for n in self._news_by_instance.values() if n.at >= since]
-        factor = 1 if fresh else ALIKE
-        totals = {
-            server: (running * factor, reserved * factor)
+        return {
+            server: (running * ALIKE, reserved * ALIKE)
             for server, (running, reserved) in self.own().items()
         }
-        for news in fresh:
-            for server, (running, reserved) in news.used.items():
-                before = totals.get(server, (0, 0.0))
-                totals[server] = (before[0] + running, before[1] + reserved)
-        return totals
 
 
 def crowding(occupancy: float) -> float:
--- a/libs/gateway/burdockmast/gateway/placing.py
+++ b/libs/gateway/burdockmast/gateway/placing.py
@@ -16,11 +16,11 @@
 from burdockmast.base import ids
 from burdockmast.gateway import backends
 from burdockmast.gateway import deployment
+from burdockmast.gateway import memory
 
 # Requests whose caches must fit beside a server's layers: what a zone's
 # share of the peak keeps in flight, with half as many again.
 ROOM_REQUESTS = 24
-MEGABYTE = 1e6
 # Share of what a server may hold below which it takes more layers than are
 # left of a pipeline.
 SHORT_REST = 0.5
@@ -44,7 +44,7 @@
     if found is None:
         return 0
     tokens = engine.usual_prompt + engine.usual_answer
-    cache_mb = engine.cache_bytes / engine.layers * tokens / MEGABYTE
+    cache_mb = engine.cache_bytes / engine.layers * tokens / memory.MEGABYTE
     room = engine.layer_mb + ROOM_REQUESTS * cache_mb
     by_room = int(found.memory_mb / room)
     # A server that is short of room still holds something.
--- a/libs/gateway/burdockmast/gateway/planner.py
+++ b/libs/gateway/burdockmast/gateway/planner.py
@@ -16,7 +16,6 @@
 from burdockmast.base import timers
 from burdockmast.gateway import backends
 from burdockmast.gateway import interfaces
-from burdockmast.gateway import memory
 from burdockmast.gateway import placing
 from burdockmast.gateway import view
 
@@ -36,10 +35,8 @@
 # one for the first few. Servers list themselves within 4 s of their start.
 SETTLE_SECONDS = 0.8
 SETTLE_LIMIT_SECONDS = 5.0
-# Seconds for which a need must last until another process takes the seat: if
-# its holder is not heard, and if it is but does nothing.
+# Seconds for which a need must last until another process takes the seat.
 TAKEOVER_SECONDS = 2.0
-LIVE_TAKEOVER_SECONDS = 8.0
 # Seconds for which the seat is taken to be as it was seen last.
 SEAT_SECONDS = 1.0
 # Seconds for which a zone must lack layers until a server is moved for it: one
@@ -69,19 +66,16 @@
         seat: interfaces.Seat,
         engines: interfaces.EngineControl,
         instance: str,
-        usage: memory.Usage,
         source: random.Random,
     ):
         """Create a planner that holds no seat.
 
         :param instance: this gateway's name as holder of the seat
-        :param usage: tells which other gateways are heard
         """
         self._view = fleet
         self._seat = seat
         self._engines = engines
         self._instance = instance
-        self._usage = usage
         self._random = source
         self._fence: int | None = None
         self._needed_since: float | None = None
@@ -181,10 +175,8 @@
             self._needed_since = now
             self._seen_revision = seen.revision
             self._spread = self._random.uniform(1, 2)
-        patience = TAKEOVER_SECONDS
-        if self._usage.is_heard(seen.holder):
-            patience = LIVE_TAKEOVER_SECONDS
-        return now - self._needed_since >= patience * self._spread
+        patience = TAKEOVER_SECONDS * self._spread
+        return now - self._needed_since >= patience
 
     def _take_seat(self, seen: interfaces.Seating) -> bool:
         taken = self._seat.take(seen.revision)
--- a/libs/gateway/burdockmast/gateway/retries.py
+++ b/libs/gateway/burdockmast/gateway/retries.py
@@ -10,6 +10,8 @@
 from burdockmast.base import ids
 from burdockmast.base import timers
 
+# Sends of a request while it is certain that none has run.
+UNRUN_SENDS = 4
 # Gateways that are assumed to share the slack until they are counted; more
 # than the largest known deployment has, so that the sum stays below it.
 GATEWAYS = 32
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -24,7 +24,6 @@
 from burdockmast.gateway import following
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import memory
-from burdockmast.gateway import neighbours
 from burdockmast.gateway import planner
 from burdockmast.gateway import reports
 from burdockmast.gateway import retries
@@ -102,9 +101,6 @@
             given.retry_ratio, given.retry_slack, given.retry_window
         )
         usage = memory.Usage()
-        self._neighbours = neighbours.Neighbours(
-            given.neighbours_address, given.instance, usage
-        )
         self._chooser = choosing.Chooser(
             self.view,
             reports.Reports(self.view, platform.engines),
@@ -136,7 +132,6 @@
             platform.seat,
             platform.engines,
             given.instance,
-            usage,
             source,
         )
         self._budget = budget
@@ -157,7 +152,6 @@
         self._timers.subscribe(
             'planner', planner.LOOK_SECONDS, self._planner.look
         )
-        self._neighbours.start()
         self._timers.subscribe(
             'queue', choosing.WAKE_SECONDS, self._chooser.wake
         )
@@ -184,19 +178,18 @@
     def _count(self) -> None:
         """Count the gateways that share the budget of retries."""
         if not self._has_joined:
-            failure = self._roster.join(self._settings.neighbours_address)
+            failure = self._roster.join()
             if failure:
                 LOG.warning(
                     'not on the roster', extra={'reason': str(failure)}
                 )
                 return
             self._has_joined = True
-        members = self._roster.members()
-        if isinstance(members, failures.Failure):
-            LOG.warning('roster not read', extra={'reason': str(members)})
+        found = self._roster.count()
+        if isinstance(found, failures.Failure):
+            LOG.warning('roster not read', extra={'reason': str(found)})
             return
-        self._neighbours.address_by_instance = members
-        count = max(1, len(members))
+        count = max(1, found)
         if count != self._budget.gateways:
             LOG.info(
                 'gateways counted',
--- a/libs/gateway/burdockmast/gateway/settings.py
+++ b/libs/gateway/burdockmast/gateway/settings.py
@@ -13,7 +13,6 @@
     :ivar callers_address: where callers are served
     :ivar ready_address: where the balancer asks for readiness
     :ivar metrics_address: where metrics are served
-    :ivar neighbours_address: where news of other gateways is taken (UDP)
     :ivar revoke_seconds: within which a revoked key must stop working
     :ivar grace_seconds: from the request to stop until the process is killed
     :ivar retry_ratio: retries that each request pays for, over all gateways
@@ -26,7 +25,6 @@
     callers_address: ids.Address
     ready_address: ids.Address
     metrics_address: ids.Address
-    neighbours_address: ids.Address
     revoke_seconds: float
     grace_seconds: float
     retry_ratio: float
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -21,8 +21,6 @@
 
 LOG = logs.get('streams')
 
-# Sends of a request while it is certain that none has run.
-UNRUN_SENDS = 4
 # Seconds until the first event after which another path is tried. Callers
 # leave after 2 s, so this leaves time for one more path.
 FIRST_EVENT_SECONDS = 1.0
@@ -120,7 +118,7 @@
         if failure.outcome is not outcomes.Outcome.NOT_RUN:
             if not job.may_repeat or progress.runs >= job.route.attempts:
                 return False
-        elif progress.sends - progress.runs >= UNRUN_SENDS:
+        elif progress.sends - progress.runs >= retries.UNRUN_SENDS:
             return False
         if job.left <= 0:
             return False
@@ -201,19 +199,13 @@
         if isinstance(head, failures.Failure):
             return head
         if head.facts.is_not_run:
-            return failures.Failure(
-                failures.Reason.ENGINE_REFUSED,
-                'backend.head',
-                head.facts.culprit or exchange.server.id,
-                f'status {head.status}',
-                retry_after=choosing.RETRY_SECONDS,
-            )
+            return exchange.refused(head, choosing.RETRY_SECONDS)
         if head.status != OK:
             return (
                 yield from self._other_status(job, exchange, head, progress)
             )
         if not head.facts.is_sealed or head.facts.is_encoded:
-            return self._lost(exchange, 'answer without signature')
+            return exchange.lost('events', 'answer without signature')
         return (yield from self._events(job, exchange, path, head, progress))
 
     def _wait_for_head(
@@ -265,11 +257,11 @@
         if progress.has_begun or (
             job.may_repeat and progress.runs + 1 < job.route.attempts
         ):
-            return self._lost(exchange, f'status {head.status}')
+            return exchange.lost('events', f'status {head.status}')
         try:
             body = exchange.whole(job.deadline, EVENT_BYTES)
         except (upstream.Broken, TimeoutError) as error:
-            return self._lost(exchange, f'body: {error}')
+            return exchange.lost('events', f'body: {error}')
         yield jobs.Reply.from_head(head, self._dialect, body)
         return None
 
@@ -296,22 +288,22 @@
             except TimeoutError:
                 return self._silent(exchange)
             except upstream.Broken as error:
-                return self._lost(exchange, str(error))
+                return exchange.lost('events', str(error))
             if not data:
                 if reader.rest or not exchange.is_framed:
-                    return self._lost(exchange, 'ended without its end')
+                    return exchange.lost('events', 'ended without its end')
                 if not progress.has_begun:
                     progress.has_begun = True
                     yield jobs.Reply.from_head(head, self._dialect)
                 return None
-            self._look_at_pause(job, path, timers.now() - waited_since)
-            progress.longest_pause = max(
-                progress.longest_pause, timers.now() - waited_since
-            )
-            waited_since = timers.now()
+            now = timers.now()
+            pause = now - waited_since
+            waited_since = now
+            self._look_at_pause(job, path, pause)
+            progress.longest_pause = max(progress.longest_pause, pause)
             whole = reader.feed(data)
             if reader.is_broken:
-                return self._lost(exchange, 'events out of order')
+                return exchange.lost('events', 'events out of order')
             if not whole:
                 continue
             if not progress.has_begun:
@@ -346,17 +338,6 @@
             outcomes.Outcome.UNKNOWN,
         )
 
-    def _lost(
-        self, exchange: upstream.Exchange, detail: str
-    ) -> failures.Failure:
-        return failures.Failure(
-            failures.Reason.ENGINE_LOST,
-            'backend.events',
-            exchange.server.id,
-            detail,
-            outcomes.Outcome.UNKNOWN,
-        )
-
     def _blame(
         self,
         job: jobs.Job,
--- a/libs/gateway/burdockmast/gateway/upstream.py
+++ b/libs/gateway/burdockmast/gateway/upstream.py
@@ -242,6 +242,20 @@
         self._connection.timeout = left
         self._sock.settimeout(left)
 
+    def lost(self, step: str, detail: str) -> failures.Failure:
+        """Return that the request may have run, and nobody can know."""
+        return self._failure(step, outcomes.Outcome.UNKNOWN, detail)
+
+    def refused(self, head: Head, retry_after: float) -> failures.Failure:
+        """Return that the server promises not to have run the request."""
+        return failures.Failure(
+            failures.Reason.ENGINE_REFUSED,
+            'backend.head',
+            head.facts.culprit or self.server.id,
+            f'status {head.status}',
+            retry_after=retry_after,
+        )
+
     def _failure(
         self, step: str, outcome: outcomes.Outcome, error: object
     ) -> failures.Failure:
--- a/libs/platform/burdockmast/platform/configuration.py
+++ b/libs/platform/burdockmast/platform/configuration.py
@@ -51,10 +51,6 @@
     answer: int = 100
 
 
-class _Model(msgspec.Struct, frozen=True, rename='kebab'):
-    load_s: float = 0.0
-
-
 class _Engine(msgspec.Struct, frozen=True):
     """Most names here have dashes, some have underscores."""
 
@@ -62,14 +58,12 @@
     per_seq_ms: float = 0.0
     context_per_k: float = 0.0
     read_per_s: float = 100000.0
-    loads_at_once: int = 1
     layers: int = 0
     layer_mb: float = msgspec.field(default=0.0, name='layer-mb')
     kv_bytes: float = msgspec.field(default=0.0, name='kv-bytes')
     act_bytes: float = msgspec.field(default=0.0, name='act-bytes')
     pipe_mbps: float = msgspec.field(default=0.0, name='pipe-mbps')
     usual: _Usual = _Usual()
-    models: list[_Model] = []
     kinds: list[_Kind] = []
 
 
@@ -174,8 +168,6 @@
         usual_answer=engine.usual.answer,
         activation_bytes=engine.act_bytes,
         zone_link_mbps=engine.pipe_mbps,
-        loads_at_once=max(1, engine.loads_at_once),
-        load_seconds=max((m.load_s for m in engine.models), default=0.0),
         kind_by_name={
             kind.name: deployment.AcceleratorKind(
                 kind.name, kind.mb, kind.pace, kind.read_x
--- a/libs/platform/burdockmast/platform/store.py
+++ b/libs/platform/burdockmast/platform/store.py
@@ -44,7 +44,6 @@
 class _Metadata(msgspec.Struct, frozen=True, rename='kebab'):
     name: str
     revision: int = 0
-    created_rev: int = 0
 
 
 class _Object(msgspec.Struct, frozen=True):
@@ -263,48 +262,22 @@
         self._store = store
         self._instance = instance
 
-    def join(self, address: ids.Address) -> failures.Failure | None:
-        """Make this gateway known, perhaps at another address than before."""
-        spec = {'address': address}
-        metadata: dict[str, object] = {'name': self._instance}
+    def join(self) -> failures.Failure | None:
+        """Make this gateway known; it may be so already."""
         found = self._store.call(
-            'POST', self.KIND, body={'metadata': metadata, 'spec': spec}
-        )
-        if isinstance(found, failures.Failure):
-            return found
-        if found.status != HTTP_CONFLICT:
-            return None
-        try:
-            known = msgspec.json.decode(found.data, type=_Object)
-        except msgspec.MsgspecError as error:
-            return failures.Failure(
-                failures.Reason.PROTOCOL,
-                'store.join',
-                self._store.address,
-                str(error),
-            )
-        if known.spec == spec:
-            return None
-        metadata['revision'] = known.metadata.revision
-        found = self._store.call(
-            'PUT',
+            'POST',
             self.KIND,
-            self._instance,
-            body={'metadata': metadata, 'spec': spec},
+            body={'metadata': {'name': self._instance}, 'spec': {}},
         )
         return found if isinstance(found, failures.Failure) else None
 
-    def members(self) -> dict[str, ids.Address] | failures.Failure:
-        """Return the known gateways' addresses; some may be gone."""
+    def count(self) -> int | failures.Failure:
+        """Return how many gateways are known; some may be gone."""
         found = self._store.call('GET', self.KIND, query={'stale-ok': 1})
         page = self._store.parse(found, _Page, self.KIND)
         if isinstance(page, failures.Failure):
             return page
-        return {
-            item.metadata.name: ids.Address(item.spec['address'])
-            for item in page.items
-            if isinstance(item.spec, dict) and 'address' in item.spec
-        }
+        return len(page.items)
 
 
 class Seat:
