Dial again before a server counts as unreachable

Cause: an entry dials each server when it learns of it, and then every 0.5 s. A side that did not listen yet at the first dial stayed out for up to 0.5 s after it was up; a request that needed it in that time was refused no_path or 503, although the server could serve.

Change: a refused dial counts only for requests that came before it; others have the server dialled again, at most every 50 ms, and wait for that. A dial that found silence is not waited for. A read whose first try may have run is not called unrun any more when its last try found no server.

--- a/libs/entry/burdockmast/entry/fleet.py
+++ b/libs/entry/burdockmast/entry/fleet.py
@@ -1,11 +1,14 @@
 """What one entry sees of the fleet, and its links to it."""
 
+from collections.abc import Collection
 from collections.abc import Mapping
+import math
 
 import eventlet
 
 from burdockmast.base import failures
 from burdockmast.base import ids
+from burdockmast.base import timers
 from burdockmast.fleet import changes
 from burdockmast.fleet import ranges
 from burdockmast.node import node
@@ -20,6 +23,12 @@
 
 # Seconds between looks for servers of the subset without a link.
 DIAL_SECONDS = 0.5
+# Shortest time between two dials of a server that refuses, in seconds: as
+# long as a request that waits for it sleeps between its looks.
+REDIAL_SECONDS = 0.05
+# A dial that failed within this time was refused; others found silence, and
+# are not worth waiting for. Half of the time that a connection may take.
+REFUSED_SECONDS = 0.5
 
 
 def expected_ranges(
@@ -72,8 +81,9 @@
         self._subset = subsets.Subset(process.peers.hello.process, size)
         self._router = paths.Router(self.loads, policy, seed)
         self._dialling: set[ids.Address] = set()
-        # Servers that did not answer when they were last dialled.
-        self._unreachable: set[ids.Address] = set()
+        # Monotonic seconds at which the last dial of a server that can't be
+        # reached was begun, infinite if it found silence.
+        self._failed_at: dict[ids.Address, float] = {}
         self.follower.subscribers.append(self.refresh)
 
     @property
@@ -88,7 +98,9 @@
     def refresh(self, change: changes.Body | None) -> None:
         """Follow a change of configuration."""
         self._subset.learn(self.follower.configuration, change)
-        self._unreachable.intersection_update(s.address for s in self.servers)
+        present = {server.address for server in self.servers}
+        for address in self._failed_at.keys() - present:
+            del self._failed_at[address]
         self.dial()
 
     def dial(self) -> None:
@@ -102,14 +114,39 @@
                 eventlet.spawn(self._dial, address)
 
     def _dial(self, address: ids.Address) -> None:
+        began = timers.now()
         try:
             link = self.peers.get(address)
         finally:
             self._dialling.discard(address)
         if isinstance(link, failures.Failure):
-            self._unreachable.add(address)
+            is_refused = timers.now() - began < REFUSED_SECONDS
+            self._failed_at[address] = began if is_refused else math.inf
         else:
-            self._unreachable.discard(address)
+            self._failed_at.pop(address, None)
+
+    def dial_refused(self, since: float) -> None:
+        """Dial again the servers that refused before a request came.
+
+        A process that has just come up is not kept out until the next look.
+
+        :param since: monotonic seconds
+        """
+        for server in self.servers:
+            address = server.address
+            failed_at = self._failed_at.get(address, math.inf)
+            is_due = timers.now() - failed_at >= REDIAL_SECONDS
+            if failed_at < since and is_due and address not in self._dialling:
+                self._dialling.add(address)
+                eventlet.spawn(self._dial, address)
+
+    def _may_be_reached(self, server: changes.Server, since: float) -> bool:
+        """Tell whether a server has a link, or may have one soon."""
+        address = server.address
+        if address in self.peers.link_by_address:
+            return True
+        failed_at = self._failed_at.get(address)
+        return failed_at is None or failed_at < since
 
     def choose(
         self,
@@ -120,18 +157,20 @@
         """Return a path for an answer."""
         return self._router.choose(model, self.servers, excluded, demand)
 
-    def may_have_path(self, model: changes.Model) -> bool:
+    def may_have_path(self, model: changes.Model, since: float) -> bool:
         """Tell whether waiting may help a request that found no path.
 
         It may while servers load what they are to hold, or have not been
-        dialled since this entry learned of them or lost its connection.
+        dialled since the request came, or this entry learned of them or
+        lost its connection.
+
+        :param since: monotonic seconds at which the request came
         """
         current = self.follower.configuration
         placed = {
             server.id: current.placement(server.id)
             for server in self.servers
-            if server.address in self.peers.link_by_address
-            or server.address not in self._unreachable
+            if self._may_be_reached(server, since)
         }
         return covers(model, expected_ranges(model, placed, self.loads))
 
@@ -144,8 +183,24 @@
             and server.address in self.peers.link_by_address
         ]
 
+    def may_have_service(
+        self,
+        service: ids.ServiceId,
+        tried: Collection[ids.ServerId],
+        since: float,
+    ) -> bool:
+        """Tell whether another server of a service has, or may get, a link.
+
+        :param since: monotonic seconds at which the call came
+        """
+        return any(
+            self._may_be_reached(server, since)
+            for server in self.servers
+            if server.service == service and server.id not in tried
+        )
+
     def closed(self, link: links.Link) -> None:
         """Forget the load of a server whose link is gone."""
-        self._unreachable.discard(link.address)
+        self._failed_at.pop(link.address, None)
         self.loads.forget(link.hello.server)
         self.affinity.forget(link.hello.server)
--- a/libs/entry/burdockmast/entry/hedges.py
+++ b/libs/entry/burdockmast/entry/hedges.py
@@ -7,6 +7,7 @@
 
 import collections
 from collections.abc import Callable
+import dataclasses
 import math
 from typing import Generic
 from typing import TypeVar
@@ -63,13 +64,14 @@
     def __init__(
         self,
         attempt: Callable[[], Answer | failures.Failure],
-        may_repeat: Callable[[], bool],
+        may_repeat: Callable[[bool], bool],
         deadline: float,
     ):
         """Prepare a call; ``run`` makes it.
 
         :param attempt: makes one try on a server not tried before
-        :param may_repeat: tells whether one more try is within the budget
+        :param may_repeat: tells whether one more try is within the budget;
+            it is told whether no other is under way, and may wait then
         :param deadline: monotonic seconds
         """
         self._attempt = attempt
@@ -78,6 +80,7 @@
         self._results: eventlet.queue.LightQueue = eventlet.queue.LightQueue()
         self._started = 0
         self._open = 0
+        self._may_have_run = False
 
     def run(self, hedge_after: float) -> Answer | failures.Failure:
         """Return the first good answer, or the failure of the last try.
@@ -99,8 +102,19 @@
             self._open -= 1
             if not isinstance(result, failures.Failure):
                 return result
+            self._note(result)
             if not self._open and not self._repeat():
-                return result
+                return self._final(result)
+
+    def _note(self, failure: failures.Failure) -> None:
+        if failure.outcome is not outcomes.Outcome.NOT_RUN:
+            self._may_have_run = True
+
+    def _final(self, failure: failures.Failure) -> failures.Failure:
+        """Return the last failure, 'not run' only if no try has run."""
+        if not self._may_have_run:
+            return failure
+        return dataclasses.replace(failure, outcome=outcomes.Outcome.UNKNOWN)
 
     def _start(self) -> None:
         self._started += 1
@@ -115,7 +129,7 @@
         """Start one more try if that is allowed; tell whether it was."""
         if self._started == TRIES or timers.now() >= self._deadline:
             return False
-        if not self._may_repeat():
+        if not self._may_repeat(not self._open):
             return False
         self._start()
         return True
--- a/libs/entry/burdockmast/entry/openings.py
+++ b/libs/entry/burdockmast/entry/openings.py
@@ -119,7 +119,8 @@
     ) -> tuple[messages.Hop, ...] | failures.Failure:
         """Choose a path, waiting while servers are changing places."""
         seconds = RESUME_SECONDS if progress.delivered else PATH_SECONDS
-        until = min(request.deadline, timers.now() + seconds)
+        began = timers.now()
+        until = min(request.deadline, began + seconds)
         while True:
             hops = self._view.choose(
                 request.model, frozenset(progress.excluded), demand
@@ -132,8 +133,10 @@
                 return hops
             # An answer that has begun is worth waiting for a restart.
             is_begun = bool(progress.delivered)
-            if not is_begun and not self._view.may_have_path(request.model):
+            may_come = self._view.may_have_path(request.model, began)
+            if not is_begun and not may_come:
                 return hops
+            self._view.dial_refused(began)
             eventlet.sleep(PATH_POLL_SECONDS)
 
     def _await_opened(
--- a/libs/entry/burdockmast/entry/services.py
+++ b/libs/entry/burdockmast/entry/services.py
@@ -23,6 +23,10 @@
 
 # Tries of a call while it is certain that nothing ran.
 TRIES = 4
+# Seconds that a call waits for a link to a server that may be reached: as long
+# as a dial may take.
+LINK_SECONDS = 1.0
+LINK_POLL_SECONDS = 0.01
 # Seconds for a claim to be in the store.
 CLAIM_SECONDS = 3.0
 # Seconds until a caller may come back when the store is out.
@@ -131,9 +135,9 @@
                 latencies.note(timers.now() - began)
             return result
 
-        def may_repeat() -> bool:
-            is_left = bool(self._untried(call, tried))
-            if not is_left or not self._budget.withdraw():
+        def may_repeat(is_alone: bool) -> bool:
+            find = self._await_untried if is_alone else self._untried
+            if not find(call, tried) or not self._budget.withdraw():
                 return False
             self._metrics.count('reads.repeated')
             return True
@@ -295,7 +299,7 @@
     def _link(
         self, call: Call, tried: set[ids.ServerId]
     ) -> links.Link | failures.Failure:
-        fresh = self._untried(call, tried)
+        fresh = self._await_untried(call, tried)
         if not fresh:
             return self._no_server(call)
         # Of two at random the one with fewer calls of ours: one that stands
@@ -304,6 +308,21 @@
         server = min(two, key=lambda one: self._open_by_server[one.id])
         return self._view.peers.get(server.address)
 
+    def _await_untried(
+        self, call: Call, tried: set[ids.ServerId]
+    ) -> list[changes.Server]:
+        """Return connected servers, waiting while one may get connected."""
+        began = timers.now()
+        until = min(call.deadline, began + LINK_SECONDS)
+        while True:
+            fresh = self._untried(call, tried)
+            if fresh or timers.now() >= until:
+                return fresh
+            if not self._view.may_have_service(call.service, tried, began):
+                return []
+            self._view.dial_refused(began)
+            eventlet.sleep(LINK_POLL_SECONDS)
+
     def _untried(
         self, call: Call, tried: set[ids.ServerId]
     ) -> list[changes.Server]:
--- a/tests/test_hedges.py
+++ b/tests/test_hedges.py
@@ -1,12 +1,14 @@
 """Calls that may be repeated are tried elsewhere while the first is slow."""
 
 from concurrent import futures
+import dataclasses
 import math
 
 import eventlet
 import program
 
 from burdockmast.base import failures
+from burdockmast.base import outcomes
 from burdockmast.base import timers
 from burdockmast.entry import hedges
 
@@ -14,7 +16,7 @@
 LOST = failures.Failure(failures.Reason.PEER_LOST, 'test')
 
 
-def tries(results, may_repeat=lambda: True, seconds=5.0):
+def tries(results, may_repeat=lambda is_alone: True, seconds=5.0):
     """Return a call whose tries take times and end as ``results`` say."""
     left = iter(results)
 
@@ -43,7 +45,7 @@
 
 
 def test_no_budget_no_hedge():
-    call = tries([(0.05, 'first')], may_repeat=lambda: False)
+    call = tries([(0.05, 'first')], may_repeat=lambda is_alone: False)
     assert call.run(0.01) == 'first'
 
 
@@ -52,9 +54,16 @@
     assert call.run(math.inf) is LOST
 
 
+def test_failure_after_a_try_that_may_have_run_is_not_called_unrun():
+    unknown = dataclasses.replace(LOST, outcome=outcomes.Outcome.UNKNOWN)
+    assert LOST.outcome is outcomes.Outcome.NOT_RUN
+    result = tries([(0, unknown)] + [(0, LOST)] * 3).run(math.inf)
+    assert result.outcome is outcomes.Outcome.UNKNOWN
+
+
 def test_hedge_waits_for_a_server_to_join():
     allowed = iter([False, False, True])
-    call = tries([(60, 'slow'), (0, 'hedge')], lambda: next(allowed))
+    call = tries([(60, 'slow'), (0, 'hedge')], lambda is_alone: next(allowed))
     assert call.run(0.01) == 'hedge'
 
 
--- a/tests/test_unserved.py
+++ b/tests/test_unserved.py
@@ -39,9 +39,12 @@
         self.looks += 1
         return NO_PATH
 
-    def may_have_path(self, model):
+    def may_have_path(self, model, since):
         return self.may_come
 
+    def dial_refused(self, since):
+        pass
+
 
 def choose(view, delivered=()):
     """Return the choice of a request that has a minute left."""
@@ -158,20 +161,39 @@
 def test_server_counts_as_gone_only_once_a_dial_has_failed(view):
     """A connection that is lost may only have been cut."""
     assert len(view.servers) == 2
-    assert view.may_have_path(MODEL)
+    came = timers.now()
+    assert view.may_have_path(MODEL, came)
     dial_all(view)
-    assert not view.may_have_path(MODEL)
+    assert not view.may_have_path(MODEL, came)
 
 
 def test_server_whose_connection_was_just_lost_may_be_reached_again(view):
+    came = timers.now()
     dial_all(view)
     for server in view.servers:
         hello = types.SimpleNamespace(server=server.id)
         link = types.SimpleNamespace(address=server.address, hello=hello)
         view.closed(link)
-    assert view.may_have_path(MODEL)
+    assert view.may_have_path(MODEL, came)
+    dial_all(view)
+    assert not view.may_have_path(MODEL, came)
+
+
+def test_server_that_refused_before_the_request_came_is_dialled_again(view):
+    """A process that starts refuses until it listens."""
+    dial_all(view)
+    came = timers.now()
+    assert view.may_have_path(MODEL, came)
+    dial_all(view)
+    assert not view.may_have_path(MODEL, came)
+
+
+def test_server_that_stayed_silent_is_not_waited_for(view, monkeypatch):
+    """A dial of an instance that is gone takes as long as one may."""
+    times = iter(range(100))
+    monkeypatch.setattr(timers, 'now', lambda: float(next(times)))
     dial_all(view)
-    assert not view.may_have_path(MODEL)
+    assert not view.may_have_path(MODEL, timers.now())
 
 
 def test_request_is_refused_unrun_while_all_engines_of_a_range_are_dead(
