Give no orders while the planner's seat can't be read

A failed read of the seat was forgotten after one look: the next within the second took the old answer.

Change: an answer counts only if it was read; a failed read means no orders until the next one. Test: a holder that cannot read its seat gives no order.

--- a/libs/gateway/burdockmast/gateway/planner.py
+++ b/libs/gateway/burdockmast/gateway/planner.py
@@ -37,7 +37,8 @@
 SETTLE_LIMIT_SECONDS = 5.0
 # Seconds for which a need must last until another process takes the seat.
 TAKEOVER_SECONDS = 2.0
-# Seconds for which the seat is taken to be as it was seen last.
+# Seconds for which the seat is taken to be as it was seen last; less than
+# another process waits until it takes it.
 SEAT_SECONDS = 1.0
 # Seconds for which a zone must lack layers until a server is moved for it: one
 # that has crashed is mostly back, empty, within that time. Also the time
@@ -81,6 +82,7 @@
         self._needed_since: float | None = None
         self._spread = 1.0
         self._seen_at = float('-inf')
+        self._is_confirmed = False
         self._seen_revision = 0
         self._lacking_since: float | None = None
         self._listed = 0
@@ -150,11 +152,19 @@
                 del self._order_by_server[server_id]
 
     def _may_order(self) -> bool:
-        """Tell whether this process has the seat, taking it if it is due."""
+        """Tell whether this process has the seat, taking it if it is due.
+
+        A holder that can't read the store may have been replaced: servers
+        that the new holder has not ordered yet would still obey it.
+        """
         now = timers.now()
-        if now < self._seen_at + SEAT_SECONDS:
-            return self._fence is not None
-        self._seen_at = now
+        if now >= self._seen_at + SEAT_SECONDS:
+            self._seen_at = now
+            self._is_confirmed = self._has_seat(now)
+        return self._is_confirmed and self._fence is not None
+
+    def _has_seat(self, now: float) -> bool:
+        """Ask the store who has the seat, and take it if it is due."""
         seen = self._seat.seen()
         if isinstance(seen, failures.Failure):
             self._log_failure('seat not read', seen)
--- a/tests/test_gateway_planner.py
+++ b/tests/test_gateway_planner.py
@@ -42,12 +42,17 @@
     def __init__(self):
         self.revision = 0
         self.holder = ''
+        self.cut_off = set()
 
     def of(self, instance):
         seat = self
 
         class Own:
             def seen(self):
+                if instance in seat.cut_off:
+                    return failures.Failure(
+                        failures.Reason.STORE_UNAVAILABLE, 'seat'
+                    )
                 return interfaces.Seating(seat.revision, seat.holder)
 
             def take(self, seen):
@@ -177,6 +182,23 @@
     assert len(fleet.fences) == before
 
 
+def test_a_holder_that_cannot_read_its_seat_gives_no_order(
+    clock, fleet, seat, start
+):
+    """It may have been replaced, and servers can't tell yet."""
+    first = start('g1')
+    fleet.add('s1')
+    look(clock, [first], 3)
+    seat.cut_off.add('g1')
+    clock.now += planner.SEAT_SECONDS
+    fleet.add('s2')
+    look(clock, [first], 10)
+    assert 's2' not in fleet.accepted
+    seat.cut_off.clear()
+    look(clock, [first], 2)
+    assert fleet.accepted['s2'] == 1
+
+
 def test_a_restarted_holder_takes_its_seat_again_at_once(
     clock, fleet, seat, start
 ):
