Take no path over a link between zones that is full

Ruled out: memory of the servers alone (whole answers fell from 130 to 3 in 5 s while fewer streams were in flight than before).

Change: each gateway counts what its prompts take of each link in the last second; one that is taken to 0.7, if all gateways send alike, gets no more. A request without another path waits its turn, then is refused unrun.

--- a/libs/gateway/burdockmast/gateway/choosing.py
+++ b/libs/gateway/burdockmast/gateway/choosing.py
@@ -10,6 +10,7 @@
 from burdockmast.gateway import backends
 from burdockmast.gateway import deployment
 from burdockmast.gateway import jobs
+from burdockmast.gateway import links
 from burdockmast.gateway import memory
 from burdockmast.gateway import paths
 from burdockmast.gateway import reports
@@ -52,10 +53,18 @@
         self._zone = zone
         self._random = source
         self._queue = queues.FairQueue(QUEUE_LIMIT)
+        self._links = links.ZoneLinks()
+        # Gateways that share the fleet, as far as this one knows.
+        self.gateways = 1
 
     def reserve(self, job: jobs.Job, path: tuple[backends.Stage, ...]) -> None:
         """Count a request on its path."""
         self._usage.reserve(path, self._tokens(job))
+        engine = job.service.engine
+        if engine:
+            work = self._work(job, engine)
+            seconds = paths.transfer_ms(engine, work) / 1000
+            self._links.note(path, seconds)
 
     def release(self, job: jobs.Job, path: tuple[backends.Stage, ...]) -> None:
         """Count a request no longer, and let another look for a path."""
@@ -139,12 +148,17 @@
                 lambda server: totals.get(server, memory.NOTHING)[0],
                 crowding,
                 self.reports.pace,
+                self._is_full,
                 self._random,
             )
             if path:
                 return path
         return ()
 
+    def _is_full(self, link: links.Link) -> bool:
+        # All gateways see the same fleet, and lack the same layers.
+        return self._links.busy(link) * self.gateways >= links.FULL
+
     def _work(self, job: jobs.Job, engine: deployment.Engine) -> paths.Work:
         answer = job.request.length_hint or engine.usual_answer
         if job.request.answer_tokens:
--- a/libs/gateway/burdockmast/gateway/paths.py
+++ b/libs/gateway/burdockmast/gateway/paths.py
@@ -9,11 +9,14 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
+import itertools
+import math
 import random
 
 from burdockmast.base import ids
 from burdockmast.gateway import backends
 from burdockmast.gateway import deployment
+from burdockmast.gateway import links
 
 # Milliseconds of one more stage for each token: a transfer and the wait for
 # the server's present step.
@@ -79,13 +82,18 @@
     return pace * (step * work.answer + prefill)
 
 
-def zone_ms(engine: deployment.Engine, work: Work) -> float:
-    """Return milliseconds that a way to another zone adds to an answer."""
+def transfer_ms(engine: deployment.Engine, work: Work) -> float:
+    """Return milliseconds for which a prompt takes a link between zones."""
     if not engine.zone_link_mbps:
-        return ZONE_HOP_MS * work.answer
+        return 0.0
     bits = engine.activation_bytes * BITS_PER_BYTE
-    prompt_ms = work.prompt * bits / engine.zone_link_mbps / 1000
-    return ZONE_HOP_MS * work.answer + SHARED_LINK * prompt_ms
+    return work.prompt * bits / engine.zone_link_mbps / 1000
+
+
+def zone_ms(engine: deployment.Engine, work: Work) -> float:
+    """Return milliseconds that a way to another zone adds to an answer."""
+    shared = SHARED_LINK * transfer_ms(engine, work)
+    return ZONE_HOP_MS * work.answer + shared
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -104,6 +112,7 @@
     running: Callable[[ids.ServerId], int],
     crowding: Callable[[backends.BackendServer], float],
     pace: Callable[[backends.BackendServer], float],
+    is_full: Callable[[links.Link], bool],
     source: random.Random,
 ) -> tuple[backends.Stage, ...]:
     """Return the stages of the cheapest path, empty if there is none.
@@ -111,6 +120,7 @@
     :param zone: where the answer is wanted
     :param crowding: factor on the cost of a server whose memory fills up
     :param pace: how many times slower than usual a server is
+    :param is_full: tells of a link between zones that it takes no more
     """
     holding = [s for s in servers if len(s.held)]
     cuts = sorted(
@@ -124,6 +134,12 @@
     }
     paces = {s.id: pace(s) for s in holding}
     between_zones = zone_ms(engine, work)
+    zones = {server.zone for server in holding}
+    crossing = {
+        link: math.inf if is_full(link) else between_zones
+        for link in itertools.permutations(zones, 2)
+    }
+    entering = {(zone, other): ENTRY_ZONE_MS for other in zones}
     reached: dict[int, dict[ids.ZoneId, _Reached]] = {
         0: {zone: _Reached(0.0, ())}
     }
@@ -134,8 +150,10 @@
         for server in holding:
             if not server.held.first <= cut < server.held.end:
                 continue
-            crossing = between_zones if cut else ENTRY_ZONE_MS
-            base, stages = _nearest(here, server.zone, crossing)
+            ways = crossing if cut else entering
+            base, stages = _nearest(here, server.zone, ways)
+            if math.isinf(base):
+                continue
             base += HOP_MS * work.answer
             for end in cuts[number + 1 :]:
                 if end > server.held.end:
@@ -162,11 +180,14 @@
 
 
 def _nearest(
-    here: dict[ids.ZoneId, _Reached], zone: ids.ZoneId, crossing: float
+    here: dict[ids.ZoneId, _Reached],
+    zone: ids.ZoneId,
+    cost_by_link: dict[links.Link, float],
 ) -> tuple[float, tuple[backends.Stage, ...]]:
     """Return the cheapest way to go on in a zone, and what it costs."""
     costs = {
-        before: way.cost + (0.0 if before == zone else crossing)
+        before: way.cost
+        + (0.0 if before == zone else cost_by_link[before, zone])
         for before, way in here.items()
     }
     before = min(costs, key=costs.__getitem__)
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -196,6 +196,7 @@
                 extra={'count': count, 'before': self._budget.gateways},
             )
         self._budget.gateways = count
+        self._chooser.gateways = count
 
     def store_answered(
         self, call: str, seconds: float, failure: failures.Failure | None
--- /dev/null
+++ b/tests/test_gateway_links.py
@@ -0,0 +1,138 @@
+"""Links between zones are not filled beyond what they carry."""
+
+import itertools
+import random
+import types
+
+import pytest
+import test_gateway_paths as fleets
+
+from burdockmast.base import ids
+from burdockmast.base import timers
+from burdockmast.gateway import choosing
+from burdockmast.gateway import deployment
+from burdockmast.gateway import jobs
+from burdockmast.gateway import links
+from burdockmast.gateway import memory
+from burdockmast.gateway import paths
+
+PROMPT_SECONDS = paths.transfer_ms(fleets.ENGINE, fleets.WORK) / 1000
+GATEWAYS = {f'{zone}{number}': zone for zone in 'abc' for number in (1, 2)}
+SERVICE = deployment.Service(ids.ServiceId('draft'), fleets.ENGINE)
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    class Clock:
+        now = 100.0
+
+    monkeypatch.setattr(timers, 'now', lambda: Clock.now)
+    return Clock
+
+
+def test_prompts_are_counted_for_a_while(clock):
+    found = links.ZoneLinks()
+    path = fleets.path(fleets.placed(fleets.empty_fleet()))
+    found.note(path, 0.1)
+    assert links.crossings(path) == []
+    far = fleets.server('far', 'b')
+    crossing = [path[0], types.SimpleNamespace(server=far)]
+    found.note(crossing, 0.1)
+    found.note(crossing, 0.1)
+    assert found.busy(('a', 'b')) == pytest.approx(0.2)
+    assert found.busy(('b', 'a')) == 0
+    clock.now += links.WINDOW_SECONDS + 0.01
+    assert found.busy(('a', 'b')) == 0
+
+
+def test_no_path_takes_a_full_link():
+    servers = [
+        fleets.server('near', 'a', held=(0, 40)),
+        fleets.server('far', 'b', held=(40, 80)),
+    ]
+    assert len(fleets.path(servers)) == 2
+    assert fleets.path(servers, is_full=lambda link: link == ('a', 'b')) == ()
+    back = fleets.path(servers, is_full=lambda link: link == ('b', 'a'))
+    assert len(back) == 2
+
+
+class View:
+    """A fleet that stays as it is."""
+
+    def __init__(self, servers):
+        self.servers = servers
+
+    def usable(self, service, excluded=()):
+        return [s for s in self.servers if s.id not in excluded]
+
+    def listed(self, service):
+        return self.servers
+
+
+IDLE = types.SimpleNamespace(
+    pace=lambda server: 1.0, occupancy=lambda server: 0.0
+)
+
+
+def chooser(servers, zone, seed):
+    found = choosing.Chooser(
+        View(servers), IDLE, memory.Usage(), zone, random.Random(seed)
+    )
+    found.gateways = len(GATEWAYS)
+    return found
+
+
+def job():
+    request = types.SimpleNamespace(
+        prompt_tokens=fleets.WORK.prompt,
+        answer_tokens=fleets.WORK.answer,
+        length_hint=0,
+    )
+    found = object.__new__(jobs.Job)
+    object.__setattr__(found, 'service', SERVICE)
+    object.__setattr__(found, 'request', request)
+    return found
+
+
+def without_whole_zones():
+    """Return a fleet of which every zone has lost some layers."""
+    lost = {'a': (0, 17), 'b': (20, 30), 'c': (60, 70)}
+    return [
+        s
+        for s in fleets.placed(fleets.empty_fleet())
+        if not any(
+            layer in range(s.held.first, s.held.end)
+            for layer in range(*lost[s.zone])
+        )
+    ]
+
+
+def test_no_link_gets_more_prompts_than_it_carries(clock):
+    """Plays a burst of 90 requests a second on a fleet with losses."""
+    servers = without_whole_zones()
+    assert paths.missing(fleets.ENGINE, servers) is None
+    choosers = [
+        chooser(servers, zone, seed)
+        for seed, zone in enumerate(GATEWAYS.values())
+    ]
+    sent = {pair: 0.0 for pair in itertools.permutations('abc', 2)}
+    served = 0
+    rounds = 30
+    running = []
+    for number in range(rounds * len(choosers)):
+        clock.now += 2.0 / (rounds * len(choosers))
+        gateway = choosers[number % len(choosers)]
+        asked = job()
+        path = gateway._path(asked, ())
+        if not path:
+            continue
+        served += 1
+        gateway.reserve(asked, path)
+        running.append((gateway, asked, path))
+        if len(running) > 60:
+            before, ended, taken = running.pop(0)
+            before.release(ended, taken)
+        for link in links.crossings(path):
+            sent[link] += PROMPT_SECONDS
+    assert max(sent.values()) / 2.0 <= 1.0, sent
+    assert served >= 30
--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -80,6 +80,7 @@
         'running': lambda s: 0,
         'crowding': lambda s: 1.0,
         'pace': lambda s: 1.0,
+        'is_full': lambda link: False,
         **given,
     }
     return paths.cheapest(
