Don't order a server that still carries out an order

Each new holder gave the same three servers the same order; they accepted it up to five times and began anew each time.

Ruled out: a second planner out of touch with the store (the fences rise, each holder had read its seat).

Change: before a server that holds layers, or was ordered before, gets an order, its report must say that none is under way. The count of accepted orders comes from the same report, so the planner's own count is gone. Test: a server that still moves is not ordered anew.

--- a/libs/gateway/burdockmast/gateway/interfaces.py
+++ b/libs/gateway/burdockmast/gateway/interfaces.py
@@ -179,12 +179,14 @@
     """What a server says of itself, some hundred milliseconds late.
 
     :ivar orders: accepted since its start
+    :ivar is_ordered: it has not carried out the last of them yet
     :ivar pace: its time for the same work, as a multiple of the usual
     :ivar occupancy: share of its memory that is in use and can't yield
     :ivar stalled: requests that it runs first and that wait for others
     """
 
     orders: int
+    is_ordered: bool
     pace: float
     occupancy: float
     stalled: tuple[Stalled, ...]
--- a/libs/gateway/burdockmast/gateway/planner.py
+++ b/libs/gateway/burdockmast/gateway/planner.py
@@ -89,7 +89,6 @@
         self._listed_at = 0.0
         self._first_listed_at = 0.0
         self._order_by_server: dict[ids.ServerId, Order] = {}
-        self._orders_by_start: dict[tuple[ids.ServerId, int], int] = {}
         self._ordered: set[tuple[ids.ServerId, int]] = set()
 
     def look(self) -> None:
@@ -210,7 +209,7 @@
         self._await_effect(placement, ORDER_SECONDS)
         orders = self._orders(server)
         if isinstance(orders, failures.Failure):
-            self._log_failure('report not read', orders)
+            self._log_failure('order not given', orders)
             self._await_effect(placement, FAILED_ORDER_SECONDS)
             return
         failure = self._engines.place(server, layers, fence, orders)
@@ -228,9 +227,7 @@
             },
         )
         if failure is None:
-            self._orders_by_start[server.id, server.born] = orders + 1
             return
-        self._orders_by_start.pop((server.id, server.born), None)
         self._await_effect(placement, FAILED_ORDER_SECONDS)
         is_stale = failure.reason is failures.Reason.STALE_INCARNATION
         if is_stale and self._fence == fence:
@@ -250,18 +247,25 @@
     ) -> int | failures.Failure:
         """Return how many orders a server has accepted, asking if need be.
 
-        A server that holds nothing has mostly got no order yet.
+        A server that holds nothing has mostly got no order yet. One that is
+        still carrying out an order, of an earlier holder of the seat or of
+        this one, would begin anew.
         """
         start = (server.id, server.born)
-        known = self._orders_by_start.get(start)
-        if known is None and not len(server.held):
-            known = None if start in self._ordered else 0
+        is_first = start not in self._ordered and not len(server.held)
         self._ordered.add(start)
-        if known is not None:
-            return known
+        if is_first:
+            return 0
         report = self._engines.report(server)
         if isinstance(report, failures.Failure):
             return report
+        if report.is_ordered:
+            return failures.Failure(
+                failures.Reason.ENGINE_REFUSED,
+                'engine.report',
+                server.id,
+                f'{server.id} still carries out order {report.orders}',
+            )
         return report.orders
 
     def _log_failure(self, what: str, failure: failures.Failure) -> None:
--- a/libs/platform/burdockmast/platform/orders.py
+++ b/libs/platform/burdockmast/platform/orders.py
@@ -31,11 +31,13 @@
 class _Report(msgspec.Struct, frozen=True, rename='kebab'):
     """A report.
 
-    ``sequence`` counts the orders that were accepted since the start;
+    ``sequence`` counts the orders that were accepted since the start, and
+    ``busy`` says that one is being carried out, not that requests run;
     ``kv_used`` and ``kv_total`` are in tokens times layers.
     """
 
     sequence: int = 0
+    busy: bool = False
     pace: float = 1.0
     kv_used: float = 0.0
     kv_total: float = 0.0
@@ -97,6 +99,7 @@
         total = found.kv_total
         return interfaces.Report(
             orders=found.sequence,
+            is_ordered=found.busy,
             pace=found.pace,
             occupancy=found.kv_used / total if total else 0.0,
             stalled=tuple(
--- a/tests/test_gateway_planner.py
+++ b/tests/test_gateway_planner.py
@@ -76,6 +76,7 @@
         self.by_id = {}
         self.accepted = {}
         self.fences = []
+        self.moving = set()
 
     def add(self, name, held=None):
         self.by_id[name] = backends.BackendServer(
@@ -109,7 +110,9 @@
 
     def report(self, server):
         orders = self.accepted.get(server.id, 0)
-        return interfaces.Report(orders, 1.0, 0.0, ())
+        return interfaces.Report(
+            orders, server.id in self.moving, 1.0, 0.0, ()
+        )
 
 
 @pytest.fixture
@@ -231,3 +234,18 @@
     assert not fleet.accepted
     look(clock, [own], 3)
     assert len(fleet.accepted) == 1
+
+
+def test_a_server_that_still_moves_is_not_ordered_anew(clock, fleet, start):
+    """Servers wait for what passes through them, for longer than a takeover.
+
+    A second order would begin the move again.
+    """
+    fleet.add('s1', (0, 5))
+    fleet.add('s2', (0, 5))
+    fleet.moving = {'s1', 's2'}
+    look(clock, [start('g1'), start('g2')], 20)
+    assert not fleet.accepted
+    fleet.moving.clear()
+    look(clock, [start('g1')], 5)
+    assert len(fleet.accepted) == 1
