--- a/libs/gateway/burdockmast/gateway/choosing.py
+++ b/libs/gateway/burdockmast/gateway/choosing.py
@@ -132,12 +132,15 @@
             servers = self._view.usable(job.service.id, lost)
             return tuple(backends.Stage(s, 0, 0) for s in servers[:1])
         work = self._work(job, engine)
-        totals = self._usage.totals()
+        own = self._usage.own()
 
         def crowding(server: backends.BackendServer) -> float:
-            _, reserved = totals.get(server.id, memory.NOTHING)
-            used = reserved / memory.capacity(engine, server)
-            return memory.crowding(max(used, self.reports.occupancy(server)))
+            _, reserved = own.get(server.id, memory.NOTHING)
+            return memory.crowding(
+                reserved / memory.capacity(engine, server),
+                self.gateways,
+                self.reports.occupancy(server),
+            )
 
         for excluded in (lost, ()):
             path = paths.cheapest(
@@ -145,7 +148,9 @@
                 self._view.usable(job.service.id, excluded),
                 work,
                 self._zone,
-                lambda server: totals.get(server, memory.NOTHING)[0],
+                lambda server: (
+                    own.get(server, memory.NOTHING)[0] * memory.ALIKE
+                ),
                 crowding,
                 self.reports.pace,
                 self._is_full,
--- a/libs/gateway/burdockmast/gateway/memory.py
+++ b/libs/gateway/burdockmast/gateway/memory.py
@@ -20,13 +20,17 @@
 # use servers of their own zone; taking all to do alike sent many requests over
 # the links between zones, which cost more than it saved.
 ALIKE = 2
+# Gateways that are taken to fill the same servers where it matters whether one
+# is overfull, at most: more of them are spread over more servers.
+MOST_ALIKE = 4
 # By how much a full server's cost is multiplied: a detour within the zone is
 # worth it, one over a link between zones is not.
 FULL_FACTOR = 5.0
-# Occupancy from which a server is a last resort, and its factor. What is
-# known of it is up to a second old, in which a fifth of it may be added.
+# Occupancy from which a server is a last resort, and its factor: a detour over
+# a link between zones costs about as much. What is known of it is up to a
+# second old, in which a fifth of it may be added.
 OVERFULL = 0.8
-OVERFULL_FACTOR = 10.0
+OVERFULL_FACTOR = 6.0
 
 
 def capacity(
@@ -76,16 +80,15 @@
             if running
         }
 
-    def totals(self) -> dict[ids.ServerId, tuple[int, float]]:
-        """Return what all gateways are likely to use of each server."""
-        return {
-            server: (running * ALIKE, reserved * ALIKE)
-            for server, (running, reserved) in self.own().items()
-        }
 
+def crowding(own: float, gateways: int, reported: float) -> float:
+    """Return by how much a server's cost is multiplied.
 
-def crowding(occupancy: float) -> float:
-    """Return by how much a full server's cost is multiplied."""
-    if occupancy >= OVERFULL:
+    :param own: share of the memory that this gateway's requests will need
+    :param gateways: that share the fleet
+    :param reported: share that was in use just now, 0 if unknown
+    """
+    if max(own * min(gateways, MOST_ALIKE), reported) >= OVERFULL:
         return OVERFULL_FACTOR
+    occupancy = max(own * ALIKE, reported)
     return 1.0 + (FULL_FACTOR - 1.0) * min(occupancy, 1.0) ** 2
--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -224,11 +224,15 @@
     assert [stage.server.id for stage in found] == ['other', 'rest']
 
 
-def crowding(usage):
-    totals = usage.totals()
-    return lambda s: memory.crowding(
-        totals.get(s.id, (0, 0.0))[1] / memory.capacity(ENGINE, s)
-    )
+def crowding(usage, gateways=1):
+    own = usage.own()
+
+    def of(found):
+        reserved = own.get(found.id, memory.NOTHING)[1]
+        share = reserved / memory.capacity(ENGINE, found)
+        return memory.crowding(share, gateways, 0.0)
+
+    return of
 
 
 def used_of(usages, found):
@@ -256,7 +260,8 @@
     usages = [memory.Usage() for _ in zones]
     for _ in range(25):
         for usage, zone in zip(usages, zones, strict=True):
-            found = path(servers, zone, crowding=crowding(usage))
+            found = path(servers, zone, crowding=crowding(usage, len(zones)))
+            assert_runs_every_layer_once(found)
             usage.reserve(found, WORK.tokens)
     assert max(used_of(usages, s) for s in servers) <= 1.0
 
