--- a/libs/gateway/burdockmast/gateway/planner.py
+++ b/libs/gateway/burdockmast/gateway/planner.py
@@ -180,13 +180,20 @@
         """Tell whether the holder has had its time for what is needed."""
         if seen.holder == self._instance:
             return True
-        if self._needed_since is None or seen.revision != self._seen_revision:
-            self._needed_since = now
-            self._seen_revision = seen.revision
-            self._spread = self._random.uniform(1, 2)
+        if self._needed_since is None:
+            # The holder has known of a zone's lack for as long as this one.
+            self._wait_for(seen, self._lacking_since or now)
+        elif seen.revision != self._seen_revision:
+            self._wait_for(seen, now)
         patience = TAKEOVER_SECONDS * self._spread
         return now - self._needed_since >= patience
 
+    def _wait_for(self, seen: interfaces.Seating, since: float) -> None:
+        """Give a holder time, counted from ``since``."""
+        self._needed_since = since
+        self._seen_revision = seen.revision
+        self._spread = self._random.uniform(1, 2)
+
     def _take_seat(self, seen: interfaces.Seating) -> bool:
         taken = self._seat.take(seen.revision)
         if isinstance(taken, failures.Failure):
--- a/tests/test_gateway_planner.py
+++ b/tests/test_gateway_planner.py
@@ -1,5 +1,6 @@
 """One gateway at a time gives orders, also when the holder is lost."""
 
+import dataclasses
 import random
 
 import pytest
@@ -241,6 +242,24 @@
         assert server.held.end >= before[name].held.end
 
 
+def test_a_lost_holder_delays_a_zones_move_once(clock, fleet, seat, start):
+    """The zone's wait and the takeover's run at the same time."""
+    fleet.add('s0')
+    look(clock, [start('g1')], 3)
+    fleet.by_id.clear()
+    for name in ('s1', 's2', 's3'):
+        fleet.add(name, (0, 5))
+    fleet.by_id['far'] = dataclasses.replace(
+        fleet.by_id['s1'],
+        id='far',
+        zone='b',
+        held=backends.LayerRange(0, 10),
+    )
+    second = start('g2')
+    look(clock, [second], planner.MOVE_SECONDS + planner.TAKEOVER_SECONDS)
+    assert fleet.accepted.keys() & {'s1', 's2', 's3'}
+
+
 def test_a_server_that_still_moves_is_not_ordered_anew(clock, fleet, start):
     """Servers wait for what passes through them, for longer than a takeover.
 
