--- a/libs/gateway/burdockmast/gateway/choosing.py
+++ b/libs/gateway/burdockmast/gateway/choosing.py
@@ -91,7 +91,7 @@
         :param has_begun: the caller has got events
         :returns: no stages if no path can be had soon
         """
-        path = self._path(job, lost)
+        path = self._path(job, lost, has_begun)
         until = timers.now() + GO_ON_SECONDS
         if not has_begun:
             until = job.began + QUEUE_SECONDS
@@ -105,11 +105,14 @@
                     extra={
                         'request': job.id,
                         'waiting': len(self._queue),
+                        'links': self._links.describe(),
+                        'gateways': self.gateways,
+                        'list_age': round(self._view.server_age, 3),
                         'outcome': str(refusal),
                     },
                 )
                 return refusal
-            path = self._path(job, lost)
+            path = self._path(job, lost, has_begun)
         return path
 
     def _is_busy(self, job: jobs.Job) -> bool:
@@ -125,7 +128,10 @@
         self._queue.wake()
 
     def _path(
-        self, job: jobs.Job, lost: Collection[ids.ServerId]
+        self,
+        job: jobs.Job,
+        lost: Collection[ids.ServerId],
+        has_begun: bool = False,
     ) -> tuple[backends.Stage, ...]:
         engine = job.service.engine
         if engine is None:
@@ -153,7 +159,9 @@
                 ),
                 crowding,
                 self.reports.pace,
-                self._is_full,
+                # A caller who has a part of the answer loses more than what
+                # one prompt more costs the others.
+                (lambda link: False) if has_begun else self._is_full,
                 self._random,
             )
             if path:
--- a/libs/gateway/burdockmast/gateway/links.py
+++ b/libs/gateway/burdockmast/gateway/links.py
@@ -54,3 +54,11 @@
         while sent and sent[0][0] < since:
             sent.popleft()
         return sum(seconds for _, seconds in sent) / WINDOW_SECONDS
+
+    def describe(self) -> dict[str, float]:
+        """Return what was taken of each link just now, for logs."""
+        return {
+            f'{link[0]} to {link[1]}': round(self.busy(link), 3)
+            for link in list(self._sent_by_link)
+            if self.busy(link)
+        }
--- a/tests/test_gateway_links.py
+++ b/tests/test_gateway_links.py
@@ -136,3 +136,15 @@
             sent[link] += PROMPT_SECONDS
     assert max(sent.values()) / 2.0 <= 1.0, sent
     assert served >= 30
+
+
+def test_a_stream_that_has_begun_goes_on_over_a_full_link(clock):
+    """Its caller has a part of the answer, and would lose it."""
+    servers = [
+        fleets.server('near', 'a', held=(0, 40)),
+        fleets.server('far', 'b', held=(40, 80)),
+    ]
+    gateway = chooser(servers, 'a', 1)
+    while path := gateway._path(job(), ()):
+        gateway.reserve(job(), path)
+    assert len(gateway._path(job(), (), has_begun=True)) == 2
