--- a/libs/gateway/burdockmast/gateway/choosing.py
+++ b/libs/gateway/burdockmast/gateway/choosing.py
@@ -54,8 +54,15 @@
         self._random = source
         self._queue = queues.FairQueue(QUEUE_LIMIT)
         self._links = links.ZoneLinks()
-        # Gateways that share the fleet, as far as this one knows.
-        self.gateways = 1
+
+    @property
+    def gateways(self) -> int:
+        """Gateways that share the fleet, as far as this one knows."""
+        return self._links.gateways
+
+    @gateways.setter
+    def gateways(self, count: int) -> None:
+        self._links.gateways = count
 
     def reserve(self, job: jobs.Job, path: tuple[backends.Stage, ...]) -> None:
         """Count a request on its path."""
@@ -161,17 +168,13 @@
                 self.reports.pace,
                 # A caller who has a part of the answer loses more than what
                 # one prompt more costs the others.
-                (lambda link: False) if has_begun else self._is_full,
+                (lambda link: False) if has_begun else self._links.is_full,
                 self._random,
             )
             if path:
                 return path
         return ()
 
-    def _is_full(self, link: links.Link) -> bool:
-        # All gateways see the same fleet, and lack the same layers.
-        return self._links.busy(link) * self.gateways >= links.FULL
-
     def _work(self, job: jobs.Job, engine: deployment.Engine) -> paths.Work:
         answer = job.request.length_hint or engine.usual_answer
         if job.request.answer_tokens:
--- a/libs/gateway/burdockmast/gateway/links.py
+++ b/libs/gateway/burdockmast/gateway/links.py
@@ -6,7 +6,6 @@
 requests send, and takes no path over a link that is full.
 """
 
-import collections
 from collections.abc import Iterable
 import itertools
 
@@ -14,12 +13,12 @@
 from burdockmast.base import timers
 from burdockmast.gateway import backends
 
-# Seconds over which transfers are counted: about as long as the first event
-# may take, so that what waits on a link is still counted.
-WINDOW_SECONDS = 1.0
 # Share of a link that prompts may take; the rest is for the tokens of the
 # answers that follow, and for what other gateways send unknown to this one.
-FULL = 0.7
+SHARE = 0.7
+# Seconds of prompts that may wait for a link: about as long as the first event
+# may take.
+WAITING_SECONDS = 0.7
 
 Link = tuple[ids.ZoneId, ids.ZoneId]
 
@@ -31,13 +30,19 @@
 
 
 class ZoneLinks:
-    """What this gateway's prompts take of the links between zones."""
+    """What prompts are likely to take of the links between zones.
+
+    All gateways see the same fleet, and lack the same layers, so each takes
+    the others to send what it sends.
+
+    :ivar gateways: that share the links, as far as this one knows
+    """
 
     def __init__(self):
         """Create a record without transfers."""
-        self._sent_by_link: dict[
-            Link, collections.deque[tuple[float, float]]
-        ] = collections.defaultdict(collections.deque)
+        self.gateways = 1
+        # Monotonic seconds at which what was sent has passed.
+        self._free_at: dict[Link, float] = {}
 
     def note(self, path: Iterable[backends.Stage], seconds: float) -> None:
         """Count a prompt on its path.
@@ -45,20 +50,21 @@
         :param seconds: that it takes one link
         """
         for link in crossings(path):
-            self._sent_by_link[link].append((timers.now(), seconds))
+            free_at = max(timers.now(), self._free_at.get(link, 0.0))
+            self._free_at[link] = free_at + seconds * self.gateways / SHARE
+
+    def waiting(self, link: Link) -> float:
+        """Return the seconds for which a link is taken by now."""
+        return max(0.0, self._free_at.get(link, 0.0) - timers.now())
 
-    def busy(self, link: Link) -> float:
-        """Return the share of the last moments that a link was taken."""
-        sent = self._sent_by_link[link]
-        since = timers.now() - WINDOW_SECONDS
-        while sent and sent[0][0] < since:
-            sent.popleft()
-        return sum(seconds for _, seconds in sent) / WINDOW_SECONDS
+    def is_full(self, link: Link) -> bool:
+        """Tell whether a link takes no more for now."""
+        return self.waiting(link) >= WAITING_SECONDS
 
     def describe(self) -> dict[str, float]:
-        """Return what was taken of each link just now, for logs."""
+        """Return for how long links are taken, for logs."""
         return {
-            f'{link[0]} to {link[1]}': round(self.busy(link), 3)
-            for link in list(self._sent_by_link)
-            if self.busy(link)
+            f'{link[0]} to {link[1]}': round(self.waiting(link), 3)
+            for link in self._free_at
+            if self.waiting(link)
         }
--- a/tests/test_gateway_links.py
+++ b/tests/test_gateway_links.py
@@ -1,5 +1,6 @@
 """Links between zones are not filled beyond what they carry."""
 
+import dataclasses
 import itertools
 import random
 import types
@@ -16,9 +17,9 @@
 from burdockmast.gateway import memory
 from burdockmast.gateway import paths
 
-PROMPT_SECONDS = paths.transfer_ms(fleets.ENGINE, fleets.WORK) / 1000
-GATEWAYS = {f'{zone}{number}': zone for zone in 'abc' for number in (1, 2)}
-SERVICE = deployment.Service(ids.ServiceId('draft'), fleets.ENGINE)
+# Seconds of the burst that is played, and its requests a second.
+SECONDS = 4.0
+RATE = 90
 
 
 @pytest.fixture
@@ -30,19 +31,23 @@
     return Clock
 
 
-def test_prompts_are_counted_for_a_while(clock):
+def test_a_link_is_taken_until_its_prompts_have_passed(clock):
     found = links.ZoneLinks()
+    found.gateways = 2
     path = fleets.path(fleets.placed(fleets.empty_fleet()))
     found.note(path, 0.1)
     assert links.crossings(path) == []
     far = fleets.server('far', 'b')
     crossing = [path[0], types.SimpleNamespace(server=far)]
-    found.note(crossing, 0.1)
-    found.note(crossing, 0.1)
-    assert found.busy(('a', 'b')) == pytest.approx(0.2)
-    assert found.busy(('b', 'a')) == 0
-    clock.now += links.WINDOW_SECONDS + 0.01
-    assert found.busy(('a', 'b')) == 0
+    found.note(crossing, links.SHARE / 10)
+    found.note(crossing, links.SHARE / 10)
+    assert found.waiting(('a', 'b')) == pytest.approx(0.4)
+    assert found.waiting(('b', 'a')) == 0
+    assert not found.is_full(('a', 'b'))
+    found.note(crossing, links.WAITING_SECONDS)
+    assert found.is_full(('a', 'b'))
+    clock.now += 0.4 + 2 * links.WAITING_SECONDS / links.SHARE
+    assert found.waiting(('a', 'b')) == 0
 
 
 def test_no_path_takes_a_full_link():
@@ -74,22 +79,23 @@
 )
 
 
-def chooser(servers, zone, seed):
+def chooser(servers, zone, seed, gateways=6):
     found = choosing.Chooser(
         View(servers), IDLE, memory.Usage(), zone, random.Random(seed)
     )
-    found.gateways = len(GATEWAYS)
+    found.gateways = gateways
     return found
 
 
-def job():
+def job(engine=fleets.ENGINE):
     request = types.SimpleNamespace(
         prompt_tokens=fleets.WORK.prompt,
         answer_tokens=fleets.WORK.answer,
         length_hint=0,
     )
     found = object.__new__(jobs.Job)
-    object.__setattr__(found, 'service', SERVICE)
+    service = deployment.Service(ids.ServiceId('draft'), engine)
+    object.__setattr__(found, 'service', service)
     object.__setattr__(found, 'request', request)
     return found
 
@@ -107,22 +113,26 @@
     ]
 
 
-def test_no_link_gets_more_prompts_than_it_carries(clock):
+@pytest.mark.parametrize(('count', 'mbps'), [(3, 7900), (6, 7900), (26, 2000)])
+def test_no_link_gets_more_prompts_than_it_carries(clock, count, mbps):
     """Plays a burst of 90 requests a second on a fleet with losses."""
+    engine = dataclasses.replace(fleets.ENGINE, zone_link_mbps=mbps)
+    seconds = paths.transfer_ms(engine, fleets.WORK) / 1000
     servers = without_whole_zones()
     assert paths.missing(fleets.ENGINE, servers) is None
     choosers = [
-        chooser(servers, zone, seed)
-        for seed, zone in enumerate(GATEWAYS.values())
+        chooser(servers, zone, seed, count)
+        for seed, zone in zip(
+            range(count), itertools.cycle('abc'), strict=False
+        )
     ]
     sent = {pair: 0.0 for pair in itertools.permutations('abc', 2)}
     served = 0
-    rounds = 30
     running = []
-    for number in range(rounds * len(choosers)):
-        clock.now += 2.0 / (rounds * len(choosers))
-        gateway = choosers[number % len(choosers)]
-        asked = job()
+    for number in range(int(RATE * SECONDS)):
+        clock.now += 1 / RATE
+        gateway = choosers[number % count]
+        asked = job(engine)
         path = gateway._path(asked, ())
         if not path:
             continue
@@ -133,9 +143,9 @@
             before, ended, taken = running.pop(0)
             before.release(ended, taken)
         for link in links.crossings(path):
-            sent[link] += PROMPT_SECONDS
-    assert max(sent.values()) / 2.0 <= 1.0, sent
-    assert served >= 30
+            sent[link] += seconds
+    assert max(sent.values()) / SECONDS <= 1.0, sent
+    assert served >= links.SHARE * SECONDS / seconds / 2
 
 
 def test_a_stream_that_has_begun_goes_on_over_a_full_link(clock):
