Count layers, start dials and set the tests' clock in one place each

Cause: read once more. _Coverage.add repeated the loop of the new _count, with a parameter that nothing passed any more; dial and dial_refused repeated how a dial starts; a reservation worked out the request's size twice; two test files had the same clock fixture, which is shared now.

Behaviour, bounds and assertions are as they were.

--- a/libs/entry/burdockmast/entry/fleet.py
+++ b/libs/entry/burdockmast/entry/fleet.py
@@ -109,9 +109,12 @@
             address = server.address
             if address in self.peers.link_by_address:
                 continue
-            if address not in self._dialling:
-                self._dialling.add(address)
-                eventlet.spawn(self._dial, address)
+            self._start_dial(address)
+
+    def _start_dial(self, address: ids.Address) -> None:
+        if address not in self._dialling:
+            self._dialling.add(address)
+            eventlet.spawn(self._dial, address)
 
     def _dial(self, address: ids.Address) -> None:
         began = timers.now()
@@ -136,9 +139,8 @@
             address = server.address
             failed_at = self._failed_at.get(address, math.inf)
             is_due = timers.now() - failed_at >= REDIAL_SECONDS
-            if failed_at < since and is_due and address not in self._dialling:
-                self._dialling.add(address)
-                eventlet.spawn(self._dial, address)
+            if failed_at < since and is_due:
+                self._start_dial(address)
 
     def _may_be_reached(self, server: changes.Server, since: float) -> bool:
         """Tell whether a server has a link, or may have one soon."""
--- a/libs/gateway/burdockmast/gateway/choosing.py
+++ b/libs/gateway/burdockmast/gateway/choosing.py
@@ -66,12 +66,13 @@
 
     def reserve(self, job: jobs.Job, path: tuple[backends.Stage, ...]) -> None:
         """Count a request on its path."""
-        self._usage.reserve(path, self._tokens(job))
         engine = job.service.engine
-        if engine:
-            work = self._work(job, engine)
-            seconds = paths.transfer_ms(engine, work) / 1000
-            self._links.note(path, seconds)
+        if engine is None:
+            self._usage.reserve(path, 0)
+            return
+        work = self._work(job, engine)
+        self._usage.reserve(path, work.tokens)
+        self._links.note(path, paths.transfer_ms(engine, work) / 1000)
 
     def release(self, job: jobs.Job, path: tuple[backends.Stage, ...]) -> None:
         """Count a request no longer, and let another look for a path."""
--- a/libs/gateway/burdockmast/gateway/placing.py
+++ b/libs/gateway/burdockmast/gateway/placing.py
@@ -68,14 +68,10 @@
             collections.Counter()
         )
 
-    def add(
-        self, zone: ids.ZoneId, layers: backends.LayerRange, count: int = 1
-    ) -> None:
+    def add(self, zone: ids.ZoneId, layers: backends.LayerRange) -> None:
         """Count a server that holds layers."""
-        in_zone = self.by_zone[zone]
-        for layer in range(layers.first, min(layers.end, len(self.fleet))):
-            in_zone[layer] += count
-            self.fleet[layer] += count
+        _count(self.by_zone[zone], layers, 1)
+        _count(self.fleet, layers, 1)
 
     def has_room(self, zone: ids.ZoneId) -> bool:
         """Tell whether a zone can hold a pipeline of its own."""
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,7 @@
 import known_red  # noqa: E402
 import pytest  # noqa: E402
 
+from burdockmast.base import timers  # noqa: E402
 from burdockmast.standins import fleets  # noqa: E402
 from burdockmast.standins import layouts  # noqa: E402
 
@@ -54,6 +55,17 @@
         fleet.close()
 
 
+@pytest.fixture
+def clock(monkeypatch):
+    """A monotonic clock that stands still until a test sets ``now``."""
+
+    class Clock:
+        now = 100.0
+
+    monkeypatch.setattr(timers, 'now', lambda: Clock.now)
+    return Clock
+
+
 @pytest.fixture
 def own_fleet(tmp_path):
     """Start fleets for one test, which may hurt them."""
--- a/tests/test_gateway_links.py
+++ b/tests/test_gateway_links.py
@@ -9,7 +9,6 @@
 import test_gateway_paths as fleets
 
 from burdockmast.base import ids
-from burdockmast.base import timers
 from burdockmast.gateway import choosing
 from burdockmast.gateway import deployment
 from burdockmast.gateway import jobs
@@ -22,15 +21,6 @@
 RATE = 90
 
 
-@pytest.fixture
-def clock(monkeypatch):
-    class Clock:
-        now = 100.0
-
-    monkeypatch.setattr(timers, 'now', lambda: Clock.now)
-    return Clock
-
-
 def test_a_link_is_taken_until_its_prompts_have_passed(clock):
     found = links.ZoneLinks()
     found.gateways = 2
--- a/tests/test_gateway_planner.py
+++ b/tests/test_gateway_planner.py
@@ -6,7 +6,6 @@
 import pytest
 
 from burdockmast.base import failures
-from burdockmast.base import timers
 from burdockmast.gateway import backends
 from burdockmast.gateway import deployment
 from burdockmast.gateway import interfaces
@@ -28,15 +27,6 @@
 )
 
 
-@pytest.fixture
-def clock(monkeypatch):
-    class Clock:
-        now = 100.0
-
-    monkeypatch.setattr(timers, 'now', lambda: Clock.now)
-    return Clock
-
-
 class Seat:
     """The store's side of the seat, shared by all gateways."""
 
