Name the gateway's request path after what its parts do

Cause: several names of the gateway's serving part said little to a newcomer (callers, watching, events, Calls, Streams, Cut, Broken) or were private terms (seat, roster, sends that are unrun).

Renames only: modules callers -> wsgi, watching -> disconnects, events -> sse; Calls and Streams -> CallProxy and StreamProxy with the method forward; Reader -> EventSplitter, Watch's CallerGone -> CallerDisconnected, Cut -> StreamAborted, Broken -> IncompleteReply; Platform's seat and roster -> planner_lock and gateway_registry; store_answered -> record_store_call; Job.began -> arrived_at; Budget's has_left and gateways -> can_withdraw and gateway_count; UNRUN_SENDS -> MAX_NOT_RUN_ATTEMPTS.

--- a/libs/gateway/burdockmast/gateway/calls.py
+++ b/libs/gateway/burdockmast/gateway/calls.py
@@ -28,7 +28,7 @@
 FAILED = 500
 
 
-class Calls:
+class CallProxy:
     """Plain calls of one gateway."""
 
     def __init__(
@@ -46,12 +46,12 @@
         self._zone = zone
         self._random = source
 
-    def call(self, job: jobs.Job) -> jobs.Reply | failures.Failure:
+    def forward(self, job: jobs.Job) -> jobs.Reply | failures.Failure:
         """Execute a call in the way that its route allows."""
         tried: list[ids.ServerId] = []
         ran = 0
         last: jobs.Reply | failures.Failure | None = None
-        for number in range(retries.UNRUN_SENDS):
+        for number in range(retries.MAX_NOT_RUN_ATTEMPTS):
             server = self._choose(job, tried)
             if server is None:
                 break
@@ -138,7 +138,7 @@
             return exchange.refused(head, RETRY_SECONDS)
         try:
             body = exchange.whole(job.deadline, BODY_BYTES)
-        except (upstream.Broken, TimeoutError) as error:
+        except (upstream.IncompleteReply, TimeoutError) as error:
             return exchange.lost('body', f'body: {error}')
         if head.facts.is_encoded or (
             head.status in SUCCESSES and not head.facts.is_sealed
--- a/libs/gateway/burdockmast/gateway/choosing.py
+++ b/libs/gateway/burdockmast/gateway/choosing.py
@@ -102,7 +102,7 @@
         path = self._path(job, lost, has_begun)
         until = timers.now() + GO_ON_SECONDS
         if not has_begun:
-            until = job.began + QUEUE_SECONDS
+            until = job.arrived_at + QUEUE_SECONDS
         until = min(until, job.deadline)
         while not path and self._is_busy(job):
             waiter = queues.Waiter(job.organisation, -job.priority, 1.0)
--- a/libs/gateway/burdockmast/gateway/watching.py
+++ b/libs/gateway/burdockmast/gateway/disconnects.py
@@ -7,12 +7,12 @@
 import greenlet
 
 
-class CallerGone(Exception):
+class CallerDisconnected(Exception):
     """The caller has closed its connection."""
 
 
 class Watch:
-    """Raises ``CallerGone`` in the present task when a connection ends.
+    """Raises ``CallerDisconnected`` when a connection ends.
 
     Used as a context manager by the task that serves the connection, which
     must not read from it meanwhile.
@@ -66,4 +66,4 @@
 
 def _throw(task: greenlet.greenlet) -> None:
     if not task.dead:
-        task.throw(CallerGone('the caller has left'))
+        task.throw(CallerDisconnected('the caller has left'))
--- a/libs/gateway/burdockmast/gateway/jobs.py
+++ b/libs/gateway/burdockmast/gateway/jobs.py
@@ -25,7 +25,7 @@
     service: deployment.Service
     organisation: ids.OrganisationId
     priority: int
-    began: float
+    arrived_at: float
     deadline: float
     version: int
 
--- a/libs/gateway/burdockmast/gateway/retries.py
+++ b/libs/gateway/burdockmast/gateway/retries.py
@@ -11,10 +11,10 @@
 from burdockmast.base import timers
 
 # Sends of a request while it is certain that none has run.
-UNRUN_SENDS = 4
+MAX_NOT_RUN_ATTEMPTS = 4
 # Gateways that are assumed to share the slack until they are counted; more
 # than the largest known deployment has, so that the sum stays below it.
-GATEWAYS = 32
+ASSUMED_GATEWAY_COUNT = 32
 # Share of the slack that is used; the rest is for gateways that came after
 # the count.
 SLACK_SHARE = 0.7
@@ -41,7 +41,7 @@
         """
         self._ratio = ratio * RATIO_SHARE
         self._slack = slack * SLACK_SHARE
-        self.gateways = GATEWAYS
+        self.gateway_count = ASSUMED_GATEWAY_COUNT
         self._window = window
         self._now = now
         self._requests: dict[ids.ServiceId, collections.deque[float]] = {}
@@ -53,16 +53,18 @@
 
     def withdraw(self, service: ids.ServiceId) -> bool:
         """Take one retry; false if there is none left."""
-        if not self.has_left(service):
+        if not self.can_withdraw(service):
             return False
         self._retries[service].append(self._now())
         return True
 
-    def has_left(self, service: ids.ServiceId) -> bool:
+    def can_withdraw(self, service: ids.ServiceId) -> bool:
         """Tell whether there is a retry left."""
         retries = self._recent(self._retries, service)
         requests = self._recent(self._requests, service)
-        allowed = self._slack / self.gateways + self._ratio * len(requests)
+        allowed = self._slack / self.gateway_count + self._ratio * len(
+            requests
+        )
         return len(retries) < allowed
 
     def _recent(
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -17,7 +17,6 @@
 from burdockmast.base import metrics
 from burdockmast.base import timers
 from burdockmast.gateway import backends
-from burdockmast.gateway import callers
 from burdockmast.gateway import calls
 from burdockmast.gateway import choosing
 from burdockmast.gateway import deployment
@@ -30,6 +29,7 @@
 from burdockmast.gateway import settings
 from burdockmast.gateway import streams
 from burdockmast.gateway import view
+from burdockmast.gateway import wsgi
 
 LOG = logs.get('gateway')
 
@@ -68,8 +68,8 @@
 
     deployments: interfaces.Feed[deployment.Deployment]
     servers: interfaces.Feed[backends.BackendServer]
-    seat: interfaces.Seat
-    roster: interfaces.Roster
+    planner_lock: interfaces.Seat
+    gateway_registry: interfaces.Roster
     engines: interfaces.EngineControl
     dialect: interfaces.Dialect
 
@@ -108,13 +108,13 @@
             given.zone,
             source,
         )
-        self.application = callers.Application(
+        self.application = wsgi.Application(
             self.view,
             platform.dialect,
-            calls.Calls(
+            calls.CallProxy(
                 self.view, platform.dialect, budget, given.zone, source
             ),
-            streams.Streams(
+            streams.StreamProxy(
                 self.view,
                 platform.dialect,
                 budget,
@@ -129,13 +129,13 @@
         )
         self._planner = planner.Planner(
             self.view,
-            platform.seat,
+            platform.planner_lock,
             platform.engines,
             given.instance,
             source,
         )
         self._budget = budget
-        self._roster = platform.roster
+        self._gateway_registry = platform.gateway_registry
         self._has_joined = False
         self._stopped = eventlet.event.Event()
 
@@ -159,7 +159,7 @@
         self._timers.subscribe('roster', ROSTER_SECONDS, self._count)
         self._serve_metrics()
         self._listen(
-            self._settings.ready_address, callers.Readiness(self.application)
+            self._settings.ready_address, wsgi.Readiness(self.application)
         )
         listener = self._listen(
             self._settings.callers_address, self.application
@@ -178,27 +178,27 @@
     def _count(self) -> None:
         """Count the gateways that share the budget of retries."""
         if not self._has_joined:
-            failure = self._roster.join()
+            failure = self._gateway_registry.join()
             if failure:
                 LOG.warning(
                     'not on the roster', extra={'reason': str(failure)}
                 )
                 return
             self._has_joined = True
-        found = self._roster.count()
+        found = self._gateway_registry.count()
         if isinstance(found, failures.Failure):
             LOG.warning('roster not read', extra={'reason': str(found)})
             return
         count = max(1, found)
-        if count != self._budget.gateways:
+        if count != self._budget.gateway_count:
             LOG.info(
                 'gateways counted',
-                extra={'count': count, 'before': self._budget.gateways},
+                extra={'count': count, 'before': self._budget.gateway_count},
             )
-        self._budget.gateways = count
+        self._budget.gateway_count = count
         self._chooser.gateways = count
 
-    def store_answered(
+    def record_store_call(
         self, call: str, seconds: float, failure: failures.Failure | None
     ) -> None:
         """Measure the end of a call to the store."""
--- a/libs/gateway/burdockmast/gateway/events.py
+++ b/libs/gateway/burdockmast/gateway/sse.py
@@ -6,7 +6,7 @@
 _ID = re.compile(rb'^id: ?(\d+)\r?$', re.MULTILINE)
 
 
-class Reader:
+class EventSplitter:
     """Splits a stream after whole events, and follows their ids.
 
     :ivar rest: bytes of an event that is not complete
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -12,10 +12,10 @@
 from burdockmast.base import timers
 from burdockmast.gateway import backends
 from burdockmast.gateway import choosing
-from burdockmast.gateway import events
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import jobs
 from burdockmast.gateway import retries
+from burdockmast.gateway import sse
 from burdockmast.gateway import upstream
 from burdockmast.gateway import view
 
@@ -40,7 +40,7 @@
 OK = 200
 
 
-class Cut(Exception):
+class StreamAborted(Exception):
     """A stream that has begun can't be brought to its end."""
 
 
@@ -62,7 +62,7 @@
     lost: list[ids.ServerId] = dataclasses.field(default_factory=list)
 
 
-class Streams:
+class StreamProxy:
     """Streamed answers of one gateway."""
 
     def __init__(
@@ -80,12 +80,12 @@
         self._chooser = chooser
         self._metrics = measures
 
-    def stream(
+    def forward(
         self, job: jobs.Job
     ) -> Iterator[jobs.Reply | failures.Failure | bytes]:
         """Yield the head or a refusal, then whole events.
 
-        :raises Cut: if the stream can't be brought to its end
+        :raises StreamAborted: if the stream can't be brought to its end
         """
         progress = _Progress(job.request.after_event)
         while True:
@@ -108,7 +108,7 @@
                     failure, outcome=outcomes.Outcome.UNKNOWN
                 )
             if progress.has_begun:
-                raise Cut(str(failure))
+                raise StreamAborted(str(failure))
             yield failure
             return
 
@@ -118,7 +118,7 @@
         if failure.outcome is not outcomes.Outcome.NOT_RUN:
             if not job.may_repeat or progress.runs >= job.route.attempts:
                 return False
-        elif progress.sends - progress.runs >= retries.UNRUN_SENDS:
+        elif progress.sends - progress.runs >= retries.MAX_NOT_RUN_ATTEMPTS:
             return False
         if job.left <= 0:
             return False
@@ -242,7 +242,7 @@
         if job.left <= 0 or now - since > CALLER_SECONDS:
             return False
         has_try = job.may_repeat and progress.runs + 1 < job.route.attempts
-        if not has_try or not self._budget.has_left(job.service.id):
+        if not has_try or not self._budget.can_withdraw(job.service.id):
             return True
         return self._view.all_heard(servers, now - HEARD_SECONDS)
 
@@ -260,7 +260,7 @@
             return exchange.lost('events', f'status {head.status}')
         try:
             body = exchange.whole(job.deadline, EVENT_BYTES)
-        except (upstream.Broken, TimeoutError) as error:
+        except (upstream.IncompleteReply, TimeoutError) as error:
             return exchange.lost('events', f'body: {error}')
         yield jobs.Reply.from_head(head, self._dialect, body)
         return None
@@ -273,7 +273,7 @@
         head: upstream.Head,
         progress: _Progress,
     ) -> Iterator[jobs.Reply | bytes]:
-        reader = events.Reader(progress.last)
+        reader = sse.EventSplitter(progress.last)
         servers = [stage.server.id for stage in path]
         waited_since = timers.now()
         patience = min(job.deadline, timers.now() + FIRST_EVENT_SECONDS)
@@ -287,7 +287,7 @@
                 )
             except TimeoutError:
                 return self._silent(exchange)
-            except upstream.Broken as error:
+            except upstream.IncompleteReply as error:
                 return exchange.lost('events', str(error))
             if not data:
                 if reader.rest or not exchange.is_framed:
@@ -309,7 +309,7 @@
             if not progress.has_begun:
                 progress.has_begun = True
                 self._metrics.timing(
-                    'stream.first_event', timers.now() - job.began
+                    'stream.first_event', timers.now() - job.arrived_at
                 )
                 yield jobs.Reply.from_head(head, self._dialect)
             progress.last = reader.last
--- a/libs/gateway/burdockmast/gateway/upstream.py
+++ b/libs/gateway/burdockmast/gateway/upstream.py
@@ -37,7 +37,7 @@
 )
 
 
-class Broken(Exception):
+class IncompleteReply(Exception):
     """The connection broke before the end of the reply."""
 
 
@@ -195,7 +195,7 @@
 
         :param is_patient: asked after ``deadline`` whether to wait on
         :raises TimeoutError: if nothing comes until ``deadline``
-        :raises Broken: if the connection breaks
+        :raises IncompleteReply: if the connection breaks
         """
         try:
             self._wait_until(deadline)
@@ -206,16 +206,17 @@
         except urllib3.exceptions.ReadTimeoutError:
             raise TimeoutError('no bytes in time') from None
         except ERRORS as error:
-            raise Broken(str(error)) from None
+            raise IncompleteReply(str(error)) from None
         if not data and self._response.length_remaining:
-            raise Broken('the body is shorter than announced')
+            raise IncompleteReply('the body is shorter than announced')
         return data
 
     def whole(self, deadline: float, limit: int) -> bytes:
         """Return the whole body.
 
         :raises TimeoutError: if it is not complete until ``deadline``
-        :raises Broken: if the connection breaks, or the body is too large
+        :raises IncompleteReply: if the connection breaks, or the body is too
+            large
         """
         parts = []
         size = 0
@@ -225,7 +226,7 @@
                 return b''.join(parts)
             size += len(data)
             if size > limit:
-                raise Broken(f'the body is over {limit} bytes')
+                raise IncompleteReply(f'the body is over {limit} bytes')
             parts.append(data)
 
     def close(self) -> None:
--- a/libs/gateway/burdockmast/gateway/callers.py
+++ b/libs/gateway/burdockmast/gateway/wsgi.py
@@ -14,12 +14,12 @@
 from burdockmast.base import timers
 from burdockmast.gateway import calls
 from burdockmast.gateway import deployment
+from burdockmast.gateway import disconnects
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import jobs
 from burdockmast.gateway import retries
 from burdockmast.gateway import streams
 from burdockmast.gateway import view
-from burdockmast.gateway import watching
 from burdockmast.limits import returns
 
 LOG = logs.get('callers')
@@ -69,8 +69,8 @@
         self,
         fleet: view.View,
         dialect: interfaces.Dialect,
-        plain: calls.Calls,
-        streamed: streams.Streams,
+        plain: calls.CallProxy,
+        streamed: streams.StreamProxy,
         budget: retries.Budget,
         measures: metrics.Metrics,
         trusted_seconds: float,
@@ -133,9 +133,9 @@
             return
         self._budget.deposit(job.service.id)
         try:
-            with watching.Watch(environ['eventlet.input'].get_socket()):
+            with disconnects.Watch(environ['eventlet.input'].get_socket()):
                 yield from self._answer(job, start_response)
-        except watching.CallerGone:
+        except disconnects.CallerDisconnected:
             self._metrics.count('callers.gone')
             LOG.info(
                 'caller left',
@@ -145,7 +145,7 @@
                 },
             )
             raise
-        except streams.Cut as error:
+        except streams.StreamAborted as error:
             self._metrics.count('streams.cut')
             LOG.warning(
                 'stream cut', extra={'request': job.id, 'reason': str(error)}
@@ -249,13 +249,13 @@
         self, job: jobs.Job, start_response: StartResponse
     ) -> Iterator[bytes]:
         if not job.route.is_stream:
-            result = self._plain.call(job)
+            result = self._plain.forward(job)
             if isinstance(result, failures.Failure):
                 yield self._refuse(start_response, job.id, result)
             else:
                 yield self._pass_on(start_response, result)
             return
-        for item in self._streamed.stream(job):
+        for item in self._streamed.forward(job):
             match item:
                 case failures.Failure():
                     yield self._refuse(start_response, job.id, item)
--- a/libs/platform/burdockmast/platform/program.py
+++ b/libs/platform/burdockmast/platform/program.py
@@ -54,13 +54,13 @@
                 client, configuration.KIND, configuration.decode
             ),
             servers=store.Feed(client, servers.KIND, servers.decode),
-            seat=store.Seat(client, found.gateway.instance),
-            roster=store.Roster(client, found.gateway.instance),
+            planner_lock=store.Seat(client, found.gateway.instance),
+            gateway_registry=store.Roster(client, found.gateway.instance),
             engines=orders.PlatformEngines(),
             dialect=headers.PlatformDialect(),
         ),
     )
-    client.answered.append(gateway.store_answered)
+    client.answered.append(gateway.record_store_call)
     gateway.run()
 
 
--- a/tests/test_gateway_upstream.py
+++ b/tests/test_gateway_upstream.py
@@ -105,7 +105,7 @@
 def test_a_reply_without_length_that_is_reset_is_not_whole(exchange):
     found, _ = exchange(HEAD + b'\r\nbod', resets=True)
     head_of(found)
-    with pytest.raises(upstream.Broken):
+    with pytest.raises(upstream.IncompleteReply):
         whole(found)
 
 
@@ -121,7 +121,7 @@
 def test_a_reply_that_breaks_off_is_not_whole(exchange, body, resets):
     found, _ = exchange(HEAD + body, resets)
     head_of(found)
-    with pytest.raises(upstream.Broken):
+    with pytest.raises(upstream.IncompleteReply):
         whole(found)
 
 
