Reword the gateway's retry budget, disconnect watch and settings

Cause: "an unspent budget", "retries that each request pays for" and "its place and its bounds" left a newcomer guessing what is limited and by what.

The comments now say what is counted and why each share keeps a margin; private callbacks are named after the event that calls them. Numbers and order of statements are as before.

--- a/libs/gateway/burdockmast/gateway/__init__.py
+++ b/libs/gateway/burdockmast/gateway/__init__.py
@@ -1,5 +1,5 @@
 """Relays callers' requests to backend servers that form pipelines.
 
-The backend servers of this role pass activations to each other; the gateway
-chooses the path of each request and which server holds which layers.
+The backend servers of a pipeline pass activations to each other. The gateway
+chooses the path of each request and decides which server holds which layers.
 """
--- a/libs/gateway/burdockmast/gateway/disconnects.py
+++ b/libs/gateway/burdockmast/gateway/disconnects.py
@@ -1,4 +1,4 @@
-"""Notices callers that leave while their request runs."""
+"""Cancels requests whose callers disconnect."""
 
 import errno
 import socket
@@ -12,7 +12,7 @@
 
 
 class Watch:
-    """Raises ``CallerDisconnected`` when a connection ends.
+    """Raises ``CallerDisconnected`` in its task when the connection ends.
 
     Used as a context manager by the task that serves the connection, which
     must not read from it meanwhile.
@@ -25,11 +25,15 @@
         self._task: greenlet.greenlet | None = None
 
     def __enter__(self) -> 'Watch':
-        """Begin to watch."""
+        """Start to watch the connection on behalf of the current task."""
         self._task = greenlet.getcurrent()
         hub = eventlet.hubs.get_hub()
         self._listener = hub.add(
-            hub.READ, self._sock.fileno(), self._readable, self._end, self._end
+            hub.READ,
+            self._sock.fileno(),
+            self._on_readable,
+            self._on_disconnect,
+            self._on_disconnect,
         )
         return self
 
@@ -43,7 +47,7 @@
             eventlet.hubs.get_hub().remove(self._listener)
             self._listener = None
 
-    def _readable(self, _: object) -> None:
+    def _on_readable(self, _: object) -> None:
         try:
             data = self._sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
         except OSError as error:
@@ -51,19 +55,19 @@
                 return
             data = b''
         if data:
-            # The next request is here early; the server reads it later.
+            # This is a pipelined request; the WSGI server reads it later.
             self._stop()
             return
-        self._end()
+        self._on_disconnect()
 
-    def _end(self, *_: object) -> None:
+    def _on_disconnect(self, *_: object) -> None:
         self._stop()
         task, self._task = self._task, None
         if task is not None and not task.dead:
             hub = eventlet.hubs.get_hub()
-            hub.schedule_call_global(0, _throw, task)
+            hub.schedule_call_global(0, _raise_in, task)
 
 
-def _throw(task: greenlet.greenlet) -> None:
+def _raise_in(task: greenlet.greenlet) -> None:
     if not task.dead:
-        task.throw(CallerDisconnected('the caller has left'))
+        task.throw(CallerDisconnected('the caller closed its connection'))
--- a/libs/gateway/burdockmast/gateway/retries.py
+++ b/libs/gateway/burdockmast/gateway/retries.py
@@ -1,7 +1,8 @@
-"""One budget for all sends of a service's requests beyond the first.
+"""A retry budget for each service.
 
-Answers a failure of many servers in a busy hour: retries may add only a
-share to the load, however many requests fail.
+Every attempt of a request after the first takes one retry from the budget.
+When many servers fail under high load, retries add only a limited share to
+the load, however many requests fail.
 """
 
 import collections
@@ -10,21 +11,22 @@
 from burdockmast.base import ids
 from burdockmast.base import timers
 
-# Sends of a request while it is certain that none has run.
+# Attempts of a request that are certain not to have run.
 MAX_NOT_RUN_ATTEMPTS = 4
-# Gateways that are assumed to share the slack until they are counted; more
-# than the largest known deployment has, so that the sum stays below it.
+# Number of gateways that share the slack, assumed until they are counted. It
+# exceeds the largest known deployment, so that all shares add up to less than
+# the slack.
 ASSUMED_GATEWAY_COUNT = 32
-# Share of the slack that is used; the rest is for gateways that came after
-# the count.
+# Share of the slack that is used; the rest is left to gateways that have
+# started since the last count.
 SLACK_SHARE = 0.7
-# Share of the allowed ratio that is used; the rest allows for requests that
-# arrive unevenly in the two windows that are compared.
+# Share of the ratio that is used; the rest is a margin, as requests may arrive
+# unevenly in the two windows that are compared.
 RATIO_SHARE = 0.75
 
 
 class Budget:
-    """Retries of each service in a sliding window."""
+    """Limits the retries of each service in a sliding window."""
 
     def __init__(
         self,
@@ -33,11 +35,11 @@
         window: float,
         now: Callable[[], float] = timers.now,
     ):
-        """Create an unspent budget.
+        """Create a budget that no request has used.
 
-        :param ratio: retries that each request pays for, over all gateways
-        :param slack: retries beyond those in a window, over all gateways
-        :param window: seconds
+        :param ratio: retries for each request, over all gateways
+        :param slack: further retries in a window, over all gateways
+        :param window: length of the sliding window in seconds
         """
         self._ratio = ratio * RATIO_SHARE
         self._slack = slack * SLACK_SHARE
@@ -48,26 +50,26 @@
         self._retries: dict[ids.ServiceId, collections.deque[float]] = {}
 
     def deposit(self, service: ids.ServiceId) -> None:
-        """Note a request."""
-        self._recent(self._requests, service).append(self._now())
+        """Record a request."""
+        self._recent_times(self._requests, service).append(self._now())
 
     def withdraw(self, service: ids.ServiceId) -> bool:
-        """Take one retry; false if there is none left."""
+        """Take one retry; return false if none is left."""
         if not self.can_withdraw(service):
             return False
         self._retries[service].append(self._now())
         return True
 
     def can_withdraw(self, service: ids.ServiceId) -> bool:
-        """Tell whether there is a retry left."""
-        retries = self._recent(self._retries, service)
-        requests = self._recent(self._requests, service)
+        """Tell whether a retry is left."""
+        retries = self._recent_times(self._retries, service)
+        requests = self._recent_times(self._requests, service)
         allowed = self._slack / self.gateway_count + self._ratio * len(
             requests
         )
         return len(retries) < allowed
 
-    def _recent(
+    def _recent_times(
         self,
         times_by_service: dict[ids.ServiceId, collections.deque[float]],
         service: ids.ServiceId,
--- a/libs/gateway/burdockmast/gateway/settings.py
+++ b/libs/gateway/burdockmast/gateway/settings.py
@@ -1,4 +1,4 @@
-"""What a gateway is told about its place and its bounds."""
+"""Settings of one gateway process."""
 
 import dataclasses
 
@@ -7,17 +7,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settings:
-    """Settings of a gateway process.
+    """Identity, listen addresses and limits of a gateway.
 
     :ivar instance: name of the machine
-    :ivar callers_address: where callers are served
-    :ivar ready_address: where the balancer asks for readiness
-    :ivar metrics_address: where metrics are served
+    :ivar callers_address: listens for callers' requests
+    :ivar ready_address: listens for the load balancer's readiness checks
+    :ivar metrics_address: listens for metrics scrapes
     :ivar revoke_seconds: within which a revoked key must stop working
-    :ivar grace_seconds: from the request to stop until the process is killed
-    :ivar retry_ratio: retries that each request pays for, over all gateways
-    :ivar retry_slack: retries in each window beyond those, likewise
-    :ivar retry_window: seconds
+    :ivar grace_seconds: from the stop signal until the process is killed
+    :ivar retry_ratio: retries for each request, over all gateways
+    :ivar retry_slack: further retries in each window, over all gateways
+    :ivar retry_window: length of the sliding window in seconds
     """
 
     instance: str
