--- a/libs/gateway/burdockmast/gateway/calls.py
+++ b/libs/gateway/burdockmast/gateway/calls.py
@@ -1,4 +1,7 @@
-"""Calls to plain services: repeated only where nothing can run twice."""
+"""Proxies calls to plain services.
+
+A call is retried only if it is idempotent or certain not to have run.
+"""
 
 import dataclasses
 import random
@@ -17,19 +20,19 @@
 
 LOG = logs.get('calls')
 
-# Seconds until a caller may come back when no server can be reached.
-RETRY_SECONDS = 0.1
-# Seconds kept back from the caller's time for the way of the answer.
-MARGIN_SECONDS = 0.02
-# Largest body of an answer that is kept until it is complete, in bytes.
-BODY_BYTES = 16 * 1024 * 1024
-SUCCESSES = range(200, 300)
-# The first status by which a server says that it failed.
-FAILED = 500
+# Retry-After value while no server is reachable.
+RETRY_AFTER_SECONDS = 0.1
+# No attempt starts this close to the deadline: the reply must still reach the
+# caller.
+REPLY_MARGIN_SECONDS = 0.02
+# Largest reply body; it is buffered until it is complete.
+MAX_BODY_BYTES = 16 * 1024 * 1024
+SUCCESS_STATUSES = range(200, 300)
+FIRST_SERVER_ERROR_STATUS = 500
 
 
 class CallProxy:
-    """Plain calls of one gateway."""
+    """Forwards requests that are answered by a single reply."""
 
     def __init__(
         self,
@@ -37,77 +40,88 @@
         dialect: interfaces.Dialect,
         budget: retries.Budget,
         zone: ids.ZoneId,
-        source: random.Random,
+        rng: random.Random,
     ):
-        """Create a caller of plain services."""
+        """Create a proxy that prefers servers in ``zone``."""
         self._view = fleet
         self._dialect = dialect
         self._budget = budget
         self._zone = zone
-        self._random = source
+        self._rng = rng
 
     def forward(self, job: jobs.Job) -> jobs.Reply | failures.Failure:
-        """Execute a call in the way that its route allows."""
+        """Forward a call, retrying as its route and the budget allow."""
         tried: list[ids.ServerId] = []
-        ran = 0
-        last: jobs.Reply | failures.Failure | None = None
-        for number in range(retries.MAX_NOT_RUN_ATTEMPTS):
+        possible_runs = 0
+        last_result: jobs.Reply | failures.Failure | None = None
+        for attempt in range(retries.MAX_NOT_RUN_ATTEMPTS):
             server = self._choose(job, tried)
             if server is None:
                 break
-            if number and not self._budget.withdraw(job.service.id):
+            if attempt and not self._budget.withdraw(job.service.id):
                 LOG.info(
-                    'retry budget spent',
-                    extra={'request': job.id, 'sends': number},
+                    'retry budget exhausted; request is not retried',
+                    extra={'request': job.id, 'sends': attempt},
                 )
                 break
             tried.append(server.id)
-            last = self._send(job, server)
-            if isinstance(last, jobs.Reply):
-                ran += 1
-                if last.status < FAILED or not job.may_repeat:
-                    return last
-                if ran >= job.route.attempts or job.left <= MARGIN_SECONDS:
-                    return last
+            last_result = self._attempt(job, server)
+            if isinstance(last_result, jobs.Reply):
+                possible_runs += 1
+                if (
+                    last_result.status < FIRST_SERVER_ERROR_STATUS
+                    or not job.is_idempotent
+                ):
+                    return last_result
+                if (
+                    possible_runs >= job.route.attempts
+                    or job.seconds_left <= REPLY_MARGIN_SECONDS
+                ):
+                    return last_result
                 continue
-            if last.outcome is not outcomes.Outcome.NOT_RUN:
-                ran += 1
-                if not job.may_repeat or ran >= job.route.attempts:
+            if last_result.outcome is not outcomes.Outcome.NOT_RUN:
+                possible_runs += 1
+                if (
+                    not job.is_idempotent
+                    or possible_runs >= job.route.attempts
+                ):
                     break
-            if job.left <= MARGIN_SECONDS:
+            if job.seconds_left <= REPLY_MARGIN_SECONDS:
                 break
-        if ran and isinstance(last, failures.Failure):
-            # An earlier send may have run, whatever the last one did.
-            return dataclasses.replace(last, outcome=outcomes.Outcome.UNKNOWN)
-        return last or failures.Failure(
+        if possible_runs and isinstance(last_result, failures.Failure):
+            # The last attempt may not have run, but an earlier one may.
+            return dataclasses.replace(
+                last_result, outcome=outcomes.Outcome.UNKNOWN
+            )
+        return last_result or failures.Failure(
             failures.Reason.NO_SERVER,
             'call.choose',
             detail=f'no server of {job.service.id} is reachable',
-            retry_after=RETRY_SECONDS,
+            retry_after=RETRY_AFTER_SECONDS,
         )
 
     def _choose(
         self, job: jobs.Job, tried: list[ids.ServerId]
     ) -> backends.BackendServer | None:
-        """Return the least loaded server, one in this zone if equal."""
-        found = self._view.usable(job.service.id, tried)
-        if not found and not tried:
-            # An ejected server beats none.
-            found = [
+        """Return the least loaded server, on a tie one in this zone."""
+        candidates = self._view.usable(job.service.id, tried)
+        if not candidates and not tried:
+            # With no other server left, ejected ones are tried as well.
+            candidates = [
                 s for s in self._view.listed(job.service.id) if s.is_ready
             ]
-        if not found:
+        if not candidates:
             return None
         return min(
-            found,
+            candidates,
             key=lambda s: (
                 self._view.running(s.id),
                 s.zone != self._zone,
-                self._random.random(),
+                self._rng.random(),
             ),
         )
 
-    def _send(
+    def _attempt(
         self, job: jobs.Job, server: backends.BackendServer
     ) -> jobs.Reply | failures.Failure:
         began = timers.now()
@@ -118,35 +132,39 @@
         finally:
             exchange.close()
             self._view.end((server.id,))
-        self._note(job, server, result, timers.now() - began)
+        self._record_result(job, server, result, timers.now() - began)
         return result
 
     def _exchange(
         self, job: jobs.Job, exchange: upstream.Exchange
     ) -> jobs.Reply | failures.Failure:
         sending = interfaces.Sending(
-            exchange.server, job.organisation, job.left, (), None, 0
+            exchange.server, job.organisation, job.seconds_left, (), None, 0
         )
         headers = self._dialect.backend_headers(job.request, sending)
         failure = exchange.send(job.request, headers)
         if failure:
             return failure
-        head = exchange.head(job.id, job.deadline, self._dialect)
+        head = exchange.read_head(job.id, job.deadline, self._dialect)
         if isinstance(head, failures.Failure):
             return head
         if head.facts.is_not_run:
-            return exchange.refused(head, RETRY_SECONDS)
+            return exchange.refusal(head, RETRY_AFTER_SECONDS)
         try:
-            body = exchange.whole(job.deadline, BODY_BYTES)
+            body = exchange.read_body(job.deadline, MAX_BODY_BYTES)
         except (upstream.IncompleteReply, TimeoutError) as error:
-            return exchange.lost('body', f'body: {error}')
+            return exchange.unknown_outcome(
+                'body', f'reading the body failed: {error}'
+            )
         if head.facts.is_encoded or (
-            head.status in SUCCESSES and not head.facts.is_sealed
+            head.status in SUCCESS_STATUSES and not head.facts.is_sealed
         ):
-            return exchange.lost('body', 'answer without signature')
+            return exchange.unknown_outcome(
+                'body', 'reply is unsigned or content-encoded'
+            )
         return jobs.Reply.from_head(head, self._dialect, body)
 
-    def _note(
+    def _record_result(
         self,
         job: jobs.Job,
         server: backends.BackendServer,
@@ -157,17 +175,18 @@
             'request': job.id,
             'server': server.id,
             'seconds': round(seconds, 4),
-            'left': round(job.left, 3),
+            'left': round(job.seconds_left, 3),
             'list_age': round(self._view.server_age, 3),
         }
         match result:
             case jobs.Reply():
                 LOG.info(
-                    'call answered', extra={**extra, 'status': result.status}
+                    'call attempt answered',
+                    extra={**extra, 'status': result.status},
                 )
             case failures.Failure():
                 LOG.info(
-                    'call failed',
+                    'call attempt failed',
                     extra={
                         **extra,
                         'reason': result.reason.value,
--- a/libs/gateway/burdockmast/gateway/jobs.py
+++ b/libs/gateway/burdockmast/gateway/jobs.py
@@ -1,4 +1,4 @@
-"""One caller's request on its way through a gateway."""
+"""A caller's request while the gateway serves it, and the reply."""
 
 import dataclasses
 
@@ -11,13 +11,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Job:
-    """A request that may be served.
+    """An admitted request with its route, deadline and priority.
 
-    :ivar service: the route's choice for this request
+    :ivar service: chosen among the route's services by their weights
     :ivar organisation: empty on public routes
     :ivar priority: 0 goes first
-    :ivar deadline: monotonic seconds of the caller's or the route's end
-    :ivar version: of the configuration that allowed it
+    :ivar arrived_at: monotonic time
+    :ivar deadline: monotonic time, the earlier of the caller's deadline and
+        the route's timeout
+    :ivar configuration_version: of the configuration that admitted it
     """
 
     request: interfaces.CallerRequest
@@ -27,27 +29,27 @@
     priority: int
     arrived_at: float
     deadline: float
-    version: int
+    configuration_version: int
 
     @property
     def id(self) -> ids.RequestId:
-        """The caller's id of the request."""
+        """The id that the caller gave to the request."""
         return self.request.id
 
     @property
-    def left(self) -> float:
-        """Seconds that are left."""
+    def seconds_left(self) -> float:
+        """Seconds until the deadline; negative after it."""
         return self.deadline - timers.now()
 
     @property
-    def may_repeat(self) -> bool:
-        """Whether it may run more than once."""
+    def is_idempotent(self) -> bool:
+        """Whether the route lets the request run more than once."""
         return self.route.repeats is deployment.Repeats.ANY
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
-    """The head of what the caller gets, and the body if it is whole."""
+    """The head of the caller's reply, and its body unless it is streamed."""
 
     status: int
     phrase: str
@@ -61,6 +63,6 @@
         dialect: interfaces.Dialect,
         body: bytes | None = None,
     ) -> 'Reply':
-        """Pass a backend server's reply on."""
+        """Create the caller's reply from a backend server's."""
         headers = dialect.caller_headers(head.headers)
         return cls(head.status, head.phrase, headers, body)
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -1,4 +1,4 @@
-"""Assembles a gateway process and runs it until it is told to stop."""
+"""Assembles a gateway process and runs it until it gets a stop signal."""
 
 import dataclasses
 import random
@@ -33,38 +33,35 @@
 
 LOG = logs.get('gateway')
 
-# Connections that wait to be accepted.
-BACKLOG = 1024
-# Connections that are served at once.
-CONNECTIONS = 3000
-# Seconds that one call waits for a change of the configuration. Keys are
-# trusted while it was confirmed within the time to revoke them.
+LISTEN_BACKLOG = 1024
+# Connections that are served concurrently.
+MAX_CONNECTIONS = 3000
+# Longest wait of one call for configuration changes. Keys are trusted only
+# while the configuration was confirmed within the key revocation time.
 CONFIGURATION_WAIT_SECONDS = 1.4
-# Seconds that one call waits for a change of the list of servers.
+# Longest wait of one call for changes to the list of servers.
 SERVERS_WAIT_SECONDS = 3.0
-# Share of the time to revoke keys for which an old configuration is trusted;
-# the rest is for requests that are on their way here.
-TRUSTED_SHARE = 0.95
-# Share of that time after which new callers are sent elsewhere, if others can
-# reach the store.
-READY_SHARE = 0.5
-# Seconds for which a leaving process still accepts connections: the balancer
-# asks once a second and gives up after two misses.
-ACCEPT_SECONDS = 3.0
-# Seconds before the end of the grace at which a leaving process exits.
+# Share of the key revocation time for which an unconfirmed configuration is
+# trusted; the rest allows for requests in transit to this gateway.
+TRUSTED_AGE_SHARE = 0.95
+# Share of that time after which the readiness check fails, so that gateways
+# that can reach the store get the new requests.
+READY_AGE_SHARE = 0.5
+# A gateway that shuts down still accepts connections for this long: the load
+# balancer checks readiness once a second and gives up after two failures.
+DRAIN_ACCEPT_SECONDS = 3.0
+# The process exits this long before its grace period ends.
 EXIT_MARGIN_SECONDS = 0.5
-# Seconds for which a caller's connection may stand still while it is read or
-# written.
-SOCKET_SECONDS = 20.0
-DEFAULT_IDLE_SECONDS = 15.0
-POLL_SECONDS = 0.05
-# Seconds between counts of gateways.
-ROSTER_SECONDS = 4.0
+# Longest stall of a caller's connection while it is read or written.
+SOCKET_TIMEOUT_SECONDS = 20.0
+KEEPALIVE_SECONDS = 15.0
+DRAIN_POLL_SECONDS = 0.05
+GATEWAY_COUNT_INTERVAL_SECONDS = 4.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Platform:
-    """The platform that a gateway runs on."""
+    """Adapters to the platform that a gateway runs on."""
 
     deployments: interfaces.Feed[deployment.Deployment]
     servers: interfaces.Feed[backends.BackendServer]
@@ -77,14 +74,20 @@
 class Gateway:
     """One gateway process."""
 
-    def __init__(self, given: settings.Settings, platform: Platform):
-        """Create the parts; nothing runs yet."""
-        source = random.Random()
-        self._settings = given
+    def __init__(
+        self, gateway_settings: settings.Settings, platform: Platform
+    ):
+        """Create the components without starting them."""
+        rng = random.Random()
+        self._settings = gateway_settings
         self._metrics = metrics.Metrics()
         self._timers = timers.TimerService()
         self._log = logs.Log.from_config(
-            'info', {'instance': given.instance, 'zone': given.zone}
+            'info',
+            {
+                'instance': gateway_settings.instance,
+                'zone': gateway_settings.zone,
+            },
         )
         self._deployments = following.Follower(
             'configuration', platform.deployments, CONFIGURATION_WAIT_SECONDS
@@ -98,21 +101,23 @@
         )
         self.view = view.View(self._deployments, self._servers)
         budget = retries.Budget(
-            given.retry_ratio, given.retry_slack, given.retry_window
+            gateway_settings.retry_ratio,
+            gateway_settings.retry_slack,
+            gateway_settings.retry_window,
         )
         usage = memory.Usage()
         self._chooser = choosing.Chooser(
             self.view,
             reports.Reports(self.view, platform.engines),
             usage,
-            given.zone,
-            source,
+            gateway_settings.zone,
+            rng,
         )
         self.application = wsgi.Application(
             self.view,
             platform.dialect,
             calls.CallProxy(
-                self.view, platform.dialect, budget, given.zone, source
+                self.view, platform.dialect, budget, gateway_settings.zone, rng
             ),
             streams.StreamProxy(
                 self.view,
@@ -123,27 +128,27 @@
             ),
             budget,
             self._metrics,
-            given.revoke_seconds * TRUSTED_SHARE,
-            given.revoke_seconds * READY_SHARE,
-            source,
+            gateway_settings.revoke_seconds * TRUSTED_AGE_SHARE,
+            gateway_settings.revoke_seconds * READY_AGE_SHARE,
+            rng,
         )
         self._planner = planner.Planner(
             self.view,
             platform.planner_lock,
             platform.engines,
-            given.instance,
-            source,
+            gateway_settings.instance,
+            rng,
         )
         self._budget = budget
         self._gateway_registry = platform.gateway_registry
-        self._has_joined = False
-        self._stopped = eventlet.event.Event()
+        self._is_registered = False
+        self._stop_requested = eventlet.event.Event()
 
     def run(self) -> None:
-        """Serve until a signal to stop, then end what runs."""
+        """Serve until a stop signal, then let running requests complete."""
         signal.signal(signal.SIGTERM, self._stop)
         signal.signal(signal.SIGINT, self._stop)
-        signal.signal(signal.SIGHUP, self._reload)
+        signal.signal(signal.SIGHUP, self._ignore_reload)
         self._deployments.start()
         self._servers.start()
         self._timers.subscribe(
@@ -155,8 +160,10 @@
         self._timers.subscribe(
             'queue', choosing.WAKE_SECONDS, self._chooser.wake
         )
-        eventlet.spawn(self._count)
-        self._timers.subscribe('roster', ROSTER_SECONDS, self._count)
+        eventlet.spawn(self._count_gateways)
+        self._timers.subscribe(
+            'roster', GATEWAY_COUNT_INTERVAL_SECONDS, self._count_gateways
+        )
         self._serve_metrics()
         self._listen(
             self._settings.ready_address, wsgi.Readiness(self.application)
@@ -172,27 +179,31 @@
                 'metrics': self._settings.metrics_address,
             },
         )
-        self._stopped.wait()
-        self._leave(listener)
+        self._stop_requested.wait()
+        self._shut_down(listener)
 
-    def _count(self) -> None:
-        """Count the gateways that share the budget of retries."""
-        if not self._has_joined:
+    def _count_gateways(self) -> None:
+        """Register this gateway, then count all that share the budget."""
+        if not self._is_registered:
             failure = self._gateway_registry.join()
             if failure:
                 LOG.warning(
-                    'not on the roster', extra={'reason': str(failure)}
+                    'registering this gateway failed; retrying later',
+                    extra={'reason': str(failure)},
                 )
                 return
-            self._has_joined = True
+            self._is_registered = True
         found = self._gateway_registry.count()
         if isinstance(found, failures.Failure):
-            LOG.warning('roster not read', extra={'reason': str(found)})
+            LOG.warning(
+                'counting gateways failed; keeping the last count',
+                extra={'reason': str(found)},
+            )
             return
         count = max(1, found)
         if count != self._budget.gateway_count:
             LOG.info(
-                'gateways counted',
+                'number of gateways changed',
                 extra={'count': count, 'before': self._budget.gateway_count},
             )
         self._budget.gateway_count = count
@@ -201,44 +212,46 @@
     def record_store_call(
         self, call: str, seconds: float, failure: failures.Failure | None
     ) -> None:
-        """Measure the end of a call to the store."""
+        """Record a finished call to the store in the metrics."""
         self._metrics.timing('store.call', seconds)
         if failure:
             self._metrics.count('store.failed')
 
-    def _leave(self, listener: object) -> None:
-        """Refuse nothing, but end: new callers are sent elsewhere."""
+    def _shut_down(self, listener: object) -> None:
+        """Fail the readiness check, then stop listening and drain."""
         began = timers.now()
-        self.application.is_leaving = True
-        LOG.info('stopping', extra={'running': self.application.running})
-        eventlet.sleep(ACCEPT_SECONDS)
-        # Callers that still come are refused unrun, or find no listener: what
-        # is begun now might not end before the process is killed.
-        self.application.is_closed = True
+        self.application.is_draining = True
+        LOG.info('stopping', extra={'running': self.application.running_count})
+        eventlet.sleep(DRAIN_ACCEPT_SECONDS)
+        # Requests that still arrive are refused without running, or find no
+        # listener: they might not complete before the process is killed.
+        self.application.rejects_requests = True
         listener.shutdown(socket.SHUT_RDWR)
         listener.close()
         until = began + self._settings.grace_seconds - EXIT_MARGIN_SECONDS
-        while self.application.running and timers.now() < until:
-            eventlet.sleep(POLL_SECONDS)
+        while self.application.running_count and timers.now() < until:
+            eventlet.sleep(DRAIN_POLL_SECONDS)
         LOG.info(
             'stopped',
             extra={
-                'running': self.application.running,
+                'running': self.application.running_count,
                 'seconds': round(timers.now() - began, 3),
             },
         )
         self._log.close()
 
     def _listen(self, address: ids.Address, application: object) -> object:
-        sock = eventlet.listen(addresses.split(address), backlog=BACKLOG)
+        sock = eventlet.listen(
+            addresses.split(address), backlog=LISTEN_BACKLOG
+        )
         eventlet.spawn(
             eventlet.wsgi.server,
             sock,
             application,
             log_output=False,
-            keepalive=DEFAULT_IDLE_SECONDS,
-            socket_timeout=SOCKET_SECONDS,
-            max_size=CONNECTIONS,
+            keepalive=KEEPALIVE_SECONDS,
+            socket_timeout=SOCKET_TIMEOUT_SECONDS,
+            max_size=MAX_CONNECTIONS,
             minimum_chunk_size=1,
             debug=False,
         )
@@ -253,7 +266,7 @@
             'servers.age_seconds', lambda: self.view.server_age
         )
         self._metrics.gauge(
-            'requests.running', lambda: self.application.running
+            'requests.running', lambda: self.application.running_count
         )
         self._listen(
             self._settings.metrics_address,
@@ -261,8 +274,8 @@
         )
 
     def _stop(self, number: int, frame: object) -> None:
-        if not self._stopped.ready():
-            self._stopped.send(number)
+        if not self._stop_requested.ready():
+            self._stop_requested.send(number)
 
-    def _reload(self, number: int, frame: object) -> None:
-        LOG.info('reload asked for; all settings hold until the next start')
+    def _ignore_reload(self, number: int, frame: object) -> None:
+        LOG.info('reload signal ignored; settings change only on restart')
--- a/libs/gateway/burdockmast/gateway/sse.py
+++ b/libs/gateway/burdockmast/gateway/sse.py
@@ -1,41 +1,41 @@
-"""Finds whole events in the bytes of a stream."""
+"""Splits a stream of server-sent events."""
 
 import re
 
-_END = re.compile(rb'\r?\n\r?\n')
-_ID = re.compile(rb'^id: ?(\d+)\r?$', re.MULTILINE)
+_EVENT_END = re.compile(rb'\r?\n\r?\n')
+_ID_FIELD = re.compile(rb'^id: ?(\d+)\r?$', re.MULTILINE)
 
 
 class EventSplitter:
-    """Splits a stream after whole events, and follows their ids.
+    """Returns complete events and checks that their ids increase.
 
-    :ivar rest: bytes of an event that is not complete
-    :ivar last: id of the last whole event
-    :ivar count: whole events in the last call
-    :ivar is_broken: an event does not follow the one before it
+    :ivar incomplete: bytes of the event that is not complete yet
+    :ivar last_id: id of the last complete event
+    :ivar completed_count: events that the last call of ``feed`` returned
+    :ivar is_out_of_order: an event's id is not above the one before it
     """
 
-    def __init__(self, last: int | None):
-        """Create a reader of a stream behind event ``last``."""
-        self.rest = b''
-        self.last = last
-        self.count = 0
-        self.is_broken = False
+    def __init__(self, last_id: int | None):
+        """Create a splitter of a stream that resumes after ``last_id``."""
+        self.incomplete = b''
+        self.last_id = last_id
+        self.completed_count = 0
+        self.is_out_of_order = False
 
     def feed(self, data: bytes) -> bytes:
-        """Return the whole events that are complete now."""
-        data = self.rest + data
+        """Return the events that ``data`` completes, none if out of order."""
+        data = self.incomplete + data
         start = 0
-        self.count = 0
-        for end in _END.finditer(data):
-            found = _ID.search(data, start, end.start())
+        self.completed_count = 0
+        for end in _EVENT_END.finditer(data):
+            found = _ID_FIELD.search(data, start, end.start())
             if found:
                 number = int(found[1])
-                if self.last is not None and number <= self.last:
-                    self.is_broken = True
+                if self.last_id is not None and number <= self.last_id:
+                    self.is_out_of_order = True
                     return b''
-                self.last = number
-            self.count += 1
+                self.last_id = number
+            self.completed_count += 1
             start = end.end()
-        self.rest = data[start:]
+        self.incomplete = data[start:]
         return data[:start]
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -1,4 +1,4 @@
-"""Streams of events that go on over the loss of a path."""
+"""Proxies event streams, resuming them on another path after a failure."""
 
 from collections.abc import Iterator
 import dataclasses
@@ -21,49 +21,56 @@
 
 LOG = logs.get('streams')
 
-# Seconds until the first event after which another path is tried. Callers
-# leave after 2 s, so this leaves time for one more path.
-FIRST_EVENT_SECONDS = 1.0
-# Seconds without an event for which a path is waited for that is busy, or that
-# can't be replaced: callers leave after 2 s.
-CALLER_SECONDS = 1.9
-# Seconds for which a path that was heard counts as alive.
-HEARD_SECONDS = 0.4
-# Seconds for a head whose first bytes are there.
-HEAD_SECONDS = 0.1
-# Seconds between events after which a stream goes on elsewhere.
-PAUSE_SECONDS = 0.6
-# Share of the objective for pauses from which a path counts as slow.
-SLOW_SHARE = 0.4
-# Largest event, in bytes.
-EVENT_BYTES = 1024 * 1024
-OK = 200
+# Another path is tried if the first event takes longer than this. Callers
+# disconnect after 2 s without an event, so one more path can still be tried.
+FIRST_EVENT_TIMEOUT_SECONDS = 1.0
+# Longest wait for an event on a path that is busy or that can't be replaced:
+# callers disconnect after 2 s without an event.
+MAX_SILENCE_SECONDS = 1.9
+# A server counts as alive for this long after it relayed an event.
+RECENT_EVENT_SECONDS = 0.4
+# Time to read the reply head after waiting for its first bytes.
+HEAD_TIMEOUT_SECONDS = 0.1
+# A pause between events after which a stream is resumed on another path.
+PAUSE_TIMEOUT_SECONDS = 0.6
+# A path counts as slow if a pause exceeds this share of the route's objective
+# for pauses.
+SLOW_PAUSE_SHARE = 0.4
+# Largest body of a server's error reply that is forwarded to the caller.
+MAX_ERROR_BODY_BYTES = 1024 * 1024
+STATUS_OK = 200
 
 
 class StreamAborted(Exception):
-    """A stream that has begun can't be brought to its end."""
+    """A stream of which the caller has events can't be completed."""
 
 
 @dataclasses.dataclass(slots=True)
 class _Progress:
-    """How far a stream has come.
+    """State of a stream across its attempts.
 
-    :ivar last: id of the last event that the caller has
-    :ivar sends: to any server
-    :ivar runs: sends that may have run
+    :ivar last_event_id: of the last event that the caller has received
+    :ivar attempts: to send the request to any server
+    :ivar possible_runs: attempts that may have run
+    :ivar event_count: events forwarded to the caller
+    :ivar longest_pause: seconds without data from the server
+    :ivar has_begun: the reply head has been sent to the caller
+    :ivar failed_servers: servers that failed this request
     """
 
-    last: int | None
-    sends: int = 0
-    runs: int = 0
-    events: int = 0
+    last_event_id: int | None
+    attempts: int = 0
+    possible_runs: int = 0
+    event_count: int = 0
     longest_pause: float = 0.0
     has_begun: bool = False
-    lost: list[ids.ServerId] = dataclasses.field(default_factory=list)
+    failed_servers: list[ids.ServerId] = dataclasses.field(
+        default_factory=list
+    )
 
 
 class StreamProxy:
-    """Streamed answers of one gateway."""
+    """Forwards requests that are answered by an event stream."""
 
     def __init__(
         self,
@@ -73,7 +80,7 @@
         chooser: choosing.Chooser,
         measures: metrics.Metrics,
     ):
-        """Create a relay of streams."""
+        """Create a proxy that chooses paths and retries within the budget."""
         self._view = fleet
         self._dialect = dialect
         self._budget = budget
@@ -83,14 +90,14 @@
     def forward(
         self, job: jobs.Job
     ) -> Iterator[jobs.Reply | failures.Failure | bytes]:
-        """Yield the head or a refusal, then whole events.
+        """Yield a failure or the reply, then complete events.
 
-        :raises StreamAborted: if the stream can't be brought to its end
+        :raises StreamAborted: if a stream that has begun can't be completed
         """
         progress = _Progress(job.request.after_event)
         while True:
             path = self._chooser.path_in_turn(
-                job, progress.lost, progress.has_begun
+                job, progress.failed_servers, progress.has_begun
             )
             failure = None
             if isinstance(path, failures.Failure):
@@ -100,10 +107,10 @@
                 if failure is None:
                     return
             failure = failure or self._chooser.no_path(job)
-            if path and self._may_go_on(job, progress, failure):
+            if path and self._may_retry(job, progress, failure):
                 continue
-            if progress.runs:
-                # An earlier attempt may have run, whatever the last one did.
+            if progress.possible_runs:
+                # The last attempt may not have run, but an earlier one may.
                 failure = dataclasses.replace(
                     failure, outcome=outcomes.Outcome.UNKNOWN
                 )
@@ -112,21 +119,27 @@
             yield failure
             return
 
-    def _may_go_on(
+    def _may_retry(
         self, job: jobs.Job, progress: _Progress, failure: failures.Failure
     ) -> bool:
         if failure.outcome is not outcomes.Outcome.NOT_RUN:
-            if not job.may_repeat or progress.runs >= job.route.attempts:
+            if (
+                not job.is_idempotent
+                or progress.possible_runs >= job.route.attempts
+            ):
                 return False
-        elif progress.sends - progress.runs >= retries.MAX_NOT_RUN_ATTEMPTS:
+        elif (
+            progress.attempts - progress.possible_runs
+            >= retries.MAX_NOT_RUN_ATTEMPTS
+        ):
             return False
-        if job.left <= 0:
+        if job.seconds_left <= 0:
             return False
         if self._budget.withdraw(job.service.id):
             return True
         LOG.info(
-            'retry budget spent',
-            extra={'request': job.id, 'sends': progress.sends},
+            'retry budget exhausted; request is not retried',
+            extra={'request': job.id, 'sends': progress.attempts},
         )
         return False
 
@@ -136,27 +149,27 @@
         path: tuple[backends.Stage, ...],
         progress: _Progress,
     ) -> Iterator[jobs.Reply | bytes]:
-        """Relay one attempt's events; return why it ended early, or None."""
+        """Forward one attempt's events; return its failure, if any."""
         exchange = upstream.Exchange(path[0].server)
         began = timers.now()
-        first = progress.events
+        events_before = progress.event_count
         self._chooser.reserve(job, path)
-        progress.sends += 1
+        progress.attempts += 1
         try:
             failure = yield from self._relay(job, exchange, path, progress)
         finally:
             exchange.close()
             self._chooser.release(job, path)
         LOG.info(
-            'stream ended' if failure is None else 'stream broke',
+            'stream completed' if failure is None else 'stream attempt failed',
             extra={
                 'request': job.id,
                 'path': [
                     f'{stage.server.id}={stage.first}-{stage.end}'
                     for stage in path
                 ],
-                'events': progress.events - first,
-                'last_event': progress.last,
+                'events': progress.event_count - events_before,
+                'last_event': progress.last_event_id,
                 'prompt_tokens': job.request.prompt_tokens,
                 'answer_tokens': job.request.answer_tokens,
                 'length_hint': job.request.length_hint,
@@ -169,8 +182,8 @@
         if failure is None:
             return None
         if failure.outcome is not outcomes.Outcome.NOT_RUN:
-            progress.runs += 1
-        self._blame(job, path, progress, failure)
+            progress.possible_runs += 1
+        self._record_failure(job, path, progress, failure)
         return failure
 
     def _relay(
@@ -183,9 +196,9 @@
         sending = interfaces.Sending(
             exchange.server,
             job.organisation,
-            job.left,
+            job.seconds_left,
             path if job.service.engine else (),
-            progress.last,
+            progress.last_event_id,
             min(9, job.priority),
         )
         headers = self._dialect.backend_headers(job.request, sending)
@@ -193,20 +206,28 @@
         if failure:
             return failure
         self._wait_for_head(job, exchange, path, progress)
-        head = exchange.head(
-            job.id, timers.now() + HEAD_SECONDS, self._dialect
+        head = exchange.read_head(
+            job.id, timers.now() + HEAD_TIMEOUT_SECONDS, self._dialect
         )
         if isinstance(head, failures.Failure):
             return head
         if head.facts.is_not_run:
-            return exchange.refused(head, choosing.RETRY_SECONDS)
-        if head.status != OK:
+            return exchange.refusal(head, choosing.RETRY_SECONDS)
+        if head.status != STATUS_OK:
             return (
-                yield from self._other_status(job, exchange, head, progress)
+                yield from self._forward_error_reply(
+                    job, exchange, head, progress
+                )
             )
         if not head.facts.is_sealed or head.facts.is_encoded:
-            return exchange.lost('events', 'answer without signature')
-        return (yield from self._events(job, exchange, path, head, progress))
+            return exchange.unknown_outcome(
+                'events', 'reply is unsigned or content-encoded'
+            )
+        return (
+            yield from self._forward_events(
+                job, exchange, path, head, progress
+            )
+        )
 
     def _wait_for_head(
         self,
@@ -215,57 +236,71 @@
         path: tuple[backends.Stage, ...],
         progress: _Progress,
     ) -> None:
-        """Wait for the reply, longer on a path that is busy."""
+        """Wait for the reply, longer while the path serves other requests."""
         servers = [stage.server.id for stage in path]
         began = timers.now()
-        if exchange.wait(min(job.left, FIRST_EVENT_SECONDS)):
+        if exchange.wait_for_reply(
+            min(job.seconds_left, FIRST_EVENT_TIMEOUT_SECONDS)
+        ):
             return
-        while self._is_patient(job, progress, servers, began):
-            if exchange.wait(min(job.left, HEARD_SECONDS)):
+        while self._should_keep_waiting(job, progress, servers, began):
+            if exchange.wait_for_reply(
+                min(job.seconds_left, RECENT_EVENT_SECONDS)
+            ):
                 return
 
-    def _is_patient(
+    def _should_keep_waiting(
         self,
         job: jobs.Job,
         progress: _Progress,
         servers: list[ids.ServerId],
         since: float,
     ) -> bool:
-        """Tell whether to wait on for a path that is silent.
+        """Tell whether to keep waiting for a path that sends nothing.
 
-        Answers overload: a path that serves others is busy and not dead, and
-        without another try left, a late event is better than none.
+        Under overload, a path that still serves other requests is busy, not
+        dead. If no retry is left, a late event is better than none.
 
-        :param since: monotonic seconds of the last event, or of the sending
+        :param since: monotonic time of the last data or of sending the request
         """
         now = timers.now()
-        if job.left <= 0 or now - since > CALLER_SECONDS:
+        if job.seconds_left <= 0 or now - since > MAX_SILENCE_SECONDS:
             return False
-        has_try = job.may_repeat and progress.runs + 1 < job.route.attempts
-        if not has_try or not self._budget.can_withdraw(job.service.id):
+        has_attempt_left = (
+            job.is_idempotent
+            and progress.possible_runs + 1 < job.route.attempts
+        )
+        if not has_attempt_left or not self._budget.can_withdraw(
+            job.service.id
+        ):
             return True
-        return self._view.all_heard(servers, now - HEARD_SECONDS)
+        return self._view.all_heard(servers, now - RECENT_EVENT_SECONDS)
 
-    def _other_status(
+    def _forward_error_reply(
         self,
         job: jobs.Job,
         exchange: upstream.Exchange,
         head: upstream.Head,
         progress: _Progress,
     ) -> Iterator[jobs.Reply]:
-        """Pass a server's own failure on, unless the stream has begun."""
+        """Forward a server's error reply unless the request can be retried."""
         if progress.has_begun or (
-            job.may_repeat and progress.runs + 1 < job.route.attempts
+            job.is_idempotent
+            and progress.possible_runs + 1 < job.route.attempts
         ):
-            return exchange.lost('events', f'status {head.status}')
+            return exchange.unknown_outcome(
+                'events', f'server replied with status {head.status}'
+            )
         try:
-            body = exchange.whole(job.deadline, EVENT_BYTES)
+            body = exchange.read_body(job.deadline, MAX_ERROR_BODY_BYTES)
         except (upstream.IncompleteReply, TimeoutError) as error:
-            return exchange.lost('events', f'body: {error}')
+            return exchange.unknown_outcome(
+                'events', f'reading the error body failed: {error}'
+            )
         yield jobs.Reply.from_head(head, self._dialect, body)
         return None
 
-    def _events(
+    def _forward_events(
         self,
         job: jobs.Job,
         exchange: upstream.Exchange,
@@ -273,38 +308,49 @@
         head: upstream.Head,
         progress: _Progress,
     ) -> Iterator[jobs.Reply | bytes]:
-        reader = sse.EventSplitter(progress.last)
+        splitter = sse.EventSplitter(progress.last_event_id)
         servers = [stage.server.id for stage in path]
-        waited_since = timers.now()
-        patience = min(job.deadline, timers.now() + FIRST_EVENT_SECONDS)
+        last_data_at = timers.now()
+        wait_until = min(
+            job.deadline, timers.now() + FIRST_EVENT_TIMEOUT_SECONDS
+        )
         while True:
             try:
-                data = exchange.some(
-                    patience,
+                data = exchange.read_some(
+                    wait_until,
                     functools.partial(
-                        self._is_patient, job, progress, servers, waited_since
+                        self._should_keep_waiting,
+                        job,
+                        progress,
+                        servers,
+                        last_data_at,
                     ),
                 )
             except TimeoutError:
-                return self._silent(exchange)
+                return self._timeout_failure(exchange)
             except upstream.IncompleteReply as error:
-                return exchange.lost('events', str(error))
+                return exchange.unknown_outcome('events', str(error))
             if not data:
-                if reader.rest or not exchange.is_framed:
-                    return exchange.lost('events', 'ended without its end')
+                if splitter.incomplete or not exchange.is_framed:
+                    return exchange.unknown_outcome(
+                        'events',
+                        'stream ended inside an event or without framing',
+                    )
                 if not progress.has_begun:
                     progress.has_begun = True
                     yield jobs.Reply.from_head(head, self._dialect)
                 return None
             now = timers.now()
-            pause = now - waited_since
-            waited_since = now
-            self._look_at_pause(job, path, pause)
+            pause = now - last_data_at
+            last_data_at = now
+            self._check_pause(job, path, pause)
             progress.longest_pause = max(progress.longest_pause, pause)
-            whole = reader.feed(data)
-            if reader.is_broken:
-                return exchange.lost('events', 'events out of order')
-            if not whole:
+            complete_events = splitter.feed(data)
+            if splitter.is_out_of_order:
+                return exchange.unknown_outcome(
+                    'events', 'event ids do not increase'
+                )
+            if not complete_events:
                 continue
             if not progress.has_begun:
                 progress.has_begun = True
@@ -312,44 +358,48 @@
                     'stream.first_event', timers.now() - job.arrived_at
                 )
                 yield jobs.Reply.from_head(head, self._dialect)
-            progress.last = reader.last
-            progress.events += reader.count
+            progress.last_event_id = splitter.last_id
+            progress.event_count += splitter.completed_count
             self._view.heard(servers)
-            yield whole
-            patience = min(job.deadline, timers.now() + PAUSE_SECONDS)
+            yield complete_events
+            wait_until = min(
+                job.deadline, timers.now() + PAUSE_TIMEOUT_SECONDS
+            )
 
-    def _look_at_pause(
+    def _check_pause(
         self,
         job: jobs.Job,
         path: tuple[backends.Stage, ...],
         seconds: float,
     ) -> None:
-        """Ask the servers of a path that is slow what is the matter."""
-        aim = job.route.gap_objective or PAUSE_SECONDS
-        if job.service.engine and seconds > aim * SLOW_SHARE:
+        """Request reports from the servers of a path that is slow."""
+        objective = job.route.gap_objective or PAUSE_TIMEOUT_SECONDS
+        if job.service.engine and seconds > objective * SLOW_PAUSE_SHARE:
             self._chooser.reports.ask([stage.server for stage in path], job.id)
 
-    def _silent(self, exchange: upstream.Exchange) -> failures.Failure:
+    def _timeout_failure(
+        self, exchange: upstream.Exchange
+    ) -> failures.Failure:
         return failures.Failure(
             failures.Reason.PEER_SILENT,
             'backend.events',
             exchange.server.id,
-            'no event in time',
+            'no event within the time limit',
             outcomes.Outcome.UNKNOWN,
         )
 
-    def _blame(
+    def _record_failure(
         self,
         job: jobs.Job,
         path: tuple[backends.Stage, ...],
         progress: _Progress,
         failure: failures.Failure,
     ) -> None:
-        """Note which server of a path is likely to have failed."""
+        """Record the likely failed servers; eject them or request reports."""
         first = path[0].server
         match failure:
             case failures.Failure(step='backend.connect'):
-                progress.lost.append(first.id)
+                progress.failed_servers.append(first.id)
                 self._view.eject(first.id, failure.detail, job.id)
             case failures.Failure(reason=failures.Reason.ENGINE_REFUSED):
                 culprit = next(
@@ -360,16 +410,18 @@
                     ),
                     first.id,
                 )
-                progress.lost.append(culprit)
+                progress.failed_servers.append(culprit)
                 self._view.eject(
                     culprit, failure.detail, job.id, view.REFUSED_SECONDS
                 )
             case failures.Failure(
                 reason=failures.Reason.PEER_SILENT | failures.Reason.DEADLINE
             ):
-                progress.lost.extend(stage.server.id for stage in path)
+                progress.failed_servers.extend(
+                    stage.server.id for stage in path
+                )
                 self._chooser.reports.ask(
                     [stage.server for stage in path], job.id
                 )
             case _:
-                progress.lost.append(first.id)
+                progress.failed_servers.append(first.id)
--- a/libs/gateway/burdockmast/gateway/upstream.py
+++ b/libs/gateway/burdockmast/gateway/upstream.py
@@ -1,7 +1,7 @@
 """One request to one backend server, on a connection of its own.
 
-A server may send bytes that belong to no request, or lose track of a kept
-connection; neither can reach another request where none shares one.
+Connections are not reused: excess bytes from a server, or a kept-alive
+connection that gets out of step, must not affect another request.
 """
 
 from collections.abc import Callable
@@ -23,13 +23,13 @@
 from burdockmast.gateway import backends
 from burdockmast.gateway import interfaces
 
-# Seconds to connect to a live server, which takes 1 ms and a round trip.
-CONNECT_SECONDS = 0.25
+# A live server accepts a connection within 1 ms plus a round trip.
+CONNECT_TIMEOUT_SECONDS = 0.25
 READ_BYTES = 65536
-# Seconds between questions whether to wait on for a silent server.
-PATIENCE_SECONDS = 0.2
+# How often a wait for a server that sends nothing is reconsidered.
+SILENCE_RECHECK_SECONDS = 0.2
 
-ERRORS = (
+CONNECTION_ERRORS = (
     OSError,
     urllib3.exceptions.HTTPError,
     http.client.HTTPException,
@@ -38,12 +38,12 @@
 
 
 class IncompleteReply(Exception):
-    """The connection broke before the end of the reply."""
+    """The reply ended too early or its body is too large."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Head:
-    """The head of a reply."""
+    """The status line and headers of a reply."""
 
     status: int
     phrase: str
@@ -52,15 +52,16 @@
 
 
 class ResetAwareSocket(greenio.GreenSocket):
-    """A socket that tells a reset from an orderly end.
+    """A socket that raises an error when the connection is reset.
 
-    eventlet's own returns no bytes for both, which makes a reply without a
-    length look whole when its connection is reset.
+    eventlet's own socket reports a reset as the end of the data, so that a
+    truncated reply without a length looks complete.
     """
 
-    # Asked when nothing comes in time; true waits on. An error would leave
-    # the reply's reader unusable, so it is raised only for good.
-    is_patient: Callable[[], bool] | None = None
+    # Called when a read times out; if it returns true, the read goes on. The
+    # timeout is not raised in that case, because after an error the response
+    # can't be read any further.
+    should_keep_waiting: Callable[[], bool] | None = None
 
     def recv_into(
         self, buffer: bytearray, nbytes: int = 0, flags: int = 0
@@ -80,24 +81,27 @@
                     self.fd,
                     read=True,
                     timeout=seconds,
-                    timeout_exc=TimeoutError('no bytes in time'),
+                    timeout_exc=TimeoutError('no data within the time limit'),
                 )
             except TimeoutError:
-                if self.is_patient is None or not self.is_patient():
+                if (
+                    self.should_keep_waiting is None
+                    or not self.should_keep_waiting()
+                ):
                     raise
-                seconds = PATIENCE_SECONDS
+                seconds = SILENCE_RECHECK_SECONDS
 
 
 class Exchange:
     """A request and its reply."""
 
     def __init__(self, server: backends.BackendServer):
-        """Prepare to talk to a server."""
+        """Prepare a connection to a server; nothing is sent yet."""
         self.server = server
         self._address = addresses.split(server.address)
         self._connection = urllib3.connection.HTTPConnection(*self._address)
         self._response: urllib3.BaseHTTPResponse | None = None
-        # The connection drops its reference once it has the reply's head.
+        # Kept here as HTTPConnection drops its reference after the reply head.
         self._sock = ResetAwareSocket(socket.AF_INET, socket.SOCK_STREAM)
 
     def send(
@@ -108,10 +112,10 @@
         """Connect and send a request."""
         try:
             self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self._sock.settimeout(CONNECT_SECONDS)
+            self._sock.settimeout(CONNECT_TIMEOUT_SECONDS)
             self._sock.connect(self._address)
             self._connection.sock = self._sock
-        except ERRORS as error:
+        except CONNECTION_ERRORS as error:
             return self._failure('connect', outcomes.Outcome.NOT_RUN, error)
         sent = urllib3.HTTPHeaderDict()
         for name, value in headers:
@@ -129,49 +133,51 @@
                 preload_content=False,
                 decode_content=False,
             )
-        except ERRORS as error:
+        except CONNECTION_ERRORS as error:
             return self._failure('send', outcomes.Outcome.UNKNOWN, error)
         return None
 
-    def wait(self, seconds: float) -> bool:
-        """Wait for the reply to begin; false if it does not in time."""
+    def wait_for_reply(self, seconds: float) -> bool:
+        """Wait for the first bytes of the reply; return false on a timeout."""
         try:
             hubs.trampoline(
                 self._sock.fd,
                 read=True,
                 timeout=max(0.0, seconds),
-                timeout_exc=TimeoutError('no reply in time'),
+                timeout_exc=TimeoutError('no reply within the time limit'),
             )
         except TimeoutError:
             return False
         return True
 
-    def head(
+    def read_head(
         self, request: str, deadline: float, dialect: interfaces.Dialect
     ) -> Head | failures.Failure:
-        """Wait for the head of the reply.
+        """Read the status line and headers of the reply.
 
-        :param request: id that the reply must echo, if it names one
-        :param deadline: monotonic seconds
+        :param request: id that the reply must echo if it has one
+        :param deadline: monotonic time
         """
         try:
-            self._wait_until(deadline)
+            self._set_timeout(deadline)
             self._response = self._connection.getresponse()
         except TimeoutError:
             return failures.Failure(
                 failures.Reason.DEADLINE,
                 'backend.head',
                 self.server.id,
-                'no answer in time',
+                'no reply within the time limit',
                 outcomes.Outcome.UNKNOWN,
             )
-        except ERRORS as error:
+        except CONNECTION_ERRORS as error:
             return self._failure('head', outcomes.Outcome.UNKNOWN, error)
         headers = list(self._response.headers.items())
         facts = dialect.read_reply(headers)
         if facts.request and facts.request != request:
             return self._failure(
-                'head', outcomes.Outcome.UNKNOWN, 'answer to another request'
+                'head',
+                outcomes.Outcome.UNKNOWN,
+                'the reply belongs to another request',
             )
         return Head(
             self._response.status,
@@ -182,73 +188,75 @@
 
     @property
     def is_framed(self) -> bool:
-        """Whether the reply says where it ends, other than by closing."""
+        """Whether chunks or a length mark the end of the body."""
         response = self._response
         return response.chunked or response.length_remaining is not None
 
-    def some(
+    def read_some(
         self,
         deadline: float,
-        is_patient: Callable[[], bool] | None = None,
+        should_keep_waiting: Callable[[], bool] | None = None,
     ) -> bytes:
         """Return the next bytes of the body, empty at its end.
 
-        :param is_patient: asked after ``deadline`` whether to wait on
-        :raises TimeoutError: if nothing comes until ``deadline``
+        :param should_keep_waiting: called after ``deadline``; true waits on
+        :raises TimeoutError: if nothing arrives before ``deadline``
         :raises IncompleteReply: if the connection breaks
         """
         try:
-            self._wait_until(deadline)
-            self._sock.is_patient = is_patient
+            self._set_timeout(deadline)
+            self._sock.should_keep_waiting = should_keep_waiting
             data = self._response.read1(READ_BYTES)
         except TimeoutError:
             raise
         except urllib3.exceptions.ReadTimeoutError:
-            raise TimeoutError('no bytes in time') from None
-        except ERRORS as error:
+            raise TimeoutError('no data within the time limit') from None
+        except CONNECTION_ERRORS as error:
             raise IncompleteReply(str(error)) from None
         if not data and self._response.length_remaining:
-            raise IncompleteReply('the body is shorter than announced')
+            raise IncompleteReply(
+                'the body is shorter than its Content-Length'
+            )
         return data
 
-    def whole(self, deadline: float, limit: int) -> bytes:
-        """Return the whole body.
+    def read_body(self, deadline: float, limit: int) -> bytes:
+        """Return the complete body.
 
-        :raises TimeoutError: if it is not complete until ``deadline``
+        :raises TimeoutError: if it is not complete before ``deadline``
         :raises IncompleteReply: if the connection breaks, or the body is too
             large
         """
         parts = []
         size = 0
         while True:
-            data = self.some(deadline)
+            data = self.read_some(deadline)
             if not data:
                 return b''.join(parts)
             size += len(data)
             if size > limit:
-                raise IncompleteReply(f'the body is over {limit} bytes')
+                raise IncompleteReply(f'the body is larger than {limit} bytes')
             parts.append(data)
 
     def close(self) -> None:
-        """Close the connection, which cancels what still runs."""
+        """Close the connection, which cancels the request if it still runs."""
         if self._response is not None:
             self._response.close()
         self._connection.close()
         self._sock.close()
 
-    def _wait_until(self, deadline: float) -> None:
+    def _set_timeout(self, deadline: float) -> None:
         left = deadline - timers.now()
         if left <= 0:
-            raise TimeoutError('deadline')
+            raise TimeoutError('deadline exceeded')
         self._connection.timeout = left
         self._sock.settimeout(left)
 
-    def lost(self, step: str, detail: str) -> failures.Failure:
-        """Return that the request may have run, and nobody can know."""
+    def unknown_outcome(self, step: str, detail: str) -> failures.Failure:
+        """Return a failure that leaves open whether the request ran."""
         return self._failure(step, outcomes.Outcome.UNKNOWN, detail)
 
-    def refused(self, head: Head, retry_after: float) -> failures.Failure:
-        """Return that the server promises not to have run the request."""
+    def refusal(self, head: Head, retry_after: float) -> failures.Failure:
+        """Return a failure for a request that the server did not run."""
         return failures.Failure(
             failures.Reason.ENGINE_REFUSED,
             'backend.head',
--- a/libs/gateway/burdockmast/gateway/wsgi.py
+++ b/libs/gateway/burdockmast/gateway/wsgi.py
@@ -1,4 +1,4 @@
-"""The WSGI application that callers and the balancer talk to."""
+"""The WSGI applications that serve callers and the readiness check."""
 
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -24,12 +24,12 @@
 
 LOG = logs.get('callers')
 
-# Largest body until the configuration names a limit, in bytes.
-DEFAULT_BODY_BYTES = 4 * 1024 * 1024
-# Seconds for requests that name no deadline, up to their route's.
-DEFAULT_SECONDS = 60.0
-# Seconds until a caller may come back when this gateway can't serve it.
-RETRY_SECONDS = 0.2
+# Largest request body before the first configuration sets a limit.
+DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024
+# For requests that name no deadline; the route's timeout applies as well.
+DEFAULT_DEADLINE_SECONDS = 60.0
+# Retry-After value while this gateway can't serve a request.
+RETRY_AFTER_SECONDS = 0.2
 NO_ORGANISATION = ids.OrganisationId('')
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
 
@@ -44,8 +44,8 @@
 }
 
 
-def status_of(failure: failures.Failure) -> int:
-    """Return the status that tells a caller of a failure."""
+def http_status(failure: failures.Failure) -> int:
+    """Return the HTTP status that reports a failure to the caller."""
     match failure.reason:
         case failures.Reason.BAD_REQUEST:
             return 400
@@ -63,47 +63,48 @@
 
 
 class Application:
-    """Callers' requests to one gateway."""
+    """Admits callers' requests and replies to them."""
 
     def __init__(
         self,
         fleet: view.View,
         dialect: interfaces.Dialect,
-        plain: calls.CallProxy,
-        streamed: streams.StreamProxy,
+        call_proxy: calls.CallProxy,
+        stream_proxy: streams.StreamProxy,
         budget: retries.Budget,
         measures: metrics.Metrics,
         trusted_seconds: float,
         ready_seconds: float,
-        source: random.Random,
+        rng: random.Random,
     ):
         """Create an application.
 
-        ``is_leaving`` tells the balancer and callers to go elsewhere;
-        ``is_closed`` refuses what still comes.
+        ``is_draining`` fails the readiness check and closes connections after
+        each reply; ``rejects_requests`` refuses all new requests.
 
-        :param trusted_seconds: age of the configuration up to which keys
+        :param trusted_seconds: age of the configuration up to which the keys
             that it names are accepted
-        :param ready_seconds: age up to which the balancer may send callers
+        :param ready_seconds: age of the configuration up to which the
+            readiness check succeeds
         """
-        self.is_leaving = False
-        self.is_closed = False
-        self.running = 0
+        self.is_draining = False
+        self.rejects_requests = False
+        self.running_count = 0
         self._view = fleet
         self._dialect = dialect
-        self._plain = plain
-        self._streamed = streamed
+        self._call_proxy = call_proxy
+        self._stream_proxy = stream_proxy
         self._budget = budget
         self._metrics = measures
         self._trusted_seconds = trusted_seconds
         self._ready_seconds = ready_seconds
-        self._body_bytes = DEFAULT_BODY_BYTES
-        self._random = source
+        self._max_body_bytes = DEFAULT_MAX_BODY_BYTES
+        self._rng = rng
 
     def is_ready(self) -> bool:
-        """Tell whether the balancer is to send callers here."""
+        """Tell whether the load balancer may send new requests here."""
         return (
-            not self.is_leaving
+            not self.is_draining
             and self._view.configuration is not None
             and self._view.configuration_age < self._ready_seconds
         )
@@ -112,48 +113,49 @@
         self, environ: dict, start_response: StartResponse
     ) -> Iterable[bytes]:
         """Serve one request."""
-        began = timers.now()
-        self.running += 1
+        arrived_at = timers.now()
+        self.running_count += 1
         try:
-            body = self._serve(environ, start_response, began)
+            body = self._serve(environ, start_response, arrived_at)
             yield from body
         finally:
-            self.running -= 1
+            self.running_count -= 1
 
     def _serve(
-        self, environ: dict, start_response: StartResponse, began: float
+        self, environ: dict, start_response: StartResponse, arrived_at: float
     ) -> Iterator[bytes]:
-        request = self._read(environ)
+        request = self._read_request(environ)
         if isinstance(request, failures.Failure):
-            yield self._refuse(start_response, ids.RequestId(''), request)
+            yield self._send_error(start_response, ids.RequestId(''), request)
             return
-        job = self._job(request, began)
+        job = self._admit(request, arrived_at)
         if isinstance(job, failures.Failure):
-            yield self._refuse(start_response, request.id, job)
+            yield self._send_error(start_response, request.id, job)
             return
         self._budget.deposit(job.service.id)
         try:
             with disconnects.Watch(environ['eventlet.input'].get_socket()):
-                yield from self._answer(job, start_response)
+                yield from self._forward(job, start_response)
         except disconnects.CallerDisconnected:
             self._metrics.count('callers.gone')
             LOG.info(
-                'caller left',
+                'caller disconnected; request is cancelled',
                 extra={
                     'request': job.id,
-                    'seconds': round(timers.now() - began, 3),
+                    'seconds': round(timers.now() - arrived_at, 3),
                 },
             )
             raise
         except streams.StreamAborted as error:
             self._metrics.count('streams.cut')
             LOG.warning(
-                'stream cut', extra={'request': job.id, 'reason': str(error)}
+                'stream aborted; no attempt could complete it',
+                extra={'request': job.id, 'reason': str(error)},
             )
             raise
-        self._metrics.timing('request', timers.now() - began)
+        self._metrics.timing('request', timers.now() - arrived_at)
 
-    def _read(
+    def _read_request(
         self, environ: dict
     ) -> interfaces.CallerRequest | failures.Failure:
         target = environ['RAW_PATH_INFO']
@@ -161,8 +163,8 @@
         if query:
             target = f'{target}?{query}'
         try:
-            # One byte over the limit is enough to know that it is exceeded.
-            body = environ['wsgi.input'].read(self._body_bytes + 1)
+            # One byte more than the limit shows that it is exceeded.
+            body = environ['wsgi.input'].read(self._max_body_bytes + 1)
         except (OSError, ValueError) as error:
             return failures.Failure(
                 failures.Reason.BAD_REQUEST, 'request.body', detail=str(error)
@@ -171,54 +173,58 @@
             environ['REQUEST_METHOD'], target, environ['headers_raw'], body
         )
 
-    def _job(
-        self, request: interfaces.CallerRequest, began: float
+    def _admit(
+        self, request: interfaces.CallerRequest, arrived_at: float
     ) -> jobs.Job | failures.Failure:
-        if self.is_closed:
+        if self.rejects_requests:
             return failures.Failure(
                 failures.Reason.LEAVING,
                 'request.admit',
-                detail='this process is stopping',
-                retry_after=RETRY_SECONDS,
+                detail='this gateway is shutting down',
+                retry_after=RETRY_AFTER_SECONDS,
             )
-        known = self._view.configuration
-        if known is None:
-            return _unready('no configuration is known yet')
-        route = known.route(request.host, request.path)
+        configuration = self._view.configuration
+        if configuration is None:
+            return _unavailable('no configuration has been received yet')
+        route = configuration.route(request.host, request.path)
         age = self._view.configuration_age
         if route is None:
-            # A route that is new may not have arrived here.
+            # The route may be new and missing only from an old configuration.
             if age > self._trusted_seconds:
-                return _unready(f'the configuration is {age:.1f} s old')
+                return _unavailable(
+                    f'configuration last confirmed {age:.1f} s ago'
+                )
             return failures.Failure(
                 failures.Reason.UNKNOWN_SERVICE,
                 'request.route',
-                detail=f'no route in version {known.version}',
+                detail=f'no route in configuration {configuration.version}',
             )
         organisation = deployment.Organisation(NO_ORGANISATION, None)
-        if not route.is_public and known.organisation_by_key:
+        if not route.is_public and configuration.organisation_by_key:
             if age > self._trusted_seconds:
-                return _unready(f'the configuration is {age:.1f} s old')
-            organisation = known.organisation_by_key.get(request.key)
+                return _unavailable(
+                    f'configuration last confirmed {age:.1f} s ago'
+                )
+            organisation = configuration.organisation_by_key.get(request.key)
             if organisation is None:
                 return failures.Failure(
                     failures.Reason.UNKNOWN_ORGANISATION,
                     'request.key',
-                    detail=f'the key is not in version {known.version}',
+                    detail=f'key not in configuration {configuration.version}',
                 )
-        self._body_bytes = known.limits.body_bytes
-        if len(request.body) > self._body_bytes:
+        self._max_body_bytes = configuration.limits.body_bytes
+        if len(request.body) > self._max_body_bytes:
             return failures.Failure(
                 failures.Reason.TOO_LARGE,
                 'request.body',
-                detail=f'over {known.limits.body_bytes} bytes',
+                detail=f'larger than {configuration.limits.body_bytes} bytes',
             )
-        service = self._service(known, route)
+        service = self._choose_service(configuration, route)
         if service is None:
-            return _unready(f'route {route.name} has no service')
+            return _unavailable(f'route {route.name} has no service')
         seconds = request.seconds
         if seconds is None:
-            seconds = DEFAULT_SECONDS
+            seconds = DEFAULT_DEADLINE_SECONDS
         priority = organisation.priority
         return jobs.Job(
             request,
@@ -226,13 +232,13 @@
             service,
             organisation.id,
             route.priority if priority is None else priority,
-            began,
-            began + min(seconds, route.timeout),
-            known.version,
+            arrived_at,
+            arrived_at + min(seconds, route.timeout),
+            configuration.version,
         )
 
-    def _service(
-        self, known: deployment.Deployment, route: deployment.Route
+    def _choose_service(
+        self, configuration: deployment.Deployment, route: deployment.Route
     ) -> deployment.Service | None:
         services = list(route.weight_by_service)
         if not services:
@@ -240,78 +246,78 @@
         weights = list(route.weight_by_service.values())
         chosen = services[0]
         if len(services) > 1 and sum(weights) > 0:
-            chosen = self._random.choices(services, weights)[0]
-        return known.service_by_id.get(
+            chosen = self._rng.choices(services, weights)[0]
+        return configuration.service_by_id.get(
             chosen, deployment.Service(chosen, None)
         )
 
-    def _answer(
+    def _forward(
         self, job: jobs.Job, start_response: StartResponse
     ) -> Iterator[bytes]:
         if not job.route.is_stream:
-            result = self._plain.forward(job)
+            result = self._call_proxy.forward(job)
             if isinstance(result, failures.Failure):
-                yield self._refuse(start_response, job.id, result)
+                yield self._send_error(start_response, job.id, result)
             else:
-                yield self._pass_on(start_response, result)
+                yield self._send_reply(start_response, result)
             return
-        for item in self._streamed.forward(job):
+        for item in self._stream_proxy.forward(job):
             match item:
                 case failures.Failure():
-                    yield self._refuse(start_response, job.id, item)
+                    yield self._send_error(start_response, job.id, item)
                 case jobs.Reply(body=None):
-                    self._start(start_response, item, item.headers)
+                    self._start_reply(start_response, item, item.headers)
                 case jobs.Reply():
-                    yield self._pass_on(start_response, item)
+                    yield self._send_reply(start_response, item)
                 case _:
                     yield item
 
-    def _pass_on(
+    def _send_reply(
         self, start_response: StartResponse, reply: jobs.Reply
     ) -> bytes:
         length = ('Content-Length', str(len(reply.body)))
-        self._start(start_response, reply, [*reply.headers, length])
+        self._start_reply(start_response, reply, [*reply.headers, length])
         return reply.body
 
-    def _start(
+    def _start_reply(
         self,
         start_response: StartResponse,
         reply: jobs.Reply,
         headers: list[tuple[str, str]],
     ) -> None:
-        if self.is_leaving:
+        if self.is_draining:
             headers = [*headers, ('Connection', 'close')]
         start_response(f'{reply.status} {reply.phrase}', headers)
 
-    def _refuse(
+    def _send_error(
         self,
         start_response: StartResponse,
-        request: ids.RequestId,
+        request_id: ids.RequestId,
         failure: failures.Failure,
     ) -> bytes:
-        status = status_of(failure)
+        status = http_status(failure)
         self._metrics.count(f'refusals.{failure.reason.value}')
         headers = [('Content-Type', 'text/plain')]
         body = f'{failure}\n'.encode()
-        after = None
+        retry_after = None
         if status == 503:
-            after = failure.retry_after or RETRY_SECONDS
-            after = round(returns.spread(after, self._random), 3)
-            headers.append(('Retry-After', str(after)))
-        if self.is_leaving:
+            retry_after = failure.retry_after or RETRY_AFTER_SECONDS
+            retry_after = round(returns.spread(retry_after, self._rng), 3)
+            headers.append(('Retry-After', str(retry_after)))
+        if self.is_draining:
             headers.append(('Connection', 'close'))
         headers.append(('Content-Length', str(len(body))))
         LOG.info(
-            'request refused',
+            'request answered with an error',
             extra={
-                'request': request,
+                'request': request_id,
                 'status': status,
                 'reason': failure.reason.value,
                 'step': failure.step,
                 'peer': failure.peer,
                 'detail': failure.detail,
                 'outcome': failure.outcome.value,
-                'retry_after': after,
+                'retry_after': retry_after,
                 'configuration_age': round(self._view.configuration_age, 3),
                 'list_age': round(self._view.server_age, 3),
             },
@@ -320,25 +326,25 @@
         return body
 
 
-def _unready(detail: str) -> failures.Failure:
+def _unavailable(detail: str) -> failures.Failure:
     return failures.Failure(
         failures.Reason.STORE_UNAVAILABLE,
         'request.configuration',
         detail=detail,
-        retry_after=RETRY_SECONDS,
+        retry_after=RETRY_AFTER_SECONDS,
     )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Readiness:
-    """The WSGI application that the balancer asks."""
+    """The readiness check of the load balancer."""
 
     application: Application
 
     def __call__(
         self, environ: dict, start_response: StartResponse
     ) -> Iterable[bytes]:
-        """Answer 200 while callers may be sent here."""
+        """Reply with 200 while the gateway is ready, else with 503."""
         is_ready = self.application.is_ready()
         status = '200 OK' if is_ready else '503 Service Unavailable'
         start_response(status, [('Content-Length', '0')])
--- a/tests/test_gateway_sse.py
+++ b/tests/test_gateway_sse.py
@@ -1,4 +1,4 @@
-"""Whole events of a stream, and the budget of retries."""
+"""The splitter of server-sent events and the retry budget."""
 
 import pytest
 
@@ -11,31 +11,31 @@
 
 
 @pytest.mark.parametrize('size', range(1, 20))
-def test_only_whole_events_are_passed_on(size):
+def test_only_complete_events_are_forwarded(size):
     data = event(1) + event(2) + b'id: 3\nda'
-    reader = sse.EventSplitter(None)
+    splitter = sse.EventSplitter(None)
     found = b''.join(
-        reader.feed(data[at : at + size]) for at in range(0, len(data), size)
+        splitter.feed(data[at : at + size]) for at in range(0, len(data), size)
     )
     assert found == event(1) + event(2)
-    assert reader.last == 2
-    assert reader.rest == b'id: 3\nda'
+    assert splitter.last_id == 2
+    assert splitter.incomplete == b'id: 3\nda'
 
 
 @pytest.mark.parametrize('number', [1, 2])
-def test_an_event_that_the_caller_has_breaks_the_stream(number):
-    reader = sse.EventSplitter(2)
-    assert reader.feed(event(number)) == b''
-    assert reader.is_broken
+def test_an_event_that_the_caller_has_is_out_of_order(number):
+    splitter = sse.EventSplitter(2)
+    assert splitter.feed(event(number)) == b''
+    assert splitter.is_out_of_order
 
 
-def test_a_stream_goes_on_behind_the_last_event():
-    reader = sse.EventSplitter(2)
-    assert reader.feed(event(3)) == event(3)
-    assert not reader.is_broken
+def test_a_stream_resumes_after_the_last_event():
+    splitter = sse.EventSplitter(2)
+    assert splitter.feed(event(3)) == event(3)
+    assert not splitter.is_out_of_order
 
 
-def test_retries_stay_within_slack_and_share():
+def test_retries_stay_within_slack_and_ratio():
     budget = retries.Budget(0.2, 40, 10.0, now=lambda: 0.0)
     budget.gateway_count = 4
     for _ in range(100):
@@ -45,7 +45,7 @@
     assert taken > 0
 
 
-def test_retries_come_back_with_time():
+def test_retries_are_allowed_again_after_the_window():
     now = [0.0]
     budget = retries.Budget(0.2, 40, 10.0, now=lambda: now[0])
     while budget.withdraw('draft'):
--- a/tests/test_gateway_upstream.py
+++ b/tests/test_gateway_upstream.py
@@ -1,4 +1,4 @@
-"""Replies of backend servers that end in odd ways."""
+"""Replies of backend servers that are truncated, reset or invalid."""
 
 import socket
 import struct
@@ -14,7 +14,7 @@
 from burdockmast.gateway import upstream
 from burdockmast.platform import headers
 
-GUARD_SECONDS = 60.0
+TEST_TIMEOUT_SECONDS = 60.0
 REQUEST = interfaces.CallerRequest(
     id='r1',
     method='GET',
@@ -37,7 +37,7 @@
 
 
 class Server:
-    """Answers one connection with given bytes, then closes or resets it."""
+    """Sends given bytes on one connection, then closes or resets it."""
 
     def __init__(self, answer, resets):
         self._sock = eventlet.listen(('127.0.0.1', 0))
@@ -59,7 +59,7 @@
 
 @pytest.fixture
 def exchange():
-    """Send a request to a server with a given answer."""
+    """Return a sender of one request to a server with a given reply."""
     opened = []
 
     def start(answer, resets=False):
@@ -86,27 +86,27 @@
         found.close()
 
 
-def head_of(found):
-    return found.head(
-        'r1', timers.now() + GUARD_SECONDS, headers.PlatformDialect()
+def read_head(found):
+    return found.read_head(
+        'r1', timers.now() + TEST_TIMEOUT_SECONDS, headers.PlatformDialect()
     )
 
 
-def whole(found):
-    return found.whole(timers.now() + GUARD_SECONDS, 1000)
+def read_body(found):
+    return found.read_body(timers.now() + TEST_TIMEOUT_SECONDS, 1000)
 
 
 def test_a_reply_without_length_ends_with_its_connection(exchange):
     found, _ = exchange(HEAD + b'\r\nbody')
-    assert head_of(found).facts.is_sealed
-    assert whole(found) == b'body'
+    assert read_head(found).facts.is_sealed
+    assert read_body(found) == b'body'
 
 
-def test_a_reply_without_length_that_is_reset_is_not_whole(exchange):
+def test_a_reply_without_length_that_is_reset_is_incomplete(exchange):
     found, _ = exchange(HEAD + b'\r\nbod', resets=True)
-    head_of(found)
+    read_head(found)
     with pytest.raises(upstream.IncompleteReply):
-        whole(found)
+        read_body(found)
 
 
 @pytest.mark.parametrize('resets', [False, True])
@@ -118,17 +118,17 @@
         b'Transfer-Encoding: chunked\r\n\r\n9\r\nshort',
     ],
 )
-def test_a_reply_that_breaks_off_is_not_whole(exchange, body, resets):
+def test_a_truncated_reply_is_incomplete(exchange, body, resets):
     found, _ = exchange(HEAD + body, resets)
-    head_of(found)
+    read_head(found)
     with pytest.raises(upstream.IncompleteReply):
-        whole(found)
+        read_body(found)
 
 
-def test_bytes_after_a_reply_belong_to_no_request(exchange):
+def test_bytes_after_a_reply_are_ignored(exchange):
     found, _ = exchange(HEAD + b'Content-Length: 4\r\n\r\nbodyHTTP/1.1 200')
-    head_of(found)
-    assert whole(found) == b'body'
+    read_head(found)
+    assert read_body(found) == b'body'
 
 
 @pytest.mark.parametrize(
@@ -140,16 +140,16 @@
         b'HTTP/1.1 200 OK\r\nBurdockmast-Request-Id: other\r\n\r\n',
     ],
 )
-def test_what_is_no_reply_may_have_run(exchange, answer):
+def test_a_request_without_a_valid_reply_may_have_run(exchange, answer):
     found, _ = exchange(answer)
-    failure = head_of(found)
+    failure = read_head(found)
     assert isinstance(failure, failures.Failure)
     assert failure.outcome is outcomes.Outcome.UNKNOWN
 
 
 def test_the_request_is_sent_unchanged_on_a_connection_of_its_own(exchange):
     found, server = exchange(HEAD + b'Content-Length: 0\r\n\r\n')
-    head_of(found)
+    read_head(found)
     assert server.got.startswith(b'GET /a/b?c=d HTTP/1.1\r\n')
     lines = server.got.lower().split(b'\r\n')
     assert b'connection: close' in lines
