Rename turns to move permits, and their module to layer_moves

A server that changes layers took "a turn", a word private to the project. It now acquires, renews and releases a move permit: moves -> layer_moves, Turns -> MovePermits (take -> acquire, finish -> release), Moves -> MoveRecord, Taken -> Acquired, Later -> RetryLater, look_seconds -> poll_interval_seconds. The stored key stays turn_by_server, and the kind of the objects stays moves.

Renames alone.

--- a/libs/bench/burdockmast/bench/storelines.py
+++ b/libs/bench/burdockmast/bench/storelines.py
@@ -5,7 +5,7 @@
 from burdockmast.claims import home
 from burdockmast.claims import records
 from burdockmast.fleet import follower
-from burdockmast.fleet import moves
+from burdockmast.fleet import layer_moves
 from burdockmast.fleet import snapshots
 from burdockmast.store import journals
 
@@ -95,7 +95,10 @@
 def _moves_line(target: targets.Target) -> targets.Line:
     servers = target.replicas // target.models
     looks = target.models * sum(
-        1 / moves.look_seconds(before, targets.LOADS_AT_ONCE, target.replicas)
+        1
+        / layer_moves.poll_interval_seconds(
+            before, targets.LOADS_AT_ONCE, target.replicas
+        )
         for before in range(servers)
     )
     # A look reads one object.
--- a/libs/fleet/burdockmast/fleet/moves.py
+++ b/libs/fleet/burdockmast/fleet/layer_moves.py
@@ -32,7 +32,7 @@
 RENEW_SECONDS = 10.0
 LAPSE_SECONDS = 30.0
 # Seconds after which a server goes though its layers are held by no other.
-UNCOVERED_SECONDS = 5.0
+UNCOVERED_WAIT_SECONDS = 5.0
 # Seconds between looks for a turn, for a server whose turn could be next.
 LOOK_SECONDS = 0.5
 # Servers of a fleet beyond which looks are rarer, for the store's sake.
@@ -43,7 +43,7 @@
 CONFLICT_SECONDS = 0.05
 TRIES = 50
 # Models read at once.
-PAGE = 50
+PAGE_MODEL_COUNT = 50
 
 
 class Span(msgspec.Struct, frozen=True, array_like=True):
@@ -53,20 +53,22 @@
     end: int
 
 
-class Moves(msgspec.Struct):
+class MoveRecord(msgspec.Struct):
     """What the servers of one model hold, and whose turn it is.
 
-    :ivar turn_by_server: ids of turns; each renewal is a new one
+    :ivar permit_by_server: ids of turns; each renewal is a new one
     :ivar version: newest configuration by which a turn was taken
     """
 
     held_by_server: dict[ids.ServerId, Span] = {}
-    turn_by_server: dict[ids.ServerId, str] = {}
+    permit_by_server: dict[ids.ServerId, str] = msgspec.field(
+        default={}, name='turn_by_server'
+    )
     version: ids.Version = ids.Version(0)
 
     def forget(self, server: ids.ServerId) -> None:
         """Drop a server."""
-        self.turn_by_server.pop(server, None)
+        self.permit_by_server.pop(server, None)
         self.held_by_server.pop(server, None)
 
     def covers(self, layers: int, without: set[ids.ServerId]) -> bool:
@@ -74,24 +76,24 @@
         staying = [
             (span.first, span.end)
             for server, span in self.held_by_server.items()
-            if server not in without and server not in self.turn_by_server
+            if server not in without and server not in self.permit_by_server
         ]
         return ranges.reached(staying) >= layers
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Taken:
+class Acquired:
     """It is this server's turn."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Later:
+class RetryLater:
     """It is the turn of others; look again after ``seconds``."""
 
     seconds: float
 
 
-Turn = Taken | Later | failures.Failure
+AcquireResult = Acquired | RetryLater | failures.Failure
 
 
 @dataclasses.dataclass(slots=True)
@@ -102,7 +104,7 @@
     since: float
 
 
-def look_seconds(before: int, at_once: int, fleet: int) -> float:
+def poll_interval_seconds(before: int, at_once: int, fleet: int) -> float:
     """Return the pause between looks for a turn.
 
     :param before: servers that go before this one
@@ -113,7 +115,7 @@
     return LOOK_SECONDS * rarer * (1 + before / at_once)
 
 
-class Turns:
+class MovePermits:
     """The turns of one server, in the objects of its models."""
 
     def __init__(
@@ -134,47 +136,47 @@
         self._seen_by_server: dict[ids.ServerId, _Seen] = {}
         self._waiting_since: float | None = None
 
-    def take(
+    def acquire(
         self,
         model: ids.ModelId,
         current: configuration.Configuration,
-        leaves: bool,
-    ) -> Turn:
+        drops_layers: bool,
+    ) -> AcquireResult:
         """Take a turn at a model, unless others go first.
 
-        :param leaves: whether this server holds layers that it will drop
+        :param drops_layers: whether this server holds layers that it will drop
         """
 
-        def change(moves: Moves) -> Later | None:
+        def change(moves: MoveRecord) -> RetryLater | None:
             self._forget_gone(moves, current)
-            if not self._may_go(moves, model, current, leaves):
-                return Later(self._look_seconds(moves, model, current))
-            moves.turn_by_server[self._server] = ids.new_id()
+            if not self._may_go(moves, model, current, drops_layers):
+                return RetryLater(self._look_seconds(moves, model, current))
+            moves.permit_by_server[self._server] = ids.new_id()
             return None
 
         stopped = self._update(model, change)
         if stopped:
             return stopped
         self._waiting_since = None
-        return Taken()
+        return Acquired()
 
     def renew(self, model: ids.ModelId) -> None:
         """Keep a turn from lapsing."""
 
-        def change(moves: Moves) -> None:
-            if self._server in moves.turn_by_server:
-                moves.turn_by_server[self._server] = ids.new_id()
+        def change(moves: MoveRecord) -> None:
+            if self._server in moves.permit_by_server:
+                moves.permit_by_server[self._server] = ids.new_id()
 
         self._update(model, change)
 
-    def finish(self, model: ids.ModelId, span: Span | None) -> bool:
+    def release(self, model: ids.ModelId, span: Span | None) -> bool:
         """End a turn and tell what is held now; false if that failed.
 
         :param span: None if no layers of this model are held
         """
 
-        def change(moves: Moves) -> None:
-            moves.turn_by_server.pop(self._server, None)
+        def change(moves: MoveRecord) -> None:
+            moves.permit_by_server.pop(self._server, None)
             moves.held_by_server.pop(self._server, None)
             if span:
                 moves.held_by_server[self._server] = span
@@ -184,8 +186,8 @@
     def _update(
         self,
         model: ids.ModelId,
-        change: Callable[[Moves], Later | None],
-    ) -> Later | failures.Failure | None:
+        change: Callable[[MoveRecord], RetryLater | None],
+    ) -> RetryLater | failures.Failure | None:
         """Change a model's object, again if others wrote meanwhile.
 
         :param change: works on the object; what it returns ends the update
@@ -195,7 +197,7 @@
             stored = self._read(model)
             if isinstance(stored, failures.Failure):
                 return stored
-            moves = msgspec.convert(stored.value, Moves)
+            moves = msgspec.convert(stored.value, MoveRecord)
             stopped = change(moves)
             if stopped or msgspec.to_builtins(moves) == stored.value:
                 return stopped
@@ -205,13 +207,13 @@
             if isinstance(written, objects.Stored):
                 return None
             eventlet.sleep(self._random.uniform(0, CONFLICT_SECONDS))
-        return Later(LOOK_SECONDS)
+        return RetryLater(LOOK_SECONDS)
 
     def _read(self, model: ids.ModelId) -> objects.Stored | failures.Failure:
         found = self._store.get(KIND, model)
         if not isinstance(found, objects.Absent):
             return found
-        created = self._store.create(KIND, model, Moves())
+        created = self._store.create(KIND, model, MoveRecord())
         if isinstance(created, objects.Conflict):
             found = self._store.get(KIND, model)
             if not isinstance(found, objects.Absent):
@@ -223,17 +225,17 @@
         )
 
     def _forget_gone(
-        self, moves: Moves, current: configuration.Configuration
+        self, moves: MoveRecord, current: configuration.Configuration
     ) -> None:
         """Drop turns that have lapsed, and servers that are no more."""
-        for server, turn in list(moves.turn_by_server.items()):
+        for server, turn in list(moves.permit_by_server.items()):
             if self._is_lapsed(server, turn):
                 moves.forget(server)
         if current.version < moves.version:
             # Whom this process does not know may just have come.
             return
         moves.version = current.version
-        for server in {*moves.turn_by_server, *moves.held_by_server}:
+        for server in {*moves.permit_by_server, *moves.held_by_server}:
             if server not in current.server_by_id:
                 moves.forget(server)
 
@@ -246,30 +248,30 @@
 
     def _may_go(
         self,
-        moves: Moves,
+        moves: MoveRecord,
         model: ids.ModelId,
         current: configuration.Configuration,
-        leaves: bool,
+        drops_layers: bool,
     ) -> bool:
-        if self._server in moves.turn_by_server:
+        if self._server in moves.permit_by_server:
             return True
-        if len(moves.turn_by_server) >= self._at_once:
+        if len(moves.permit_by_server) >= self._at_once:
             return False
         known = current.model(model)
-        if not leaves or not known:
+        if not drops_layers or not known:
             return True
-        if len(moves.turn_by_server) >= _most_leaving(moves):
+        if len(moves.permit_by_server) >= _most_leaving(moves):
             return False
         if moves.covers(known.layers, self._not_staying(moves, current)):
             return True
-        if moves.turn_by_server:
+        if moves.permit_by_server:
             return False
         # Nobody else makes room, and it can't be helped.
         self._waiting_since = self._waiting_since or timers.now()
-        return timers.now() - self._waiting_since > UNCOVERED_SECONDS
+        return timers.now() - self._waiting_since > UNCOVERED_WAIT_SECONDS
 
     def _not_staying(
-        self, moves: Moves, current: configuration.Configuration
+        self, moves: MoveRecord, current: configuration.Configuration
     ) -> set[ids.ServerId]:
         """Return the servers that do not stay: this one, and leaving ones."""
         leaving = {
@@ -281,7 +283,7 @@
 
     def _look_seconds(
         self,
-        moves: Moves,
+        moves: MoveRecord,
         model: ids.ModelId,
         current: configuration.Configuration,
     ) -> float:
@@ -293,11 +295,13 @@
         ]
         ranked = sorted(waiting, key=lambda server: ranks.rank(model, server))
         before = ranked.index(self._server) if self._server in ranked else 0
-        return look_seconds(before, self._at_once, len(current.server_by_id))
+        return poll_interval_seconds(
+            before, self._at_once, len(current.server_by_id)
+        )
 
     def _is_waiting(
         self,
-        moves: Moves,
+        moves: MoveRecord,
         model: ids.ModelId,
         current: configuration.Configuration,
         server: ids.ServerId,
@@ -311,22 +315,24 @@
 
 def read_all(
     store: objects.Objects,
-) -> dict[ids.ModelId, Moves] | failures.Failure:
+) -> dict[ids.ModelId, MoveRecord] | failures.Failure:
     """Return the moves of every model, for operators."""
-    found: dict[ids.ModelId, Moves] = {}
+    found: dict[ids.ModelId, MoveRecord] = {}
     start = ''
     while True:
-        page = store.list(KIND, start, PAGE)
+        page = store.list(KIND, start, PAGE_MODEL_COUNT)
         if isinstance(page, failures.Failure):
             return page
         for item in page:
-            found[ids.ModelId(item.name)] = msgspec.convert(item.value, Moves)
-        if len(page) < PAGE:
+            found[ids.ModelId(item.name)] = msgspec.convert(
+                item.value, MoveRecord
+            )
+        if len(page) < PAGE_MODEL_COUNT:
             return found
         # The next name in order that there can be.
         start = page[-1].name + '\0'
 
 
-def _most_leaving(moves: Moves) -> int:
+def _most_leaving(moves: MoveRecord) -> int:
     """Return how many servers of a model may be away at once."""
     return max(1, int(AWAY_SHARE * len(moves.held_by_server)))
--- a/libs/operator/burdockmast/operator/servers.py
+++ b/libs/operator/burdockmast/operator/servers.py
@@ -7,7 +7,7 @@
 from burdockmast.base import ids
 from burdockmast.base import timers
 from burdockmast.fleet import changes
-from burdockmast.fleet import moves
+from burdockmast.fleet import layer_moves
 from burdockmast.node import inspection
 from burdockmast.operator import asking
 from burdockmast.operator import context
@@ -72,10 +72,10 @@
 def _holds(run: context.Context) -> dict[ids.ServerId, str]:
     """Return what servers hold, or that they change it now."""
     found: dict[ids.ServerId, str] = {}
-    for state in context.check(moves.read_all(run.store())).values():
+    for state in context.check(layer_moves.read_all(run.store())).values():
         for server, span in state.held_by_server.items():
             found[server] = f'{span.first}-{span.end}'
-        for server in state.turn_by_server:
+        for server in state.permit_by_server:
             found[server] = 'changing'
     return found
 
--- a/libs/side/burdockmast/side/holding.py
+++ b/libs/side/burdockmast/side/holding.py
@@ -7,7 +7,7 @@
 so whatever that one ordered was accepted earlier.
 
 When to change layers is agreed with the model's other servers, so that some
-always hold each layer; see :mod:`burdockmast.fleet.moves`.
+always hold each layer; see :mod:`burdockmast.fleet.layer_moves`.
 """
 
 from collections.abc import Callable
@@ -20,7 +20,7 @@
 from burdockmast.base import outcomes
 from burdockmast.base import timers
 from burdockmast.fleet import changes
-from burdockmast.fleet import moves
+from burdockmast.fleet import layer_moves
 from burdockmast.node import node
 from burdockmast.side import engine
 from burdockmast.wire import messages
@@ -65,7 +65,9 @@
         self._peers = process.peers
         self._checks_fence = checks_fence
         self._started_at = timers.now()
-        self._turns = moves.Turns(process.store, self._server, loads_at_once)
+        self._turns = layer_moves.MovePermits(
+            process.store, self._server, loads_at_once
+        )
         self._is_working = False
         self._is_moving = False
         self._is_looking = False
@@ -146,16 +148,16 @@
             return eventlet.sleep(IDLE_SECONDS)
         leaves = self.held or status.held
         model = (leaves or wanted).model
-        match self._turns.take(
+        match self._turns.acquire(
             model, self._follower.configuration, bool(leaves)
         ):
-            case moves.Later(seconds=seconds):
+            case layer_moves.RetryLater(seconds=seconds):
                 self._metrics.count('moves.waited')
                 eventlet.sleep(seconds)
             case failures.Failure() as failure if leaves:
                 LOG.warning('No turn to change layers: {}.', failure)
                 eventlet.sleep(RETRY_SECONDS)
-            case moves.Taken() | failures.Failure():
+            case layer_moves.Acquired() | failures.Failure():
                 # Nobody waits for an engine that holds nothing, so it may
                 # load even while the store is out.
                 self._move(model)
@@ -177,7 +179,7 @@
 
     def _renew(self, model: ids.ModelId) -> None:
         while True:
-            eventlet.sleep(moves.RENEW_SECONDS)
+            eventlet.sleep(layer_moves.RENEW_SECONDS)
             if not self._is_moving:
                 return
             self._turns.renew(model)
@@ -193,8 +195,8 @@
         while True:
             held = self.held
             is_held = held is not None and held.model == model
-            span = moves.Span(held.first, held.end) if is_held else None
-            if self._turns.finish(model, span):
+            span = layer_moves.Span(held.first, held.end) if is_held else None
+            if self._turns.release(model, span):
                 return
             eventlet.sleep(RETRY_SECONDS)
 
--- a/tests/test_moves.py
+++ b/tests/test_layer_moves.py
@@ -15,7 +15,7 @@
 from burdockmast.base import timers
 from burdockmast.fleet import changes
 from burdockmast.fleet import configuration
-from burdockmast.fleet import moves
+from burdockmast.fleet import layer_moves
 from burdockmast.standins import layouts
 
 LAYERS = 24
@@ -47,14 +47,14 @@
 def spans(groups):
     """Return what the servers of a layout are to hold."""
     return {
-        name: moves.Span(group.first, group.end)
+        name: layer_moves.Span(group.first, group.end)
         for name, group in layouts.Layout(groups=groups).engines()
     }
 
 
 def turns_of(store, names, at_once=8):
     return {
-        name: moves.Turns(store, name, at_once, seed=number)
+        name: layer_moves.MovePermits(store, name, at_once, seed=number)
         for number, name in enumerate(names)
     }
 
@@ -63,12 +63,14 @@
     """Let all servers of a layout tell that they hold their layers."""
     by_server = turns_of(store, spans(groups))
     for name, span in spans(groups).items():
-        assert by_server[name].finish(MODEL, span)
+        assert by_server[name].release(MODEL, span)
     return by_server
 
 
 def state(store):
-    return msgspec.convert(store.get(moves.KIND, MODEL).value, moves.Moves)
+    return msgspec.convert(
+        store.get(layer_moves.KIND, MODEL).value, layer_moves.MoveRecord
+    )
 
 
 # Eight servers, of which two may be away at once.
@@ -111,17 +113,17 @@
         if name in moving and rng.random() < 0.3:
             moving.discard(name)
             held[name] = wanted[name]
-            assert by_server[name].finish(MODEL, wanted[name])
+            assert by_server[name].release(MODEL, wanted[name])
         elif name not in moving and held.get(name) != wanted[name]:
-            turn = by_server[name].take(MODEL, current, True)
-            if isinstance(turn, moves.Taken):
+            turn = by_server[name].acquire(MODEL, current, True)
+            if isinstance(turn, layer_moves.Acquired):
                 moving.add(name)
                 held.pop(name, None)
-        staying = moves.Moves(dict(held))
+        staying = layer_moves.MoveRecord(dict(held))
         assert staying.covers(LAYERS, set())
         assert len(moving) <= at_once
     assert state(store).held_by_server == wanted
-    assert state(store).turn_by_server == {}
+    assert state(store).permit_by_server == {}
 
 
 def test_server_whose_layers_no_other_holds_goes_after_a_while(monkeypatch):
@@ -131,10 +133,16 @@
     current = configured(alone)
     now = timers.now()
     monkeypatch.setattr(timers, 'now', lambda: now)
-    assert isinstance(by_server['e1'].take(MODEL, current, True), moves.Later)
-    now += moves.UNCOVERED_SECONDS + 1
-    assert isinstance(by_server['e1'].take(MODEL, current, True), moves.Taken)
-    assert isinstance(by_server['e2'].take(MODEL, current, True), moves.Later)
+    assert isinstance(
+        by_server['e1'].acquire(MODEL, current, True), layer_moves.RetryLater
+    )
+    now += layer_moves.UNCOVERED_WAIT_SECONDS + 1
+    assert isinstance(
+        by_server['e1'].acquire(MODEL, current, True), layer_moves.Acquired
+    )
+    assert isinstance(
+        by_server['e2'].acquire(MODEL, current, True), layer_moves.RetryLater
+    )
 
 
 def test_empty_servers_load_a_few_at_once():
@@ -144,13 +152,15 @@
     taken = [
         name
         for name, turns in by_server.items()
-        if isinstance(turns.take(MODEL, current, False), moves.Taken)
+        if isinstance(
+            turns.acquire(MODEL, current, False), layer_moves.Acquired
+        )
     ]
     assert len(taken) == 2
-    assert by_server[taken[0]].finish(MODEL, moves.Span(0, 14))
+    assert by_server[taken[0]].release(MODEL, layer_moves.Span(0, 14))
     waiting = next(name for name in by_server if name not in taken)
-    turn = by_server[waiting].take(MODEL, current, False)
-    assert isinstance(turn, moves.Taken)
+    turn = by_server[waiting].acquire(MODEL, current, False)
+    assert isinstance(turn, layer_moves.Acquired)
 
 
 def test_turn_that_nobody_renews_lapses(monkeypatch):
@@ -159,21 +169,23 @@
     current = configured(MOVED.groups)
     now = timers.now()
     monkeypatch.setattr(timers, 'now', lambda: now)
-    assert isinstance(by_server['e1'].take(MODEL, current, True), moves.Taken)
+    assert isinstance(
+        by_server['e1'].acquire(MODEL, current, True), layer_moves.Acquired
+    )
     for seconds in (0, 20, 20):
         now += seconds
         by_server['e1'].renew(MODEL)
-        turn = by_server['e2'].take(MODEL, current, True)
-        assert isinstance(turn, moves.Later)
+        turn = by_server['e2'].acquire(MODEL, current, True)
+        assert isinstance(turn, layer_moves.RetryLater)
     for seconds in (20, 20):
         now += seconds
-        turn = by_server['e2'].take(MODEL, current, True)
-    assert isinstance(turn, moves.Taken)
+        turn = by_server['e2'].acquire(MODEL, current, True)
+    assert isinstance(turn, layer_moves.Acquired)
     # What a lapsed holder has is not known, so it counts for nothing.
     assert 'e1' not in state(store).held_by_server
     # A renewal that comes late takes nothing back.
     by_server['e1'].renew(MODEL)
-    assert list(state(store).turn_by_server) == ['e2']
+    assert list(state(store).permit_by_server) == ['e2']
 
 
 def test_turn_whose_answer_was_lost_is_known_again():
@@ -181,31 +193,35 @@
     by_server = loaded(store, GROUPS)
     current = configured(MOVED.groups)
     store.lost = 1
-    lost = by_server['e1'].take(MODEL, current, True)
+    lost = by_server['e1'].acquire(MODEL, current, True)
     assert isinstance(lost, failures.Failure)
-    assert isinstance(by_server['e1'].take(MODEL, current, True), moves.Taken)
-    assert list(state(store).turn_by_server) == ['e1']
+    assert isinstance(
+        by_server['e1'].acquire(MODEL, current, True), layer_moves.Acquired
+    )
+    assert list(state(store).permit_by_server) == ['e1']
 
 
 def test_leaving_and_removed_servers_do_not_count():
     store = stores.Store()
     by_server = loaded(store, GROUPS)
     current = configured(MOVED.groups, leaving=('e2', 'e3'))
-    turn = by_server['e1'].take(MODEL, current, True)
-    assert isinstance(turn, moves.Later)
+    turn = by_server['e1'].acquire(MODEL, current, True)
+    assert isinstance(turn, layer_moves.RetryLater)
     del current.server_by_id['e4']
-    assert isinstance(by_server['e5'].take(MODEL, current, True), moves.Taken)
+    assert isinstance(
+        by_server['e5'].acquire(MODEL, current, True), layer_moves.Acquired
+    )
     assert 'e4' not in state(store).held_by_server
 
 
 def test_moves_of_many_models_are_read_in_pages(monkeypatch):
-    monkeypatch.setattr(moves, 'PAGE', 2)
+    monkeypatch.setattr(layer_moves, 'PAGE_MODEL_COUNT', 2)
     store = stores.Store()
     names = [f'model-{number}' for number in range(5)]
     for name in names:
-        turns = moves.Turns(store, 'e1', 8, seed=1)
-        assert turns.finish(name, moves.Span(0, 4))
-    assert list(moves.read_all(store)) == names
+        turns = layer_moves.MovePermits(store, 'e1', 8, seed=1)
+        assert turns.release(name, layer_moves.Span(0, 4))
+    assert list(layer_moves.read_all(store)) == names
 
 
 def test_server_that_lags_removes_nobody():
@@ -215,9 +231,13 @@
     del old.server_by_id['e6']
     newer = configured(MOVED.groups)
     newer.version += 1
-    assert isinstance(by_server['e1'].take(MODEL, newer, True), moves.Taken)
-    assert by_server['e1'].finish(MODEL, moves.Span(0, 12))
-    assert isinstance(by_server['e2'].take(MODEL, old, True), moves.Taken)
+    assert isinstance(
+        by_server['e1'].acquire(MODEL, newer, True), layer_moves.Acquired
+    )
+    assert by_server['e1'].release(MODEL, layer_moves.Span(0, 12))
+    assert isinstance(
+        by_server['e2'].acquire(MODEL, old, True), layer_moves.Acquired
+    )
     assert 'e6' in state(store).held_by_server
 
 
@@ -264,7 +284,7 @@
             reply = fleet.complete([number, 4], 3, entry)
             assert reply.status == 200, reply.data
         return all(
-            moves.Span(held['first'], held['end']) == wanted[name]
+            layer_moves.Span(held['first'], held['end']) == wanted[name]
             for name in names
             for held in [
                 fleet.get_json(f'engine-{name}', '/v1/status')['held']
