--- a/libs/bench/burdockmast/bench/control.py
+++ b/libs/bench/burdockmast/bench/control.py
@@ -12,10 +12,10 @@
 from burdockmast.bench import rigs
 from burdockmast.bench import slopes
 from burdockmast.claims import records
+from burdockmast.fleet import change_journal
 from burdockmast.fleet import changes
 from burdockmast.fleet import configuration
 from burdockmast.fleet import encoding
-from burdockmast.fleet import operations
 from burdockmast.fleet import snapshots
 from burdockmast.operator import asking
 from burdockmast.standins import fleets
@@ -292,7 +292,7 @@
 
 
 def _cost_of_changes(
-    fleet: fleets.Fleet, writer: operations.Operations, known: int
+    fleet: fleets.Fleet, writer: change_journal.ChangeWriter, known: int
 ) -> float:
     """Return the entry's processor time for one more change."""
     count = 20
--- a/libs/fleet/burdockmast/fleet/operations.py
+++ b/libs/fleet/burdockmast/fleet/change_journal.py
@@ -18,7 +18,7 @@
 CHANGES_KIND = 'config-change'
 
 
-def journal_of(store: objects.Objects) -> cuts.CutJournal:
+def open_journal(store: objects.Objects) -> cuts.CutJournal:
     """Return the journal of configuration changes."""
     return cuts.CutJournal(store, CHANGES_KIND)
 
@@ -40,7 +40,7 @@
     version: ids.Version
 
 
-class Operations:
+class ChangeWriter:
     """Writes of one operator."""
 
     def __init__(self, store: objects.Objects, author: str):
@@ -48,7 +48,7 @@
 
         :param author: who is named to operators that lose a race
         """
-        self._journal = journal_of(store)
+        self._journal = open_journal(store)
         self._snapshots = snapshots.Snapshots(store, self._journal)
         self._author = author
         self.configuration = configuration.Configuration()
--- a/libs/fleet/burdockmast/fleet/follower.py
+++ b/libs/fleet/burdockmast/fleet/follower.py
@@ -19,10 +19,10 @@
 from burdockmast.base import ranks
 from burdockmast.base import timeline
 from burdockmast.base import timers
+from burdockmast.fleet import change_journal
 from burdockmast.fleet import changes
 from burdockmast.fleet import configuration
 from burdockmast.fleet import encoding
-from burdockmast.fleet import operations
 from burdockmast.fleet import snapshots
 from burdockmast.store import cuts
 from burdockmast.store import objects
@@ -69,7 +69,7 @@
         self.subscribers: list[Subscriber] = []
         self.neighbours: Callable[[], list[links.Link]] = list
         self.period: Callable[[], float] = lambda: links.HEARTBEAT_SECONDS
-        self._journal = operations.journal_of(store)
+        self._journal = change_journal.open_journal(store)
         self._snapshots = snapshots.Snapshots(store, self._journal)
         # Version and time of this process's last look whether one is due.
         self._snapshot_looked_at = ids.Version(0)
@@ -250,7 +250,7 @@
         for place, entry in entries:
             # Neighbours may have been faster while the store answered.
             if place == self.version + 1:
-                self._apply(encoding.encode(operations.decode(entry)))
+                self._apply(encoding.encode(change_journal.decode(entry)))
         if self.version > before:
             self._spread(before)
         if self.is_watcher():
--- a/libs/operator/burdockmast/operator/context.py
+++ b/libs/operator/burdockmast/operator/context.py
@@ -10,8 +10,8 @@
 from burdockmast.base import failures
 from burdockmast.base import ids
 from burdockmast.base import outcomes
+from burdockmast.fleet import change_journal
 from burdockmast.fleet import changes
-from burdockmast.fleet import operations
 from burdockmast.operator import exit_status
 from burdockmast.settings import loader
 from burdockmast.settings import models
@@ -56,20 +56,20 @@
         """Return a client of the platform's store."""
         return objects.Objects(self.settings.store_url)
 
-    def writer(self) -> operations.Operations:
+    def writer(self) -> change_journal.ChangeWriter:
         """Return the configuration's writer, with all that is accepted."""
-        writer = operations.Operations(self.store(), getpass.getuser())
+        writer = change_journal.ChangeWriter(self.store(), getpass.getuser())
         check(writer.refresh())
         return writer
 
-    def submit(self, body: changes.Body) -> operations.Accepted:
+    def submit(self, body: changes.Body) -> change_journal.Accepted:
         """Have a change accepted, or fail with the reason."""
         return check(self.writer().submit(body))
 
     def addresses(self) -> list[ids.Address]:
         """Return daemons to begin with: of the settings and the store."""
         found = set(self.settings.peers)
-        writer = operations.Operations(self.store(), getpass.getuser())
+        writer = change_journal.ChangeWriter(self.store(), getpass.getuser())
         failure = writer.refresh()
         if failure and not found:
             check(failure)
--- a/libs/standins/burdockmast/standins/fleets.py
+++ b/libs/standins/burdockmast/standins/fleets.py
@@ -13,8 +13,8 @@
 import urllib3
 
 from burdockmast.base import ids
+from burdockmast.fleet import change_journal
 from burdockmast.fleet import changes
-from burdockmast.fleet import operations
 from burdockmast.standins import layouts
 from burdockmast.standins import processes
 from burdockmast.store import objects
@@ -266,17 +266,17 @@
 
     # Operators and callers.
 
-    def writer(self, author: str = 'tests') -> operations.Operations:
+    def writer(self, author: str = 'tests') -> change_journal.ChangeWriter:
         """Return an operator's writer."""
         store = objects.Objects(self.url('store'))
-        return operations.Operations(store, author)
+        return change_journal.ChangeWriter(store, author)
 
-    def operate(self, *bodies: changes.Body) -> operations.Accepted:
+    def operate(self, *bodies: changes.Body) -> change_journal.Accepted:
         """Have changes accepted; return the last one's version."""
         writer = self.writer()
         for body in bodies:
             result = writer.submit(body)
-            if not isinstance(result, operations.Accepted):
+            if not isinstance(result, change_journal.Accepted):
                 raise processes.NotReady(f'{body}: {result}')
         return result
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -10,11 +10,11 @@
 from burdockmast.base import failures
 from burdockmast.base import ids
 from burdockmast.base import timeline
+from burdockmast.fleet import change_journal
 from burdockmast.fleet import changes
 from burdockmast.fleet import configuration
 from burdockmast.fleet import encoding
 from burdockmast.fleet import follower
-from burdockmast.fleet import operations
 from burdockmast.operator import asking
 from burdockmast.standins import layouts
 from burdockmast.store import objects
@@ -79,7 +79,7 @@
 
     with futures.ThreadPoolExecutor(2) as pool:
         results = list(pool.map(switch, ('peak', 'maintenance')))
-    won = [r for r in results if isinstance(r, operations.Accepted)]
+    won = [r for r in results if isinstance(r, change_journal.Accepted)]
     lost = [r for r in results if isinstance(r, failures.Failure)]
     assert len(won) == len(lost) == 1
     writer = fleet.writer()
@@ -109,7 +109,7 @@
     before = writer.configuration.version
     fleet.set_faults('store', lose_answers=lost)
     result = writer.submit(put('again'))
-    assert isinstance(result, operations.Accepted)
+    assert isinstance(result, change_journal.Accepted)
     assert result.version == before + 1
 
 
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -8,10 +8,10 @@
 from burdockmast.base import ids
 from burdockmast.base import outcomes
 from burdockmast.base import timeline
+from burdockmast.fleet import change_journal
 from burdockmast.fleet import changes
 from burdockmast.fleet import configuration
 from burdockmast.fleet import follower
-from burdockmast.fleet import operations
 from burdockmast.fleet import snapshots
 from burdockmast.store import cuts
 from burdockmast.store import journals
@@ -39,15 +39,15 @@
 
 def written(store, count, author='me'):
     """Have changes accepted; return their operator."""
-    operator = operations.Operations(store, author)
+    operator = change_journal.ChangeWriter(store, author)
     for number in range(count):
         done = operator.submit(server(number))
-        assert isinstance(done, operations.Accepted)
+        assert isinstance(done, change_journal.Accepted)
     return operator
 
 
 def snapshots_of(store):
-    return snapshots.Snapshots(store, operations.journal_of(store))
+    return snapshots.Snapshots(store, change_journal.open_journal(store))
 
 
 def cut(store, count=25):
@@ -65,7 +65,7 @@
 
 def places(store):
     """Return the places of the journal that the store holds."""
-    found = store.list(operations.CHANGES_KIND, '', 1000)
+    found = store.list(change_journal.CHANGES_KIND, '', 1000)
     return [int(item.name) for item in found]
 
 
@@ -73,7 +73,7 @@
     store = stores.Store()
     operator = cut(store, 300)
     before = store.calls
-    late = operations.Operations(store, 'late')
+    late = change_journal.ChangeWriter(store, 'late')
     assert late.refresh() is None
     assert late.configuration == operator.configuration
     assert store.calls - before <= 8
@@ -106,15 +106,15 @@
     snapshots_of(store).write(operator.configuration)
     # A writer that slept over the cut creates the entry that comes next.
     change = changes.Change('late', 'me', server(99))
-    entry = operations.encode(change)
-    journals.Journal(store, operations.CHANGES_KIND).append(6, entry, 1.0)
+    entry = change_journal.encode(change)
+    journals.Journal(store, change_journal.CHANGES_KIND).append(6, entry, 1.0)
     one._read_store(0.0)
     assert one.configuration == operator.configuration
 
 
 def test_operator_that_slept_over_a_cut_is_told_that_it_does_not_know():
     store = stores.Store()
-    sleeper = operations.Operations(store, 'sleeper')
+    sleeper = change_journal.ChangeWriter(store, 'sleeper')
     sleeper.refresh()
     operator = cut(store)
     before = places(store)
@@ -124,7 +124,7 @@
     assert isinstance(told, failures.Failure)
     assert told.outcome is outcomes.Outcome.UNKNOWN
     assert places(store) == before
-    fresh = operations.Operations(store, 'fresh')
+    fresh = change_journal.ChangeWriter(store, 'fresh')
     fresh.refresh()
     assert fresh.configuration == operator.configuration
 
@@ -132,7 +132,7 @@
 def test_older_snapshot_does_not_replace_a_newer():
     store = stores.Store()
     old = written(store, 12).configuration
-    newer = operations.Operations(store, 'me')
+    newer = change_journal.ChangeWriter(store, 'me')
     newer.refresh()
     for number in range(12, 30):
         newer.submit(server(number))
@@ -158,7 +158,7 @@
     found = store.get(snapshots.KIND, snapshots.NAME)
     found.value[field] = found.value[field][:-4] + 'AAA='
     store.update(snapshots.KIND, snapshots.NAME, found.value, found.revision)
-    failure = operations.Operations(store, 'late').refresh()
+    failure = change_journal.ChangeWriter(store, 'late').refresh()
     assert 'damaged' in failure.detail
     one = following(store)
     one._read_store(0.0)
@@ -185,7 +185,7 @@
         if number % 2:
             body = changes.RetireServer(far.id)
         writer.submit(body)
-    journal = operations.journal_of(writer._journal._store)
+    journal = change_journal.open_journal(writer._journal._store)
     program.wait_until(lambda: journal.mark().through, 'the journal is cut')
     version = writer.configuration.version
     fleet.start_entry('entry-9', 'za')
