Rename instances to draining_instances

The module tracks only the instances that the platform drains, and its method names (look, heard, learn) told neither sender nor effect: instances -> draining_instances, Instances -> DrainingInstances, look -> poll, heard -> on_heartbeat, learn -> apply_update, is_leaving -> is_draining, LOOK_SECONDS -> POLL_SECONDS; ServerState.LEAVING -> DRAINING, whose value stays leaving. The timer name instances stays.

Renames alone.

--- a/libs/entry/burdockmast/entry/server.py
+++ b/libs/entry/burdockmast/entry/server.py
@@ -118,7 +118,7 @@
 
     def _instance_listed(self) -> None:
         """Let the balancer turn away before the platform stops us."""
-        is_leaving = self.node.instances.is_leaving
+        is_leaving = self.node.instances.is_draining
         self.application.leaving = self._is_stopping or is_leaving
 
     def receive(self, link: links.Link, message: messages.AnyMessage) -> None:
--- a/libs/fleet/burdockmast/fleet/changes.py
+++ b/libs/fleet/burdockmast/fleet/changes.py
@@ -23,7 +23,7 @@
     """Whether a backend server may get new work."""
 
     ACTIVE = 'active'
-    LEAVING = 'leaving'
+    DRAINING = 'leaving'
 
 
 class Model(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
--- a/libs/fleet/burdockmast/fleet/configuration.py
+++ b/libs/fleet/burdockmast/fleet/configuration.py
@@ -124,7 +124,7 @@
 
     def _retire(self, server: ids.ServerId) -> None:
         self.server_by_id[server] = msgspec.structs.replace(
-            self.server_by_id[server], state=changes.ServerState.LEAVING
+            self.server_by_id[server], state=changes.ServerState.DRAINING
         )
 
     def _check_switch(
@@ -153,7 +153,7 @@
         known = self.server_by_id.get(server)
         if not known:
             return _refuse(f'no backend server {server}')
-        if known.state is not changes.ServerState.LEAVING:
+        if known.state is not changes.ServerState.DRAINING:
             return _refuse(f'backend server {server} is not leaving')
         return None
 
--- a/libs/fleet/burdockmast/fleet/instances.py
+++ b/libs/fleet/burdockmast/fleet/draining_instances.py
@@ -19,10 +19,10 @@
 LOG = logs.get('instances')
 
 # Seconds between looks into the instance list by one watcher.
-LOOK_SECONDS = 2.0
+POLL_SECONDS = 2.0
 
 
-class Instances:
+class DrainingInstances:
     """The instances that are leaving, as one process knows them."""
 
     def __init__(
@@ -43,7 +43,7 @@
         self._known = messages.Leaving(0, ())
 
     @property
-    def is_leaving(self) -> bool:
+    def is_draining(self) -> bool:
         """Whether this process's own instance is about to go."""
         return bool(self._own) and self._own in self._known.instances
 
@@ -52,7 +52,7 @@
         """The list's revision at which the newest news was found."""
         return self._known.revision
 
-    def look(self) -> None:
+    def poll(self) -> None:
         """Read the list, if this process is one of those that do."""
         if not self._listing or not self._follower.is_watcher():
             return
@@ -64,12 +64,14 @@
         if instances != self._known.instances:
             self._take(messages.Leaving(found.revision, instances))
 
-    def heard(self, link: links.Link, heartbeat: messages.Heartbeat) -> None:
+    def on_heartbeat(
+        self, link: links.Link, heartbeat: messages.Heartbeat
+    ) -> None:
         """Tell a neighbour that knows less."""
         if heartbeat.list_revision < self.revision:
             link.send(self._known)
 
-    def learn(self, link: links.Link, news: messages.Leaving) -> None:
+    def apply_update(self, link: links.Link, news: messages.Leaving) -> None:
         """Take in a neighbour's news."""
         self._take(news, link)
 
@@ -79,12 +81,12 @@
         """Take in news unless newer ones are known, and pass them on."""
         if news.revision <= self.revision:
             return
-        was_leaving = self.is_leaving
+        was_leaving = self.is_draining
         self._known = news
         for link in self._follower.neighbours():
             if link is not source:
                 link.send(news)
-        if self.is_leaving is not was_leaving:
-            LOG.info('This instance is leaving: {}.', self.is_leaving)
+        if self.is_draining is not was_leaving:
+            LOG.info('This instance is leaving: {}.', self.is_draining)
             for subscriber in self.subscribers:
                 subscriber()
--- a/libs/node/burdockmast/node/node.py
+++ b/libs/node/burdockmast/node/node.py
@@ -14,8 +14,8 @@
 from burdockmast.base import metrics
 from burdockmast.base import timeline
 from burdockmast.base import timers
+from burdockmast.fleet import draining_instances
 from burdockmast.fleet import follower
-from burdockmast.fleet import instances
 from burdockmast.limits import strikes
 from burdockmast.node import dependencies
 from burdockmast.node import inspection
@@ -44,7 +44,7 @@
     store: objects.Objects
     follower: follower.Follower
     peers: peers.Peers
-    instances: instances.Instances
+    instances: draining_instances.DrainingInstances
     strikes: strikes.Strikes
     timers: timers.TimerService
     dependencies: dependencies.Dependencies
@@ -94,7 +94,9 @@
             store,
             configuration,
             process_peers,
-            instances.Instances(listing, settings.instance, configuration),
+            draining_instances.DrainingInstances(
+                listing, settings.instance, configuration
+            ),
             strikes.Strikes(),
             timers.TimerService(),
             depended,
@@ -140,7 +142,7 @@
             'strikes', CLEAR_SECONDS, self.strikes.forget_old
         )
         self.timers.subscribe(
-            'instances', instances.LOOK_SECONDS, self.instances.look
+            'instances', draining_instances.POLL_SECONDS, self.instances.poll
         )
         for address in self.settings.peers:
             eventlet.spawn(self.peers.get, address)
@@ -182,7 +184,7 @@
             case messages.Snapshot():
                 self.follower.restore(link, message)
             case messages.Leaving():
-                self.instances.learn(link, message)
+                self.instances.apply_update(link, message)
             case messages.Query():
                 link.send(inspection.answer(self, message))
             case _:
@@ -192,7 +194,7 @@
     def _heard(self, link: links.Link, heartbeat: messages.Heartbeat) -> None:
         self.events.witness(heartbeat.clock)
         self.follower.heard(link, heartbeat)
-        self.instances.heard(link, heartbeat)
+        self.instances.on_heartbeat(link, heartbeat)
         for strike in heartbeat.strikes:
             self.strikes.add(strike.fingerprint, strike.crash)
 
--- a/libs/side/burdockmast/side/server.py
+++ b/libs/side/burdockmast/side/server.py
@@ -92,8 +92,8 @@
         )
         if self._is_stopping:
             return
-        is_retired = server and server.state is changes.ServerState.LEAVING
-        self._set_leaving(bool(is_retired) or self.node.instances.is_leaving)
+        is_retired = server and server.state is changes.ServerState.DRAINING
+        self._set_leaving(bool(is_retired) or self.node.instances.is_draining)
 
     def _set_leaving(self, leaving: bool) -> None:
         for part in (self.stage, self.executions):
