Name the follower's methods after what they do

Its hooks neighbours -> peer_links and period -> heartbeat_period, its age store_age -> store_age_seconds, and LOOKS_PER_SECOND -> FLEET_POLLS_PER_SECOND. The status field store_age stays.

Renames alone.

--- a/libs/bench/burdockmast/bench/storelines.py
+++ b/libs/bench/burdockmast/bench/storelines.py
@@ -31,7 +31,7 @@
     reads += 2 * watchers * target.changes_in_a_minute / 60
     # After each write the mark of the journal is read.
     reads += groups
-    outage = 2 * follower.LOOKS_PER_SECOND * 1.16
+    outage = 2 * follower.FLEET_POLLS_PER_SECOND * 1.16
     wait = found['caller: median time of a command']
     return [
         targets.Line(
--- a/libs/fleet/burdockmast/fleet/draining_instances.py
+++ b/libs/fleet/burdockmast/fleet/draining_instances.py
@@ -83,7 +83,7 @@
             return
         was_leaving = self.is_draining
         self._known = news
-        for link in self._follower.neighbours():
+        for link in self._follower.peer_links():
             if link is not source:
                 link.send(news)
         if self.is_draining is not was_leaving:
--- a/libs/fleet/burdockmast/fleet/follower.py
+++ b/libs/fleet/burdockmast/fleet/follower.py
@@ -41,7 +41,7 @@
 # information, in seconds.
 LOOK_SECONDS = 2.0
 # Such looks that the whole fleet makes in a second, for the store's sake.
-LOOKS_PER_SECOND = 200.0
+FLEET_POLLS_PER_SECOND = 200.0
 # Changes kept for neighbours; one further behind gets a snapshot.
 KEPT_CHANGES = 4096
 
@@ -67,8 +67,10 @@
         """
         self.configuration = configuration.Configuration()
         self.subscribers: list[Subscriber] = []
-        self.neighbours: Callable[[], list[links.Link]] = list
-        self.period: Callable[[], float] = lambda: links.HEARTBEAT_SECONDS
+        self.peer_links: Callable[[], list[links.Link]] = list
+        self.heartbeat_period: Callable[[], float] = lambda: (
+            links.HEARTBEAT_SECONDS
+        )
         self._journal = change_journal.open_journal(store)
         self._snapshots = snapshots.Snapshots(store, self._journal)
         # Version and time of this process's last look whether one is due.
@@ -95,7 +97,7 @@
         return self.configuration.version
 
     @property
-    def store_age(self) -> float:
+    def store_age_seconds(self) -> float:
         """Seconds since this information left the store."""
         if self._fresh_at is None:
             return float('inf')
@@ -104,20 +106,24 @@
     @property
     def fresh_at(self) -> float:
         """Monotonic seconds at which this information left the store."""
-        return timers.now() - self.store_age
+        return timers.now() - self.store_age_seconds
 
     def store_age_ms(self) -> int:
         """Return the age for a heartbeat; bounded, in milliseconds."""
-        return int(min(self.store_age, 1e6) * 1000)
+        return int(min(self.store_age_seconds, 1e6) * 1000)
 
-    def heard(self, link: links.Link, heartbeat: messages.Heartbeat) -> None:
+    def on_heartbeat(
+        self, link: links.Link, heartbeat: messages.Heartbeat
+    ) -> None:
         """Compare versions with a neighbour."""
         if heartbeat.version > self.version:
             link.send(messages.ChangesWanted(self.version))
         elif heartbeat.version == self.version:
             self._refresh(heartbeat.store_age_ms)
 
-    def wanted(self, link: links.Link, version: ids.Version) -> None:
+    def send_changes_since(
+        self, link: links.Link, version: ids.Version
+    ) -> None:
         """Send a neighbour what it lacks."""
         missing = self.version - version
         if missing <= 0:
@@ -137,7 +143,9 @@
             )
         )
 
-    def learn(self, link: links.Link, received: messages.Changes) -> None:
+    def apply_changes(
+        self, link: links.Link, received: messages.Changes
+    ) -> None:
         """Apply changes from a neighbour, and pass new ones on."""
         if received.first > self.version + 1:
             link.send(messages.ChangesWanted(self.version))
@@ -149,7 +157,9 @@
             self._refresh(received.store_age_ms)
             self._spread(before, link)
 
-    def restore(self, link: links.Link, snapshot: messages.Snapshot) -> None:
+    def apply_snapshot(
+        self, link: links.Link, snapshot: messages.Snapshot
+    ) -> None:
         """Take a neighbour's whole configuration if it is newer."""
         if snapshot.version <= self.version:
             return
@@ -201,7 +211,7 @@
         message = messages.Changes(
             ids.Version(before + 1), encoded, self.store_age_ms()
         )
-        for link in self.neighbours():
+        for link in self.peer_links():
             if link is not source:
                 link.send(message)
 
@@ -225,7 +235,9 @@
         while True:
             if self.is_watcher():
                 self._read_store(WATCH_SECONDS)
-            elif self.store_age > OLD_PERIODS * self.period():
+            elif (
+                self.store_age_seconds > OLD_PERIODS * self.heartbeat_period()
+            ):
                 self._read_store(0.0)
                 eventlet.sleep(self._look_seconds())
             else:
@@ -234,7 +246,7 @@
     def _look_seconds(self) -> float:
         """Return a random time until the next look, longer in big fleets."""
         fleet = len(self.configuration.server_by_id)
-        longest = max(LOOK_SECONDS, 2 * fleet / LOOKS_PER_SECOND)
+        longest = max(LOOK_SECONDS, 2 * fleet / FLEET_POLLS_PER_SECOND)
         return longest * self._random.uniform(0.2, 1.0)
 
     def _read_store(self, wait: float) -> None:
--- a/libs/node/burdockmast/node/inspection.py
+++ b/libs/node/burdockmast/node/inspection.py
@@ -66,7 +66,7 @@
         hello.zone,
         of.follower.version,
         of.follower.configuration.in_force,
-        min(of.follower.store_age, 1e6),
+        min(of.follower.store_age_seconds, 1e6),
         [
             PeerStatus(
                 link.hello.address,
--- a/libs/node/burdockmast/node/node.py
+++ b/libs/node/burdockmast/node/node.py
@@ -82,8 +82,8 @@
         )
         process_peers = peers.Peers(hello, handler)
         process_peers.connected.append(depended.connected)
-        configuration.neighbours = process_peers.all
-        configuration.period = process_peers.period
+        configuration.peer_links = process_peers.all
+        configuration.heartbeat_period = process_peers.period
         listing = None
         if settings.instances_url:
             listing = instancelist.InstanceList(settings.instances_url)
@@ -157,7 +157,8 @@
             'configuration.version', lambda: self.follower.version
         )
         self.metrics.gauge(
-            'configuration.age_seconds', lambda: self.follower.store_age
+            'configuration.age_seconds',
+            lambda: self.follower.store_age_seconds,
         )
         if not self.settings.metrics_address:
             return
@@ -178,11 +179,11 @@
             case messages.Heartbeat():
                 self._heard(link, message)
             case messages.ChangesWanted(version=version):
-                self.follower.wanted(link, version)
+                self.follower.send_changes_since(link, version)
             case messages.Changes():
-                self.follower.learn(link, message)
+                self.follower.apply_changes(link, message)
             case messages.Snapshot():
-                self.follower.restore(link, message)
+                self.follower.apply_snapshot(link, message)
             case messages.Leaving():
                 self.instances.apply_update(link, message)
             case messages.Query():
@@ -193,7 +194,7 @@
 
     def _heard(self, link: links.Link, heartbeat: messages.Heartbeat) -> None:
         self.events.witness(heartbeat.clock)
-        self.follower.heard(link, heartbeat)
+        self.follower.on_heartbeat(link, heartbeat)
         self.instances.on_heartbeat(link, heartbeat)
         for strike in heartbeat.strikes:
             self.strikes.add(strike.fingerprint, strike.crash)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -167,10 +167,10 @@
 def test_replayed_changes_alter_nothing():
     one = new_follower()
     sent = tuple(encoded(number) for number in range(1, 6))
-    one.learn(Link(), messages.Changes(1, sent))
+    one.apply_changes(Link(), messages.Changes(1, sent))
     before = msgspec.json.encode(one.configuration)
-    one.learn(Link(), messages.Changes(1, sent[:3]))
-    one.learn(Link(), messages.Changes(4, sent[3:]))
+    one.apply_changes(Link(), messages.Changes(1, sent[:3]))
+    one.apply_changes(Link(), messages.Changes(4, sent[3:]))
     assert one.version == 5
     assert msgspec.json.encode(one.configuration) == before
 
@@ -178,7 +178,7 @@
 def test_gap_in_changes_is_asked_for_not_applied():
     one = new_follower()
     link = Link()
-    one.learn(link, messages.Changes(3, (encoded(3),)))
+    one.apply_changes(link, messages.Changes(3, (encoded(3),)))
     assert one.version == 0
     assert link.sent == [messages.ChangesWanted(0)]
 
@@ -186,15 +186,15 @@
 def test_older_or_damaged_snapshot_is_refused():
     full, one = new_follower(), new_follower()
     sent = tuple(encoded(number) for number in range(1, 4))
-    full.learn(Link(), messages.Changes(1, sent))
+    full.apply_changes(Link(), messages.Changes(1, sent))
     body = encoding.encode(full.configuration)
     good = messages.Snapshot(3, body, encoding.digest(body))
     damaged = messages.Snapshot(3, body + b' ', good.digest)
-    one.restore(Link(), damaged)
+    one.apply_snapshot(Link(), damaged)
     assert one.version == 0
-    one.restore(Link(), good)
+    one.apply_snapshot(Link(), good)
     assert one.version == 3
-    one.restore(Link(), messages.Snapshot(2, body, good.digest))
+    one.apply_snapshot(Link(), messages.Snapshot(2, body, good.digest))
     assert one.version == 3
 
 
@@ -202,10 +202,10 @@
     monkeypatch.setattr(follower, 'KEPT_CHANGES', 2)
     full, one = new_follower(), new_follower()
     sent = tuple(encoded(number) for number in range(1, 7))
-    full.learn(Link(), messages.Changes(1, sent))
+    full.apply_changes(Link(), messages.Changes(1, sent))
     link = Link()
-    full.wanted(link, ids.Version(0))
-    one.restore(Link(), link.sent[0])
+    full.send_changes_since(link, ids.Version(0))
+    one.apply_snapshot(Link(), link.sent[0])
     assert one.configuration == full.configuration
 
 
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -163,7 +163,7 @@
     one = following(store)
     one._read_store(0.0)
     assert one.configuration == configuration.Configuration()
-    assert one.store_age == float('inf')
+    assert one.store_age_seconds == float('inf')
 
 
 def test_damaged_snapshot_is_written_anew():
