Rename the coverage checks and the limit on decompressed values

Configuration.unserved returned a refusal, and ranges.reached the first layer without a server: unserved -> check_active_coverage, reached -> first_uncovered. encoding.MAX_BYTES -> MAX_DECOMPRESSED_BYTES.

Renames alone.

--- a/libs/entry/burdockmast/entry/fleet.py
+++ b/libs/entry/burdockmast/entry/fleet.py
@@ -57,7 +57,7 @@
 
 def covers(model: changes.Model, held: list[tuple[int, int]]) -> bool:
     """Tell whether ranges hold every layer of a model."""
-    return ranges.reached(held) >= model.layers
+    return ranges.first_uncovered(held) >= model.layers
 
 
 class FleetView:
--- a/libs/fleet/burdockmast/fleet/configuration.py
+++ b/libs/fleet/burdockmast/fleet/configuration.py
@@ -54,7 +54,9 @@
             return placed
         return preset.placement_by_pool.get(known.pool)
 
-    def unserved(self, preset: changes.Preset) -> failures.Failure | None:
+    def check_active_coverage(
+        self, preset: changes.Preset
+    ) -> failures.Failure | None:
         """Return which layer no active server would hold under a preset."""
         active = [
             server.id
@@ -189,7 +191,7 @@
     placements: tuple[changes.Placement, ...],
 ) -> failures.Failure | None:
     for model in models:
-        reached = ranges.reached(
+        reached = ranges.first_uncovered(
             (p.first, p.end) for p in placements if p.model == model.id
         )
         if reached < model.layers:
--- a/libs/fleet/burdockmast/fleet/encoding.py
+++ b/libs/fleet/burdockmast/fleet/encoding.py
@@ -15,7 +15,7 @@
 Decoded = TypeVar('Decoded', changes.Change, configuration.Configuration)
 
 # Bytes that a decompressed value may have.
-MAX_BYTES = 64 * 1024 * 1024
+MAX_DECOMPRESSED_BYTES = 64 * 1024 * 1024
 DIGEST_BYTES = 16
 
 
@@ -31,11 +31,13 @@
     """
     unpacker = zlib.decompressobj()
     try:
-        data = unpacker.decompress(encoded, MAX_BYTES)
+        data = unpacker.decompress(encoded, MAX_DECOMPRESSED_BYTES)
     except zlib.error as error:
         raise ValueError(f'damaged: {error}') from error
     if not unpacker.eof:
-        raise ValueError(f'cut short, or larger than {MAX_BYTES} bytes')
+        raise ValueError(
+            f'cut short, or larger than {MAX_DECOMPRESSED_BYTES} bytes'
+        )
     return msgspec.json.decode(data, type=kind)
 
 
--- a/libs/fleet/burdockmast/fleet/layer_moves.py
+++ b/libs/fleet/burdockmast/fleet/layer_moves.py
@@ -78,7 +78,7 @@
             for server, span in self.held_by_server.items()
             if server not in without and server not in self.permit_by_server
         ]
-        return ranges.reached(staying) >= layers
+        return ranges.first_uncovered(staying) >= layers
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/fleet/burdockmast/fleet/ranges.py
+++ b/libs/fleet/burdockmast/fleet/ranges.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable
 
 
-def reached(ranges: Iterable[tuple[int, int]]) -> int:
+def first_uncovered(ranges: Iterable[tuple[int, int]]) -> int:
     """Return how far ranges cover layers from 0 on without a hole.
 
     :param ranges: first layer, and the one after the last, of each
--- a/libs/operator/burdockmast/operator/presets.py
+++ b/libs/operator/burdockmast/operator/presets.py
@@ -148,7 +148,7 @@
 def _check_served(
     current: configuration.Configuration, preset: changes.Preset
 ) -> None:
-    refusal = current.unserved(preset)
+    refusal = current.check_active_coverage(preset)
     if refusal:
         detail = (
             f'of the active servers, {refusal.detail}; '
--- a/libs/routing/burdockmast/routing/paths.py
+++ b/libs/routing/burdockmast/routing/paths.py
@@ -97,7 +97,7 @@
     def _no_path(
         self, model: changes.Model, held: list[search.Candidate]
     ) -> failures.Failure:
-        reached = ranges.reached((c.first, c.end) for c in held)
+        reached = ranges.first_uncovered((c.first, c.end) for c in held)
         if reached < model.layers:
             return failures.Failure(
                 failures.Reason.NO_PATH,
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -217,7 +217,7 @@
 
 
 def test_change_that_would_fill_the_memory_is_an_error(monkeypatch):
-    monkeypatch.setattr(encoding, 'MAX_BYTES', 100)
+    monkeypatch.setattr(encoding, 'MAX_DECOMPRESSED_BYTES', 100)
     with pytest.raises(ValueError, match='larger than 100'):
         encoding.decode(encoded(1), changes.Change)
 
@@ -277,9 +277,9 @@
 def test_preset_that_no_active_server_would_serve_is_told():
     preset = pooled(low=(0, 12), high=(12, 24))
     current = in_force(server('e1', 'low'), server('e2', 'high'))
-    assert current.unserved(preset) is None
+    assert current.check_active_coverage(preset) is None
     current.apply(changes.Change('r', 'me', changes.RetireServer('e2')))
-    assert 'layer 12' in current.unserved(preset).detail
+    assert 'layer 12' in current.check_active_coverage(preset).detail
 
 
 @pytest.mark.parametrize('target', [('', ''), ('e1', 'low')])
