Reword the configuration, its changes and their encoding

The docstrings used figures ("take in", "known again by its id", "goes before"), and some refusals did not say what to do or what was found. They now name the operation, the server that uses an address, and the preset that was expected. The texts that tests match are kept.

--- a/libs/fleet/burdockmast/fleet/__init__.py
+++ b/libs/fleet/burdockmast/fleet/__init__.py
@@ -1,1 +1,1 @@
-"""The configuration of the fleet and how it reaches every process."""
+"""The configuration of the fleet and its distribution to all processes."""
--- a/libs/fleet/burdockmast/fleet/changes.py
+++ b/libs/fleet/burdockmast/fleet/changes.py
@@ -1,4 +1,4 @@
-"""Configuration changes and what they are made of."""
+"""Configuration changes and the records that they carry."""
 
 import enum
 import functools
@@ -9,7 +9,7 @@
 from burdockmast.base import ids
 
 Weight = Annotated[float, msgspec.Meta(gt=0)]
-Layers = Annotated[int, msgspec.Meta(ge=0)]
+LayerIndex = Annotated[int, msgspec.Meta(ge=0)]
 
 
 class ServerKind(enum.Enum):
@@ -20,7 +20,7 @@
 
 
 class ServerState(enum.Enum):
-    """Whether a backend server may get new work."""
+    """Whether a backend server gets new work."""
 
     ACTIVE = 'active'
     DRAINING = 'leaving'
@@ -39,23 +39,23 @@
     """Layers ``first`` up to, not including, ``end`` on a server or a pool.
 
     Exactly one of ``server`` and ``pool`` is given. A server's own placement
-    goes before that of its pool.
+    takes precedence over that of its pool.
     """
 
     server: ids.ServerId = ids.ServerId('')
     model: ids.ModelId = ids.ModelId('')
-    first: Layers = 0
-    end: Layers = 0
+    first: LayerIndex = 0
+    end: LayerIndex = 0
     pool: ids.PoolId = ids.PoolId('')
 
     @property
     def target(self) -> str:
-        """Name of the server or the pool."""
+        """Name of the server or the pool, for messages."""
         return self.server or f'pool {self.pool}'
 
 
 class Organisation(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """An organisation and its share of a busy fleet."""
+    """An organisation and its weight when the fleet is shared under load."""
 
     id: ids.OrganisationId
     weight: Weight = 1.0
@@ -73,29 +73,29 @@
 
     @functools.cached_property
     def model_by_id(self) -> dict[ids.ModelId, Model]:
-        """The models by their ids."""
+        """Models of this preset, by id."""
         return {model.id: model for model in self.models}
 
     @functools.cached_property
     def placement_by_server(self) -> dict[ids.ServerId, Placement]:
-        """What each server is to hold that is placed by itself."""
+        """Placements that name a single server, by that server."""
         return {p.server: p for p in self.placements if p.server}
 
     @functools.cached_property
     def placement_by_pool(self) -> dict[ids.PoolId, Placement]:
-        """What the servers of each pool are to hold."""
+        """Placements that name a pool, by that pool."""
         return {p.pool: p for p in self.placements if p.pool}
 
     @functools.cached_property
     def organisation_by_id(self) -> dict[ids.OrganisationId, Organisation]:
-        """The organisations by their ids."""
-        return {known.id: known for known in self.organisations}
+        """Organisations of this preset, by id."""
+        return {o.id: o for o in self.organisations}
 
 
 class Server(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
     """A backend server, reached through the side process beside it.
 
-    :ivar pool: servers that presets can place together, empty for none
+    :ivar pool: pool whose servers presets place together, empty for none
     """
 
     id: ids.ServerId
@@ -115,26 +115,26 @@
 
 
 class SwitchPreset(msgspec.Struct, tag='switch_preset', frozen=True):
-    """Put a preset in force in place of ``expected``."""
+    """Put a preset in force if ``expected`` is the one in force now."""
 
     preset: ids.PresetId
     expected: ids.PresetId
 
 
 class AddServer(msgspec.Struct, tag='add_server', frozen=True):
-    """Add a backend server, or let a leaving one serve again."""
+    """Add or replace a backend server, or return a draining one to use."""
 
     server: Server
 
 
 class RetireServer(msgspec.Struct, tag='retire_server', frozen=True):
-    """Give a backend server no new work."""
+    """Drain a backend server: it gets no new work."""
 
     server: ids.ServerId
 
 
 class RemoveServer(msgspec.Struct, tag='remove_server', frozen=True):
-    """Forget a backend server that is leaving."""
+    """Remove a draining backend server from the configuration."""
 
     server: ids.ServerId
 
@@ -143,7 +143,7 @@
 
 
 class Change(msgspec.Struct, frozen=True):
-    """An operator's change, known again by its id."""
+    """An operator's change; its id identifies it when a write is repeated."""
 
     id: ids.ChangeId
     author: str
--- a/libs/fleet/burdockmast/fleet/configuration.py
+++ b/libs/fleet/burdockmast/fleet/configuration.py
@@ -13,7 +13,10 @@
 
 
 class Configuration(msgspec.Struct, dict=True):
-    """Configuration as of ``version``; equal versions are equal."""
+    """The configuration after ``version`` changes.
+
+    All processes at one version hold the same configuration.
+    """
 
     version: ids.Version = ids.Version(0)
     in_force: ids.PresetId = NO_PRESET
@@ -40,30 +43,30 @@
         return self.preset.organisation_by_id.get(organisation)
 
     def placement(self, server: ids.ServerId) -> changes.Placement | None:
-        """Return what the preset in force places on a server."""
+        """Return the placement of a server under the preset in force."""
         if not self.preset:
             return None
-        return self._placement_by(self.preset, server)
+        return self._placement_under(self.preset, server)
 
-    def _placement_by(
+    def _placement_under(
         self, preset: changes.Preset, server: ids.ServerId
     ) -> changes.Placement | None:
-        placed = preset.placement_by_server.get(server)
-        known = self.server_by_id.get(server)
-        if placed or not known:
-            return placed
-        return preset.placement_by_pool.get(known.pool)
+        own = preset.placement_by_server.get(server)
+        registered = self.server_by_id.get(server)
+        if own or not registered:
+            return own
+        return preset.placement_by_pool.get(registered.pool)
 
     def check_active_coverage(
         self, preset: changes.Preset
     ) -> failures.Failure | None:
-        """Return which layer no active server would hold under a preset."""
+        """Return a refusal that names a layer no active server would hold."""
         active = [
             server.id
             for server in self.server_by_id.values()
             if server.state is changes.ServerState.ACTIVE
         ]
-        found = [self._placement_by(preset, server) for server in active]
+        found = [self._placement_under(preset, server) for server in active]
         placed = tuple(placement for placement in found if placement)
         return _check_coverage(preset.models, placed)
 
@@ -72,11 +75,14 @@
         return {s.address: s.id for s in self.server_by_id.values()}
 
     def check(self, body: changes.Body) -> failures.Failure | None:
-        """Return why a change is not valid on top of this version."""
+        """Return why a change is invalid at this version, if it is."""
         match body:
             case changes.PutPreset(preset=preset):
                 if preset.id == self.in_force:
-                    return _refuse(f'preset {preset.id} is in force')
+                    return _refuse(
+                        f'preset {preset.id} is in force and can not be '
+                        'replaced'
+                    )
                 return _check_preset(preset)
             case changes.SwitchPreset():
                 return self._check_switch(body)
@@ -90,10 +96,10 @@
         return None
 
     def apply(self, change: changes.Change) -> failures.Failure | None:
-        """Take in the next change of the journal.
+        """Apply the next change of the journal, or return why it is invalid.
 
-        An invalid change takes its place in the order and alters nothing,
-        in every process alike.
+        An invalid change increases the version and alters nothing else, in
+        all processes alike, so that versions stay places in the journal.
         """
         self.version = ids.Version(self.version + 1)
         refusal = self.check(change.body)
@@ -120,9 +126,9 @@
         self._server_by_address[server.address] = server.id
 
     def _remove(self, server: ids.ServerId) -> None:
-        known = self.server_by_id.pop(server, None)
-        if known:
-            del self._server_by_address[known.address]
+        removed = self.server_by_id.pop(server, None)
+        if removed:
+            del self._server_by_address[removed.address]
 
     def _retire(self, server: ids.ServerId) -> None:
         self.server_by_id[server] = msgspec.structs.replace(
@@ -137,26 +143,33 @@
         if switch.expected != self.in_force:
             return _refuse(
                 f'preset {self.in_force or "none"} is in force since version '
-                f'{self.switched_at} by {self.switched_by or "nobody"}, '
-                f'not {switch.expected or "none"}'
+                f'{self.switched_at}, switched by '
+                f'{self.switched_by or "nobody"}; '
+                f'expected {switch.expected or "none"}'
             )
         return None
 
     def _check_server(self, server: changes.Server) -> failures.Failure | None:
         is_service = server.kind is changes.ServerKind.SERVICE
         if is_service and not server.service:
-            return _refuse(f'server {server.id} names no service')
+            return _refuse(
+                f'server {server.id} is of kind service but names no service'
+            )
         other = self._server_by_address.get(server.address, server.id)
         if other != server.id:
-            return _refuse(f'{server.address} is that of {other}')
+            return _refuse(
+                f'address {server.address} is in use by backend server {other}'
+            )
         return None
 
     def _check_remove(self, server: ids.ServerId) -> failures.Failure | None:
-        known = self.server_by_id.get(server)
-        if not known:
+        registered = self.server_by_id.get(server)
+        if not registered:
             return _refuse(f'no backend server {server}')
-        if known.state is not changes.ServerState.DRAINING:
-            return _refuse(f'backend server {server} is not leaving')
+        if registered.state is not changes.ServerState.DRAINING:
+            return _refuse(
+                f'backend server {server} is not leaving; retire it first'
+            )
         return None
 
 
@@ -166,14 +179,13 @@
     for placement in preset.placements:
         if bool(placement.server) is bool(placement.pool):
             return _refuse(
-                'a placement names either a server or a pool, not '
+                'a placement names either a server or a pool, found '
                 f'server {placement.server!r} and pool {placement.pool!r}'
             )
         layers = layers_by_model.get(placement.model)
         if layers is None:
             return _refuse(
-                f'{placement.target} is to hold unknown model '
-                f'{placement.model}'
+                f'{placement.target}: unknown model {placement.model}'
             )
         if not placement.first < placement.end <= layers:
             return _refuse(
@@ -191,11 +203,11 @@
     placements: tuple[changes.Placement, ...],
 ) -> failures.Failure | None:
     for model in models:
-        reached = ranges.first_uncovered(
+        uncovered = ranges.first_uncovered(
             (p.first, p.end) for p in placements if p.model == model.id
         )
-        if reached < model.layers:
-            return _refuse(f'no server holds layer {reached} of {model.id}')
+        if uncovered < model.layers:
+            return _refuse(f'no server holds layer {uncovered} of {model.id}')
     return None
 
 
--- a/libs/fleet/burdockmast/fleet/encoding.py
+++ b/libs/fleet/burdockmast/fleet/encoding.py
@@ -1,6 +1,6 @@
-"""Changes and whole configurations as they travel between processes.
+"""Encoding of changes and whole configurations for peers and snapshots.
 
-JSON, compressed: presets name the same few keys over and over.
+It is compressed JSON, since presets repeat the same few keys many times.
 """
 
 import hashlib
@@ -14,18 +14,18 @@
 
 Decoded = TypeVar('Decoded', changes.Change, configuration.Configuration)
 
-# Bytes that a decompressed value may have.
+# Larger values are refused, so that a small message can not fill the memory.
 MAX_DECOMPRESSED_BYTES = 64 * 1024 * 1024
 DIGEST_BYTES = 16
 
 
 def encode(value: changes.Change | configuration.Configuration) -> bytes:
-    """Return a value as neighbours get it."""
+    """Return a value as compressed JSON."""
     return zlib.compress(msgspec.json.encode(value))
 
 
 def decode(encoded: bytes, kind: type[Decoded]) -> Decoded:
-    """Return the value of what ``encode`` made.
+    """Return the value that ``encode`` was given.
 
     :raises ValueError: if it is damaged or too large
     """
@@ -42,5 +42,5 @@
 
 
 def digest(encoded: bytes) -> bytes:
-    """Return what tells whether an encoded value has been damaged."""
+    """Return the checksum by which damage to an encoded value is found."""
     return hashlib.blake2b(encoded, digest_size=DIGEST_BYTES).digest()
