--- a/libs/fleet/burdockmast/fleet/follower.py
+++ b/libs/fleet/burdockmast/fleet/follower.py
@@ -1,10 +1,10 @@
-"""Keeps a process's configuration current, from peers and the store.
+"""Keeps a process's configuration current, from its peers and the store.
 
-A few sides of each zone, chosen by hash, wait on the store for the next
-change; all others get changes from their neighbours at once, and compare
-versions in every heartbeat. A process whose information has grown old
-looks into the store by itself, so a lost watcher delays nothing for long.
-Versions only go up.
+A few side processes of each zone, chosen by hash, watch the store for the
+next change. All others get changes from their peers at once, and compare
+versions in every heartbeat. A process whose configuration is stale polls the
+store itself, so that the loss of the watchers delays changes only briefly.
+Versions never decrease.
 """
 
 import collections
@@ -31,27 +31,27 @@
 
 LOG = logs.get('fleet')
 
-# Sides of a zone that wait on the store.
+# Side processes of a zone that watch the store.
 WATCHERS_PER_ZONE = 2
-# Seconds that one watch waits for a change.
+# Longest time that one read of a watcher waits for a change.
 WATCH_SECONDS = 10.0
-# Periods of heartbeats after which information counts as old.
-OLD_PERIODS = 2.5
-# Shortest time between looks into the store by a process with old
-# information, in seconds.
-LOOK_SECONDS = 2.0
-# Such looks that the whole fleet makes in a second, for the store's sake.
+# Heartbeat periods after which a configuration counts as stale.
+STALE_PERIOD_COUNT = 2.5
+# Longest interval between polls of the store by a process whose configuration
+# is stale; in large fleets it is longer.
+POLL_SECONDS = 2.0
+# Target rate of such polls by the whole fleet, to protect the store.
 FLEET_POLLS_PER_SECOND = 200.0
-# Changes kept for neighbours; one further behind gets a snapshot.
+# Changes kept for peers; a peer that is further behind gets a snapshot.
 KEPT_CHANGES = 4096
 
-
-# Called after each change, with None if any part may have changed.
+# Called with each applied change, and with None after a snapshot, which may
+# have changed any part.
 Subscriber = Callable[[changes.Body | None], None]
 
 
 class Follower:
-    """The configuration of one process and the tasks that update it."""
+    """A process's copy of the configuration and the task that updates it."""
 
     def __init__(
         self,
@@ -73,22 +73,22 @@
         )
         self._journal = change_journal.open_journal(store)
         self._snapshots = snapshots.Snapshots(store, self._journal)
-        # Version and time of this process's last look whether one is due.
-        self._snapshot_looked_at = ids.Version(0)
-        self._snapshot_look_time = timers.now()
+        # Version and time at which this process last checked its snapshot.
+        self._snapshot_checked_version = ids.Version(0)
+        self._snapshot_checked_at = timers.now()
         self._server = server
         self._zone = zone
         self._events = events
         self._random = random.Random(seed)
         self._fresh_at: float | None = None
-        self._elected = False
-        self._elected_at = ids.Version(-1)
-        self._kept: collections.deque[bytes] = collections.deque(
+        self._is_elected = False
+        self._elected_at_version = ids.Version(-1)
+        self._recent_changes: collections.deque[bytes] = collections.deque(
             maxlen=KEPT_CHANGES
         )
 
     def start(self) -> None:
-        """Start following in a task of its own."""
+        """Start the task that reads the store."""
         eventlet.spawn(self._follow)
 
     @property
@@ -98,37 +98,37 @@
 
     @property
     def store_age_seconds(self) -> float:
-        """Seconds since this information left the store."""
+        """Seconds since some process last read this version from the store."""
         if self._fresh_at is None:
             return float('inf')
         return timers.now() - self._fresh_at
 
     @property
     def fresh_at(self) -> float:
-        """Monotonic seconds at which this information left the store."""
+        """Monotonic time at which this version was read from the store."""
         return timers.now() - self.store_age_seconds
 
     def store_age_ms(self) -> int:
-        """Return the age for a heartbeat; bounded, in milliseconds."""
+        """Return the age in milliseconds, bounded since it may be infinite."""
         return int(min(self.store_age_seconds, 1e6) * 1000)
 
     def on_heartbeat(
         self, link: links.Link, heartbeat: messages.Heartbeat
     ) -> None:
-        """Compare versions with a neighbour."""
+        """Request changes from a newer peer, or adopt an equal one's age."""
         if heartbeat.version > self.version:
             link.send(messages.ChangesWanted(self.version))
         elif heartbeat.version == self.version:
-            self._refresh(heartbeat.store_age_ms)
+            self._update_fresh_at(heartbeat.store_age_ms)
 
     def send_changes_since(
         self, link: links.Link, version: ids.Version
     ) -> None:
-        """Send a neighbour what it lacks."""
+        """Send a peer the changes after ``version``, or all as a snapshot."""
         missing = self.version - version
         if missing <= 0:
             return
-        if missing > len(self._kept):
+        if missing > len(self._recent_changes):
             encoded = encoding.encode(self.configuration)
             link.send(
                 messages.Snapshot(
@@ -136,7 +136,7 @@
                 )
             )
             return
-        encoded_changes = tuple(self._kept)[-missing:]
+        encoded_changes = tuple(self._recent_changes)[-missing:]
         link.send(
             messages.Changes(
                 ids.Version(version + 1), encoded_changes, self.store_age_ms()
@@ -146,7 +146,7 @@
     def apply_changes(
         self, link: links.Link, received: messages.Changes
     ) -> None:
-        """Apply changes from a neighbour, and pass new ones on."""
+        """Apply changes of a peer and forward new ones to the others."""
         if received.first > self.version + 1:
             link.send(messages.ChangesWanted(self.version))
             return
@@ -154,59 +154,67 @@
         for encoded in received.encoded[self.version + 1 - received.first :]:
             self._apply(encoded)
         if self.version > before:
-            self._refresh(received.store_age_ms)
-            self._spread(before, link)
+            self._update_fresh_at(received.store_age_ms)
+            self._forward_changes(before, link)
 
     def apply_snapshot(
         self, link: links.Link, snapshot: messages.Snapshot
     ) -> None:
-        """Take a neighbour's whole configuration if it is newer."""
+        """Replace the configuration by that of a peer if that is newer."""
         if snapshot.version <= self.version:
             return
         if encoding.digest(snapshot.encoded) != snapshot.digest:
-            LOG.warning('Snapshot from {} is damaged.', link.address)
+            LOG.warning('Ignored a damaged snapshot from {}.', link.address)
             return
         received = encoding.decode(
             snapshot.encoded, configuration.Configuration
         )
         if received.version != snapshot.version:
-            LOG.warning('Snapshot from {} has no such version.', link.address)
+            LOG.warning(
+                'Ignored a snapshot from {}: not of the announced version.',
+                link.address,
+            )
             return
-        self._take(received)
+        self._replace(received)
 
-    def _take(self, received: configuration.Configuration) -> None:
+    def _replace(self, received: configuration.Configuration) -> None:
         self.configuration = received
-        self._kept.clear()
+        self._recent_changes.clear()
         self._notify(None)
 
     def _apply(self, encoded: bytes) -> None:
         change = encoding.decode(encoded, changes.Change)
-        ignored = self.configuration.apply(change)
-        self._kept.append(encoded)
+        refusal = self.configuration.apply(change)
+        self._recent_changes.append(encoded)
         self._events.add(
             'configuration.applied',
             version=self.version,
             change=type(change.body).__name__,
             preset=self.configuration.in_force,
         )
-        if ignored:
-            LOG.info('Change {} has no effect: {}.', change.id, ignored.detail)
+        if refusal:
+            LOG.info(
+                'Change {} is invalid and has no effect: {}.',
+                change.id,
+                refusal.detail,
+            )
         self._notify(change.body)
 
     def _notify(self, change: changes.Body | None) -> None:
         for subscriber in self.subscribers:
             subscriber(change)
 
-    def _refresh(self, age_ms: int) -> None:
+    def _update_fresh_at(self, age_ms: int) -> None:
         fresh_at = timers.now() - age_ms / 1000
         self._fresh_at = max(self._fresh_at or fresh_at, fresh_at)
 
-    def _spread(
+    def _forward_changes(
         self, before: ids.Version, source: links.Link | None = None
     ) -> None:
-        encoded = tuple(self._kept)[before - self.version :]
+        encoded = tuple(self._recent_changes)[before - self.version :]
         if not encoded:
-            # A snapshot was taken in; neighbours ask for it by its version.
+            # After a snapshot, peers learn of the version by heartbeat and
+            # request what they lack.
             return
         message = messages.Changes(
             ids.Version(before + 1), encoded, self.store_age_ms()
@@ -217,18 +225,18 @@
 
     def is_watcher(self) -> bool:
         """Tell whether this process watches the platform for its zone."""
-        if self._elected_at != self.version:
-            self._elected_at = self.version
-            self._elected = self._elect()
-        return self._elected
+        if self._elected_at_version != self.version:
+            self._elected_at_version = self.version
+            self._is_elected = self._elect()
+        return self._is_elected
 
     def _elect(self) -> bool:
-        sides = [
+        servers = [
             server.id
             for server in self.configuration.server_by_id.values()
             if server.zone == self._zone
         ]
-        ranked = sorted(sides, key=lambda s: ranks.rank(self._zone, s))
+        ranked = sorted(servers, key=lambda s: ranks.rank(self._zone, s))
         return self._server in ranked[:WATCHERS_PER_ZONE]
 
     def _follow(self) -> None:
@@ -236,17 +244,18 @@
             if self.is_watcher():
                 self._read_store(WATCH_SECONDS)
             elif (
-                self.store_age_seconds > OLD_PERIODS * self.heartbeat_period()
+                self.store_age_seconds
+                > STALE_PERIOD_COUNT * self.heartbeat_period()
             ):
                 self._read_store(0.0)
-                eventlet.sleep(self._look_seconds())
+                eventlet.sleep(self._poll_interval_seconds())
             else:
                 eventlet.sleep(self._random.uniform(0.2, 0.5))
 
-    def _look_seconds(self) -> float:
-        """Return a random time until the next look, longer in big fleets."""
-        fleet = len(self.configuration.server_by_id)
-        longest = max(LOOK_SECONDS, 2 * fleet / FLEET_POLLS_PER_SECOND)
+    def _poll_interval_seconds(self) -> float:
+        """Return a random time until the next poll, longer in large fleets."""
+        server_count = len(self.configuration.server_by_id)
+        longest = max(POLL_SECONDS, 2 * server_count / FLEET_POLLS_PER_SECOND)
         return longest * self._random.uniform(0.2, 1.0)
 
     def _read_store(self, wait: float) -> None:
@@ -255,40 +264,44 @@
         if isinstance(entries, cuts.Void):
             entries = self._restore_from_store()
         if isinstance(entries, failures.Failure):
-            LOG.debug('Store not read: {}.', entries)
+            LOG.debug(
+                'Configuration not read from the store; retrying: {}.', entries
+            )
             eventlet.sleep(self._random.uniform(0.2, 1.0))
             return
-        self._refresh(0)
+        self._update_fresh_at(0)
         for place, entry in entries:
-            # Neighbours may have been faster while the store answered.
+            # A peer may have sent the change while the store answered.
             if place == self.version + 1:
                 self._apply(encoding.encode(change_journal.decode(entry)))
         if self.version > before:
-            self._spread(before)
+            self._forward_changes(before)
         if self.is_watcher():
-            self._offer_snapshot()
+            self._write_snapshot_if_due()
 
     def _restore_from_store(self) -> list | failures.Failure:
-        """Take the snapshot that the journal was cut behind."""
+        """Load the snapshot that replaces truncated entries of the journal."""
         found = self._snapshots.read()
         if isinstance(found, failures.Failure):
             return found
         if found.version > self.version:
-            self._take(found)
+            self._replace(found)
         return []
 
-    def _offer_snapshot(self) -> None:
-        """Write a snapshot if one is due."""
-        seconds = timers.now() - self._snapshot_look_time
-        if seconds < snapshots.LOOK_SECONDS and not snapshots.is_due(
-            self.version, self._snapshot_looked_at
+    def _write_snapshot_if_due(self) -> None:
+        """Start a task that writes a snapshot, if it is time to check it."""
+        seconds = timers.now() - self._snapshot_checked_at
+        if seconds < snapshots.CHECK_INTERVAL_SECONDS and not snapshots.is_due(
+            self.version, self._snapshot_checked_version
         ):
             return
-        self._snapshot_looked_at = self.version
-        self._snapshot_look_time = timers.now()
+        self._snapshot_checked_version = self.version
+        self._snapshot_checked_at = timers.now()
         eventlet.spawn(self._write_snapshot)
 
     def _write_snapshot(self) -> None:
         failure = self._snapshots.write(self.configuration)
         if failure:
-            LOG.warning('No snapshot written: {}.', failure)
+            LOG.warning(
+                'No snapshot written until the next check: {}.', failure
+            )
--- a/libs/fleet/burdockmast/fleet/snapshots.py
+++ b/libs/fleet/burdockmast/fleet/snapshots.py
@@ -24,7 +24,7 @@
 # Changes after which a new snapshot is written.
 INTERVAL_CHANGES = 512
 # Seconds between looks whether the snapshot is as it should be.
-LOOK_SECONDS = 600.0
+CHECK_INTERVAL_SECONDS = 600.0
 # Changes before a snapshot that stay, for processes that are a little behind.
 KEPT_CHANGES = 256
 
