Reword the move permits

The module told of turns, looks and servers that "go"; it now tells of permits that are acquired, renewed, released and that expire. Private names follow: at_once -> max_concurrent, forget -> remove, LAPSE_SECONDS -> EXPIRY_SECONDS, LOOK_SECONDS -> POLL_SECONDS, FLEET_SERVERS -> FULL_RATE_SERVER_COUNT, AWAY_SHARE -> MAX_MOVING_SHARE, CONFLICT_SECONDS -> MAX_CONFLICT_DELAY_SECONDS, TRIES -> MAX_WRITE_ATTEMPTS. The stored key turn_by_server and the step moves.read stay.

--- a/libs/fleet/burdockmast/fleet/layer_moves.py
+++ b/libs/fleet/burdockmast/fleet/layer_moves.py
@@ -1,13 +1,14 @@
-"""Whose turn it is to change layers.
+"""Move permits: which servers of a model may change their layers now.
 
-Loading takes long, and the weight store is rate-limited. If all servers of a
-model changed layers at once, nobody would serve meanwhile. So an object of
-the store tells for each model which server holds which layers and whose turn
-it is. A side takes a turn by a conditional update, if few others have one and
-the rest still holds every layer.
+Loading layers takes long, and the weight store is rate-limited. If all
+servers of a model changed layers at once, none would serve meanwhile. So the
+store has an object for each model, which records the layers that each server
+holds and the servers that have a permit. A side process acquires a permit by
+a conditional update, if few others have one and the servers that stay hold
+every layer.
 
-A turn is no lease: whoever believes to have one and has not does no harm but
-to the pace. One that is not renewed for a while lapses.
+A permit is not a lease: a server that acts on one which it no longer has
+costs speed, not correctness. A permit that is not renewed expires.
 """
 
 from collections.abc import Callable
@@ -27,22 +28,22 @@
 from burdockmast.store import objects
 
 KIND = 'moves'
-# Seconds between renewals of a turn, and after which one that nobody renews
-# has lapsed.
+# Interval between renewals of a permit, and time after which a permit that is
+# not renewed has expired.
 RENEW_SECONDS = 10.0
-LAPSE_SECONDS = 30.0
-# Seconds after which a server goes though its layers are held by no other.
+EXPIRY_SECONDS = 30.0
+# Wait after which a server moves although no other server holds its layers.
 UNCOVERED_WAIT_SECONDS = 5.0
-# Seconds between looks for a turn, for a server whose turn could be next.
-LOOK_SECONDS = 0.5
-# Servers of a fleet beyond which looks are rarer, for the store's sake.
-FLEET_SERVERS = 1000
-# Share of a model's servers that may be away to change layers.
-AWAY_SHARE = 0.25
-# Longest random pause before a write that lost to another is tried again.
-CONFLICT_SECONDS = 0.05
-TRIES = 50
-# Models read at once.
+# Interval between attempts to acquire a permit by the server ranked first.
+POLL_SECONDS = 0.5
+# Larger fleets poll less often in proportion, to protect the store.
+FULL_RATE_SERVER_COUNT = 1000
+# Share of a model's servers that may drop layers at the same time.
+MAX_MOVING_SHARE = 0.25
+# Longest random delay before a write that met a conflict is repeated.
+MAX_CONFLICT_DELAY_SECONDS = 0.05
+MAX_WRITE_ATTEMPTS = 50
+# Models read from the store in one call.
 PAGE_MODEL_COUNT = 50
 
 
@@ -54,10 +55,10 @@
 
 
 class MoveRecord(msgspec.Struct):
-    """What the servers of one model hold, and whose turn it is.
+    """The layers that servers of one model hold, and their permits.
 
-    :ivar permit_by_server: ids of turns; each renewal is a new one
-    :ivar version: newest configuration by which a turn was taken
+    :ivar permit_by_server: ids of permits; each renewal sets a new id
+    :ivar version: newest configuration with which a permit was requested
     """
 
     held_by_server: dict[ids.ServerId, Span] = {}
@@ -66,13 +67,16 @@
     )
     version: ids.Version = ids.Version(0)
 
-    def forget(self, server: ids.ServerId) -> None:
-        """Drop a server."""
+    def remove(self, server: ids.ServerId) -> None:
+        """Remove a server's permit and layers."""
         self.permit_by_server.pop(server, None)
         self.held_by_server.pop(server, None)
 
     def covers(self, layers: int, without: set[ids.ServerId]) -> bool:
-        """Tell whether servers that stay hold every layer."""
+        """Tell whether every layer is held by servers that stay.
+
+        :param without: servers to leave out, besides those with a permit
+        """
         staying = [
             (span.first, span.end)
             for server, span in self.held_by_server.items()
@@ -83,12 +87,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Acquired:
-    """It is this server's turn."""
+    """This server has a permit."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RetryLater:
-    """It is the turn of others; look again after ``seconds``."""
+    """No permit is available; try again after ``seconds``."""
 
     seconds: float
 
@@ -97,44 +101,46 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Seen:
-    """A turn of another server, and since when it has not changed."""
+class _ObservedPermit:
+    """A server's permit as read, and since when its id has not changed."""
 
-    turn: str
+    permit: str
     since: float
 
 
-def poll_interval_seconds(before: int, at_once: int, fleet: int) -> float:
-    """Return the pause between looks for a turn.
+def poll_interval_seconds(
+    ahead: int, max_concurrent: int, server_count: int
+) -> float:
+    """Return the interval between attempts to acquire a permit.
 
-    :param before: servers that go before this one
-    :param at_once: servers of the model that may load at the same time
-    :param fleet: servers of all models
+    :param ahead: servers that are ranked before this one
+    :param max_concurrent: servers of the model that may load at the same time
+    :param server_count: servers of all models
     """
-    rarer = max(1.0, fleet / FLEET_SERVERS)
-    return LOOK_SECONDS * rarer * (1 + before / at_once)
+    stretch = max(1.0, server_count / FULL_RATE_SERVER_COUNT)
+    return POLL_SECONDS * stretch * (1 + ahead / max_concurrent)
 
 
 class MovePermits:
-    """The turns of one server, in the objects of its models."""
+    """Acquires, renews and releases the move permits of one server."""
 
     def __init__(
         self,
         store: objects.Objects,
         server: ids.ServerId,
-        at_once: int,
+        max_concurrent: int,
         seed: int | None = None,
     ):
-        """Create a server's view.
+        """Create a client that has no permit yet.
 
-        :param at_once: servers of a model that may load at the same time
+        :param max_concurrent: servers of a model that may load at once
         """
         self._store = store
         self._server = server
-        self._at_once = at_once
+        self._max_concurrent = max_concurrent
         self._random = random.Random(seed)
-        self._seen_by_server: dict[ids.ServerId, _Seen] = {}
-        self._waiting_since: float | None = None
+        self._observed_by_server: dict[ids.ServerId, _ObservedPermit] = {}
+        self._uncovered_since: float | None = None
 
     def acquire(
         self,
@@ -142,72 +148,72 @@
         current: configuration.Configuration,
         drops_layers: bool,
     ) -> AcquireResult:
-        """Take a turn at a model, unless others go first.
+        """Acquire a permit to change layers of a model, if limits allow it.
 
         :param drops_layers: whether this server holds layers that it will drop
         """
 
-        def change(moves: MoveRecord) -> RetryLater | None:
-            self._forget_gone(moves, current)
-            if not self._may_go(moves, model, current, drops_layers):
-                return RetryLater(self._look_seconds(moves, model, current))
-            moves.permit_by_server[self._server] = ids.new_id()
+        def modify(record: MoveRecord) -> RetryLater | None:
+            self._remove_stale(record, current)
+            if not self._may_acquire(record, model, current, drops_layers):
+                return RetryLater(self._poll_seconds(record, model, current))
+            record.permit_by_server[self._server] = ids.new_id()
             return None
 
-        stopped = self._update(model, change)
+        stopped = self._update(model, modify)
         if stopped:
             return stopped
-        self._waiting_since = None
+        self._uncovered_since = None
         return Acquired()
 
     def renew(self, model: ids.ModelId) -> None:
-        """Keep a turn from lapsing."""
+        """Renew this server's permit, if the record still has it."""
 
-        def change(moves: MoveRecord) -> None:
-            if self._server in moves.permit_by_server:
-                moves.permit_by_server[self._server] = ids.new_id()
+        def modify(record: MoveRecord) -> None:
+            if self._server in record.permit_by_server:
+                record.permit_by_server[self._server] = ids.new_id()
 
-        self._update(model, change)
+        self._update(model, modify)
 
     def release(self, model: ids.ModelId, span: Span | None) -> bool:
-        """End a turn and tell what is held now; false if that failed.
+        """Release a permit and record what is held; false if that failed.
 
         :param span: None if no layers of this model are held
         """
 
-        def change(moves: MoveRecord) -> None:
-            moves.permit_by_server.pop(self._server, None)
-            moves.held_by_server.pop(self._server, None)
+        def modify(record: MoveRecord) -> None:
+            record.permit_by_server.pop(self._server, None)
+            record.held_by_server.pop(self._server, None)
             if span:
-                moves.held_by_server[self._server] = span
+                record.held_by_server[self._server] = span
 
-        return self._update(model, change) is None
+        return self._update(model, modify) is None
 
     def _update(
         self,
         model: ids.ModelId,
-        change: Callable[[MoveRecord], RetryLater | None],
+        modify: Callable[[MoveRecord], RetryLater | None],
     ) -> RetryLater | failures.Failure | None:
-        """Change a model's object, again if others wrote meanwhile.
+        """Update a model's record, and repeat that after a conflict.
 
-        :param change: works on the object; what it returns ends the update
-            without a write
+        :param modify: changes the record; if it returns a value, nothing is
+            written and that value is the result
         """
-        for _ in range(TRIES):
+        for _ in range(MAX_WRITE_ATTEMPTS):
             stored = self._read(model)
             if isinstance(stored, failures.Failure):
                 return stored
-            moves = msgspec.convert(stored.value, MoveRecord)
-            stopped = change(moves)
-            if stopped or msgspec.to_builtins(moves) == stored.value:
+            record = msgspec.convert(stored.value, MoveRecord)
+            stopped = modify(record)
+            if stopped or msgspec.to_builtins(record) == stored.value:
                 return stopped
-            written = self._store.update(KIND, model, moves, stored.revision)
+            written = self._store.update(KIND, model, record, stored.revision)
             if isinstance(written, failures.Failure):
                 return written
             if isinstance(written, objects.Stored):
                 return None
-            eventlet.sleep(self._random.uniform(0, CONFLICT_SECONDS))
-        return RetryLater(LOOK_SECONDS)
+            eventlet.sleep(self._random.uniform(0, MAX_CONFLICT_DELAY_SECONDS))
+        return RetryLater(POLL_SECONDS)
 
     def _read(self, model: ids.ModelId) -> objects.Stored | failures.Failure:
         found = self._store.get(KIND, model)
@@ -224,84 +230,86 @@
             failures.Reason.STORE_CONFLICT, 'moves.read', KIND
         )
 
-    def _forget_gone(
-        self, moves: MoveRecord, current: configuration.Configuration
+    def _remove_stale(
+        self, record: MoveRecord, current: configuration.Configuration
     ) -> None:
-        """Drop turns that have lapsed, and servers that are no more."""
-        for server, turn in list(moves.permit_by_server.items()):
-            if self._is_lapsed(server, turn):
-                moves.forget(server)
-        if current.version < moves.version:
-            # Whom this process does not know may just have come.
+        """Remove servers whose permit expired or that are not configured."""
+        for server, permit in list(record.permit_by_server.items()):
+            if self._has_expired(server, permit):
+                record.remove(server)
+        if current.version < record.version:
+            # Servers that this older configuration lacks may be new.
             return
-        moves.version = current.version
-        for server in {*moves.permit_by_server, *moves.held_by_server}:
+        record.version = current.version
+        for server in {*record.permit_by_server, *record.held_by_server}:
             if server not in current.server_by_id:
-                moves.forget(server)
+                record.remove(server)
 
-    def _is_lapsed(self, server: ids.ServerId, turn: str) -> bool:
-        seen = self._seen_by_server.get(server)
-        if seen is None or seen.turn != turn:
-            self._seen_by_server[server] = _Seen(turn, timers.now())
+    def _has_expired(self, server: ids.ServerId, permit: str) -> bool:
+        observed = self._observed_by_server.get(server)
+        if observed is None or observed.permit != permit:
+            self._observed_by_server[server] = _ObservedPermit(
+                permit, timers.now()
+            )
             return False
-        return timers.now() - seen.since > LAPSE_SECONDS
+        return timers.now() - observed.since > EXPIRY_SECONDS
 
-    def _may_go(
+    def _may_acquire(
         self,
-        moves: MoveRecord,
+        record: MoveRecord,
         model: ids.ModelId,
         current: configuration.Configuration,
         drops_layers: bool,
     ) -> bool:
-        if self._server in moves.permit_by_server:
+        if self._server in record.permit_by_server:
             return True
-        if len(moves.permit_by_server) >= self._at_once:
+        if len(record.permit_by_server) >= self._max_concurrent:
             return False
         known = current.model(model)
         if not drops_layers or not known:
             return True
-        if len(moves.permit_by_server) >= _most_leaving(moves):
+        if len(record.permit_by_server) >= _max_moving(record):
             return False
-        if moves.covers(known.layers, self._not_staying(moves, current)):
+        if record.covers(known.layers, self._not_staying(record, current)):
             return True
-        if moves.permit_by_server:
+        if record.permit_by_server:
             return False
-        # Nobody else makes room, and it can't be helped.
-        self._waiting_since = self._waiting_since or timers.now()
-        return timers.now() - self._waiting_since > UNCOVERED_WAIT_SECONDS
+        # No move is under way after which others would hold the layers.
+        self._uncovered_since = self._uncovered_since or timers.now()
+        return timers.now() - self._uncovered_since > UNCOVERED_WAIT_SECONDS
 
     def _not_staying(
-        self, moves: MoveRecord, current: configuration.Configuration
+        self, record: MoveRecord, current: configuration.Configuration
     ) -> set[ids.ServerId]:
-        """Return the servers that do not stay: this one, and leaving ones."""
-        leaving = {
+        """Return this server and all that are draining."""
+        draining = {
             server.id
             for server in current.server_by_id.values()
             if server.state is not changes.ServerState.ACTIVE
         }
-        return {self._server, *leaving}
+        return {self._server, *draining}
 
-    def _look_seconds(
+    def _poll_seconds(
         self,
-        moves: MoveRecord,
+        record: MoveRecord,
         model: ids.ModelId,
         current: configuration.Configuration,
     ) -> float:
-        """Return a pause that is longer the more servers go before."""
+        """Return an interval that grows with the servers ranked ahead."""
         waiting = [
             server
             for server in current.server_by_id
-            if self._is_waiting(moves, model, current, server)
+            if self._is_waiting(record, model, current, server)
         ]
         ranked = sorted(waiting, key=lambda server: ranks.rank(model, server))
-        before = ranked.index(self._server) if self._server in ranked else 0
+        ahead = ranked.index(self._server) if self._server in ranked else 0
         return poll_interval_seconds(
-            before, self._at_once, len(current.server_by_id)
+            ahead, self._max_concurrent, len(current.server_by_id)
         )
 
     def _is_waiting(
         self,
-        moves: MoveRecord,
+        record: MoveRecord,
         model: ids.ModelId,
         current: configuration.Configuration,
         server: ids.ServerId,
@@ -310,13 +318,13 @@
         if not placed or placed.model != model:
             return False
         wanted = Span(placed.first, placed.end)
-        return moves.held_by_server.get(server) != wanted
+        return record.held_by_server.get(server) != wanted
 
 
 def read_all(
     store: objects.Objects,
 ) -> dict[ids.ModelId, MoveRecord] | failures.Failure:
-    """Return the moves of every model, for operators."""
+    """Return the move records of all models."""
     found: dict[ids.ModelId, MoveRecord] = {}
     start = ''
     while True:
@@ -329,10 +337,10 @@
             )
         if len(page) < PAGE_MODEL_COUNT:
             return found
-        # The next name in order that there can be.
+        # The smallest name that sorts after the last one read.
         start = page[-1].name + '\0'
 
 
-def _most_leaving(moves: MoveRecord) -> int:
-    """Return how many servers of a model may be away at once."""
-    return max(1, int(AWAY_SHARE * len(moves.held_by_server)))
+def _max_moving(record: MoveRecord) -> int:
+    """Return how many servers of a model may drop layers at once."""
+    return max(1, int(MAX_MOVING_SHARE * len(record.held_by_server)))
