--- a/libs/fleet/burdockmast/fleet/change_journal.py
+++ b/libs/fleet/burdockmast/fleet/change_journal.py
@@ -1,4 +1,4 @@
-"""Operators' writes: check, append to the journal, report honestly."""
+"""The journal of configuration changes, and its writer for operators."""
 
 import dataclasses
 
@@ -19,7 +19,7 @@
 
 
 def open_journal(store: objects.Objects) -> cuts.CutJournal:
-    """Return the journal of configuration changes."""
+    """Open the journal of configuration changes."""
     return cuts.CutJournal(store, CHANGES_KIND)
 
 
@@ -35,18 +35,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Accepted:
-    """A change is part of the configuration from ``version`` on."""
+    """The change is in the journal and is part of ``version``."""
 
     version: ids.Version
 
 
 class ChangeWriter:
-    """Writes of one operator."""
+    """Checks and appends the changes of one operator."""
 
     def __init__(self, store: objects.Objects, author: str):
         """Create a writer.
 
-        :param author: who is named to operators that lose a race
+        :param author: named in the refusals of other operators' switches
         """
         self._journal = open_journal(store)
         self._snapshots = snapshots.Snapshots(store, self._journal)
@@ -54,7 +54,7 @@
         self.configuration = configuration.Configuration()
 
     def refresh(self) -> failures.Failure | None:
-        """Read all that was accepted so far."""
+        """Bring the configuration up to date with the journal."""
         while True:
             entries = self._journal.follow(self.configuration.version + 1)
             match entries:
@@ -71,7 +71,7 @@
                         self.configuration.apply(decode(entry))
 
     def _restore(self) -> failures.Failure | None:
-        """Begin with the snapshot that the journal was cut behind."""
+        """Load the snapshot that replaces truncated entries of the journal."""
         found = self._snapshots.read()
         if isinstance(found, failures.Failure):
             return found
@@ -81,10 +81,13 @@
     def submit(
         self, body: changes.Body, seconds: float = 10.0
     ) -> Accepted | failures.Failure:
-        """Have a change accepted.
+        """Append a change to the journal, if it is valid.
 
-        A failure tells whether the change was not accepted or may have
-        been; another operator's change in between is checked against.
+        If another operator's change comes first, the change is checked
+        again on top of that. The outcome of a failure tells whether the
+        change was not accepted or may have been.
+
+        :param seconds: how long to go on trying
         """
         change = changes.Change(ids.ChangeId(ids.new_id()), self._author, body)
         deadline = timers.now() + seconds
@@ -103,26 +106,27 @@
                 case journals.Occupied(entry=entry):
                     self.configuration.apply(decode(entry))
                 case cuts.Void():
-                    return _fell_behind()
+                    return _place_truncated()
                 case failures.Failure():
                     return result
             if timers.now() > deadline:
                 return failures.Failure(
                     failures.Reason.STORE_CONFLICT,
                     'operation.submit',
-                    detail='others kept writing first',
+                    detail='other operators kept writing first',
                     outcome=outcomes.Outcome.NOT_RUN,
                 )
 
 
-def _fell_behind() -> failures.Failure:
-    """Return the failure of a writer that was paused over a cut.
+def _place_truncated() -> failures.Failure:
+    """Return the failure of a writer that was paused during a truncation.
 
-    Its change may have been accepted, and removed with others since.
+    Its change may have been accepted, and truncated with others since.
     """
     return failures.Failure(
         failures.Reason.STORE_CONFLICT,
         'operation.submit',
-        detail='the journal was cut meanwhile; look before you repeat',
+        detail='the journal was truncated meanwhile; check whether the '
+        'change has taken effect before repeating it',
         outcome=outcomes.Outcome.UNKNOWN,
     )
--- a/libs/fleet/burdockmast/fleet/ranges.py
+++ b/libs/fleet/burdockmast/fleet/ranges.py
@@ -1,12 +1,12 @@
-"""Ranges of layers."""
+"""Coverage of a model by layer ranges."""
 
 from collections.abc import Iterable
 
 
 def first_uncovered(ranges: Iterable[tuple[int, int]]) -> int:
-    """Return how far ranges cover layers from 0 on without a hole.
+    """Return the first layer that no range covers.
 
-    :param ranges: first layer, and the one after the last, of each
+    :param ranges: first layer of each range, and the layer after its last
     """
     layer = 0
     for first, end in sorted(ranges):
--- a/libs/fleet/burdockmast/fleet/snapshots.py
+++ b/libs/fleet/burdockmast/fleet/snapshots.py
@@ -1,8 +1,8 @@
-"""The whole configuration in the store, so that its journal can be cut.
+"""Snapshots of the configuration, by which its journal can be truncated.
 
-Without it a new process and every operator's command would read all changes
-that ever were. A watcher writes one object now and then, by a conditional
-update, and has the journal cut some way behind it.
+Without them a new process and every operator's command would read all
+changes ever made. A watcher writes the snapshot, a single object, from time
+to time by a conditional update, and truncates the journal some way behind.
 """
 
 import base64
@@ -23,16 +23,16 @@
 NAME = 'newest'
 # Changes after which a new snapshot is written.
 INTERVAL_CHANGES = 512
-# Seconds between looks whether the snapshot is as it should be.
+# Interval between checks that the stored snapshot is current and undamaged.
 CHECK_INTERVAL_SECONDS = 600.0
-# Changes before a snapshot that stay, for processes that are a little behind.
+# Changes before a snapshot that stay, for processes slightly behind it.
 KEPT_CHANGES = 256
 
 
 class Snapshot(msgspec.Struct):
-    """The configuration as of a version.
+    """The stored configuration of one version.
 
-    :ivar data: what ``encoding`` made of it, in base 64
+    :ivar data: the encoded configuration, in base 64
     """
 
     version: ids.Version
@@ -46,13 +46,13 @@
     def __init__(self, store: objects.Objects, journal: cuts.CutJournal):
         """Create a client.
 
-        :param journal: the journal that is cut behind snapshots
+        :param journal: the journal to truncate behind snapshots
         """
         self._store = store
         self._journal = journal
 
     def read(self) -> configuration.Configuration | failures.Failure:
-        """Return the newest snapshot; empty if there is none yet."""
+        """Return the newest snapshot, or version 0 if there is none yet."""
         found = self._store.get(KIND, NAME)
         match found:
             case objects.Absent():
@@ -64,23 +64,22 @@
     def write(
         self, current: configuration.Configuration
     ) -> failures.Failure | None:
-        """Write a snapshot if it is due, and cut the journal behind it.
+        """Write a snapshot if it is due, and truncate the journal behind it.
 
-        A damaged one is always due.
-
-        Any number of processes may do this at once.
+        A damaged snapshot is always replaced. Any number of processes may
+        call this at once.
         """
         version = current.version
-        # Encoded before any call, while nothing can change it.
+        # Encoded before the first store call, during which it may change.
         snapshot = encode(current)
         found = self._store.get(KIND, NAME)
         match found:
             case objects.Absent():
                 written = self._store.create(KIND, NAME, snapshot)
             case objects.Stored(value=value, revision=revision):
-                known = msgspec.convert(value, Snapshot)
-                is_damaged = isinstance(_decode(known), failures.Failure)
-                if not is_damaged and not is_due(version, known.version):
+                stored = msgspec.convert(value, Snapshot)
+                is_damaged = isinstance(_decode(stored), failures.Failure)
+                if not is_damaged and not is_due(version, stored.version):
                     return None
                 written = self._store.update(KIND, NAME, snapshot, revision)
             case failure:
@@ -90,17 +89,17 @@
                 return None
             case failures.Failure():
                 return written
-        LOG.info('Wrote a snapshot of version {}.', version)
+        LOG.info('Wrote a snapshot of configuration version {}.', version)
         return self._journal.cut(max(0, version - KEPT_CHANGES))
 
 
 def is_due(version: ids.Version, since: ids.Version) -> bool:
-    """Tell whether enough changes have come since a snapshot."""
+    """Tell whether enough changes follow the snapshot of ``since``."""
     return version - since >= INTERVAL_CHANGES
 
 
 def encode(current: configuration.Configuration) -> Snapshot:
-    """Return the object that holds a configuration."""
+    """Return the snapshot of a configuration."""
     encoded = encoding.encode(current)
     data = base64.b64encode(encoded).decode()
     return Snapshot(current.version, encoding.digest(encoded).hex(), data)
@@ -112,7 +111,7 @@
     try:
         encoded = base64.b64decode(snapshot.data, validate=True)
         if encoding.digest(encoded).hex() != snapshot.digest:
-            raise ValueError('its digest is another')
+            raise ValueError('its digest does not match')
         return encoding.decode(encoded, configuration.Configuration)
     except ValueError as error:
         return failures.Failure(
