--- a/libs/bench/burdockmast/bench/storelines.py
+++ b/libs/bench/burdockmast/bench/storelines.py
@@ -5,7 +5,7 @@
 from burdockmast.claims import home
 from burdockmast.claims import records
 from burdockmast.fleet import follower
-from burdockmast.fleet import moves
+from burdockmast.fleet import layer_moves
 from burdockmast.fleet import snapshots
 from burdockmast.store import journals
 
@@ -31,7 +31,7 @@
     reads += 2 * watchers * target.changes_in_a_minute / 60
     # After each write the mark of the journal is read.
     reads += groups
-    outage = 2 * follower.LOOKS_PER_SECOND * 1.16
+    outage = 2 * follower.FLEET_POLLS_PER_SECOND * 1.16
     wait = found['caller: median time of a command']
     return [
         targets.Line(
@@ -95,7 +95,10 @@
 def _moves_line(target: targets.Target) -> targets.Line:
     servers = target.replicas // target.models
     looks = target.models * sum(
-        1 / moves.look_seconds(before, targets.LOADS_AT_ONCE, target.replicas)
+        1
+        / layer_moves.poll_interval_seconds(
+            before, targets.LOADS_AT_ONCE, target.replicas
+        )
         for before in range(servers)
     )
     # A look reads one object.
--- a/libs/node/burdockmast/node/node.py
+++ b/libs/node/burdockmast/node/node.py
@@ -14,8 +14,8 @@
 from burdockmast.base import metrics
 from burdockmast.base import timeline
 from burdockmast.base import timers
+from burdockmast.fleet import draining_instances
 from burdockmast.fleet import follower
-from burdockmast.fleet import instances
 from burdockmast.limits import strikes
 from burdockmast.node import dependencies
 from burdockmast.node import inspection
@@ -44,7 +44,7 @@
     store: objects.Objects
     follower: follower.Follower
     peers: peers.Peers
-    instances: instances.Instances
+    instances: draining_instances.DrainingInstances
     strikes: strikes.Strikes
     timers: timers.TimerService
     dependencies: dependencies.Dependencies
@@ -82,8 +82,8 @@
         )
         process_peers = peers.Peers(hello, handler)
         process_peers.connected.append(depended.connected)
-        configuration.neighbours = process_peers.all
-        configuration.period = process_peers.period
+        configuration.peer_links = process_peers.all
+        configuration.heartbeat_period = process_peers.period
         listing = None
         if settings.instances_url:
             listing = instancelist.InstanceList(settings.instances_url)
@@ -94,7 +94,9 @@
             store,
             configuration,
             process_peers,
-            instances.Instances(listing, settings.instance, configuration),
+            draining_instances.DrainingInstances(
+                listing, settings.instance, configuration
+            ),
             strikes.Strikes(),
             timers.TimerService(),
             depended,
@@ -140,7 +142,7 @@
             'strikes', CLEAR_SECONDS, self.strikes.forget_old
         )
         self.timers.subscribe(
-            'instances', instances.LOOK_SECONDS, self.instances.look
+            'instances', draining_instances.POLL_SECONDS, self.instances.poll
         )
         for address in self.settings.peers:
             eventlet.spawn(self.peers.get, address)
@@ -155,7 +157,8 @@
             'configuration.version', lambda: self.follower.version
         )
         self.metrics.gauge(
-            'configuration.age_seconds', lambda: self.follower.store_age
+            'configuration.age_seconds',
+            lambda: self.follower.store_age_seconds,
         )
         if not self.settings.metrics_address:
             return
@@ -176,13 +179,13 @@
             case messages.Heartbeat():
                 self._heard(link, message)
             case messages.ChangesWanted(version=version):
-                self.follower.wanted(link, version)
+                self.follower.send_changes_since(link, version)
             case messages.Changes():
-                self.follower.learn(link, message)
+                self.follower.apply_changes(link, message)
             case messages.Snapshot():
-                self.follower.restore(link, message)
+                self.follower.apply_snapshot(link, message)
             case messages.Leaving():
-                self.instances.learn(link, message)
+                self.instances.apply_update(link, message)
             case messages.Query():
                 link.send(inspection.answer(self, message))
             case _:
@@ -191,8 +194,8 @@
 
     def _heard(self, link: links.Link, heartbeat: messages.Heartbeat) -> None:
         self.events.witness(heartbeat.clock)
-        self.follower.heard(link, heartbeat)
-        self.instances.heard(link, heartbeat)
+        self.follower.on_heartbeat(link, heartbeat)
+        self.instances.on_heartbeat(link, heartbeat)
         for strike in heartbeat.strikes:
             self.strikes.add(strike.fingerprint, strike.crash)
 
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -10,11 +10,11 @@
 from burdockmast.base import failures
 from burdockmast.base import ids
 from burdockmast.base import timeline
+from burdockmast.fleet import change_journal
 from burdockmast.fleet import changes
 from burdockmast.fleet import configuration
 from burdockmast.fleet import encoding
 from burdockmast.fleet import follower
-from burdockmast.fleet import operations
 from burdockmast.operator import asking
 from burdockmast.standins import layouts
 from burdockmast.store import objects
@@ -79,7 +79,7 @@
 
     with futures.ThreadPoolExecutor(2) as pool:
         results = list(pool.map(switch, ('peak', 'maintenance')))
-    won = [r for r in results if isinstance(r, operations.Accepted)]
+    won = [r for r in results if isinstance(r, change_journal.Accepted)]
     lost = [r for r in results if isinstance(r, failures.Failure)]
     assert len(won) == len(lost) == 1
     writer = fleet.writer()
@@ -109,7 +109,7 @@
     before = writer.configuration.version
     fleet.set_faults('store', lose_answers=lost)
     result = writer.submit(put('again'))
-    assert isinstance(result, operations.Accepted)
+    assert isinstance(result, change_journal.Accepted)
     assert result.version == before + 1
 
 
@@ -167,10 +167,10 @@
 def test_replayed_changes_alter_nothing():
     one = new_follower()
     sent = tuple(encoded(number) for number in range(1, 6))
-    one.learn(Link(), messages.Changes(1, sent))
+    one.apply_changes(Link(), messages.Changes(1, sent))
     before = msgspec.json.encode(one.configuration)
-    one.learn(Link(), messages.Changes(1, sent[:3]))
-    one.learn(Link(), messages.Changes(4, sent[3:]))
+    one.apply_changes(Link(), messages.Changes(1, sent[:3]))
+    one.apply_changes(Link(), messages.Changes(4, sent[3:]))
     assert one.version == 5
     assert msgspec.json.encode(one.configuration) == before
 
@@ -178,7 +178,7 @@
 def test_gap_in_changes_is_asked_for_not_applied():
     one = new_follower()
     link = Link()
-    one.learn(link, messages.Changes(3, (encoded(3),)))
+    one.apply_changes(link, messages.Changes(3, (encoded(3),)))
     assert one.version == 0
     assert link.sent == [messages.ChangesWanted(0)]
 
@@ -186,15 +186,15 @@
 def test_older_or_damaged_snapshot_is_refused():
     full, one = new_follower(), new_follower()
     sent = tuple(encoded(number) for number in range(1, 4))
-    full.learn(Link(), messages.Changes(1, sent))
+    full.apply_changes(Link(), messages.Changes(1, sent))
     body = encoding.encode(full.configuration)
     good = messages.Snapshot(3, body, encoding.digest(body))
     damaged = messages.Snapshot(3, body + b' ', good.digest)
-    one.restore(Link(), damaged)
+    one.apply_snapshot(Link(), damaged)
     assert one.version == 0
-    one.restore(Link(), good)
+    one.apply_snapshot(Link(), good)
     assert one.version == 3
-    one.restore(Link(), messages.Snapshot(2, body, good.digest))
+    one.apply_snapshot(Link(), messages.Snapshot(2, body, good.digest))
     assert one.version == 3
 
 
@@ -202,10 +202,10 @@
     monkeypatch.setattr(follower, 'KEPT_CHANGES', 2)
     full, one = new_follower(), new_follower()
     sent = tuple(encoded(number) for number in range(1, 7))
-    full.learn(Link(), messages.Changes(1, sent))
+    full.apply_changes(Link(), messages.Changes(1, sent))
     link = Link()
-    full.wanted(link, ids.Version(0))
-    one.restore(Link(), link.sent[0])
+    full.send_changes_since(link, ids.Version(0))
+    one.apply_snapshot(Link(), link.sent[0])
     assert one.configuration == full.configuration
 
 
@@ -217,7 +217,7 @@
 
 
 def test_change_that_would_fill_the_memory_is_an_error(monkeypatch):
-    monkeypatch.setattr(encoding, 'MAX_BYTES', 100)
+    monkeypatch.setattr(encoding, 'MAX_DECOMPRESSED_BYTES', 100)
     with pytest.raises(ValueError, match='larger than 100'):
         encoding.decode(encoded(1), changes.Change)
 
@@ -277,9 +277,9 @@
 def test_preset_that_no_active_server_would_serve_is_told():
     preset = pooled(low=(0, 12), high=(12, 24))
     current = in_force(server('e1', 'low'), server('e2', 'high'))
-    assert current.unserved(preset) is None
+    assert current.check_active_coverage(preset) is None
     current.apply(changes.Change('r', 'me', changes.RetireServer('e2')))
-    assert 'layer 12' in current.unserved(preset).detail
+    assert 'layer 12' in current.check_active_coverage(preset).detail
 
 
 @pytest.mark.parametrize('target', [('', ''), ('e1', 'low')])
