Name crash reports and quarantine as the field does

Strikes and convictions are private words for crash reports of requests and for the quarantine of a request that keeps crashing its servers.

Rename limits.strikes to limits.crashreports, Strikes to CrashReports, is_convicted to is_quarantined, news to recent, forget_old to drop_expired, and the two thresholds, with all uses. Wire and settings names stay, also the timer 'strikes' and the step 'answer.strikes'.

--- a/libs/entry/burdockmast/entry/answers.py
+++ b/libs/entry/burdockmast/entry/answers.py
@@ -103,7 +103,7 @@
         began: float | None = None
         failure: failures.Failure | None = None
         for _ in range(ATTEMPTS):
-            if self._strikes.is_convicted(request.fingerprint):
+            if self._strikes.is_quarantined(request.fingerprint):
                 failure = self._convicted(request)
                 break
             attempt = self._admit(request, progress)
--- a/libs/limits/burdockmast/limits/strikes.py
+++ b/libs/limits/burdockmast/limits/crashreports.py
@@ -1,10 +1,11 @@
-"""Finds requests that crash the servers that run them.
+"""Quarantines requests that crash the backend servers that run them.
 
-Each request that was running when a server crashed gets a strike, known by
-the crash's id, so that news of one crash by many ways counts once. From
-``SUSPECT_STRIKES`` on, a request runs on a server only if no other suspect
-does; so at the crash that convicts, no other suspect was there to share
-the blame, and a healthy request can't collect all its strikes by accident.
+Each request that was running when a server crashed gets a crash report. It
+is keyed by the id of the crash, so a crash that is reported over several
+peers counts once. From ``SUSPECT_CRASH_COUNT`` reports on, a request is a
+suspect, and a server runs at most one suspect at a time. So the crash that
+quarantines a request involved no other suspect, and a harmless request
+doesn't reach ``QUARANTINE_CRASH_COUNT`` merely by running beside others.
 """
 
 import heapq
@@ -12,8 +13,8 @@
 from burdockmast.base import ids
 from burdockmast.base import timers
 
-SUSPECT_STRIKES = 2
-CONVICT_STRIKES = 3
+SUSPECT_CRASH_COUNT = 2
+QUARANTINE_CRASH_COUNT = 3
 # Seconds for which a strike counts.
 MEMORY_SECONDS = 600.0
 # Seconds for which a strike is passed on to neighbours.
@@ -22,7 +23,7 @@
 NEWS_COUNT = 32
 
 
-class Strikes:
+class CrashReports:
     """Strikes known to one process."""
 
     def __init__(self):
@@ -50,13 +51,13 @@
 
     def is_suspect(self, fingerprint: ids.Fingerprint) -> bool:
         """Tell whether a request must not run beside another suspect."""
-        return self.count(fingerprint) >= SUSPECT_STRIKES
+        return self.count(fingerprint) >= SUSPECT_CRASH_COUNT
 
-    def is_convicted(self, fingerprint: ids.Fingerprint) -> bool:
+    def is_quarantined(self, fingerprint: ids.Fingerprint) -> bool:
         """Tell whether a request must not run again."""
-        return self.count(fingerprint) >= CONVICT_STRIKES
+        return self.count(fingerprint) >= QUARANTINE_CRASH_COUNT
 
-    def news(self) -> list[tuple[ids.Fingerprint, str]]:
+    def recent(self) -> list[tuple[ids.Fingerprint, str]]:
         """Return the newest strikes to pass on, most struck first."""
         since = timers.now() - NEWS_SECONDS
         fresh = [
@@ -68,7 +69,7 @@
         worst = heapq.nlargest(NEWS_COUNT, fresh)
         return [(fingerprint, crash) for _, fingerprint, crash in worst]
 
-    def forget_old(self) -> None:
+    def drop_expired(self) -> None:
         """Drop what no longer counts."""
         since = timers.now() - MEMORY_SECONDS
         for fingerprint, crashes in list(self._crashes_by_fingerprint.items()):
--- a/libs/node/burdockmast/node/node.py
+++ b/libs/node/burdockmast/node/node.py
@@ -16,7 +16,7 @@
 from burdockmast.base import timers
 from burdockmast.fleet import follower
 from burdockmast.fleet import instances
-from burdockmast.limits import strikes
+from burdockmast.limits import crashreports
 from burdockmast.node import dependencies
 from burdockmast.node import inspection
 from burdockmast.settings import models
@@ -45,7 +45,7 @@
     follower: follower.Follower
     peers: peers.Peers
     instances: instances.Instances
-    strikes: strikes.Strikes
+    strikes: crashreports.CrashReports
     timers: timers.TimerService
     dependencies: dependencies.Dependencies
     log: logs.Log
@@ -95,7 +95,7 @@
             configuration,
             process_peers,
             instances.Instances(listing, settings.instance, configuration),
-            strikes.Strikes(),
+            crashreports.CrashReports(),
             timers.TimerService(),
             depended,
             cls._log(settings, events, hello),
@@ -137,7 +137,7 @@
             'logs', logs.REPORT_SECONDS, self.log.handler.report
         )
         self.timers.subscribe(
-            'strikes', CLEAR_SECONDS, self.strikes.forget_old
+            'strikes', CLEAR_SECONDS, self.strikes.drop_expired
         )
         self.timers.subscribe(
             'instances', instances.LOOK_SECONDS, self.instances.look
@@ -202,7 +202,7 @@
         """Return the heartbeat of this moment."""
         news = tuple(
             messages.Strike(fingerprint, crash)
-            for fingerprint, crash in self.strikes.news()
+            for fingerprint, crash in self.strikes.recent()
         )
         return messages.Heartbeat(
             self.events.clock,
--- a/libs/side/burdockmast/side/stage.py
+++ b/libs/side/burdockmast/side/stage.py
@@ -11,7 +11,7 @@
 from burdockmast.base import ids
 from burdockmast.base import outcomes
 from burdockmast.base import timers
-from burdockmast.limits import strikes
+from burdockmast.limits import crashreports
 from burdockmast.node import node
 from burdockmast.side import caches
 from burdockmast.side import driver
@@ -196,7 +196,7 @@
             return failures.Reason.DEADLINE
         if not running and self.free_slots == 0:
             return failures.Reason.OVERLOADED
-        if self._strikes.is_convicted(start.fingerprint):
+        if self._strikes.is_quarantined(start.fingerprint):
             return failures.Reason.CRASHES_SERVERS
         if self._is_suspect(start) and any(
             self._is_suspect(other.start)
@@ -212,7 +212,7 @@
         reached this side yet.
         """
         return (
-            start.strikes >= strikes.SUSPECT_STRIKES
+            start.strikes >= crashreports.SUSPECT_CRASH_COUNT
             or self._strikes.is_suspect(start.fingerprint)
         )
 
--- a/tests/test_strikes.py
+++ b/tests/test_crashreports.py
@@ -6,7 +6,7 @@
 
 import program
 
-from burdockmast.limits import strikes
+from burdockmast.limits import crashreports
 from burdockmast.standins import layouts
 from burdockmast.standins import tokens
 
@@ -63,7 +63,7 @@
         for prompt, future in innocents:
             found = program.answer_tokens(future.result())
             assert found == program.expected_tokens(prompt, 80)
-    assert platform.crashes <= strikes.CONVICT_STRIKES
+    assert platform.crashes <= crashreports.QUARANTINE_CRASH_COUNT
 
 
 def test_request_that_finds_engines_dead_is_not_blamed(own_fleet):
@@ -72,7 +72,7 @@
     dead = [f'engine-e{number}' for number in range(1, 5)]
     for name in dead:
         fleet.kill(name)
-    for _ in range(strikes.CONVICT_STRIKES):
+    for _ in range(crashreports.QUARANTINE_CRASH_COUNT):
         refused = fleet.complete([8], 4, **{'Burdockmast-Deadline': '0.5'})
         assert program.error_of(refused)['type'] != 'crashes_servers'
     for name in dead:
@@ -83,22 +83,26 @@
 
 
 def test_one_crash_known_by_many_ways_is_one_strike():
-    record = strikes.Strikes()
+    record = crashreports.CrashReports()
     for _ in range(10):
         record.add('f', 'crash1')
     assert record.count('f') == 1
     record.add('f', 'crash2')
-    assert record.is_suspect('f') and not record.is_convicted('f')
+    assert record.is_suspect('f') and not record.is_quarantined('f')
     record.add('f', 'crash3')
-    assert record.is_convicted('f')
+    assert record.is_quarantined('f')
     record.clear('f')
     assert record.count('f') == 0
 
 
 def test_news_of_the_most_struck_request_is_never_crowded_out():
-    record = strikes.Strikes()
+    record = crashreports.CrashReports()
     for crash in ('c1', 'c2', 'c3'):
         record.add('poison', crash)
         for number in range(100):
             record.add(f'innocent-{crash}-{number}', crash)
-    assert {c for f, c in record.news() if f == 'poison'} == {'c1', 'c2', 'c3'}
+    assert {c for f, c in record.recent() if f == 'poison'} == {
+        'c1',
+        'c2',
+        'c3',
+    }
