Name the retry schedule and its delays

'Returns' of refused callers are retries in the field's terms.

Rename limits.returns to limits.retryschedule, Returns to RetrySchedule, plan to next_delay, spread to add_jitter and the constants, with all uses; test_heavy_days becomes test_overload.

--- a/libs/entry/burdockmast/entry/web.py
+++ b/libs/entry/burdockmast/entry/web.py
@@ -21,7 +21,7 @@
 from burdockmast.entry import refusals
 from burdockmast.entry import services
 from burdockmast.limits import queues
-from burdockmast.limits import returns
+from burdockmast.limits import retryschedule
 from burdockmast.node import node
 
 # One pause between tokens in as many is measured; an entry relays thousands a
@@ -270,7 +270,7 @@
         seconds = failure.retry_after
         if seconds is None or failure.step == queues.WAIT_STEP:
             return failure
-        later = returns.spread(seconds, self._random)
+        later = retryschedule.add_jitter(seconds, self._random)
         return dataclasses.replace(failure, retry_after=round(later, 3))
 
     def _note_refusal(
--- a/libs/gateway/burdockmast/gateway/callers.py
+++ b/libs/gateway/burdockmast/gateway/callers.py
@@ -20,7 +20,7 @@
 from burdockmast.gateway import streams
 from burdockmast.gateway import view
 from burdockmast.gateway import watching
-from burdockmast.limits import returns
+from burdockmast.limits import retryschedule
 
 LOG = logs.get('callers')
 
@@ -296,7 +296,7 @@
         after = None
         if status == 503:
             after = failure.retry_after or RETRY_SECONDS
-            after = round(returns.spread(after, self._random), 3)
+            after = round(retryschedule.add_jitter(after, self._random), 3)
             headers.append(('Retry-After', str(after)))
         if self.is_leaving:
             headers.append(('Connection', 'close'))
--- a/libs/limits/burdockmast/limits/queues.py
+++ b/libs/limits/burdockmast/limits/queues.py
@@ -13,7 +13,7 @@
 from burdockmast.base import failures
 from burdockmast.base import ids
 from burdockmast.base import timers
-from burdockmast.limits import returns
+from burdockmast.limits import retryschedule
 
 # Weight of the newest sample in the smoothed time between admissions.
 PACE_WEIGHT = 0.1
@@ -61,7 +61,7 @@
         self._virtual = 0.0
         self._pace = 0.0
         self._woken_at = 0.0
-        self._returns = returns.Returns(random.Random(seed))
+        self._retry_schedule = retryschedule.RetrySchedule(random.Random(seed))
 
     def __len__(self) -> int:
         """Return how many wait."""
@@ -168,7 +168,7 @@
     def retry_after(self, waiter: Waiter) -> float:
         """Return the seconds after which a refused caller may come back."""
         wait = self.expected_wait(waiter)
-        return self._returns.plan(timers.now(), wait, self._pace)
+        return self._retry_schedule.next_delay(timers.now(), wait, self._pace)
 
 
 def admit(
--- a/libs/limits/burdockmast/limits/returns.py
+++ b/libs/limits/burdockmast/limits/retryschedule.py
@@ -11,13 +11,13 @@
 
 # Shortest and longest time that a refused caller is told to wait, in seconds.
 # Callers ask with deadlines of a minute; later than half of it is too late.
-FLOOR_SECONDS = 0.5
-CEILING_SECONDS = 30.0
+MIN_DELAY_SECONDS = 0.5
+MAX_DELAY_SECONDS = 30.0
 # Share of what is served that is left to callers who come back.
-RETURN_SHARE = 0.5
+RETRY_SHARE = 0.5
 
 
-class Returns:
+class RetrySchedule:
     """The schedule of returns of one queue."""
 
     def __init__(self, source: random.Random):
@@ -28,22 +28,24 @@
         self._random = source
         self._last = float('-inf')
 
-    def plan(self, now: float, wait: float, pace: float) -> float:
+    def next_delay(self, now: float, wait: float, pace: float) -> float:
         """Return the seconds after which a caller may come back.
 
         :param now: monotonic seconds
         :param wait: seconds that a request would wait if it came now
         :param pace: seconds between requests that are served
         """
-        earliest = now + max(wait, FLOOR_SECONDS)
-        at = max(earliest, self._last + pace / RETURN_SHARE)
-        if at - now > CEILING_SECONDS:
-            return self._random.uniform(CEILING_SECONDS / 2, CEILING_SECONDS)
+        earliest = now + max(wait, MIN_DELAY_SECONDS)
+        at = max(earliest, self._last + pace / RETRY_SHARE)
+        if at - now > MAX_DELAY_SECONDS:
+            return self._random.uniform(
+                MAX_DELAY_SECONDS / 2, MAX_DELAY_SECONDS
+            )
         self._last = at
         return at - now
 
 
-def spread(seconds: float, source: random.Random) -> float:
+def add_jitter(seconds: float, source: random.Random) -> float:
     """Return a time up to twice as long, where no pace is known.
 
     Answers the end of an outage, when all that were refused come back.
--- a/tests/test_heavy_days.py
+++ b/tests/test_overload.py
@@ -10,7 +10,7 @@
 
 from burdockmast.base import timers
 from burdockmast.limits import queues
-from burdockmast.limits import returns
+from burdockmast.limits import retryschedule
 
 SERVED_A_SECOND = 20
 PACE = 1 / SERVED_A_SECOND
@@ -156,8 +156,8 @@
 
 
 def one_by_one(seed):
-    schedule = returns.Returns(random.Random(seed))
-    return lambda now, wait: schedule.plan(now, wait, PACE)
+    schedule = retryschedule.RetrySchedule(random.Random(seed))
+    return lambda now, wait: schedule.next_delay(now, wait, PACE)
 
 
 @pytest.mark.parametrize('seed', SEEDS)
@@ -172,7 +172,7 @@
     """Within a deadline of a minute nobody has to come back thrice."""
     before = Rush(same_for_all, seed).play(90)
     after = Rush(one_by_one(seed), seed).play(90)
-    most = 1 + DEADLINE_SECONDS / returns.CEILING_SECONDS
+    most = 1 + DEADLINE_SECONDS / retryschedule.MAX_DELAY_SECONDS
     assert max(after.refusals_by_caller.values()) <= most
     assert after.refusals_by_caller.total() < (
         0.5 * before.refusals_by_caller.total()
@@ -192,7 +192,11 @@
     schedule = one_by_one(1)
     for number in range(100_000):
         seconds = schedule(number * 1e-6, 2.0)
-        assert returns.FLOOR_SECONDS <= seconds <= returns.CEILING_SECONDS
+        assert (
+            retryschedule.MIN_DELAY_SECONDS
+            <= seconds
+            <= retryschedule.MAX_DELAY_SECONDS
+        )
 
 
 def test_quiet_time_leaves_no_plan_behind():
