Name loads, demands and cache use in terms of the field

Methods like learn, note, correct, full and tried leave open what they do; fields of a Demand lack their unit.

--- a/libs/entry/burdockmast/entry/answers.py
+++ b/libs/entry/burdockmast/entry/answers.py
@@ -74,9 +74,9 @@
         if attempt is None or attempt.number != begun.attempt:
             return
         demand = attempt.demand
-        self._view.affinity.correct(demand, attempt.hops, begun.cached)
+        self._view.affinity.apply_reports(demand, attempt.hops, begun.cached)
         self._metrics.count(
-            'prompts.tokens', demand.prompt * len(begun.cached)
+            'prompts.tokens', demand.prompt_tokens * len(begun.cached)
         )
         self._metrics.count('prompts.cached', sum(begun.cached))
         self._events.add(
--- a/libs/entry/burdockmast/entry/fleet.py
+++ b/libs/entry/burdockmast/entry/fleet.py
@@ -34,7 +34,7 @@
 def expected_ranges(
     model: changes.Model,
     placed_by_server: Mapping[ids.ServerId, changes.Placement | None],
-    table: loads.Loads,
+    table: loads.LoadTable,
 ) -> list[tuple[int, int]]:
     """Return the layers of a model that servers hold, or are to hold soon.
 
@@ -43,14 +43,14 @@
     """
     found: list[tuple[int, int]] = []
     for server, placed in placed_by_server.items():
-        load = table.usable(server)
+        load = table.usable_load(server)
         if load:
             found += [
                 (held.first, held.end)
                 for held in load.held
                 if held.model == model.id
             ]
-        if placed and placed.model == model.id and table.may_load(server):
+        if placed and placed.model == model.id and table.may_hold_soon(server):
             found.append((placed.first, placed.end))
     return found
 
@@ -76,7 +76,7 @@
         """
         self.peers = process.peers
         self.follower = process.follower
-        self.loads = loads.Loads()
+        self.loads = loads.LoadTable()
         self.affinity = affinity.Affinity()
         self._subset = subsets.Subset(process.peers.hello.process, size)
         self._router = paths.Router(self.loads, policy, seed)
@@ -97,7 +97,7 @@
 
     def refresh(self, change: changes.Body | None) -> None:
         """Follow a change of configuration."""
-        self._subset.learn(self.follower.configuration, change)
+        self._subset.apply_change(self.follower.configuration, change)
         present = {server.address for server in self.servers}
         for address in self._failed_at.keys() - present:
             del self._failed_at[address]
--- a/libs/entry/burdockmast/entry/openings.py
+++ b/libs/entry/burdockmast/entry/openings.py
@@ -100,15 +100,15 @@
             self._patience(request, progress),
             demand,
         )
-        self._view.loads.begin(hops)
+        self._view.loads.add_attempt(hops)
         self.attempt_by_answer[request.id] = attempt
         link.send(self._start(request, progress, attempt))
         refusal = self._await_opened(attempt)
         if refusal is None:
-            self._view.affinity.note(request.prompt, hops)
+            self._view.affinity.record(request.prompt, hops)
             return attempt
         self.leave(request, attempt)
-        self._view.loads.full(refusal.server)
+        self._view.loads.mark_full(refusal.server)
         return self._refused(refusal)
 
     def _choose(
@@ -206,7 +206,7 @@
         self, request: attempts.Request, attempt: attempts.Attempt
     ) -> None:
         """End an attempt; its messages from now on are late."""
-        self._view.loads.end(attempt.hops)
+        self._view.loads.remove_attempt(attempt.hops)
         if self.attempt_by_answer.get(request.id) is attempt:
             del self.attempt_by_answer[request.id]
         attempt.link.send(messages.Cancel(request.id, attempt.number))
--- a/libs/entry/burdockmast/entry/server.py
+++ b/libs/entry/burdockmast/entry/server.py
@@ -137,7 +137,7 @@
         earlier = self.view.loads.report_by_server.get(load.server)
         if earlier is None or _standing(earlier.load) != _standing(load):
             self._note_standing(load)
-        self.view.loads.learn(load, heartbeat.period_ms / 1000)
+        self.view.loads.apply_report(load, heartbeat.period_ms / 1000)
         self.queue.wake(load.slots - load.running)
 
     def _note_standing(self, load: messages.Load) -> None:
--- a/libs/routing/burdockmast/routing/affinity.py
+++ b/libs/routing/burdockmast/routing/affinity.py
@@ -67,7 +67,7 @@
             self._owner_share * len(prefixes) * BLOCK,
         )
 
-    def note(
+    def record(
         self, prompt: tuple[int, ...], hops: Sequence[messages.Hop]
     ) -> None:
         """Remember that a prompt runs on a path's servers."""
@@ -82,7 +82,7 @@
         while len(self._servers_by_prefix) > self._capacity:
             self._servers_by_prefix.popitem(last=False)
 
-    def correct(
+    def apply_reports(
         self,
         demand: demands.Demand,
         hops: Sequence[messages.Hop],
@@ -94,14 +94,14 @@
         :param found: tokens of the prompt that each had cached
         """
         for hop, tokens in zip(hops, found, strict=False):
-            believed = demand.cached_by_server.get(hop.server, 0.0)
+            believed = demand.cached_tokens_by_server.get(hop.server, 0.0)
             trust = self._trust_by_server.get(hop.server, 1.0)
             if believed:
                 share = min(1.0, tokens * trust / believed)
                 trust += WEIGHT * (share - trust)
                 self._trust_by_server[hop.server] = trust
-            elif demand.key:
-                share = tokens / demand.prompt
+            elif demand.prefix_key:
+                share = tokens / demand.prompt_tokens
                 self._owner_share += WEIGHT * (share - self._owner_share)
 
     def forget(self, server: ids.ServerId) -> None:
--- a/libs/routing/burdockmast/routing/demands.py
+++ b/libs/routing/burdockmast/routing/demands.py
@@ -10,24 +10,24 @@
 class Demand:
     """The size of an answer, and where its prompt is probably cached.
 
-    :ivar prompt: tokens to prefill where nothing is cached
-    :ivar answer: tokens still to be generated
-    :ivar cached_by_server: tokens of the prompt that are probably cached
-    :ivar key: the same for prompts that begin alike; empty if too short
-    :ivar owner_cached: tokens that are probably cached at its owners
+    :ivar prompt_tokens: tokens to prefill where nothing is cached
+    :ivar answer_tokens: tokens still to be generated
+    :ivar cached_tokens_by_server: prompt tokens that are probably cached
+    :ivar prefix_key: the same for prompts that begin alike; empty if too short
+    :ivar owner_cached_tokens: tokens that are probably cached at its owners
     """
 
-    prompt: int = 0
-    answer: int = 1
-    cached_by_server: Mapping[ids.ServerId, float] = dataclasses.field(
+    prompt_tokens: int = 0
+    answer_tokens: int = 1
+    cached_tokens_by_server: Mapping[ids.ServerId, float] = dataclasses.field(
         default_factory=dict
     )
-    key: bytes = b''
-    owner_cached: float = 0.0
+    prefix_key: bytes = b''
+    owner_cached_tokens: float = 0.0
 
-    def uncached(self, server: ids.ServerId, is_owner: bool) -> float:
+    def uncached_tokens(self, server: ids.ServerId, is_owner: bool) -> float:
         """Return the prompt tokens that a server probably has to prefill."""
-        cached = self.cached_by_server.get(server, 0.0)
+        cached = self.cached_tokens_by_server.get(server, 0.0)
         if is_owner:
-            cached = max(cached, self.owner_cached)
-        return max(0.0, self.prompt - cached)
+            cached = max(cached, self.owner_cached_tokens)
+        return max(0.0, self.prompt_tokens - cached)
--- a/libs/routing/burdockmast/routing/paths.py
+++ b/libs/routing/burdockmast/routing/paths.py
@@ -41,7 +41,7 @@
 
     def __init__(
         self,
-        table: loads.Loads,
+        table: loads.LoadTable,
         policy: policies.Policy,
         seed: int | None = None,
     ):
@@ -81,7 +81,7 @@
     ) -> list[search.Candidate]:
         found: list[search.Candidate] = []
         for server in servers:
-            load = self._loads.usable(server.id)
+            load = self._loads.usable_load(server.id)
             if not load:
                 continue
             for held in load.held:
@@ -137,21 +137,23 @@
         policy: policies.LowestCost,
     ) -> Path:
         groups = _groups(free)
-        cached = frozenset(demand.cached_by_server)
+        cached = frozenset(demand.cached_tokens_by_server)
         owners = frozenset()
-        match policy.caches:
-            case policies.Caches.IGNORED:
+        match policy.cache_use:
+            case policies.CacheUse.IGNORED:
                 cached = frozenset()
                 demand = ANY_DEMAND
-            case policies.Caches.OWNERS if demand.key:
-                owners = _owners(groups, demand.key)
+            case policies.CacheUse.OWNERS if demand.prefix_key:
+                owners = _owners(groups, demand.prefix_key)
         costs = {
             c.server.id: self._demand_seconds(c, demand, c.server.id in owners)
             for c in free
         }
         trial = self._trial(free)
         costs.update(dict.fromkeys(trial, 0.0))
-        sampled = self._sample(groups, policy.choices, cached | owners | trial)
+        sampled = self._sample(
+            groups, policy.sample_size, cached | owners | trial
+        )
         path = self._cheapest(model, sampled, costs)
         # A sample may have holes that the whole does not have.
         return path or self._cheapest(model, free, costs)
@@ -167,11 +169,11 @@
         if self._choices % TRIAL_CHOICES:
             return frozenset()
         servers = [c.server.id for c in free]
-        due = [s for s in servers if self._loads.is_unmeasured(s)]
+        due = [s for s in servers if self._loads.is_measurement_stale(s)]
         if not due:
             return frozenset()
-        oldest = max(due, key=self._loads.measured_age)
-        self._loads.tried(oldest)
+        oldest = max(due, key=self._loads.measurement_age)
+        self._loads.reset_measurement_age(oldest)
         return frozenset((oldest,))
 
     def _sample(
@@ -197,7 +199,7 @@
         layer_by_server: dict[ids.ServerId, float],
     ) -> Path:
         costs = search.Costs(layer_by_server, self._link_seconds)
-        return search.cheapest(model.layers, candidates, costs)
+        return search.cheapest_path(model.layers, candidates, costs)
 
     def _layer_seconds(self, candidate: search.Candidate) -> float:
         """Return the time of a layer for one sequence."""
@@ -219,10 +221,10 @@
         load = self._loads.report_by_server[server].load
         seconds = self._layer_seconds(candidate)
         prefill = load.prefill_ns / 1e9 or seconds * UNKNOWN_PREFILL_SHARE
-        uncached = demand.uncached(server, is_owner)
+        uncached = demand.uncached_tokens(server, is_owner)
         prefill_seconds = PREFILL_WEIGHT * uncached * prefill
-        seconds += prefill_seconds / max(1, demand.answer)
-        return seconds * (1 + self._loads.running(server))
+        seconds += prefill_seconds / max(1, demand.answer_tokens)
+        return seconds * (1 + self._loads.running_count(server))
 
     def _link_seconds(
         self, here: search.Candidate, there: search.Candidate
@@ -254,7 +256,9 @@
     def _least_loaded(
         self, fitting: list[search.Candidate]
     ) -> search.Candidate:
-        return min(fitting, key=lambda c: self._loads.running(c.server.id))
+        return min(
+            fitting, key=lambda c: self._loads.running_count(c.server.id)
+        )
 
     def _in_turn(self, fitting: list[search.Candidate]) -> search.Candidate:
         return fitting[next(self._turn) % len(fitting)]
--- a/libs/routing/burdockmast/routing/policies.py
+++ b/libs/routing/burdockmast/routing/policies.py
@@ -4,7 +4,7 @@
 import enum
 
 
-class Caches(enum.Enum):
+class CacheUse(enum.Enum):
     """What is made of engines' caches of prompt prefixes."""
 
     IGNORED = 'ignored'
@@ -20,11 +20,11 @@
 
     A stage's time is that of all the answers which run there, and one more.
 
-    :ivar choices: servers sampled of each group of equal layer ranges
+    :ivar sample_size: servers sampled of each group of equal layer ranges
     """
 
-    choices: int = 3
-    caches: Caches = Caches.OWNERS
+    sample_size: int = 3
+    cache_use: CacheUse = CacheUse.OWNERS
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,8 +46,8 @@
 
 POLICY_BY_NAME: dict[str, Policy] = {
     'lowest-cost': LowestCost(),
-    'lowest-cost-own-caches': LowestCost(caches=Caches.OWN),
-    'lowest-cost-no-caches': LowestCost(caches=Caches.IGNORED),
+    'lowest-cost-own-caches': LowestCost(cache_use=CacheUse.OWN),
+    'lowest-cost-no-caches': LowestCost(cache_use=CacheUse.IGNORED),
     'shortest-path': ShortestPath(),
     'least-loaded': LeastLoaded(),
     'round-robin': RoundRobin(),
--- a/libs/routing/burdockmast/routing/search.py
+++ b/libs/routing/burdockmast/routing/search.py
@@ -12,7 +12,7 @@
 from burdockmast.wire import messages
 
 # Cost of one more stage, in seconds.
-HOP_SECONDS = 0.0005
+STAGE_OVERHEAD_SECONDS = 0.0005
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,12 +32,12 @@
 class Costs:
     """What stages and links cost, in seconds for each token.
 
-    :ivar layer_by_server: of one layer at a server
-    :ivar link: of the link from one server to another
+    :ivar layer_seconds_by_server: of one layer at a server
+    :ivar link_seconds: of the link from one server to another
     """
 
-    layer_by_server: Mapping[ids.ServerId, float]
-    link: Callable[[Candidate, Candidate], float]
+    layer_seconds_by_server: Mapping[ids.ServerId, float]
+    link_seconds: Callable[[Candidate, Candidate], float]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,7 +56,7 @@
         return self.candidate.server.id, self.first
 
 
-def cheapest(
+def cheapest_path(
     layers: int, candidates: list[Candidate], costs: Costs
 ) -> tuple[messages.Hop, ...]:
     """Return the cheapest path through all layers, empty if there is none.
@@ -92,11 +92,11 @@
 ) -> Iterator[tuple[float, _Branch]]:
     """Yield the paths that are one stage longer, and what that costs."""
     here = branch.candidate
-    per_layer = costs.layer_by_server[here.server.id]
+    per_layer = costs.layer_seconds_by_server[here.server.id]
     for end in cuts:
         if not branch.first < end <= here.end:
             continue
-        cost = HOP_SECONDS + per_layer * (end - branch.first)
+        cost = STAGE_OVERHEAD_SECONDS + per_layer * (end - branch.first)
         hops = (*branch.hops, here.hop(branch.first, end))
         if end == layers:
             yield cost, _Branch(None, end, hops)
@@ -106,5 +106,5 @@
                 continue
             if any(hop.server == following.server.id for hop in hops):
                 continue
-            link = costs.link(here, following)
+            link = costs.link_seconds(here, following)
             yield cost + link, _Branch(following, end, hops)
--- a/libs/routing/burdockmast/routing/subsets.py
+++ b/libs/routing/burdockmast/routing/subsets.py
@@ -41,7 +41,7 @@
         """Tell whether any server of the fleet is of a plain service."""
         return self._count_by_service[service] > 0
 
-    def learn(
+    def apply_change(
         self,
         current: configuration.Configuration,
         change: changes.Body | None,
--- a/tests/test_caches.py
+++ b/tests/test_caches.py
@@ -131,34 +131,34 @@
 
 def test_entry_remembers_where_a_prefix_ran():
     memory = affinity.Affinity()
-    memory.note(BEGINNING + (1, 2, 3), [hop('a', 0, 8), hop('b', 8, 24)])
+    memory.record(BEGINNING + (1, 2, 3), [hop('a', 0, 8), hop('b', 8, 24)])
     demand = memory.demand(BEGINNING + (7, 8, 9), 20)
-    assert demand.cached_by_server == {'a': 512, 'b': 512}
-    assert demand.uncached('a', False) == 3
+    assert demand.cached_tokens_by_server == {'a': 512, 'b': 512}
+    assert demand.uncached_tokens('a', False) == 3
 
 
 def test_trust_follows_what_sides_report():
     memory = affinity.Affinity()
     for _ in range(50):
-        memory.note(BEGINNING, [hop('a')])
+        memory.record(BEGINNING, [hop('a')])
         demand = memory.demand(BEGINNING, 20)
-        memory.correct(demand, [hop('a')], (0,))
-    lost = memory.demand(BEGINNING, 20).cached_by_server['a']
+        memory.apply_reports(demand, [hop('a')], (0,))
+    lost = memory.demand(BEGINNING, 20).cached_tokens_by_server['a']
     assert lost < 64
     for _ in range(50):
         demand = memory.demand(BEGINNING, 20)
-        memory.correct(demand, [hop('a')], (512,))
-    assert memory.demand(BEGINNING, 20).cached_by_server['a'] > 448
+        memory.apply_reports(demand, [hop('a')], (512,))
+    assert memory.demand(BEGINNING, 20).cached_tokens_by_server['a'] > 448
 
 
 def test_owner_counts_less_if_nothing_is_found_there():
     memory = affinity.Affinity()
-    assert memory.demand(BEGINNING, 20).owner_cached == 256
+    assert memory.demand(BEGINNING, 20).owner_cached_tokens == 256
     for number in range(50):
         prompt = tuple(range(1000 * number, 1000 * number + 512))
         demand = memory.demand(prompt, 20)
-        memory.correct(demand, [hop('a')], (0,))
-    assert memory.demand(BEGINNING, 20).owner_cached < 10
+        memory.apply_reports(demand, [hop('a')], (0,))
+    assert memory.demand(BEGINNING, 20).owner_cached_tokens < 10
 
 
 def test_owners_are_even_and_move_only_with_their_server():
@@ -172,9 +172,9 @@
         assert old == new or old == 'e7'
 
 
-def router_over(running, caches_used=policies.Caches.OWNERS, entries=1):
+def router_over(running, caches_used=policies.CacheUse.OWNERS, entries=1):
     """Return routers over equal servers that run so many answers."""
-    table = loads.Loads()
+    table = loads.LoadTable()
     servers = []
     for number, count in enumerate(running):
         name = f'e{number}'
@@ -183,8 +183,8 @@
         load = messages.Load(
             name, count, 64, 100_000, False, held, prefill_ns=20_000
         )
-        table.learn(load, 1.0)
-    policy = policies.LowestCost(caches=caches_used)
+        table.apply_report(load, 1.0)
+    policy = policies.LowestCost(cache_use=caches_used)
     routers = [paths.Router(table, policy, seed) for seed in range(entries)]
     return routers, servers
 
@@ -202,7 +202,7 @@
 def test_cached_prefix_is_weighed_against_load():
     """Proves: a cache draws answers only as far as it saves work."""
     memory = affinity.Affinity()
-    memory.note(BEGINNING, [hop('e0')])
+    memory.record(BEGINNING, [hop('e0')])
     # Over 200 tokens, running the prompt costs 1.5 times what they do, and
     # half of that at its owner.
     demand = memory.demand(BEGINNING, 200)
@@ -212,7 +212,7 @@
         assert (path[0].server == 'e0') is is_cached
 
 
-@pytest.mark.parametrize('kept', list(policies.Caches))
+@pytest.mark.parametrize('kept', list(policies.CacheUse))
 def test_path_is_found_whatever_is_made_of_caches(kept):
     (router,), servers = router_over([4] * 4, kept)
     demand = affinity.Affinity().demand(BEGINNING, 20)
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -98,14 +98,14 @@
 
 
 def table_of(ranges, layer_ns=1000, running=0, slots=64):
-    table = loads.Loads()
+    table = loads.LoadTable()
     servers = []
     for number, (first, end) in enumerate(ranges):
         name = f'e{number}'
         servers.append(changes.Server(name, f'127.0.0.1:{number + 1}', 'za'))
         held = (messages.LayerRange('draft', first, end),)
         load = messages.Load(name, running, slots, layer_ns, False, held)
-        table.learn(load, 1.0)
+        table.apply_report(load, 1.0)
     return table, servers
 
 
@@ -149,7 +149,7 @@
     for name, running, step in (('e0', 0, 9000), ('e1', 64, 100)):
         held = (messages.LayerRange('draft', 0, 24),)
         load = messages.Load(name, running, 64, step, False, held)
-        table.learn(load, 1.0)
+        table.apply_report(load, 1.0)
     router = paths.Router(table, policies.LowestCost(), seed=1)
     path = router.choose(changes.Model('draft', 24), servers)
     assert [hop.server for hop in path] == ['e2']
@@ -160,7 +160,7 @@
     router = paths.Router(table, policies.LowestCost(), seed=1)
     model = changes.Model('draft', 24)
     for _ in range(2):
-        table.begin(router.choose(model, servers))
+        table.add_attempt(router.choose(model, servers))
     full = router.choose(model, servers)
     assert full.reason is failures.Reason.OVERLOADED
 
--- a/tests/test_trickle.py
+++ b/tests/test_remeasurement.py
@@ -38,12 +38,12 @@
 def report(table, server, layer_ns):
     held = (messages.LayerRange(MODEL.id, 0, MODEL.layers),)
     load = messages.Load(server, 0, 64, layer_ns, False, held, ())
-    table.learn(load, PERIOD)
+    table.apply_report(load, PERIOD)
 
 
 def play(clock, seconds, seed=1):
     """Return how many answers each server got at light load."""
-    table = loads.Loads()
+    table = loads.LoadTable()
     router = paths.Router(table, policies.LowestCost(), seed)
     chosen = collections.Counter()
     for number in range(seconds * ANSWERS_A_SECOND):
@@ -73,7 +73,7 @@
 
 
 def test_server_that_is_at_work_needs_no_trial(clock):
-    table = loads.Loads()
+    table = loads.LoadTable()
     router = paths.Router(table, policies.LowestCost(), 1)
     for number in range(2000):
         for server, layer_ns in LAYER_NS_BY_SERVER.items():
--- a/tests/test_subsets.py
+++ b/tests/test_subsets.py
@@ -30,7 +30,7 @@
     def take(self, body):
         self.current.apply(changes.Change('id', 'me', body))
         for subset in self.subsets:
-            subset.learn(self.current, body)
+            subset.apply_change(self.current, body)
 
     def add(self, name, service=''):
         kind = changes.ServerKind.ENGINE
@@ -88,7 +88,7 @@
         else:
             fleet.take(change)
         anew = subsets.Subset('entry', 2)
-        anew.learn(fleet.current, None)
+        anew.apply_change(fleet.current, None)
         (followed,) = fleet.subsets
         assert names(followed) == names(anew)
         assert len(followed.servers) == len(anew.servers)
--- a/tests/test_unserved.py
+++ b/tests/test_unserved.py
@@ -124,9 +124,9 @@
 @pytest.mark.parametrize('case', CASES)
 def test_path_may_come_only_from_servers_that_will_hold_it(case):
     reports, expected = CASES[case]
-    table = loads.Loads()
+    table = loads.LoadTable()
     for report in reports:
-        table.learn(report, 1.0)
+        table.apply_report(report, 1.0)
     found = fleets.expected_ranges(MODEL, {'low': LOW, 'high': HIGH}, table)
     assert (fleets.covers(MODEL, found)) is expected
 
@@ -149,7 +149,7 @@
         follower=types.SimpleNamespace(subscribers=[], configuration=current),
     )
     found = fleets.FleetView(process, policies.LowestCost(), 24)
-    found._subset.learn(current, None)
+    found._subset.apply_change(current, None)
     return found
 
 
