--- a/libs/routing/burdockmast/routing/__init__.py
+++ b/libs/routing/burdockmast/routing/__init__.py
@@ -1,1 +1,1 @@
-"""Which backend servers run an answer."""
+"""Chooses the backend servers that run an answer."""
--- a/libs/routing/burdockmast/routing/demands.py
+++ b/libs/routing/burdockmast/routing/demands.py
@@ -1,4 +1,4 @@
-"""What an answer asks of the servers on its path."""
+"""The work that an answer requires of the servers on its path."""
 
 from collections.abc import Mapping
 import dataclasses
@@ -8,13 +8,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Demand:
-    """The size of an answer, and where its prompt is probably cached.
+    """Token counts of an answer, and where its prompt is probably cached.
 
-    :ivar prompt_tokens: tokens to prefill where nothing is cached
-    :ivar answer_tokens: tokens still to be generated
-    :ivar cached_tokens_by_server: prompt tokens that are probably cached
-    :ivar prefix_key: the same for prompts that begin alike; empty if too short
-    :ivar owner_cached_tokens: tokens that are probably cached at its owners
+    :ivar prompt_tokens: to prefill where nothing is cached
+    :ivar answer_tokens: still to be generated
+    :ivar cached_tokens_by_server: estimate for servers that had the prefix
+    :ivar prefix_key: digest of the prompt's first block, by which its owners
+        are found; empty if the prompt is shorter than a block
+    :ivar owner_cached_tokens: estimate for the owners of the prefix
     """
 
     prompt_tokens: int = 0
@@ -26,7 +27,7 @@
     owner_cached_tokens: float = 0.0
 
     def uncached_tokens(self, server: ids.ServerId, is_owner: bool) -> float:
-        """Return the prompt tokens that a server probably has to prefill."""
+        """Estimate the prompt tokens that a server has to prefill."""
         cached = self.cached_tokens_by_server.get(server, 0.0)
         if is_owner:
             cached = max(cached, self.owner_cached_tokens)
--- a/libs/routing/burdockmast/routing/paths.py
+++ b/libs/routing/burdockmast/routing/paths.py
@@ -16,23 +16,23 @@
 from burdockmast.routing import search
 from burdockmast.wire import messages
 
-# One-way link times assumed until measured, in seconds.
-SAME_ZONE_SECONDS = 0.0001
-OTHER_ZONE_SECONDS = 0.001
-# Time of a layer assumed of a server that has not run anything, in seconds.
-UNKNOWN_LAYER_SECONDS = 0.0001
-# Time of a prompt's token until measured, as a share of an answer's.
-UNKNOWN_PREFILL_SHARE = 0.02
-# A prompt holds up the answers that run on its engine, there and at the
-# other stages of their paths, so its time counts more than once.
+# One-way link times assumed until links are measured.
+SAME_ZONE_LINK_SECONDS = 0.0001
+OTHER_ZONE_LINK_SECONDS = 0.001
+# Layer time assumed for a server that has not run anything yet.
+DEFAULT_LAYER_SECONDS = 0.0001
+# Time of a prompt token until measured, as a share of an answer token's time.
+DEFAULT_PREFILL_SHARE = 0.02
+# Prefill delays the answers that run on the same engine, at this stage and at
+# the other stages of their paths. Its time therefore counts more than once.
 PREFILL_WEIGHT = 3.0
-# One choice in as many may go through a server whose measured time is old.
-# The target allows five callers in a hundred a slow answer; this stays below.
-TRIAL_CHOICES = 100
-ANY_DEMAND = demands.Demand()
+# One choice in this many may go through a server whose layer time is stale.
+# The target allows 5% of callers a slow answer; 1% stays well below that.
+CHOICES_PER_MEASUREMENT = 100
+DEFAULT_DEMAND = demands.Demand()
 
 Path = tuple[messages.Hop, ...]
-# Candidates that can stand in for each other, by the layers they hold.
+# Interchangeable candidates, by the layer range that they hold.
 Groups = dict[tuple[int, int], list[search.Candidate]]
 
 
@@ -47,20 +47,20 @@
     ):
         """Create a router.
 
-        :param seed: makes the sampling repeatable
+        :param seed: makes sampling repeatable
         """
         self._loads = table
         self._policy = policy
         self._random = random.Random(seed)
-        self._turn = itertools.count()
-        self._choices = 0
+        self._round_robin_count = itertools.count()
+        self._choice_count = 0
 
     def choose(
         self,
         model: changes.Model,
         servers: list[changes.Server],
         excluded: frozenset[ids.ServerId] = frozenset(),
-        demand: demands.Demand = ANY_DEMAND,
+        demand: demands.Demand = DEFAULT_DEMAND,
     ) -> Path | failures.Failure:
         """Return the stages of a path through all layers of ``model``.
 
@@ -68,13 +68,13 @@
         """
         held = self._candidates(model, servers)
         usable = [c for c in held if c.server.id not in excluded]
-        # With nowhere else to go, a server that failed before is tried.
+        # Servers that failed this request are used if no others are free.
         for candidates in (usable, held):
-            free = [c for c in candidates if self._is_free(c)]
-            path = self._search(model, free, demand)
+            free = [c for c in candidates if self._has_free_slot(c)]
+            path = self._find_path(model, free, demand)
             if path:
                 return path
-        return self._no_path(model, held)
+        return self._no_path_failure(model, held)
 
     def _candidates(
         self, model: changes.Model, servers: list[changes.Server]
@@ -91,10 +91,10 @@
                     )
         return found
 
-    def _is_free(self, candidate: search.Candidate) -> bool:
+    def _has_free_slot(self, candidate: search.Candidate) -> bool:
         return self._loads.occupancy(candidate.server.id) < 1
 
-    def _no_path(
+    def _no_path_failure(
         self, model: changes.Model, held: list[search.Candidate]
     ) -> failures.Failure:
         reached = ranges.reached((c.first, c.end) for c in held)
@@ -112,7 +112,7 @@
             retry_after=1.0,
         )
 
-    def _search(
+    def _find_path(
         self,
         model: changes.Model,
         free: list[search.Candidate],
@@ -123,11 +123,11 @@
                 return self._lowest_cost(model, free, demand, policy)
             case policies.ShortestPath():
                 costs = {c.server.id: self._layer_seconds(c) for c in free}
-                return self._cheapest(model, free, costs)
+                return self._cheapest_path(model, free, costs)
             case policies.LeastLoaded():
                 return self._greedy(model, free, self._least_loaded)
             case policies.RoundRobin():
-                return self._greedy(model, free, self._in_turn)
+                return self._greedy(model, free, self._round_robin)
 
     def _lowest_cost(
         self,
@@ -142,31 +142,36 @@
         match policy.cache_use:
             case policies.CacheUse.IGNORED:
                 cached = frozenset()
-                demand = ANY_DEMAND
+                demand = DEFAULT_DEMAND
             case policies.CacheUse.OWNERS if demand.prefix_key:
                 owners = _owners(groups, demand.prefix_key)
         costs = {
-            c.server.id: self._demand_seconds(c, demand, c.server.id in owners)
+            c.server.id: self._answer_layer_seconds(
+                c, demand, c.server.id in owners
+            )
             for c in free
         }
-        trial = self._trial(free)
-        costs.update(dict.fromkeys(trial, 0.0))
+        measured = self._due_for_measurement(free)
+        # At no cost, the path goes through the server to be measured.
+        costs.update(dict.fromkeys(measured, 0.0))
         sampled = self._sample(
-            groups, policy.sample_size, cached | owners | trial
+            groups, policy.sample_size, cached | owners | measured
         )
-        path = self._cheapest(model, sampled, costs)
-        # A sample may have holes that the whole does not have.
-        return path or self._cheapest(model, free, costs)
+        path = self._cheapest_path(model, sampled, costs)
+        # The sample may lack a path that all candidates together have.
+        return path or self._cheapest_path(model, free, costs)
 
-    def _trial(self, free: list[search.Candidate]) -> frozenset[ids.ServerId]:
-        """Now and then return one server that is due to be measured again.
+    def _due_for_measurement(
+        self, free: list[search.Candidate]
+    ) -> frozenset[ids.ServerId]:
+        """Return at times the idle server whose layer time is the oldest.
 
-        While there is little load, all of it goes to the server that seems
-        fastest. One that was slow for a moment would never get work, and so
-        never show that it is fast again.
+        Under low load, the servers that seem fastest get all the work. A
+        server that was slow for a moment would get none, so its layer time
+        would never be measured again.
         """
-        self._choices += 1
-        if self._choices % TRIAL_CHOICES:
+        self._choice_count += 1
+        if self._choice_count % CHOICES_PER_MEASUREMENT:
             return frozenset()
         servers = [c.server.id for c in free]
         due = [s for s in servers if self._loads.is_measurement_stale(s)]
@@ -177,50 +182,53 @@
         return frozenset((oldest,))
 
     def _sample(
-        self, groups: Groups, choices: int, wanted: frozenset[ids.ServerId]
+        self,
+        groups: Groups,
+        sample_size: int,
+        required: frozenset[ids.ServerId],
     ) -> list[search.Candidate]:
-        """Return a few servers of each group, with those that are wanted."""
+        """Return a random sample of each group, and all required servers."""
         sampled: list[search.Candidate] = []
         for group in groups.values():
-            count = min(choices, len(group))
-            some = self._random.sample(group, count)
-            sampled.extend(some)
+            count = min(sample_size, len(group))
+            picked = self._random.sample(group, count)
+            sampled.extend(picked)
             sampled.extend(
                 candidate
                 for candidate in group
-                if candidate.server.id in wanted and candidate not in some
+                if candidate.server.id in required and candidate not in picked
             )
         return sampled
 
-    def _cheapest(
+    def _cheapest_path(
         self,
         model: changes.Model,
         candidates: list[search.Candidate],
-        layer_by_server: dict[ids.ServerId, float],
+        layer_seconds_by_server: dict[ids.ServerId, float],
     ) -> Path:
-        costs = search.Costs(layer_by_server, self._link_seconds)
+        costs = search.Costs(layer_seconds_by_server, self._link_seconds)
         return search.cheapest_path(model.layers, candidates, costs)
 
     def _layer_seconds(self, candidate: search.Candidate) -> float:
-        """Return the time of a layer for one sequence."""
+        """Return the time of one layer for one sequence."""
         load = self._loads.report_by_server[candidate.server.id].load
-        return load.layer_ns / 1e9 or UNKNOWN_LAYER_SECONDS
+        return load.layer_ns / 1e9 or DEFAULT_LAYER_SECONDS
 
-    def _demand_seconds(
+    def _answer_layer_seconds(
         self,
         candidate: search.Candidate,
         demand: demands.Demand,
         is_owner: bool,
     ) -> float:
-        """Return a layer's time for each token until an answer's turn ends.
+        """Estimate the time of one layer for each token of an answer.
 
-        The tokens of the prompt that are not cached are spread over those
-        of the answer.
+        Includes the other answers that run on the server, and the prefill of
+        the uncached prompt tokens, spread over the answer's tokens.
         """
         server = candidate.server.id
         load = self._loads.report_by_server[server].load
         seconds = self._layer_seconds(candidate)
-        prefill = load.prefill_ns / 1e9 or seconds * UNKNOWN_PREFILL_SHARE
+        prefill = load.prefill_ns / 1e9 or seconds * DEFAULT_PREFILL_SHARE
         uncached = demand.uncached_tokens(server, is_owner)
         prefill_seconds = PREFILL_WEIGHT * uncached * prefill
         seconds += prefill_seconds / max(1, demand.answer_tokens)
@@ -233,7 +241,7 @@
         return self._loads.link_seconds(
             here.server.id,
             there.server.address,
-            SAME_ZONE_SECONDS if same else OTHER_ZONE_SECONDS,
+            SAME_ZONE_LINK_SECONDS if same else OTHER_ZONE_LINK_SECONDS,
         )
 
     def _greedy(
@@ -260,8 +268,10 @@
             fitting, key=lambda c: self._loads.running_count(c.server.id)
         )
 
-    def _in_turn(self, fitting: list[search.Candidate]) -> search.Candidate:
-        return fitting[next(self._turn) % len(fitting)]
+    def _round_robin(
+        self, fitting: list[search.Candidate]
+    ) -> search.Candidate:
+        return fitting[next(self._round_robin_count) % len(fitting)]
 
 
 def _groups(candidates: list[search.Candidate]) -> Groups:
@@ -272,7 +282,7 @@
 
 
 def _owners(groups: Groups, key: bytes) -> frozenset[ids.ServerId]:
-    """Return the owner of a key in each group."""
+    """Return the owner of a prefix key in each group."""
     return frozenset(
         rendezvous.owner(key, [c.server.id for c in group])
         for group in groups.values()
--- a/libs/routing/burdockmast/routing/policies.py
+++ b/libs/routing/burdockmast/routing/policies.py
@@ -1,26 +1,26 @@
-"""Ways to choose among paths; the project's own and its baselines."""
+"""Routing policies: the default and the baselines to compare it with."""
 
 import dataclasses
 import enum
 
 
 class CacheUse(enum.Enum):
-    """What is made of engines' caches of prompt prefixes."""
+    """Which knowledge of engines' prefix caches a policy uses."""
 
     IGNORED = 'ignored'
-    # Servers that this entry has sent a prefix to.
+    # Servers that this entry has sent the prefix to.
     OWN = 'own'
-    # Beside these an owner that all entries agree on.
+    # These, and the owners of the prefix, on which all entries agree.
     OWNERS = 'owners'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LowestCost:
-    """Shortest path by measured stage and link times under load.
+    """Takes the path with the lowest measured stage and link times under load.
 
-    A stage's time is that of all the answers which run there, and one more.
+    A stage's time covers all answers that run there and the new one.
 
-    :ivar sample_size: servers sampled of each group of equal layer ranges
+    :ivar sample_size: servers drawn from each group with equal layer ranges
     """
 
     sample_size: int = 3
@@ -29,17 +29,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ShortestPath:
-    """Shortest path by stage and link times, whatever the load."""
+    """Takes the path with the lowest stage and link times without load."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeastLoaded:
-    """At each stage the server with the fewest answers."""
+    """Takes the server with the fewest running answers at each stage."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RoundRobin:
-    """At each stage the servers in turn."""
+    """Takes the servers of each stage in turn."""
 
 
 Policy = LowestCost | ShortestPath | LeastLoaded | RoundRobin
--- a/libs/routing/burdockmast/routing/rendezvous.py
+++ b/libs/routing/burdockmast/routing/rendezvous.py
@@ -1,4 +1,6 @@
-"""Owners of prompt prefixes, which all entries agree on without a message.
+"""Rendezvous hashing of prompt prefixes to owners.
+
+All entries find the same owners without exchanging messages.
 
 Source: D. Thaler and C. Ravishankar, "Using Name-Based Mappings to Increase
 Hit Rates", IEEE/ACM Transactions on Networking 6(1), 1998 (highest random
--- a/libs/routing/burdockmast/routing/search.py
+++ b/libs/routing/burdockmast/routing/search.py
@@ -1,4 +1,4 @@
-"""The cheapest path over layer ranges, by Dijkstra's algorithm."""
+"""Finds the cheapest path over layer ranges by Dijkstra's algorithm."""
 
 from collections.abc import Callable
 from collections.abc import Iterator
@@ -11,7 +11,7 @@
 from burdockmast.fleet import changes
 from burdockmast.wire import messages
 
-# Cost of one more stage, in seconds.
+# Cost of each stage beside its layers and links.
 STAGE_OVERHEAD_SECONDS = 0.0005
 
 
@@ -24,16 +24,16 @@
     end: int
 
     def hop(self, first: int, end: int) -> messages.Hop:
-        """Return the part of a path that runs layers here."""
+        """Return the hop that runs these layers on this server."""
         return messages.Hop(self.server.id, self.server.address, first, end)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Costs:
-    """What stages and links cost, in seconds for each token.
+    """Costs of stages and links, in seconds for each token.
 
-    :ivar layer_seconds_by_server: of one layer at a server
-    :ivar link_seconds: of the link from one server to another
+    :ivar layer_seconds_by_server: for one layer
+    :ivar link_seconds: returns the cost from one server to another
     """
 
     layer_seconds_by_server: Mapping[ids.ServerId, float]
@@ -41,8 +41,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Branch:
-    """A path that has come to a server, to run ``first`` there.
+class _PartialPath:
+    """A path that continues with layer ``first`` on ``candidate``.
 
     ``candidate`` is None for a path through all layers.
     """
@@ -52,7 +52,7 @@
     hops: tuple[messages.Hop, ...]
 
     @property
-    def place(self) -> tuple[ids.ServerId, int]:
+    def state(self) -> tuple[ids.ServerId, int]:
         return self.candidate.server.id, self.first
 
 
@@ -61,45 +61,49 @@
 ) -> tuple[messages.Hop, ...]:
     """Return the cheapest path through all layers, empty if there is none.
 
-    A path may leave a server wherever some server's range begins or ends.
+    A path may switch servers wherever some server's range begins or ends.
     """
-    cuts = sorted({c.first for c in candidates} | {c.end for c in candidates})
-    numbers = itertools.count()
-    heap: list[tuple[float, int, _Branch]] = [
-        (0.0, next(numbers), _Branch(candidate, 0, ()))
+    boundaries = sorted(
+        {c.first for c in candidates} | {c.end for c in candidates}
+    )
+    tie_breakers = itertools.count()
+    heap: list[tuple[float, int, _PartialPath]] = [
+        (0.0, next(tie_breakers), _PartialPath(candidate, 0, ()))
         for candidate in candidates
         if candidate.first == 0
     ]
     done: set[tuple[ids.ServerId, int]] = set()
     while heap:
-        cost, _, branch = heapq.heappop(heap)
-        if branch.candidate is None:
-            return branch.hops
-        if branch.place in done:
+        cost, _, path = heapq.heappop(heap)
+        if path.candidate is None:
+            return path.hops
+        if path.state in done:
             continue
-        done.add(branch.place)
-        for more, longer in _longer(branch, layers, cuts, candidates, costs):
-            heapq.heappush(heap, (cost + more, next(numbers), longer))
+        done.add(path.state)
+        for extra, extended in _extensions(
+            path, layers, boundaries, candidates, costs
+        ):
+            heapq.heappush(heap, (cost + extra, next(tie_breakers), extended))
     return ()
 
 
-def _longer(
-    branch: _Branch,
+def _extensions(
+    path: _PartialPath,
     layers: int,
-    cuts: list[int],
+    boundaries: list[int],
     candidates: list[Candidate],
     costs: Costs,
-) -> Iterator[tuple[float, _Branch]]:
-    """Yield the paths that are one stage longer, and what that costs."""
-    here = branch.candidate
-    per_layer = costs.layer_seconds_by_server[here.server.id]
-    for end in cuts:
-        if not branch.first < end <= here.end:
+) -> Iterator[tuple[float, _PartialPath]]:
+    """Yield the paths with one more stage, and what that adds to the cost."""
+    here = path.candidate
+    layer_seconds = costs.layer_seconds_by_server[here.server.id]
+    for end in boundaries:
+        if not path.first < end <= here.end:
             continue
-        cost = STAGE_OVERHEAD_SECONDS + per_layer * (end - branch.first)
-        hops = (*branch.hops, here.hop(branch.first, end))
+        cost = STAGE_OVERHEAD_SECONDS + layer_seconds * (end - path.first)
+        hops = (*path.hops, here.hop(path.first, end))
         if end == layers:
-            yield cost, _Branch(None, end, hops)
+            yield cost, _PartialPath(None, end, hops)
             continue
         for following in candidates:
             if not following.first <= end < following.end:
@@ -107,4 +111,4 @@
             if any(hop.server == following.server.id for hop in hops):
                 continue
             link = costs.link_seconds(here, following)
-            yield cost + link, _Branch(following, end, hops)
+            yield cost + link, _PartialPath(following, end, hops)
--- a/libs/routing/burdockmast/routing/subsets.py
+++ b/libs/routing/burdockmast/routing/subsets.py
@@ -1,9 +1,11 @@
-"""The bounded part of the fleet that one entry talks to.
-
-Of each group of servers that can stand in for each other (same layers of a
-model, or same plain service) an entry takes a few, ranked by a hash of both:
-stable as servers come and go, and even over many entries. A change of one
-server costs the work for its group only, however large the fleet is.
+"""Limits each entry to a subset of the fleet's servers.
+
+Servers that hold the same layers of a model, or run the same plain service,
+are interchangeable and form a group. An entry uses a few servers of each
+group, those with the lowest hash of entry and server. Subsets hardly change
+as servers come and go, and many entries spread evenly over the servers. A
+change of one server costs work for its group only, however large the fleet
+is.
 """
 
 import bisect
@@ -14,31 +16,32 @@
 from burdockmast.fleet import changes
 from burdockmast.fleet import configuration
 
-# What the servers of a group have in common.
+# Key of a group: what its servers have in common.
 Group = tuple[str | int, ...]
-Ranked = tuple[bytes, ids.ServerId]
+RankedServer = tuple[bytes, ids.ServerId]
 
 
 class Subset:
-    """The servers of one process, kept up to date with the configuration."""
+    """The servers that one process uses, updated with the configuration."""
 
-    def __init__(self, process: str, size: int):
+    def __init__(self, process: str, group_limit: int):
         """Create the subset of an empty fleet.
 
-        :param size: servers taken of each group
+        :param process: id that servers are hashed with
+        :param group_limit: servers taken from each group
         """
         self.servers: list[changes.Server] = []
         self._process = process
-        self._size = size
+        self._group_limit = group_limit
         self._group_by_server: dict[ids.ServerId, Group] = {}
-        self._ranked_by_group: dict[Group, list[Ranked]] = {}
+        self._ranked_by_group: dict[Group, list[RankedServer]] = {}
         self._service_by_server: dict[ids.ServerId, ids.ServiceId] = {}
         self._count_by_service: collections.Counter[ids.ServiceId] = (
             collections.Counter()
         )
 
     def knows_service(self, service: ids.ServiceId) -> bool:
-        """Tell whether any server of the fleet is of a plain service."""
+        """Tell whether any server of the fleet runs a plain service."""
         return self._count_by_service[service] > 0
 
     def apply_change(
@@ -46,19 +49,20 @@
         current: configuration.Configuration,
         change: changes.Body | None,
     ) -> None:
-        """Follow a change that ``current`` has just taken in.
+        """Update the subset after a change of configuration.
 
+        :param current: the configuration with the change applied
         :param change: None if any part may have changed
         """
         match change:
             case changes.PutPreset():
                 pass
             case changes.AddServer(server=changes.Server(id=server)):
-                self._follow(current, server)
+                self._update(current, server)
             case changes.RetireServer(server=server):
-                self._follow(current, server)
+                self._update(current, server)
             case changes.RemoveServer(server=server):
-                self._follow(current, server)
+                self._update(current, server)
             case changes.SwitchPreset() | None:
                 self._rebuild(current)
 
@@ -68,17 +72,17 @@
         self._service_by_server.clear()
         self._count_by_service.clear()
         for server in current.server_by_id:
-            self._place(current, server)
-        self._list(current)
+            self._insert(current, server)
+        self._refresh_servers(current)
 
-    def _follow(
+    def _update(
         self, current: configuration.Configuration, server: ids.ServerId
     ) -> None:
-        self._forget(server)
-        self._place(current, server)
-        self._list(current)
+        self._remove(server)
+        self._insert(current, server)
+        self._refresh_servers(current)
 
-    def _forget(self, server: ids.ServerId) -> None:
+    def _remove(self, server: ids.ServerId) -> None:
         service = self._service_by_server.pop(server, None)
         if service:
             self._count_by_service[service] -= 1
@@ -90,7 +94,7 @@
         if not ranked:
             del self._ranked_by_group[group]
 
-    def _place(
+    def _insert(
         self, current: configuration.Configuration, server: ids.ServerId
     ) -> None:
         found = current.server_by_id.get(server)
@@ -106,21 +110,21 @@
         ranked = self._ranked_by_group.setdefault(group, [])
         bisect.insort(ranked, self._rank(server))
 
-    def _list(self, current: configuration.Configuration) -> None:
+    def _refresh_servers(self, current: configuration.Configuration) -> None:
         self.servers = [
             current.server_by_id[server]
             for ranked in self._ranked_by_group.values()
-            for _, server in ranked[: self._size]
+            for _, server in ranked[: self._group_limit]
         ]
 
-    def _rank(self, server: ids.ServerId) -> Ranked:
+    def _rank(self, server: ids.ServerId) -> RankedServer:
         return ranks.rank(self._process, server), server
 
 
 def _group(
     current: configuration.Configuration, server: changes.Server
 ) -> Group | None:
-    """Return the group of a server that may get work, None of others."""
+    """Return the group of a server, None if it must not get work."""
     if server.state is not changes.ServerState.ACTIVE:
         return None
     if server.kind is changes.ServerKind.SERVICE:
