--- a/libs/limits/burdockmast/limits/__init__.py
+++ b/libs/limits/burdockmast/limits/__init__.py
@@ -1,1 +1,1 @@
-"""What keeps a busy or hurt fleet useful."""
+"""Overload protection: admission, retry limits and quarantine."""
--- a/libs/limits/burdockmast/limits/crashreports.py
+++ b/libs/limits/burdockmast/limits/crashreports.py
@@ -15,16 +15,16 @@
 
 SUSPECT_CRASH_COUNT = 2
 QUARANTINE_CRASH_COUNT = 3
-# Seconds for which a strike counts.
-MEMORY_SECONDS = 600.0
-# Seconds for which a strike is passed on to neighbours.
-NEWS_SECONDS = 5.0
-# Strikes passed on in one heartbeat.
-NEWS_COUNT = 32
+# Age at which a report no longer counts.
+REPORT_TTL_SECONDS = 600.0
+# Age at which a report is no longer sent to peers.
+GOSSIP_SECONDS = 5.0
+# Most reports sent in one heartbeat.
+GOSSIP_MAX_COUNT = 32
 
 
 class CrashReports:
-    """Strikes known to one process."""
+    """Crash reports known to one process, by request fingerprint."""
 
     def __init__(self):
         """Create an empty record."""
@@ -33,21 +33,24 @@
         ] = {}
 
     def add(self, fingerprint: ids.Fingerprint, crash: str) -> None:
-        """Note that a request was running at a crash."""
+        """Report that a request was running when a server crashed.
+
+        :param crash: id of the crash; reports of the same crash count once
+        """
         crashes = self._crashes_by_fingerprint.setdefault(fingerprint, {})
         crashes.setdefault(crash, timers.now())
 
     def clear(self, fingerprint: ids.Fingerprint) -> None:
-        """Forget the strikes of a request that ran to its end."""
+        """Drop the reports of a request that has completed."""
         self._crashes_by_fingerprint.pop(fingerprint, None)
 
     def count(self, fingerprint: ids.Fingerprint) -> int:
-        """Return how many crashes a request was running at."""
+        """Return the number of crashes at which a request was running."""
         crashes = self._crashes_by_fingerprint.get(fingerprint)
         if not crashes:
             return 0
-        since = timers.now() - MEMORY_SECONDS
-        return sum(at >= since for at in crashes.values())
+        cutoff = timers.now() - REPORT_TTL_SECONDS
+        return sum(at >= cutoff for at in crashes.values())
 
     def is_suspect(self, fingerprint: ids.Fingerprint) -> bool:
         """Tell whether a request must not run beside another suspect."""
@@ -58,20 +61,20 @@
         return self.count(fingerprint) >= QUARANTINE_CRASH_COUNT
 
     def recent(self) -> list[tuple[ids.Fingerprint, str]]:
-        """Return the newest strikes to pass on, most struck first."""
-        since = timers.now() - NEWS_SECONDS
-        fresh = [
+        """Return recent reports to send, most reported requests first."""
+        cutoff = timers.now() - GOSSIP_SECONDS
+        candidates = [
             (len(crashes), fingerprint, crash)
             for fingerprint, crashes in self._crashes_by_fingerprint.items()
             for crash, at in crashes.items()
-            if at >= since
+            if at >= cutoff
         ]
-        worst = heapq.nlargest(NEWS_COUNT, fresh)
-        return [(fingerprint, crash) for _, fingerprint, crash in worst]
+        sent = heapq.nlargest(GOSSIP_MAX_COUNT, candidates)
+        return [(fingerprint, crash) for _, fingerprint, crash in sent]
 
     def drop_expired(self) -> None:
-        """Drop what no longer counts."""
-        since = timers.now() - MEMORY_SECONDS
+        """Drop requests whose reports no longer count."""
+        cutoff = timers.now() - REPORT_TTL_SECONDS
         for fingerprint, crashes in list(self._crashes_by_fingerprint.items()):
-            if max(crashes.values()) < since:
+            if max(crashes.values()) < cutoff:
                 del self._crashes_by_fingerprint[fingerprint]
--- a/libs/limits/burdockmast/limits/queues.py
+++ b/libs/limits/burdockmast/limits/queues.py
@@ -1,4 +1,4 @@
-"""A bounded waiting line, fair between organisations."""
+"""Bounded admission queue, fair between organisations."""
 
 import collections
 from collections.abc import Callable
@@ -15,9 +15,9 @@
 from burdockmast.base import timers
 from burdockmast.limits import retryschedule
 
-# Weight of the newest sample in the smoothed time between admissions.
-PACE_WEIGHT = 0.1
-# Step of a refusal by the queue.
+# Weight of the newest sample in the smoothed interval between admissions.
+INTERVAL_WEIGHT = 0.1
+# Names the queue as the step of its refusals.
 WAIT_STEP = 'admission.wait'
 
 
@@ -26,7 +26,8 @@
     """A request that waits for admission.
 
     :ivar priority: larger goes first
-    :ivar weight: the organisation's share
+    :ivar weight: the organisation's share of admissions
+    :ivar number: order of arrival, kept if the request has to wait again
     """
 
     organisation: ids.OrganisationId
@@ -39,43 +40,46 @@
 
 
 class FairQueue:
-    """Waiting requests; the next is of the least served organisation.
-
-    Higher priorities go first. Within one, each organisation's virtual
-    time grows by 1/weight with each admission, and the smallest is next;
-    an organisation that was away starts at the present virtual time, so
-    that absence saves up nothing. A full queue drops the newest request
-    of the organisation that waits most beyond its share.
+    """Start-time fair queue of requests that wait for admission.
+
+    Higher priorities go first. Within a priority, the organisation with the
+    smallest virtual time is next, and each admission advances its virtual
+    time by 1/weight. An organisation that had no requests resumes at the
+    queue's current virtual time, so it gains no credit while absent. A full
+    queue drops a request of the lowest priority: the newest one of the
+    organisation with the most waiting requests relative to its weight.
     """
 
     def __init__(self, limit: int, seed: int | None = None):
         """Create an empty queue.
 
         :param limit: requests that may wait
-        :param seed: makes times to come back repeatable
+        :param seed: makes retry delays repeatable
         """
         self._limit = limit
         self._numbers = itertools.count()
         self._waiting: list[Waiter] = []
-        self._virtual_by_organisation: dict[ids.OrganisationId, float] = {}
-        self._virtual = 0.0
-        self._pace = 0.0
-        self._woken_at = 0.0
+        self._virtual_time_by_organisation: dict[
+            ids.OrganisationId, float
+        ] = {}
+        self._virtual_time = 0.0
+        self._admission_interval = 0.0
+        self._admitted_at = 0.0
         self._retry_schedule = retryschedule.RetrySchedule(random.Random(seed))
 
     def __len__(self) -> int:
-        """Return how many wait."""
+        """Return the number of waiting requests."""
         return len(self._waiting)
 
     def expected_wait(self, waiter: Waiter) -> float:
-        """Return the seconds that a new request is likely to wait."""
-        return self._pace * self._ahead(waiter)
+        """Estimate the seconds that a new request would wait."""
+        return self._admission_interval * self._count_ahead(waiter)
 
-    def _ahead(self, waiter: Waiter) -> int:
-        """Return how many of those that wait would be admitted earlier.
+    def _count_ahead(self, waiter: Waiter) -> int:
+        """Return how many waiting requests would be admitted earlier.
 
-        Answers the rush of one large organisation, whose requests must not
-        make those of others look hopeless.
+        Counting all of them would let a burst of one large organisation
+        push the expected waits of others beyond their deadlines.
         """
         count = 0
         waiting_by_share: collections.Counter[
@@ -87,24 +91,28 @@
             elif other.priority == waiter.priority:
                 waiting_by_share[other.organisation, other.weight] += 1
         own = waiting_by_share.pop((waiter.organisation, waiter.weight), 0)
-        turn = self._start(waiter.organisation) + own / waiter.weight
+        own_start = (
+            self._virtual_start(waiter.organisation) + own / waiter.weight
+        )
         for (name, weight), waiting in waiting_by_share.items():
-            turns = (turn - self._start(name)) * weight
-            count += min(waiting, max(0, math.floor(turns) + 1))
+            admissions = (own_start - self._virtual_start(name)) * weight
+            count += min(waiting, max(0, math.floor(admissions) + 1))
         return count + own
 
-    def _start(self, organisation: ids.OrganisationId) -> float:
+    def _virtual_start(self, organisation: ids.OrganisationId) -> float:
         """Return the virtual time of an organisation's next request."""
-        virtual = self._virtual_by_organisation.get(organisation, 0.0)
-        return max(virtual, self._virtual)
+        virtual = self._virtual_time_by_organisation.get(organisation, 0.0)
+        return max(virtual, self._virtual_time)
 
     def wait(self, waiter: Waiter, seconds: float) -> failures.Failure | None:
-        """Wait for admission; return why there was none.
+        """Wait for admission; return None, or why it was refused.
 
-        :param seconds: until the request would be of no use
+        :param seconds: longest wait after which the request is of use
         """
         if self.expected_wait(waiter) > seconds:
-            return self._refusal(waiter, 'wait would exceed the deadline')
+            return self._refusal(
+                waiter, 'expected wait exceeds the time limit'
+            )
         if waiter.number is None:
             waiter.number = next(self._numbers)
         self._waiting.append(waiter)
@@ -114,47 +122,53 @@
             return waiter.event.wait()
         self._waiting.remove(waiter)
         return failures.Failure(
-            failures.Reason.DEADLINE, WAIT_STEP, detail='while waiting'
+            failures.Reason.DEADLINE,
+            WAIT_STEP,
+            detail='timed out in the admission queue',
         )
 
     def wake(self, count: int = 1) -> None:
-        """Admit up to ``count`` requests that wait."""
+        """Admit up to ``count`` waiting requests."""
         for _ in range(min(count, len(self._waiting))):
-            waiter = min(self._waiting, key=self._order)
+            waiter = min(self._waiting, key=self._sort_key)
             self._waiting.remove(waiter)
-            self._note_admission(waiter)
+            self._record_admission(waiter)
             waiter.event.send(None)
 
-    def _order(self, waiter: Waiter) -> tuple[int, float, int]:
-        start = self._start(waiter.organisation)
+    def _sort_key(self, waiter: Waiter) -> tuple[int, float, int]:
+        start = self._virtual_start(waiter.organisation)
         return (-waiter.priority, start, waiter.number)
 
-    def _note_admission(self, waiter: Waiter) -> None:
-        _, start, _ = self._order(waiter)
-        self._virtual = start
+    def _record_admission(self, waiter: Waiter) -> None:
+        _, start, _ = self._sort_key(waiter)
+        self._virtual_time = start
         organisation = waiter.organisation
-        self._virtual_by_organisation[organisation] = start + 1 / waiter.weight
+        self._virtual_time_by_organisation[organisation] = (
+            start + 1 / waiter.weight
+        )
         now = timers.now()
-        if self._woken_at:
-            sample = min(now - self._woken_at, 1.0)
-            self._pace += PACE_WEIGHT * (sample - self._pace)
-        self._woken_at = now
+        if self._admitted_at:
+            sample = min(now - self._admitted_at, 1.0)
+            self._admission_interval += INTERVAL_WEIGHT * (
+                sample - self._admission_interval
+            )
+        self._admitted_at = now
 
     def _shed(self) -> None:
         lowest = min(waiter.priority for waiter in self._waiting)
         candidates = [w for w in self._waiting if w.priority == lowest]
         excess_by_organisation: dict[ids.OrganisationId, float] = {}
         for waiter in candidates:
-            held = excess_by_organisation.get(waiter.organisation, 0.0)
+            excess = excess_by_organisation.get(waiter.organisation, 0.0)
             excess_by_organisation[waiter.organisation] = (
-                held + 1 / waiter.weight
+                excess + 1 / waiter.weight
             )
         victim = max(
             candidates,
             key=lambda w: (excess_by_organisation[w.organisation], w.number),
         )
         self._waiting.remove(victim)
-        refusal = self._refusal(victim, 'too many requests wait')
+        refusal = self._refusal(victim, 'admission queue is full')
         victim.event.send(refusal)
 
     def _refusal(self, waiter: Waiter, detail: str) -> failures.Failure:
@@ -166,9 +180,11 @@
         )
 
     def retry_after(self, waiter: Waiter) -> float:
-        """Return the seconds after which a refused caller may come back."""
+        """Return the seconds after which a refused caller may retry."""
         wait = self.expected_wait(waiter)
-        return self._retry_schedule.next_delay(timers.now(), wait, self._pace)
+        return self._retry_schedule.next_delay(
+            timers.now(), wait, self._admission_interval
+        )
 
 
 def admit(
@@ -177,7 +193,10 @@
     deadline: float,
     attempt: Callable[[], object | failures.Failure],
 ) -> object | failures.Failure:
-    """Repeat ``attempt`` until it finds capacity or ``deadline`` passes.
+    """Call ``attempt`` until it finds capacity or ``deadline`` passes.
+
+    The request waits in the queue between calls, and before the first one if
+    other requests wait.
 
     :param deadline: monotonic seconds
     :returns: the attempt's result, or why the request is refused
--- a/libs/limits/burdockmast/limits/retryschedule.py
+++ b/libs/limits/burdockmast/limits/retryschedule.py
@@ -1,53 +1,58 @@
-"""When refused callers are to come back.
+"""Schedules the retries of refused callers.
 
-Answers a rush: far more callers than are served, within a moment. Told the
-same time, they would all come back at once and be refused again, and who has
-waited longest would have no better chance than a newcomer. So each refusal
-takes the next free place in a schedule of returns, which leaves room for
+In a burst, far more callers arrive at once than can be served. If all were
+given the same delay, they would retry together and be refused again, and a
+caller who has waited for long would have no better chance than a newcomer. So
+each refusal takes the next free time in a schedule, which leaves capacity for
 newcomers.
 """
 
 import random
 
-# Shortest and longest time that a refused caller is told to wait, in seconds.
-# Callers ask with deadlines of a minute; later than half of it is too late.
+# Shortest and longest delay that a refused caller is given. Callers have
+# deadlines of a minute, and a retry after more than half of it is too late.
 MIN_DELAY_SECONDS = 0.5
 MAX_DELAY_SECONDS = 30.0
-# Share of what is served that is left to callers who come back.
+# Share of the served requests that the schedule leaves to retries.
 RETRY_SHARE = 0.5
 
 
 class RetrySchedule:
-    """The schedule of returns of one queue."""
+    """The retry schedule of one queue."""
 
     def __init__(self, source: random.Random):
         """Create an empty schedule.
 
-        :param source: spreads those for whom the schedule has no room
+        :param source: draws the delays for which the schedule has no room
         """
         self._random = source
-        self._last = float('-inf')
+        self._last_retry_at = float('-inf')
 
-    def next_delay(self, now: float, wait: float, pace: float) -> float:
-        """Return the seconds after which a caller may come back.
+    def next_delay(
+        self, now: float, wait_seconds: float, interval_seconds: float
+    ) -> float:
+        """Return the seconds after which a refused caller may retry.
 
         :param now: monotonic seconds
-        :param wait: seconds that a request would wait if it came now
-        :param pace: seconds between requests that are served
+        :param wait_seconds: that a new request would wait now
+        :param interval_seconds: between served requests
         """
-        earliest = now + max(wait, MIN_DELAY_SECONDS)
-        at = max(earliest, self._last + pace / RETRY_SHARE)
-        if at - now > MAX_DELAY_SECONDS:
+        earliest = now + max(wait_seconds, MIN_DELAY_SECONDS)
+        retry_at = max(
+            earliest, self._last_retry_at + interval_seconds / RETRY_SHARE
+        )
+        if retry_at - now > MAX_DELAY_SECONDS:
             return self._random.uniform(
                 MAX_DELAY_SECONDS / 2, MAX_DELAY_SECONDS
             )
-        self._last = at
-        return at - now
+        self._last_retry_at = retry_at
+        return retry_at - now
 
 
 def add_jitter(seconds: float, source: random.Random) -> float:
-    """Return a time up to twice as long, where no pace is known.
+    """Return a random delay of one to two times ``seconds``.
 
-    Answers the end of an outage, when all that were refused come back.
+    Used where no admission rate is known, so that callers who were refused
+    during an outage don't all retry at its end.
     """
     return seconds * source.uniform(1.0, 2.0)
