--- a/libs/entry/burdockmast/entry/answers.py
+++ b/libs/entry/burdockmast/entry/answers.py
@@ -74,9 +74,9 @@
         if attempt is None or attempt.number != begun.attempt:
             return
         demand = attempt.demand
-        self._view.affinity.correct(demand, attempt.hops, begun.cached)
+        self._view.affinity.apply_reports(demand, attempt.hops, begun.cached)
         self._metrics.count(
-            'prompts.tokens', demand.prompt * len(begun.cached)
+            'prompts.tokens', demand.prompt_tokens * len(begun.cached)
         )
         self._metrics.count('prompts.cached', sum(begun.cached))
         self._events.add(
@@ -103,7 +103,7 @@
         began: float | None = None
         failure: failures.Failure | None = None
         for _ in range(ATTEMPTS):
-            if self._strikes.is_convicted(request.fingerprint):
+            if self._strikes.is_quarantined(request.fingerprint):
                 failure = self._convicted(request)
                 break
             attempt = self._admit(request, progress)
--- a/libs/gateway/burdockmast/gateway/wsgi.py
+++ b/libs/gateway/burdockmast/gateway/wsgi.py
@@ -20,7 +20,7 @@
 from burdockmast.gateway import retries
 from burdockmast.gateway import streams
 from burdockmast.gateway import view
-from burdockmast.limits import returns
+from burdockmast.limits import retryschedule
 
 LOG = logs.get('callers')
 
@@ -302,7 +302,9 @@
         retry_after = None
         if status == 503:
             retry_after = failure.retry_after or RETRY_AFTER_SECONDS
-            retry_after = round(returns.spread(retry_after, self._rng), 3)
+            retry_after = round(
+                retryschedule.add_jitter(retry_after, self._rng), 3
+            )
             headers.append(('Retry-After', str(retry_after)))
         if self.is_draining:
             headers.append(('Connection', 'close'))
--- a/libs/node/burdockmast/node/node.py
+++ b/libs/node/burdockmast/node/node.py
@@ -16,7 +16,7 @@
 from burdockmast.base import timers
 from burdockmast.fleet import draining_instances
 from burdockmast.fleet import follower
-from burdockmast.limits import strikes
+from burdockmast.limits import crashreports
 from burdockmast.node import dependencies
 from burdockmast.node import inspection
 from burdockmast.settings import models
@@ -45,7 +45,7 @@
     follower: follower.Follower
     peers: peers.Peers
     instances: draining_instances.DrainingInstances
-    strikes: strikes.Strikes
+    strikes: crashreports.CrashReports
     timers: timers.TimerService
     dependencies: dependencies.Dependencies
     log: logs.Log
@@ -97,7 +97,7 @@
             draining_instances.DrainingInstances(
                 listing, settings.instance, configuration
             ),
-            strikes.Strikes(),
+            crashreports.CrashReports(),
             timers.TimerService(),
             depended,
             cls._log(settings, events, hello),
@@ -139,7 +139,7 @@
             'logs', logs.REPORT_SECONDS, self.log.handler.report
         )
         self.timers.subscribe(
-            'strikes', CLEAR_SECONDS, self.strikes.forget_old
+            'strikes', CLEAR_SECONDS, self.strikes.drop_expired
         )
         self.timers.subscribe(
             'instances', draining_instances.POLL_SECONDS, self.instances.poll
@@ -205,7 +205,7 @@
         """Return the heartbeat of this moment."""
         news = tuple(
             messages.Strike(fingerprint, crash)
-            for fingerprint, crash in self.strikes.news()
+            for fingerprint, crash in self.strikes.recent()
         )
         return messages.Heartbeat(
             self.events.clock,
--- a/libs/routing/burdockmast/routing/demands.py
+++ b/libs/routing/burdockmast/routing/demands.py
@@ -1,4 +1,4 @@
-"""What an answer asks of the servers on its path."""
+"""The work that an answer requires of the servers on its path."""
 
 from collections.abc import Mapping
 import dataclasses
@@ -8,26 +8,27 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Demand:
-    """The size of an answer, and where its prompt is probably cached.
+    """Token counts of an answer, and where its prompt is probably cached.
 
-    :ivar prompt: tokens to prefill where nothing is cached
-    :ivar answer: tokens still to be generated
-    :ivar cached_by_server: tokens of the prompt that are probably cached
-    :ivar key: the same for prompts that begin alike; empty if too short
-    :ivar owner_cached: tokens that are probably cached at its owners
+    :ivar prompt_tokens: to prefill where nothing is cached
+    :ivar answer_tokens: still to be generated
+    :ivar cached_tokens_by_server: estimate for servers that had the prefix
+    :ivar prefix_key: digest of the prompt's first block, by which its owners
+        are found; empty if the prompt is shorter than a block
+    :ivar owner_cached_tokens: estimate for the owners of the prefix
     """
 
-    prompt: int = 0
-    answer: int = 1
-    cached_by_server: Mapping[ids.ServerId, float] = dataclasses.field(
+    prompt_tokens: int = 0
+    answer_tokens: int = 1
+    cached_tokens_by_server: Mapping[ids.ServerId, float] = dataclasses.field(
         default_factory=dict
     )
-    key: bytes = b''
-    owner_cached: float = 0.0
+    prefix_key: bytes = b''
+    owner_cached_tokens: float = 0.0
 
-    def uncached(self, server: ids.ServerId, is_owner: bool) -> float:
-        """Return the prompt tokens that a server probably has to prefill."""
-        cached = self.cached_by_server.get(server, 0.0)
+    def uncached_tokens(self, server: ids.ServerId, is_owner: bool) -> float:
+        """Estimate the prompt tokens that a server has to prefill."""
+        cached = self.cached_tokens_by_server.get(server, 0.0)
         if is_owner:
-            cached = max(cached, self.owner_cached)
-        return max(0.0, self.prompt - cached)
+            cached = max(cached, self.owner_cached_tokens)
+        return max(0.0, self.prompt_tokens - cached)
