Name the gateway's platform interfaces by the terms of the field

Newcomers could not tell a seat, a roster or a dialect from their names. The seat is a planner lock, the roster a gateway registry, the dialect a header codec, a sending an attempt; methods and fields follow, also in libs/platform and in tests. Renames alone.

--- a/libs/gateway/burdockmast/gateway/callers.py
+++ b/libs/gateway/burdockmast/gateway/callers.py
@@ -68,7 +68,7 @@
     def __init__(
         self,
         fleet: view.View,
-        dialect: interfaces.Dialect,
+        dialect: interfaces.HeaderCodec,
         plain: calls.Calls,
         streamed: streams.Streams,
         budget: retries.Budget,
@@ -199,7 +199,7 @@
         if not route.is_public and known.organisation_by_key:
             if age > self._trusted_seconds:
                 return _unready(f'the configuration is {age:.1f} s old')
-            organisation = known.organisation_by_key.get(request.key)
+            organisation = known.organisation_by_key.get(request.api_key)
             if organisation is None:
                 return failures.Failure(
                     failures.Reason.UNKNOWN_ORGANISATION,
@@ -216,7 +216,7 @@
         service = self._service(known, route)
         if service is None:
             return _unready(f'route {route.name} has no service')
-        seconds = request.seconds
+        seconds = request.timeout_seconds
         if seconds is None:
             seconds = DEFAULT_SECONDS
         priority = organisation.priority
--- a/libs/gateway/burdockmast/gateway/calls.py
+++ b/libs/gateway/burdockmast/gateway/calls.py
@@ -34,7 +34,7 @@
     def __init__(
         self,
         fleet: view.View,
-        dialect: interfaces.Dialect,
+        dialect: interfaces.HeaderCodec,
         budget: retries.Budget,
         zone: ids.ZoneId,
         source: random.Random,
@@ -124,7 +124,7 @@
     def _exchange(
         self, job: jobs.Job, exchange: upstream.Exchange
     ) -> jobs.Reply | failures.Failure:
-        sending = interfaces.Sending(
+        sending = interfaces.Attempt(
             exchange.server, job.organisation, job.left, (), None, 0
         )
         headers = self._dialect.backend_headers(job.request, sending)
@@ -141,7 +141,7 @@
         except (upstream.Broken, TimeoutError) as error:
             return exchange.lost('body', f'body: {error}')
         if head.facts.is_encoded or (
-            head.status in SUCCESSES and not head.facts.is_sealed
+            head.status in SUCCESSES and not head.facts.is_signed
         ):
             return exchange.lost('body', 'answer without signature')
         return jobs.Reply.from_head(head, self._dialect, body)
--- a/libs/gateway/burdockmast/gateway/choosing.py
+++ b/libs/gateway/burdockmast/gateway/choosing.py
@@ -178,8 +178,8 @@
 
     def _work(self, job: jobs.Job, engine: deployment.Engine) -> paths.Work:
         answer = job.request.length_hint or engine.usual_answer
-        if job.request.answer_tokens:
-            answer = min(answer, job.request.answer_tokens)
+        if job.request.max_answer_tokens:
+            answer = min(answer, job.request.max_answer_tokens)
         return paths.Work(
             job.request.prompt_tokens or engine.usual_prompt, max(1, answer)
         )
--- a/libs/gateway/burdockmast/gateway/following.py
+++ b/libs/gateway/burdockmast/gateway/following.py
@@ -90,7 +90,7 @@
             found = self._feed.list()
         else:
             wait = self._next_wait()
-            found = self._feed.wait(self.revision, wait)
+            found = self._feed.watch(self.revision, wait)
         self._drop_lapsed()
         match found:
             case failures.Failure():
--- a/libs/gateway/burdockmast/gateway/interfaces.py
+++ b/libs/gateway/burdockmast/gateway/interfaces.py
@@ -42,8 +42,8 @@
     def list(self) -> Listing[T] | failures.Failure:
         """Return all objects; objects that can't be read are left out."""
 
-    def wait(
-        self, revision: int, seconds: float
+    def watch(
+        self, revision: int, timeout_seconds: float
     ) -> Changes[T] | failures.Failure:
         """Wait for changes after a revision.
 
@@ -52,7 +52,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Seating:
+class LockState:
     """The last time that a seat was taken.
 
     :ivar revision: 0 if it never was
@@ -63,16 +63,16 @@
     holder: str
 
 
-class Seat(Protocol):
+class PlannerLock(Protocol):
     """A mutex in the store, taken by a conditional write."""
 
-    def take(self, seen: int) -> int | failures.Failure:
-        """Take the seat, if nobody has since revision ``seen``.
+    def acquire(self, revision: int) -> int | failures.Failure:
+        """Take the seat, if nobody has since ``revision``.
 
         :returns: a fencing number that is above all earlier ones
         """
 
-    def seen(self) -> 'Seating | failures.Failure':
+    def read(self) -> 'LockState | failures.Failure':
         """Return who took the seat last."""
 
 
@@ -81,11 +81,11 @@
     """A caller's request, read whole.
 
     :ivar target: path and query as sent
-    :ivar seconds: that the caller waits, None if it did not say
+    :ivar timeout_seconds: that the caller waits, None if it did not say
     :ivar prompt_tokens: 0 if the request is no generation
-    :ivar answer_tokens: at most
+    :ivar max_answer_tokens: at most
     :ivar length_hint: the caller's guess of the answer's tokens, or 0
-    :ivar after_event: id of the last event that the caller has, or None
+    :ivar last_event_id: id of the last event that the caller has, or None
     :ivar headers: those that are passed on unchanged
     """
 
@@ -94,53 +94,53 @@
     target: str
     path: str
     host: str
-    key: str
-    seconds: float | None
+    api_key: str
+    timeout_seconds: float | None
     prompt_tokens: int
-    answer_tokens: int
+    max_answer_tokens: int
     length_hint: int
-    after_event: int | None
+    last_event_id: int | None
     headers: tuple[tuple[str, str], ...]
     body: bytes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Sending:
+class Attempt:
     """How a request is sent to its first server.
 
-    :ivar seconds: that are left to answer it
+    :ivar timeout_seconds: that are left to answer it
     :ivar path: all stages of a pipeline, empty for a plain service
-    :ivar after_event: resume a stream behind this event, or None
-    :ivar urgency: 0 to 9, 0 is admitted first
+    :ivar last_event_id: resume a stream behind this event, or None
+    :ivar priority: 0 to 9, 0 is admitted first
     """
 
     server: backends.BackendServer
     organisation: str
-    seconds: float
+    timeout_seconds: float
     path: tuple[backends.Stage, ...]
-    after_event: int | None
-    urgency: int
+    last_event_id: int | None
+    priority: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ReplyFacts:
+class ReplyMetadata:
     """What the head of a backend server's reply says.
 
     :ivar request: the request that it answers, as echoed
-    :ivar is_sealed: bears the server's signature
+    :ivar is_signed: bears the server's signature
     :ivar is_not_run: the server promises that it ran nothing
-    :ivar culprit: address of the server that caused a refusal, or empty
+    :ivar refused_by: address of the server that caused a refusal, or empty
     :ivar is_encoded: the body is not the server's own
     """
 
     request: str
-    is_sealed: bool
+    is_signed: bool
     is_not_run: bool
-    culprit: ids.Address
+    refused_by: ids.Address
     is_encoded: bool
 
 
-class Dialect(Protocol):
+class HeaderCodec(Protocol):
     """Names of headers between callers, gateway and backend servers."""
 
     def read_request(
@@ -153,11 +153,11 @@
         """Read a caller's request."""
 
     def backend_headers(
-        self, request: CallerRequest, sending: Sending
+        self, request: CallerRequest, attempt: Attempt
     ) -> list[tuple[str, str]]:
         """Return the headers of a request as it is sent on."""
 
-    def read_reply(self, headers: list[tuple[str, str]]) -> ReplyFacts:
+    def read_reply(self, headers: list[tuple[str, str]]) -> ReplyMetadata:
         """Read the head of a reply."""
 
     def caller_headers(
@@ -167,7 +167,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Stalled:
+class StalledRequest:
     """A request that waits for a server that does not answer."""
 
     request: str
@@ -175,50 +175,50 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Report:
+class ServerReport:
     """What a server says of itself, some hundred milliseconds late.
 
-    :ivar orders: accepted since its start
-    :ivar is_ordered: it has not carried out the last of them yet
-    :ivar pace: its time for the same work, as a multiple of the usual
+    :ivar accepted_orders: accepted since its start
+    :ivar has_pending_order: it has not carried out the last of them yet
+    :ivar slowdown: its time for the same work, as a multiple of the usual
     :ivar occupancy: share of its memory that is in use and can't yield
     :ivar stalled: requests that it runs first and that wait for others
     """
 
-    orders: int
-    is_ordered: bool
-    pace: float
+    accepted_orders: int
+    has_pending_order: bool
+    slowdown: float
     occupancy: float
-    stalled: tuple[Stalled, ...]
+    stalled: tuple[StalledRequest, ...]
 
 
-class EngineControl(Protocol):
+class EngineClient(Protocol):
     """Orders to backend servers that run engines."""
 
-    def place(
+    def assign_layers(
         self,
         server: backends.BackendServer,
         layers: backends.LayerRange,
-        fence: int,
-        orders: int,
+        fencing_number: int,
+        accepted_orders: int,
     ) -> failures.Failure | None:
         """Have a server hold other layers.
 
-        :param orders: that it must have accepted so far; an order that is
-            carried out late can't undo a newer one
+        :param accepted_orders: that it must have accepted so far; an order
+            that is carried out late can't undo a newer one
         ``STALE_INCARNATION`` says that a higher fencing number was used.
         """
 
-    def report(
+    def fetch_report(
         self, server: backends.BackendServer
-    ) -> Report | failures.Failure:
+    ) -> ServerReport | failures.Failure:
         """Ask a server what it says of itself."""
 
 
-class Roster(Protocol):
+class GatewayRegistry(Protocol):
     """The gateways that share the budget of retries."""
 
-    def join(self) -> failures.Failure | None:
+    def register(self) -> failures.Failure | None:
         """Make this gateway known."""
 
     def count(self) -> int | failures.Failure:
--- a/libs/gateway/burdockmast/gateway/jobs.py
+++ b/libs/gateway/burdockmast/gateway/jobs.py
@@ -58,7 +58,7 @@
     def from_head(
         cls,
         head: upstream.Head,
-        dialect: interfaces.Dialect,
+        dialect: interfaces.HeaderCodec,
         body: bytes | None = None,
     ) -> 'Reply':
         """Pass a backend server's reply on."""
--- a/libs/gateway/burdockmast/gateway/planner.py
+++ b/libs/gateway/burdockmast/gateway/planner.py
@@ -64,8 +64,8 @@
     def __init__(
         self,
         fleet: view.View,
-        seat: interfaces.Seat,
-        engines: interfaces.EngineControl,
+        seat: interfaces.PlannerLock,
+        engines: interfaces.EngineClient,
         instance: str,
         source: random.Random,
     ):
@@ -164,7 +164,7 @@
 
     def _has_seat(self, now: float) -> bool:
         """Ask the store who has the seat, and take it if it is due."""
-        seen = self._seat.seen()
+        seen = self._seat.read()
         if isinstance(seen, failures.Failure):
             self._log_failure('seat not read', seen)
             return False
@@ -176,7 +176,7 @@
             return False
         return self._take_seat(seen)
 
-    def _is_due(self, seen: interfaces.Seating, now: float) -> bool:
+    def _is_due(self, seen: interfaces.LockState, now: float) -> bool:
         """Tell whether the holder has had its time for what is needed."""
         if seen.holder == self._instance:
             return True
@@ -188,14 +188,14 @@
         patience = TAKEOVER_SECONDS * self._spread
         return now - self._needed_since >= patience
 
-    def _wait_for(self, seen: interfaces.Seating, since: float) -> None:
+    def _wait_for(self, seen: interfaces.LockState, since: float) -> None:
         """Give a holder time, counted from ``since``."""
         self._needed_since = since
         self._seen_revision = seen.revision
         self._spread = self._random.uniform(1, 2)
 
-    def _take_seat(self, seen: interfaces.Seating) -> bool:
-        taken = self._seat.take(seen.revision)
+    def _take_seat(self, seen: interfaces.LockState) -> bool:
+        taken = self._seat.acquire(seen.revision)
         if isinstance(taken, failures.Failure):
             self._log_failure('seat not taken', taken)
             return False
@@ -219,7 +219,7 @@
             self._log_failure('order not given', orders)
             self._await_effect(placement, FAILED_ORDER_SECONDS)
             return
-        failure = self._engines.place(server, layers, fence, orders)
+        failure = self._engines.assign_layers(server, layers, fence, orders)
         LOG.info(
             'order given',
             extra={
@@ -263,17 +263,18 @@
         self._ordered.add(start)
         if is_first:
             return 0
-        report = self._engines.report(server)
+        report = self._engines.fetch_report(server)
         if isinstance(report, failures.Failure):
             return report
-        if report.is_ordered:
+        if report.has_pending_order:
             return failures.Failure(
                 failures.Reason.ENGINE_REFUSED,
                 'engine.report',
                 server.id,
-                f'{server.id} still carries out order {report.orders}',
+                f'{server.id} still carries out order '
+                f'{report.accepted_orders}',
             )
-        return report.orders
+        return report.accepted_orders
 
     def _log_failure(self, what: str, failure: failures.Failure) -> None:
         LOG.warning(
--- a/libs/gateway/burdockmast/gateway/reports.py
+++ b/libs/gateway/burdockmast/gateway/reports.py
@@ -43,7 +43,7 @@
 class Reports:
     """What servers last reported to one gateway."""
 
-    def __init__(self, fleet: view.View, engines: interfaces.EngineControl):
+    def __init__(self, fleet: view.View, engines: interfaces.EngineClient):
         """Create an empty record."""
         self._view = fleet
         self._engines = engines
@@ -79,20 +79,20 @@
             eventlet.spawn_n(self._ask, server, request)
 
     def _ask(self, server: backends.BackendServer, request: str) -> None:
-        found = self._engines.report(server)
+        found = self._engines.fetch_report(server)
         if isinstance(found, failures.Failure):
             self._view.eject(server.id, f'no report: {found.detail}', request)
             return
         self._known_by_server[server.id] = _Known(
-            found.pace, found.occupancy, timers.now()
+            found.slowdown, found.occupancy, timers.now()
         )
-        if found.pace >= SLOW_PACE or found.stalled:
+        if found.slowdown >= SLOW_PACE or found.stalled:
             LOG.info(
                 'server reported',
                 extra={
                     'server': server.id,
                     'request': request,
-                    'pace': found.pace,
+                    'pace': found.slowdown,
                     'occupancy': round(found.occupancy, 3),
                     'stalled': len(found.stalled),
                 },
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -68,10 +68,10 @@
 
     deployments: interfaces.Feed[deployment.Deployment]
     servers: interfaces.Feed[backends.BackendServer]
-    seat: interfaces.Seat
-    roster: interfaces.Roster
-    engines: interfaces.EngineControl
-    dialect: interfaces.Dialect
+    seat: interfaces.PlannerLock
+    roster: interfaces.GatewayRegistry
+    engines: interfaces.EngineClient
+    dialect: interfaces.HeaderCodec
 
 
 class Gateway:
@@ -178,7 +178,7 @@
     def _count(self) -> None:
         """Count the gateways that share the budget of retries."""
         if not self._has_joined:
-            failure = self._roster.join()
+            failure = self._roster.register()
             if failure:
                 LOG.warning(
                     'not on the roster', extra={'reason': str(failure)}
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -68,7 +68,7 @@
     def __init__(
         self,
         fleet: view.View,
-        dialect: interfaces.Dialect,
+        dialect: interfaces.HeaderCodec,
         budget: retries.Budget,
         chooser: choosing.Chooser,
         measures: metrics.Metrics,
@@ -87,7 +87,7 @@
 
         :raises Cut: if the stream can't be brought to its end
         """
-        progress = _Progress(job.request.after_event)
+        progress = _Progress(job.request.last_event_id)
         while True:
             path = self._chooser.path_in_turn(
                 job, progress.lost, progress.has_begun
@@ -158,7 +158,7 @@
                 'events': progress.events - first,
                 'last_event': progress.last,
                 'prompt_tokens': job.request.prompt_tokens,
-                'answer_tokens': job.request.answer_tokens,
+                'answer_tokens': job.request.max_answer_tokens,
                 'length_hint': job.request.length_hint,
                 'longest_pause': round(progress.longest_pause, 3),
                 'seconds': round(timers.now() - began, 3),
@@ -180,7 +180,7 @@
         path: tuple[backends.Stage, ...],
         progress: _Progress,
     ) -> Iterator[jobs.Reply | bytes]:
-        sending = interfaces.Sending(
+        sending = interfaces.Attempt(
             exchange.server,
             job.organisation,
             job.left,
@@ -204,7 +204,7 @@
             return (
                 yield from self._other_status(job, exchange, head, progress)
             )
-        if not head.facts.is_sealed or head.facts.is_encoded:
+        if not head.facts.is_signed or head.facts.is_encoded:
             return exchange.lost('events', 'answer without signature')
         return (yield from self._events(job, exchange, path, head, progress))
 
--- a/libs/gateway/burdockmast/gateway/upstream.py
+++ b/libs/gateway/burdockmast/gateway/upstream.py
@@ -48,7 +48,7 @@
     status: int
     phrase: str
     headers: list[tuple[str, str]]
-    facts: interfaces.ReplyFacts
+    facts: interfaces.ReplyMetadata
 
 
 class ResetAwareSocket(greenio.GreenSocket):
@@ -147,7 +147,7 @@
         return True
 
     def head(
-        self, request: str, deadline: float, dialect: interfaces.Dialect
+        self, request: str, deadline: float, dialect: interfaces.HeaderCodec
     ) -> Head | failures.Failure:
         """Wait for the head of the reply.
 
@@ -251,7 +251,7 @@
         return failures.Failure(
             failures.Reason.ENGINE_REFUSED,
             'backend.head',
-            head.facts.culprit or self.server.id,
+            head.facts.refused_by or self.server.id,
             f'status {head.status}',
             retry_after=retry_after,
         )
--- a/libs/platform/burdockmast/platform/headers.py
+++ b/libs/platform/burdockmast/platform/headers.py
@@ -81,47 +81,47 @@
             target=target,
             path=target.partition('?')[0],
             host=value_by_name.get('host', ''),
-            key=value_by_name.get(KEY.lower(), ''),
-            seconds=(
+            api_key=value_by_name.get(KEY.lower(), ''),
+            timeout_seconds=(
                 None if milliseconds is None else milliseconds / MILLISECONDS
             ),
             prompt_tokens=_number(prompt) or 0,
-            answer_tokens=_number(answer) or 0,
+            max_answer_tokens=_number(answer) or 0,
             length_hint=_number(value_by_name.get(LENGTH_HINT.lower())) or 0,
-            after_event=_number(value_by_name.get(LAST_EVENT.lower())),
+            last_event_id=_number(value_by_name.get(LAST_EVENT.lower())),
             headers=_passed_on(headers, value_by_name, _OWN),
             body=body,
         )
 
     def backend_headers(
-        self, request: interfaces.CallerRequest, sending: interfaces.Sending
+        self, request: interfaces.CallerRequest, attempt: interfaces.Attempt
     ) -> list[tuple[str, str]]:
         """Return the headers of a request as it is sent on."""
-        left = max(1, int(sending.seconds * MILLISECONDS))
+        left = max(1, int(attempt.timeout_seconds * MILLISECONDS))
         found = [
             *request.headers,
             (DEADLINE, str(left)),
-            (EXPECTED_SERVER, sending.server.id),
+            (EXPECTED_SERVER, attempt.server.id),
         ]
-        if sending.organisation:
-            found.append((ORGANISATION, sending.organisation))
-        if sending.path:
-            found.append((PATH, path_text(sending.path)))
-            found.append((URGENCY, str(sending.urgency)))
-        if sending.after_event is not None:
-            found.append((LAST_EVENT, str(sending.after_event)))
+        if attempt.organisation:
+            found.append((ORGANISATION, attempt.organisation))
+        if attempt.path:
+            found.append((PATH, path_text(attempt.path)))
+            found.append((URGENCY, str(attempt.priority)))
+        if attempt.last_event_id is not None:
+            found.append((LAST_EVENT, str(attempt.last_event_id)))
         return found
 
     def read_reply(
         self, headers: list[tuple[str, str]]
-    ) -> interfaces.ReplyFacts:
+    ) -> interfaces.ReplyMetadata:
         """Read the head of a reply."""
         value_by_name = {name.lower(): value for name, value in headers}
-        return interfaces.ReplyFacts(
+        return interfaces.ReplyMetadata(
             request=value_by_name.get(REQUEST_ID.lower(), ''),
-            is_sealed=SIGNATURE.lower() in value_by_name,
+            is_signed=SIGNATURE.lower() in value_by_name,
             is_not_run=NOT_RUN.lower() in value_by_name,
-            culprit=ids.Address(value_by_name.get(CULPRIT.lower(), '')),
+            refused_by=ids.Address(value_by_name.get(CULPRIT.lower(), '')),
             is_encoded='content-encoding' in value_by_name,
         )
 
--- a/libs/platform/burdockmast/platform/orders.py
+++ b/libs/platform/burdockmast/platform/orders.py
@@ -51,24 +51,24 @@
         """Create a client; each call has a connection of its own."""
         self._pool = urllib3.PoolManager(maxsize=1, retries=False)
 
-    def place(
+    def assign_layers(
         self,
         server: backends.BackendServer,
         layers: backends.LayerRange,
-        fence: int,
-        orders: int,
+        fencing_number: int,
+        accepted_orders: int,
     ) -> failures.Failure | None:
         """Have a server hold other layers.
 
-        :param orders: that it must have accepted so far
+        :param accepted_orders: that it must have accepted so far
         """
         order = {
             'op': 'place',
             'from': layers.first,
             'to': layers.end,
             'strategy': STRATEGY,
-            'fence': fence,
-            'expect': orders,
+            'fence': fencing_number,
+            'expect': accepted_orders,
         }
         response = self._call(
             'POST', server, ORDER_PATH, msgspec.json.encode(order)
@@ -89,21 +89,23 @@
             f'status {response.status}: {response.data[:200]!r}',
         )
 
-    def report(
+    def fetch_report(
         self, server: backends.BackendServer
-    ) -> interfaces.Report | failures.Failure:
+    ) -> interfaces.ServerReport | failures.Failure:
         """Ask a server what it says of itself."""
         found = self._report(server)
         if isinstance(found, failures.Failure):
             return found
         total = found.kv_total
-        return interfaces.Report(
-            orders=found.sequence,
-            is_ordered=found.busy,
-            pace=found.pace,
+        return interfaces.ServerReport(
+            accepted_orders=found.sequence,
+            has_pending_order=found.busy,
+            slowdown=found.pace,
             occupancy=found.kv_used / total if total else 0.0,
             stalled=tuple(
-                interfaces.Stalled(stalled.id, ids.Address(stalled.address))
+                interfaces.StalledRequest(
+                    stalled.id, ids.Address(stalled.address)
+                )
                 for stalled in found.stalled
             ),
         )
--- a/libs/platform/burdockmast/platform/store.py
+++ b/libs/platform/burdockmast/platform/store.py
@@ -214,7 +214,7 @@
                 return interfaces.Listing(revision, item_by_name)
             query = {'after': page.items[-1].metadata.name}
 
-    def wait(
+    def watch(
         self, revision: int, seconds: float
     ) -> interfaces.Changes[T] | failures.Failure:
         """Wait for changes after a revision, for a limited time."""
@@ -262,7 +262,7 @@
         self._store = store
         self._instance = instance
 
-    def join(self) -> failures.Failure | None:
+    def register(self) -> failures.Failure | None:
         """Make this gateway known; it may be so already."""
         found = self._store.call(
             'POST',
@@ -295,30 +295,30 @@
         self._store = store
         self._holder = holder
 
-    def seen(self) -> interfaces.Seating | failures.Failure:
+    def read(self) -> interfaces.LockState | failures.Failure:
         """Return who took the seat last."""
         found = self._store.call('GET', self.KIND, self.NAME)
         if not isinstance(found, failures.Failure):
             if found.status == HTTP_NOT_FOUND:
-                return interfaces.Seating(0, '')
+                return interfaces.LockState(0, '')
         seat = self._store.parse(found, _Object, self.KIND)
         if isinstance(seat, failures.Failure):
             return seat
         spec = seat.spec if isinstance(seat.spec, dict) else {}
-        return interfaces.Seating(
+        return interfaces.LockState(
             seat.metadata.revision, str(spec.get('holder', ''))
         )
 
-    def take(self, seen: int) -> int | failures.Failure:
-        """Take the seat, if nobody has since revision ``seen``.
+    def acquire(self, revision: int) -> int | failures.Failure:
+        """Take the seat, if nobody has since ``revision``.
 
         :returns: the fencing number
         """
         # The time makes each write a change, which raises the revision.
         spec = {'holder': self._holder, 'at': timers.now()}
         metadata: dict[str, object] = {'name': self.NAME}
-        if seen:
-            metadata['revision'] = seen
+        if revision:
+            metadata['revision'] = revision
             found = self._store.call(
                 'PUT',
                 self.KIND,
--- a/tests/test_gateway_following.py
+++ b/tests/test_gateway_following.py
@@ -17,7 +17,7 @@
     def list(self):
         return self.answers.pop(0)
 
-    def wait(self, revision, seconds):
+    def watch(self, revision, seconds):
         return self.answers.pop(0)
 
 
@@ -114,9 +114,9 @@
         self._clock = clock
         self._seconds = seconds
 
-    def wait(self, revision, seconds):
+    def watch(self, revision, seconds):
         self._clock.now += self._seconds
-        return super().wait(revision, seconds)
+        return super().watch(revision, seconds)
 
 
 @pytest.mark.parametrize(
--- a/tests/test_gateway_links.py
+++ b/tests/test_gateway_links.py
@@ -80,7 +80,7 @@
 def job(engine=fleets.ENGINE):
     request = types.SimpleNamespace(
         prompt_tokens=fleets.WORK.prompt,
-        answer_tokens=fleets.WORK.answer,
+        max_answer_tokens=fleets.WORK.answer,
         length_hint=0,
     )
     found = object.__new__(jobs.Job)
--- a/tests/test_gateway_planner.py
+++ b/tests/test_gateway_planner.py
@@ -39,15 +39,15 @@
         seat = self
 
         class Own:
-            def seen(self):
+            def read(self):
                 if instance in seat.cut_off:
                     return failures.Failure(
                         failures.Reason.STORE_UNAVAILABLE, 'seat'
                     )
-                return interfaces.Seating(seat.revision, seat.holder)
+                return interfaces.LockState(seat.revision, seat.holder)
 
-            def take(self, seen):
-                if seen != seat.revision:
+            def acquire(self, revision):
+                if revision != seat.revision:
                     return failures.Failure(
                         failures.Reason.STORE_UNAVAILABLE, 'seat'
                     )
@@ -91,17 +91,17 @@
     def server(self, name):
         return self.by_id.get(name)
 
-    def place(self, server, layers, fence, orders):
-        self.fences.append((server.id, fence))
-        if orders != self.accepted.get(server.id, 0):
+    def assign_layers(self, server, layers, fencing_number, accepted_orders):
+        self.fences.append((server.id, fencing_number))
+        if accepted_orders != self.accepted.get(server.id, 0):
             return failures.Failure(failures.Reason.ENGINE_REFUSED, 'place')
-        self.accepted[server.id] = orders + 1
+        self.accepted[server.id] = accepted_orders + 1
         self.add(server.id, (layers.first, layers.end))
         return None
 
-    def report(self, server):
+    def fetch_report(self, server):
         orders = self.accepted.get(server.id, 0)
-        return interfaces.Report(
+        return interfaces.ServerReport(
             orders, server.id in self.moving, 1.0, 0.0, ()
         )
 
--- a/tests/test_gateway_upstream.py
+++ b/tests/test_gateway_upstream.py
@@ -21,12 +21,12 @@
     target='/a/b?c=d',
     path='/a/b',
     host='h',
-    key='',
-    seconds=1.0,
+    api_key='',
+    timeout_seconds=1.0,
     prompt_tokens=0,
-    answer_tokens=0,
+    max_answer_tokens=0,
     length_hint=0,
-    after_event=None,
+    last_event_id=None,
     headers=(('Host', 'h'),),
     body=b'',
 )
@@ -98,7 +98,7 @@
 
 def test_a_reply_without_length_ends_with_its_connection(exchange):
     found, _ = exchange(HEAD + b'\r\nbody')
-    assert head_of(found).facts.is_sealed
+    assert head_of(found).facts.is_signed
     assert whole(found) == b'body'
 
 
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -176,21 +176,21 @@
     found = read()
     assert not isinstance(found, failures.Failure)
     assert found.path == '/a/b'
-    assert found.seconds == 20.0
-    assert (found.prompt_tokens, found.answer_tokens) == (1460, 80)
+    assert found.timeout_seconds == 20.0
+    assert (found.prompt_tokens, found.max_answer_tokens) == (1460, 80)
     assert found.length_hint == 60
-    assert found.after_event == 12
+    assert found.last_event_id == 12
 
 
 @pytest.mark.parametrize('value', ['', 'soon', '-5', '1e3', '9' * 40])
 def test_numbers_that_are_none_are_left_out(value):
     found = read((('Burdockmast-Deadline-Ms', value),))
-    assert found.seconds is None
+    assert found.timeout_seconds is None
 
 
 def test_keys_and_forged_headers_are_not_passed_on():
     server = servers.decode('i-1', ENTRY)
-    sending = interfaces.Sending(server, 'fes', 1.5, (), None, 0)
+    sending = interfaces.Attempt(server, 'fes', 1.5, (), None, 0)
     found = headers.PlatformDialect().backend_headers(read(), sending)
     value_by_name = dict(found)
     assert len(value_by_name) == len(found)
