Name backend servers' and the configuration's fields for what they hold

Fields such as born, beat, held and pace did not say what they are, and a deployment is another thing in Kubernetes. The module is config now, its class Configuration; fields carry their units. Wire names stay, values of enumerations too. Renames alone.

--- a/libs/gateway/burdockmast/gateway/backends.py
+++ b/libs/gateway/burdockmast/gateway/backends.py
@@ -17,7 +17,7 @@
         return self.end - self.first
 
 
-EMPTY = LayerRange(0, 0)
+NO_LAYERS = LayerRange(0, 0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -25,10 +25,10 @@
     """One listed backend server.
 
     :ivar is_ready: takes new work
-    :ivar held: layers that it reports to hold
-    :ivar kind: of its accelerator, empty if it has none
-    :ivar born: start of this incarnation, milliseconds since the epoch
-    :ivar beat: counts what the incarnation has written of itself
+    :ivar layers: layers that it reports to hold
+    :ivar accelerator: of its accelerator, empty if it has none
+    :ivar started_ms: start of this incarnation, milliseconds since the epoch
+    :ivar entry_sequence: counts what the incarnation has written of itself
     """
 
     id: ids.ServerId
@@ -36,14 +36,17 @@
     address: ids.Address
     zone: ids.ZoneId
     is_ready: bool
-    held: LayerRange
-    kind: str
-    born: int
-    beat: int
+    layers: LayerRange
+    accelerator: str
+    started_ms: int
+    entry_sequence: int
 
     def is_older_than(self, other: 'BackendServer') -> bool:
         """Tell whether this was written before ``other``."""
-        return (self.born, self.beat) < (other.born, other.beat)
+        return (self.started_ms, self.entry_sequence) < (
+            other.started_ms,
+            other.entry_sequence,
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/gateway/burdockmast/gateway/callers.py
+++ b/libs/gateway/burdockmast/gateway/callers.py
@@ -13,7 +13,7 @@
 from burdockmast.base import outcomes
 from burdockmast.base import timers
 from burdockmast.gateway import calls
-from burdockmast.gateway import deployment
+from burdockmast.gateway import config
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import jobs
 from burdockmast.gateway import retries
@@ -184,7 +184,7 @@
         known = self._view.configuration
         if known is None:
             return _unready('no configuration is known yet')
-        route = known.route(request.host, request.path)
+        route = known.find_route(request.host, request.path)
         age = self._view.configuration_age
         if route is None:
             # A route that is new may not have arrived here.
@@ -195,23 +195,23 @@
                 'request.route',
                 detail=f'no route in version {known.version}',
             )
-        organisation = deployment.Organisation(NO_ORGANISATION, None)
-        if not route.is_public and known.organisation_by_key:
+        organisation = config.Organisation(NO_ORGANISATION, None)
+        if not route.is_public and known.organisation_by_api_key:
             if age > self._trusted_seconds:
                 return _unready(f'the configuration is {age:.1f} s old')
-            organisation = known.organisation_by_key.get(request.api_key)
+            organisation = known.organisation_by_api_key.get(request.api_key)
             if organisation is None:
                 return failures.Failure(
                     failures.Reason.UNKNOWN_ORGANISATION,
                     'request.key',
                     detail=f'the key is not in version {known.version}',
                 )
-        self._body_bytes = known.limits.body_bytes
+        self._body_bytes = known.limits.max_body_bytes
         if len(request.body) > self._body_bytes:
             return failures.Failure(
                 failures.Reason.TOO_LARGE,
                 'request.body',
-                detail=f'over {known.limits.body_bytes} bytes',
+                detail=f'over {known.limits.max_body_bytes} bytes',
             )
         service = self._service(known, route)
         if service is None:
@@ -227,13 +227,13 @@
             organisation.id,
             route.priority if priority is None else priority,
             began,
-            began + min(seconds, route.timeout),
+            began + min(seconds, route.timeout_seconds),
             known.version,
         )
 
     def _service(
-        self, known: deployment.Deployment, route: deployment.Route
-    ) -> deployment.Service | None:
+        self, known: config.Configuration, route: config.Route
+    ) -> config.Service | None:
         services = list(route.weight_by_service)
         if not services:
             return None
@@ -241,9 +241,7 @@
         chosen = services[0]
         if len(services) > 1 and sum(weights) > 0:
             chosen = self._random.choices(services, weights)[0]
-        return known.service_by_id.get(
-            chosen, deployment.Service(chosen, None)
-        )
+        return known.service_by_id.get(chosen, config.Service(chosen, None))
 
     def _answer(
         self, job: jobs.Job, start_response: StartResponse
--- a/libs/gateway/burdockmast/gateway/calls.py
+++ b/libs/gateway/burdockmast/gateway/calls.py
@@ -67,12 +67,12 @@
                 ran += 1
                 if last.status < FAILED or not job.may_repeat:
                     return last
-                if ran >= job.route.attempts or job.left <= MARGIN_SECONDS:
+                if ran >= job.route.max_attempts or job.left <= MARGIN_SECONDS:
                     return last
                 continue
             if last.outcome is not outcomes.Outcome.NOT_RUN:
                 ran += 1
-                if not job.may_repeat or ran >= job.route.attempts:
+                if not job.may_repeat or ran >= job.route.max_attempts:
                     break
             if job.left <= MARGIN_SECONDS:
                 break
--- a/libs/gateway/burdockmast/gateway/choosing.py
+++ b/libs/gateway/burdockmast/gateway/choosing.py
@@ -8,7 +8,7 @@
 from burdockmast.base import logs
 from burdockmast.base import timers
 from burdockmast.gateway import backends
-from burdockmast.gateway import deployment
+from burdockmast.gateway import config
 from burdockmast.gateway import jobs
 from burdockmast.gateway import links
 from burdockmast.gateway import memory
@@ -176,12 +176,13 @@
                 return path
         return ()
 
-    def _work(self, job: jobs.Job, engine: deployment.Engine) -> paths.Work:
-        answer = job.request.length_hint or engine.usual_answer
+    def _work(self, job: jobs.Job, engine: config.Engine) -> paths.Work:
+        answer = job.request.length_hint or engine.mean_answer_tokens
         if job.request.max_answer_tokens:
             answer = min(answer, job.request.max_answer_tokens)
         return paths.Work(
-            job.request.prompt_tokens or engine.usual_prompt, max(1, answer)
+            job.request.prompt_tokens or engine.mean_prompt_tokens,
+            max(1, answer),
         )
 
     def no_path(self, job: jobs.Job) -> failures.Failure:
--- a/libs/gateway/burdockmast/gateway/jobs.py
+++ b/libs/gateway/burdockmast/gateway/jobs.py
@@ -4,7 +4,7 @@
 
 from burdockmast.base import ids
 from burdockmast.base import timers
-from burdockmast.gateway import deployment
+from burdockmast.gateway import config
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import upstream
 
@@ -21,8 +21,8 @@
     """
 
     request: interfaces.CallerRequest
-    route: deployment.Route
-    service: deployment.Service
+    route: config.Route
+    service: config.Service
     organisation: ids.OrganisationId
     priority: int
     began: float
@@ -42,7 +42,7 @@
     @property
     def may_repeat(self) -> bool:
         """Whether it may run more than once."""
-        return self.route.repeats is deployment.Repeats.ANY
+        return self.route.execution is config.Execution.REPEATABLE
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/gateway/burdockmast/gateway/memory.py
+++ b/libs/gateway/burdockmast/gateway/memory.py
@@ -11,7 +11,7 @@
 
 from burdockmast.base import ids
 from burdockmast.gateway import backends
-from burdockmast.gateway import deployment
+from burdockmast.gateway import config
 
 MEGABYTE = 1e6
 # Requests and cache entries at a server that runs none.
@@ -33,15 +33,15 @@
 OVERFULL_FACTOR = 6.0
 
 
-def capacity(
-    engine: deployment.Engine, server: backends.BackendServer
-) -> float:
+def capacity(engine: config.Engine, server: backends.BackendServer) -> float:
     """Return the cache entries that fit, in tokens times layers."""
-    kind = engine.kind_by_name.get(server.kind)
-    if kind is None or not engine.cache_bytes:
+    kind = engine.accelerator_by_name.get(server.accelerator)
+    if kind is None or not engine.cache_bytes_per_token:
         return float('inf')
-    free_mb = kind.memory_mb - len(server.held) * engine.layer_mb
-    return max(1.0, free_mb * MEGABYTE / engine.cache_bytes * engine.layers)
+    free_mb = kind.memory_mb - len(server.layers) * engine.layer_mb
+    return max(
+        1.0, free_mb * MEGABYTE / engine.cache_bytes_per_token * engine.layers
+    )
 
 
 class Usage:
--- a/libs/gateway/burdockmast/gateway/paths.py
+++ b/libs/gateway/burdockmast/gateway/paths.py
@@ -15,7 +15,7 @@
 
 from burdockmast.base import ids
 from burdockmast.gateway import backends
-from burdockmast.gateway import deployment
+from burdockmast.gateway import config
 from burdockmast.gateway import links
 
 # Milliseconds of one more stage for each token: a transfer and the wait for
@@ -58,7 +58,7 @@
 
 
 def stage_ms(
-    engine: deployment.Engine,
+    engine: config.Engine,
     server: backends.BackendServer,
     layers: int,
     work: Work,
@@ -70,27 +70,33 @@
     :param running: other requests that run at the server
     :param pace: how many times slower than usual the server is
     """
-    kind = engine.kind_by_name.get(server.kind)
-    step_pace = kind.step_pace if kind else 1.0
-    prefill_pace = kind.prefill_pace if kind else 1.0
+    kind = engine.accelerator_by_name.get(server.accelerator)
+    step_slowdown = kind.step_slowdown if kind else 1.0
+    prefill_slowdown = kind.prefill_slowdown if kind else 1.0
     share = layers / engine.layers
     step = engine.step_ms + engine.sequence_ms * (running + 1)
     step += engine.context_ms * (running + 1) * work.tokens / 1000
-    step *= step_pace * share * (1 + SHARED_STEP * running)
-    prefill = work.prompt / engine.prefill_per_s * 1000 * prefill_pace * share
+    step *= step_slowdown * share * (1 + SHARED_STEP * running)
+    prefill = (
+        work.prompt
+        / engine.prefill_tokens_per_second
+        * 1000
+        * prefill_slowdown
+        * share
+    )
     prefill *= 1 + SHARED_STEP * running
     return pace * (step * work.answer + prefill)
 
 
-def transfer_ms(engine: deployment.Engine, work: Work) -> float:
+def transfer_ms(engine: config.Engine, work: Work) -> float:
     """Return milliseconds for which a prompt takes a link between zones."""
     if not engine.zone_link_mbps:
         return 0.0
-    bits = engine.activation_bytes * BITS_PER_BYTE
+    bits = engine.activation_bytes_per_token * BITS_PER_BYTE
     return work.prompt * bits / engine.zone_link_mbps / 1000
 
 
-def zone_ms(engine: deployment.Engine, work: Work) -> float:
+def zone_ms(engine: config.Engine, work: Work) -> float:
     """Return milliseconds that a way to another zone adds to an answer."""
     shared = SHARED_LINK * transfer_ms(engine, work)
     return ZONE_HOP_MS * work.answer + shared
@@ -105,7 +111,7 @@
 
 
 def cheapest(
-    engine: deployment.Engine,
+    engine: config.Engine,
     servers: Iterable[backends.BackendServer],
     work: Work,
     zone: ids.ZoneId,
@@ -122,11 +128,11 @@
     :param pace: how many times slower than usual a server is
     :param is_full: tells of a link between zones that it takes no more
     """
-    holding = [s for s in servers if len(s.held)]
+    holding = [s for s in servers if len(s.layers)]
     cuts = sorted(
         {0, engine.layers}
-        | {s.held.first for s in holding}
-        | {s.held.end for s in holding}
+        | {s.layers.first for s in holding}
+        | {s.layers.end for s in holding}
     )
     cuts = [cut for cut in cuts if cut <= engine.layers]
     factors = {
@@ -148,7 +154,7 @@
         if not here:
             continue
         for server in holding:
-            if not server.held.first <= cut < server.held.end:
+            if not server.layers.first <= cut < server.layers.end:
                 continue
             ways = crossing if cut else entering
             base, stages = _nearest(here, server.zone, ways)
@@ -156,7 +162,7 @@
                 continue
             base += HOP_MS * work.answer
             for end in cuts[number + 1 :]:
-                if end > server.held.end:
+                if end > server.layers.end:
                     break
                 cost = base + factors[server.id] * stage_ms(
                     engine,
@@ -212,12 +218,12 @@
 
 
 def missing(
-    engine: deployment.Engine, servers: Iterable[backends.BackendServer]
+    engine: config.Engine, servers: Iterable[backends.BackendServer]
 ) -> int | None:
     """Return the first layer that no server holds, None if all are held."""
     reached = 0
     for held in sorted(
-        (s.held for s in servers if len(s.held)), key=lambda r: r.first
+        (s.layers for s in servers if len(s.layers)), key=lambda r: r.first
     ):
         if held.first > reached:
             return reached
--- a/libs/gateway/burdockmast/gateway/placing.py
+++ b/libs/gateway/burdockmast/gateway/placing.py
@@ -15,7 +15,7 @@
 
 from burdockmast.base import ids
 from burdockmast.gateway import backends
-from burdockmast.gateway import deployment
+from burdockmast.gateway import config
 from burdockmast.gateway import memory
 
 # Requests whose caches must fit beside a server's layers: what a zone's
@@ -42,14 +42,16 @@
 
 
 def most_layers(
-    engine: deployment.Engine, kind: str, requests: int = ROOM_REQUESTS
+    engine: config.Engine, kind: str, requests: int = ROOM_REQUESTS
 ) -> int:
     """Return how many layers a server holds with room for requests."""
-    found = engine.kind_by_name.get(kind)
+    found = engine.accelerator_by_name.get(kind)
     if found is None:
         return 0
-    tokens = engine.usual_prompt + engine.usual_answer
-    cache_mb = engine.cache_bytes / engine.layers * tokens / memory.MEGABYTE
+    tokens = engine.mean_prompt_tokens + engine.mean_answer_tokens
+    cache_mb = (
+        engine.cache_bytes_per_token / engine.layers * tokens / memory.MEGABYTE
+    )
     room = engine.layer_mb + requests * cache_mb
     by_room = int(found.memory_mb / room)
     # A server that is short of room still holds something.
@@ -59,7 +61,7 @@
 class _Coverage:
     """How many servers hold each layer, in each zone and in all."""
 
-    def __init__(self, engine: deployment.Engine):
+    def __init__(self, engine: config.Engine):
         self.fleet = [0] * engine.layers
         self.by_zone: collections.defaultdict[ids.ZoneId, list[int]] = (
             collections.defaultdict(lambda: [0] * engine.layers)
@@ -79,7 +81,7 @@
 
 
 def plan(
-    engine: deployment.Engine,
+    engine: config.Engine,
     servers: Iterable[backends.BackendServer],
     pending: Mapping[ids.ServerId, backends.LayerRange],
 ) -> list[Placement]:
@@ -93,9 +95,9 @@
     for server in servers:
         if not server.is_ready:
             continue
-        held = pending.get(server.id, server.held)
+        held = pending.get(server.id, server.layers)
         coverage.room_by_zone[server.zone] += most_layers(
-            engine, server.kind, LEAST_ROOM_REQUESTS
+            engine, server.accelerator, LEAST_ROOM_REQUESTS
         )
         if not len(held):
             empty.append(server)
@@ -104,10 +106,10 @@
         if server.id not in pending:
             holding.append(server)
     # Servers with much room first: a pipeline of few stages is faster.
-    empty.sort(key=lambda s: (-most_layers(engine, s.kind), s.id))
+    empty.sort(key=lambda s: (-most_layers(engine, s.accelerator), s.id))
     placements = []
     for server in empty:
-        size = most_layers(engine, server.kind)
+        size = most_layers(engine, server.accelerator)
         if not size:
             continue
         layers = _window(
@@ -124,7 +126,7 @@
 
 
 def _moves(
-    engine: deployment.Engine,
+    engine: config.Engine,
     holding: list[backends.BackendServer],
     coverage: _Coverage,
 ) -> list[Placement]:
@@ -142,7 +144,7 @@
 
 
 def _close(
-    engine: deployment.Engine,
+    engine: config.Engine,
     holding: list[backends.BackendServer],
     counts: list[int],
     is_urgent: bool,
@@ -163,7 +165,7 @@
             return found if is_urgent else []
         for placement in placements:
             left.remove(placement.server)
-            _count(counts, placement.server.held, -1)
+            _count(counts, placement.server.layers, -1)
             _count(counts, placement.layers, 1)
             found.append(dataclasses.replace(placement, is_urgent=is_urgent))
     return found
@@ -184,7 +186,7 @@
 
 
 def _widen(
-    engine: deployment.Engine,
+    engine: config.Engine,
     servers: list[backends.BackendServer],
     hole: backends.LayerRange,
 ) -> list[Placement]:
@@ -194,11 +196,11 @@
     """
 
     def spare(server: backends.BackendServer) -> int:
-        most = most_layers(engine, server.kind, LEAST_ROOM_REQUESTS)
-        return max(0, most - len(server.held))
+        most = most_layers(engine, server.accelerator, LEAST_ROOM_REQUESTS)
+        return max(0, most - len(server.layers))
 
-    below = [s for s in servers if s.held.end == hole.first]
-    above = [s for s in servers if s.held.first == hole.end]
+    below = [s for s in servers if s.layers.end == hole.first]
+    above = [s for s in servers if s.layers.first == hole.end]
     low = max(below, key=lambda s: (spare(s), s.id), default=None)
     high = max(above, key=lambda s: (spare(s), s.id), default=None)
     up = min(len(hole), spare(low)) if low else 0
@@ -207,16 +209,16 @@
         return []
     found = []
     if low and up:
-        layers = backends.LayerRange(low.held.first, low.held.end + up)
+        layers = backends.LayerRange(low.layers.first, low.layers.end + up)
         found.append(Placement(low, layers))
     if high and down:
-        layers = backends.LayerRange(high.held.first - down, high.held.end)
+        layers = backends.LayerRange(high.layers.first - down, high.layers.end)
         found.append(Placement(high, layers))
     return found
 
 
 def _move(
-    engine: deployment.Engine,
+    engine: config.Engine,
     servers: list[backends.BackendServer],
     hole: backends.LayerRange,
     counts: list[int],
@@ -224,16 +226,18 @@
     """Let a server that nobody misses hold the first layers of a hole."""
 
     def size(server: backends.BackendServer) -> int:
-        least = most_layers(engine, server.kind, LEAST_ROOM_REQUESTS)
-        return max(most_layers(engine, server.kind), min(least, len(hole)))
+        least = most_layers(engine, server.accelerator, LEAST_ROOM_REQUESTS)
+        return max(
+            most_layers(engine, server.accelerator), min(least, len(hole))
+        )
 
     spare = [
         server
         for server in servers
-        if len(server.held)
+        if len(server.layers)
         and all(
             counts[layer] > 1
-            for layer in range(server.held.first, server.held.end)
+            for layer in range(server.layers.first, server.layers.end)
         )
     ]
     if not spare:
--- a/libs/gateway/burdockmast/gateway/planner.py
+++ b/libs/gateway/burdockmast/gateway/planner.py
@@ -54,7 +54,7 @@
     """
 
     layers: backends.LayerRange
-    born: int
+    started_ms: int
     until: float
 
 
@@ -111,7 +111,7 @@
         """Tell whether a fleet that holds nothing is listed completely."""
         services = self._view.model_services()
         listed = [s for found in services for s in self._view.listed(found.id)]
-        if not listed or any(len(server.held) for server in listed):
+        if not listed or any(len(server.layers) for server in listed):
             return bool(listed)
         now = timers.now()
         if len(listed) != self._listed:
@@ -146,8 +146,8 @@
         now = timers.now()
         for server_id, order in list(self._order_by_server.items()):
             server = self._view.server(server_id)
-            gone = server is None or server.born != order.born
-            if gone or server.held == order.layers or now > order.until:
+            gone = server is None or server.started_ms != order.started_ms
+            if gone or server.layers == order.layers or now > order.until:
                 del self._order_by_server[server_id]
 
     def _may_order(self) -> bool:
@@ -246,7 +246,7 @@
         """Take a server to hold what it was ordered to, for a while."""
         server = placement.server
         self._order_by_server[server.id] = Order(
-            placement.layers, server.born, timers.now() + seconds
+            placement.layers, server.started_ms, timers.now() + seconds
         )
 
     def _orders(
@@ -258,8 +258,8 @@
         still carrying out an order, of an earlier holder of the seat or of
         this one, would begin anew.
         """
-        start = (server.id, server.born)
-        is_first = start not in self._ordered and not len(server.held)
+        start = (server.id, server.started_ms)
+        is_first = start not in self._ordered and not len(server.layers)
         self._ordered.add(start)
         if is_first:
             return 0
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -20,7 +20,7 @@
 from burdockmast.gateway import callers
 from burdockmast.gateway import calls
 from burdockmast.gateway import choosing
-from burdockmast.gateway import deployment
+from burdockmast.gateway import config
 from burdockmast.gateway import following
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import memory
@@ -66,7 +66,7 @@
 class Platform:
     """The platform that a gateway runs on."""
 
-    deployments: interfaces.Feed[deployment.Deployment]
+    deployments: interfaces.Feed[config.Configuration]
     servers: interfaces.Feed[backends.BackendServer]
     seat: interfaces.PlannerLock
     roster: interfaces.GatewayRegistry
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -116,7 +116,7 @@
         self, job: jobs.Job, progress: _Progress, failure: failures.Failure
     ) -> bool:
         if failure.outcome is not outcomes.Outcome.NOT_RUN:
-            if not job.may_repeat or progress.runs >= job.route.attempts:
+            if not job.may_repeat or progress.runs >= job.route.max_attempts:
                 return False
         elif progress.sends - progress.runs >= retries.UNRUN_SENDS:
             return False
@@ -241,7 +241,7 @@
         now = timers.now()
         if job.left <= 0 or now - since > CALLER_SECONDS:
             return False
-        has_try = job.may_repeat and progress.runs + 1 < job.route.attempts
+        has_try = job.may_repeat and progress.runs + 1 < job.route.max_attempts
         if not has_try or not self._budget.has_left(job.service.id):
             return True
         return self._view.all_heard(servers, now - HEARD_SECONDS)
@@ -255,7 +255,7 @@
     ) -> Iterator[jobs.Reply]:
         """Pass a server's own failure on, unless the stream has begun."""
         if progress.has_begun or (
-            job.may_repeat and progress.runs + 1 < job.route.attempts
+            job.may_repeat and progress.runs + 1 < job.route.max_attempts
         ):
             return exchange.lost('events', f'status {head.status}')
         try:
@@ -325,7 +325,7 @@
         seconds: float,
     ) -> None:
         """Ask the servers of a path that is slow what is the matter."""
-        aim = job.route.gap_objective or PAUSE_SECONDS
+        aim = job.route.gap_objective_seconds or PAUSE_SECONDS
         if job.service.engine and seconds > aim * SLOW_SHARE:
             self._chooser.reports.ask([stage.server for stage in path], job.id)
 
--- a/libs/gateway/burdockmast/gateway/view.py
+++ b/libs/gateway/burdockmast/gateway/view.py
@@ -7,7 +7,7 @@
 from burdockmast.base import logs
 from burdockmast.base import timers
 from burdockmast.gateway import backends
-from burdockmast.gateway import deployment
+from burdockmast.gateway import config
 from burdockmast.gateway import following
 
 LOG = logs.get('view')
@@ -25,7 +25,7 @@
 
     def __init__(
         self,
-        deployments: following.Follower[deployment.Deployment],
+        deployments: following.Follower[config.Configuration],
         servers: following.Follower[backends.BackendServer],
     ):
         """Create a view of two followed kinds."""
@@ -40,7 +40,7 @@
         servers.changed.append(self._forget_gone)
 
     @property
-    def configuration(self) -> deployment.Deployment | None:
+    def configuration(self) -> config.Configuration | None:
         """The newest configuration, None before the first is known."""
         newest = max(
             self._deployments.item_by_name.values(),
@@ -65,7 +65,7 @@
         """Seconds since the list of servers was last confirmed."""
         return self._servers.age
 
-    def model_services(self) -> list[deployment.Service]:
+    def model_services(self) -> list[config.Service]:
         """Return the services whose servers hold layers of a model."""
         known = self.configuration
         if known is None:
--- a/libs/platform/burdockmast/platform/configuration.py
+++ b/libs/platform/burdockmast/platform/configuration.py
@@ -3,7 +3,7 @@
 import msgspec
 
 from burdockmast.base import ids
-from burdockmast.gateway import deployment
+from burdockmast.gateway import config
 
 # Kind and name of the object that holds the newest configuration.
 KIND = 'config'
@@ -92,7 +92,7 @@
     limits: _Limits = _Limits()
 
 
-def decode(name: str, spec: object) -> deployment.Deployment:
+def decode(name: str, spec: object) -> config.Configuration:
     """Decode the object that holds the configuration.
 
     :raises msgspec.ValidationError: if it is none
@@ -100,32 +100,32 @@
     found = msgspec.convert(spec, _Configuration)
     routes = [_route(route) for route in found.routes]
     # The longest prefix comes first, so that the first match is the best.
-    routes.sort(key=lambda route: -len(route.prefix))
-    by_host: dict[str, list[deployment.Route]] = {}
+    routes.sort(key=lambda route: -len(route.path_prefix))
+    by_host: dict[str, list[config.Route]] = {}
     for route in routes:
         by_host.setdefault(route.host, []).append(route)
-    return deployment.Deployment(
+    return config.Configuration(
         found.version,
         {host: tuple(of_host) for host, of_host in by_host.items()},
         {
-            ids.ServiceId(service.name): deployment.Service(
+            ids.ServiceId(service.name): config.Service(
                 ids.ServiceId(service.name),
                 service.engine and _engine(service.engine),
             )
             for service in found.services
         },
         {
-            key: deployment.Organisation(
+            key: config.Organisation(
                 ids.OrganisationId(tenant.name), tenant.priority
             )
             for tenant in found.tenants
             for key in tenant.api_keys
         },
-        deployment.CallerLimits(found.limits.max_body_bytes),
+        config.CallerLimits(found.limits.max_body_bytes),
     )
 
 
-def _route(route: _Route) -> deployment.Route:
+def _route(route: _Route) -> config.Route:
     is_stream = route.kind == 'streaming'
     may_repeat = route.kind == 'safe' or (is_stream and route.resumable)
     weights = {
@@ -134,42 +134,44 @@
     }
     if not weights and route.service:
         weights = {ids.ServiceId(route.service): 1.0}
-    return deployment.Route(
+    return config.Route(
         name=route.name,
         host=route.host,
-        prefix=route.path_prefix,
+        path_prefix=route.path_prefix,
         weight_by_service=weights,
-        repeats=(
-            deployment.Repeats.ANY if may_repeat else deployment.Repeats.ONCE
+        execution=(
+            config.Execution.REPEATABLE
+            if may_repeat
+            else config.Execution.AT_MOST_ONCE
         ),
         is_stream=is_stream,
         is_resumable=is_stream and route.resumable,
         is_public=route.public,
-        timeout=route.timeout_ms / 1000,
-        objective=route.slo_ms / 1000,
-        gap_objective=route.gap_aim_ms / 1000,
-        attempts=max(1, route.max_attempts),
+        timeout_seconds=route.timeout_ms / 1000,
+        objective_seconds=route.slo_ms / 1000,
+        gap_objective_seconds=route.gap_aim_ms / 1000,
+        max_attempts=max(1, route.max_attempts),
         priority=route.priority,
     )
 
 
-def _engine(engine: _Engine) -> deployment.Engine | None:
+def _engine(engine: _Engine) -> config.Engine | None:
     if not engine.layers:
         return None
-    return deployment.Engine(
+    return config.Engine(
         layers=engine.layers,
         layer_mb=engine.layer_mb,
-        cache_bytes=engine.kv_bytes,
+        cache_bytes_per_token=engine.kv_bytes,
         step_ms=engine.step_ms,
         sequence_ms=engine.per_seq_ms,
         context_ms=engine.context_per_k,
-        prefill_per_s=engine.read_per_s,
-        usual_prompt=engine.usual.prompt,
-        usual_answer=engine.usual.answer,
-        activation_bytes=engine.act_bytes,
+        prefill_tokens_per_second=engine.read_per_s,
+        mean_prompt_tokens=engine.usual.prompt,
+        mean_answer_tokens=engine.usual.answer,
+        activation_bytes_per_token=engine.act_bytes,
         zone_link_mbps=engine.pipe_mbps,
-        kind_by_name={
-            kind.name: deployment.AcceleratorKind(
+        accelerator_by_name={
+            kind.name: config.AcceleratorKind(
                 kind.name, kind.mb, kind.pace, kind.read_x
             )
             for kind in engine.kinds
--- a/libs/platform/burdockmast/platform/servers.py
+++ b/libs/platform/burdockmast/platform/servers.py
@@ -47,7 +47,7 @@
     host, _, port = entry.address.partition(':')
     if not host or not port.isdecimal():
         raise msgspec.ValidationError(f'address {entry.address!r} is none')
-    held = backends.EMPTY
+    held = backends.NO_LAYERS
     if entry.layers and entry.layers.first < entry.layers.end:
         held = backends.LayerRange(entry.layers.first, entry.layers.end)
     return backends.BackendServer(
@@ -56,8 +56,8 @@
         address=ids.Address(entry.address),
         zone=ids.ZoneId(entry.zone),
         is_ready=entry.state == READY,
-        held=held,
-        kind=entry.kind,
-        born=entry.born,
-        beat=entry.sequence,
+        layers=held,
+        accelerator=entry.kind,
+        started_ms=entry.born,
+        entry_sequence=entry.sequence,
     )
--- a/tests/test_gateway_links.py
+++ b/tests/test_gateway_links.py
@@ -10,7 +10,7 @@
 
 from burdockmast.base import ids
 from burdockmast.gateway import choosing
-from burdockmast.gateway import deployment
+from burdockmast.gateway import config
 from burdockmast.gateway import jobs
 from burdockmast.gateway import links
 from burdockmast.gateway import memory
@@ -84,7 +84,7 @@
         length_hint=0,
     )
     found = object.__new__(jobs.Job)
-    service = deployment.Service(ids.ServiceId('draft'), engine)
+    service = config.Service(ids.ServiceId('draft'), engine)
     object.__setattr__(found, 'service', service)
     object.__setattr__(found, 'request', request)
     return found
@@ -97,7 +97,7 @@
         s
         for s in fleets.placed(fleets.empty_fleet())
         if not any(
-            layer in range(s.held.first, s.held.end)
+            layer in range(s.layers.first, s.layers.end)
             for layer in range(*lost[s.zone])
         )
     ]
--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -5,27 +5,27 @@
 import pytest
 
 from burdockmast.gateway import backends
-from burdockmast.gateway import deployment
+from burdockmast.gateway import config
 from burdockmast.gateway import memory
 from burdockmast.gateway import paths
 from burdockmast.gateway import placing
 
-ENGINE = deployment.Engine(
+ENGINE = config.Engine(
     layers=80,
     layer_mb=1750.0,
-    cache_bytes=918000,
+    cache_bytes_per_token=918000,
     step_ms=0.85,
     sequence_ms=0.006,
     context_ms=0.008,
-    prefill_per_s=252000,
-    usual_prompt=772,
-    usual_answer=154,
-    activation_bytes=45800,
+    prefill_tokens_per_second=252000,
+    mean_prompt_tokens=772,
+    mean_answer_tokens=154,
+    activation_bytes_per_token=45800,
     zone_link_mbps=7900,
-    kind_by_name={
-        'large': deployment.AcceleratorKind('large', 36000, 3.1, 3.2),
-        'middle': deployment.AcceleratorKind('middle', 21600, 16, 8.2),
-        'small': deployment.AcceleratorKind('small', 14400, 15, 15),
+    accelerator_by_name={
+        'large': config.AcceleratorKind('large', 36000, 3.1, 3.2),
+        'middle': config.AcceleratorKind('middle', 21600, 16, 8.2),
+        'small': config.AcceleratorKind('small', 14400, 15, 15),
     },
 )
 # Servers of each kind in each zone, as the swap desk has them.
@@ -44,10 +44,10 @@
         address=f'{name}:1',
         zone=zone,
         is_ready=ready,
-        held=backends.LayerRange(*held) if held else backends.EMPTY,
-        kind=kind,
-        born=1,
-        beat=1,
+        layers=backends.LayerRange(*held) if held else backends.NO_LAYERS,
+        accelerator=kind,
+        started_ms=1,
+        entry_sequence=1,
     )
 
 
@@ -68,7 +68,7 @@
         server(
             s.id,
             s.zone,
-            s.kind,
+            s.accelerator,
             (layers_by_server[s.id].first, layers_by_server[s.id].end),
         )
         for s in servers
@@ -93,8 +93,8 @@
     for stage in found:
         assert stage.first == reached
         assert stage.end > stage.first
-        assert stage.server.held.first <= stage.first
-        assert stage.end <= stage.server.held.end
+        assert stage.server.layers.first <= stage.first
+        assert stage.end <= stage.server.layers.end
         reached = stage.end
     assert reached == ENGINE.layers
     assert len({stage.server.id for stage in found}) == len(found)
@@ -114,18 +114,18 @@
 
 def test_no_server_holds_more_than_its_memory():
     for found in placed(empty_fleet()):
-        kind = ENGINE.kind_by_name[found.kind]
-        assert len(found.held) * ENGINE.layer_mb < kind.memory_mb
-        tokens = WORK.tokens * len(found.held)
+        kind = ENGINE.accelerator_by_name[found.accelerator]
+        assert len(found.layers) * ENGINE.layer_mb < kind.memory_mb
+        tokens = WORK.tokens * len(found.layers)
         assert memory.capacity(ENGINE, found) > 20 * tokens
 
 
 def test_a_replacement_takes_what_its_zone_lacks():
     servers = placed(empty_fleet())
     lost = servers.pop(0)
-    new = server('new', lost.zone, lost.kind)
+    new = server('new', lost.zone, lost.accelerator)
     (placement,) = placing.plan(ENGINE, [*servers, new], {})
-    assert placement.layers == lost.held
+    assert placement.layers == lost.layers
 
 
 def test_a_hole_in_the_fleet_is_closed_by_a_server_that_nobody_misses():
@@ -160,7 +160,7 @@
                 server(
                     s.id,
                     s.zone,
-                    s.kind,
+                    s.accelerator,
                     (by_id[s.id].first, by_id[s.id].end),
                 )
                 if s.id in by_id
@@ -284,8 +284,8 @@
     ]
     moves = {p.server.id: p.layers for p in placing.plan(ENGINE, servers, {})}
     assert moves['low'].first == 0
-    assert moves.get('high', servers[1].held).end == 33
-    assert moves['low'].end >= moves.get('high', servers[1].held).first
+    assert moves.get('high', servers[1].layers).end == 33
+    assert moves['low'].end >= moves.get('high', servers[1].layers).first
 
 
 def test_a_zone_whose_holes_cannot_be_closed_is_left_alone():
@@ -307,7 +307,7 @@
     room = [0.0] * ENGINE.layers
     for found in servers:
         streams = memory.capacity(ENGINE, found)
-        streams /= len(found.held) * WORK.tokens
-        for layer in range(found.held.first, found.held.end):
+        streams /= len(found.layers) * WORK.tokens
+        for layer in range(found.layers.first, found.layers.end):
             room[layer] += streams
     assert min(room) * len(FLEET) >= 3 * 31 * 1.5
--- a/tests/test_gateway_planner.py
+++ b/tests/test_gateway_planner.py
@@ -7,23 +7,23 @@
 
 from burdockmast.base import failures
 from burdockmast.gateway import backends
-from burdockmast.gateway import deployment
+from burdockmast.gateway import config
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import planner
 
-ENGINE = deployment.Engine(
+ENGINE = config.Engine(
     layers=10,
     layer_mb=100.0,
-    cache_bytes=1,
+    cache_bytes_per_token=1,
     step_ms=1,
     sequence_ms=0,
     context_ms=0,
-    prefill_per_s=1000,
-    usual_prompt=1,
-    usual_answer=1,
-    activation_bytes=1,
+    prefill_tokens_per_second=1000,
+    mean_prompt_tokens=1,
+    mean_answer_tokens=1,
+    activation_bytes_per_token=1,
     zone_link_mbps=1,
-    kind_by_name={'k': deployment.AcceleratorKind('k', 1000.5, 1, 1)},
+    accelerator_by_name={'k': config.AcceleratorKind('k', 1000.5, 1, 1)},
 )
 
 
@@ -76,14 +76,14 @@
             f'{name}:1',
             'a',
             True,
-            backends.LayerRange(*held) if held else backends.EMPTY,
+            backends.LayerRange(*held) if held else backends.NO_LAYERS,
             'k',
             1,
             1,
         )
 
     def model_services(self):
-        return [deployment.Service('draft', ENGINE)]
+        return [config.Service('draft', ENGINE)]
 
     def listed(self, service):
         return list(self.by_id.values())
@@ -228,8 +228,8 @@
     # One of its own is enough; another zone's may hold more meanwhile.
     assert len(fleet.accepted.keys() & {'s1', 's2', 's3'}) == 1
     for name, server in fleet.by_id.items():
-        assert server.held.first <= before[name].held.first
-        assert server.held.end >= before[name].held.end
+        assert server.layers.first <= before[name].layers.first
+        assert server.layers.end >= before[name].layers.end
 
 
 def test_a_lost_holder_delays_a_zones_move_once(clock, fleet, seat, start):
@@ -243,7 +243,7 @@
         fleet.by_id['s1'],
         id='far',
         zone='b',
-        held=backends.LayerRange(0, 10),
+        layers=backends.LayerRange(0, 10),
     )
     second = start('g2')
     look(clock, [second], planner.MOVE_SECONDS + planner.TAKEOVER_SECONDS)
--- a/tests/test_gateway_upstream.py
+++ b/tests/test_gateway_upstream.py
@@ -71,7 +71,7 @@
                 server.address,
                 'a',
                 True,
-                backends.EMPTY,
+                backends.NO_LAYERS,
                 '',
                 1,
                 1,
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -5,7 +5,7 @@
 import pytest
 
 from burdockmast.base import failures
-from burdockmast.gateway import deployment
+from burdockmast.gateway import config
 from burdockmast.gateway import interfaces
 from burdockmast.platform import configuration
 from burdockmast.platform import headers
@@ -92,14 +92,14 @@
 
 def test_a_servers_entry_is_decoded():
     found = servers.decode('i-1', ENTRY)
-    assert (found.held.first, found.held.end) == (20, 31)
+    assert (found.layers.first, found.layers.end) == (20, 31)
     assert found.is_ready
-    assert found.beat == 4
+    assert found.entry_sequence == 4
 
 
 def test_an_entry_without_layers_holds_none():
     found = servers.decode('i-1', {**ENTRY, 'layers': None})
-    assert len(found.held) == 0
+    assert len(found.layers) == 0
 
 
 def test_an_older_beat_is_older_but_a_new_start_is_newer():
@@ -133,12 +133,12 @@
 @pytest.mark.parametrize(
     ('kind', 'resumable', 'repeats'),
     [
-        ('safe', False, deployment.Repeats.ANY),
-        ('unsafe', False, deployment.Repeats.ONCE),
-        ('unsafe', True, deployment.Repeats.ONCE),
-        ('streaming', False, deployment.Repeats.ONCE),
-        ('streaming', True, deployment.Repeats.ANY),
-        ('unheard-of', True, deployment.Repeats.ONCE),
+        ('safe', False, config.Execution.REPEATABLE),
+        ('unsafe', False, config.Execution.AT_MOST_ONCE),
+        ('unsafe', True, config.Execution.AT_MOST_ONCE),
+        ('streaming', False, config.Execution.AT_MOST_ONCE),
+        ('streaming', True, config.Execution.REPEATABLE),
+        ('unheard-of', True, config.Execution.AT_MOST_ONCE),
     ],
 )
 def test_what_may_repeat_follows_from_the_kind(kind, resumable, repeats):
@@ -151,7 +151,7 @@
         'service': 's',
     }
     found = configuration.decode('main', {'version': 1, 'routes': [route]})
-    assert found.route('h', '/a/b').repeats is repeats
+    assert found.find_route('h', '/a/b').execution is repeats
 
 
 def test_the_longest_prefix_wins():
@@ -160,10 +160,10 @@
         for n, p in [('short', '/a/'), ('long', '/a/b/'), ('other', '/c/')]
     ]
     found = configuration.decode('main', {'version': 1, 'routes': routes})
-    assert found.route('h', '/a/b/c').name == 'long'
-    assert found.route('h', '/a/bc').name == 'short'
-    assert found.route('h', '/b/') is None
-    assert found.route('other', '/a/') is None
+    assert found.find_route('h', '/a/b/c').name == 'long'
+    assert found.find_route('h', '/a/bc').name == 'short'
+    assert found.find_route('h', '/b/') is None
+    assert found.find_route('other', '/a/') is None
 
 
 def read(given=REQUEST):
