Name the gateway's path, placement and store modules plainly

choosing, following and placing are gerunds that could mean anything; they are path_selector, object_follower and layer_placement now. Classes, methods, parameters and constants that other modules use follow the terms of the field. Log part names stay. Renames alone.

--- a/libs/gateway/burdockmast/gateway/callers.py
+++ b/libs/gateway/burdockmast/gateway/callers.py
@@ -311,7 +311,7 @@
                 'outcome': failure.outcome.value,
                 'retry_after': after,
                 'configuration_age': round(self._view.configuration_age, 3),
-                'list_age': round(self._view.server_age, 3),
+                'list_age': round(self._view.server_list_age, 3),
             },
         )
         start_response(f'{status} {PHRASE_BY_STATUS[status]}', headers)
--- a/libs/gateway/burdockmast/gateway/calls.py
+++ b/libs/gateway/burdockmast/gateway/calls.py
@@ -101,7 +101,7 @@
         return min(
             found,
             key=lambda s: (
-                self._view.running(s.id),
+                self._view.running_requests(s.id),
                 s.zone != self._zone,
                 self._random.random(),
             ),
@@ -112,12 +112,12 @@
     ) -> jobs.Reply | failures.Failure:
         began = timers.now()
         exchange = upstream.Exchange(server)
-        self._view.begin((server.id,))
+        self._view.add_request((server.id,))
         try:
             result = self._exchange(job, exchange)
         finally:
             exchange.close()
-            self._view.end((server.id,))
+            self._view.remove_request((server.id,))
         self._note(job, server, result, timers.now() - began)
         return result
 
@@ -158,7 +158,7 @@
             'server': server.id,
             'seconds': round(seconds, 4),
             'left': round(job.left, 3),
-            'list_age': round(self._view.server_age, 3),
+            'list_age': round(self._view.server_list_age, 3),
         }
         match result:
             case jobs.Reply():
--- a/libs/gateway/burdockmast/gateway/placing.py
+++ b/libs/gateway/burdockmast/gateway/layer_placement.py
@@ -41,7 +41,7 @@
     is_urgent: bool = True
 
 
-def most_layers(
+def max_layers(
     engine: config.Engine, kind: str, requests: int = ROOM_REQUESTS
 ) -> int:
     """Return how many layers a server holds with room for requests."""
@@ -50,7 +50,10 @@
         return 0
     tokens = engine.mean_prompt_tokens + engine.mean_answer_tokens
     cache_mb = (
-        engine.cache_bytes_per_token / engine.layers * tokens / memory.MEGABYTE
+        engine.cache_bytes_per_token
+        / engine.layers
+        * tokens
+        / memory.BYTES_PER_MB
     )
     room = engine.layer_mb + requests * cache_mb
     by_room = int(found.memory_mb / room)
@@ -96,7 +99,7 @@
         if not server.is_ready:
             continue
         held = pending.get(server.id, server.layers)
-        coverage.room_by_zone[server.zone] += most_layers(
+        coverage.room_by_zone[server.zone] += max_layers(
             engine, server.accelerator, LEAST_ROOM_REQUESTS
         )
         if not len(held):
@@ -106,10 +109,10 @@
         if server.id not in pending:
             holding.append(server)
     # Servers with much room first: a pipeline of few stages is faster.
-    empty.sort(key=lambda s: (-most_layers(engine, s.accelerator), s.id))
+    empty.sort(key=lambda s: (-max_layers(engine, s.accelerator), s.id))
     placements = []
     for server in empty:
-        size = most_layers(engine, server.accelerator)
+        size = max_layers(engine, server.accelerator)
         if not size:
             continue
         layers = _window(
@@ -196,7 +199,7 @@
     """
 
     def spare(server: backends.BackendServer) -> int:
-        most = most_layers(engine, server.accelerator, LEAST_ROOM_REQUESTS)
+        most = max_layers(engine, server.accelerator, LEAST_ROOM_REQUESTS)
         return max(0, most - len(server.layers))
 
     below = [s for s in servers if s.layers.end == hole.first]
@@ -226,9 +229,9 @@
     """Let a server that nobody misses hold the first layers of a hole."""
 
     def size(server: backends.BackendServer) -> int:
-        least = most_layers(engine, server.accelerator, LEAST_ROOM_REQUESTS)
+        least = max_layers(engine, server.accelerator, LEAST_ROOM_REQUESTS)
         return max(
-            most_layers(engine, server.accelerator), min(least, len(hole))
+            max_layers(engine, server.accelerator), min(least, len(hole))
         )
 
     spare = [
--- a/libs/gateway/burdockmast/gateway/memory.py
+++ b/libs/gateway/burdockmast/gateway/memory.py
@@ -13,34 +13,37 @@
 from burdockmast.gateway import backends
 from burdockmast.gateway import config
 
-MEGABYTE = 1e6
+BYTES_PER_MB = 1e6
 # Requests and cache entries at a server that runs none.
-NOTHING = (0, 0.0)
+NO_USAGE = (0, 0.0)
 # By how much own use is multiplied for what other gateways use. Most gateways
 # use servers of their own zone; taking all to do alike sent many requests over
 # the links between zones, which cost more than it saved.
-ALIKE = 2
+OWN_USAGE_FACTOR = 2
 # Gateways that are taken to fill the same servers where it matters whether one
 # is overfull, at most: more of them are spread over more servers.
-MOST_ALIKE = 4
+MAX_SHARING_GATEWAYS = 4
 # By how much a full server's cost is multiplied: a detour within the zone is
 # worth it, one over a link between zones is not.
-FULL_FACTOR = 5.0
+FULL_COST_FACTOR = 5.0
 # Occupancy from which a server is a last resort, and its factor: a detour over
 # a link between zones costs about as much. What is known of it is up to a
 # second old, in which a fifth of it may be added.
-OVERFULL = 0.8
-OVERFULL_FACTOR = 6.0
+OVERFULL_SHARE = 0.8
+OVERFULL_COST_FACTOR = 6.0
 
 
-def capacity(engine: config.Engine, server: backends.BackendServer) -> float:
+def cache_capacity(
+    engine: config.Engine, server: backends.BackendServer
+) -> float:
     """Return the cache entries that fit, in tokens times layers."""
     kind = engine.accelerator_by_name.get(server.accelerator)
     if kind is None or not engine.cache_bytes_per_token:
         return float('inf')
     free_mb = kind.memory_mb - len(server.layers) * engine.layer_mb
     return max(
-        1.0, free_mb * MEGABYTE / engine.cache_bytes_per_token * engine.layers
+        1.0,
+        free_mb * BYTES_PER_MB / engine.cache_bytes_per_token * engine.layers,
     )
 
 
@@ -72,7 +75,7 @@
             self._running[stage.server.id] += sign
             self._reserved[stage.server.id] += sign * tokens * layers
 
-    def own(self) -> dict[ids.ServerId, tuple[int, float]]:
+    def usage_by_server(self) -> dict[ids.ServerId, tuple[int, float]]:
         """Return what this gateway's requests use."""
         return {
             server: (running, self._reserved[server])
@@ -81,14 +84,17 @@
         }
 
 
-def crowding(own: float, gateways: int, reported: float) -> float:
+def cost_factor(own: float, gateway_count: int, reported: float) -> float:
     """Return by how much a server's cost is multiplied.
 
     :param own: share of the memory that this gateway's requests will need
     :param gateways: that share the fleet
     :param reported: share that was in use just now, 0 if unknown
     """
-    if max(own * min(gateways, MOST_ALIKE), reported) >= OVERFULL:
-        return OVERFULL_FACTOR
-    occupancy = max(own * ALIKE, reported)
-    return 1.0 + (FULL_FACTOR - 1.0) * min(occupancy, 1.0) ** 2
+    if (
+        max(own * min(gateway_count, MAX_SHARING_GATEWAYS), reported)
+        >= OVERFULL_SHARE
+    ):
+        return OVERFULL_COST_FACTOR
+    occupancy = max(own * OWN_USAGE_FACTOR, reported)
+    return 1.0 + (FULL_COST_FACTOR - 1.0) * min(occupancy, 1.0) ** 2
--- a/libs/gateway/burdockmast/gateway/following.py
+++ b/libs/gateway/burdockmast/gateway/object_follower.py
@@ -19,7 +19,7 @@
 GATHER_SECONDS = 0.15
 # Seconds after the store's return in which entries that lapsed meanwhile
 # come back if their writers live; the users' pages name about two.
-LAPSE_GRACE_SECONDS = 2.0
+EXPIRY_GRACE_SECONDS = 2.0
 
 T = TypeVar('T')
 
@@ -36,7 +36,7 @@
         name: str,
         feed: interfaces.Feed[T],
         wait_seconds: float,
-        keeps_lapsed: bool = False,
+        keeps_expired: bool = False,
         is_older: Callable[[T, T], bool] | None = None,
     ):
         """Create an empty copy.
@@ -50,11 +50,11 @@
         """
         self.item_by_name: dict[str, T] = {}
         self.revision: int | None = None
-        self.changed: list[Callable[[], None]] = []
+        self.on_change: list[Callable[[], None]] = []
         self._name = name
         self._feed = feed
         self._wait_seconds = wait_seconds
-        self._keeps_lapsed = keeps_lapsed
+        self._keeps_lapsed = keeps_expired
         self._is_older = is_older
         # Objects that vanished around an outage, and when they count as gone.
         self._gone_at_by_name: dict[str, float] = {}
@@ -77,13 +77,13 @@
     def _run(self) -> None:
         while True:
             try:
-                self.step()
+                self.poll()
             except Exception:
                 LOG.exception('following failed', extra={'what': self._name})
                 self.revision = None
                 eventlet.sleep(RETRY_SECONDS)
 
-    def step(self) -> None:
+    def poll(self) -> None:
         """Make one call, and take in what it brings."""
         asked_at = timers.real_now()
         if self.revision is None:
@@ -203,7 +203,7 @@
         known = self._gone_at_by_name.get(name)
         if known is not None:
             return timers.now() < known
-        until = self._returned_at + LAPSE_GRACE_SECONDS
+        until = self._returned_at + EXPIRY_GRACE_SECONDS
         if timers.now() >= until:
             return False
         self._gone_at_by_name[name] = until
@@ -222,5 +222,5 @@
             self._notify()
 
     def _notify(self) -> None:
-        for subscriber in self.changed:
+        for subscriber in self.on_change:
             subscriber()
--- a/libs/gateway/burdockmast/gateway/choosing.py
+++ b/libs/gateway/burdockmast/gateway/path_selector.py
@@ -20,28 +20,28 @@
 LOG = logs.get('choosing')
 
 # Seconds until a caller may come back when no path can be had.
-RETRY_SECONDS = 0.3
+RETRY_AFTER_SECONDS = 0.3
 # Seconds from its arrival for which a request may wait for a path. Callers
 # leave after 2 s without an event, and the first takes some tenths of one.
 QUEUE_SECONDS = 1.2
 # Requests that may wait at once.
 QUEUE_LIMIT = 256
 # Seconds between looks whether a refusing server may be tried again.
-WAKE_SECONDS = 0.1
+WAKE_INTERVAL_SECONDS = 0.1
 # Seconds for which a stream that has begun may wait for another path.
 GO_ON_SECONDS = 0.6
 
 
-class Chooser:
+class PathSelector:
     """Paths for the requests of one gateway."""
 
     def __init__(
         self,
         fleet: view.View,
-        found: reports.Reports,
+        found: reports.ServerReports,
         usage: memory.Usage,
         zone: ids.ZoneId,
-        source: random.Random,
+        rng: random.Random,
     ):
         """Create a chooser.
 
@@ -51,18 +51,18 @@
         self._view = fleet
         self._usage = usage
         self._zone = zone
-        self._random = source
+        self._random = rng
         self._queue = queues.FairQueue(QUEUE_LIMIT)
         self._links = links.ZoneLinks()
 
     @property
-    def gateways(self) -> int:
+    def gateway_count(self) -> int:
         """Gateways that share the fleet, as far as this one knows."""
-        return self._links.gateways
+        return self._links.gateway_count
 
-    @gateways.setter
-    def gateways(self, count: int) -> None:
-        self._links.gateways = count
+    @gateway_count.setter
+    def gateway_count(self, count: int) -> None:
+        self._links.gateway_count = count
 
     def reserve(self, job: jobs.Job, path: tuple[backends.Stage, ...]) -> None:
         """Count a request on its path."""
@@ -71,19 +71,19 @@
             self._usage.reserve(path, 0)
             return
         work = self._work(job, engine)
-        self._usage.reserve(path, work.tokens)
-        self._links.note(path, paths.transfer_ms(engine, work) / 1000)
+        self._usage.reserve(path, work.total_tokens)
+        self._links.record_prompt(path, paths.transfer_ms(engine, work) / 1000)
 
     def release(self, job: jobs.Job, path: tuple[backends.Stage, ...]) -> None:
         """Count a request no longer, and let another look for a path."""
         self._usage.release(path, self._tokens(job))
-        self.wake()
+        self.wake_waiter()
 
     def _tokens(self, job: jobs.Job) -> int:
         engine = job.service.engine
-        return self._work(job, engine).tokens if engine else 0
+        return self._work(job, engine).total_tokens if engine else 0
 
-    def path_in_turn(
+    def wait_for_path(
         self,
         job: jobs.Job,
         lost: Collection[ids.ServerId],
@@ -114,8 +114,8 @@
                         'request': job.id,
                         'waiting': len(self._queue),
                         'links': self._links.describe(),
-                        'gateways': self.gateways,
-                        'list_age': round(self._view.server_age, 3),
+                        'gateways': self.gateway_count,
+                        'list_age': round(self._view.server_list_age, 3),
                         'outcome': str(refusal),
                     },
                 )
@@ -129,9 +129,9 @@
         if engine is None:
             return False
         ready = [s for s in self._view.listed(job.service.id) if s.is_ready]
-        return paths.missing(engine, ready) is None
+        return paths.first_uncovered_layer(engine, ready) is None
 
-    def wake(self) -> None:
+    def wake_waiter(self) -> None:
         """Let one waiting request look for a path again."""
         self._queue.wake()
 
@@ -146,13 +146,13 @@
             servers = self._view.usable(job.service.id, lost)
             return tuple(backends.Stage(s, 0, 0) for s in servers[:1])
         work = self._work(job, engine)
-        own = self._usage.own()
+        own = self._usage.usage_by_server()
 
         def crowding(server: backends.BackendServer) -> float:
-            _, reserved = own.get(server.id, memory.NOTHING)
-            return memory.crowding(
-                reserved / memory.capacity(engine, server),
-                self.gateways,
+            _, reserved = own.get(server.id, memory.NO_USAGE)
+            return memory.cost_factor(
+                reserved / memory.cache_capacity(engine, server),
+                self.gateway_count,
                 self.reports.occupancy(server),
             )
 
@@ -163,10 +163,11 @@
                 work,
                 self._zone,
                 lambda server: (
-                    own.get(server, memory.NOTHING)[0] * memory.ALIKE
+                    own.get(server, memory.NO_USAGE)[0]
+                    * memory.OWN_USAGE_FACTOR
                 ),
                 crowding,
-                self.reports.pace,
+                self.reports.slowdown,
                 # A caller who has a part of the answer loses more than what
                 # one prompt more costs the others.
                 (lambda link: False) if has_begun else self._links.is_full,
@@ -176,23 +177,23 @@
                 return path
         return ()
 
-    def _work(self, job: jobs.Job, engine: config.Engine) -> paths.Work:
+    def _work(self, job: jobs.Job, engine: config.Engine) -> paths.RequestSize:
         answer = job.request.length_hint or engine.mean_answer_tokens
         if job.request.max_answer_tokens:
             answer = min(answer, job.request.max_answer_tokens)
-        return paths.Work(
+        return paths.RequestSize(
             job.request.prompt_tokens or engine.mean_prompt_tokens,
             max(1, answer),
         )
 
-    def no_path(self, job: jobs.Job) -> failures.Failure:
+    def no_path_failure(self, job: jobs.Job) -> failures.Failure:
         """Return why a request can't be served now."""
         engine = job.service.engine
         usable = self._view.usable(job.service.id)
-        layer = paths.missing(engine, usable) if engine else None
+        layer = paths.first_uncovered_layer(engine, usable) if engine else None
         return failures.Failure(
             failures.Reason.NO_PATH,
             'stream.path',
             detail=f'no usable server of {job.service.id} holds layer {layer}',
-            retry_after=RETRY_SECONDS,
+            retry_after=RETRY_AFTER_SECONDS,
         )
--- a/libs/gateway/burdockmast/gateway/paths.py
+++ b/libs/gateway/burdockmast/gateway/paths.py
@@ -41,65 +41,67 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Work:
+class RequestSize:
     """What a request asks of a path.
 
-    :ivar prompt: tokens to read
-    :ivar answer: tokens that are likely to be written
+    :ivar prompt_tokens: tokens to read
+    :ivar answer_tokens: tokens that are likely to be written
     """
 
-    prompt: int
-    answer: int
+    prompt_tokens: int
+    answer_tokens: int
 
     @property
-    def tokens(self) -> int:
+    def total_tokens(self) -> int:
         """Tokens that are in memory at the end."""
-        return self.prompt + self.answer
+        return self.prompt_tokens + self.answer_tokens
 
 
 def stage_ms(
     engine: config.Engine,
     server: backends.BackendServer,
     layers: int,
-    work: Work,
-    running: int,
-    pace: float = 1.0,
+    size: RequestSize,
+    running_requests: int,
+    slowdown: float = 1.0,
 ) -> float:
     """Return milliseconds that a stage adds to a whole answer.
 
-    :param running: other requests that run at the server
-    :param pace: how many times slower than usual the server is
+    :param running_requests: other requests that run at the server
+    :param slowdown: how many times slower than usual the server is
     """
     kind = engine.accelerator_by_name.get(server.accelerator)
     step_slowdown = kind.step_slowdown if kind else 1.0
     prefill_slowdown = kind.prefill_slowdown if kind else 1.0
     share = layers / engine.layers
-    step = engine.step_ms + engine.sequence_ms * (running + 1)
-    step += engine.context_ms * (running + 1) * work.tokens / 1000
-    step *= step_slowdown * share * (1 + SHARED_STEP * running)
+    step = engine.step_ms + engine.sequence_ms * (running_requests + 1)
+    step += (
+        engine.context_ms * (running_requests + 1) * size.total_tokens / 1000
+    )
+    step *= step_slowdown * share * (1 + SHARED_STEP * running_requests)
     prefill = (
-        work.prompt
+        size.prompt_tokens
         / engine.prefill_tokens_per_second
         * 1000
         * prefill_slowdown
         * share
     )
-    prefill *= 1 + SHARED_STEP * running
-    return pace * (step * work.answer + prefill)
+    prefill *= 1 + SHARED_STEP * running_requests
+    return slowdown * (step * size.answer_tokens + prefill)
 
 
-def transfer_ms(engine: config.Engine, work: Work) -> float:
+def transfer_ms(engine: config.Engine, size: RequestSize) -> float:
     """Return milliseconds for which a prompt takes a link between zones."""
     if not engine.zone_link_mbps:
         return 0.0
     bits = engine.activation_bytes_per_token * BITS_PER_BYTE
-    return work.prompt * bits / engine.zone_link_mbps / 1000
+    return size.prompt_tokens * bits / engine.zone_link_mbps / 1000
 
 
-def zone_ms(engine: config.Engine, work: Work) -> float:
+def zone_crossing_ms(engine: config.Engine, size: RequestSize) -> float:
     """Return milliseconds that a way to another zone adds to an answer."""
-    shared = SHARED_LINK * transfer_ms(engine, work)
-    return ZONE_HOP_MS * work.answer + shared
+    shared = SHARED_LINK * transfer_ms(engine, size)
+    return ZONE_HOP_MS * size.answer_tokens + shared
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -113,19 +115,19 @@
 def cheapest(
     engine: config.Engine,
     servers: Iterable[backends.BackendServer],
-    work: Work,
+    size: RequestSize,
     zone: ids.ZoneId,
-    running: Callable[[ids.ServerId], int],
-    crowding: Callable[[backends.BackendServer], float],
-    pace: Callable[[backends.BackendServer], float],
+    running_requests: Callable[[ids.ServerId], int],
+    memory_factor: Callable[[backends.BackendServer], float],
+    slowdown: Callable[[backends.BackendServer], float],
     is_full: Callable[[links.Link], bool],
-    source: random.Random,
+    rng: random.Random,
 ) -> tuple[backends.Stage, ...]:
     """Return the stages of the cheapest path, empty if there is none.
 
     :param zone: where the answer is wanted
-    :param crowding: factor on the cost of a server whose memory fills up
-    :param pace: how many times slower than usual a server is
+    :param memory_factor: factor on the cost of a server whose memory fills up
+    :param slowdown: how many times slower than usual a server is
     :param is_full: tells of a link between zones that it takes no more
     """
     holding = [s for s in servers if len(s.layers)]
@@ -136,10 +138,10 @@
     )
     cuts = [cut for cut in cuts if cut <= engine.layers]
     factors = {
-        s.id: crowding(s) * (1 + NOISE * source.random()) for s in holding
+        s.id: memory_factor(s) * (1 + NOISE * rng.random()) for s in holding
     }
-    paces = {s.id: pace(s) for s in holding}
-    between_zones = zone_ms(engine, work)
+    paces = {s.id: slowdown(s) for s in holding}
+    between_zones = zone_crossing_ms(engine, size)
     zones = {server.zone for server in holding}
     crossing = {
         link: math.inf if is_full(link) else between_zones
@@ -160,7 +162,7 @@
             base, stages = _nearest(here, server.zone, ways)
             if math.isinf(base):
                 continue
-            base += HOP_MS * work.answer
+            base += HOP_MS * size.answer_tokens
             for end in cuts[number + 1 :]:
                 if end > server.layers.end:
                     break
@@ -168,8 +170,8 @@
                     engine,
                     server,
                     end - cut,
-                    work,
-                    running(server.id),
+                    size,
+                    running_requests(server.id),
                     paces[server.id],
                 )
                 best = reached.setdefault(end, {}).get(server.zone)
@@ -217,7 +219,7 @@
     return tuple(kept)
 
 
-def missing(
+def first_uncovered_layer(
     engine: config.Engine, servers: Iterable[backends.BackendServer]
 ) -> int | None:
     """Return the first layer that no server holds, None if all are held."""
--- a/libs/gateway/burdockmast/gateway/planner.py
+++ b/libs/gateway/burdockmast/gateway/planner.py
@@ -16,13 +16,13 @@
 from burdockmast.base import timers
 from burdockmast.gateway import backends
 from burdockmast.gateway import interfaces
-from burdockmast.gateway import placing
+from burdockmast.gateway import layer_placement
 from burdockmast.gateway import view
 
 LOG = logs.get('planner')
 
 # Seconds between looks at what servers hold.
-LOOK_SECONDS = 0.3
+POLL_SECONDS = 0.3
 # Seconds until the effect of an order shows in the list; then the order may
 # be given again. A server with the most layers loads 3 s, longer if others
 # load as well; lists lag by up to 0.8 s.
@@ -39,11 +39,11 @@
 TAKEOVER_SECONDS = 2.0
 # Seconds for which the seat is taken to be as it was seen last; less than
 # another process waits until it takes it.
-SEAT_SECONDS = 1.0
+LOCK_CHECK_SECONDS = 1.0
 # Seconds for which a zone must lack layers until servers are moved for it, so
 # that a list which is written in parts is whole. A server that crashed is back
 # after some 4 s, but until then each prompt of the zone crosses to others.
-MOVE_SECONDS = 2.0
+ZONE_GAP_SECONDS = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -91,7 +91,7 @@
         self._order_by_server: dict[ids.ServerId, Order] = {}
         self._ordered: set[tuple[ids.ServerId, int]] = set()
 
-    def look(self) -> None:
+    def poll(self) -> None:
         """Give the orders that are due, if this process is to give them."""
         self._forget_done()
         if not self._has_settled():
@@ -123,7 +123,7 @@
             or now - self._first_listed_at >= SETTLE_LIMIT_SECONDS
         )
 
-    def _wanted(self) -> list[placing.Placement]:
+    def _wanted(self) -> list[layer_placement.Placement]:
         """Return placements that are due; moves for a zone have time."""
         pending = {
             server: order.layers
@@ -132,7 +132,7 @@
         found = []
         for service in self._view.model_services():
             servers = self._view.listed(service.id)
-            found += placing.plan(service.engine, servers, pending)
+            found += layer_placement.plan(service.engine, servers, pending)
         urgent = [placement for placement in found if placement.is_urgent]
         if urgent or not found:
             self._lacking_since = None
@@ -140,7 +140,7 @@
         now = timers.now()
         if self._lacking_since is None:
             self._lacking_since = now
-        return found if now - self._lacking_since >= MOVE_SECONDS else []
+        return found if now - self._lacking_since >= ZONE_GAP_SECONDS else []
 
     def _forget_done(self) -> None:
         now = timers.now()
@@ -157,7 +157,7 @@
         that the new holder has not ordered yet would still obey it.
         """
         now = timers.now()
-        if now >= self._seen_at + SEAT_SECONDS:
+        if now >= self._seen_at + LOCK_CHECK_SECONDS:
             self._seen_at = now
             self._is_confirmed = self._has_seat(now)
         return self._is_confirmed and self._fence is not None
@@ -208,7 +208,7 @@
         self._fence = None
         self._needed_since = None
 
-    def _order(self, placement: placing.Placement) -> None:
+    def _order(self, placement: layer_placement.Placement) -> None:
         server, layers = placement.server, placement.layers
         fence = self._fence
         if fence is None:
@@ -229,7 +229,7 @@
                 'end': layers.end,
                 'fence': fence,
                 'orders': orders,
-                'list_age': round(self._view.server_age, 3),
+                'list_age': round(self._view.server_list_age, 3),
                 'outcome': str(failure) if failure else 'accepted',
             },
         )
@@ -241,7 +241,7 @@
             self._lose_seat(f'{server.id} has seen a higher number')
 
     def _await_effect(
-        self, placement: placing.Placement, seconds: float
+        self, placement: layer_placement.Placement, seconds: float
     ) -> None:
         """Take a server to hold what it was ordered to, for a while."""
         server = placement.server
--- a/libs/gateway/burdockmast/gateway/reports.py
+++ b/libs/gateway/burdockmast/gateway/reports.py
@@ -35,12 +35,12 @@
 class _Known:
     """What a server reported, and when in monotonic seconds."""
 
-    pace: float
+    slowdown: float
     occupancy: float
     at: float
 
 
-class Reports:
+class ServerReports:
     """What servers last reported to one gateway."""
 
     def __init__(self, fleet: view.View, engines: interfaces.EngineClient):
@@ -50,12 +50,12 @@
         self._known_by_server: dict[ids.ServerId, _Known] = {}
         self._asked_at: dict[ids.ServerId, float] = {}
 
-    def pace(self, server: backends.BackendServer) -> float:
+    def slowdown(self, server: backends.BackendServer) -> float:
         """Return how many times slower than usual a server is."""
         known = self._known_by_server.get(server.id)
         if known is None or timers.now() - known.at > HOLD_SECONDS:
             return 1.0
-        return known.pace
+        return known.slowdown
 
     def occupancy(self, server: backends.BackendServer) -> float:
         """Return the share of a server's memory that was in use just now."""
@@ -64,7 +64,7 @@
             return 0.0
         return known.occupancy
 
-    def ask(
+    def fetch(
         self, servers: Iterable[backends.BackendServer], request: str
     ) -> None:
         """Ask servers, in tasks of their own, unless just asked.
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -19,11 +19,11 @@
 from burdockmast.gateway import backends
 from burdockmast.gateway import callers
 from burdockmast.gateway import calls
-from burdockmast.gateway import choosing
 from burdockmast.gateway import config
-from burdockmast.gateway import following
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import memory
+from burdockmast.gateway import object_follower
+from burdockmast.gateway import path_selector
 from burdockmast.gateway import planner
 from burdockmast.gateway import reports
 from burdockmast.gateway import retries
@@ -86,14 +86,14 @@
         self._log = logs.Log.from_config(
             'info', {'instance': given.instance, 'zone': given.zone}
         )
-        self._deployments = following.Follower(
+        self._deployments = object_follower.Follower(
             'configuration', platform.deployments, CONFIGURATION_WAIT_SECONDS
         )
-        self._servers = following.Follower(
+        self._servers = object_follower.Follower(
             'servers',
             platform.servers,
             SERVERS_WAIT_SECONDS,
-            keeps_lapsed=True,
+            keeps_expired=True,
             is_older=backends.BackendServer.is_older_than,
         )
         self.view = view.View(self._deployments, self._servers)
@@ -101,9 +101,9 @@
             given.retry_ratio, given.retry_slack, given.retry_window
         )
         usage = memory.Usage()
-        self._chooser = choosing.Chooser(
+        self._chooser = path_selector.PathSelector(
             self.view,
-            reports.Reports(self.view, platform.engines),
+            reports.ServerReports(self.view, platform.engines),
             usage,
             given.zone,
             source,
@@ -150,10 +150,12 @@
             'logs', logs.REPORT_SECONDS, self._log.handler.report
         )
         self._timers.subscribe(
-            'planner', planner.LOOK_SECONDS, self._planner.look
+            'planner', planner.POLL_SECONDS, self._planner.poll
         )
         self._timers.subscribe(
-            'queue', choosing.WAKE_SECONDS, self._chooser.wake
+            'queue',
+            path_selector.WAKE_INTERVAL_SECONDS,
+            self._chooser.wake_waiter,
         )
         eventlet.spawn(self._count)
         self._timers.subscribe('roster', ROSTER_SECONDS, self._count)
@@ -196,7 +198,7 @@
                 extra={'count': count, 'before': self._budget.gateways},
             )
         self._budget.gateways = count
-        self._chooser.gateways = count
+        self._chooser.gateway_count = count
 
     def store_answered(
         self, call: str, seconds: float, failure: failures.Failure | None
@@ -250,7 +252,7 @@
             'configuration.age_seconds', lambda: self.view.configuration_age
         )
         self._metrics.gauge(
-            'servers.age_seconds', lambda: self.view.server_age
+            'servers.age_seconds', lambda: self.view.server_list_age
         )
         self._metrics.gauge(
             'requests.running', lambda: self.application.running
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -11,10 +11,10 @@
 from burdockmast.base import outcomes
 from burdockmast.base import timers
 from burdockmast.gateway import backends
-from burdockmast.gateway import choosing
 from burdockmast.gateway import events
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import jobs
+from burdockmast.gateway import path_selector
 from burdockmast.gateway import retries
 from burdockmast.gateway import upstream
 from burdockmast.gateway import view
@@ -70,7 +70,7 @@
         fleet: view.View,
         dialect: interfaces.HeaderCodec,
         budget: retries.Budget,
-        chooser: choosing.Chooser,
+        chooser: path_selector.PathSelector,
         measures: metrics.Metrics,
     ):
         """Create a relay of streams."""
@@ -89,7 +89,7 @@
         """
         progress = _Progress(job.request.last_event_id)
         while True:
-            path = self._chooser.path_in_turn(
+            path = self._chooser.wait_for_path(
                 job, progress.lost, progress.has_begun
             )
             failure = None
@@ -99,7 +99,7 @@
                 failure = yield from self._attempt(job, path, progress)
                 if failure is None:
                     return
-            failure = failure or self._chooser.no_path(job)
+            failure = failure or self._chooser.no_path_failure(job)
             if path and self._may_go_on(job, progress, failure):
                 continue
             if progress.runs:
@@ -162,7 +162,7 @@
                 'length_hint': job.request.length_hint,
                 'longest_pause': round(progress.longest_pause, 3),
                 'seconds': round(timers.now() - began, 3),
-                'list_age': round(self._view.server_age, 3),
+                'list_age': round(self._view.server_list_age, 3),
                 'outcome': str(failure) if failure else 'whole',
             },
         )
@@ -199,7 +199,7 @@
         if isinstance(head, failures.Failure):
             return head
         if head.facts.is_not_run:
-            return exchange.refused(head, choosing.RETRY_SECONDS)
+            return exchange.refused(head, path_selector.RETRY_AFTER_SECONDS)
         if head.status != OK:
             return (
                 yield from self._other_status(job, exchange, head, progress)
@@ -244,7 +244,7 @@
         has_try = job.may_repeat and progress.runs + 1 < job.route.max_attempts
         if not has_try or not self._budget.has_left(job.service.id):
             return True
-        return self._view.all_heard(servers, now - HEARD_SECONDS)
+        return self._view.all_active_since(servers, now - HEARD_SECONDS)
 
     def _other_status(
         self,
@@ -314,7 +314,7 @@
                 yield jobs.Reply.from_head(head, self._dialect)
             progress.last = reader.last
             progress.events += reader.count
-            self._view.heard(servers)
+            self._view.record_activity(servers)
             yield whole
             patience = min(job.deadline, timers.now() + PAUSE_SECONDS)
 
@@ -327,7 +327,9 @@
         """Ask the servers of a path that is slow what is the matter."""
         aim = job.route.gap_objective_seconds or PAUSE_SECONDS
         if job.service.engine and seconds > aim * SLOW_SHARE:
-            self._chooser.reports.ask([stage.server for stage in path], job.id)
+            self._chooser.reports.fetch(
+                [stage.server for stage in path], job.id
+            )
 
     def _silent(self, exchange: upstream.Exchange) -> failures.Failure:
         return failures.Failure(
@@ -362,13 +364,13 @@
                 )
                 progress.lost.append(culprit)
                 self._view.eject(
-                    culprit, failure.detail, job.id, view.REFUSED_SECONDS
+                    culprit, failure.detail, job.id, view.REFUSAL_EJECT_SECONDS
                 )
             case failures.Failure(
                 reason=failures.Reason.PEER_SILENT | failures.Reason.DEADLINE
             ):
                 progress.lost.extend(stage.server.id for stage in path)
-                self._chooser.reports.ask(
+                self._chooser.reports.fetch(
                     [stage.server for stage in path], job.id
                 )
             case _:
--- a/libs/gateway/burdockmast/gateway/view.py
+++ b/libs/gateway/burdockmast/gateway/view.py
@@ -8,7 +8,7 @@
 from burdockmast.base import timers
 from burdockmast.gateway import backends
 from burdockmast.gateway import config
-from burdockmast.gateway import following
+from burdockmast.gateway import object_follower
 
 LOG = logs.get('view')
 
@@ -17,7 +17,7 @@
 EJECT_SECONDS = 4.0
 # Seconds for which a server that refused gets none; one that is full has
 # room again when one of its answers ends.
-REFUSED_SECONDS = 0.3
+REFUSAL_EJECT_SECONDS = 0.3
 
 
 class View:
@@ -25,8 +25,8 @@
 
     def __init__(
         self,
-        deployments: following.Follower[config.Configuration],
-        servers: following.Follower[backends.BackendServer],
+        deployments: object_follower.Follower[config.Configuration],
+        servers: object_follower.Follower[backends.BackendServer],
     ):
         """Create a view of two followed kinds."""
         self._deployments = deployments
@@ -37,7 +37,7 @@
         )
         self._version = 0
         self._heard_at: dict[ids.ServerId, float] = {}
-        servers.changed.append(self._forget_gone)
+        servers.on_change.append(self._forget_gone)
 
     @property
     def configuration(self) -> config.Configuration | None:
@@ -61,7 +61,7 @@
         return self._deployments.age
 
     @property
-    def server_age(self) -> float:
+    def server_list_age(self) -> float:
         """Seconds since the list of servers was last confirmed."""
         return self._servers.age
 
@@ -106,25 +106,27 @@
             for server in known.keys() - listed.keys():
                 del known[server]
 
-    def running(self, server: ids.ServerId) -> int:
+    def running_requests(self, server: ids.ServerId) -> int:
         """Return how many requests of this gateway run at a server."""
         return self._running_by_server[server]
 
-    def begin(self, servers: Iterable[ids.ServerId]) -> None:
+    def add_request(self, servers: Iterable[ids.ServerId]) -> None:
         """Count a request at servers."""
         self._running_by_server.update(servers)
 
-    def end(self, servers: Iterable[ids.ServerId]) -> None:
+    def remove_request(self, servers: Iterable[ids.ServerId]) -> None:
         """Count a request no longer."""
         self._running_by_server.subtract(servers)
 
-    def heard(self, servers: Iterable[ids.ServerId]) -> None:
+    def record_activity(self, servers: Iterable[ids.ServerId]) -> None:
         """Note that an event came through servers."""
         now = timers.now()
         for server in servers:
             self._heard_at[server] = now
 
-    def all_heard(self, servers: Iterable[ids.ServerId], since: float) -> bool:
+    def all_active_since(
+        self, servers: Iterable[ids.ServerId], since: float
+    ) -> bool:
         """Tell whether events came through each of the servers.
 
         :param since: monotonic seconds
@@ -150,7 +152,7 @@
                 'reason': why,
                 'request': request,
                 'seconds': seconds,
-                'list_age': round(self.server_age, 3),
+                'list_age': round(self.server_list_age, 3),
             },
         )
 
--- a/tests/test_gateway_links.py
+++ b/tests/test_gateway_links.py
@@ -9,11 +9,11 @@
 import test_gateway_paths as fleets
 
 from burdockmast.base import ids
-from burdockmast.gateway import choosing
 from burdockmast.gateway import config
 from burdockmast.gateway import jobs
 from burdockmast.gateway import links
 from burdockmast.gateway import memory
+from burdockmast.gateway import path_selector
 from burdockmast.gateway import paths
 
 # Seconds of the burst that is played, and its requests a second.
@@ -23,21 +23,21 @@
 
 def test_a_link_is_taken_until_its_prompts_have_passed(clock):
     found = links.ZoneLinks()
-    found.gateways = 2
+    found.gateway_count = 2
     path = fleets.path(fleets.placed(fleets.empty_fleet()))
-    found.note(path, 0.1)
-    assert links.crossings(path) == []
+    found.record_prompt(path, 0.1)
+    assert links.inter_zone_links(path) == []
     far = fleets.server('far', 'b')
     crossing = [path[0], types.SimpleNamespace(server=far)]
-    found.note(crossing, links.SHARE / 10)
-    found.note(crossing, links.SHARE / 10)
-    assert found.waiting(('a', 'b')) == pytest.approx(0.4)
-    assert found.waiting(('b', 'a')) == 0
+    found.record_prompt(crossing, links.PROMPT_SHARE / 10)
+    found.record_prompt(crossing, links.PROMPT_SHARE / 10)
+    assert found.backlog_seconds(('a', 'b')) == pytest.approx(0.4)
+    assert found.backlog_seconds(('b', 'a')) == 0
     assert not found.is_full(('a', 'b'))
-    found.note(crossing, links.WAITING_SECONDS)
+    found.record_prompt(crossing, links.MAX_BACKLOG_SECONDS)
     assert found.is_full(('a', 'b'))
-    clock.now += 0.4 + 2 * links.WAITING_SECONDS / links.SHARE
-    assert found.waiting(('a', 'b')) == 0
+    clock.now += 0.4 + 2 * links.MAX_BACKLOG_SECONDS / links.PROMPT_SHARE
+    assert found.backlog_seconds(('a', 'b')) == 0
 
 
 def test_no_path_takes_a_full_link():
@@ -65,22 +65,22 @@
 
 
 IDLE = types.SimpleNamespace(
-    pace=lambda server: 1.0, occupancy=lambda server: 0.0
+    slowdown=lambda server: 1.0, occupancy=lambda server: 0.0
 )
 
 
 def chooser(servers, zone, seed, gateways=6):
-    found = choosing.Chooser(
+    found = path_selector.PathSelector(
         View(servers), IDLE, memory.Usage(), zone, random.Random(seed)
     )
-    found.gateways = gateways
+    found.gateway_count = gateways
     return found
 
 
 def job(engine=fleets.ENGINE):
     request = types.SimpleNamespace(
-        prompt_tokens=fleets.WORK.prompt,
-        max_answer_tokens=fleets.WORK.answer,
+        prompt_tokens=fleets.WORK.prompt_tokens,
+        max_answer_tokens=fleets.WORK.answer_tokens,
         length_hint=0,
     )
     found = object.__new__(jobs.Job)
@@ -109,7 +109,7 @@
     engine = dataclasses.replace(fleets.ENGINE, zone_link_mbps=mbps)
     seconds = paths.transfer_ms(engine, fleets.WORK) / 1000
     servers = without_whole_zones()
-    assert paths.missing(fleets.ENGINE, servers) is None
+    assert paths.first_uncovered_layer(fleets.ENGINE, servers) is None
     choosers = [
         chooser(servers, zone, seed, count)
         for seed, zone in zip(
@@ -132,10 +132,10 @@
         if len(running) > 60:
             before, ended, taken = running.pop(0)
             before.release(ended, taken)
-        for link in links.crossings(path):
+        for link in links.inter_zone_links(path):
             sent[link] += seconds
     assert max(sent.values()) / SECONDS <= 1.0, sent
-    assert served >= links.SHARE * SECONDS / seconds / 2
+    assert served >= links.PROMPT_SHARE * SECONDS / seconds / 2
 
 
 def test_a_stream_that_has_begun_goes_on_over_a_full_link(clock):
--- a/tests/test_gateway_following.py
+++ b/tests/test_gateway_object_follower.py
@@ -4,8 +4,8 @@
 
 from burdockmast.base import failures
 from burdockmast.base import timers
-from burdockmast.gateway import following
 from burdockmast.gateway import interfaces
+from burdockmast.gateway import object_follower
 
 
 class Feed:
@@ -28,7 +28,9 @@
 
     monkeypatch.setattr(timers, 'now', lambda: Clock.now)
     monkeypatch.setattr(timers, 'real_now', lambda: Clock.now)
-    monkeypatch.setattr(following.eventlet, 'sleep', lambda seconds: None)
+    monkeypatch.setattr(
+        object_follower.eventlet, 'sleep', lambda seconds: None
+    )
     return Clock
 
 
@@ -39,8 +41,8 @@
 
 @pytest.fixture
 def follower(clock, feed):
-    return following.Follower(
-        'servers', feed, 3.0, keeps_lapsed=True, is_older=lambda a, b: a < b
+    return object_follower.Follower(
+        'servers', feed, 3.0, keeps_expired=True, is_older=lambda a, b: a < b
     )
 
 
@@ -53,7 +55,7 @@
 def play(follower, feed, *answers):
     feed.answers = list(answers)
     while feed.answers:
-        follower.step()
+        follower.poll()
 
 
 def changes(revision, **item_by_name):
@@ -75,7 +77,7 @@
     play(follower, feed, interfaces.Listing(1, {'a': 1}))
     play(follower, feed, lost(), changes(2, a=None))
     assert follower.item_by_name == {'a': 1}
-    clock.now += following.LAPSE_GRACE_SECONDS
+    clock.now += object_follower.EXPIRY_GRACE_SECONDS
     play(follower, feed, changes(2))
     assert follower.item_by_name == {}
 
@@ -83,7 +85,7 @@
 def test_a_server_that_lapsed_and_came_back_stays(follower, feed, clock):
     play(follower, feed, interfaces.Listing(1, {'a': 1}))
     play(follower, feed, lost(), changes(2, a=None), changes(3, a=2))
-    clock.now += following.LAPSE_GRACE_SECONDS
+    clock.now += object_follower.EXPIRY_GRACE_SECONDS
     play(follower, feed, changes(3))
     assert follower.item_by_name == {'a': 2}
 
@@ -95,7 +97,7 @@
     play(follower, feed, interfaces.Listing(1, {'a': 1, 'b': 1}))
     play(follower, feed, lost(), gone, interfaces.Listing(9, {'b': 1}))
     assert follower.item_by_name == {'a': 1, 'b': 1}
-    clock.now += following.LAPSE_GRACE_SECONDS
+    clock.now += object_follower.EXPIRY_GRACE_SECONDS
     play(follower, feed, changes(9))
     assert follower.item_by_name == {'b': 1}
 
--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -6,9 +6,9 @@
 
 from burdockmast.gateway import backends
 from burdockmast.gateway import config
+from burdockmast.gateway import layer_placement
 from burdockmast.gateway import memory
 from burdockmast.gateway import paths
-from burdockmast.gateway import placing
 
 ENGINE = config.Engine(
     layers=80,
@@ -34,7 +34,7 @@
     'b': {'large': 1, 'middle': 5, 'small': 8},
     'c': {'large': 1, 'middle': 7, 'small': 5},
 }
-WORK = paths.Work(800, 154)
+WORK = paths.RequestSize(800, 154)
 
 
 def server(name, zone='a', kind='large', held=None, ready=True):
@@ -62,7 +62,8 @@
 
 def placed(servers):
     layers_by_server = {
-        p.server.id: p.layers for p in placing.plan(ENGINE, servers, {})
+        p.server.id: p.layers
+        for p in layer_placement.plan(ENGINE, servers, {})
     }
     return [
         server(
@@ -77,14 +78,14 @@
 
 def path(servers, zone='a', **given):
     found = {
-        'running': lambda s: 0,
-        'crowding': lambda s: 1.0,
-        'pace': lambda s: 1.0,
+        'running_requests': lambda s: 0,
+        'memory_factor': lambda s: 1.0,
+        'slowdown': lambda s: 1.0,
         'is_full': lambda link: False,
         **given,
     }
     return paths.cheapest(
-        ENGINE, servers, WORK, zone, source=random.Random(1), **found
+        ENGINE, servers, WORK, zone, rng=random.Random(1), **found
     )
 
 
@@ -116,15 +117,15 @@
     for found in placed(empty_fleet()):
         kind = ENGINE.accelerator_by_name[found.accelerator]
         assert len(found.layers) * ENGINE.layer_mb < kind.memory_mb
-        tokens = WORK.tokens * len(found.layers)
-        assert memory.capacity(ENGINE, found) > 20 * tokens
+        tokens = WORK.total_tokens * len(found.layers)
+        assert memory.cache_capacity(ENGINE, found) > 20 * tokens
 
 
 def test_a_replacement_takes_what_its_zone_lacks():
     servers = placed(empty_fleet())
     lost = servers.pop(0)
     new = server('new', lost.zone, lost.accelerator)
-    (placement,) = placing.plan(ENGINE, [*servers, new], {})
+    (placement,) = layer_placement.plan(ENGINE, [*servers, new], {})
     assert placement.layers == lost.layers
 
 
@@ -134,25 +135,25 @@
         server('same', held=(0, 17)),
         server('last', held=(34, 80)),
     ]
-    (placement,) = placing.plan(ENGINE, servers, {})
+    (placement,) = layer_placement.plan(ENGINE, servers, {})
     assert placement.server.id in ('first', 'same')
     assert placement.layers == backends.LayerRange(17, 34)
 
 
 def test_nothing_is_moved_that_would_open_a_hole():
     servers = [server('first', held=(0, 17)), server('last', held=(34, 80))]
-    assert placing.plan(ENGINE, servers, {}) == []
+    assert layer_placement.plan(ENGINE, servers, {}) == []
 
 
 @pytest.mark.parametrize('seed', range(20))
 def test_zones_keep_whole_pipelines_while_servers_leave(seed):
     """Servers leave one by one, as on days of releases and losses."""
-    source = random.Random(seed)
+    rng = random.Random(seed)
     servers = placed(empty_fleet())
     for _ in range(6):
-        servers.remove(source.choice(servers))
+        servers.remove(rng.choice(servers))
         for _ in range(10):
-            moves = placing.plan(ENGINE, servers, {})
+            moves = layer_placement.plan(ENGINE, servers, {})
             if not moves:
                 break
             by_id = {move.server.id: move.layers for move in moves}
@@ -167,11 +168,13 @@
                 else s
                 for s in servers
             ]
-        assert paths.missing(ENGINE, servers) is None
+        assert paths.first_uncovered_layer(ENGINE, servers) is None
     whole = [
         zone
         for zone in FLEET
-        if paths.missing(ENGINE, [s for s in servers if s.zone == zone])
+        if paths.first_uncovered_layer(
+            ENGINE, [s for s in servers if s.zone == zone]
+        )
         is None
     ]
     assert len(whole) >= 2
@@ -180,7 +183,7 @@
 def test_a_pending_order_is_not_given_twice():
     servers = [server('one')]
     pending = {'one': backends.LayerRange(0, 17)}
-    assert placing.plan(ENGINE, servers, pending) == []
+    assert layer_placement.plan(ENGINE, servers, pending) == []
 
 
 def test_layers_that_nobody_holds_go_first_without_room_for_a_pipeline():
@@ -188,22 +191,22 @@
         server('far', 'b', 'large', (0, 17)),
         server('near', 'a', 'large'),
     ]
-    (placement,) = placing.plan(ENGINE, servers, {})
+    (placement,) = layer_placement.plan(ENGINE, servers, {})
     assert placement.layers.first == 17
 
 
 @pytest.mark.parametrize('seed', range(20))
 def test_paths_over_random_ranges_run_every_layer_once(seed):
-    source = random.Random(seed)
+    rng = random.Random(seed)
     servers = []
     for number in range(40):
-        first = source.randrange(80)
-        end = min(80, first + source.randrange(1, 25))
-        zone = source.choice('abc')
+        first = rng.randrange(80)
+        end = min(80, first + rng.randrange(1, 25))
+        zone = rng.choice('abc')
         servers.append(server(f's{number}', zone, 'small', (first, end)))
-    loads = {s.id: source.randrange(30) for s in servers}
-    found = path(servers, running=loads.__getitem__)
-    if paths.missing(ENGINE, servers) is None:
+    loads = {s.id: rng.randrange(30) for s in servers}
+    found = path(servers, running_requests=loads.__getitem__)
+    if paths.first_uncovered_layer(ENGINE, servers) is None:
         assert_runs_every_layer_once(found)
     else:
         assert found == ()
@@ -211,7 +214,7 @@
 
 def test_missing_names_the_first_layer_that_nobody_holds():
     servers = [server('one', held=(0, 20)), server('two', held=(30, 80))]
-    assert paths.missing(ENGINE, servers) == 20
+    assert paths.first_uncovered_layer(ENGINE, servers) == 20
 
 
 def test_a_slow_server_is_avoided():
@@ -220,24 +223,26 @@
         server('other', held=(0, 40)),
         server('rest', held=(40, 80)),
     ]
-    found = path(servers, pace=lambda s: 5.0 if s.id == 'slow' else 1.0)
+    found = path(servers, slowdown=lambda s: 5.0 if s.id == 'slow' else 1.0)
     assert [stage.server.id for stage in found] == ['other', 'rest']
 
 
 def crowding(usage, gateways=1):
-    own = usage.own()
+    own = usage.usage_by_server()
 
     def of(found):
-        reserved = own.get(found.id, memory.NOTHING)[1]
-        share = reserved / memory.capacity(ENGINE, found)
-        return memory.crowding(share, gateways, 0.0)
+        reserved = own.get(found.id, memory.NO_USAGE)[1]
+        share = reserved / memory.cache_capacity(ENGINE, found)
+        return memory.cost_factor(share, gateways, 0.0)
 
     return of
 
 
 def used_of(usages, found):
-    reserved = sum(u.own().get(found.id, (0, 0.0))[1] for u in usages)
-    return reserved / memory.capacity(ENGINE, found)
+    reserved = sum(
+        u.usage_by_server().get(found.id, (0, 0.0))[1] for u in usages
+    )
+    return reserved / memory.cache_capacity(ENGINE, found)
 
 
 def test_a_server_that_fills_up_is_avoided():
@@ -245,9 +250,9 @@
     usage = memory.Usage()
     used = set()
     for _ in range(60):
-        found = path(servers, crowding=crowding(usage))
+        found = path(servers, memory_factor=crowding(usage))
         assert_runs_every_layer_once(found)
-        usage.reserve(found, WORK.tokens)
+        usage.reserve(found, WORK.total_tokens)
         used.update(stage.server.id for stage in found)
     assert max(used_of([usage], s) for s in servers) <= 1.0
     assert len(used) > 20
@@ -260,9 +265,11 @@
     usages = [memory.Usage() for _ in zones]
     for _ in range(25):
         for usage, zone in zip(usages, zones, strict=True):
-            found = path(servers, zone, crowding=crowding(usage, len(zones)))
+            found = path(
+                servers, zone, memory_factor=crowding(usage, len(zones))
+            )
             assert_runs_every_layer_once(found)
-            usage.reserve(found, WORK.tokens)
+            usage.reserve(found, WORK.total_tokens)
     assert max(used_of(usages, s) for s in servers) <= 1.0
 
 
@@ -272,7 +279,7 @@
     found = path(servers)
     usage.reserve(found, 100)
     usage.release(found, 100)
-    assert usage.own() == {}
+    assert usage.usage_by_server() == {}
 
 
 def test_servers_beside_a_small_hole_hold_it_as_well():
@@ -282,7 +289,10 @@
         server('high', held=(18, 33)),
         server('last', held=(33, 80)),
     ]
-    moves = {p.server.id: p.layers for p in placing.plan(ENGINE, servers, {})}
+    moves = {
+        p.server.id: p.layers
+        for p in layer_placement.plan(ENGINE, servers, {})
+    }
     assert moves['low'].first == 0
     assert moves.get('high', servers[1].layers).end == 33
     assert moves['low'].end >= moves.get('high', servers[1].layers).first
@@ -297,7 +307,7 @@
         server('other', 'b', held=(0, 80)),
         *[server(f'b{number}', 'b', held=(0, 80)) for number in range(4)],
     ]
-    assert placing.plan(ENGINE, servers, {}) == []
+    assert layer_placement.plan(ENGINE, servers, {}) == []
 
 
 @pytest.mark.parametrize('zone', FLEET)
@@ -306,8 +316,8 @@
     servers = [s for s in placed(empty_fleet()) if s.zone == zone]
     room = [0.0] * ENGINE.layers
     for found in servers:
-        streams = memory.capacity(ENGINE, found)
-        streams /= len(found.layers) * WORK.tokens
+        streams = memory.cache_capacity(ENGINE, found)
+        streams /= len(found.layers) * WORK.total_tokens
         for layer in range(found.layers.first, found.layers.end):
             room[layer] += streams
     assert min(room) * len(FLEET) >= 3 * 31 * 1.5
--- a/tests/test_gateway_planner.py
+++ b/tests/test_gateway_planner.py
@@ -61,7 +61,7 @@
 class Fleet:
     """Servers that take orders, and the view of them."""
 
-    server_age = 0.0
+    server_list_age = 0.0
 
     def __init__(self):
         self.by_id = {}
@@ -128,10 +128,10 @@
 
 def look(clock, planners, seconds):
     """Let planners look for some seconds."""
-    for _ in range(int(seconds / planner.LOOK_SECONDS)):
-        clock.now += planner.LOOK_SECONDS
+    for _ in range(int(seconds / planner.POLL_SECONDS)):
+        clock.now += planner.POLL_SECONDS
         for found in planners:
-            found.look()
+            found.poll()
 
 
 def test_one_gateway_orders_what_servers_hold(clock, fleet, seat, start):
@@ -169,10 +169,10 @@
     look(clock, [first], 3)
     fleet.add('s2')
     look(clock, [second], 3 * planner.TAKEOVER_SECONDS)
-    clock.now += planner.SEAT_SECONDS
+    clock.now += planner.LOCK_CHECK_SECONDS
     fleet.add('s3')
     before = len(fleet.fences)
-    first.look()
+    first.poll()
     assert len(fleet.fences) == before
 
 
@@ -184,7 +184,7 @@
     fleet.add('s1')
     look(clock, [first], 3)
     seat.cut_off.add('g1')
-    clock.now += planner.SEAT_SECONDS
+    clock.now += planner.LOCK_CHECK_SECONDS
     fleet.add('s2')
     look(clock, [first], 10)
     assert 's2' not in fleet.accepted
@@ -222,7 +222,7 @@
         1,
     )
     before = dict(fleet.by_id)
-    look(clock, [own], planner.MOVE_SECONDS - 1)
+    look(clock, [own], planner.ZONE_GAP_SECONDS - 1)
     assert not fleet.accepted
     look(clock, [own], 3)
     # One of its own is enough; another zone's may hold more meanwhile.
@@ -246,7 +246,7 @@
         layers=backends.LayerRange(0, 10),
     )
     second = start('g2')
-    look(clock, [second], planner.MOVE_SECONDS + planner.TAKEOVER_SECONDS)
+    look(clock, [second], planner.ZONE_GAP_SECONDS + planner.TAKEOVER_SECONDS)
     assert fleet.accepted.keys() & {'s1', 's2', 's3'}
 
 
