Reword the gateway's interfaces, configuration, paths and placement

Comments and docstrings were written in riddles (a hole, a way, a rest), and local names said little. They now state what the code does in the terms of the field; reasons and figures are kept. No change of behaviour.

--- a/libs/gateway/burdockmast/gateway/backends.py
+++ b/libs/gateway/burdockmast/gateway/backends.py
@@ -7,13 +7,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LayerRange:
-    """Layers ``first`` up to, not including, ``end``."""
+    """The layers from ``first`` up to, but not including, ``end``."""
 
     first: int
     end: int
 
     def __len__(self) -> int:
-        """Return how many layers these are."""
+        """Return the number of layers."""
         return self.end - self.first
 
 
@@ -24,11 +24,12 @@
 class BackendServer:
     """One listed backend server.
 
-    :ivar is_ready: takes new work
-    :ivar layers: layers that it reports to hold
-    :ivar accelerator: of its accelerator, empty if it has none
+    :ivar is_ready: accepts new requests
+    :ivar layers: that it holds, by its own entry in the store
+    :ivar accelerator: name of the accelerator kind, empty if it has none
     :ivar started_ms: start of this incarnation, milliseconds since the epoch
-    :ivar entry_sequence: counts what the incarnation has written of itself
+    :ivar entry_sequence: increases with each entry that the incarnation
+        writes
     """
 
     id: ids.ServerId
@@ -42,7 +43,7 @@
     entry_sequence: int
 
     def is_older_than(self, other: 'BackendServer') -> bool:
-        """Tell whether this was written before ``other``."""
+        """Return whether this entry was written before ``other``."""
         return (self.started_ms, self.entry_sequence) < (
             other.started_ms,
             other.entry_sequence,
@@ -51,7 +52,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Stage:
-    """A part of a path: a server and the layers that it runs."""
+    """One step of a path: a server and the layers that it runs.
+
+    The layers are those from ``first`` up to, but not including, ``end``.
+    """
 
     server: BackendServer
     first: int
--- a/libs/gateway/burdockmast/gateway/config.py
+++ b/libs/gateway/burdockmast/gateway/config.py
@@ -1,4 +1,4 @@
-"""What the operator has configured: routes, services, organisations."""
+"""The operator's configuration: routes, services and organisations."""
 
 import dataclasses
 import enum
@@ -7,7 +7,7 @@
 
 
 class Execution(enum.Enum):
-    """How often one request may run."""
+    """Whether a request may be executed more than once."""
 
     REPEATABLE = 'any'
     AT_MOST_ONCE = 'once'
@@ -17,9 +17,9 @@
 class AcceleratorKind:
     """A kind of accelerator.
 
-    :ivar memory_mb: for layers and the caches of requests
-    :ivar step_slowdown: time of a token step as a multiple of the engine's
-    :ivar prefill_slowdown: time of a prompt as a multiple of the engine's
+    :ivar memory_mb: for layers and the KV caches of requests
+    :ivar step_slowdown: factor on the engine's time for a decode step
+    :ivar prefill_slowdown: factor on the engine's time for a prefill
     """
 
     name: str
@@ -30,19 +30,19 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Engine:
-    """The model that a service's servers run, and what it costs.
-
-    :ivar layers: of the whole model
-    :ivar layer_mb: memory of one layer's weights
-    :ivar cache_bytes_per_token: KV cache of one token over all layers
-    :ivar step_ms: a token step over all layers, at pace 1
-    :ivar sequence_ms: more for each request that is writing
-    :ivar context_ms: more for each 1,000 tokens of their context
-    :ivar prefill_tokens_per_second: prompt tokens read in a second, at pace 1
-    :ivar mean_prompt_tokens: mean tokens of a prompt
-    :ivar mean_answer_tokens: mean tokens of an answer
-    :ivar activation_bytes_per_token: sent from stage to stage for each token
-    :ivar zone_link_mbps: shared by all transfers between two zones
+    """The model that a service's servers run, and what running it costs.
+
+    Times are those of an accelerator with a slowdown of 1.
+
+    :ivar layers: number of layers of the model
+    :ivar layer_mb: memory for the weights of one layer
+    :ivar cache_bytes_per_token: KV cache over all layers
+    :ivar step_ms: one decode step over all layers
+    :ivar sequence_ms: added to a step for each request that is decoding
+    :ivar context_ms: added to a step for each 1,000 tokens of their context
+    :ivar prefill_tokens_per_second: over all layers
+    :ivar activation_bytes_per_token: sent from each stage to the next
+    :ivar zone_link_mbps: bandwidth between two zones, shared by all transfers
     """
 
     layers: int
@@ -61,9 +61,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
-    """A group of backend servers that run the same thing.
+    """A group of interchangeable backend servers.
 
-    :ivar engine: None for a plain service
+    :ivar engine: None for a plain service, which runs no model
     """
 
     id: ids.ServiceId
@@ -72,16 +72,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Route:
-    """Where requests of a host and path prefix go.
+    """Where the requests for a host and path prefix go.
 
     :ivar weight_by_service: shares of the traffic
     :ivar is_stream: answered by a stream of numbered events
-    :ivar is_resumable: a stream may go on at another server
-    :ivar timeout_seconds: seconds until the final answer
-    :ivar objective_seconds: seconds to the answer or its first event
-    :ivar gap_objective_seconds: seconds between events, 0 if none is set
-    :ivar max_attempts: servers that one request may be sent to
-    :ivar priority: 0 goes first
+    :ivar is_resumable: a stream may continue on another server
+    :ivar timeout_seconds: until the end of the answer
+    :ivar objective_seconds: until the answer or its first event
+    :ivar gap_objective_seconds: between two events, 0 if none is set
+    :ivar max_attempts: attempts of one request that may execute it
+    :ivar priority: 0 is served first
     """
 
     name: str
@@ -101,7 +101,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Organisation:
-    """An organisation; its priority, if any, goes before the route's."""
+    """An organisation; its priority, if set, overrides the route's."""
 
     id: ids.OrganisationId
     priority: int | None
@@ -109,7 +109,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerLimits:
-    """What callers may send, in bytes."""
+    """Limits on what callers may send."""
 
     max_body_bytes: int
 
@@ -125,7 +125,7 @@
     limits: CallerLimits
 
     def find_route(self, host: str, path: str) -> Route | None:
-        """Return the route with the longest prefix of ``path``."""
+        """Return the route with the longest prefix of ``path``, if any."""
         for route in self.routes_by_host.get(host, ()):
             if path.startswith(route.path_prefix):
                 return route
--- a/libs/gateway/burdockmast/gateway/interfaces.py
+++ b/libs/gateway/burdockmast/gateway/interfaces.py
@@ -1,4 +1,4 @@
-"""What the gateway needs of the platform that it runs on."""
+"""Interfaces that the platform implements for the gateway."""
 
 import dataclasses
 from typing import Generic
@@ -14,7 +14,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Listing(Generic[T]):
-    """All objects of a kind at a revision of the store."""
+    """All objects of a kind at one revision of the store."""
 
     revision: int
     item_by_name: dict[str, T]
@@ -22,7 +22,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Change(Generic[T]):
-    """An object that changed; ``item`` is None if it is gone."""
+    """A changed object; ``item`` is None if it was deleted."""
 
     name: str
     item: T | None
@@ -30,33 +30,34 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Changes(Generic[T]):
-    """What changed up to a revision, in order; empty if nothing did."""
+    """The changes up to a revision, in order; empty if there were none."""
 
     revision: int
     changes: tuple[Change[T], ...]
 
 
 class Feed(Protocol[T]):
-    """Objects of one kind in the platform's store."""
+    """Lists and watches the objects of one kind in the platform's store."""
 
     def list(self) -> Listing[T] | failures.Failure:
-        """Return all objects; objects that can't be read are left out."""
+        """Return all objects, leaving out those that can't be decoded."""
 
     def watch(
         self, revision: int, timeout_seconds: float
     ) -> Changes[T] | failures.Failure:
-        """Wait for changes after a revision.
+        """Wait for changes after a revision, up to a timeout.
 
-        A failure with ``STORE_CONFLICT`` says that this history is gone.
+        A failure with ``STORE_CONFLICT`` means that the store no longer
+        keeps the history since ``revision``, so a new listing is needed.
         """
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LockState:
-    """The last time that a seat was taken.
+    """Who acquired the planner lock last.
 
-    :ivar revision: 0 if it never was
-    :ivar holder: the gateway that took it, perhaps before a restart
+    :ivar revision: of the store at that write, 0 if it was never acquired
+    :ivar holder: name of the gateway, which may have restarted since
     """
 
     revision: int
@@ -64,29 +65,29 @@
 
 
 class PlannerLock(Protocol):
-    """A mutex in the store, taken by a conditional write."""
+    """A mutex in the store, acquired by a conditional write."""
 
     def acquire(self, revision: int) -> int | failures.Failure:
-        """Take the seat, if nobody has since ``revision``.
+        """Acquire the lock, unless somebody else did after ``revision``.
 
-        :returns: a fencing number that is above all earlier ones
+        :returns: a fencing number, greater than all earlier ones
         """
 
     def read(self) -> 'LockState | failures.Failure':
-        """Return who took the seat last."""
+        """Return who acquired the lock last."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerRequest:
-    """A caller's request, read whole.
+    """A complete request of a caller.
 
     :ivar target: path and query as sent
-    :ivar timeout_seconds: that the caller waits, None if it did not say
-    :ivar prompt_tokens: 0 if the request is no generation
-    :ivar max_answer_tokens: at most
-    :ivar length_hint: the caller's guess of the answer's tokens, or 0
-    :ivar last_event_id: id of the last event that the caller has, or None
-    :ivar headers: those that are passed on unchanged
+    :ivar timeout_seconds: None if the caller gave no deadline
+    :ivar prompt_tokens: 0 unless the request generates text
+    :ivar max_answer_tokens: limit for the answer, 0 if there is none
+    :ivar length_hint: the caller's estimate of the answer's tokens, or 0
+    :ivar last_event_id: of the last event that the caller received, or None
+    :ivar headers: those that are forwarded unchanged
     """
 
     id: ids.RequestId
@@ -106,11 +107,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Attempt:
-    """How a request is sent to its first server.
+    """One attempt to have a request served.
 
-    :ivar timeout_seconds: that are left to answer it
+    :ivar server: the server that gets the request, first on the path
+    :ivar timeout_seconds: left until the request's deadline
     :ivar path: all stages of a pipeline, empty for a plain service
-    :ivar last_event_id: resume a stream behind this event, or None
+    :ivar last_event_id: resume a stream after this event, or None
     :ivar priority: 0 to 9, 0 is admitted first
     """
 
@@ -124,13 +126,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReplyMetadata:
-    """What the head of a backend server's reply says.
+    """Metadata in the head of a backend server's reply.
 
-    :ivar request: the request that it answers, as echoed
-    :ivar is_signed: bears the server's signature
-    :ivar is_not_run: the server promises that it ran nothing
+    :ivar request: id of the request, as echoed by the server
+    :ivar is_signed: the reply carries the server's signature
+    :ivar is_not_run: the server guarantees that it did not run the request
     :ivar refused_by: address of the server that caused a refusal, or empty
-    :ivar is_encoded: the body is not the server's own
+    :ivar is_encoded: the body has a content encoding, so it is not what the
+        server itself sent
     """
 
     request: str
@@ -141,7 +144,7 @@
 
 
 class HeaderCodec(Protocol):
-    """Names of headers between callers, gateway and backend servers."""
+    """Reads and writes the headers that the platform defines."""
 
     def read_request(
         self,
@@ -155,20 +158,23 @@
     def backend_headers(
         self, request: CallerRequest, attempt: Attempt
     ) -> list[tuple[str, str]]:
-        """Return the headers of a request as it is sent on."""
+        """Return the headers of a request to a backend server."""
 
     def read_reply(self, headers: list[tuple[str, str]]) -> ReplyMetadata:
-        """Read the head of a reply."""
+        """Read the metadata of a backend server's reply."""
 
     def caller_headers(
         self, headers: list[tuple[str, str]]
     ) -> list[tuple[str, str]]:
-        """Return the headers of a reply that the caller gets."""
+        """Return the headers of a reply to the caller."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StalledRequest:
-    """A request that waits for a server that does not answer."""
+    """A request that waits for an unresponsive server.
+
+    :ivar address: of the server that it waits for
+    """
 
     request: str
     address: ids.Address
@@ -176,13 +182,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ServerReport:
-    """What a server says of itself, some hundred milliseconds late.
-
-    :ivar accepted_orders: accepted since its start
-    :ivar has_pending_order: it has not carried out the last of them yet
-    :ivar slowdown: its time for the same work, as a multiple of the usual
-    :ivar occupancy: share of its memory that is in use and can't yield
-    :ivar stalled: requests that it runs first and that wait for others
+    """The state that a server reports, some hundred milliseconds old.
+
+    :ivar accepted_orders: orders that it accepted since its start
+    :ivar has_pending_order: it is still carrying out the latest of them
+    :ivar slowdown: how many times longer than usual the same work takes
+    :ivar occupancy: share of its memory that is in use and can't be evicted
+    :ivar stalled: requests whose path begins here and that wait for another
+        server
     """
 
     accepted_orders: int
@@ -193,7 +200,7 @@
 
 
 class EngineClient(Protocol):
-    """Orders to backend servers that run engines."""
+    """Sends orders to backend servers that run engines."""
 
     def assign_layers(
         self,
@@ -202,24 +209,27 @@
         fencing_number: int,
         accepted_orders: int,
     ) -> failures.Failure | None:
-        """Have a server hold other layers.
+        """Order a server to hold other layers.
+
+        A failure with ``STALE_INCARNATION`` means that the server has seen a
+        higher fencing number.
 
-        :param accepted_orders: that it must have accepted so far; an order
-            that is carried out late can't undo a newer one
-        ``STALE_INCARNATION`` says that a higher fencing number was used.
+        :param accepted_orders: the server refuses the order unless it has
+            accepted exactly this many, so a delayed order can't undo a newer
+            one
         """
 
     def fetch_report(
         self, server: backends.BackendServer
     ) -> ServerReport | failures.Failure:
-        """Ask a server what it says of itself."""
+        """Fetch a server's report."""
 
 
 class GatewayRegistry(Protocol):
-    """The gateways that share the budget of retries."""
+    """The gateways that share the retry budget."""
 
     def register(self) -> failures.Failure | None:
-        """Make this gateway known."""
+        """Add this gateway to the registry."""
 
     def count(self) -> int | failures.Failure:
-        """Return how many gateways are known; some may be gone."""
+        """Return how many gateways are registered; some may have stopped."""
--- a/libs/gateway/burdockmast/gateway/layer_placement.py
+++ b/libs/gateway/burdockmast/gateway/layer_placement.py
@@ -1,11 +1,13 @@
-"""Which layers servers should hold.
-
-Answers two loads. At a start, all servers are empty: each availability zone
-gets whole pipelines of its own, since prompts are large on the links between
-zones. Later, servers come and go one by one: a new one takes over what its
-zone has least of, or what the whole fleet lacks. When servers leave and
-nothing replaces them, one whose layers are held elsewhere takes over what
-nobody holds, or what its zone needs for a pipeline of its own.
+"""Plans which layers each server holds.
+
+At a start, all servers are empty. Each availability zone gets complete
+pipelines of its own, since prompts take much of the bandwidth between zones.
+
+Later, servers come and go one by one. A new server takes the layers that the
+fewest servers of its zone hold, or that are uncovered in the whole fleet. When
+servers leave and are not replaced, a server whose layers are also held
+elsewhere takes over uncovered layers, or those that its zone needs for a
+pipeline of its own.
 """
 
 import collections
@@ -18,22 +20,22 @@
 from burdockmast.gateway import config
 from burdockmast.gateway import memory
 
-# Requests whose caches must fit beside a server's layers: what a zone's
-# share keeps in flight in a burst of three times the usual load.
-ROOM_REQUESTS = 48
-# The same where servers are too few for that: what a zone's share of the
-# usual load keeps in flight.
-LEAST_ROOM_REQUESTS = 16
-# Share of what a server may hold below which it takes more layers than are
-# left of a pipeline.
-SHORT_REST = 0.5
+# Requests whose KV caches are to fit beside a server's layers: a zone's share
+# of the requests in flight in a burst of three times the usual load.
+PREFERRED_CONCURRENT_REQUESTS = 48
+# The same if there are too few servers for that: a zone's share of the
+# requests in flight at the usual load.
+MIN_CONCURRENT_REQUESTS = 16
+# If the layers up to the end of the model are less than this share of what a
+# server may hold, its range begins earlier.
+MIN_RANGE_SHARE = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Placement:
     """A server and the layers that it is to hold.
 
-    :ivar is_urgent: the server is empty, or nobody holds these layers
+    :ivar is_urgent: the server is empty, or no server holds these layers
     """
 
     server: backends.BackendServer
@@ -42,10 +44,12 @@
 
 
 def max_layers(
-    engine: config.Engine, kind: str, requests: int = ROOM_REQUESTS
+    engine: config.Engine,
+    accelerator: str,
+    requests: int = PREFERRED_CONCURRENT_REQUESTS,
 ) -> int:
-    """Return how many layers a server holds with room for requests."""
-    found = engine.accelerator_by_name.get(kind)
+    """Return how many layers fit beside the caches of some requests."""
+    found = engine.accelerator_by_name.get(accelerator)
     if found is None:
         return 0
     tokens = engine.mean_prompt_tokens + engine.mean_answer_tokens
@@ -55,32 +59,35 @@
         * tokens
         / memory.BYTES_PER_MB
     )
-    room = engine.layer_mb + requests * cache_mb
-    by_room = int(found.memory_mb / room)
-    # A server that is short of room still holds something.
-    return min(engine.layers, max(by_room, 1))
+    layer_mb_with_caches = engine.layer_mb + requests * cache_mb
+    by_memory = int(found.memory_mb / layer_mb_with_caches)
+    # A server with too little memory still holds one layer.
+    return min(engine.layers, max(by_memory, 1))
 
 
 class _Coverage:
-    """How many servers hold each layer, in each zone and in all."""
+    """Numbers of servers that hold each layer, by zone and in the fleet.
+
+    ``max_layers_by_zone`` sums what the servers of a zone can hold.
+    """
 
     def __init__(self, engine: config.Engine):
-        self.fleet = [0] * engine.layers
-        self.by_zone: collections.defaultdict[ids.ZoneId, list[int]] = (
+        self.fleet_counts = [0] * engine.layers
+        self.counts_by_zone: collections.defaultdict[ids.ZoneId, list[int]] = (
             collections.defaultdict(lambda: [0] * engine.layers)
         )
-        self.room_by_zone: collections.Counter[ids.ZoneId] = (
+        self.max_layers_by_zone: collections.Counter[ids.ZoneId] = (
             collections.Counter()
         )
 
     def add(self, zone: ids.ZoneId, layers: backends.LayerRange) -> None:
         """Count a server that holds layers."""
-        _count(self.by_zone[zone], layers, 1)
-        _count(self.fleet, layers, 1)
+        _add_to_counts(self.counts_by_zone[zone], layers, 1)
+        _add_to_counts(self.fleet_counts, layers, 1)
 
-    def has_room(self, zone: ids.ZoneId) -> bool:
-        """Tell whether a zone can hold a pipeline of its own."""
-        return self.room_by_zone[zone] >= len(self.fleet)
+    def fits_pipeline(self, zone: ids.ZoneId) -> bool:
+        """Return whether a zone has room for a pipeline of its own."""
+        return self.max_layers_by_zone[zone] >= len(self.fleet_counts)
 
 
 def plan(
@@ -88,7 +95,7 @@
     servers: Iterable[backends.BackendServer],
     pending: Mapping[ids.ServerId, backends.LayerRange],
 ) -> list[Placement]:
-    """Return placements for servers that have no order.
+    """Return placements for servers without a pending order.
 
     :param pending: layers that servers have been ordered to hold
     """
@@ -99,8 +106,8 @@
         if not server.is_ready:
             continue
         held = pending.get(server.id, server.layers)
-        coverage.room_by_zone[server.zone] += max_layers(
-            engine, server.accelerator, LEAST_ROOM_REQUESTS
+        coverage.max_layers_by_zone[server.zone] += max_layers(
+            engine, server.accelerator, MIN_CONCURRENT_REQUESTS
         )
         if not len(held):
             empty.append(server)
@@ -108,78 +115,86 @@
         coverage.add(server.zone, held)
         if server.id not in pending:
             holding.append(server)
-    # Servers with much room first: a pipeline of few stages is faster.
+    # The largest servers come first: a pipeline of few stages is faster.
     empty.sort(key=lambda s: (-max_layers(engine, s.accelerator), s.id))
     placements = []
     for server in empty:
         size = max_layers(engine, server.accelerator)
         if not size:
             continue
-        layers = _window(
-            coverage.by_zone[server.zone],
-            coverage.fleet,
+        layers = _least_held_range(
+            coverage.counts_by_zone[server.zone],
+            coverage.fleet_counts,
             size,
-            coverage.has_room(server.zone),
+            coverage.fits_pipeline(server.zone),
         )
         placements.append(Placement(server, layers))
         coverage.add(server.zone, layers)
     if holding and not placements:
-        placements += _moves(engine, holding, coverage)
+        placements += _layer_moves(engine, holding, coverage)
     return placements
 
 
-def _moves(
+def _layer_moves(
     engine: config.Engine,
     holding: list[backends.BackendServer],
     coverage: _Coverage,
 ) -> list[Placement]:
-    """Return moves that close holes: in the fleet first, then in zones."""
-    if not min(coverage.fleet):
-        return _close(engine, holding, coverage.fleet, is_urgent=True)
-    for zone, in_zone in coverage.by_zone.items():
-        if min(in_zone) or not coverage.has_room(zone):
+    """Return layer moves that close gaps of the fleet, else of one zone."""
+    if not min(coverage.fleet_counts):
+        return _close_gaps(
+            engine, holding, coverage.fleet_counts, is_urgent=True
+        )
+    for zone, zone_counts in coverage.counts_by_zone.items():
+        if min(zone_counts) or not coverage.fits_pipeline(zone):
             continue
-        own = [server for server in holding if server.zone == zone]
-        found = _close(engine, own, in_zone, is_urgent=False)
+        in_zone = [server for server in holding if server.zone == zone]
+        found = _close_gaps(engine, in_zone, zone_counts, is_urgent=False)
         if found:
             return found
     return []
 
 
-def _close(
+def _close_gaps(
     engine: config.Engine,
     holding: list[backends.BackendServer],
     counts: list[int],
     is_urgent: bool,
 ) -> list[Placement]:
-    """Return what closes all holes; nothing if a zone's can't be closed.
+    """Return layer moves that close all gaps.
+
+    If one can't be closed, an urgent plan closes just the gaps before it, and
+    any other plan does nothing.
 
-    :param counts: servers that hold each layer, where the holes are
+    :param counts: for each layer, the servers that hold it in the fleet or
+        in the zone whose gaps are to be closed
     """
     counts = list(counts)
     left = list(holding)
     found: list[Placement] = []
     while not min(counts):
-        hole = _first_hole(counts)
-        placements = _widen(engine, left, hole) or _move(
-            engine, left, hole, counts
-        )
+        gap = _first_gap(counts)
+        placements = _extend_neighbours(
+            engine, left, gap
+        ) or _move_redundant_server(engine, left, gap, counts)
         if not placements:
             return found if is_urgent else []
         for placement in placements:
             left.remove(placement.server)
-            _count(counts, placement.server.layers, -1)
-            _count(counts, placement.layers, 1)
+            _add_to_counts(counts, placement.server.layers, -1)
+            _add_to_counts(counts, placement.layers, 1)
             found.append(dataclasses.replace(placement, is_urgent=is_urgent))
     return found
 
 
-def _count(counts: list[int], layers: backends.LayerRange, by: int) -> None:
+def _add_to_counts(
+    counts: list[int], layers: backends.LayerRange, by: int
+) -> None:
     for layer in range(layers.first, min(layers.end, len(counts))):
         counts[layer] += by
 
 
-def _first_hole(counts: list[int]) -> backends.LayerRange:
+def _first_gap(counts: list[int]) -> backends.LayerRange:
     first = counts.index(0)
     end = next(
         (layer for layer in range(first, len(counts)) if counts[layer]),
@@ -188,26 +203,26 @@
     return backends.LayerRange(first, end)
 
 
-def _widen(
+def _extend_neighbours(
     engine: config.Engine,
     servers: list[backends.BackendServer],
-    hole: backends.LayerRange,
+    gap: backends.LayerRange,
 ) -> list[Placement]:
-    """Let the servers beside a hole hold it as well, if they can.
+    """Extend the ranges of the servers beside a gap over it, if they fit.
 
-    They give up nothing meanwhile, and load only what is missing.
+    These servers keep what they hold, and load only the missing layers.
     """
 
     def spare(server: backends.BackendServer) -> int:
-        most = max_layers(engine, server.accelerator, LEAST_ROOM_REQUESTS)
+        most = max_layers(engine, server.accelerator, MIN_CONCURRENT_REQUESTS)
         return max(0, most - len(server.layers))
 
-    below = [s for s in servers if s.layers.end == hole.first]
-    above = [s for s in servers if s.layers.first == hole.end]
+    below = [s for s in servers if s.layers.end == gap.first]
+    above = [s for s in servers if s.layers.first == gap.end]
     low = max(below, key=lambda s: (spare(s), s.id), default=None)
     high = max(above, key=lambda s: (spare(s), s.id), default=None)
-    up = min(len(hole), spare(low)) if low else 0
-    down = len(hole) - up
+    up = min(len(gap), spare(low)) if low else 0
+    down = len(gap) - up
     if down and (high is None or spare(high) < down):
         return []
     found = []
@@ -220,21 +235,24 @@
     return found
 
 
-def _move(
+def _move_redundant_server(
     engine: config.Engine,
     servers: list[backends.BackendServer],
-    hole: backends.LayerRange,
+    gap: backends.LayerRange,
     counts: list[int],
 ) -> list[Placement]:
-    """Let a server that nobody misses hold the first layers of a hole."""
+    """Let a server whose layers others hold too take the start of a gap."""
 
     def size(server: backends.BackendServer) -> int:
-        least = max_layers(engine, server.accelerator, LEAST_ROOM_REQUESTS)
+        with_fewest_requests = max_layers(
+            engine, server.accelerator, MIN_CONCURRENT_REQUESTS
+        )
         return max(
-            max_layers(engine, server.accelerator), min(least, len(hole))
+            max_layers(engine, server.accelerator),
+            min(with_fewest_requests, len(gap)),
         )
 
-    spare = [
+    redundant = [
         server
         for server in servers
         if len(server.layers)
@@ -243,41 +261,46 @@
             for layer in range(server.layers.first, server.layers.end)
         )
     ]
-    if not spare:
+    if not redundant:
         return []
-    # The smallest server that closes the hole, or the largest there is.
+    # The smallest server that closes the gap, or else the largest one.
     server = min(
-        spare,
-        key=lambda s: (max(0, len(hole) - size(s)), size(s), s.id),
+        redundant,
+        key=lambda s: (max(0, len(gap) - size(s)), size(s), s.id),
     )
-    end = min(hole.first + size(server), len(counts))
+    end = min(gap.first + size(server), len(counts))
     layers = backends.LayerRange(max(0, end - size(server)), end)
     return [Placement(server, layers)]
 
 
-def _window(
-    zone: list[int], fleet: list[int], size: int, is_whole: bool
+def _least_held_range(
+    zone_counts: list[int],
+    fleet_counts: list[int],
+    size: int,
+    fits_pipeline: bool,
 ) -> backends.LayerRange:
-    """Return the layers that are held least.
+    """Return the range of layers that the fewest servers hold.
 
-    They begin where the least held run begins, so that ranges meet.
+    It begins at the first of these layers, so that ranges adjoin.
 
-    :param is_whole: the zone has room for a pipeline of its own; if not, what
-        nobody holds goes first
+    :param fits_pipeline: the zone has room for a pipeline of its own; if not,
+        layers that no server of the fleet holds come first
     """
-    if is_whole and not min(zone):
-        # The zone's first pipeline has its ranges in order, whatever others
-        # hold.
-        needs = [(0, in_zone, 0) for in_zone in zone]
+    if fits_pipeline and not min(zone_counts):
+        # The zone's first pipeline is filled in the order of its layers,
+        # whatever other zones hold.
+        priorities = [(0, in_zone, 0) for in_zone in zone_counts]
     else:
-        needs = [
-            (not is_whole and anywhere > 0, in_zone, anywhere)
-            for in_zone, anywhere in zip(zone, fleet, strict=True)
+        priorities = [
+            (not fits_pipeline and in_fleet > 0, in_zone, in_fleet)
+            for in_zone, in_fleet in zip(
+                zone_counts, fleet_counts, strict=True
+            )
         ]
-    least = min(needs)
-    first = needs.index(least)
-    end = min(first + size, len(zone))
-    # A short rest is not worth a server of its own.
-    if end - first < size * SHORT_REST:
+    lowest = min(priorities)
+    first = priorities.index(lowest)
+    end = min(first + size, len(zone_counts))
+    # A few last layers are not worth a server of their own.
+    if end - first < size * MIN_RANGE_SHARE:
         first = max(0, end - size)
     return backends.LayerRange(first, end)
--- a/libs/gateway/burdockmast/gateway/path_selector.py
+++ b/libs/gateway/burdockmast/gateway/path_selector.py
@@ -1,4 +1,4 @@
-"""Chooses the path of each request, and lets requests wait for one."""
+"""Selects a path for each request, and queues requests while all are busy."""
 
 from collections.abc import Collection
 import random
@@ -19,45 +19,46 @@
 
 LOG = logs.get('choosing')
 
-# Seconds until a caller may come back when no path can be had.
+# Retry-After for callers whose request finds no path.
 RETRY_AFTER_SECONDS = 0.3
-# Seconds from its arrival for which a request may wait for a path. Callers
-# leave after 2 s without an event, and the first takes some tenths of one.
-QUEUE_SECONDS = 1.2
-# Requests that may wait at once.
-QUEUE_LIMIT = 256
-# Seconds between looks whether a refusing server may be tried again.
+# Longest wait for a path, counted from the request's arrival. Callers
+# disconnect after 2 s without an event, and the first event takes some tenths
+# of a second.
+MAX_QUEUE_SECONDS = 1.2
+MAX_QUEUED_REQUESTS = 256
+# Interval at which a queued request tries again, since the ejection of a
+# server that refused may have ended.
 WAKE_INTERVAL_SECONDS = 0.1
-# Seconds for which a stream that has begun may wait for another path.
-GO_ON_SECONDS = 0.6
+# Longest wait for another path to resume a stream.
+RESUME_QUEUE_SECONDS = 0.6
 
 
 class PathSelector:
-    """Paths for the requests of one gateway."""
+    """Selects paths for the requests of one gateway."""
 
     def __init__(
         self,
         fleet: view.View,
-        found: reports.ServerReports,
+        server_reports: reports.ServerReports,
         usage: memory.Usage,
         zone: ids.ZoneId,
         rng: random.Random,
     ):
-        """Create a chooser.
+        """Create a selector with an empty queue.
 
-        :param zone: where this gateway's callers are
+        :param zone: of this gateway's callers
         """
-        self.reports = found
+        self.reports = server_reports
         self._view = fleet
         self._usage = usage
         self._zone = zone
-        self._random = rng
-        self._queue = queues.FairQueue(QUEUE_LIMIT)
+        self._rng = rng
+        self._queue = queues.FairQueue(MAX_QUEUED_REQUESTS)
         self._links = links.ZoneLinks()
 
     @property
     def gateway_count(self) -> int:
-        """Gateways that share the fleet, as far as this one knows."""
+        """Number of gateways that share the fleet, as last counted."""
         return self._links.gateway_count
 
     @gateway_count.setter
@@ -65,51 +66,51 @@
         self._links.gateway_count = count
 
     def reserve(self, job: jobs.Job, path: tuple[backends.Stage, ...]) -> None:
-        """Count a request on its path."""
+        """Account for a request on its path."""
         engine = job.service.engine
         if engine is None:
             self._usage.reserve(path, 0)
             return
-        work = self._work(job, engine)
-        self._usage.reserve(path, work.total_tokens)
-        self._links.record_prompt(path, paths.transfer_ms(engine, work) / 1000)
+        size = self._request_size(job, engine)
+        self._usage.reserve(path, size.total_tokens)
+        self._links.record_prompt(path, paths.transfer_ms(engine, size) / 1000)
 
     def release(self, job: jobs.Job, path: tuple[backends.Stage, ...]) -> None:
-        """Count a request no longer, and let another look for a path."""
-        self._usage.release(path, self._tokens(job))
+        """Stop accounting for a request, and let a queued one try again."""
+        self._usage.release(path, self._total_tokens(job))
         self.wake_waiter()
 
-    def _tokens(self, job: jobs.Job) -> int:
+    def _total_tokens(self, job: jobs.Job) -> int:
         engine = job.service.engine
-        return self._work(job, engine).total_tokens if engine else 0
+        return self._request_size(job, engine).total_tokens if engine else 0
 
     def wait_for_path(
         self,
         job: jobs.Job,
-        lost: Collection[ids.ServerId],
+        failed: Collection[ids.ServerId],
         has_begun: bool,
     ) -> tuple[backends.Stage, ...] | failures.Failure:
-        """Return a path, waiting for one while all are busy.
+        """Return a path, waiting for one while servers are busy.
 
-        Answers bursts, in which every server that holds some layer is full:
-        a place is free when the next answer ends, and the caller would
-        rather wait for that than come back.
+        In a burst, all servers that hold some layer may be full. The next
+        answer that ends makes room, and waiting for that is better for the
+        caller than a refusal and a retry.
 
-        :param lost: servers that failed this request
-        :param has_begun: the caller has got events
-        :returns: no stages if no path can be had soon
+        :param failed: servers that failed this request
+        :param has_begun: the caller has received events
+        :returns: no stages if waiting would not help
         """
-        path = self._path(job, lost, has_begun)
-        until = timers.now() + GO_ON_SECONDS
+        path = self._find_path(job, failed, has_begun)
+        until = timers.now() + RESUME_QUEUE_SECONDS
         if not has_begun:
-            until = job.began + QUEUE_SECONDS
+            until = job.began + MAX_QUEUE_SECONDS
         until = min(until, job.deadline)
-        while not path and self._is_busy(job):
+        while not path and self._is_covered(job):
             waiter = queues.Waiter(job.organisation, -job.priority, 1.0)
             refusal = self._queue.wait(waiter, until - timers.now())
             if refusal:
                 LOG.info(
-                    'no turn',
+                    'no path found while queued; giving up',
                     extra={
                         'request': job.id,
                         'waiting': len(self._queue),
@@ -120,11 +121,11 @@
                     },
                 )
                 return refusal
-            path = self._path(job, lost, has_begun)
+            path = self._find_path(job, failed, has_begun)
         return path
 
-    def _is_busy(self, job: jobs.Job) -> bool:
-        """Tell whether servers for a path are there, but may not be used."""
+    def _is_covered(self, job: jobs.Job) -> bool:
+        """Return whether ready servers hold all layers, though maybe busy."""
         engine = job.service.engine
         if engine is None:
             return False
@@ -132,52 +133,54 @@
         return paths.first_uncovered_layer(engine, ready) is None
 
     def wake_waiter(self) -> None:
-        """Let one waiting request look for a path again."""
+        """Let one queued request try again to get a path."""
         self._queue.wake()
 
-    def _path(
+    def _find_path(
         self,
         job: jobs.Job,
-        lost: Collection[ids.ServerId],
+        failed: Collection[ids.ServerId],
         has_begun: bool = False,
     ) -> tuple[backends.Stage, ...]:
         engine = job.service.engine
         if engine is None:
-            servers = self._view.usable(job.service.id, lost)
+            servers = self._view.usable(job.service.id, failed)
             return tuple(backends.Stage(s, 0, 0) for s in servers[:1])
-        work = self._work(job, engine)
-        own = self._usage.usage_by_server()
+        size = self._request_size(job, engine)
+        usage = self._usage.usage_by_server()
 
-        def crowding(server: backends.BackendServer) -> float:
-            _, reserved = own.get(server.id, memory.NO_USAGE)
+        def memory_factor(server: backends.BackendServer) -> float:
+            _, reserved = usage.get(server.id, memory.NO_USAGE)
             return memory.cost_factor(
                 reserved / memory.cache_capacity(engine, server),
                 self.gateway_count,
                 self.reports.occupancy(server),
             )
 
-        for excluded in (lost, ()):
+        for excluded in (failed, ()):
             path = paths.cheapest(
                 engine,
                 self._view.usable(job.service.id, excluded),
-                work,
+                size,
                 self._zone,
                 lambda server: (
-                    own.get(server, memory.NO_USAGE)[0]
+                    usage.get(server, memory.NO_USAGE)[0]
                     * memory.OWN_USAGE_FACTOR
                 ),
-                crowding,
+                memory_factor,
                 self.reports.slowdown,
-                # A caller who has a part of the answer loses more than what
-                # one prompt more costs the others.
+                # A broken answer is worse for its caller than the delay that
+                # one more prompt on a full link causes for the others.
                 (lambda link: False) if has_begun else self._links.is_full,
-                self._random,
+                self._rng,
             )
             if path:
                 return path
         return ()
 
-    def _work(self, job: jobs.Job, engine: config.Engine) -> paths.RequestSize:
+    def _request_size(
+        self, job: jobs.Job, engine: config.Engine
+    ) -> paths.RequestSize:
         answer = job.request.length_hint or engine.mean_answer_tokens
         if job.request.max_answer_tokens:
             answer = min(answer, job.request.max_answer_tokens)
@@ -187,7 +190,10 @@
         )
 
     def no_path_failure(self, job: jobs.Job) -> failures.Failure:
-        """Return why a request can't be served now."""
+        """Return a failure that names the layer for which no server is usable.
+
+        The caller may retry.
+        """
         engine = job.service.engine
         usable = self._view.usable(job.service.id)
         layer = paths.first_uncovered_layer(engine, usable) if engine else None
--- a/libs/gateway/burdockmast/gateway/paths.py
+++ b/libs/gateway/burdockmast/gateway/paths.py
@@ -1,9 +1,10 @@
-"""The cheapest path through all layers of a model.
+"""Finds the cheapest path through all layers of a model.
 
-Answers a fleet of unequal servers whose ranges overlap: each request takes
-the path that is likely to give its answer soonest, by what stages cost and
-what already runs on them. The search goes over places where ranges begin or
-end, and over availability zones, so it stays cheap for each request.
+Servers differ in speed, and their layer ranges overlap. Each request takes the
+path that is likely to complete its answer first, by the cost of the stages and
+by the requests that already run on them. The search is a dynamic program over
+the boundaries of layer ranges and over availability zones, which is cheap
+enough for each request.
 """
 
 from collections.abc import Callable
@@ -18,34 +19,33 @@
 from burdockmast.gateway import config
 from burdockmast.gateway import links
 
-# Milliseconds of one more stage for each token: a transfer and the wait for
-# the server's present step.
-HOP_MS = 0.3
-# Milliseconds of a token's way to another availability zone and its share of
-# what others send there; the users' sheets name 0.25 one way.
-ZONE_HOP_MS = 0.4
-# A link between zones is shared by all transfers, and a prompt of 800 tokens
-# takes it for 37 ms, during which the tokens of all others wait. Pauses over
-# 150 ms came from there, so a detour within the zone is better.
-SHARED_LINK = 30.0
-# Milliseconds that it is worth to begin in the caller's own zone: only the
-# request and its events cross, but traffic between zones has its price.
-ENTRY_ZONE_MS = 60.0
-# Mean share of a step that a token waits for, of each request that runs at a
-# stage: their steps are taken together, and their prompts in between.
-SHARED_STEP = 0.03
-# Random share added to costs, so that gateways which know the same do not
-# all choose the same.
-NOISE = 0.05
+# Cost of a stage: a transfer and the wait for the server's current step.
+STAGE_HOP_MS_PER_TOKEN = 0.3
+# Cost of a hop to another availability zone: 0.25 ms one way by the platform's
+# data sheet, and the wait for other transfers on the link.
+ZONE_HOP_MS_PER_TOKEN = 0.4
+# Factor on the time for which a prompt occupies an inter-zone link, since the
+# tokens of all other answers on the link wait meanwhile. A prompt of 800
+# tokens occupies it for 37 ms, which led to pauses of over 150 ms, so that a
+# detour within the zone is better.
+LINK_SHARING_FACTOR = 30.0
+# Cost of a first stage outside the caller's zone. Only the request and its
+# events cross between zones then, but such traffic still has its price.
+REMOTE_ENTRY_MS = 60.0
+# Mean wait of a token for each other request at a stage, as a share of a step.
+# Their decode steps are batched, with their prefills in between.
+STEP_WAIT_SHARE = 0.03
+# Largest random share added to costs, so that gateways with the same data
+# don't all choose the same path.
+NOISE_SHARE = 0.05
 BITS_PER_BYTE = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestSize:
-    """What a request asks of a path.
+    """Numbers of tokens of a request.
 
-    :ivar prompt_tokens: tokens to read
-    :ivar answer_tokens: tokens that are likely to be written
+    :ivar answer_tokens: expected length of the answer
     """
 
     prompt_tokens: int
@@ -53,7 +53,7 @@
 
     @property
     def total_tokens(self) -> int:
-        """Tokens that are in memory at the end."""
+        """Tokens in the KV cache at the end of the answer."""
         return self.prompt_tokens + self.answer_tokens
 
 
@@ -65,7 +65,7 @@
     running_requests: int,
     slowdown: float = 1.0,
 ) -> float:
-    """Return milliseconds that a stage adds to a whole answer.
+    """Return the time that a stage adds to a complete answer.
 
     :param running_requests: other requests that run at the server
     :param slowdown: how many times slower than usual the server is
@@ -78,7 +78,7 @@
     step += (
         engine.context_ms * (running_requests + 1) * size.total_tokens / 1000
     )
-    step *= step_slowdown * share * (1 + SHARED_STEP * running_requests)
+    step *= step_slowdown * share * (1 + STEP_WAIT_SHARE * running_requests)
     prefill = (
         size.prompt_tokens
         / engine.prefill_tokens_per_second
@@ -86,12 +86,12 @@
         * prefill_slowdown
         * share
     )
-    prefill *= 1 + SHARED_STEP * running_requests
+    prefill *= 1 + STEP_WAIT_SHARE * running_requests
     return slowdown * (step * size.answer_tokens + prefill)
 
 
 def transfer_ms(engine: config.Engine, size: RequestSize) -> float:
-    """Return milliseconds for which a prompt takes a link between zones."""
+    """Return the time for which a prompt occupies an inter-zone link."""
     if not engine.zone_link_mbps:
         return 0.0
     bits = engine.activation_bytes_per_token * BITS_PER_BYTE
@@ -99,16 +99,19 @@
 
 
 def zone_crossing_ms(engine: config.Engine, size: RequestSize) -> float:
-    """Return milliseconds that a way to another zone adds to an answer."""
-    shared = SHARED_LINK * transfer_ms(engine, size)
-    return ZONE_HOP_MS * size.answer_tokens + shared
+    """Return the cost of a crossing to another zone for a complete answer."""
+    shared = LINK_SHARING_FACTOR * transfer_ms(engine, size)
+    return ZONE_HOP_MS_PER_TOKEN * size.answer_tokens + shared
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Reached:
-    """The cheapest way to a layer that ends in a zone."""
+class _PartialPath:
+    """The cheapest path for the layers below a boundary.
 
-    cost: float
+    Its last stage is in a given zone.
+    """
+
+    cost_ms: float
     stages: tuple[backends.Stage, ...]
 
 
@@ -125,87 +128,90 @@
 ) -> tuple[backends.Stage, ...]:
     """Return the stages of the cheapest path, empty if there is none.
 
-    :param zone: where the answer is wanted
-    :param memory_factor: factor on the cost of a server whose memory fills up
+    :param zone: of the caller
+    :param memory_factor: factor on a server's cost for its memory use
     :param slowdown: how many times slower than usual a server is
-    :param is_full: tells of a link between zones that it takes no more
+    :param is_full: whether an inter-zone link has no room for a prompt
     """
     holding = [s for s in servers if len(s.layers)]
-    cuts = sorted(
+    boundaries = sorted(
         {0, engine.layers}
         | {s.layers.first for s in holding}
         | {s.layers.end for s in holding}
     )
-    cuts = [cut for cut in cuts if cut <= engine.layers]
-    factors = {
-        s.id: memory_factor(s) * (1 + NOISE * rng.random()) for s in holding
+    boundaries = [layer for layer in boundaries if layer <= engine.layers]
+    cost_factors = {
+        s.id: memory_factor(s) * (1 + NOISE_SHARE * rng.random())
+        for s in holding
     }
-    paces = {s.id: slowdown(s) for s in holding}
-    between_zones = zone_crossing_ms(engine, size)
+    slowdowns = {s.id: slowdown(s) for s in holding}
+    one_crossing_ms = zone_crossing_ms(engine, size)
     zones = {server.zone for server in holding}
-    crossing = {
-        link: math.inf if is_full(link) else between_zones
+    crossing_ms = {
+        link: math.inf if is_full(link) else one_crossing_ms
         for link in itertools.permutations(zones, 2)
     }
-    entering = {(zone, other): ENTRY_ZONE_MS for other in zones}
-    reached: dict[int, dict[ids.ZoneId, _Reached]] = {
-        0: {zone: _Reached(0.0, ())}
+    entry_ms = {(zone, other): REMOTE_ENTRY_MS for other in zones}
+    partial_paths: dict[int, dict[ids.ZoneId, _PartialPath]] = {
+        0: {zone: _PartialPath(0.0, ())}
     }
-    for number, cut in enumerate(cuts):
-        here = reached.get(cut)
-        if not here:
+    for index, first in enumerate(boundaries):
+        partial_path_by_zone = partial_paths.get(first)
+        if not partial_path_by_zone:
             continue
         for server in holding:
-            if not server.layers.first <= cut < server.layers.end:
+            if not server.layers.first <= first < server.layers.end:
                 continue
-            ways = crossing if cut else entering
-            base, stages = _nearest(here, server.zone, ways)
-            if math.isinf(base):
+            cost_by_link = crossing_ms if first else entry_ms
+            base_ms, stages = _cheapest_prefix(
+                partial_path_by_zone, server.zone, cost_by_link
+            )
+            if math.isinf(base_ms):
                 continue
-            base += HOP_MS * size.answer_tokens
-            for end in cuts[number + 1 :]:
+            base_ms += STAGE_HOP_MS_PER_TOKEN * size.answer_tokens
+            for end in boundaries[index + 1 :]:
                 if end > server.layers.end:
                     break
-                cost = base + factors[server.id] * stage_ms(
+                cost_ms = base_ms + cost_factors[server.id] * stage_ms(
                     engine,
                     server,
-                    end - cut,
+                    end - first,
                     size,
                     running_requests(server.id),
-                    paces[server.id],
+                    slowdowns[server.id],
                 )
-                best = reached.setdefault(end, {}).get(server.zone)
-                if best is None or cost < best.cost:
-                    stage = backends.Stage(server, cut, end)
-                    reached[end][server.zone] = _Reached(
-                        cost, (*stages, stage)
+                best = partial_paths.setdefault(end, {}).get(server.zone)
+                if best is None or cost_ms < best.cost_ms:
+                    stage = backends.Stage(server, first, end)
+                    partial_paths[end][server.zone] = _PartialPath(
+                        cost_ms, (*stages, stage)
                     )
-    found = reached.get(engine.layers)
+    found = partial_paths.get(engine.layers)
     if not found:
         return ()
-    best = min(found.values(), key=lambda way: way.cost)
-    return _without_returns(best.stages)
+    best = min(found.values(), key=lambda partial_path: partial_path.cost_ms)
+    return _merge_repeated_servers(best.stages)
 
 
-def _nearest(
-    here: dict[ids.ZoneId, _Reached],
+def _cheapest_prefix(
+    partial_path_by_zone: dict[ids.ZoneId, _PartialPath],
     zone: ids.ZoneId,
     cost_by_link: dict[links.Link, float],
 ) -> tuple[float, tuple[backends.Stage, ...]]:
-    """Return the cheapest way to go on in a zone, and what it costs."""
+    """Return the cheapest partial path to extend in a zone, and its cost."""
     costs = {
-        before: way.cost
-        + (0.0 if before == zone else cost_by_link[before, zone])
-        for before, way in here.items()
+        last_zone: partial_path.cost_ms
+        + (0.0 if last_zone == zone else cost_by_link[last_zone, zone])
+        for last_zone, partial_path in partial_path_by_zone.items()
     }
-    before = min(costs, key=costs.__getitem__)
-    return costs[before], here[before].stages
+    last_zone = min(costs, key=costs.__getitem__)
+    return costs[last_zone], partial_path_by_zone[last_zone].stages
 
 
-def _without_returns(
+def _merge_repeated_servers(
     stages: tuple[backends.Stage, ...],
 ) -> tuple[backends.Stage, ...]:
-    """Let a server that comes twice run the layers in between as well."""
+    """Let a server that occurs twice run the layers in between as well."""
     kept: list[backends.Stage] = []
     for stage in stages:
         for index, earlier in enumerate(kept):
--- a/libs/platform/burdockmast/platform/store.py
+++ b/libs/platform/burdockmast/platform/store.py
@@ -215,14 +215,14 @@
             query = {'after': page.items[-1].metadata.name}
 
     def watch(
-        self, revision: int, seconds: float
+        self, revision: int, timeout_seconds: float
     ) -> interfaces.Changes[T] | failures.Failure:
         """Wait for changes after a revision, for a limited time."""
         found = self._store.call(
             'GET',
             self._kind,
-            query={'watch': revision, 'wait-ms': int(seconds * 1000)},
-            timeout=seconds + WATCH_MARGIN_SECONDS,
+            query={'watch': revision, 'wait-ms': int(timeout_seconds * 1000)},
+            timeout=timeout_seconds + WATCH_MARGIN_SECONDS,
         )
         watched = self._store.parse(found, _Watched, self._kind)
         if isinstance(watched, failures.Failure):
--- a/tests/test_gateway_links.py
+++ b/tests/test_gateway_links.py
@@ -123,7 +123,7 @@
         clock.now += 1 / RATE
         gateway = choosers[number % count]
         asked = job(engine)
-        path = gateway._path(asked, ())
+        path = gateway._find_path(asked, ())
         if not path:
             continue
         served += 1
@@ -145,6 +145,6 @@
         fleets.server('far', 'b', held=(40, 80)),
     ]
     gateway = chooser(servers, 'a', 1)
-    while path := gateway._path(job(), ()):
+    while path := gateway._find_path(job(), ()):
         gateway.reserve(job(), path)
-    assert len(gateway._path(job(), (), has_begun=True)) == 2
+    assert len(gateway._find_path(job(), (), has_begun=True)) == 2
--- a/tests/test_gateway_object_follower.py
+++ b/tests/test_gateway_object_follower.py
@@ -17,7 +17,7 @@
     def list(self):
         return self.answers.pop(0)
 
-    def watch(self, revision, seconds):
+    def watch(self, revision, timeout_seconds):
         return self.answers.pop(0)
 
 
@@ -116,9 +116,9 @@
         self._clock = clock
         self._seconds = seconds
 
-    def watch(self, revision, seconds):
+    def watch(self, revision, timeout_seconds):
         self._clock.now += self._seconds
-        return super().watch(revision, seconds)
+        return super().watch(revision, timeout_seconds)
 
 
 @pytest.mark.parametrize(
