--- a/tests/test_gateway_object_follower.py
+++ b/tests/test_gateway_object_follower.py
@@ -1,4 +1,4 @@
-"""Copies of what the platform's store holds, through outages."""
+"""Copies of the store's objects stay correct through its outages."""
 
 import pytest
 
@@ -9,7 +9,7 @@
 
 
 class Feed:
-    """Answers calls from a list."""
+    """A feed that returns prepared results."""
 
     def __init__(self):
         self.answers = []
@@ -46,13 +46,13 @@
     )
 
 
-def lost():
+def store_lost():
     return failures.Failure(
         failures.Reason.STORE_UNAVAILABLE, 'store.get', 'store'
     )
 
 
-def play(follower, feed, *answers):
+def poll_all(follower, feed, *answers):
     feed.answers = list(answers)
     while feed.answers:
         follower.poll()
@@ -65,51 +65,59 @@
     )
 
 
-def test_a_removed_server_is_gone_at_once(follower, feed):
-    play(follower, feed, interfaces.Listing(1, {'a': 1, 'b': 1}))
-    play(follower, feed, changes(2, a=None))
+def test_a_removed_server_is_dropped_at_once(follower, feed):
+    poll_all(follower, feed, interfaces.Listing(1, {'a': 1, 'b': 1}))
+    poll_all(follower, feed, changes(2, a=None))
     assert follower.item_by_name == {'b': 1}
 
 
-def test_a_server_that_lapsed_in_an_outage_is_kept_for_two_seconds(
+def test_a_server_that_expired_in_an_outage_is_kept_for_two_seconds(
     follower, feed, clock
 ):
-    play(follower, feed, interfaces.Listing(1, {'a': 1}))
-    play(follower, feed, lost(), changes(2, a=None))
+    poll_all(follower, feed, interfaces.Listing(1, {'a': 1}))
+    poll_all(follower, feed, store_lost(), changes(2, a=None))
     assert follower.item_by_name == {'a': 1}
     clock.now += object_follower.EXPIRY_GRACE_SECONDS
-    play(follower, feed, changes(2))
+    poll_all(follower, feed, changes(2))
     assert follower.item_by_name == {}
 
 
-def test_a_server_that_lapsed_and_came_back_stays(follower, feed, clock):
-    play(follower, feed, interfaces.Listing(1, {'a': 1}))
-    play(follower, feed, lost(), changes(2, a=None), changes(3, a=2))
+def test_a_server_that_expired_and_was_renewed_stays(follower, feed, clock):
+    poll_all(follower, feed, interfaces.Listing(1, {'a': 1}))
+    poll_all(follower, feed, store_lost(), changes(2, a=None), changes(3, a=2))
     clock.now += object_follower.EXPIRY_GRACE_SECONDS
-    play(follower, feed, changes(3))
+    poll_all(follower, feed, changes(3))
     assert follower.item_by_name == {'a': 2}
 
 
 def test_a_server_missing_in_the_list_after_an_outage_is_kept(
     follower, feed, clock
 ):
-    gone = failures.Failure(failures.Reason.STORE_CONFLICT, 'store.get')
-    play(follower, feed, interfaces.Listing(1, {'a': 1, 'b': 1}))
-    play(follower, feed, lost(), gone, interfaces.Listing(9, {'b': 1}))
+    history_gone = failures.Failure(
+        failures.Reason.STORE_CONFLICT, 'store.get'
+    )
+    poll_all(follower, feed, interfaces.Listing(1, {'a': 1, 'b': 1}))
+    poll_all(
+        follower,
+        feed,
+        store_lost(),
+        history_gone,
+        interfaces.Listing(9, {'b': 1}),
+    )
     assert follower.item_by_name == {'a': 1, 'b': 1}
     clock.now += object_follower.EXPIRY_GRACE_SECONDS
-    play(follower, feed, changes(9))
+    poll_all(follower, feed, changes(9))
     assert follower.item_by_name == {'b': 1}
 
 
 def test_an_older_entry_does_not_replace_a_newer_one(follower, feed):
-    play(follower, feed, interfaces.Listing(1, {'a': 5}))
-    play(follower, feed, changes(2, a=4))
+    poll_all(follower, feed, interfaces.Listing(1, {'a': 5}))
+    poll_all(follower, feed, changes(2, a=4))
     assert follower.item_by_name == {'a': 5}
 
 
 class SlowFeed(Feed):
-    """Takes some time for an answer, as its clock shows."""
+    """A feed whose answers take some time on the test's clock."""
 
     def __init__(self, clock, seconds):
         super().__init__()
@@ -124,18 +132,19 @@
 @pytest.mark.parametrize(
     ('seconds', 'answer', 'age'),
     [
-        # The store waited 3 s; how long the answer was held up is not known.
+        # The store waited 3 s; the other 0.5 s may have passed after its last
+        # check for changes.
         (3.5, changes(1), 0.5),
         (3.0, changes(1), 0.0),
-        # These may be as old as the call.
+        # These answers may be as old as the call.
         (2.0, changes(1), 2.0),
         (3.5, changes(2, a=1), 3.5),
     ],
 )
-def test_age_counts_from_when_the_store_must_have_looked(
+def test_age_counts_from_the_last_certain_check_of_the_store(
     follower, feed, clock, seconds, answer, age
 ):
-    play(follower, feed, interfaces.Listing(1, {}))
+    poll_all(follower, feed, interfaces.Listing(1, {}))
     follower._feed = slow = SlowFeed(clock, seconds)
-    play(follower, slow, answer)
+    poll_all(follower, slow, answer)
     assert follower.age == pytest.approx(age)
--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -1,4 +1,4 @@
-"""Paths of pipelines and placements, played without a network."""
+"""Path search and layer placement, simulated without a network."""
 
 import random
 
@@ -28,13 +28,13 @@
         'small': config.AcceleratorKind('small', 14400, 15, 15),
     },
 )
-# Servers of each kind in each zone, as the swap desk has them.
+# Servers of each kind in each zone, as in the swap-desk example.
 FLEET = {
     'a': {'large': 3, 'middle': 3, 'small': 5},
     'b': {'large': 1, 'middle': 5, 'small': 8},
     'c': {'large': 1, 'middle': 7, 'small': 5},
 }
-WORK = paths.RequestSize(800, 154)
+SIZE = paths.RequestSize(800, 154)
 
 
 def server(name, zone='a', kind='large', held=None, ready=True):
@@ -60,7 +60,7 @@
     ]
 
 
-def placed(servers):
+def with_planned_layers(servers):
     layers_by_server = {
         p.server.id: p.layers
         for p in layer_placement.plan(ENGINE, servers, {})
@@ -85,7 +85,7 @@
         **given,
     }
     return paths.cheapest(
-        ENGINE, servers, WORK, zone, rng=random.Random(1), **found
+        ENGINE, servers, SIZE, zone, rng=random.Random(1), **found
     )
 
 
@@ -103,33 +103,33 @@
 
 @pytest.mark.parametrize('zone', FLEET)
 def test_each_zone_gets_a_pipeline_of_its_own(zone):
-    servers = [s for s in placed(empty_fleet()) if s.zone == zone]
+    servers = [s for s in with_planned_layers(empty_fleet()) if s.zone == zone]
     assert_runs_every_layer_once(path(servers, zone))
 
 
 @pytest.mark.parametrize('zone', FLEET)
-def test_prompts_are_not_sent_between_zones_while_all_is_well(zone):
-    found = path(placed(empty_fleet()), zone)
+def test_prompts_stay_in_their_zone_while_no_server_is_lost(zone):
+    found = path(with_planned_layers(empty_fleet()), zone)
     assert len({stage.server.zone for stage in found}) == 1
 
 
 def test_no_server_holds_more_than_its_memory():
-    for found in placed(empty_fleet()):
+    for found in with_planned_layers(empty_fleet()):
         kind = ENGINE.accelerator_by_name[found.accelerator]
         assert len(found.layers) * ENGINE.layer_mb < kind.memory_mb
-        tokens = WORK.total_tokens * len(found.layers)
+        tokens = SIZE.total_tokens * len(found.layers)
         assert memory.cache_capacity(ENGINE, found) > 20 * tokens
 
 
-def test_a_replacement_takes_what_its_zone_lacks():
-    servers = placed(empty_fleet())
+def test_a_replacement_takes_the_layers_that_its_zone_lacks():
+    servers = with_planned_layers(empty_fleet())
     lost = servers.pop(0)
     new = server('new', lost.zone, lost.accelerator)
     (placement,) = layer_placement.plan(ENGINE, [*servers, new], {})
     assert placement.layers == lost.layers
 
 
-def test_a_hole_in_the_fleet_is_closed_by_a_server_that_nobody_misses():
+def test_a_gap_in_the_fleet_is_closed_by_a_redundant_server():
     servers = [
         server('first', held=(0, 17)),
         server('same', held=(0, 17)),
@@ -140,16 +140,16 @@
     assert placement.layers == backends.LayerRange(17, 34)
 
 
-def test_nothing_is_moved_that_would_open_a_hole():
+def test_no_move_opens_a_gap():
     servers = [server('first', held=(0, 17)), server('last', held=(34, 80))]
     assert layer_placement.plan(ENGINE, servers, {}) == []
 
 
 @pytest.mark.parametrize('seed', range(20))
-def test_zones_keep_whole_pipelines_while_servers_leave(seed):
-    """Servers leave one by one, as on days of releases and losses."""
+def test_zones_keep_complete_pipelines_while_servers_leave(seed):
+    """Removes servers one by one, as releases and crashes do."""
     rng = random.Random(seed)
-    servers = placed(empty_fleet())
+    servers = with_planned_layers(empty_fleet())
     for _ in range(6):
         servers.remove(rng.choice(servers))
         for _ in range(10):
@@ -169,7 +169,7 @@
                 for s in servers
             ]
         assert paths.first_uncovered_layer(ENGINE, servers) is None
-    whole = [
+    complete_zones = [
         zone
         for zone in FLEET
         if paths.first_uncovered_layer(
@@ -177,7 +177,7 @@
         )
         is None
     ]
-    assert len(whole) >= 2
+    assert len(complete_zones) >= 2
 
 
 def test_a_pending_order_is_not_given_twice():
@@ -186,7 +186,7 @@
     assert layer_placement.plan(ENGINE, servers, pending) == []
 
 
-def test_layers_that_nobody_holds_go_first_without_room_for_a_pipeline():
+def test_uncovered_layers_go_first_without_room_for_a_pipeline():
     servers = [
         server('far', 'b', 'large', (0, 17)),
         server('near', 'a', 'large'),
@@ -212,7 +212,7 @@
         assert found == ()
 
 
-def test_missing_names_the_first_layer_that_nobody_holds():
+def test_the_first_uncovered_layer_is_found():
     servers = [server('one', held=(0, 20)), server('two', held=(30, 80))]
     assert paths.first_uncovered_layer(ENGINE, servers) == 20
 
@@ -227,54 +227,54 @@
     assert [stage.server.id for stage in found] == ['other', 'rest']
 
 
-def crowding(usage, gateways=1):
+def memory_factor(usage, gateways=1):
     own = usage.usage_by_server()
 
-    def of(found):
-        reserved = own.get(found.id, memory.NO_USAGE)[1]
-        share = reserved / memory.cache_capacity(ENGINE, found)
+    def factor(server):
+        reserved = own.get(server.id, memory.NO_USAGE)[1]
+        share = reserved / memory.cache_capacity(ENGINE, server)
         return memory.cost_factor(share, gateways, 0.0)
 
-    return of
+    return factor
 
 
-def used_of(usages, found):
+def used_share(usages, server):
     reserved = sum(
-        u.usage_by_server().get(found.id, (0, 0.0))[1] for u in usages
+        u.usage_by_server().get(server.id, (0, 0.0))[1] for u in usages
     )
-    return reserved / memory.cache_capacity(ENGINE, found)
+    return reserved / memory.cache_capacity(ENGINE, server)
 
 
 def test_a_server_that_fills_up_is_avoided():
-    servers = placed(empty_fleet())
+    servers = with_planned_layers(empty_fleet())
     usage = memory.Usage()
     used = set()
     for _ in range(60):
-        found = path(servers, memory_factor=crowding(usage))
+        found = path(servers, memory_factor=memory_factor(usage))
         assert_runs_every_layer_once(found)
-        usage.reserve(found, WORK.total_tokens)
+        usage.reserve(found, SIZE.total_tokens)
         used.update(stage.server.id for stage in found)
-    assert max(used_of([usage], s) for s in servers) <= 1.0
+    assert max(used_share([usage], s) for s in servers) <= 1.0
     assert len(used) > 20
 
 
 def test_gateways_share_the_fleet():
-    """Four gateways with 25 streams each, as on the heaviest days."""
-    servers = placed(empty_fleet())
+    """Four gateways with 25 streams each, as at the highest load."""
+    servers = with_planned_layers(empty_fleet())
     zones = ['a', 'a', 'b', 'c']
     usages = [memory.Usage() for _ in zones]
     for _ in range(25):
         for usage, zone in zip(usages, zones, strict=True):
             found = path(
-                servers, zone, memory_factor=crowding(usage, len(zones))
+                servers, zone, memory_factor=memory_factor(usage, len(zones))
             )
             assert_runs_every_layer_once(found)
-            usage.reserve(found, WORK.total_tokens)
-    assert max(used_of(usages, s) for s in servers) <= 1.0
+            usage.reserve(found, SIZE.total_tokens)
+    assert max(used_share(usages, s) for s in servers) <= 1.0
 
 
 def test_released_requests_use_nothing():
-    servers = placed(empty_fleet())
+    servers = with_planned_layers(empty_fleet())
     usage = memory.Usage()
     found = path(servers)
     usage.reserve(found, 100)
@@ -282,8 +282,8 @@
     assert usage.usage_by_server() == {}
 
 
-def test_servers_beside_a_small_hole_hold_it_as_well():
-    """They give up nothing, and load only what is missing."""
+def test_servers_beside_a_small_gap_extend_over_it():
+    """They keep what they hold, and load only the missing layers."""
     servers = [
         server('low', held=(0, 15)),
         server('high', held=(18, 33)),
@@ -298,8 +298,8 @@
     assert moves['low'].end >= moves.get('high', servers[1].layers).first
 
 
-def test_a_zone_whose_holes_cannot_be_closed_is_left_alone():
-    """A move that leaves the zone without a pipeline helps nobody."""
+def test_a_zone_whose_gaps_cannot_be_closed_is_left_alone():
+    """A move that leaves the zone without a pipeline is useless."""
     servers = [
         server('one', 'a', held=(0, 15)),
         server('spare', 'a', 'small', held=(0, 6)),
@@ -312,12 +312,12 @@
 
 @pytest.mark.parametrize('zone', FLEET)
 def test_each_zone_has_room_for_a_burst(zone):
-    """Peak of the sheets: three times 31 streams a second of 1.5 s."""
-    servers = [s for s in placed(empty_fleet()) if s.zone == zone]
+    """The specified peak is three times 31 streams a second of 1.5 s."""
+    servers = [s for s in with_planned_layers(empty_fleet()) if s.zone == zone]
     room = [0.0] * ENGINE.layers
     for found in servers:
         streams = memory.cache_capacity(ENGINE, found)
-        streams /= len(found.layers) * WORK.total_tokens
+        streams /= len(found.layers) * SIZE.total_tokens
         for layer in range(found.layers.first, found.layers.end):
             room[layer] += streams
     assert min(room) * len(FLEET) >= 3 * 31 * 1.5
--- a/tests/test_gateway_planner.py
+++ b/tests/test_gateway_planner.py
@@ -1,4 +1,4 @@
-"""One gateway at a time gives orders, also when the holder is lost."""
+"""One gateway at a time sends orders, and a lost lock holder is replaced."""
 
 import dataclasses
 import random
@@ -27,47 +27,47 @@
 )
 
 
-class Seat:
-    """The store's side of the seat, shared by all gateways."""
+class Lock:
+    """The planner lock in the store, shared by all gateways."""
 
     def __init__(self):
         self.revision = 0
         self.holder = ''
-        self.cut_off = set()
+        self.unreachable = set()
 
     def of(self, instance):
-        seat = self
+        lock = self
 
-        class Own:
+        class LockOfInstance:
             def read(self):
-                if instance in seat.cut_off:
+                if instance in lock.unreachable:
                     return failures.Failure(
                         failures.Reason.STORE_UNAVAILABLE, 'seat'
                     )
-                return interfaces.LockState(seat.revision, seat.holder)
+                return interfaces.LockState(lock.revision, lock.holder)
 
             def acquire(self, revision):
-                if revision != seat.revision:
+                if revision != lock.revision:
                     return failures.Failure(
                         failures.Reason.STORE_UNAVAILABLE, 'seat'
                     )
-                seat.revision += 1
-                seat.holder = instance
-                return seat.revision
+                lock.revision += 1
+                lock.holder = instance
+                return lock.revision
 
-        return Own()
+        return LockOfInstance()
 
 
 class Fleet:
-    """Servers that take orders, and the view of them."""
+    """Servers that accept orders, and the gateways' view of them."""
 
     server_list_age = 0.0
 
     def __init__(self):
         self.by_id = {}
         self.accepted = {}
-        self.fences = []
-        self.moving = set()
+        self.sent = []
+        self.with_pending_order = set()
 
     def add(self, name, held=None):
         self.by_id[name] = backends.BackendServer(
@@ -92,7 +92,7 @@
         return self.by_id.get(name)
 
     def assign_layers(self, server, layers, fencing_number, accepted_orders):
-        self.fences.append((server.id, fencing_number))
+        self.sent.append((server.id, fencing_number))
         if accepted_orders != self.accepted.get(server.id, 0):
             return failures.Failure(failures.Reason.ENGINE_REFUSED, 'place')
         self.accepted[server.id] = accepted_orders + 1
@@ -102,7 +102,7 @@
     def fetch_report(self, server):
         orders = self.accepted.get(server.id, 0)
         return interfaces.ServerReport(
-            orders, server.id in self.moving, 1.0, 0.0, ()
+            orders, server.id in self.with_pending_order, 1.0, 0.0, ()
         )
 
 
@@ -112,94 +112,96 @@
 
 
 @pytest.fixture
-def seat():
-    return Seat()
+def lock():
+    return Lock()
 
 
 @pytest.fixture
-def start(fleet, seat):
+def start(fleet, lock):
     def build(name):
         return planner.Planner(
-            fleet, seat.of(name), fleet, name, random.Random(1)
+            fleet, lock.of(name), fleet, name, random.Random(1)
         )
 
     return build
 
 
-def look(clock, planners, seconds):
-    """Let planners look for some seconds."""
+def poll_for(clock, planners, seconds):
+    """Poll planners for some seconds on the test's clock."""
     for _ in range(int(seconds / planner.POLL_SECONDS)):
         clock.now += planner.POLL_SECONDS
         for found in planners:
             found.poll()
 
 
-def test_one_gateway_orders_what_servers_hold(clock, fleet, seat, start):
+def test_one_gateway_orders_what_servers_hold(clock, fleet, lock, start):
     planners = [start('g1'), start('g2')]
     fleet.add('s1')
-    look(clock, planners, 5)
+    poll_for(clock, planners, 5)
     assert fleet.accepted == {'s1': 1}
-    assert seat.revision == 1
+    assert lock.revision == 1
 
 
-def test_the_holder_goes_on_while_it_meets_needs(clock, fleet, seat, start):
+def test_the_holder_keeps_the_lock_while_it_sends_due_orders(
+    clock, fleet, lock, start
+):
     planners = [start('g1'), start('g2'), start('g3')]
     fleet.add('s1')
-    look(clock, planners, 3)
+    poll_for(clock, planners, 3)
     for number in range(2, 7):
         fleet.add(f's{number}')
-        look(clock, planners, 3)
-    assert seat.revision == 1
-    assert {fence for _, fence in fleet.fences} == {1}
+        poll_for(clock, planners, 3)
+    assert lock.revision == 1
+    assert {fence for _, fence in fleet.sent} == {1}
 
 
-def test_a_lost_holder_is_replaced(clock, fleet, seat, start):
+def test_a_holder_that_stops_is_replaced(clock, fleet, lock, start):
     first, second = start('g1'), start('g2')
     fleet.add('s1')
-    look(clock, [first], 3)
+    poll_for(clock, [first], 3)
     fleet.add('s2')
-    look(clock, [second], 3 * planner.TAKEOVER_SECONDS)
-    assert seat.holder == 'g2'
+    poll_for(clock, [second], 3 * planner.TAKEOVER_SECONDS)
+    assert lock.holder == 'g2'
     assert fleet.accepted['s2'] == 1
 
 
-def test_a_holder_that_was_replaced_gives_no_order(clock, fleet, seat, start):
+def test_a_replaced_holder_sends_no_order(clock, fleet, lock, start):
     first, second = start('g1'), start('g2')
     fleet.add('s1')
-    look(clock, [first], 3)
+    poll_for(clock, [first], 3)
     fleet.add('s2')
-    look(clock, [second], 3 * planner.TAKEOVER_SECONDS)
+    poll_for(clock, [second], 3 * planner.TAKEOVER_SECONDS)
     clock.now += planner.LOCK_CHECK_SECONDS
     fleet.add('s3')
-    before = len(fleet.fences)
+    before = len(fleet.sent)
     first.poll()
-    assert len(fleet.fences) == before
+    assert len(fleet.sent) == before
 
 
-def test_a_holder_that_cannot_read_its_seat_gives_no_order(
-    clock, fleet, seat, start
+def test_a_holder_that_cannot_read_the_lock_sends_no_order(
+    clock, fleet, lock, start
 ):
-    """It may have been replaced, and servers can't tell yet."""
+    """It may have been replaced, which servers can't know yet."""
     first = start('g1')
     fleet.add('s1')
-    look(clock, [first], 3)
-    seat.cut_off.add('g1')
+    poll_for(clock, [first], 3)
+    lock.unreachable.add('g1')
     clock.now += planner.LOCK_CHECK_SECONDS
     fleet.add('s2')
-    look(clock, [first], 10)
+    poll_for(clock, [first], 10)
     assert 's2' not in fleet.accepted
-    seat.cut_off.clear()
-    look(clock, [first], 2)
+    lock.unreachable.clear()
+    poll_for(clock, [first], 2)
     assert fleet.accepted['s2'] == 1
 
 
-def test_a_restarted_holder_takes_its_seat_again_at_once(
-    clock, fleet, seat, start
+def test_a_restarted_holder_acquires_the_lock_at_once(
+    clock, fleet, lock, start
 ):
     fleet.add('s1')
-    look(clock, [start('g1')], 3)
+    poll_for(clock, [start('g1')], 3)
     fleet.add('s2')
-    look(clock, [start('g1')], 1)
+    poll_for(clock, [start('g1')], 1)
     assert fleet.accepted['s2'] == 1
 
 
@@ -222,20 +224,22 @@
         1,
     )
     before = dict(fleet.by_id)
-    look(clock, [own], planner.ZONE_GAP_SECONDS - 1)
+    poll_for(clock, [own], planner.ZONE_GAP_SECONDS - 1)
     assert not fleet.accepted
-    look(clock, [own], 3)
-    # One of its own is enough; another zone's may hold more meanwhile.
+    poll_for(clock, [own], 3)
+    # One server of the zone is enough; another zone's may be extended as well.
     assert len(fleet.accepted.keys() & {'s1', 's2', 's3'}) == 1
     for name, server in fleet.by_id.items():
         assert server.layers.first <= before[name].layers.first
         assert server.layers.end >= before[name].layers.end
 
 
-def test_a_lost_holder_delays_a_zones_move_once(clock, fleet, seat, start):
-    """The zone's wait and the takeover's run at the same time."""
+def test_a_lost_holder_delays_a_zones_layer_move_once(
+    clock, fleet, lock, start
+):
+    """The waits for the zone's gap and for the takeover run in parallel."""
     fleet.add('s0')
-    look(clock, [start('g1')], 3)
+    poll_for(clock, [start('g1')], 3)
     fleet.by_id.clear()
     for name in ('s1', 's2', 's3'):
         fleet.add(name, (0, 5))
@@ -246,20 +250,22 @@
         layers=backends.LayerRange(0, 10),
     )
     second = start('g2')
-    look(clock, [second], planner.ZONE_GAP_SECONDS + planner.TAKEOVER_SECONDS)
+    poll_for(
+        clock, [second], planner.ZONE_GAP_SECONDS + planner.TAKEOVER_SECONDS
+    )
     assert fleet.accepted.keys() & {'s1', 's2', 's3'}
 
 
-def test_a_server_that_still_moves_is_not_ordered_anew(clock, fleet, start):
-    """Servers wait for what passes through them, for longer than a takeover.
+def test_a_server_with_a_pending_order_gets_no_other(clock, fleet, start):
+    """Layer moves wait for running requests, for longer than a takeover does.
 
-    A second order would begin the move again.
+    A second order would start the move over.
     """
     fleet.add('s1', (0, 5))
     fleet.add('s2', (0, 5))
-    fleet.moving = {'s1', 's2'}
-    look(clock, [start('g1'), start('g2')], 20)
+    fleet.with_pending_order = {'s1', 's2'}
+    poll_for(clock, [start('g1'), start('g2')], 20)
     assert not fleet.accepted
-    fleet.moving.clear()
-    look(clock, [start('g1')], 5)
+    fleet.with_pending_order.clear()
+    poll_for(clock, [start('g1')], 5)
     assert len(fleet.accepted) == 1
