--- a/libs/gateway/burdockmast/gateway/paths.py
+++ b/libs/gateway/burdockmast/gateway/paths.py
@@ -67,6 +67,8 @@
 ) -> float:
     """Return the time that a stage adds to a complete answer.
 
+    Times and costs of answers are in milliseconds.
+
     :param running_requests: other requests that run at the server
     :param slowdown: how many times slower than usual the server is
     """
--- a/libs/gateway/burdockmast/gateway/planner.py
+++ b/libs/gateway/burdockmast/gateway/planner.py
@@ -282,7 +282,7 @@
     def _expect_layers(
         self, placement: layer_placement.Placement, seconds: float
     ) -> None:
-        """Plan with the ordered layers of a server for some seconds."""
+        """Plan as if a server held its ordered layers, for some seconds."""
         server = placement.server
         self._order_by_server[server.id] = Order(
             placement.layers, server.started_ms, timers.now() + seconds
--- a/tests/test_gateway_planner.py
+++ b/tests/test_gateway_planner.py
@@ -42,14 +42,14 @@
             def read(self):
                 if instance in lock.unreachable:
                     return failures.Failure(
-                        failures.Reason.STORE_UNAVAILABLE, 'seat'
+                        failures.Reason.STORE_UNAVAILABLE, 'lock'
                     )
                 return interfaces.LockState(lock.revision, lock.holder)
 
             def acquire(self, revision):
                 if revision != lock.revision:
                     return failures.Failure(
-                        failures.Reason.STORE_UNAVAILABLE, 'seat'
+                        failures.Reason.STORE_UNAVAILABLE, 'lock'
                     )
                 lock.revision += 1
                 lock.holder = instance
