--- a/libs/gateway/burdockmast/gateway/backends.py
+++ b/libs/gateway/burdockmast/gateway/backends.py
@@ -7,28 +7,29 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LayerRange:
-    """Layers ``first`` up to, not including, ``end``."""
+    """The layers from ``first`` up to, but not including, ``end``."""
 
     first: int
     end: int
 
     def __len__(self) -> int:
-        """Return how many layers these are."""
+        """Return the number of layers."""
         return self.end - self.first
 
 
-EMPTY = LayerRange(0, 0)
+NO_LAYERS = LayerRange(0, 0)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class BackendServer:
     """One listed backend server.
 
-    :ivar is_ready: takes new work
-    :ivar held: layers that it reports to hold
-    :ivar kind: of its accelerator, empty if it has none
-    :ivar born: start of this incarnation, milliseconds since the epoch
-    :ivar beat: counts what the incarnation has written of itself
+    :ivar is_ready: accepts new requests
+    :ivar layers: that it holds, by its own entry in the store
+    :ivar accelerator: name of the accelerator kind, empty if it has none
+    :ivar started_ms: start of this incarnation, milliseconds since the epoch
+    :ivar entry_sequence: increases with each entry that the incarnation
+        writes
     """
 
     id: ids.ServerId
@@ -36,19 +37,25 @@
     address: ids.Address
     zone: ids.ZoneId
     is_ready: bool
-    held: LayerRange
-    kind: str
-    born: int
-    beat: int
+    layers: LayerRange
+    accelerator: str
+    started_ms: int
+    entry_sequence: int
 
     def is_older_than(self, other: 'BackendServer') -> bool:
-        """Tell whether this was written before ``other``."""
-        return (self.born, self.beat) < (other.born, other.beat)
+        """Return whether this entry was written before ``other``."""
+        return (self.started_ms, self.entry_sequence) < (
+            other.started_ms,
+            other.entry_sequence,
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Stage:
-    """A part of a path: a server and the layers that it runs."""
+    """One step of a path: a server and the layers that it runs.
+
+    The layers are those from ``first`` up to, but not including, ``end``.
+    """
 
     server: BackendServer
     first: int
--- a/libs/gateway/burdockmast/gateway/calls.py
+++ b/libs/gateway/burdockmast/gateway/calls.py
@@ -37,7 +37,7 @@
     def __init__(
         self,
         fleet: view.View,
-        dialect: interfaces.Dialect,
+        dialect: interfaces.HeaderCodec,
         budget: retries.Budget,
         zone: ids.ZoneId,
         rng: random.Random,
@@ -74,7 +74,7 @@
                 ):
                     return last_result
                 if (
-                    possible_runs >= job.route.attempts
+                    possible_runs >= job.route.max_attempts
                     or job.seconds_left <= REPLY_MARGIN_SECONDS
                 ):
                     return last_result
@@ -83,7 +83,7 @@
                 possible_runs += 1
                 if (
                     not job.is_idempotent
-                    or possible_runs >= job.route.attempts
+                    or possible_runs >= job.route.max_attempts
                 ):
                     break
             if job.seconds_left <= REPLY_MARGIN_SECONDS:
@@ -115,7 +115,7 @@
         return min(
             candidates,
             key=lambda s: (
-                self._view.running(s.id),
+                self._view.running_requests(s.id),
                 s.zone != self._zone,
                 self._rng.random(),
             ),
@@ -126,19 +126,19 @@
     ) -> jobs.Reply | failures.Failure:
         began = timers.now()
         exchange = upstream.Exchange(server)
-        self._view.begin((server.id,))
+        self._view.add_request((server.id,))
         try:
             result = self._exchange(job, exchange)
         finally:
             exchange.close()
-            self._view.end((server.id,))
+            self._view.remove_request((server.id,))
         self._record_result(job, server, result, timers.now() - began)
         return result
 
     def _exchange(
         self, job: jobs.Job, exchange: upstream.Exchange
     ) -> jobs.Reply | failures.Failure:
-        sending = interfaces.Sending(
+        sending = interfaces.Attempt(
             exchange.server, job.organisation, job.seconds_left, (), None, 0
         )
         headers = self._dialect.backend_headers(job.request, sending)
@@ -157,7 +157,7 @@
                 'body', f'reading the body failed: {error}'
             )
         if head.facts.is_encoded or (
-            head.status in SUCCESS_STATUSES and not head.facts.is_sealed
+            head.status in SUCCESS_STATUSES and not head.facts.is_signed
         ):
             return exchange.unknown_outcome(
                 'body', 'reply is unsigned or content-encoded'
@@ -176,7 +176,7 @@
             'server': server.id,
             'seconds': round(seconds, 4),
             'left': round(job.seconds_left, 3),
-            'list_age': round(self._view.server_age, 3),
+            'list_age': round(self._view.server_list_age, 3),
         }
         match result:
             case jobs.Reply():
--- a/libs/gateway/burdockmast/gateway/jobs.py
+++ b/libs/gateway/burdockmast/gateway/jobs.py
@@ -4,7 +4,7 @@
 
 from burdockmast.base import ids
 from burdockmast.base import timers
-from burdockmast.gateway import deployment
+from burdockmast.gateway import config
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import upstream
 
@@ -23,8 +23,8 @@
     """
 
     request: interfaces.CallerRequest
-    route: deployment.Route
-    service: deployment.Service
+    route: config.Route
+    service: config.Service
     organisation: ids.OrganisationId
     priority: int
     arrived_at: float
@@ -44,7 +44,7 @@
     @property
     def is_idempotent(self) -> bool:
         """Whether the route lets the request run more than once."""
-        return self.route.repeats is deployment.Repeats.ANY
+        return self.route.execution is config.Execution.REPEATABLE
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,7 +60,7 @@
     def from_head(
         cls,
         head: upstream.Head,
-        dialect: interfaces.Dialect,
+        dialect: interfaces.HeaderCodec,
         body: bytes | None = None,
     ) -> 'Reply':
         """Create the caller's reply from a backend server's."""
--- /dev/null
+++ b/libs/gateway/burdockmast/gateway/path_selector.py
@@ -0,0 +1,205 @@
+"""Selects a path for each request, and queues requests while all are busy."""
+
+from collections.abc import Collection
+import random
+
+from burdockmast.base import failures
+from burdockmast.base import ids
+from burdockmast.base import logs
+from burdockmast.base import timers
+from burdockmast.gateway import backends
+from burdockmast.gateway import config
+from burdockmast.gateway import jobs
+from burdockmast.gateway import links
+from burdockmast.gateway import memory
+from burdockmast.gateway import paths
+from burdockmast.gateway import reports
+from burdockmast.gateway import view
+from burdockmast.limits import queues
+
+LOG = logs.get('choosing')
+
+# Retry-After for callers whose request finds no path.
+RETRY_AFTER_SECONDS = 0.3
+# Longest wait for a path, counted from the request's arrival. Callers
+# disconnect after 2 s without an event, and the first event takes some tenths
+# of a second.
+MAX_QUEUE_SECONDS = 1.2
+MAX_QUEUED_REQUESTS = 256
+# Interval at which a queued request tries again, since the ejection of a
+# server that refused may have ended.
+WAKE_INTERVAL_SECONDS = 0.1
+# Longest wait for another path to resume a stream.
+RESUME_QUEUE_SECONDS = 0.6
+
+
+class PathSelector:
+    """Selects paths for the requests of one gateway."""
+
+    def __init__(
+        self,
+        fleet: view.View,
+        server_reports: reports.ServerReports,
+        usage: memory.Usage,
+        zone: ids.ZoneId,
+        rng: random.Random,
+    ):
+        """Create a selector with an empty queue.
+
+        :param zone: of this gateway's callers
+        """
+        self.reports = server_reports
+        self._view = fleet
+        self._usage = usage
+        self._zone = zone
+        self._rng = rng
+        self._queue = queues.FairQueue(MAX_QUEUED_REQUESTS)
+        self._links = links.ZoneLinks()
+
+    @property
+    def gateway_count(self) -> int:
+        """Number of gateways that share the fleet, as last counted."""
+        return self._links.gateway_count
+
+    @gateway_count.setter
+    def gateway_count(self, count: int) -> None:
+        self._links.gateway_count = count
+
+    def reserve(self, job: jobs.Job, path: tuple[backends.Stage, ...]) -> None:
+        """Account for a request on its path."""
+        engine = job.service.engine
+        if engine is None:
+            self._usage.reserve(path, 0)
+            return
+        size = self._request_size(job, engine)
+        self._usage.reserve(path, size.total_tokens)
+        self._links.record_prompt(path, paths.transfer_ms(engine, size) / 1000)
+
+    def release(self, job: jobs.Job, path: tuple[backends.Stage, ...]) -> None:
+        """Stop accounting for a request, and let a queued one try again."""
+        self._usage.release(path, self._total_tokens(job))
+        self.wake_waiter()
+
+    def _total_tokens(self, job: jobs.Job) -> int:
+        engine = job.service.engine
+        return self._request_size(job, engine).total_tokens if engine else 0
+
+    def wait_for_path(
+        self,
+        job: jobs.Job,
+        failed: Collection[ids.ServerId],
+        has_begun: bool,
+    ) -> tuple[backends.Stage, ...] | failures.Failure:
+        """Return a path, waiting for one while servers are busy.
+
+        In a burst, all servers that hold some layer may be full. The next
+        answer that ends makes room, and waiting for that is better for the
+        caller than a refusal and a retry.
+
+        :param failed: servers that failed this request
+        :param has_begun: the caller has received events
+        :returns: no stages if waiting would not help
+        """
+        path = self._find_path(job, failed, has_begun)
+        until = timers.now() + RESUME_QUEUE_SECONDS
+        if not has_begun:
+            until = job.arrived_at + MAX_QUEUE_SECONDS
+        until = min(until, job.deadline)
+        while not path and self._is_covered(job):
+            waiter = queues.Waiter(job.organisation, -job.priority, 1.0)
+            refusal = self._queue.wait(waiter, until - timers.now())
+            if refusal:
+                LOG.info(
+                    'no path found while queued; giving up',
+                    extra={
+                        'request': job.id,
+                        'waiting': len(self._queue),
+                        'links': self._links.describe(),
+                        'gateways': self.gateway_count,
+                        'list_age': round(self._view.server_list_age, 3),
+                        'outcome': str(refusal),
+                    },
+                )
+                return refusal
+            path = self._find_path(job, failed, has_begun)
+        return path
+
+    def _is_covered(self, job: jobs.Job) -> bool:
+        """Return whether ready servers hold all layers, though maybe busy."""
+        engine = job.service.engine
+        if engine is None:
+            return False
+        ready = [s for s in self._view.listed(job.service.id) if s.is_ready]
+        return paths.first_uncovered_layer(engine, ready) is None
+
+    def wake_waiter(self) -> None:
+        """Let one queued request try again to get a path."""
+        self._queue.wake()
+
+    def _find_path(
+        self,
+        job: jobs.Job,
+        failed: Collection[ids.ServerId],
+        has_begun: bool = False,
+    ) -> tuple[backends.Stage, ...]:
+        engine = job.service.engine
+        if engine is None:
+            servers = self._view.usable(job.service.id, failed)
+            return tuple(backends.Stage(s, 0, 0) for s in servers[:1])
+        size = self._request_size(job, engine)
+        usage = self._usage.usage_by_server()
+
+        def memory_factor(server: backends.BackendServer) -> float:
+            _, reserved = usage.get(server.id, memory.NO_USAGE)
+            return memory.cost_factor(
+                reserved / memory.cache_capacity(engine, server),
+                self.gateway_count,
+                self.reports.occupancy(server),
+            )
+
+        for excluded in (failed, ()):
+            path = paths.cheapest(
+                engine,
+                self._view.usable(job.service.id, excluded),
+                size,
+                self._zone,
+                lambda server: (
+                    usage.get(server, memory.NO_USAGE)[0]
+                    * memory.OWN_USAGE_FACTOR
+                ),
+                memory_factor,
+                self.reports.slowdown,
+                # A broken answer is worse for its caller than the delay that
+                # one more prompt on a full link causes for the others.
+                (lambda link: False) if has_begun else self._links.is_full,
+                self._rng,
+            )
+            if path:
+                return path
+        return ()
+
+    def _request_size(
+        self, job: jobs.Job, engine: config.Engine
+    ) -> paths.RequestSize:
+        answer = job.request.length_hint or engine.mean_answer_tokens
+        if job.request.max_answer_tokens:
+            answer = min(answer, job.request.max_answer_tokens)
+        return paths.RequestSize(
+            job.request.prompt_tokens or engine.mean_prompt_tokens,
+            max(1, answer),
+        )
+
+    def no_path_failure(self, job: jobs.Job) -> failures.Failure:
+        """Return a failure that names the layer for which no server is usable.
+
+        The caller may retry.
+        """
+        engine = job.service.engine
+        usable = self._view.usable(job.service.id)
+        layer = paths.first_uncovered_layer(engine, usable) if engine else None
+        return failures.Failure(
+            failures.Reason.NO_PATH,
+            'stream.path',
+            detail=f'no usable server of {job.service.id} holds layer {layer}',
+            retry_after=RETRY_AFTER_SECONDS,
+        )
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -18,11 +18,11 @@
 from burdockmast.base import timers
 from burdockmast.gateway import backends
 from burdockmast.gateway import calls
-from burdockmast.gateway import choosing
-from burdockmast.gateway import deployment
-from burdockmast.gateway import following
+from burdockmast.gateway import config
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import memory
+from burdockmast.gateway import object_follower
+from burdockmast.gateway import path_selector
 from burdockmast.gateway import planner
 from burdockmast.gateway import reports
 from burdockmast.gateway import retries
@@ -63,12 +63,12 @@
 class Platform:
     """Adapters to the platform that a gateway runs on."""
 
-    deployments: interfaces.Feed[deployment.Deployment]
+    deployments: interfaces.Feed[config.Configuration]
     servers: interfaces.Feed[backends.BackendServer]
-    planner_lock: interfaces.Seat
-    gateway_registry: interfaces.Roster
-    engines: interfaces.EngineControl
-    dialect: interfaces.Dialect
+    planner_lock: interfaces.PlannerLock
+    gateway_registry: interfaces.GatewayRegistry
+    engines: interfaces.EngineClient
+    dialect: interfaces.HeaderCodec
 
 
 class Gateway:
@@ -89,14 +89,14 @@
                 'zone': gateway_settings.zone,
             },
         )
-        self._deployments = following.Follower(
+        self._deployments = object_follower.Follower(
             'configuration', platform.deployments, CONFIGURATION_WAIT_SECONDS
         )
-        self._servers = following.Follower(
+        self._servers = object_follower.Follower(
             'servers',
             platform.servers,
             SERVERS_WAIT_SECONDS,
-            keeps_lapsed=True,
+            keeps_expired=True,
             is_older=backends.BackendServer.is_older_than,
         )
         self.view = view.View(self._deployments, self._servers)
@@ -106,9 +106,9 @@
             gateway_settings.retry_window,
         )
         usage = memory.Usage()
-        self._chooser = choosing.Chooser(
+        self._chooser = path_selector.PathSelector(
             self.view,
-            reports.Reports(self.view, platform.engines),
+            reports.ServerReports(self.view, platform.engines),
             usage,
             gateway_settings.zone,
             rng,
@@ -155,10 +155,12 @@
             'logs', logs.REPORT_SECONDS, self._log.handler.report
         )
         self._timers.subscribe(
-            'planner', planner.LOOK_SECONDS, self._planner.look
+            'planner', planner.POLL_SECONDS, self._planner.poll
         )
         self._timers.subscribe(
-            'queue', choosing.WAKE_SECONDS, self._chooser.wake
+            'queue',
+            path_selector.WAKE_INTERVAL_SECONDS,
+            self._chooser.wake_waiter,
         )
         eventlet.spawn(self._count_gateways)
         self._timers.subscribe(
@@ -185,7 +187,7 @@
     def _count_gateways(self) -> None:
         """Register this gateway, then count all that share the budget."""
         if not self._is_registered:
-            failure = self._gateway_registry.join()
+            failure = self._gateway_registry.register()
             if failure:
                 LOG.warning(
                     'registering this gateway failed; retrying later',
@@ -207,7 +209,7 @@
                 extra={'count': count, 'before': self._budget.gateway_count},
             )
         self._budget.gateway_count = count
-        self._chooser.gateways = count
+        self._chooser.gateway_count = count
 
     def record_store_call(
         self, call: str, seconds: float, failure: failures.Failure | None
@@ -263,7 +265,7 @@
             'configuration.age_seconds', lambda: self.view.configuration_age
         )
         self._metrics.gauge(
-            'servers.age_seconds', lambda: self.view.server_age
+            'servers.age_seconds', lambda: self.view.server_list_age
         )
         self._metrics.gauge(
             'requests.running', lambda: self.application.running_count
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -11,9 +11,9 @@
 from burdockmast.base import outcomes
 from burdockmast.base import timers
 from burdockmast.gateway import backends
-from burdockmast.gateway import choosing
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import jobs
+from burdockmast.gateway import path_selector
 from burdockmast.gateway import retries
 from burdockmast.gateway import sse
 from burdockmast.gateway import upstream
@@ -75,9 +75,9 @@
     def __init__(
         self,
         fleet: view.View,
-        dialect: interfaces.Dialect,
+        dialect: interfaces.HeaderCodec,
         budget: retries.Budget,
-        chooser: choosing.Chooser,
+        chooser: path_selector.PathSelector,
         measures: metrics.Metrics,
     ):
         """Create a proxy that chooses paths and retries within the budget."""
@@ -94,9 +94,9 @@
 
         :raises StreamAborted: if a stream that has begun can't be completed
         """
-        progress = _Progress(job.request.after_event)
+        progress = _Progress(job.request.last_event_id)
         while True:
-            path = self._chooser.path_in_turn(
+            path = self._chooser.wait_for_path(
                 job, progress.failed_servers, progress.has_begun
             )
             failure = None
@@ -106,7 +106,7 @@
                 failure = yield from self._attempt(job, path, progress)
                 if failure is None:
                     return
-            failure = failure or self._chooser.no_path(job)
+            failure = failure or self._chooser.no_path_failure(job)
             if path and self._may_retry(job, progress, failure):
                 continue
             if progress.possible_runs:
@@ -125,7 +125,7 @@
         if failure.outcome is not outcomes.Outcome.NOT_RUN:
             if (
                 not job.is_idempotent
-                or progress.possible_runs >= job.route.attempts
+                or progress.possible_runs >= job.route.max_attempts
             ):
                 return False
         elif (
@@ -171,11 +171,11 @@
                 'events': progress.event_count - events_before,
                 'last_event': progress.last_event_id,
                 'prompt_tokens': job.request.prompt_tokens,
-                'answer_tokens': job.request.answer_tokens,
+                'answer_tokens': job.request.max_answer_tokens,
                 'length_hint': job.request.length_hint,
                 'longest_pause': round(progress.longest_pause, 3),
                 'seconds': round(timers.now() - began, 3),
-                'list_age': round(self._view.server_age, 3),
+                'list_age': round(self._view.server_list_age, 3),
                 'outcome': str(failure) if failure else 'whole',
             },
         )
@@ -193,7 +193,7 @@
         path: tuple[backends.Stage, ...],
         progress: _Progress,
     ) -> Iterator[jobs.Reply | bytes]:
-        sending = interfaces.Sending(
+        sending = interfaces.Attempt(
             exchange.server,
             job.organisation,
             job.seconds_left,
@@ -212,14 +212,14 @@
         if isinstance(head, failures.Failure):
             return head
         if head.facts.is_not_run:
-            return exchange.refusal(head, choosing.RETRY_SECONDS)
+            return exchange.refusal(head, path_selector.RETRY_AFTER_SECONDS)
         if head.status != STATUS_OK:
             return (
                 yield from self._forward_error_reply(
                     job, exchange, head, progress
                 )
             )
-        if not head.facts.is_sealed or head.facts.is_encoded:
+        if not head.facts.is_signed or head.facts.is_encoded:
             return exchange.unknown_outcome(
                 'events', 'reply is unsigned or content-encoded'
             )
@@ -268,13 +268,13 @@
             return False
         has_attempt_left = (
             job.is_idempotent
-            and progress.possible_runs + 1 < job.route.attempts
+            and progress.possible_runs + 1 < job.route.max_attempts
         )
         if not has_attempt_left or not self._budget.can_withdraw(
             job.service.id
         ):
             return True
-        return self._view.all_heard(servers, now - RECENT_EVENT_SECONDS)
+        return self._view.all_active_since(servers, now - RECENT_EVENT_SECONDS)
 
     def _forward_error_reply(
         self,
@@ -286,7 +286,7 @@
         """Forward a server's error reply unless the request can be retried."""
         if progress.has_begun or (
             job.is_idempotent
-            and progress.possible_runs + 1 < job.route.attempts
+            and progress.possible_runs + 1 < job.route.max_attempts
         ):
             return exchange.unknown_outcome(
                 'events', f'server replied with status {head.status}'
@@ -360,7 +360,7 @@
                 yield jobs.Reply.from_head(head, self._dialect)
             progress.last_event_id = splitter.last_id
             progress.event_count += splitter.completed_count
-            self._view.heard(servers)
+            self._view.record_activity(servers)
             yield complete_events
             wait_until = min(
                 job.deadline, timers.now() + PAUSE_TIMEOUT_SECONDS
@@ -373,9 +373,11 @@
         seconds: float,
     ) -> None:
         """Request reports from the servers of a path that is slow."""
-        objective = job.route.gap_objective or PAUSE_TIMEOUT_SECONDS
+        objective = job.route.gap_objective_seconds or PAUSE_TIMEOUT_SECONDS
         if job.service.engine and seconds > objective * SLOW_PAUSE_SHARE:
-            self._chooser.reports.ask([stage.server for stage in path], job.id)
+            self._chooser.reports.fetch(
+                [stage.server for stage in path], job.id
+            )
 
     def _timeout_failure(
         self, exchange: upstream.Exchange
@@ -412,7 +414,7 @@
                 )
                 progress.failed_servers.append(culprit)
                 self._view.eject(
-                    culprit, failure.detail, job.id, view.REFUSED_SECONDS
+                    culprit, failure.detail, job.id, view.REFUSAL_EJECT_SECONDS
                 )
             case failures.Failure(
                 reason=failures.Reason.PEER_SILENT | failures.Reason.DEADLINE
@@ -420,7 +422,7 @@
                 progress.failed_servers.extend(
                     stage.server.id for stage in path
                 )
-                self._chooser.reports.ask(
+                self._chooser.reports.fetch(
                     [stage.server for stage in path], job.id
                 )
             case _:
--- a/libs/gateway/burdockmast/gateway/wsgi.py
+++ b/libs/gateway/burdockmast/gateway/wsgi.py
@@ -13,7 +13,7 @@
 from burdockmast.base import outcomes
 from burdockmast.base import timers
 from burdockmast.gateway import calls
-from burdockmast.gateway import deployment
+from burdockmast.gateway import config
 from burdockmast.gateway import disconnects
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import jobs
@@ -68,7 +68,7 @@
     def __init__(
         self,
         fleet: view.View,
-        dialect: interfaces.Dialect,
+        dialect: interfaces.HeaderCodec,
         call_proxy: calls.CallProxy,
         stream_proxy: streams.StreamProxy,
         budget: retries.Budget,
@@ -186,7 +186,7 @@
         configuration = self._view.configuration
         if configuration is None:
             return _unavailable('no configuration has been received yet')
-        route = configuration.route(request.host, request.path)
+        route = configuration.find_route(request.host, request.path)
         age = self._view.configuration_age
         if route is None:
             # The route may be new and missing only from an old configuration.
@@ -199,30 +199,34 @@
                 'request.route',
                 detail=f'no route in configuration {configuration.version}',
             )
-        organisation = deployment.Organisation(NO_ORGANISATION, None)
-        if not route.is_public and configuration.organisation_by_key:
+        organisation = config.Organisation(NO_ORGANISATION, None)
+        if not route.is_public and configuration.organisation_by_api_key:
             if age > self._trusted_seconds:
                 return _unavailable(
                     f'configuration last confirmed {age:.1f} s ago'
                 )
-            organisation = configuration.organisation_by_key.get(request.key)
+            organisation = configuration.organisation_by_api_key.get(
+                request.api_key
+            )
             if organisation is None:
                 return failures.Failure(
                     failures.Reason.UNKNOWN_ORGANISATION,
                     'request.key',
                     detail=f'key not in configuration {configuration.version}',
                 )
-        self._max_body_bytes = configuration.limits.body_bytes
+        self._max_body_bytes = configuration.limits.max_body_bytes
         if len(request.body) > self._max_body_bytes:
             return failures.Failure(
                 failures.Reason.TOO_LARGE,
                 'request.body',
-                detail=f'larger than {configuration.limits.body_bytes} bytes',
+                detail=(
+                    f'larger than {configuration.limits.max_body_bytes} bytes'
+                ),
             )
         service = self._choose_service(configuration, route)
         if service is None:
             return _unavailable(f'route {route.name} has no service')
-        seconds = request.seconds
+        seconds = request.timeout_seconds
         if seconds is None:
             seconds = DEFAULT_DEADLINE_SECONDS
         priority = organisation.priority
@@ -233,13 +237,13 @@
             organisation.id,
             route.priority if priority is None else priority,
             arrived_at,
-            arrived_at + min(seconds, route.timeout),
+            arrived_at + min(seconds, route.timeout_seconds),
             configuration.version,
         )
 
     def _choose_service(
-        self, configuration: deployment.Deployment, route: deployment.Route
-    ) -> deployment.Service | None:
+        self, configuration: config.Configuration, route: config.Route
+    ) -> config.Service | None:
         services = list(route.weight_by_service)
         if not services:
             return None
@@ -248,7 +252,7 @@
         if len(services) > 1 and sum(weights) > 0:
             chosen = self._rng.choices(services, weights)[0]
         return configuration.service_by_id.get(
-            chosen, deployment.Service(chosen, None)
+            chosen, config.Service(chosen, None)
         )
 
     def _forward(
@@ -321,7 +325,7 @@
                 'outcome': failure.outcome.value,
                 'retry_after': retry_after,
                 'configuration_age': round(self._view.configuration_age, 3),
-                'list_age': round(self._view.server_age, 3),
+                'list_age': round(self._view.server_list_age, 3),
             },
         )
         start_response(f'{status} {PHRASE_BY_STATUS[status]}', headers)
--- /dev/null
+++ b/tests/test_gateway_object_follower.py
@@ -0,0 +1,150 @@
+"""Copies of the store's objects stay correct through its outages."""
+
+import pytest
+
+from burdockmast.base import failures
+from burdockmast.base import timers
+from burdockmast.gateway import interfaces
+from burdockmast.gateway import object_follower
+
+
+class Feed:
+    """A feed that returns prepared results."""
+
+    def __init__(self):
+        self.answers = []
+
+    def list(self):
+        return self.answers.pop(0)
+
+    def watch(self, revision, timeout_seconds):
+        return self.answers.pop(0)
+
+
+@pytest.fixture
+def clock(monkeypatch):
+    class Clock:
+        now = 100.0
+
+    monkeypatch.setattr(timers, 'now', lambda: Clock.now)
+    monkeypatch.setattr(timers, 'real_now', lambda: Clock.now)
+    monkeypatch.setattr(
+        object_follower.eventlet, 'sleep', lambda seconds: None
+    )
+    return Clock
+
+
+@pytest.fixture
+def feed():
+    return Feed()
+
+
+@pytest.fixture
+def follower(clock, feed):
+    return object_follower.Follower(
+        'servers', feed, 3.0, keeps_expired=True, is_older=lambda a, b: a < b
+    )
+
+
+def store_lost():
+    return failures.Failure(
+        failures.Reason.STORE_UNAVAILABLE, 'store.get', 'store'
+    )
+
+
+def poll_all(follower, feed, *answers):
+    feed.answers = list(answers)
+    while feed.answers:
+        follower.poll()
+
+
+def changes(revision, **item_by_name):
+    return interfaces.Changes(
+        revision,
+        tuple(interfaces.Change(n, i) for n, i in item_by_name.items()),
+    )
+
+
+def test_a_removed_server_is_dropped_at_once(follower, feed):
+    poll_all(follower, feed, interfaces.Listing(1, {'a': 1, 'b': 1}))
+    poll_all(follower, feed, changes(2, a=None))
+    assert follower.item_by_name == {'b': 1}
+
+
+def test_a_server_that_expired_in_an_outage_is_kept_for_two_seconds(
+    follower, feed, clock
+):
+    poll_all(follower, feed, interfaces.Listing(1, {'a': 1}))
+    poll_all(follower, feed, store_lost(), changes(2, a=None))
+    assert follower.item_by_name == {'a': 1}
+    clock.now += object_follower.EXPIRY_GRACE_SECONDS
+    poll_all(follower, feed, changes(2))
+    assert follower.item_by_name == {}
+
+
+def test_a_server_that_expired_and_was_renewed_stays(follower, feed, clock):
+    poll_all(follower, feed, interfaces.Listing(1, {'a': 1}))
+    poll_all(follower, feed, store_lost(), changes(2, a=None), changes(3, a=2))
+    clock.now += object_follower.EXPIRY_GRACE_SECONDS
+    poll_all(follower, feed, changes(3))
+    assert follower.item_by_name == {'a': 2}
+
+
+def test_a_server_missing_in_the_list_after_an_outage_is_kept(
+    follower, feed, clock
+):
+    history_gone = failures.Failure(
+        failures.Reason.STORE_CONFLICT, 'store.get'
+    )
+    poll_all(follower, feed, interfaces.Listing(1, {'a': 1, 'b': 1}))
+    poll_all(
+        follower,
+        feed,
+        store_lost(),
+        history_gone,
+        interfaces.Listing(9, {'b': 1}),
+    )
+    assert follower.item_by_name == {'a': 1, 'b': 1}
+    clock.now += object_follower.EXPIRY_GRACE_SECONDS
+    poll_all(follower, feed, changes(9))
+    assert follower.item_by_name == {'b': 1}
+
+
+def test_an_older_entry_does_not_replace_a_newer_one(follower, feed):
+    poll_all(follower, feed, interfaces.Listing(1, {'a': 5}))
+    poll_all(follower, feed, changes(2, a=4))
+    assert follower.item_by_name == {'a': 5}
+
+
+class SlowFeed(Feed):
+    """A feed whose answers take some time on the test's clock."""
+
+    def __init__(self, clock, seconds):
+        super().__init__()
+        self._clock = clock
+        self._seconds = seconds
+
+    def watch(self, revision, timeout_seconds):
+        self._clock.now += self._seconds
+        return super().watch(revision, timeout_seconds)
+
+
+@pytest.mark.parametrize(
+    ('seconds', 'answer', 'age'),
+    [
+        # The store waited 3 s; the other 0.5 s may have passed after its last
+        # check for changes.
+        (3.5, changes(1), 0.5),
+        (3.0, changes(1), 0.0),
+        # These answers may be as old as the call.
+        (2.0, changes(1), 2.0),
+        (3.5, changes(2, a=1), 3.5),
+    ],
+)
+def test_age_counts_from_the_last_certain_check_of_the_store(
+    follower, feed, clock, seconds, answer, age
+):
+    poll_all(follower, feed, interfaces.Listing(1, {}))
+    follower._feed = slow = SlowFeed(clock, seconds)
+    poll_all(follower, slow, answer)
+    assert follower.age == pytest.approx(age)
--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -1,40 +1,40 @@
-"""Paths of pipelines and placements, played without a network."""
+"""Path search and layer placement, simulated without a network."""
 
 import random
 
 import pytest
 
 from burdockmast.gateway import backends
-from burdockmast.gateway import deployment
+from burdockmast.gateway import config
+from burdockmast.gateway import layer_placement
 from burdockmast.gateway import memory
 from burdockmast.gateway import paths
-from burdockmast.gateway import placing
 
-ENGINE = deployment.Engine(
+ENGINE = config.Engine(
     layers=80,
     layer_mb=1750.0,
-    cache_bytes=918000,
+    cache_bytes_per_token=918000,
     step_ms=0.85,
     sequence_ms=0.006,
     context_ms=0.008,
-    prefill_per_s=252000,
-    usual_prompt=772,
-    usual_answer=154,
-    activation_bytes=45800,
+    prefill_tokens_per_second=252000,
+    mean_prompt_tokens=772,
+    mean_answer_tokens=154,
+    activation_bytes_per_token=45800,
     zone_link_mbps=7900,
-    kind_by_name={
-        'large': deployment.AcceleratorKind('large', 36000, 3.1, 3.2),
-        'middle': deployment.AcceleratorKind('middle', 21600, 16, 8.2),
-        'small': deployment.AcceleratorKind('small', 14400, 15, 15),
+    accelerator_by_name={
+        'large': config.AcceleratorKind('large', 36000, 3.1, 3.2),
+        'middle': config.AcceleratorKind('middle', 21600, 16, 8.2),
+        'small': config.AcceleratorKind('small', 14400, 15, 15),
     },
 )
-# Servers of each kind in each zone, as the swap desk has them.
+# Servers of each kind in each zone, as in the swap-desk example.
 FLEET = {
     'a': {'large': 3, 'middle': 3, 'small': 5},
     'b': {'large': 1, 'middle': 5, 'small': 8},
     'c': {'large': 1, 'middle': 7, 'small': 5},
 }
-WORK = paths.Work(800, 154)
+SIZE = paths.RequestSize(800, 154)
 
 
 def server(name, zone='a', kind='large', held=None, ready=True):
@@ -44,10 +44,10 @@
         address=f'{name}:1',
         zone=zone,
         is_ready=ready,
-        held=backends.LayerRange(*held) if held else backends.EMPTY,
-        kind=kind,
-        born=1,
-        beat=1,
+        layers=backends.LayerRange(*held) if held else backends.NO_LAYERS,
+        accelerator=kind,
+        started_ms=1,
+        entry_sequence=1,
     )
 
 
@@ -60,15 +60,16 @@
     ]
 
 
-def placed(servers):
+def with_planned_layers(servers):
     layers_by_server = {
-        p.server.id: p.layers for p in placing.plan(ENGINE, servers, {})
+        p.server.id: p.layers
+        for p in layer_placement.plan(ENGINE, servers, {})
     }
     return [
         server(
             s.id,
             s.zone,
-            s.kind,
+            s.accelerator,
             (layers_by_server[s.id].first, layers_by_server[s.id].end),
         )
         for s in servers
@@ -77,14 +78,14 @@
 
 def path(servers, zone='a', **given):
     found = {
-        'running': lambda s: 0,
-        'crowding': lambda s: 1.0,
-        'pace': lambda s: 1.0,
+        'running_requests': lambda s: 0,
+        'memory_factor': lambda s: 1.0,
+        'slowdown': lambda s: 1.0,
         'is_full': lambda link: False,
         **given,
     }
     return paths.cheapest(
-        ENGINE, servers, WORK, zone, source=random.Random(1), **found
+        ENGINE, servers, SIZE, zone, rng=random.Random(1), **found
     )
 
 
@@ -93,8 +94,8 @@
     for stage in found:
         assert stage.first == reached
         assert stage.end > stage.first
-        assert stage.server.held.first <= stage.first
-        assert stage.end <= stage.server.held.end
+        assert stage.server.layers.first <= stage.first
+        assert stage.end <= stage.server.layers.end
         reached = stage.end
     assert reached == ENGINE.layers
     assert len({stage.server.id for stage in found}) == len(found)
@@ -102,57 +103,57 @@
 
 @pytest.mark.parametrize('zone', FLEET)
 def test_each_zone_gets_a_pipeline_of_its_own(zone):
-    servers = [s for s in placed(empty_fleet()) if s.zone == zone]
+    servers = [s for s in with_planned_layers(empty_fleet()) if s.zone == zone]
     assert_runs_every_layer_once(path(servers, zone))
 
 
 @pytest.mark.parametrize('zone', FLEET)
-def test_prompts_are_not_sent_between_zones_while_all_is_well(zone):
-    found = path(placed(empty_fleet()), zone)
+def test_prompts_stay_in_their_zone_while_no_server_is_lost(zone):
+    found = path(with_planned_layers(empty_fleet()), zone)
     assert len({stage.server.zone for stage in found}) == 1
 
 
 def test_no_server_holds_more_than_its_memory():
-    for found in placed(empty_fleet()):
-        kind = ENGINE.kind_by_name[found.kind]
-        assert len(found.held) * ENGINE.layer_mb < kind.memory_mb
-        tokens = WORK.tokens * len(found.held)
-        assert memory.capacity(ENGINE, found) > 20 * tokens
+    for found in with_planned_layers(empty_fleet()):
+        kind = ENGINE.accelerator_by_name[found.accelerator]
+        assert len(found.layers) * ENGINE.layer_mb < kind.memory_mb
+        tokens = SIZE.total_tokens * len(found.layers)
+        assert memory.cache_capacity(ENGINE, found) > 20 * tokens
 
 
-def test_a_replacement_takes_what_its_zone_lacks():
-    servers = placed(empty_fleet())
+def test_a_replacement_takes_the_layers_that_its_zone_lacks():
+    servers = with_planned_layers(empty_fleet())
     lost = servers.pop(0)
-    new = server('new', lost.zone, lost.kind)
-    (placement,) = placing.plan(ENGINE, [*servers, new], {})
-    assert placement.layers == lost.held
+    new = server('new', lost.zone, lost.accelerator)
+    (placement,) = layer_placement.plan(ENGINE, [*servers, new], {})
+    assert placement.layers == lost.layers
 
 
-def test_a_hole_in_the_fleet_is_closed_by_a_server_that_nobody_misses():
+def test_a_gap_in_the_fleet_is_closed_by_a_redundant_server():
     servers = [
         server('first', held=(0, 17)),
         server('same', held=(0, 17)),
         server('last', held=(34, 80)),
     ]
-    (placement,) = placing.plan(ENGINE, servers, {})
+    (placement,) = layer_placement.plan(ENGINE, servers, {})
     assert placement.server.id in ('first', 'same')
     assert placement.layers == backends.LayerRange(17, 34)
 
 
-def test_nothing_is_moved_that_would_open_a_hole():
+def test_no_move_opens_a_gap():
     servers = [server('first', held=(0, 17)), server('last', held=(34, 80))]
-    assert placing.plan(ENGINE, servers, {}) == []
+    assert layer_placement.plan(ENGINE, servers, {}) == []
 
 
 @pytest.mark.parametrize('seed', range(20))
-def test_zones_keep_whole_pipelines_while_servers_leave(seed):
-    """Servers leave one by one, as on days of releases and losses."""
-    source = random.Random(seed)
-    servers = placed(empty_fleet())
+def test_zones_keep_complete_pipelines_while_servers_leave(seed):
+    """Removes servers one by one, as releases and crashes do."""
+    rng = random.Random(seed)
+    servers = with_planned_layers(empty_fleet())
     for _ in range(6):
-        servers.remove(source.choice(servers))
+        servers.remove(rng.choice(servers))
         for _ in range(10):
-            moves = placing.plan(ENGINE, servers, {})
+            moves = layer_placement.plan(ENGINE, servers, {})
             if not moves:
                 break
             by_id = {move.server.id: move.layers for move in moves}
@@ -160,58 +161,60 @@
                 server(
                     s.id,
                     s.zone,
-                    s.kind,
+                    s.accelerator,
                     (by_id[s.id].first, by_id[s.id].end),
                 )
                 if s.id in by_id
                 else s
                 for s in servers
             ]
-        assert paths.missing(ENGINE, servers) is None
-    whole = [
+        assert paths.first_uncovered_layer(ENGINE, servers) is None
+    complete_zones = [
         zone
         for zone in FLEET
-        if paths.missing(ENGINE, [s for s in servers if s.zone == zone])
+        if paths.first_uncovered_layer(
+            ENGINE, [s for s in servers if s.zone == zone]
+        )
         is None
     ]
-    assert len(whole) >= 2
+    assert len(complete_zones) >= 2
 
 
 def test_a_pending_order_is_not_given_twice():
     servers = [server('one')]
     pending = {'one': backends.LayerRange(0, 17)}
-    assert placing.plan(ENGINE, servers, pending) == []
+    assert layer_placement.plan(ENGINE, servers, pending) == []
 
 
-def test_layers_that_nobody_holds_go_first_without_room_for_a_pipeline():
+def test_uncovered_layers_go_first_without_room_for_a_pipeline():
     servers = [
         server('far', 'b', 'large', (0, 17)),
         server('near', 'a', 'large'),
     ]
-    (placement,) = placing.plan(ENGINE, servers, {})
+    (placement,) = layer_placement.plan(ENGINE, servers, {})
     assert placement.layers.first == 17
 
 
 @pytest.mark.parametrize('seed', range(20))
 def test_paths_over_random_ranges_run_every_layer_once(seed):
-    source = random.Random(seed)
+    rng = random.Random(seed)
     servers = []
     for number in range(40):
-        first = source.randrange(80)
-        end = min(80, first + source.randrange(1, 25))
-        zone = source.choice('abc')
+        first = rng.randrange(80)
+        end = min(80, first + rng.randrange(1, 25))
+        zone = rng.choice('abc')
         servers.append(server(f's{number}', zone, 'small', (first, end)))
-    loads = {s.id: source.randrange(30) for s in servers}
-    found = path(servers, running=loads.__getitem__)
-    if paths.missing(ENGINE, servers) is None:
+    loads = {s.id: rng.randrange(30) for s in servers}
+    found = path(servers, running_requests=loads.__getitem__)
+    if paths.first_uncovered_layer(ENGINE, servers) is None:
         assert_runs_every_layer_once(found)
     else:
         assert found == ()
 
 
-def test_missing_names_the_first_layer_that_nobody_holds():
+def test_the_first_uncovered_layer_is_found():
     servers = [server('one', held=(0, 20)), server('two', held=(30, 80))]
-    assert paths.missing(ENGINE, servers) == 20
+    assert paths.first_uncovered_layer(ENGINE, servers) == 20
 
 
 def test_a_slow_server_is_avoided():
@@ -220,76 +223,83 @@
         server('other', held=(0, 40)),
         server('rest', held=(40, 80)),
     ]
-    found = path(servers, pace=lambda s: 5.0 if s.id == 'slow' else 1.0)
+    found = path(servers, slowdown=lambda s: 5.0 if s.id == 'slow' else 1.0)
     assert [stage.server.id for stage in found] == ['other', 'rest']
 
 
-def crowding(usage, gateways=1):
-    own = usage.own()
+def memory_factor(usage, gateways=1):
+    own = usage.usage_by_server()
 
-    def of(found):
-        reserved = own.get(found.id, memory.NOTHING)[1]
-        share = reserved / memory.capacity(ENGINE, found)
-        return memory.crowding(share, gateways, 0.0)
+    def factor(server):
+        reserved = own.get(server.id, memory.NO_USAGE)[1]
+        share = reserved / memory.cache_capacity(ENGINE, server)
+        return memory.cost_factor(share, gateways, 0.0)
 
-    return of
+    return factor
 
 
-def used_of(usages, found):
-    reserved = sum(u.own().get(found.id, (0, 0.0))[1] for u in usages)
-    return reserved / memory.capacity(ENGINE, found)
+def used_share(usages, server):
+    reserved = sum(
+        u.usage_by_server().get(server.id, (0, 0.0))[1] for u in usages
+    )
+    return reserved / memory.cache_capacity(ENGINE, server)
 
 
 def test_a_server_that_fills_up_is_avoided():
-    servers = placed(empty_fleet())
+    servers = with_planned_layers(empty_fleet())
     usage = memory.Usage()
     used = set()
     for _ in range(60):
-        found = path(servers, crowding=crowding(usage))
+        found = path(servers, memory_factor=memory_factor(usage))
         assert_runs_every_layer_once(found)
-        usage.reserve(found, WORK.tokens)
+        usage.reserve(found, SIZE.total_tokens)
         used.update(stage.server.id for stage in found)
-    assert max(used_of([usage], s) for s in servers) <= 1.0
+    assert max(used_share([usage], s) for s in servers) <= 1.0
     assert len(used) > 20
 
 
 def test_gateways_share_the_fleet():
-    """Four gateways with 25 streams each, as on the heaviest days."""
-    servers = placed(empty_fleet())
+    """Four gateways with 25 streams each, as at the highest load."""
+    servers = with_planned_layers(empty_fleet())
     zones = ['a', 'a', 'b', 'c']
     usages = [memory.Usage() for _ in zones]
     for _ in range(25):
         for usage, zone in zip(usages, zones, strict=True):
-            found = path(servers, zone, crowding=crowding(usage, len(zones)))
+            found = path(
+                servers, zone, memory_factor=memory_factor(usage, len(zones))
+            )
             assert_runs_every_layer_once(found)
-            usage.reserve(found, WORK.tokens)
-    assert max(used_of(usages, s) for s in servers) <= 1.0
+            usage.reserve(found, SIZE.total_tokens)
+    assert max(used_share(usages, s) for s in servers) <= 1.0
 
 
 def test_released_requests_use_nothing():
-    servers = placed(empty_fleet())
+    servers = with_planned_layers(empty_fleet())
     usage = memory.Usage()
     found = path(servers)
     usage.reserve(found, 100)
     usage.release(found, 100)
-    assert usage.own() == {}
+    assert usage.usage_by_server() == {}
 
 
-def test_servers_beside_a_small_hole_hold_it_as_well():
-    """They give up nothing, and load only what is missing."""
+def test_servers_beside_a_small_gap_extend_over_it():
+    """They keep what they hold, and load only the missing layers."""
     servers = [
         server('low', held=(0, 15)),
         server('high', held=(18, 33)),
         server('last', held=(33, 80)),
     ]
-    moves = {p.server.id: p.layers for p in placing.plan(ENGINE, servers, {})}
+    moves = {
+        p.server.id: p.layers
+        for p in layer_placement.plan(ENGINE, servers, {})
+    }
     assert moves['low'].first == 0
-    assert moves.get('high', servers[1].held).end == 33
-    assert moves['low'].end >= moves.get('high', servers[1].held).first
+    assert moves.get('high', servers[1].layers).end == 33
+    assert moves['low'].end >= moves.get('high', servers[1].layers).first
 
 
-def test_a_zone_whose_holes_cannot_be_closed_is_left_alone():
-    """A move that leaves the zone without a pipeline helps nobody."""
+def test_a_zone_whose_gaps_cannot_be_closed_is_left_alone():
+    """A move that leaves the zone without a pipeline is useless."""
     servers = [
         server('one', 'a', held=(0, 15)),
         server('spare', 'a', 'small', held=(0, 6)),
@@ -297,17 +307,17 @@
         server('other', 'b', held=(0, 80)),
         *[server(f'b{number}', 'b', held=(0, 80)) for number in range(4)],
     ]
-    assert placing.plan(ENGINE, servers, {}) == []
+    assert layer_placement.plan(ENGINE, servers, {}) == []
 
 
 @pytest.mark.parametrize('zone', FLEET)
 def test_each_zone_has_room_for_a_burst(zone):
-    """Peak of the sheets: three times 31 streams a second of 1.5 s."""
-    servers = [s for s in placed(empty_fleet()) if s.zone == zone]
+    """The specified peak is three times 31 streams a second of 1.5 s."""
+    servers = [s for s in with_planned_layers(empty_fleet()) if s.zone == zone]
     room = [0.0] * ENGINE.layers
     for found in servers:
-        streams = memory.capacity(ENGINE, found)
-        streams /= len(found.held) * WORK.tokens
-        for layer in range(found.held.first, found.held.end):
+        streams = memory.cache_capacity(ENGINE, found)
+        streams /= len(found.layers) * SIZE.total_tokens
+        for layer in range(found.layers.first, found.layers.end):
             room[layer] += streams
     assert min(room) * len(FLEET) >= 3 * 31 * 1.5
--- a/tests/test_gateway_upstream.py
+++ b/tests/test_gateway_upstream.py
@@ -21,12 +21,12 @@
     target='/a/b?c=d',
     path='/a/b',
     host='h',
-    key='',
-    seconds=1.0,
+    api_key='',
+    timeout_seconds=1.0,
     prompt_tokens=0,
-    answer_tokens=0,
+    max_answer_tokens=0,
     length_hint=0,
-    after_event=None,
+    last_event_id=None,
     headers=(('Host', 'h'),),
     body=b'',
 )
@@ -71,7 +71,7 @@
                 server.address,
                 'a',
                 True,
-                backends.EMPTY,
+                backends.NO_LAYERS,
                 '',
                 1,
                 1,
@@ -98,7 +98,7 @@
 
 def test_a_reply_without_length_ends_with_its_connection(exchange):
     found, _ = exchange(HEAD + b'\r\nbody')
-    assert read_head(found).facts.is_sealed
+    assert read_head(found).facts.is_signed
     assert read_body(found) == b'body'
 
 
