--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -1,4 +1,4 @@
-"""Configuration: one order, in force everywhere, never reverting."""
+"""Configuration: changes have one order, reach all, and never revert."""
 
 from concurrent import futures
 import time
@@ -20,7 +20,7 @@
 from burdockmast.store import objects
 from burdockmast.wire import messages
 
-# The target: in force everywhere within this time, in seconds.
+# Time within which a change must be in force in all processes.
 IN_FORCE_SECONDS = 4.0
 LAYOUT = layouts.Layout()
 
@@ -35,15 +35,15 @@
 
 
 def await_version(fleet, version, count=None):
-    """Return the seconds until every process follows."""
+    """Return the seconds until all processes have reached a version."""
     began = time.monotonic()
 
-    def follow():
+    def have_reached():
         found = statuses(fleet)
         behind = [s for s in found if s.version < version]
         return not behind and (count is None or len(found) == count)
 
-    program.wait_until(follow, f'all processes at version {version}')
+    program.wait_until(have_reached, f'all processes at version {version}')
     return time.monotonic() - began
 
 
@@ -68,7 +68,7 @@
     assert seconds < IN_FORCE_SECONDS
 
 
-def test_racing_operators_one_wins_and_the_other_is_told(own_fleet):
+def test_one_of_two_racing_switches_wins_and_the_other_is_refused(own_fleet):
     """Proves: operators that switch at once don't undo each other."""
     fleet = own_fleet()
     fleet.operate(put('peak'), put('maintenance'))
@@ -102,7 +102,7 @@
 
 
 @pytest.mark.parametrize('lost', [1, 2, 4])
-def test_write_taken_with_its_answer_lost_counts_once(own_fleet, lost):
+def test_accepted_write_whose_answer_is_lost_counts_once(own_fleet, lost):
     fleet = own_fleet()
     writer = fleet.writer()
     writer.refresh()
@@ -122,7 +122,7 @@
 
 
 def test_new_processes_join_while_the_store_is_out(own_fleet):
-    """Proves: nothing reverts; joiners get the newest from peers."""
+    """Proves: nothing reverts; new processes get the newest from peers."""
     fleet = own_fleet()
     accepted = fleet.operate(
         put('peak'), changes.SwitchPreset('peak', 'ordinary')
@@ -142,9 +142,9 @@
 
 
 class Link:
-    """A neighbour that keeps what it is sent."""
+    """A link to a peer that records the messages sent to it."""
 
-    address = 'neighbour'
+    address = 'peer'
 
     def __init__(self):
         self.sent = []
@@ -165,48 +165,48 @@
 
 
 def test_replayed_changes_alter_nothing():
-    one = new_follower()
+    replica = new_follower()
     sent = tuple(encoded(number) for number in range(1, 6))
-    one.apply_changes(Link(), messages.Changes(1, sent))
-    before = msgspec.json.encode(one.configuration)
-    one.apply_changes(Link(), messages.Changes(1, sent[:3]))
-    one.apply_changes(Link(), messages.Changes(4, sent[3:]))
-    assert one.version == 5
-    assert msgspec.json.encode(one.configuration) == before
+    replica.apply_changes(Link(), messages.Changes(1, sent))
+    before = msgspec.json.encode(replica.configuration)
+    replica.apply_changes(Link(), messages.Changes(1, sent[:3]))
+    replica.apply_changes(Link(), messages.Changes(4, sent[3:]))
+    assert replica.version == 5
+    assert msgspec.json.encode(replica.configuration) == before
 
 
-def test_gap_in_changes_is_asked_for_not_applied():
-    one = new_follower()
+def test_changes_after_a_gap_are_not_applied_and_the_gap_is_requested():
+    replica = new_follower()
     link = Link()
-    one.apply_changes(link, messages.Changes(3, (encoded(3),)))
-    assert one.version == 0
+    replica.apply_changes(link, messages.Changes(3, (encoded(3),)))
+    assert replica.version == 0
     assert link.sent == [messages.ChangesWanted(0)]
 
 
 def test_older_or_damaged_snapshot_is_refused():
-    full, one = new_follower(), new_follower()
+    ahead, replica = new_follower(), new_follower()
     sent = tuple(encoded(number) for number in range(1, 4))
-    full.apply_changes(Link(), messages.Changes(1, sent))
-    body = encoding.encode(full.configuration)
+    ahead.apply_changes(Link(), messages.Changes(1, sent))
+    body = encoding.encode(ahead.configuration)
     good = messages.Snapshot(3, body, encoding.digest(body))
     damaged = messages.Snapshot(3, body + b' ', good.digest)
-    one.apply_snapshot(Link(), damaged)
-    assert one.version == 0
-    one.apply_snapshot(Link(), good)
-    assert one.version == 3
-    one.apply_snapshot(Link(), messages.Snapshot(2, body, good.digest))
-    assert one.version == 3
+    replica.apply_snapshot(Link(), damaged)
+    assert replica.version == 0
+    replica.apply_snapshot(Link(), good)
+    assert replica.version == 3
+    replica.apply_snapshot(Link(), messages.Snapshot(2, body, good.digest))
+    assert replica.version == 3
 
 
 def test_snapshot_reaches_a_process_too_far_behind(monkeypatch):
     monkeypatch.setattr(follower, 'KEPT_CHANGES', 2)
-    full, one = new_follower(), new_follower()
+    ahead, replica = new_follower(), new_follower()
     sent = tuple(encoded(number) for number in range(1, 7))
-    full.apply_changes(Link(), messages.Changes(1, sent))
+    ahead.apply_changes(Link(), messages.Changes(1, sent))
     link = Link()
-    full.send_changes_since(link, ids.Version(0))
-    one.apply_snapshot(Link(), link.sent[0])
-    assert one.configuration == full.configuration
+    ahead.send_changes_since(link, ids.Version(0))
+    replica.apply_snapshot(Link(), link.sent[0])
+    assert replica.configuration == ahead.configuration
 
 
 @pytest.mark.parametrize('cut', [0, 1, 20, -1])
@@ -235,8 +235,8 @@
     )
 
 
-def in_force(*bodies):
-    """Return the configuration after some changes that must hold."""
+def configuration_of(*bodies):
+    """Return the configuration after changes that must be valid."""
     current = configuration.Configuration()
     for number, body in enumerate(bodies):
         assert current.apply(changes.Change(str(number), 'me', body)) is None
@@ -250,33 +250,33 @@
     )
 
 
-def test_server_takes_the_place_of_its_pool_unless_it_has_its_own():
+def test_server_has_the_placement_of_its_pool_unless_it_has_its_own():
     preset = pooled(low=(0, 12), high=(12, 24))
     own = changes.Placement('e3', layouts.MODEL, 0, 24)
     preset = msgspec.structs.replace(
         preset, placements=(*preset.placements, own)
     )
-    current = in_force(
+    current = configuration_of(
         changes.PutPreset(preset),
         changes.SwitchPreset('pooled', ''),
         *[server(name, 'low') for name in ('e1', 'e3')],
         server('e2', 'high'),
         server('e4'),
     )
-    held = {
+    placed_ranges = {
         name: (placed.first, placed.end) if placed else None
         for name in ('e1', 'e2', 'e3', 'e4')
         for placed in [current.placement(name)]
     }
     expected = {'e1': (0, 12), 'e2': (12, 24), 'e3': (0, 24), 'e4': None}
-    assert held == expected
+    assert placed_ranges == expected
     current.apply(changes.Change('move', 'me', server('e1', 'high')))
     assert current.placement('e1').first == 12
 
 
-def test_preset_that_no_active_server_would_serve_is_told():
+def test_preset_with_a_layer_that_no_active_server_holds_is_refused():
     preset = pooled(low=(0, 12), high=(12, 24))
-    current = in_force(server('e1', 'low'), server('e2', 'high'))
+    current = configuration_of(server('e1', 'low'), server('e2', 'high'))
     assert current.check_active_coverage(preset) is None
     current.apply(changes.Change('r', 'me', changes.RetireServer('e2')))
     assert 'layer 12' in current.check_active_coverage(preset).detail
@@ -323,7 +323,7 @@
 
 
 BAD_PRESETS = {
-    'hole': ([('e1', 0, 8), ('e2', 9, 24)], 'no server holds layer 8'),
+    'gap': ([('e1', 0, 8), ('e2', 9, 24)], 'no server holds layer 8'),
     'past the end': ([('e1', 0, 25)], 'not within 0 to 24'),
     'empty range': ([('e1', 5, 5)], 'not within 0 to 24'),
     'placed twice': ([('e1', 0, 12), ('e1', 12, 24)], 'placed twice'),
--- a/tests/test_draining_instances.py
+++ b/tests/test_draining_instances.py
@@ -1,4 +1,4 @@
-"""The platform's instance list: who is leaving gets no new work."""
+"""The platform's instance list: a listed instance gets no new work."""
 
 from concurrent import futures
 
@@ -29,14 +29,14 @@
     return fleet.get_json(f'engine-{server}', '/v1/status')['sequences']
 
 
-def working_head(fleet):
-    """Return a server of the first layers that runs answers now."""
+def busy_head(fleet):
+    """Return a server of the first layers that is running answers."""
     heads = [s for s in ('e1', 'e2') if sequences(fleet, s)]
     return heads[0] if heads else None
 
 
-def serve_some(fleet, count=6):
-    """Give short answers; all must be right."""
+def request_some(fleet, count=6):
+    """Request short answers, all of which must be right."""
     for number in range(count):
         tokens = program.answer_tokens(fleet.complete([number, 7], 3))
         assert tokens == program.expected_tokens([number, 7], 3)
@@ -44,14 +44,14 @@
 
 def gets_no_work(fleet, server):
     before = steps(fleet, server)
-    serve_some(fleet)
+    request_some(fleet)
     return steps(fleet, server) == before
 
 
-def test_listed_server_ends_its_answers_and_gets_no_new_ones(listed_fleet):
-    """Proves: a leaving server gets no new work after a few seconds.
+def test_listed_server_finishes_its_answers_and_gets_no_new_ones(listed_fleet):
+    """Proves: a draining server gets no new work after a few seconds.
 
-    No operator retires it; the platform alone says so, and late.
+    No operator retires it; only the platform's list shows it, with a lag.
     """
     fleet = listed_fleet
     with futures.ThreadPoolExecutor(4) as pool:
@@ -59,7 +59,9 @@
             pool.submit(fleet.complete, [number], 60, stream=True)
             for number in range(4)
         ]
-        server = program.wait_until(lambda: working_head(fleet), 'at work')
+        server = program.wait_until(
+            lambda: busy_head(fleet), 'a server runs answers'
+        )
         fleet.list_instance(f'side-{server}', LEAVING)
         for number, future in enumerate(asked):
             tokens = program.streamed_tokens(future.result(60).data)
@@ -68,7 +70,7 @@
     assert gets_no_work(fleet, server)
 
 
-def test_server_that_stays_after_all_gets_work_again(listed_fleet):
+def test_server_that_is_no_longer_listed_gets_work_again(listed_fleet):
     fleet = listed_fleet
     fleet.list_instance('side-e1', LEAVING)
     program.wait_until(lambda: gets_no_work(fleet, 'e1'), 'no new work')
@@ -76,12 +78,12 @@
     program.wait_until(lambda: not gets_no_work(fleet, 'e1'), 'work again')
 
 
-def test_listed_entry_is_not_ready_and_serves_on(listed_fleet):
-    """Proves: what still comes to a leaving entry is answered."""
+def test_listed_entry_reports_not_ready_and_keeps_serving(listed_fleet):
+    """Proves: requests that still reach a draining entry are answered."""
     fleet = listed_fleet
     fleet.list_instance('entry-1', LEAVING)
     program.wait_until(
-        lambda: not fleet.ready('entry-1')['ready'], 'the balancer told'
+        lambda: not fleet.ready('entry-1')['ready'], 'entry-1 is not ready'
     )
     assert fleet.ready('entry-0')['ready']
     reply = fleet.complete([4], 3, 'entry-1')
@@ -89,10 +91,10 @@
 
 
 @pytest.mark.parametrize('fault', [{'outage': True}, {'silent': True}])
-def test_instance_list_that_is_out_changes_nothing(listed_fleet, fault):
+def test_unavailable_instance_list_changes_nothing(listed_fleet, fault):
     fleet = listed_fleet
     fleet.set_faults('instances', **fault)
-    serve_some(fleet)
+    request_some(fleet)
     fleet.set_faults('instances')
     fleet.list_instance('side-e2', LEAVING)
     program.wait_until(lambda: gets_no_work(fleet, 'e2'), 'no new work')
--- a/tests/test_layer_moves.py
+++ b/tests/test_layer_moves.py
@@ -1,4 +1,4 @@
-"""Changes of layers: some servers always hold each layer meanwhile."""
+"""Layer moves: while servers change layers, others hold every layer."""
 
 import json
 import random
@@ -26,8 +26,8 @@
 )
 
 
-def configured(groups, leaving=()):
-    """Return a configuration with servers in such groups."""
+def configured(groups, draining=()):
+    """Return a configuration with a server for each place of the groups."""
     layout = layouts.Layout(groups=groups)
     current = configuration.Configuration()
     bodies = [
@@ -38,30 +38,30 @@
     ]
     bodies.append(changes.PutPreset(layout.preset('p')))
     bodies.append(changes.SwitchPreset('p', ''))
-    bodies += [changes.RetireServer(name) for name in leaving]
+    bodies += [changes.RetireServer(name) for name in draining]
     for number, body in enumerate(bodies):
         assert current.apply(changes.Change(str(number), 'me', body)) is None
     return current
 
 
 def spans(groups):
-    """Return what the servers of a layout are to hold."""
+    """Return the layers that the groups place on each server."""
     return {
         name: layer_moves.Span(group.first, group.end)
         for name, group in layouts.Layout(groups=groups).engines()
     }
 
 
-def turns_of(store, names, at_once=8):
+def permits_of(store, names, at_once=8):
     return {
         name: layer_moves.MovePermits(store, name, at_once, seed=number)
         for number, name in enumerate(names)
     }
 
 
-def loaded(store, groups):
-    """Let all servers of a layout tell that they hold their layers."""
-    by_server = turns_of(store, spans(groups))
+def load_all(store, groups):
+    """Record that all servers hold their layers; return their permits."""
+    by_server = permits_of(store, spans(groups))
     for name, span in spans(groups).items():
         assert by_server[name].release(MODEL, span)
     return by_server
@@ -73,7 +73,7 @@
     )
 
 
-# Eight servers, of which two may be away at once.
+# Eight servers, of which two may drop layers at once.
 RANGES = strategies.sampled_from(
     [
         (layouts.Group(0, 14, 4), layouts.Group(10, 24, 4)),
@@ -98,9 +98,9 @@
 def test_every_layer_is_held_while_servers_move(before, after, at_once, seed):
     """Proves: a switch of preset does not leave a model without a path."""
     store = stores.Store()
-    loaded(store, before)
+    load_all(store, before)
     wanted = spans(after)
-    by_server = turns_of(store, wanted, at_once)
+    by_server = permits_of(store, wanted, at_once)
     current = configured(after)
     rng = random.Random(seed)
     held = spans(before)
@@ -115,8 +115,8 @@
             held[name] = wanted[name]
             assert by_server[name].release(MODEL, wanted[name])
         elif name not in moving and held.get(name) != wanted[name]:
-            turn = by_server[name].acquire(MODEL, current, True)
-            if isinstance(turn, layer_moves.Acquired):
+            result = by_server[name].acquire(MODEL, current, True)
+            if isinstance(result, layer_moves.Acquired):
                 moving.add(name)
                 held.pop(name, None)
         staying = layer_moves.MoveRecord(dict(held))
@@ -126,10 +126,10 @@
     assert state(store).permit_by_server == {}
 
 
-def test_server_whose_layers_no_other_holds_goes_after_a_while(monkeypatch):
+def test_server_whose_layers_no_other_holds_moves_after_a_wait(monkeypatch):
     store = stores.Store()
     alone = (layouts.Group(0, 12, 1), layouts.Group(12, 24, 1))
-    by_server = loaded(store, alone)
+    by_server = load_all(store, alone)
     current = configured(alone)
     now = timers.now()
     monkeypatch.setattr(timers, 'now', lambda: now)
@@ -148,24 +148,24 @@
 def test_empty_servers_load_a_few_at_once():
     store = stores.Store()
     current = configured(GROUPS)
-    by_server = turns_of(store, spans(GROUPS), at_once=2)
-    taken = [
+    by_server = permits_of(store, spans(GROUPS), at_once=2)
+    acquired = [
         name
-        for name, turns in by_server.items()
+        for name, permits in by_server.items()
         if isinstance(
-            turns.acquire(MODEL, current, False), layer_moves.Acquired
+            permits.acquire(MODEL, current, False), layer_moves.Acquired
         )
     ]
-    assert len(taken) == 2
-    assert by_server[taken[0]].release(MODEL, layer_moves.Span(0, 14))
-    waiting = next(name for name in by_server if name not in taken)
-    turn = by_server[waiting].acquire(MODEL, current, False)
-    assert isinstance(turn, layer_moves.Acquired)
+    assert len(acquired) == 2
+    assert by_server[acquired[0]].release(MODEL, layer_moves.Span(0, 14))
+    waiting = next(name for name in by_server if name not in acquired)
+    result = by_server[waiting].acquire(MODEL, current, False)
+    assert isinstance(result, layer_moves.Acquired)
 
 
-def test_turn_that_nobody_renews_lapses(monkeypatch):
+def test_permit_that_is_not_renewed_expires(monkeypatch):
     store = stores.Store()
-    by_server = loaded(store, GROUPS)
+    by_server = load_all(store, GROUPS)
     current = configured(MOVED.groups)
     now = timers.now()
     monkeypatch.setattr(timers, 'now', lambda: now)
@@ -175,22 +175,22 @@
     for seconds in (0, 20, 20):
         now += seconds
         by_server['e1'].renew(MODEL)
-        turn = by_server['e2'].acquire(MODEL, current, True)
-        assert isinstance(turn, layer_moves.RetryLater)
+        result = by_server['e2'].acquire(MODEL, current, True)
+        assert isinstance(result, layer_moves.RetryLater)
     for seconds in (20, 20):
         now += seconds
-        turn = by_server['e2'].acquire(MODEL, current, True)
-    assert isinstance(turn, layer_moves.Acquired)
-    # What a lapsed holder has is not known, so it counts for nothing.
+        result = by_server['e2'].acquire(MODEL, current, True)
+    assert isinstance(result, layer_moves.Acquired)
+    # Layers of a server whose permit expired are unknown and do not count.
     assert 'e1' not in state(store).held_by_server
-    # A renewal that comes late takes nothing back.
+    # A late renewal does not restore an expired permit.
     by_server['e1'].renew(MODEL)
     assert list(state(store).permit_by_server) == ['e2']
 
 
-def test_turn_whose_answer_was_lost_is_known_again():
+def test_permit_whose_grant_was_lost_is_acquired_again():
     store = stores.Store()
-    by_server = loaded(store, GROUPS)
+    by_server = load_all(store, GROUPS)
     current = configured(MOVED.groups)
     store.lost = 1
     lost = by_server['e1'].acquire(MODEL, current, True)
@@ -201,12 +201,12 @@
     assert list(state(store).permit_by_server) == ['e1']
 
 
-def test_leaving_and_removed_servers_do_not_count():
+def test_draining_and_removed_servers_do_not_count():
     store = stores.Store()
-    by_server = loaded(store, GROUPS)
-    current = configured(MOVED.groups, leaving=('e2', 'e3'))
-    turn = by_server['e1'].acquire(MODEL, current, True)
-    assert isinstance(turn, layer_moves.RetryLater)
+    by_server = load_all(store, GROUPS)
+    current = configured(MOVED.groups, draining=('e2', 'e3'))
+    result = by_server['e1'].acquire(MODEL, current, True)
+    assert isinstance(result, layer_moves.RetryLater)
     del current.server_by_id['e4']
     assert isinstance(
         by_server['e5'].acquire(MODEL, current, True), layer_moves.Acquired
@@ -214,19 +214,19 @@
     assert 'e4' not in state(store).held_by_server
 
 
-def test_moves_of_many_models_are_read_in_pages(monkeypatch):
+def test_records_of_many_models_are_read_in_pages(monkeypatch):
     monkeypatch.setattr(layer_moves, 'PAGE_MODEL_COUNT', 2)
     store = stores.Store()
     names = [f'model-{number}' for number in range(5)]
     for name in names:
-        turns = layer_moves.MovePermits(store, 'e1', 8, seed=1)
-        assert turns.release(name, layer_moves.Span(0, 4))
+        permits = layer_moves.MovePermits(store, 'e1', 8, seed=1)
+        assert permits.release(name, layer_moves.Span(0, 4))
     assert list(layer_moves.read_all(store)) == names
 
 
-def test_server_that_lags_removes_nobody():
+def test_server_with_an_older_configuration_removes_no_server():
     store = stores.Store()
-    by_server = loaded(store, GROUPS)
+    by_server = load_all(store, GROUPS)
     old = configured(MOVED.groups)
     del old.server_by_id['e6']
     newer = configured(MOVED.groups)
@@ -242,7 +242,7 @@
 
 
 def intervals(fleet):
-    """Return when each engine was between layers, by wall clock."""
+    """Return begin, end and process of each layer move, by wall clock."""
     shown = program.run_on(fleet, 'timeline', '--limit', '5000', '--json')
     begun = {}
     found = []
@@ -257,7 +257,7 @@
 
 
 def all_hold(fleet):
-    """Tell whether each listed server holds what it is to hold."""
+    """Tell whether each listed server holds its placed layers."""
     listed = program.run_on(fleet, 'server', 'list').stdout.splitlines()
     header, *rows = [line.split() for line in listed]
     assert header[-2:] == ['LAYERS', 'HOLDS']
@@ -265,7 +265,7 @@
 
 
 def test_switch_does_not_leave_a_model_without_servers(own_fleet):
-    """Proves: a change of preset cuts nothing, though layers load slowly."""
+    """Proves: a change of preset aborts nothing, though layers load slowly."""
     fleet = own_fleet(
         groups=GROUPS,
         services=0,
@@ -293,12 +293,13 @@
 
     program.wait_until(has_moved, 'all layers changed')
     program.wait_until(
-        lambda: len(intervals(fleet)) == before + len(names), 'all told'
+        lambda: len(intervals(fleet)) == before + len(names),
+        'all moves in the timeline',
     )
-    program.wait_until(lambda: all_hold(fleet), 'all are listed so')
+    program.wait_until(lambda: all_hold(fleet), 'all listed with their layers')
     moved = intervals(fleet)[before:]
     for begin, _, process in moved:
-        # A quarter of six servers is one: they go one after another.
+        # A quarter of six servers is one, so that no two moves overlap.
         others = [m for m in moved if m[2] != process]
         assert not any(other[0] < begin < other[1] for other in others)
 
