--- a/libs/entry/burdockmast/entry/answers.py
+++ b/libs/entry/burdockmast/entry/answers.py
@@ -13,10 +13,10 @@
 from burdockmast.base import ids
 from burdockmast.base import outcomes
 from burdockmast.base import timers
+from burdockmast.entry import attempt_starter
 from burdockmast.entry import attempts
+from burdockmast.entry import durations
 from burdockmast.entry import fleet
-from burdockmast.entry import openings
-from burdockmast.entry import paces
 from burdockmast.entry import stalls
 from burdockmast.limits import queues
 from burdockmast.node import node
@@ -24,7 +24,7 @@
 from burdockmast.wire import messages
 
 # Attempts of one answer beside those refused for want of a slot.
-ATTEMPTS = 8
+MAX_ATTEMPTS = 8
 # Seconds until a caller may come back after many attempts have failed.
 RETRY_SECONDS = 2.0
 # Reasons for which a caller should not ask again.
@@ -43,15 +43,17 @@
         queue: queues.FairQueue,
     ):
         """Create the record of answers, empty."""
-        self._openings = openings.Openings(process, view, queue)
-        self._strikes = process.strikes
+        self._attempt_starter = attempt_starter.AttemptStarter(
+            process, view, queue
+        )
+        self._crash_reports = process.strikes
         self._view = view
         self._queue = queue
-        self._paces = paces.Paces()
+        self._durations = durations.AnswerDurations()
         self._events = process.events
         self._metrics = process.metrics
-        self.stalls = stalls.Stalls(
-            self._openings.attempt_by_answer,
+        self.stall_detector = stalls.StallDetector(
+            self._attempt_starter.attempt_by_answer,
             view,
             process.metrics,
             process.events,
@@ -61,16 +63,16 @@
         self, message: messages.Token | messages.Finished | messages.Failed
     ) -> None:
         """Hand a message to its attempt; drop those of earlier ones."""
-        attempt = self._openings.attempt_by_answer.get(message.answer)
+        attempt = self._attempt_starter.attempt_by_answer.get(message.answer)
         if attempt is None or attempt.number != message.attempt:
             self._metrics.count('answers.late_message')
             return
         attempt.mailbox.put(message)
 
-    def begun(self, begun: messages.Begun) -> None:
+    def on_begun(self, begun: messages.Begun) -> None:
         """Learn what the stages of an attempt had cached of its prompt."""
         self._events.witness(begun.clock)
-        attempt = self._openings.attempt_by_answer.get(begun.answer)
+        attempt = self._attempt_starter.attempt_by_answer.get(begun.answer)
         if attempt is None or attempt.number != begun.attempt:
             return
         demand = attempt.demand
@@ -86,9 +88,9 @@
             cached=list(begun.cached),
         )
 
-    def link_closed(self, link: links.Link, why: failures.Failure) -> None:
+    def on_link_closed(self, link: links.Link, why: failures.Failure) -> None:
         """Tell the attempts on a lost link."""
-        for attempt in self._openings.attempt_by_answer.values():
+        for attempt in self._attempt_starter.attempt_by_answer.values():
             if attempt.link is link:
                 attempt.mailbox.put(why)
 
@@ -102,33 +104,35 @@
         progress = attempts.Progress()
         began: float | None = None
         failure: failures.Failure | None = None
-        for _ in range(ATTEMPTS):
-            if self._strikes.is_convicted(request.fingerprint):
-                failure = self._convicted(request)
+        for _ in range(MAX_ATTEMPTS):
+            if self._crash_reports.is_convicted(request.fingerprint):
+                failure = self._quarantined(request)
                 break
             attempt = self._admit(request, progress)
             if isinstance(attempt, failures.Failure):
                 failure = attempt
                 break
             began = began or timers.now()
-            failure = yield from self._run(request, attempt, progress)
+            failure = yield from self._run_attempt(request, attempt, progress)
             if failure is None:
-                self._note_whole(request, progress, timers.now() - began)
+                self._record_completion(
+                    request, progress, timers.now() - began
+                )
                 return
-            self._note_end(request, attempt, failure, progress)
+            self._record_failed_attempt(request, attempt, failure, progress)
             if timers.now() >= request.deadline:
-                failure = self._late(failure)
+                failure = self._deadline_passed(failure)
                 break
-        yield self._final(failure, progress)
+        yield self._final_failure(failure, progress)
 
-    def _run(
+    def _run_attempt(
         self,
         request: attempts.Request,
         attempt: attempts.Attempt,
         progress: attempts.Progress,
     ) -> Generator[list[int], None, failures.Failure | None]:
         """Yield an attempt's tokens; return why it ended early, if so."""
-        progress.has_run = True
+        progress.may_have_run = True
         try:
             for item in self._receive(request, attempt, progress.delivered):
                 if isinstance(item, failures.Failure):
@@ -136,17 +140,19 @@
                 yield item
             return None
         finally:
-            self._openings.leave(request, attempt)
+            self._attempt_starter.end(request, attempt)
 
-    def _note_whole(
+    def _record_completion(
         self,
         request: attempts.Request,
         progress: attempts.Progress,
         seconds: float,
     ) -> None:
-        self._strikes.clear(request.fingerprint)
+        self._crash_reports.clear(request.fingerprint)
         count = len(progress.delivered)
-        self._paces.note(request.model.id, count, request.max_tokens, seconds)
+        self._durations.record(
+            request.model.id, count, request.max_tokens, seconds
+        )
         self._events.add(
             'answer.ended',
             request.id,
@@ -156,11 +162,11 @@
             late_seconds=round(max(0.0, timers.now() - request.deadline), 3),
         )
 
-    def _final(
+    def _final_failure(
         self, failure: failures.Failure, progress: attempts.Progress
     ) -> failures.Failure:
         """Return a refusal that says 'not run' only if nothing ran."""
-        if not progress.has_run:
+        if not progress.may_have_run:
             return failure
         retry_after = failure.retry_after
         if failure.reason not in FINAL_REASONS and retry_after is None:
@@ -178,19 +184,21 @@
         waiter = queues.Waiter(
             organisation.id, request.priority, organisation.weight
         )
-        latest = request.deadline
+        latest_start = request.deadline
         if not progress.delivered:
             # An answer that begins too late to be whole is work for nothing.
-            latest -= self._paces.seconds(request.model.id, request.max_tokens)
+            latest_start -= self._durations.expected_seconds(
+                request.model.id, request.max_tokens
+            )
         admitted = queues.admit(
             self._queue,
             waiter,
-            latest,
-            lambda: self._openings.open(request, progress),
+            latest_start,
+            lambda: self._attempt_starter.start(request, progress),
         )
         match admitted:
             case failures.Failure(reason=failures.Reason.CRASHES_SERVERS):
-                return self._convicted(request)
+                return self._quarantined(request)
             case failures.Failure(step=queues.WAIT_STEP) if (
                 timers.now() < request.deadline
             ):
@@ -214,9 +222,9 @@
         delivered: list[int],
     ) -> Iterator[list[int] | failures.Failure]:
         """Yield an attempt's tokens; a failure or nothing ends it."""
-        received = attempt.early
+        received = attempt.opening_messages
         while True:
-            tokens, end = self._take(attempt, received, len(delivered))
+            tokens, end = self._next_tokens(attempt, received, len(delivered))
             if tokens:
                 delivered.extend(tokens)
                 yield tokens
@@ -227,15 +235,15 @@
                         yield self._out_of_order(attempt, 'answer.finish')
                     return
                 case messages.Failed():
-                    yield self._failed(request, end)
+                    yield self._failure_of(request, end)
                     return
                 case failures.Failure():
                     yield end
                     return
-            stalls.note_progress(attempt, request.deadline)
+            stalls.record_progress(attempt, request.deadline)
             received = attempt.mailbox.take_all()
 
-    def _take(
+    def _next_tokens(
         self,
         attempt: attempts.Attempt,
         received: list[attempts.Received],
@@ -246,7 +254,7 @@
         :param count: tokens that the caller already has
         """
         tokens: list[int] = []
-        expected = count - attempt.first
+        expected = count - attempt.first_index
         for item in received:
             if not isinstance(item, messages.Token):
                 return tokens, item
@@ -266,16 +274,16 @@
     ) -> failures.Failure:
         return failures.Failure(reason, step, attempt.hops[0].server)
 
-    def _failed(
+    def _failure_of(
         self, request: attempts.Request, failed: messages.Failed
     ) -> failures.Failure:
         self._events.witness(failed.clock)
         if failed.crash:
-            self._strikes.add(request.fingerprint, failed.crash)
+            self._crash_reports.add(request.fingerprint, failed.crash)
         peer = failed.peer or failed.server
         return failures.Failure(failed.reason, failed.step, peer)
 
-    def _note_end(
+    def _record_failed_attempt(
         self,
         request: attempts.Request,
         attempt: attempts.Attempt,
@@ -292,18 +300,18 @@
             peer=ended.peer,
             path=[hop.server for hop in attempt.hops],
             delivered=len(progress.delivered),
-            silent_ms=int((timers.now() - attempt.heard_at) * 1000),
+            silent_ms=int((timers.now() - attempt.last_token_at) * 1000),
         )
-        names = {hop.server for hop in attempt.hops}
+        path_servers = {hop.server for hop in attempt.hops}
         if ended.step == stalls.PROGRESS_STEP:
             # Any of them may be the one that stands still.
-            progress.excluded |= names
-        elif ended.peer in names:
+            progress.excluded |= path_servers
+        elif ended.peer in path_servers:
             progress.excluded.add(ids.ServerId(ended.peer))
         else:
             progress.excluded.add(attempt.hops[0].server)
 
-    def _convicted(self, request: attempts.Request) -> failures.Failure:
+    def _quarantined(self, request: attempts.Request) -> failures.Failure:
         self._metrics.count('answers.convicted')
         self._events.add('answer.convicted', request.id)
         return failures.Failure(
@@ -313,7 +321,7 @@
             outcome=outcomes.Outcome.UNKNOWN,
         )
 
-    def _late(self, ended: failures.Failure) -> failures.Failure:
+    def _deadline_passed(self, ended: failures.Failure) -> failures.Failure:
         return failures.Failure(
             failures.Reason.DEADLINE,
             ended.step,
--- a/libs/entry/burdockmast/entry/openings.py
+++ b/libs/entry/burdockmast/entry/attempt_starter.py
@@ -16,18 +16,18 @@
 
 # Longest time for the first token, and in addition for each prompt token that
 # may have to be prefilled, in seconds.
-FIRST_TOKEN_SECONDS = 5.0
-PREFILL_SECONDS = 0.002
+FIRST_TOKEN_TIMEOUT_SECONDS = 5.0
+PREFILL_SECONDS_PER_TOKEN = 0.002
 # Paths tried for one attempt before it waits for its turn.
-OPEN_TRIES = 8
+MAX_PATHS_TRIED = 8
 # Seconds that a new request waits for a path while servers change places.
-PATH_SECONDS = 5.0
+PATH_TIMEOUT_SECONDS = 5.0
 # Seconds that an answer that has begun waits for a path.
-RESUME_SECONDS = 20.0
+RESUME_PATH_TIMEOUT_SECONDS = 20.0
 PATH_POLL_SECONDS = 0.05
 
 
-class Openings:
+class AttemptStarter:
     """The attempts of one entry that are under way, and how they start."""
 
     def __init__(
@@ -38,21 +38,21 @@
     ):
         """Create the record of attempts, empty."""
         self.attempt_by_answer: dict[ids.RequestId, attempts.Attempt] = {}
-        self._strikes = process.strikes
+        self._crash_reports = process.strikes
         self._events = process.events
         self._metrics = process.metrics
         self._view = view
         self._queue = queue
         self._follower = process.follower
 
-    def open(
+    def start(
         self, request: attempts.Request, progress: attempts.Progress
     ) -> attempts.Attempt | failures.Failure:
         """Start an attempt on the first path that accepts it."""
-        for _ in range(OPEN_TRIES):
-            opened = self._try_open(request, progress)
+        for _ in range(MAX_PATHS_TRIED):
+            opened = self._try_path(request, progress)
             if isinstance(opened, failures.Failure):
-                self._note_unopened(request, opened)
+                self._record_refused_path(request, opened)
             match opened:
                 case attempts.Attempt():
                     return opened
@@ -62,7 +62,7 @@
                     return opened
         return dataclasses.replace(opened, reason=failures.Reason.OVERLOADED)
 
-    def _note_unopened(
+    def _record_refused_path(
         self, request: attempts.Request, why: failures.Failure
     ) -> None:
         self._events.add(
@@ -76,14 +76,14 @@
             version=self._follower.version,
         )
 
-    def _try_open(
+    def _try_path(
         self, request: attempts.Request, progress: attempts.Progress
     ) -> attempts.Attempt | failures.Failure:
         demand = self._view.affinity.demand(
             (*request.prompt, *progress.delivered),
             request.max_tokens - len(progress.delivered),
         )
-        hops = self._choose(request, progress, demand)
+        hops = self._choose_path(request, progress, demand)
         if isinstance(hops, failures.Failure):
             return hops
         link = self._view.peers.get(hops[0].address)
@@ -97,28 +97,32 @@
             hops,
             len(progress.delivered),
             timers.now(),
-            self._patience(request, progress),
+            self._first_token_deadline(request, progress),
             demand,
         )
         self._view.loads.begin(hops)
         self.attempt_by_answer[request.id] = attempt
-        link.send(self._start(request, progress, attempt))
+        link.send(self._start_message(request, progress, attempt))
         refusal = self._await_opened(attempt)
         if refusal is None:
             self._view.affinity.note(request.prompt, hops)
             return attempt
-        self.leave(request, attempt)
+        self.end(request, attempt)
         self._view.loads.full(refusal.server)
-        return self._refused(refusal)
+        return self._refusal_failure(refusal)
 
-    def _choose(
+    def _choose_path(
         self,
         request: attempts.Request,
         progress: attempts.Progress,
         demand: demands.Demand,
     ) -> tuple[messages.Hop, ...] | failures.Failure:
         """Choose a path, waiting while servers are changing places."""
-        seconds = RESUME_SECONDS if progress.delivered else PATH_SECONDS
+        seconds = (
+            RESUME_PATH_TIMEOUT_SECONDS
+            if progress.delivered
+            else PATH_TIMEOUT_SECONDS
+        )
         began = timers.now()
         until = min(request.deadline, began + seconds)
         while True:
@@ -136,28 +140,30 @@
             may_come = self._view.may_have_path(request.model, began)
             if not is_begun and not may_come:
                 return hops
-            self._view.dial_refused(began)
+            self._view.redial_refused(began)
             eventlet.sleep(PATH_POLL_SECONDS)
 
     def _await_opened(
         self, attempt: attempts.Attempt
     ) -> messages.Failed | None:
         """Return the refusal if a stage of the path did not accept."""
-        attempt.early = attempt.mailbox.take_all()
-        match attempt.early[0]:
+        attempt.opening_messages = attempt.mailbox.take_all()
+        match attempt.opening_messages[0]:
             case messages.Failed(step=messages.OPEN_STEP) as refusal:
                 return refusal
         return None
 
-    def _patience(
+    def _first_token_deadline(
         self, request: attempts.Request, progress: attempts.Progress
     ) -> float:
         """Return until when an attempt may take for its first token."""
         known = len(request.prompt) + len(progress.delivered)
-        seconds = FIRST_TOKEN_SECONDS + PREFILL_SECONDS * known
+        seconds = (
+            FIRST_TOKEN_TIMEOUT_SECONDS + PREFILL_SECONDS_PER_TOKEN * known
+        )
         return min(timers.now() + seconds, request.deadline)
 
-    def _refused(self, refusal: messages.Failed) -> failures.Failure:
+    def _refusal_failure(self, refusal: messages.Failed) -> failures.Failure:
         self._events.witness(refusal.clock)
         return failures.Failure(
             refusal.reason,
@@ -166,7 +172,7 @@
             retry_after=max(0.5, refusal.retry_after_ms / 1000),
         )
 
-    def _start(
+    def _start_message(
         self,
         request: attempts.Request,
         progress: attempts.Progress,
@@ -199,10 +205,10 @@
             request.priority,
             request.fingerprint,
             clock,
-            self._strikes.count(request.fingerprint),
+            self._crash_reports.count(request.fingerprint),
         )
 
-    def leave(
+    def end(
         self, request: attempts.Request, attempt: attempts.Attempt
     ) -> None:
         """End an attempt; its messages from now on are late."""
--- a/libs/entry/burdockmast/entry/attempts.py
+++ b/libs/entry/burdockmast/entry/attempts.py
@@ -48,15 +48,15 @@
     number: int
     link: links.Link
     hops: tuple[messages.Hop, ...]
-    first: int
-    heard_at: float
-    patience_until: float
+    first_index: int
+    last_token_at: float
+    silence_deadline: float
     demand: demands.Demand = dataclasses.field(default_factory=demands.Demand)
     mailbox: mailboxes.Mailbox[Received] = dataclasses.field(
         default_factory=mailboxes.Mailbox
     )
-    early: list[Received] = dataclasses.field(default_factory=list)
-    pause: float = 0.0
+    opening_messages: list[Received] = dataclasses.field(default_factory=list)
+    token_interval_seconds: float = 0.0
 
     def hop_at(self, address: ids.Address) -> messages.Hop | None:
         """Return the hop of the path that is at an address."""
@@ -79,4 +79,4 @@
     delivered: list[int] = dataclasses.field(default_factory=list)
     excluded: set[ids.ServerId] = dataclasses.field(default_factory=set)
     number: int = 0
-    has_run: bool = False
+    may_have_run: bool = False
--- a/libs/entry/burdockmast/entry/completions.py
+++ b/libs/entry/burdockmast/entry/completions.py
@@ -14,8 +14,8 @@
 from burdockmast.base import failures
 from burdockmast.base import ids
 
-DEFAULT_TOKENS = 128
-MOST_TOKENS = 8192
+DEFAULT_MAX_TOKENS = 128
+MAX_TOKENS = 8192
 FINGERPRINT_BYTES = 12
 
 
@@ -36,19 +36,19 @@
     messages: list[ChatMessage] = []
     prompt: list[Annotated[int, msgspec.Meta(ge=0, lt=2**32)]] = []
     stream: bool = False
-    max_tokens: Annotated[int, msgspec.Meta(ge=1, le=MOST_TOKENS)] | None = (
-        None
-    )
+    max_tokens: Annotated[int, msgspec.Meta(ge=1, le=MAX_TOKENS)] | None = None
     max_completion_tokens: (
-        Annotated[int, msgspec.Meta(ge=1, le=MOST_TOKENS)] | None
+        Annotated[int, msgspec.Meta(ge=1, le=MAX_TOKENS)] | None
     ) = None
 
     @property
-    def limit(self) -> int:
+    def token_limit(self) -> int:
         """Number of tokens asked for."""
-        return self.max_completion_tokens or self.max_tokens or DEFAULT_TOKENS
+        return (
+            self.max_completion_tokens or self.max_tokens or DEFAULT_MAX_TOKENS
+        )
 
-    def tokens(self) -> tuple[int, ...]:
+    def prompt_tokens(self) -> tuple[int, ...]:
         """Return the prompt as tokens."""
         if self.prompt:
             return tuple(self.prompt)
@@ -60,9 +60,9 @@
     try:
         request = msgspec.json.decode(body, type=ChatRequest)
     except msgspec.DecodeError as error:
-        return _bad(str(error))
+        return _bad_body(str(error))
     if not request.messages and not request.prompt:
-        return _bad('`messages` or `prompt` must not be empty')
+        return _bad_body('`messages` or `prompt` must not be empty')
     return request
 
 
@@ -85,7 +85,7 @@
 
     def __init__(self, request: ids.RequestId, model: str):
         """Prepare what is equal in all chunks."""
-        head = msgspec.json.encode(
+        header = msgspec.json.encode(
             {
                 'id': request,
                 'object': 'chat.completion.chunk',
@@ -93,30 +93,30 @@
                 'model': model,
             }
         )
-        self._before = (
+        self._chunk_prefix = (
             b'data: '
-            + head[:-1]
+            + header[:-1]
             + b',"choices":[{"index":0,"delta":{"content":"'
         )
-        self._after = b'"},"finish_reason":null}]}\n\n'
-        self._head = head
+        self._chunk_suffix = b'"},"finish_reason":null}]}\n\n'
+        self._header = header
 
-    def token(self, token: int) -> bytes:
+    def token_event(self, token: int) -> bytes:
         """Return the event of one token."""
-        return b'%s%d %s' % (self._before, token, self._after)
+        return b'%s%d %s' % (self._chunk_prefix, token, self._chunk_suffix)
 
-    def end(self, count: int) -> bytes:
+    def end_events(self, count: int) -> bytes:
         """Return the events that close a whole answer of ``count``."""
         tail = (
             ',"choices":[{"index":0,"delta":{},"finish_reason":"length"}],'
             f'"usage":{{"completion_tokens":{count}}}}}\n\n'
         )
         return (
-            b'data: ' + self._head[:-1] + tail.encode() + b'data: [DONE]\n\n'
+            b'data: ' + self._header[:-1] + tail.encode() + b'data: [DONE]\n\n'
         )
 
 
-def whole(
+def completion_body(
     request: ids.RequestId, model: str, prompt: int, tokens: list[int]
 ) -> bytes:
     """Return the body of an answer that is not streamed."""
@@ -145,7 +145,7 @@
     )
 
 
-def _bad(detail: str) -> failures.Failure:
+def _bad_body(detail: str) -> failures.Failure:
     return failures.Failure(
         failures.Reason.BAD_REQUEST, 'request.body', detail=detail
     )
--- a/libs/entry/burdockmast/entry/paces.py
+++ b/libs/entry/burdockmast/entry/durations.py
@@ -5,11 +5,11 @@
 from burdockmast.base import ids
 
 # Weight of the newest answer in the smoothed figures.
-WEIGHT = 0.1
+NEWEST_WEIGHT = 0.1
 
 
 @dataclasses.dataclass(slots=True)
-class _Pace:
+class _Averages:
     """Smoothed figures of one model's answers.
 
     :ivar token_seconds: time for each token, from admission on
@@ -20,14 +20,14 @@
     used_share: float
 
 
-class Paces:
+class AnswerDurations:
     """The pace of whole answers, by model."""
 
     def __init__(self):
         """Create a record without answers."""
-        self._pace_by_model: dict[ids.ModelId, _Pace] = {}
+        self._averages_by_model: dict[ids.ModelId, _Averages] = {}
 
-    def note(
+    def record(
         self, model: ids.ModelId, tokens: int, allowed: int, seconds: float
     ) -> None:
         """Take in a whole answer.
@@ -37,16 +37,22 @@
         """
         token_seconds = seconds / max(1, tokens)
         used_share = tokens / allowed
-        pace = self._pace_by_model.get(model)
-        if pace is None:
-            self._pace_by_model[model] = _Pace(token_seconds, used_share)
+        averages = self._averages_by_model.get(model)
+        if averages is None:
+            self._averages_by_model[model] = _Averages(
+                token_seconds, used_share
+            )
             return
-        pace.token_seconds += WEIGHT * (token_seconds - pace.token_seconds)
-        pace.used_share += WEIGHT * (used_share - pace.used_share)
-
-    def seconds(self, model: ids.ModelId, allowed: int) -> float:
+        averages.token_seconds += NEWEST_WEIGHT * (
+            token_seconds - averages.token_seconds
+        )
+        averages.used_share += NEWEST_WEIGHT * (
+            used_share - averages.used_share
+        )
+
+    def expected_seconds(self, model: ids.ModelId, allowed: int) -> float:
         """Return how long an answer will probably take, 0 if not known."""
-        pace = self._pace_by_model.get(model)
-        if pace is None:
+        averages = self._averages_by_model.get(model)
+        if averages is None:
             return 0.0
-        return pace.token_seconds * pace.used_share * allowed
+        return averages.token_seconds * averages.used_share * allowed
--- a/libs/entry/burdockmast/entry/fleet.py
+++ b/libs/entry/burdockmast/entry/fleet.py
@@ -22,19 +22,19 @@
 from burdockmast.wire import messages
 
 # Seconds between looks for servers of the subset without a link.
-DIAL_SECONDS = 0.5
+DIAL_INTERVAL_SECONDS = 0.5
 # Shortest time between two dials of a server that refuses, in seconds: as
 # long as a request that waits for it sleeps between its looks.
-REDIAL_SECONDS = 0.05
+MIN_REDIAL_SECONDS = 0.05
 # A dial that failed within this time was refused; others found silence, and
 # are not worth waiting for. Half of the time that a connection may take.
-REFUSED_SECONDS = 0.5
+REFUSED_DIAL_SECONDS = 0.5
 
 
 def expected_ranges(
     model: changes.Model,
     placed_by_server: Mapping[ids.ServerId, changes.Placement | None],
-    table: loads.Loads,
+    load_table: loads.Loads,
 ) -> list[tuple[int, int]]:
     """Return the layers of a model that servers hold, or are to hold soon.
 
@@ -43,14 +43,14 @@
     """
     found: list[tuple[int, int]] = []
     for server, placed in placed_by_server.items():
-        load = table.usable(server)
+        load = load_table.usable(server)
         if load:
             found += [
                 (held.first, held.end)
                 for held in load.held
                 if held.model == model.id
             ]
-        if placed and placed.model == model.id and table.may_load(server):
+        if placed and placed.model == model.id and load_table.may_load(server):
             found.append((placed.first, placed.end))
     return found
 
@@ -83,8 +83,8 @@
         self._dialling: set[ids.Address] = set()
         # Monotonic seconds at which the last dial of a server that can't be
         # reached was begun, infinite if it found silence.
-        self._failed_at: dict[ids.Address, float] = {}
-        self.follower.subscribers.append(self.refresh)
+        self._dial_failed_at_by_address: dict[ids.Address, float] = {}
+        self.follower.subscribers.append(self.on_configuration_change)
 
     @property
     def servers(self) -> list[changes.Server]:
@@ -95,15 +95,15 @@
         """Tell whether there is such a plain service."""
         return self._subset.knows_service(service)
 
-    def refresh(self, change: changes.Body | None) -> None:
+    def on_configuration_change(self, change: changes.Body | None) -> None:
         """Follow a change of configuration."""
         self._subset.learn(self.follower.configuration, change)
         present = {server.address for server in self.servers}
-        for address in self._failed_at.keys() - present:
-            del self._failed_at[address]
-        self.dial()
+        for address in self._dial_failed_at_by_address.keys() - present:
+            del self._dial_failed_at_by_address[address]
+        self.dial_unlinked()
 
-    def dial(self) -> None:
+    def dial_unlinked(self) -> None:
         """Connect to the servers of the subset that have no link."""
         for server in self.servers:
             address = server.address
@@ -123,12 +123,14 @@
         finally:
             self._dialling.discard(address)
         if isinstance(link, failures.Failure):
-            is_refused = timers.now() - began < REFUSED_SECONDS
-            self._failed_at[address] = began if is_refused else math.inf
+            is_refused = timers.now() - began < REFUSED_DIAL_SECONDS
+            self._dial_failed_at_by_address[address] = (
+                began if is_refused else math.inf
+            )
         else:
-            self._failed_at.pop(address, None)
+            self._dial_failed_at_by_address.pop(address, None)
 
-    def dial_refused(self, since: float) -> None:
+    def redial_refused(self, since: float) -> None:
         """Dial again the servers that refused before a request came.
 
         A process that has just come up is not kept out until the next look.
@@ -137,17 +139,17 @@
         """
         for server in self.servers:
             address = server.address
-            failed_at = self._failed_at.get(address, math.inf)
-            is_due = timers.now() - failed_at >= REDIAL_SECONDS
+            failed_at = self._dial_failed_at_by_address.get(address, math.inf)
+            is_due = timers.now() - failed_at >= MIN_REDIAL_SECONDS
             if failed_at < since and is_due:
                 self._start_dial(address)
 
-    def _may_be_reached(self, server: changes.Server, since: float) -> bool:
+    def _may_be_reachable(self, server: changes.Server, since: float) -> bool:
         """Tell whether a server has a link, or may have one soon."""
         address = server.address
         if address in self.peers.link_by_address:
             return True
-        failed_at = self._failed_at.get(address)
+        failed_at = self._dial_failed_at_by_address.get(address)
         return failed_at is None or failed_at < since
 
     def choose(
@@ -172,11 +174,13 @@
         placed = {
             server.id: current.placement(server.id)
             for server in self.servers
-            if self._may_be_reached(server, since)
+            if self._may_be_reachable(server, since)
         }
         return covers(model, expected_ranges(model, placed, self.loads))
 
-    def services(self, service: ids.ServiceId) -> list[changes.Server]:
+    def connected_servers(
+        self, service: ids.ServiceId
+    ) -> list[changes.Server]:
         """Return the connected servers of a plain service."""
         return [
             server
@@ -196,13 +200,13 @@
         :param since: monotonic seconds at which the call came
         """
         return any(
-            self._may_be_reached(server, since)
+            self._may_be_reachable(server, since)
             for server in self.servers
             if server.service == service and server.id not in tried
         )
 
-    def closed(self, link: links.Link) -> None:
+    def on_link_closed(self, link: links.Link) -> None:
         """Forget the load of a server whose link is gone."""
-        self._failed_at.pop(link.address, None)
+        self._dial_failed_at_by_address.pop(link.address, None)
         self.loads.forget(link.hello.server)
         self.affinity.forget(link.hello.server)
--- a/libs/entry/burdockmast/entry/headers.py
+++ b/libs/entry/burdockmast/entry/headers.py
@@ -9,14 +9,14 @@
 PRIORITY = 'Burdockmast-Priority'
 DEADLINE = 'Burdockmast-Deadline'
 REQUEST_ID = 'Burdockmast-Request-Id'
-KEY = 'Idempotency-Key'
+IDEMPOTENCY_KEY = 'Idempotency-Key'
 IDEMPOTENT = 'Burdockmast-Idempotent'
 
 PRIORITIES = {'low': 0, 'normal': 1, 'high': 2}
-KEY_LENGTH = 255
+MAX_KEY_CHARACTERS = 255
 # Largest deadline that a caller may ask for, in seconds. Idempotency keys have
 # to be remembered for much longer; see the setting ``claims_retention``.
-DEADLINE_SECONDS = 600.0
+MAX_DEADLINE_SECONDS = 600.0
 IDEMPOTENT_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'))
 
 
@@ -24,13 +24,13 @@
 class Headers:
     """What a caller says about a request.
 
-    :ivar seconds: until the caller's deadline
+    :ivar deadline_seconds: until the caller's deadline
     :ivar key: idempotency key, empty if none
     """
 
     organisation: ids.OrganisationId
     priority: int
-    seconds: float
+    deadline_seconds: float
     key: str
     is_idempotent: bool
 
@@ -43,22 +43,30 @@
     """
     organisation = _read(environ, ORGANISATION)
     if not organisation:
-        return _bad(f'header {ORGANISATION} is missing')
+        return _bad_header(f'header {ORGANISATION} is missing')
     priority = _read(environ, PRIORITY) or 'normal'
     if priority not in PRIORITIES:
         allowed = ', '.join(PRIORITIES)
-        return _bad(f'{PRIORITY}: found {priority!r}, allowed: {allowed}')
-    seconds = _seconds(_read(environ, DEADLINE), default_seconds)
+        return _bad_header(
+            f'{PRIORITY}: found {priority!r}, allowed: {allowed}'
+        )
+    seconds = _parse_deadline(_read(environ, DEADLINE), default_seconds)
     if isinstance(seconds, failures.Failure):
         return seconds
-    key = _read(environ, KEY)
-    if len(key) > KEY_LENGTH:
-        return _bad(f'{KEY}: at most {KEY_LENGTH} characters')
+    key = _read(environ, IDEMPOTENCY_KEY)
+    if len(key) > MAX_KEY_CHARACTERS:
+        return _bad_header(
+            f'{IDEMPOTENCY_KEY}: at most {MAX_KEY_CHARACTERS} characters'
+        )
     if ',' in key or ',' in organisation:
-        return _bad(f'{KEY} and {ORGANISATION} may each stand only once')
+        return _bad_header(
+            f'{IDEMPOTENCY_KEY} and {ORGANISATION} may each stand only once'
+        )
     idempotent = _read(environ, IDEMPOTENT).lower()
     if idempotent not in ('', 'true', 'false'):
-        return _bad(f'{IDEMPOTENT}: found {idempotent!r}, true or false')
+        return _bad_header(
+            f'{IDEMPOTENT}: found {idempotent!r}, true or false'
+        )
     return Headers(
         ids.OrganisationId(organisation),
         PRIORITIES[priority],
@@ -68,9 +76,9 @@
     )
 
 
-def _is_idempotent(method: str, said: str) -> bool:
-    if said:
-        return said == 'true'
+def _is_idempotent(method: str, declared: str) -> bool:
+    if declared:
+        return declared == 'true'
     return method in IDEMPOTENT_METHODS
 
 
@@ -78,25 +86,27 @@
     return environ.get('HTTP_' + name.upper().replace('-', '_'), '').strip()
 
 
-def _seconds(text: str, default: float) -> float | failures.Failure:
+def _parse_deadline(text: str, default: float) -> float | failures.Failure:
     if not text:
         return default
     try:
         seconds = float(text)
     except ValueError:
-        return _bad(f'{DEADLINE}: found {text!r}, seconds are expected')
+        return _bad_header(f'{DEADLINE}: found {text!r}, seconds are expected')
     if seconds <= 0:
         return failures.Failure(
             failures.Reason.DEADLINE,
             'request.headers',
             detail=f'{DEADLINE}: {text} has passed',
         )
-    if not seconds <= DEADLINE_SECONDS:
-        return _bad(f'{DEADLINE}: at most {DEADLINE_SECONDS:.0f} seconds')
+    if not seconds <= MAX_DEADLINE_SECONDS:
+        return _bad_header(
+            f'{DEADLINE}: at most {MAX_DEADLINE_SECONDS:.0f} seconds'
+        )
     return seconds
 
 
-def _bad(detail: str) -> failures.Failure:
+def _bad_header(detail: str) -> failures.Failure:
     return failures.Failure(
         failures.Reason.BAD_REQUEST, 'request.headers', detail=detail
     )
--- a/libs/entry/burdockmast/entry/hedges.py
+++ b/libs/entry/burdockmast/entry/hedges.py
@@ -19,18 +19,18 @@
 from burdockmast.base import outcomes
 from burdockmast.base import timers
 
-Answer = TypeVar('Answer')
+Result = TypeVar('Result')
 
 # Tries of one call, and those of them that are under way at once.
-TRIES = 4
-OPEN_TRIES = 2
+MAX_ATTEMPTS = 4
+MAX_CONCURRENT_ATTEMPTS = 2
 # Share of recent calls that are faster than the delay of a hedge.
-SLOW_SHARE = 0.95
+HEDGE_QUANTILE = 0.95
 # Recent calls that the delay is taken from, and how many it takes at least.
-SAMPLES = 200
-FEWEST_SAMPLES = 20
+SAMPLE_COUNT = 200
+MIN_SAMPLE_COUNT = 20
 # Shortest delay of a hedge, in seconds.
-SHORTEST_SECONDS = 0.02
+MIN_DELAY_SECONDS = 0.02
 
 
 class Latencies:
@@ -39,32 +39,32 @@
     def __init__(self):
         """Create a record without calls."""
         self._recent: collections.deque[float] = collections.deque(
-            maxlen=SAMPLES
+            maxlen=SAMPLE_COUNT
         )
 
-    def note(self, seconds: float) -> None:
+    def record(self, seconds: float) -> None:
         """Take in the time of a good answer."""
         self._recent.append(seconds)
 
-    def delay(self) -> float:
+    def hedge_delay(self) -> float:
         """Return the seconds after which a call is slow.
 
         It is infinite while too little is known.
         """
-        if len(self._recent) < FEWEST_SAMPLES:
+        if len(self._recent) < MIN_SAMPLE_COUNT:
             return math.inf
         ordered = sorted(self._recent)
-        slow = ordered[int(len(ordered) * SLOW_SHARE)]
-        return max(SHORTEST_SECONDS, slow)
+        slow = ordered[int(len(ordered) * HEDGE_QUANTILE)]
+        return max(MIN_DELAY_SECONDS, slow)
 
 
-class Tries(Generic[Answer]):
+class HedgedCall(Generic[Result]):
     """The tries of one call; at most ``OPEN_TRIES`` are under way."""
 
     def __init__(
         self,
-        attempt: Callable[[], Answer | failures.Failure],
-        may_repeat: Callable[[bool], bool],
+        attempt: Callable[[], Result | failures.Failure],
+        may_retry: Callable[[bool], bool],
         deadline: float,
     ):
         """Prepare a call; ``run`` makes it.
@@ -75,14 +75,14 @@
         :param deadline: monotonic seconds
         """
         self._attempt = attempt
-        self._may_repeat = may_repeat
+        self._may_retry = may_retry
         self._deadline = deadline
         self._results: eventlet.queue.LightQueue = eventlet.queue.LightQueue()
-        self._started = 0
-        self._open = 0
+        self._started_count = 0
+        self._running_count = 0
         self._may_have_run = False
 
-    def run(self, hedge_after: float) -> Answer | failures.Failure:
+    def run(self, hedge_after: float) -> Result | failures.Failure:
         """Return the first good answer, or the failure of the last try.
 
         :param hedge_after: seconds until a second try is made beside a
@@ -93,48 +93,51 @@
         while True:
             result = self._wait(min(hedge_at, self._deadline))
             if result is None and timers.now() >= self._deadline:
-                return _late()
+                return _deadline_passed()
             if result is None:
                 # A server may join, or the budget recover, while we wait.
                 hedge_at = timers.now() + hedge_after
                 self._hedge()
                 continue
-            self._open -= 1
+            self._running_count -= 1
             if not isinstance(result, failures.Failure):
                 return result
-            self._note(result)
-            if not self._open and not self._repeat():
-                return self._final(result)
+            self._record_failure(result)
+            if not self._running_count and not self._retry():
+                return self._final_failure(result)
 
-    def _note(self, failure: failures.Failure) -> None:
+    def _record_failure(self, failure: failures.Failure) -> None:
         if failure.outcome is not outcomes.Outcome.NOT_RUN:
             self._may_have_run = True
 
-    def _final(self, failure: failures.Failure) -> failures.Failure:
+    def _final_failure(self, failure: failures.Failure) -> failures.Failure:
         """Return the last failure, 'not run' only if no try has run."""
         if not self._may_have_run:
             return failure
         return dataclasses.replace(failure, outcome=outcomes.Outcome.UNKNOWN)
 
     def _start(self) -> None:
-        self._started += 1
-        self._open += 1
+        self._started_count += 1
+        self._running_count += 1
         eventlet.spawn(lambda: self._results.put(self._attempt()))
 
     def _hedge(self) -> None:
-        if self._open < OPEN_TRIES:
-            self._repeat()
+        if self._running_count < MAX_CONCURRENT_ATTEMPTS:
+            self._retry()
 
-    def _repeat(self) -> bool:
+    def _retry(self) -> bool:
         """Start one more try if that is allowed; tell whether it was."""
-        if self._started == TRIES or timers.now() >= self._deadline:
+        if (
+            self._started_count == MAX_ATTEMPTS
+            or timers.now() >= self._deadline
+        ):
             return False
-        if not self._may_repeat(not self._open):
+        if not self._may_retry(not self._running_count):
             return False
         self._start()
         return True
 
-    def _wait(self, until: float) -> Answer | failures.Failure | None:
+    def _wait(self, until: float) -> Result | failures.Failure | None:
         seconds = max(0.0, until - timers.now())
         try:
             return self._results.get(timeout=seconds)
@@ -142,7 +145,7 @@
             return None
 
 
-def _late() -> failures.Failure:
+def _deadline_passed() -> failures.Failure:
     return failures.Failure(
         failures.Reason.DEADLINE,
         'service.execute',
--- a/libs/entry/burdockmast/entry/probes.py
+++ b/libs/entry/burdockmast/entry/probes.py
@@ -19,13 +19,13 @@
 from burdockmast.wire import peers
 
 # Shortest time between two probes of a peer, in seconds.
-INTERVAL_SECONDS = 1.0
+MIN_INTERVAL_SECONDS = 1.0
 # Seconds that a peer has to greet, and the same in round trips to it.
-GREET_SECONDS = 0.3
-GREET_ROUND_TRIPS = 6
+MIN_GREETING_SECONDS = 0.3
+GREETING_ROUND_TRIPS = 6
 
 
-class Probes:
+class Prober:
     """Probes of one process, at most one of each peer at a time."""
 
     def __init__(
@@ -33,7 +33,7 @@
         connections: peers.Peers,
         measures: metrics.Metrics,
         events: timeline.Timeline,
-        silent: Callable[[ids.Address], None],
+        on_silent: Callable[[ids.Address], None],
     ):
         """Create a prober.
 
@@ -42,25 +42,25 @@
         self._peers = connections
         self._metrics = measures
         self._events = events
-        self._silent = silent
+        self._on_silent = on_silent
         self._probed_at_by_address: dict[ids.Address, float] = {}
 
-    def look(self, address: ids.Address) -> None:
+    def probe(self, address: ids.Address) -> None:
         """Probe a peer in a task of its own, unless one was just made."""
         now = timers.now()
         probed_at = self._probed_at_by_address.get(address, float('-inf'))
-        if now - probed_at < INTERVAL_SECONDS:
+        if now - probed_at < MIN_INTERVAL_SECONDS:
             return
         self._probed_at_by_address[address] = now
-        eventlet.spawn(self._probe, address)
+        eventlet.spawn(self._greet, address)
 
-    def _probe(self, address: ids.Address) -> None:
+    def _greet(self, address: ids.Address) -> None:
         self._metrics.count('probes')
         failure = connections.greet(
             address,
             addresses.split(address),
             self._peers.hello,
-            self._seconds(address),
+            self._greeting_timeout(address),
         )
         if isinstance(failure, failures.Failure):
             self._metrics.count('probes.failed')
@@ -71,9 +71,9 @@
                 step=failure.step,
                 detail=failure.detail,
             )
-            self._silent(address)
+            self._on_silent(address)
 
-    def _seconds(self, address: ids.Address) -> float:
+    def _greeting_timeout(self, address: ids.Address) -> float:
         link = self._peers.link_by_address.get(address)
         rtt = link.rtt if link else 0.0
-        return max(GREET_SECONDS, GREET_ROUND_TRIPS * rtt)
+        return max(MIN_GREETING_SECONDS, GREETING_ROUND_TRIPS * rtt)
--- a/libs/entry/burdockmast/entry/refusals.py
+++ b/libs/entry/burdockmast/entry/refusals.py
@@ -40,7 +40,7 @@
     retry_after: float | None
 
 
-def body_of(failure: failures.Failure, request: ids.RequestId) -> bytes:
+def body_of(failure: failures.Failure, request_id: ids.RequestId) -> bytes:
     """Return the JSON body of a refusal."""
     refusal = Refusal(
         failure.reason.value,
@@ -48,7 +48,7 @@
         failure.detail or failure.reason.value.replace('_', ' '),
         failure.step,
         failure.peer,
-        request,
+        request_id,
         failure.retry_after,
     )
     return msgspec.json.encode({'error': refusal})
@@ -64,15 +64,15 @@
 
 
 def headers_of(
-    failure: failures.Failure, request: ids.RequestId
+    failure: failures.Failure, request_id: ids.RequestId
 ) -> list[tuple[str, str]]:
     """Return the HTTP headers of a refusal."""
-    found = [
+    headers = [
         ('Content-Type', 'application/json'),
         ('Burdockmast-Outcome', failure.outcome.value),
-        ('Burdockmast-Request-Id', request),
+        ('Burdockmast-Request-Id', request_id),
     ]
     if failure.retry_after is not None:
         seconds = str(math.ceil(failure.retry_after))
-        found.append(('Retry-After', seconds))
-    return found
+        headers.append(('Retry-After', seconds))
+    return headers
--- a/libs/entry/burdockmast/entry/reading.py
+++ b/libs/entry/burdockmast/entry/request_parser.py
@@ -12,7 +12,7 @@
 
 SERVICES_PREFIX = '/v1/services/'
 # Headers of a caller that go on to a plain service.
-PASSED_HEADERS = {
+FORWARDED_HEADERS = {
     'CONTENT_TYPE': 'Content-Type',
     'HTTP_ACCEPT': 'Accept',
     'HTTP_IDEMPOTENCY_KEY': 'Idempotency-Key',
@@ -20,14 +20,14 @@
 }
 
 
-class Reader:
+class RequestParser:
     """Turns what callers send into typed requests, or says what is wrong."""
 
     def __init__(
         self,
         configuration: follower.Follower,
-        default_seconds: float,
-        body_bytes: int,
+        default_deadline_seconds: float,
+        max_body_bytes: int,
     ):
         """Create a reader.
 
@@ -35,26 +35,26 @@
         :param body_bytes: largest body of a request
         """
         self._follower = configuration
-        self._default_seconds = default_seconds
-        self._body_bytes = body_bytes
+        self._default_deadline_seconds = default_deadline_seconds
+        self._max_body_bytes = max_body_bytes
 
-    def answer(
-        self, environ: dict, request: ids.RequestId
+    def parse_answer(
+        self, environ: dict, request_id: ids.RequestId
     ) -> tuple[attempts.Request, completions.ChatRequest] | failures.Failure:
         """Return a checked request for an answer, and what it is made from."""
-        said = headers.parse(environ, self._default_seconds)
-        if isinstance(said, failures.Failure):
-            return said
-        body = self._body(environ)
+        declared = headers.parse(environ, self._default_deadline_seconds)
+        if isinstance(declared, failures.Failure):
+            return declared
+        body = self._read_body(environ)
         if isinstance(body, failures.Failure):
             return body
         chat = completions.parse(body)
         if isinstance(chat, failures.Failure):
             return chat
         current = self._follower.configuration
-        organisation = current.organisation(said.organisation)
+        organisation = current.organisation(declared.organisation)
         if organisation is None:
-            return _unknown_organisation(said)
+            return _unknown_organisation(declared)
         model = current.model(ids.ModelId(chat.model))
         if model is None:
             return failures.Failure(
@@ -62,32 +62,32 @@
                 'request.model',
                 detail=f'preset {current.in_force} has no model {chat.model}',
             )
-        tokens = chat.tokens()
-        asked = attempts.Request(
-            request,
+        tokens = chat.prompt_tokens()
+        request = attempts.Request(
+            request_id,
             organisation,
-            said.priority,
-            timers.now() + said.seconds,
+            declared.priority,
+            timers.now() + declared.deadline_seconds,
             model,
             tokens,
-            chat.limit,
+            chat.token_limit,
             completions.fingerprint_of(chat.model, tokens),
         )
-        return asked, chat
+        return request, chat
 
-    def call(
-        self, environ: dict, request: ids.RequestId
+    def parse_call(
+        self, environ: dict, request_id: ids.RequestId
     ) -> services.Call | failures.Failure:
         """Return a checked call to a plain service."""
-        said = headers.parse(environ, self._default_seconds)
-        if isinstance(said, failures.Failure):
-            return said
+        declared = headers.parse(environ, self._default_deadline_seconds)
+        if isinstance(declared, failures.Failure):
+            return declared
         organisation = self._follower.configuration.organisation(
-            said.organisation
+            declared.organisation
         )
         if organisation is None:
-            return _unknown_organisation(said)
-        body = self._body(environ)
+            return _unknown_organisation(declared)
+        body = self._read_body(environ)
         if isinstance(body, failures.Failure):
             return body
         rest = environ['PATH_INFO'][len(SERVICES_PREFIX) :]
@@ -95,33 +95,33 @@
         service = ids.ServiceId(name)
         query = environ.get('QUERY_STRING')
         key = ''
-        if said.key:
-            key = records.key_of(said.organisation, service, said.key)
+        if declared.key:
+            key = records.key_of(declared.organisation, service, declared.key)
         return services.Call(
-            request,
+            request_id,
             service,
             environ['REQUEST_METHOD'],
             f'/{path}?{query}' if query else f'/{path}',
             tuple(
                 (name, environ[variable])
-                for variable, name in PASSED_HEADERS.items()
+                for variable, name in FORWARDED_HEADERS.items()
                 if environ.get(variable)
             ),
             body,
             key,
-            said.is_idempotent,
-            timers.now() + said.seconds,
+            declared.is_idempotent,
+            timers.now() + declared.deadline_seconds,
         )
 
-    def _body(self, environ: dict) -> bytes | failures.Failure:
+    def _read_body(self, environ: dict) -> bytes | failures.Failure:
         length = environ.get('CONTENT_LENGTH') or ''
         if length and not length.isdigit():
             return bad_request(f'Content-Length: found {length!r}')
-        if int(length or 0) > self._body_bytes:
-            return _too_large(self._body_bytes)
-        body = environ['wsgi.input'].read(self._body_bytes + 1)
-        if len(body) > self._body_bytes:
-            return _too_large(self._body_bytes)
+        if int(length or 0) > self._max_body_bytes:
+            return _too_large(self._max_body_bytes)
+        body = environ['wsgi.input'].read(self._max_body_bytes + 1)
+        if len(body) > self._max_body_bytes:
+            return _too_large(self._max_body_bytes)
         return body
 
 
@@ -140,9 +140,9 @@
     )
 
 
-def _unknown_organisation(said: headers.Headers) -> failures.Failure:
+def _unknown_organisation(declared: headers.Headers) -> failures.Failure:
     return failures.Failure(
         failures.Reason.UNKNOWN_ORGANISATION,
         'request.organisation',
-        detail=f'no organisation {said.organisation}',
+        detail=f'no organisation {declared.organisation}',
     )
--- a/libs/entry/burdockmast/entry/server.py
+++ b/libs/entry/burdockmast/entry/server.py
@@ -28,16 +28,16 @@
 _select = eventlet.patcher.original('select')
 
 # Connections that may wait to be accepted.
-BACKLOG = 4096
+LISTEN_BACKLOG = 4096
 # Requests served at once.
-CONCURRENCY = 8192
+MAX_CONCURRENT_REQUESTS = 8192
 # Seconds that the balancer has to see that this instance is not ready: it may
 # look once a second.
-LEAVE_SECONDS = 2.0
+READINESS_GRACE_SECONDS = 2.0
 # Seconds that a planned stop waits for answers.
 DRAIN_SECONDS = 60.0
 # Looks for connections that wait to be accepted, before none are any more.
-ACCEPT_LOOKS = 100
+MAX_ACCEPT_POLL_COUNT = 100
 
 
 class Entry:
@@ -53,11 +53,11 @@
         self.queue = queues.FairQueue(settings.queue)
         self.answers = answers.Answers(self.node, self.view, self.queue)
         self._is_stopping = False
-        self.node.instances.subscribers.append(self._instance_listed)
+        self.node.instances.subscribers.append(self._on_instances_update)
         self.application = web.Application(
             self.node,
             self.answers,
-            services.Services(self.node, self.view),
+            services.ServiceClient(self.node, self.view),
             settings.default_deadline,
             settings.body_bytes,
         )
@@ -68,12 +68,14 @@
         :raises OSError: if an address is taken
         """
         self.node.start()
-        self.node.timers.subscribe('dial', fleet.DIAL_SECONDS, self.view.dial)
         self.node.timers.subscribe(
-            'stalls', stalls.WATCH_SECONDS, self.answers.stalls.look
+            'dial', fleet.DIAL_INTERVAL_SECONDS, self.view.dial_unlinked
+        )
+        self.node.timers.subscribe(
+            'stalls', stalls.POLL_SECONDS, self.answers.stall_detector.poll
         )
         return eventlet.listen(
-            addresses.split(self.settings.http_address), backlog=BACKLOG
+            addresses.split(self.settings.http_address), backlog=LISTEN_BACKLOG
         )
 
     def serve(self, sock: socket.socket) -> None:
@@ -86,7 +88,7 @@
                 sock,
                 self.application,
                 log_output=False,
-                max_size=CONCURRENCY,
+                max_size=MAX_CONCURRENT_REQUESTS,
                 # The default gathers 4 KiB, which are 20 tokens.
                 minimum_chunk_size=1,
                 debug=False,
@@ -110,16 +112,16 @@
             'process.stopping', requests=self.application.running
         )
         self._is_stopping = True
-        self.application.leaving = True
-        eventlet.sleep(LEAVE_SECONDS)
-        _end_listening(sock)
+        self.application.is_draining = True
+        eventlet.sleep(READINESS_GRACE_SECONDS)
+        _stop_listening(sock)
         with eventlet.Timeout(DRAIN_SECONDS, False):
             serving.wait()
 
-    def _instance_listed(self) -> None:
+    def _on_instances_update(self) -> None:
         """Let the balancer turn away before the platform stops us."""
         is_leaving = self.node.instances.is_leaving
-        self.application.leaving = self._is_stopping or is_leaving
+        self.application.is_draining = self._is_stopping or is_leaving
 
     def receive(self, link: links.Link, message: messages.AnyMessage) -> None:
         """Hand a message to its part."""
@@ -127,20 +129,22 @@
             case messages.Token() | messages.Finished() | messages.Failed():
                 self.answers.receive(message)
             case messages.Begun():
-                self.answers.begun(message)
+                self.answers.on_begun(message)
             case _ if self.node.receive(link, message):
                 if isinstance(message, messages.Heartbeat) and message.load:
-                    self._learn(message)
+                    self._apply_load(message)
 
-    def _learn(self, heartbeat: messages.Heartbeat) -> None:
+    def _apply_load(self, heartbeat: messages.Heartbeat) -> None:
         load = heartbeat.load
         earlier = self.view.loads.report_by_server.get(load.server)
-        if earlier is None or _standing(earlier.load) != _standing(load):
-            self._note_standing(load)
+        if earlier is None or _availability(earlier.load) != _availability(
+            load
+        ):
+            self._record_availability(load)
         self.view.loads.learn(load, heartbeat.period_ms / 1000)
         self.queue.wake(load.slots - load.running)
 
-    def _note_standing(self, load: messages.Load) -> None:
+    def _record_availability(self, load: messages.Load) -> None:
         held = [f'{h.model}:{h.first}-{h.end}' for h in load.held]
         self.node.events.add(
             'server.standing',
@@ -161,8 +165,8 @@
     def closed(self, link: links.Link, why: failures.Failure) -> None:
         """End what depended on a lost link."""
         self.node.closed(link, why)
-        self.view.closed(link)
-        self.answers.link_closed(link, why)
+        self.view.on_link_closed(link)
+        self.answers.on_link_closed(link, why)
 
     def _details(self) -> dict:
         return {
@@ -173,26 +177,26 @@
         }
 
 
-def _end_listening(sock: socket.socket) -> None:
+def _stop_listening(sock: socket.socket) -> None:
     """End listening on a socket once nobody waits to be accepted.
 
     The system then resets connections that still wait, and with them requests
     that may have been sent already.
     """
-    for _ in range(ACCEPT_LOOKS):
-        if not _is_waited_for(sock):
+    for _ in range(MAX_ACCEPT_POLL_COUNT):
+        if not _has_pending_connection(sock):
             break
         eventlet.sleep(0)
     # Unlike closing, this wakes the task that accepts.
     sock.shutdown(socket.SHUT_RDWR)
 
 
-def _is_waited_for(sock: socket.socket) -> bool:
+def _has_pending_connection(sock: socket.socket) -> bool:
     poll = _select.poll()
     poll.register(sock.fileno(), _select.POLLIN)
     return bool(poll.poll(0))
 
 
-def _standing(load: messages.Load) -> tuple[object, ...]:
+def _availability(load: messages.Load) -> tuple[object, ...]:
     """Return what decides whether a server may get new answers at all."""
     return load.held, load.leaving, load.is_engine_lost
--- a/libs/entry/burdockmast/entry/services.py
+++ b/libs/entry/burdockmast/entry/services.py
@@ -22,13 +22,13 @@
 from burdockmast.wire import messages
 
 # Tries of a call while it is certain that nothing ran.
-TRIES = 4
+MAX_ATTEMPTS = 4
 # Seconds that a call waits for a link to a server that may be reached: as long
 # as a dial may take.
-LINK_SECONDS = 1.0
+LINK_TIMEOUT_SECONDS = 1.0
 LINK_POLL_SECONDS = 0.01
 # Seconds for a claim to be in the store.
-CLAIM_SECONDS = 3.0
+CLAIM_TIMEOUT_SECONDS = 3.0
 # Seconds until a caller may come back when the store is out.
 STORE_RETRY_SECONDS = 2.0
 NO_SERVER_RETRY_SECONDS = 1.0
@@ -81,7 +81,7 @@
 Result = Reply | failures.Failure
 
 
-class Services:
+class ServiceClient:
     """Plain service calls of one entry."""
 
     def __init__(
@@ -97,7 +97,7 @@
         self._directory = directory.Directory(process.follower)
         self._budget = budgets.RetryBudget()
         self._random = random.Random(seed)
-        self._open_by_server: collections.Counter[ids.ServerId] = (
+        self._running_by_server: collections.Counter[ids.ServerId] = (
             collections.Counter()
         )
         self._latencies_by_service: collections.defaultdict[
@@ -125,36 +125,40 @@
         latencies = self._latencies_by_service[call.service]
 
         def attempt() -> Result:
-            link = self._link(call, tried)
+            link = self._choose_link(call, tried)
             if isinstance(link, failures.Failure):
                 return link
             tried.add(link.hello.server)
-            began = timers.now()
-            result = self._ask(call.id, link, self._message(call, link))
+            started_at = timers.now()
+            result = self._ask(call.id, link, self._call_message(call, link))
             if isinstance(result, Reply):
-                latencies.note(timers.now() - began)
+                latencies.record(timers.now() - started_at)
             return result
 
-        def may_repeat(is_alone: bool) -> bool:
-            find = self._await_untried if is_alone else self._untried
+        def may_retry(none_running: bool) -> bool:
+            find = (
+                self._await_untried_servers
+                if none_running
+                else self._untried_servers
+            )
             if not find(call, tried) or not self._budget.withdraw():
                 return False
             self._metrics.count('reads.repeated')
             return True
 
-        tries = hedges.Tries(attempt, may_repeat, call.deadline)
-        return tries.run(latencies.delay())
+        hedged_call = hedges.HedgedCall(attempt, may_retry, call.deadline)
+        return hedged_call.run(latencies.hedge_delay())
 
     def _call_once(self, call: Call) -> Result:
         """Send once; go on only while it is certain that nothing ran."""
         tried: set[ids.ServerId] = set()
-        for _ in range(TRIES):
-            link = self._link(call, tried)
+        for _ in range(MAX_ATTEMPTS):
+            link = self._choose_link(call, tried)
             if isinstance(link, failures.Failure):
                 return link
             tried.add(link.hello.server)
-            result = self._ask(call.id, link, self._message(call, link))
-            if _has_run_or_may_have(result):
+            result = self._ask(call.id, link, self._call_message(call, link))
+            if _may_have_run(result):
                 break
         return result
 
@@ -163,7 +167,7 @@
         tried: set[ids.ServerId] = set()
         attempt = 1
         while timers.now() < call.deadline:
-            link = self._link(call, tried)
+            link = self._choose_link(call, tried)
             if isinstance(link, failures.Failure):
                 return link
             claim = self._claim(call, attempt, link)
@@ -188,15 +192,15 @@
                 is_own=state.claim == claim,
             )
             if state.claim != claim:
-                result = self._settle(call, state.claim)
+                result = self._resolve_claim(call, state.claim)
             else:
-                message = self._message(call, link, claim)
+                message = self._call_message(call, link, claim)
                 result = self._ask(call.id, link, message)
                 tried.add(link.hello.server)
             if isinstance(result, Reply):
-                self._record(call, state.claim, result)
+                self._store_outcome(call, state.claim, result)
                 return result
-            if _has_run_or_may_have(result):
+            if _may_have_run(result):
                 # With its key a repeat is safe, and may tell the outcome.
                 return dataclasses.replace(
                     result, retry_after=KEYED_RETRY_SECONDS
@@ -225,7 +229,7 @@
 
     def _submit(
         self,
-        request: ids.RequestId,
+        request_id: ids.RequestId,
         record: records.Record,
         deadline: float,
     ) -> records.State | failures.Failure:
@@ -237,7 +241,7 @@
             if isinstance(link, failures.Failure):
                 continue
             ask = messages.Claim(ids.new_id(), shard, encoded)
-            seconds = min(CLAIM_SECONDS, deadline - timers.now())
+            seconds = min(CLAIM_TIMEOUT_SECONDS, deadline - timers.now())
             reply = link.ask(ask, max(0.001, seconds))
             if isinstance(reply, failures.Failure):
                 continue
@@ -245,7 +249,7 @@
                 return records.decode_state(reply.record)
             break
         self._metrics.count('claims.refused')
-        self._events.add('claim.refused', request, shard=shard)
+        self._events.add('claim.refused', request_id, shard=shard)
         return failures.Failure(
             failures.Reason.STORE_UNAVAILABLE,
             'service.claim',
@@ -253,17 +257,19 @@
             retry_after=STORE_RETRY_SECONDS,
         )
 
-    def _record(self, call: Call, claim: records.Claim, reply: Reply) -> None:
+    def _store_outcome(
+        self, call: Call, claim: records.Claim, reply: Reply
+    ) -> None:
         """Keep the outcome for repeats, without making the caller wait."""
         if len(reply.body) > records.OUTCOME_BYTES:
             return
         done = records.Done(
             claim.key, claim.attempt, reply.status, reply.headers, reply.body
         )
-        until = timers.now() + CLAIM_SECONDS
+        until = timers.now() + CLAIM_TIMEOUT_SECONDS
         eventlet.spawn(self._submit, call.id, done, until)
 
-    def _settle(self, call: Call, claim: records.Claim) -> Result:
+    def _resolve_claim(self, call: Call, claim: records.Claim) -> Result:
         """Ask the claim's process what became of it.
 
         That process alone may run the attempt. If it has not, it never
@@ -272,7 +278,7 @@
         self._events.add('service.settle', call.id, server=claim.server)
         link = self._view.peers.get(claim.address)
         if isinstance(link, failures.Failure):
-            return self._unsettled(call, claim)
+            return self._unresolved(call, claim)
         settle = messages.Settle(
             ids.new_id(),
             claim.key,
@@ -284,10 +290,12 @@
         if isinstance(result, Reply):
             return dataclasses.replace(result, is_replay=True)
         if result.outcome is outcomes.Outcome.UNKNOWN:
-            return self._unsettled(call, claim)
+            return self._unresolved(call, claim)
         return result
 
-    def _unsettled(self, call: Call, claim: records.Claim) -> failures.Failure:
+    def _unresolved(
+        self, call: Call, claim: records.Claim
+    ) -> failures.Failure:
         return failures.Failure(
             failures.Reason.MAY_HAVE_RUN,
             'service.settle',
@@ -296,37 +304,41 @@
             outcomes.Outcome.UNKNOWN,
         )
 
-    def _link(
+    def _choose_link(
         self, call: Call, tried: set[ids.ServerId]
     ) -> links.Link | failures.Failure:
-        fresh = self._await_untried(call, tried)
-        if not fresh:
+        untried = self._await_untried_servers(call, tried)
+        if not untried:
             return self._no_server(call)
         # Of two at random the one with fewer calls of ours: one that stands
         # still gathers calls, and soon gets no more.
-        two = self._random.sample(fresh, min(2, len(fresh)))
-        server = min(two, key=lambda one: self._open_by_server[one.id])
+        candidates = self._random.sample(untried, min(2, len(untried)))
+        server = min(
+            candidates, key=lambda server: self._running_by_server[server.id]
+        )
         return self._view.peers.get(server.address)
 
-    def _await_untried(
+    def _await_untried_servers(
         self, call: Call, tried: set[ids.ServerId]
     ) -> list[changes.Server]:
         """Return connected servers, waiting while one may get connected."""
-        began = timers.now()
-        until = min(call.deadline, began + LINK_SECONDS)
+        started_at = timers.now()
+        until = min(call.deadline, started_at + LINK_TIMEOUT_SECONDS)
         while True:
-            fresh = self._untried(call, tried)
-            if fresh or timers.now() >= until:
-                return fresh
-            if not self._view.may_have_service(call.service, tried, began):
+            untried = self._untried_servers(call, tried)
+            if untried or timers.now() >= until:
+                return untried
+            if not self._view.may_have_service(
+                call.service, tried, started_at
+            ):
                 return []
-            self._view.dial_refused(began)
+            self._view.redial_refused(started_at)
             eventlet.sleep(LINK_POLL_SECONDS)
 
-    def _untried(
+    def _untried_servers(
         self, call: Call, tried: set[ids.ServerId]
     ) -> list[changes.Server]:
-        servers = self._view.services(call.service)
+        servers = self._view.connected_servers(call.service)
         return [server for server in servers if server.id not in tried]
 
     def _no_server(self, call: Call) -> failures.Failure:
@@ -337,7 +349,7 @@
             retry_after=NO_SERVER_RETRY_SECONDS,
         )
 
-    def _message(
+    def _call_message(
         self,
         call: Call,
         link: links.Link,
@@ -363,7 +375,7 @@
 
     def _ask(
         self,
-        request: ids.RequestId,
+        request_id: ids.RequestId,
         link: links.Link,
         message: messages.ServiceCall | messages.Settle,
         deadline: float | None = None,
@@ -376,15 +388,15 @@
             seconds = message.budget_ms / 1000
         else:
             seconds = deadline - timers.now()
-        self._open_by_server[link.hello.server] += 1
+        self._running_by_server[link.hello.server] += 1
         try:
             reply = link.ask(message, max(0.001, seconds))
         finally:
-            self._open_by_server[link.hello.server] -= 1
+            self._running_by_server[link.hello.server] -= 1
         if isinstance(reply, failures.Failure):
             self._events.add(
                 'service.lost',
-                request,
+                request_id,
                 server=link.hello.server,
                 reason=reply.reason.value,
                 step=reply.step,
@@ -397,7 +409,7 @@
         self._events.witness(reply.clock)
         self._events.add(
             'service.answered',
-            request,
+            request_id,
             server=link.hello.server,
             status=reply.status,
             outcome=reply.outcome.value,
@@ -422,7 +434,7 @@
         )
 
 
-def _has_run_or_may_have(result: Result) -> bool:
+def _may_have_run(result: Result) -> bool:
     return (
         isinstance(result, Reply)
         or result.outcome is not outcomes.Outcome.NOT_RUN
--- a/libs/entry/burdockmast/entry/web.py
+++ b/libs/entry/burdockmast/entry/web.py
@@ -17,8 +17,8 @@
 from burdockmast.entry import answers
 from burdockmast.entry import attempts
 from burdockmast.entry import completions
-from burdockmast.entry import reading
 from burdockmast.entry import refusals
+from burdockmast.entry import request_parser
 from burdockmast.entry import services
 from burdockmast.limits import queues
 from burdockmast.limits import returns
@@ -26,14 +26,14 @@
 
 # One pause between tokens in as many is measured; an entry relays thousands a
 # second.
-MEASURED_PAUSES = 16
+ITEMS_PER_PAUSE_SAMPLE = 16
 STREAM_TYPE = 'text/event-stream'
 JSON_TYPE = 'application/json'
 Body = Iterable[bytes]
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
 
-class Counted:
+class CountedBody:
     """A response body that counts as a running request until it is closed."""
 
     def __init__(self, body: Body, application: 'Application'):
@@ -42,7 +42,7 @@
         self._items = iter(body)
         self._application = application
 
-    def __iter__(self) -> 'Counted':
+    def __iter__(self) -> 'CountedBody':
         """Return the iterator itself."""
         return self
 
@@ -65,64 +65,64 @@
     def __init__(
         self,
         process: node.Node,
-        given: answers.Answers,
-        called: services.Services,
-        default_seconds: float,
-        body_bytes: int,
+        model_answers: answers.Answers,
+        service_client: services.ServiceClient,
+        default_deadline_seconds: float,
+        max_body_bytes: int,
     ):
         """Create an application.
 
         :param default_seconds: deadline of requests that name none
         :param body_bytes: largest body of a request
         """
-        self.leaving = False
+        self.is_draining = False
         self.running = 0
         self._follower = process.follower
-        self._answers = given
-        self._services = called
+        self._answers = model_answers
+        self._service_client = service_client
         self._metrics = process.metrics
         self._timeline = process.events
-        self._reader = reading.Reader(
-            process.follower, default_seconds, body_bytes
+        self._request_parser = request_parser.RequestParser(
+            process.follower, default_deadline_seconds, max_body_bytes
         )
         self._random = random.Random()
 
     def __call__(self, environ: dict, start_response: StartResponse) -> Body:
         """Serve one request."""
-        if self.leaving:
-            start_response = _closing(start_response)
+        if self.is_draining:
+            start_response = _with_connection_close(start_response)
         self.running += 1
         try:
             body = self._route(environ, start_response)
         except BaseException:
             self.running -= 1
             raise
-        return Counted(body, self)
+        return CountedBody(body, self)
 
     def _route(self, environ: dict, start_response: StartResponse) -> Body:
         path = environ['PATH_INFO']
-        request = ids.RequestId(ids.new_id())
+        request_id = ids.RequestId(ids.new_id())
         match path:
             case '/livez':
                 return _respond(start_response, '200 OK', {'live': True})
             case '/readyz':
-                return self._ready(start_response)
+                return self._readiness(start_response)
             case '/v1/models':
                 return self._models(start_response)
             case '/v1/chat/completions' | '/v1/completions':
-                return self._complete(environ, start_response, request)
-        if path.startswith(reading.SERVICES_PREFIX):
-            return self._serve(environ, start_response, request)
+                return self._serve_answer(environ, start_response, request_id)
+        if path.startswith(request_parser.SERVICES_PREFIX):
+            return self._serve_call(environ, start_response, request_id)
         failure = failures.Failure(
             failures.Reason.UNKNOWN_SERVICE,
             'request.path',
             detail=f'no such path {path}',
         )
-        return self._refuse(start_response, request, failure)
+        return self._refuse(start_response, request_id, failure)
 
-    def _ready(self, start_response: StartResponse) -> Body:
+    def _readiness(self, start_response: StartResponse) -> Body:
         state = {
-            'ready': not self.leaving and self._follower.version > 0,
+            'ready': not self.is_draining and self._follower.version > 0,
             'version': self._follower.version,
             'preset': self._follower.configuration.in_force,
         }
@@ -138,46 +138,46 @@
         }
         return _respond(start_response, '200 OK', listing)
 
-    def _complete(
+    def _serve_answer(
         self,
         environ: dict,
         start_response: StartResponse,
-        request: ids.RequestId,
+        request_id: ids.RequestId,
     ) -> Body:
         if environ['REQUEST_METHOD'] != 'POST':
-            failure = reading.bad_request('only POST is served here')
-            return self._refuse(start_response, request, failure)
-        checked = self._reader.answer(environ, request)
+            failure = request_parser.bad_request('only POST is served here')
+            return self._refuse(start_response, request_id, failure)
+        checked = self._request_parser.parse_answer(environ, request_id)
         if isinstance(checked, failures.Failure):
-            return self._refuse(start_response, request, checked)
-        asked, chat = checked
+            return self._refuse(start_response, request_id, checked)
+        request, chat = checked
         began = timers.now()
-        items = self._answers.stream(asked)
+        items = self._answers.stream(request)
         # A refusal before the first token can still have a status.
         first = next(items, None)
         if isinstance(first, failures.Failure):
-            return self._refuse(start_response, request, first)
+            return self._refuse(start_response, request_id, first)
         self._metrics.count('answers.begun')
         self._metrics.timing('answer.first_token', timers.now() - began)
-        items = self._timed(itertools.chain([first], items), began)
+        items = self._measured(itertools.chain([first], items), began)
         if chat.stream:
             start_response(
                 '200 OK',
                 [
                     ('Content-Type', STREAM_TYPE),
                     ('Cache-Control', 'no-store'),
-                    ('Burdockmast-Request-Id', request),
+                    ('Burdockmast-Request-Id', request_id),
                 ],
             )
-            return self._events(asked, items)
-        return self._whole(start_response, asked, items)
+            return self._stream_events(request, items)
+        return self._json_answer(start_response, request, items)
 
-    def _timed(
+    def _measured(
         self, items: Iterator[list[int] | failures.Failure], began: float
     ) -> Iterator[list[int] | failures.Failure]:
         """Pass an answer on, and measure its whole time and some pauses."""
         for number, item in enumerate(items):
-            match number % MEASURED_PAUSES:
+            match number % ITEMS_PER_PAUSE_SAMPLE:
                 case 0:
                     paused_at = timers.now()
                 case 1:
@@ -186,86 +186,88 @@
             yield item
         self._metrics.timing('answer.whole', timers.now() - began)
 
-    def _events(
+    def _stream_events(
         self,
-        asked: attempts.Request,
+        request: attempts.Request,
         items: Iterator[list[int] | failures.Failure],
     ) -> Iterator[bytes]:
-        writer = completions.ChunkWriter(asked.id, asked.model.id)
+        writer = completions.ChunkWriter(request.id, request.model.id)
         count = 0
         for item in items:
             if isinstance(item, failures.Failure):
-                item = self._spread(item)
-                self._note_refusal(item, asked.id)
-                body = refusals.body_of(item, asked.id)
+                item = self._jitter_retry_after(item)
+                self._record_refusal(item, request.id)
+                body = refusals.body_of(item, request.id)
                 yield b'data: ' + body + b'\n\n'
                 return
             count += len(item)
-            yield b''.join(map(writer.token, item))
-        yield writer.end(count)
+            yield b''.join(map(writer.token_event, item))
+        yield writer.end_events(count)
 
-    def _whole(
+    def _json_answer(
         self,
         start_response: StartResponse,
-        asked: attempts.Request,
+        request: attempts.Request,
         items: Iterator[list[int] | failures.Failure],
     ) -> Body:
         tokens: list[int] = []
         for item in items:
             if isinstance(item, failures.Failure):
-                return self._refuse(start_response, asked.id, item)
+                return self._refuse(start_response, request.id, item)
             tokens.extend(item)
-        body = completions.whole(
-            asked.id, asked.model.id, len(asked.prompt), tokens
+        body = completions.completion_body(
+            request.id, request.model.id, len(request.prompt), tokens
         )
-        found = [
+        headers = [
             ('Content-Type', JSON_TYPE),
-            ('Burdockmast-Request-Id', asked.id),
+            ('Burdockmast-Request-Id', request.id),
         ]
-        return _send(start_response, '200 OK', found, body)
+        return _send(start_response, '200 OK', headers, body)
 
-    def _serve(
+    def _serve_call(
         self,
         environ: dict,
         start_response: StartResponse,
-        request: ids.RequestId,
+        request_id: ids.RequestId,
     ) -> Body:
-        call = self._reader.call(environ, request)
+        call = self._request_parser.parse_call(environ, request_id)
         if isinstance(call, failures.Failure):
-            return self._refuse(start_response, request, call)
+            return self._refuse(start_response, request_id, call)
         began = timers.now()
-        result = self._services.call(call)
+        result = self._service_client.call(call)
         self._metrics.timing('service.call', timers.now() - began)
         if isinstance(result, failures.Failure):
-            return self._refuse(start_response, request, result)
+            return self._refuse(start_response, request_id, result)
         replayed = (
             [('Idempotent-Replayed', 'true')] if result.is_replay else []
         )
-        found = [
+        headers = [
             *result.headers,
             ('Burdockmast-Outcome', outcomes.Outcome.RAN.value),
-            ('Burdockmast-Request-Id', request),
+            ('Burdockmast-Request-Id', request_id),
             *replayed,
         ]
         status = f'{result.status} Answered'
-        return _send(start_response, status, found, result.body)
+        return _send(start_response, status, headers, result.body)
 
     def _refuse(
         self,
         start_response: StartResponse,
-        request: ids.RequestId,
+        request_id: ids.RequestId,
         failure: failures.Failure,
     ) -> Body:
-        failure = self._spread(failure)
-        self._note_refusal(failure, request)
+        failure = self._jitter_retry_after(failure)
+        self._record_refusal(failure, request_id)
         return _send(
             start_response,
             refusals.status_of(failure),
-            refusals.headers_of(failure, request),
-            refusals.body_of(failure, request),
+            refusals.headers_of(failure, request_id),
+            refusals.body_of(failure, request_id),
         )
 
-    def _spread(self, failure: failures.Failure) -> failures.Failure:
+    def _jitter_retry_after(
+        self, failure: failures.Failure
+    ) -> failures.Failure:
         """Spread times to come back that the queue has not spread already."""
         seconds = failure.retry_after
         if seconds is None or failure.step == queues.WAIT_STEP:
@@ -273,13 +275,13 @@
         later = returns.spread(seconds, self._random)
         return dataclasses.replace(failure, retry_after=round(later, 3))
 
-    def _note_refusal(
-        self, failure: failures.Failure, request: ids.RequestId
+    def _record_refusal(
+        self, failure: failures.Failure, request_id: ids.RequestId
     ) -> None:
         self._metrics.count(f'refusals.{failure.reason.value}')
         self._timeline.add(
             'request.refused',
-            request,
+            request_id,
             reason=failure.reason.value,
             step=failure.step,
             peer=failure.peer,
@@ -290,11 +292,11 @@
         )
 
 
-def _closing(start_response: StartResponse) -> StartResponse:
+def _with_connection_close(start_response: StartResponse) -> StartResponse:
     """Make the caller's next request open a new connection."""
 
-    def start(status: str, found: list[tuple[str, str]]) -> Any:
-        return start_response(status, [*found, ('Connection', 'close')])
+    def start(status: str, headers: list[tuple[str, str]]) -> Any:
+        return start_response(status, [*headers, ('Connection', 'close')])
 
     return start
 
@@ -302,15 +304,15 @@
 def _respond(
     start_response: StartResponse, status: str, value: object
 ) -> Body:
-    found = [('Content-Type', JSON_TYPE)]
-    return _send(start_response, status, found, msgspec.json.encode(value))
+    headers = [('Content-Type', JSON_TYPE)]
+    return _send(start_response, status, headers, msgspec.json.encode(value))
 
 
 def _send(
     start_response: StartResponse,
     status: str,
-    found: list[tuple[str, str]],
+    headers: list[tuple[str, str]],
     body: bytes,
 ) -> Body:
-    start_response(status, [*found, ('Content-Length', str(len(body)))])
+    start_response(status, [*headers, ('Content-Length', str(len(body)))])
     return [body]
--- a/tests/test_paces.py
+++ b/tests/test_durations.py
@@ -5,7 +5,7 @@
 import program
 import pytest
 
-from burdockmast.entry import paces
+from burdockmast.entry import durations
 from burdockmast.standins import layouts
 
 # One answer at a time, of 24 ms a token.
@@ -13,15 +13,15 @@
 
 
 def test_nothing_is_expected_of_a_model_without_answers():
-    assert paces.Paces().seconds('draft', 100) == 0.0
+    assert durations.AnswerDurations().expected_seconds('draft', 100) == 0.0
 
 
 def test_expected_time_follows_tokens_given_not_allowed():
-    kept = paces.Paces()
+    recorded = durations.AnswerDurations()
     for _ in range(100):
-        kept.note('draft', 50, 200, 5.0)
-    assert kept.seconds('draft', 200) == pytest.approx(5.0)
-    assert kept.seconds('draft', 400) == pytest.approx(10.0)
+        recorded.record('draft', 50, 200, 5.0)
+    assert recorded.expected_seconds('draft', 200) == pytest.approx(5.0)
+    assert recorded.expected_seconds('draft', 400) == pytest.approx(10.0)
 
 
 def test_answer_that_could_not_be_whole_is_refused_early(own_fleet):
--- a/tests/test_hedges.py
+++ b/tests/test_hedges.py
@@ -16,7 +16,7 @@
 LOST = failures.Failure(failures.Reason.PEER_LOST, 'test')
 
 
-def tries(results, may_repeat=lambda is_alone: True, seconds=5.0):
+def hedged_call(results, may_retry=lambda none_running: True, seconds=5.0):
     """Return a call whose tries take times and end as ``results`` say."""
     left = iter(results)
 
@@ -25,65 +25,67 @@
         eventlet.sleep(delay)
         return result
 
-    return hedges.Tries(attempt, may_repeat, timers.now() + seconds)
+    return hedges.HedgedCall(attempt, may_retry, timers.now() + seconds)
 
 
 def test_good_answer_needs_one_try():
-    assert tries([(0, 'first')]).run(math.inf) == 'first'
+    assert hedged_call([(0, 'first')]).run(math.inf) == 'first'
 
 
 def test_failed_try_is_followed_by_another():
-    assert tries([(0, LOST), (0, 'second')]).run(math.inf) == 'second'
+    assert hedged_call([(0, LOST), (0, 'second')]).run(math.inf) == 'second'
 
 
 def test_slow_try_is_hedged():
-    assert tries([(60, 'slow'), (0, 'hedge')]).run(0.01) == 'hedge'
+    assert hedged_call([(60, 'slow'), (0, 'hedge')]).run(0.01) == 'hedge'
 
 
 def test_hedge_that_fails_leaves_the_first_try():
-    assert tries([(0.1, 'first'), (0, LOST)]).run(0.01) == 'first'
+    assert hedged_call([(0.1, 'first'), (0, LOST)]).run(0.01) == 'first'
 
 
 def test_no_budget_no_hedge():
-    call = tries([(0.05, 'first')], may_repeat=lambda is_alone: False)
+    call = hedged_call([(0.05, 'first')], may_retry=lambda none_running: False)
     assert call.run(0.01) == 'first'
 
 
 def test_tries_end_with_the_last_failure():
-    call = tries([(0, LOST)] * hedges.TRIES)
+    call = hedged_call([(0, LOST)] * hedges.MAX_ATTEMPTS)
     assert call.run(math.inf) is LOST
 
 
 def test_failure_after_a_try_that_may_have_run_is_not_called_unrun():
     unknown = dataclasses.replace(LOST, outcome=outcomes.Outcome.UNKNOWN)
     assert LOST.outcome is outcomes.Outcome.NOT_RUN
-    result = tries([(0, unknown)] + [(0, LOST)] * 3).run(math.inf)
+    result = hedged_call([(0, unknown)] + [(0, LOST)] * 3).run(math.inf)
     assert result.outcome is outcomes.Outcome.UNKNOWN
 
 
 def test_hedge_waits_for_a_server_to_join():
     allowed = iter([False, False, True])
-    call = tries([(60, 'slow'), (0, 'hedge')], lambda is_alone: next(allowed))
+    call = hedged_call(
+        [(60, 'slow'), (0, 'hedge')], lambda none_running: next(allowed)
+    )
     assert call.run(0.01) == 'hedge'
 
 
 def test_failed_hedge_is_followed_by_another():
-    call = tries([(60, 'slow'), (0, LOST), (0, 'second hedge')])
+    call = hedged_call([(60, 'slow'), (0, LOST), (0, 'second hedge')])
     assert call.run(0.01) == 'second hedge'
 
 
 def test_deadline_ends_all():
-    call = tries([(60, 'slow'), (60, 'slow')], seconds=0.05)
+    call = hedged_call([(60, 'slow'), (60, 'slow')], seconds=0.05)
     assert call.run(0.01).reason is failures.Reason.DEADLINE
 
 
 def test_delay_is_known_after_some_calls():
     latencies = hedges.Latencies()
-    for _ in range(hedges.FEWEST_SAMPLES - 1):
-        latencies.note(0.5)
-    assert latencies.delay() == math.inf
-    latencies.note(0.5)
-    assert latencies.delay() == 0.5
+    for _ in range(hedges.MIN_SAMPLE_COUNT - 1):
+        latencies.record(0.5)
+    assert latencies.hedge_delay() == math.inf
+    latencies.record(0.5)
+    assert latencies.hedge_delay() == 0.5
 
 
 def test_reads_do_not_wait_for_a_service_that_stands_still(own_fleet):
--- a/tests/test_unserved.py
+++ b/tests/test_unserved.py
@@ -8,9 +8,9 @@
 from burdockmast.base import failures
 from burdockmast.base import ids
 from burdockmast.base import timers
+from burdockmast.entry import attempt_starter
 from burdockmast.entry import attempts
 from burdockmast.entry import fleet as fleets
-from burdockmast.entry import openings
 from burdockmast.fleet import changes
 from burdockmast.routing import demands
 from burdockmast.routing import loads
@@ -33,16 +33,16 @@
 
     def __init__(self, may_come):
         self.may_come = may_come
-        self.looks = 0
+        self.poll_count = 0
 
     def choose(self, model, excluded, demand):
-        self.looks += 1
+        self.poll_count += 1
         return NO_PATH
 
     def may_have_path(self, model, since):
         return self.may_come
 
-    def dial_refused(self, since):
+    def redial_refused(self, since):
         pass
 
 
@@ -61,9 +61,9 @@
     process = types.SimpleNamespace(
         strikes=None, events=None, metrics=None, follower=None
     )
-    opening = openings.Openings(process, view, None)
+    starter = attempt_starter.AttemptStarter(process, view, None)
     progress = attempts.Progress(list(delivered))
-    return opening._choose(request, progress, demands.Demand())
+    return starter._choose_path(request, progress, demands.Demand())
 
 
 @pytest.fixture
@@ -76,7 +76,7 @@
         found.append(seconds)
         now[0] += seconds
 
-    monkeypatch.setattr(openings.eventlet, 'sleep', sleep)
+    monkeypatch.setattr(attempt_starter.eventlet, 'sleep', sleep)
     monkeypatch.setattr(timers, 'now', lambda: now[0])
     return found
 
@@ -89,13 +89,17 @@
 def test_request_waits_while_servers_change_places(sleeps):
     assert choose(View(may_come=True)) is NO_PATH
     waited = sum(sleeps)
-    assert waited == pytest.approx(openings.PATH_SECONDS, abs=0.2)
+    assert waited == pytest.approx(
+        attempt_starter.PATH_TIMEOUT_SECONDS, abs=0.2
+    )
 
 
 def test_answer_that_has_begun_waits_for_an_engine_to_come_back(sleeps):
     choose(View(may_come=False), delivered=[1, 2])
     waited = sum(sleeps)
-    assert waited == pytest.approx(openings.RESUME_SECONDS, abs=0.2)
+    assert waited == pytest.approx(
+        attempt_starter.RESUME_PATH_TIMEOUT_SECONDS, abs=0.2
+    )
 
 
 def load(server, held=(), is_leaving=False, is_engine_lost=False):
@@ -173,7 +177,7 @@
     for server in view.servers:
         hello = types.SimpleNamespace(server=server.id)
         link = types.SimpleNamespace(address=server.address, hello=hello)
-        view.closed(link)
+        view.on_link_closed(link)
     assert view.may_have_path(MODEL, came)
     dial_all(view)
     assert not view.may_have_path(MODEL, came)
