--- a/libs/entry/burdockmast/entry/__init__.py
+++ b/libs/entry/burdockmast/entry/__init__.py
@@ -1,1 +1,1 @@
-"""The entry instance: callers' HTTP in front of the pipelines."""
+"""The entry instance: serves callers over HTTP from the pipelines."""
--- a/libs/entry/burdockmast/entry/answers.py
+++ b/libs/entry/burdockmast/entry/answers.py
@@ -1,8 +1,8 @@
-"""One answer: path, start, tokens, and resuming when a stage is lost.
+"""Streams answers of models, and resumes them when a stage is lost.
 
-The entry keeps the prompt and the tokens that the caller already has. When
-an attempt ends early, the next one continues behind them by token index,
-on another path; the caller sees each token once, in order.
+The entry keeps the prompt and the tokens already delivered to the caller.
+When an attempt ends early, the next one continues on another path at the
+next token index, so the caller sees each token once, in order.
 """
 
 from collections.abc import Generator
@@ -23,18 +23,18 @@
 from burdockmast.wire import links
 from burdockmast.wire import messages
 
-# Attempts of one answer beside those refused for want of a slot.
+# Attempts at one answer, not counting those refused because no slot was free.
 MAX_ATTEMPTS = 8
-# Seconds until a caller may come back after many attempts have failed.
-RETRY_SECONDS = 2.0
-# Reasons for which a caller should not ask again.
-FINAL_REASONS = frozenset(
+# Retry-After of an answer that failed after a stage may have run it.
+RETRY_AFTER_SECONDS = 2.0
+# Failures that a caller should not retry.
+NON_RETRYABLE_REASONS = frozenset(
     (failures.Reason.CRASHES_SERVERS, failures.Reason.DEADLINE)
 )
 
 
 class Answers:
-    """All answers that one entry is giving."""
+    """Serves all answers of one entry process."""
 
     def __init__(
         self,
@@ -42,7 +42,7 @@
         view: fleet.FleetView,
         queue: queues.FairQueue,
     ):
-        """Create the record of answers, empty."""
+        """Create the service with no answers running."""
         self._attempt_starter = attempt_starter.AttemptStarter(
             process, view, queue
         )
@@ -62,7 +62,7 @@
     def receive(
         self, message: messages.Token | messages.Finished | messages.Failed
     ) -> None:
-        """Hand a message to its attempt; drop those of earlier ones."""
+        """Pass a message to its attempt; drop messages of ended attempts."""
         attempt = self._attempt_starter.attempt_by_answer.get(message.answer)
         if attempt is None or attempt.number != message.attempt:
             self._metrics.count('answers.late_message')
@@ -70,7 +70,7 @@
         attempt.mailbox.put(message)
 
     def on_begun(self, begun: messages.Begun) -> None:
-        """Learn what the stages of an attempt had cached of its prompt."""
+        """Record how much of a prompt the stages of an attempt had cached."""
         self._events.witness(begun.clock)
         attempt = self._attempt_starter.attempt_by_answer.get(begun.answer)
         if attempt is None or attempt.number != begun.attempt:
@@ -88,21 +88,23 @@
             cached=list(begun.cached),
         )
 
-    def on_link_closed(self, link: links.Link, why: failures.Failure) -> None:
-        """Tell the attempts on a lost link."""
+    def on_link_closed(
+        self, link: links.Link, failure: failures.Failure
+    ) -> None:
+        """Fail the attempts that used a lost link."""
         for attempt in self._attempt_starter.attempt_by_answer.values():
             if attempt.link is link:
-                attempt.mailbox.put(why)
+                attempt.mailbox.put(failure)
 
     def stream(
         self, request: attempts.Request
     ) -> Iterator[list[int] | failures.Failure]:
-        """Yield tokens as they come; a failure ends the answer.
+        """Yield tokens as they arrive, and a failure if the answer ends early.
 
-        Without a failure the answer is whole.
+        An answer that ends without a failure is complete.
         """
         progress = attempts.Progress()
-        began: float | None = None
+        admitted_at: float | None = None
         failure: failures.Failure | None = None
         for _ in range(MAX_ATTEMPTS):
             if self._crash_reports.is_convicted(request.fingerprint):
@@ -112,11 +114,11 @@
             if isinstance(attempt, failures.Failure):
                 failure = attempt
                 break
-            began = began or timers.now()
+            admitted_at = admitted_at or timers.now()
             failure = yield from self._run_attempt(request, attempt, progress)
             if failure is None:
                 self._record_completion(
-                    request, progress, timers.now() - began
+                    request, progress, timers.now() - admitted_at
                 )
                 return
             self._record_failed_attempt(request, attempt, failure, progress)
@@ -131,7 +133,7 @@
         attempt: attempts.Attempt,
         progress: attempts.Progress,
     ) -> Generator[list[int], None, failures.Failure | None]:
-        """Yield an attempt's tokens; return why it ended early, if so."""
+        """Yield an attempt's tokens; return a failure if it ended early."""
         progress.may_have_run = True
         try:
             for item in self._receive(request, attempt, progress.delivered):
@@ -165,12 +167,12 @@
     def _final_failure(
         self, failure: failures.Failure, progress: attempts.Progress
     ) -> failures.Failure:
-        """Return a refusal that says 'not run' only if nothing ran."""
+        """Return the failure; its outcome is unknown if an attempt opened."""
         if not progress.may_have_run:
             return failure
         retry_after = failure.retry_after
-        if failure.reason not in FINAL_REASONS and retry_after is None:
-            retry_after = RETRY_SECONDS
+        if failure.reason not in NON_RETRYABLE_REASONS and retry_after is None:
+            retry_after = RETRY_AFTER_SECONDS
         return dataclasses.replace(
             failure,
             outcome=outcomes.Outcome.UNKNOWN,
@@ -186,7 +188,8 @@
         )
         latest_start = request.deadline
         if not progress.delivered:
-            # An answer that begins too late to be whole is work for nothing.
+            # An answer that can't complete before the deadline wastes capacity
+            # if it is started.
             latest_start -= self._durations.expected_seconds(
                 request.model.id, request.max_tokens
             )
@@ -211,7 +214,7 @@
         return dataclasses.replace(
             refusal,
             reason=failures.Reason.OVERLOADED,
-            detail='the answer would not be whole in time',
+            detail='the answer would not complete before the deadline',
             retry_after=self._queue.retry_after(waiter),
         )
 
@@ -221,7 +224,7 @@
         attempt: attempts.Attempt,
         delivered: list[int],
     ) -> Iterator[list[int] | failures.Failure]:
-        """Yield an attempt's tokens; a failure or nothing ends it."""
+        """Yield an attempt's tokens, and a failure if it ends early."""
         received = attempt.opening_messages
         while True:
             tokens, end = self._next_tokens(attempt, received, len(delivered))
@@ -247,14 +250,14 @@
         self,
         attempt: attempts.Attempt,
         received: list[attempts.Received],
-        count: int,
+        delivered_count: int,
     ) -> tuple[list[int], attempts.Received | None]:
-        """Return the tokens that continue an answer, and what ends them.
+        """Return the next tokens of an answer, and the item that ends it.
 
-        :param count: tokens that the caller already has
+        :param delivered_count: tokens already delivered to the caller
         """
         tokens: list[int] = []
-        expected = count - attempt.first_index
+        expected = delivered_count - attempt.first_index
         for item in received:
             if not isinstance(item, messages.Token):
                 return tokens, item
@@ -287,27 +290,27 @@
         self,
         request: attempts.Request,
         attempt: attempts.Attempt,
-        ended: failures.Failure,
+        failure: failures.Failure,
         progress: attempts.Progress,
     ) -> None:
-        self._metrics.count(f'answers.attempt_failed.{ended.reason.value}')
+        self._metrics.count(f'answers.attempt_failed.{failure.reason.value}')
         self._events.add(
             'answer.attempt_failed',
             request.id,
             attempt=attempt.number,
-            reason=ended.reason.value,
-            step=ended.step,
-            peer=ended.peer,
+            reason=failure.reason.value,
+            step=failure.step,
+            peer=failure.peer,
             path=[hop.server for hop in attempt.hops],
             delivered=len(progress.delivered),
             silent_ms=int((timers.now() - attempt.last_token_at) * 1000),
         )
         path_servers = {hop.server for hop in attempt.hops}
-        if ended.step == stalls.PROGRESS_STEP:
-            # Any of them may be the one that stands still.
+        if failure.step == stalls.PROGRESS_STEP:
+            # Any server of the path may be the one that stalls.
             progress.excluded |= path_servers
-        elif ended.peer in path_servers:
-            progress.excluded.add(ids.ServerId(ended.peer))
+        elif failure.peer in path_servers:
+            progress.excluded.add(ids.ServerId(failure.peer))
         else:
             progress.excluded.add(attempt.hops[0].server)
 
@@ -321,10 +324,10 @@
             outcome=outcomes.Outcome.UNKNOWN,
         )
 
-    def _deadline_passed(self, ended: failures.Failure) -> failures.Failure:
+    def _deadline_passed(self, failure: failures.Failure) -> failures.Failure:
         return failures.Failure(
             failures.Reason.DEADLINE,
-            ended.step,
-            ended.peer,
-            f'the deadline passed after {ended.reason.value}',
+            failure.step,
+            failure.peer,
+            f'deadline passed; last attempt failed: {failure.reason.value}',
         )
--- a/libs/entry/burdockmast/entry/attempt_starter.py
+++ b/libs/entry/burdockmast/entry/attempt_starter.py
@@ -1,4 +1,4 @@
-"""Starts attempts at answers on paths that accept them."""
+"""Chooses paths for attempts and opens the attempts on them."""
 
 import dataclasses
 
@@ -14,21 +14,21 @@
 from burdockmast.routing import demands
 from burdockmast.wire import messages
 
-# Longest time for the first token, and in addition for each prompt token that
-# may have to be prefilled, in seconds.
+# Time limit for the first token: a fixed part, and a part for each prompt
+# token that may have to be prefilled.
 FIRST_TOKEN_TIMEOUT_SECONDS = 5.0
 PREFILL_SECONDS_PER_TOKEN = 0.002
-# Paths tried for one attempt before it waits for its turn.
+# Paths tried in a row before the request waits in the admission queue.
 MAX_PATHS_TRIED = 8
-# Seconds that a new request waits for a path while servers change places.
+# Time that a new request waits for a path while servers load layers.
 PATH_TIMEOUT_SECONDS = 5.0
-# Seconds that an answer that has begun waits for a path.
+# Time that an answer with delivered tokens waits for a path.
 RESUME_PATH_TIMEOUT_SECONDS = 20.0
 PATH_POLL_SECONDS = 0.05
 
 
 class AttemptStarter:
-    """The attempts of one entry that are under way, and how they start."""
+    """Starts attempts and keeps the running attempts of one entry."""
 
     def __init__(
         self,
@@ -36,7 +36,7 @@
         view: fleet.FleetView,
         queue: queues.FairQueue,
     ):
-        """Create the record of attempts, empty."""
+        """Create the starter with no attempts running."""
         self.attempt_by_answer: dict[ids.RequestId, attempts.Attempt] = {}
         self._crash_reports = process.strikes
         self._events = process.events
@@ -63,15 +63,15 @@
         return dataclasses.replace(opened, reason=failures.Reason.OVERLOADED)
 
     def _record_refused_path(
-        self, request: attempts.Request, why: failures.Failure
+        self, request: attempts.Request, failure: failures.Failure
     ) -> None:
         self._events.add(
             'answer.unopened',
             request.id,
-            reason=why.reason.value,
-            step=why.step,
-            peer=why.peer,
-            detail=why.detail,
+            reason=failure.reason.value,
+            step=failure.step,
+            peer=failure.peer,
+            detail=failure.detail,
             waiting=len(self._queue),
             version=self._follower.version,
         )
@@ -117,16 +117,16 @@
         progress: attempts.Progress,
         demand: demands.Demand,
     ) -> tuple[messages.Hop, ...] | failures.Failure:
-        """Choose a path, waiting while servers are changing places."""
+        """Return a path, waiting while one may appear."""
         seconds = (
             RESUME_PATH_TIMEOUT_SECONDS
             if progress.delivered
             else PATH_TIMEOUT_SECONDS
         )
-        began = timers.now()
-        until = min(request.deadline, began + seconds)
+        started_at = timers.now()
+        until = min(request.deadline, started_at + seconds)
         while True:
-            hops = self._view.choose(
+            hops = self._view.choose_path(
                 request.model, frozenset(progress.excluded), demand
             )
             if not isinstance(hops, failures.Failure):
@@ -135,18 +135,19 @@
                 return hops
             if timers.now() > until:
                 return hops
-            # An answer that has begun is worth waiting for a restart.
-            is_begun = bool(progress.delivered)
-            may_come = self._view.may_have_path(request.model, began)
-            if not is_begun and not may_come:
+            # An answer with delivered tokens also waits for servers to
+            # restart.
+            is_resumed = bool(progress.delivered)
+            may_have_path = self._view.may_have_path(request.model, started_at)
+            if not is_resumed and not may_have_path:
                 return hops
-            self._view.redial_refused(began)
+            self._view.redial_refused(started_at)
             eventlet.sleep(PATH_POLL_SECONDS)
 
     def _await_opened(
         self, attempt: attempts.Attempt
     ) -> messages.Failed | None:
-        """Return the refusal if a stage of the path did not accept."""
+        """Wait for the path's reply; return the refusal, None if accepted."""
         attempt.opening_messages = attempt.mailbox.take_all()
         match attempt.opening_messages[0]:
             case messages.Failed(step=messages.OPEN_STEP) as refusal:
@@ -156,10 +157,11 @@
     def _first_token_deadline(
         self, request: attempts.Request, progress: attempts.Progress
     ) -> float:
-        """Return until when an attempt may take for its first token."""
-        known = len(request.prompt) + len(progress.delivered)
+        """Return the monotonic time by which the first token is due."""
+        prefill_tokens = len(request.prompt) + len(progress.delivered)
         seconds = (
-            FIRST_TOKEN_TIMEOUT_SECONDS + PREFILL_SECONDS_PER_TOKEN * known
+            FIRST_TOKEN_TIMEOUT_SECONDS
+            + PREFILL_SECONDS_PER_TOKEN * prefill_tokens
         )
         return min(timers.now() + seconds, request.deadline)
 
@@ -211,7 +213,7 @@
     def end(
         self, request: attempts.Request, attempt: attempts.Attempt
     ) -> None:
-        """End an attempt; its messages from now on are late."""
+        """Cancel an attempt; messages that arrive later are dropped."""
         self._view.loads.end(attempt.hops)
         if self.attempt_by_answer.get(request.id) is attempt:
             del self.attempt_by_answer[request.id]
--- a/libs/entry/burdockmast/entry/attempts.py
+++ b/libs/entry/burdockmast/entry/attempts.py
@@ -1,4 +1,4 @@
-"""What is known of a request for an answer and of its attempts."""
+"""State of a request for an answer and of its attempts."""
 
 import dataclasses
 
@@ -13,7 +13,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
-    """A checked request for an answer.
+    """A validated request for an answer.
 
     :ivar deadline: monotonic seconds
     """
@@ -37,12 +37,13 @@
 class Attempt:
     """A running attempt.
 
-    :ivar first: index of its first token in the whole answer
-    :ivar heard_at: monotonic seconds of its start or its newest tokens
-    :ivar patience_until: monotonic seconds at which silence ends it
-    :ivar demand: what was believed of caches when the path was chosen
-    :ivar early: what was received while waiting for admission
-    :ivar pause: smoothed seconds between tokens
+    :ivar first_index: index of its first token in the complete answer
+    :ivar last_token_at: monotonic seconds of its start or its newest tokens
+    :ivar silence_deadline: monotonic seconds at which the attempt ends unless
+        tokens arrive before
+    :ivar demand: expected work and cache hits when the path was chosen
+    :ivar opening_messages: received while waiting for the path to accept
+    :ivar token_interval_seconds: smoothed time between tokens
     """
 
     number: int
@@ -59,7 +60,7 @@
     token_interval_seconds: float = 0.0
 
     def hop_at(self, address: ids.Address) -> messages.Hop | None:
-        """Return the hop of the path that is at an address."""
+        """Return the path's hop at an address, None if there is none."""
         for hop in self.hops:
             if hop.address == address:
                 return hop
@@ -68,12 +69,12 @@
 
 @dataclasses.dataclass(slots=True)
 class Progress:
-    """How far a request has come, over all its attempts.
+    """Progress of a request over all its attempts.
 
-    :ivar delivered: tokens that the caller already has
-    :ivar excluded: servers that failed this request
+    :ivar delivered: tokens already delivered to the caller
+    :ivar excluded: servers on which an attempt of this request has failed
     :ivar number: number of the newest attempt
-    :ivar has_run: whether any stage may have run any of it
+    :ivar may_have_run: whether any stage may have run part of the request
     """
 
     delivered: list[int] = dataclasses.field(default_factory=list)
--- a/libs/entry/burdockmast/entry/completions.py
+++ b/libs/entry/burdockmast/entry/completions.py
@@ -1,7 +1,7 @@
-"""Bodies of model requests and answers, as chat clients know them.
+"""Bodies of chat completion requests and answers.
 
-Source: the widespread chat completions interface, of which the fields
-below are served; others are ignored as clients send many.
+The fields below are the supported part of the common chat completions API.
+Unknown fields are ignored, since clients send many.
 """
 
 import hashlib
@@ -29,7 +29,7 @@
 class ChatRequest(msgspec.Struct):
     """Body of a request for an answer.
 
-    ``prompt`` holds token ids and takes the place of ``messages``.
+    ``prompt`` holds token ids; if it is given, ``messages`` is ignored.
     """
 
     model: str
@@ -43,20 +43,20 @@
 
     @property
     def token_limit(self) -> int:
-        """Number of tokens asked for."""
+        """Largest number of tokens that the answer may have."""
         return (
             self.max_completion_tokens or self.max_tokens or DEFAULT_MAX_TOKENS
         )
 
     def prompt_tokens(self) -> tuple[int, ...]:
-        """Return the prompt as tokens."""
+        """Return the prompt, or the tokenized chat if there is none."""
         if self.prompt:
             return tuple(self.prompt)
         return tokenize(self.messages)
 
 
 def parse(body: bytes) -> ChatRequest | failures.Failure:
-    """Read a body; a failure names the field and what is allowed."""
+    """Decode a body; a failure names the field and the allowed values."""
     try:
         request = msgspec.json.decode(body, type=ChatRequest)
     except msgspec.DecodeError as error:
@@ -67,13 +67,13 @@
 
 
 def tokenize(messages: list[ChatMessage]) -> tuple[int, ...]:
-    """Return a chat as byte-level tokens, one for each byte of UTF-8."""
+    """Return a chat as byte-level tokens, one per byte of its UTF-8 text."""
     text = ''.join(f'{m.role}: {m.content}\n' for m in messages)
     return tuple(text.encode())
 
 
 def fingerprint_of(model: str, tokens: tuple[int, ...]) -> ids.Fingerprint:
-    """Return what equal requests have in common."""
+    """Return a hash that is the same for equal requests."""
     digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
     digest.update(model.encode())
     digest.update(','.join(map(str, tokens)).encode())
@@ -84,7 +84,7 @@
     """Writes the server-sent events of one answer."""
 
     def __init__(self, request: ids.RequestId, model: str):
-        """Prepare what is equal in all chunks."""
+        """Encode the fields that all chunks share."""
         header = msgspec.json.encode(
             {
                 'id': request,
@@ -102,11 +102,11 @@
         self._header = header
 
     def token_event(self, token: int) -> bytes:
-        """Return the event of one token."""
+        """Return the event for one token."""
         return b'%s%d %s' % (self._chunk_prefix, token, self._chunk_suffix)
 
     def end_events(self, count: int) -> bytes:
-        """Return the events that close a whole answer of ``count``."""
+        """Return the events that end a complete answer of ``count`` tokens."""
         tail = (
             ',"choices":[{"index":0,"delta":{},"finish_reason":"length"}],'
             f'"usage":{{"completion_tokens":{count}}}}}\n\n'
--- a/libs/entry/burdockmast/entry/durations.py
+++ b/libs/entry/burdockmast/entry/durations.py
@@ -1,19 +1,19 @@
-"""How long answers take of late, to know which would come too late."""
+"""Estimates how long answers take, to refuse those that would be late."""
 
 import dataclasses
 
 from burdockmast.base import ids
 
-# Weight of the newest answer in the smoothed figures.
+# Weight of the newest answer in the moving averages.
 NEWEST_WEIGHT = 0.1
 
 
 @dataclasses.dataclass(slots=True)
 class _Averages:
-    """Smoothed figures of one model's answers.
+    """Moving averages of one model's answers.
 
-    :ivar token_seconds: time for each token, from admission on
-    :ivar used_share: tokens given over tokens allowed
+    :ivar token_seconds: time from admission to the end, per token
+    :ivar used_share: generated tokens divided by the caller's limit
     """
 
     token_seconds: float
@@ -21,22 +21,22 @@
 
 
 class AnswerDurations:
-    """The pace of whole answers, by model."""
+    """Average durations of complete answers, by model."""
 
     def __init__(self):
         """Create a record without answers."""
         self._averages_by_model: dict[ids.ModelId, _Averages] = {}
 
     def record(
-        self, model: ids.ModelId, tokens: int, allowed: int, seconds: float
+        self, model: ids.ModelId, tokens: int, limit: int, seconds: float
     ) -> None:
-        """Take in a whole answer.
+        """Add a complete answer to the averages.
 
-        :param allowed: tokens that its caller allowed at most
-        :param seconds: from its admission to its end
+        :param limit: largest number of tokens that the caller allowed
+        :param seconds: time from its admission to its end
         """
         token_seconds = seconds / max(1, tokens)
-        used_share = tokens / allowed
+        used_share = tokens / limit
         averages = self._averages_by_model.get(model)
         if averages is None:
             self._averages_by_model[model] = _Averages(
@@ -50,9 +50,9 @@
             used_share - averages.used_share
         )
 
-    def expected_seconds(self, model: ids.ModelId, allowed: int) -> float:
-        """Return how long an answer will probably take, 0 if not known."""
+    def expected_seconds(self, model: ids.ModelId, limit: int) -> float:
+        """Return the expected duration of an answer, 0 if it is unknown."""
         averages = self._averages_by_model.get(model)
         if averages is None:
             return 0.0
-        return averages.token_seconds * averages.used_share * allowed
+        return averages.token_seconds * averages.used_share * limit
--- a/libs/entry/burdockmast/entry/fleet.py
+++ b/libs/entry/burdockmast/entry/fleet.py
@@ -1,4 +1,4 @@
-"""What one entry sees of the fleet, and its links to it."""
+"""One entry's view of the fleet, and its links to the backend servers."""
 
 from collections.abc import Collection
 from collections.abc import Mapping
@@ -21,13 +21,14 @@
 from burdockmast.wire import links
 from burdockmast.wire import messages
 
-# Seconds between looks for servers of the subset without a link.
+# Interval at which servers of the subset that have no link are dialled.
 DIAL_INTERVAL_SECONDS = 0.5
-# Shortest time between two dials of a server that refuses, in seconds: as
-# long as a request that waits for it sleeps between its looks.
+# Minimum time between two dials of a server that refuses connections; the
+# same as the poll interval of a request that waits for a path.
 MIN_REDIAL_SECONDS = 0.05
-# A dial that failed within this time was refused; others found silence, and
-# are not worth waiting for. Half of the time that a connection may take.
+# A dial that fails within this time counts as refused; a later failure means
+# that the server is silent, and requests don't wait for it. Half of the
+# connection timeout.
 REFUSED_DIAL_SECONDS = 0.5
 
 
@@ -36,10 +37,10 @@
     placed_by_server: Mapping[ids.ServerId, changes.Placement | None],
     load_table: loads.Loads,
 ) -> list[tuple[int, int]]:
-    """Return the layers of a model that servers hold, or are to hold soon.
+    """Return the layer ranges that servers hold, or will hold soon.
 
-    :param placed_by_server: what the preset places on servers that can be
-        reached
+    :param placed_by_server: the preset's placements on the servers that can
+        be reached
     """
     found: list[tuple[int, int]] = []
     for server, placed in placed_by_server.items():
@@ -56,7 +57,7 @@
 
 
 def covers(model: changes.Model, held: list[tuple[int, int]]) -> bool:
-    """Tell whether ranges hold every layer of a model."""
+    """Tell whether layer ranges cover every layer of a model."""
     return ranges.reached(held) >= model.layers
 
 
@@ -70,9 +71,9 @@
         size: int,
         seed: int | None = None,
     ):
-        """Create a view that knows nobody yet.
+        """Create a view without servers.
 
-        :param size: servers taken of each group of equal ones
+        :param size: number of servers used of each group of equal servers
         """
         self.peers = process.peers
         self.follower = process.follower
@@ -81,9 +82,9 @@
         self._subset = subsets.Subset(process.peers.hello.process, size)
         self._router = paths.Router(self.loads, policy, seed)
         self._dialling: set[ids.Address] = set()
-        # Monotonic seconds at which the last dial of a server that can't be
-        # reached was begun, infinite if it found silence.
-        self._dial_failed_at_by_address: dict[ids.Address, float] = {}
+        # Monotonic seconds at which the last failed dial of a server began,
+        # infinite if the server was silent.
+        self._failed_dial_at_by_address: dict[ids.Address, float] = {}
         self.follower.subscribers.append(self.on_configuration_change)
 
     @property
@@ -92,19 +93,19 @@
         return self._subset.servers
 
     def knows_service(self, service: ids.ServiceId) -> bool:
-        """Tell whether there is such a plain service."""
+        """Tell whether a plain service exists."""
         return self._subset.knows_service(service)
 
     def on_configuration_change(self, change: changes.Body | None) -> None:
-        """Follow a change of configuration."""
+        """Apply a change of configuration and dial new servers."""
         self._subset.learn(self.follower.configuration, change)
         present = {server.address for server in self.servers}
-        for address in self._dial_failed_at_by_address.keys() - present:
-            del self._dial_failed_at_by_address[address]
+        for address in self._failed_dial_at_by_address.keys() - present:
+            del self._failed_dial_at_by_address[address]
         self.dial_unlinked()
 
     def dial_unlinked(self) -> None:
-        """Connect to the servers of the subset that have no link."""
+        """Dial the servers of the subset that have no link."""
         for server in self.servers:
             address = server.address
             if address in self.peers.link_by_address:
@@ -117,58 +118,60 @@
             eventlet.spawn(self._dial, address)
 
     def _dial(self, address: ids.Address) -> None:
-        began = timers.now()
+        started_at = timers.now()
         try:
             link = self.peers.get(address)
         finally:
             self._dialling.discard(address)
         if isinstance(link, failures.Failure):
-            is_refused = timers.now() - began < REFUSED_DIAL_SECONDS
-            self._dial_failed_at_by_address[address] = (
-                began if is_refused else math.inf
+            is_refused = timers.now() - started_at < REFUSED_DIAL_SECONDS
+            self._failed_dial_at_by_address[address] = (
+                started_at if is_refused else math.inf
             )
         else:
-            self._dial_failed_at_by_address.pop(address, None)
+            self._failed_dial_at_by_address.pop(address, None)
 
     def redial_refused(self, since: float) -> None:
-        """Dial again the servers that refused before a request came.
+        """Dial the servers that refused a connection before ``since``.
 
-        A process that has just come up is not kept out until the next look.
+        A server that has just started is used without waiting for the next
+        periodic dial.
 
-        :param since: monotonic seconds
+        :param since: monotonic seconds at which the request arrived
         """
         for server in self.servers:
             address = server.address
-            failed_at = self._dial_failed_at_by_address.get(address, math.inf)
-            is_due = timers.now() - failed_at >= MIN_REDIAL_SECONDS
-            if failed_at < since and is_due:
+            dialled_at = self._failed_dial_at_by_address.get(address, math.inf)
+            is_due = timers.now() - dialled_at >= MIN_REDIAL_SECONDS
+            if dialled_at < since and is_due:
                 self._start_dial(address)
 
     def _may_be_reachable(self, server: changes.Server, since: float) -> bool:
-        """Tell whether a server has a link, or may have one soon."""
+        """Tell whether a server has a link, or may get one soon."""
         address = server.address
         if address in self.peers.link_by_address:
             return True
-        failed_at = self._dial_failed_at_by_address.get(address)
-        return failed_at is None or failed_at < since
+        dialled_at = self._failed_dial_at_by_address.get(address)
+        return dialled_at is None or dialled_at < since
 
-    def choose(
+    def choose_path(
         self,
         model: changes.Model,
         excluded: frozenset[ids.ServerId],
         demand: demands.Demand,
     ) -> tuple[messages.Hop, ...] | failures.Failure:
-        """Return a path for an answer."""
+        """Return a path for an answer, avoiding excluded servers."""
         return self._router.choose(model, self.servers, excluded, demand)
 
     def may_have_path(self, model: changes.Model, since: float) -> bool:
-        """Tell whether waiting may help a request that found no path.
+        """Tell whether a path may appear if the request waits.
 
-        It may while servers load what they are to hold, or have not been
-        dialled since the request came, or this entry learned of them or
-        lost its connection.
+        The layers must be covered by servers that hold them or may still load
+        them. A server without a link counts unless a dial of it has failed
+        since the request arrived, or its last dial found it silent. The loss
+        of a link clears earlier failures.
 
-        :param since: monotonic seconds at which the request came
+        :param since: monotonic seconds at which the request arrived
         """
         current = self.follower.configuration
         placed = {
@@ -195,9 +198,9 @@
         tried: Collection[ids.ServerId],
         since: float,
     ) -> bool:
-        """Tell whether another server of a service has, or may get, a link.
+        """Tell whether another server of a service has or may get a link.
 
-        :param since: monotonic seconds at which the call came
+        :param since: monotonic seconds at which the call arrived
         """
         return any(
             self._may_be_reachable(server, since)
@@ -206,7 +209,7 @@
         )
 
     def on_link_closed(self, link: links.Link) -> None:
-        """Forget the load of a server whose link is gone."""
-        self._dial_failed_at_by_address.pop(link.address, None)
+        """Discard the load and cache state of a server that lost its link."""
+        self._failed_dial_at_by_address.pop(link.address, None)
         self.loads.forget(link.hello.server)
         self.affinity.forget(link.hello.server)
--- a/libs/entry/burdockmast/entry/headers.py
+++ b/libs/entry/burdockmast/entry/headers.py
@@ -1,4 +1,4 @@
-"""Headers of callers' requests."""
+"""Parses the headers of callers' requests."""
 
 import dataclasses
 
@@ -14,17 +14,17 @@
 
 PRIORITIES = {'low': 0, 'normal': 1, 'high': 2}
 MAX_KEY_CHARACTERS = 255
-# Largest deadline that a caller may ask for, in seconds. Idempotency keys have
-# to be remembered for much longer; see the setting ``claims_retention``.
+# Idempotency keys have to be kept for much longer than a request may run; see
+# the setting ``claims_retention``.
 MAX_DEADLINE_SECONDS = 600.0
 IDEMPOTENT_METHODS = frozenset(('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Headers:
-    """What a caller says about a request.
+    """Values of the headers of a request.
 
-    :ivar deadline_seconds: until the caller's deadline
+    :ivar deadline_seconds: time left until the caller's deadline
     :ivar key: idempotency key, empty if none
     """
 
@@ -36,10 +36,11 @@
 
 
 def parse(environ: dict, default_seconds: float) -> Headers | failures.Failure:
-    """Read the headers of a WSGI request.
+    """Parse the headers of a WSGI request.
 
-    :returns: a failure that names the header, what was found and what is
-        allowed
+    :param default_seconds: deadline of requests that give none
+    :returns: the values, or a failure that names the header, the value found
+        and the allowed values
     """
     organisation = _read(environ, ORGANISATION)
     if not organisation:
@@ -60,12 +61,12 @@
         )
     if ',' in key or ',' in organisation:
         return _bad_header(
-            f'{IDEMPOTENCY_KEY} and {ORGANISATION} may each stand only once'
+            f'{IDEMPOTENCY_KEY} and {ORGANISATION} may each be given only once'
         )
     idempotent = _read(environ, IDEMPOTENT).lower()
     if idempotent not in ('', 'true', 'false'):
         return _bad_header(
-            f'{IDEMPOTENT}: found {idempotent!r}, true or false'
+            f'{IDEMPOTENT}: found {idempotent!r}, allowed: true, false'
         )
     return Headers(
         ids.OrganisationId(organisation),
@@ -92,12 +93,12 @@
     try:
         seconds = float(text)
     except ValueError:
-        return _bad_header(f'{DEADLINE}: found {text!r}, seconds are expected')
+        return _bad_header(f'{DEADLINE}: found {text!r}, expected seconds')
     if seconds <= 0:
         return failures.Failure(
             failures.Reason.DEADLINE,
             'request.headers',
-            detail=f'{DEADLINE}: {text} has passed',
+            detail=f'{DEADLINE}: found {text!r}, the deadline has passed',
         )
     if not seconds <= MAX_DEADLINE_SECONDS:
         return _bad_header(
--- a/libs/entry/burdockmast/entry/hedges.py
+++ b/libs/entry/burdockmast/entry/hedges.py
@@ -1,7 +1,7 @@
-"""Tries of a call that may be repeated: one after another, or hedged.
+"""Retries and hedges calls that may be repeated.
 
-A hedge is a second try that starts while the first is slower than nearly
-all recent ones. The first good answer is taken. Source: J. Dean and L. A.
+A hedge is a second attempt that starts when the first takes longer than
+nearly all recent calls. The first reply is used. Source: J. Dean and L. A.
 Barroso, "The Tail at Scale", Communications of the ACM 56(2), 2013.
 """
 
@@ -21,45 +21,44 @@
 
 Result = TypeVar('Result')
 
-# Tries of one call, and those of them that are under way at once.
+# Attempts of one call, in all and at the same time.
 MAX_ATTEMPTS = 4
 MAX_CONCURRENT_ATTEMPTS = 2
-# Share of recent calls that are faster than the delay of a hedge.
+# Quantile of the recent latencies that is the delay of a hedge.
 HEDGE_QUANTILE = 0.95
-# Recent calls that the delay is taken from, and how many it takes at least.
+# Recent calls whose latencies are kept, and the fewest that give a delay.
 SAMPLE_COUNT = 200
 MIN_SAMPLE_COUNT = 20
-# Shortest delay of a hedge, in seconds.
-MIN_DELAY_SECONDS = 0.02
+MIN_HEDGE_DELAY_SECONDS = 0.02
 
 
 class Latencies:
-    """Times of the recent good answers of one service."""
+    """Latencies of the recent successful calls to one service."""
 
     def __init__(self):
-        """Create a record without calls."""
+        """Create a record without latencies."""
         self._recent: collections.deque[float] = collections.deque(
             maxlen=SAMPLE_COUNT
         )
 
     def record(self, seconds: float) -> None:
-        """Take in the time of a good answer."""
+        """Add the latency of a successful call."""
         self._recent.append(seconds)
 
     def hedge_delay(self) -> float:
-        """Return the seconds after which a call is slow.
+        """Return the seconds after which a slow call is hedged.
 
-        It is infinite while too little is known.
+        The delay is infinite until ``MIN_SAMPLE_COUNT`` calls are recorded.
         """
         if len(self._recent) < MIN_SAMPLE_COUNT:
             return math.inf
         ordered = sorted(self._recent)
         slow = ordered[int(len(ordered) * HEDGE_QUANTILE)]
-        return max(MIN_DELAY_SECONDS, slow)
+        return max(MIN_HEDGE_DELAY_SECONDS, slow)
 
 
 class HedgedCall(Generic[Result]):
-    """The tries of one call; at most ``OPEN_TRIES`` are under way."""
+    """One call, made by up to ``MAX_ATTEMPTS`` attempts on several servers."""
 
     def __init__(
         self,
@@ -69,9 +68,10 @@
     ):
         """Prepare a call; ``run`` makes it.
 
-        :param attempt: makes one try on a server not tried before
-        :param may_repeat: tells whether one more try is within the budget;
-            it is told whether no other is under way, and may wait then
+        :param attempt: makes one attempt on a server not tried before
+        :param may_retry: tells whether another attempt is allowed; its
+            argument says whether none is running, and only then may it wait
+            for a server
         :param deadline: monotonic seconds
         """
         self._attempt = attempt
@@ -83,10 +83,10 @@
         self._may_have_run = False
 
     def run(self, hedge_after: float) -> Result | failures.Failure:
-        """Return the first good answer, or the failure of the last try.
+        """Return the first successful result, or the last failure.
 
-        :param hedge_after: seconds until a second try is made beside a
-            slow one, and between looks whether it may be made
+        :param hedge_after: seconds until a slow attempt is hedged; while a
+            hedge is not possible, it is checked again at this interval
         """
         self._start()
         hedge_at = timers.now() + hedge_after
@@ -95,7 +95,8 @@
             if result is None and timers.now() >= self._deadline:
                 return _deadline_passed()
             if result is None:
-                # A server may join, or the budget recover, while we wait.
+                # A hedge may become possible later: a server may join, or
+                # the retry budget may recover.
                 hedge_at = timers.now() + hedge_after
                 self._hedge()
                 continue
@@ -111,7 +112,7 @@
             self._may_have_run = True
 
     def _final_failure(self, failure: failures.Failure) -> failures.Failure:
-        """Return the last failure, 'not run' only if no try has run."""
+        """Return the failure; its outcome is unknown if any attempt's was."""
         if not self._may_have_run:
             return failure
         return dataclasses.replace(failure, outcome=outcomes.Outcome.UNKNOWN)
@@ -126,7 +127,7 @@
             self._retry()
 
     def _retry(self) -> bool:
-        """Start one more try if that is allowed; tell whether it was."""
+        """Start another attempt if it is allowed; tell whether it started."""
         if (
             self._started_count == MAX_ATTEMPTS
             or timers.now() >= self._deadline
@@ -149,6 +150,6 @@
     return failures.Failure(
         failures.Reason.DEADLINE,
         'service.execute',
-        detail='no server answered in time',
+        detail='no server replied before the deadline',
         outcome=outcomes.Outcome.UNKNOWN,
     )
--- a/libs/entry/burdockmast/entry/mailboxes.py
+++ b/libs/entry/burdockmast/entry/mailboxes.py
@@ -1,4 +1,4 @@
-"""A mailbox that hands over all that has arrived at once."""
+"""A queue whose reader takes all waiting items at once."""
 
 import collections
 from typing import Generic
@@ -10,10 +10,10 @@
 
 
 class Mailbox(Generic[Item]):
-    """Items for one task.
+    """A queue of items for one reading task.
 
-    Waiting sets no timer, which would cost more than a token does; who
-    needs patience puts an item that ends it.
+    Waiting has no timeout, since a timer costs more than handling a token.
+    To time out a reader, put an item that tells it so.
     """
 
     def __init__(self):
@@ -22,13 +22,13 @@
         self._filled = eventlet.semaphore.Semaphore(0)
 
     def put(self, item: Item) -> None:
-        """Add an item, waking the task that waits."""
+        """Add an item and wake the reading task."""
         if not self._items:
             self._filled.release()
         self._items.append(item)
 
     def take_all(self) -> list[Item]:
-        """Wait until there is an item; return all, the oldest first."""
+        """Wait until there is an item; return all items, oldest first."""
         self._filled.acquire()
         items = list(self._items)
         self._items.clear()
--- a/libs/entry/burdockmast/entry/probes.py
+++ b/libs/entry/burdockmast/entry/probes.py
@@ -1,8 +1,8 @@
-"""Looks whether a silent peer still answers, by a fresh connection.
+"""Probes whether a silent peer is alive, over a new connection.
 
-A heartbeat that is missed says so only after seconds, and an open
-connection may be silent while the peer is well. A greeting over a new
-connection tells within a few round trips.
+Missed heartbeats reveal a dead peer only after seconds, and an open
+connection may be silent while the peer is alive. An exchange of Hellos on a
+new connection takes a few round trips.
 """
 
 from collections.abc import Callable
@@ -18,35 +18,36 @@
 from burdockmast.wire import connections
 from burdockmast.wire import peers
 
-# Shortest time between two probes of a peer, in seconds.
+# Minimum time between two probes of a peer.
 MIN_INTERVAL_SECONDS = 1.0
-# Seconds that a peer has to greet, and the same in round trips to it.
-MIN_GREETING_SECONDS = 0.3
+# Time limit for the peer's Hello: the longer of a fixed time and a number of
+# round trips.
+MIN_GREETING_TIMEOUT_SECONDS = 0.3
 GREETING_ROUND_TRIPS = 6
 
 
 class Prober:
-    """Probes of one process, at most one of each peer at a time."""
+    """Probes peers of one process, each at a limited rate."""
 
     def __init__(
         self,
-        connections: peers.Peers,
+        known_peers: peers.Peers,
         measures: metrics.Metrics,
         events: timeline.Timeline,
         on_silent: Callable[[ids.Address], None],
     ):
         """Create a prober.
 
-        :param silent: called with the address of a peer that did not greet
+        :param on_silent: called with the address of a peer that sent no Hello
         """
-        self._peers = connections
+        self._peers = known_peers
         self._metrics = measures
         self._events = events
         self._on_silent = on_silent
         self._probed_at_by_address: dict[ids.Address, float] = {}
 
     def probe(self, address: ids.Address) -> None:
-        """Probe a peer in a task of its own, unless one was just made."""
+        """Probe a peer in a new task, unless it was probed recently."""
         now = timers.now()
         probed_at = self._probed_at_by_address.get(address, float('-inf'))
         if now - probed_at < MIN_INTERVAL_SECONDS:
@@ -76,4 +77,4 @@
     def _greeting_timeout(self, address: ids.Address) -> float:
         link = self._peers.link_by_address.get(address)
         rtt = link.rtt if link else 0.0
-        return max(MIN_GREETING_SECONDS, GREETING_ROUND_TRIPS * rtt)
+        return max(MIN_GREETING_TIMEOUT_SECONDS, GREETING_ROUND_TRIPS * rtt)
--- a/libs/entry/burdockmast/entry/refusals.py
+++ b/libs/entry/burdockmast/entry/refusals.py
@@ -1,4 +1,4 @@
-"""Refusals as callers see them: typed, honest and at once."""
+"""HTTP status, headers and JSON body of refused requests."""
 
 import math
 
@@ -21,14 +21,15 @@
     failures.Reason.OVERLOADED: '429 Too Many Requests',
     failures.Reason.DEADLINE: '504 Gateway Timeout',
 }
-OTHER_STATUS = '503 Service Unavailable'
+UNAVAILABLE_STATUS = '503 Service Unavailable'
 
 
 class Refusal(msgspec.Struct):
-    """The ``error`` of a refusal's body.
+    """The ``error`` object of a refusal's body.
 
     :ivar outcome: ``not_run``, ``ran`` or ``may_have_run``
-    :ivar retry_after: seconds until a retry makes sense, None if never
+    :ivar retry_after: seconds to wait before a retry, None if a retry is
+        useless
     """
 
     type: str
@@ -60,7 +61,7 @@
         failure.reason is not failures.Reason.CRASHES_SERVERS
     ):
         return STATUS_BY_REASON[failures.Reason.MAY_HAVE_RUN]
-    return STATUS_BY_REASON.get(failure.reason, OTHER_STATUS)
+    return STATUS_BY_REASON.get(failure.reason, UNAVAILABLE_STATUS)
 
 
 def headers_of(
--- a/libs/entry/burdockmast/entry/request_parser.py
+++ b/libs/entry/burdockmast/entry/request_parser.py
@@ -1,4 +1,4 @@
-"""Reads and checks callers' requests."""
+"""Parses and validates callers' requests."""
 
 from burdockmast.base import failures
 from burdockmast.base import ids
@@ -11,7 +11,7 @@
 from burdockmast.fleet import follower
 
 SERVICES_PREFIX = '/v1/services/'
-# Headers of a caller that go on to a plain service.
+# Headers that are forwarded to a plain service, by WSGI variable.
 FORWARDED_HEADERS = {
     'CONTENT_TYPE': 'Content-Type',
     'HTTP_ACCEPT': 'Accept',
@@ -21,7 +21,7 @@
 
 
 class RequestParser:
-    """Turns what callers send into typed requests, or says what is wrong."""
+    """Parses WSGI requests into typed requests, or says what is wrong."""
 
     def __init__(
         self,
@@ -29,10 +29,10 @@
         default_deadline_seconds: float,
         max_body_bytes: int,
     ):
-        """Create a reader.
+        """Create a parser.
 
-        :param default_seconds: deadline of requests that name none
-        :param body_bytes: largest body of a request
+        :param default_deadline_seconds: deadline of requests that give none
+        :param max_body_bytes: largest body of a request
         """
         self._follower = configuration
         self._default_deadline_seconds = default_deadline_seconds
@@ -41,7 +41,7 @@
     def parse_answer(
         self, environ: dict, request_id: ids.RequestId
     ) -> tuple[attempts.Request, completions.ChatRequest] | failures.Failure:
-        """Return a checked request for an answer, and what it is made from."""
+        """Return a validated request for an answer and its decoded body."""
         declared = headers.parse(environ, self._default_deadline_seconds)
         if isinstance(declared, failures.Failure):
             return declared
@@ -78,7 +78,7 @@
     def parse_call(
         self, environ: dict, request_id: ids.RequestId
     ) -> services.Call | failures.Failure:
-        """Return a checked call to a plain service."""
+        """Return a validated call to a plain service."""
         declared = headers.parse(environ, self._default_deadline_seconds)
         if isinstance(declared, failures.Failure):
             return declared
@@ -116,7 +116,9 @@
     def _read_body(self, environ: dict) -> bytes | failures.Failure:
         length = environ.get('CONTENT_LENGTH') or ''
         if length and not length.isdigit():
-            return bad_request(f'Content-Length: found {length!r}')
+            return bad_request(
+                f'Content-Length: found {length!r}, expected digits'
+            )
         if int(length or 0) > self._max_body_bytes:
             return _too_large(self._max_body_bytes)
         body = environ['wsgi.input'].read(self._max_body_bytes + 1)
@@ -126,7 +128,7 @@
 
 
 def bad_request(detail: str) -> failures.Failure:
-    """Return the refusal of a request that can't be read."""
+    """Return the failure for a malformed request."""
     return failures.Failure(
         failures.Reason.BAD_REQUEST, 'request.read', detail=detail
     )
@@ -144,5 +146,5 @@
     return failures.Failure(
         failures.Reason.UNKNOWN_ORGANISATION,
         'request.organisation',
-        detail=f'no organisation {declared.organisation}',
+        detail=f'unknown organisation {declared.organisation}',
     )
--- a/libs/entry/burdockmast/entry/server.py
+++ b/libs/entry/burdockmast/entry/server.py
@@ -1,4 +1,4 @@
-"""The entry process: its parts, and which part gets which message."""
+"""The entry process: creates its parts, dispatches messages, shuts down."""
 
 import socket
 
@@ -24,19 +24,17 @@
 
 LOG = logs.get('entry')
 
-# eventlet's own has no poll.
+# The patched select module of eventlet has no poll.
 _select = eventlet.patcher.original('select')
 
-# Connections that may wait to be accepted.
 LISTEN_BACKLOG = 4096
-# Requests served at once.
 MAX_CONCURRENT_REQUESTS = 8192
-# Seconds that the balancer has to see that this instance is not ready: it may
-# look once a second.
+# Time for the load balancer to see that this instance is not ready; it may
+# poll only once a second.
 READINESS_GRACE_SECONDS = 2.0
-# Seconds that a planned stop waits for answers.
+# Time limit for running requests to end when the instance shuts down.
 DRAIN_SECONDS = 60.0
-# Looks for connections that wait to be accepted, before none are any more.
+# Polls for pending connections before the listener is closed.
 MAX_ACCEPT_POLL_COUNT = 100
 
 
@@ -44,7 +42,7 @@
     """One entry instance."""
 
     def __init__(self, settings: models.EntrySettings):
-        """Create the instance's parts; ``start`` begins their work."""
+        """Create the instance's parts; ``start`` starts them."""
         self.settings = settings
         self.node = node.Node.from_config(settings, messages.Role.ENTRY, self)
         self.node.describe_role = self._details
@@ -63,9 +61,9 @@
         )
 
     def start(self) -> socket.socket:
-        """Begin all work but that for callers; return their socket.
+        """Start all parts; return the listening socket for ``serve``.
 
-        :raises OSError: if an address is taken
+        :raises OSError: if an address is in use
         """
         self.node.start()
         self.node.timers.subscribe(
@@ -79,9 +77,9 @@
         )
 
     def serve(self, sock: socket.socket) -> None:
-        """Serve callers until ``stop`` has closed the socket.
+        """Serve callers until ``stop`` shuts the socket down.
 
-        Returns when all that was accepted before has been answered.
+        Returns after all accepted requests have been answered.
         """
         try:
             eventlet.wsgi.server(
@@ -89,22 +87,27 @@
                 self.application,
                 log_output=False,
                 max_size=MAX_CONCURRENT_REQUESTS,
-                # The default gathers 4 KiB, which are 20 tokens.
+                # The default buffers 4 KiB, which is 20 tokens.
                 minimum_chunk_size=1,
                 debug=False,
             )
         except OSError as error:
             if not self._is_stopping:
-                LOG.error('Callers are not served any more: {}.', error)
+                LOG.error(
+                    'Listening socket failed; callers are not served: {}.',
+                    error,
+                )
                 raise
 
     def stop(
         self, sock: socket.socket, serving: eventlet.greenthread.GreenThread
     ) -> None:
-        """Let the balancer turn away, then end when all is answered.
+        """Shut down gracefully.
 
-        Callers that keep coming are turned away when they connect, before
-        they have sent anything, so that whatever was sent is answered.
+        The instance first reports that it is not ready, so that the load
+        balancer stops sending requests. It then refuses new connections
+        instead of new requests, so that every request sent is answered, and
+        waits for the running requests.
 
         :param serving: the task that runs ``serve``
         """
@@ -119,12 +122,12 @@
             serving.wait()
 
     def _on_instances_update(self) -> None:
-        """Let the balancer turn away before the platform stops us."""
+        """Report not ready as soon as the platform lists us as leaving."""
         is_leaving = self.node.instances.is_leaving
         self.application.is_draining = self._is_stopping or is_leaving
 
     def receive(self, link: links.Link, message: messages.AnyMessage) -> None:
-        """Hand a message to its part."""
+        """Dispatch a message to the part that handles it."""
         match message:
             case messages.Token() | messages.Finished() | messages.Failed():
                 self.answers.receive(message)
@@ -163,7 +166,7 @@
         return self.node.peers.period()
 
     def closed(self, link: links.Link, why: failures.Failure) -> None:
-        """End what depended on a lost link."""
+        """Fail what depended on a lost link."""
         self.node.closed(link, why)
         self.view.on_link_closed(link)
         self.answers.on_link_closed(link, why)
@@ -178,16 +181,16 @@
 
 
 def _stop_listening(sock: socket.socket) -> None:
-    """End listening on a socket once nobody waits to be accepted.
+    """Stop listening once no connections are pending.
 
-    The system then resets connections that still wait, and with them requests
-    that may have been sent already.
+    The kernel resets connections that are still pending at shutdown, together
+    with requests that may have been sent on them.
     """
     for _ in range(MAX_ACCEPT_POLL_COUNT):
         if not _has_pending_connection(sock):
             break
         eventlet.sleep(0)
-    # Unlike closing, this wakes the task that accepts.
+    # Unlike close, shutdown wakes the task that accepts connections.
     sock.shutdown(socket.SHUT_RDWR)
 
 
@@ -198,5 +201,5 @@
 
 
 def _availability(load: messages.Load) -> tuple[object, ...]:
-    """Return what decides whether a server may get new answers at all."""
+    """Return the fields that decide whether a server may get new answers."""
     return load.held, load.leaving, load.is_engine_lost
--- a/libs/entry/burdockmast/entry/services.py
+++ b/libs/entry/burdockmast/entry/services.py
@@ -1,4 +1,4 @@
-"""Plain service calls: repeated only where that is safe."""
+"""Calls plain services, and retries a call only where that is safe."""
 
 import collections
 import dataclasses
@@ -21,27 +21,30 @@
 from burdockmast.wire import links
 from burdockmast.wire import messages
 
-# Tries of a call while it is certain that nothing ran.
+# Attempts at a call that is neither idempotent nor keyed. Another is made only
+# if the last one has certainly not run.
 MAX_ATTEMPTS = 4
-# Seconds that a call waits for a link to a server that may be reached: as long
-# as a dial may take.
+# Time that a call waits for a link to a server that may be reachable; the same
+# as the timeout of a dial.
 LINK_TIMEOUT_SECONDS = 1.0
 LINK_POLL_SECONDS = 0.01
-# Seconds for a claim to be in the store.
+# Time limit for writing a claim to the store.
 CLAIM_TIMEOUT_SECONDS = 3.0
-# Seconds until a caller may come back when the store is out.
+# Retry-After while the store is unavailable.
 STORE_RETRY_SECONDS = 2.0
+# Retry-After if no server is available, or if a side process refused the call.
 NO_SERVER_RETRY_SECONDS = 1.0
-# Seconds until a repeat with the same key may learn what became of a call;
-# a replaced side is known to entries within this time.
+# Retry-After of a keyed call with an unknown outcome. Entries learn of a
+# replaced side process within this time, and a repeat with the same key may
+# then get the outcome.
 KEYED_RETRY_SECONDS = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
-    """A checked call to a plain service.
+    """A validated call to a plain service.
 
-    :ivar key: the caller's idempotency key as it is kept, empty if none
+    :ivar key: the caller's idempotency key as it is stored, empty if none
     :ivar deadline: monotonic seconds
     """
 
@@ -57,7 +60,7 @@
 
     @property
     def fingerprint(self) -> ids.Fingerprint:
-        """What a repeat with the same key must have in common."""
+        """Hash that must be the same for a repeat with the same key."""
         digest = hashlib.blake2b(digest_size=16)
         for part in (self.method, self.path):
             digest.update(part.encode() + b'\0')
@@ -67,9 +70,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reply:
-    """What the service answered.
+    """Reply of a service.
 
-    :ivar is_replay: the call ran earlier; this is its first outcome
+    :ivar is_replay: whether this is the stored reply of an earlier call with
+        the same key
     """
 
     status: int
@@ -82,7 +86,7 @@
 
 
 class ServiceClient:
-    """Plain service calls of one entry."""
+    """Client of one entry for calls to plain services."""
 
     def __init__(
         self,
@@ -90,7 +94,7 @@
         view: fleet.FleetView,
         seed: int | None = None,
     ):
-        """Create a caller of plain services."""
+        """Create a client without running calls."""
         self._view = view
         self._events = process.events
         self._metrics = process.metrics
@@ -105,7 +109,7 @@
         ] = collections.defaultdict(hedges.Latencies)
 
     def call(self, call: Call) -> Result:
-        """Execute a call in the way that its kind allows."""
+        """Execute a call, with the retries that are safe for it."""
         if not self._view.knows_service(call.service):
             return failures.Failure(
                 failures.Reason.UNKNOWN_SERVICE,
@@ -119,7 +123,7 @@
         return self._call_once(call)
 
     def _call_idempotent(self, call: Call) -> Result:
-        """Try on several servers, within the retry budget."""
+        """Retry and hedge on other servers, within the retry budget."""
         self._budget.deposit()
         tried: set[ids.ServerId] = set()
         latencies = self._latencies_by_service[call.service]
@@ -150,7 +154,7 @@
         return hedged_call.run(latencies.hedge_delay())
 
     def _call_once(self, call: Call) -> Result:
-        """Send once; go on only while it is certain that nothing ran."""
+        """Try other servers only as long as no attempt may have run."""
         tried: set[ids.ServerId] = set()
         for _ in range(MAX_ATTEMPTS):
             link = self._choose_link(call, tried)
@@ -163,7 +167,7 @@
         return result
 
     def _call_claimed(self, call: Call) -> Result:
-        """Claim the key first, so that it runs at most once anywhere."""
+        """Claim the key before each attempt, to run the call at most once."""
         tried: set[ids.ServerId] = set()
         attempt = 1
         while timers.now() < call.deadline:
@@ -201,7 +205,7 @@
                 self._store_outcome(call, state.claim, result)
                 return result
             if _may_have_run(result):
-                # With its key a repeat is safe, and may tell the outcome.
+                # A repeat with the same key is safe and may get the outcome.
                 return dataclasses.replace(
                     result, retry_after=KEYED_RETRY_SECONDS
                 )
@@ -211,7 +215,9 @@
                 return refusal
             attempt = state.claim.attempt + 1
         return failures.Failure(
-            failures.Reason.DEADLINE, 'service.claim', detail='not run in time'
+            failures.Reason.DEADLINE,
+            'service.claim',
+            detail='deadline passed before the call was run',
         )
 
     def _claim(
@@ -233,16 +239,16 @@
         record: records.Record,
         deadline: float,
     ) -> records.State | failures.Failure:
-        """Append a record through one of its shard's homes."""
+        """Append a record through one of its shard's claim writers."""
         shard = records.shard_of(record.key)
         encoded = records.encode(record)
         for address in self._directory.places(shard):
             link = self._view.peers.get(address)
             if isinstance(link, failures.Failure):
                 continue
-            ask = messages.Claim(ids.new_id(), shard, encoded)
+            message = messages.Claim(ids.new_id(), shard, encoded)
             seconds = min(CLAIM_TIMEOUT_SECONDS, deadline - timers.now())
-            reply = link.ask(ask, max(0.001, seconds))
+            reply = link.ask(message, max(0.001, seconds))
             if isinstance(reply, failures.Failure):
                 continue
             if reply.reason is None:
@@ -253,14 +259,18 @@
         return failures.Failure(
             failures.Reason.STORE_UNAVAILABLE,
             'service.claim',
-            detail='the claim could not be written; nothing was run',
+            detail='the claim could not be written; the call was not run',
             retry_after=STORE_RETRY_SECONDS,
         )
 
     def _store_outcome(
         self, call: Call, claim: records.Claim, reply: Reply
     ) -> None:
-        """Keep the outcome for repeats, without making the caller wait."""
+        """Store the outcome for repeats in a task of its own.
+
+        The caller doesn't wait for it. Outcomes that are too large to store
+        are skipped.
+        """
         if len(reply.body) > records.OUTCOME_BYTES:
             return
         done = records.Done(
@@ -270,23 +280,23 @@
         eventlet.spawn(self._submit, call.id, done, until)
 
     def _resolve_claim(self, call: Call, claim: records.Claim) -> Result:
-        """Ask the claim's process what became of it.
+        """Ask the process named in a claim for the outcome of its attempt.
 
-        That process alone may run the attempt. If it has not, it never
-        will once it has answered.
+        Only that process may run the attempt. If it replies that the attempt
+        has not run, it never runs it later.
         """
         self._events.add('service.settle', call.id, server=claim.server)
         link = self._view.peers.get(claim.address)
         if isinstance(link, failures.Failure):
             return self._unresolved(call, claim)
-        settle = messages.Settle(
+        message = messages.Settle(
             ids.new_id(),
             claim.key,
             claim.attempt,
             claim.incarnation,
             self._events.clock,
         )
-        result = self._ask(call.id, link, settle, call.deadline)
+        result = self._ask(call.id, link, message, call.deadline)
         if isinstance(result, Reply):
             return dataclasses.replace(result, is_replay=True)
         if result.outcome is outcomes.Outcome.UNKNOWN:
@@ -310,8 +320,8 @@
         untried = self._await_untried_servers(call, tried)
         if not untried:
             return self._no_server(call)
-        # Of two at random the one with fewer calls of ours: one that stands
-        # still gathers calls, and soon gets no more.
+        # Takes the one with fewer running calls of two random servers. A
+        # stalled server accumulates calls, and so soon gets no more.
         candidates = self._random.sample(untried, min(2, len(untried)))
         server = min(
             candidates, key=lambda server: self._running_by_server[server.id]
@@ -321,7 +331,10 @@
     def _await_untried_servers(
         self, call: Call, tried: set[ids.ServerId]
     ) -> list[changes.Server]:
-        """Return connected servers, waiting while one may get connected."""
+        """Return untried connected servers, waiting while none is connected.
+
+        The wait ends early if no untried server may get connected.
+        """
         started_at = timers.now()
         until = min(call.deadline, started_at + LINK_TIMEOUT_SECONDS)
         while True:
@@ -345,7 +358,7 @@
         return failures.Failure(
             failures.Reason.NO_SERVER,
             'service.choose',
-            detail=f'no server of {call.service} takes new calls',
+            detail=f'no server of {call.service} is available',
             retry_after=NO_SERVER_RETRY_SECONDS,
         )
 
@@ -404,7 +417,7 @@
             return dataclasses.replace(
                 reply,
                 outcome=outcomes.Outcome.UNKNOWN,
-                detail='the answer was lost; the call may have run',
+                detail='the reply was lost; the call may have run',
             )
         self._events.witness(reply.clock)
         self._events.add(
--- a/libs/entry/burdockmast/entry/stalls.py
+++ b/libs/entry/burdockmast/entry/stalls.py
@@ -1,4 +1,4 @@
-"""Finds attempts that stand still, and ends them so that they can move."""
+"""Detects stalled attempts and ends them, so that they resume elsewhere."""
 
 from burdockmast.base import failures
 from burdockmast.base import ids
@@ -9,24 +9,24 @@
 from burdockmast.entry import fleet
 from burdockmast.entry import probes
 
-# Seconds without a token after which the servers of a path are probed.
+# Time without a token after which the servers of a path are probed.
 PROBE_AFTER_SECONDS = 0.3
-# Seconds without a token after which an attempt is given up, and the same in
-# times between its tokens of late: a slow answer may pause for longer.
+# Time without a token after which an attempt has stalled: the longer of a
+# fixed time and a number of its recent token intervals, since the tokens of a
+# slow answer are further apart.
 MIN_STALL_SECONDS = 1.5
 STALL_TOKEN_INTERVALS = 8
-# Weight of the newest pause in the smoothed time between tokens.
+# Weight of the newest interval in the smoothed time between tokens.
 NEWEST_INTERVAL_WEIGHT = 0.2
-# Seconds between looks for such attempts.
 POLL_SECONDS = 0.1
 PROBE_STEP = 'answer.probe'
 PROGRESS_STEP = 'answer.progress'
 
 
 def record_progress(attempt: attempts.Attempt, deadline: float) -> None:
-    """Note that tokens have just come.
+    """Record that tokens have just arrived and extend the silence deadline.
 
-    :param deadline: monotonic seconds, of the caller
+    :param deadline: the caller's deadline in monotonic seconds
     """
     now = timers.now()
     interval = now - attempt.last_token_at
@@ -42,7 +42,7 @@
 
 
 class StallDetector:
-    """The watch over all attempts of one entry."""
+    """Detects stalls of all attempts of one entry."""
 
     def __init__(
         self,
@@ -51,9 +51,10 @@
         measures: metrics.Metrics,
         events: timeline.Timeline,
     ):
-        """Create a watch; ``look`` has to be called periodically.
+        """Create a detector; ``poll`` has to be called periodically.
 
-        :param attempt_by_answer: the attempts that run now, kept by others
+        :param attempt_by_answer: the running attempts; the owner keeps it up
+            to date
         """
         self._attempt_by_answer = attempt_by_answer
         self._view = view
@@ -62,7 +63,7 @@
         )
 
     def poll(self) -> None:
-        """Probe the servers of silent attempts; end those silent too long."""
+        """Probe the servers of silent attempts; end stalled attempts."""
         now = timers.now()
         for attempt in self._attempt_by_answer.values():
             if now > attempt.silence_deadline:
@@ -73,12 +74,12 @@
                     self._prober.probe(hop.address)
 
     def _end_attempts_through(self, address: ids.Address) -> None:
-        """End the silent attempts through a server that did not greet."""
+        """End the silent attempts through a server that failed its probe."""
         now = timers.now()
         for attempt in self._attempt_by_answer.values():
             hop = attempt.hop_at(address)
             if hop and _is_silent(attempt, now):
-                # Nothing new goes there until it is heard of again.
+                # The server gets no new answers until it reports its load.
                 self._view.loads.forget(hop.server)
                 _end_attempt(attempt, PROBE_STEP, hop.server)
 
--- a/libs/entry/burdockmast/entry/web.py
+++ b/libs/entry/burdockmast/entry/web.py
@@ -1,4 +1,4 @@
-"""The WSGI application that callers talk to."""
+"""The WSGI application that serves callers."""
 
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -24,8 +24,8 @@
 from burdockmast.limits import returns
 from burdockmast.node import node
 
-# One pause between tokens in as many is measured; an entry relays thousands a
-# second.
+# Only one pause in this many items is timed, since an entry relays thousands
+# of tokens a second.
 ITEMS_PER_PAUSE_SAMPLE = 16
 STREAM_TYPE = 'text/event-stream'
 JSON_TYPE = 'application/json'
@@ -37,7 +37,7 @@
     """A response body that counts as a running request until it is closed."""
 
     def __init__(self, body: Body, application: 'Application'):
-        """Wrap a body; the server closes it, also if the caller leaves."""
+        """Wrap a body; the server closes it even if the caller disconnects."""
         self._body = body
         self._items = iter(body)
         self._application = application
@@ -47,11 +47,11 @@
         return self
 
     def __next__(self) -> bytes:
-        """Return the next part."""
+        """Return the next chunk."""
         return next(self._items)
 
     def close(self) -> None:
-        """End the request."""
+        """Count the request as ended and close the wrapped body."""
         if self._application:
             self._application.running -= 1
             self._application = None
@@ -60,7 +60,7 @@
 
 
 class Application:
-    """Callers' requests to one entry."""
+    """Serves callers' requests to one entry."""
 
     def __init__(
         self,
@@ -72,8 +72,8 @@
     ):
         """Create an application.
 
-        :param default_seconds: deadline of requests that name none
-        :param body_bytes: largest body of a request
+        :param default_deadline_seconds: deadline of requests that give none
+        :param max_body_bytes: largest body of a request
         """
         self.is_draining = False
         self.running = 0
@@ -126,7 +126,7 @@
             'version': self._follower.version,
             'preset': self._follower.configuration.in_force,
         }
-        status = '200 OK' if state['ready'] else refusals.OTHER_STATUS
+        status = '200 OK' if state['ready'] else refusals.UNAVAILABLE_STATUS
         return _respond(start_response, status, state)
 
     def _models(self, start_response: StartResponse) -> Body:
@@ -145,21 +145,21 @@
         request_id: ids.RequestId,
     ) -> Body:
         if environ['REQUEST_METHOD'] != 'POST':
-            failure = request_parser.bad_request('only POST is served here')
+            failure = request_parser.bad_request('the method must be POST')
             return self._refuse(start_response, request_id, failure)
         checked = self._request_parser.parse_answer(environ, request_id)
         if isinstance(checked, failures.Failure):
             return self._refuse(start_response, request_id, checked)
         request, chat = checked
-        began = timers.now()
+        started_at = timers.now()
         items = self._answers.stream(request)
-        # A refusal before the first token can still have a status.
+        # A failure before the first token can still set the HTTP status.
         first = next(items, None)
         if isinstance(first, failures.Failure):
             return self._refuse(start_response, request_id, first)
         self._metrics.count('answers.begun')
-        self._metrics.timing('answer.first_token', timers.now() - began)
-        items = self._measured(itertools.chain([first], items), began)
+        self._metrics.timing('answer.first_token', timers.now() - started_at)
+        items = self._measured(itertools.chain([first], items), started_at)
         if chat.stream:
             start_response(
                 '200 OK',
@@ -173,9 +173,9 @@
         return self._json_answer(start_response, request, items)
 
     def _measured(
-        self, items: Iterator[list[int] | failures.Failure], began: float
+        self, items: Iterator[list[int] | failures.Failure], started_at: float
     ) -> Iterator[list[int] | failures.Failure]:
-        """Pass an answer on, and measure its whole time and some pauses."""
+        """Yield the items unchanged; time the answer and some pauses."""
         for number, item in enumerate(items):
             match number % ITEMS_PER_PAUSE_SAMPLE:
                 case 0:
@@ -184,7 +184,7 @@
                     pause = timers.now() - paused_at
                     self._metrics.timing('answer.pause', pause)
             yield item
-        self._metrics.timing('answer.whole', timers.now() - began)
+        self._metrics.timing('answer.whole', timers.now() - started_at)
 
     def _stream_events(
         self,
@@ -233,9 +233,9 @@
         call = self._request_parser.parse_call(environ, request_id)
         if isinstance(call, failures.Failure):
             return self._refuse(start_response, request_id, call)
-        began = timers.now()
+        started_at = timers.now()
         result = self._service_client.call(call)
-        self._metrics.timing('service.call', timers.now() - began)
+        self._metrics.timing('service.call', timers.now() - started_at)
         if isinstance(result, failures.Failure):
             return self._refuse(start_response, request_id, result)
         replayed = (
@@ -268,7 +268,7 @@
     def _jitter_retry_after(
         self, failure: failures.Failure
     ) -> failures.Failure:
-        """Spread times to come back that the queue has not spread already."""
+        """Add jitter to ``retry_after``, unless the queue has done so."""
         seconds = failure.retry_after
         if seconds is None or failure.step == queues.WAIT_STEP:
             return failure
@@ -293,7 +293,7 @@
 
 
 def _with_connection_close(start_response: StartResponse) -> StartResponse:
-    """Make the caller's next request open a new connection."""
+    """Add the header that makes the caller open a new connection."""
 
     def start(status: str, headers: list[tuple[str, str]]) -> Any:
         return start_response(status, [*headers, ('Connection', 'close')])
--- a/tests/test_hedges.py
+++ b/tests/test_hedges.py
@@ -1,4 +1,4 @@
-"""Calls that may be repeated are tried elsewhere while the first is slow."""
+"""Retries and hedges of calls that may be repeated."""
 
 from concurrent import futures
 import dataclasses
@@ -17,44 +17,44 @@
 
 
 def hedged_call(results, may_retry=lambda none_running: True, seconds=5.0):
-    """Return a call whose tries take times and end as ``results`` say."""
-    left = iter(results)
+    """Return a call whose attempts have these delays and results."""
+    remaining = iter(results)
 
     def attempt():
-        delay, result = next(left)
+        delay, result = next(remaining)
         eventlet.sleep(delay)
         return result
 
     return hedges.HedgedCall(attempt, may_retry, timers.now() + seconds)
 
 
-def test_good_answer_needs_one_try():
+def test_successful_call_needs_one_attempt():
     assert hedged_call([(0, 'first')]).run(math.inf) == 'first'
 
 
-def test_failed_try_is_followed_by_another():
+def test_failed_attempt_is_retried():
     assert hedged_call([(0, LOST), (0, 'second')]).run(math.inf) == 'second'
 
 
-def test_slow_try_is_hedged():
+def test_slow_attempt_is_hedged():
     assert hedged_call([(60, 'slow'), (0, 'hedge')]).run(0.01) == 'hedge'
 
 
-def test_hedge_that_fails_leaves_the_first_try():
+def test_first_attempt_goes_on_if_its_hedge_fails():
     assert hedged_call([(0.1, 'first'), (0, LOST)]).run(0.01) == 'first'
 
 
-def test_no_budget_no_hedge():
+def test_no_hedge_without_retry_budget():
     call = hedged_call([(0.05, 'first')], may_retry=lambda none_running: False)
     assert call.run(0.01) == 'first'
 
 
-def test_tries_end_with_the_last_failure():
+def test_call_fails_with_the_last_failure():
     call = hedged_call([(0, LOST)] * hedges.MAX_ATTEMPTS)
     assert call.run(math.inf) is LOST
 
 
-def test_failure_after_a_try_that_may_have_run_is_not_called_unrun():
+def test_outcome_is_unknown_if_any_attempt_may_have_run():
     unknown = dataclasses.replace(LOST, outcome=outcomes.Outcome.UNKNOWN)
     assert LOST.outcome is outcomes.Outcome.NOT_RUN
     result = hedged_call([(0, unknown)] + [(0, LOST)] * 3).run(math.inf)
@@ -69,17 +69,17 @@
     assert call.run(0.01) == 'hedge'
 
 
-def test_failed_hedge_is_followed_by_another():
+def test_failed_hedge_is_followed_by_another_hedge():
     call = hedged_call([(60, 'slow'), (0, LOST), (0, 'second hedge')])
     assert call.run(0.01) == 'second hedge'
 
 
-def test_deadline_ends_all():
+def test_deadline_ends_all_attempts():
     call = hedged_call([(60, 'slow'), (60, 'slow')], seconds=0.05)
     assert call.run(0.01).reason is failures.Reason.DEADLINE
 
 
-def test_delay_is_known_after_some_calls():
+def test_hedge_delay_is_finite_only_after_enough_calls():
     latencies = hedges.Latencies()
     for _ in range(hedges.MIN_SAMPLE_COUNT - 1):
         latencies.record(0.5)
@@ -88,7 +88,7 @@
     assert latencies.hedge_delay() == 0.5
 
 
-def test_reads_do_not_wait_for_a_service_that_stands_still(own_fleet):
+def test_reads_do_not_wait_for_a_stalled_service(own_fleet):
     """Proves: a read is not lost with the server that it went to."""
     fleet = own_fleet()
     for _ in range(WARM):
@@ -118,7 +118,7 @@
 
 
 def test_command_is_never_hedged(own_fleet):
-    """Proves: what may not be repeated has one try, however slow."""
+    """Proves: a call that must not be repeated is sent once, however slow."""
     fleet = own_fleet()
     for _ in range(WARM):
         fleet.call('stock/x', method='GET')
--- a/tests/test_unserved.py
+++ b/tests/test_no_path.py
@@ -1,4 +1,4 @@
-"""What no server can serve is refused at once, unrun."""
+"""Requests that no path can serve are refused at once, as not run."""
 
 import types
 
@@ -29,25 +29,25 @@
 
 
 class View:
-    """A view of a fleet in which no path is to be found."""
+    """A fleet view that has no path."""
 
-    def __init__(self, may_come):
-        self.may_come = may_come
+    def __init__(self, path_may_appear):
+        self.path_may_appear = path_may_appear
         self.poll_count = 0
 
-    def choose(self, model, excluded, demand):
+    def choose_path(self, model, excluded, demand):
         self.poll_count += 1
         return NO_PATH
 
     def may_have_path(self, model, since):
-        return self.may_come
+        return self.path_may_appear
 
     def redial_refused(self, since):
         pass
 
 
 def choose(view, delivered=()):
-    """Return the choice of a request that has a minute left."""
+    """Return the path or failure for a request with 60 s left."""
     request = attempts.Request(
         ids.RequestId('r'),
         None,
@@ -68,34 +68,34 @@
 
 @pytest.fixture
 def sleeps(monkeypatch):
-    """The waits for a path, none of which takes any time."""
-    found = []
+    """The sleeps of a waiting request; they only advance a fake clock."""
+    durations = []
     now = [1000.0]
 
     def sleep(seconds):
-        found.append(seconds)
+        durations.append(seconds)
         now[0] += seconds
 
     monkeypatch.setattr(attempt_starter.eventlet, 'sleep', sleep)
     monkeypatch.setattr(timers, 'now', lambda: now[0])
-    return found
+    return durations
 
 
-def test_request_that_no_server_will_serve_does_not_wait(sleeps):
-    assert choose(View(may_come=False)) is NO_PATH
+def test_request_does_not_wait_if_no_server_will_hold_its_layers(sleeps):
+    assert choose(View(path_may_appear=False)) is NO_PATH
     assert not sleeps
 
 
-def test_request_waits_while_servers_change_places(sleeps):
-    assert choose(View(may_come=True)) is NO_PATH
+def test_request_waits_while_servers_load_layers(sleeps):
+    assert choose(View(path_may_appear=True)) is NO_PATH
     waited = sum(sleeps)
     assert waited == pytest.approx(
         attempt_starter.PATH_TIMEOUT_SECONDS, abs=0.2
     )
 
 
-def test_answer_that_has_begun_waits_for_an_engine_to_come_back(sleeps):
-    choose(View(may_come=False), delivered=[1, 2])
+def test_answer_with_delivered_tokens_waits_for_an_engine_to_restart(sleeps):
+    choose(View(path_may_appear=False), delivered=[1, 2])
     waited = sum(sleeps)
     assert waited == pytest.approx(
         attempt_starter.RESUME_PATH_TIMEOUT_SECONDS, abs=0.2
@@ -117,16 +117,16 @@
 
 ALL_HELD = [load('low', [(0, 12)]), load('high', [(12, 24)])]
 CASES = {
-    'all held': (ALL_HELD, True),
-    'one loads': ([load('low'), ALL_HELD[1]], True),
-    'one has not reported yet': ([ALL_HELD[1]], True),
+    'all layers held': (ALL_HELD, True),
+    'one server loads': ([load('low'), ALL_HELD[1]], True),
+    'one server has not reported yet': ([ALL_HELD[1]], True),
     'engine lost': ([load('low', is_engine_lost=True), ALL_HELD[1]], False),
     'leaving': ([load('low', [(0, 12)], is_leaving=True), ALL_HELD[1]], False),
 }
 
 
 @pytest.mark.parametrize('case', CASES)
-def test_path_may_come_only_from_servers_that_will_hold_it(case):
+def test_path_may_appear_only_on_servers_that_will_hold_its_layers(case):
     reports, expected = CASES[case]
     table = loads.Loads()
     for report in reports:
@@ -137,7 +137,7 @@
 
 @pytest.fixture
 def view():
-    """A view of two servers, none of which has been reached yet."""
+    """A view of two servers that have not been dialled yet."""
     servers = {
         name: changes.Server(name, f'127.0.0.1:{number}', 'za')
         for number, name in enumerate(('low', 'high'), 1)
@@ -162,8 +162,8 @@
         view._dial(server.address)
 
 
-def test_server_counts_as_gone_only_once_a_dial_has_failed(view):
-    """A connection that is lost may only have been cut."""
+def test_server_counts_as_unreachable_only_after_a_failed_dial(view):
+    """A server that lost its connection may still be running."""
     assert len(view.servers) == 2
     came = timers.now()
     assert view.may_have_path(MODEL, came)
@@ -171,7 +171,7 @@
     assert not view.may_have_path(MODEL, came)
 
 
-def test_server_whose_connection_was_just_lost_may_be_reached_again(view):
+def test_server_whose_connection_was_just_lost_may_be_reachable(view):
     came = timers.now()
     dial_all(view)
     for server in view.servers:
@@ -184,7 +184,7 @@
 
 
 def test_server_that_refused_before_the_request_came_is_dialled_again(view):
-    """A process that starts refuses until it listens."""
+    """A starting process refuses connections until it listens."""
     dial_all(view)
     came = timers.now()
     assert view.may_have_path(MODEL, came)
@@ -193,17 +193,17 @@
 
 
 def test_server_that_stayed_silent_is_not_waited_for(view, monkeypatch):
-    """A dial of an instance that is gone takes as long as one may."""
+    """A dial of an instance that is gone runs into the dial timeout."""
     times = iter(range(100))
     monkeypatch.setattr(timers, 'now', lambda: float(next(times)))
     dial_all(view)
     assert not view.may_have_path(MODEL, timers.now())
 
 
-def test_request_is_refused_unrun_while_all_engines_of_a_range_are_dead(
+def test_request_is_refused_as_not_run_while_a_range_has_no_engine(
     own_fleet,
 ):
-    """Proves: the final answer comes as soon as it is known."""
+    """Proves: a request that can't be served is refused once that is known."""
     fleet = own_fleet(groups=GROUPS, services=0)
     for server in ('e1', 'e2'):
         fleet.kill(f'engine-{server}')
@@ -218,6 +218,6 @@
         error = program.error_of(reply)
         return error if error['outcome'] == 'not_run' else None
 
-    error = program.wait_until(refused, 'refused unrun')
+    error = program.wait_until(refused, 'refused as not run')
     assert error['type'] == 'no_path'
     assert error['retry_after'] > 0
