--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -1,25 +1,25 @@
-"""Answers of models through pipelines of backend servers."""
+"""Model answers through pipelines of backend servers."""
 
 from concurrent import futures
 
 import program
 
 
-def test_whole_answer_ran_every_layer_once_in_order(shared_fleet):
+def test_complete_answer_ran_every_layer_once_in_order(shared_fleet):
     """Proves: every layer runs once, in order, for every token."""
     answer = shared_fleet.complete([5, 6, 7], 20)
     tokens = program.answer_tokens(answer)
     assert tokens == program.expected_tokens([5, 6, 7], 20)
 
 
-def test_streamed_answer_equals_whole_answer(shared_fleet):
+def test_streamed_answer_equals_unstreamed_answer(shared_fleet):
     answer = shared_fleet.complete([9, 9], 12, stream=True)
     tokens = program.streamed_tokens(answer.data)
     assert tokens == program.expected_tokens([9, 9], 12)
 
 
-def test_two_hundred_answers_at_once_are_uncrossed(shared_fleet):
-    """Proves: each caller gets the whole answer to its own request."""
+def test_two_hundred_concurrent_answers_are_not_mixed_up(shared_fleet):
+    """Proves: each caller gets the complete answer to its own request."""
 
     def ask(number):
         prompt = [number, number * 7]
--- a/tests/test_joining.py
+++ b/tests/test_joining.py
@@ -1,4 +1,4 @@
-"""Servers that come up after they were dialled serve as soon as they can."""
+"""Servers that start after they were first dialled get work at once."""
 
 import socket
 
@@ -10,12 +10,13 @@
 from burdockmast.standins import layouts
 
 GROUPS = (layouts.Group(0, 24, 1, layouts.FAST),)
-# Joins in a row: each may fall at any moment between two dials.
-JOINS = 3
+# Servers joined in a row, since each join falls at a random moment between two
+# dials.
+JOIN_COUNT = 3
 
 
 def announce(fleet, **server):
-    """Put a server into the configuration before its side is up."""
+    """Add a server to the configuration before its side process starts."""
     address = fleet.add_address(f'side-{server["id"]}')
     new = changes.Server(address=address, zone='za', **server)
     accepted = fleet.operate(changes.AddServer(new))
@@ -38,7 +39,7 @@
 def test_engine_that_was_dialled_too_early_serves_once_it_holds_layers(
     own_fleet,
 ):
-    """Proves: replaced servers serve, and none of their work is cut."""
+    """Proves: a replacement server gets requests, and none of them fails."""
     fleet = own_fleet(services=0, groups=GROUPS, entries=1)
     fleet.operate(
         changes.AddServer(msgspec.structs.replace(fleet.servers[0], pool='p')),
@@ -53,7 +54,7 @@
         changes.SwitchPreset('pooled', 'ordinary'),
     )
     last = 'e1'
-    for number in range(JOINS):
+    for number in range(JOIN_COUNT):
         name = f'e{number + 2}'
         url = fleet.start_engine(name, layouts.FAST)
         announce(fleet, id=name, pool='p')
@@ -67,13 +68,13 @@
         last = name
 
 
-def test_service_that_was_dialled_too_early_gets_reads_once_it_is_up(
+def test_service_that_was_dialled_too_early_gets_reads_once_it_listens(
     own_fleet,
 ):
     """Proves: a read is not lost with the server that it went to."""
     fleet = own_fleet(services=1, groups=GROUPS, entries=1)
     last = 's1'
-    for number in range(JOINS):
+    for number in range(JOIN_COUNT):
         name = f's{number + 2}'
         url = fleet.start_service(name)
         announce(
--- a/tests/test_stalls.py
+++ b/tests/test_stalls.py
@@ -1,4 +1,4 @@
-"""When an answer counts as standing still."""
+"""The time without tokens after which an attempt counts as stalled."""
 
 import pytest
 
@@ -15,26 +15,26 @@
     return now
 
 
-def patience_after(clock, pauses, deadline=1000.0):
-    """Return the seconds that an attempt may be silent after its pauses."""
+def timeout_after(clock, intervals, deadline=1000.0):
+    """Return the stall timeout after tokens that came at ``intervals``."""
     attempt = attempts.Attempt(1, None, (), 0, clock[0], clock[0])
-    for pause in pauses:
-        clock[0] += pause
+    for interval in intervals:
+        clock[0] += interval
         stalls.record_progress(attempt, deadline)
     return attempt.silence_deadline - clock[0]
 
 
-def test_quick_answer_is_given_the_shortest_patience(clock):
-    assert patience_after(clock, [0.03] * 50) == stalls.MIN_STALL_SECONDS
+def test_fast_answer_gets_the_minimum_timeout(clock):
+    assert timeout_after(clock, [0.03] * 50) == stalls.MIN_STALL_SECONDS
 
 
-def test_slow_answer_is_given_more(clock):
+def test_slow_answer_gets_a_longer_timeout(clock):
     """Proves: an answer is not moved only because its servers are slow."""
-    patience = patience_after(clock, [0.5] * 50)
-    assert patience == pytest.approx(
+    timeout = timeout_after(clock, [0.5] * 50)
+    assert timeout == pytest.approx(
         0.5 * stalls.STALL_TOKEN_INTERVALS, rel=0.01
     )
 
 
-def test_patience_ends_with_the_deadline(clock):
-    assert patience_after(clock, [0.5] * 4, deadline=102.5) <= 0.5
+def test_timeout_ends_at_the_deadline(clock):
+    assert timeout_after(clock, [0.5] * 4, deadline=102.5) <= 0.5
