Print a passed deadline as the caller wrote it

Cause: the reworded detail quoted the value with a conversion that the earlier text didn't have.

Change: the value stands in the text as before.

--- a/libs/entry/burdockmast/entry/headers.py
+++ b/libs/entry/burdockmast/entry/headers.py
@@ -98,7 +98,7 @@
         return failures.Failure(
             failures.Reason.DEADLINE,
             'request.headers',
-            detail=f'{DEADLINE}: found {text!r}, the deadline has passed',
+            detail=f'{DEADLINE}: found {text}, the deadline has passed',
         )
     if not seconds <= MAX_DEADLINE_SECONDS:
         return _bad_header(
