Name request ids and shared chunk fields in completions

Cause: a parameter named request held only an id, and the JSON fields that all chunks share were called a head.

Change: renames only.

Checks: ruff, flake8; tests of answers, hedges, durations, stalls, no_path, joining and input: 71 passed.

--- a/libs/entry/burdockmast/entry/completions.py
+++ b/libs/entry/burdockmast/entry/completions.py
@@ -83,11 +83,11 @@
 class ChunkWriter:
     """Writes the server-sent events of one answer."""
 
-    def __init__(self, request: ids.RequestId, model: str):
+    def __init__(self, request_id: ids.RequestId, model: str):
         """Encode the fields that all chunks share."""
-        header = msgspec.json.encode(
+        shared_fields = msgspec.json.encode(
             {
-                'id': request,
+                'id': request_id,
                 'object': 'chat.completion.chunk',
                 'created': int(time.time()),
                 'model': model,
@@ -95,11 +95,11 @@
         )
         self._chunk_prefix = (
             b'data: '
-            + header[:-1]
+            + shared_fields[:-1]
             + b',"choices":[{"index":0,"delta":{"content":"'
         )
         self._chunk_suffix = b'"},"finish_reason":null}]}\n\n'
-        self._header = header
+        self._shared_fields = shared_fields
 
     def token_event(self, token: int) -> bytes:
         """Return the event for one token."""
@@ -112,17 +112,20 @@
             f'"usage":{{"completion_tokens":{count}}}}}\n\n'
         )
         return (
-            b'data: ' + self._header[:-1] + tail.encode() + b'data: [DONE]\n\n'
+            b'data: '
+            + self._shared_fields[:-1]
+            + tail.encode()
+            + b'data: [DONE]\n\n'
         )
 
 
 def completion_body(
-    request: ids.RequestId, model: str, prompt: int, tokens: list[int]
+    request_id: ids.RequestId, model: str, prompt: int, tokens: list[int]
 ) -> bytes:
     """Return the body of an answer that is not streamed."""
     return msgspec.json.encode(
         {
-            'id': request,
+            'id': request_id,
             'object': 'chat.completion',
             'created': int(time.time()),
             'model': model,
