Merge the wording of the entry

Cause: the entry was reworded while routing, limits and fleet renamed what it calls. Conflicts were in lines where one side renames and the other rewords; both hold.

--- a/libs/entry/burdockmast/entry/answers.py
+++ b/libs/entry/burdockmast/entry/answers.py
@@ -1,8 +1,8 @@
-"""One answer: path, start, tokens, and resuming when a stage is lost.
+"""Streams answers of models, and resumes them when a stage is lost.
 
-The entry keeps the prompt and the tokens that the caller already has. When
-an attempt ends early, the next one continues behind them by token index,
-on another path; the caller sees each token once, in order.
+The entry keeps the prompt and the tokens already delivered to the caller.
+When an attempt ends early, the next one continues on another path at the
+next token index, so the caller sees each token once, in order.
 """
 
 from collections.abc import Generator
@@ -13,28 +13,28 @@
 from burdockmast.base import ids
 from burdockmast.base import outcomes
 from burdockmast.base import timers
+from burdockmast.entry import attempt_starter
 from burdockmast.entry import attempts
+from burdockmast.entry import durations
 from burdockmast.entry import fleet
-from burdockmast.entry import openings
-from burdockmast.entry import paces
 from burdockmast.entry import stalls
 from burdockmast.limits import queues
 from burdockmast.node import node
 from burdockmast.wire import links
 from burdockmast.wire import messages
 
-# Attempts of one answer beside those refused for want of a slot.
-ATTEMPTS = 8
-# Seconds until a caller may come back after many attempts have failed.
-RETRY_SECONDS = 2.0
-# Reasons for which a caller should not ask again.
-FINAL_REASONS = frozenset(
+# Attempts at one answer, not counting those refused because no slot was free.
+MAX_ATTEMPTS = 8
+# Retry-After of an answer that failed after a stage may have run it.
+RETRY_AFTER_SECONDS = 2.0
+# Failures that a caller should not retry.
+NON_RETRYABLE_REASONS = frozenset(
     (failures.Reason.CRASHES_SERVERS, failures.Reason.DEADLINE)
 )
 
 
 class Answers:
-    """All answers that one entry is giving."""
+    """Serves all answers of one entry process."""
 
     def __init__(
         self,
@@ -42,16 +42,18 @@
         view: fleet.FleetView,
         queue: queues.FairQueue,
     ):
-        """Create the record of answers, empty."""
-        self._openings = openings.Openings(process, view, queue)
-        self._strikes = process.strikes
+        """Create the service with no answers running."""
+        self._attempt_starter = attempt_starter.AttemptStarter(
+            process, view, queue
+        )
+        self._crash_reports = process.strikes
         self._view = view
         self._queue = queue
-        self._paces = paces.Paces()
+        self._durations = durations.AnswerDurations()
         self._events = process.events
         self._metrics = process.metrics
-        self.stalls = stalls.Stalls(
-            self._openings.attempt_by_answer,
+        self.stall_detector = stalls.StallDetector(
+            self._attempt_starter.attempt_by_answer,
             view,
             process.metrics,
             process.events,
@@ -60,17 +62,17 @@
     def receive(
         self, message: messages.Token | messages.Finished | messages.Failed
     ) -> None:
-        """Hand a message to its attempt; drop those of earlier ones."""
-        attempt = self._openings.attempt_by_answer.get(message.answer)
+        """Pass a message to its attempt; drop messages of ended attempts."""
+        attempt = self._attempt_starter.attempt_by_answer.get(message.answer)
         if attempt is None or attempt.number != message.attempt:
             self._metrics.count('answers.late_message')
             return
         attempt.mailbox.put(message)
 
-    def begun(self, begun: messages.Begun) -> None:
-        """Learn what the stages of an attempt had cached of its prompt."""
+    def on_begun(self, begun: messages.Begun) -> None:
+        """Record how much of a prompt the stages of an attempt had cached."""
         self._events.witness(begun.clock)
-        attempt = self._openings.attempt_by_answer.get(begun.answer)
+        attempt = self._attempt_starter.attempt_by_answer.get(begun.answer)
         if attempt is None or attempt.number != begun.attempt:
             return
         demand = attempt.demand
@@ -86,49 +88,53 @@
             cached=list(begun.cached),
         )
 
-    def link_closed(self, link: links.Link, why: failures.Failure) -> None:
-        """Tell the attempts on a lost link."""
-        for attempt in self._openings.attempt_by_answer.values():
+    def on_link_closed(
+        self, link: links.Link, failure: failures.Failure
+    ) -> None:
+        """Fail the attempts that used a lost link."""
+        for attempt in self._attempt_starter.attempt_by_answer.values():
             if attempt.link is link:
-                attempt.mailbox.put(why)
+                attempt.mailbox.put(failure)
 
     def stream(
         self, request: attempts.Request
     ) -> Iterator[list[int] | failures.Failure]:
-        """Yield tokens as they come; a failure ends the answer.
+        """Yield tokens as they arrive, and a failure if the answer ends early.
 
-        Without a failure the answer is whole.
+        An answer that ends without a failure is complete.
         """
         progress = attempts.Progress()
-        began: float | None = None
+        admitted_at: float | None = None
         failure: failures.Failure | None = None
-        for _ in range(ATTEMPTS):
-            if self._strikes.is_quarantined(request.fingerprint):
-                failure = self._convicted(request)
+        for _ in range(MAX_ATTEMPTS):
+            if self._crash_reports.is_quarantined(request.fingerprint):
+                failure = self._quarantined(request)
                 break
             attempt = self._admit(request, progress)
             if isinstance(attempt, failures.Failure):
                 failure = attempt
                 break
-            began = began or timers.now()
-            failure = yield from self._run(request, attempt, progress)
+            admitted_at = admitted_at or timers.now()
+            failure = yield from self._run_attempt(request, attempt, progress)
             if failure is None:
-                self._note_whole(request, progress, timers.now() - began)
+                self._record_completion(
+                    request, progress, timers.now() - admitted_at
+                )
                 return
-            self._note_end(request, attempt, failure, progress)
+            self._record_failed_attempt(request, attempt, failure, progress)
             if timers.now() >= request.deadline:
-                failure = self._late(failure)
+                failure = self._deadline_passed(failure)
                 break
-        yield self._final(failure, progress)
+        yield self._final_failure(failure, progress)
 
-    def _run(
+    def _run_attempt(
         self,
         request: attempts.Request,
         attempt: attempts.Attempt,
         progress: attempts.Progress,
     ) -> Generator[list[int], None, failures.Failure | None]:
-        """Yield an attempt's tokens; return why it ended early, if so."""
-        progress.has_run = True
+        """Yield an attempt's tokens; return a failure if it ended early."""
+        progress.may_have_run = True
         try:
             for item in self._receive(request, attempt, progress.delivered):
                 if isinstance(item, failures.Failure):
@@ -136,17 +142,19 @@
                 yield item
             return None
         finally:
-            self._openings.leave(request, attempt)
+            self._attempt_starter.end(request, attempt)
 
-    def _note_whole(
+    def _record_completion(
         self,
         request: attempts.Request,
         progress: attempts.Progress,
         seconds: float,
     ) -> None:
-        self._strikes.clear(request.fingerprint)
+        self._crash_reports.clear(request.fingerprint)
         count = len(progress.delivered)
-        self._paces.note(request.model.id, count, request.max_tokens, seconds)
+        self._durations.record(
+            request.model.id, count, request.max_tokens, seconds
+        )
         self._events.add(
             'answer.ended',
             request.id,
@@ -156,15 +164,15 @@
             late_seconds=round(max(0.0, timers.now() - request.deadline), 3),
         )
 
-    def _final(
+    def _final_failure(
         self, failure: failures.Failure, progress: attempts.Progress
     ) -> failures.Failure:
-        """Return a refusal that says 'not run' only if nothing ran."""
-        if not progress.has_run:
+        """Return the failure; its outcome is unknown if an attempt opened."""
+        if not progress.may_have_run:
             return failure
         retry_after = failure.retry_after
-        if failure.reason not in FINAL_REASONS and retry_after is None:
-            retry_after = RETRY_SECONDS
+        if failure.reason not in NON_RETRYABLE_REASONS and retry_after is None:
+            retry_after = RETRY_AFTER_SECONDS
         return dataclasses.replace(
             failure,
             outcome=outcomes.Outcome.UNKNOWN,
@@ -178,19 +186,22 @@
         waiter = queues.Waiter(
             organisation.id, request.priority, organisation.weight
         )
-        latest = request.deadline
+        latest_start = request.deadline
         if not progress.delivered:
-            # An answer that begins too late to be whole is work for nothing.
-            latest -= self._paces.seconds(request.model.id, request.max_tokens)
+            # An answer that can't complete before the deadline wastes capacity
+            # if it is started.
+            latest_start -= self._durations.expected_seconds(
+                request.model.id, request.max_tokens
+            )
         admitted = queues.admit(
             self._queue,
             waiter,
-            latest,
-            lambda: self._openings.open(request, progress),
+            latest_start,
+            lambda: self._attempt_starter.start(request, progress),
         )
         match admitted:
             case failures.Failure(reason=failures.Reason.CRASHES_SERVERS):
-                return self._convicted(request)
+                return self._quarantined(request)
             case failures.Failure(step=queues.WAIT_STEP) if (
                 timers.now() < request.deadline
             ):
@@ -203,7 +214,7 @@
         return dataclasses.replace(
             refusal,
             reason=failures.Reason.OVERLOADED,
-            detail='the answer would not be whole in time',
+            detail='the answer would not complete before the deadline',
             retry_after=self._queue.retry_after(waiter),
         )
 
@@ -213,10 +224,10 @@
         attempt: attempts.Attempt,
         delivered: list[int],
     ) -> Iterator[list[int] | failures.Failure]:
-        """Yield an attempt's tokens; a failure or nothing ends it."""
-        received = attempt.early
+        """Yield an attempt's tokens, and a failure if it ends early."""
+        received = attempt.opening_messages
         while True:
-            tokens, end = self._take(attempt, received, len(delivered))
+            tokens, end = self._next_tokens(attempt, received, len(delivered))
             if tokens:
                 delivered.extend(tokens)
                 yield tokens
@@ -227,26 +238,26 @@
                         yield self._out_of_order(attempt, 'answer.finish')
                     return
                 case messages.Failed():
-                    yield self._failed(request, end)
+                    yield self._failure_of(request, end)
                     return
                 case failures.Failure():
                     yield end
                     return
-            stalls.note_progress(attempt, request.deadline)
+            stalls.record_progress(attempt, request.deadline)
             received = attempt.mailbox.take_all()
 
-    def _take(
+    def _next_tokens(
         self,
         attempt: attempts.Attempt,
         received: list[attempts.Received],
-        count: int,
+        delivered_count: int,
     ) -> tuple[list[int], attempts.Received | None]:
-        """Return the tokens that continue an answer, and what ends them.
+        """Return the next tokens of an answer, and the item that ends it.
 
-        :param count: tokens that the caller already has
+        :param delivered_count: tokens already delivered to the caller
         """
         tokens: list[int] = []
-        expected = count - attempt.first
+        expected = delivered_count - attempt.first_index
         for item in received:
             if not isinstance(item, messages.Token):
                 return tokens, item
@@ -266,44 +277,44 @@
     ) -> failures.Failure:
         return failures.Failure(reason, step, attempt.hops[0].server)
 
-    def _failed(
+    def _failure_of(
         self, request: attempts.Request, failed: messages.Failed
     ) -> failures.Failure:
         self._events.witness(failed.clock)
         if failed.crash:
-            self._strikes.add(request.fingerprint, failed.crash)
+            self._crash_reports.add(request.fingerprint, failed.crash)
         peer = failed.peer or failed.server
         return failures.Failure(failed.reason, failed.step, peer)
 
-    def _note_end(
+    def _record_failed_attempt(
         self,
         request: attempts.Request,
         attempt: attempts.Attempt,
-        ended: failures.Failure,
+        failure: failures.Failure,
         progress: attempts.Progress,
     ) -> None:
-        self._metrics.count(f'answers.attempt_failed.{ended.reason.value}')
+        self._metrics.count(f'answers.attempt_failed.{failure.reason.value}')
         self._events.add(
             'answer.attempt_failed',
             request.id,
             attempt=attempt.number,
-            reason=ended.reason.value,
-            step=ended.step,
-            peer=ended.peer,
+            reason=failure.reason.value,
+            step=failure.step,
+            peer=failure.peer,
             path=[hop.server for hop in attempt.hops],
             delivered=len(progress.delivered),
-            silent_ms=int((timers.now() - attempt.heard_at) * 1000),
+            silent_ms=int((timers.now() - attempt.last_token_at) * 1000),
         )
-        names = {hop.server for hop in attempt.hops}
-        if ended.step == stalls.PROGRESS_STEP:
-            # Any of them may be the one that stands still.
-            progress.excluded |= names
-        elif ended.peer in names:
-            progress.excluded.add(ids.ServerId(ended.peer))
+        path_servers = {hop.server for hop in attempt.hops}
+        if failure.step == stalls.PROGRESS_STEP:
+            # Any server of the path may be the one that stalls.
+            progress.excluded |= path_servers
+        elif failure.peer in path_servers:
+            progress.excluded.add(ids.ServerId(failure.peer))
         else:
             progress.excluded.add(attempt.hops[0].server)
 
-    def _convicted(self, request: attempts.Request) -> failures.Failure:
+    def _quarantined(self, request: attempts.Request) -> failures.Failure:
         self._metrics.count('answers.convicted')
         self._events.add('answer.convicted', request.id)
         return failures.Failure(
@@ -313,10 +324,10 @@
             outcome=outcomes.Outcome.UNKNOWN,
         )
 
-    def _late(self, ended: failures.Failure) -> failures.Failure:
+    def _deadline_passed(self, failure: failures.Failure) -> failures.Failure:
         return failures.Failure(
             failures.Reason.DEADLINE,
-            ended.step,
-            ended.peer,
-            f'the deadline passed after {ended.reason.value}',
+            failure.step,
+            failure.peer,
+            f'deadline passed; last attempt failed: {failure.reason.value}',
         )
--- a/libs/entry/burdockmast/entry/openings.py
+++ b/libs/entry/burdockmast/entry/attempt_starter.py
@@ -1,4 +1,4 @@
-"""Starts attempts at answers on paths that accept them."""
+"""Chooses paths for attempts and opens the attempts on them."""
 
 import dataclasses
 
@@ -14,21 +14,21 @@
 from burdockmast.routing import demands
 from burdockmast.wire import messages
 
-# Longest time for the first token, and in addition for each prompt token that
-# may have to be prefilled, in seconds.
-FIRST_TOKEN_SECONDS = 5.0
-PREFILL_SECONDS = 0.002
-# Paths tried for one attempt before it waits for its turn.
-OPEN_TRIES = 8
-# Seconds that a new request waits for a path while servers change places.
-PATH_SECONDS = 5.0
-# Seconds that an answer that has begun waits for a path.
-RESUME_SECONDS = 20.0
+# Time limit for the first token: a fixed part, and a part for each prompt
+# token that may have to be prefilled.
+FIRST_TOKEN_TIMEOUT_SECONDS = 5.0
+PREFILL_SECONDS_PER_TOKEN = 0.002
+# Paths tried in a row before the request waits in the admission queue.
+MAX_PATHS_TRIED = 8
+# Time that a new request waits for a path while servers load layers.
+PATH_TIMEOUT_SECONDS = 5.0
+# Time that an answer with delivered tokens waits for a path.
+RESUME_PATH_TIMEOUT_SECONDS = 20.0
 PATH_POLL_SECONDS = 0.05
 
 
-class Openings:
-    """The attempts of one entry that are under way, and how they start."""
+class AttemptStarter:
+    """Starts attempts and keeps the running attempts of one entry."""
 
     def __init__(
         self,
@@ -36,23 +36,23 @@
         view: fleet.FleetView,
         queue: queues.FairQueue,
     ):
-        """Create the record of attempts, empty."""
+        """Create the starter with no attempts running."""
         self.attempt_by_answer: dict[ids.RequestId, attempts.Attempt] = {}
-        self._strikes = process.strikes
+        self._crash_reports = process.strikes
         self._events = process.events
         self._metrics = process.metrics
         self._view = view
         self._queue = queue
         self._follower = process.follower
 
-    def open(
+    def start(
         self, request: attempts.Request, progress: attempts.Progress
     ) -> attempts.Attempt | failures.Failure:
         """Start an attempt on the first path that accepts it."""
-        for _ in range(OPEN_TRIES):
-            opened = self._try_open(request, progress)
+        for _ in range(MAX_PATHS_TRIED):
+            opened = self._try_path(request, progress)
             if isinstance(opened, failures.Failure):
-                self._note_unopened(request, opened)
+                self._record_refused_path(request, opened)
             match opened:
                 case attempts.Attempt():
                     return opened
@@ -62,28 +62,28 @@
                     return opened
         return dataclasses.replace(opened, reason=failures.Reason.OVERLOADED)
 
-    def _note_unopened(
-        self, request: attempts.Request, why: failures.Failure
+    def _record_refused_path(
+        self, request: attempts.Request, failure: failures.Failure
     ) -> None:
         self._events.add(
             'answer.unopened',
             request.id,
-            reason=why.reason.value,
-            step=why.step,
-            peer=why.peer,
-            detail=why.detail,
+            reason=failure.reason.value,
+            step=failure.step,
+            peer=failure.peer,
+            detail=failure.detail,
             waiting=len(self._queue),
             version=self._follower.version,
         )
 
-    def _try_open(
+    def _try_path(
         self, request: attempts.Request, progress: attempts.Progress
     ) -> attempts.Attempt | failures.Failure:
         demand = self._view.affinity.demand(
             (*request.prompt, *progress.delivered),
             request.max_tokens - len(progress.delivered),
         )
-        hops = self._choose(request, progress, demand)
+        hops = self._choose_path(request, progress, demand)
         if isinstance(hops, failures.Failure):
             return hops
         link = self._view.peers.get(hops[0].address)
@@ -97,32 +97,36 @@
             hops,
             len(progress.delivered),
             timers.now(),
-            self._patience(request, progress),
+            self._first_token_deadline(request, progress),
             demand,
         )
         self._view.loads.add_attempt(hops)
         self.attempt_by_answer[request.id] = attempt
-        link.send(self._start(request, progress, attempt))
+        link.send(self._start_message(request, progress, attempt))
         refusal = self._await_opened(attempt)
         if refusal is None:
             self._view.affinity.record(request.prompt, hops)
             return attempt
-        self.leave(request, attempt)
+        self.end(request, attempt)
         self._view.loads.mark_full(refusal.server)
-        return self._refused(refusal)
+        return self._refusal_failure(refusal)
 
-    def _choose(
+    def _choose_path(
         self,
         request: attempts.Request,
         progress: attempts.Progress,
         demand: demands.Demand,
     ) -> tuple[messages.Hop, ...] | failures.Failure:
-        """Choose a path, waiting while servers are changing places."""
-        seconds = RESUME_SECONDS if progress.delivered else PATH_SECONDS
-        began = timers.now()
-        until = min(request.deadline, began + seconds)
+        """Return a path, waiting while one may appear."""
+        seconds = (
+            RESUME_PATH_TIMEOUT_SECONDS
+            if progress.delivered
+            else PATH_TIMEOUT_SECONDS
+        )
+        started_at = timers.now()
+        until = min(request.deadline, started_at + seconds)
         while True:
-            hops = self._view.choose(
+            hops = self._view.choose_path(
                 request.model, frozenset(progress.excluded), demand
             )
             if not isinstance(hops, failures.Failure):
@@ -131,33 +135,37 @@
                 return hops
             if timers.now() > until:
                 return hops
-            # An answer that has begun is worth waiting for a restart.
-            is_begun = bool(progress.delivered)
-            may_come = self._view.may_have_path(request.model, began)
-            if not is_begun and not may_come:
+            # An answer with delivered tokens also waits for servers to
+            # restart.
+            is_resumed = bool(progress.delivered)
+            may_have_path = self._view.may_have_path(request.model, started_at)
+            if not is_resumed and not may_have_path:
                 return hops
-            self._view.dial_refused(began)
+            self._view.redial_refused(started_at)
             eventlet.sleep(PATH_POLL_SECONDS)
 
     def _await_opened(
         self, attempt: attempts.Attempt
     ) -> messages.Failed | None:
-        """Return the refusal if a stage of the path did not accept."""
-        attempt.early = attempt.mailbox.take_all()
-        match attempt.early[0]:
+        """Wait for the path's reply; return the refusal, None if accepted."""
+        attempt.opening_messages = attempt.mailbox.take_all()
+        match attempt.opening_messages[0]:
             case messages.Failed(step=messages.OPEN_STEP) as refusal:
                 return refusal
         return None
 
-    def _patience(
+    def _first_token_deadline(
         self, request: attempts.Request, progress: attempts.Progress
     ) -> float:
-        """Return until when an attempt may take for its first token."""
-        known = len(request.prompt) + len(progress.delivered)
-        seconds = FIRST_TOKEN_SECONDS + PREFILL_SECONDS * known
+        """Return the monotonic time by which the first token is due."""
+        prefill_tokens = len(request.prompt) + len(progress.delivered)
+        seconds = (
+            FIRST_TOKEN_TIMEOUT_SECONDS
+            + PREFILL_SECONDS_PER_TOKEN * prefill_tokens
+        )
         return min(timers.now() + seconds, request.deadline)
 
-    def _refused(self, refusal: messages.Failed) -> failures.Failure:
+    def _refusal_failure(self, refusal: messages.Failed) -> failures.Failure:
         self._events.witness(refusal.clock)
         return failures.Failure(
             refusal.reason,
@@ -166,7 +174,7 @@
             retry_after=max(0.5, refusal.retry_after_ms / 1000),
         )
 
-    def _start(
+    def _start_message(
         self,
         request: attempts.Request,
         progress: attempts.Progress,
@@ -199,13 +207,13 @@
             request.priority,
             request.fingerprint,
             clock,
-            self._strikes.count(request.fingerprint),
+            self._crash_reports.count(request.fingerprint),
         )
 
-    def leave(
+    def end(
         self, request: attempts.Request, attempt: attempts.Attempt
     ) -> None:
-        """End an attempt; its messages from now on are late."""
+        """Cancel an attempt; messages that arrive later are dropped."""
         self._view.loads.remove_attempt(attempt.hops)
         if self.attempt_by_answer.get(request.id) is attempt:
             del self.attempt_by_answer[request.id]
--- a/libs/entry/burdockmast/entry/completions.py
+++ b/libs/entry/burdockmast/entry/completions.py
@@ -1,7 +1,7 @@
-"""Bodies of model requests and answers, as chat clients know them.
+"""Bodies of chat completion requests and answers.
 
-Source: the widespread chat completions interface, of which the fields
-below are served; others are ignored as clients send many.
+The fields below are the supported part of the common chat completions API.
+Unknown fields are ignored, since clients send many.
 """
 
 import hashlib
@@ -14,8 +14,8 @@
 from burdockmast.base import failures
 from burdockmast.base import ids
 
-DEFAULT_TOKENS = 128
-MOST_TOKENS = 8192
+DEFAULT_MAX_TOKENS = 128
+MAX_TOKENS = 8192
 FINGERPRINT_BYTES = 12
 
 
@@ -29,51 +29,51 @@
 class ChatRequest(msgspec.Struct):
     """Body of a request for an answer.
 
-    ``prompt`` holds token ids and takes the place of ``messages``.
+    ``prompt`` holds token ids; if it is given, ``messages`` is ignored.
     """
 
     model: str
     messages: list[ChatMessage] = []
     prompt: list[Annotated[int, msgspec.Meta(ge=0, lt=2**32)]] = []
     stream: bool = False
-    max_tokens: Annotated[int, msgspec.Meta(ge=1, le=MOST_TOKENS)] | None = (
-        None
-    )
+    max_tokens: Annotated[int, msgspec.Meta(ge=1, le=MAX_TOKENS)] | None = None
     max_completion_tokens: (
-        Annotated[int, msgspec.Meta(ge=1, le=MOST_TOKENS)] | None
+        Annotated[int, msgspec.Meta(ge=1, le=MAX_TOKENS)] | None
     ) = None
 
     @property
-    def limit(self) -> int:
-        """Number of tokens asked for."""
-        return self.max_completion_tokens or self.max_tokens or DEFAULT_TOKENS
+    def token_limit(self) -> int:
+        """Largest number of tokens that the answer may have."""
+        return (
+            self.max_completion_tokens or self.max_tokens or DEFAULT_MAX_TOKENS
+        )
 
-    def tokens(self) -> tuple[int, ...]:
-        """Return the prompt as tokens."""
+    def prompt_tokens(self) -> tuple[int, ...]:
+        """Return the prompt, or the tokenized chat if there is none."""
         if self.prompt:
             return tuple(self.prompt)
         return tokenize(self.messages)
 
 
 def parse(body: bytes) -> ChatRequest | failures.Failure:
-    """Read a body; a failure names the field and what is allowed."""
+    """Decode a body; a failure names the field and the allowed values."""
     try:
         request = msgspec.json.decode(body, type=ChatRequest)
     except msgspec.DecodeError as error:
-        return _bad(str(error))
+        return _bad_body(str(error))
     if not request.messages and not request.prompt:
-        return _bad('`messages` or `prompt` must not be empty')
+        return _bad_body('`messages` or `prompt` must not be empty')
     return request
 
 
 def tokenize(messages: list[ChatMessage]) -> tuple[int, ...]:
-    """Return a chat as byte-level tokens, one for each byte of UTF-8."""
+    """Return a chat as byte-level tokens, one per byte of its UTF-8 text."""
     text = ''.join(f'{m.role}: {m.content}\n' for m in messages)
     return tuple(text.encode())
 
 
 def fingerprint_of(model: str, tokens: tuple[int, ...]) -> ids.Fingerprint:
-    """Return what equal requests have in common."""
+    """Return a hash that is the same for equal requests."""
     digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
     digest.update(model.encode())
     digest.update(','.join(map(str, tokens)).encode())
@@ -83,46 +83,49 @@
 class ChunkWriter:
     """Writes the server-sent events of one answer."""
 
-    def __init__(self, request: ids.RequestId, model: str):
-        """Prepare what is equal in all chunks."""
-        head = msgspec.json.encode(
+    def __init__(self, request_id: ids.RequestId, model: str):
+        """Encode the fields that all chunks share."""
+        shared_fields = msgspec.json.encode(
             {
-                'id': request,
+                'id': request_id,
                 'object': 'chat.completion.chunk',
                 'created': int(time.time()),
                 'model': model,
             }
         )
-        self._before = (
+        self._chunk_prefix = (
             b'data: '
-            + head[:-1]
+            + shared_fields[:-1]
             + b',"choices":[{"index":0,"delta":{"content":"'
         )
-        self._after = b'"},"finish_reason":null}]}\n\n'
-        self._head = head
+        self._chunk_suffix = b'"},"finish_reason":null}]}\n\n'
+        self._shared_fields = shared_fields
 
-    def token(self, token: int) -> bytes:
-        """Return the event of one token."""
-        return b'%s%d %s' % (self._before, token, self._after)
+    def token_event(self, token: int) -> bytes:
+        """Return the event for one token."""
+        return b'%s%d %s' % (self._chunk_prefix, token, self._chunk_suffix)
 
-    def end(self, count: int) -> bytes:
-        """Return the events that close a whole answer of ``count``."""
+    def end_events(self, count: int) -> bytes:
+        """Return the events that end a complete answer of ``count`` tokens."""
         tail = (
             ',"choices":[{"index":0,"delta":{},"finish_reason":"length"}],'
             f'"usage":{{"completion_tokens":{count}}}}}\n\n'
         )
         return (
-            b'data: ' + self._head[:-1] + tail.encode() + b'data: [DONE]\n\n'
+            b'data: '
+            + self._shared_fields[:-1]
+            + tail.encode()
+            + b'data: [DONE]\n\n'
         )
 
 
-def whole(
-    request: ids.RequestId, model: str, prompt: int, tokens: list[int]
+def completion_body(
+    request_id: ids.RequestId, model: str, prompt: int, tokens: list[int]
 ) -> bytes:
     """Return the body of an answer that is not streamed."""
     return msgspec.json.encode(
         {
-            'id': request,
+            'id': request_id,
             'object': 'chat.completion',
             'created': int(time.time()),
             'model': model,
@@ -145,7 +148,7 @@
     )
 
 
-def _bad(detail: str) -> failures.Failure:
+def _bad_body(detail: str) -> failures.Failure:
     return failures.Failure(
         failures.Reason.BAD_REQUEST, 'request.body', detail=detail
     )
--- a/libs/entry/burdockmast/entry/refusals.py
+++ b/libs/entry/burdockmast/entry/refusals.py
@@ -1,4 +1,4 @@
-"""Refusals as callers see them: typed, honest and at once."""
+"""HTTP status, headers and JSON body of refused requests."""
 
 import math
 
@@ -21,14 +21,15 @@
     failures.Reason.OVERLOADED: '429 Too Many Requests',
     failures.Reason.DEADLINE: '504 Gateway Timeout',
 }
-OTHER_STATUS = '503 Service Unavailable'
+UNAVAILABLE_STATUS = '503 Service Unavailable'
 
 
 class Refusal(msgspec.Struct):
-    """The ``error`` of a refusal's body.
+    """The ``error`` object of a refusal's body.
 
     :ivar outcome: ``not_run``, ``ran`` or ``may_have_run``
-    :ivar retry_after: seconds until a retry makes sense, None if never
+    :ivar retry_after: seconds to wait before a retry, None if a retry is
+        useless
     """
 
     type: str
@@ -40,7 +41,7 @@
     retry_after: float | None
 
 
-def body_of(failure: failures.Failure, request: ids.RequestId) -> bytes:
+def body_of(failure: failures.Failure, request_id: ids.RequestId) -> bytes:
     """Return the JSON body of a refusal."""
     refusal = Refusal(
         failure.reason.value,
@@ -48,7 +49,7 @@
         failure.detail or failure.reason.value.replace('_', ' '),
         failure.step,
         failure.peer,
-        request,
+        request_id,
         failure.retry_after,
     )
     return msgspec.json.encode({'error': refusal})
@@ -60,19 +61,19 @@
         failure.reason is not failures.Reason.CRASHES_SERVERS
     ):
         return STATUS_BY_REASON[failures.Reason.MAY_HAVE_RUN]
-    return STATUS_BY_REASON.get(failure.reason, OTHER_STATUS)
+    return STATUS_BY_REASON.get(failure.reason, UNAVAILABLE_STATUS)
 
 
 def headers_of(
-    failure: failures.Failure, request: ids.RequestId
+    failure: failures.Failure, request_id: ids.RequestId
 ) -> list[tuple[str, str]]:
     """Return the HTTP headers of a refusal."""
-    found = [
+    headers = [
         ('Content-Type', 'application/json'),
         ('Burdockmast-Outcome', failure.outcome.value),
-        ('Burdockmast-Request-Id', request),
+        ('Burdockmast-Request-Id', request_id),
     ]
     if failure.retry_after is not None:
         seconds = str(math.ceil(failure.retry_after))
-        found.append(('Retry-After', seconds))
-    return found
+        headers.append(('Retry-After', seconds))
+    return headers
--- a/libs/entry/burdockmast/entry/server.py
+++ b/libs/entry/burdockmast/entry/server.py
@@ -1,4 +1,4 @@
-"""The entry process: its parts, and which part gets which message."""
+"""The entry process: creates its parts, dispatches messages, shuts down."""
 
 import socket
 
@@ -24,27 +24,25 @@
 
 LOG = logs.get('entry')
 
-# eventlet's own has no poll.
+# The patched select module of eventlet has no poll.
 _select = eventlet.patcher.original('select')
 
-# Connections that may wait to be accepted.
-BACKLOG = 4096
-# Requests served at once.
-CONCURRENCY = 8192
-# Seconds that the balancer has to see that this instance is not ready: it may
-# look once a second.
-LEAVE_SECONDS = 2.0
-# Seconds that a planned stop waits for answers.
+LISTEN_BACKLOG = 4096
+MAX_CONCURRENT_REQUESTS = 8192
+# Time for the load balancer to see that this instance is not ready; it may
+# poll only once a second.
+READINESS_GRACE_SECONDS = 2.0
+# Time limit for running requests to end when the instance shuts down.
 DRAIN_SECONDS = 60.0
-# Looks for connections that wait to be accepted, before none are any more.
-ACCEPT_LOOKS = 100
+# Polls for pending connections before the listener is closed.
+MAX_ACCEPT_POLL_COUNT = 100
 
 
 class Entry:
     """One entry instance."""
 
     def __init__(self, settings: models.EntrySettings):
-        """Create the instance's parts; ``start`` begins their work."""
+        """Create the instance's parts; ``start`` starts them."""
         self.settings = settings
         self.node = node.Node.from_config(settings, messages.Role.ENTRY, self)
         self.node.describe_role = self._details
@@ -53,56 +51,63 @@
         self.queue = queues.FairQueue(settings.queue)
         self.answers = answers.Answers(self.node, self.view, self.queue)
         self._is_stopping = False
-        self.node.instances.subscribers.append(self._instance_listed)
+        self.node.instances.subscribers.append(self._on_instances_update)
         self.application = web.Application(
             self.node,
             self.answers,
-            services.Services(self.node, self.view),
+            services.ServiceClient(self.node, self.view),
             settings.default_deadline,
             settings.body_bytes,
         )
 
     def start(self) -> socket.socket:
-        """Begin all work but that for callers; return their socket.
+        """Start all parts; return the listening socket for ``serve``.
 
-        :raises OSError: if an address is taken
+        :raises OSError: if an address is in use
         """
         self.node.start()
-        self.node.timers.subscribe('dial', fleet.DIAL_SECONDS, self.view.dial)
         self.node.timers.subscribe(
-            'stalls', stalls.WATCH_SECONDS, self.answers.stalls.look
+            'dial', fleet.DIAL_INTERVAL_SECONDS, self.view.dial_unlinked
+        )
+        self.node.timers.subscribe(
+            'stalls', stalls.POLL_SECONDS, self.answers.stall_detector.poll
         )
         return eventlet.listen(
-            addresses.split(self.settings.http_address), backlog=BACKLOG
+            addresses.split(self.settings.http_address), backlog=LISTEN_BACKLOG
         )
 
     def serve(self, sock: socket.socket) -> None:
-        """Serve callers until ``stop`` has closed the socket.
+        """Serve callers until ``stop`` shuts the socket down.
 
-        Returns when all that was accepted before has been answered.
+        Returns after all accepted requests have been answered.
         """
         try:
             eventlet.wsgi.server(
                 sock,
                 self.application,
                 log_output=False,
-                max_size=CONCURRENCY,
-                # The default gathers 4 KiB, which are 20 tokens.
+                max_size=MAX_CONCURRENT_REQUESTS,
+                # The default buffers 4 KiB, which is 20 tokens.
                 minimum_chunk_size=1,
                 debug=False,
             )
         except OSError as error:
             if not self._is_stopping:
-                LOG.error('Callers are not served any more: {}.', error)
+                LOG.error(
+                    'Listening socket failed; callers are not served: {}.',
+                    error,
+                )
                 raise
 
     def stop(
         self, sock: socket.socket, serving: eventlet.greenthread.GreenThread
     ) -> None:
-        """Let the balancer turn away, then end when all is answered.
+        """Shut down gracefully.
 
-        Callers that keep coming are turned away when they connect, before
-        they have sent anything, so that whatever was sent is answered.
+        The instance first reports that it is not ready, so that the load
+        balancer stops sending requests. It then refuses new connections
+        instead of new requests, so that every request sent is answered, and
+        waits for the running requests.
 
         :param serving: the task that runs ``serve``
         """
@@ -110,37 +115,39 @@
             'process.stopping', requests=self.application.running
         )
         self._is_stopping = True
-        self.application.leaving = True
-        eventlet.sleep(LEAVE_SECONDS)
-        _end_listening(sock)
+        self.application.is_draining = True
+        eventlet.sleep(READINESS_GRACE_SECONDS)
+        _stop_listening(sock)
         with eventlet.Timeout(DRAIN_SECONDS, False):
             serving.wait()
 
-    def _instance_listed(self) -> None:
-        """Let the balancer turn away before the platform stops us."""
-        is_leaving = self.node.instances.is_draining
-        self.application.leaving = self._is_stopping or is_leaving
+    def _on_instances_update(self) -> None:
+        """Report not ready as soon as the platform lists us as leaving."""
+        is_draining = self.node.instances.is_draining
+        self.application.is_draining = self._is_stopping or is_draining
 
     def receive(self, link: links.Link, message: messages.AnyMessage) -> None:
-        """Hand a message to its part."""
+        """Dispatch a message to the part that handles it."""
         match message:
             case messages.Token() | messages.Finished() | messages.Failed():
                 self.answers.receive(message)
             case messages.Begun():
-                self.answers.begun(message)
+                self.answers.on_begun(message)
             case _ if self.node.receive(link, message):
                 if isinstance(message, messages.Heartbeat) and message.load:
-                    self._learn(message)
+                    self._apply_load(message)
 
-    def _learn(self, heartbeat: messages.Heartbeat) -> None:
+    def _apply_load(self, heartbeat: messages.Heartbeat) -> None:
         load = heartbeat.load
         earlier = self.view.loads.report_by_server.get(load.server)
-        if earlier is None or _standing(earlier.load) != _standing(load):
-            self._note_standing(load)
+        if earlier is None or _availability(earlier.load) != _availability(
+            load
+        ):
+            self._record_availability(load)
         self.view.loads.apply_report(load, heartbeat.period_ms / 1000)
         self.queue.wake(load.slots - load.running)
 
-    def _note_standing(self, load: messages.Load) -> None:
+    def _record_availability(self, load: messages.Load) -> None:
         held = [f'{h.model}:{h.first}-{h.end}' for h in load.held]
         self.node.events.add(
             'server.standing',
@@ -159,10 +166,10 @@
         return self.node.peers.period()
 
     def closed(self, link: links.Link, why: failures.Failure) -> None:
-        """End what depended on a lost link."""
+        """Fail what depended on a lost link."""
         self.node.closed(link, why)
-        self.view.closed(link)
-        self.answers.link_closed(link, why)
+        self.view.on_link_closed(link)
+        self.answers.on_link_closed(link, why)
 
     def _details(self) -> dict:
         return {
@@ -173,26 +180,26 @@
         }
 
 
-def _end_listening(sock: socket.socket) -> None:
-    """End listening on a socket once nobody waits to be accepted.
+def _stop_listening(sock: socket.socket) -> None:
+    """Stop listening once no connections are pending.
 
-    The system then resets connections that still wait, and with them requests
-    that may have been sent already.
+    The kernel resets connections that are still pending at shutdown, together
+    with requests that may have been sent on them.
     """
-    for _ in range(ACCEPT_LOOKS):
-        if not _is_waited_for(sock):
+    for _ in range(MAX_ACCEPT_POLL_COUNT):
+        if not _has_pending_connection(sock):
             break
         eventlet.sleep(0)
-    # Unlike closing, this wakes the task that accepts.
+    # Unlike close, shutdown wakes the task that accepts connections.
     sock.shutdown(socket.SHUT_RDWR)
 
 
-def _is_waited_for(sock: socket.socket) -> bool:
+def _has_pending_connection(sock: socket.socket) -> bool:
     poll = _select.poll()
     poll.register(sock.fileno(), _select.POLLIN)
     return bool(poll.poll(0))
 
 
-def _standing(load: messages.Load) -> tuple[object, ...]:
-    """Return what decides whether a server may get new answers at all."""
+def _availability(load: messages.Load) -> tuple[object, ...]:
+    """Return the fields that decide whether a server may get new answers."""
     return load.held, load.leaving, load.is_engine_lost
