Rename the estimate of the engine's prefix cache

The module caches and its class Caches held neither a cache nor several, and their methods look and run did not say what they do: caches -> prefix_cache, Caches -> PrefixCacheEstimate, look -> poll, run -> record_prompt. Private names follow the terms of LRU caches. The timer name 'caches' stays.

Renames alone.

--- a/libs/side/burdockmast/side/server.py
+++ b/libs/side/burdockmast/side/server.py
@@ -9,10 +9,10 @@
 from burdockmast.fleet import changes
 from burdockmast.node import node
 from burdockmast.settings import models
-from burdockmast.side import caches
 from burdockmast.side import engine
 from burdockmast.side import executions
 from burdockmast.side import holding
+from burdockmast.side import prefix_cache
 from burdockmast.side import stage
 from burdockmast.wire import links
 from burdockmast.wire import messages
@@ -69,7 +69,9 @@
                 'holding', holding.LOOK_SECONDS, self.holding.look
             )
             self.node.timers.subscribe(
-                'caches', caches.LOOK_SECONDS, self.stage.caches.look
+                'caches',
+                prefix_cache.POLL_SECONDS,
+                self.stage.prefix_cache.poll,
             )
 
     def stop(self) -> None:
@@ -182,7 +184,7 @@
             'free_slots': self.stage.free_slots,
             'layer_us': self.stage.driver.layer_seconds * 1e6,
             'prefill_us': self.stage.driver.prefill_seconds * 1e6,
-            'lost_cache_events': self.stage.caches.lost_events,
+            'lost_cache_events': self.stage.prefix_cache.lost_events,
             'held': self.holding.held,
             'leaving': self.stage.leaving,
         }
--- a/libs/side/burdockmast/side/stage.py
+++ b/libs/side/burdockmast/side/stage.py
@@ -13,10 +13,10 @@
 from burdockmast.base import timers
 from burdockmast.limits import crashreports
 from burdockmast.node import node
-from burdockmast.side import caches
 from burdockmast.side import driver
 from burdockmast.side import engine
 from burdockmast.side import holding
+from burdockmast.side import prefix_cache
 from burdockmast.side import runs
 from burdockmast.wire import links
 from burdockmast.wire import messages
@@ -41,7 +41,7 @@
         self.running_by_answer: dict[ids.RequestId, runs.Run] = {}
         self.leaving = False
         self.driver = driver.Driver(engine_client, self)
-        self.caches = caches.Caches(engine_client)
+        self.prefix_cache = prefix_cache.PrefixCacheEstimate(engine_client)
         self._server = process.peers.hello.server
         self._holding = holder
         self._peers = process.peers
@@ -92,7 +92,7 @@
         if earlier:
             self.driver.close(earlier.sequence)
         expires = timers.now() + start.budget_ms / 1000
-        cached = (*start.cached, self.caches.run(start.tokens))
+        cached = (*start.cached, self.prefix_cache.record_prompt(start.tokens))
         running = runs.Run(start, link, expires, cached)
         self.running_by_answer[start.answer] = running
         self._events.add('stage.opened', start.answer, attempt=start.attempt)
@@ -348,7 +348,7 @@
         :param batch: what it was running, also if given up meanwhile
         """
         crash = '' if why.outcome is outcomes.Outcome.NOT_RUN else ids.new_id()
-        self.caches.clear()
+        self.prefix_cache.clear()
         self._events.add('engine.lost', crash=crash)
         self._metrics.count('engine.lost')
         begun = [r for r in self.running_by_answer.values() if r.index]
--- a/tests/test_caches.py
+++ b/tests/test_caches.py
@@ -15,8 +15,8 @@
 from burdockmast.routing import paths
 from burdockmast.routing import policies
 from burdockmast.routing import rendezvous
-from burdockmast.side import caches
 from burdockmast.side import engine
+from burdockmast.side import prefix_cache
 from burdockmast.standins import engine as standin
 from burdockmast.wire import messages
 
@@ -61,8 +61,8 @@
 
 def polled_caches(published):
     """Return the record of a side process that has polled once."""
-    view = caches.Caches(published)
-    view.look()
+    view = prefix_cache.PrefixCacheEstimate(published)
+    view.poll()
     return view
 
 
@@ -73,15 +73,15 @@
 def test_side_process_knows_what_ran_before_any_event():
     published = Published(lag=3600.0)
     view = polled_caches(published)
-    assert view.run(BEGINNING) == published.run(BEGINNING) == 0
-    assert view.run(BEGINNING) == published.run(BEGINNING) == 512
+    assert view.record_prompt(BEGINNING) == published.run(BEGINNING) == 0
+    assert view.record_prompt(BEGINNING) == published.run(BEGINNING) == 512
 
 
 def test_new_side_process_applies_events():
     published = Published()
     published.run(BEGINNING)
     view = polled_caches(published)
-    assert view.run(BEGINNING) == 512
+    assert view.record_prompt(BEGINNING) == 512
 
 
 def test_removed_blocks_do_not_count_as_cached():
@@ -89,23 +89,23 @@
     view = polled_caches(published)
     other = tuple(range(1000, 1512))
     for prompt in (BEGINNING, other, BEGINNING, other):
-        assert view.run(prompt) == published.run(prompt)
-        view.look()
+        assert view.record_prompt(prompt) == published.run(prompt)
+        view.poll()
 
 
 def test_restarted_engine_has_nothing():
     published = Published()
     view = polled_caches(published)
-    view.run(BEGINNING)
+    view.record_prompt(BEGINNING)
     published.restart()
-    view.look()
-    assert view.run(BEGINNING) == 0
+    view.poll()
+    assert view.record_prompt(BEGINNING) == 0
 
 
 def test_engine_that_publishes_nothing_has_nothing():
-    view = caches.Caches(Published())
-    view.run(BEGINNING)
-    assert view.run(BEGINNING) == 0
+    view = prefix_cache.PrefixCacheEstimate(Published())
+    view.record_prompt(BEGINNING)
+    assert view.record_prompt(BEGINNING) == 0
 
 
 @given(
@@ -122,9 +122,9 @@
     for pick in picks:
         prompt = tuple(range(1000 * pick, 1000 * pick + 320))
         prompt += tuple(rng.randrange(1000) for _ in range(16))
-        mismatches += view.run(prompt) != published.run(prompt)
-        view.look()
-        assert len(view._known) <= 64
+        mismatches += view.record_prompt(prompt) != published.run(prompt)
+        view.poll()
+        assert len(view._blocks) <= 64
     if not loss:
         assert mismatches == 0
 
