Rename the side process's class and its claim writers

Side -> SideProcess, as the prose calls it; homes -> claim_writers. Private names tell draining and status apart. What the messages and the status call 'leaving' stays.

Renames alone. Checks: ruff, flake8, import of the daemon.

--- a/libs/operator/burdockmast/operator/daemons.py
+++ b/libs/operator/burdockmast/operator/daemons.py
@@ -42,7 +42,7 @@
     :raises loader.SettingsError: if the settings are wrong
     """
     settings = loader.load(path, models.SideSettings)
-    side = side_server.Side(settings)
+    side = side_server.SideProcess(settings)
     try:
         side.start()
     except OSError as error:
--- a/libs/side/burdockmast/side/server.py
+++ b/libs/side/burdockmast/side/server.py
@@ -17,10 +17,10 @@
 from burdockmast.wire import links
 from burdockmast.wire import messages
 
-IDLE_SECONDS = 0.05
+IDLE_POLL_SECONDS = 0.05
 
 
-class Side:
+class SideProcess:
     """One side process, beside an engine or a plain service."""
 
     def __init__(self, settings: models.SideSettings):
@@ -29,8 +29,8 @@
         self.node = node.Node.from_config(
             settings, messages.Role.SIDE, self, settings.server
         )
-        self.node.describe_role = self._details
-        self.homes = home.Homes(
+        self.node.describe_role = self._status_details
+        self.claim_writers = home.Homes(
             self.node.store, self.node.metrics, settings.claims_retention
         )
         self.stage: stage.Stage | None = None
@@ -54,8 +54,8 @@
             self.executions = executions.Executions(
                 self.node, settings.service_url
             )
-        self.node.follower.subscribers.append(self._configured)
-        self.node.instances.subscribers.append(self._configured)
+        self.node.follower.subscribers.append(self._update_draining)
+        self.node.instances.subscribers.append(self._update_draining)
 
     def start(self) -> None:
         """Begin all work.
@@ -79,25 +79,25 @@
         self._is_stopping = True
         self.node.events.add('process.stopping', drain=self.settings.drain)
         deadline = timers.now() + self.settings.drain
-        self._set_leaving(True)
+        self._set_draining(True)
         while not self._is_idle() and timers.now() < deadline:
-            eventlet.sleep(IDLE_SECONDS)
+            eventlet.sleep(IDLE_POLL_SECONDS)
 
     def _is_idle(self) -> bool:
         if self.stage and self.stage.running_by_answer:
             return False
         return not self.executions or not self.executions.running
 
-    def _configured(self, _: changes.Body | None = None) -> None:
+    def _update_draining(self, _: changes.Body | None = None) -> None:
         server = self.node.follower.configuration.server_by_id.get(
             self.settings.server
         )
         if self._is_stopping:
             return
         is_retired = server and server.state is changes.ServerState.DRAINING
-        self._set_leaving(bool(is_retired) or self.node.instances.is_draining)
+        self._set_draining(bool(is_retired) or self.node.instances.is_draining)
 
-    def _set_leaving(self, leaving: bool) -> None:
+    def _set_draining(self, leaving: bool) -> None:
         for part in (self.stage, self.executions):
             if part and part.leaving is not leaving:
                 part.leaving = leaving
@@ -109,15 +109,17 @@
             case _ if self.stage and self.stage.receive(link, message):
                 pass
             case messages.Claim():
-                eventlet.spawn(self._claim, link, message)
+                eventlet.spawn(self._submit_claim, link, message)
             case messages.ServiceCall() | messages.Settle():
-                eventlet.spawn(self._execute, link, message)
+                eventlet.spawn(self._handle_service_message, link, message)
             case _:
                 self.node.receive(link, message)
 
-    def _claim(self, link: links.Link, claim: messages.Claim) -> None:
+    def _submit_claim(self, link: links.Link, claim: messages.Claim) -> None:
         record = records.decode(claim.record)
-        state = self.homes.submit(claim.shard, record, home.WRITE_SECONDS)
+        state = self.claim_writers.submit(
+            claim.shard, record, home.WRITE_SECONDS
+        )
         if isinstance(state, failures.Failure):
             reply = messages.Claimed(
                 claim.call, b'', state.reason, state.detail
@@ -126,7 +128,7 @@
             reply = messages.Claimed(claim.call, records.encode_state(state))
         link.send(reply)
 
-    def _execute(
+    def _handle_service_message(
         self,
         link: links.Link,
         message: messages.ServiceCall | messages.Settle,
@@ -144,7 +146,7 @@
         """Return the heartbeat for a peer; entries get the load too."""
         load = None
         if link.hello.role is messages.Role.ENTRY and self.stage:
-            load = self._load()
+            load = self._load_report()
         return self.node.heartbeat(load)
 
     def period(self) -> float:
@@ -157,7 +159,7 @@
         if self.stage:
             self.stage.link_closed(link, why)
 
-    def _load(self) -> messages.Load:
+    def _load_report(self) -> messages.Load:
         running = len(self.stage.running_by_answer)
         is_engine_lost = not self.stage.driver.ready
         times = tuple(
@@ -176,7 +178,7 @@
             is_engine_lost,
         )
 
-    def _details(self) -> dict:
+    def _status_details(self) -> dict:
         if not self.stage:
             return {'executing': self.executions.running}
         return {
