Rename the module that reconciles the engine's layers

holding -> layer_reconciler, Holding -> LayerReconciler, look -> poll_engine, found_dead -> on_engine_unreachable, ranges -> serving_ranges; turns are move permits. The log part and timer name 'holding' stay.

Renames alone.

--- a/libs/side/burdockmast/side/holding.py
+++ b/libs/side/burdockmast/side/layer_reconciler.py
@@ -29,12 +29,12 @@
 
 RETRY_SECONDS = 0.5
 # Seconds between looks whether the engine still holds its layers.
-LOOK_SECONDS = 1.0
+POLL_SECONDS = 1.0
 # Seconds between looks whether answers on the old layers have ended.
-IDLE_SECONDS = 0.05
+IDLE_POLL_SECONDS = 0.05
 
 
-class Holding:
+class LayerReconciler:
     """Keeps an engine's layers as the preset in force places them.
 
     Until it is this server's turn, answers go on and begin on the old
@@ -47,7 +47,7 @@
         process: node.Node,
         engine_client: engine.Engine,
         checks_fence: bool,
-        loads_at_once: int,
+        max_concurrent_loads: int,
     ):
         """Create a keeper that has given no order yet.
 
@@ -56,7 +56,9 @@
         """
         self.held: engine.Held | None = None
         self.is_idle = lambda: True
-        self.found_dead: Callable[[failures.Failure], None] = lambda _: None
+        self.on_engine_unreachable: Callable[[failures.Failure], None] = (
+            lambda _: None
+        )
         self._server = process.peers.hello.server
         self._engine = engine_client
         self._follower = process.follower
@@ -65,12 +67,12 @@
         self._peers = process.peers
         self._checks_fence = checks_fence
         self._started_at = timers.now()
-        self._turns = layer_moves.MovePermits(
-            process.store, self._server, loads_at_once
+        self._permits = layer_moves.MovePermits(
+            process.store, self._server, max_concurrent_loads
         )
-        self._is_working = False
+        self._is_reconciling = False
         self._is_moving = False
-        self._is_looking = False
+        self._is_polling = False
         self._follower.subscribers.append(self.reconcile)
 
     def covers(self, model: ids.ModelId, first: int, end: int) -> bool:
@@ -84,28 +86,28 @@
             and end <= held.end
         )
 
-    def ranges(self) -> tuple[messages.LayerRange, ...]:
+    def serving_ranges(self) -> tuple[messages.LayerRange, ...]:
         """Return the layers that new answers may run on."""
         held = self.held
         if not held or self._is_moving:
             return ()
         return (messages.LayerRange(held.model, held.first, held.end),)
 
-    def look(self) -> None:
+    def poll_engine(self) -> None:
         """Find out whether the engine has restarted between two calls."""
-        if self._is_working or self._is_looking or not self.held:
+        if self._is_reconciling or self._is_polling or not self.held:
             return
-        self._is_looking = True
+        self._is_polling = True
         try:
             status = self._engine.status()
         finally:
-            self._is_looking = False
+            self._is_polling = False
         if isinstance(status, failures.Failure):
             if status.outcome is outcomes.Outcome.NOT_RUN:
                 # Nothing listens there: it is dead, not slow.
-                self.found_dead(status)
+                self.on_engine_unreachable(status)
             return
-        if self._is_working:
+        if self._is_reconciling:
             return
         if status.held != self.held:
             LOG.warning('The engine no longer holds {}.', self.held)
@@ -119,9 +121,9 @@
 
     def reconcile(self, _: changes.Body | None = None) -> None:
         """Work towards what the configuration wants, in a task."""
-        if not self._is_working and self._wanted() != self.held:
-            self._is_working = True
-            eventlet.spawn(self._work)
+        if not self._is_reconciling and self._wanted() != self.held:
+            self._is_reconciling = True
+            eventlet.spawn(self._run)
 
     def _wanted(self) -> engine.Held | None:
         placed = self._follower.configuration.placement(self._server)
@@ -129,14 +131,14 @@
             return None
         return engine.Held(placed.model, placed.first, placed.end)
 
-    def _work(self) -> None:
+    def _run(self) -> None:
         try:
             while self._wanted() != self.held:
-                self._approach()
+                self._reconcile_once()
         finally:
-            self._is_working = False
+            self._is_reconciling = False
 
-    def _approach(self) -> None:
+    def _reconcile_once(self) -> None:
         """Take one step towards what is wanted."""
         status = self._engine.status()
         if isinstance(status, failures.Failure):
@@ -145,16 +147,16 @@
         if status.held == wanted:
             return self._adopt(wanted)
         if status.held and not self._may_order():
-            return eventlet.sleep(IDLE_SECONDS)
-        leaves = self.held or status.held
-        model = (leaves or wanted).model
-        match self._turns.acquire(
-            model, self._follower.configuration, bool(leaves)
+            return eventlet.sleep(IDLE_POLL_SECONDS)
+        dropped = self.held or status.held
+        model = (dropped or wanted).model
+        match self._permits.acquire(
+            model, self._follower.configuration, bool(dropped)
         ):
             case layer_moves.RetryLater(seconds=seconds):
                 self._metrics.count('moves.waited')
                 eventlet.sleep(seconds)
-            case failures.Failure() as failure if leaves:
+            case failures.Failure() as failure if dropped:
                 LOG.warning('No turn to change layers: {}.', failure)
                 eventlet.sleep(RETRY_SECONDS)
             case layer_moves.Acquired() | failures.Failure():
@@ -166,43 +168,43 @@
         """Change layers in this server's turn."""
         self._is_moving = True
         self._events.add('engine.moving', model=model)
-        eventlet.spawn(self._renew, model)
+        eventlet.spawn(self._renew_permit, model)
         self._peers.beat()
         try:
             while not self.is_idle():
-                eventlet.sleep(IDLE_SECONDS)
-            self._order()
+                eventlet.sleep(IDLE_POLL_SECONDS)
+            self._order_layers()
         finally:
             self._is_moving = False
-        self._tell(model)
+        self._record_held(model)
         self._peers.beat()
 
-    def _renew(self, model: ids.ModelId) -> None:
+    def _renew_permit(self, model: ids.ModelId) -> None:
         while True:
             eventlet.sleep(layer_moves.RENEW_SECONDS)
             if not self._is_moving:
                 return
-            self._turns.renew(model)
+            self._permits.renew(model)
 
-    def _tell(self, *models: ids.ModelId) -> None:
+    def _record_held(self, *models: ids.ModelId) -> None:
         """Tell models' other servers what is held here now."""
         if self.held:
             models = (*models, self.held.model)
         for model in set(models):
-            eventlet.spawn(self._tell_one, model)
+            eventlet.spawn(self._record_held_of, model)
 
-    def _tell_one(self, model: ids.ModelId) -> None:
+    def _record_held_of(self, model: ids.ModelId) -> None:
         while True:
             held = self.held
             is_held = held is not None and held.model == model
             span = layer_moves.Span(held.first, held.end) if is_held else None
-            if self._turns.release(model, span):
+            if self._permits.release(model, span):
                 return
             eventlet.sleep(RETRY_SECONDS)
 
     def _adopt(self, held: engine.Held) -> None:
-        self._hold(held, 'engine.adopted')
-        self._tell()
+        self._set_held(held, 'engine.adopted')
+        self._record_held()
         self._peers.beat()
 
     def _may_order(self) -> bool:
@@ -210,24 +212,24 @@
             self._follower.fresh_at >= self._started_at
         )
 
-    def _hold(self, held: engine.Held | None, what: str) -> None:
+    def _set_held(self, held: engine.Held | None, event: str) -> None:
         self.held = held
         self._events.add(
-            what,
+            event,
             fence=self._follower.version,
             first=held.first if held else 0,
             end=held.end if held else 0,
         )
 
-    def _order(self) -> None:
+    def _order_layers(self) -> None:
         """Give the order that the newest configuration asks for."""
         wanted = self._wanted()
         if wanted is None:
-            return self._hold(None, 'engine.left')
+            return self._set_held(None, 'engine.left')
         version = self._follower.version
         match self._engine.order(version, wanted):
             case engine.Done():
-                self._hold(wanted, 'engine.ordered')
+                self._set_held(wanted, 'engine.ordered')
             case failures.Failure() as failure:
                 LOG.warning('Order {} failed: {}.', version, failure)
                 eventlet.sleep(RETRY_SECONDS)
--- a/libs/side/burdockmast/side/server.py
+++ b/libs/side/burdockmast/side/server.py
@@ -11,7 +11,7 @@
 from burdockmast.settings import models
 from burdockmast.side import engine
 from burdockmast.side import executions
-from burdockmast.side import holding
+from burdockmast.side import layer_reconciler
 from burdockmast.side import prefix_cache
 from burdockmast.side import stage
 from burdockmast.wire import links
@@ -34,22 +34,24 @@
             self.node.store, self.node.metrics, settings.claims_retention
         )
         self.stage: stage.Stage | None = None
-        self.holding: holding.Holding | None = None
+        self.reconciler: layer_reconciler.LayerReconciler | None = None
         self.executions: executions.Executions | None = None
         self._is_stopping = False
         if settings.engine_url:
             client = engine.Engine(settings.engine_url)
-            self.holding = holding.Holding(
+            self.reconciler = layer_reconciler.LayerReconciler(
                 self.node,
                 client,
                 settings.engine_checks_fence,
                 settings.loads_at_once,
             )
             self.stage = stage.Stage(
-                self.node, client, self.holding, settings.slots
+                self.node, client, self.reconciler, settings.slots
+            )
+            self.reconciler.is_idle = self._is_idle
+            self.reconciler.on_engine_unreachable = (
+                self.stage.driver.found_dead
             )
-            self.holding.is_idle = self._is_idle
-            self.holding.found_dead = self.stage.driver.found_dead
         if settings.service_url:
             self.executions = executions.Executions(
                 self.node, settings.service_url
@@ -66,7 +68,9 @@
         if self.stage:
             self.stage.start()
             self.node.timers.subscribe(
-                'holding', holding.LOOK_SECONDS, self.holding.look
+                'holding',
+                layer_reconciler.POLL_SECONDS,
+                self.reconciler.poll_engine,
             )
             self.node.timers.subscribe(
                 'caches',
@@ -172,7 +176,7 @@
             running + self.stage.free_slots,
             int(self.stage.driver.layer_seconds * 1e9),
             self.stage.leaving,
-            () if is_engine_lost else self.holding.ranges(),
+            () if is_engine_lost else self.reconciler.serving_ranges(),
             times,
             int(self.stage.driver.prefill_seconds * 1e9),
             is_engine_lost,
@@ -187,6 +191,6 @@
             'layer_us': self.stage.driver.layer_seconds * 1e6,
             'prefill_us': self.stage.driver.prefill_seconds * 1e6,
             'lost_cache_events': self.stage.prefix_cache.lost_events,
-            'held': self.holding.held,
+            'held': self.reconciler.held,
             'leaving': self.stage.leaving,
         }
--- a/libs/side/burdockmast/side/stage.py
+++ b/libs/side/burdockmast/side/stage.py
@@ -15,7 +15,7 @@
 from burdockmast.node import node
 from burdockmast.side import driver
 from burdockmast.side import engine
-from burdockmast.side import holding
+from burdockmast.side import layer_reconciler
 from burdockmast.side import prefix_cache
 from burdockmast.side import runs
 from burdockmast.wire import links
@@ -34,7 +34,7 @@
         self,
         process: node.Node,
         engine_client: engine.Engine,
-        holder: holding.Holding,
+        reconciler: layer_reconciler.LayerReconciler,
         slots: int,
     ):
         """Create a stage; ``start`` begins its work."""
@@ -43,7 +43,7 @@
         self.driver = driver.Driver(engine_client, self)
         self.prefix_cache = prefix_cache.PrefixCacheEstimate(engine_client)
         self._server = process.peers.hello.server
-        self._holding = holder
+        self._reconciler = reconciler
         self._peers = process.peers
         self._slots = slots
         self._strikes = process.strikes
@@ -188,7 +188,7 @@
         hop = start.hops[start.position]
         if not self.driver.ready:
             return failures.Reason.ENGINE_LOST
-        if hop.server != self._server or not self._holding.covers(
+        if hop.server != self._server or not self._reconciler.covers(
             start.model, hop.first, hop.end
         ):
             return failures.Reason.NO_PATH
@@ -297,7 +297,7 @@
     ) -> None:
         """Pass a step's result on to the next stage, or towards the entry."""
         if result.error:
-            eventlet.spawn(self._holding.look)
+            eventlet.spawn(self._reconciler.poll_engine)
             self._fail(
                 running,
                 failures.Reason.ENGINE_REFUSED,
@@ -362,7 +362,7 @@
 
     def engine_back(self) -> None:
         """Have the layers loaded again, and tell the peers."""
-        self._holding.reload()
+        self._reconciler.reload()
         self._peers.beat()
 
     def _fail(
