Rename the batch scheduler, the stage's attempts and its handlers

driver -> batch_scheduler, Driver -> BatchScheduler; runs -> stage_attempts, Run -> StageAttempt; the stage's methods for messages are on_start, on_opened and so on; leaving -> is_draining. The parameter of _find_attempt is now number, since attempt names the object. The log part 'driver' and the outer key 'leaving' stay.

Renames alone.

--- a/libs/side/burdockmast/side/executions.py
+++ b/libs/side/burdockmast/side/executions.py
@@ -41,7 +41,7 @@
 
         :param url: base of the plain service
         """
-        self.leaving = False
+        self.is_draining = False
         self.running = 0
         self._url = url
         self._process = process.peers.hello.process
@@ -58,7 +58,7 @@
         if call.incarnation and call.incarnation != self._process:
             return self._refuse(call, failures.Reason.STALE_INCARNATION)
         if not call.key:
-            if self.leaving:
+            if self.is_draining:
                 return self._refuse(call, failures.Reason.LEAVING)
             if call.budget_ms <= 0:
                 return self._refuse(call, failures.Reason.DEADLINE)
@@ -68,7 +68,7 @@
             return _reply_as(known.ended.wait(), call.call)
         if known and known.attempt >= call.attempt:
             return self._refuse(call, failures.Reason.CANCELLED)
-        if self.leaving:
+        if self.is_draining:
             return self._refuse(call, failures.Reason.LEAVING)
         if call.budget_ms <= 0:
             return self._refuse(call, failures.Reason.DEADLINE)
--- a/libs/side/burdockmast/side/server.py
+++ b/libs/side/burdockmast/side/server.py
@@ -50,7 +50,7 @@
             )
             self.reconciler.is_idle = self._is_idle
             self.reconciler.on_engine_unreachable = (
-                self.stage.driver.found_dead
+                self.stage.scheduler.on_engine_unreachable
             )
         if settings.service_url:
             self.executions = executions.Executions(
@@ -88,7 +88,7 @@
             eventlet.sleep(IDLE_POLL_SECONDS)
 
     def _is_idle(self) -> bool:
-        if self.stage and self.stage.running_by_answer:
+        if self.stage and self.stage.attempt_by_answer:
             return False
         return not self.executions or not self.executions.running
 
@@ -101,10 +101,10 @@
         is_retired = server and server.state is changes.ServerState.DRAINING
         self._set_draining(bool(is_retired) or self.node.instances.is_draining)
 
-    def _set_draining(self, leaving: bool) -> None:
+    def _set_draining(self, is_draining: bool) -> None:
         for part in (self.stage, self.executions):
-            if part and part.leaving is not leaving:
-                part.leaving = leaving
+            if part and part.is_draining is not is_draining:
+                part.is_draining = is_draining
                 self.node.peers.beat()
 
     def receive(self, link: links.Link, message: messages.AnyMessage) -> None:
@@ -161,11 +161,11 @@
         """End what depended on a lost link."""
         self.node.closed(link, why)
         if self.stage:
-            self.stage.link_closed(link, why)
+            self.stage.on_link_closed(link, why)
 
     def _load_report(self) -> messages.Load:
-        running = len(self.stage.running_by_answer)
-        is_engine_lost = not self.stage.driver.ready
+        running = len(self.stage.attempt_by_answer)
+        is_engine_lost = not self.stage.scheduler.is_ready
         times = tuple(
             messages.LinkTime(address, int(link.rtt * 1e6))
             for address, link in self.node.peers.link_by_address.items()
@@ -174,11 +174,11 @@
             self.settings.server,
             running,
             running + self.stage.free_slots,
-            int(self.stage.driver.layer_seconds * 1e9),
-            self.stage.leaving,
+            int(self.stage.scheduler.layer_seconds * 1e9),
+            self.stage.is_draining,
             () if is_engine_lost else self.reconciler.serving_ranges(),
             times,
-            int(self.stage.driver.prefill_seconds * 1e9),
+            int(self.stage.scheduler.prefill_seconds * 1e9),
             is_engine_lost,
         )
 
@@ -186,11 +186,11 @@
         if not self.stage:
             return {'executing': self.executions.running}
         return {
-            'running': len(self.stage.running_by_answer),
+            'running': len(self.stage.attempt_by_answer),
             'free_slots': self.stage.free_slots,
-            'layer_us': self.stage.driver.layer_seconds * 1e6,
-            'prefill_us': self.stage.driver.prefill_seconds * 1e6,
+            'layer_us': self.stage.scheduler.layer_seconds * 1e6,
+            'prefill_us': self.stage.scheduler.prefill_seconds * 1e6,
             'lost_cache_events': self.stage.prefix_cache.lost_events,
             'held': self.reconciler.held,
-            'leaving': self.stage.leaving,
+            'leaving': self.stage.is_draining,
         }
--- a/libs/side/burdockmast/side/stage.py
+++ b/libs/side/burdockmast/side/stage.py
@@ -13,17 +13,17 @@
 from burdockmast.base import timers
 from burdockmast.limits import crashreports
 from burdockmast.node import node
-from burdockmast.side import driver
+from burdockmast.side import batch_scheduler
 from burdockmast.side import engine
 from burdockmast.side import layer_reconciler
 from burdockmast.side import prefix_cache
-from burdockmast.side import runs
+from burdockmast.side import stage_attempts
 from burdockmast.wire import links
 from burdockmast.wire import messages
 
 BUSY_RETRY_MS = 500
 # Parts of a stage's answers that wait for the engine while others run.
-SPARE_PARTS = 1
+QUEUED_BATCH_COUNT = 1
 STATE_BYTES = 4
 
 
@@ -38,37 +38,39 @@
         slots: int,
     ):
         """Create a stage; ``start`` begins its work."""
-        self.running_by_answer: dict[ids.RequestId, runs.Run] = {}
-        self.leaving = False
-        self.driver = driver.Driver(engine_client, self)
+        self.attempt_by_answer: dict[
+            ids.RequestId, stage_attempts.StageAttempt
+        ] = {}
+        self.is_draining = False
+        self.scheduler = batch_scheduler.BatchScheduler(engine_client, self)
         self.prefix_cache = prefix_cache.PrefixCacheEstimate(engine_client)
         self._server = process.peers.hello.server
         self._reconciler = reconciler
         self._peers = process.peers
         self._slots = slots
-        self._strikes = process.strikes
+        self._crash_reports = process.strikes
         self._events = process.events
         self._metrics = process.metrics
 
     def start(self) -> None:
         """Start driving the engine."""
-        self.driver.start()
+        self.scheduler.start()
 
     def receive(self, link: links.Link, message: messages.AnyMessage) -> bool:
         """Handle what concerns answers; tell whether it did."""
         match message:
             case messages.Step():
-                self.step(link, message)
+                self.on_step(link, message)
             case messages.Token():
-                self.token(message)
+                self.on_token(message)
             case messages.Start():
-                self.open(link, message)
+                self.on_start(link, message)
             case messages.Opened():
-                self.opened(message)
+                self.on_opened(message)
             case messages.Cancel():
-                self.cancel(message)
+                self.on_cancel(message)
             case messages.Failed():
-                self.failed(message)
+                self.on_failed(message)
             case _:
                 return False
         return True
@@ -76,117 +78,124 @@
     @property
     def free_slots(self) -> int:
         """Answers that may still be accepted."""
-        if self.leaving or not self.driver.ready:
+        if self.is_draining or not self.scheduler.is_ready:
             return 0
-        return max(0, self._slots - len(self.running_by_answer))
+        return max(0, self._slots - len(self.attempt_by_answer))
 
-    def open(self, link: links.Link, start: messages.Start) -> None:
+    def on_start(self, link: links.Link, start: messages.Start) -> None:
         """Accept or refuse an attempt."""
         self._events.witness(start.clock)
-        refusal = self._refusal(start)
+        refusal = self._refusal_reason(start)
         if refusal:
             self._metrics.count('stage.refused')
-            link.send(self._failed(start, refusal, messages.OPEN_STEP))
+            link.send(self._failed_message(start, refusal, messages.OPEN_STEP))
             return
-        earlier = self.running_by_answer.pop(start.answer, None)
+        earlier = self.attempt_by_answer.pop(start.answer, None)
         if earlier:
-            self.driver.close(earlier.sequence)
+            self.scheduler.close(earlier.sequence_id)
         expires = timers.now() + start.budget_ms / 1000
         cached = (*start.cached, self.prefix_cache.record_prompt(start.tokens))
-        running = runs.Run(start, link, expires, cached)
-        self.running_by_answer[start.answer] = running
+        attempt = stage_attempts.StageAttempt(start, link, expires, cached)
+        self.attempt_by_answer[start.answer] = attempt
         self._events.add('stage.opened', start.answer, attempt=start.attempt)
-        self.driver.open(running)
-        if running.next_hop:
-            self._forward_start(running, running.next_hop)
+        self.scheduler.open(attempt)
+        if attempt.next_hop:
+            self._forward_start(attempt, attempt.next_hop)
         elif start.position == 0:
-            self._begin(running, cached)
+            self._begin_answer(attempt, cached)
         else:
             opened = messages.Opened(
                 start.answer, start.attempt, self._events.clock, cached
             )
-            self._send(running, start.hops[0], opened)
+            self._send(attempt, start.hops[0], opened)
 
-    def opened(self, opened: messages.Opened) -> None:
+    def on_opened(self, opened: messages.Opened) -> None:
         """Begin an answer that all its stages have accepted."""
         self._events.witness(opened.clock)
-        running = self._current(opened.answer, opened.attempt)
-        if running and running.start.position == 0 and not running.index:
-            self._begin(running, opened.cached)
+        attempt = self._find_attempt(opened.answer, opened.attempt)
+        if attempt and attempt.start.position == 0 and not attempt.next_index:
+            self._begin_answer(attempt, opened.cached)
 
-    def _begin(self, running: runs.Run, cached: tuple[int, ...]) -> None:
-        start = running.start
-        running.upstream.send(
+    def _begin_answer(
+        self, attempt: stage_attempts.StageAttempt, cached: tuple[int, ...]
+    ) -> None:
+        start = attempt.start
+        attempt.upstream.send(
             messages.Begun(
                 start.answer, start.attempt, cached, self._events.clock
             )
         )
-        self._enqueue(running, 0, None, None)
+        self._enqueue_step(attempt, 0, None, None)
 
-    def step(self, link: links.Link, step: messages.Step) -> None:
+    def on_step(self, link: links.Link, step: messages.Step) -> None:
         """Take a token's state from the stage before."""
-        running = self._current(step.answer, step.attempt)
-        if not running:
+        attempt = self._find_attempt(step.answer, step.attempt)
+        if not attempt:
             self._metrics.count('stage.stale_step')
             return
-        if step.index != running.index or step.next_layer != running.hop.first:
-            self._fail(running, failures.Reason.OUT_OF_ORDER, 'stage.step', '')
+        if (
+            step.index != attempt.next_index
+            or step.next_layer != attempt.hop.first
+        ):
+            self._fail(attempt, failures.Reason.OUT_OF_ORDER, 'stage.step', '')
             return
         state = int.from_bytes(step.state, 'big')
-        self._enqueue(running, step.index, state, None)
+        self._enqueue_step(attempt, step.index, state, None)
 
-    def token(self, token: messages.Token) -> None:
+    def on_token(self, token: messages.Token) -> None:
         """Take a finished token back from the last stage."""
-        running = self._current(token.answer, token.attempt)
-        if not running or running.start.position != 0:
+        attempt = self._find_attempt(token.answer, token.attempt)
+        if not attempt or attempt.start.position != 0:
             self._metrics.count('stage.stale_token')
             return
-        if token.index != running.sent:
+        if token.index != attempt.sent_count:
             self._fail(
-                running, failures.Reason.OUT_OF_ORDER, 'stage.token', ''
+                attempt, failures.Reason.OUT_OF_ORDER, 'stage.token', ''
             )
             return
-        self._deliver(running, token)
+        self._deliver(attempt, token)
 
-    def failed(self, failed: messages.Failed) -> None:
+    def on_failed(self, failed: messages.Failed) -> None:
         """Pass a later stage's failure on towards the entry."""
-        running = self._current(failed.answer, failed.attempt)
-        if running:
+        attempt = self._find_attempt(failed.answer, failed.attempt)
+        if attempt:
             self._events.witness(failed.clock)
-            running.upstream.send(failed)
-            self._drop(running)
+            attempt.upstream.send(failed)
+            self._remove(attempt)
 
-    def cancel(self, cancel: messages.Cancel) -> None:
+    def on_cancel(self, cancel: messages.Cancel) -> None:
         """Forget an attempt, here and on the stages after."""
-        running = self._current(cancel.answer, cancel.attempt)
-        if running:
-            self._drop(running)
-            self._cancel_next(running)
+        attempt = self._find_attempt(cancel.answer, cancel.attempt)
+        if attempt:
+            self._remove(attempt)
+            self._cancel_downstream(attempt)
 
-    def link_closed(self, link: links.Link, why: failures.Failure) -> None:
+    def on_link_closed(self, link: links.Link, why: failures.Failure) -> None:
         """End what depended on a connection."""
-        for running in list(self.running_by_answer.values()):
-            following = running.next_hop
-            if running.upstream is link:
-                self._drop(running)
-                self._cancel_next(running)
-            elif following and following.address == link.address:
-                self._fail(running, why.reason, why.step, following.server)
-
-    def _current(self, answer: ids.RequestId, attempt: int) -> runs.Run | None:
-        running = self.running_by_answer.get(answer)
-        if running and running.start.attempt == attempt:
-            return running
+        for attempt in list(self.attempt_by_answer.values()):
+            next_hop = attempt.next_hop
+            if attempt.upstream is link:
+                self._remove(attempt)
+                self._cancel_downstream(attempt)
+            elif next_hop and next_hop.address == link.address:
+                self._fail(attempt, why.reason, why.step, next_hop.server)
+
+    def _find_attempt(
+        self, answer: ids.RequestId, number: int
+    ) -> stage_attempts.StageAttempt | None:
+        attempt = self.attempt_by_answer.get(answer)
+        if attempt and attempt.start.attempt == number:
+            return attempt
         return None
 
-    def _refusal(self, start: messages.Start) -> failures.Reason | None:
-        running = self.running_by_answer.get(start.answer)
-        if running and running.start.attempt >= start.attempt:
+    def _refusal_reason(self, start: messages.Start) -> failures.Reason | None:
+        attempt = self.attempt_by_answer.get(start.answer)
+        if attempt and attempt.start.attempt >= start.attempt:
             return failures.Reason.OUT_OF_ORDER
-        if self.leaving:
+        if self.is_draining:
             return failures.Reason.LEAVING
         hop = start.hops[start.position]
-        if not self.driver.ready:
+        if not self.scheduler.is_ready:
             return failures.Reason.ENGINE_LOST
         if hop.server != self._server or not self._reconciler.covers(
             start.model, hop.first, hop.end
@@ -194,13 +203,13 @@
             return failures.Reason.NO_PATH
         if start.budget_ms <= 0:
             return failures.Reason.DEADLINE
-        if not running and self.free_slots == 0:
+        if not attempt and self.free_slots == 0:
             return failures.Reason.OVERLOADED
-        if self._strikes.is_quarantined(start.fingerprint):
+        if self._crash_reports.is_quarantined(start.fingerprint):
             return failures.Reason.CRASHES_SERVERS
         if self._is_suspect(start) and any(
             self._is_suspect(other.start)
-            for other in self.running_by_answer.values()
+            for other in self.attempt_by_answer.values()
         ):
             return failures.Reason.OVERLOADED
         return None
@@ -213,13 +222,13 @@
         """
         return (
             start.strikes >= crashreports.SUSPECT_CRASH_COUNT
-            or self._strikes.is_suspect(start.fingerprint)
+            or self._crash_reports.is_suspect(start.fingerprint)
         )
 
     def _forward_start(
-        self, running: runs.Run, following: messages.Hop
+        self, attempt: stage_attempts.StageAttempt, next_hop: messages.Hop
     ) -> None:
-        start = running.start
+        start = attempt.start
         forwarded = messages.Start(
             start.answer,
             start.attempt,
@@ -229,18 +238,18 @@
             start.tokens,
             start.prompt_length,
             start.max_tokens,
-            int((running.expires - timers.now()) * 1000),
+            int((attempt.deadline - timers.now()) * 1000),
             start.priority,
             start.fingerprint,
             self._events.clock,
             start.strikes,
-            running.cached,
+            attempt.cached_tokens,
         )
-        self._send(running, following, forwarded)
+        self._send(attempt, next_hop, forwarded)
 
     def _send(
         self,
-        running: runs.Run,
+        attempt: stage_attempts.StageAttempt,
         hop: messages.Hop,
         message: messages.Message,
     ) -> None:
@@ -250,19 +259,19 @@
         self._peers.post(
             hop.address,
             message,
-            lambda why: self._fail(running, why.reason, why.step, hop.server),
+            lambda why: self._fail(attempt, why.reason, why.step, hop.server),
         )
 
-    def _enqueue(
+    def _enqueue_step(
         self,
-        running: runs.Run,
+        attempt: stage_attempts.StageAttempt,
         index: int,
         state: int | None,
         token: int | None,
     ) -> None:
-        step = engine.Step(running.sequence, index, state, token)
-        running.index = index + 1
-        self.driver.step(running, step)
+        step = engine.Step(attempt.sequence_id, index, state, token)
+        attempt.next_index = index + 1
+        self.scheduler.step(attempt, step)
 
     def batch_limit(self) -> int:
         """Return how many steps go into one iteration.
@@ -272,26 +281,29 @@
         part of as many as the longest path has stages, and one more that
         waits for the engine here.
         """
-        count = len(self.running_by_answer)
+        count = len(self.attempt_by_answer)
         stages = max(
-            (len(r.start.hops) for r in self.running_by_answer.values()),
+            (
+                len(attempt.start.hops)
+                for attempt in self.attempt_by_answer.values()
+            ),
             default=1,
         )
-        parts = stages + SPARE_PARTS
-        return max(1, -(-count // parts))
+        batch_count = stages + QUEUED_BATCH_COUNT
+        return max(1, -(-count // batch_count))
 
-    def is_live(self, running: runs.Run) -> bool:
+    def is_live(self, attempt: stage_attempts.StageAttempt) -> bool:
         """Tell whether an attempt goes on here; end it if it is late."""
-        if self.running_by_answer.get(running.start.answer) is not running:
+        if self.attempt_by_answer.get(attempt.start.answer) is not attempt:
             return False
-        if timers.now() > running.expires:
-            self._fail(running, failures.Reason.DEADLINE, 'stage.iterate', '')
+        if timers.now() > attempt.deadline:
+            self._fail(attempt, failures.Reason.DEADLINE, 'stage.iterate', '')
             return False
         return True
 
-    def take_result(
+    def on_result(
         self,
-        running: runs.Run,
+        attempt: stage_attempts.StageAttempt,
         index: int,
         result: engine.Result,
     ) -> None:
@@ -299,47 +311,51 @@
         if result.error:
             eventlet.spawn(self._reconciler.poll_engine)
             self._fail(
-                running,
+                attempt,
                 failures.Reason.ENGINE_REFUSED,
                 'stage.iterate',
                 result.error,
             )
             return
-        start = running.start
-        following = running.next_hop
-        if following:
+        start = attempt.start
+        next_hop = attempt.next_hop
+        if next_hop:
             state = result.state.to_bytes(STATE_BYTES, 'big')
             step = messages.Step(
-                start.answer, start.attempt, index, following.first, state
+                start.answer, start.attempt, index, next_hop.first, state
             )
-            self._send(running, following, step)
+            self._send(attempt, next_hop, step)
             return
         token = messages.Token(
             start.answer, start.attempt, index, result.token
         )
         if start.position == 0:
-            self._deliver(running, token)
+            self._deliver(attempt, token)
         else:
-            self._send(running, start.hops[0], token)
-
-    def _deliver(self, running: runs.Run, token: messages.Token) -> None:
-        start = running.start
-        running.sent += 1
-        running.upstream.send(token)
-        if running.sent < start.max_tokens:
-            self._enqueue(running, running.sent, None, token.token)
+            self._send(attempt, start.hops[0], token)
+
+    def _deliver(
+        self, attempt: stage_attempts.StageAttempt, token: messages.Token
+    ) -> None:
+        start = attempt.start
+        attempt.sent_count += 1
+        attempt.upstream.send(token)
+        if attempt.sent_count < start.max_tokens:
+            self._enqueue_step(attempt, attempt.sent_count, None, token.token)
             return
         clock = self._events.add(
             'stage.finished', start.answer, attempt=start.attempt
         )
-        running.upstream.send(
-            messages.Finished(start.answer, start.attempt, running.sent, clock)
+        attempt.upstream.send(
+            messages.Finished(
+                start.answer, start.attempt, attempt.sent_count, clock
+            )
         )
-        self._drop(running)
-        self._cancel_next(running)
+        self._remove(attempt)
+        self._cancel_downstream(attempt)
 
-    def engine_lost(
-        self, why: failures.Failure, batch: list[runs.Run]
+    def on_engine_lost(
+        self, why: failures.Failure, batch: list[stage_attempts.StageAttempt]
     ) -> None:
         """End all answers here; strike those that the engine had begun.
 
@@ -351,37 +367,44 @@
         self.prefix_cache.clear()
         self._events.add('engine.lost', crash=crash)
         self._metrics.count('engine.lost')
-        begun = [r for r in self.running_by_answer.values() if r.index]
+        begun = [
+            attempt
+            for attempt in self.attempt_by_answer.values()
+            if attempt.next_index
+        ]
         if crash:
-            for running in (*batch, *begun):
-                self._strikes.add(running.start.fingerprint, crash)
+            for attempt in (*batch, *begun):
+                self._crash_reports.add(attempt.start.fingerprint, crash)
         self._peers.beat()
-        for running in list(self.running_by_answer.values()):
-            blame = crash if running.index else ''
-            self._fail(running, why.reason, why.step, '', blame)
+        for attempt in list(self.attempt_by_answer.values()):
+            blame = crash if attempt.next_index else ''
+            self._fail(attempt, why.reason, why.step, '', blame)
 
-    def engine_back(self) -> None:
+    def on_engine_recovered(self) -> None:
         """Have the layers loaded again, and tell the peers."""
         self._reconciler.reload()
         self._peers.beat()
 
     def _fail(
         self,
-        running: runs.Run,
+        attempt: stage_attempts.StageAttempt,
         reason: failures.Reason,
         step: str,
         peer: str,
         crash: str = '',
     ) -> None:
-        if self._current(running.start.answer, running.start.attempt) is None:
+        if (
+            self._find_attempt(attempt.start.answer, attempt.start.attempt)
+            is None
+        ):
             return
-        running.upstream.send(
-            self._failed(running.start, reason, step, peer, crash)
+        attempt.upstream.send(
+            self._failed_message(attempt.start, reason, step, peer, crash)
         )
-        self._drop(running)
-        self._cancel_next(running)
+        self._remove(attempt)
+        self._cancel_downstream(attempt)
 
-    def _failed(
+    def _failed_message(
         self,
         start: messages.Start,
         reason: failures.Reason,
@@ -410,16 +433,16 @@
             crash,
         )
 
-    def _drop(self, running: runs.Run) -> None:
-        del self.running_by_answer[running.start.answer]
-        self.driver.close(running.sequence)
+    def _remove(self, attempt: stage_attempts.StageAttempt) -> None:
+        del self.attempt_by_answer[attempt.start.answer]
+        self.scheduler.close(attempt.sequence_id)
 
-    def _cancel_next(self, running: runs.Run) -> None:
-        following = running.next_hop
-        if following:
+    def _cancel_downstream(self, attempt: stage_attempts.StageAttempt) -> None:
+        next_hop = attempt.next_hop
+        if next_hop:
             cancel = messages.Cancel(
-                running.start.answer, running.start.attempt
+                attempt.start.answer, attempt.start.attempt
             )
-            link = self._peers.link_by_address.get(following.address)
+            link = self._peers.link_by_address.get(next_hop.address)
             if link:
                 link.send(cancel)
--- a/libs/side/burdockmast/side/runs.py
+++ b/libs/side/burdockmast/side/stage_attempts.py
@@ -7,20 +7,20 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Run:
+class StageAttempt:
     """One attempt at an answer on this stage.
 
     :ivar upstream: the link that ``start`` came by
-    :ivar expires: monotonic seconds of the caller's deadline
-    :ivar cached: tokens that the engines here and before had cached, each
+    :ivar deadline: monotonic seconds of the caller's deadline
+    :ivar cached_tokens: what the engine of each stage up to here had cached
     """
 
     start: messages.Start
     upstream: links.Link
-    expires: float
-    cached: tuple[int, ...]
-    index: int = 0
-    sent: int = 0
+    deadline: float
+    cached_tokens: tuple[int, ...]
+    next_index: int = 0
+    sent_count: int = 0
 
     @property
     def hop(self) -> messages.Hop:
@@ -28,14 +28,14 @@
         return self.start.hops[self.start.position]
 
     @property
-    def layers(self) -> int:
+    def layer_count(self) -> int:
         """Layers that run here."""
         return self.hop.end - self.hop.first
 
     @property
-    def uncached(self) -> int:
+    def uncached_tokens(self) -> int:
         """Tokens that the engine here has to prefill."""
-        return len(self.start.tokens) - self.cached[-1]
+        return len(self.start.tokens) - self.cached_tokens[-1]
 
     @property
     def next_hop(self) -> messages.Hop | None:
@@ -45,6 +45,6 @@
         return hops[position] if position < len(hops) else None
 
     @property
-    def sequence(self) -> str:
+    def sequence_id(self) -> str:
         """Name of this attempt at the engine."""
         return f'{self.start.answer}/{self.start.attempt}'
