Rename the service executor and the types of the engine's client

executions -> service_executor, Executions -> ServiceExecutor, settle -> resolve, barred -> is_voided. engine.Engine -> Client, order -> load_layers, and Open, Held, Result and Done -> OpenSequence, HeldLayers, StepResult and LayersLoaded; no struct has a tag, and their fields stay. The event 'execution.barred' and the metric 'executions' stay.

Renames alone.

--- a/libs/side/burdockmast/side/batch_scheduler.py
+++ b/libs/side/burdockmast/side/batch_scheduler.py
@@ -43,7 +43,7 @@
         self,
         attempt: stage_attempts.StageAttempt,
         index: int,
-        result: engine.Result,
+        result: engine.StepResult,
     ) -> None:
         """Take in the result of a step."""
 
@@ -59,7 +59,7 @@
 class BatchScheduler:
     """What waits for one engine, and the tasks that call it."""
 
-    def __init__(self, client: engine.Engine, owner: Owner):
+    def __init__(self, client: engine.Client, owner: Owner):
         """Create a driver; ``start`` begins its work."""
         self.is_ready = True
         # Of one layer, for a token of one sequence and of a prompt.
@@ -67,7 +67,7 @@
         self.prefill_seconds = 0.0
         self._engine = client
         self._owner = owner
-        self._opens: list[engine.Open] = []
+        self._opens: list[engine.OpenSequence] = []
         self._steps: list[tuple[stage_attempts.StageAttempt, engine.Step]] = []
         self._closes: list[str] = []
         # Sequences whose opening is on its way to the engine.
@@ -87,7 +87,7 @@
         start = attempt.start
         hop = attempt.hop
         self._opens.append(
-            engine.Open(
+            engine.OpenSequence(
                 attempt.sequence_id,
                 start.model,
                 start.tokens,
--- a/libs/side/burdockmast/side/engine.py
+++ b/libs/side/burdockmast/side/engine.py
@@ -12,14 +12,14 @@
 from burdockmast.base import outcomes
 
 # Seconds that one iteration or question may take.
-TIMEOUT_SECONDS = 10.0
+CALL_TIMEOUT_SECONDS = 10.0
 # Seconds that loading layers may take.
-ORDER_SECONDS = 600.0
+LOAD_TIMEOUT_SECONDS = 600.0
 HTTP_OK = 200
 HTTP_CONFLICT = 409
 
 
-class Open(msgspec.Struct):
+class OpenSequence(msgspec.Struct):
     """Prepare a sequence for layers ``first`` up to ``end``."""
 
     sequence: str
@@ -44,12 +44,12 @@
 class Iteration(msgspec.Struct):
     """All that one iteration is to do."""
 
-    open: list[Open]
+    open: list[OpenSequence]
     steps: list[Step]
     close: list[str]
 
 
-class Result(msgspec.Struct):
+class StepResult(msgspec.Struct):
     """Result of one step: a state for the next stage, or a token."""
 
     state: int | None = None
@@ -57,7 +57,7 @@
     error: str = ''
 
 
-class Held(msgspec.Struct):
+class HeldLayers(msgspec.Struct):
     """Layers that the engine holds."""
 
     model: str
@@ -68,7 +68,7 @@
 class Status(msgspec.Struct):
     """What the engine tells of itself."""
 
-    held: Held | None
+    held: HeldLayers | None
 
 
 class CacheEvent(msgspec.Struct):
@@ -101,15 +101,15 @@
 
 
 class _Results(msgspec.Struct):
-    results: list[Result]
+    results: list[StepResult]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Done:
+class LayersLoaded:
     """An order was carried out."""
 
 
-class Engine:
+class Client:
     """One engine, over kept-alive connections."""
 
     def __init__(self, url: str):
@@ -121,28 +121,32 @@
         self._pool = urllib3.PoolManager(maxsize=4, retries=False)
         self._decoder = msgspec.json.Decoder(_Results)
 
-    def iterate(self, iteration: Iteration) -> list[Result] | failures.Failure:
+    def iterate(
+        self, iteration: Iteration
+    ) -> list[StepResult] | failures.Failure:
         """Run one iteration; results are in the order of its steps."""
-        response = self._call('/v1/iterate', iteration, TIMEOUT_SECONDS)
+        response = self._call('/v1/iterate', iteration, CALL_TIMEOUT_SECONDS)
         if isinstance(response, failures.Failure):
             return response
         return self._decoder.decode(response.data).results
 
-    def order(self, fence: int, held: Held) -> Done | failures.Failure:
+    def load_layers(
+        self, fence: int, layers: HeldLayers
+    ) -> LayersLoaded | failures.Failure:
         """Make the engine hold other layers.
 
         :param fence: fencing number; an engine may refuse lower ones than
             it has seen
         """
-        body = {'fence': fence, **msgspec.to_builtins(held)}
-        response = self._call('/v1/orders', body, ORDER_SECONDS)
+        body = {'fence': fence, **msgspec.to_builtins(layers)}
+        response = self._call('/v1/orders', body, LOAD_TIMEOUT_SECONDS)
         if isinstance(response, failures.Failure):
             return response
-        return Done()
+        return LayersLoaded()
 
     def status(self) -> Status | failures.Failure:
         """Ask what the engine holds."""
-        response = self._call('/v1/status', None, TIMEOUT_SECONDS)
+        response = self._call('/v1/status', None, CALL_TIMEOUT_SECONDS)
         if isinstance(response, failures.Failure):
             return response
         return msgspec.json.decode(response.data, type=Status)
@@ -155,20 +159,20 @@
         Of another epoch the engine tells all that it still knows.
         """
         body = {'epoch': epoch, 'after': after}
-        response = self._call('/v1/cache-events', body, TIMEOUT_SECONDS)
+        response = self._call('/v1/cache-events', body, CALL_TIMEOUT_SECONDS)
         if isinstance(response, failures.Failure):
             return response
         return msgspec.json.decode(response.data, type=CacheEvents)
 
     def _call(
-        self, path: str, body: object, seconds: float
+        self, path: str, body: object, timeout_seconds: float
     ) -> urllib3.BaseHTTPResponse | failures.Failure:
         try:
             response = self._pool.request(
                 'POST',
                 self._url + path,
                 body=msgspec.json.encode(body),
-                timeout=seconds,
+                timeout=timeout_seconds,
                 retries=False,
             )
         except urllib3.exceptions.NewConnectionError as error:
--- a/libs/side/burdockmast/side/layer_reconciler.py
+++ b/libs/side/burdockmast/side/layer_reconciler.py
@@ -45,7 +45,7 @@
     def __init__(
         self,
         process: node.Node,
-        engine_client: engine.Engine,
+        engine_client: engine.Client,
         checks_fence: bool,
         max_concurrent_loads: int,
     ):
@@ -54,7 +54,7 @@
         :param checks_fence: whether the engine refuses old numbers itself
         :param loads_at_once: servers of a model that load at the same time
         """
-        self.held: engine.Held | None = None
+        self.held: engine.HeldLayers | None = None
         self.is_idle = lambda: True
         self.on_engine_unreachable: Callable[[failures.Failure], None] = (
             lambda _: None
@@ -125,11 +125,11 @@
             self._is_reconciling = True
             eventlet.spawn(self._run)
 
-    def _wanted(self) -> engine.Held | None:
+    def _wanted(self) -> engine.HeldLayers | None:
         placed = self._follower.configuration.placement(self._server)
         if not placed:
             return None
-        return engine.Held(placed.model, placed.first, placed.end)
+        return engine.HeldLayers(placed.model, placed.first, placed.end)
 
     def _run(self) -> None:
         try:
@@ -202,7 +202,7 @@
                 return
             eventlet.sleep(RETRY_SECONDS)
 
-    def _adopt(self, held: engine.Held) -> None:
+    def _adopt(self, held: engine.HeldLayers) -> None:
         self._set_held(held, 'engine.adopted')
         self._record_held()
         self._peers.beat()
@@ -212,7 +212,7 @@
             self._follower.fresh_at >= self._started_at
         )
 
-    def _set_held(self, held: engine.Held | None, event: str) -> None:
+    def _set_held(self, held: engine.HeldLayers | None, event: str) -> None:
         self.held = held
         self._events.add(
             event,
@@ -227,8 +227,8 @@
         if wanted is None:
             return self._set_held(None, 'engine.left')
         version = self._follower.version
-        match self._engine.order(version, wanted):
-            case engine.Done():
+        match self._engine.load_layers(version, wanted):
+            case engine.LayersLoaded():
                 self._set_held(wanted, 'engine.ordered')
             case failures.Failure() as failure:
                 LOG.warning('Order {} failed: {}.', version, failure)
--- a/libs/side/burdockmast/side/prefix_cache.py
+++ b/libs/side/burdockmast/side/prefix_cache.py
@@ -24,7 +24,7 @@
 class PrefixCacheEstimate:
     """Blocks of prompts that one engine probably has cached."""
 
-    def __init__(self, client: engine.Engine):
+    def __init__(self, client: engine.Client):
         """Create a record that knows nothing; ``look`` learns."""
         self.lost_events = 0
         self._engine = client
--- a/libs/side/burdockmast/side/server.py
+++ b/libs/side/burdockmast/side/server.py
@@ -10,9 +10,9 @@
 from burdockmast.node import node
 from burdockmast.settings import models
 from burdockmast.side import engine
-from burdockmast.side import executions
 from burdockmast.side import layer_reconciler
 from burdockmast.side import prefix_cache
+from burdockmast.side import service_executor
 from burdockmast.side import stage
 from burdockmast.wire import links
 from burdockmast.wire import messages
@@ -35,10 +35,10 @@
         )
         self.stage: stage.Stage | None = None
         self.reconciler: layer_reconciler.LayerReconciler | None = None
-        self.executions: executions.Executions | None = None
+        self.service_executor: service_executor.ServiceExecutor | None = None
         self._is_stopping = False
         if settings.engine_url:
-            client = engine.Engine(settings.engine_url)
+            client = engine.Client(settings.engine_url)
             self.reconciler = layer_reconciler.LayerReconciler(
                 self.node,
                 client,
@@ -53,7 +53,7 @@
                 self.stage.scheduler.on_engine_unreachable
             )
         if settings.service_url:
-            self.executions = executions.Executions(
+            self.service_executor = service_executor.ServiceExecutor(
                 self.node, settings.service_url
             )
         self.node.follower.subscribers.append(self._update_draining)
@@ -90,7 +90,10 @@
     def _is_idle(self) -> bool:
         if self.stage and self.stage.attempt_by_answer:
             return False
-        return not self.executions or not self.executions.running
+        return (
+            not self.service_executor
+            or not self.service_executor.running_count
+        )
 
     def _update_draining(self, _: changes.Body | None = None) -> None:
         server = self.node.follower.configuration.server_by_id.get(
@@ -102,7 +105,7 @@
         self._set_draining(bool(is_retired) or self.node.instances.is_draining)
 
     def _set_draining(self, is_draining: bool) -> None:
-        for part in (self.stage, self.executions):
+        for part in (self.stage, self.service_executor):
             if part and part.is_draining is not is_draining:
                 part.is_draining = is_draining
                 self.node.peers.beat()
@@ -138,12 +141,12 @@
         message: messages.ServiceCall | messages.Settle,
     ) -> None:
         match message:
-            case _ if not self.executions:
-                reply = executions.no_service(message.call)
+            case _ if not self.service_executor:
+                reply = service_executor.no_service_reply(message.call)
             case messages.ServiceCall():
-                reply = self.executions.call(message)
+                reply = self.service_executor.call(message)
             case messages.Settle():
-                reply = self.executions.settle(message)
+                reply = self.service_executor.resolve(message)
         link.send(reply)
 
     def describe(self, link: links.Link) -> messages.Heartbeat:
@@ -184,7 +187,7 @@
 
     def _status_details(self) -> dict:
         if not self.stage:
-            return {'executing': self.executions.running}
+            return {'executing': self.service_executor.running_count}
         return {
             'running': len(self.stage.attempt_by_answer),
             'free_slots': self.stage.free_slots,
--- a/libs/side/burdockmast/side/executions.py
+++ b/libs/side/burdockmast/side/service_executor.py
@@ -12,9 +12,9 @@
 from burdockmast.wire import messages
 
 # Keys whose executions are remembered.
-REMEMBERED = 100_000
+MAX_REMEMBERED_KEY_COUNT = 100_000
 # Headers that belong to one connection and are not passed on.
-HOP_HEADERS = frozenset(
+HOP_BY_HOP_HEADERS = frozenset(
     ('connection', 'content-length', 'host', 'keep-alive', 'te', 'upgrade',
      'transfer-encoding')
 )  # fmt: skip
@@ -25,11 +25,11 @@
     """What became of a key here: running, ended, or barred."""
 
     attempt: int
-    ended: eventlet.event.Event
-    barred: bool = False
+    reply_event: eventlet.event.Event
+    is_voided: bool = False
 
 
-class Executions:
+class ServiceExecutor:
     """Executions by key, of one process.
 
     A call with a key runs only if that key has not run here, is not
@@ -42,9 +42,9 @@
         :param url: base of the plain service
         """
         self.is_draining = False
-        self.running = 0
+        self.running_count = 0
         self._url = url
-        self._process = process.peers.hello.process
+        self._incarnation = process.peers.hello.process
         self._events = process.events
         self._metrics = process.metrics
         self._execution_by_key: collections.OrderedDict[str, Execution] = (
@@ -55,7 +55,7 @@
     def call(self, call: messages.ServiceCall) -> messages.ServiceReply:
         """Execute a call, unless it must not be."""
         self._events.witness(call.clock)
-        if call.incarnation and call.incarnation != self._process:
+        if call.incarnation and call.incarnation != self._incarnation:
             return self._refuse(call, failures.Reason.STALE_INCARNATION)
         if not call.key:
             if self.is_draining:
@@ -64,8 +64,8 @@
                 return self._refuse(call, failures.Reason.DEADLINE)
             return self._execute(call)
         known = self._execution_by_key.get(call.key)
-        if known and not known.barred:
-            return _reply_as(known.ended.wait(), call.call)
+        if known and not known.is_voided:
+            return _reply_for_call(known.reply_event.wait(), call.call)
         if known and known.attempt >= call.attempt:
             return self._refuse(call, failures.Reason.CANCELLED)
         if self.is_draining:
@@ -74,20 +74,20 @@
             return self._refuse(call, failures.Reason.DEADLINE)
         return self._execute_key(call)
 
-    def settle(self, settle: messages.Settle) -> messages.ServiceReply:
+    def resolve(self, settle: messages.Settle) -> messages.ServiceReply:
         """Tell what became of a key; bar its attempt if nothing has."""
         self._events.witness(settle.clock)
-        if settle.incarnation != self._process:
+        if settle.incarnation != self._incarnation:
             return self._reply(
                 settle.call,
                 outcomes.Outcome.UNKNOWN,
                 reason=failures.Reason.STALE_INCARNATION,
             )
         known = self._execution_by_key.get(settle.key)
-        if known and not known.barred:
-            return _reply_as(known.ended.wait(), settle.call)
-        barred = Execution(settle.attempt, eventlet.event.Event(), True)
-        self._remember(settle.key, barred)
+        if known and not known.is_voided:
+            return _reply_for_call(known.reply_event.wait(), settle.call)
+        voided = Execution(settle.attempt, eventlet.event.Event(), True)
+        self._remember(settle.key, voided)
         self._events.add('execution.barred', attempt=settle.attempt)
         return self._reply(
             settle.call,
@@ -102,27 +102,29 @@
         self._remember(call.key, execution)
         reply = self._execute(call)
         if reply.outcome is outcomes.Outcome.NOT_RUN:
-            execution.barred = True
-        execution.ended.send(reply)
+            execution.is_voided = True
+        execution.reply_event.send(reply)
         return reply
 
     def _remember(self, key: str, execution: Execution) -> None:
         self._execution_by_key[key] = execution
         self._execution_by_key.move_to_end(key)
-        if len(self._execution_by_key) > REMEMBERED:
+        if len(self._execution_by_key) > MAX_REMEMBERED_KEY_COUNT:
             self._execution_by_key.popitem(last=False)
 
     def _execute(self, call: messages.ServiceCall) -> messages.ServiceReply:
         self._events.add('execution.began', call.request)
         self._metrics.count('executions')
-        self.running += 1
+        self.running_count += 1
         try:
-            return self._request(call)
+            return self._send_request(call)
         finally:
-            self.running -= 1
+            self.running_count -= 1
             self._events.add('execution.ended', call.request)
 
-    def _request(self, call: messages.ServiceCall) -> messages.ServiceReply:
+    def _send_request(
+        self, call: messages.ServiceCall
+    ) -> messages.ServiceReply:
         headers = dict(call.headers)
         # A kept connection may be dead; a new one fails before sending.
         if call.method not in ('GET', 'HEAD'):
@@ -154,16 +156,16 @@
                 reason=failures.Reason.MAY_HAVE_RUN,
                 detail=str(error),
             )
-        kept = tuple(
+        response_headers = tuple(
             (name, value)
             for name, value in response.headers.items()
-            if name.lower() not in HOP_HEADERS
+            if name.lower() not in HOP_BY_HOP_HEADERS
         )
         return messages.ServiceReply(
             call.call,
             outcomes.Outcome.RAN,
             response.status,
-            kept,
+            response_headers,
             response.data,
             None,
             '',
@@ -190,7 +192,7 @@
         )
 
 
-def no_service(call: str) -> messages.ServiceReply:
+def no_service_reply(call: str) -> messages.ServiceReply:
     """Return the refusal of a side beside no plain service."""
     return messages.ServiceReply(
         call,
@@ -204,7 +206,7 @@
     )
 
 
-def _reply_as(
+def _reply_for_call(
     reply: messages.ServiceReply, call: str
 ) -> messages.ServiceReply:
     return messages.ServiceReply(
--- a/libs/side/burdockmast/side/stage.py
+++ b/libs/side/burdockmast/side/stage.py
@@ -33,7 +33,7 @@
     def __init__(
         self,
         process: node.Node,
-        engine_client: engine.Engine,
+        engine_client: engine.Client,
         reconciler: layer_reconciler.LayerReconciler,
         slots: int,
     ):
@@ -305,7 +305,7 @@
         self,
         attempt: stage_attempts.StageAttempt,
         index: int,
-        result: engine.Result,
+        result: engine.StepResult,
     ) -> None:
         """Pass a step's result on to the next stage, or towards the entry."""
         if result.error:
