Reword the prefix cache estimate

Plain terms for cache events, eviction and polls; the reason why errors from lost events don't accumulate stays.

Checks: ruff, flake8; the 15 tests of test_caches.py that start no fleet pass.

--- a/libs/side/burdockmast/side/__init__.py
+++ b/libs/side/burdockmast/side/__init__.py
@@ -1,1 +1,1 @@
-"""The process beside each backend server."""
+"""The side process, which runs beside each backend server."""
--- a/libs/side/burdockmast/side/prefix_cache.py
+++ b/libs/side/burdockmast/side/prefix_cache.py
@@ -1,9 +1,11 @@
-"""What the engine beside this process probably has cached of prompts.
-
-All prompts pass through here, so most is known at once. The engine's events
-come late and with gaps; they tell what was removed, and what was there before
-this process was. Whatever a gap hides, the least recently used blocks leave
-when more are known than the engine can hold, as they do there.
+"""Estimate of what the engine's prefix cache holds.
+
+All prompts for the engine pass through this process, so their blocks are
+recorded without waiting for the engine's cache events. These arrive late and
+some are lost. They report which blocks were removed, and which had been
+cached before this process started. When more blocks are recorded than fit
+into the engine's cache, the least recently used are evicted, as in the engine.
+So errors from lost events don't accumulate.
 """
 
 import array
@@ -14,25 +16,25 @@
 from burdockmast.base import failures
 from burdockmast.side import engine
 
-# Seconds between looks at the engine's events.
+# Interval between polls of the engine's cache events.
 POLL_SECONDS = 1.0
 DIGEST_BYTES = 8
-# Digest that the first block of a prompt continues.
+# Parent digest of the first block of a prompt.
 ROOT_DIGEST = b''
 
 
 class PrefixCacheEstimate:
-    """Blocks of prompts that one engine probably has cached."""
+    """Blocks of prompt tokens that one engine probably has cached."""
 
     def __init__(self, client: engine.Client):
-        """Create a record that knows nothing; ``look`` learns."""
+        """Create an empty estimate; nothing is recorded before ``poll``."""
         self.lost_events = 0
         self._engine = client
         self._epoch = ''
         self._last_number = 0
         self._capacity = 0
         self._block_tokens = 0
-        # In order of use, the least recent first.
+        # Least recently used first.
         self._blocks: collections.OrderedDict[bytes, None] = (
             collections.OrderedDict()
         )
@@ -41,7 +43,7 @@
         )
 
     def record_prompt(self, tokens: tuple[int, ...]) -> int:
-        """Return how many tokens of a prompt were cached; now all are."""
+        """Record a prompt as cached; return how many tokens already were."""
         cached = 0
         is_prefix = True
         for digest in self._prompt_digests(tokens):
@@ -53,21 +55,21 @@
         return cached
 
     def poll(self) -> None:
-        """Take in what the engine has published since the last look."""
-        found = self._engine.cache_events(self._epoch, self._last_number)
-        if isinstance(found, failures.Failure):
+        """Apply the cache events published since the last poll."""
+        published = self._engine.cache_events(self._epoch, self._last_number)
+        if isinstance(published, failures.Failure):
             return
-        if found.epoch != self._epoch:
+        if published.epoch != self._epoch:
             self.clear()
-            self._epoch = found.epoch
-        self._capacity = found.blocks
-        self._block_tokens = found.block_tokens
-        for event in found.events:
+            self._epoch = published.epoch
+        self._capacity = published.blocks
+        self._block_tokens = published.block_tokens
+        for event in published.events:
             self._apply(event)
         self._evict()
 
     def clear(self) -> None:
-        """Forget what a lost engine had."""
+        """Clear the estimate, because the engine was lost or restarted."""
         self._epoch = ''
         self._last_number = 0
         self._blocks.clear()
@@ -84,7 +86,8 @@
         if event.parent is not None:
             parent = self._digest_by_block.get(event.parent)
         if parent is None:
-            # The event that told of the parent was lost.
+            # The event that stored the parent was lost, so its digest is
+            # unknown.
             return
         digest = _block_digest(parent, event.tokens)
         self._digest_by_block[event.block] = digest
@@ -92,7 +95,7 @@
             self._touch(digest)
 
     def _prompt_digests(self, tokens: tuple[int, ...]) -> Iterator[bytes]:
-        """Yield the digest of each whole block, with all before it."""
+        """Yield each complete block's digest, chained to the block before."""
         size = self._block_tokens
         if not size:
             return
@@ -106,9 +109,9 @@
         self._blocks.move_to_end(digest)
 
     def _evict(self) -> None:
-        for known in (self._blocks, self._digest_by_block):
-            while len(known) > self._capacity:
-                known.popitem(last=False)
+        for blocks in (self._blocks, self._digest_by_block):
+            while len(blocks) > self._capacity:
+                blocks.popitem(last=False)
 
 
 def _block_digest(parent: bytes, tokens: tuple[int, ...]) -> bytes:
