--- a/libs/side/burdockmast/side/batch_scheduler.py
+++ b/libs/side/burdockmast/side/batch_scheduler.py
@@ -1,8 +1,8 @@
-"""Feeds the engine beside this process, one batch of steps after another.
+"""Batches the steps of all attempts into iterations of the engine.
 
-While the engine runs one batch, a full next one is already sent, so that
-it does not stand idle for the time of a call; a batch that is not full
-waits for more steps until the engine is free.
+While the engine runs one iteration, the next is already sent if its batch is
+full, so that the engine doesn't idle for the round trip of a call. A batch
+that is not full waits for more steps until the engine is free.
 """
 
 import dataclasses
@@ -20,24 +20,24 @@
 
 LOG = logs.get('driver')
 
-# Calls to the engine at once: one that runs, and the next.
+# One call that the engine runs, and the next.
 CONCURRENT_CALL_COUNT = 2
-# Weight of the newest sample in the smoothed times of a layer.
+# Weight of the newest sample in the moving averages of layer times.
 SMOOTHING_FACTOR = 0.1
-# Seconds between looks for an engine that was lost.
+# Interval between status calls to an engine that was lost.
 PROBE_INTERVAL_SECONDS = 0.2
-# Seconds that ended sequences wait to be closed along with other work.
+# Ended sequences wait this long to be closed in a call with other work.
 CLOSE_DELAY_SECONDS = 0.2
 
 
 class Owner(Protocol):
-    """Whose steps a driver runs."""
+    """The stage whose steps a scheduler runs."""
 
     def is_live(self, attempt: stage_attempts.StageAttempt) -> bool:
-        """Tell whether a run still goes on here."""
+        """Tell whether an attempt still runs here."""
 
     def batch_limit(self) -> int:
-        """Return how many steps go into one iteration."""
+        """Return the largest number of steps in one iteration."""
 
     def on_result(
         self,
@@ -45,24 +45,27 @@
         index: int,
         result: engine.StepResult,
     ) -> None:
-        """Take in the result of a step."""
+        """Handle the result of a step."""
 
     def on_engine_lost(
-        self, why: failures.Failure, batch: list[stage_attempts.StageAttempt]
+        self,
+        failure: failures.Failure,
+        batch: list[stage_attempts.StageAttempt],
     ) -> None:
-        """End all runs; ``batch`` is what the engine was asked to run."""
+        """Fail all attempts; ``batch`` has those of the failed call."""
 
     def on_engine_recovered(self) -> None:
-        """Begin anew with an engine that holds nothing of ours."""
+        """Treat the engine as restarted, without sequences and layers."""
 
 
 class BatchScheduler:
-    """What waits for one engine, and the tasks that call it."""
+    """Queues work for one engine, and runs the tasks that call it."""
 
     def __init__(self, client: engine.Client, owner: Owner):
-        """Create a driver; ``start`` begins its work."""
+        """Create a scheduler; ``start`` starts its tasks."""
         self.is_ready = True
-        # Of one layer, for a token of one sequence and of a prompt.
+        # Moving averages of the time of one layer, for one step of a sequence
+        # and for one token of a prompt.
         self.layer_seconds = 0.0
         self.prefill_seconds = 0.0
         self._engine = client
@@ -70,7 +73,7 @@
         self._opens: list[engine.OpenSequence] = []
         self._steps: list[tuple[stage_attempts.StageAttempt, engine.Step]] = []
         self._closes: list[str] = []
-        # Sequences whose opening is on its way to the engine.
+        # Sequences whose opening is in flight; their steps have to wait.
         self._opening_sequences: set[str] = set()
         self._calls_in_flight = 0
         self._loss_count = 0
@@ -83,7 +86,7 @@
             eventlet.spawn(self._run_iterations)
 
     def open(self, attempt: stage_attempts.StageAttempt) -> None:
-        """Prepare a sequence, along with the next steps."""
+        """Queue the opening of a sequence, to be sent with the next steps."""
         start = attempt.start
         hop = attempt.hop
         self._opens.append(
@@ -99,27 +102,27 @@
     def step(
         self, attempt: stage_attempts.StageAttempt, step: engine.Step
     ) -> None:
-        """Run a step in one of the next iterations."""
+        """Queue a step for one of the next iterations."""
         self._steps.append((attempt, step))
-        # A wake-up that is still to be taken serves this step, too.
+        # A wake-up that is still pending covers this step, too.
         if self._wake.balance <= 0:
             self._wake.release()
 
     def close(self, sequence: str) -> None:
-        """Free a sequence, along with other work or a little later."""
+        """Queue the closing of a sequence, sent with other work or alone."""
         self._closes.append(sequence)
         if len(self._closes) == 1:
             eventlet.spawn_after(CLOSE_DELAY_SECONDS, self._wake.release)
 
-    def on_engine_unreachable(self, why: failures.Failure) -> None:
-        """Take in that the engine could not be reached."""
+    def on_engine_unreachable(self, failure: failures.Failure) -> None:
+        """Handle an engine that refuses connections as lost."""
         if self.is_ready:
-            self._on_loss(why, [])
+            self._on_loss(failure, [])
 
     def _run_iterations(self) -> None:
         while True:
             self._wake.acquire()
-            # Let all that has arrived by now join this iteration.
+            # Yield, so that steps that have arrived by now join this batch.
             eventlet.sleep(0)
             while self.is_ready and self._may_call():
                 if not self._iterate():
@@ -134,14 +137,14 @@
         )
 
     def _iterate(self) -> bool:
-        """Make one call; tell whether there was anything to do."""
+        """Run one iteration; tell whether there was anything to send."""
         batch = self._take_batch()
         opens, self._opens = self._opens, []
         closes, self._closes = self._closes, []
         if not batch and not opens and not closes:
             return False
-        opening = {opened.sequence for opened in opens}
-        self._opening_sequences |= opening
+        opened_sequences = {request.sequence for request in opens}
+        self._opening_sequences |= opened_sequences
         self._calls_in_flight += 1
         loss_count = self._loss_count
         started_at = timers.now()
@@ -151,10 +154,10 @@
             )
         finally:
             self._calls_in_flight -= 1
-            self._opening_sequences -= opening
+            self._opening_sequences -= opened_sequences
             self._wake.release()
         if loss_count != self._loss_count:
-            # The loss that another call found has ended these runs, too.
+            # Another call found the engine lost, which failed these attempts.
             return True
         if isinstance(results, failures.Failure):
             self._on_loss(results, [attempt for attempt, _ in batch])
@@ -168,7 +171,7 @@
     def _take_batch(
         self,
     ) -> list[tuple[stage_attempts.StageAttempt, engine.Step]]:
-        """Take the steps of the next iteration, the oldest first."""
+        """Dequeue the steps of the next iteration, oldest first."""
         limit = self._owner.batch_limit()
         batch: list[tuple[stage_attempts.StageAttempt, engine.Step]] = []
         rest: list[tuple[stage_attempts.StageAttempt, engine.Step]] = []
@@ -190,40 +193,45 @@
         started_at: float,
         batch: list[tuple[stage_attempts.StageAttempt, engine.Step]],
     ) -> None:
-        """Take in an iteration's time.
+        """Update the averages with the time of one iteration.
 
-        What it took longer than its steps is the time of its prompts.
+        Time in excess of the average for its steps counts as prefill time.
         """
-        # It waited for the one before it.
+        # Until the previous iteration ended, this one was waiting.
         started_at = max(started_at, self._last_ended_at)
         self._last_ended_at = timers.now()
         seconds = self._last_ended_at - started_at
-        layers = sum(attempt.layer_count for attempt, _ in batch)
-        prefilled = sum(
+        step_layers = sum(attempt.layer_count for attempt, _ in batch)
+        prefilled_token_layers = sum(
             attempt.uncached_tokens * attempt.layer_count
             for attempt, step in batch
             if not step.index
         )
-        if not prefilled or not self.layer_seconds:
+        if not prefilled_token_layers or not self.layer_seconds:
             self.layer_seconds = _smoothed(
-                self.layer_seconds, seconds / max(1, layers)
+                self.layer_seconds, seconds / max(1, step_layers)
             )
             return
-        rest = max(0.0, seconds - self.layer_seconds * layers)
+        excess_seconds = max(0.0, seconds - self.layer_seconds * step_layers)
         self.prefill_seconds = _smoothed(
-            self.prefill_seconds, rest / prefilled
+            self.prefill_seconds, excess_seconds / prefilled_token_layers
         )
 
     def _on_loss(
-        self, why: failures.Failure, batch: list[stage_attempts.StageAttempt]
+        self,
+        failure: failures.Failure,
+        batch: list[stage_attempts.StageAttempt],
     ) -> None:
-        LOG.warning('Engine lost: {}.', why)
+        LOG.warning('Engine lost, failing its attempts: {}.', failure)
         if self._calls_in_flight:
-            # What another call ran may have made the engine crash.
-            why = dataclasses.replace(why, outcome=outcomes.Outcome.UNKNOWN)
+            # A request in the other call may have made the engine crash, so
+            # the outcome is unknown even if this call was not sent.
+            failure = dataclasses.replace(
+                failure, outcome=outcomes.Outcome.UNKNOWN
+            )
         self._loss_count += 1
         self.is_ready = False
-        self._owner.on_engine_lost(why, batch)
+        self._owner.on_engine_lost(failure, batch)
         eventlet.spawn(self._await_engine)
 
     def _await_engine(self) -> None:
@@ -231,12 +239,12 @@
             eventlet.sleep(PROBE_INTERVAL_SECONDS)
         self._opens, self._steps, self._closes = [], [], []
         self.is_ready = True
-        LOG.info('Engine is back.')
+        LOG.info('Engine is available again.')
         self._owner.on_engine_recovered()
 
 
 def _smoothed(value: float, sample: float) -> float:
-    """Return a smoothed value with one more sample, the first as it is."""
+    """Return a moving average with one more sample; 0 means none yet."""
     if not value:
         return sample
     return value + SMOOTHING_FACTOR * (sample - value)
--- a/libs/side/burdockmast/side/engine.py
+++ b/libs/side/burdockmast/side/engine.py
@@ -1,6 +1,6 @@
-"""Client of the model engine beside this process.
+"""Client of the model engine that runs beside this process.
 
-Source: the engine's published interface, JSON over HTTP.
+It implements the engine's published interface, JSON over HTTP.
 """
 
 import dataclasses
@@ -11,16 +11,15 @@
 from burdockmast.base import failures
 from burdockmast.base import outcomes
 
-# Seconds that one iteration or question may take.
+# Iterations and status requests.
 CALL_TIMEOUT_SECONDS = 10.0
-# Seconds that loading layers may take.
 LOAD_TIMEOUT_SECONDS = 600.0
 HTTP_OK = 200
 HTTP_CONFLICT = 409
 
 
 class OpenSequence(msgspec.Struct):
-    """Prepare a sequence for layers ``first`` up to ``end``."""
+    """Open a sequence on layers ``first`` up to, not including, ``end``."""
 
     sequence: str
     model: str
@@ -32,7 +31,8 @@
 class Step(msgspec.Struct):
     """Run token ``index`` of a sequence.
 
-    The first stage gives the previous ``token``, the others a ``state``.
+    The first stage of a path passes the previous ``token``, later stages the
+    ``state`` that the stage before returned.
     """
 
     sequence: str
@@ -42,7 +42,7 @@
 
 
 class Iteration(msgspec.Struct):
-    """All that one iteration is to do."""
+    """Sequences to open, steps to run and sequences to close."""
 
     open: list[OpenSequence]
     steps: list[Step]
@@ -58,7 +58,7 @@
 
 
 class HeldLayers(msgspec.Struct):
-    """Layers that the engine holds."""
+    """Layers ``first`` up to, not including, ``end`` of a model."""
 
     model: str
     first: int
@@ -66,17 +66,17 @@
 
 
 class Status(msgspec.Struct):
-    """What the engine tells of itself."""
+    """Status of the engine; ``held`` is None if it holds no layers."""
 
     held: HeldLayers | None
 
 
 class CacheEvent(msgspec.Struct):
-    """A block of prompt tokens that came into the cache or left it.
+    """A block of prompt tokens that was added to the cache or removed.
 
-    :ivar number: counts the engine's events; those between are lost
-    :ivar parent: the block before it, None for a prompt's first
-    :ivar tokens: what it holds; empty if it left
+    :ivar number: consecutive number; skipped ones are lost events
+    :ivar parent: the block before it, None for the first of a prompt
+    :ivar tokens: the block's tokens; empty if it was removed
     """
 
     number: int
@@ -87,11 +87,11 @@
 
 
 class CacheEvents(msgspec.Struct):
-    """What the engine has published of its cache of prompts.
+    """Events of the engine's prefix cache, with its dimensions.
 
     :ivar epoch: differs for each start of the engine
-    :ivar blocks: how many blocks fit
-    :ivar block_tokens: tokens of a block
+    :ivar blocks: capacity of the cache in blocks
+    :ivar block_tokens: tokens per block
     """
 
     epoch: str
@@ -106,11 +106,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class LayersLoaded:
-    """An order was carried out."""
+    """The engine has loaded the layers that it was ordered to hold."""
 
 
 class Client:
-    """One engine, over kept-alive connections."""
+    """Client of one engine, with persistent connections."""
 
     def __init__(self, url: str):
         """Create a client.
@@ -124,7 +124,7 @@
     def iterate(
         self, iteration: Iteration
     ) -> list[StepResult] | failures.Failure:
-        """Run one iteration; results are in the order of its steps."""
+        """Run one iteration; return results in the order of its steps."""
         response = self._call('/v1/iterate', iteration, CALL_TIMEOUT_SECONDS)
         if isinstance(response, failures.Failure):
             return response
@@ -133,10 +133,10 @@
     def load_layers(
         self, fence: int, layers: HeldLayers
     ) -> LayersLoaded | failures.Failure:
-        """Make the engine hold other layers.
+        """Order the engine to load layers in place of those it holds.
 
-        :param fence: fencing number; an engine may refuse lower ones than
-            it has seen
+        :param fence: fencing number; an engine may refuse one that is lower
+            than the highest it has seen
         """
         body = {'fence': fence, **msgspec.to_builtins(layers)}
         response = self._call('/v1/orders', body, LOAD_TIMEOUT_SECONDS)
@@ -145,7 +145,7 @@
         return LayersLoaded()
 
     def status(self) -> Status | failures.Failure:
-        """Ask what the engine holds."""
+        """Return the engine's status."""
         response = self._call('/v1/status', None, CALL_TIMEOUT_SECONDS)
         if isinstance(response, failures.Failure):
             return response
@@ -154,9 +154,10 @@
     def cache_events(
         self, epoch: str, after: int
     ) -> CacheEvents | failures.Failure:
-        """Ask for events later than a number, of an epoch.
+        """Return the cache events after a number.
 
-        Of another epoch the engine tells all that it still knows.
+        If the engine's epoch is another one, it returns all events it still
+        has.
         """
         body = {'epoch': epoch, 'after': after}
         response = self._call('/v1/cache-events', body, CALL_TIMEOUT_SECONDS)
--- a/libs/side/burdockmast/side/stage_attempts.py
+++ b/libs/side/burdockmast/side/stage_attempts.py
@@ -1,4 +1,4 @@
-"""What a stage knows of an answer that runs on it."""
+"""State of an attempt at an answer, on one stage of its path."""
 
 import dataclasses
 
@@ -10,9 +10,12 @@
 class StageAttempt:
     """One attempt at an answer on this stage.
 
-    :ivar upstream: the link that ``start`` came by
-    :ivar deadline: monotonic seconds of the caller's deadline
-    :ivar cached_tokens: what the engine of each stage up to here had cached
+    :ivar upstream: link that ``start`` arrived on
+    :ivar deadline: the caller's deadline, in monotonic seconds
+    :ivar cached_tokens: prompt tokens that the engine of each stage had
+        cached, up to and including this stage
+    :ivar next_index: index of the next step
+    :ivar sent_count: tokens sent to the entry, counted on the first stage
     """
 
     start: messages.Start
@@ -24,27 +27,27 @@
 
     @property
     def hop(self) -> messages.Hop:
-        """This stage's part of the path."""
+        """The hop of the path that this stage runs."""
         return self.start.hops[self.start.position]
 
     @property
     def layer_count(self) -> int:
-        """Layers that run here."""
+        """Number of layers that run here."""
         return self.hop.end - self.hop.first
 
     @property
     def uncached_tokens(self) -> int:
-        """Tokens that the engine here has to prefill."""
+        """Number of tokens that the engine here has to prefill."""
         return len(self.start.tokens) - self.cached_tokens[-1]
 
     @property
     def next_hop(self) -> messages.Hop | None:
-        """The stage after this one, None on the last."""
+        """The hop after this one, None on the last stage."""
         position = self.start.position + 1
         hops = self.start.hops
         return hops[position] if position < len(hops) else None
 
     @property
     def sequence_id(self) -> str:
-        """Name of this attempt at the engine."""
+        """Id of this attempt's sequence in the engine."""
         return f'{self.start.answer}/{self.start.attempt}'
