Reword the service executor and the layer reconciler

Plain terms for voided attempts, move permits and fencing numbers. Log lines name what failed and that it is retried; the refusal without a service says so for the process that refuses. No test matches these texts.

--- a/libs/side/burdockmast/side/engine.py
+++ b/libs/side/burdockmast/side/engine.py
@@ -11,7 +11,7 @@
 from burdockmast.base import failures
 from burdockmast.base import outcomes
 
-# Iterations and status requests.
+# Timeout of all calls except loading layers.
 CALL_TIMEOUT_SECONDS = 10.0
 LOAD_TIMEOUT_SECONDS = 600.0
 HTTP_OK = 200
--- a/libs/side/burdockmast/side/layer_reconciler.py
+++ b/libs/side/burdockmast/side/layer_reconciler.py
@@ -1,13 +1,15 @@
-"""Which layers the engine is to hold, and holds.
-
-The configuration alone decides, and its version is the fencing number of
-every order. Not every engine checks that number. Beside one that doesn't, a
-new process first makes sure that its configuration is no older than itself:
-the process before it is gone, since it would still hold the slot's address,
-so whatever that one ordered was accepted earlier.
-
-When to change layers is agreed with the model's other servers, so that some
-always hold each layer; see :mod:`burdockmast.fleet.layer_moves`.
+"""Reconciles the layers that the engine holds with the configuration.
+
+The configuration alone decides which layers these are, and its version is the
+fencing number of every order. Not every engine checks that number. Beside one
+that doesn't, a new process first waits until its configuration is no older
+than the process itself. Its predecessor has exited, since it would still hold
+the peer address, so every configuration that it acted on was accepted before
+this process started.
+
+The model's servers use move permits to agree on when each changes its layers,
+so that every layer is always held by some; see
+:mod:`burdockmast.fleet.layer_moves`.
 """
 
 from collections.abc import Callable
@@ -27,19 +29,20 @@
 
 LOG = logs.get('holding')
 
-RETRY_SECONDS = 0.5
-# Seconds between looks whether the engine still holds its layers.
+# Delay before a failed call to the engine or the store is repeated.
+RETRY_DELAY_SECONDS = 0.5
+# Interval between checks that the engine still holds its layers.
 POLL_SECONDS = 1.0
-# Seconds between looks whether answers on the old layers have ended.
+# Interval between checks whether answers on the old layers have ended.
 IDLE_POLL_SECONDS = 0.05
 
 
 class LayerReconciler:
-    """Keeps an engine's layers as the preset in force places them.
+    """Makes an engine hold the layers that the preset in force assigns.
 
-    Until it is this server's turn, answers go on and begin on the old
-    layers. Then the side accepts no new ones, and when those that run have
-    ended, the order follows.
+    Until this server has a move permit, answers continue and begin on the old
+    layers. From then on the side process accepts no new ones, and it orders
+    the new layers when those that run have ended.
     """
 
     def __init__(
@@ -49,10 +52,10 @@
         checks_fence: bool,
         max_concurrent_loads: int,
     ):
-        """Create a keeper that has given no order yet.
+        """Create a reconciler that has sent no order yet.
 
-        :param checks_fence: whether the engine refuses old numbers itself
-        :param loads_at_once: servers of a model that load at the same time
+        :param checks_fence: whether the engine refuses old fencing numbers
+        :param max_concurrent_loads: servers of a model that may load at once
         """
         self.held: engine.HeldLayers | None = None
         self.is_idle = lambda: True
@@ -87,14 +90,14 @@
         )
 
     def serving_ranges(self) -> tuple[messages.LayerRange, ...]:
-        """Return the layers that new answers may run on."""
+        """Return the layer ranges that new answers may run on."""
         held = self.held
         if not held or self._is_moving:
             return ()
         return (messages.LayerRange(held.model, held.first, held.end),)
 
     def poll_engine(self) -> None:
-        """Find out whether the engine has restarted between two calls."""
+        """Check whether the engine has died, or restarted without layers."""
         if self._is_reconciling or self._is_polling or not self.held:
             return
         self._is_polling = True
@@ -104,46 +107,46 @@
             self._is_polling = False
         if isinstance(status, failures.Failure):
             if status.outcome is outcomes.Outcome.NOT_RUN:
-                # Nothing listens there: it is dead, not slow.
+                # The connection was refused: the engine is down, not slow.
                 self.on_engine_unreachable(status)
             return
         if self._is_reconciling:
             return
         if status.held != self.held:
-            LOG.warning('The engine no longer holds {}.', self.held)
+            LOG.warning('Engine no longer holds {}, loading again.', self.held)
             self.reload()
             self._peers.beat()
 
     def reload(self) -> None:
-        """Order again what a restarted engine lost."""
+        """Load the layers again after the engine has lost them."""
         self.held = None
         self.reconcile()
 
     def reconcile(self, _: changes.Body | None = None) -> None:
-        """Work towards what the configuration wants, in a task."""
-        if not self._is_reconciling and self._wanted() != self.held:
+        """Start a task that reconciles the layers, unless one is running."""
+        if not self._is_reconciling and self._wanted_layers() != self.held:
             self._is_reconciling = True
-            eventlet.spawn(self._run)
+            eventlet.spawn(self._reconcile_until_done)
 
-    def _wanted(self) -> engine.HeldLayers | None:
+    def _wanted_layers(self) -> engine.HeldLayers | None:
         placed = self._follower.configuration.placement(self._server)
         if not placed:
             return None
         return engine.HeldLayers(placed.model, placed.first, placed.end)
 
-    def _run(self) -> None:
+    def _reconcile_until_done(self) -> None:
         try:
-            while self._wanted() != self.held:
+            while self._wanted_layers() != self.held:
                 self._reconcile_once()
         finally:
             self._is_reconciling = False
 
     def _reconcile_once(self) -> None:
-        """Take one step towards what is wanted."""
+        """Take one step towards the wanted layers."""
         status = self._engine.status()
         if isinstance(status, failures.Failure):
-            return eventlet.sleep(RETRY_SECONDS)
-        wanted = self._wanted()
+            return eventlet.sleep(RETRY_DELAY_SECONDS)
+        wanted = self._wanted_layers()
         if status.held == wanted:
             return self._adopt(wanted)
         if status.held and not self._may_order():
@@ -157,15 +160,15 @@
                 self._metrics.count('moves.waited')
                 eventlet.sleep(seconds)
             case failures.Failure() as failure if dropped:
-                LOG.warning('No turn to change layers: {}.', failure)
-                eventlet.sleep(RETRY_SECONDS)
+                LOG.warning('Move permit not acquired, retrying: {}.', failure)
+                eventlet.sleep(RETRY_DELAY_SECONDS)
             case layer_moves.Acquired() | failures.Failure():
-                # Nobody waits for an engine that holds nothing, so it may
-                # load even while the store is out.
+                # No answers depend on an engine that holds no layers, so it
+                # may load even while the store is unavailable.
                 self._move(model)
 
     def _move(self, model: ids.ModelId) -> None:
-        """Change layers in this server's turn."""
+        """Wait until running answers have ended, then change layers."""
         self._is_moving = True
         self._events.add('engine.moving', model=model)
         eventlet.spawn(self._renew_permit, model)
@@ -187,7 +190,7 @@
             self._permits.renew(model)
 
     def _record_held(self, *models: ids.ModelId) -> None:
-        """Tell models' other servers what is held here now."""
+        """Record the held layers in the store, and release move permits."""
         if self.held:
             models = (*models, self.held.model)
         for model in set(models):
@@ -200,7 +203,7 @@
             span = layer_moves.Span(held.first, held.end) if is_held else None
             if self._permits.release(model, span):
                 return
-            eventlet.sleep(RETRY_SECONDS)
+            eventlet.sleep(RETRY_DELAY_SECONDS)
 
     def _adopt(self, held: engine.HeldLayers) -> None:
         self._set_held(held, 'engine.adopted')
@@ -222,8 +225,8 @@
         )
 
     def _order_layers(self) -> None:
-        """Give the order that the newest configuration asks for."""
-        wanted = self._wanted()
+        """Order the layers that the newest configuration assigns."""
+        wanted = self._wanted_layers()
         if wanted is None:
             return self._set_held(None, 'engine.left')
         version = self._follower.version
@@ -231,6 +234,10 @@
             case engine.LayersLoaded():
                 self._set_held(wanted, 'engine.ordered')
             case failures.Failure() as failure:
-                LOG.warning('Order {} failed: {}.', version, failure)
-                eventlet.sleep(RETRY_SECONDS)
+                LOG.warning(
+                    'Order of version {} failed, retrying: {}.',
+                    version,
+                    failure,
+                )
+                eventlet.sleep(RETRY_DELAY_SECONDS)
         return None
--- a/libs/side/burdockmast/side/service_executor.py
+++ b/libs/side/burdockmast/side/service_executor.py
@@ -1,4 +1,4 @@
-"""Calls to the plain service beside this process, each at most once."""
+"""Calls the plain service beside this process, at most once for each key."""
 
 import collections
 import dataclasses
@@ -11,9 +11,9 @@
 from burdockmast.node import node
 from burdockmast.wire import messages
 
-# Keys whose executions are remembered.
+# Beyond this count, the oldest keys are forgotten.
 MAX_REMEMBERED_KEY_COUNT = 100_000
-# Headers that belong to one connection and are not passed on.
+# Headers that apply to a single connection and are not forwarded.
 HOP_BY_HOP_HEADERS = frozenset(
     ('connection', 'content-length', 'host', 'keep-alive', 'te', 'upgrade',
      'transfer-encoding')
@@ -22,7 +22,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Execution:
-    """What became of a key here: running, ended, or barred."""
+    """Execution of a key: running, ended, or voided before it began.
+
+    :ivar reply_event: gets the reply when the execution ends
+    """
 
     attempt: int
     reply_event: eventlet.event.Event
@@ -30,10 +33,10 @@
 
 
 class ServiceExecutor:
-    """Executions by key, of one process.
+    """Executes calls, and remembers their outcomes by idempotency key.
 
-    A call with a key runs only if that key has not run here, is not
-    barred, and names this very process.
+    A call with a key runs only if that key has not run here, the attempt is
+    not voided, and the call is for this incarnation of the process.
     """
 
     def __init__(self, process: node.Node, url: str):
@@ -53,7 +56,7 @@
         self._pool = urllib3.PoolManager(maxsize=32, retries=False)
 
     def call(self, call: messages.ServiceCall) -> messages.ServiceReply:
-        """Execute a call, unless it must not be."""
+        """Execute or refuse a call, or return its key's earlier reply."""
         self._events.witness(call.clock)
         if call.incarnation and call.incarnation != self._incarnation:
             return self._refuse(call, failures.Reason.STALE_INCARNATION)
@@ -63,10 +66,10 @@
             if call.budget_ms <= 0:
                 return self._refuse(call, failures.Reason.DEADLINE)
             return self._execute(call)
-        known = self._execution_by_key.get(call.key)
-        if known and not known.is_voided:
-            return _reply_for_call(known.reply_event.wait(), call.call)
-        if known and known.attempt >= call.attempt:
+        earlier = self._execution_by_key.get(call.key)
+        if earlier and not earlier.is_voided:
+            return _reply_for_call(earlier.reply_event.wait(), call.call)
+        if earlier and earlier.attempt >= call.attempt:
             return self._refuse(call, failures.Reason.CANCELLED)
         if self.is_draining:
             return self._refuse(call, failures.Reason.LEAVING)
@@ -75,7 +78,7 @@
         return self._execute_key(call)
 
     def resolve(self, settle: messages.Settle) -> messages.ServiceReply:
-        """Tell what became of a key; bar its attempt if nothing has."""
+        """Return the outcome of a key; void its attempt if it never began."""
         self._events.witness(settle.clock)
         if settle.incarnation != self._incarnation:
             return self._reply(
@@ -83,9 +86,9 @@
                 outcomes.Outcome.UNKNOWN,
                 reason=failures.Reason.STALE_INCARNATION,
             )
-        known = self._execution_by_key.get(settle.key)
-        if known and not known.is_voided:
-            return _reply_for_call(known.reply_event.wait(), settle.call)
+        earlier = self._execution_by_key.get(settle.key)
+        if earlier and not earlier.is_voided:
+            return _reply_for_call(earlier.reply_event.wait(), settle.call)
         voided = Execution(settle.attempt, eventlet.event.Event(), True)
         self._remember(settle.key, voided)
         self._events.add('execution.barred', attempt=settle.attempt)
@@ -126,7 +129,8 @@
         self, call: messages.ServiceCall
     ) -> messages.ServiceReply:
         headers = dict(call.headers)
-        # A kept connection may be dead; a new one fails before sending.
+        # On a pooled connection that the service has closed, it is unknown
+        # whether the request ran. A new one fails before anything is sent.
         if call.method not in ('GET', 'HEAD'):
             headers['Connection'] = 'close'
             pool = urllib3.PoolManager(retries=False)
@@ -193,7 +197,7 @@
 
 
 def no_service_reply(call: str) -> messages.ServiceReply:
-    """Return the refusal of a side beside no plain service."""
+    """Return the refusal of a side process without a plain service."""
     return messages.ServiceReply(
         call,
         outcomes.Outcome.NOT_RUN,
@@ -201,7 +205,7 @@
         (),
         b'',
         failures.Reason.UNKNOWN_SERVICE,
-        'no plain service is beside this process',
+        'this side process has no plain service',
         0,
     )
 
