Reword the stage and the side process

Plain terms for draining, crash reports, suspects and batches; the reasons for the batch limit and for not blaming requests stay. BUSY_RETRY_MS -> OVERLOAD_RETRY_MS.

--- a/libs/side/burdockmast/side/server.py
+++ b/libs/side/burdockmast/side/server.py
@@ -1,4 +1,4 @@
-"""The side process: its parts, and which part gets which message."""
+"""The side process: builds its parts and dispatches messages to them."""
 
 import eventlet
 
@@ -24,7 +24,7 @@
     """One side process, beside an engine or a plain service."""
 
     def __init__(self, settings: models.SideSettings):
-        """Create the process's parts; ``start`` begins their work."""
+        """Create the process's parts; ``start`` starts them."""
         self.settings = settings
         self.node = node.Node.from_config(
             settings, messages.Role.SIDE, self, settings.server
@@ -60,9 +60,9 @@
         self.node.instances.subscribers.append(self._update_draining)
 
     def start(self) -> None:
-        """Begin all work.
+        """Start listening, the engine's tasks and the periodic polls.
 
-        :raises OSError: if another process has the slot's address
+        :raises OSError: if another process listens on the peer address
         """
         self.node.start()
         if self.stage:
@@ -79,7 +79,7 @@
             )
 
     def stop(self) -> None:
-        """Refuse new work and wait until work in flight has ended."""
+        """Refuse new work, and wait up to the drain time for running work."""
         self._is_stopping = True
         self.node.events.add('process.stopping', drain=self.settings.drain)
         deadline = timers.now() + self.settings.drain
@@ -111,7 +111,7 @@
                 self.node.peers.beat()
 
     def receive(self, link: links.Link, message: messages.AnyMessage) -> None:
-        """Hand a message to its part."""
+        """Dispatch a message to the part that handles it."""
         match message:
             case _ if self.stage and self.stage.receive(link, message):
                 pass
@@ -150,7 +150,7 @@
         link.send(reply)
 
     def describe(self, link: links.Link) -> messages.Heartbeat:
-        """Return the heartbeat for a peer; entries get the load too."""
+        """Return the heartbeat for a peer; entries also get the load."""
         load = None
         if link.hello.role is messages.Role.ENTRY and self.stage:
             load = self._load_report()
@@ -161,7 +161,7 @@
         return self.node.peers.period()
 
     def closed(self, link: links.Link, why: failures.Failure) -> None:
-        """End what depended on a lost link."""
+        """Forget a closed link, and end the attempts that used it."""
         self.node.closed(link, why)
         if self.stage:
             self.stage.on_link_closed(link, why)
--- a/libs/side/burdockmast/side/stage.py
+++ b/libs/side/burdockmast/side/stage.py
@@ -1,8 +1,9 @@
-"""One stage of many answers: drives the engine's layer range.
+"""One stage of many answers: runs their steps on the engine's layers.
 
-Each step carries answer, attempt, index and next layer. A stage runs only
-what exactly continues what it ran before, so that for each token every
-layer runs once, in order, whatever arrives late or twice.
+Each step carries answer, attempt, index and next layer. A stage runs a step
+only if it directly follows the one that it ran before. So for each token,
+every layer runs exactly once and in order, even if messages arrive late or
+twice.
 """
 
 import eventlet
@@ -21,14 +22,14 @@
 from burdockmast.wire import links
 from burdockmast.wire import messages
 
-BUSY_RETRY_MS = 500
-# Parts of a stage's answers that wait for the engine while others run.
+OVERLOAD_RETRY_MS = 500
+# Batches that wait at the engine while another one runs.
 QUEUED_BATCH_COUNT = 1
 STATE_BYTES = 4
 
 
 class Stage:
-    """The answers that run on one engine."""
+    """The attempts that run on one engine."""
 
     def __init__(
         self,
@@ -37,7 +38,7 @@
         reconciler: layer_reconciler.LayerReconciler,
         slots: int,
     ):
-        """Create a stage; ``start`` begins its work."""
+        """Create a stage; ``start`` starts its tasks."""
         self.attempt_by_answer: dict[
             ids.RequestId, stage_attempts.StageAttempt
         ] = {}
@@ -53,11 +54,11 @@
         self._metrics = process.metrics
 
     def start(self) -> None:
-        """Start driving the engine."""
+        """Start the tasks that call the engine."""
         self.scheduler.start()
 
     def receive(self, link: links.Link, message: messages.AnyMessage) -> bool:
-        """Handle what concerns answers; tell whether it did."""
+        """Handle a message about an answer; tell whether it was one."""
         match message:
             case messages.Step():
                 self.on_step(link, message)
@@ -77,7 +78,7 @@
 
     @property
     def free_slots(self) -> int:
-        """Answers that may still be accepted."""
+        """Number of answers that may still be accepted."""
         if self.is_draining or not self.scheduler.is_ready:
             return 0
         return max(0, self._slots - len(self.attempt_by_answer))
@@ -93,9 +94,9 @@
         earlier = self.attempt_by_answer.pop(start.answer, None)
         if earlier:
             self.scheduler.close(earlier.sequence_id)
-        expires = timers.now() + start.budget_ms / 1000
+        deadline = timers.now() + start.budget_ms / 1000
         cached = (*start.cached, self.prefix_cache.record_prompt(start.tokens))
-        attempt = stage_attempts.StageAttempt(start, link, expires, cached)
+        attempt = stage_attempts.StageAttempt(start, link, deadline, cached)
         self.attempt_by_answer[start.answer] = attempt
         self._events.add('stage.opened', start.answer, attempt=start.attempt)
         self.scheduler.open(attempt)
@@ -110,7 +111,7 @@
             self._send(attempt, start.hops[0], opened)
 
     def on_opened(self, opened: messages.Opened) -> None:
-        """Begin an answer that all its stages have accepted."""
+        """Begin an answer that all stages of its path have accepted."""
         self._events.witness(opened.clock)
         attempt = self._find_attempt(opened.answer, opened.attempt)
         if attempt and attempt.start.position == 0 and not attempt.next_index:
@@ -128,7 +129,7 @@
         self._enqueue_step(attempt, 0, None, None)
 
     def on_step(self, link: links.Link, step: messages.Step) -> None:
-        """Take a token's state from the stage before."""
+        """Queue a step with the state that the stage before sent."""
         attempt = self._find_attempt(step.answer, step.attempt)
         if not attempt:
             self._metrics.count('stage.stale_step')
@@ -143,7 +144,7 @@
         self._enqueue_step(attempt, step.index, state, None)
 
     def on_token(self, token: messages.Token) -> None:
-        """Take a finished token back from the last stage."""
+        """Deliver a finished token that the last stage sent back."""
         attempt = self._find_attempt(token.answer, token.attempt)
         if not attempt or attempt.start.position != 0:
             self._metrics.count('stage.stale_token')
@@ -156,7 +157,7 @@
         self._deliver(attempt, token)
 
     def on_failed(self, failed: messages.Failed) -> None:
-        """Pass a later stage's failure on towards the entry."""
+        """Forward a later stage's failure towards the entry."""
         attempt = self._find_attempt(failed.answer, failed.attempt)
         if attempt:
             self._events.witness(failed.clock)
@@ -164,21 +165,25 @@
             self._remove(attempt)
 
     def on_cancel(self, cancel: messages.Cancel) -> None:
-        """Forget an attempt, here and on the stages after."""
+        """Remove a cancelled attempt, here and on the stages after."""
         attempt = self._find_attempt(cancel.answer, cancel.attempt)
         if attempt:
             self._remove(attempt)
             self._cancel_downstream(attempt)
 
-    def on_link_closed(self, link: links.Link, why: failures.Failure) -> None:
-        """End what depended on a connection."""
+    def on_link_closed(
+        self, link: links.Link, failure: failures.Failure
+    ) -> None:
+        """End the attempts that depended on a closed connection."""
         for attempt in list(self.attempt_by_answer.values()):
             next_hop = attempt.next_hop
             if attempt.upstream is link:
                 self._remove(attempt)
                 self._cancel_downstream(attempt)
             elif next_hop and next_hop.address == link.address:
-                self._fail(attempt, why.reason, why.step, next_hop.server)
+                self._fail(
+                    attempt, failure.reason, failure.step, next_hop.server
+                )
 
     def _find_attempt(
         self, answer: ids.RequestId, number: int
@@ -215,10 +220,10 @@
         return None
 
     def _is_suspect(self, start: messages.Start) -> bool:
-        """Tell whether a request must not run beside another such one.
+        """Tell whether a request must not run beside another suspect.
 
-        What its entry says counts too, as news of a crash may not have
-        reached this side yet.
+        The entry's count is checked as well, since crash reports may not have
+        reached this process yet.
         """
         return (
             start.strikes >= crashreports.SUSPECT_CRASH_COUNT
@@ -259,7 +264,9 @@
         self._peers.post(
             hop.address,
             message,
-            lambda why: self._fail(attempt, why.reason, why.step, hop.server),
+            lambda failure: self._fail(
+                attempt, failure.reason, failure.step, hop.server
+            ),
         )
 
     def _enqueue_step(
@@ -274,26 +281,26 @@
         self.scheduler.step(attempt, step)
 
     def batch_limit(self) -> int:
-        """Return how many steps go into one iteration.
+        """Return the largest number of steps in one iteration.
 
-        If all answers went through a stage at once, the other stages of
-        their paths would stand idle meanwhile. So an iteration takes one
-        part of as many as the longest path has stages, and one more that
-        waits for the engine here.
+        If a stage ran all answers in one batch, the other stages of their
+        paths would idle meanwhile. So the answers are divided into as many
+        batches as the longest path has stages, and one more that waits for
+        the engine here.
         """
-        count = len(self.attempt_by_answer)
-        stages = max(
+        attempt_count = len(self.attempt_by_answer)
+        stage_count = max(
             (
                 len(attempt.start.hops)
                 for attempt in self.attempt_by_answer.values()
             ),
             default=1,
         )
-        batch_count = stages + QUEUED_BATCH_COUNT
-        return max(1, -(-count // batch_count))
+        batch_count = stage_count + QUEUED_BATCH_COUNT
+        return max(1, -(-attempt_count // batch_count))
 
     def is_live(self, attempt: stage_attempts.StageAttempt) -> bool:
-        """Tell whether an attempt goes on here; end it if it is late."""
+        """Tell whether an attempt runs here; fail it past its deadline."""
         if self.attempt_by_answer.get(attempt.start.answer) is not attempt:
             return False
         if timers.now() > attempt.deadline:
@@ -307,7 +314,7 @@
         index: int,
         result: engine.StepResult,
     ) -> None:
-        """Pass a step's result on to the next stage, or towards the entry."""
+        """Forward a step's result to the next stage or towards the entry."""
         if result.error:
             eventlet.spawn(self._reconciler.poll_engine)
             self._fail(
@@ -355,33 +362,41 @@
         self._cancel_downstream(attempt)
 
     def on_engine_lost(
-        self, why: failures.Failure, batch: list[stage_attempts.StageAttempt]
+        self,
+        failure: failures.Failure,
+        batch: list[stage_attempts.StageAttempt],
     ) -> None:
-        """End all answers here; strike those that the engine had begun.
+        """Fail all attempts; report a crash for those that had started.
 
-        An engine that was found dead has crashed at nothing.
+        If the engine refused the connection, it was down before the call, so
+        no request is blamed.
 
-        :param batch: what it was running, also if given up meanwhile
+        :param batch: attempts of the failed call, including any that were
+            given up meanwhile
         """
-        crash = '' if why.outcome is outcomes.Outcome.NOT_RUN else ids.new_id()
+        crash_id = (
+            '' if failure.outcome is outcomes.Outcome.NOT_RUN else ids.new_id()
+        )
         self.prefix_cache.clear()
-        self._events.add('engine.lost', crash=crash)
+        self._events.add('engine.lost', crash=crash_id)
         self._metrics.count('engine.lost')
-        begun = [
+        started = [
             attempt
             for attempt in self.attempt_by_answer.values()
             if attempt.next_index
         ]
-        if crash:
-            for attempt in (*batch, *begun):
-                self._crash_reports.add(attempt.start.fingerprint, crash)
+        if crash_id:
+            for attempt in (*batch, *started):
+                self._crash_reports.add(attempt.start.fingerprint, crash_id)
         self._peers.beat()
         for attempt in list(self.attempt_by_answer.values()):
-            blame = crash if attempt.next_index else ''
-            self._fail(attempt, why.reason, why.step, '', blame)
+            blamed_crash_id = crash_id if attempt.next_index else ''
+            self._fail(
+                attempt, failure.reason, failure.step, '', blamed_crash_id
+            )
 
     def on_engine_recovered(self) -> None:
-        """Have the layers loaded again, and tell the peers."""
+        """Load the layers again, and send the new state to all peers."""
         self._reconciler.reload()
         self._peers.beat()
 
@@ -391,7 +406,7 @@
         reason: failures.Reason,
         step: str,
         peer: str,
-        crash: str = '',
+        crash_id: str = '',
     ) -> None:
         if (
             self._find_attempt(attempt.start.answer, attempt.start.attempt)
@@ -399,7 +414,7 @@
         ):
             return
         attempt.upstream.send(
-            self._failed_message(attempt.start, reason, step, peer, crash)
+            self._failed_message(attempt.start, reason, step, peer, crash_id)
         )
         self._remove(attempt)
         self._cancel_downstream(attempt)
@@ -410,7 +425,7 @@
         reason: failures.Reason,
         step: str,
         peer: str = '',
-        crash: str = '',
+        crash_id: str = '',
     ) -> messages.Failed:
         clock = self._events.add(
             'stage.failed',
@@ -420,7 +435,7 @@
             step=step,
             peer=peer,
         )
-        busy = reason is failures.Reason.OVERLOADED
+        is_overloaded = reason is failures.Reason.OVERLOADED
         return messages.Failed(
             start.answer,
             start.attempt,
@@ -429,8 +444,8 @@
             peer,
             self._server,
             clock,
-            BUSY_RETRY_MS if busy else 0,
-            crash,
+            OVERLOAD_RETRY_MS if is_overloaded else 0,
+            crash_id,
         )
 
     def _remove(self, attempt: stage_attempts.StageAttempt) -> None:
