Reword the tests of recovery and of orders to engines

Same tests, cases and assertions; names follow the terms of the code. The docstrings say which failure a test guards against, unless its name says so.

--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -1,4 +1,4 @@
-"""Orders to engines, by sides that are replaced or wake late."""
+"""Orders to engines by side processes that were frozen or replaced."""
 
 import program
 import pytest
@@ -22,8 +22,10 @@
 
 
 @pytest.mark.parametrize('fenced', ['--fenced', '--unfenced'])
-def test_side_frozen_over_a_switch_gives_no_old_order(own_fleet, fenced):
-    """Proves: a holder that wakes late does not act on what has lapsed."""
+def test_side_process_frozen_over_a_switch_sends_no_old_order(
+    own_fleet, fenced
+):
+    """A side process that thaws doesn't act on an outdated configuration."""
     fleet = own_fleet(groups=GROUPS, engine_options=(fenced,))
     fleet.freeze('side-e1')
     fleet.operate(
@@ -39,7 +41,7 @@
     assert tokens == program.expected_tokens([5], 8)
 
 
-def test_replaced_side_adopts_what_the_engine_holds(own_fleet):
+def test_replaced_side_process_adopts_what_the_engine_holds(own_fleet):
     fleet = own_fleet(groups=GROUPS, engine_options=('--unfenced',))
     before = len(orders(fleet, 'e1'))
     fleet.set_faults('store', outage=True)
@@ -51,7 +53,7 @@
         answer = fleet.complete([3], 3, **{'Burdockmast-Deadline': '2'})
         return answer.status == 200
 
-    program.wait_until(serves, 'served by the replaced side alone')
+    program.wait_until(serves, 'served by the replaced side process alone')
     assert len(orders(fleet, 'e1')) == before
 
 
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -1,4 +1,4 @@
-"""Answers that outlive the processes that were giving them."""
+"""Answers that continue when processes on their path are lost."""
 
 from concurrent import futures
 import time
@@ -12,10 +12,10 @@
 from burdockmast.operator import asking
 from burdockmast.standins import layouts
 
-COUNT = 60
-CALLERS = 12
-# Half of the time for which a stop would wait for answers under way.
-STOP_SECONDS = 30.0
+TOKEN_COUNT = 60
+CALLER_COUNT = 12
+# Half of the drain time, for which a stop waits for running answers.
+STOP_TIMEOUT_SECONDS = 30.0
 GROUPS = (
     layouts.Group(0, 10, 2, program.UNHURRIED),
     layouts.Group(8, 16, 2, program.UNHURRIED),
@@ -23,22 +23,24 @@
 )
 
 
-def ask_all(fleet, pool, count=COUNT, callers=CALLERS):
+def start_answers(
+    fleet, pool, token_count=TOKEN_COUNT, caller_count=CALLER_COUNT
+):
     """Start streamed answers; return their prompts and futures."""
-    asked = []
-    for number in range(callers):
+    started = []
+    for number in range(caller_count):
         prompt = [number, 1]
         entry = fleet.entries[number % len(fleet.entries)]
-        future = pool.submit(fleet.complete, prompt, count, entry, True)
-        asked.append((prompt, future))
-    return asked
+        future = pool.submit(fleet.complete, prompt, token_count, entry, True)
+        started.append((prompt, future))
+    return started
 
 
-def check_all(asked, count=COUNT):
-    """Check that each caller got its whole answer."""
-    for prompt, future in asked:
+def check_answers(started, token_count=TOKEN_COUNT):
+    """Check that each caller got its complete answer."""
+    for prompt, future in started:
         tokens = program.streamed_tokens(future.result(60).data)
-        assert tokens == program.expected_tokens(prompt, count)
+        assert tokens == program.expected_tokens(prompt, token_count)
 
 
 STAGES = {'head': ('e1', 'e2'), 'middle': ('e3', 'e4'), 'last': ('e5', 'e6')}
@@ -68,8 +70,8 @@
 def stepping_server(fleet, stage, before):
     """Return the server of a stage that has run steps since ``before``.
 
-    An open sequence does not show it: those of answers that have ended are
-    closed a little later.
+    Open sequences don't show this, since those of ended answers are closed a
+    little later.
     """
     now = steps_by_server(fleet, stage)
     return next((name for name in now if now[name] > before[name]), None)
@@ -89,58 +91,58 @@
 
 @pytest.mark.parametrize('stage', STAGES)
 @pytest.mark.parametrize('kind', ['side', 'engine'])
-def test_answers_go_on_when_a_process_dies(own_fleet, kind, stage):
-    """Proves: a stage dying in mid-answer neither repeats nor skips."""
+def test_answers_continue_when_a_process_dies(own_fleet, kind, stage):
+    """No token is repeated or skipped when a stage dies during an answer."""
     fleet = own_fleet(groups=GROUPS)
-    with futures.ThreadPoolExecutor(CALLERS) as pool:
-        asked = ask_all(fleet, pool)
+    with futures.ThreadPoolExecutor(CALLER_COUNT) as pool:
+        started = start_answers(fleet, pool)
         fleet.kill(f'{kind}-{running_server(fleet, stage)}')
-        check_all(asked)
+        check_answers(started)
 
 
 @pytest.mark.parametrize('stage', STAGES)
 @pytest.mark.parametrize('kind', ['side', 'engine'])
-def test_answers_go_on_when_a_process_freezes(own_fleet, kind, stage):
+def test_answers_continue_when_a_process_freezes(own_fleet, kind, stage):
     fleet = own_fleet(groups=GROUPS)
-    with futures.ThreadPoolExecutor(CALLERS) as pool:
-        asked = ask_all(fleet, pool)
+    with futures.ThreadPoolExecutor(CALLER_COUNT) as pool:
+        started = start_answers(fleet, pool)
         victim = f'{kind}-{running_server(fleet, stage)}'
         fleet.freeze(victim)
-        check_all(asked)
+        check_answers(started)
         fleet.thaw(victim)
 
 
 @pytest.mark.parametrize('fault', ['silence_open', 'cut_open'])
-def test_answers_go_on_when_connections_are_lost(own_fleet, fault):
-    """Proves: connections that are cut, or go silent for good, are replaced.
+def test_answers_continue_when_connections_are_lost(own_fleet, fault):
+    """Connections that are cut, or go silent for good, are replaced.
 
-    New ones work.
+    Only connections that are open at the fault are affected; new ones work.
     """
     fleet = own_fleet(relay_sides=True, groups=GROUPS)
-    with futures.ThreadPoolExecutor(CALLERS) as pool:
-        asked = ask_all(fleet, pool)
+    with futures.ThreadPoolExecutor(CALLER_COUNT) as pool:
+        started = start_answers(fleet, pool)
         wait_until_any_running(fleet)
         for server, _ in fleet.layout.engines():
             control = f'relay-side-{server}-control'
             fleet.post_json(control, '/network', {fault: True})
-        check_all(asked)
+        check_answers(started)
 
 
-STALLS = {'side': 'answer.probe', 'engine': 'answer.progress'}
+FAILED_STEP_BY_KIND = {'side': 'answer.probe', 'engine': 'answer.progress'}
 
 
-@pytest.mark.parametrize('kind', STALLS)
+@pytest.mark.parametrize('kind', FAILED_STEP_BY_KIND)
 def test_stalled_answer_moves_before_its_peers_time_out(own_fleet, kind):
-    """Proves: recovery does not wait for heartbeats or engine calls."""
+    """Recovery doesn't wait for missing heartbeats or engine timeouts."""
     fleet = own_fleet(groups=GROUPS)
     before = steps_by_server(fleet, 'middle')
     with futures.ThreadPoolExecutor(1) as pool:
-        asked = ask_all(fleet, pool, callers=1)
+        started = start_answers(fleet, pool, caller_count=1)
         server = program.wait_until(
             lambda: stepping_server(fleet, 'middle', before), 'under way'
         )
         fleet.freeze(f'{kind}-{server}')
-        check_all(asked)
+        check_answers(started)
     entry = ids.Address(fleet.address_by_name['entry-0-peer'])
     events, _ = asking.events([entry], '')
     steps = [
@@ -148,45 +150,44 @@
         for event in events
         if event.what == 'answer.attempt_failed'
     ]
-    assert steps == [STALLS[kind]]
+    assert steps == [FAILED_STEP_BY_KIND[kind]]
 
 
 def test_tokens_are_sent_as_they_come(own_fleet):
     fleet = own_fleet(groups=GROUPS)
-    answer = fleet.complete([1, 2], COUNT, stream=True, preload=False)
+    answer = fleet.complete([1, 2], TOKEN_COUNT, stream=True, preload=False)
     parts = [answer.read1(65536)]
     while parts[-1]:
         parts.append(answer.read1(65536))
-    # Each takes 24 ms to make, so they can't come in a few large parts.
-    assert len(parts) > COUNT / 2
+    # Each token takes 24 ms, so they can't arrive in a few large parts.
+    assert len(parts) > TOKEN_COUNT / 2
     tokens = program.streamed_tokens(b''.join(parts))
-    assert tokens == program.expected_tokens([1, 2], COUNT)
+    assert tokens == program.expected_tokens([1, 2], TOKEN_COUNT)
 
 
-def test_planned_stop_of_a_side_cuts_no_answer(own_fleet):
-    """Proves: a planned stop is graceful; it cuts no request."""
+def test_planned_stop_of_a_side_process_cuts_no_answer(own_fleet):
     fleet = own_fleet(groups=GROUPS)
-    with futures.ThreadPoolExecutor(CALLERS) as pool:
-        asked = ask_all(fleet, pool)
+    with futures.ThreadPoolExecutor(CALLER_COUNT) as pool:
+        started = start_answers(fleet, pool)
         server = running_server(fleet, 'head')
         assert fleet.stop(f'side-{server}') == 0
-        check_all(asked)
+        check_answers(started)
     assert fleet.complete([3], 3).status == 200
 
 
 def test_planned_stop_of_an_entry_cuts_no_answer(own_fleet):
     fleet = own_fleet(groups=GROUPS)
-    with futures.ThreadPoolExecutor(CALLERS) as pool:
-        asked = ask_all(fleet, pool)
+    with futures.ThreadPoolExecutor(CALLER_COUNT) as pool:
+        started = start_answers(fleet, pool)
         wait_until_any_running(fleet)
         assert fleet.stop('entry-1') == 0
-        check_all(asked)
+        check_answers(started)
 
 
 def ask_until_refused(fleet, entry, caller):
-    """Ask again and again as one who knows no balancer.
+    """Send requests to one entry, as a caller without a load balancer.
 
-    :returns: answers got, and the error that ended it
+    :returns: number of answers, and the error that ended the requests
     """
     with urllib3.PoolManager(retries=False) as own:
         for number in range(100_000):
@@ -209,34 +210,33 @@
 
 
 def test_planned_stop_ends_though_callers_keep_coming(own_fleet):
-    """Proves: a planned stop cuts no request, of whoever keeps asking.
+    """A planned stop cuts no request of callers that keep asking.
 
-    Callers are turned away when they connect, before they have sent
-    anything.
+    Their connections are refused before they have sent anything.
     """
     fleet = own_fleet(groups=GROUPS)
-    with futures.ThreadPoolExecutor(CALLERS) as pool:
-        asked = [
+    with futures.ThreadPoolExecutor(CALLER_COUNT) as pool:
+        started = [
             pool.submit(ask_until_refused, fleet, 'entry-1', caller)
-            for caller in range(CALLERS)
+            for caller in range(CALLER_COUNT)
         ]
         wait_until_any_running(fleet)
-        # As long as the answers under way take, and a little for leaving.
-        assert fleet.stop('entry-1', STOP_SECONDS) == 0
-        for future in asked:
+        # Time for the running answers, and a little for the shutdown.
+        assert fleet.stop('entry-1', STOP_TIMEOUT_SECONDS) == 0
+        for future in started:
             count, error = future.result(60)
             assert count
             assert isinstance(error, urllib3.exceptions.NewConnectionError)
 
 
 def test_retired_server_ends_its_answers_and_gets_no_new_ones(own_fleet):
-    """Proves: a leaving server gets no new work after a few seconds."""
+    """A draining server gets no new work after a few seconds."""
     fleet = own_fleet(groups=GROUPS)
-    with futures.ThreadPoolExecutor(CALLERS) as pool:
-        asked = ask_all(fleet, pool)
+    with futures.ThreadPoolExecutor(CALLER_COUNT) as pool:
+        started = start_answers(fleet, pool)
         server = running_server(fleet, 'head')
         fleet.operate(changes.RetireServer(server))
-        check_all(asked)
+        check_answers(started)
     engine = f'engine-{server}'
     program.wait_until(
         lambda: fleet.get_json(engine, '/v1/status')['sequences'] == 0,
@@ -249,7 +249,6 @@
 
 
 def test_switch_of_preset_under_load_cuts_no_answer(own_fleet):
-    """Proves: a switch of preset is made without cutting work in flight."""
     fleet = own_fleet(groups=GROUPS)
     moved = layouts.Layout(
         groups=(
@@ -258,17 +257,17 @@
         )
     )
     fleet.operate(changes.PutPreset(moved.preset('peak')))
-    with futures.ThreadPoolExecutor(CALLERS) as pool:
-        asked = ask_all(fleet, pool)
+    with futures.ThreadPoolExecutor(CALLER_COUNT) as pool:
+        started = start_answers(fleet, pool)
         wait_until_any_running(fleet)
         fleet.operate(changes.SwitchPreset('peak', 'ordinary'))
-        began = time.monotonic()
+        switched_at = time.monotonic()
         for entry in fleet.entries:
             program.wait_until(
                 lambda e=entry: fleet.ready(e)['preset'] == 'peak', 'switched'
             )
-        # The target: in force everywhere within 4 s.
-        assert time.monotonic() - began < 4.0
-        check_all(asked)
+        # Target: the preset is in force on every entry within 4 s.
+        assert time.monotonic() - switched_at < 4.0
+        check_answers(started)
     tokens = program.answer_tokens(fleet.complete([8, 8], 9))
     assert tokens == program.expected_tokens([8, 8], 9)
