--- a/libs/side/burdockmast/side/engine.py
+++ b/libs/side/burdockmast/side/engine.py
@@ -1,6 +1,6 @@
-"""Client of the model engine beside this process.
+"""Client of the model engine that runs beside this process.
 
-Source: the engine's published interface, JSON over HTTP.
+It implements the engine's published interface, JSON over HTTP.
 """
 
 import dataclasses
@@ -11,16 +11,15 @@
 from burdockmast.base import failures
 from burdockmast.base import outcomes
 
-# Seconds that one iteration or question may take.
-TIMEOUT_SECONDS = 10.0
-# Seconds that loading layers may take.
-ORDER_SECONDS = 600.0
+# Timeout of all calls except loading layers.
+CALL_TIMEOUT_SECONDS = 10.0
+LOAD_TIMEOUT_SECONDS = 600.0
 HTTP_OK = 200
 HTTP_CONFLICT = 409
 
 
-class Open(msgspec.Struct):
-    """Prepare a sequence for layers ``first`` up to ``end``."""
+class OpenSequence(msgspec.Struct):
+    """Open a sequence on layers ``first`` up to, not including, ``end``."""
 
     sequence: str
     model: str
@@ -32,7 +31,8 @@
 class Step(msgspec.Struct):
     """Run token ``index`` of a sequence.
 
-    The first stage gives the previous ``token``, the others a ``state``.
+    The first stage of a path passes the previous ``token``, later stages the
+    ``state`` that the stage before returned.
     """
 
     sequence: str
@@ -42,14 +42,14 @@
 
 
 class Iteration(msgspec.Struct):
-    """All that one iteration is to do."""
+    """Sequences to open, steps to run and sequences to close."""
 
-    open: list[Open]
+    open: list[OpenSequence]
     steps: list[Step]
     close: list[str]
 
 
-class Result(msgspec.Struct):
+class StepResult(msgspec.Struct):
     """Result of one step: a state for the next stage, or a token."""
 
     state: int | None = None
@@ -57,8 +57,8 @@
     error: str = ''
 
 
-class Held(msgspec.Struct):
-    """Layers that the engine holds."""
+class HeldLayers(msgspec.Struct):
+    """Layers ``first`` up to, not including, ``end`` of a model."""
 
     model: str
     first: int
@@ -66,17 +66,17 @@
 
 
 class Status(msgspec.Struct):
-    """What the engine tells of itself."""
+    """Status of the engine; ``held`` is None if it holds no layers."""
 
-    held: Held | None
+    held: HeldLayers | None
 
 
 class CacheEvent(msgspec.Struct):
-    """A block of prompt tokens that came into the cache or left it.
+    """A block of prompt tokens that was added to the cache or removed.
 
-    :ivar number: counts the engine's events; those between are lost
-    :ivar parent: the block before it, None for a prompt's first
-    :ivar tokens: what it holds; empty if it left
+    :ivar number: consecutive number; skipped ones are lost events
+    :ivar parent: the block before it, None for the first of a prompt
+    :ivar tokens: the block's tokens; empty if it was removed
     """
 
     number: int
@@ -87,11 +87,11 @@
 
 
 class CacheEvents(msgspec.Struct):
-    """What the engine has published of its cache of prompts.
+    """Events of the engine's prefix cache, with its dimensions.
 
     :ivar epoch: differs for each start of the engine
-    :ivar blocks: how many blocks fit
-    :ivar block_tokens: tokens of a block
+    :ivar blocks: capacity of the cache in blocks
+    :ivar block_tokens: tokens per block
     """
 
     epoch: str
@@ -101,16 +101,16 @@
 
 
 class _Results(msgspec.Struct):
-    results: list[Result]
+    results: list[StepResult]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Done:
-    """An order was carried out."""
+class LayersLoaded:
+    """The engine has loaded the layers that it was ordered to hold."""
 
 
-class Engine:
-    """One engine, over kept-alive connections."""
+class Client:
+    """Client of one engine, with persistent connections."""
 
     def __init__(self, url: str):
         """Create a client.
@@ -121,28 +121,32 @@
         self._pool = urllib3.PoolManager(maxsize=4, retries=False)
         self._decoder = msgspec.json.Decoder(_Results)
 
-    def iterate(self, iteration: Iteration) -> list[Result] | failures.Failure:
-        """Run one iteration; results are in the order of its steps."""
-        response = self._call('/v1/iterate', iteration, TIMEOUT_SECONDS)
+    def iterate(
+        self, iteration: Iteration
+    ) -> list[StepResult] | failures.Failure:
+        """Run one iteration; return results in the order of its steps."""
+        response = self._call('/v1/iterate', iteration, CALL_TIMEOUT_SECONDS)
         if isinstance(response, failures.Failure):
             return response
         return self._decoder.decode(response.data).results
 
-    def order(self, fence: int, held: Held) -> Done | failures.Failure:
-        """Make the engine hold other layers.
+    def load_layers(
+        self, fence: int, layers: HeldLayers
+    ) -> LayersLoaded | failures.Failure:
+        """Order the engine to load layers in place of those it holds.
 
-        :param fence: fencing number; an engine may refuse lower ones than
-            it has seen
+        :param fence: fencing number; an engine may refuse one that is lower
+            than the highest it has seen
         """
-        body = {'fence': fence, **msgspec.to_builtins(held)}
-        response = self._call('/v1/orders', body, ORDER_SECONDS)
+        body = {'fence': fence, **msgspec.to_builtins(layers)}
+        response = self._call('/v1/orders', body, LOAD_TIMEOUT_SECONDS)
         if isinstance(response, failures.Failure):
             return response
-        return Done()
+        return LayersLoaded()
 
     def status(self) -> Status | failures.Failure:
-        """Ask what the engine holds."""
-        response = self._call('/v1/status', None, TIMEOUT_SECONDS)
+        """Return the engine's status."""
+        response = self._call('/v1/status', None, CALL_TIMEOUT_SECONDS)
         if isinstance(response, failures.Failure):
             return response
         return msgspec.json.decode(response.data, type=Status)
@@ -150,25 +154,26 @@
     def cache_events(
         self, epoch: str, after: int
     ) -> CacheEvents | failures.Failure:
-        """Ask for events later than a number, of an epoch.
+        """Return the cache events after a number.
 
-        Of another epoch the engine tells all that it still knows.
+        If the engine's epoch is another one, it returns all events it still
+        has.
         """
         body = {'epoch': epoch, 'after': after}
-        response = self._call('/v1/cache-events', body, TIMEOUT_SECONDS)
+        response = self._call('/v1/cache-events', body, CALL_TIMEOUT_SECONDS)
         if isinstance(response, failures.Failure):
             return response
         return msgspec.json.decode(response.data, type=CacheEvents)
 
     def _call(
-        self, path: str, body: object, seconds: float
+        self, path: str, body: object, timeout_seconds: float
     ) -> urllib3.BaseHTTPResponse | failures.Failure:
         try:
             response = self._pool.request(
                 'POST',
                 self._url + path,
                 body=msgspec.json.encode(body),
-                timeout=seconds,
+                timeout=timeout_seconds,
                 retries=False,
             )
         except urllib3.exceptions.NewConnectionError as error:
