Say which stop the time limit of a recovery test refers to

Its comment named the drain time, which is 30 s for side processes; the limit is half of the 60 s for which an entry waits.

--- a/libs/side/burdockmast/side/batch_scheduler.py
+++ b/libs/side/burdockmast/side/batch_scheduler.py
@@ -20,7 +20,7 @@
 
 LOG = logs.get('driver')
 
-# One call that the engine runs, and the next.
+# One call that the engine runs, and one that is queued there.
 CONCURRENT_CALL_COUNT = 2
 # Weight of the newest sample in the moving averages of layer times.
 SMOOTHING_FACTOR = 0.1
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -14,7 +14,7 @@
 
 TOKEN_COUNT = 60
 CALLER_COUNT = 12
-# Half of the drain time, for which a stop waits for running answers.
+# Half of the time for which a planned stop of an entry waits for answers.
 STOP_TIMEOUT_SECONDS = 30.0
 GROUPS = (
     layouts.Group(0, 10, 2, program.UNHURRIED),
