Name the platform adapter's public parts in the terms of the field

Cause: the planner lock and the gateway registry were called seat and roster here, the adapters of the engine client and the header codec had names other than their interfaces, and settings.parse read a file.

Change: renames only. Header names, objects in the store and fields on the wire stay as they were.

Checks: ruff, flake8; tests of platform decoding, platform gateway, gateway upstream and the command line pass.

--- a/libs/operator/burdockmast/operator/cli/definition.py
+++ b/libs/operator/burdockmast/operator/cli/definition.py
@@ -227,7 +227,7 @@
     Example: burdockmast settings check entry entry.json
     """
     if role == types.GATEWAY:
-        platform_settings.parse(path)
+        platform_settings.load(path)
     else:
         loader.load(path, types.SETTINGS_BY_ROLE[role])
     click.echo(f'{path}: valid settings of role {role}.')
--- a/libs/platform/burdockmast/platform/orders.py
+++ b/libs/platform/burdockmast/platform/engine_client.py
@@ -44,7 +44,7 @@
     stalled: list[_Stalled] = []
 
 
-class PlatformEngines:
+class EngineClient:
     """The platform's calls to backend servers that run engines."""
 
     def __init__(self):
--- a/libs/platform/burdockmast/platform/headers.py
+++ b/libs/platform/burdockmast/platform/headers.py
@@ -9,25 +9,25 @@
 
 REQUEST_ID = 'Burdockmast-Request-Id'
 DEADLINE = 'Burdockmast-Deadline-Ms'
-KEY = 'Burdockmast-Key'
+API_KEY = 'Burdockmast-Key'
 # The name of the caller's organisation, as backend servers get it.
 ORGANISATION = 'Burdockmast-Tenant'
 EXPECTED_SERVER = 'Burdockmast-Expect-Instance'
 # The urgency of a request, 0 to 9; 0 is first.
-URGENCY = 'Burdockmast-Request-Priority'
+PRIORITY = 'Burdockmast-Request-Priority'
 # "PROMPT,ANSWER": tokens of the prompt, and of the answer at most.
-TOKENS = 'Burdockmast-Token-Counts'
+TOKEN_COUNTS = 'Burdockmast-Token-Counts'
 LENGTH_HINT = 'Burdockmast-Length-Hint'
 # Despite its name, the stages of a path: "IP:PORT=FROM-TO", comma-separated.
 PATH = 'Burdockmast-Hop-Count'
-LAST_EVENT = 'Last-Event-Id'
+LAST_EVENT_ID = 'Last-Event-Id'
 # A server's signature of its answer.
 SIGNATURE = 'Burdockmast-Response-Seal'
 NOT_RUN = 'Burdockmast-Not-Executed'
 # The server that caused a refusal.
-CULPRIT = 'At-Server'
+REFUSED_BY = 'At-Server'
 
-MILLISECONDS = 1000.0
+MS_PER_SECOND = 1000.0
 # Headers that concern one connection only.
 _OF_CONNECTION = frozenset(
     (
@@ -49,12 +49,12 @@
     name.lower()
     for name in (
         DEADLINE,
-        KEY,
+        API_KEY,
         ORGANISATION,
         EXPECTED_SERVER,
-        URGENCY,
+        PRIORITY,
         PATH,
-        LAST_EVENT,
+        LAST_EVENT_ID,
     )
 )
 _NUMBER = re.compile(r'\d{1,12}')
@@ -62,7 +62,7 @@
 Headers = tuple[tuple[str, str], ...]
 
 
-class PlatformDialect:
+class HeaderCodec:
     """The platform's names of headers."""
 
     def read_request(
@@ -72,23 +72,23 @@
         value_by_name = {name.lower(): value for name, value in headers}
         request = value_by_name.get(REQUEST_ID.lower(), '')
         milliseconds = _number(value_by_name.get(DEADLINE.lower()))
-        prompt, _, answer = value_by_name.get(TOKENS.lower(), '').partition(
-            ','
-        )
+        prompt, _, answer = value_by_name.get(
+            TOKEN_COUNTS.lower(), ''
+        ).partition(',')
         return interfaces.CallerRequest(
             id=ids.RequestId(request),
             method=method,
             target=target,
             path=target.partition('?')[0],
             host=value_by_name.get('host', ''),
-            api_key=value_by_name.get(KEY.lower(), ''),
+            api_key=value_by_name.get(API_KEY.lower(), ''),
             timeout_seconds=(
-                None if milliseconds is None else milliseconds / MILLISECONDS
+                None if milliseconds is None else milliseconds / MS_PER_SECOND
             ),
             prompt_tokens=_number(prompt) or 0,
             max_answer_tokens=_number(answer) or 0,
             length_hint=_number(value_by_name.get(LENGTH_HINT.lower())) or 0,
-            last_event_id=_number(value_by_name.get(LAST_EVENT.lower())),
+            last_event_id=_number(value_by_name.get(LAST_EVENT_ID.lower())),
             headers=_passed_on(headers, value_by_name, _OWN),
             body=body,
         )
@@ -97,7 +97,7 @@
         self, request: interfaces.CallerRequest, attempt: interfaces.Attempt
     ) -> list[tuple[str, str]]:
         """Return the headers of a request as it is sent on."""
-        left = max(1, int(attempt.timeout_seconds * MILLISECONDS))
+        left = max(1, int(attempt.timeout_seconds * MS_PER_SECOND))
         found = [
             *request.headers,
             (DEADLINE, str(left)),
@@ -106,10 +106,10 @@
         if attempt.organisation:
             found.append((ORGANISATION, attempt.organisation))
         if attempt.path:
-            found.append((PATH, path_text(attempt.path)))
-            found.append((URGENCY, str(attempt.priority)))
+            found.append((PATH, format_path(attempt.path)))
+            found.append((PRIORITY, str(attempt.priority)))
         if attempt.last_event_id is not None:
-            found.append((LAST_EVENT, str(attempt.last_event_id)))
+            found.append((LAST_EVENT_ID, str(attempt.last_event_id)))
         return found
 
     def read_reply(
@@ -121,7 +121,7 @@
             request=value_by_name.get(REQUEST_ID.lower(), ''),
             is_signed=SIGNATURE.lower() in value_by_name,
             is_not_run=NOT_RUN.lower() in value_by_name,
-            refused_by=ids.Address(value_by_name.get(CULPRIT.lower(), '')),
+            refused_by=ids.Address(value_by_name.get(REFUSED_BY.lower(), '')),
             is_encoded='content-encoding' in value_by_name,
         )
 
@@ -133,7 +133,7 @@
         return list(_passed_on(headers, value_by_name, frozenset()))
 
 
-def path_text(path: tuple[backends.Stage, ...]) -> str:
+def format_path(path: tuple[backends.Stage, ...]) -> str:
     """Return a path as the platform writes it."""
     return ','.join(
         f'{stage.server.address}={stage.first}-{stage.end}' for stage in path
--- a/libs/platform/burdockmast/platform/program.py
+++ b/libs/platform/burdockmast/platform/program.py
@@ -19,8 +19,8 @@
 
 from burdockmast.gateway import server  # noqa: E402
 from burdockmast.platform import configuration  # noqa: E402
+from burdockmast.platform import engine_client  # noqa: E402
 from burdockmast.platform import headers  # noqa: E402
-from burdockmast.platform import orders  # noqa: E402
 from burdockmast.platform import servers  # noqa: E402
 from burdockmast.platform import settings  # noqa: E402
 from burdockmast.platform import store  # noqa: E402
@@ -45,8 +45,8 @@
         this is None
     :raises loader.SettingsError: if the file is missing or wrong
     """
-    found = settings.parse(path) if path else settings.read()
-    client = store.Store(found.store_address)
+    found = settings.load(path) if path else settings.load_from_environment()
+    client = store.Client(found.store_address)
     gateway = server.Gateway(
         found.gateway,
         server.Platform(
@@ -54,13 +54,15 @@
                 client, configuration.KIND, configuration.decode
             ),
             servers=store.Feed(client, servers.KIND, servers.decode),
-            planner_lock=store.Seat(client, found.gateway.instance),
-            gateway_registry=store.Roster(client, found.gateway.instance),
-            engines=orders.PlatformEngines(),
-            dialect=headers.PlatformDialect(),
+            planner_lock=store.PlannerLock(client, found.gateway.instance),
+            gateway_registry=store.GatewayRegistry(
+                client, found.gateway.instance
+            ),
+            engines=engine_client.EngineClient(),
+            dialect=headers.HeaderCodec(),
         ),
     )
-    client.answered.append(gateway.record_store_call)
+    client.on_call_end.append(gateway.record_store_call)
     gateway.run()
 
 
--- a/libs/platform/burdockmast/platform/settings.py
+++ b/libs/platform/burdockmast/platform/settings.py
@@ -52,7 +52,7 @@
     gateway: settings.Settings
 
 
-def read() -> PlatformSettings:
+def load_from_environment() -> PlatformSettings:
     """Read the file that the environment names.
 
     :raises loader.SettingsError: naming file, place and what is allowed
@@ -60,10 +60,10 @@
     path = os.environ.get(PATH_VARIABLE)
     if not path:
         raise loader.SettingsError(f'{PATH_VARIABLE} is not set')
-    return parse(pathlib.Path(path))
+    return load(pathlib.Path(path))
 
 
-def parse(path: pathlib.Path) -> PlatformSettings:
+def load(path: pathlib.Path) -> PlatformSettings:
     """Read and check a settings file.
 
     :raises loader.SettingsError: naming file, place and what is allowed
--- a/libs/platform/burdockmast/platform/standin.py
+++ b/libs/platform/burdockmast/platform/standin.py
@@ -15,8 +15,8 @@
 import eventlet.event
 import eventlet.wsgi
 
+from burdockmast.platform import engine_client
 from burdockmast.platform import headers
-from burdockmast.platform import orders
 from burdockmast.platform import store
 
 # Seconds between events of a stream.
@@ -40,18 +40,18 @@
     """Objects by kind and name, with revisions and watches.
 
     :ivar is_down: answers every call with 503
-    :ivar first_revision: of the history that is kept
-    :ivar next_break_after: events after which the next stream breaks off
+    :ivar oldest_watchable_revision: of the history that is kept
+    :ivar break_next_stream_after: events before the next stream breaks
     """
 
     def __init__(self):
         """Create an empty store."""
         self.is_down = False
-        self.first_revision = 0
-        self.next_break_after: int | None = None
+        self.oldest_watchable_revision = 0
+        self.break_next_stream_after: int | None = None
         self.revision = 1
         self.calls: collections.Counter[str] = collections.Counter()
-        self.object_by_name: dict[str, dict[str, dict]] = (
+        self.objects_by_kind: dict[str, dict[str, dict]] = (
             collections.defaultdict(dict)
         )
         self._history: list[tuple[int, str, dict, bool]] = []
@@ -71,18 +71,18 @@
             'spec': spec,
             'status': None,
         }
-        self.object_by_name[kind][name] = found
+        self.objects_by_kind[kind][name] = found
         self._note(kind, found, False)
 
     def remove(self, kind: str, name: str) -> None:
         """Delete an object."""
         self.revision += 1
-        found = self.object_by_name[kind].pop(name)
+        found = self.objects_by_kind[kind].pop(name)
         self._note(kind, found, True)
 
-    def forget_history(self) -> None:
+    def discard_history(self) -> None:
         """Make watches from before now fail."""
-        self.first_revision = self.revision
+        self.oldest_watchable_revision = self.revision
         self._history.clear()
         self._wake()
 
@@ -106,7 +106,7 @@
         body = environ['wsgi.input'].read()
         match method:
             case 'GET' if name:
-                found = self.object_by_name[kind].get(name)
+                found = self.objects_by_kind[kind].get(name)
                 status = 200 if found else 404
                 return _answer(start_response, status, found)
             case 'GET' if 'watch' in query:
@@ -120,7 +120,7 @@
 
     def _list(self, kind: str) -> dict:
         return {
-            'items': list(self.object_by_name[kind].values()),
+            'items': list(self.objects_by_kind[kind].values()),
             'has-more': False,
             'current-rev': self.revision,
         }
@@ -129,12 +129,12 @@
         since = int(query['watch'])
         with eventlet.Timeout(int(query['wait-ms']) / 1000, False):
             while not self._after(kind, since):
-                if since < self.first_revision or self.is_down:
+                if since < self.oldest_watchable_revision or self.is_down:
                     break
                 self._changed.wait()
         if self.is_down:
             return 503, None
-        if since < self.first_revision:
+        if since < self.oldest_watchable_revision:
             return 410, None
         return 200, {
             'events': self._after(kind, since),
@@ -151,18 +151,18 @@
     def _write(self, kind: str, body: dict) -> tuple[int, Any]:
         metadata = body['metadata']
         name = metadata['name']
-        known = self.object_by_name[kind].get(name)
+        known = self.objects_by_kind[kind].get(name)
         expected = metadata.get('revision')
         if (known is None) != (expected is None) or (
             known and known['metadata']['revision'] != expected
         ):
             return 409, known
         self.put(kind, name, body.get('spec'))
-        return 200, self.object_by_name[kind][name]
+        return 200, self.objects_by_kind[kind][name]
 
 
 @dataclasses.dataclass(slots=True)
-class Seen:
+class ReceivedRequest:
     """A request that a server got."""
 
     id: str
@@ -170,27 +170,27 @@
     header_by_name: dict[str, str]
 
 
-class Engine:
+class BackendServer:
     """A backend server: takes layers, and streams numbered events.
 
-    :ivar events: of each stream
+    :ivar event_count: of each stream
     :ivar refuses: answer requests with a promise that they have not run
-    :ivar pauses_before: event before which a stream stands still
+    :ivar pause_before_event: event before which a stream stands still
     :ivar is_unsigned: answer without a signature
     :ivar is_silent: take requests and say nothing
     """
 
     def __init__(self, host: str, parent: MetadataStore, entry: dict):
         """Start an engine and list it."""
-        self.events = 5
+        self.event_count = 5
         self.refuses = False
         self.is_unsigned = False
-        self.pauses_before: int | None = None
+        self.pause_before_event: int | None = None
         self.pause_seconds = 0.0
         self.is_silent = False
-        self.seen: list[Seen] = []
+        self.requests: list[ReceivedRequest] = []
         self.orders: list[dict] = []
-        self.highest_fence = 0
+        self.highest_fencing_number = 0
         self.id = entry['id']
         self.address = listen(host, self)
         self._store = parent
@@ -203,9 +203,9 @@
             'layers': None,
         }
         del self._entry['id']
-        self.write()
+        self.update_entry()
 
-    def write(self, **changes: object) -> None:
+    def update_entry(self, **changes: object) -> None:
         """Write the entry anew."""
         self._entry.update(changes)
         self._entry['sequence'] += 1
@@ -215,32 +215,34 @@
         """Answer one call."""
         body = environ['wsgi.input'].read()
         match environ['PATH_INFO']:
-            case orders.ORDER_PATH:
+            case engine_client.ORDER_PATH:
                 status = self._order(json.loads(body))
                 return _answer(start_response, status, None)
-            case orders.REPORT_PATH:
+            case engine_client.REPORT_PATH:
                 report = {'sequence': len(self.orders), 'pace': 1.0}
                 return _answer(start_response, 200, report)
         return self._run(environ, start_response)
 
     def _order(self, order: dict) -> int:
-        if order['fence'] < self.highest_fence:
-            return orders.HTTP_FENCED
-        self.highest_fence = order['fence']
+        if order['fence'] < self.highest_fencing_number:
+            return engine_client.HTTP_FENCED
+        self.highest_fencing_number = order['fence']
         if order['expect'] != len(self.orders):
             return 409
         self.orders.append(order)
         held = {'from': order['from'], 'to': order['to'], 'version': 1}
-        self.write(layers=held)
-        return orders.HTTP_ACCEPTED
+        self.update_entry(layers=held)
+        return engine_client.HTTP_ACCEPTED
 
     def _run(self, environ: dict, start_response: Any) -> Any:
         header_by_name = {
             name.lower(): value for name, value in environ['headers_raw']
         }
         request = header_by_name.get(headers.REQUEST_ID.lower(), '')
-        seen = Seen(request, environ['RAW_PATH_INFO'], header_by_name)
-        self.seen.append(seen)
+        seen = ReceivedRequest(
+            request, environ['RAW_PATH_INFO'], header_by_name
+        )
+        self.requests.append(seen)
         if self.is_silent:
             eventlet.sleep(60)
         if self.refuses:
@@ -255,7 +257,7 @@
             (headers.REQUEST_ID, request),
             (headers.SIGNATURE, f'seal-{self.id}'),
         ]
-        if headers.TOKENS.lower() not in header_by_name:
+        if headers.TOKEN_COUNTS.lower() not in header_by_name:
             body = f'answer of {self.id}'.encode()
             length = ('Content-Length', str(len(body)))
             start_response('200 OK', [*sealed, length])
@@ -264,17 +266,17 @@
         return self._stream(header_by_name)
 
     def _stream(self, header_by_name: dict[str, str]) -> Any:
-        last = int(header_by_name.get(headers.LAST_EVENT.lower(), 0))
-        breaks_after = self._store.next_break_after
-        self._store.next_break_after = None
+        last = int(header_by_name.get(headers.LAST_EVENT_ID.lower(), 0))
+        breaks_after = self._store.break_next_stream_after
+        self._store.break_next_stream_after = None
         for sent in itertools.count():
             number = last + sent + 1
-            if number > self.events:
+            if number > self.event_count:
                 return
             if sent == breaks_after:
                 yield b'id: 99'
                 raise ConnectionError('the stream breaks off')
-            if number == self.pauses_before:
+            if number == self.pause_before_event:
                 eventlet.sleep(self.pause_seconds)
             yield b'id: %d\ndata: token %d\n\n' % (number, number)
             eventlet.sleep(EVENT_SECONDS)
--- a/libs/platform/burdockmast/platform/store.py
+++ b/libs/platform/burdockmast/platform/store.py
@@ -33,7 +33,7 @@
 HTTP_NOT_FOUND = 404
 HTTP_CONFLICT = 409
 HTTP_GONE = 410
-HTTP_TOO_MANY = 429
+HTTP_TOO_MANY_REQUESTS = 429
 HTTP_UNAVAILABLE = 503
 
 T = TypeVar('T')
@@ -70,13 +70,13 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Store:
+class Client:
     """Calls to the store over one pool of connections."""
 
     address: ids.Address
-    answered: list[Callable[[str, float, failures.Failure | None], None]] = (
-        dataclasses.field(default_factory=list)
-    )
+    on_call_end: list[
+        Callable[[str, float, failures.Failure | None], None]
+    ] = dataclasses.field(default_factory=list)
     _pool: urllib3.PoolManager = dataclasses.field(
         default_factory=lambda: urllib3.PoolManager(maxsize=4, retries=False)
     )
@@ -95,7 +95,7 @@
         began = timers.now()
         found = self._call(method, kind, name, query, body, timeout)
         failure = found if isinstance(found, failures.Failure) else None
-        for subscriber in self.answered:
+        for subscriber in self.on_call_end:
             subscriber(f'{method} {kind}', timers.now() - began, failure)
         return found
 
@@ -129,7 +129,10 @@
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return self._failure(method, kind, outcomes.Outcome.UNKNOWN, error)
         match response.status:
-            case status if status in (HTTP_TOO_MANY, HTTP_UNAVAILABLE):
+            case status if status in (
+                HTTP_TOO_MANY_REQUESTS,
+                HTTP_UNAVAILABLE,
+            ):
                 outcome = outcomes.Outcome.NOT_RUN
             case status if status >= 500:
                 outcome = outcomes.Outcome.UNKNOWN
@@ -155,7 +158,7 @@
             outcome,
         )
 
-    def parse(
+    def decode_response(
         self,
         found: urllib3.BaseHTTPResponse | failures.Failure,
         shape: type[T],
@@ -184,9 +187,9 @@
 class Feed(Generic[T]):
     """Objects of one kind, decoded."""
 
-    def __init__(self, store: Store, kind: str, decode: Decode[T]):
+    def __init__(self, client: Client, kind: str, decode: Decode[T]):
         """Create a feed of a kind."""
-        self._store = store
+        self._client = client
         self._kind = kind
         self._decode = decode
 
@@ -200,8 +203,8 @@
         revision = None
         query: dict[str, object] = {}
         while True:
-            found = self._store.call('GET', self._kind, query=query)
-            page = self._store.parse(found, _Page, self._kind)
+            found = self._client.call('GET', self._kind, query=query)
+            page = self._client.decode_response(found, _Page, self._kind)
             if isinstance(page, failures.Failure):
                 return page
             if revision is None:
@@ -218,13 +221,13 @@
         self, revision: int, timeout_seconds: float
     ) -> interfaces.Changes[T] | failures.Failure:
         """Wait for changes after a revision, for a limited time."""
-        found = self._store.call(
+        found = self._client.call(
             'GET',
             self._kind,
             query={'watch': revision, 'wait-ms': int(timeout_seconds * 1000)},
             timeout=timeout_seconds + WATCH_MARGIN_SECONDS,
         )
-        watched = self._store.parse(found, _Watched, self._kind)
+        watched = self._client.decode_response(found, _Watched, self._kind)
         if isinstance(watched, failures.Failure):
             return watched
         changes = tuple(
@@ -252,19 +255,19 @@
             return None
 
 
-class Roster:
+class GatewayRegistry:
     """The gateways, each an object of a kind of our own."""
 
     KIND = 'burdockmast-gateways'
 
-    def __init__(self, store: Store, instance: str):
+    def __init__(self, client: Client, instance: str):
         """Create the roster as the gateway ``instance`` sees it."""
-        self._store = store
+        self._client = client
         self._instance = instance
 
     def register(self) -> failures.Failure | None:
         """Make this gateway known; it may be so already."""
-        found = self._store.call(
+        found = self._client.call(
             'POST',
             self.KIND,
             body={'metadata': {'name': self._instance}, 'spec': {}},
@@ -273,14 +276,14 @@
 
     def count(self) -> int | failures.Failure:
         """Return how many gateways are known; some may be gone."""
-        found = self._store.call('GET', self.KIND, query={'stale-ok': 1})
-        page = self._store.parse(found, _Page, self.KIND)
+        found = self._client.call('GET', self.KIND, query={'stale-ok': 1})
+        page = self._client.decode_response(found, _Page, self.KIND)
         if isinstance(page, failures.Failure):
             return page
         return len(page.items)
 
 
-class Seat:
+class PlannerLock:
     """A mutex that is one object of a kind of our own.
 
     Its revision, which the store raises at each write, is the fencing
@@ -290,18 +293,18 @@
     KIND = 'burdockmast-planner'
     NAME = 'seat'
 
-    def __init__(self, store: Store, holder: str):
+    def __init__(self, client: Client, holder: str):
         """Create the seat as ``holder`` sees it."""
-        self._store = store
+        self._client = client
         self._holder = holder
 
     def read(self) -> interfaces.LockState | failures.Failure:
         """Return who took the seat last."""
-        found = self._store.call('GET', self.KIND, self.NAME)
+        found = self._client.call('GET', self.KIND, self.NAME)
         if not isinstance(found, failures.Failure):
             if found.status == HTTP_NOT_FOUND:
                 return interfaces.LockState(0, '')
-        seat = self._store.parse(found, _Object, self.KIND)
+        seat = self._client.decode_response(found, _Object, self.KIND)
         if isinstance(seat, failures.Failure):
             return seat
         spec = seat.spec if isinstance(seat.spec, dict) else {}
@@ -319,17 +322,17 @@
         metadata: dict[str, object] = {'name': self.NAME}
         if revision:
             metadata['revision'] = revision
-            found = self._store.call(
+            found = self._client.call(
                 'PUT',
                 self.KIND,
                 self.NAME,
                 body={'metadata': metadata, 'spec': spec},
             )
         else:
-            found = self._store.call(
+            found = self._client.call(
                 'POST', self.KIND, body={'metadata': metadata, 'spec': spec}
             )
-        taken = self._store.parse(found, _Object, self.KIND)
+        taken = self._client.decode_response(found, _Object, self.KIND)
         if isinstance(taken, failures.Failure):
             return taken
         return taken.metadata.revision
--- a/tests/test_gateway_upstream.py
+++ b/tests/test_gateway_upstream.py
@@ -88,7 +88,7 @@
 
 def read_head(found):
     return found.read_head(
-        'r1', timers.now() + TEST_TIMEOUT_SECONDS, headers.PlatformDialect()
+        'r1', timers.now() + TEST_TIMEOUT_SECONDS, headers.HeaderCodec()
     )
 
 
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -63,7 +63,7 @@
 
 
 def test_settings_are_read_and_unknown_fields_ignored(file):
-    found = settings.parse(file).gateway
+    found = settings.load(file).gateway
     assert found.callers_address == '10.1.0.40:8227'
     assert found.revoke_seconds == 4.0
     assert found.grace_seconds == 8.0
@@ -87,7 +87,7 @@
 def test_wrong_settings_name_the_place(file, text, named):
     file.write_text(text)
     with pytest.raises(loader.SettingsError, match=named.replace('$', r'\$')):
-        settings.parse(file)
+        settings.load(file)
 
 
 def test_a_servers_entry_is_decoded():
@@ -167,7 +167,7 @@
 
 
 def read(given=REQUEST):
-    return headers.PlatformDialect().read_request(
+    return headers.HeaderCodec().read_request(
         'POST', '/a/b?c=d', given, b'body'
     )
 
@@ -191,7 +191,7 @@
 def test_keys_and_forged_headers_are_not_passed_on():
     server = servers.decode('i-1', ENTRY)
     sending = interfaces.Attempt(server, 'fes', 1.5, (), None, 0)
-    found = headers.PlatformDialect().backend_headers(read(), sending)
+    found = headers.HeaderCodec().backend_headers(read(), sending)
     value_by_name = dict(found)
     assert len(value_by_name) == len(found)
     assert value_by_name['Burdockmast-Tenant'] == 'fes'
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -116,7 +116,7 @@
 
     def _server(self, name, service, kind):
         entry = {'id': name, 'service': service, 'zone': 'a', 'kind': kind}
-        return standin.Engine(self.host, self.store, entry)
+        return standin.BackendServer(self.host, self.store, entry)
 
     def start(self):
         self.process = subprocess.Popen(
@@ -127,7 +127,7 @@
         self.wait_for(self.is_ready)
         self.wait_for(lambda: self.ask('/draft/x')[0] == 200)
         for server in [*self.engines, *self.apps]:
-            server.seen.clear()
+            server.requests.clear()
 
     def wait_for(self, condition):
         with eventlet.Timeout(TEST_TIMEOUT_SECONDS):
@@ -197,7 +197,7 @@
 
 
 def requests_at(servers):
-    return [seen for server in servers for seen in server.seen]
+    return [seen for server in servers for seen in server.requests]
 
 
 def test_a_stream_passes_every_layer_once(platform):
@@ -218,7 +218,7 @@
 
 
 def test_a_stream_that_breaks_off_resumes_at_another_server(platform):
-    platform.store.next_break_after = 2
+    platform.store.break_next_stream_after = 2
     status, _, body = platform.ask('/draft/x')
     assert status == 200
     seen = requests_at(platform.engines)
@@ -230,7 +230,7 @@
 @pytest.mark.parametrize('event', [1, 3])
 def test_a_busy_path_that_cannot_be_replaced_is_waited_for(platform, event):
     for engine in platform.engines:
-        engine.pauses_before = event
+        engine.pause_before_event = event
         engine.pause_seconds = 1.2
     assert platform.ask('/draft/once/x')[2] == events(1, 5)
     assert len(requests_at(platform.engines)) == 1
@@ -269,7 +269,7 @@
     for _ in range(10):
         assert platform.ask('/lookup/x', 'GET')[0] == 502
     # Either server may be tried first; each request must have reached both.
-    assert len(first.seen) == len(second.seen) == 10
+    assert len(first.requests) == len(second.requests) == 10
 
 
 def test_a_body_over_the_limit_is_refused_without_running(platform):
@@ -279,7 +279,7 @@
         lambda: platform.ask('/confirm/x', body=b'x' * 11)[0] == 413
     )
     for app in platform.apps:
-        app.seen.clear()
+        app.requests.clear()
     assert platform.ask('/confirm/x', body=b'x' * 11)[0] == 413
     assert not requests_at(platform.apps)
     assert platform.ask('/confirm/x', body=b'x' * 10)[0] == 200
@@ -313,16 +313,16 @@
 
 def test_a_draining_server_gets_no_new_request(platform):
     draining, ready = platform.apps
-    draining.write(state='draining')
+    draining.update_entry(state='draining')
 
     def gets_no_request():
-        draining.seen.clear()
+        draining.requests.clear()
         for _ in range(4):
             platform.ask('/lookup/x', 'GET')
-        return not draining.seen
+        return not draining.requests
 
     platform.wait_for(gets_no_request)
-    assert ready.seen
+    assert ready.requests
 
 
 def test_invalid_store_entries_are_ignored(platform):
@@ -333,7 +333,7 @@
 
 def test_a_planned_stop_lets_streams_complete(platform):
     for engine in platform.engines:
-        engine.events = 100
+        engine.event_count = 100
     found = eventlet.spawn(platform.ask, '/draft/x')
     platform.wait_for(lambda: requests_at(platform.engines))
     platform.process.send_signal(signal.SIGTERM)
