Reword the platform's configuration and headers

Cause: private names such as _OF_CONNECTION and _passed_on, and docstrings that described fields in half sentences.

Change: names and texts only; headers and fields on the wire stay.

Checks: ruff, flake8; tests of platform decoding and gateway upstream pass.

--- a/libs/platform/burdockmast/platform/__init__.py
+++ b/libs/platform/burdockmast/platform/__init__.py
@@ -1,4 +1,4 @@
-"""Adapter between the gateway and the prepared platform.
+"""Adapter between the gateway and the platform that it is deployed on.
 
-All names that the platform uses on the wire are decoded here, once.
+The names that the platform uses on the wire are read and written only here.
 """
--- a/libs/platform/burdockmast/platform/configuration.py
+++ b/libs/platform/burdockmast/platform/configuration.py
@@ -1,4 +1,4 @@
-"""Decodes the operator's configuration."""
+"""Decodes the configuration that operators write to the platform."""
 
 import msgspec
 
@@ -18,8 +18,8 @@
 class _Route(msgspec.Struct, frozen=True, rename='kebab'):
     """A route.
 
-    ``slo_ms`` is the objective for an answer or its first event;
-    ``gap_aim_ms`` the one for pauses between events.
+    :ivar slo_ms: objective for the time until the answer or its first event
+    :ivar gap_aim_ms: objective for the time between two events
     """
 
     name: str
@@ -37,8 +37,13 @@
     gap_aim_ms: float = 0
 
 
-class _Kind(msgspec.Struct, frozen=True, rename='kebab'):
-    """``pace`` is for token steps, ``read_x`` for prompts."""
+class _AcceleratorKind(msgspec.Struct, frozen=True, rename='kebab'):
+    """A kind of accelerator.
+
+    :ivar mb: memory in megabytes
+    :ivar pace: slowdown of decode steps
+    :ivar read_x: slowdown of prefills
+    """
 
     name: str
     mb: float
@@ -46,13 +51,22 @@
     read_x: float = 1.0
 
 
-class _Usual(msgspec.Struct, frozen=True):
+class _MeanTokens(msgspec.Struct, frozen=True):
     prompt: int = 500
     answer: int = 100
 
 
 class _Engine(msgspec.Struct, frozen=True):
-    """Most names here have dashes, some have underscores."""
+    """The model that a service runs, and what running it costs.
+
+    Some fields have dashes on the wire and others underscores, so those with
+    dashes are renamed one by one.
+
+    :ivar per_seq_ms: added to a step for each request that is decoding
+    :ivar context_per_k: milliseconds added to a step for each 1,000 tokens
+        of context
+    :ivar read_per_s: tokens of prompts that are prefilled in a second
+    """
 
     step_ms: float = 1.0
     per_seq_ms: float = 0.0
@@ -63,8 +77,8 @@
     kv_bytes: float = msgspec.field(default=0.0, name='kv-bytes')
     act_bytes: float = msgspec.field(default=0.0, name='act-bytes')
     pipe_mbps: float = msgspec.field(default=0.0, name='pipe-mbps')
-    usual: _Usual = _Usual()
-    kinds: list[_Kind] = []
+    usual: _MeanTokens = _MeanTokens()
+    kinds: list[_AcceleratorKind] = []
 
 
 class _Service(msgspec.Struct, frozen=True):
@@ -73,7 +87,7 @@
 
 
 class _Tenant(msgspec.Struct, frozen=True, rename='kebab'):
-    """The platform's tenant is our organisation."""
+    """An organisation, which the platform calls a tenant."""
 
     name: str
     api_keys: list[str] = []
@@ -95,39 +109,39 @@
 def decode(name: str, spec: object) -> config.Configuration:
     """Decode the object that holds the configuration.
 
-    :raises msgspec.ValidationError: if it is none
+    :raises msgspec.ValidationError: if it is not a valid configuration
     """
-    found = msgspec.convert(spec, _Configuration)
-    routes = [_route(route) for route in found.routes]
-    # The longest prefix comes first, so that the first match is the best.
+    decoded = msgspec.convert(spec, _Configuration)
+    routes = [_convert_route(route) for route in decoded.routes]
+    # Longer prefixes come first, since the first match is used.
     routes.sort(key=lambda route: -len(route.path_prefix))
     by_host: dict[str, list[config.Route]] = {}
     for route in routes:
         by_host.setdefault(route.host, []).append(route)
     return config.Configuration(
-        found.version,
-        {host: tuple(of_host) for host, of_host in by_host.items()},
+        decoded.version,
+        {host: tuple(host_routes) for host, host_routes in by_host.items()},
         {
             ids.ServiceId(service.name): config.Service(
                 ids.ServiceId(service.name),
-                service.engine and _engine(service.engine),
+                service.engine and _convert_engine(service.engine),
             )
-            for service in found.services
+            for service in decoded.services
         },
         {
             key: config.Organisation(
                 ids.OrganisationId(tenant.name), tenant.priority
             )
-            for tenant in found.tenants
+            for tenant in decoded.tenants
             for key in tenant.api_keys
         },
-        config.CallerLimits(found.limits.max_body_bytes),
+        config.CallerLimits(decoded.limits.max_body_bytes),
     )
 
 
-def _route(route: _Route) -> config.Route:
+def _convert_route(route: _Route) -> config.Route:
     is_stream = route.kind == 'streaming'
-    may_repeat = route.kind == 'safe' or (is_stream and route.resumable)
+    is_repeatable = route.kind == 'safe' or (is_stream and route.resumable)
     weights = {
         ids.ServiceId(split.service): split.weight
         for split in route.traffic_split
@@ -141,7 +155,7 @@
         weight_by_service=weights,
         execution=(
             config.Execution.REPEATABLE
-            if may_repeat
+            if is_repeatable
             else config.Execution.AT_MOST_ONCE
         ),
         is_stream=is_stream,
@@ -155,7 +169,7 @@
     )
 
 
-def _engine(engine: _Engine) -> config.Engine | None:
+def _convert_engine(engine: _Engine) -> config.Engine | None:
     if not engine.layers:
         return None
     return config.Engine(
--- a/libs/platform/burdockmast/platform/headers.py
+++ b/libs/platform/burdockmast/platform/headers.py
@@ -1,4 +1,4 @@
-"""Decodes and writes the headers of requests and replies."""
+"""Reads and writes the platform's headers of requests and replies."""
 
 import re
 
@@ -10,26 +10,27 @@
 REQUEST_ID = 'Burdockmast-Request-Id'
 DEADLINE = 'Burdockmast-Deadline-Ms'
 API_KEY = 'Burdockmast-Key'
-# The name of the caller's organisation, as backend servers get it.
+# Name of the caller's organisation; sent to backend servers.
 ORGANISATION = 'Burdockmast-Tenant'
 EXPECTED_SERVER = 'Burdockmast-Expect-Instance'
-# The urgency of a request, 0 to 9; 0 is first.
+# 0 to 9; 0 is admitted first.
 PRIORITY = 'Burdockmast-Request-Priority'
-# "PROMPT,ANSWER": tokens of the prompt, and of the answer at most.
+# "PROMPT,ANSWER": tokens of the prompt and the limit for the answer.
 TOKEN_COUNTS = 'Burdockmast-Token-Counts'
 LENGTH_HINT = 'Burdockmast-Length-Hint'
-# Despite its name, the stages of a path: "IP:PORT=FROM-TO", comma-separated.
+# Despite its name, lists the stages of a path: "IP:PORT=FROM-TO", separated by
+# commas.
 PATH = 'Burdockmast-Hop-Count'
 LAST_EVENT_ID = 'Last-Event-Id'
-# A server's signature of its answer.
+# The backend server's signature of its reply.
 SIGNATURE = 'Burdockmast-Response-Seal'
 NOT_RUN = 'Burdockmast-Not-Executed'
-# The server that caused a refusal.
+# Address of the server that caused a refusal.
 REFUSED_BY = 'At-Server'
 
 MS_PER_SECOND = 1000.0
-# Headers that concern one connection only.
-_OF_CONNECTION = frozenset(
+# Headers that apply to one connection, so they are not forwarded.
+_CONNECTION_HEADERS = frozenset(
     (
         'connection',
         'keep-alive',
@@ -44,8 +45,9 @@
         'expect',
     )
 )
-# Headers of requests that the gateway writes itself.
-_OWN = frozenset(
+# Callers' headers that are not forwarded: the API key stays in the gateway,
+# and the gateway sets the others itself.
+_DROPPED_CALLER_HEADERS = frozenset(
     name.lower()
     for name in (
         DEADLINE,
@@ -57,65 +59,70 @@
         LAST_EVENT_ID,
     )
 )
-_NUMBER = re.compile(r'\d{1,12}')
+_INTEGER = re.compile(r'\d{1,12}')
 
 Headers = tuple[tuple[str, str], ...]
 
 
 class HeaderCodec:
-    """The platform's names of headers."""
+    """Reads and writes the headers that the platform defines."""
 
     def read_request(
         self, method: str, target: str, headers: Headers, body: bytes
     ) -> interfaces.CallerRequest | failures.Failure:
         """Read a caller's request."""
         value_by_name = {name.lower(): value for name, value in headers}
-        request = value_by_name.get(REQUEST_ID.lower(), '')
-        milliseconds = _number(value_by_name.get(DEADLINE.lower()))
-        prompt, _, answer = value_by_name.get(
+        request_id = value_by_name.get(REQUEST_ID.lower(), '')
+        timeout_ms = _parse_integer(value_by_name.get(DEADLINE.lower()))
+        prompt_tokens, _, answer_tokens = value_by_name.get(
             TOKEN_COUNTS.lower(), ''
         ).partition(',')
         return interfaces.CallerRequest(
-            id=ids.RequestId(request),
+            id=ids.RequestId(request_id),
             method=method,
             target=target,
             path=target.partition('?')[0],
             host=value_by_name.get('host', ''),
             api_key=value_by_name.get(API_KEY.lower(), ''),
             timeout_seconds=(
-                None if milliseconds is None else milliseconds / MS_PER_SECOND
+                None if timeout_ms is None else timeout_ms / MS_PER_SECOND
+            ),
+            prompt_tokens=_parse_integer(prompt_tokens) or 0,
+            max_answer_tokens=_parse_integer(answer_tokens) or 0,
+            length_hint=_parse_integer(value_by_name.get(LENGTH_HINT.lower()))
+            or 0,
+            last_event_id=_parse_integer(
+                value_by_name.get(LAST_EVENT_ID.lower())
+            ),
+            headers=_forwarded_headers(
+                headers, value_by_name, _DROPPED_CALLER_HEADERS
             ),
-            prompt_tokens=_number(prompt) or 0,
-            max_answer_tokens=_number(answer) or 0,
-            length_hint=_number(value_by_name.get(LENGTH_HINT.lower())) or 0,
-            last_event_id=_number(value_by_name.get(LAST_EVENT_ID.lower())),
-            headers=_passed_on(headers, value_by_name, _OWN),
             body=body,
         )
 
     def backend_headers(
         self, request: interfaces.CallerRequest, attempt: interfaces.Attempt
     ) -> list[tuple[str, str]]:
-        """Return the headers of a request as it is sent on."""
-        left = max(1, int(attempt.timeout_seconds * MS_PER_SECOND))
-        found = [
+        """Return the headers of a request to a backend server."""
+        timeout_ms = max(1, int(attempt.timeout_seconds * MS_PER_SECOND))
+        sent = [
             *request.headers,
-            (DEADLINE, str(left)),
+            (DEADLINE, str(timeout_ms)),
             (EXPECTED_SERVER, attempt.server.id),
         ]
         if attempt.organisation:
-            found.append((ORGANISATION, attempt.organisation))
+            sent.append((ORGANISATION, attempt.organisation))
         if attempt.path:
-            found.append((PATH, format_path(attempt.path)))
-            found.append((PRIORITY, str(attempt.priority)))
+            sent.append((PATH, format_path(attempt.path)))
+            sent.append((PRIORITY, str(attempt.priority)))
         if attempt.last_event_id is not None:
-            found.append((LAST_EVENT_ID, str(attempt.last_event_id)))
-        return found
+            sent.append((LAST_EVENT_ID, str(attempt.last_event_id)))
+        return sent
 
     def read_reply(
         self, headers: list[tuple[str, str]]
     ) -> interfaces.ReplyMetadata:
-        """Read the head of a reply."""
+        """Read the metadata of a backend server's reply."""
         value_by_name = {name.lower(): value for name, value in headers}
         return interfaces.ReplyMetadata(
             request=value_by_name.get(REQUEST_ID.lower(), ''),
@@ -128,37 +135,37 @@
     def caller_headers(
         self, headers: list[tuple[str, str]]
     ) -> list[tuple[str, str]]:
-        """Return the headers of a reply that the caller gets."""
+        """Return the headers of a reply to the caller."""
         value_by_name = {name.lower(): value for name, value in headers}
-        return list(_passed_on(headers, value_by_name, frozenset()))
+        return list(_forwarded_headers(headers, value_by_name, frozenset()))
 
 
 def format_path(path: tuple[backends.Stage, ...]) -> str:
-    """Return a path as the platform writes it."""
+    """Return a path in the format of the header ``PATH``."""
     return ','.join(
         f'{stage.server.address}={stage.first}-{stage.end}' for stage in path
     )
 
 
-def _passed_on(
+def _forwarded_headers(
     headers: list[tuple[str, str]] | Headers,
     value_by_name: dict[str, str],
-    left_out: frozenset[str],
+    dropped: frozenset[str],
 ) -> Headers:
-    named = {
+    connection_options = {
         name.strip().lower()
         for name in value_by_name.get('connection', '').split(',')
     }
     return tuple(
         (name, value)
         for name, value in headers
-        if name.lower() not in _OF_CONNECTION
-        and name.lower() not in named
-        and name.lower() not in left_out
+        if name.lower() not in _CONNECTION_HEADERS
+        and name.lower() not in connection_options
+        and name.lower() not in dropped
     )
 
 
-def _number(text: str | None) -> int | None:
-    if text is None or not _NUMBER.fullmatch(text.strip()):
+def _parse_integer(text: str | None) -> int | None:
+    if text is None or not _INTEGER.fullmatch(text.strip()):
         return None
     return int(text)
