Reword the platform's engine client, program, entries and settings

Cause: docstrings and errors said "none", "of themselves" or "told to stop" where they meant an invalid address, a server's entry or a stop signal.

Change: names and texts only. Two validation errors of entries read "unknown state ..." and "address ... is not of the form HOST:PORT"; no test or tool matches their text.

--- a/libs/platform/burdockmast/platform/engine_client.py
+++ b/libs/platform/burdockmast/platform/engine_client.py
@@ -1,4 +1,4 @@
-"""Orders to backend servers, and what they report."""
+"""Sends orders to backend servers and fetches their reports."""
 
 import msgspec
 import urllib3
@@ -12,28 +12,31 @@
 
 ORDER_PATH = '/api/order'
 REPORT_PATH = '/api/report'
-# Layers that a server gives up wait for the requests that pass through them.
-STRATEGY = 'wait'
-# Seconds for an answer; servers take some milliseconds.
+# A server that gives up layers keeps them until the requests that pass through
+# them have ended.
+RELEASE_STRATEGY = 'wait'
+# Timeout of a call; servers answer within some milliseconds.
 TIMEOUT_SECONDS = 0.5
 HTTP_OK = 200
 HTTP_ACCEPTED = 202
 HTTP_FENCED = 412
 
 
-class _Stalled(msgspec.Struct, frozen=True):
-    """``address`` is the server that the request waits for."""
+class _StalledRequest(msgspec.Struct, frozen=True):
+    """A request that waits for the server at ``address``."""
 
     id: str
     address: str
 
 
 class _Report(msgspec.Struct, frozen=True, rename='kebab'):
-    """A report.
+    """A backend server's report.
 
-    ``sequence`` counts the orders that were accepted since the start, and
-    ``busy`` says that one is being carried out, not that requests run;
-    ``kv_used`` and ``kv_total`` are in tokens times layers.
+    :ivar sequence: number of orders that it accepted since its start
+    :ivar busy: an order is being carried out; unrelated to running requests
+    :ivar pace: how many times longer than usual the same work takes
+    :ivar kv_used: in tokens times layers
+    :ivar kv_total: in tokens times layers
     """
 
     sequence: int = 0
@@ -41,14 +44,14 @@
     pace: float = 1.0
     kv_used: float = 0.0
     kv_total: float = 0.0
-    stalled: list[_Stalled] = []
+    stalled: list[_StalledRequest] = []
 
 
 class EngineClient:
-    """The platform's calls to backend servers that run engines."""
+    """Calls the backend servers that run engines."""
 
     def __init__(self):
-        """Create a client; each call has a connection of its own."""
+        """Create a client that opens a new connection for each call."""
         self._pool = urllib3.PoolManager(maxsize=1, retries=False)
 
     def assign_layers(
@@ -58,15 +61,16 @@
         fencing_number: int,
         accepted_orders: int,
     ) -> failures.Failure | None:
-        """Have a server hold other layers.
+        """Order a server to hold other layers.
 
-        :param accepted_orders: that it must have accepted so far
+        :param accepted_orders: the server refuses the order unless it has
+            accepted exactly this many
         """
         order = {
             'op': 'place',
             'from': layers.first,
             'to': layers.end,
-            'strategy': STRATEGY,
+            'strategy': RELEASE_STRATEGY,
             'fence': fencing_number,
             'expect': accepted_orders,
         }
@@ -92,21 +96,21 @@
     def fetch_report(
         self, server: backends.BackendServer
     ) -> interfaces.ServerReport | failures.Failure:
-        """Ask a server what it says of itself."""
-        found = self._report(server)
-        if isinstance(found, failures.Failure):
-            return found
-        total = found.kv_total
+        """Fetch a server's report."""
+        report = self._report(server)
+        if isinstance(report, failures.Failure):
+            return report
+        total_kv = report.kv_total
         return interfaces.ServerReport(
-            accepted_orders=found.sequence,
-            has_pending_order=found.busy,
-            slowdown=found.pace,
-            occupancy=found.kv_used / total if total else 0.0,
+            accepted_orders=report.sequence,
+            has_pending_order=report.busy,
+            slowdown=report.pace,
+            occupancy=report.kv_used / total_kv if total_kv else 0.0,
             stalled=tuple(
                 interfaces.StalledRequest(
                     stalled.id, ids.Address(stalled.address)
                 )
-                for stalled in found.stalled
+                for stalled in report.stalled
             ),
         )
 
@@ -140,15 +144,18 @@
         path: str,
         body: bytes | None,
     ) -> urllib3.BaseHTTPResponse | failures.Failure:
-        sent = {headers.EXPECTED_SERVER: server.id, 'Connection': 'close'}
+        request_headers = {
+            headers.EXPECTED_SERVER: server.id,
+            'Connection': 'close',
+        }
         if body is not None:
-            sent['Content-Type'] = 'application/json'
+            request_headers['Content-Type'] = 'application/json'
         try:
             return self._pool.request(
                 method,
                 f'http://{server.address}{path}',
                 body=body,
-                headers=sent,
+                headers=request_headers,
                 timeout=TIMEOUT_SECONDS,
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
--- a/libs/platform/burdockmast/platform/program.py
+++ b/libs/platform/burdockmast/platform/program.py
@@ -1,13 +1,14 @@
-"""Runs a gateway on the prepared platform."""
+"""Runs a gateway on the platform that it is deployed on."""
 
 import warnings
 
-# eventlet announces its retirement at each import; the house builds on it.
+# eventlet warns at each import that it is deprecated; the gateway is
+# built on it.
 warnings.filterwarnings('ignore', message=r'\s*Eventlet is deprecated')
 
 import os  # noqa: E402
 
-# Peers are given by IP number; no resolver is wanted.
+# Peers are given by IP address, so no resolver is needed.
 os.environ.setdefault('EVENTLET_NO_GREENDNS', 'yes')
 
 import eventlet  # noqa: E402
@@ -30,7 +31,7 @@
 
 
 def main() -> None:
-    """Run a gateway by the settings file that the environment names."""
+    """Run a gateway with the settings file that the environment names."""
     try:
         run()
     except loader.SettingsError as error:
@@ -39,30 +40,34 @@
 
 
 def run(path: pathlib.Path | None = None) -> None:
-    """Run a gateway until it is told to stop.
+    """Run a gateway until it gets a stop signal.
 
     :param path: the platform's settings file; the environment names one if
         this is None
     :raises loader.SettingsError: if the file is missing or wrong
     """
-    found = settings.load(path) if path else settings.load_from_environment()
-    client = store.Client(found.store_address)
+    platform_settings = (
+        settings.load(path) if path else settings.load_from_environment()
+    )
+    store_client = store.Client(platform_settings.store_address)
     gateway = server.Gateway(
-        found.gateway,
+        platform_settings.gateway,
         server.Platform(
             deployments=store.Feed(
-                client, configuration.KIND, configuration.decode
+                store_client, configuration.KIND, configuration.decode
+            ),
+            servers=store.Feed(store_client, servers.KIND, servers.decode),
+            planner_lock=store.PlannerLock(
+                store_client, platform_settings.gateway.instance
             ),
-            servers=store.Feed(client, servers.KIND, servers.decode),
-            planner_lock=store.PlannerLock(client, found.gateway.instance),
             gateway_registry=store.GatewayRegistry(
-                client, found.gateway.instance
+                store_client, platform_settings.gateway.instance
             ),
             engines=engine_client.EngineClient(),
             dialect=headers.HeaderCodec(),
         ),
     )
-    client.on_call_end.append(gateway.record_store_call)
+    store_client.on_call_end.append(gateway.record_store_call)
     gateway.run()
 
 
--- a/libs/platform/burdockmast/platform/servers.py
+++ b/libs/platform/burdockmast/platform/servers.py
@@ -1,4 +1,4 @@
-"""Decodes the entries that backend servers write of themselves."""
+"""Decodes the entries that backend servers write to the platform's store."""
 
 import msgspec
 
@@ -13,17 +13,19 @@
 class _Layers(
     msgspec.Struct, frozen=True, rename={'first': 'from', 'end': 'to'}
 ):
-    """The range that is held; ``to`` is exclusive."""
+    """The range of layers that a server holds; ``end`` is exclusive."""
 
     first: int
     end: int
 
 
 class _Entry(msgspec.Struct, frozen=True):
-    """An entry.
+    """A backend server's entry.
 
-    ``sequence`` counts what the server wrote here, unlike the field of that
-    name in reports, which counts orders.
+    :ivar sequence: increases with each entry that the server writes, unlike
+        the field of that name in reports, which counts orders
+    :ivar kind: of its accelerator, empty if it has none
+    :ivar born: when it started, in milliseconds since the epoch
     """
 
     service: str
@@ -37,26 +39,28 @@
 
 
 def decode(name: str, spec: object) -> backends.BackendServer:
-    """Decode an entry; its name is the server's id.
+    """Decode an entry, whose name is the server's id.
 
-    :raises msgspec.ValidationError: if a server did not write it
+    :raises msgspec.ValidationError: if it is not a valid entry
     """
     entry = msgspec.convert(spec, _Entry)
     if entry.state not in (READY, DRAINING):
-        raise msgspec.ValidationError(f'state {entry.state!r} is not known')
+        raise msgspec.ValidationError(f'unknown state {entry.state!r}')
     host, _, port = entry.address.partition(':')
     if not host or not port.isdecimal():
-        raise msgspec.ValidationError(f'address {entry.address!r} is none')
-    held = backends.NO_LAYERS
+        raise msgspec.ValidationError(
+            f'address {entry.address!r} is not of the form HOST:PORT'
+        )
+    layers = backends.NO_LAYERS
     if entry.layers and entry.layers.first < entry.layers.end:
-        held = backends.LayerRange(entry.layers.first, entry.layers.end)
+        layers = backends.LayerRange(entry.layers.first, entry.layers.end)
     return backends.BackendServer(
         id=ids.ServerId(name),
         service=ids.ServiceId(entry.service),
         address=ids.Address(entry.address),
         zone=ids.ZoneId(entry.zone),
         is_ready=entry.state == READY,
-        layers=held,
+        layers=layers,
         accelerator=entry.kind,
         started_ms=entry.born,
         entry_sequence=entry.sequence,
--- a/libs/platform/burdockmast/platform/settings.py
+++ b/libs/platform/burdockmast/platform/settings.py
@@ -1,4 +1,4 @@
-"""The settings file that the platform writes for each process (TOML)."""
+"""Reads the TOML settings file that the platform writes for each process."""
 
 import dataclasses
 import os
@@ -11,7 +11,7 @@
 from burdockmast.gateway import settings
 from burdockmast.settings import loader
 
-# Holds the path of the settings file.
+# Environment variable with the path of the settings file.
 PATH_VARIABLE = 'BURDOCKMAST_NODE_FILE'
 
 
@@ -33,7 +33,7 @@
 
 
 class _File(msgspec.Struct, frozen=True, rename='kebab'):
-    """The file; fields that are not read here are ignored."""
+    """The settings file; fields that are not listed here are ignored."""
 
     node: str
     ip: str
@@ -46,16 +46,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PlatformSettings:
-    """The settings of a gateway, and where the platform's store is."""
+    """The settings of a gateway and the address of the platform's store."""
 
     store_address: ids.Address
     gateway: settings.Settings
 
 
 def load_from_environment() -> PlatformSettings:
-    """Read the file that the environment names.
+    """Load the settings file that the environment names.
 
-    :raises loader.SettingsError: naming file, place and what is allowed
+    :raises loader.SettingsError: if the variable is not set, or the file is
+        missing or wrong
     """
     path = os.environ.get(PATH_VARIABLE)
     if not path:
@@ -64,29 +65,29 @@
 
 
 def load(path: pathlib.Path) -> PlatformSettings:
-    """Read and check a settings file.
+    """Load and check a settings file.
 
-    :raises loader.SettingsError: naming file, place and what is allowed
+    :raises loader.SettingsError: if the file is missing or wrong
     """
     try:
         document = tomllib.loads(path.read_text(encoding='utf-8'))
     except (OSError, ValueError) as error:
         raise loader.SettingsError(f'{path}: {error}') from None
-    found = loader.convert(document, _File, str(path))
-    if not found.listen.front or not found.listen.ready:
+    decoded = loader.convert(document, _File, str(path))
+    if not decoded.listen.front or not decoded.listen.ready:
         raise loader.SettingsError(
             f'{path}: at $.listen: a gateway needs "front" and "ready"'
         )
-    bounds = found.bounds
+    bounds = decoded.bounds
     return PlatformSettings(
-        ids.Address(found.platform.address),
+        ids.Address(decoded.platform.address),
         settings.Settings(
-            instance=found.node,
-            zone=ids.ZoneId(found.zone),
-            callers_address=ids.Address(found.listen.front),
-            ready_address=ids.Address(found.listen.ready),
+            instance=decoded.node,
+            zone=ids.ZoneId(decoded.zone),
+            callers_address=ids.Address(decoded.listen.front),
+            ready_address=ids.Address(decoded.listen.ready),
             metrics_address=ids.Address(
-                f'{found.ip}:{found.internal_ports[1]}'
+                f'{decoded.ip}:{decoded.internal_ports[1]}'
             ),
             revoke_seconds=bounds.revoke_ms / 1000,
             grace_seconds=bounds.grace_s,
