Reword the platform's store client and its stand-in

Cause: the lock and the registry were still described as a seat and a roster, and private names such as _Watched, _item or _note hid what they do.

Change: names and texts only. The log line of an object that can't be decoded says that the object is treated as absent; nothing matches its text. The stand-in's unsigned reply has another body; no test reads it.

--- a/libs/platform/burdockmast/platform/standin.py
+++ b/libs/platform/burdockmast/platform/standin.py
@@ -1,7 +1,7 @@
-"""A small stand-in of the prepared platform, for tests.
+"""A small stand-in for the platform, used by tests.
 
-One process serves the store, engines and plain servers, each at an address
-of its own. Tests change its state directly and read what it has seen.
+One process serves the store, engines and plain servers, each at its own
+address. Tests change its state directly and read the requests it received.
 """
 
 import collections
@@ -20,11 +20,11 @@
 from burdockmast.platform import store
 
 # Seconds between events of a stream.
-EVENT_SECONDS = 0.005
+EVENT_INTERVAL_SECONDS = 0.005
 
 
 def listen(host: str, application: Any) -> str:
-    """Serve a WSGI application at a free port; return its address."""
+    """Serve a WSGI application on a free port and return its address."""
     sock = eventlet.listen((host, 0), backlog=256)
     eventlet.spawn(
         eventlet.wsgi.server,
@@ -39,9 +39,12 @@
 class MetadataStore:
     """Objects by kind and name, with revisions and watches.
 
-    :ivar is_down: answers every call with 503
-    :ivar oldest_watchable_revision: of the history that is kept
-    :ivar break_next_stream_after: events before the next stream breaks
+    :ivar is_down: answer every call with status 503
+    :ivar oldest_watchable_revision: watches from before it fail with status
+        410, as their history is gone
+    :ivar break_next_stream_after: number of events after which the next
+        stream of any engine breaks off, or None
+    :ivar calls: number of calls by method and kind
     """
 
     def __init__(self):
@@ -60,7 +63,7 @@
     def put(self, kind: str, name: str, spec: object) -> None:
         """Write an object, as an operator or a server would."""
         self.revision += 1
-        found = {
+        stored = {
             'metadata': {
                 'name': name,
                 'revision': self.revision,
@@ -71,52 +74,52 @@
             'spec': spec,
             'status': None,
         }
-        self.objects_by_kind[kind][name] = found
-        self._note(kind, found, False)
+        self.objects_by_kind[kind][name] = stored
+        self._record_change(kind, stored, False)
 
     def remove(self, kind: str, name: str) -> None:
         """Delete an object."""
         self.revision += 1
-        found = self.objects_by_kind[kind].pop(name)
-        self._note(kind, found, True)
+        stored = self.objects_by_kind[kind].pop(name)
+        self._record_change(kind, stored, True)
 
     def discard_history(self) -> None:
-        """Make watches from before now fail."""
+        """Make watches from an earlier revision fail."""
         self.oldest_watchable_revision = self.revision
         self._history.clear()
-        self._wake()
+        self._wake_watches()
 
-    def _note(self, kind: str, found: dict, deleted: bool) -> None:
-        self._history.append((self.revision, kind, found, deleted))
-        self._wake()
+    def _record_change(self, kind: str, stored: dict, deleted: bool) -> None:
+        self._history.append((self.revision, kind, stored, deleted))
+        self._wake_watches()
 
-    def _wake(self) -> None:
+    def _wake_watches(self) -> None:
         changed, self._changed = self._changed, eventlet.event.Event()
         changed.send(None)
 
     def __call__(self, environ: dict, start_response: Any) -> list[bytes]:
-        """Answer one call."""
+        """Handle one call."""
         method = environ['REQUEST_METHOD']
         path = environ['PATH_INFO'].removeprefix(store.OBJECTS_PATH + '/')
         kind, _, name = path.partition('/')
         self.calls[f'{method} {kind}'] += 1
         if self.is_down:
-            return _answer(start_response, 503, None)
+            return _respond(start_response, 503, None)
         query = dict(urllib.parse.parse_qsl(environ.get('QUERY_STRING', '')))
         body = environ['wsgi.input'].read()
         match method:
             case 'GET' if name:
-                found = self.objects_by_kind[kind].get(name)
-                status = 200 if found else 404
-                return _answer(start_response, status, found)
+                result = self.objects_by_kind[kind].get(name)
+                status = 200 if result else 404
+                return _respond(start_response, status, result)
             case 'GET' if 'watch' in query:
-                status, found = self._watch(kind, query)
-                return _answer(start_response, status, found)
+                status, result = self._watch(kind, query)
+                return _respond(start_response, status, result)
             case 'GET':
-                return _answer(start_response, 200, self._list(kind))
+                return _respond(start_response, 200, self._list(kind))
             case _:
-                status, found = self._write(kind, json.loads(body))
-                return _answer(start_response, status, found)
+                status, result = self._write(kind, json.loads(body))
+                return _respond(start_response, status, result)
 
     def _list(self, kind: str) -> dict:
         return {
@@ -128,7 +131,7 @@
     def _watch(self, kind: str, query: dict[str, str]) -> tuple[int, Any]:
         since = int(query['watch'])
         with eventlet.Timeout(int(query['wait-ms']) / 1000, False):
-            while not self._after(kind, since):
+            while not self._events_after(kind, since):
                 if since < self.oldest_watchable_revision or self.is_down:
                     break
                 self._changed.wait()
@@ -137,33 +140,33 @@
         if since < self.oldest_watchable_revision:
             return 410, None
         return 200, {
-            'events': self._after(kind, since),
+            'events': self._events_after(kind, since),
             'current-rev': self.revision,
         }
 
-    def _after(self, kind: str, since: int) -> list[dict]:
+    def _events_after(self, kind: str, since: int) -> list[dict]:
         return [
-            {'object': found, 'deleted': deleted}
-            for revision, of_kind, found, deleted in self._history
+            {'object': stored, 'deleted': deleted}
+            for revision, of_kind, stored, deleted in self._history
             if of_kind == kind and revision > since
         ]
 
     def _write(self, kind: str, body: dict) -> tuple[int, Any]:
         metadata = body['metadata']
         name = metadata['name']
-        known = self.objects_by_kind[kind].get(name)
+        current = self.objects_by_kind[kind].get(name)
         expected = metadata.get('revision')
-        if (known is None) != (expected is None) or (
-            known and known['metadata']['revision'] != expected
+        if (current is None) != (expected is None) or (
+            current and current['metadata']['revision'] != expected
         ):
-            return 409, known
+            return 409, current
         self.put(kind, name, body.get('spec'))
         return 200, self.objects_by_kind[kind][name]
 
 
 @dataclasses.dataclass(slots=True)
 class ReceivedRequest:
-    """A request that a server got."""
+    """A request that a backend server received."""
 
     id: str
     path: str
@@ -171,17 +174,18 @@
 
 
 class BackendServer:
-    """A backend server: takes layers, and streams numbered events.
-
-    :ivar event_count: of each stream
-    :ivar refuses: answer requests with a promise that they have not run
-    :ivar pause_before_event: event before which a stream stands still
-    :ivar is_unsigned: answer without a signature
-    :ivar is_silent: take requests and say nothing
+    """A backend server that accepts layers and streams numbered events.
+
+    :ivar event_count: number of the last event of each stream
+    :ivar refuses: refuse requests with a guarantee that they did not run
+    :ivar pause_before_event: event before which a stream stalls, or None
+    :ivar pause_seconds: how long it stalls
+    :ivar is_unsigned: reply without a signature
+    :ivar is_silent: accept requests and reply only after a minute
     """
 
-    def __init__(self, host: str, parent: MetadataStore, entry: dict):
-        """Start an engine and list it."""
+    def __init__(self, host: str, metadata_store: MetadataStore, entry: dict):
+        """Start serving and write the server's entry to the store."""
         self.event_count = 5
         self.refuses = False
         self.is_unsigned = False
@@ -193,7 +197,7 @@
         self.highest_fencing_number = 0
         self.id = entry['id']
         self.address = listen(host, self)
-        self._store = parent
+        self._metadata_store = metadata_store
         self._entry = {
             **entry,
             'address': self.address,
@@ -206,24 +210,24 @@
         self.update_entry()
 
     def update_entry(self, **changes: object) -> None:
-        """Write the entry anew."""
+        """Write the server's entry with changed fields."""
         self._entry.update(changes)
         self._entry['sequence'] += 1
-        self._store.put('servers', self.id, dict(self._entry))
+        self._metadata_store.put('servers', self.id, dict(self._entry))
 
     def __call__(self, environ: dict, start_response: Any) -> Any:
-        """Answer one call."""
+        """Handle one call."""
         body = environ['wsgi.input'].read()
         match environ['PATH_INFO']:
             case engine_client.ORDER_PATH:
-                status = self._order(json.loads(body))
-                return _answer(start_response, status, None)
+                status = self._accept_order(json.loads(body))
+                return _respond(start_response, status, None)
             case engine_client.REPORT_PATH:
                 report = {'sequence': len(self.orders), 'pace': 1.0}
-                return _answer(start_response, 200, report)
-        return self._run(environ, start_response)
+                return _respond(start_response, 200, report)
+        return self._serve_request(environ, start_response)
 
-    def _order(self, order: dict) -> int:
+    def _accept_order(self, order: dict) -> int:
         if order['fence'] < self.highest_fencing_number:
             return engine_client.HTTP_FENCED
         self.highest_fencing_number = order['fence']
@@ -234,15 +238,15 @@
         self.update_entry(layers=held)
         return engine_client.HTTP_ACCEPTED
 
-    def _run(self, environ: dict, start_response: Any) -> Any:
+    def _serve_request(self, environ: dict, start_response: Any) -> Any:
         header_by_name = {
             name.lower(): value for name, value in environ['headers_raw']
         }
-        request = header_by_name.get(headers.REQUEST_ID.lower(), '')
-        seen = ReceivedRequest(
-            request, environ['RAW_PATH_INFO'], header_by_name
+        request_id = header_by_name.get(headers.REQUEST_ID.lower(), '')
+        received = ReceivedRequest(
+            request_id, environ['RAW_PATH_INFO'], header_by_name
         )
-        self.requests.append(seen)
+        self.requests.append(received)
         if self.is_silent:
             eventlet.sleep(60)
         if self.refuses:
@@ -252,37 +256,37 @@
             )
             return [b'']
         if self.is_unsigned:
-            return _answer(start_response, 200, 'of nobody')
-        sealed = [
-            (headers.REQUEST_ID, request),
+            return _respond(start_response, 200, 'unsigned')
+        reply_headers = [
+            (headers.REQUEST_ID, request_id),
             (headers.SIGNATURE, f'seal-{self.id}'),
         ]
         if headers.TOKEN_COUNTS.lower() not in header_by_name:
             body = f'answer of {self.id}'.encode()
             length = ('Content-Length', str(len(body)))
-            start_response('200 OK', [*sealed, length])
+            start_response('200 OK', [*reply_headers, length])
             return [body]
-        start_response('200 OK', sealed)
+        start_response('200 OK', reply_headers)
         return self._stream(header_by_name)
 
     def _stream(self, header_by_name: dict[str, str]) -> Any:
         last = int(header_by_name.get(headers.LAST_EVENT_ID.lower(), 0))
-        breaks_after = self._store.break_next_stream_after
-        self._store.break_next_stream_after = None
-        for sent in itertools.count():
-            number = last + sent + 1
+        break_after_events = self._metadata_store.break_next_stream_after
+        self._metadata_store.break_next_stream_after = None
+        for sent_count in itertools.count():
+            number = last + sent_count + 1
             if number > self.event_count:
                 return
-            if sent == breaks_after:
+            if sent_count == break_after_events:
                 yield b'id: 99'
-                raise ConnectionError('the stream breaks off')
+                raise ConnectionError('stream broken off by the test')
             if number == self.pause_before_event:
                 eventlet.sleep(self.pause_seconds)
             yield b'id: %d\ndata: token %d\n\n' % (number, number)
-            eventlet.sleep(EVENT_SECONDS)
+            eventlet.sleep(EVENT_INTERVAL_SECONDS)
 
 
-def _answer(start_response: Any, status: int, value: object) -> list[bytes]:
+def _respond(start_response: Any, status: int, value: object) -> list[bytes]:
     body = json.dumps(value).encode()
     start_response(
         f'{status} Answered',
--- a/libs/platform/burdockmast/platform/store.py
+++ b/libs/platform/burdockmast/platform/store.py
@@ -1,7 +1,7 @@
 """Client of the platform's metadata store.
 
-A call without an answer may have been executed, or may be later; such a
-failure has the outcome ``UNKNOWN``.
+A call without a response may have been executed, or may be executed later;
+its failure has the outcome ``UNKNOWN``.
 """
 
 from collections.abc import Callable
@@ -23,10 +23,10 @@
 LOG = logs.get('store')
 
 OBJECTS_PATH = '/api/objects'
-# Seconds for an answer of the store, which takes 4 ms when all is well; its
-# disruptions slow it down some 80 times.
+# Timeout of a call. The store responds in 4 ms when it is healthy and about 80
+# times slower during its disruptions.
 TIMEOUT_SECONDS = 1.0
-# Seconds beyond its own wait after which a watch counts as lost.
+# Time after the end of its wait at which a watch counts as lost.
 WATCH_MARGIN_SECONDS = 0.7
 HTTP_OK = 200
 HTTP_CREATED = 201
@@ -37,7 +37,7 @@
 HTTP_UNAVAILABLE = 503
 
 T = TypeVar('T')
-# Builds an item from an object's name and its spec.
+# Decodes an object from its name and spec.
 Decode = Callable[[str, object], T]
 
 
@@ -51,7 +51,7 @@
     spec: Any = None
 
 
-class _Page(msgspec.Struct, frozen=True, rename='kebab'):
+class _ListResponse(msgspec.Struct, frozen=True, rename='kebab'):
     """``current_rev`` is the revision of the whole store."""
 
     items: list[_Object]
@@ -64,14 +64,18 @@
     deleted: bool = False
 
 
-class _Watched(msgspec.Struct, frozen=True, rename='kebab'):
+class _WatchResponse(msgspec.Struct, frozen=True, rename='kebab'):
     current_rev: int
     events: list[_Event] = []
 
 
 @dataclasses.dataclass(slots=True)
 class Client:
-    """Calls to the store over one pool of connections."""
+    """Calls the store over a connection pool.
+
+    :ivar on_call_end: functions that are called after each call with its
+        method and kind, its duration in seconds and its failure, if any
+    """
 
     address: ids.Address
     on_call_end: list[
@@ -91,13 +95,17 @@
         body: object = None,
         timeout: float = TIMEOUT_SECONDS,
     ) -> urllib3.BaseHTTPResponse | failures.Failure:
-        """Make one call; any status that says something is an answer."""
-        began = timers.now()
-        found = self._call(method, kind, name, query, body, timeout)
-        failure = found if isinstance(found, failures.Failure) else None
-        for subscriber in self.on_call_end:
-            subscriber(f'{method} {kind}', timers.now() - began, failure)
-        return found
+        """Make one call and return its response.
+
+        Status 429 and those from 500 up are returned as failures; others,
+        such as 404 or 409, are responses.
+        """
+        started_at = timers.now()
+        response = self._call(method, kind, name, query, body, timeout)
+        failure = response if isinstance(response, failures.Failure) else None
+        for callback in self.on_call_end:
+            callback(f'{method} {kind}', timers.now() - started_at, failure)
+        return response
 
     def _call(
         self,
@@ -160,35 +168,35 @@
 
     def decode_response(
         self,
-        found: urllib3.BaseHTTPResponse | failures.Failure,
-        shape: type[T],
-        step: str,
+        response: urllib3.BaseHTTPResponse | failures.Failure,
+        body_type: type[T],
+        kind: str,
     ) -> T | failures.Failure:
-        """Return the body of an answer as ``shape``."""
-        if isinstance(found, failures.Failure):
-            return found
-        if found.status == HTTP_GONE:
+        """Decode the body of a successful response as ``body_type``."""
+        if isinstance(response, failures.Failure):
+            return response
+        if response.status == HTTP_GONE:
             return self._failure(
                 'get',
-                step,
+                kind,
                 outcomes.Outcome.NOT_RUN,
                 'history is gone',
                 failures.Reason.STORE_CONFLICT,
             )
-        if found.status not in (HTTP_OK, HTTP_CREATED):
-            detail = f'status {found.status}: {found.data[:200]!r}'
-            return self._failure('get', step, outcomes.Outcome.NOT_RUN, detail)
+        if response.status not in (HTTP_OK, HTTP_CREATED):
+            detail = f'status {response.status}: {response.data[:200]!r}'
+            return self._failure('get', kind, outcomes.Outcome.NOT_RUN, detail)
         try:
-            return msgspec.json.decode(found.data, type=shape)
+            return msgspec.json.decode(response.data, type=body_type)
         except msgspec.MsgspecError as error:
-            return self._failure('get', step, outcomes.Outcome.UNKNOWN, error)
+            return self._failure('get', kind, outcomes.Outcome.UNKNOWN, error)
 
 
 class Feed(Generic[T]):
-    """Objects of one kind, decoded."""
+    """Lists and watches the objects of one kind, and decodes them."""
 
     def __init__(self, client: Client, kind: str, decode: Decode[T]):
-        """Create a feed of a kind."""
+        """Create a feed of the objects of ``kind``."""
         self._client = client
         self._kind = kind
         self._decode = decode
@@ -196,21 +204,23 @@
     def list(self) -> interfaces.Listing[T] | failures.Failure:
         """Return all objects, page by page.
 
-        The revision is that of the first page: what changes meanwhile is
-        told once more by the first wait.
+        The revision is that of the first page, so the first watch repeats
+        changes that were made while later pages were read.
         """
         item_by_name: dict[str, T] = {}
         revision = None
         query: dict[str, object] = {}
         while True:
-            found = self._client.call('GET', self._kind, query=query)
-            page = self._client.decode_response(found, _Page, self._kind)
+            response = self._client.call('GET', self._kind, query=query)
+            page = self._client.decode_response(
+                response, _ListResponse, self._kind
+            )
             if isinstance(page, failures.Failure):
                 return page
             if revision is None:
                 revision = page.current_rev
             for item in page.items:
-                decoded = self._item(item)
+                decoded = self._decode_object(item)
                 if decoded is not None:
                     item_by_name[item.metadata.name] = decoded
             if not page.has_more or not page.items:
@@ -220,35 +230,37 @@
     def watch(
         self, revision: int, timeout_seconds: float
     ) -> interfaces.Changes[T] | failures.Failure:
-        """Wait for changes after a revision, for a limited time."""
-        found = self._client.call(
+        """Wait for changes after a revision, up to a timeout."""
+        response = self._client.call(
             'GET',
             self._kind,
             query={'watch': revision, 'wait-ms': int(timeout_seconds * 1000)},
             timeout=timeout_seconds + WATCH_MARGIN_SECONDS,
         )
-        watched = self._client.decode_response(found, _Watched, self._kind)
+        watched = self._client.decode_response(
+            response, _WatchResponse, self._kind
+        )
         if isinstance(watched, failures.Failure):
             return watched
         changes = tuple(
             interfaces.Change(
                 event.object.metadata.name,
-                None if event.deleted else self._item(event.object),
+                None if event.deleted else self._decode_object(event.object),
             )
             for event in watched.events
         )
         return interfaces.Changes(watched.current_rev, changes)
 
-    def _item(self, found: _Object) -> T | None:
+    def _decode_object(self, stored: _Object) -> T | None:
         try:
-            return self._decode(found.metadata.name, found.spec)
+            return self._decode(stored.metadata.name, stored.spec)
         except msgspec.ValidationError as error:
             LOG.warning(
-                'object can not be read',
+                'object cannot be decoded; treating it as absent',
                 extra={
                     'kind': self._kind,
-                    'name': found.metadata.name,
-                    'revision': found.metadata.revision,
+                    'name': stored.metadata.name,
+                    'revision': stored.metadata.revision,
                     'reason': str(error),
                 },
             )
@@ -256,83 +268,85 @@
 
 
 class GatewayRegistry:
-    """The gateways, each an object of a kind of our own."""
+    """The gateways, each an object of a kind that only gateways use."""
 
     KIND = 'burdockmast-gateways'
 
     def __init__(self, client: Client, instance: str):
-        """Create the roster as the gateway ``instance`` sees it."""
+        """Create the registry for the gateway ``instance``."""
         self._client = client
         self._instance = instance
 
     def register(self) -> failures.Failure | None:
-        """Make this gateway known; it may be so already."""
-        found = self._client.call(
+        """Register this gateway; it may be registered already."""
+        response = self._client.call(
             'POST',
             self.KIND,
             body={'metadata': {'name': self._instance}, 'spec': {}},
         )
-        return found if isinstance(found, failures.Failure) else None
+        return response if isinstance(response, failures.Failure) else None
 
     def count(self) -> int | failures.Failure:
-        """Return how many gateways are known; some may be gone."""
-        found = self._client.call('GET', self.KIND, query={'stale-ok': 1})
-        page = self._client.decode_response(found, _Page, self.KIND)
+        """Return how many gateways are registered; some may have stopped."""
+        response = self._client.call('GET', self.KIND, query={'stale-ok': 1})
+        page = self._client.decode_response(response, _ListResponse, self.KIND)
         if isinstance(page, failures.Failure):
             return page
         return len(page.items)
 
 
 class PlannerLock:
-    """A mutex that is one object of a kind of our own.
+    """A mutex, stored as one object of a kind that only gateways use.
 
-    Its revision, which the store raises at each write, is the fencing
-    number.
+    The object's revision, which the store raises at each write, is the
+    fencing number.
     """
 
     KIND = 'burdockmast-planner'
+    # All gateways must use the same object, whatever their version.
     NAME = 'seat'
 
     def __init__(self, client: Client, holder: str):
-        """Create the seat as ``holder`` sees it."""
+        """Create the lock for the gateway ``holder``."""
         self._client = client
         self._holder = holder
 
     def read(self) -> interfaces.LockState | failures.Failure:
-        """Return who took the seat last."""
-        found = self._client.call('GET', self.KIND, self.NAME)
-        if not isinstance(found, failures.Failure):
-            if found.status == HTTP_NOT_FOUND:
+        """Return who acquired the lock last."""
+        response = self._client.call('GET', self.KIND, self.NAME)
+        if not isinstance(response, failures.Failure):
+            if response.status == HTTP_NOT_FOUND:
                 return interfaces.LockState(0, '')
-        seat = self._client.decode_response(found, _Object, self.KIND)
-        if isinstance(seat, failures.Failure):
-            return seat
-        spec = seat.spec if isinstance(seat.spec, dict) else {}
+        lock = self._client.decode_response(response, _Object, self.KIND)
+        if isinstance(lock, failures.Failure):
+            return lock
+        spec = lock.spec if isinstance(lock.spec, dict) else {}
         return interfaces.LockState(
-            seat.metadata.revision, str(spec.get('holder', ''))
+            lock.metadata.revision, str(spec.get('holder', ''))
         )
 
     def acquire(self, revision: int) -> int | failures.Failure:
-        """Take the seat, if nobody has since ``revision``.
+        """Acquire the lock, unless somebody else did after ``revision``.
 
         :returns: the fencing number
         """
-        # The time makes each write a change, which raises the revision.
+        # The time makes each write a change of the object, and the store
+        # raises the revision only then.
         spec = {'holder': self._holder, 'at': timers.now()}
         metadata: dict[str, object] = {'name': self.NAME}
         if revision:
             metadata['revision'] = revision
-            found = self._client.call(
+            response = self._client.call(
                 'PUT',
                 self.KIND,
                 self.NAME,
                 body={'metadata': metadata, 'spec': spec},
             )
         else:
-            found = self._client.call(
+            response = self._client.call(
                 'POST', self.KIND, body={'metadata': metadata, 'spec': spec}
             )
-        taken = self._client.decode_response(found, _Object, self.KIND)
-        if isinstance(taken, failures.Failure):
-            return taken
-        return taken.metadata.revision
+        acquired = self._client.decode_response(response, _Object, self.KIND)
+        if isinstance(acquired, failures.Failure):
+            return acquired
+        return acquired.metadata.revision
