Reword the tests of the platform's decoding

Cause: test names spoke of beats, other writers and numbers that are none.

Change: names and comments only; same assertions, values and cases.

Checks: ruff, flake8; tests of platform decoding, platform gateway, gateway upstream and the command line pass.

--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -1,4 +1,4 @@
-"""What the platform writes, decoded into the project's types."""
+"""Decoding of the platform's settings, store objects and headers."""
 
 import msgspec
 import program
@@ -56,22 +56,24 @@
 
 
 @pytest.fixture
-def file(tmp_path):
+def settings_file(tmp_path):
     path = tmp_path / 'local.toml'
     path.write_text(SETTINGS)
     return path
 
 
-def test_settings_are_read_and_unknown_fields_ignored(file):
-    found = settings.load(file).gateway
+def test_settings_are_read_and_unknown_fields_ignored(settings_file):
+    found = settings.load(settings_file).gateway
     assert found.callers_address == '10.1.0.40:8227'
     assert found.revoke_seconds == 4.0
     assert found.grace_seconds == 8.0
     assert found.metrics_address == '10.1.0.40:7355'
 
 
-def test_the_command_line_checks_the_platforms_settings(file):
-    done = program.run_command('settings', 'check', 'gateway', str(file))
+def test_settings_check_accepts_the_platforms_file(settings_file):
+    done = program.run_command(
+        'settings', 'check', 'gateway', str(settings_file)
+    )
     assert done.returncode == 0, done.stderr
 
 
@@ -84,10 +86,10 @@
         (SETTINGS.replace('4000', '"soon"'), 'revoke-ms'),
     ],
 )
-def test_wrong_settings_name_the_place(file, text, named):
-    file.write_text(text)
+def test_invalid_settings_name_the_file_or_field(settings_file, text, named):
+    settings_file.write_text(text)
     with pytest.raises(loader.SettingsError, match=named.replace('$', r'\$')):
-        settings.load(file)
+        settings.load(settings_file)
 
 
 def test_a_servers_entry_is_decoded():
@@ -102,7 +104,7 @@
     assert len(found.layers) == 0
 
 
-def test_an_older_beat_is_older_but_a_new_start_is_newer():
+def test_entries_are_ordered_by_start_then_sequence():
     old = servers.decode('i-1', {**ENTRY, 'sequence': 3})
     new = servers.decode('i-1', ENTRY)
     restarted = servers.decode(
@@ -125,13 +127,13 @@
         {'layers': [1, 2]},
     ],
 )
-def test_an_entry_of_another_writer_is_refused(changed):
+def test_an_invalid_entry_is_rejected(changed):
     with pytest.raises(msgspec.ValidationError):
         servers.decode('i-1', {**ENTRY, **changed})
 
 
 @pytest.mark.parametrize(
-    ('kind', 'resumable', 'repeats'),
+    ('kind', 'resumable', 'execution'),
     [
         ('safe', False, config.Execution.REPEATABLE),
         ('unsafe', False, config.Execution.AT_MOST_ONCE),
@@ -141,7 +143,9 @@
         ('unheard-of', True, config.Execution.AT_MOST_ONCE),
     ],
 )
-def test_what_may_repeat_follows_from_the_kind(kind, resumable, repeats):
+def test_the_route_decides_whether_requests_are_repeatable(
+    kind, resumable, execution
+):
     route = {
         'name': 'r',
         'host': 'h',
@@ -151,7 +155,7 @@
         'service': 's',
     }
     found = configuration.decode('main', {'version': 1, 'routes': [route]})
-    assert found.find_route('h', '/a/b').execution is repeats
+    assert found.find_route('h', '/a/b').execution is execution
 
 
 def test_the_longest_prefix_wins():
@@ -166,14 +170,14 @@
     assert found.find_route('other', '/a/') is None
 
 
-def read(given=REQUEST):
+def read_request(request_headers=REQUEST):
     return headers.HeaderCodec().read_request(
-        'POST', '/a/b?c=d', given, b'body'
+        'POST', '/a/b?c=d', request_headers, b'body'
     )
 
 
 def test_a_request_is_decoded():
-    found = read()
+    found = read_request()
     assert not isinstance(found, failures.Failure)
     assert found.path == '/a/b'
     assert found.timeout_seconds == 20.0
@@ -183,15 +187,15 @@
 
 
 @pytest.mark.parametrize('value', ['', 'soon', '-5', '1e3', '9' * 40])
-def test_numbers_that_are_none_are_left_out(value):
-    found = read((('Burdockmast-Deadline-Ms', value),))
+def test_an_invalid_deadline_is_ignored(value):
+    found = read_request((('Burdockmast-Deadline-Ms', value),))
     assert found.timeout_seconds is None
 
 
-def test_keys_and_forged_headers_are_not_passed_on():
+def test_keys_and_forged_headers_are_not_forwarded():
     server = servers.decode('i-1', ENTRY)
-    sending = interfaces.Attempt(server, 'fes', 1.5, (), None, 0)
-    found = headers.HeaderCodec().backend_headers(read(), sending)
+    attempt = interfaces.Attempt(server, 'fes', 1.5, (), None, 0)
+    found = headers.HeaderCodec().backend_headers(read_request(), attempt)
     value_by_name = dict(found)
     assert len(value_by_name) == len(found)
     assert value_by_name['Burdockmast-Tenant'] == 'fes'
