--- a/libs/base/burdockmast/base/logs.py
+++ b/libs/base/burdockmast/base/logs.py
@@ -14,7 +14,7 @@
 import logbook
 import msgspec
 
-from burdockmast.base import linebudget
+from burdockmast.base import log_rate_limiter
 from burdockmast.base import timeline
 
 # The thread that writes must not be one of eventlet's.
@@ -25,9 +25,9 @@
 LEVELS = ('debug', 'info', 'warning', 'error')
 STANDARD_OUTPUT = 1
 # Lines that wait for a slow reader; about 2 MB of memory.
-QUEUE_LINES = 8192
+MAX_QUEUED_LINES = 8192
 # Lines that are written in one call.
-BATCH_LINES = 128
+MAX_BATCH_LINES = 128
 # Seconds that a process which ends waits for its last lines to be read.
 FLUSH_SECONDS = 1.0
 FLUSH_POLL_SECONDS = 0.01
@@ -41,7 +41,7 @@
     return logbook.Logger(part)
 
 
-def event(found: timeline.Event) -> None:
+def log_event(found: timeline.Event) -> None:
     """Write an event of the time line as a line."""
     part = found.what.partition('.')[0]
     fields = {'clock': found.clock, **found.fields}
@@ -53,7 +53,7 @@
 class Writer:
     """Writes lines to a file descriptor without ever making callers wait."""
 
-    def __init__(self, descriptor: int, limit: int = QUEUE_LINES):
+    def __init__(self, descriptor: int, limit: int = MAX_QUEUED_LINES):
         """Create a writer and start its thread.
 
         :param limit: lines that may wait
@@ -86,7 +86,7 @@
             self._is_writing = False
             lines = [self._lines.get()]
             self._is_writing = True
-            while len(lines) < BATCH_LINES and self._lines.qsize():
+            while len(lines) < MAX_BATCH_LINES and self._lines.qsize():
                 lines.append(self._lines.get())
             try:
                 self._write(b''.join(lines))
@@ -117,17 +117,17 @@
         super().__init__(level=level.upper())
         self.writer = writer
         self._process = process
-        self._budgets = linebudget.LineBudgets(now)
+        self._budgets = log_rate_limiter.LogRateLimiter(now)
         self._reported_dropped = 0
 
     def emit(self, record: logbook.LogRecord) -> None:
         """Queue a record's line unless too many like it were written."""
-        if self._budgets.spend(_kind(record)):
+        if self._budgets.allow(_kind(record)):
             self.writer.put(self._line(record))
 
-    def report(self) -> None:
+    def report_lost_lines(self) -> None:
         """Say how many lines were left out since the last report."""
-        for kind, count in self._budgets.take_left_out().items():
+        for kind, count in self._budgets.take_suppressed_counts().items():
             self._put_report(
                 'lines left out',
                 of=' '.join(filter(None, kind)),
@@ -174,7 +174,7 @@
         return msgspec.json.encode(line, enc_hook=str) + b'\n'
 
 
-def _kind(record: logbook.LogRecord) -> linebudget.Kind:
+def _kind(record: logbook.LogRecord) -> log_rate_limiter.Kind:
     """Return what records have in common that say the same thing.
 
     A refusal's reason is part of it: a flood of one cause leaves out no
@@ -217,5 +217,5 @@
 
     def close(self) -> None:
         """Write what waits, for a limited time."""
-        self.handler.report()
+        self.handler.report_lost_lines()
         self.handler.writer.flush(FLUSH_SECONDS)
--- a/libs/base/burdockmast/base/metrics.py
+++ b/libs/base/burdockmast/base/metrics.py
@@ -20,7 +20,7 @@
 }
 # Upper ends of histograms, in seconds. The target's 26 ms between tokens and
 # 0.32 s for the first one are among them.
-BUCKETS = (
+BUCKET_BOUNDS_SECONDS = (
     0.001, 0.002, 0.005, 0.01, 0.026, 0.05, 0.1, 0.2, 0.32, 0.5, 1.0, 2.0,
     5.0, 10.0, 30.0, 60.0,
 )  # fmt: skip
@@ -71,7 +71,7 @@
             histogram = prometheus_client.Histogram(
                 _exposed(f'{name}.seconds'),
                 f'Durations of {name}',
-                buckets=BUCKETS,
+                buckets=BUCKET_BOUNDS_SECONDS,
                 registry=self.registry,
             )
             self._histogram_by_name[name] = histogram
--- a/libs/base/burdockmast/base/timeline.py
+++ b/libs/base/burdockmast/base/timeline.py
@@ -13,7 +13,7 @@
 from burdockmast.base import ids
 
 # Events kept in memory by each process.
-RING_SIZE = 5000
+MAX_EVENTS = 5000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -33,7 +33,7 @@
     fields: dict[str, Any]
 
     @property
-    def order(self) -> tuple[int, str, int]:
+    def sort_key(self) -> tuple[int, str, int]:
         """Key that sorts events of many processes consistently."""
         return (self.clock, self.process, self.number)
 
@@ -48,10 +48,10 @@
         self.subscribers: list[Callable[[Event], None]] = []
         self._number = 0
         self._events: collections.deque[Event] = collections.deque(
-            maxlen=RING_SIZE
+            maxlen=MAX_EVENTS
         )
 
-    def witness(self, clock: int) -> None:
+    def advance_clock(self, clock: int) -> None:
         """Take in the stamp of a received message."""
         if clock > self.clock:
             self.clock = clock
@@ -76,7 +76,9 @@
             subscriber(event)
         return self.clock
 
-    def select(self, request: str = '', limit: int = RING_SIZE) -> list[Event]:
+    def select(
+        self, request: str = '', limit: int = MAX_EVENTS
+    ) -> list[Event]:
         """Return the newest events, of one request if it is given."""
         chosen = [
             e for e in self._events if not request or e.request == request
@@ -90,6 +92,6 @@
     A process that was asked twice counts once.
     """
     event_by_order = {
-        event.order: event for record in records for event in record
+        event.sort_key: event for record in records for event in record
     }
     return [event_by_order[order] for order in sorted(event_by_order)]
--- a/libs/base/burdockmast/base/timers.py
+++ b/libs/base/burdockmast/base/timers.py
@@ -12,7 +12,7 @@
 LOG = logs.get('timer')
 
 # Fraction by which each period varies, so that fleets do not act in step.
-JITTER = 0.1
+JITTER_SHARE = 0.1
 
 
 def now() -> float:
@@ -20,7 +20,7 @@
     return time.monotonic()
 
 
-def real_now() -> float:
+def boottime_now() -> float:
     """Return seconds that go on while the machine is suspended.
 
     What was believed before a suspension is as old as this clock says.
@@ -77,4 +77,6 @@
                 LOG.exception('Timer {} failed.', subscription.name)
 
     def _jittered(self, period: float) -> float:
-        return period * self._random.uniform(1 - JITTER, 1 + JITTER)
+        return period * self._random.uniform(
+            1 - JITTER_SHARE, 1 + JITTER_SHARE
+        )
--- a/libs/bench/burdockmast/bench/capacity.py
+++ b/libs/bench/burdockmast/bench/capacity.py
@@ -60,7 +60,9 @@
         + found['entry: known server memory'].value * target.replicas
     )
     control = _control_cpu(found, links, 'entry')
-    period = links * peers.HEARTBEAT_BYTES / peers.CONTROL_BYTES
+    period = (
+        links * peers.HEARTBEAT_PAIR_BYTES / peers.HEARTBEAT_BYTES_PER_SECOND
+    )
     return [
         targets.Line(
             'entry', 'data path, of one core',
--- a/libs/bench/burdockmast/bench/control.py
+++ b/libs/bench/burdockmast/bench/control.py
@@ -23,7 +23,7 @@
 from burdockmast.standins import processes
 from burdockmast.wire import links
 from burdockmast.wire import messages
-from burdockmast.wire import passive
+from burdockmast.wire import request_client
 
 PEER_SIZES = (25, 50, 100, 200)
 CHANGE_SIZES = (50, 100, 200, 400)
@@ -124,7 +124,7 @@
         for size in PEER_SIZES:
             while len(opened) < size:
                 opened.append(
-                    passive.connect(
+                    request_client.connect(
                         address, messages.Role.ENTRY, ids.ZoneId('za')
                     )
                 )
--- a/libs/claims/burdockmast/claims/directory.py
+++ b/libs/claims/burdockmast/claims/directory.py
@@ -3,7 +3,7 @@
 import heapq
 
 from burdockmast.base import ids
-from burdockmast.base import ranks
+from burdockmast.base import rendezvous
 from burdockmast.fleet import changes
 from burdockmast.fleet import follower
 
@@ -40,6 +40,6 @@
         first = heapq.nsmallest(
             PLACES,
             active,
-            key=lambda server: ranks.rank(str(shard), server.id),
+            key=lambda server: rendezvous.rank(str(shard), server.id),
         )
         return [server.address for server in first]
--- a/libs/entry/burdockmast/entry/answers.py
+++ b/libs/entry/burdockmast/entry/answers.py
@@ -46,7 +46,7 @@
         self._attempt_starter = attempt_starter.AttemptStarter(
             process, view, queue
         )
-        self._crash_reports = process.strikes
+        self._crash_reports = process.crash_reports
         self._view = view
         self._queue = queue
         self._durations = durations.AnswerDurations()
@@ -71,7 +71,7 @@
 
     def on_begun(self, begun: messages.Begun) -> None:
         """Record how much of a prompt the stages of an attempt had cached."""
-        self._events.witness(begun.clock)
+        self._events.advance_clock(begun.clock)
         attempt = self._attempt_starter.attempt_by_answer.get(begun.answer)
         if attempt is None or attempt.number != begun.attempt:
             return
@@ -233,7 +233,7 @@
                 yield tokens
             match end:
                 case messages.Finished():
-                    self._events.witness(end.clock)
+                    self._events.advance_clock(end.clock)
                     if len(delivered) != request.max_tokens:
                         yield self._out_of_order(attempt, 'answer.finish')
                     return
@@ -280,7 +280,7 @@
     def _failure_of(
         self, request: attempts.Request, failed: messages.Failed
     ) -> failures.Failure:
-        self._events.witness(failed.clock)
+        self._events.advance_clock(failed.clock)
         if failed.crash:
             self._crash_reports.add(request.fingerprint, failed.crash)
         peer = failed.peer or failed.server
--- a/libs/entry/burdockmast/entry/attempt_starter.py
+++ b/libs/entry/burdockmast/entry/attempt_starter.py
@@ -38,7 +38,7 @@
     ):
         """Create the starter with no attempts running."""
         self.attempt_by_answer: dict[ids.RequestId, attempts.Attempt] = {}
-        self._crash_reports = process.strikes
+        self._crash_reports = process.crash_reports
         self._events = process.events
         self._metrics = process.metrics
         self._view = view
@@ -166,7 +166,7 @@
         return min(timers.now() + seconds, request.deadline)
 
     def _refusal_failure(self, refusal: messages.Failed) -> failures.Failure:
-        self._events.witness(refusal.clock)
+        self._events.advance_clock(refusal.clock)
         return failures.Failure(
             refusal.reason,
             refusal.step,
--- a/libs/entry/burdockmast/entry/probes.py
+++ b/libs/entry/burdockmast/entry/probes.py
@@ -57,7 +57,7 @@
 
     def _greet(self, address: ids.Address) -> None:
         self._metrics.count('probes')
-        failure = connections.greet(
+        failure = connections.probe(
             address,
             addresses.split(address),
             self._peers.hello,
--- a/libs/entry/burdockmast/entry/server.py
+++ b/libs/entry/burdockmast/entry/server.py
@@ -51,7 +51,9 @@
         self.queue = queues.FairQueue(settings.queue)
         self.answers = answers.Answers(self.node, self.view, self.queue)
         self._is_stopping = False
-        self.node.instances.subscribers.append(self._on_instances_update)
+        self.node.draining_instances.subscribers.append(
+            self._on_instances_update
+        )
         self.application = web.Application(
             self.node,
             self.answers,
@@ -123,7 +125,7 @@
 
     def _on_instances_update(self) -> None:
         """Report not ready as soon as the platform lists us as leaving."""
-        is_draining = self.node.instances.is_draining
+        is_draining = self.node.draining_instances.is_draining
         self.application.is_draining = self._is_stopping or is_draining
 
     def receive(self, link: links.Link, message: messages.AnyMessage) -> None:
@@ -157,17 +159,17 @@
             engine_lost=load.is_engine_lost,
         )
 
-    def describe(self, link: links.Link) -> messages.Heartbeat:
+    def build_heartbeat(self, link: links.Link) -> messages.Heartbeat:
         """Return the heartbeat for a peer."""
         return self.node.heartbeat()
 
-    def period(self) -> float:
+    def heartbeat_period(self) -> float:
         """Return the seconds between heartbeats."""
-        return self.node.peers.period()
+        return self.node.peers.heartbeat_period()
 
-    def closed(self, link: links.Link, why: failures.Failure) -> None:
+    def on_closed(self, link: links.Link, why: failures.Failure) -> None:
         """Fail what depended on a lost link."""
-        self.node.closed(link, why)
+        self.node.on_closed(link, why)
         self.view.on_link_closed(link)
         self.answers.on_link_closed(link, why)
 
--- a/libs/entry/burdockmast/entry/services.py
+++ b/libs/entry/burdockmast/entry/services.py
@@ -248,7 +248,7 @@
                 continue
             message = messages.Claim(ids.new_id(), shard, encoded)
             seconds = min(CLAIM_TIMEOUT_SECONDS, deadline - timers.now())
-            reply = link.ask(message, max(0.001, seconds))
+            reply = link.request(message, max(0.001, seconds))
             if isinstance(reply, failures.Failure):
                 continue
             if reply.reason is None:
@@ -403,7 +403,7 @@
             seconds = deadline - timers.now()
         self._running_by_server[link.hello.server] += 1
         try:
-            reply = link.ask(message, max(0.001, seconds))
+            reply = link.request(message, max(0.001, seconds))
         finally:
             self._running_by_server[link.hello.server] -= 1
         if isinstance(reply, failures.Failure):
@@ -419,7 +419,7 @@
                 outcome=outcomes.Outcome.UNKNOWN,
                 detail='the reply was lost; the call may have run',
             )
-        self._events.witness(reply.clock)
+        self._events.advance_clock(reply.clock)
         self._events.add(
             'service.answered',
             request_id,
--- a/libs/fleet/burdockmast/fleet/follower.py
+++ b/libs/fleet/burdockmast/fleet/follower.py
@@ -16,7 +16,7 @@
 from burdockmast.base import failures
 from burdockmast.base import ids
 from burdockmast.base import logs
-from burdockmast.base import ranks
+from burdockmast.base import rendezvous
 from burdockmast.base import timeline
 from burdockmast.base import timers
 from burdockmast.fleet import change_journal
@@ -69,7 +69,7 @@
         self.subscribers: list[Subscriber] = []
         self.peer_links: Callable[[], list[links.Link]] = list
         self.heartbeat_period: Callable[[], float] = lambda: (
-            links.HEARTBEAT_SECONDS
+            links.MIN_HEARTBEAT_SECONDS
         )
         self._journal = change_journal.open_journal(store)
         self._snapshots = snapshots.Snapshots(store, self._journal)
@@ -236,7 +236,7 @@
             for server in self.configuration.server_by_id.values()
             if server.zone == self._zone
         ]
-        ranked = sorted(servers, key=lambda s: ranks.rank(self._zone, s))
+        ranked = sorted(servers, key=lambda s: rendezvous.rank(self._zone, s))
         return self._server in ranked[:WATCHERS_PER_ZONE]
 
     def _follow(self) -> None:
--- a/libs/fleet/burdockmast/fleet/layer_moves.py
+++ b/libs/fleet/burdockmast/fleet/layer_moves.py
@@ -20,7 +20,7 @@
 
 from burdockmast.base import failures
 from burdockmast.base import ids
-from burdockmast.base import ranks
+from burdockmast.base import rendezvous
 from burdockmast.base import timers
 from burdockmast.fleet import changes
 from burdockmast.fleet import configuration
@@ -301,7 +301,9 @@
             for server in current.server_by_id
             if self._is_waiting(record, model, current, server)
         ]
-        ranked = sorted(waiting, key=lambda server: ranks.rank(model, server))
+        ranked = sorted(
+            waiting, key=lambda server: rendezvous.rank(model, server)
+        )
         ahead = ranked.index(self._server) if self._server in ranked else 0
         return poll_interval_seconds(
             ahead, self._max_concurrent, len(current.server_by_id)
--- a/libs/gateway/burdockmast/gateway/object_follower.py
+++ b/libs/gateway/burdockmast/gateway/object_follower.py
@@ -71,7 +71,7 @@
 
         Time during which the machine is suspended counts too.
         """
-        return timers.real_now() - self._confirmed_at
+        return timers.boottime_now() - self._confirmed_at
 
     def start(self) -> None:
         """Start to follow in a background task."""
@@ -91,7 +91,7 @@
 
     def poll(self) -> None:
         """Make one call to the store, and apply its result."""
-        called_at = timers.real_now()
+        called_at = timers.boottime_now()
         if self.revision is None:
             found = self._feed.list()
         else:
@@ -111,7 +111,7 @@
                 self._confirmed_at = called_at
                 if (
                     not found.changes
-                    and timers.real_now() >= called_at + watch_seconds
+                    and timers.boottime_now() >= called_at + watch_seconds
                 ):
                     # The store waited in full, so nothing changed until then.
                     self._confirmed_at += watch_seconds
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -152,7 +152,7 @@
         self._deployments.start()
         self._servers.start()
         self._timers.subscribe(
-            'logs', logs.REPORT_SECONDS, self._log.handler.report
+            'logs', logs.REPORT_SECONDS, self._log.handler.report_lost_lines
         )
         self._timers.subscribe(
             'planner', planner.POLL_SECONDS, self._planner.poll
--- a/libs/node/burdockmast/node/dependencies.py
+++ b/libs/node/burdockmast/node/dependency_monitor.py
@@ -8,7 +8,7 @@
 from burdockmast.wire import messages
 
 
-class Dependencies:
+class DependencyMonitor:
     """Writes an event whenever the store or a peer is lost or back."""
 
     def __init__(self, events: timeline.Timeline, measures: metrics.Metrics):
@@ -17,7 +17,7 @@
         self._metrics = measures
         self._store_lost_at: float | None = None
 
-    def store_answered(
+    def on_store_call_ended(
         self, call: str, seconds: float, failure: failures.Failure | None
     ) -> None:
         """Take in the end of a call to the store.
@@ -48,13 +48,13 @@
         self._store_lost_at = None
         self._events.add('store.back', seconds=round(seconds, 3))
 
-    def connected(self, link: links.Link) -> None:
+    def on_connected(self, link: links.Link) -> None:
         """Note a new link to a peer."""
         if _is_operator(link):
             return
         self._events.add('peer.connected', **_identity(link))
 
-    def lost(self, link: links.Link, why: failures.Failure) -> None:
+    def on_disconnected(self, link: links.Link, why: failures.Failure) -> None:
         """Note that a link has ended."""
         if _is_operator(link):
             return
@@ -63,7 +63,7 @@
             reason=why.reason.value,
             step=why.step,
             detail=why.detail,
-            silent_seconds=round(link.silent_for, 3),
+            silent_seconds=round(link.silent_seconds, 3),
             **_identity(link),
         )
 
--- a/libs/node/burdockmast/node/inspection.py
+++ b/libs/node/burdockmast/node/inspection.py
@@ -10,8 +10,8 @@
 if typing.TYPE_CHECKING:
     from burdockmast.node import node
 
-EVENTS_LIMIT = 2000
-MILLISECONDS = 1000.0
+MAX_EVENTS = 2000
+MS_PER_SECOND = 1000.0
 
 
 class PeerStatus(msgspec.Struct):
@@ -44,43 +44,45 @@
     details: dict
 
 
-def answer(of: 'node.Node', query: messages.Query) -> messages.QueryReply:
+def answer_query(
+    process: 'node.Node', query: messages.Query
+) -> messages.QueryReply:
     """Return the reply to an operator's question."""
     match query.what:
         case 'status':
-            value: object = status(of)
+            value: object = status(process)
         case 'timeline':
-            value = of.events.select(query.argument, EVENTS_LIMIT)
+            value = process.events.select(query.argument, MAX_EVENTS)
         case _:
             value = {'error': f'unknown question {query.what}'}
     return messages.QueryReply(query.call, msgspec.json.encode(value))
 
 
-def status(of: 'node.Node') -> Status:
+def status(process: 'node.Node') -> Status:
     """Return a process's status."""
-    hello = of.peers.hello
+    hello = process.peers.hello
     return Status(
         hello.process,
         hello.role.value,
         hello.server,
         hello.zone,
-        of.follower.version,
-        of.follower.configuration.in_force,
-        min(of.follower.store_age_seconds, 1e6),
+        process.follower.version,
+        process.follower.configuration.in_force,
+        min(process.follower.store_age_seconds, 1e6),
         [
             PeerStatus(
                 link.hello.address,
                 link.hello.role.value,
                 link.hello.process,
-                link.rtt * MILLISECONDS,
+                link.rtt * MS_PER_SECOND,
                 link.bytes_sent,
                 link.bytes_received,
             )
-            for link in of.peers.all()
+            for link in process.peers.all()
         ],
-        dict(of.metrics.count_by_name),
-        dict(of.store.calls_by_kind),
-        of.describe_role(),
+        dict(process.metrics.count_by_name),
+        dict(process.store.calls_by_kind),
+        process.describe_role(),
     )
 
 
--- a/libs/node/burdockmast/node/node.py
+++ b/libs/node/burdockmast/node/node.py
@@ -17,7 +17,7 @@
 from burdockmast.fleet import draining_instances
 from burdockmast.fleet import follower
 from burdockmast.limits import crashreports
-from burdockmast.node import dependencies
+from burdockmast.node import dependency_monitor
 from burdockmast.node import inspection
 from burdockmast.settings import models
 from burdockmast.store import instancelist
@@ -27,7 +27,7 @@
 from burdockmast.wire import peers
 
 # Seconds between clearings of strikes that no longer count.
-CLEAR_SECONDS = 60.0
+CRASH_REPORT_CLEANUP_SECONDS = 60.0
 NO_SERVER = ids.ServerId('')
 
 
@@ -44,10 +44,10 @@
     store: objects.Objects
     follower: follower.Follower
     peers: peers.Peers
-    instances: draining_instances.DrainingInstances
-    strikes: crashreports.CrashReports
+    draining_instances: draining_instances.DrainingInstances
+    crash_reports: crashreports.CrashReports
     timers: timers.TimerService
-    dependencies: dependencies.Dependencies
+    dependency_monitor: dependency_monitor.DependencyMonitor
     log: logs.Log
     describe_role: Callable[[], dict] = dict
 
@@ -68,12 +68,12 @@
         measures = metrics.Metrics.from_config(
             settings.statsd_address, role.value
         )
-        depended = dependencies.Dependencies(events, measures)
+        depended = dependency_monitor.DependencyMonitor(events, measures)
         store = objects.Objects(settings.store_url)
-        store.answered.append(depended.store_answered)
+        store.answered.append(depended.on_store_call_ended)
         configuration = follower.Follower(store, server, settings.zone, events)
         hello = messages.Hello(
-            messages.PROTOCOL,
+            messages.PROTOCOL_VERSION,
             role,
             ids.InstanceId(events.process),
             ids.Address(settings.peer_address),
@@ -81,9 +81,9 @@
             server,
         )
         process_peers = peers.Peers(hello, handler)
-        process_peers.connected.append(depended.connected)
+        process_peers.connect_subscribers.append(depended.on_connected)
         configuration.peer_links = process_peers.all
-        configuration.heartbeat_period = process_peers.period
+        configuration.heartbeat_period = process_peers.heartbeat_period
         listing = None
         if settings.instances_url:
             listing = instancelist.InstanceList(settings.instances_url)
@@ -119,7 +119,7 @@
                 **({'beside': hello.server} if hello.server else {}),
             },
         )
-        events.subscribers.append(logs.event)
+        events.subscribers.append(logs.log_event)
         return log
 
     def start(self) -> None:
@@ -136,13 +136,17 @@
         )
         self.follower.start()
         self.timers.subscribe(
-            'logs', logs.REPORT_SECONDS, self.log.handler.report
+            'logs', logs.REPORT_SECONDS, self.log.handler.report_lost_lines
         )
         self.timers.subscribe(
-            'strikes', CLEAR_SECONDS, self.strikes.drop_expired
+            'strikes',
+            CRASH_REPORT_CLEANUP_SECONDS,
+            self.crash_reports.drop_expired,
         )
         self.timers.subscribe(
-            'instances', draining_instances.POLL_SECONDS, self.instances.poll
+            'instances',
+            draining_instances.POLL_SECONDS,
+            self.draining_instances.poll,
         )
         for address in self.settings.peers:
             eventlet.spawn(self.peers.get, address)
@@ -168,10 +172,10 @@
             eventlet.wsgi.server, sock, application, log_output=False
         )
 
-    def closed(self, link: links.Link, why: failures.Failure) -> None:
+    def on_closed(self, link: links.Link, why: failures.Failure) -> None:
         """Forget a link that has ended."""
         self.peers.forget(link)
-        self.dependencies.lost(link, why)
+        self.dependency_monitor.on_disconnected(link, why)
 
     def receive(self, link: links.Link, message: messages.AnyMessage) -> bool:
         """Handle what concerns every role; tell whether it did."""
@@ -185,19 +189,19 @@
             case messages.Snapshot():
                 self.follower.apply_snapshot(link, message)
             case messages.Leaving():
-                self.instances.apply_update(link, message)
+                self.draining_instances.apply_update(link, message)
             case messages.Query():
-                link.send(inspection.answer(self, message))
+                link.send(inspection.answer_query(self, message))
             case _:
                 return False
         return True
 
     def _heard(self, link: links.Link, heartbeat: messages.Heartbeat) -> None:
-        self.events.witness(heartbeat.clock)
+        self.events.advance_clock(heartbeat.clock)
         self.follower.on_heartbeat(link, heartbeat)
-        self.instances.on_heartbeat(link, heartbeat)
+        self.draining_instances.on_heartbeat(link, heartbeat)
         for strike in heartbeat.strikes:
-            self.strikes.add(strike.fingerprint, strike.crash)
+            self.crash_reports.add(strike.fingerprint, strike.crash)
 
     def heartbeat(
         self, load: messages.Load | None = None
@@ -205,7 +209,7 @@
         """Return the heartbeat of this moment."""
         news = tuple(
             messages.Strike(fingerprint, crash)
-            for fingerprint, crash in self.strikes.recent()
+            for fingerprint, crash in self.crash_reports.recent()
         )
         return messages.Heartbeat(
             self.events.clock,
@@ -216,5 +220,5 @@
             0,
             load,
             news,
-            list_revision=self.instances.revision,
+            list_revision=self.draining_instances.revision,
         )
--- a/libs/operator/burdockmast/operator/asking.py
+++ b/libs/operator/burdockmast/operator/asking.py
@@ -9,7 +9,7 @@
 from burdockmast.base import timeline
 from burdockmast.node import inspection
 from burdockmast.wire import messages
-from burdockmast.wire import passive
+from burdockmast.wire import request_client
 
 ASK_SECONDS = 2.0
 
@@ -26,10 +26,12 @@
     address: ids.Address, what: str, argument: str = ''
 ) -> bytes | failures.Failure:
     """Ask one daemon."""
-    link = passive.connect(address, messages.Role.OPERATOR)
+    link = request_client.connect(address, messages.Role.OPERATOR)
     if isinstance(link, failures.Failure):
         return link
-    reply = link.ask(messages.Query(ids.new_id(), what, argument), ASK_SECONDS)
+    reply = link.request(
+        messages.Query(ids.new_id(), what, argument), ASK_SECONDS
+    )
     link.close(failures.Failure(failures.Reason.CANCELLED, 'operator.ask'))
     if isinstance(reply, failures.Failure):
         return reply
--- a/libs/routing/burdockmast/routing/subsets.py
+++ b/libs/routing/burdockmast/routing/subsets.py
@@ -12,7 +12,7 @@
 import collections
 
 from burdockmast.base import ids
-from burdockmast.base import ranks
+from burdockmast.base import rendezvous
 from burdockmast.fleet import changes
 from burdockmast.fleet import configuration
 
@@ -118,7 +118,7 @@
         ]
 
     def _rank(self, server: ids.ServerId) -> RankedServer:
-        return ranks.rank(self._process, server), server
+        return rendezvous.rank(self._process, server), server
 
 
 def _group(
--- a/libs/side/burdockmast/side/executions.py
+++ b/libs/side/burdockmast/side/executions.py
@@ -54,7 +54,7 @@
 
     def call(self, call: messages.ServiceCall) -> messages.ServiceReply:
         """Execute a call, unless it must not be."""
-        self._events.witness(call.clock)
+        self._events.advance_clock(call.clock)
         if call.incarnation and call.incarnation != self._process:
             return self._refuse(call, failures.Reason.STALE_INCARNATION)
         if not call.key:
@@ -76,7 +76,7 @@
 
     def settle(self, settle: messages.Settle) -> messages.ServiceReply:
         """Tell what became of a key; bar its attempt if nothing has."""
-        self._events.witness(settle.clock)
+        self._events.advance_clock(settle.clock)
         if settle.incarnation != self._process:
             return self._reply(
                 settle.call,
--- a/libs/side/burdockmast/side/holding.py
+++ b/libs/side/burdockmast/side/holding.py
@@ -110,7 +110,7 @@
         if status.held != self.held:
             LOG.warning('The engine no longer holds {}.', self.held)
             self.reload()
-            self._peers.beat()
+            self._peers.send_heartbeats()
 
     def reload(self) -> None:
         """Order again what a restarted engine lost."""
@@ -167,7 +167,7 @@
         self._is_moving = True
         self._events.add('engine.moving', model=model)
         eventlet.spawn(self._renew, model)
-        self._peers.beat()
+        self._peers.send_heartbeats()
         try:
             while not self.is_idle():
                 eventlet.sleep(IDLE_SECONDS)
@@ -175,7 +175,7 @@
         finally:
             self._is_moving = False
         self._tell(model)
-        self._peers.beat()
+        self._peers.send_heartbeats()
 
     def _renew(self, model: ids.ModelId) -> None:
         while True:
@@ -203,7 +203,7 @@
     def _adopt(self, held: engine.Held) -> None:
         self._hold(held, 'engine.adopted')
         self._tell()
-        self._peers.beat()
+        self._peers.send_heartbeats()
 
     def _may_order(self) -> bool:
         return self._checks_fence or (
--- a/libs/side/burdockmast/side/server.py
+++ b/libs/side/burdockmast/side/server.py
@@ -55,7 +55,7 @@
                 self.node, settings.service_url
             )
         self.node.follower.subscribers.append(self._configured)
-        self.node.instances.subscribers.append(self._configured)
+        self.node.draining_instances.subscribers.append(self._configured)
 
     def start(self) -> None:
         """Begin all work.
@@ -93,13 +93,15 @@
         if self._is_stopping:
             return
         is_retired = server and server.state is changes.ServerState.DRAINING
-        self._set_leaving(bool(is_retired) or self.node.instances.is_draining)
+        self._set_leaving(
+            bool(is_retired) or self.node.draining_instances.is_draining
+        )
 
     def _set_leaving(self, leaving: bool) -> None:
         for part in (self.stage, self.executions):
             if part and part.leaving is not leaving:
                 part.leaving = leaving
-                self.node.peers.beat()
+                self.node.peers.send_heartbeats()
 
     def receive(self, link: links.Link, message: messages.AnyMessage) -> None:
         """Hand a message to its part."""
@@ -138,20 +140,20 @@
                 reply = self.executions.settle(message)
         link.send(reply)
 
-    def describe(self, link: links.Link) -> messages.Heartbeat:
+    def build_heartbeat(self, link: links.Link) -> messages.Heartbeat:
         """Return the heartbeat for a peer; entries get the load too."""
         load = None
         if link.hello.role is messages.Role.ENTRY and self.stage:
             load = self._load()
         return self.node.heartbeat(load)
 
-    def period(self) -> float:
+    def heartbeat_period(self) -> float:
         """Return the seconds between heartbeats."""
-        return self.node.peers.period()
+        return self.node.peers.heartbeat_period()
 
-    def closed(self, link: links.Link, why: failures.Failure) -> None:
+    def on_closed(self, link: links.Link, why: failures.Failure) -> None:
         """End what depended on a lost link."""
-        self.node.closed(link, why)
+        self.node.on_closed(link, why)
         if self.stage:
             self.stage.link_closed(link, why)
 
--- a/libs/side/burdockmast/side/stage.py
+++ b/libs/side/burdockmast/side/stage.py
@@ -46,7 +46,7 @@
         self._holding = holder
         self._peers = process.peers
         self._slots = slots
-        self._strikes = process.strikes
+        self._strikes = process.crash_reports
         self._events = process.events
         self._metrics = process.metrics
 
@@ -82,7 +82,7 @@
 
     def open(self, link: links.Link, start: messages.Start) -> None:
         """Accept or refuse an attempt."""
-        self._events.witness(start.clock)
+        self._events.advance_clock(start.clock)
         refusal = self._refusal(start)
         if refusal:
             self._metrics.count('stage.refused')
@@ -109,7 +109,7 @@
 
     def opened(self, opened: messages.Opened) -> None:
         """Begin an answer that all its stages have accepted."""
-        self._events.witness(opened.clock)
+        self._events.advance_clock(opened.clock)
         running = self._current(opened.answer, opened.attempt)
         if running and running.start.position == 0 and not running.index:
             self._begin(running, opened.cached)
@@ -152,7 +152,7 @@
         """Pass a later stage's failure on towards the entry."""
         running = self._current(failed.answer, failed.attempt)
         if running:
-            self._events.witness(failed.clock)
+            self._events.advance_clock(failed.clock)
             running.upstream.send(failed)
             self._drop(running)
 
@@ -355,7 +355,7 @@
         if crash:
             for running in (*batch, *begun):
                 self._strikes.add(running.start.fingerprint, crash)
-        self._peers.beat()
+        self._peers.send_heartbeats()
         for running in list(self.running_by_answer.values()):
             blame = crash if running.index else ''
             self._fail(running, why.reason, why.step, '', blame)
@@ -363,7 +363,7 @@
     def engine_back(self) -> None:
         """Have the layers loaded again, and tell the peers."""
         self._holding.reload()
-        self._peers.beat()
+        self._peers.send_heartbeats()
 
     def _fail(
         self,
--- a/libs/wire/burdockmast/wire/streams.py
+++ b/libs/wire/burdockmast/wire/codec.py
@@ -7,9 +7,9 @@
 from burdockmast.wire import messages
 
 # Largest message, in bytes; a snapshot of the configuration is the largest.
-MESSAGE_BYTES = 4 * 1024 * 1024
+MAX_MESSAGE_BYTES = 4 * 1024 * 1024
 # Largest array in a message, in elements; prompts are the longest.
-ARRAY_LENGTH = 1_000_000
+MAX_ARRAY_LENGTH = 1_000_000
 # Bytes asked of the socket at once.
 READ_BYTES = 64 * 1024
 
@@ -24,7 +24,7 @@
 class Decoder:
     """Turns received bytes into typed messages."""
 
-    def __init__(self, limit: int = MESSAGE_BYTES):
+    def __init__(self, limit: int = MAX_MESSAGE_BYTES):
         """Create a decoder.
 
         :param limit: bytes that one message may have
@@ -32,7 +32,7 @@
         self._limit = limit
         self._unpacker = msgpack.Unpacker(
             max_buffer_size=limit + READ_BYTES,
-            max_array_len=min(ARRAY_LENGTH, limit),
+            max_array_len=min(MAX_ARRAY_LENGTH, limit),
             max_map_len=0,
             max_bin_len=limit,
             max_str_len=limit,
--- a/libs/wire/burdockmast/wire/connections.py
+++ b/libs/wire/burdockmast/wire/connections.py
@@ -9,9 +9,9 @@
 from burdockmast.base import ids
 from burdockmast.base import logs
 from burdockmast.base import timers
+from burdockmast.wire import codec
 from burdockmast.wire import links
 from burdockmast.wire import messages
-from burdockmast.wire import streams
 
 LOG = logs.get('link')
 
@@ -23,7 +23,7 @@
     sock: socket.socket, hello: messages.Hello, handler: links.Handler
 ) -> links.Link | failures.Failure:
     """Send our Hello, check the peer's and return the running link."""
-    decoder = streams.Decoder()
+    decoder = codec.Decoder()
     early = _exchange(sock, hello, decoder, CONNECT_SECONDS)
     if isinstance(early, failures.Failure):
         sock.close()
@@ -36,7 +36,7 @@
 def _exchange(
     sock: socket.socket,
     hello: messages.Hello,
-    decoder: streams.Decoder,
+    decoder: codec.Decoder,
     seconds: float,
 ) -> list[messages.AnyMessage] | failures.Failure:
     """Return what came first from the peer, a checked Hello at its head."""
@@ -44,10 +44,10 @@
     peer = ''
     try:
         peer = str(sock.getpeername()[0])
-        sock.sendall(streams.encode(hello))
+        sock.sendall(codec.encode(hello))
         with eventlet.Timeout(seconds, TimeoutError('no Hello')):
             while not received:
-                data = sock.recv(streams.READ_BYTES)
+                data = sock.recv(codec.READ_BYTES)
                 if not data:
                     raise ConnectionError('closed before Hello')
                 received, broken = decoder.feed(data)
@@ -60,18 +60,18 @@
     first = received[0]
     if (
         isinstance(first, messages.Hello)
-        and first.protocol == messages.PROTOCOL
+        and first.protocol == messages.PROTOCOL_VERSION
     ):
         return received
     return failures.Failure(
         failures.Reason.PROTOCOL,
         'link.hello',
         peer,
-        f'expected Hello of protocol {messages.PROTOCOL}, got {first}',
+        f'expected Hello of protocol {messages.PROTOCOL_VERSION}, got {first}',
     )
 
 
-def greet(
+def probe(
     address: ids.Address,
     target: tuple[str, int],
     hello: messages.Hello,
@@ -84,7 +84,7 @@
         return sock
     try:
         left = max(0.0, began + seconds - timers.now())
-        received = _exchange(sock, hello, streams.Decoder(), left)
+        received = _exchange(sock, hello, codec.Decoder(), left)
     finally:
         sock.close()
     if isinstance(received, failures.Failure):
--- a/libs/wire/burdockmast/wire/links.py
+++ b/libs/wire/burdockmast/wire/links.py
@@ -11,19 +11,19 @@
 from burdockmast.base import failures
 from burdockmast.base import logs
 from burdockmast.base import timers
+from burdockmast.wire import codec
 from burdockmast.wire import messages
-from burdockmast.wire import streams
 
 LOG = logs.get('link')
 
 # Shortest time between heartbeats in one direction, in seconds.
-HEARTBEAT_SECONDS = 1.0
+MIN_HEARTBEAT_SECONDS = 1.0
 # Heartbeats of the peer that may be missing before it counts as silent.
-MISSED_HEARTBEATS = 3
+MAX_MISSED_HEARTBEATS = 3
 # A heartbeat due within this time is sent now, in seconds.
-SLACK_SECONDS = 0.1
+HEARTBEAT_SLACK_SECONDS = 0.1
 # Bytes that may wait for a slow peer before the connection is given up.
-BACKLOG_BYTES = 16 * 1024 * 1024
+MAX_BACKLOG_BYTES = 16 * 1024 * 1024
 # Weight of the newest sample in the smoothed round trip.
 RTT_WEIGHT = 0.2
 
@@ -34,13 +34,13 @@
     def receive(self, link: 'Link', message: messages.AnyMessage) -> None:
         """Handle a message; must not block for long."""
 
-    def describe(self, link: 'Link') -> messages.Heartbeat:
+    def build_heartbeat(self, link: 'Link') -> messages.Heartbeat:
         """Return the heartbeat to send; the link fills in its stamps."""
 
-    def closed(self, link: 'Link', why: failures.Failure) -> None:
+    def on_closed(self, link: 'Link', why: failures.Failure) -> None:
         """Learn that the link is gone."""
 
-    def period(self) -> float:
+    def heartbeat_period(self) -> float:
         """Return the seconds between heartbeats on each link."""
 
 
@@ -55,7 +55,7 @@
     def __init__(
         self,
         sock: socket.socket,
-        decoder: streams.Decoder,
+        decoder: codec.Decoder,
         hello: messages.Hello,
         handler: Handler,
     ):
@@ -76,7 +76,7 @@
         self._heard_at = timers.now()
         self._peer_stamp = 0
         self._peer_stamp_at = 0.0
-        self._peer_period = HEARTBEAT_SECONDS
+        self._peer_period = MIN_HEARTBEAT_SECONDS
 
     def run(self, early: list[messages.AnyMessage]) -> None:
         """Start the tasks; ``early`` came along with the Hello."""
@@ -84,14 +84,14 @@
             self._dispatch(message)
         eventlet.spawn(self._read)
         eventlet.spawn(self._write)
-        eventlet.spawn(self._beat)
+        eventlet.spawn(self._send_heartbeats)
 
     def send(self, message: messages.Message) -> bool:
         """Queue a message; false if the link is closed."""
         if self.closed:
             return False
-        data = streams.encode(message)
-        if self._outgoing_bytes > BACKLOG_BYTES:
+        data = codec.encode(message)
+        if self._outgoing_bytes > MAX_BACKLOG_BYTES:
             self.close(self._failure(failures.Reason.PEER_SILENT, 'backlog'))
             return False
         if not self._outgoing:
@@ -100,7 +100,7 @@
         self._outgoing_bytes += len(data)
         return True
 
-    def ask(
+    def request(
         self, message: messages.AnyMessage, seconds: float
     ) -> messages.AnyMessage | failures.Failure:
         """Send a question and wait for the reply with the same ``call``.
@@ -133,24 +133,24 @@
         self._wake.release()
         for event in list(self._waiting_by_call.values()):
             event.send(why)
-        self._handler.closed(self, why)
+        self._handler.on_closed(self, why)
 
-    def beat(self) -> None:
+    def send_heartbeat(self) -> None:
         """Send a heartbeat now, beside the periodic ones."""
-        self.send(self._stamped(self._handler.describe(self)))
+        self.send(self._stamped(self._handler.build_heartbeat(self)))
 
     @property
-    def silent_for(self) -> float:
+    def silent_seconds(self) -> float:
         """Seconds since the last byte from the peer."""
         return timers.now() - self._heard_at
 
     @property
     def _patience(self) -> float:
-        return MISSED_HEARTBEATS * self._peer_period
+        return MAX_MISSED_HEARTBEATS * self._peer_period
 
     @property
     def _is_lapsed(self) -> bool:
-        return self.silent_for > self._patience
+        return self.silent_seconds > self._patience
 
     def _failure(
         self, reason: failures.Reason, step: str, detail: str = ''
@@ -160,7 +160,7 @@
     def _read(self) -> None:
         while not self.closed:
             try:
-                data = self._sock.recv(streams.READ_BYTES)
+                data = self._sock.recv(codec.READ_BYTES)
             except (OSError, EOFError) as error:
                 # EOFError is raised if another task has closed the socket.
                 return self.close(
@@ -207,17 +207,17 @@
                 )
             self._outgoing_bytes = sum(map(len, self._outgoing))
 
-    def _beat(self) -> None:
+    def _send_heartbeats(self) -> None:
         due = timers.now()
         while not self.closed:
             if self._is_lapsed:
                 return self.close(
                     self._failure(failures.Reason.PEER_SILENT, 'heartbeat')
                 )
-            period = self._handler.period()
-            if timers.now() >= due - SLACK_SECONDS:
+            period = self._handler.heartbeat_period()
+            if timers.now() >= due - HEARTBEAT_SLACK_SECONDS:
                 due = timers.now() + period
-                self.beat()
+                self.send_heartbeat()
             eventlet.sleep(min(period, self._patience))
 
     def _stamped(self, heartbeat: messages.Heartbeat) -> messages.Heartbeat:
@@ -231,12 +231,12 @@
             int(held * 1e6),
             heartbeat.load,
             heartbeat.strikes,
-            int(self._handler.period() * 1000),
+            int(self._handler.heartbeat_period() * 1000),
             heartbeat.list_revision,
         )
 
     def _dispatch(self, message: messages.AnyMessage) -> None:
-        if isinstance(message, messages.REPLIES):
+        if isinstance(message, messages.REPLY_TYPES):
             event = self._waiting_by_call.pop(message.call, None)
             if event:
                 event.send(message)
--- a/libs/wire/burdockmast/wire/messages.py
+++ b/libs/wire/burdockmast/wire/messages.py
@@ -14,7 +14,7 @@
 from burdockmast.base import ids
 from burdockmast.base import outcomes
 
-PROTOCOL = 1
+PROTOCOL_VERSION = 1
 # Step of a ``Failed`` whose sender has run nothing of the attempt.
 OPEN_STEP = 'stage.open'
 
@@ -359,4 +359,4 @@
 }
 
 # Replies are matched with their question by ``call``.
-REPLIES = (ServiceReply, Claimed, QueryReply)
+REPLY_TYPES = (ServiceReply, Claimed, QueryReply)
--- a/libs/wire/burdockmast/wire/peers.py
+++ b/libs/wire/burdockmast/wire/peers.py
@@ -16,9 +16,9 @@
 LOG = logs.get('peers')
 
 # Bytes a second that a process spends on heartbeats, both ways together.
-CONTROL_BYTES = 2400
+HEARTBEAT_BYTES_PER_SECOND = 2400
 # Bytes of one heartbeat and of the one that comes back.
-HEARTBEAT_BYTES = 120
+HEARTBEAT_PAIR_BYTES = 120
 
 
 class Peers:
@@ -32,7 +32,7 @@
         self.hello = hello
         self.link_by_address: dict[ids.Address, links.Link] = {}
         self.accepted: set[links.Link] = set()
-        self.connected: list[Callable[[links.Link], None]] = []
+        self.connect_subscribers: list[Callable[[links.Link], None]] = []
         self._handler = handler
         self._lock_by_address: dict[
             ids.Address, eventlet.semaphore.Semaphore
@@ -56,7 +56,7 @@
         self._tell(link)
 
     def _tell(self, link: links.Link) -> None:
-        for subscriber in self.connected:
+        for subscriber in self.connect_subscribers:
             subscriber(link)
 
     def get(self, address: ids.Address) -> links.Link | failures.Failure:
@@ -95,7 +95,7 @@
         """Return the open links, dialled and accepted."""
         return [*self.link_by_address.values(), *self.accepted]
 
-    def period(self) -> float:
+    def heartbeat_period(self) -> float:
         """Return the seconds between heartbeats on each link.
 
         It grows with the number of links, so that a process spends no more
@@ -103,13 +103,13 @@
         patient accordingly.
         """
         count = len(self.link_by_address) + len(self.accepted)
-        needed = count * HEARTBEAT_BYTES / CONTROL_BYTES
-        return max(links.HEARTBEAT_SECONDS, needed)
+        needed = count * HEARTBEAT_PAIR_BYTES / HEARTBEAT_BYTES_PER_SECOND
+        return max(links.MIN_HEARTBEAT_SECONDS, needed)
 
-    def beat(self) -> None:
+    def send_heartbeats(self) -> None:
         """Send all peers a heartbeat now: something important changed."""
         for link in self.all():
-            link.beat()
+            link.send_heartbeat()
 
     def post(
         self,
--- a/libs/wire/burdockmast/wire/passive.py
+++ b/libs/wire/burdockmast/wire/request_client.py
@@ -13,23 +13,23 @@
 NO_INFORMATION_MS = int(1e9)
 
 
-class Passive:
+class RequestOnlyHandler:
     """Heeds nothing that daemons tell their neighbours, and knows nothing."""
 
     def receive(self, link: links.Link, message: messages.AnyMessage) -> None:
         """Ignore the message."""
 
-    def describe(self, link: links.Link) -> messages.Heartbeat:
+    def build_heartbeat(self, link: links.Link) -> messages.Heartbeat:
         """Return the heartbeat of a process that knows nothing."""
         return messages.Heartbeat(
             NO_CLOCK, ids.Version(0), NO_INFORMATION_MS, 0, 0, 0
         )
 
-    def period(self) -> float:
+    def heartbeat_period(self) -> float:
         """Return the shortest time between heartbeats."""
-        return links.HEARTBEAT_SECONDS
+        return links.MIN_HEARTBEAT_SECONDS
 
-    def closed(self, link: links.Link, why: failures.Failure) -> None:
+    def on_closed(self, link: links.Link, why: failures.Failure) -> None:
         """Need no clean-up."""
 
 
@@ -40,11 +40,11 @@
 ) -> links.Link | failures.Failure:
     """Open a link to a daemon, only to ask it."""
     hello = messages.Hello(
-        messages.PROTOCOL,
+        messages.PROTOCOL_VERSION,
         role,
         ids.InstanceId(ids.new_id()),
         ids.Address(''),
         zone,
     )
     target = addresses.split(address)
-    return connections.connect(address, target, hello, Passive())
+    return connections.connect(address, target, hello, RequestOnlyHandler())
--- a/tests/test_gateway_object_follower.py
+++ b/tests/test_gateway_object_follower.py
@@ -27,7 +27,7 @@
         now = 100.0
 
     monkeypatch.setattr(timers, 'now', lambda: Clock.now)
-    monkeypatch.setattr(timers, 'real_now', lambda: Clock.now)
+    monkeypatch.setattr(timers, 'boottime_now', lambda: Clock.now)
     monkeypatch.setattr(
         object_follower.eventlet, 'sleep', lambda seconds: None
     )
--- a/tests/test_input.py
+++ b/tests/test_input.py
@@ -10,8 +10,8 @@
 import program
 import pytest
 
+from burdockmast.wire import codec
 from burdockmast.wire import messages
-from burdockmast.wire import streams
 
 GOOD = {'model': 'draft', 'prompt': [1], 'max_tokens': 1}
 SAID = {'Burdockmast-Organisation': 'souk'}
@@ -145,12 +145,12 @@
     'not a message': msgpack.packb({'a': 1}),
     'unknown tag': msgpack.packb([999, 1, 2]),
     'wrong type': msgpack.packb([1, 'one', 2, 3, 4, 5]),
-    'wrong protocol': streams.encode(
+    'wrong protocol': codec.encode(
         messages.Hello(99, messages.Role.ENTRY, 'p', 'a', 'z')
     ),
     'oversized': b'\xc6\x7f\xff\xff\xff' + b'x' * 100_000,
     'huge array': b'\xdd\x7f\xff\xff\xff' + b'\x01' * 1000,
-    'truncated': streams.encode(
+    'truncated': codec.encode(
         messages.Hello(1, messages.Role.ENTRY, 'p', 'a', 'z')
     )[:5],
 }
@@ -170,7 +170,7 @@
 @given(strategies.binary(max_size=300))
 @settings(derandomize=True, max_examples=300, deadline=None)
 def test_any_bytes_give_messages_or_a_failure(data):
-    streams.Decoder(limit=4096).feed(data)
+    codec.Decoder(limit=4096).feed(data)
 
 
 MESSAGES = [
@@ -195,8 +195,8 @@
 )
 @settings(derandomize=True, max_examples=200, deadline=None)
 def test_messages_survive_any_division_into_parts(sent, sizes):
-    data = b''.join(map(streams.encode, sent))
-    decoder = streams.Decoder()
+    data = b''.join(map(codec.encode, sent))
+    decoder = codec.Decoder()
     received = []
     at = 0
     turn = 0
@@ -211,7 +211,7 @@
 
 
 def test_message_over_the_limit_is_named():
-    decoder = streams.Decoder(limit=100)
+    decoder = codec.Decoder(limit=100)
     step = messages.Step('a', 1, 2, 3, b'x' * 200_000)
-    _, broken = decoder.feed(streams.encode(step))
+    _, broken = decoder.feed(codec.encode(step))
     assert broken is not None
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -25,19 +25,19 @@
     def receive(self, link, message):
         self.received.append(message)
 
-    def describe(self, link):
+    def build_heartbeat(self, link):
         return messages.Heartbeat(0, ids.Version(0), 0, 0, 0, 0)
 
-    def closed(self, link, why):
+    def on_closed(self, link, why):
         self.ended.append(why.reason)
 
-    def period(self):
-        return links.HEARTBEAT_SECONDS
+    def heartbeat_period(self):
+        return links.MIN_HEARTBEAT_SECONDS
 
 
 def new_peers(handler, address=''):
     hello = messages.Hello(
-        messages.PROTOCOL, messages.Role.SIDE, 'p', address, 'za'
+        messages.PROTOCOL_VERSION, messages.Role.SIDE, 'p', address, 'za'
     )
     return peers.Peers(hello, handler)
 
@@ -104,7 +104,7 @@
     listening = new_peers(there, address)
     listening.listen(address)
     link = new_peers(here).get(address)
-    asked = eventlet.spawn(link.ask, messages.Query('q', 'status'), 5.0)
+    asked = eventlet.spawn(link.request, messages.Query('q', 'status'), 5.0)
     wait_for(lambda: listening.accepted)
     why = failures.Failure(failures.Reason.LEAVING, 'test')
     for accepted in list(listening.accepted):
@@ -122,7 +122,7 @@
     link = new_peers(here).get(address)
     wait_for(lambda: here.received and there.received)
     for accepted in listening.accepted:
-        accepted._heard_at -= 10 * links.HEARTBEAT_SECONDS
+        accepted._heard_at -= 10 * links.MIN_HEARTBEAT_SECONDS
     link.send(messages.Token('a', 1, 0, 0))
     wait_for(lambda: there.ended)
     assert there.ended == [failures.Reason.PEER_SILENT]
@@ -144,10 +144,10 @@
 def test_heartbeats_spread_with_the_number_of_links():
     one = new_peers(Recorder())
     one.link_by_address = {str(n): None for n in range(10)}
-    assert one.period() == links.HEARTBEAT_SECONDS
+    assert one.heartbeat_period() == links.MIN_HEARTBEAT_SECONDS
     one.link_by_address = {str(n): None for n in range(1000)}
-    sent = 1000 * peers.HEARTBEAT_BYTES / one.period()
-    assert sent <= peers.CONTROL_BYTES
+    sent = 1000 * peers.HEARTBEAT_PAIR_BYTES / one.heartbeat_period()
+    assert sent <= peers.HEARTBEAT_BYTES_PER_SECOND
 
 
 def test_counters_are_sent_by_statsd():
@@ -165,9 +165,9 @@
     early, late = timeline.Timeline('early'), timeline.Timeline('late')
     for _ in range(5):
         early.add('busy')
-    late.witness(early.add('sent'))
+    late.advance_clock(early.add('sent'))
     late.add('received')
-    early.witness(late.add('answered'))
+    early.advance_clock(late.add('answered'))
     early.add('heard')
     merged = timeline.merge([late.select(), early.select(), late.select()])
     names = [event.what for event in merged]
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -8,7 +8,7 @@
 import program
 import pytest
 
-from burdockmast.base import linebudget
+from burdockmast.base import log_rate_limiter
 from burdockmast.base import logs
 from burdockmast.standins import layouts
 from burdockmast.standins import processes
@@ -95,9 +95,11 @@
         log.info('refused', extra={'reason': 'overloaded', 'n': number})
         clock.now += 0.0001
     log.info('refused', extra={'reason': 'no_path'})
-    handler.report()
+    handler.report_lost_lines()
     flood = [x for x in sink.lines if x.get('reason') == 'overloaded']
-    most = linebudget.BURST_LINES + 1.0 * linebudget.LINES_A_SECOND
+    most = (
+        log_rate_limiter.BURST_LINES + 1.0 * log_rate_limiter.LINES_PER_SECOND
+    )
     assert len(flood) <= most + 1
     assert [x for x in sink.lines if x.get('reason') == 'no_path']
     (report,) = [x for x in sink.lines if x['message'] == 'lines left out']
@@ -106,10 +108,10 @@
 
 
 def test_kinds_of_lines_are_bounded():
-    budgets = linebudget.LineBudgets(Clock())
-    for number in range(10 * linebudget.KINDS):
-        budgets.spend((str(number),))
-    assert len(budgets._left_by_kind) <= linebudget.KINDS + 1
+    budgets = log_rate_limiter.LogRateLimiter(Clock())
+    for number in range(10 * log_rate_limiter.MAX_KINDS):
+        budgets.allow((str(number),))
+    assert len(budgets._left_by_kind) <= log_rate_limiter.MAX_KINDS + 1
 
 
 def test_reader_that_has_stopped_costs_lines_and_no_time():
--- a/tests/test_no_path.py
+++ b/tests/test_no_path.py
@@ -59,7 +59,7 @@
         ids.Fingerprint('f'),
     )
     process = types.SimpleNamespace(
-        strikes=None, events=None, metrics=None, follower=None
+        crash_reports=None, events=None, metrics=None, follower=None
     )
     starter = attempt_starter.AttemptStarter(process, view, None)
     progress = attempts.Progress(list(delivered))
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -18,7 +18,7 @@
 from burdockmast.store import journals
 from burdockmast.store import objects
 from burdockmast.wire import messages
-from burdockmast.wire import passive
+from burdockmast.wire import request_client
 
 PATH = 'stock/ship'
 BODY = '{"crates": 3}'
@@ -211,8 +211,8 @@
 
 def ask_side(claim, message):
     """Send a message to a claim's side; return the reply."""
-    link = passive.connect(claim.address, messages.Role.OPERATOR)
-    reply = link.ask(message, 5.0)
+    link = request_client.connect(claim.address, messages.Role.OPERATOR)
+    reply = link.request(message, 5.0)
     link.close(failures.Failure(failures.Reason.CANCELLED, 'test'))
     return reply
 
