Reword the parts that entry and side processes share

Cause: comments and names were figurative (strikes, news, heard).

Change: wording and private names. The error of an unknown query says query instead of question; nothing matches it.

--- a/libs/node/burdockmast/node/__init__.py
+++ b/libs/node/burdockmast/node/__init__.py
@@ -1,1 +1,1 @@
-"""What entry instances and side processes have in common."""
+"""The parts that entry instances and side processes share."""
--- a/libs/node/burdockmast/node/dependency_monitor.py
+++ b/libs/node/burdockmast/node/dependency_monitor.py
@@ -1,4 +1,4 @@
-"""What a process depends on, and a record of when it is lost and back."""
+"""Records when a process loses or regains the store or a peer."""
 
 from burdockmast.base import failures
 from burdockmast.base import metrics
@@ -9,10 +9,13 @@
 
 
 class DependencyMonitor:
-    """Writes an event whenever the store or a peer is lost or back."""
+    """Writes an event when the store or a peer becomes unreachable or returns.
+
+    Also counts failed store calls and measures the duration of all of them.
+    """
 
     def __init__(self, events: timeline.Timeline, measures: metrics.Metrics):
-        """Create a record in which all is well."""
+        """Create a monitor that takes the store to be reachable."""
         self._events = events
         self._metrics = measures
         self._store_lost_at: float | None = None
@@ -20,10 +23,10 @@
     def on_store_call_ended(
         self, call: str, seconds: float, failure: failures.Failure | None
     ) -> None:
-        """Take in the end of a call to the store.
+        """Record the result of a store call.
 
-        A call that was refused for its rate, or because of a condition,
-        reached the store.
+        A call whose precondition the store rejected reached it, and has no
+        failure here.
         """
         self._metrics.timing('store.call', seconds)
         if failure is None:
@@ -49,13 +52,13 @@
         self._events.add('store.back', seconds=round(seconds, 3))
 
     def on_connected(self, link: links.Link) -> None:
-        """Note a new link to a peer."""
+        """Record a new link to a peer."""
         if _is_operator(link):
             return
         self._events.add('peer.connected', **_identity(link))
 
     def on_disconnected(self, link: links.Link, why: failures.Failure) -> None:
-        """Note that a link has ended."""
+        """Record that a link was closed."""
         if _is_operator(link):
             return
         self._events.add(
@@ -69,7 +72,10 @@
 
 
 def _is_operator(link: links.Link) -> bool:
-    """Tell whether a link is an operator's, who asks once and leaves."""
+    """Tell whether a link is an operator tool's.
+
+    Such links last for one query, so they get no events.
+    """
     return link.hello.role is messages.Role.OPERATOR
 
 
--- a/libs/node/burdockmast/node/inspection.py
+++ b/libs/node/burdockmast/node/inspection.py
@@ -1,4 +1,4 @@
-"""Answers operators' questions to one process."""
+"""Answers operators' queries about one process."""
 
 import typing
 
@@ -15,7 +15,7 @@
 
 
 class PeerStatus(msgspec.Struct):
-    """One link of a process."""
+    """State of one link of a process."""
 
     address: str
     role: str
@@ -26,9 +26,10 @@
 
 
 class Status(msgspec.Struct):
-    """What a process tells of itself.
+    """State of a process, as operators' tools show it.
 
-    :ivar store_age: seconds since its configuration left the store
+    :ivar store_age: seconds since its configuration was read from the store
+    :ivar details: fields that only this role reports
     """
 
     process: str
@@ -47,19 +48,19 @@
 def answer_query(
     process: 'node.Node', query: messages.Query
 ) -> messages.QueryReply:
-    """Return the reply to an operator's question."""
+    """Return the reply to an operator's query."""
     match query.what:
         case 'status':
             value: object = status(process)
         case 'timeline':
             value = process.events.select(query.argument, MAX_EVENTS)
         case _:
-            value = {'error': f'unknown question {query.what}'}
+            value = {'error': f'unknown query {query.what}'}
     return messages.QueryReply(query.call, msgspec.json.encode(value))
 
 
 def status(process: 'node.Node') -> Status:
-    """Return a process's status."""
+    """Return the current status of a process."""
     hello = process.peers.hello
     return Status(
         hello.process,
@@ -87,10 +88,10 @@
 
 
 def decode_events(body: bytes) -> list[timeline.Event]:
-    """Return the events of a reply to ``timeline``."""
+    """Decode the body of a reply to a ``timeline`` query."""
     return msgspec.json.decode(body, type=list[timeline.Event])
 
 
 def decode_status(body: bytes) -> Status:
-    """Return the status of a reply to ``status``."""
+    """Decode the body of a reply to a ``status`` query."""
     return msgspec.json.decode(body, type=Status)
--- a/libs/node/burdockmast/node/node.py
+++ b/libs/node/burdockmast/node/node.py
@@ -1,4 +1,7 @@
-"""A process of the system: identity, links, configuration, records."""
+"""The common parts of entry and side processes.
+
+Identity, links, configuration, events, metrics and logs.
+"""
 
 from collections.abc import Callable
 import dataclasses
@@ -26,16 +29,17 @@
 from burdockmast.wire import messages
 from burdockmast.wire import peers
 
-# Seconds between clearings of strikes that no longer count.
+# Interval at which expired crash reports are dropped.
 CRASH_REPORT_CLEANUP_SECONDS = 60.0
 NO_SERVER = ids.ServerId('')
 
 
 @dataclasses.dataclass(slots=True)
 class Node:
-    """The parts that every process of the system has.
+    """The parts that entry and side processes share.
 
-    :ivar describe_role: returns what the role adds to the status
+    :ivar describe_role: returns the details that the role adds to the
+        status
     """
 
     settings: models.Settings
@@ -61,16 +65,18 @@
     ) -> 'Node':
         """Build a process's common parts.
 
-        :param handler: gets all messages, and may hand them to ``receive``
-        :param server: the backend server beside it, empty if none
+        :param handler: receives all messages and passes those that concern
+            every role to ``receive``
+        :param server: the backend server that the process runs beside,
+            empty if none
         """
         events = timeline.Timeline(ids.new_id())
         measures = metrics.Metrics.from_config(
             settings.statsd_address, role.value
         )
-        depended = dependency_monitor.DependencyMonitor(events, measures)
+        monitor = dependency_monitor.DependencyMonitor(events, measures)
         store = objects.Objects(settings.store_url)
-        store.answered.append(depended.on_store_call_ended)
+        store.answered.append(monitor.on_store_call_ended)
         configuration = follower.Follower(store, server, settings.zone, events)
         hello = messages.Hello(
             messages.PROTOCOL_VERSION,
@@ -81,12 +87,12 @@
             server,
         )
         process_peers = peers.Peers(hello, handler)
-        process_peers.connect_subscribers.append(depended.on_connected)
+        process_peers.connect_subscribers.append(monitor.on_connected)
         configuration.peer_links = process_peers.all
         configuration.heartbeat_period = process_peers.heartbeat_period
-        listing = None
+        instance_list = None
         if settings.instances_url:
-            listing = instancelist.InstanceList(settings.instances_url)
+            instance_list = instancelist.InstanceList(settings.instances_url)
         return cls(
             settings,
             events,
@@ -95,11 +101,11 @@
             configuration,
             process_peers,
             draining_instances.DrainingInstances(
-                listing, settings.instance, configuration
+                instance_list, settings.instance, configuration
             ),
             crashreports.CrashReports(),
             timers.TimerService(),
-            depended,
+            monitor,
             cls._log(settings, events, hello),
         )
 
@@ -109,7 +115,7 @@
         events: timeline.Timeline,
         hello: messages.Hello,
     ) -> logs.Log:
-        """Send this process's log, with all its events, to standard output."""
+        """Write the process's log and its events to standard output."""
         log = logs.Log.from_config(
             settings.log_level,
             {
@@ -123,9 +129,9 @@
         return log
 
     def start(self) -> None:
-        """Listen for peers and begin to follow the configuration.
+        """Listen for peers, serve metrics and start the periodic tasks.
 
-        :raises OSError: if the address is taken
+        :raises OSError: if an address is in use
         """
         self.peers.listen(self.settings.peer_address)
         self._serve_metrics()
@@ -152,9 +158,9 @@
             eventlet.spawn(self.peers.get, address)
 
     def _serve_metrics(self) -> None:
-        """Serve metrics, if the settings name an address for them.
+        """Serve metrics over HTTP if the settings name an address for them.
 
-        :raises OSError: if the address is taken
+        :raises OSError: if the address is in use
         """
         self.metrics.gauge('log.lines_dropped', lambda: self.log.dropped)
         self.metrics.gauge(
@@ -173,15 +179,18 @@
         )
 
     def on_closed(self, link: links.Link, why: failures.Failure) -> None:
-        """Forget a link that has ended."""
+        """Remove a closed link and record why it was closed."""
         self.peers.forget(link)
         self.dependency_monitor.on_disconnected(link, why)
 
     def receive(self, link: links.Link, message: messages.AnyMessage) -> bool:
-        """Handle what concerns every role; tell whether it did."""
+        """Handle a message that concerns every role.
+
+        Returns whether the message was handled.
+        """
         match message:
             case messages.Heartbeat():
-                self._heard(link, message)
+                self._on_heartbeat(link, message)
             case messages.ChangesWanted(version=version):
                 self.follower.send_changes_since(link, version)
             case messages.Changes():
@@ -196,7 +205,9 @@
                 return False
         return True
 
-    def _heard(self, link: links.Link, heartbeat: messages.Heartbeat) -> None:
+    def _on_heartbeat(
+        self, link: links.Link, heartbeat: messages.Heartbeat
+    ) -> None:
         self.events.advance_clock(heartbeat.clock)
         self.follower.on_heartbeat(link, heartbeat)
         self.draining_instances.on_heartbeat(link, heartbeat)
@@ -206,8 +217,11 @@
     def heartbeat(
         self, load: messages.Load | None = None
     ) -> messages.Heartbeat:
-        """Return the heartbeat of this moment."""
-        news = tuple(
+        """Return a heartbeat with this process's current state.
+
+        The link fills in the time stamps and the period.
+        """
+        crash_reports = tuple(
             messages.Strike(fingerprint, crash)
             for fingerprint, crash in self.crash_reports.recent()
         )
@@ -219,6 +233,6 @@
             0,
             0,
             load,
-            news,
+            crash_reports,
             list_revision=self.draining_instances.revision,
         )
