Reword the links, connections and messages

Cause: docstrings read as riddles, and names hid units and bounds.

Change: wording and private names; log lines and handshake errors say what failed and what happens next. Names of messages and their fields stay, as they are the wire format.

--- a/libs/wire/burdockmast/wire/__init__.py
+++ b/libs/wire/burdockmast/wire/__init__.py
@@ -1,1 +1,1 @@
-"""Streams of typed msgpack messages between the system's processes."""
+"""Connections that carry typed msgpack messages between processes."""
--- a/libs/wire/burdockmast/wire/codec.py
+++ b/libs/wire/burdockmast/wire/codec.py
@@ -1,4 +1,4 @@
-"""Typed messages over one socket, with limits on what a peer may send."""
+"""Encodes and decodes messages; limits the size of what a peer may send."""
 
 import msgpack
 import msgspec
@@ -6,28 +6,28 @@
 from burdockmast.base import failures
 from burdockmast.wire import messages
 
-# Largest message, in bytes; a snapshot of the configuration is the largest.
+# Snapshots of the configuration are the largest messages.
 MAX_MESSAGE_BYTES = 4 * 1024 * 1024
-# Largest array in a message, in elements; prompts are the longest.
+# Prompts are the longest arrays in messages.
 MAX_ARRAY_LENGTH = 1_000_000
-# Bytes asked of the socket at once.
+# Bytes to read from a socket in one call.
 READ_BYTES = 64 * 1024
 
 _encoder = msgspec.msgpack.Encoder()
 
 
 def encode(message: messages.Message) -> bytes:
-    """Return the bytes of a message."""
+    """Encode a message as msgpack."""
     return _encoder.encode(message)
 
 
 class Decoder:
-    """Turns received bytes into typed messages."""
+    """Decodes the byte stream of one connection into messages."""
 
     def __init__(self, limit: int = MAX_MESSAGE_BYTES):
         """Create a decoder.
 
-        :param limit: bytes that one message may have
+        :param limit: largest size of a message in bytes
         """
         self._limit = limit
         self._unpacker = msgpack.Unpacker(
@@ -43,9 +43,10 @@
     def feed(
         self, data: bytes
     ) -> tuple[list[messages.AnyMessage], failures.Failure | None]:
-        """Take in bytes; return the messages completed by them.
+        """Add received bytes; return the messages that are now complete.
 
-        The second value tells why the stream cannot go on, or is None.
+        The second value is the failure after which the stream can't be
+        decoded any further, or None.
         """
         received: list[messages.AnyMessage] = []
         try:
@@ -54,25 +55,26 @@
                 received.append(_convert(value))
         except msgpack.exceptions.BufferFull:
             detail = f'message larger than {self._limit} bytes'
-            return received, _broken(failures.Reason.TOO_LARGE, detail)
+            return received, _failure(failures.Reason.TOO_LARGE, detail)
         except (msgspec.ValidationError, ValueError, RecursionError) as error:
-            return received, _broken(failures.Reason.PROTOCOL, str(error))
+            return received, _failure(failures.Reason.PROTOCOL, str(error))
         except msgpack.exceptions.UnpackException as error:
-            return received, _broken(failures.Reason.PROTOCOL, repr(error))
+            return received, _failure(failures.Reason.PROTOCOL, repr(error))
         return received, None
 
 
 def _convert(value: object) -> messages.AnyMessage:
-    """Check a decoded value against the type that its tag names.
+    """Convert a decoded value to the message type that its tag names.
 
-    Looking the type up here is much faster than handing over their union.
+    Looking the type up here is much faster than having msgspec convert to
+    the union of all message types.
     """
     tag = value[0] if isinstance(value, list) and value else None
     kind = messages.TYPE_BY_TAG.get(tag) if isinstance(tag, int) else None
     if kind is None:
-        raise ValueError(f'no message begins with {tag!r}')
+        raise ValueError(f'unknown message tag {tag!r}')
     return msgspec.convert(value, kind)
 
 
-def _broken(reason: failures.Reason, detail: str) -> failures.Failure:
+def _failure(reason: failures.Reason, detail: str) -> failures.Failure:
     return failures.Failure(reason, 'stream.decode', detail=detail)
--- a/libs/wire/burdockmast/wire/connections.py
+++ b/libs/wire/burdockmast/wire/connections.py
@@ -1,4 +1,4 @@
-"""Opens and accepts connections, and exchanges the Hellos on them."""
+"""Opens and accepts connections, and performs the Hello handshake."""
 
 from collections.abc import Callable
 import socket
@@ -15,44 +15,46 @@
 
 LOG = logs.get('link')
 
-# Seconds for a connection, and then for the peer's Hello.
+# Timeout of connecting, and then again of the handshake.
 CONNECT_SECONDS = 1.0
 
 
 def exchange_hellos(
     sock: socket.socket, hello: messages.Hello, handler: links.Handler
 ) -> links.Link | failures.Failure:
-    """Send our Hello, check the peer's and return the running link."""
+    """Perform the handshake and return the running link."""
     decoder = codec.Decoder()
-    early = _exchange(sock, hello, decoder, CONNECT_SECONDS)
-    if isinstance(early, failures.Failure):
+    received = _handshake(sock, hello, decoder, CONNECT_SECONDS)
+    if isinstance(received, failures.Failure):
         sock.close()
-        return early
-    link = links.Link(sock, decoder, early.pop(0), handler)
-    link.run(early)
+        return received
+    link = links.Link(sock, decoder, received.pop(0), handler)
+    link.run(received)
     return link
 
 
-def _exchange(
+def _handshake(
     sock: socket.socket,
     hello: messages.Hello,
     decoder: codec.Decoder,
-    seconds: float,
+    timeout_seconds: float,
 ) -> list[messages.AnyMessage] | failures.Failure:
-    """Return what came first from the peer, a checked Hello at its head."""
+    """Return the first messages from the peer; the first is a valid Hello."""
     received: list[messages.AnyMessage] = []
     peer = ''
     try:
         peer = str(sock.getpeername()[0])
         sock.sendall(codec.encode(hello))
-        with eventlet.Timeout(seconds, TimeoutError('no Hello')):
+        with eventlet.Timeout(
+            timeout_seconds, TimeoutError('no Hello in time')
+        ):
             while not received:
                 data = sock.recv(codec.READ_BYTES)
                 if not data:
-                    raise ConnectionError('closed before Hello')
-                received, broken = decoder.feed(data)
-                if broken:
-                    raise ConnectionError(broken.detail)
+                    raise ConnectionError('connection closed before Hello')
+                received, failure = decoder.feed(data)
+                if failure:
+                    raise ConnectionError(failure.detail)
     except (OSError, EOFError) as error:
         return failures.Failure(
             failures.Reason.PEER_LOST, 'link.hello', peer, str(error)
@@ -67,7 +69,8 @@
         failures.Reason.PROTOCOL,
         'link.hello',
         peer,
-        f'expected Hello of protocol {messages.PROTOCOL_VERSION}, got {first}',
+        f'expected Hello with protocol version '
+        f'{messages.PROTOCOL_VERSION}, got {first}',
     )
 
 
@@ -75,16 +78,16 @@
     address: ids.Address,
     target: tuple[str, int],
     hello: messages.Hello,
-    seconds: float,
+    timeout_seconds: float,
 ) -> messages.Hello | failures.Failure:
-    """Exchange Hellos over a new connection and close it."""
-    began = timers.now()
-    sock = _dial(address, target, seconds)
+    """Check that a peer answers a handshake on a new connection."""
+    started_at = timers.now()
+    sock = _dial(address, target, timeout_seconds)
     if isinstance(sock, failures.Failure):
         return sock
     try:
-        left = max(0.0, began + seconds - timers.now())
-        received = _exchange(sock, hello, codec.Decoder(), left)
+        remaining = max(0.0, started_at + timeout_seconds - timers.now())
+        received = _handshake(sock, hello, codec.Decoder(), remaining)
     finally:
         sock.close()
     if isinstance(received, failures.Failure):
@@ -94,45 +97,45 @@
 
 def listen(
     address: tuple[str, int],
-    hello: Callable[[], messages.Hello],
+    get_hello: Callable[[], messages.Hello],
     handler: links.Handler,
-    accepted: Callable[[links.Link], None],
+    on_accepted: Callable[[links.Link], None],
 ) -> socket.socket:
-    """Accept links in a task of its own; return the listening socket.
+    """Accept links in a new task; return the listening socket.
 
-    :raises OSError: if the address is taken
+    :raises OSError: if the address is in use
     """
     listener = eventlet.listen(address, backlog=1024, reuse_port=False)
-    eventlet.spawn(_accept, listener, hello, handler, accepted)
+    eventlet.spawn(_accept, listener, get_hello, handler, on_accepted)
     return listener
 
 
 def _accept(
     listener: socket.socket,
-    hello: Callable[[], messages.Hello],
+    get_hello: Callable[[], messages.Hello],
     handler: links.Handler,
-    accepted: Callable[[links.Link], None],
+    on_accepted: Callable[[links.Link], None],
 ) -> None:
     while True:
         try:
             sock, _ = listener.accept()
         except OSError:
             return
-        eventlet.spawn(_greet, sock, hello, handler, accepted)
+        eventlet.spawn(_accept_link, sock, get_hello, handler, on_accepted)
 
 
-def _greet(
+def _accept_link(
     sock: socket.socket,
-    hello: Callable[[], messages.Hello],
+    get_hello: Callable[[], messages.Hello],
     handler: links.Handler,
-    accepted: Callable[[links.Link], None],
+    on_accepted: Callable[[links.Link], None],
 ) -> None:
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    match exchange_hellos(sock, hello(), handler):
+    match exchange_hellos(sock, get_hello(), handler):
         case links.Link() as link:
-            accepted(link)
+            on_accepted(link)
         case failure:
-            LOG.warning('Refused a connection: {}.', failure)
+            LOG.warning('Closed an incoming connection: {}.', failure)
 
 
 def connect(
@@ -149,10 +152,12 @@
 
 
 def _dial(
-    address: ids.Address, target: tuple[str, int], seconds: float
+    address: ids.Address, target: tuple[str, int], timeout_seconds: float
 ) -> socket.socket | failures.Failure:
     try:
-        with eventlet.Timeout(seconds, TimeoutError('no answer')):
+        with eventlet.Timeout(
+            timeout_seconds, TimeoutError('connecting timed out')
+        ):
             sock = eventlet.connect(target)
     except OSError as error:
         return failures.Failure(
--- a/libs/wire/burdockmast/wire/messages.py
+++ b/libs/wire/burdockmast/wire/messages.py
@@ -1,8 +1,8 @@
 """The messages that processes of the system send each other.
 
-Each is a msgpack array whose first element is its tag. Fields are only
-ever added at the end, with a default, so that neighbours of the previous
-release understand each other.
+Each is a msgpack array whose first element is its tag. New fields are only
+ever added at the end, with a default, so that processes of two successive
+releases understand each other.
 """
 
 import enum
@@ -15,7 +15,7 @@
 from burdockmast.base import outcomes
 
 PROTOCOL_VERSION = 1
-# Step of a ``Failed`` whose sender has run nothing of the attempt.
+# ``Failed.step`` of an attempt that was refused before any of it ran.
 OPEN_STEP = 'stage.open'
 
 
@@ -28,7 +28,7 @@
 
 
 class Record(msgspec.Struct, array_like=True, frozen=True):
-    """Base of records nested in messages."""
+    """Base of structs nested in messages."""
 
 
 class Message(msgspec.Struct, array_like=True, frozen=True):
@@ -53,19 +53,21 @@
 
 
 class LinkTime(Record):
-    """Measured round trip to another side, in microseconds."""
+    """Measured round trip time to another side process."""
 
     address: ids.Address
     rtt_us: int
 
 
 class Load(Record):
-    """What a side reports of its backend server.
-
-    ``layer_ns`` is the engine's time for one layer of one sequence, at the
-    batches of late; ``held`` are the layer ranges that are loaded now;
-    ``prefill_ns`` is its time for one layer of one prompt token. A side whose
-    engine is lost holds nothing until the engine is back and has loaded.
+    """What a side process reports of its backend server.
+
+    :ivar layer_ns: the engine's time for one layer of one sequence, at the
+        recent batch sizes
+    :ivar leaving: the backend server is draining
+    :ivar held: layer ranges that are loaded; none from the loss of the
+        engine until it is back and has loaded layers again
+    :ivar prefill_ns: the engine's time for one layer of one prompt token
     """
 
     server: ids.ServerId
@@ -80,14 +82,14 @@
 
 
 class Strike(Record):
-    """A request that was running when a backend server crashed."""
+    """Crash report: a request that ran when a backend server crashed."""
 
     fingerprint: ids.Fingerprint
     crash: str
 
 
 class Hello(Message, tag=1):
-    """First message in both directions of a connection."""
+    """The handshake: the first message in both directions of a connection."""
 
     protocol: int
     role: Role
@@ -98,14 +100,15 @@
 
 
 class Heartbeat(Message, tag=2):
-    """Sign of life, with all control information that spreads by peers.
+    """Keeps a link alive and spreads control information between peers.
 
-    :ivar clock: Lamport stamp
+    :ivar clock: Lamport time stamp
     :ivar version: newest configuration version the sender has
-    :ivar store_age_ms: time since this information left the store
+    :ivar store_age_ms: time since this information was read from the store
     :ivar stamp_us: the sender's monotonic clock
     :ivar echo_us: the newest ``stamp_us`` received from the peer
-    :ivar held_us: time for which ``echo_us`` was held before this
+    :ivar held_us: time between receiving ``echo_us`` and sending it back
+    :ivar strikes: recent crash reports
     :ivar period_ms: time until the next heartbeat
     :ivar list_revision: revision of the newest ``Leaving`` the sender has
     """
@@ -125,10 +128,12 @@
 class Start(Message, tag=3):
     """Open an answer on the stage ``hops[position]`` and those after it.
 
-    ``tokens`` are the prompt followed by what the caller already has;
-    ``budget_ms`` is the time left until the caller's deadline; ``strikes``
-    are the crashes at which the entry knows this request was running;
-    ``cached`` are the tokens that the stages before had cached, each.
+    :ivar tokens: the prompt and the answer's tokens that the caller has
+        already received
+    :ivar budget_ms: time left until the caller's deadline
+    :ivar strikes: number of crashes at which, as far as the entry knows,
+        this request was running
+    :ivar cached: tokens that each of the earlier stages had cached
     """
 
     answer: ids.RequestId
@@ -148,7 +153,7 @@
 
 
 class Step(Message, tag=4):
-    """State of one token on its way to the stage at ``next_layer``."""
+    """Hidden state of a token for the stage that starts at ``next_layer``."""
 
     answer: ids.RequestId
     attempt: int
@@ -158,7 +163,7 @@
 
 
 class Token(Message, tag=5):
-    """A finished token, from the last stage to the head to the entry."""
+    """A generated token, sent by the last stage to the entry via the first."""
 
     answer: ids.RequestId
     attempt: int
@@ -176,7 +181,10 @@
 
 
 class Failed(Message, tag=7):
-    """An attempt ended before its answer did."""
+    """An attempt ended before the answer was complete.
+
+    :ivar crash: id of the engine's crash that ended the attempt, if any
+    """
 
     answer: ids.RequestId
     attempt: int
@@ -190,17 +198,17 @@
 
 
 class Cancel(Message, tag=8):
-    """Forget an attempt; nothing is sent back."""
+    """Cancel an attempt; there is no reply."""
 
     answer: ids.RequestId
     attempt: int
 
 
 class ServiceCall(Message, tag=9):
-    """Call a plain service once, through the side beside it.
+    """Call a plain service once, through its side process.
 
-    A side whose process id is not ``incarnation`` refuses; empty accepts
-    any.
+    A side process whose id is not ``incarnation`` refuses the call; an empty
+    ``incarnation`` matches any.
     """
 
     call: str
@@ -231,7 +239,7 @@
 
 
 class Settle(Message, tag=11):
-    """Ask what became of an attempt, and bar it if it has not started."""
+    """Ask for the outcome of an attempt; void it if it has not started."""
 
     call: str
     key: str
@@ -263,7 +271,7 @@
 
 
 class Claim(Message, tag=15):
-    """Ask a claim home to append a record to its shard's journal."""
+    """Ask a claim writer to append a record to its shard's journal."""
 
     call: str
     shard: int
@@ -271,7 +279,7 @@
 
 
 class Claimed(Message, tag=16):
-    """The journal's decision about a record: the winning one."""
+    """Reply to a ``Claim``: the record that the journal holds for its key."""
 
     call: str
     record: bytes
@@ -280,7 +288,7 @@
 
 
 class Query(Message, tag=17):
-    """An operator's question to one process."""
+    """An operator's query to one process."""
 
     call: str
     what: str
@@ -288,16 +296,17 @@
 
 
 class QueryReply(Message, tag=18):
-    """The answer to a ``Query``, as JSON."""
+    """The reply to a ``Query``; its body is JSON."""
 
     call: str
     body: bytes
 
 
 class Opened(Message, tag=19):
-    """All stages have accepted an attempt; sent by the last to the head.
+    """All stages have accepted an attempt; the last stage tells the first.
 
-    Only now the head begins, so that a refusal by any stage is unrun.
+    The first stage only starts to compute after this message, so that an
+    attempt that any stage refuses is certainly not run.
 
     :ivar cached: tokens that each stage's engine probably had cached
     """
@@ -309,7 +318,7 @@
 
 
 class Leaving(Message, tag=20):
-    """All instances that the platform's list shows as leaving.
+    """All instances that the platform's list shows as draining.
 
     :ivar revision: the list's revision at which they were found
     """
@@ -319,7 +328,7 @@
 
 
 class Begun(Message, tag=21):
-    """All stages have accepted an attempt; sent by the head to the entry.
+    """All stages have accepted an attempt; the first stage tells the entry.
 
     :ivar cached: tokens that each stage's engine probably had cached
     """
@@ -358,5 +367,5 @@
     kind.__struct_config__.tag: kind for kind in typing.get_args(AnyMessage)
 }
 
-# Replies are matched with their question by ``call``.
+# Messages that answer the request with the same ``call`` id.
 REPLY_TYPES = (ServiceReply, Claimed, QueryReply)
--- a/libs/wire/burdockmast/wire/peers.py
+++ b/libs/wire/burdockmast/wire/peers.py
@@ -1,4 +1,4 @@
-"""All links of a process: dialled once for each address, and kept."""
+"""All links of a process: one outgoing link per address, kept open."""
 
 from collections.abc import Callable
 
@@ -15,19 +15,24 @@
 
 LOG = logs.get('peers')
 
-# Bytes a second that a process spends on heartbeats, both ways together.
+# Traffic that a process spends on heartbeats, both directions together.
 HEARTBEAT_BYTES_PER_SECOND = 2400
-# Bytes of one heartbeat and of the one that comes back.
+# Size of a heartbeat and of the peer's in return.
 HEARTBEAT_PAIR_BYTES = 120
 
 
 class Peers:
-    """Links of one process, by address for those it dialled."""
+    """Links of one process.
+
+    :ivar link_by_address: outgoing links, by the address that was dialled
+    :ivar accepted: incoming links
+    :ivar connect_subscribers: called with each new link
+    """
 
     def __init__(self, hello: messages.Hello, handler: links.Handler):
-        """Create a process's links.
+        """Create an empty set of links.
 
-        :param hello: what it tells each peer of itself
+        :param hello: the handshake message that each peer gets
         """
         self.hello = hello
         self.link_by_address: dict[ids.Address, links.Link] = {}
@@ -37,12 +42,12 @@
         self._lock_by_address: dict[
             ids.Address, eventlet.semaphore.Semaphore
         ] = {}
-        self._waiting_by_address: dict[ids.Address, list] = {}
+        self._pending_by_address: dict[ids.Address, list] = {}
 
     def listen(self, address: ids.Address) -> None:
         """Accept links at ``address``.
 
-        :raises OSError: if it is taken
+        :raises OSError: if it is in use
         """
         connections.listen(
             addresses.split(address),
@@ -53,14 +58,14 @@
 
     def _accept(self, link: links.Link) -> None:
         self.accepted.add(link)
-        self._tell(link)
+        self._on_connected(link)
 
-    def _tell(self, link: links.Link) -> None:
+    def _on_connected(self, link: links.Link) -> None:
         for subscriber in self.connect_subscribers:
             subscriber(link)
 
     def get(self, address: ids.Address) -> links.Link | failures.Failure:
-        """Return the link to ``address``, dialling if there is none."""
+        """Return the link to ``address``; open one if there is none."""
         link = self.link_by_address.get(address)
         if link and not link.closed:
             return link
@@ -78,36 +83,37 @@
             address, addresses.split(address), self.hello, self._handler
         )
         if isinstance(link, links.Link):
-            # The dialled address counts: a relay may stand in between.
+            # Kept under the dialled address: behind a relay, the peer's
+            # Hello names another one.
             link.address = address
             self.link_by_address[address] = link
-            self._tell(link)
+            self._on_connected(link)
         return link
 
     def forget(self, link: links.Link) -> None:
-        """Drop a closed link."""
+        """Remove a closed link."""
         self.accepted.discard(link)
         if self.link_by_address.get(link.address) is link:
             del self.link_by_address[link.address]
             self._lock_by_address.pop(link.address, None)
 
     def all(self) -> list[links.Link]:
-        """Return the open links, dialled and accepted."""
+        """Return the open links, outgoing and incoming."""
         return [*self.link_by_address.values(), *self.accepted]
 
     def heartbeat_period(self) -> float:
         """Return the seconds between heartbeats on each link.
 
-        It grows with the number of links, so that a process spends no more
-        on control however many peers it has; peers are told, and are
-        patient accordingly.
+        It grows with the number of links, which bounds the process's
+        heartbeat traffic. Heartbeats tell the peers the period, from which
+        they derive how long this process may be silent.
         """
         count = len(self.link_by_address) + len(self.accepted)
         needed = count * HEARTBEAT_PAIR_BYTES / HEARTBEAT_BYTES_PER_SECOND
         return max(links.MIN_HEARTBEAT_SECONDS, needed)
 
     def send_heartbeats(self) -> None:
-        """Send all peers a heartbeat now: something important changed."""
+        """Send all peers a heartbeat now, after an important change."""
         for link in self.all():
             link.send_heartbeat()
 
@@ -115,32 +121,32 @@
         self,
         address: ids.Address,
         message: messages.Message,
-        failed: Callable[[failures.Failure], None],
+        on_failure: Callable[[failures.Failure], None],
     ) -> None:
-        """Send without waiting; messages to one address stay in order.
+        """Send without blocking; messages to one address stay in order.
 
-        :param failed: called if the peer can't be reached
+        :param on_failure: called if the peer can't be reached
         """
         link = self.link_by_address.get(address)
-        waiting = self._waiting_by_address.get(address)
-        if link and not link.closed and waiting is None:
+        pending = self._pending_by_address.get(address)
+        if link and not link.closed and pending is None:
             if not link.send(message):
-                failed(link.closed)
+                on_failure(link.closed)
             return
-        if waiting is not None:
-            waiting.append((message, failed))
+        if pending is not None:
+            pending.append((message, on_failure))
             return
-        self._waiting_by_address[address] = [(message, failed)]
+        self._pending_by_address[address] = [(message, on_failure)]
         eventlet.spawn(self._dial_and_send, address)
 
     def _dial_and_send(self, address: ids.Address) -> None:
         try:
             link = self.get(address)
         finally:
-            # Whatever happens, later messages must not wait for this dial.
-            waiting = self._waiting_by_address.pop(address)
-        for message, failed in waiting:
+            # If dialling raises, later messages must not wait for it forever.
+            pending = self._pending_by_address.pop(address)
+        for message, on_failure in pending:
             if isinstance(link, failures.Failure):
-                failed(link)
+                on_failure(link)
             elif not link.send(message):
-                failed(link.closed)
+                on_failure(link.closed)
--- a/libs/wire/burdockmast/wire/request_client.py
+++ b/libs/wire/burdockmast/wire/request_client.py
@@ -1,4 +1,4 @@
-"""Handler of a link that only asks: for tools beside the daemons."""
+"""Links of tools that send requests to daemons and nothing else."""
 
 from burdockmast.base import addresses
 from burdockmast.base import failures
@@ -9,28 +9,28 @@
 
 NO_CLOCK = 0
 NO_ZONE = ids.ZoneId('')
-# Age of the information of whoever has none, in milliseconds.
-NO_INFORMATION_MS = int(1e9)
+# Reported store age of a process without a configuration.
+NO_CONFIGURATION_AGE_MS = int(1e9)
 
 
 class RequestOnlyHandler:
-    """Heeds nothing that daemons tell their neighbours, and knows nothing."""
+    """Ignores all messages but replies, and has no configuration to send."""
 
     def receive(self, link: links.Link, message: messages.AnyMessage) -> None:
         """Ignore the message."""
 
     def build_heartbeat(self, link: links.Link) -> messages.Heartbeat:
-        """Return the heartbeat of a process that knows nothing."""
+        """Return the heartbeat of a process without a configuration."""
         return messages.Heartbeat(
-            NO_CLOCK, ids.Version(0), NO_INFORMATION_MS, 0, 0, 0
+            NO_CLOCK, ids.Version(0), NO_CONFIGURATION_AGE_MS, 0, 0, 0
         )
 
     def heartbeat_period(self) -> float:
-        """Return the shortest time between heartbeats."""
+        """Return the shortest period, in seconds."""
         return links.MIN_HEARTBEAT_SECONDS
 
     def on_closed(self, link: links.Link, why: failures.Failure) -> None:
-        """Need no clean-up."""
+        """Do nothing: no state depends on the link."""
 
 
 def connect(
@@ -38,7 +38,7 @@
     role: messages.Role,
     zone: ids.ZoneId = NO_ZONE,
 ) -> links.Link | failures.Failure:
-    """Open a link to a daemon, only to ask it."""
+    """Open a link to a daemon, for requests only."""
     hello = messages.Hello(
         messages.PROTOCOL_VERSION,
         role,
--- a/tests/test_input.py
+++ b/tests/test_input.py
@@ -1,4 +1,4 @@
-"""Bad input: a clear error each, and nothing else is disturbed."""
+"""Invalid input is refused with a clear error and affects nothing else."""
 
 import json
 import socket
@@ -13,24 +13,24 @@
 from burdockmast.wire import codec
 from burdockmast.wire import messages
 
-GOOD = {'model': 'draft', 'prompt': [1], 'max_tokens': 1}
-SAID = {'Burdockmast-Organisation': 'souk'}
-BAD_BODIES = {
+VALID_BODY = {'model': 'draft', 'prompt': [1], 'max_tokens': 1}
+ORGANISATION = {'Burdockmast-Organisation': 'souk'}
+INVALID_BODIES = {
     'not JSON': (b'{"model": ', 400, 'bad_request'),
     'not an object': (b'[1, 2]', 400, 'bad_request'),
     'no model': (b'{"prompt": [1]}', 400, 'bad_request'),
     'wrong type': (
-        json.dumps({**GOOD, 'max_tokens': 'many'}).encode(),
+        json.dumps({**VALID_BODY, 'max_tokens': 'many'}).encode(),
         400,
         'bad_request',
     ),
     'too many tokens': (
-        json.dumps({**GOOD, 'max_tokens': 10**9}).encode(),
+        json.dumps({**VALID_BODY, 'max_tokens': 10**9}).encode(),
         400,
         'bad_request',
     ),
     'no tokens wanted': (
-        json.dumps({**GOOD, 'max_tokens': 0}).encode(),
+        json.dumps({**VALID_BODY, 'max_tokens': 0}).encode(),
         400,
         'bad_request',
     ),
@@ -41,13 +41,13 @@
         'bad_request',
     ),
     'unknown model': (
-        json.dumps({**GOOD, 'model': 'other'}).encode(),
+        json.dumps({**VALID_BODY, 'model': 'other'}).encode(),
         404,
         'unknown_model',
     ),
     'oversized': (b' ' * (1024 * 1024 + 1), 413, 'too_large'),
 }
-BAD_HEADERS = {
+INVALID_HEADERS = {
     'no organisation': ({}, 400, 'bad_request'),
     'unknown organisation': (
         {'Burdockmast-Organisation': 'nobody'},
@@ -55,37 +55,37 @@
         'unknown_organisation',
     ),
     'unknown priority': (
-        {**SAID, 'Burdockmast-Priority': 'highest'},
+        {**ORGANISATION, 'Burdockmast-Priority': 'highest'},
         400,
         'bad_request',
     ),
     'deadline is no number': (
-        {**SAID, 'Burdockmast-Deadline': 'soon'},
+        {**ORGANISATION, 'Burdockmast-Deadline': 'soon'},
         400,
         'bad_request',
     ),
     'deadline is not finite': (
-        {**SAID, 'Burdockmast-Deadline': 'nan'},
+        {**ORGANISATION, 'Burdockmast-Deadline': 'nan'},
         400,
         'bad_request',
     ),
     'deadline outlives keys': (
-        {**SAID, 'Burdockmast-Deadline': '601'},
+        {**ORGANISATION, 'Burdockmast-Deadline': '601'},
         400,
         'bad_request',
     ),
     'deadline has passed': (
-        {**SAID, 'Burdockmast-Deadline': '-1'},
+        {**ORGANISATION, 'Burdockmast-Deadline': '-1'},
         504,
         'deadline_exceeded',
     ),
     'key too long': (
-        {**SAID, 'Idempotency-Key': 'k' * 300},
+        {**ORGANISATION, 'Idempotency-Key': 'k' * 300},
         400,
         'bad_request',
     ),
     'two keys': (
-        {**SAID, 'Idempotency-Key': 'a,b'},
+        {**ORGANISATION, 'Idempotency-Key': 'a,b'},
         400,
         'bad_request',
     ),
@@ -104,17 +104,17 @@
     assert error['message'] and error['step'] and error['request_id']
 
 
-@pytest.mark.parametrize('name', BAD_BODIES)
-def test_bad_body_is_refused(shared_fleet, name):
-    body, status, kind = BAD_BODIES[name]
-    check_refusal(post(shared_fleet, body, SAID), status, kind)
+@pytest.mark.parametrize('name', INVALID_BODIES)
+def test_invalid_body_is_refused(shared_fleet, name):
+    body, status, kind = INVALID_BODIES[name]
+    check_refusal(post(shared_fleet, body, ORGANISATION), status, kind)
     assert program.answer_tokens(shared_fleet.complete([1], 1))
 
 
-@pytest.mark.parametrize('name', BAD_HEADERS)
-def test_bad_header_is_refused(shared_fleet, name):
-    said, status, kind = BAD_HEADERS[name]
-    reply = post(shared_fleet, json.dumps(GOOD), said)
+@pytest.mark.parametrize('name', INVALID_HEADERS)
+def test_invalid_header_is_refused(shared_fleet, name):
+    headers, status, kind = INVALID_HEADERS[name]
+    reply = post(shared_fleet, json.dumps(VALID_BODY), headers)
     check_refusal(reply, status, kind)
 
 
@@ -125,7 +125,7 @@
     check_refusal(program.request('GET', url), 404, 'unknown_service')
 
 
-def test_two_headers_of_one_name_are_refused(shared_fleet):
+def test_repeated_header_is_refused(shared_fleet):
     host, port = shared_fleet.address_by_name['entry-0'].split(':')
     with socket.create_connection((host, int(port)), 5) as sock:
         sock.sendall(
@@ -140,7 +140,7 @@
     assert b'400 Bad Request' in data and b'only once' in data
 
 
-BAD_FRAMES = {
+INVALID_FRAMES = {
     'random bytes': b'\x93\x01\x02\x03' * 50,
     'not a message': msgpack.packb({'a': 1}),
     'unknown tag': msgpack.packb([999, 1, 2]),
@@ -156,11 +156,11 @@
 }
 
 
-@pytest.mark.parametrize('name', BAD_FRAMES)
-def test_bad_frame_ends_its_connection_only(shared_fleet, name):
+@pytest.mark.parametrize('name', INVALID_FRAMES)
+def test_invalid_frame_closes_only_its_connection(shared_fleet, name):
     host, port = shared_fleet.address_by_name['side-e1'].split(':')
     with socket.create_connection((host, int(port)), 5) as sock:
-        sock.sendall(BAD_FRAMES[name])
+        sock.sendall(INVALID_FRAMES[name])
         sock.shutdown(socket.SHUT_WR)
         while sock.recv(65536):
             pass
@@ -169,7 +169,7 @@
 
 @given(strategies.binary(max_size=300))
 @settings(derandomize=True, max_examples=300, deadline=None)
-def test_any_bytes_give_messages_or_a_failure(data):
+def test_decoder_never_raises(data):
     codec.Decoder(limit=4096).feed(data)
 
 
@@ -194,24 +194,24 @@
     strategies.lists(strategies.integers(1, 40), min_size=1, max_size=50),
 )
 @settings(derandomize=True, max_examples=200, deadline=None)
-def test_messages_survive_any_division_into_parts(sent, sizes):
+def test_messages_are_decoded_however_they_are_split(sent, sizes):
     data = b''.join(map(codec.encode, sent))
     decoder = codec.Decoder()
     received = []
-    at = 0
-    turn = 0
-    while at < len(data):
-        size = sizes[turn % len(sizes)]
-        found, broken = decoder.feed(data[at : at + size])
-        assert broken is None
+    offset = 0
+    chunk = 0
+    while offset < len(data):
+        size = sizes[chunk % len(sizes)]
+        found, failure = decoder.feed(data[offset : offset + size])
+        assert failure is None
         received += found
-        at += size
-        turn += 1
+        offset += size
+        chunk += 1
     assert received == sent
 
 
-def test_message_over_the_limit_is_named():
+def test_message_over_the_limit_is_a_failure():
     decoder = codec.Decoder(limit=100)
     step = messages.Step('a', 1, 2, 3, b'x' * 200_000)
-    _, broken = decoder.feed(codec.encode(step))
-    assert broken is not None
+    _, failure = decoder.feed(codec.encode(step))
+    assert failure is not None
--- a/tests/test_links.py
+++ b/tests/test_links.py
@@ -1,4 +1,4 @@
-"""Links between processes, and metrics, without a whole fleet."""
+"""Links between processes, metrics and timelines, without a fleet."""
 
 import socket
 
@@ -16,11 +16,11 @@
 
 
 class Recorder:
-    """Handler that keeps what its links receive."""
+    """Handler that records the messages and closures of its links."""
 
     def __init__(self):
         self.received = []
-        self.ended = []
+        self.close_reasons = []
 
     def receive(self, link, message):
         self.received.append(message)
@@ -29,7 +29,7 @@
         return messages.Heartbeat(0, ids.Version(0), 0, 0, 0, 0)
 
     def on_closed(self, link, why):
-        self.ended.append(why.reason)
+        self.close_reasons.append(why.reason)
 
     def heartbeat_period(self):
         return links.MIN_HEARTBEAT_SECONDS
@@ -57,7 +57,7 @@
     return f'{processes.own_host()}:{next(processes.own_ports())}'
 
 
-def test_messages_stay_in_order_while_the_peer_is_dialled(address):
+def test_messages_stay_in_order_while_the_link_is_opened(address):
     there = Recorder()
     new_peers(there, address).listen(address)
     here = new_peers(Recorder())
@@ -69,68 +69,66 @@
     assert tokens_of(there) == list(range(100))
 
 
-def test_failed_dial_is_told_and_does_not_hold_back_later_messages(address):
+def test_failed_dial_is_reported_and_does_not_block_later_messages(address):
     here = new_peers(Recorder())
-    told = []
-    here.post(address, messages.Token('a', 1, 0, 0), told.append)
-    wait_for(lambda: told)
-    assert told[0].reason is failures.Reason.PEER_LOST
+    reported = []
+    here.post(address, messages.Token('a', 1, 0, 0), reported.append)
+    wait_for(lambda: reported)
+    assert reported[0].reason is failures.Reason.PEER_LOST
     there = Recorder()
     new_peers(there, address).listen(address)
     here.post(address, messages.Token('a', 1, 1, 0), pytest.fail)
     wait_for(lambda: tokens_of(there) == [1])
 
 
-def test_dial_that_raises_does_not_hold_back_later_messages(
-    address, monkeypatch
-):
+def test_dial_that_raises_does_not_block_later_messages(address, monkeypatch):
     there = Recorder()
     new_peers(there, address).listen(address)
     here = new_peers(Recorder())
 
-    def explode(_):
-        raise RuntimeError('a fault in dialling')
+    def raise_error(_):
+        raise RuntimeError('dialling failed')
 
     with monkeypatch.context() as patch:
-        patch.setattr(here, 'get', explode)
+        patch.setattr(here, 'get', raise_error)
         here.post(address, messages.Token('a', 1, 0, 0), pytest.fail)
         eventlet.sleep(0.01)
     here.post(address, messages.Token('a', 1, 1, 0), pytest.fail)
     wait_for(lambda: tokens_of(there) == [1])
 
 
-def test_closed_link_tells_its_owner_and_those_who_wait(address):
+def test_closed_link_notifies_its_handler_and_pending_requests(address):
     there, here = Recorder(), Recorder()
     listening = new_peers(there, address)
     listening.listen(address)
     link = new_peers(here).get(address)
-    asked = eventlet.spawn(link.request, messages.Query('q', 'status'), 5.0)
+    request = eventlet.spawn(link.request, messages.Query('q', 'status'), 5.0)
     wait_for(lambda: listening.accepted)
     why = failures.Failure(failures.Reason.LEAVING, 'test')
     for accepted in list(listening.accepted):
         accepted.close(why)
-    assert asked.wait().reason is failures.Reason.PEER_LOST
-    assert here.ended == [failures.Reason.PEER_LOST]
-    assert there.ended == [failures.Reason.LEAVING]
+    assert request.wait().reason is failures.Reason.PEER_LOST
+    assert here.close_reasons == [failures.Reason.PEER_LOST]
+    assert there.close_reasons == [failures.Reason.LEAVING]
 
 
-def test_what_is_read_after_a_link_lapsed_is_dropped(address):
-    """Proves: a process that was paused acts on nothing that waited."""
+def test_data_read_after_the_silence_limit_is_dropped(address):
+    """Proves: a paused process acts on no data received meanwhile."""
     there, here = Recorder(), Recorder()
     listening = new_peers(there, address)
     listening.listen(address)
     link = new_peers(here).get(address)
     wait_for(lambda: here.received and there.received)
     for accepted in listening.accepted:
-        accepted._heard_at -= 10 * links.MIN_HEARTBEAT_SECONDS
+        accepted._received_at -= 10 * links.MIN_HEARTBEAT_SECONDS
     link.send(messages.Token('a', 1, 0, 0))
-    wait_for(lambda: there.ended)
-    assert there.ended == [failures.Reason.PEER_SILENT]
+    wait_for(lambda: there.close_reasons)
+    assert there.close_reasons == [failures.Reason.PEER_SILENT]
     assert tokens_of(there) == []
 
 
-def test_closed_link_leaves_nothing_that_waits_for_its_socket(address):
-    """The number of a closed socket is soon another one's."""
+def test_closed_link_leaves_no_reader_on_its_socket(address):
+    """A new socket may get the file descriptor of a closed one."""
     there = Recorder()
     new_peers(there, address).listen(address)
     link = new_peers(Recorder()).get(address)
@@ -141,7 +139,7 @@
     wait_for(lambda: fileno not in readers)
 
 
-def test_heartbeats_spread_with_the_number_of_links():
+def test_heartbeat_period_grows_with_the_number_of_links():
     one = new_peers(Recorder())
     one.link_by_address = {str(n): None for n in range(10)}
     assert one.heartbeat_period() == links.MIN_HEARTBEAT_SECONDS
@@ -161,7 +159,7 @@
     assert measures.count_by_name['answers.begun'] == 3
 
 
-def test_time_line_puts_causes_first_whatever_the_clocks_say():
+def test_timeline_orders_causes_before_effects_despite_clock_skew():
     early, late = timeline.Timeline('early'), timeline.Timeline('late')
     for _ in range(5):
         early.add('busy')
