Reword ids, failures, logs, metrics and timers

Cause: comments spoke of lines left out, beliefs and time lines.

Change: wording and private names. The report of rate-limited lines says 'lines suppressed'; its test checks the same line.

--- a/libs/base/burdockmast/base/__init__.py
+++ b/libs/base/burdockmast/base/__init__.py
@@ -1,1 +1,1 @@
-"""What every part shares: ids, outcomes, failures, time and records."""
+"""Shared by all packages: ids, failures, logs, metrics and timers."""
--- a/libs/base/burdockmast/base/failures.py
+++ b/libs/base/burdockmast/base/failures.py
@@ -1,7 +1,7 @@
-"""Errors as values: a reason, the step and the peer where it arose.
+"""Errors as values: the reason, the step and the peer concerned.
 
 Functions that can fail in expected ways return a ``Failure`` in place of
-their result; callers tell the two apart with ``match``.
+their result; callers tell the two apart with ``match`` or ``isinstance``.
 """
 
 import dataclasses
@@ -44,11 +44,12 @@
     """A failed step.
 
     :ivar reason: machine-readable cause
-    :ivar step: what was being done, e.g. ``claim.append``
+    :ivar step: the operation that failed, e.g. ``claim.append``
     :ivar peer: address or id of the other end, empty if none
-    :ivar detail: one sentence for people
-    :ivar outcome: whether the request was executed
-    :ivar retry_after: seconds until a retry makes sense, None if never
+    :ivar detail: human-readable explanation
+    :ivar outcome: whether the request was run, as far as is known
+    :ivar retry_after: seconds to wait before a retry, None if a retry is
+        of no use
     """
 
     reason: Reason
@@ -59,7 +60,7 @@
     retry_after: float | None = None
 
     def __str__(self) -> str:
-        """Return one line that names reason, step and peer."""
+        """Return one line with the reason, step, peer and detail."""
         peer = f' with {self.peer}' if self.peer else ''
         detail = f': {self.detail}' if self.detail else ''
         return f'{self.reason.value} at {self.step}{peer}{detail}'
--- a/libs/base/burdockmast/base/ids.py
+++ b/libs/base/burdockmast/base/ids.py
@@ -1,30 +1,31 @@
-"""Identifiers used across parts."""
+"""Types of the identifiers that several packages use."""
 
 import secrets
 from typing import NewType
 
-# One process of the system, unique for each start of it.
+# A process of the system; each start of it has a new id.
 InstanceId = NewType('InstanceId', str)
-# One slot beside a backend server; a replacement keeps the slot's id.
+# The slot of a backend server: a replacement server keeps the id.
 ServerId = NewType('ServerId', str)
-# One caller's request; also names the answer to it.
+# A caller's request, and the answer to it.
 RequestId = NewType('RequestId', str)
 OrganisationId = NewType('OrganisationId', str)
 ZoneId = NewType('ZoneId', str)
 ModelId = NewType('ModelId', str)
 ServiceId = NewType('ServiceId', str)
 PresetId = NewType('PresetId', str)
-# Backend servers that stand in for each other.
+# A pool of interchangeable backend servers.
 PoolId = NewType('PoolId', str)
-# "IP:port" of a process of the system.
+# "IP:port" at which a process of the system listens.
 Address = NewType('Address', str)
-# An instance as the platform's list names it.
+# An instance, by its id in the platform's instance list.
 PlatformInstance = NewType('PlatformInstance', str)
-# Number of accepted configuration changes; only ever grows.
+# Version of the configuration: the number of accepted changes, which never
+# decreases.
 Version = NewType('Version', int)
-# Identity of a change, so that its writer knows it again.
+# A configuration change, by which its writer recognises it in the journal.
 ChangeId = NewType('ChangeId', str)
-# Hash of a request's content; equal content has an equal fingerprint.
+# Hash of a request's content.
 Fingerprint = NewType('Fingerprint', str)
 
 ID_BYTES = 8
--- a/libs/base/burdockmast/base/logs.py
+++ b/libs/base/burdockmast/base/logs.py
@@ -1,8 +1,9 @@
-"""Structured logs: one JSON object a line, to standard output.
+"""Structured logs: one JSON object per line, written to standard output.
 
-A line is queued for a thread of the operating system, since whoever reads
-standard output may stop reading and a write would then stop every request
-of the process. Lines for which there is no room are dropped and counted.
+An operating system thread writes the lines: if the reader of standard
+output stops reading, a write blocks, and in an eventlet task it would stall
+every request of the process. Lines that don't fit into the queue are dropped
+and counted.
 """
 
 from collections.abc import Callable
@@ -17,65 +18,65 @@
 from burdockmast.base import log_rate_limiter
 from burdockmast.base import timeline
 
-# The thread that writes must not be one of eventlet's.
+# The writer needs a real thread, which eventlet has not patched.
 _queue = eventlet.patcher.original('queue')
 _threading = eventlet.patcher.original('threading')
 _os = eventlet.patcher.original('os')
 
 LEVELS = ('debug', 'info', 'warning', 'error')
 STANDARD_OUTPUT = 1
-# Lines that wait for a slow reader; about 2 MB of memory.
+# Bound on lines that wait for a slow reader; about 2 MB of memory.
 MAX_QUEUED_LINES = 8192
-# Lines that are written in one call.
+# Bound on lines that are written in one call.
 MAX_BATCH_LINES = 128
-# Seconds that a process which ends waits for its last lines to be read.
+# How long a process that exits waits for its last lines to be written.
 FLUSH_SECONDS = 1.0
 FLUSH_POLL_SECONDS = 0.01
-# Seconds between reports of lines that were left out.
+# Interval between reports of suppressed and dropped lines.
 REPORT_SECONDS = 1.0
 PART = 'logs'
 
 
 def get(part: str) -> logbook.Logger:
-    """Return the logger whose lines name ``part``."""
+    """Return the logger whose lines have ``part`` in their part field."""
     return logbook.Logger(part)
 
 
-def log_event(found: timeline.Event) -> None:
-    """Write an event of the time line as a line."""
-    part = found.what.partition('.')[0]
-    fields = {'clock': found.clock, **found.fields}
-    if found.request:
-        fields['request'] = found.request
-    get(part).info(found.what, extra=fields)
+def log_event(event: timeline.Event) -> None:
+    """Log an event of the timeline."""
+    part = event.what.partition('.')[0]
+    fields = {'clock': event.clock, **event.fields}
+    if event.request:
+        fields['request'] = event.request
+    get(part).info(event.what, extra=fields)
 
 
 class Writer:
-    """Writes lines to a file descriptor without ever making callers wait."""
+    """Writes lines to a file descriptor without blocking callers."""
 
     def __init__(self, descriptor: int, limit: int = MAX_QUEUED_LINES):
         """Create a writer and start its thread.
 
-        :param limit: lines that may wait
+        :param limit: lines that may be queued
         """
         self.dropped = 0
         self._descriptor = descriptor
         self._limit = limit
-        # Unlike a bounded queue, putting never takes a lock that blocks.
+        # Unlike with a bounded queue, put takes no lock that could block.
         self._lines = _queue.SimpleQueue()
         self._is_writing = False
         _threading.Thread(target=self._run, daemon=True).start()
 
     def put(self, line: bytes) -> None:
-        """Queue a line, or count it as dropped."""
+        """Queue a line, or drop and count it if the queue is full."""
         if self._lines.qsize() >= self._limit:
             self.dropped += 1
         else:
             self._lines.put(line)
 
-    def flush(self, seconds: float) -> None:
-        """Wait until all lines are written, for a limited time."""
-        deadline = time.monotonic() + seconds
+    def flush(self, timeout_seconds: float) -> None:
+        """Wait until all lines are written or the timeout has passed."""
+        deadline = time.monotonic() + timeout_seconds
         while self._is_writing or self._lines.qsize():
             if time.monotonic() > deadline:
                 return
@@ -91,7 +92,8 @@
             try:
                 self._write(b''.join(lines))
             except OSError:
-                # Nobody reads standard output any more; the count tells.
+                # Standard output is closed, so this can't be logged either;
+                # the lines only count as dropped.
                 self.dropped += len(lines)
 
     def _write(self, data: bytes) -> None:
@@ -100,7 +102,7 @@
 
 
 class Handler(logbook.Handler):
-    """Formats records as JSON and bounds how many there are."""
+    """Formats log records as JSON and limits their rate by kind."""
 
     def __init__(
         self,
@@ -111,25 +113,25 @@
     ):
         """Create a handler.
 
-        :param process: fields that all lines of this process have
-        :param now: monotonic seconds
+        :param process: fields that are added to all lines
+        :param now: returns monotonic seconds
         """
         super().__init__(level=level.upper())
         self.writer = writer
         self._process = process
-        self._budgets = log_rate_limiter.LogRateLimiter(now)
+        self._rate_limiter = log_rate_limiter.LogRateLimiter(now)
         self._reported_dropped = 0
 
     def emit(self, record: logbook.LogRecord) -> None:
-        """Queue a record's line unless too many like it were written."""
-        if self._budgets.allow(_kind(record)):
+        """Queue a record's line unless the rate limit suppresses it."""
+        if self._rate_limiter.allow(_kind(record)):
             self.writer.put(self._line(record))
 
     def report_lost_lines(self) -> None:
-        """Say how many lines were left out since the last report."""
-        for kind, count in self._budgets.take_suppressed_counts().items():
+        """Log how many lines were suppressed or dropped since last time."""
+        for kind, count in self._rate_limiter.take_suppressed_counts().items():
             self._put_report(
-                'lines left out',
+                'lines suppressed',
                 of=' '.join(filter(None, kind)),
                 count=count,
             )
@@ -140,14 +142,14 @@
 
     def _put_report(self, message: str, **fields: Any) -> None:
         self.writer.put(
-            self._encoded(time.time(), 'WARNING', PART, message, fields)
+            self._encode(time.time(), 'WARNING', PART, message, fields)
         )
 
     def _line(self, record: logbook.LogRecord) -> bytes:
         fields = dict(record.extra)
         if record.exc_info:
             fields['exception'] = record.formatted_exception
-        return self._encoded(
+        return self._encode(
             time.time(),
             record.level_name,
             record.channel,
@@ -155,7 +157,7 @@
             fields,
         )
 
-    def _encoded(
+    def _encode(
         self,
         wall: float,
         level: str,
@@ -175,10 +177,10 @@
 
 
 def _kind(record: logbook.LogRecord) -> log_rate_limiter.Kind:
-    """Return what records have in common that say the same thing.
+    """Return the kind by which the rate of similar records is limited.
 
-    A refusal's reason is part of it: a flood of one cause leaves out no
-    line of another.
+    The reason of a refusal is part of it, so that many refusals for one
+    reason don't suppress those for another.
     """
     extra = record.extra
     return (
@@ -196,15 +198,15 @@
 
 @dataclasses.dataclass(slots=True)
 class Log:
-    """The log of one process."""
+    """Log output of one process."""
 
     handler: Handler
 
     @classmethod
     def from_config(cls, level: str, process: dict[str, str]) -> 'Log':
-        """Send records of ``level`` and above to standard output.
+        """Write records of ``level`` and above to standard output.
 
-        :param process: fields that all lines of this process have
+        :param process: fields that are added to all lines
         """
         handler = Handler(level, Writer(STANDARD_OUTPUT), process)
         handler.push_application()
@@ -212,10 +214,10 @@
 
     @property
     def dropped(self) -> int:
-        """Lines that found no room."""
+        """Number of lines that were dropped because the queue was full."""
         return self.handler.writer.dropped
 
     def close(self) -> None:
-        """Write what waits, for a limited time."""
+        """Write the queued lines, with a timeout."""
         self.handler.report_lost_lines()
         self.handler.writer.flush(FLUSH_SECONDS)
--- a/libs/base/burdockmast/base/metrics.py
+++ b/libs/base/burdockmast/base/metrics.py
@@ -1,4 +1,4 @@
-"""Counters, gauges and histograms: served, sent by statsd, and for status."""
+"""Counters, gauges and histograms, for Prometheus, statsd and status."""
 
 import collections
 from collections.abc import Callable
@@ -13,13 +13,13 @@
 from burdockmast.base import ids
 
 NAMESPACE = 'burdockmast'
-# Counters whose last part is a label, so that dashboards can add them up.
+# Counters whose last part is exported as a label, so that dashboards can
+# sum them.
 LABEL_BY_PREFIX = {
     'refusals': 'reason',
     'answers.attempt_failed': 'reason',
 }
-# Upper ends of histograms, in seconds. The target's 26 ms between tokens and
-# 0.32 s for the first one are among them.
+# Includes the targets: 26 ms between tokens and 0.32 s to the first token.
 BUCKET_BOUNDS_SECONDS = (
     0.001, 0.002, 0.005, 0.01, 0.026, 0.05, 0.1, 0.2, 0.32, 0.5, 1.0, 2.0,
     5.0, 10.0, 30.0, 60.0,
@@ -29,12 +29,13 @@
 class Metrics:
     """Metrics of one process.
 
-    Values are kept in memory, for the metrics address and for operators'
-    queries; with an address they are also sent to a statsd server over UDP.
+    Values are kept in memory for the metrics endpoint and for operators'
+    queries. With a statsd client, counters and timings are also sent over
+    UDP.
     """
 
     def __init__(self, client: statsd.StatsClient | None = None):
-        """Create metrics that are sent through ``client``, if given."""
+        """Create metrics that are also sent through ``client``, if given."""
         self._client = client
         self.count_by_name: collections.Counter[str] = collections.Counter()
         self.registry = prometheus_client.CollectorRegistry()
@@ -44,7 +45,7 @@
 
     @classmethod
     def from_config(cls, address: str, role: str) -> 'Metrics':
-        """Build metrics of a role.
+        """Build the metrics of a process.
 
         :param address: ``IP:port`` of the statsd server; empty for none
         """
@@ -61,7 +62,7 @@
             self._client.incr(name, amount)
 
     def gauge(self, name: str, read: Callable[[], float]) -> None:
-        """Serve what ``read`` returns whenever metrics are asked for."""
+        """Export a gauge whose value ``read`` returns at each scrape."""
         self._gauge_by_name[name] = read
 
     def timing(self, name: str, seconds: float) -> None:
@@ -69,7 +70,7 @@
         histogram = self._histogram_by_name.get(name)
         if histogram is None:
             histogram = prometheus_client.Histogram(
-                _exposed(f'{name}.seconds'),
+                _prometheus_name(f'{name}.seconds'),
                 f'Durations of {name}',
                 buckets=BUCKET_BOUNDS_SECONDS,
                 registry=self.registry,
@@ -80,30 +81,32 @@
             self._client.timing(name, seconds * 1000)
 
     def families(self) -> Iterator[core.Metric]:
-        """Yield counters and gauges in the form that is served."""
+        """Yield counters and gauges as Prometheus metric families."""
         labelled: dict[str, core.CounterMetricFamily] = {}
         for name, count in sorted(self.count_by_name.items()):
             prefix, _, last = name.rpartition('.')
             label = LABEL_BY_PREFIX.get(prefix)
             if label is None:
                 yield core.CounterMetricFamily(
-                    _exposed(name), f'Count of {name}', value=count
+                    _prometheus_name(name), f'Count of {name}', value=count
                 )
                 continue
             if prefix not in labelled:
                 labelled[prefix] = core.CounterMetricFamily(
-                    _exposed(prefix), f'Count of {prefix}', labels=[label]
+                    _prometheus_name(prefix),
+                    f'Count of {prefix}',
+                    labels=[label],
                 )
             labelled[prefix].add_metric([last], count)
         yield from labelled.values()
         for name, read in self._gauge_by_name.items():
             yield core.GaugeMetricFamily(
-                _exposed(name), f'Value of {name}', value=read()
+                _prometheus_name(name), f'Value of {name}', value=read()
             )
 
 
 class _Collector(registry.Collector):
-    """Reads counters when they are asked for, so that counting is cheap."""
+    """Exports counters at each scrape, so that counting is cheap."""
 
     def __init__(self, measures: Metrics):
         self._measures = measures
@@ -115,5 +118,5 @@
         return []
 
 
-def _exposed(name: str) -> str:
+def _prometheus_name(name: str) -> str:
     return f'{NAMESPACE}_{name.replace(".", "_")}'
--- a/libs/base/burdockmast/base/outcomes.py
+++ b/libs/base/burdockmast/base/outcomes.py
@@ -1,12 +1,12 @@
-"""What is known about whether a request was executed."""
+"""Whether a request was run, as far as is known."""
 
 import enum
 
 
 class Outcome(enum.Enum):
-    """Execution state of a request as far as its reporter knows.
+    """Whether a request was run, as far as its reporter knows.
 
-    ``NOT_RUN`` is only ever said where it is certain.
+    ``NOT_RUN`` is only reported if it is certain.
     """
 
     NOT_RUN = 'not_run'
--- a/libs/base/burdockmast/base/rendezvous.py
+++ b/libs/base/burdockmast/base/rendezvous.py
@@ -1,7 +1,7 @@
-"""Orders of names that all processes agree on without a message.
+"""Rendezvous hashing: ranks names for a key, the same in all processes.
 
-For each key the order is another, and a name that comes or goes moves no
-other.
+Each key gives another order. Adding or removing a name doesn't change the
+order of the others.
 """
 
 import hashlib
@@ -10,7 +10,7 @@
 
 
 def rank(key: str, name: str) -> bytes:
-    """Return what to sort a name by, for a key."""
+    """Return the sort key of a name in the order for ``key``."""
     return hashlib.blake2b(
         f'{key}/{name}'.encode(), digest_size=RANK_BYTES
     ).digest()
--- a/libs/base/burdockmast/base/timeline.py
+++ b/libs/base/burdockmast/base/timeline.py
@@ -1,7 +1,7 @@
-"""The time line of events, ordered without trusting clocks to agree.
+"""Events of processes, ordered without synchronised clocks.
 
-Each process stamps its events with a Lamport clock, which messages carry
-along. Sorting by that stamp puts every cause before its effect.
+Each process stamps its events with a Lamport clock, which messages carry.
+Sorting by that stamp puts every cause before its effect.
 """
 
 import collections
@@ -12,16 +12,19 @@
 
 from burdockmast.base import ids
 
-# Events kept in memory by each process.
+# Newest events that each process keeps in memory.
 MAX_EVENTS = 5000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Event:
-    """One thing that happened in one process.
+    """An event in one process.
 
-    :ivar clock: Lamport stamp; larger than that of any cause
-    :ivar wall: seconds since the epoch by the process's own clock
+    :ivar clock: Lamport time stamp, larger than that of any cause
+    :ivar number: sequence number in the process
+    :ivar wall: wall clock time of the process, in seconds since the epoch
+    :ivar request: id of the request concerned, empty if none
+    :ivar what: name of the event
     """
 
     clock: int
@@ -34,15 +37,18 @@
 
     @property
     def sort_key(self) -> tuple[int, str, int]:
-        """Key that sorts events of many processes consistently."""
+        """Key that gives the events of all processes one total order."""
         return (self.clock, self.process, self.number)
 
 
 class Timeline:
-    """Bounded record of the events of one process."""
+    """The newest events of one process.
+
+    :ivar subscribers: called with each new event
+    """
 
     def __init__(self, process: str):
-        """Create an empty record of ``process``."""
+        """Create an empty timeline of ``process``."""
         self.process = process
         self.clock = 0
         self.subscribers: list[Callable[[Event], None]] = []
@@ -52,14 +58,14 @@
         )
 
     def advance_clock(self, clock: int) -> None:
-        """Take in the stamp of a received message."""
+        """Advance the Lamport clock to the stamp of a received message."""
         if clock > self.clock:
             self.clock = clock
 
     def add(
         self, what: str, request: ids.RequestId | str = '', **fields: Any
     ) -> int:
-        """Record an event and return its stamp, to send along."""
+        """Record an event and return its stamp, for messages about it."""
         self.clock += 1
         self._number += 1
         event = Event(
@@ -79,19 +85,19 @@
     def select(
         self, request: str = '', limit: int = MAX_EVENTS
     ) -> list[Event]:
-        """Return the newest events, of one request if it is given."""
-        chosen = [
+        """Return the newest events, only those of ``request`` if given."""
+        selected = [
             e for e in self._events if not request or e.request == request
         ]
-        return chosen[-limit:]
+        return selected[-limit:]
 
 
-def merge(records: list[list[Event]]) -> list[Event]:
-    """Merge the events of many processes into one time line.
+def merge(timelines: list[list[Event]]) -> list[Event]:
+    """Merge the events of several processes into one ordered list.
 
-    A process that was asked twice counts once.
+    Events that occur more than once are kept once.
     """
-    event_by_order = {
-        event.sort_key: event for record in records for event in record
+    event_by_sort_key = {
+        event.sort_key: event for events in timelines for event in events
     }
-    return [event_by_order[order] for order in sorted(event_by_order)]
+    return [event_by_sort_key[key] for key in sorted(event_by_sort_key)]
--- a/libs/base/burdockmast/base/timers.py
+++ b/libs/base/burdockmast/base/timers.py
@@ -1,4 +1,4 @@
-"""One clock and one timer service for all parts of a process."""
+"""Monotonic clocks, and periodic calls in a process."""
 
 from collections.abc import Callable
 import dataclasses
@@ -11,26 +11,28 @@
 
 LOG = logs.get('timer')
 
-# Fraction by which each period varies, so that fleets do not act in step.
+# Each period varies by up to this share, so that processes that start together
+# don't call at the same times.
 JITTER_SHARE = 0.1
 
 
 def now() -> float:
-    """Return monotonic seconds; comparable within this process only."""
+    """Return monotonic seconds, which are only comparable in this process."""
     return time.monotonic()
 
 
 def boottime_now() -> float:
-    """Return seconds that go on while the machine is suspended.
+    """Return monotonic seconds that include time in suspension.
 
-    What was believed before a suspension is as old as this clock says.
+    Use it for the age of information: after a suspension of the machine,
+    what was known before is as old as this clock says.
     """
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 @dataclasses.dataclass(slots=True)
 class Subscription:
-    """A periodic call.
+    """A periodic call; ``cancel`` ends it.
 
     :ivar period: seconds between calls
     """
@@ -41,27 +43,30 @@
     active: bool = True
 
     def cancel(self) -> None:
-        """Stop further calls; one that is running ends normally."""
+        """Stop further calls; a call that is running completes."""
         self.active = False
 
 
 class TimerService:
-    """Calls its subscribers periodically, each in a task of its own.
+    """Calls its subscribers periodically, each in its own task.
 
-    A subscriber that raises is logged and called again next time.
+    If a subscriber raises, the exception is logged and the calls go on.
     """
 
     def __init__(self, seed: int | None = None):
         """Create a service.
 
-        :param seed: makes the jitter repeatable
+        :param seed: makes the jitter reproducible
         """
         self._random = random.Random(seed)
 
     def subscribe(
         self, name: str, period: float, call: Callable[[], None]
     ) -> Subscription:
-        """Call ``call`` about every ``period`` seconds from now on."""
+        """Call ``call`` periodically, first after one period.
+
+        :param period: seconds between calls, varied by ``JITTER_SHARE``
+        """
         subscription = Subscription(name, period, call)
         eventlet.spawn(self._run, subscription)
         return subscription
@@ -74,7 +79,10 @@
             try:
                 subscription.call()
             except Exception:
-                LOG.exception('Timer {} failed.', subscription.name)
+                LOG.exception(
+                    'Timer {} failed; it is called again after its period.',
+                    subscription.name,
+                )
 
     def _jittered(self, period: float) -> float:
         return period * self._random.uniform(
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,4 +1,4 @@
-"""Logs: structured, bounded, and never in the way."""
+"""Logs: structured, limited in rate, and never blocking."""
 
 import json
 import os
@@ -14,11 +14,11 @@
 from burdockmast.standins import processes
 
 PROCESS = {'process': 'p1', 'role': 'entry'}
-UNREAD = 'entry-unread'
+UNREAD_ENTRY = 'entry-unread'
 
 
 class Sink:
-    """Takes lines in place of a writer."""
+    """Collects decoded lines in place of a writer."""
 
     def __init__(self):
         self.lines = []
@@ -48,9 +48,9 @@
 
 @pytest.fixture
 def handler(sink, clock):
-    found = logs.Handler('info', sink, PROCESS, clock)
-    with found.applicationbound():
-        yield found
+    log_handler = logs.Handler('info', sink, PROCESS, clock)
+    with log_handler.applicationbound():
+        yield log_handler
 
 
 def lines_of(fleet, name):
@@ -62,7 +62,7 @@
     return [x for x in lines_of(fleet, name) if x.get('request') == request]
 
 
-def test_line_names_time_part_process_and_fields(handler, sink):
+def test_line_has_time_part_process_and_fields(handler, sink):
     logbook.Logger('answer').info(
         'answer.started', extra={'request': 'r1', 'age_ms': 12}
     )
@@ -87,9 +87,7 @@
     assert 'ValueError: c\nd' in sink.lines[1]['exception']
 
 
-def test_flood_of_one_cause_leaves_out_no_line_of_another(
-    handler, sink, clock
-):
+def test_flood_of_one_reason_does_not_suppress_another(handler, sink, clock):
     log = logbook.Logger('request')
     for number in range(10_000):
         log.info('refused', extra={'reason': 'overloaded', 'n': number})
@@ -97,57 +95,59 @@
     log.info('refused', extra={'reason': 'no_path'})
     handler.report_lost_lines()
     flood = [x for x in sink.lines if x.get('reason') == 'overloaded']
-    most = (
+    limit = (
         log_rate_limiter.BURST_LINES + 1.0 * log_rate_limiter.LINES_PER_SECOND
     )
-    assert len(flood) <= most + 1
+    assert len(flood) <= limit + 1
     assert [x for x in sink.lines if x.get('reason') == 'no_path']
-    (report,) = [x for x in sink.lines if x['message'] == 'lines left out']
+    (report,) = [x for x in sink.lines if x['message'] == 'lines suppressed']
     assert report['count'] == 10_000 - len(flood)
     assert 'overloaded' in report['of']
 
 
-def test_kinds_of_lines_are_bounded():
-    budgets = log_rate_limiter.LogRateLimiter(Clock())
+def test_number_of_kinds_is_bounded():
+    rate_limiter = log_rate_limiter.LogRateLimiter(Clock())
     for number in range(10 * log_rate_limiter.MAX_KINDS):
-        budgets.allow((str(number),))
-    assert len(budgets._left_by_kind) <= log_rate_limiter.MAX_KINDS + 1
+        rate_limiter.allow((str(number),))
+    assert len(rate_limiter._tokens_by_kind) <= log_rate_limiter.MAX_KINDS + 1
 
 
-def test_reader_that_has_stopped_costs_lines_and_no_time():
-    """Proves: a full pipe blocks nobody; what was lost is counted."""
+def test_full_pipe_drops_lines_and_blocks_no_caller():
+    """Proves: a full pipe blocks no caller, and lost lines are counted."""
     reader, descriptor = os.pipe()
     writer = logs.Writer(descriptor, limit=100)
     line = b'x' * 1023 + b'\n'
     for _ in range(5000):
-        # A call that blocked would end in the guard against hanging.
+        # If this blocked, the test would run into its timeout.
         writer.put(line)
     assert writer.dropped > 0
-    taken = 0
-    while taken < (5000 - writer.dropped) * len(line):
-        taken += len(os.read(reader, 65536))
-    assert taken == (5000 - writer.dropped) * len(line)
+    read_count = 0
+    while read_count < (5000 - writer.dropped) * len(line):
+        read_count += len(os.read(reader, 65536))
+    assert read_count == (5000 - writer.dropped) * len(line)
     os.close(reader)
     os.close(descriptor)
 
 
-def test_process_serves_on_while_nobody_reads_its_log(own_fleet):
+def test_process_serves_while_its_log_is_not_read(own_fleet):
     fleet = own_fleet(services=0)
-    fleet.output_by_name[UNREAD] = subprocess.PIPE
-    fleet.start_entry(UNREAD, 'za')
-    processes.wait_until(lambda: fleet.serves(UNREAD), UNREAD)
-    pipe = fleet.process_by_name[UNREAD].stdout
-    # Many kinds of refusals, so that far more is written than a pipe holds.
+    fleet.output_by_name[UNREAD_ENTRY] = subprocess.PIPE
+    fleet.start_entry(UNREAD_ENTRY, 'za')
+    processes.wait_until(lambda: fleet.serves(UNREAD_ENTRY), UNREAD_ENTRY)
+    pipe = fleet.process_by_name[UNREAD_ENTRY].stdout
+    # Refusals of many kinds, which log far more than a pipe holds.
     for number in range(600):
-        refused = fleet.call(f'unknown-{number}/' + 'x' * 500, entry=UNREAD)
+        refused = fleet.call(
+            f'unknown-{number}/' + 'x' * 500, entry=UNREAD_ENTRY
+        )
         assert refused.status == 404
-    tokens = program.answer_tokens(fleet.complete([5], 3, UNREAD))
+    tokens = program.answer_tokens(fleet.complete([5], 3, UNREAD_ENTRY))
     assert tokens == program.expected_tokens([5], 3)
-    # What had to wait comes when the reader goes on.
+    # The queued lines are written once the reader continues.
     assert json.loads(pipe.readline())['role'] == 'entry'
 
 
-def test_refused_request_can_be_traced_by_its_id(shared_fleet):
+def test_refusal_is_logged_with_the_request_id(shared_fleet):
     fleet = shared_fleet
     refused = fleet.call('nowhere/x')
     request = refused.headers['Burdockmast-Request-Id']
@@ -163,7 +163,7 @@
     assert found['version'] == fleet.ready('entry-0')['version']
 
 
-def test_answer_names_what_its_path_was_chosen_by(shared_fleet):
+def test_answer_logs_the_load_reports_behind_its_path(shared_fleet):
     fleet = shared_fleet
     answer = fleet.complete([6], 2)
     request = answer.headers['Burdockmast-Request-Id']
@@ -188,7 +188,7 @@
     assert stages.count('stage.opened') == len(started['path'])
 
 
-def test_start_stop_and_lost_dependencies_have_lines(own_fleet):
+def test_start_stop_and_lost_dependencies_are_logged(own_fleet):
     fleet = own_fleet(groups=(layouts.Group(0, 24, 2),), services=0)
 
     def has(name, message):
@@ -214,7 +214,7 @@
     assert has('entry-0', 'process.stopped')
 
 
-def test_belief_in_a_server_that_changes_has_a_line(own_fleet):
+def test_changed_availability_of_a_server_is_logged(own_fleet):
     fleet = own_fleet(groups=(layouts.Group(0, 24, 2),), services=0)
     fleet.kill('engine-e1')
 
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -1,4 +1,4 @@
-"""Metrics: counters and histograms on the metrics address."""
+"""Counters and histograms at the metrics address."""
 
 import program
 from prometheus_client import parser
@@ -11,7 +11,7 @@
 
 
 def value(fleet, name, family, **labels):
-    """Return a sample of a process, None if it is not served."""
+    """Return the value of a sample of a process, None if absent."""
     address = fleet.address_by_name[f'{name}-metrics']
     response = program.request('GET', f'http://{address}/metrics')
     assert response.status == 200
@@ -38,13 +38,13 @@
     assert value(fleet, 'entry-0', first) == timed_before + 1
 
 
-def test_side_serves_metrics_of_its_store_calls(shared_fleet):
+def test_side_process_serves_metrics_of_its_store_calls(shared_fleet):
     fleet = shared_fleet
     name = 'burdockmast_store_call_seconds_count'
     program.wait_until(lambda: value(fleet, 'side-e1', name), name)
 
 
-def test_counters_of_one_kind_share_a_name():
+def test_counters_with_a_label_share_a_family():
     measures = metrics.Metrics()
     measures.count('refusals.overloaded', 2)
     measures.count('refusals.no_path')
