--- a/libs/settings/burdockmast/settings/__init__.py
+++ b/libs/settings/burdockmast/settings/__init__.py
@@ -1,1 +1,1 @@
-"""Settings of each role, read from JSON with comments and checked."""
+"""Settings of each role, loaded from JSON5 files and validated."""
--- a/libs/settings/burdockmast/settings/loader.py
+++ b/libs/settings/burdockmast/settings/loader.py
@@ -1,4 +1,4 @@
-"""Reads settings files."""
+"""Loads and validates settings files."""
 
 import pathlib
 from typing import TypeVar
@@ -10,17 +10,17 @@
 
 
 class SettingsError(Exception):
-    """A settings file is wrong.
+    """A settings file can't be read or is invalid.
 
-    The text names the file, the place in it, what was found and what is
-    allowed.
+    The message names the file and the path in it, the value found and what
+    is allowed.
     """
 
 
-def load(path: pathlib.Path, kind: type[T]) -> T:
-    """Read a file of JSON with comments as ``kind``.
+def load(path: pathlib.Path, target_type: type[T]) -> T:
+    """Load a JSON5 file as ``target_type``.
 
-    :raises SettingsError: if the file is missing or wrong
+    :raises SettingsError: if the file can't be read or is invalid
     """
     try:
         text = path.read_text()
@@ -30,29 +30,30 @@
         document = json5.loads(text, allow_duplicate_keys=False)
     except ValueError as error:
         raise SettingsError(f'{path}: not JSON: {error}') from None
-    return convert(document, kind, str(path))
+    return convert(document, target_type, str(path))
 
 
-def convert(document: object, kind: type[T], source: str) -> T:
-    """Check a parsed document against ``kind``.
+def convert(document: object, target_type: type[T], source: str) -> T:
+    """Convert a parsed document to ``target_type``.
 
-    :param source: name of the document in errors
-    :raises SettingsError: naming the place, the value and what is allowed
+    :param source: name of the document in error messages
+    :raises SettingsError: if the document is invalid
     """
     try:
-        return msgspec.convert(document, kind)
+        return msgspec.convert(document, target_type)
     except msgspec.ValidationError as error:
-        message, _, place = str(error).partition(' - at ')
-        place = place.strip('`') or '$'
-        found = _find(document, place)
+        message, _, location = str(error).partition(' - at ')
+        location = location.strip('`') or '$'
+        found = _describe_value(document, location)
         raise SettingsError(
-            f'{source}: at {place}: {message}{found}'
+            f'{source}: at {location}: {message}{found}'
         ) from None
 
 
-def _find(document: object, place: str) -> str:
+def _describe_value(document: object, location: str) -> str:
+    """Return the value at ``location`` for an error, empty if it is absent."""
     value = document
-    for part in place.replace('[', '.[').split('.')[1:]:
+    for part in location.replace('[', '.[').split('.')[1:]:
         try:
             value = value[int(part[1:-1]) if part[0] == '[' else part]
         except (KeyError, IndexError, TypeError, ValueError):
--- a/libs/settings/burdockmast/settings/models.py
+++ b/libs/settings/burdockmast/settings/models.py
@@ -1,4 +1,4 @@
-"""Typed settings of each role. Unknown keys are errors."""
+"""Settings of each role; unknown keys are rejected."""
 
 from typing import Annotated
 
@@ -22,15 +22,17 @@
 
 
 class Settings(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
-    """What all roles have in common.
-
-    :ivar peer_address: where this process listens for its peers
-    :ivar store_url: the platform's Object API
-    :ivar instance: this instance's id in the platform's list
-    :ivar instances_url: the platform's instance list; empty for none
-    :ivar statsd_address: empty to send no metrics
-    :ivar metrics_address: where counters and histograms are served over
-        HTTP; none unless set
+    """Settings that all roles share.
+
+    :ivar peer_address: address at which the process listens for peers
+    :ivar store_url: base URL of the platform's Object API
+    :ivar peers: addresses of peers to connect to at the start
+    :ivar instance: id of this instance in the platform's instance list
+    :ivar instances_url: base URL of the platform's instance list; unset for
+        none
+    :ivar statsd_address: statsd server; empty to send no metrics
+    :ivar metrics_address: address at which metrics are served over HTTP;
+        unset for none
     """
 
     zone: ids.ZoneId
@@ -47,12 +49,14 @@
 class EntrySettings(Settings):
     """Settings of an entry instance.
 
-    :ivar http_address: where callers are served
-    :ivar routing: how paths are chosen
-    :ivar subset: backend servers of each model that it talks to at most
-    :ivar queue: requests that may wait for admission
-    :ivar default_deadline: seconds for a request that names none
-    :ivar body_bytes: largest body of a request
+    :ivar http_address: address at which callers are served
+    :ivar routing: strategy by which paths are chosen
+    :ivar subset: largest number of backend servers of each model that it
+        connects to
+    :ivar queue: largest number of requests that wait for admission
+    :ivar default_deadline: seconds until the deadline of a request that
+        sets none
+    :ivar body_bytes: largest request body
     """
 
     http_address: IpPort
@@ -64,19 +68,19 @@
 
 
 class SideSettings(Settings):
-    """Settings of the process beside a backend server.
-
-    :ivar server: the backend server's id, one for each slot
-    :ivar engine_url: the model engine; empty beside a plain service
-    :ivar engine_checks_fence: the engine refuses orders with numbers below
-        one that it has seen
-    :ivar service_url: the plain service; empty beside an engine
-    :ivar slots: answers that run at once
-    :ivar loads_at_once: servers of a model that load layers at the same
-        time; set equal in all sides
-    :ivar drain: seconds that a planned stop waits for work in flight
-    :ivar claims_retention: seconds for which an idempotency key is
-        remembered at least; at least twice the longest deadline, 600 s
+    """Settings of the side process of a backend server.
+
+    :ivar server: id of the backend server; a replacement keeps it
+    :ivar engine_url: the model engine; unset beside a plain service
+    :ivar engine_checks_fence: whether the engine refuses orders with a
+        fencing number lower than one that it has seen
+    :ivar service_url: the plain service; unset beside an engine
+    :ivar slots: largest number of answers that run at once
+    :ivar loads_at_once: largest number of a model's servers that load layers
+        at once; must be the same in all side processes
+    :ivar drain: seconds that a planned shutdown waits for work in flight
+    :ivar claims_retention: seconds for which an idempotency key is at least
+        remembered; must be at least twice the longest deadline, 600 s
     """
 
     server: ids.ServerId
@@ -90,7 +94,7 @@
 
 
 class OperatorSettings(msgspec.Struct, forbid_unknown_fields=True):
-    """Settings of the operators' command line."""
+    """Settings of the operators' command line tool."""
 
     store_url: HttpUrl
     peers: list[IpPort] = []
