Reword the reader of KNOWN-RED.txt

Cause: entries were said to be passed over, with parts between bars.

Change: wording and names; messages of invalid entries keep the line and the test, which is what the tests match.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -18,7 +18,7 @@
     """Read the list of known failures before anything runs."""
     try:
         config.stash[PASSED_OVER] = known_red.read()
-    except known_red.BadEntry as error:
+    except known_red.InvalidEntryError as error:
         raise pytest.UsageError(str(error)) from None
 
 
@@ -31,7 +31,7 @@
         collected = set()
     try:
         known_red.check(entries, tests, known_red.files_of(entries, collected))
-    except known_red.BadEntry as error:
+    except known_red.InvalidEntryError as error:
         raise pytest.UsageError(str(error)) from None
     for item in items:
         if item.nodeid in entries:
--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -1,24 +1,24 @@
-"""Reads KNOWN-RED.txt: tests that fail for a fault that is not mended yet.
+"""Reads KNOWN-RED.txt: tests that fail because of a known, unfixed fault.
 
-An entry is one line of five parts between bars: the test's id, the command
-that shows it, its seed, what was seen, and the open issue. Lines that begin
-with # are comments.
+An entry is a line of five fields separated by bars (|): the test's id, the
+command that reproduces the failure, its seed, what was seen, and the open
+issue. Lines that begin with # are comments.
 """
 
 import dataclasses
 import pathlib
 
 PATH = pathlib.Path(__file__).parent.parent / 'KNOWN-RED.txt'
-PARTS = 5
+FIELD_COUNT = 5
 
 
-class BadEntry(Exception):
-    """An entry is malformed, or names no test."""
+class InvalidEntryError(Exception):
+    """An entry is malformed or names an unknown test."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Entry:
-    """A test that is passed over, and why."""
+    """A test whose failure is expected, and why."""
 
     test: str
     command: str
@@ -27,14 +27,14 @@
     issue: str
 
     def __str__(self):
-        """Return the entry as it is printed in the run."""
+        """Return the entry as the test run prints it."""
         return f'{self.test}: {self.seen} (seed {self.seed}, {self.issue})'
 
 
 def read(path=PATH):
-    """Return the entries by test; none if there is no file.
+    """Return the entries by test id; empty if the file is missing.
 
-    :raises BadEntry: naming the line
+    :raises InvalidEntryError: if a line is malformed or repeats a test
     """
     if not path.exists():
         return {}
@@ -42,22 +42,27 @@
     for number, line in enumerate(path.read_text().splitlines(), 1):
         if not line.strip() or line.startswith('#'):
             continue
-        parts = [part.strip() for part in line.split('|')]
-        if len(parts) != PARTS or not all(parts):
-            raise BadEntry(
-                f'{path.name}, line {number}: expected {PARTS} parts '
-                f'between bars, found {len([p for p in parts if p])}'
+        fields = [part.strip() for part in line.split('|')]
+        if len(fields) != FIELD_COUNT or not all(fields):
+            raise InvalidEntryError(
+                f'{path.name}, line {number}: expected {FIELD_COUNT} fields '
+                f'separated by |, found {len([p for p in fields if p])}'
             )
-        if parts[0] in found:
-            raise BadEntry(f'{path.name}, line {number}: named twice')
-        found[parts[0]] = Entry(*parts)
+        if fields[0] in found:
+            raise InvalidEntryError(
+                f'{path.name}, line {number}: the test is listed twice'
+            )
+        found[fields[0]] = Entry(*fields)
     return found
 
 
 def files_of(entries, collected):
-    """Return the files that entries are checked against.
+    """Return the test files whose entries can be checked.
+
+    These are the files that were collected in full and those that are
+    missing.
 
-    :param collected: files that were collected as a whole
+    :param collected: files that were collected in full
     """
     named = {test.partition('::')[0] for test in entries}
     root = PATH.parent
@@ -65,11 +70,11 @@
 
 
 def check(entries, tests, files):
-    """Check that each entry names a test.
+    """Check that each entry names an existing test.
 
     :param tests: ids of all tests of ``files``
-    :param files: files that were collected as a whole
-    :raises BadEntry: naming the entries that do not
+    :param files: files whose entries are checked
+    :raises InvalidEntryError: listing the entries that name none
     """
     unknown = [
         test
@@ -77,4 +82,6 @@
         if test.partition('::')[0] in files and test not in tests
     ]
     if unknown:
-        raise BadEntry(f'KNOWN-RED.txt names no test: {", ".join(unknown)}')
+        raise InvalidEntryError(
+            f'KNOWN-RED.txt lists unknown tests: {", ".join(unknown)}'
+        )
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -1,4 +1,4 @@
-"""The list of known failures passes over just what it names."""
+"""KNOWN-RED.txt excuses only the tests that it names."""
 
 import known_red
 import pytest
@@ -11,19 +11,19 @@
 
 @pytest.fixture
 def write(tmp_path):
-    def written(text):
+    def write_entries(text):
         path = tmp_path / 'KNOWN-RED.txt'
         path.write_text(text)
         return path
 
-    return written
+    return write_entries
 
 
-def test_no_file_passes_over_nothing(tmp_path):
+def test_missing_file_has_no_entries(tmp_path):
     assert known_red.read(tmp_path / 'KNOWN-RED.txt') == {}
 
 
-def test_entry_is_read_with_all_its_parts(write):
+def test_all_fields_of_an_entry_are_read(write):
     entry = known_red.read(write(f'# comment\n\n{ENTRY}'))[TEST]
     assert entry.command == 'pytest tests/test_a.py'
     assert entry.seed == '7'
@@ -38,20 +38,20 @@
         ENTRY + ENTRY,
     ],
 )
-def test_malformed_entry_is_an_error_that_names_its_line(write, text):
-    with pytest.raises(known_red.BadEntry, match=r'line [12]'):
+def test_malformed_entry_is_an_error_with_its_line_number(write, text):
+    with pytest.raises(known_red.InvalidEntryError, match=r'line [12]'):
         known_red.read(write(text))
 
 
-def test_entry_that_names_no_test_is_an_error(write):
+def test_entry_for_an_unknown_test_is_an_error(write):
     entries = known_red.read(write(ENTRY))
     known_red.check(entries, {TEST}, {'tests/test_a.py'})
     known_red.check(entries, set(), set())
-    with pytest.raises(known_red.BadEntry, match='test_b'):
+    with pytest.raises(known_red.InvalidEntryError, match='test_b'):
         known_red.check(entries, {'other'}, {'tests/test_a.py'})
 
 
-def test_entry_of_a_missing_file_is_an_error(write, tmp_path):
+def test_entry_for_a_missing_file_is_an_error(write, tmp_path):
     entries = known_red.read(write(ENTRY))
-    with pytest.raises(known_red.BadEntry, match='test_a'):
+    with pytest.raises(known_red.InvalidEntryError, match='test_a'):
         known_red.check(entries, set(), known_red.files_of(entries, set()))
