--- a/libs/node/burdockmast/node/dependencies.py
+++ b/libs/node/burdockmast/node/dependency_monitor.py
@@ -1,4 +1,4 @@
-"""What a process depends on, and a record of when it is lost and back."""
+"""Records when a process loses or regains the store or a peer."""
 
 from burdockmast.base import failures
 from burdockmast.base import metrics
@@ -8,22 +8,25 @@
 from burdockmast.wire import messages
 
 
-class Dependencies:
-    """Writes an event whenever the store or a peer is lost or back."""
+class DependencyMonitor:
+    """Writes an event when the store or a peer becomes unreachable or returns.
+
+    Also counts failed store calls and measures the duration of all of them.
+    """
 
     def __init__(self, events: timeline.Timeline, measures: metrics.Metrics):
-        """Create a record in which all is well."""
+        """Create a monitor that takes the store to be reachable."""
         self._events = events
         self._metrics = measures
         self._store_lost_at: float | None = None
 
-    def store_answered(
+    def on_store_call_ended(
         self, call: str, seconds: float, failure: failures.Failure | None
     ) -> None:
-        """Take in the end of a call to the store.
+        """Record the result of a store call.
 
-        A call that was refused for its rate, or because of a condition,
-        reached the store.
+        A call whose precondition the store rejected reached it, and has no
+        failure here.
         """
         self._metrics.timing('store.call', seconds)
         if failure is None:
@@ -48,14 +51,14 @@
         self._store_lost_at = None
         self._events.add('store.back', seconds=round(seconds, 3))
 
-    def connected(self, link: links.Link) -> None:
-        """Note a new link to a peer."""
+    def on_connected(self, link: links.Link) -> None:
+        """Record a new link to a peer."""
         if _is_operator(link):
             return
         self._events.add('peer.connected', **_identity(link))
 
-    def lost(self, link: links.Link, why: failures.Failure) -> None:
-        """Note that a link has ended."""
+    def on_disconnected(self, link: links.Link, why: failures.Failure) -> None:
+        """Record that a link was closed."""
         if _is_operator(link):
             return
         self._events.add(
@@ -63,13 +66,16 @@
             reason=why.reason.value,
             step=why.step,
             detail=why.detail,
-            silent_seconds=round(link.silent_for, 3),
+            silent_seconds=round(link.silent_seconds, 3),
             **_identity(link),
         )
 
 
 def _is_operator(link: links.Link) -> bool:
-    """Tell whether a link is an operator's, who asks once and leaves."""
+    """Tell whether a link is an operator tool's.
+
+    Such links last for one query, so they get no events.
+    """
     return link.hello.role is messages.Role.OPERATOR
 
 
--- a/libs/node/burdockmast/node/inspection.py
+++ b/libs/node/burdockmast/node/inspection.py
@@ -1,4 +1,4 @@
-"""Answers operators' questions to one process."""
+"""Answers operators' queries about one process."""
 
 import typing
 
@@ -10,12 +10,12 @@
 if typing.TYPE_CHECKING:
     from burdockmast.node import node
 
-EVENTS_LIMIT = 2000
-MILLISECONDS = 1000.0
+MAX_EVENTS = 2000
+MS_PER_SECOND = 1000.0
 
 
 class PeerStatus(msgspec.Struct):
-    """One link of a process."""
+    """State of one link of a process."""
 
     address: str
     role: str
@@ -26,9 +26,10 @@
 
 
 class Status(msgspec.Struct):
-    """What a process tells of itself.
+    """State of a process, as operators' tools show it.
 
-    :ivar store_age: seconds since its configuration left the store
+    :ivar store_age: seconds since its configuration was read from the store
+    :ivar details: fields that only this role reports
     """
 
     process: str
@@ -44,51 +45,53 @@
     details: dict
 
 
-def answer(of: 'node.Node', query: messages.Query) -> messages.QueryReply:
-    """Return the reply to an operator's question."""
+def answer_query(
+    process: 'node.Node', query: messages.Query
+) -> messages.QueryReply:
+    """Return the reply to an operator's query."""
     match query.what:
         case 'status':
-            value: object = status(of)
+            value: object = status(process)
         case 'timeline':
-            value = of.events.select(query.argument, EVENTS_LIMIT)
+            value = process.events.select(query.argument, MAX_EVENTS)
         case _:
-            value = {'error': f'unknown question {query.what}'}
+            value = {'error': f'unknown query {query.what}'}
     return messages.QueryReply(query.call, msgspec.json.encode(value))
 
 
-def status(of: 'node.Node') -> Status:
-    """Return a process's status."""
-    hello = of.peers.hello
+def status(process: 'node.Node') -> Status:
+    """Return the current status of a process."""
+    hello = process.peers.hello
     return Status(
         hello.process,
         hello.role.value,
         hello.server,
         hello.zone,
-        of.follower.version,
-        of.follower.configuration.in_force,
-        min(of.follower.store_age_seconds, 1e6),
+        process.follower.version,
+        process.follower.configuration.in_force,
+        min(process.follower.store_age_seconds, 1e6),
         [
             PeerStatus(
                 link.hello.address,
                 link.hello.role.value,
                 link.hello.process,
-                link.rtt * MILLISECONDS,
+                link.rtt * MS_PER_SECOND,
                 link.bytes_sent,
                 link.bytes_received,
             )
-            for link in of.peers.all()
+            for link in process.peers.all()
         ],
-        dict(of.metrics.count_by_name),
-        dict(of.store.calls_by_kind),
-        of.describe_role(),
+        dict(process.metrics.count_by_name),
+        dict(process.store.calls_by_kind),
+        process.describe_role(),
     )
 
 
 def decode_events(body: bytes) -> list[timeline.Event]:
-    """Return the events of a reply to ``timeline``."""
+    """Decode the body of a reply to a ``timeline`` query."""
     return msgspec.json.decode(body, type=list[timeline.Event])
 
 
 def decode_status(body: bytes) -> Status:
-    """Return the status of a reply to ``status``."""
+    """Decode the body of a reply to a ``status`` query."""
     return msgspec.json.decode(body, type=Status)
--- a/libs/node/burdockmast/node/node.py
+++ b/libs/node/burdockmast/node/node.py
@@ -1,4 +1,7 @@
-"""A process of the system: identity, links, configuration, records."""
+"""The common parts of entry and side processes.
+
+Identity, links, configuration, events, metrics and logs.
+"""
 
 from collections.abc import Callable
 import dataclasses
@@ -17,7 +20,7 @@
 from burdockmast.fleet import draining_instances
 from burdockmast.fleet import follower
 from burdockmast.limits import crashreports
-from burdockmast.node import dependencies
+from burdockmast.node import dependency_monitor
 from burdockmast.node import inspection
 from burdockmast.settings import models
 from burdockmast.store import instancelist
@@ -26,16 +29,17 @@
 from burdockmast.wire import messages
 from burdockmast.wire import peers
 
-# Seconds between clearings of strikes that no longer count.
-CLEAR_SECONDS = 60.0
+# Interval at which expired crash reports are dropped.
+CRASH_REPORT_CLEANUP_SECONDS = 60.0
 NO_SERVER = ids.ServerId('')
 
 
 @dataclasses.dataclass(slots=True)
 class Node:
-    """The parts that every process of the system has.
+    """The parts that entry and side processes share.
 
-    :ivar describe_role: returns what the role adds to the status
+    :ivar describe_role: returns the details that the role adds to the
+        status
     """
 
     settings: models.Settings
@@ -44,10 +48,10 @@
     store: objects.Objects
     follower: follower.Follower
     peers: peers.Peers
-    instances: draining_instances.DrainingInstances
-    strikes: crashreports.CrashReports
+    draining_instances: draining_instances.DrainingInstances
+    crash_reports: crashreports.CrashReports
     timers: timers.TimerService
-    dependencies: dependencies.Dependencies
+    dependency_monitor: dependency_monitor.DependencyMonitor
     log: logs.Log
     describe_role: Callable[[], dict] = dict
 
@@ -61,19 +65,21 @@
     ) -> 'Node':
         """Build a process's common parts.
 
-        :param handler: gets all messages, and may hand them to ``receive``
-        :param server: the backend server beside it, empty if none
+        :param handler: receives all messages and passes those that concern
+            every role to ``receive``
+        :param server: the backend server that the process runs beside,
+            empty if none
         """
         events = timeline.Timeline(ids.new_id())
         measures = metrics.Metrics.from_config(
             settings.statsd_address, role.value
         )
-        depended = dependencies.Dependencies(events, measures)
+        monitor = dependency_monitor.DependencyMonitor(events, measures)
         store = objects.Objects(settings.store_url)
-        store.answered.append(depended.store_answered)
+        store.answered.append(monitor.on_store_call_ended)
         configuration = follower.Follower(store, server, settings.zone, events)
         hello = messages.Hello(
-            messages.PROTOCOL,
+            messages.PROTOCOL_VERSION,
             role,
             ids.InstanceId(events.process),
             ids.Address(settings.peer_address),
@@ -81,12 +87,12 @@
             server,
         )
         process_peers = peers.Peers(hello, handler)
-        process_peers.connected.append(depended.connected)
+        process_peers.connect_subscribers.append(monitor.on_connected)
         configuration.peer_links = process_peers.all
-        configuration.heartbeat_period = process_peers.period
-        listing = None
+        configuration.heartbeat_period = process_peers.heartbeat_period
+        instance_list = None
         if settings.instances_url:
-            listing = instancelist.InstanceList(settings.instances_url)
+            instance_list = instancelist.InstanceList(settings.instances_url)
         return cls(
             settings,
             events,
@@ -95,11 +101,11 @@
             configuration,
             process_peers,
             draining_instances.DrainingInstances(
-                listing, settings.instance, configuration
+                instance_list, settings.instance, configuration
             ),
             crashreports.CrashReports(),
             timers.TimerService(),
-            depended,
+            monitor,
             cls._log(settings, events, hello),
         )
 
@@ -109,7 +115,7 @@
         events: timeline.Timeline,
         hello: messages.Hello,
     ) -> logs.Log:
-        """Send this process's log, with all its events, to standard output."""
+        """Write the process's log and its events to standard output."""
         log = logs.Log.from_config(
             settings.log_level,
             {
@@ -119,13 +125,13 @@
                 **({'beside': hello.server} if hello.server else {}),
             },
         )
-        events.subscribers.append(logs.event)
+        events.subscribers.append(logs.log_event)
         return log
 
     def start(self) -> None:
-        """Listen for peers and begin to follow the configuration.
+        """Listen for peers, serve metrics and start the periodic tasks.
 
-        :raises OSError: if the address is taken
+        :raises OSError: if an address is in use
         """
         self.peers.listen(self.settings.peer_address)
         self._serve_metrics()
@@ -136,21 +142,25 @@
         )
         self.follower.start()
         self.timers.subscribe(
-            'logs', logs.REPORT_SECONDS, self.log.handler.report
+            'logs', logs.REPORT_SECONDS, self.log.handler.report_lost_lines
         )
         self.timers.subscribe(
-            'strikes', CLEAR_SECONDS, self.strikes.drop_expired
+            'strikes',
+            CRASH_REPORT_CLEANUP_SECONDS,
+            self.crash_reports.drop_expired,
         )
         self.timers.subscribe(
-            'instances', draining_instances.POLL_SECONDS, self.instances.poll
+            'instances',
+            draining_instances.POLL_SECONDS,
+            self.draining_instances.poll,
         )
         for address in self.settings.peers:
             eventlet.spawn(self.peers.get, address)
 
     def _serve_metrics(self) -> None:
-        """Serve metrics, if the settings name an address for them.
+        """Serve metrics over HTTP if the settings name an address for them.
 
-        :raises OSError: if the address is taken
+        :raises OSError: if the address is in use
         """
         self.metrics.gauge('log.lines_dropped', lambda: self.log.dropped)
         self.metrics.gauge(
@@ -168,16 +178,19 @@
             eventlet.wsgi.server, sock, application, log_output=False
         )
 
-    def closed(self, link: links.Link, why: failures.Failure) -> None:
-        """Forget a link that has ended."""
+    def on_closed(self, link: links.Link, why: failures.Failure) -> None:
+        """Remove a closed link and record why it was closed."""
         self.peers.forget(link)
-        self.dependencies.lost(link, why)
+        self.dependency_monitor.on_disconnected(link, why)
 
     def receive(self, link: links.Link, message: messages.AnyMessage) -> bool:
-        """Handle what concerns every role; tell whether it did."""
+        """Handle a message that concerns every role.
+
+        Returns whether the message was handled.
+        """
         match message:
             case messages.Heartbeat():
-                self._heard(link, message)
+                self._on_heartbeat(link, message)
             case messages.ChangesWanted(version=version):
                 self.follower.send_changes_since(link, version)
             case messages.Changes():
@@ -185,27 +198,32 @@
             case messages.Snapshot():
                 self.follower.apply_snapshot(link, message)
             case messages.Leaving():
-                self.instances.apply_update(link, message)
+                self.draining_instances.apply_update(link, message)
             case messages.Query():
-                link.send(inspection.answer(self, message))
+                link.send(inspection.answer_query(self, message))
             case _:
                 return False
         return True
 
-    def _heard(self, link: links.Link, heartbeat: messages.Heartbeat) -> None:
-        self.events.witness(heartbeat.clock)
+    def _on_heartbeat(
+        self, link: links.Link, heartbeat: messages.Heartbeat
+    ) -> None:
+        self.events.advance_clock(heartbeat.clock)
         self.follower.on_heartbeat(link, heartbeat)
-        self.instances.on_heartbeat(link, heartbeat)
+        self.draining_instances.on_heartbeat(link, heartbeat)
         for strike in heartbeat.strikes:
-            self.strikes.add(strike.fingerprint, strike.crash)
+            self.crash_reports.add(strike.fingerprint, strike.crash)
 
     def heartbeat(
         self, load: messages.Load | None = None
     ) -> messages.Heartbeat:
-        """Return the heartbeat of this moment."""
-        news = tuple(
+        """Return a heartbeat with this process's current state.
+
+        The link fills in the time stamps and the period.
+        """
+        crash_reports = tuple(
             messages.Strike(fingerprint, crash)
-            for fingerprint, crash in self.strikes.recent()
+            for fingerprint, crash in self.crash_reports.recent()
         )
         return messages.Heartbeat(
             self.events.clock,
@@ -215,6 +233,6 @@
             0,
             0,
             load,
-            news,
-            list_revision=self.instances.revision,
+            crash_reports,
+            list_revision=self.draining_instances.revision,
         )
--- a/libs/side/burdockmast/side/layer_reconciler.py
+++ b/libs/side/burdockmast/side/layer_reconciler.py
@@ -115,7 +115,7 @@
         if status.held != self.held:
             LOG.warning('Engine no longer holds {}, loading again.', self.held)
             self.reload()
-            self._peers.beat()
+            self._peers.send_heartbeats()
 
     def reload(self) -> None:
         """Load the layers again after the engine has lost them."""
@@ -172,7 +172,7 @@
         self._is_moving = True
         self._events.add('engine.moving', model=model)
         eventlet.spawn(self._renew_permit, model)
-        self._peers.beat()
+        self._peers.send_heartbeats()
         try:
             while not self.is_idle():
                 eventlet.sleep(IDLE_POLL_SECONDS)
@@ -180,7 +180,7 @@
         finally:
             self._is_moving = False
         self._record_held(model)
-        self._peers.beat()
+        self._peers.send_heartbeats()
 
     def _renew_permit(self, model: ids.ModelId) -> None:
         while True:
@@ -208,7 +208,7 @@
     def _adopt(self, held: engine.HeldLayers) -> None:
         self._set_held(held, 'engine.adopted')
         self._record_held()
-        self._peers.beat()
+        self._peers.send_heartbeats()
 
     def _may_order(self) -> bool:
         return self._checks_fence or (
--- a/libs/side/burdockmast/side/server.py
+++ b/libs/side/burdockmast/side/server.py
@@ -57,7 +57,7 @@
                 self.node, settings.service_url
             )
         self.node.follower.subscribers.append(self._update_draining)
-        self.node.instances.subscribers.append(self._update_draining)
+        self.node.draining_instances.subscribers.append(self._update_draining)
 
     def start(self) -> None:
         """Start listening, the engine's tasks and the periodic polls.
@@ -102,13 +102,15 @@
         if self._is_stopping:
             return
         is_retired = server and server.state is changes.ServerState.DRAINING
-        self._set_draining(bool(is_retired) or self.node.instances.is_draining)
+        self._set_draining(
+            bool(is_retired) or self.node.draining_instances.is_draining
+        )
 
     def _set_draining(self, is_draining: bool) -> None:
         for part in (self.stage, self.service_executor):
             if part and part.is_draining is not is_draining:
                 part.is_draining = is_draining
-                self.node.peers.beat()
+                self.node.peers.send_heartbeats()
 
     def receive(self, link: links.Link, message: messages.AnyMessage) -> None:
         """Dispatch a message to the part that handles it."""
@@ -149,20 +151,20 @@
                 reply = self.service_executor.resolve(message)
         link.send(reply)
 
-    def describe(self, link: links.Link) -> messages.Heartbeat:
+    def build_heartbeat(self, link: links.Link) -> messages.Heartbeat:
         """Return the heartbeat for a peer; entries also get the load."""
         load = None
         if link.hello.role is messages.Role.ENTRY and self.stage:
             load = self._load_report()
         return self.node.heartbeat(load)
 
-    def period(self) -> float:
+    def heartbeat_period(self) -> float:
         """Return the seconds between heartbeats."""
-        return self.node.peers.period()
+        return self.node.peers.heartbeat_period()
 
-    def closed(self, link: links.Link, why: failures.Failure) -> None:
+    def on_closed(self, link: links.Link, why: failures.Failure) -> None:
         """Forget a closed link, and end the attempts that used it."""
-        self.node.closed(link, why)
+        self.node.on_closed(link, why)
         if self.stage:
             self.stage.on_link_closed(link, why)
 
--- a/libs/side/burdockmast/side/service_executor.py
+++ b/libs/side/burdockmast/side/service_executor.py
@@ -57,7 +57,7 @@
 
     def call(self, call: messages.ServiceCall) -> messages.ServiceReply:
         """Execute or refuse a call, or return its key's earlier reply."""
-        self._events.witness(call.clock)
+        self._events.advance_clock(call.clock)
         if call.incarnation and call.incarnation != self._incarnation:
             return self._refuse(call, failures.Reason.STALE_INCARNATION)
         if not call.key:
@@ -79,7 +79,7 @@
 
     def resolve(self, settle: messages.Settle) -> messages.ServiceReply:
         """Return the outcome of a key; void its attempt if it never began."""
-        self._events.witness(settle.clock)
+        self._events.advance_clock(settle.clock)
         if settle.incarnation != self._incarnation:
             return self._reply(
                 settle.call,
--- a/libs/side/burdockmast/side/stage.py
+++ b/libs/side/burdockmast/side/stage.py
@@ -49,7 +49,7 @@
         self._reconciler = reconciler
         self._peers = process.peers
         self._slots = slots
-        self._crash_reports = process.strikes
+        self._crash_reports = process.crash_reports
         self._events = process.events
         self._metrics = process.metrics
 
@@ -85,7 +85,7 @@
 
     def on_start(self, link: links.Link, start: messages.Start) -> None:
         """Accept or refuse an attempt."""
-        self._events.witness(start.clock)
+        self._events.advance_clock(start.clock)
         refusal = self._refusal_reason(start)
         if refusal:
             self._metrics.count('stage.refused')
@@ -112,7 +112,7 @@
 
     def on_opened(self, opened: messages.Opened) -> None:
         """Begin an answer that all stages of its path have accepted."""
-        self._events.witness(opened.clock)
+        self._events.advance_clock(opened.clock)
         attempt = self._find_attempt(opened.answer, opened.attempt)
         if attempt and attempt.start.position == 0 and not attempt.next_index:
             self._begin_answer(attempt, opened.cached)
@@ -160,7 +160,7 @@
         """Forward a later stage's failure towards the entry."""
         attempt = self._find_attempt(failed.answer, failed.attempt)
         if attempt:
-            self._events.witness(failed.clock)
+            self._events.advance_clock(failed.clock)
             attempt.upstream.send(failed)
             self._remove(attempt)
 
@@ -388,7 +388,7 @@
         if crash_id:
             for attempt in (*batch, *started):
                 self._crash_reports.add(attempt.start.fingerprint, crash_id)
-        self._peers.beat()
+        self._peers.send_heartbeats()
         for attempt in list(self.attempt_by_answer.values()):
             blamed_crash_id = crash_id if attempt.next_index else ''
             self._fail(
@@ -398,7 +398,7 @@
     def on_engine_recovered(self) -> None:
         """Load the layers again, and send the new state to all peers."""
         self._reconciler.reload()
-        self._peers.beat()
+        self._peers.send_heartbeats()
 
     def _fail(
         self,
