Name the operator's queries and diagnostics in the terms of the field

Cause: asking.ask and observation are vague; the messages that they send are called Query and QueryReply, and "answer" names the token stream of a request.

Change: renames only. Module asking becomes queries, with ask -> send_query, ask_all -> query_fleet, statuses -> fetch_statuses, events -> fetch_events and Answers -> Replies. Module observation becomes diagnostics. The member ADDRESS_TAKEN of ExitStatus becomes ADDRESS_IN_USE; its value 4 stays.

--- a/libs/bench/burdockmast/bench/control.py
+++ b/libs/bench/burdockmast/bench/control.py
@@ -17,7 +17,7 @@
 from burdockmast.fleet import configuration
 from burdockmast.fleet import encoding
 from burdockmast.fleet import snapshots
-from burdockmast.operator import asking
+from burdockmast.operator import queries
 from burdockmast.standins import fleets
 from burdockmast.standins import layouts
 from burdockmast.standins import processes
@@ -185,10 +185,10 @@
     address = address or fleet.address_by_name[name]
 
     def follows() -> bool:
-        reply = asking.ask(ids.Address(address), 'status')
+        reply = queries.send_query(ids.Address(address), 'status')
         if isinstance(reply, failures.Failure):
             return False
-        return asking.inspection.decode_status(reply).version >= version
+        return queries.inspection.decode_status(reply).version >= version
 
     processes.wait_until(follows, f'{name} at version {version}')
 
--- a/libs/bench/burdockmast/bench/demo.py
+++ b/libs/bench/burdockmast/bench/demo.py
@@ -6,7 +6,7 @@
 import click
 
 from burdockmast.base import ids
-from burdockmast.operator import asking
+from burdockmast.operator import queries
 from burdockmast.standins import fleets
 from burdockmast.standins import layouts
 
@@ -56,7 +56,7 @@
         ids.Address(fleet.address_by_name[f'{entry}-peer'])
         for entry in fleet.entries
     ]
-    found, _ = asking.events(addresses, request)
+    found, _ = queries.fetch_events(addresses, request)
     paths = [e.fields['path'] for e in found if e.what == 'answer.started']
     return ', then '.join(' -> '.join(path) for path in paths)
 
--- a/libs/operator/burdockmast/operator/cli/definition.py
+++ b/libs/operator/burdockmast/operator/cli/definition.py
@@ -8,7 +8,7 @@
 from burdockmast.base import ids
 from burdockmast.operator import context
 from burdockmast.operator import daemons
-from burdockmast.operator import observation
+from burdockmast.operator import diagnostics
 from burdockmast.operator import presets
 from burdockmast.operator import servers
 from burdockmast.operator.cli import types
@@ -190,7 +190,7 @@
 @operator_command
 def status(run: context.Context) -> None:
     """Show every process of the fleet."""
-    observation.status(run)
+    diagnostics.status(run)
 
 
 @program.command()
@@ -199,7 +199,7 @@
 @operator_command
 def timeline(run: context.Context, request: str, limit: int) -> None:
     """Show the events of all processes in causal order."""
-    observation.show_timeline(run, request, limit)
+    diagnostics.show_timeline(run, request, limit)
 
 
 @program.command()
@@ -210,7 +210,7 @@
 
     The id is that of the answer's header Burdockmast-Request-Id.
     """
-    observation.explain(run, request)
+    diagnostics.explain(run, request)
 
 
 @program.group()
@@ -240,4 +240,4 @@
 
     Example: burdockmast completion bash > burdockmast.bash
     """
-    observation.print_completion(shell)
+    diagnostics.print_completion(shell)
--- a/libs/operator/burdockmast/operator/daemons.py
+++ b/libs/operator/burdockmast/operator/daemons.py
@@ -57,7 +57,7 @@
 ) -> exit_status.ExitStatus:
     LOG.error('The address is not free: {}.', error)
     process.log.close()
-    return exit_status.ExitStatus.ADDRESS_TAKEN
+    return exit_status.ExitStatus.ADDRESS_IN_USE
 
 
 def _stopped(process: node.Node) -> exit_status.ExitStatus:
--- a/libs/operator/burdockmast/operator/observation.py
+++ b/libs/operator/burdockmast/operator/diagnostics.py
@@ -5,9 +5,9 @@
 import click
 
 from burdockmast.base import timeline
-from burdockmast.operator import asking
 from burdockmast.operator import context
 from burdockmast.operator import exit_status
+from burdockmast.operator import queries
 
 # Sentences of ``explain``, by what happened.
 SENTENCES = {
@@ -38,7 +38,7 @@
 
 def status(run: context.Context) -> None:
     """Show every process of the fleet."""
-    statuses, answers = asking.statuses(run.addresses())
+    statuses, answers = queries.fetch_statuses(run.addresses())
     rows = [
         (
             address,
@@ -75,7 +75,7 @@
 
 def show_timeline(run: context.Context, request: str, limit: int) -> None:
     """Show the newest events of all processes in causal order."""
-    found, answers = asking.events(run.addresses(), request)
+    found, answers = queries.fetch_events(run.addresses(), request)
     chosen = found[-limit:]
     lines = [_line(event) for event in chosen]
     lines += [f'No answer from {a}.' for a in answers.failure_by_address]
@@ -94,7 +94,7 @@
 
 def explain(run: context.Context, request: str) -> None:
     """Tell why a request was routed or refused as it was."""
-    found, _ = asking.events(run.addresses(), request)
+    found, _ = queries.fetch_events(run.addresses(), request)
     if not found:
         raise context.CommandError(
             f'no process remembers request {request}',
--- a/libs/operator/burdockmast/operator/exit_status.py
+++ b/libs/operator/burdockmast/operator/exit_status.py
@@ -11,7 +11,7 @@
     # Used by the argument library itself.
     USAGE = 2
     BAD_SETTINGS = 3
-    ADDRESS_TAKEN = 4
+    ADDRESS_IN_USE = 4
     REFUSED = 5
     # A write may or may not have taken effect.
     UNKNOWN = 6
--- a/libs/operator/burdockmast/operator/presets.py
+++ b/libs/operator/burdockmast/operator/presets.py
@@ -11,8 +11,8 @@
 from burdockmast.base import timers
 from burdockmast.fleet import changes
 from burdockmast.fleet import configuration
-from burdockmast.operator import asking
 from burdockmast.operator import context
+from burdockmast.operator import queries
 from burdockmast.settings import loader
 
 # Seconds that a switch waits for all processes to follow.
@@ -163,7 +163,7 @@
     """Return how many processes follow, of how many, and the silent."""
     deadline = timers.now() + FOLLOW_SECONDS
     while True:
-        statuses, answers = asking.statuses(run.addresses())
+        statuses, answers = queries.fetch_statuses(run.addresses())
         current = sum(s.version >= version for s in statuses.values())
         if current == len(statuses) or timers.now() > deadline:
             silent = sorted(answers.failure_by_address)
--- a/libs/operator/burdockmast/operator/asking.py
+++ b/libs/operator/burdockmast/operator/queries.py
@@ -15,14 +15,14 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Answers:
+class Replies:
     """Replies of daemons, and who did not answer."""
 
     body_by_address: dict[ids.Address, bytes]
     failure_by_address: dict[ids.Address, failures.Failure]
 
 
-def ask(
+def send_query(
     address: ids.Address, what: str, argument: str = ''
 ) -> bytes | failures.Failure:
     """Ask one daemon."""
@@ -36,14 +36,14 @@
     return reply.body
 
 
-def ask_all(
+def query_fleet(
     known: list[ids.Address], what: str, argument: str = ''
-) -> Answers:
+) -> Replies:
     """Ask all daemons of a fleet at once.
 
     :param known: some of them; others are found as their peers
     """
-    answers = Answers({}, {})
+    answers = Replies({}, {})
     asked: set[ids.Address] = set()
     wave = set(known)
     while wave:
@@ -72,7 +72,9 @@
     wave: list[ids.Address], what: str, argument: str
 ) -> list[tuple[ids.Address, bytes | failures.Failure]]:
     pool = eventlet.GreenPool(64)
-    replies = pool.imap(lambda address: ask(address, what, argument), wave)
+    replies = pool.imap(
+        lambda address: send_query(address, what, argument), wave
+    )
     return list(zip(wave, replies, strict=True))
 
 
@@ -81,11 +83,11 @@
     return {ids.Address(peer.address) for peer in status.peers if peer.address}
 
 
-def statuses(
+def fetch_statuses(
     known: list[ids.Address],
-) -> tuple[dict[ids.Address, inspection.Status], Answers]:
+) -> tuple[dict[ids.Address, inspection.Status], Replies]:
     """Return the status of each daemon, and the raw answers."""
-    answers = ask_all(known, 'status')
+    answers = query_fleet(known, 'status')
     found: dict[ids.Address, inspection.Status] = {}
     processes: set[str] = set()
     for address, body in sorted(answers.body_by_address.items()):
@@ -97,11 +99,11 @@
     return found, answers
 
 
-def events(
+def fetch_events(
     known: list[ids.Address], request: str
-) -> tuple[list[timeline.Event], Answers]:
+) -> tuple[list[timeline.Event], Replies]:
     """Return the time line over all daemons, of one request if given."""
-    answers = ask_all(known, 'timeline', request)
+    answers = query_fleet(known, 'timeline', request)
     records = [
         inspection.decode_events(body)
         for body in answers.body_by_address.values()
--- a/libs/operator/burdockmast/operator/servers.py
+++ b/libs/operator/burdockmast/operator/servers.py
@@ -9,8 +9,8 @@
 from burdockmast.fleet import changes
 from burdockmast.fleet import layer_moves
 from burdockmast.node import inspection
-from burdockmast.operator import asking
 from burdockmast.operator import context
+from burdockmast.operator import queries
 from burdockmast.settings import loader
 
 POLL_SECONDS = 0.1
@@ -86,7 +86,7 @@
     address = run.writer().configuration.server_by_id[server].address
     deadline = timers.now() + seconds
     while timers.now() < deadline:
-        reply = asking.ask(address, 'status')
+        reply = queries.send_query(address, 'status')
         if isinstance(reply, failures.Failure):
             return True
         details = inspection.decode_status(reply).details
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -82,7 +82,7 @@
     """Proves: no two processes act for one backend server at once."""
     path = shared_fleet.folder / 'side-e1.json'
     done = program.run_command('side', str(path))
-    assert done.returncode == STATUS.ADDRESS_TAKEN
+    assert done.returncode == STATUS.ADDRESS_IN_USE
 
 
 def test_presets_and_servers_are_managed(own_fleet, tmp_path):
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -15,7 +15,7 @@
 from burdockmast.fleet import configuration
 from burdockmast.fleet import encoding
 from burdockmast.fleet import follower
-from burdockmast.operator import asking
+from burdockmast.operator import queries
 from burdockmast.standins import layouts
 from burdockmast.store import objects
 from burdockmast.wire import messages
@@ -30,7 +30,9 @@
 
 
 def statuses(fleet):
-    found, _ = asking.statuses([server.address for server in fleet.servers])
+    found, _ = queries.fetch_statuses(
+        [server.address for server in fleet.servers]
+    )
     return found.values()
 
 
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -13,7 +13,7 @@
 from burdockmast.base import outcomes
 from burdockmast.claims import records
 from burdockmast.entry import services
-from burdockmast.operator import asking
+from burdockmast.operator import queries
 from burdockmast.standins import layouts
 from burdockmast.store import journals
 from burdockmast.store import objects
@@ -177,8 +177,8 @@
 def claim_as_dead_entry(fleet, key):
     """Write a claim whose holder never sends the request."""
     address = fleet.servers[-1].address
-    body = asking.ask(address, 'status')
-    status = asking.inspection.decode_status(body)
+    body = queries.send_query(address, 'status')
+    status = queries.inspection.decode_status(body)
     kept = kept_key(key)
     call_fingerprint = fingerprint_of_command()
     claim = records.Claim(
@@ -286,7 +286,7 @@
     program.wait_until(
         lambda: (
             not isinstance(
-                asking.ask(claim.address, 'status'), failures.Failure
+                queries.send_query(claim.address, 'status'), failures.Failure
             )
         ),
         'side back',
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -9,7 +9,7 @@
 
 from burdockmast.base import ids
 from burdockmast.fleet import changes
-from burdockmast.operator import asking
+from burdockmast.operator import queries
 from burdockmast.standins import layouts
 
 TOKEN_COUNT = 60
@@ -144,7 +144,7 @@
         fleet.freeze(f'{kind}-{server}')
         check_answers(started)
     entry = ids.Address(fleet.address_by_name['entry-0-peer'])
-    events, _ = asking.events([entry], '')
+    events, _ = queries.fetch_events([entry], '')
     steps = [
         event.fields['step']
         for event in events
