Reword the operator's queries

Cause: the comments spoke of asking daemons and of who did not answer; the time limit of a query had no such name.

ASK_SECONDS becomes QUERY_TIMEOUT_SECONDS.

--- a/libs/operator/burdockmast/operator/queries.py
+++ b/libs/operator/burdockmast/operator/queries.py
@@ -1,4 +1,4 @@
-"""Asks daemons questions over the system's own links."""
+"""Queries the processes of a fleet over its internal links."""
 
 import dataclasses
 
@@ -11,25 +11,27 @@
 from burdockmast.wire import messages
 from burdockmast.wire import passive
 
-ASK_SECONDS = 2.0
+QUERY_TIMEOUT_SECONDS = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Replies:
-    """Replies of daemons, and who did not answer."""
+    """Reply bodies of the processes, and the failures of the others."""
 
     body_by_address: dict[ids.Address, bytes]
     failure_by_address: dict[ids.Address, failures.Failure]
 
 
 def send_query(
-    address: ids.Address, what: str, argument: str = ''
+    address: ids.Address, question: str, argument: str = ''
 ) -> bytes | failures.Failure:
-    """Ask one daemon."""
+    """Query one process over a new link and return the body of its reply."""
     link = passive.connect(address, messages.Role.OPERATOR)
     if isinstance(link, failures.Failure):
         return link
-    reply = link.ask(messages.Query(ids.new_id(), what, argument), ASK_SECONDS)
+    reply = link.ask(
+        messages.Query(ids.new_id(), question, argument), QUERY_TIMEOUT_SECONDS
+    )
     link.close(failures.Failure(failures.Reason.CANCELLED, 'operator.ask'))
     if isinstance(reply, failures.Failure):
         return reply
@@ -37,75 +39,79 @@
 
 
 def query_fleet(
-    known: list[ids.Address], what: str, argument: str = ''
+    seeds: list[ids.Address], question: str, argument: str = ''
 ) -> Replies:
-    """Ask all daemons of a fleet at once.
+    """Query all processes of a fleet concurrently.
 
-    :param known: some of them; others are found as their peers
+    :param seeds: addresses to start from; the others are discovered as peers
+        in the status of each process
     """
-    answers = Replies({}, {})
-    asked: set[ids.Address] = set()
-    wave = set(known)
-    while wave:
-        asked |= wave
-        replies = _ask_wave(sorted(wave), 'status', '')
-        wave = set()
+    collected = Replies({}, {})
+    visited: set[ids.Address] = set()
+    batch = set(seeds)
+    while batch:
+        visited |= batch
+        replies = _query_batch(sorted(batch), 'status', '')
+        batch = set()
         for address, reply in replies:
             if isinstance(reply, failures.Failure):
-                answers.failure_by_address[address] = reply
+                collected.failure_by_address[address] = reply
                 continue
-            answers.body_by_address[address] = reply
-            wave |= _peers_of(reply) - asked
-    if what == 'status':
-        return answers
-    found = sorted(answers.body_by_address)
-    answers.body_by_address.clear()
-    for address, reply in _ask_wave(found, what, argument):
+            collected.body_by_address[address] = reply
+            batch |= _peer_addresses(reply) - visited
+    if question == 'status':
+        return collected
+    reachable = sorted(collected.body_by_address)
+    collected.body_by_address.clear()
+    for address, reply in _query_batch(reachable, question, argument):
         if isinstance(reply, failures.Failure):
-            answers.failure_by_address[address] = reply
+            collected.failure_by_address[address] = reply
         else:
-            answers.body_by_address[address] = reply
-    return answers
+            collected.body_by_address[address] = reply
+    return collected
 
 
-def _ask_wave(
-    wave: list[ids.Address], what: str, argument: str
+def _query_batch(
+    batch: list[ids.Address], question: str, argument: str
 ) -> list[tuple[ids.Address, bytes | failures.Failure]]:
     pool = eventlet.GreenPool(64)
     replies = pool.imap(
-        lambda address: send_query(address, what, argument), wave
+        lambda address: send_query(address, question, argument), batch
     )
-    return list(zip(wave, replies, strict=True))
+    return list(zip(batch, replies, strict=True))
 
 
-def _peers_of(reply: bytes) -> set[ids.Address]:
+def _peer_addresses(reply: bytes) -> set[ids.Address]:
     status = inspection.decode_status(reply)
     return {ids.Address(peer.address) for peer in status.peers if peer.address}
 
 
 def fetch_statuses(
-    known: list[ids.Address],
+    seeds: list[ids.Address],
 ) -> tuple[dict[ids.Address, inspection.Status], Replies]:
-    """Return the status of each daemon, and the raw answers."""
-    answers = query_fleet(known, 'status')
+    """Return the status of each process by address, and the raw replies."""
+    collected = query_fleet(seeds, 'status')
     found: dict[ids.Address, inspection.Status] = {}
     processes: set[str] = set()
-    for address, body in sorted(answers.body_by_address.items()):
+    for address, body in sorted(collected.body_by_address.items()):
         status = inspection.decode_status(body)
-        # A process may be known by several addresses.
+        # One process may have replied at several addresses.
         if status.process not in processes:
             processes.add(status.process)
             found[address] = status
-    return found, answers
+    return found, collected
 
 
 def fetch_events(
-    known: list[ids.Address], request: str
+    seeds: list[ids.Address], request: str
 ) -> tuple[list[timeline.Event], Replies]:
-    """Return the time line over all daemons, of one request if given."""
-    answers = query_fleet(known, 'timeline', request)
+    """Return the merged time line of all processes.
+
+    :param request: a request's id, or empty for the events of all requests
+    """
+    collected = query_fleet(seeds, 'timeline', request)
     records = [
         inspection.decode_events(body)
-        for body in answers.body_by_address.values()
+        for body in collected.body_by_address.values()
     ]
-    return timeline.merge(records), answers
+    return timeline.merge(records), collected
