Name the context of operators' commands and its methods

Cause: a parameter "run" held the context, whose class was named like click's own; check, show, table and addresses did not say what they do.

Change: renames only. Context -> CommandContext, check -> unwrap, show -> print_result, table -> format_table, addresses -> seed_addresses.

Checks: ruff, flake8; the program prints its help.

--- a/libs/operator/burdockmast/operator/cli/definition.py
+++ b/libs/operator/burdockmast/operator/cli/definition.py
@@ -24,13 +24,13 @@
 
 
 def operator_command(command):
-    """Give a command the operators' options, as a ``context.Context``."""
+    """Pass a ``CommandContext`` of the operators' options to a command."""
 
     @types.operator_options
     @functools.wraps(command)
     def run(*, settings, store, is_json, **arguments):
-        made = context.Context.from_config(settings, store, is_json)
-        return command(made, **arguments)
+        ctx = context.CommandContext.from_config(settings, store, is_json)
+        return command(ctx, **arguments)
 
     return run
 
@@ -86,39 +86,39 @@
 @preset.command('create')
 @click.argument('path', metavar='FILE', type=types.FILE)
 @operator_command
-def create_preset(run: context.Context, path: pathlib.Path) -> None:
+def create_preset(ctx: context.CommandContext, path: pathlib.Path) -> None:
     """Create or replace a preset that is not in force.
 
     Example: burdockmast preset create ordinary.json
     """
-    presets.create(run, path)
+    presets.create(ctx, path)
 
 
 @preset.command('list')
 @operator_command
-def list_presets(run: context.Context) -> None:
+def list_presets(ctx: context.CommandContext) -> None:
     """Show all presets and the one in force."""
-    presets.list_all(run)
+    presets.list_all(ctx)
 
 
 @preset.command('show')
 @click.argument('preset_id', metavar='PRESET')
 @operator_command
-def show_preset(run: context.Context, preset_id: str) -> None:
+def show_preset(ctx: context.CommandContext, preset_id: str) -> None:
     """Show one preset."""
-    presets.show(run, ids.PresetId(preset_id))
+    presets.show(ctx, ids.PresetId(preset_id))
 
 
 @preset.command('diff')
 @click.argument('before', metavar='PRESET')
 @click.argument('after', metavar='PRESET')
 @operator_command
-def diff_presets(run: context.Context, before: str, after: str) -> None:
+def diff_presets(ctx: context.CommandContext, before: str, after: str) -> None:
     """Show what differs between two presets.
 
     Example: burdockmast preset diff ordinary peak
     """
-    presets.diff(run, ids.PresetId(before), ids.PresetId(after))
+    presets.diff(ctx, ids.PresetId(before), ids.PresetId(after))
 
 
 @preset.command('switch')
@@ -131,7 +131,7 @@
 )
 @operator_command
 def switch_preset(
-    run: context.Context,
+    ctx: context.CommandContext,
     preset_id: str,
     expected: str | None,
     unserved: bool,
@@ -140,7 +140,7 @@
 
     Example: burdockmast preset switch peak --expected ordinary
     """
-    presets.switch(run, ids.PresetId(preset_id), expected, unserved)
+    presets.switch(ctx, ids.PresetId(preset_id), expected, unserved)
 
 
 @program.group()
@@ -151,66 +151,68 @@
 @server.command('add')
 @click.argument('path', metavar='FILE', type=types.FILE)
 @operator_command
-def add_server(run: context.Context, path: pathlib.Path) -> None:
+def add_server(ctx: context.CommandContext, path: pathlib.Path) -> None:
     """Add the backend server that a file describes.
 
     Example: burdockmast server add e41.json
     """
-    servers.add(run, path)
+    servers.add(ctx, path)
 
 
 @server.command('retire')
 @click.argument('server_id', metavar='SERVER')
 @click.option('--wait', default=0.0, help='Seconds to wait until idle.')
 @operator_command
-def retire_server(run: context.Context, server_id: str, wait: float) -> None:
+def retire_server(
+    ctx: context.CommandContext, server_id: str, wait: float
+) -> None:
     """Give a backend server no new work.
 
     Example: burdockmast server retire e41 --wait 60
     """
-    servers.retire(run, ids.ServerId(server_id), wait)
+    servers.retire(ctx, ids.ServerId(server_id), wait)
 
 
 @server.command('remove')
 @click.argument('server_id', metavar='SERVER')
 @operator_command
-def remove_server(run: context.Context, server_id: str) -> None:
+def remove_server(ctx: context.CommandContext, server_id: str) -> None:
     """Forget a backend server that is leaving."""
-    servers.remove(run, ids.ServerId(server_id))
+    servers.remove(ctx, ids.ServerId(server_id))
 
 
 @server.command('list')
 @operator_command
-def list_servers(run: context.Context) -> None:
+def list_servers(ctx: context.CommandContext) -> None:
     """Show all backend servers."""
-    servers.list_all(run)
+    servers.list_all(ctx)
 
 
 @program.command()
 @operator_command
-def status(run: context.Context) -> None:
+def status(ctx: context.CommandContext) -> None:
     """Show every process of the fleet."""
-    diagnostics.status(run)
+    diagnostics.status(ctx)
 
 
 @program.command()
 @click.option('--request', default='', help='Only events of one request.')
 @click.option('--limit', default=200, help='Newest events to show.')
 @operator_command
-def timeline(run: context.Context, request: str, limit: int) -> None:
+def timeline(ctx: context.CommandContext, request: str, limit: int) -> None:
     """Show the events of all processes in causal order."""
-    diagnostics.show_timeline(run, request, limit)
+    diagnostics.show_timeline(ctx, request, limit)
 
 
 @program.command()
 @click.argument('request')
 @operator_command
-def explain(run: context.Context, request: str) -> None:
+def explain(ctx: context.CommandContext, request: str) -> None:
     """Tell why a request was routed or refused as it was.
 
     The id is that of the answer's header Burdockmast-Request-Id.
     """
-    diagnostics.explain(run, request)
+    diagnostics.explain(ctx, request)
 
 
 @program.group()
--- a/libs/operator/burdockmast/operator/context.py
+++ b/libs/operator/burdockmast/operator/context.py
@@ -28,7 +28,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Context:
+class CommandContext:
     """One run of an operator's command.
 
     :ivar is_json: print JSON in place of text
@@ -40,7 +40,7 @@
     @classmethod
     def from_config(
         cls, path: pathlib.Path | None, store: str | None, is_json: bool
-    ) -> 'Context':
+    ) -> 'CommandContext':
         """Build a context from a settings file or the store's URL."""
         if path:
             settings = loader.load(path, models.OperatorSettings)
@@ -59,24 +59,24 @@
     def writer(self) -> change_journal.ChangeWriter:
         """Return the configuration's writer, with all that is accepted."""
         writer = change_journal.ChangeWriter(self.store(), getpass.getuser())
-        check(writer.refresh())
+        unwrap(writer.refresh())
         return writer
 
     def submit(self, body: changes.Body) -> change_journal.Accepted:
         """Have a change accepted, or fail with the reason."""
-        return check(self.writer().submit(body))
+        return unwrap(self.writer().submit(body))
 
-    def addresses(self) -> list[ids.Address]:
+    def seed_addresses(self) -> list[ids.Address]:
         """Return daemons to begin with: of the settings and the store."""
         found = set(self.settings.peers)
         writer = change_journal.ChangeWriter(self.store(), getpass.getuser())
         failure = writer.refresh()
         if failure and not found:
-            check(failure)
+            unwrap(failure)
         servers = writer.configuration.server_by_id.values()
         return sorted(found | {server.address for server in servers})
 
-    def show(self, value: object, text: str) -> None:
+    def print_result(self, value: object, text: str) -> None:
         """Print ``value`` as JSON if wanted, else ``text``."""
         if self.is_json:
             encoded = msgspec.json.encode(value)
@@ -85,7 +85,7 @@
             click.echo(text)
 
 
-def check(result: object) -> object:
+def unwrap(result: object) -> object:
     """Return a result; a failure ends the command and tells how."""
     if not isinstance(result, failures.Failure):
         return result
@@ -106,7 +106,7 @@
     return exit_status.ExitStatus.REFUSED
 
 
-def table(header: tuple[str, ...], rows: list[tuple]) -> str:
+def format_table(header: tuple[str, ...], rows: list[tuple]) -> str:
     """Return rows as text in aligned columns."""
     lines = [header, *[tuple(map(str, row)) for row in rows]]
     widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
--- a/libs/operator/burdockmast/operator/diagnostics.py
+++ b/libs/operator/burdockmast/operator/diagnostics.py
@@ -36,9 +36,9 @@
 }
 
 
-def status(run: context.Context) -> None:
+def status(ctx: context.CommandContext) -> None:
     """Show every process of the fleet."""
-    statuses, answers = queries.fetch_statuses(run.addresses())
+    statuses, answers = queries.fetch_statuses(ctx.seed_addresses())
     rows = [
         (
             address,
@@ -58,10 +58,10 @@
         'LINKS', 'DETAILS',
     )  # fmt: skip
     silent = sorted(answers.failure_by_address)
-    text = context.table(header, rows)
+    text = context.format_table(header, rows)
     for address in silent:
         text += f'\n{address}  {answers.failure_by_address[address]}'
-    run.show({'processes': statuses, 'silent': silent}, text)
+    ctx.print_result({'processes': statuses, 'silent': silent}, text)
 
 
 def _details(details: dict) -> str:
@@ -73,13 +73,15 @@
     )  # fmt: skip
 
 
-def show_timeline(run: context.Context, request: str, limit: int) -> None:
+def show_timeline(
+    ctx: context.CommandContext, request: str, limit: int
+) -> None:
     """Show the newest events of all processes in causal order."""
-    found, answers = queries.fetch_events(run.addresses(), request)
+    found, answers = queries.fetch_events(ctx.seed_addresses(), request)
     chosen = found[-limit:]
     lines = [_line(event) for event in chosen]
     lines += [f'No answer from {a}.' for a in answers.failure_by_address]
-    run.show(chosen, '\n'.join(lines))
+    ctx.print_result(chosen, '\n'.join(lines))
 
 
 def _line(event: timeline.Event) -> str:
@@ -92,9 +94,9 @@
     ).rstrip()
 
 
-def explain(run: context.Context, request: str) -> None:
+def explain(ctx: context.CommandContext, request: str) -> None:
     """Tell why a request was routed or refused as it was."""
-    found, _ = queries.fetch_events(run.addresses(), request)
+    found, _ = queries.fetch_events(ctx.seed_addresses(), request)
     if not found:
         raise context.CommandError(
             f'no process remembers request {request}',
@@ -102,7 +104,7 @@
         )
     lines = [f'Request {request}:']
     lines += [f'- {_sentence(event)} ({event.process})' for event in found]
-    run.show(found, '\n'.join(lines))
+    ctx.print_result(found, '\n'.join(lines))
 
 
 def _sentence(event: timeline.Event) -> str:
--- a/libs/operator/burdockmast/operator/presets.py
+++ b/libs/operator/burdockmast/operator/presets.py
@@ -32,17 +32,17 @@
     return preset
 
 
-def create(run: context.Context, path: pathlib.Path) -> None:
+def create(ctx: context.CommandContext, path: pathlib.Path) -> None:
     """Create or replace a preset."""
     preset = load(path)
-    accepted = run.submit(changes.PutPreset(preset))
+    accepted = ctx.submit(changes.PutPreset(preset))
     text = f'Preset {preset.id} is accepted as version {accepted.version}.'
-    run.show(accepted, text)
+    ctx.print_result(accepted, text)
 
 
-def list_all(run: context.Context) -> None:
+def list_all(ctx: context.CommandContext) -> None:
     """Show all presets and which one is in force."""
-    current = run.writer().configuration
+    current = ctx.writer().configuration
     rows = [
         (
             preset.id,
@@ -53,26 +53,28 @@
         for preset in current.preset_by_id.values()
     ]
     header = ('PRESET', 'STATE', 'MODELS', 'PLACEMENTS')
-    run.show(list(current.preset_by_id), context.table(header, rows))
+    ctx.print_result(
+        list(current.preset_by_id), context.format_table(header, rows)
+    )
 
 
-def show(run: context.Context, preset: ids.PresetId) -> None:
+def show(ctx: context.CommandContext, preset: ids.PresetId) -> None:
     """Show one preset as it can be created again."""
-    found = _find(run.writer().configuration, preset)
+    found = _find(ctx.writer().configuration, preset)
     encoded = msgspec.json.format(msgspec.json.encode(found), indent=2)
-    run.show(found, encoded.decode())
+    ctx.print_result(found, encoded.decode())
 
 
 def diff(
-    run: context.Context, before: ids.PresetId, after: ids.PresetId
+    ctx: context.CommandContext, before: ids.PresetId, after: ids.PresetId
 ) -> None:
     """Show what a switch between two presets would change."""
-    current = run.writer().configuration
+    current = ctx.writer().configuration
     lines = [
         *_diff_placements(_find(current, before), _find(current, after)),
         *_diff_organisations(_find(current, before), _find(current, after)),
     ]
-    run.show(lines, '\n'.join(lines) or 'No difference.')
+    ctx.print_result(lines, '\n'.join(lines) or 'No difference.')
 
 
 def _diff_placements(
@@ -107,7 +109,7 @@
 
 
 def switch(
-    run: context.Context,
+    ctx: context.CommandContext,
     preset: ids.PresetId,
     expected: str | None,
     unserved: bool,
@@ -116,7 +118,7 @@
 
     :param unserved: also if no active server would hold some layers
     """
-    writer = run.writer()
+    writer = ctx.writer()
     if expected is None:
         expected = writer.configuration.in_force
     known = writer.configuration.preset_by_id.get(preset)
@@ -124,8 +126,8 @@
         _check_served(writer.configuration, known)
     body = changes.SwitchPreset(preset, ids.PresetId(expected))
     began = time.monotonic()
-    accepted = context.check(writer.submit(body))
-    current, total, silent = _await_version(run, accepted.version)
+    accepted = context.unwrap(writer.submit(body))
+    current, total, silent = _await_version(ctx, accepted.version)
     seconds = time.monotonic() - began
     text = (
         f'Preset {preset} is in force as version {accepted.version}, on '
@@ -133,7 +135,7 @@
     )
     if silent:
         text += f' No answer from {", ".join(silent)}.'
-    run.show(
+    ctx.print_result(
         {
             'version': accepted.version,
             'processes_current': current,
@@ -154,16 +156,16 @@
             f'of the active servers, {refusal.detail}; '
             'give --unserved to switch nevertheless'
         )
-        context.check(dataclasses.replace(refusal, detail=detail))
+        context.unwrap(dataclasses.replace(refusal, detail=detail))
 
 
 def _await_version(
-    run: context.Context, version: ids.Version
+    ctx: context.CommandContext, version: ids.Version
 ) -> tuple[int, int, list[str]]:
     """Return how many processes follow, of how many, and the silent."""
     deadline = timers.now() + FOLLOW_SECONDS
     while True:
-        statuses, answers = queries.fetch_statuses(run.addresses())
+        statuses, answers = queries.fetch_statuses(ctx.seed_addresses())
         current = sum(s.version >= version for s in statuses.values())
         if current == len(statuses) or timers.now() > deadline:
             silent = sorted(answers.failure_by_address)
--- a/libs/operator/burdockmast/operator/servers.py
+++ b/libs/operator/burdockmast/operator/servers.py
@@ -16,35 +16,37 @@
 POLL_SECONDS = 0.1
 
 
-def add(run: context.Context, path: pathlib.Path) -> None:
+def add(ctx: context.CommandContext, path: pathlib.Path) -> None:
     """Add the backend server that a file describes."""
     server = loader.load(path, changes.Server)
-    accepted = run.submit(changes.AddServer(server))
+    accepted = ctx.submit(changes.AddServer(server))
     text = f'Server {server.id} is added as version {accepted.version}.'
-    run.show(accepted, text)
+    ctx.print_result(accepted, text)
 
 
-def retire(run: context.Context, server: ids.ServerId, wait: float) -> None:
+def retire(
+    ctx: context.CommandContext, server: ids.ServerId, wait: float
+) -> None:
     """Give a backend server no new work; wait until it is idle."""
-    accepted = run.submit(changes.RetireServer(server))
+    accepted = ctx.submit(changes.RetireServer(server))
     text = f'Server {server} is leaving as of version {accepted.version}.'
     if wait:
-        is_idle = _await_idle(run, server, wait)
+        is_idle = _await_idle(ctx, server, wait)
         text += ' It is idle.' if is_idle else f' Busy after {wait:.0f} s.'
-    run.show(accepted, text)
+    ctx.print_result(accepted, text)
 
 
-def remove(run: context.Context, server: ids.ServerId) -> None:
+def remove(ctx: context.CommandContext, server: ids.ServerId) -> None:
     """Forget a backend server that is leaving."""
-    accepted = run.submit(changes.RemoveServer(server))
+    accepted = ctx.submit(changes.RemoveServer(server))
     text = f'Server {server} is removed as of version {accepted.version}.'
-    run.show(accepted, text)
+    ctx.print_result(accepted, text)
 
 
-def list_all(run: context.Context) -> None:
+def list_all(ctx: context.CommandContext) -> None:
     """Show all backend servers."""
-    current = run.writer().configuration
-    holds_by_server = _holds(run)
+    current = ctx.writer().configuration
+    holds_by_server = _holds(ctx)
     rows = []
     for server in current.server_by_id.values():
         placed = current.placement(server.id)
@@ -66,13 +68,13 @@
         'HOLDS',
     )  # fmt: skip
     servers = list(current.server_by_id.values())
-    run.show(servers, context.table(header, rows))
+    ctx.print_result(servers, context.format_table(header, rows))
 
 
-def _holds(run: context.Context) -> dict[ids.ServerId, str]:
+def _holds(ctx: context.CommandContext) -> dict[ids.ServerId, str]:
     """Return what servers hold, or that they change it now."""
     found: dict[ids.ServerId, str] = {}
-    for state in context.check(layer_moves.read_all(run.store())).values():
+    for state in context.unwrap(layer_moves.read_all(ctx.store())).values():
         for server, span in state.held_by_server.items():
             found[server] = f'{span.first}-{span.end}'
         for server in state.permit_by_server:
@@ -81,9 +83,9 @@
 
 
 def _await_idle(
-    run: context.Context, server: ids.ServerId, seconds: float
+    ctx: context.CommandContext, server: ids.ServerId, seconds: float
 ) -> bool:
-    address = run.writer().configuration.server_by_id[server].address
+    address = ctx.writer().configuration.server_by_id[server].address
     deadline = timers.now() + seconds
     while timers.now() < deadline:
         reply = queries.send_query(address, 'status')
