Reword the command line, its context and the daemons

Cause: help and comments spoke of "work on presets", of daemons to begin with and of a house; the log line on a used address did not say what happens next.

Change: help texts, comments, one log line and private names. No option, argument, metavar or exit status changes. The error of a command whose outcome is unknown now says that the command may or may not have taken effect.

--- a/libs/operator/burdockmast/operator/cli/__init__.py
+++ b/libs/operator/burdockmast/operator/cli/__init__.py
@@ -1,1 +1,1 @@
-"""Definition, argument types and checks of the command line."""
+"""Commands, argument types and shared options of the command line."""
--- a/libs/operator/burdockmast/operator/cli/definition.py
+++ b/libs/operator/burdockmast/operator/cli/definition.py
@@ -48,7 +48,7 @@
 @program.command()
 @click.argument('settings', type=types.FILE)
 def side(settings: pathlib.Path) -> int:
-    """Run the process beside a backend server.
+    """Run the side process of a backend server.
 
     Example: burdockmast side side.json
     """
@@ -60,7 +60,8 @@
 def gateway(settings: pathlib.Path | None) -> None:
     """Run a gateway on the prepared platform.
 
-    SETTINGS is the platform's file; without it, the environment names one.
+    SETTINGS is a file in the platform's format. Without it, the file is the
+    one that the environment variable BURDOCKMAST_NODE_FILE names.
 
     Example: burdockmast gateway /etc/burdockmast/local.toml
     """
@@ -69,13 +70,13 @@
 
 @program.group()
 def preset() -> None:
-    """Work on presets."""
+    """Manage presets."""
 
 
 @preset.command('check')
 @click.argument('path', metavar='FILE', type=types.FILE)
 def check_preset(path: pathlib.Path) -> None:
-    """Check a preset's file without creating it.
+    """Check a preset's file without creating the preset.
 
     Example: burdockmast preset check examples/swap-desk/ordinary.json
     """
@@ -97,7 +98,7 @@
 @preset.command('list')
 @operator_command
 def list_presets(ctx: context.CommandContext) -> None:
-    """Show all presets and the one in force."""
+    """List all presets and show which one is in force."""
     presets.list_all(ctx)
 
 
@@ -114,7 +115,7 @@
 @click.argument('after', metavar='PRESET')
 @operator_command
 def diff_presets(ctx: context.CommandContext, before: str, after: str) -> None:
-    """Show what differs between two presets.
+    """Show the differences between two presets.
 
     Example: burdockmast preset diff ordinary peak
     """
@@ -127,7 +128,7 @@
 @click.option(
     '--unserved',
     is_flag=True,
-    help='Even if no active server would hold some layers.',
+    help='Switch even if no active server would hold some layers.',
 )
 @operator_command
 def switch_preset(
@@ -136,7 +137,7 @@
     expected: str | None,
     unserved: bool,
 ) -> None:
-    """Put a preset in force in place of the present one.
+    """Put another preset in force.
 
     Example: burdockmast preset switch peak --expected ordinary
     """
@@ -145,7 +146,7 @@
 
 @program.group()
 def server() -> None:
-    """Work on backend servers."""
+    """Manage backend servers."""
 
 
 @server.command('add')
@@ -161,12 +162,16 @@
 
 @server.command('retire')
 @click.argument('server_id', metavar='SERVER')
-@click.option('--wait', default=0.0, help='Seconds to wait until idle.')
+@click.option(
+    '--wait',
+    default=0.0,
+    help='Seconds to wait for the server to become idle.',
+)
 @operator_command
 def retire_server(
     ctx: context.CommandContext, server_id: str, wait: float
 ) -> None:
-    """Give a backend server no new work.
+    """Drain a backend server, so that it gets no new work.
 
     Example: burdockmast server retire e41 --wait 60
     """
@@ -177,14 +182,14 @@
 @click.argument('server_id', metavar='SERVER')
 @operator_command
 def remove_server(ctx: context.CommandContext, server_id: str) -> None:
-    """Forget a backend server that is leaving."""
+    """Remove a backend server that has been retired."""
     servers.remove(ctx, ids.ServerId(server_id))
 
 
 @server.command('list')
 @operator_command
 def list_servers(ctx: context.CommandContext) -> None:
-    """Show all backend servers."""
+    """List all backend servers."""
     servers.list_all(ctx)
 
 
@@ -196,8 +201,10 @@
 
 
 @program.command()
-@click.option('--request', default='', help='Only events of one request.')
-@click.option('--limit', default=200, help='Newest events to show.')
+@click.option(
+    '--request', default='', help='Show only the events of this request.'
+)
+@click.option('--limit', default=200, help='Number of newest events to show.')
 @operator_command
 def timeline(ctx: context.CommandContext, request: str, limit: int) -> None:
     """Show the events of all processes in causal order."""
@@ -208,16 +215,16 @@
 @click.argument('request')
 @operator_command
 def explain(ctx: context.CommandContext, request: str) -> None:
-    """Tell why a request was routed or refused as it was.
+    """Explain how a request was routed, or why it was refused.
 
-    The id is that of the answer's header Burdockmast-Request-Id.
+    REQUEST is the id in the response header Burdockmast-Request-Id.
     """
     diagnostics.explain(ctx, request)
 
 
 @program.group()
 def settings() -> None:
-    """Work on settings files."""
+    """Check settings files."""
 
 
 @settings.command('check')
--- a/libs/operator/burdockmast/operator/cli/types.py
+++ b/libs/operator/burdockmast/operator/cli/types.py
@@ -1,4 +1,4 @@
-"""Arguments and options that several commands share."""
+"""Argument types and options that several commands share."""
 
 from collections.abc import Callable
 import pathlib
@@ -16,14 +16,15 @@
     'side': models.SideSettings,
     'operator': models.OperatorSettings,
 }
-# Its settings file is the platform's, in the platform's format.
+# A gateway's settings file has the platform's own format, so the role is not
+# in SETTINGS_BY_ROLE.
 GATEWAY = 'gateway'
 ROLE = click.Choice(sorted([*SETTINGS_BY_ROLE, GATEWAY]))
 SHELL = click.Choice(['bash', 'zsh', 'fish'])
 
 
 def operator_options(command: Command) -> Command:
-    """Add the options of all operators' commands."""
+    """Add the options --json, --store and --settings to a command."""
     for option in (
         click.option('--json', 'is_json', is_flag=True, help='Print JSON.'),
         click.option(
--- a/libs/operator/burdockmast/operator/context.py
+++ b/libs/operator/burdockmast/operator/context.py
@@ -1,4 +1,4 @@
-"""What operators' commands share: the store, the fleet and the output."""
+"""Store access, fleet addresses and output of the operators' commands."""
 
 import dataclasses
 import getpass
@@ -19,19 +19,19 @@
 
 
 class CommandError(click.ClickException):
-    """A command that failed, with the exit status that tells how."""
+    """A command failed; ``exit_code`` says in which way."""
 
     def __init__(self, message: str, status: exit_status.ExitStatus):
-        """Create an error to be shown and exited with."""
+        """Create an error that ends the program with ``status``."""
         super().__init__(message)
         self.exit_code = status
 
 
 @dataclasses.dataclass(slots=True)
 class CommandContext:
-    """One run of an operator's command.
+    """Settings and output format of one operator's command.
 
-    :ivar is_json: print JSON in place of text
+    :ivar is_json: print results as JSON instead of text
     """
 
     settings: models.OperatorSettings
@@ -39,17 +39,20 @@
 
     @classmethod
     def from_config(
-        cls, path: pathlib.Path | None, store: str | None, is_json: bool
+        cls, path: pathlib.Path | None, store_url: str | None, is_json: bool
     ) -> 'CommandContext':
-        """Build a context from a settings file or the store's URL."""
+        """Build a context from a settings file, or from the store's URL.
+
+        :raises loader.SettingsError: if either is wrong
+        """
         if path:
             settings = loader.load(path, models.OperatorSettings)
-        elif store:
+        elif store_url:
             settings = loader.convert(
-                {'store_url': store}, models.OperatorSettings, '--store'
+                {'store_url': store_url}, models.OperatorSettings, '--store'
             )
         else:
-            raise click.UsageError('--settings or --store is needed')
+            raise click.UsageError('give --settings or --store')
         return cls(settings, is_json)
 
     def store(self) -> objects.Objects:
@@ -57,17 +60,21 @@
         return objects.Objects(self.settings.store_url)
 
     def writer(self) -> change_journal.ChangeWriter:
-        """Return the configuration's writer, with all that is accepted."""
+        """Return a configuration writer that has read all accepted changes."""
         writer = change_journal.ChangeWriter(self.store(), getpass.getuser())
         unwrap(writer.refresh())
         return writer
 
     def submit(self, body: changes.Body) -> change_journal.Accepted:
-        """Have a change accepted, or fail with the reason."""
+        """Submit a configuration change; a refusal ends the command."""
         return unwrap(self.writer().submit(body))
 
     def seed_addresses(self) -> list[ids.Address]:
-        """Return daemons to begin with: of the settings and the store."""
+        """Return the addresses to start discovery from.
+
+        They are the peers in the settings and the backend servers in the
+        store. If the store fails, the peers in the settings suffice.
+        """
         found = set(self.settings.peers)
         writer = change_journal.ChangeWriter(self.store(), getpass.getuser())
         failure = writer.refresh()
@@ -77,7 +84,7 @@
         return sorted(found | {server.address for server in servers})
 
     def print_result(self, value: object, text: str) -> None:
-        """Print ``value`` as JSON if wanted, else ``text``."""
+        """Print ``value`` if the output is JSON, else ``text``."""
         if self.is_json:
             encoded = msgspec.json.encode(value)
             text = msgspec.json.format(encoded, indent=2).decode()
@@ -86,19 +93,22 @@
 
 
 def unwrap(result: object) -> object:
-    """Return a result; a failure ends the command and tells how."""
+    """Return a result that is not a failure.
+
+    :raises CommandError: if it is a failure
+    """
     if not isinstance(result, failures.Failure):
         return result
-    raise CommandError(_describe(result), _status_of(result))
+    raise CommandError(_describe(result), _exit_status(result))
 
 
 def _describe(failure: failures.Failure) -> str:
     if failure.outcome is outcomes.Outcome.UNKNOWN:
-        return f'it may or may not have taken effect: {failure}'
+        return f'the command may or may not have taken effect: {failure}'
     return f'nothing was changed: {failure}'
 
 
-def _status_of(failure: failures.Failure) -> exit_status.ExitStatus:
+def _exit_status(failure: failures.Failure) -> exit_status.ExitStatus:
     if failure.outcome is outcomes.Outcome.UNKNOWN:
         return exit_status.ExitStatus.UNKNOWN
     if failure.reason is failures.Reason.STORE_UNAVAILABLE:
@@ -107,7 +117,7 @@
 
 
 def format_table(header: tuple[str, ...], rows: list[tuple]) -> str:
-    """Return rows as text in aligned columns."""
+    """Return the header and rows as text in aligned columns."""
     lines = [header, *[tuple(map(str, row)) for row in rows]]
     widths = [max(map(len, column)) for column in zip(*lines, strict=True)]
     return '\n'.join(
--- a/libs/operator/burdockmast/operator/core.py
+++ b/libs/operator/burdockmast/operator/core.py
@@ -2,12 +2,14 @@
 
 import warnings
 
-# eventlet announces its retirement at each import; the house builds on it.
+# eventlet warns at each import that it is deprecated; the project still
+# depends on it.
 warnings.filterwarnings('ignore', message=r'\s*Eventlet is deprecated')
 
 import os  # noqa: E402
 
-# Peers are given by IP number; no resolver is wanted.
+# Peers are configured by IP address, so eventlet's DNS resolver is not needed.
+# eventlet reads the variable when it is imported.
 os.environ.setdefault('EVENTLET_NO_GREENDNS', 'yes')
 
 import eventlet  # noqa: E402
@@ -24,7 +26,7 @@
 
 
 def main(arguments: list[str] | None = None) -> None:
-    """Run the program and exit with one of ``ExitStatus``."""
+    """Run the command line and exit with an ``ExitStatus``."""
     try:
         status = definition.program(
             arguments, prog_name='burdockmast', standalone_mode=False
--- a/libs/operator/burdockmast/operator/daemons.py
+++ b/libs/operator/burdockmast/operator/daemons.py
@@ -1,4 +1,4 @@
-"""Runs an entry instance or a side process until it is told to stop."""
+"""Runs an entry instance or a side process until SIGTERM or SIGINT."""
 
 from collections.abc import Callable
 import os
@@ -20,7 +20,7 @@
 
 
 def run_entry(path: pathlib.Path) -> exit_status.ExitStatus:
-    """Serve callers by the settings at ``path``.
+    """Run an entry instance with the settings file at ``path``.
 
     :raises loader.SettingsError: if the settings are wrong
     """
@@ -29,16 +29,17 @@
     try:
         sock = entry.start()
     except OSError as error:
-        return _address_taken(entry.node, error)
+        return _fail_to_listen(entry.node, error)
     serving = eventlet.spawn(entry.serve, sock)
     _wait_for_stop()
     entry.stop(sock, serving)
-    return _stopped(entry.node)
+    return _finish(entry.node)
 
 
 def run_side(path: pathlib.Path) -> exit_status.ExitStatus:
-    """Serve a backend server by the settings at ``path``.
+    """Run the side process of a backend server.
 
+    :param path: settings file
     :raises loader.SettingsError: if the settings are wrong
     """
     settings = loader.load(path, models.SideSettings)
@@ -46,21 +47,21 @@
     try:
         side.start()
     except OSError as error:
-        return _address_taken(side.node, error)
+        return _fail_to_listen(side.node, error)
     _wait_for_stop()
     side.stop()
-    return _stopped(side.node)
+    return _finish(side.node)
 
 
-def _address_taken(
+def _fail_to_listen(
     process: node.Node, error: OSError
 ) -> exit_status.ExitStatus:
-    LOG.error('The address is not free: {}.', error)
+    LOG.error('Cannot listen on a configured address, exiting: {}.', error)
     process.log.close()
     return exit_status.ExitStatus.ADDRESS_IN_USE
 
 
-def _stopped(process: node.Node) -> exit_status.ExitStatus:
+def _finish(process: node.Node) -> exit_status.ExitStatus:
     process.events.add('process.stopped')
     process.log.close()
     return exit_status.ExitStatus.SUCCESS
@@ -69,15 +70,15 @@
 def _wait_for_stop() -> None:
     """Wait for SIGTERM or SIGINT; a second one ends the process at once."""
     stopped = eventlet.event.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, _stopper(stopped))
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        signal.signal(signal_number, _signal_handler(stopped))
     stopped.wait()
 
 
-def _stopper(stopped: eventlet.event.Event) -> Callable[..., None]:
-    def stop(number: int, frame: object) -> None:
+def _signal_handler(stopped: eventlet.event.Event) -> Callable[..., None]:
+    def stop(signal_number: int, frame: object) -> None:
         if stopped.ready():
             os._exit(exit_status.ExitStatus.ERROR)
-        stopped.send(number)
+        stopped.send(signal_number)
 
     return stop
