Reword status, time line and explain

Cause: sentences of explain said that a request "found no place", was "refused unrun" or had its claim "settled", which was only requested then.

Change: sentences of explain, comments and private names. The sentences that tests match stay as they are.

--- a/libs/operator/burdockmast/operator/diagnostics.py
+++ b/libs/operator/burdockmast/operator/diagnostics.py
@@ -1,4 +1,4 @@
-"""What operators can see: status, time line, and why a request went so."""
+"""Shows the fleet's status and time line, and explains single requests."""
 
 import time
 
@@ -9,36 +9,39 @@
 from burdockmast.operator import exit_status
 from burdockmast.operator import queries
 
-# Sentences of ``explain``, by what happened.
-SENTENCES = {
+# Output of ``explain`` by event name; the fields are those of the event.
+SENTENCE_BY_EVENT = {
     'answer.started': 'attempt {attempt} took the path {path}, from token '
     '{resumed_at} on',
-    'answer.opened': 'all stages accepted attempt {attempt}; tokens of its '
-    'prompt that they had cached: {cached}',
-    'answer.unopened': 'it found no place: {reason} at {step} {peer} {detail}',
+    'answer.opened': 'all stages accepted attempt {attempt}; prompt tokens '
+    'that they had cached: {cached}',
+    'answer.unopened': 'an attempt could not start: {reason} at {step} '
+    '{peer} {detail}',
     'answer.attempt_failed': 'attempt {attempt} ended: {reason} at {step} '
     'with {peer}',
-    'answer.convicted': 'it was refused since it crashes backend servers',
+    'answer.convicted': 'it was refused as quarantined, since backend '
+    'servers crashed each time it ran',
     'request.refused': 'it was refused: {reason} at {step}: {detail}',
     'answer.ended': 'it was answered with {tokens} tokens',
     'stage.opened': 'a stage accepted attempt {attempt}',
     'stage.failed': 'a stage ended attempt {attempt}: {reason} at {step}',
     'stage.finished': 'the head stage finished attempt {attempt}',
     'service.sent': 'it was sent to {server}',
-    'service.answered': '{server} answered: {outcome} {reason}',
-    'service.lost': 'the answer of {server} was lost: {reason} at {step}',
+    'service.answered': '{server} replied: {outcome} {reason}',
+    'service.lost': 'the reply of {server} was lost: {reason} at {step}',
     'claim.written': 'attempt {attempt} is claimed for {server}',
     'claim.refused': 'its claim could not be written',
-    'service.settle': 'an earlier claim was settled with {server}',
+    'service.settle': '{server} was asked to resolve an earlier claim',
     'execution.began': 'the plain service was called',
-    'execution.ended': 'the plain service answered',
-    'execution.refused': 'the side refused it unrun: {reason}',
+    'execution.ended': 'the call to the plain service ended',
+    'execution.refused': 'the side process refused it without running it: '
+    '{reason}',
 }
 
 
 def status(ctx: context.CommandContext) -> None:
     """Show every process of the fleet."""
-    statuses, answers = queries.fetch_statuses(ctx.seed_addresses())
+    statuses, replies = queries.fetch_statuses(ctx.seed_addresses())
     rows = [
         (
             address,
@@ -49,7 +52,7 @@
             s.preset,
             f'{s.store_age:.1f} s',
             len(s.peers),
-            _details(s.details),
+            _format_details(s.details),
         )
         for address, s in sorted(statuses.items())
     ]
@@ -57,14 +60,14 @@
         'ADDRESS', 'ROLE', 'SERVER', 'ZONE', 'VERSION', 'PRESET', 'AGE',
         'LINKS', 'DETAILS',
     )  # fmt: skip
-    silent = sorted(answers.failure_by_address)
+    silent = sorted(replies.failure_by_address)
     text = context.format_table(header, rows)
     for address in silent:
-        text += f'\n{address}  {answers.failure_by_address[address]}'
+        text += f'\n{address}  {replies.failure_by_address[address]}'
     ctx.print_result({'processes': statuses, 'silent': silent}, text)
 
 
-def _details(details: dict) -> str:
+def _format_details(details: dict) -> str:
     return ' '.join(
         f'{name}={value:.1f}' if isinstance(value, float)
         else f'{name}={value}'
@@ -77,14 +80,14 @@
     ctx: context.CommandContext, request: str, limit: int
 ) -> None:
     """Show the newest events of all processes in causal order."""
-    found, answers = queries.fetch_events(ctx.seed_addresses(), request)
-    chosen = found[-limit:]
-    lines = [_line(event) for event in chosen]
-    lines += [f'No answer from {a}.' for a in answers.failure_by_address]
-    ctx.print_result(chosen, '\n'.join(lines))
+    events, replies = queries.fetch_events(ctx.seed_addresses(), request)
+    newest = events[-limit:]
+    lines = [_format_event(event) for event in newest]
+    lines += [f'No reply from {a}.' for a in replies.failure_by_address]
+    ctx.print_result(newest, '\n'.join(lines))
 
 
-def _line(event: timeline.Event) -> str:
+def _format_event(event: timeline.Event) -> str:
     clock = time.strftime('%H:%M:%S', time.gmtime(event.wall))
     millis = int(event.wall % 1 * 1000)
     fields = ' '.join(f'{k}={v}' for k, v in event.fields.items())
@@ -95,20 +98,22 @@
 
 
 def explain(ctx: context.CommandContext, request: str) -> None:
-    """Tell why a request was routed or refused as it was."""
-    found, _ = queries.fetch_events(ctx.seed_addresses(), request)
-    if not found:
+    """Print a sentence for each event of a request, in causal order."""
+    events, _ = queries.fetch_events(ctx.seed_addresses(), request)
+    if not events:
         raise context.CommandError(
-            f'no process remembers request {request}',
+            f'no process has recorded events of request {request}',
             exit_status.ExitStatus.ERROR,
         )
     lines = [f'Request {request}:']
-    lines += [f'- {_sentence(event)} ({event.process})' for event in found]
-    ctx.print_result(found, '\n'.join(lines))
+    lines += [
+        f'- {_explain_event(event)} ({event.process})' for event in events
+    ]
+    ctx.print_result(events, '\n'.join(lines))
 
 
-def _sentence(event: timeline.Event) -> str:
-    sentence = SENTENCES.get(event.what)
+def _explain_event(event: timeline.Event) -> str:
+    sentence = SENTENCE_BY_EVENT.get(event.what)
     if sentence is None:
         return event.what
     try:
@@ -118,7 +123,7 @@
 
 
 def completion(shell: str) -> str:
-    """Return the script that completes commands in a shell."""
+    """Return the completion script for a shell."""
     from click import shell_completion
 
     from burdockmast.operator.cli import definition
