Reword the commands on presets and servers and the test of the command line

Cause: names such as _find, _layers, _holds and FOLLOW_SECONDS did not say what they stand for; test names told of settings that "are named" and of a store that "is told".

Change: comments, texts and private names; in the test the names of functions and variables and one docstring, with the same cases and assertions. The error for an unknown preset lists "existing presets: ..." in place of "there are: ..."; the test matches the new text as strictly.

--- a/libs/operator/burdockmast/operator/presets.py
+++ b/libs/operator/burdockmast/operator/presets.py
@@ -1,4 +1,4 @@
-"""Operators' work on presets."""
+"""Commands that create, show, compare and switch presets."""
 
 import dataclasses
 import pathlib
@@ -15,15 +15,15 @@
 from burdockmast.operator import queries
 from burdockmast.settings import loader
 
-# Seconds that a switch waits for all processes to follow.
-FOLLOW_SECONDS = 10.0
+# How long a switch waits until all processes have applied it.
+SWITCH_TIMEOUT_SECONDS = 10.0
 POLL_SECONDS = 0.1
 
 
 def load(path: pathlib.Path) -> changes.Preset:
-    """Read and check a preset's file.
+    """Read and validate a preset's file.
 
-    :raises loader.SettingsError: if it is wrong
+    :raises loader.SettingsError: if the file or the preset is invalid
     """
     preset = loader.load(path, changes.Preset)
     refusal = configuration.Configuration().check(changes.PutPreset(preset))
@@ -41,7 +41,7 @@
 
 
 def list_all(ctx: context.CommandContext) -> None:
-    """Show all presets and which one is in force."""
+    """List all presets and mark the one in force."""
     current = ctx.writer().configuration
     rows = [
         (
@@ -59,8 +59,8 @@
 
 
 def show(ctx: context.CommandContext, preset: ids.PresetId) -> None:
-    """Show one preset as it can be created again."""
-    found = _find(ctx.writer().configuration, preset)
+    """Print one preset in the format that ``create`` reads."""
+    found = _find_preset(ctx.writer().configuration, preset)
     encoded = msgspec.json.format(msgspec.json.encode(found), indent=2)
     ctx.print_result(found, encoded.decode())
 
@@ -68,11 +68,15 @@
 def diff(
     ctx: context.CommandContext, before: ids.PresetId, after: ids.PresetId
 ) -> None:
-    """Show what a switch between two presets would change."""
+    """Print what a switch between two presets would change."""
     current = ctx.writer().configuration
     lines = [
-        *_diff_placements(_find(current, before), _find(current, after)),
-        *_diff_organisations(_find(current, before), _find(current, after)),
+        *_diff_placements(
+            _find_preset(current, before), _find_preset(current, after)
+        ),
+        *_diff_organisations(
+            _find_preset(current, before), _find_preset(current, after)
+        ),
     ]
     ctx.print_result(lines, '\n'.join(lines) or 'No difference.')
 
@@ -83,7 +87,8 @@
     old = {placement.target: placement for placement in before.placements}
     new = {placement.target: placement for placement in after.placements}
     return [
-        f'{target}: {_layers(old.get(target))} -> {_layers(new.get(target))}'
+        f'{target}: {_format_placement(old.get(target))} -> '
+        f'{_format_placement(new.get(target))}'
         for target in sorted(old.keys() | new.keys())
         if old.get(target) != new.get(target)
     ]
@@ -102,7 +107,7 @@
     ]
 
 
-def _layers(placement: changes.Placement | None) -> str:
+def _format_placement(placement: changes.Placement | None) -> str:
     if placement is None:
         return 'nothing'
     return f'{placement.model} {placement.first}-{placement.end}'
@@ -112,33 +117,34 @@
     ctx: context.CommandContext,
     preset: ids.PresetId,
     expected: str | None,
-    unserved: bool,
+    allow_uncovered: bool,
 ) -> None:
-    """Put a preset in force and wait until all processes follow.
+    """Put a preset in force and wait until all processes have applied it.
 
-    :param unserved: also if no active server would hold some layers
+    :param allow_uncovered: switch even if no active server would hold some
+        layers
     """
     writer = ctx.writer()
     if expected is None:
         expected = writer.configuration.in_force
     known = writer.configuration.preset_by_id.get(preset)
-    if known and not unserved:
-        _check_served(writer.configuration, known)
+    if known and not allow_uncovered:
+        _check_coverage(writer.configuration, known)
     body = changes.SwitchPreset(preset, ids.PresetId(expected))
     began = time.monotonic()
     accepted = context.unwrap(writer.submit(body))
-    current, total, silent = _await_version(ctx, accepted.version)
+    updated, total, silent = _await_version(ctx, accepted.version)
     seconds = time.monotonic() - began
     text = (
         f'Preset {preset} is in force as version {accepted.version}, on '
-        f'{current} of {total} processes after {seconds:.1f} s.'
+        f'{updated} of {total} processes after {seconds:.1f} s.'
     )
     if silent:
-        text += f' No answer from {", ".join(silent)}.'
+        text += f' No reply from {", ".join(silent)}.'
     ctx.print_result(
         {
             'version': accepted.version,
-            'processes_current': current,
+            'processes_current': updated,
             'processes': total,
             'silent': silent,
             'seconds': seconds,
@@ -147,14 +153,14 @@
     )
 
 
-def _check_served(
+def _check_coverage(
     current: configuration.Configuration, preset: changes.Preset
 ) -> None:
     refusal = current.check_active_coverage(preset)
     if refusal:
         detail = (
-            f'of the active servers, {refusal.detail}; '
-            'give --unserved to switch nevertheless'
+            f'with only the active servers, {refusal.detail}; '
+            'pass --unserved to switch anyway'
         )
         context.unwrap(dataclasses.replace(refusal, detail=detail))
 
@@ -162,22 +168,28 @@
 def _await_version(
     ctx: context.CommandContext, version: ids.Version
 ) -> tuple[int, int, list[str]]:
-    """Return how many processes follow, of how many, and the silent."""
-    deadline = timers.now() + FOLLOW_SECONDS
+    """Wait until all processes that reply have applied a version.
+
+    :return: number of processes that have applied it, number of processes
+        that replied, and the addresses that did not reply
+    """
+    deadline = timers.now() + SWITCH_TIMEOUT_SECONDS
     while True:
-        statuses, answers = queries.fetch_statuses(ctx.seed_addresses())
-        current = sum(s.version >= version for s in statuses.values())
-        if current == len(statuses) or timers.now() > deadline:
-            silent = sorted(answers.failure_by_address)
-            return current, len(statuses), silent
+        statuses, replies = queries.fetch_statuses(ctx.seed_addresses())
+        updated = sum(s.version >= version for s in statuses.values())
+        if updated == len(statuses) or timers.now() > deadline:
+            silent = sorted(replies.failure_by_address)
+            return updated, len(statuses), silent
         time.sleep(POLL_SECONDS)
 
 
-def _find(
+def _find_preset(
     current: configuration.Configuration, preset: ids.PresetId
 ) -> changes.Preset:
     found = current.preset_by_id.get(preset)
     if found is None:
         known = ', '.join(current.preset_by_id) or 'none'
-        raise click.BadParameter(f'no preset {preset}; there are: {known}')
+        raise click.BadParameter(
+            f'no preset {preset}; existing presets: {known}'
+        )
     return found
--- a/libs/operator/burdockmast/operator/servers.py
+++ b/libs/operator/burdockmast/operator/servers.py
@@ -1,4 +1,4 @@
-"""Operators' work on backend servers."""
+"""Commands that add, retire, remove and list backend servers."""
 
 import pathlib
 import time
@@ -27,7 +27,7 @@
 def retire(
     ctx: context.CommandContext, server: ids.ServerId, wait: float
 ) -> None:
-    """Give a backend server no new work; wait until it is idle."""
+    """Drain a backend server; wait up to ``wait`` seconds until it is idle."""
     accepted = ctx.submit(changes.RetireServer(server))
     text = f'Server {server} is leaving as of version {accepted.version}.'
     if wait:
@@ -37,16 +37,16 @@
 
 
 def remove(ctx: context.CommandContext, server: ids.ServerId) -> None:
-    """Forget a backend server that is leaving."""
+    """Remove a backend server that has been retired."""
     accepted = ctx.submit(changes.RemoveServer(server))
     text = f'Server {server} is removed as of version {accepted.version}.'
     ctx.print_result(accepted, text)
 
 
 def list_all(ctx: context.CommandContext) -> None:
-    """Show all backend servers."""
+    """List all backend servers."""
     current = ctx.writer().configuration
-    holds_by_server = _holds(ctx)
+    layers_by_server = _held_layers(ctx)
     rows = []
     for server in current.server_by_id.values():
         placed = current.placement(server.id)
@@ -60,7 +60,7 @@
                 server.accelerator or server.kind.value,
                 server.service or (placed.model if placed else ''),
                 layers,
-                holds_by_server.get(server.id, ''),
+                layers_by_server.get(server.id, ''),
             )
         )
     header = (
@@ -71,15 +71,15 @@
     ctx.print_result(servers, context.format_table(header, rows))
 
 
-def _holds(ctx: context.CommandContext) -> dict[ids.ServerId, str]:
-    """Return what servers hold, or that they change it now."""
-    found: dict[ids.ServerId, str] = {}
+def _held_layers(ctx: context.CommandContext) -> dict[ids.ServerId, str]:
+    """Return the layer range of each server, or that a layer move runs."""
+    layers_by_server: dict[ids.ServerId, str] = {}
     for state in context.unwrap(layer_moves.read_all(ctx.store())).values():
         for server, span in state.held_by_server.items():
-            found[server] = f'{span.first}-{span.end}'
+            layers_by_server[server] = f'{span.first}-{span.end}'
         for server in state.permit_by_server:
-            found[server] = 'changing'
-    return found
+            layers_by_server[server] = 'changing'
+    return layers_by_server
 
 
 def _await_idle(
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,4 +1,4 @@
-"""The operators' command line, run as the program."""
+"""Tests of the operators' command line, run as a subprocess."""
 
 import json
 import pathlib
@@ -10,82 +10,82 @@
 
 EXAMPLES = pathlib.Path(__file__).parent.parent / 'examples'
 DEPLOYMENTS = ('swap-desk', 'ripening')
-STATUS = exit_status.ExitStatus
+ExitStatus = exit_status.ExitStatus
 
 
 @pytest.mark.parametrize('deployment', DEPLOYMENTS)
 @pytest.mark.parametrize('role', ['entry', 'side', 'operator'])
 def test_example_settings_are_valid(deployment, role):
     path = EXAMPLES / deployment / f'{role}.json'
-    done = program.run_command('settings', 'check', role, str(path))
-    assert done.returncode == STATUS.SUCCESS, done.stderr
+    completed = program.run_command('settings', 'check', role, str(path))
+    assert completed.returncode == ExitStatus.SUCCESS, completed.stderr
 
 
 @pytest.mark.parametrize('deployment', DEPLOYMENTS)
 @pytest.mark.parametrize('preset', ['ordinary', 'peak', 'maintenance'])
 def test_example_presets_are_valid(deployment, preset):
     path = EXAMPLES / deployment / f'{preset}.json'
-    done = program.run_command('preset', 'check', str(path))
-    assert done.returncode == STATUS.SUCCESS, done.stderr
+    completed = program.run_command('preset', 'check', str(path))
+    assert completed.returncode == ExitStatus.SUCCESS, completed.stderr
 
 
-GOOD = {
+VALID = {
     'zone': 'za',
     'http_address': '127.0.0.1:1',
     'peer_address': '127.0.0.1:2',
     'store_url': 'http://127.0.0.1:3',
 }
 BAD_SETTINGS = {
-    'unknown key': ({**GOOD, 'sunset': 3}, 'unknown field `sunset`'),
+    'unknown key': ({**VALID, 'sunset': 3}, 'unknown field `sunset`'),
     'missing key': ({'zone': 'za'}, 'missing required field'),
     'wrong type': (
-        {**GOOD, 'subset': 'x'},
+        {**VALID, 'subset': 'x'},
         "at $.subset: Expected `int`, got `str`; found 'x'",
     ),
     'out of range': (
-        {**GOOD, 'queue': 0},
+        {**VALID, 'queue': 0},
         'at $.queue: Expected `int` >= 1; found 0',
     ),
-    'no address': ({**GOOD, 'peer_address': 'here'}, "$.peer_address"),
-    'in a list': ({**GOOD, 'peers': ['127.0.0.1:1', 'x']}, "$.peers[1]"),
-    'unknown routing': ({**GOOD, 'routing': 'fast'}, "found 'fast'"),
+    'no address': ({**VALID, 'peer_address': 'here'}, "$.peer_address"),
+    'in a list': ({**VALID, 'peers': ['127.0.0.1:1', 'x']}, "$.peers[1]"),
+    'unknown routing': ({**VALID, 'routing': 'fast'}, "found 'fast'"),
 }  # fmt: skip
 
 
 @pytest.mark.parametrize('name', BAD_SETTINGS)
-def test_bad_settings_name_file_place_and_value(tmp_path, name):
+def test_settings_error_names_file_field_and_value(tmp_path, name):
     document, message = BAD_SETTINGS[name]
     path = tmp_path / 'entry.json'
     path.write_text(json.dumps(document))
-    done = program.run_command('entry', str(path))
-    assert done.returncode == STATUS.BAD_SETTINGS
-    assert str(path) in done.stderr
-    assert message in done.stderr
+    completed = program.run_command('entry', str(path))
+    assert completed.returncode == ExitStatus.BAD_SETTINGS
+    assert str(path) in completed.stderr
+    assert message in completed.stderr
 
 
 @pytest.mark.parametrize('text', ['{"zone": ', '{"zone": 1, "zone": 2}'])
-def test_settings_that_are_no_json_are_refused(tmp_path, text):
+def test_settings_that_are_not_json_are_refused(tmp_path, text):
     path = tmp_path / 'entry.json'
     path.write_text(text)
-    done = program.run_command('entry', str(path))
-    assert done.returncode == STATUS.BAD_SETTINGS
-    assert 'not JSON' in done.stderr
+    completed = program.run_command('entry', str(path))
+    assert completed.returncode == ExitStatus.BAD_SETTINGS
+    assert 'not JSON' in completed.stderr
 
 
-def test_missing_settings_are_named(tmp_path):
-    done = program.run_command('side', str(tmp_path / 'none.json'))
-    assert done.returncode == STATUS.BAD_SETTINGS
-    assert 'No such file' in done.stderr
+def test_missing_settings_file_is_reported(tmp_path):
+    completed = program.run_command('side', str(tmp_path / 'none.json'))
+    assert completed.returncode == ExitStatus.BAD_SETTINGS
+    assert 'No such file' in completed.stderr
 
 
-def test_second_side_in_a_slot_is_refused(shared_fleet):
-    """Proves: no two processes act for one backend server at once."""
+def test_second_side_process_of_a_server_is_refused(shared_fleet):
+    """Two side processes never act for one backend server at once."""
     path = shared_fleet.folder / 'side-e1.json'
-    done = program.run_command('side', str(path))
-    assert done.returncode == STATUS.ADDRESS_IN_USE
+    completed = program.run_command('side', str(path))
+    assert completed.returncode == ExitStatus.ADDRESS_IN_USE
 
 
-def test_presets_and_servers_are_managed(own_fleet, tmp_path):
+def test_preset_and_server_commands(own_fleet, tmp_path):
     fleet = own_fleet()
     path = tmp_path / 'peak.json'
     shown = program.run_on(fleet, 'preset', 'show', 'ordinary')
@@ -98,13 +98,13 @@
     refused = program.run_on(
         fleet, 'preset', 'switch', 'peak', '--expected', 'x'
     )
-    assert refused.returncode == STATUS.REFUSED
+    assert refused.returncode == ExitStatus.REFUSED
     assert 'nothing was changed' in refused.stderr
     absent = shown.stdout.replace('"server": "e', '"server": "x')
     path.write_text(absent.replace('"ordinary"', '"absent"'))
     assert program.run_on(fleet, 'preset', 'create', str(path)).returncode == 0
     unserved = program.run_on(fleet, 'preset', 'switch', 'absent')
-    assert unserved.returncode == STATUS.REFUSED
+    assert unserved.returncode == ExitStatus.REFUSED
     assert 'no server holds layer 0' in unserved.stderr
     assert '--unserved' in unserved.stderr
     switched = program.run_on(fleet, 'preset', 'switch', 'peak', '--json')
@@ -120,34 +120,34 @@
     assert 'e1 ' not in listed.stdout and 'e2 ' in listed.stdout
 
 
-def test_unknown_preset_is_a_clear_error(shared_fleet):
-    done = program.run_on(shared_fleet, 'preset', 'show', 'nothing')
-    assert done.returncode == STATUS.USAGE
-    assert 'no preset nothing; there are: ordinary' in done.stderr
+def test_unknown_preset_is_a_usage_error(shared_fleet):
+    completed = program.run_on(shared_fleet, 'preset', 'show', 'nothing')
+    assert completed.returncode == ExitStatus.USAGE
+    assert 'no preset nothing; existing presets: ordinary' in completed.stderr
 
 
-def test_store_that_is_out_is_told_by_the_exit_status():
-    done = program.run_command(
+def test_unreachable_store_has_its_own_exit_status():
+    completed = program.run_command(
         'preset', 'list', '--store', 'http://127.0.0.1:9'
     )
-    assert done.returncode == STATUS.STORE_UNAVAILABLE
+    assert completed.returncode == ExitStatus.STORE_UNAVAILABLE
 
 
-def test_explain_tells_path_and_refusal(shared_fleet):
+def test_explain_shows_path_and_refusal(shared_fleet):
     answer = shared_fleet.complete([4, 4], 3)
     request = answer.headers['Burdockmast-Request-Id']
-    told = program.run_on(shared_fleet, 'explain', request)
-    assert 'took the path' in told.stdout
-    assert 'answered with 3 tokens' in told.stdout
+    explained = program.run_on(shared_fleet, 'explain', request)
+    assert 'took the path' in explained.stdout
+    assert 'answered with 3 tokens' in explained.stdout
     refused = shared_fleet.call('nothing/x', '{}')
     request = program.error_of(refused)['request_id']
-    told = program.run_on(shared_fleet, 'explain', request)
-    assert 'refused: unknown_service' in told.stdout
+    explained = program.run_on(shared_fleet, 'explain', request)
+    assert 'refused: unknown_service' in explained.stdout
     none = program.run_on(shared_fleet, 'explain', 'nothing')
-    assert none.returncode == STATUS.ERROR
+    assert none.returncode == ExitStatus.ERROR
 
 
-def test_timeline_puts_causes_before_effects(shared_fleet):
+def test_timeline_is_in_causal_order(shared_fleet):
     answer = shared_fleet.complete([6, 6], 4)
     request = answer.headers['Burdockmast-Request-Id']
     shown = program.run_on(
@@ -168,5 +168,5 @@
 
 
 def test_completion_scripts_are_printed():
-    done = program.run_command('completion', 'bash')
-    assert '_BURDOCKMAST_COMPLETE' in done.stdout
+    completed = program.run_command('completion', 'bash')
+    assert '_BURDOCKMAST_COMPLETE' in completed.stdout
