--- a/libs/operator/burdockmast/operator/cli/definition.py
+++ b/libs/operator/burdockmast/operator/cli/definition.py
@@ -8,7 +8,7 @@
 from burdockmast.base import ids
 from burdockmast.operator import context
 from burdockmast.operator import daemons
-from burdockmast.operator import observation
+from burdockmast.operator import diagnostics
 from burdockmast.operator import presets
 from burdockmast.operator import servers
 from burdockmast.operator.cli import types
@@ -24,13 +24,13 @@
 
 
 def operator_command(command):
-    """Give a command the operators' options, as a ``context.Context``."""
+    """Pass a ``CommandContext`` of the operators' options to a command."""
 
     @types.operator_options
     @functools.wraps(command)
     def run(*, settings, store, is_json, **arguments):
-        made = context.Context.from_config(settings, store, is_json)
-        return command(made, **arguments)
+        ctx = context.CommandContext.from_config(settings, store, is_json)
+        return command(ctx, **arguments)
 
     return run
 
@@ -48,7 +48,7 @@
 @program.command()
 @click.argument('settings', type=types.FILE)
 def side(settings: pathlib.Path) -> int:
-    """Run the process beside a backend server.
+    """Run the side process of a backend server.
 
     Example: burdockmast side side.json
     """
@@ -60,7 +60,8 @@
 def gateway(settings: pathlib.Path | None) -> None:
     """Run a gateway on the prepared platform.
 
-    SETTINGS is the platform's file; without it, the environment names one.
+    SETTINGS is a file in the platform's format. Without it, the file is the
+    one that the environment variable BURDOCKMAST_NODE_FILE names.
 
     Example: burdockmast gateway /etc/burdockmast/local.toml
     """
@@ -69,13 +70,13 @@
 
 @program.group()
 def preset() -> None:
-    """Work on presets."""
+    """Manage presets."""
 
 
 @preset.command('check')
 @click.argument('path', metavar='FILE', type=types.FILE)
 def check_preset(path: pathlib.Path) -> None:
-    """Check a preset's file without creating it.
+    """Check a preset's file without creating the preset.
 
     Example: burdockmast preset check examples/swap-desk/ordinary.json
     """
@@ -86,39 +87,39 @@
 @preset.command('create')
 @click.argument('path', metavar='FILE', type=types.FILE)
 @operator_command
-def create_preset(run: context.Context, path: pathlib.Path) -> None:
+def create_preset(ctx: context.CommandContext, path: pathlib.Path) -> None:
     """Create or replace a preset that is not in force.
 
     Example: burdockmast preset create ordinary.json
     """
-    presets.create(run, path)
+    presets.create(ctx, path)
 
 
 @preset.command('list')
 @operator_command
-def list_presets(run: context.Context) -> None:
-    """Show all presets and the one in force."""
-    presets.list_all(run)
+def list_presets(ctx: context.CommandContext) -> None:
+    """List all presets and show which one is in force."""
+    presets.list_all(ctx)
 
 
 @preset.command('show')
 @click.argument('preset_id', metavar='PRESET')
 @operator_command
-def show_preset(run: context.Context, preset_id: str) -> None:
+def show_preset(ctx: context.CommandContext, preset_id: str) -> None:
     """Show one preset."""
-    presets.show(run, ids.PresetId(preset_id))
+    presets.show(ctx, ids.PresetId(preset_id))
 
 
 @preset.command('diff')
 @click.argument('before', metavar='PRESET')
 @click.argument('after', metavar='PRESET')
 @operator_command
-def diff_presets(run: context.Context, before: str, after: str) -> None:
-    """Show what differs between two presets.
+def diff_presets(ctx: context.CommandContext, before: str, after: str) -> None:
+    """Show the differences between two presets.
 
     Example: burdockmast preset diff ordinary peak
     """
-    presets.diff(run, ids.PresetId(before), ids.PresetId(after))
+    presets.diff(ctx, ids.PresetId(before), ids.PresetId(after))
 
 
 @preset.command('switch')
@@ -127,95 +128,103 @@
 @click.option(
     '--unserved',
     is_flag=True,
-    help='Even if no active server would hold some layers.',
+    help='Switch even if no active server would hold some layers.',
 )
 @operator_command
 def switch_preset(
-    run: context.Context,
+    ctx: context.CommandContext,
     preset_id: str,
     expected: str | None,
     unserved: bool,
 ) -> None:
-    """Put a preset in force in place of the present one.
+    """Put another preset in force.
 
     Example: burdockmast preset switch peak --expected ordinary
     """
-    presets.switch(run, ids.PresetId(preset_id), expected, unserved)
+    presets.switch(ctx, ids.PresetId(preset_id), expected, unserved)
 
 
 @program.group()
 def server() -> None:
-    """Work on backend servers."""
+    """Manage backend servers."""
 
 
 @server.command('add')
 @click.argument('path', metavar='FILE', type=types.FILE)
 @operator_command
-def add_server(run: context.Context, path: pathlib.Path) -> None:
+def add_server(ctx: context.CommandContext, path: pathlib.Path) -> None:
     """Add the backend server that a file describes.
 
     Example: burdockmast server add e41.json
     """
-    servers.add(run, path)
+    servers.add(ctx, path)
 
 
 @server.command('retire')
 @click.argument('server_id', metavar='SERVER')
-@click.option('--wait', default=0.0, help='Seconds to wait until idle.')
+@click.option(
+    '--wait',
+    default=0.0,
+    help='Seconds to wait for the server to become idle.',
+)
 @operator_command
-def retire_server(run: context.Context, server_id: str, wait: float) -> None:
-    """Give a backend server no new work.
+def retire_server(
+    ctx: context.CommandContext, server_id: str, wait: float
+) -> None:
+    """Drain a backend server, so that it gets no new work.
 
     Example: burdockmast server retire e41 --wait 60
     """
-    servers.retire(run, ids.ServerId(server_id), wait)
+    servers.retire(ctx, ids.ServerId(server_id), wait)
 
 
 @server.command('remove')
 @click.argument('server_id', metavar='SERVER')
 @operator_command
-def remove_server(run: context.Context, server_id: str) -> None:
-    """Forget a backend server that is leaving."""
-    servers.remove(run, ids.ServerId(server_id))
+def remove_server(ctx: context.CommandContext, server_id: str) -> None:
+    """Remove a backend server that has been retired."""
+    servers.remove(ctx, ids.ServerId(server_id))
 
 
 @server.command('list')
 @operator_command
-def list_servers(run: context.Context) -> None:
-    """Show all backend servers."""
-    servers.list_all(run)
+def list_servers(ctx: context.CommandContext) -> None:
+    """List all backend servers."""
+    servers.list_all(ctx)
 
 
 @program.command()
 @operator_command
-def status(run: context.Context) -> None:
+def status(ctx: context.CommandContext) -> None:
     """Show every process of the fleet."""
-    observation.status(run)
+    diagnostics.status(ctx)
 
 
 @program.command()
-@click.option('--request', default='', help='Only events of one request.')
-@click.option('--limit', default=200, help='Newest events to show.')
+@click.option(
+    '--request', default='', help='Show only the events of this request.'
+)
+@click.option('--limit', default=200, help='Number of newest events to show.')
 @operator_command
-def timeline(run: context.Context, request: str, limit: int) -> None:
+def timeline(ctx: context.CommandContext, request: str, limit: int) -> None:
     """Show the events of all processes in causal order."""
-    observation.show_timeline(run, request, limit)
+    diagnostics.show_timeline(ctx, request, limit)
 
 
 @program.command()
 @click.argument('request')
 @operator_command
-def explain(run: context.Context, request: str) -> None:
-    """Tell why a request was routed or refused as it was.
+def explain(ctx: context.CommandContext, request: str) -> None:
+    """Explain how a request was routed, or why it was refused.
 
-    The id is that of the answer's header Burdockmast-Request-Id.
+    REQUEST is the id in the response header Burdockmast-Request-Id.
     """
-    observation.explain(run, request)
+    diagnostics.explain(ctx, request)
 
 
 @program.group()
 def settings() -> None:
-    """Work on settings files."""
+    """Check settings files."""
 
 
 @settings.command('check')
@@ -240,4 +249,4 @@
 
     Example: burdockmast completion bash > burdockmast.bash
     """
-    observation.print_completion(shell)
+    diagnostics.print_completion(shell)
