Name claims and store modules by the terms of the field

Cause: homes, books, marks, cuts and places are words of this project only.

Change: renames only.

KeyState.index keeps its encoded name, place.

--- a/libs/bench/burdockmast/bench/capacity.py
+++ b/libs/bench/burdockmast/bench/capacity.py
@@ -3,7 +3,7 @@
 from burdockmast.bench import slopes
 from burdockmast.bench import storelines
 from burdockmast.bench import targets
-from burdockmast.claims import ages
+from burdockmast.claims import entry_ages
 from burdockmast.claims import records
 from burdockmast.wire import peers
 
@@ -171,8 +171,10 @@
     found: targets.Slopes, target: targets.Target
 ) -> targets.Line:
     commands = target.requests * target.claimed_share
-    seconds = targets.RETENTION_SECONDS * (1 + 1 / ages.CUTS_IN_RETENTION)
-    keys = commands * seconds / records.SHARDS
+    seconds = targets.RETENTION_SECONDS * (
+        1 + 1 / entry_ages.TRUNCATIONS_PER_RETENTION
+    )
+    keys = commands * seconds / records.SHARD_COUNT
     slope = found['home: key memory']
     memory = keys * slope.value + _side_memory(found, target)
     return targets.Line(
--- a/libs/bench/burdockmast/bench/control.py
+++ b/libs/bench/burdockmast/bench/control.py
@@ -89,11 +89,11 @@
     ]
 
 
-def _book_of(size: int) -> records.Book:
+def _book_of(size: int) -> records.KeyTable:
     """Return a book of commands that have ended, as read from a journal."""
-    book = records.Book()
+    book = records.KeyTable()
     for number in range(size):
-        key = records.key_of('souk', layouts.SERVICE, str(number))
+        key = records.hash_key('souk', layouts.SERVICE, str(number))
         claim = records.Claim(
             key,
             1,
@@ -107,8 +107,10 @@
         done = records.Done(key, 1, 200, headers, b'{"run": 1}')
         for line in (claim, done):
             stored = msgspec.json.encode([line])
-            lines = msgspec.json.decode(stored, type=list[records.Line])
-            book.take(book.place + 1, lines)
+            lines = msgspec.json.decode(
+                stored, type=list[records.JournalRecord]
+            )
+            book.apply(book.last_index + 1, lines)
     return book
 
 
--- a/libs/bench/burdockmast/bench/storelines.py
+++ b/libs/bench/burdockmast/bench/storelines.py
@@ -1,8 +1,8 @@
 """The capacity page's lines on the platform's store."""
 
 from burdockmast.bench import targets
-from burdockmast.claims import ages
-from burdockmast.claims import home
+from burdockmast.claims import claim_writer
+from burdockmast.claims import entry_ages
 from burdockmast.claims import records
 from burdockmast.fleet import follower
 from burdockmast.fleet import layer_moves
@@ -19,12 +19,14 @@
     commands = target.requests * target.claimed_share
     slope = found['store: writes for commands']
     free = slope.base + slope.value * commands
-    bound = records.SHARDS / home.WRITE_INTERVAL_SECONDS
+    bound = records.SHARD_COUNT / claim_writer.WRITE_INTERVAL_SECONDS
     groups = min(free, bound)
     # Each entry that is written is removed again later.
     writes = 2 * groups + 2 * target.changes_in_a_minute / 60
-    seconds = targets.RETENTION_SECONDS * (1 + 1 / ages.CUTS_IN_RETENTION)
-    kept = groups / records.SHARDS * seconds
+    seconds = targets.RETENTION_SECONDS * (
+        1 + 1 / entry_ages.TRUNCATIONS_PER_RETENTION
+    )
+    kept = groups / records.SHARD_COUNT * seconds
     watchers = target.zones * follower.WATCHERS_PER_ZONE
     # A look reads the journal and then its mark.
     reads = 2 * watchers / follower.WATCH_SECONDS
@@ -39,8 +41,8 @@
             f'and {target.changes_in_a_minute / 60:.1f} changes a second',
             f'{target.store_writes:.0f}/s (several hundred)',
             writes <= target.store_writes,
-            f'{records.SHARDS} claim journals, each at most one write in '
-            f'{home.WRITE_INTERVAL_SECONDS * 1000:.0f} ms',
+            f'{records.SHARD_COUNT} claim journals, each at most one write in '
+            f'{claim_writer.WRITE_INTERVAL_SECONDS * 1000:.0f} ms',
         ),
         targets.Line(
             'store', 'reads, with waiting watches',
@@ -66,7 +68,8 @@
         _moves_line(target),
         targets.Line(
             'store', 'length of a claim journal',
-            f'{kept:,.0f} entries, {kept / journals.PAGE:.0f} reads for a '
+            f'{kept:,.0f} entries, '
+            f'{kept / journals.PAGE_ENTRY_COUNT:.0f} reads for a '
             'new home', 'none stated', None,
             'journals are cut behind the time for which keys are remembered; '
             'entries that go are as many writes again as entries that come',
@@ -82,7 +85,7 @@
         + found['snapshot: server'].base
     )
     changes = snapshots.INTERVAL_CHANGES + snapshots.KEPT_CHANGES
-    reads = 2 + 2 * -(-changes // journals.PAGE)
+    reads = 2 + 2 * -(-changes // journals.PAGE_ENTRY_COUNT)
     return targets.Line(
         'store', 'the configuration, for a new process or an operator',
         f'{size / MEGABYTE:.2f} MB and at most {changes} changes, in {reads} '
--- a/libs/claims/burdockmast/claims/home.py
+++ b/libs/claims/burdockmast/claims/claim_writer.py
@@ -18,14 +18,14 @@
 from burdockmast.base import metrics
 from burdockmast.base import outcomes
 from burdockmast.base import timers
-from burdockmast.claims import ages
+from burdockmast.claims import entry_ages
 from burdockmast.claims import records
-from burdockmast.store import cuts
 from burdockmast.store import journals
 from burdockmast.store import objects
+from burdockmast.store import truncation
 
 LOG = logs.get('claims')
-Lines = list[records.Line]
+JournalRecords = list[records.JournalRecord]
 
 # Shortest time between two writes of one shard, in seconds. It bounds the
 # store's writes for any number of requests, and a quiet shard does not wait.
@@ -35,7 +35,7 @@
 # Records written at once.
 GROUP_RECORDS = 2000
 # Seconds for which a write is tried before its askers are refused.
-WRITE_SECONDS = 2.0
+WRITE_TIMEOUT_SECONDS = 2.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -44,22 +44,24 @@
     event: eventlet.event.Event
 
 
-class ShardHome:
+class ShardWriter:
     """Writes the records of one shard."""
 
     def __init__(
         self,
-        store: objects.Objects,
+        store: objects.ObjectClient,
         shard: int,
         measures: metrics.Metrics,
         retention: float,
     ):
         """Create a writer; its task runs while records wait."""
-        self._journal = cuts.CutJournal(store, f'claims-{shard:02d}')
+        self._journal = truncation.TruncatableJournal(
+            store, f'claims-{shard:02d}'
+        )
         self._retention = retention
         # None until the journal has been read to its end.
-        self._book: records.Book | None = None
-        self._ages = ages.Ages(retention)
+        self._table: records.KeyTable | None = None
+        self._ages = entry_ages.EntryAges(retention)
         self._waiting: list[_Waiting] = []
         self._is_writing = False
         self._written_at = float('-inf')
@@ -68,13 +70,13 @@
 
     def submit(
         self, record: records.Record, seconds: float
-    ) -> records.State | failures.Failure | None:
+    ) -> records.KeyState | failures.Failure | None:
         """Append a record and return its key's state after it.
 
         None is returned for a key of which nothing is known any more. A
         failure's outcome tells whether the record may be in the journal.
         """
-        known = self._book and self._book.state_by_key.get(record.key)
+        known = self._table and self._table.state_by_key.get(record.key)
         if known and known.done:
             return known
         waiting = _Waiting(record, eventlet.event.Event())
@@ -90,7 +92,7 @@
             failures.Reason.STORE_UNAVAILABLE,
             'claim.submit',
             detail='the store did not answer in time',
-            retry_after=WRITE_SECONDS,
+            retry_after=WRITE_TIMEOUT_SECONDS,
         )
 
     def _hurry(self) -> None:
@@ -115,16 +117,16 @@
             self._is_writing = False
 
     def _commit(self, group: list[_Waiting]) -> None:
-        """Write a group at the first free place.
+        """Write a group at the first free index.
 
-        A write whose answer was lost may still take that place; then the
+        A write whose answer was lost may still take that index; then the
         next group finds it there and takes it in.
         """
         change = ids.ChangeId(ids.new_id())
         began = timers.now()
-        deadline = began + WRITE_SECONDS
+        deadline = began + WRITE_TIMEOUT_SECONDS
         while True:
-            result = self._catch_up() if self._book is None else None
+            result = self._catch_up() if self._table is None else None
             if isinstance(result, failures.Failure):
                 return _answer(group, result)
             group = self._choose(group)
@@ -133,7 +135,7 @@
             lines = self._lines(group)
             entry = journals.Entry(change, msgspec.to_builtins(lines))
             result = self._journal.append(
-                self._book.place + 1, entry, deadline - timers.now()
+                self._table.last_index + 1, entry, deadline - timers.now()
             )
             match result:
                 case journals.Appended() if (
@@ -141,15 +143,15 @@
                 ):
                     # Paused since; the claims may be forgotten by now.
                     result = _too_late()
-                case journals.Appended(place=place):
+                case journals.Appended(index=index):
                     self._metrics.count('claims.groups')
                     self._metrics.count('claims.records', len(group))
-                    return self._decide(place, group, lines)
+                    return self._decide(index, group, lines)
                 case journals.Occupied():
                     result = self._catch_up()
-                case cuts.Void(place=place):
-                    LOG.warning('Fell behind: place {} is cut.', place)
-                    self._book = None
+                case truncation.Truncated(index=index):
+                    LOG.warning('Fell behind: index {} is cut.', index)
+                    self._table = None
             if isinstance(result, failures.Failure):
                 return _answer(group, result)
 
@@ -161,8 +163,8 @@
         chosen: dict[str, _Waiting] = {}
         for waiting in group:
             record = waiting.record
-            if not self._book.changes(record):
-                waiting.event.send(self._book.state_by_key.get(record.key))
+            if not self._table.would_change(record):
+                waiting.event.send(self._table.state_by_key.get(record.key))
             elif record.key in chosen:
                 self._waiting.append(waiting)
                 self._hurry()
@@ -170,48 +172,53 @@
                 chosen[record.key] = waiting
         return list(chosen.values())
 
-    def _lines(self, group: list[_Waiting]) -> list[records.Line]:
-        lines: list[records.Line] = [waiting.record for waiting in group]
-        through = self._ages.due()
+    def _lines(self, group: list[_Waiting]) -> list[records.JournalRecord]:
+        lines: list[records.JournalRecord] = [
+            waiting.record for waiting in group
+        ]
+        through = self._ages.expired_through()
         if through:
             lines.append(records.Forgotten(through))
         return lines
 
     def _catch_up(self) -> failures.Failure | None:
         """Read on to the end, from the mark if nothing is known yet."""
-        book = self._book
-        if book is None:
-            mark = self._journal.mark()
-            if isinstance(mark, failures.Failure):
-                return mark
-            book = records.Book(mark.through)
+        table = self._table
+        if table is None:
+            point = self._journal.truncation_point()
+            if isinstance(point, failures.Failure):
+                return point
+            table = records.KeyTable(point.through)
         while True:
-            entries = self._journal.read(book.place + 1)
+            entries = self._journal.read(table.last_index + 1)
             if isinstance(entries, failures.Failure):
                 return entries
-            for place, entry in entries:
-                book.take(place, msgspec.convert(entry.body, Lines))
-                self._ages.note(place)
+            for index, entry in entries:
+                table.apply(index, msgspec.convert(entry.body, JournalRecords))
+                self._ages.record(index)
             if not entries:
-                self._book = book
+                self._table = table
                 return None
 
     def _decide(
-        self, place: int, group: list[_Waiting], lines: list[records.Line]
+        self,
+        index: int,
+        group: list[_Waiting],
+        lines: list[records.JournalRecord],
     ) -> None:
-        self._book.take(place, lines)
-        self._ages.note(place)
+        self._table.apply(index, lines)
+        self._ages.record(index)
         for waiting in group:
-            state = self._book.state_by_key.get(waiting.record.key)
+            state = self._table.state_by_key.get(waiting.record.key)
             waiting.event.send(state)
         for line in lines:
             if isinstance(line, records.Forgotten):
-                self._ages.drop(line.through)
+                self._ages.forget(line.through)
                 eventlet.spawn(self._cut, line.through)
 
     def _cut(self, through: int) -> None:
         """Remove what is forgotten, now that the journal says so."""
-        failure = self._journal.cut(through)
+        failure = self._journal.truncate(through)
         if failure:
             # The next cut takes these entries with it.
             LOG.warning('Journal not cut: {}', failure.detail)
@@ -225,7 +232,7 @@
         'claim.commit',
         detail='the write ended too late to count on',
         outcome=outcomes.Outcome.UNKNOWN,
-        retry_after=WRITE_SECONDS,
+        retry_after=WRITE_TIMEOUT_SECONDS,
     )
 
 
@@ -235,12 +242,12 @@
             waiting.event.send(refusal)
 
 
-class Homes:
+class ClaimWriters:
     """The shards that one process writes."""
 
     def __init__(
         self,
-        store: objects.Objects,
+        store: objects.ObjectClient,
         measures: metrics.Metrics,
         retention: float,
     ):
@@ -251,16 +258,16 @@
         self._store = store
         self._metrics = measures
         self._retention = retention
-        self._home_by_shard: dict[int, ShardHome] = {}
+        self._writer_by_shard: dict[int, ShardWriter] = {}
 
     def submit(
         self, shard: int, record: records.Record, seconds: float
-    ) -> records.State | failures.Failure | None:
+    ) -> records.KeyState | failures.Failure | None:
         """Append a record to a shard's journal."""
-        home = self._home_by_shard.get(shard)
-        if home is None:
-            home = ShardHome(
+        writer = self._writer_by_shard.get(shard)
+        if writer is None:
+            writer = ShardWriter(
                 self._store, shard, self._metrics, self._retention
             )
-            self._home_by_shard[shard] = home
-        return home.submit(record, seconds)
+            self._writer_by_shard[shard] = writer
+        return writer.submit(record, seconds)
--- a/libs/claims/burdockmast/claims/ages.py
+++ b/libs/claims/burdockmast/claims/entry_ages.py
@@ -5,10 +5,10 @@
 from burdockmast.base import timers
 
 # Cuts of a journal in the time for which keys are remembered.
-CUTS_IN_RETENTION = 8
+TRUNCATIONS_PER_RETENTION = 8
 
 
-class Ages:
+class EntryAges:
     """When places of a journal were seen, by this process's own clock.
 
     Clocks of other processes are not asked: an entry is never thought to
@@ -23,23 +23,23 @@
         self._retention = retention
         self._seen: collections.deque[tuple[float, int]] = collections.deque()
 
-    def note(self, place: int) -> None:
-        """Note that a place is taken, coarsely."""
+    def record(self, index: int) -> None:
+        """Note that an index is taken, coarsely."""
         now = timers.now()
-        step = self._retention / CUTS_IN_RETENTION
+        step = self._retention / TRUNCATIONS_PER_RETENTION
         if not self._seen or now - self._seen[-1][0] >= step:
-            self._seen.append((now, place))
+            self._seen.append((now, index))
 
-    def due(self) -> int:
-        """Return the last place that is old enough to be cut, or 0."""
+    def expired_through(self) -> int:
+        """Return the last index that is old enough to be cut, or 0."""
         through = 0
-        for seen_at, place in self._seen:
+        for seen_at, index in self._seen:
             if timers.now() - seen_at < self._retention:
                 break
-            through = place
+            through = index
         return through
 
-    def drop(self, through: int) -> None:
+    def forget(self, through: int) -> None:
         """Forget places through ``through``."""
         while self._seen and self._seen[0][1] <= through:
             self._seen.popleft()
--- a/libs/claims/burdockmast/claims/records.py
+++ b/libs/claims/burdockmast/claims/records.py
@@ -8,10 +8,10 @@
 from burdockmast.base import ids
 
 # Journals over which claims are spread; equal in every process.
-SHARDS = 8
-KEY_BYTES = 16
+SHARD_COUNT = 8
+KEY_DIGEST_BYTES = 16
 # Largest body of an outcome that is kept for repeats, in bytes.
-OUTCOME_BYTES = 8192
+MAX_OUTCOME_BYTES = 8192
 
 
 class Claim(msgspec.Struct, tag='claim', frozen=True):
@@ -55,30 +55,30 @@
 
 # What processes ask to be written, and what a journal holds.
 Record = Claim | Done | Released
-Line = Record | Forgotten
+JournalRecord = Record | Forgotten
 
 
-class State(msgspec.Struct):
+class KeyState(msgspec.Struct):
     """What a journal says of one key.
 
-    :ivar place: where the claim stands in the journal
+    :ivar index: where the claim stands in the journal
     """
 
     claim: Claim
-    place: int
+    index: int = msgspec.field(name='place')
     done: Done | None = None
     is_released: bool = False
 
 
-class Book:
+class KeyTable:
     """State of each key of one shard, in the order of their claims."""
 
-    def __init__(self, place: int = 0):
-        """Create the book of a journal that begins after ``place``."""
-        self.place = place
-        self.state_by_key: dict[str, State] = {}
+    def __init__(self, index: int = 0):
+        """Create the book of a journal that begins after ``index``."""
+        self.last_index = index
+        self.state_by_key: dict[str, KeyState] = {}
 
-    def changes(self, record: Record) -> bool:
+    def would_change(self, record: Record) -> bool:
         """Tell whether a record would change its key's state.
 
         Only such records are written. So whoever begins to read in the
@@ -92,20 +92,22 @@
             case Done(attempt=attempt) | Released(attempt=attempt):
                 return _is_open(state, attempt)
 
-    def take(self, place: int, lines: list[Line]) -> None:
+    def apply(self, index: int, lines: list[JournalRecord]) -> None:
         """Apply what stands at the next place."""
-        self.place = place
+        self.last_index = index
         for line in lines:
             if isinstance(line, Forgotten):
                 self._forget(line.through)
-            elif self.changes(line):
-                self._take(line)
+            elif self.would_change(line):
+                self._apply(line)
 
-    def _take(self, record: Record) -> None:
+    def _apply(self, record: Record) -> None:
         match record:
             case Claim():
                 self.state_by_key.pop(record.key, None)
-                self.state_by_key[record.key] = State(record, self.place)
+                self.state_by_key[record.key] = KeyState(
+                    record, self.last_index
+                )
             case Done():
                 self.state_by_key[record.key].done = record
             case Released():
@@ -114,7 +116,7 @@
     def _forget(self, through: int) -> None:
         forgotten = list(
             itertools.takewhile(
-                lambda key: self.state_by_key[key].place <= through,
+                lambda key: self.state_by_key[key].index <= through,
                 self.state_by_key,
             )
         )
@@ -122,7 +124,7 @@
             del self.state_by_key[key]
 
 
-def _may_follow(state: State, claim: Claim) -> bool:
+def _may_follow(state: KeyState, claim: Claim) -> bool:
     return (
         state.is_released
         and claim.attempt == state.claim.attempt + 1
@@ -130,7 +132,7 @@
     )
 
 
-def _is_open(state: State | None, attempt: int) -> bool:
+def _is_open(state: KeyState | None, attempt: int) -> bool:
     return (
         state is not None
         and state.claim.attempt == attempt
@@ -139,17 +141,17 @@
     )
 
 
-def key_of(
+def hash_key(
     organisation: ids.OrganisationId, service: ids.ServiceId, key: str
 ) -> str:
     """Return a caller's idempotency key as it is kept, and never shown."""
     joined = '\0'.join((organisation, service, key)).encode()
-    return hashlib.blake2b(joined, digest_size=KEY_BYTES).hexdigest()
+    return hashlib.blake2b(joined, digest_size=KEY_DIGEST_BYTES).hexdigest()
 
 
 def shard_of(key: str) -> int:
     """Return the journal that a kept key belongs to."""
-    return int(key[:8], 16) % SHARDS
+    return int(key[:8], 16) % SHARD_COUNT
 
 
 def encode(record: Record) -> bytes:
@@ -165,11 +167,11 @@
     return msgspec.msgpack.decode(encoded, type=Record)
 
 
-def encode_state(state: State | None) -> bytes:
+def encode_state(state: KeyState | None) -> bytes:
     """Return a key's state for sending."""
     return msgspec.msgpack.encode(state)
 
 
-def decode_state(encoded: bytes) -> State | None:
+def decode_state(encoded: bytes) -> KeyState | None:
     """Return a key's state that was sent."""
-    return msgspec.msgpack.decode(encoded, type=State | None)
+    return msgspec.msgpack.decode(encoded, type=KeyState | None)
--- a/libs/claims/burdockmast/claims/directory.py
+++ b/libs/claims/burdockmast/claims/writer_directory.py
@@ -8,37 +8,37 @@
 from burdockmast.fleet import follower
 
 # Processes that are tried for a shard, one after the other.
-PLACES = 3
+CANDIDATE_COUNT = 3
 
 
-class Directory:
+class WriterDirectory:
     """The side processes that write each shard, as one process sees it."""
 
     def __init__(self, configuration: follower.Follower):
         """Create a directory that follows the configuration."""
         self._follower = configuration
         self._version = ids.Version(-1)
-        self._places_by_shard: dict[int, list[ids.Address]] = {}
+        self._candidates_by_shard: dict[int, list[ids.Address]] = {}
 
-    def places(self, shard: int) -> list[ids.Address]:
+    def candidates(self, shard: int) -> list[ids.Address]:
         """Return the processes for a shard, the preferred one first."""
         if self._version != self._follower.version:
             self._version = self._follower.version
-            self._places_by_shard.clear()
-        found = self._places_by_shard.get(shard)
+            self._candidates_by_shard.clear()
+        found = self._candidates_by_shard.get(shard)
         if found is None:
-            found = self._rank_places(shard)
-            self._places_by_shard[shard] = found
+            found = self._rank_candidates(shard)
+            self._candidates_by_shard[shard] = found
         return found
 
-    def _rank_places(self, shard: int) -> list[ids.Address]:
+    def _rank_candidates(self, shard: int) -> list[ids.Address]:
         active = [
             server
             for server in self._follower.configuration.server_by_id.values()
             if server.state is changes.ServerState.ACTIVE
         ]
         first = heapq.nsmallest(
-            PLACES,
+            CANDIDATE_COUNT,
             active,
             key=lambda server: ranks.rank(str(shard), server.id),
         )
--- a/libs/entry/burdockmast/entry/request_parser.py
+++ b/libs/entry/burdockmast/entry/request_parser.py
@@ -96,7 +96,9 @@
         query = environ.get('QUERY_STRING')
         key = ''
         if declared.key:
-            key = records.key_of(declared.organisation, service, declared.key)
+            key = records.hash_key(
+                declared.organisation, service, declared.key
+            )
         return services.Call(
             request_id,
             service,
--- a/libs/entry/burdockmast/entry/services.py
+++ b/libs/entry/burdockmast/entry/services.py
@@ -11,8 +11,8 @@
 from burdockmast.base import ids
 from burdockmast.base import outcomes
 from burdockmast.base import timers
-from burdockmast.claims import directory
 from burdockmast.claims import records
+from burdockmast.claims import writer_directory
 from burdockmast.entry import fleet
 from burdockmast.entry import hedges
 from burdockmast.fleet import changes
@@ -98,7 +98,7 @@
         self._view = view
         self._events = process.events
         self._metrics = process.metrics
-        self._directory = directory.Directory(process.follower)
+        self._directory = writer_directory.WriterDirectory(process.follower)
         self._budget = budgets.RetryBudget()
         self._random = random.Random(seed)
         self._running_by_server: collections.Counter[ids.ServerId] = (
@@ -179,13 +179,13 @@
             match state:
                 case failures.Failure():
                     return state
-                case records.State() if (
+                case records.KeyState() if (
                     state.claim.fingerprint != call.fingerprint
                 ):
                     return self._key_reused(state)
-                case records.State(done=records.Done() as done):
+                case records.KeyState(done=records.Done() as done):
                     return _replay(done)
-                case records.State(is_released=True):
+                case records.KeyState(is_released=True):
                     attempt = state.claim.attempt + 1
                     continue
             self._events.add(
@@ -238,11 +238,11 @@
         request_id: ids.RequestId,
         record: records.Record,
         deadline: float,
-    ) -> records.State | failures.Failure:
+    ) -> records.KeyState | failures.Failure:
         """Append a record through one of its shard's claim writers."""
         shard = records.shard_of(record.key)
         encoded = records.encode(record)
-        for address in self._directory.places(shard):
+        for address in self._directory.candidates(shard):
             link = self._view.peers.get(address)
             if isinstance(link, failures.Failure):
                 continue
@@ -271,7 +271,7 @@
         The caller doesn't wait for it. Outcomes that are too large to store
         are skipped.
         """
-        if len(reply.body) > records.OUTCOME_BYTES:
+        if len(reply.body) > records.MAX_OUTCOME_BYTES:
             return
         done = records.Done(
             claim.key, claim.attempt, reply.status, reply.headers, reply.body
@@ -439,7 +439,7 @@
             NO_SERVER_RETRY_SECONDS,
         )
 
-    def _key_reused(self, state: records.State) -> failures.Failure:
+    def _key_reused(self, state: records.KeyState) -> failures.Failure:
         return failures.Failure(
             failures.Reason.KEY_REUSED,
             'service.claim',
--- a/libs/fleet/burdockmast/fleet/change_journal.py
+++ b/libs/fleet/burdockmast/fleet/change_journal.py
@@ -11,16 +11,16 @@
 from burdockmast.fleet import changes
 from burdockmast.fleet import configuration
 from burdockmast.fleet import snapshots
-from burdockmast.store import cuts
 from burdockmast.store import journals
 from burdockmast.store import objects
+from burdockmast.store import truncation
 
 CHANGES_KIND = 'config-change'
 
 
-def open_journal(store: objects.Objects) -> cuts.CutJournal:
+def open_journal(store: objects.ObjectClient) -> truncation.TruncatableJournal:
     """Open the journal of configuration changes."""
-    return cuts.CutJournal(store, CHANGES_KIND)
+    return truncation.TruncatableJournal(store, CHANGES_KIND)
 
 
 def encode(change: changes.Change) -> journals.Entry:
@@ -43,7 +43,7 @@
 class ChangeWriter:
     """Checks and appends the changes of one operator."""
 
-    def __init__(self, store: objects.Objects, author: str):
+    def __init__(self, store: objects.ObjectClient, author: str):
         """Create a writer.
 
         :param author: named in the refusals of other operators' switches
@@ -60,7 +60,7 @@
             match entries:
                 case failures.Failure():
                     return entries
-                case cuts.Void():
+                case truncation.Truncated():
                     failure = self._restore()
                     if failure:
                         return failure
@@ -100,12 +100,12 @@
                 place, encode(change), deadline - timers.now()
             )
             match result:
-                case journals.Appended(place=place):
+                case journals.Appended(index=place):
                     self.configuration.apply(change)
                     return Accepted(ids.Version(place))
                 case journals.Occupied(entry=entry):
                     self.configuration.apply(decode(entry))
-                case cuts.Void():
+                case truncation.Truncated():
                     return _place_truncated()
                 case failures.Failure():
                     return result
--- a/libs/fleet/burdockmast/fleet/draining_instances.py
+++ b/libs/fleet/burdockmast/fleet/draining_instances.py
@@ -12,7 +12,7 @@
 from burdockmast.base import ids
 from burdockmast.base import logs
 from burdockmast.fleet import follower
-from burdockmast.store import instancelist
+from burdockmast.store import instance_list
 from burdockmast.wire import links
 from burdockmast.wire import messages
 
@@ -27,7 +27,7 @@
 
     def __init__(
         self,
-        listing: instancelist.InstanceList | None,
+        listing: instance_list.InstanceList | None,
         own: ids.PlatformInstance,
         config_follower: follower.Follower,
     ):
@@ -57,7 +57,7 @@
         """Read the instance list, if this process is a watcher."""
         if not self._listing or not self._follower.is_watcher():
             return
-        found = self._listing.leaving()
+        found = self._listing.list_draining()
         if isinstance(found, failures.Failure):
             LOG.debug(
                 'Instance list not read, keeping the known one: {}.', found
--- a/libs/fleet/burdockmast/fleet/follower.py
+++ b/libs/fleet/burdockmast/fleet/follower.py
@@ -24,8 +24,8 @@
 from burdockmast.fleet import configuration
 from burdockmast.fleet import encoding
 from burdockmast.fleet import snapshots
-from burdockmast.store import cuts
 from burdockmast.store import objects
+from burdockmast.store import truncation
 from burdockmast.wire import links
 from burdockmast.wire import messages
 
@@ -55,7 +55,7 @@
 
     def __init__(
         self,
-        store: objects.Objects,
+        store: objects.ObjectClient,
         server: ids.ServerId,
         zone: ids.ZoneId,
         events: timeline.Timeline,
@@ -261,7 +261,7 @@
     def _read_store(self, wait: float) -> None:
         before = self.version
         entries = self._journal.follow(before + 1, wait)
-        if isinstance(entries, cuts.Void):
+        if isinstance(entries, truncation.Truncated):
             entries = self._restore_from_store()
         if isinstance(entries, failures.Failure):
             LOG.debug(
--- a/libs/fleet/burdockmast/fleet/layer_moves.py
+++ b/libs/fleet/burdockmast/fleet/layer_moves.py
@@ -126,7 +126,7 @@
 
     def __init__(
         self,
-        store: objects.Objects,
+        store: objects.ObjectClient,
         server: ids.ServerId,
         max_concurrent: int,
         seed: int | None = None,
@@ -322,7 +322,7 @@
 
 
 def read_all(
-    store: objects.Objects,
+    store: objects.ObjectClient,
 ) -> dict[ids.ModelId, MoveRecord] | failures.Failure:
     """Return the move records of all models."""
     found: dict[ids.ModelId, MoveRecord] = {}
--- a/libs/fleet/burdockmast/fleet/snapshots.py
+++ b/libs/fleet/burdockmast/fleet/snapshots.py
@@ -14,8 +14,8 @@
 from burdockmast.base import logs
 from burdockmast.fleet import configuration
 from burdockmast.fleet import encoding
-from burdockmast.store import cuts
 from burdockmast.store import objects
+from burdockmast.store import truncation
 
 LOG = logs.get('fleet')
 
@@ -43,7 +43,11 @@
 class Snapshots:
     """The newest snapshot of one platform's configuration."""
 
-    def __init__(self, store: objects.Objects, journal: cuts.CutJournal):
+    def __init__(
+        self,
+        store: objects.ObjectClient,
+        journal: truncation.TruncatableJournal,
+    ):
         """Create a client.
 
         :param journal: the journal to truncate behind snapshots
@@ -90,7 +94,7 @@
             case failures.Failure():
                 return written
         LOG.info('Wrote a snapshot of configuration version {}.', version)
-        return self._journal.cut(max(0, version - KEPT_CHANGES))
+        return self._journal.truncate(max(0, version - KEPT_CHANGES))
 
 
 def is_due(version: ids.Version, since: ids.Version) -> bool:
--- a/libs/node/burdockmast/node/node.py
+++ b/libs/node/burdockmast/node/node.py
@@ -20,7 +20,7 @@
 from burdockmast.node import dependencies
 from burdockmast.node import inspection
 from burdockmast.settings import models
-from burdockmast.store import instancelist
+from burdockmast.store import instance_list
 from burdockmast.store import objects
 from burdockmast.wire import links
 from burdockmast.wire import messages
@@ -41,7 +41,7 @@
     settings: models.Settings
     events: timeline.Timeline
     metrics: metrics.Metrics
-    store: objects.Objects
+    store: objects.ObjectClient
     follower: follower.Follower
     peers: peers.Peers
     instances: draining_instances.DrainingInstances
@@ -69,8 +69,8 @@
             settings.statsd_address, role.value
         )
         depended = dependencies.Dependencies(events, measures)
-        store = objects.Objects(settings.store_url)
-        store.answered.append(depended.store_answered)
+        store = objects.ObjectClient(settings.store_url)
+        store.call_observers.append(depended.store_answered)
         configuration = follower.Follower(store, server, settings.zone, events)
         hello = messages.Hello(
             messages.PROTOCOL,
@@ -86,7 +86,7 @@
         configuration.heartbeat_period = process_peers.period
         listing = None
         if settings.instances_url:
-            listing = instancelist.InstanceList(settings.instances_url)
+            listing = instance_list.InstanceList(settings.instances_url)
         return cls(
             settings,
             events,
--- a/libs/operator/burdockmast/operator/context.py
+++ b/libs/operator/burdockmast/operator/context.py
@@ -52,9 +52,9 @@
             raise click.UsageError('--settings or --store is needed')
         return cls(settings, is_json)
 
-    def store(self) -> objects.Objects:
+    def store(self) -> objects.ObjectClient:
         """Return a client of the platform's store."""
-        return objects.Objects(self.settings.store_url)
+        return objects.ObjectClient(self.settings.store_url)
 
     def writer(self) -> change_journal.ChangeWriter:
         """Return the configuration's writer, with all that is accepted."""
--- a/libs/side/burdockmast/side/server.py
+++ b/libs/side/burdockmast/side/server.py
@@ -4,7 +4,7 @@
 
 from burdockmast.base import failures
 from burdockmast.base import timers
-from burdockmast.claims import home
+from burdockmast.claims import claim_writer
 from burdockmast.claims import records
 from burdockmast.fleet import changes
 from burdockmast.node import node
@@ -30,7 +30,7 @@
             settings, messages.Role.SIDE, self, settings.server
         )
         self.node.describe_role = self._details
-        self.homes = home.Homes(
+        self.homes = claim_writer.ClaimWriters(
             self.node.store, self.node.metrics, settings.claims_retention
         )
         self.stage: stage.Stage | None = None
@@ -115,7 +115,9 @@
 
     def _claim(self, link: links.Link, claim: messages.Claim) -> None:
         record = records.decode(claim.record)
-        state = self.homes.submit(claim.shard, record, home.WRITE_SECONDS)
+        state = self.homes.submit(
+            claim.shard, record, claim_writer.WRITE_TIMEOUT_SECONDS
+        )
         if isinstance(state, failures.Failure):
             reply = messages.Claimed(
                 claim.call, b'', state.reason, state.detail
--- a/libs/standins/burdockmast/standins/fleets.py
+++ b/libs/standins/burdockmast/standins/fleets.py
@@ -268,7 +268,7 @@
 
     def writer(self, author: str = 'tests') -> change_journal.ChangeWriter:
         """Return an operator's writer."""
-        store = objects.Objects(self.url('store'))
+        store = objects.ObjectClient(self.url('store'))
         return change_journal.ChangeWriter(store, author)
 
     def operate(self, *bodies: changes.Body) -> change_journal.Accepted:
--- a/libs/store/burdockmast/store/instancelist.py
+++ b/libs/store/burdockmast/store/instance_list.py
@@ -15,7 +15,7 @@
 HTTP_OK = 200
 
 
-class Listed(msgspec.Struct, frozen=True):
+class ListedInstance(msgspec.Struct, frozen=True):
     """One instance as the list shows it."""
 
     id: ids.PlatformInstance
@@ -25,7 +25,7 @@
     """Instances of one state, as of a revision of the list."""
 
     revision: int
-    items: tuple[Listed, ...]
+    items: tuple[ListedInstance, ...]
 
 
 class InstanceList:
@@ -39,7 +39,7 @@
         self.url = url
         self._pool = urllib3.PoolManager(maxsize=1, retries=False)
 
-    def leaving(self) -> Listing | failures.Failure:
+    def list_draining(self) -> Listing | failures.Failure:
         """Read which instances are leaving."""
         try:
             response = self._pool.request(
--- a/libs/store/burdockmast/store/journals.py
+++ b/libs/store/burdockmast/store/journals.py
@@ -1,7 +1,7 @@
 """An ordered log kept in the store, safe with any number of writers.
 
 Entry ``n`` is an object named ``n`` that is created only if it does not
-exist. So each place has one winner, no writer needs a lease, and a paused
+exist. So each index has one winner, no writer needs a lease, and a paused
 writer that wakes can't overwrite anything. Each entry carries its writer's
 change id: a create whose answer was lost is simply repeated, and the entry
 that is found there tells whether it was ours.
@@ -20,13 +20,13 @@
 from burdockmast.store import objects
 
 NAME_DIGITS = 12
-PAGE = 200
+PAGE_ENTRY_COUNT = 200
 # Seconds between repeats of a create whose answer was lost.
-REPEAT_SECONDS = 0.2
+RETRY_INTERVAL_SECONDS = 0.2
 
 
 class Entry(msgspec.Struct):
-    """What is stored at one place of a journal."""
+    """What is stored at one index of a journal."""
 
     change: ids.ChangeId
     body: Any
@@ -34,31 +34,31 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Appended:
-    """The entry is in the journal at ``place``."""
+    """The entry is in the journal at ``index``."""
 
-    place: int
+    index: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Occupied:
-    """Another writer's entry is at ``place``; ours was not written."""
+    """Another writer's entry is at ``index``; ours was not written."""
 
-    place: int
+    index: int
     entry: Entry
 
 
 class Journal:
     """One journal, named by its kind in the store."""
 
-    def __init__(self, store: objects.Objects, kind: str):
-        """Open a journal; places count from 1."""
+    def __init__(self, store: objects.ObjectClient, kind: str):
+        """Open a journal; indexes count from 1."""
         self._store = store
         self._kind = kind
 
     def append(
-        self, place: int, entry: Entry, seconds: float
+        self, index: int, entry: Entry, seconds: float
     ) -> Appended | Occupied | failures.Failure:
-        """Write ``entry`` at ``place`` unless that place is taken.
+        """Write ``entry`` at ``index`` unless that index is taken.
 
         A failure's outcome is ``UNKNOWN`` if the entry may be there.
 
@@ -67,21 +67,21 @@
         deadline = timers.now() + seconds
         outcome = outcomes.Outcome.NOT_RUN
         while True:
-            result = self._store.create(self._kind, _name(place), entry)
+            result = self._store.create(self._kind, _name(index), entry)
             match result:
                 case objects.Stored():
-                    return Appended(place)
+                    return Appended(index)
                 case objects.Conflict():
-                    result = self._occupant(place, entry)
+                    result = self._occupant(index, entry)
             match result:
                 case Appended() | Occupied():
                     return result
                 case failures.Failure() as failure:
                     if failure.outcome is outcomes.Outcome.UNKNOWN:
                         outcome = failure.outcome
-            if timers.now() + REPEAT_SECONDS > deadline:
+            if timers.now() + RETRY_INTERVAL_SECONDS > deadline:
                 return dataclasses.replace(failure, outcome=outcome)
-            eventlet.sleep(REPEAT_SECONDS)
+            eventlet.sleep(RETRY_INTERVAL_SECONDS)
 
     def read(
         self, start: int, wait: float = 0.0
@@ -90,36 +90,38 @@
 
         :param wait: seconds to wait until there is one
         """
-        items = self._store.list(self._kind, _name(start), PAGE, wait)
+        items = self._store.list(
+            self._kind, _name(start), PAGE_ENTRY_COUNT, wait
+        )
         if isinstance(items, failures.Failure):
             return items
         entries: list[tuple[int, Entry]] = []
         for item in items:
-            place = int(item.name)
-            if place != start + len(entries):
+            index = int(item.name)
+            if index != start + len(entries):
                 break
-            entries.append((place, msgspec.convert(item.value, Entry)))
+            entries.append((index, msgspec.convert(item.value, Entry)))
         return entries
 
-    def remove(self, place: int) -> failures.Failure | None:
-        """Remove the entry at ``place``; see :mod:`.cuts` for when."""
-        return self._store.delete(self._kind, _name(place))
+    def remove(self, index: int) -> failures.Failure | None:
+        """Remove the entry at ``index``; see :mod:`.truncation` for when."""
+        return self._store.delete(self._kind, _name(index))
 
     def _occupant(
-        self, place: int, entry: Entry
+        self, index: int, entry: Entry
     ) -> Appended | Occupied | failures.Failure:
-        match self._store.get(self._kind, _name(place)):
+        match self._store.get(self._kind, _name(index)):
             case objects.Stored(value=value):
                 found = msgspec.convert(value, Entry)
                 if found.change == entry.change:
-                    return Appended(place)
-                return Occupied(place, found)
+                    return Appended(index)
+                return Occupied(index, found)
             case objects.Absent():
                 return failures.Failure(
                     failures.Reason.STORE_CONFLICT,
                     'journal.append',
                     self._kind,
-                    f'place {place} was taken and is now empty',
+                    f'index {index} was taken and is now empty',
                     outcomes.Outcome.UNKNOWN,
                 )
             case failure:
@@ -128,5 +130,5 @@
                 )
 
 
-def _name(place: int) -> str:
-    return f'{place:0{NAME_DIGITS}d}'
+def _name(index: int) -> str:
+    return f'{index:0{NAME_DIGITS}d}'
--- a/libs/store/burdockmast/store/objects.py
+++ b/libs/store/burdockmast/store/objects.py
@@ -20,12 +20,12 @@
 LOG = logs.get('store')
 
 TIMEOUT_SECONDS = 2.0
-CONNECTIONS = 8
+POOL_CONNECTION_COUNT = 8
 HTTP_OK = 200
 HTTP_CREATED = 201
 HTTP_NOT_FOUND = 404
-HTTP_CONFLICT = 412
-HTTP_TOO_MANY = 429
+HTTP_PRECONDITION_FAILED = 412
+HTTP_TOO_MANY_REQUESTS = 429
 
 
 class Stored(msgspec.Struct):
@@ -54,10 +54,11 @@
     name: str
 
 
-class Objects:
+class ObjectClient:
     """Objects of one platform, over HTTP.
 
-    :ivar answered: called with the kind of each call, its seconds, and why
+    :ivar call_observers: called with the kind of each call, its seconds, and
+        why
         it failed, if it did
     """
 
@@ -68,11 +69,11 @@
         """
         self.url = url
         self.calls_by_kind: collections.Counter[str] = collections.Counter()
-        self.answered: list[
+        self.call_observers: list[
             Callable[[str, float, failures.Failure | None], None]
         ] = []
         self._pool = urllib3.PoolManager(
-            maxsize=CONNECTIONS, retries=False, block=False
+            maxsize=POOL_CONNECTION_COUNT, retries=False, block=False
         )
 
     def get(self, kind: str, name: str) -> Stored | Absent | failures.Failure:
@@ -131,7 +132,7 @@
         response = self._call('PUT', kind, name, body=body, headers=condition)
         if isinstance(response, failures.Failure):
             return response
-        if response.status == HTTP_CONFLICT:
+        if response.status == HTTP_PRECONDITION_FAILED:
             return Conflict(name)
         return self._parse(response, Stored, 'write')
 
@@ -141,8 +142,8 @@
         began = timers.now()
         found = self._request(method, kind, name, **options)
         failure = found if isinstance(found, failures.Failure) else None
-        for subscriber in self.answered:
-            subscriber(f'{method} {kind}', timers.now() - began, failure)
+        for observer in self.call_observers:
+            observer(f'{method} {kind}', timers.now() - began, failure)
         return found
 
     def _request(
@@ -165,7 +166,7 @@
             return self._failure(method, outcomes.Outcome.NOT_RUN, str(error))
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return self._failure(method, outcomes.Outcome.UNKNOWN, str(error))
-        if response.status == HTTP_TOO_MANY:
+        if response.status == HTTP_TOO_MANY_REQUESTS:
             return self._failure(
                 method, outcomes.Outcome.NOT_RUN, 'over its call rate'
             )
--- a/tests/stores.py
+++ b/tests/stores.py
@@ -17,7 +17,7 @@
         self.data = msgspec.json.encode(value)
 
 
-class Store(objects.Objects):
+class Store(objects.ObjectClient):
     """A store in this process; as many answers to writes as ``lost`` are."""
 
     def __init__(self):
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -159,7 +159,7 @@
 
 
 def new_follower():
-    store = objects.Objects('http://127.0.0.1:9')
+    store = objects.ObjectClient('http://127.0.0.1:9')
     events = timeline.Timeline('test')
     return follower.Follower(store, ids.ServerId('s'), ids.ZoneId('z'), events)
 
--- a/tests/test_cuts.py
+++ b/tests/test_journal_truncation.py
@@ -7,12 +7,12 @@
 from burdockmast.base import failures
 from burdockmast.base import ids
 from burdockmast.base import metrics
-from burdockmast.claims import home
+from burdockmast.claims import claim_writer
 from burdockmast.claims import records
 from burdockmast.standins import fleets
-from burdockmast.store import cuts
 from burdockmast.store import journals
 from burdockmast.store import objects
+from burdockmast.store import truncation
 
 KIND = 'claims-00'
 RETENTION = 0.4
@@ -32,12 +32,12 @@
 
 
 def client(platform):
-    return objects.Objects(platform.url('store'))
+    return objects.ObjectClient(platform.url('store'))
 
 
 def filled(platform, count):
     """Return a journal with ``count`` entries."""
-    journal = cuts.CutJournal(client(platform), KIND)
+    journal = truncation.TruncatableJournal(client(platform), KIND)
     for place in range(1, count + 1):
         result = journal.append(place, entry(place), SECONDS)
         assert result == journals.Appended(place)
@@ -56,7 +56,7 @@
 
 def new_home(platform, retention=RETENTION):
     sink = metrics.Metrics()
-    return home.ShardHome(client(platform), 0, sink, retention)
+    return claim_writer.ShardWriter(client(platform), 0, sink, retention)
 
 
 def claim(key, claimant='first', attempt=1):
@@ -83,17 +83,17 @@
 
 def test_cut_removes_the_oldest_entries(platform):
     journal = filled(platform, 5)
-    assert journal.cut(3) is None
+    assert journal.truncate(3) is None
     assert places(platform) == [4, 5]
-    assert journal.mark() == cuts.Mark(3, 3)
+    assert journal.truncation_point() == truncation.TruncationPoint(3, 3)
     assert journal.append(6, entry(6), SECONDS) == journals.Appended(6)
 
 
 def test_entry_where_the_journal_was_cut_is_void(platform):
     """Proves: a writer that was paused over a cut is not misled by it."""
     journal = filled(platform, 5)
-    journal.cut(4)
-    assert journal.append(3, entry(30), SECONDS) == cuts.Void(3)
+    journal.truncate(4)
+    assert journal.append(3, entry(30), SECONDS) == truncation.Truncated(3)
     assert places(platform) == [5]
 
 
@@ -102,30 +102,30 @@
     journal = filled(platform, 6)
     platform.set_faults('store', lose_answers=lost)
     while True:
-        if journal.cut(4) is None:
+        if journal.truncate(4) is None:
             break
     assert places(platform) == [5, 6]
-    assert journal.mark() == cuts.Mark(4, 4)
+    assert journal.truncation_point() == truncation.TruncationPoint(4, 4)
 
 
 def test_cut_does_not_go_back(platform):
     journal = filled(platform, 6)
-    journal.cut(4)
-    journal.cut(2)
-    assert journal.mark() == cuts.Mark(4, 4)
+    journal.truncate(4)
+    journal.truncate(2)
+    assert journal.truncation_point() == truncation.TruncationPoint(4, 4)
 
 
 def test_store_out_after_a_create_leaves_the_outcome_open(
     platform, monkeypatch
 ):
     journal = filled(platform, 2)
-    read = journal._read_mark
+    read = journal._read_point
 
     def out():
         platform.set_faults('store', outage=True)
         return read()
 
-    monkeypatch.setattr(journal, '_read_mark', out)
+    monkeypatch.setattr(journal, '_read_point', out)
     result = journal.append(3, entry(3), SECONDS)
     assert isinstance(result, failures.Failure)
     assert result.outcome.value == 'may_have_run'
@@ -187,7 +187,7 @@
     store = client(fleet)
 
     def cut_marks():
-        marks = store.list(cuts.MARKS_KIND, '', 100)
+        marks = store.list(truncation.TRUNCATION_POINTS_KIND, '', 100)
         return [mark.value['removed'] for mark in marks]
 
     sent = 0
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -32,7 +32,7 @@
 
 
 def kept_key(key):
-    return records.key_of('souk', layouts.SERVICE, key)
+    return records.hash_key('souk', layouts.SERVICE, key)
 
 
 def test_repeat_gets_the_first_outcome(shared_fleet):
@@ -190,7 +190,7 @@
         ids.InstanceId(status.process),
         'dead-entry',
     )
-    store = objects.Objects(fleet.url('store'))
+    store = objects.ObjectClient(fleet.url('store'))
     shard = records.shard_of(kept)
     journal = journals.Journal(store, f'claims-{shard:02d}')
     entry = journals.Entry('dead', [msgspec.to_builtins(claim)])
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -13,8 +13,8 @@
 from burdockmast.fleet import configuration
 from burdockmast.fleet import follower
 from burdockmast.fleet import snapshots
-from burdockmast.store import cuts
 from burdockmast.store import journals
+from burdockmast.store import truncation
 
 INTERVAL = 10
 KEPT = 4
@@ -27,7 +27,7 @@
         return
     monkeypatch.setattr(snapshots, 'INTERVAL_CHANGES', INTERVAL)
     monkeypatch.setattr(snapshots, 'KEPT_CHANGES', KEPT)
-    monkeypatch.setattr(cuts, 'REMOVE_INTERVAL_SECONDS', 0.0)
+    monkeypatch.setattr(truncation, 'REMOVE_INTERVAL_SECONDS', 0.0)
 
 
 def server(number):
@@ -187,7 +187,7 @@
         writer.submit(body)
     journal = change_journal.open_journal(writer._journal._store)
     program.wait_until(
-        lambda: journal.mark().through, 'the journal is truncated'
+        lambda: journal.truncation_point().through, 'the journal is truncated'
     )
     version = writer.configuration.version
     fleet.start_entry('entry-9', 'za')
