--- a/libs/claims/burdockmast/claims/__init__.py
+++ b/libs/claims/burdockmast/claims/__init__.py
@@ -1,1 +1,1 @@
-"""At-most-once execution, by claims kept in journals."""
+"""At-most-once execution, with claims recorded in journals."""
--- a/libs/claims/burdockmast/claims/claim_writer.py
+++ b/libs/claims/burdockmast/claims/claim_writer.py
@@ -1,8 +1,9 @@
 """Group commit of claims: one store write for many records.
 
-Every entry sends the records of a shard to the same side process, found by
-hash, which writes all that wait in one journal entry. Nothing depends on
-there being only one such process: the journal decides.
+All entry processes choose the same side process for a shard, by rendezvous
+hashing. It writes all pending records in one journal entry. At-most-once
+execution doesn't depend on there being a single writer: of several writers,
+only one can create the entry at a given index of the journal.
 """
 
 import dataclasses
@@ -27,25 +28,25 @@
 LOG = logs.get('claims')
 JournalRecords = list[records.JournalRecord]
 
-# Shortest time between two writes of one shard, in seconds. It bounds the
-# store's writes for any number of requests, and a quiet shard does not wait.
+# Shortest time between two writes of one shard. It bounds the store's write
+# rate at any request rate, and adds no delay on a shard with little traffic.
 WRITE_INTERVAL_SECONDS = 0.1
-# Longest time that outcomes wait for a claim to ride along with, in seconds.
-OUTCOME_SECONDS = 1.0
-# Records written at once.
-GROUP_RECORDS = 2000
-# Seconds for which a write is tried before its askers are refused.
+# Longest time that outcomes wait to be written in one group with a claim.
+MAX_OUTCOME_DELAY_SECONDS = 1.0
+# Largest number of records in one journal entry.
+MAX_GROUP_RECORD_COUNT = 2000
+# Time for which a write is retried before its submitters get a failure.
 WRITE_TIMEOUT_SECONDS = 2.0
 
 
 @dataclasses.dataclass(slots=True)
-class _Waiting:
+class _PendingRecord:
     record: records.Record
     event: eventlet.event.Event
 
 
 class ShardWriter:
-    """Writes the records of one shard."""
+    """Writes the records of one shard to its journal."""
 
     def __init__(
         self,
@@ -54,7 +55,7 @@
         measures: metrics.Metrics,
         retention: float,
     ):
-        """Create a writer; its task runs while records wait."""
+        """Create a writer; its task runs only while records are pending."""
         self._journal = truncation.TruncatableJournal(
             store, f'claims-{shard:02d}'
         )
@@ -62,10 +63,10 @@
         # None until the journal has been read to its end.
         self._table: records.KeyTable | None = None
         self._ages = entry_ages.EntryAges(retention)
-        self._waiting: list[_Waiting] = []
+        self._pending: list[_PendingRecord] = []
         self._is_writing = False
-        self._written_at = float('-inf')
-        self._is_urgent = eventlet.event.Event()
+        self._last_write_at = float('-inf')
+        self._write_trigger = eventlet.event.Event()
         self._metrics = measures
 
     def submit(
@@ -73,21 +74,22 @@
     ) -> records.KeyState | failures.Failure | None:
         """Append a record and return its key's state after it.
 
-        None is returned for a key of which nothing is known any more. A
-        failure's outcome tells whether the record may be in the journal.
+        Returns None if the journal holds no state for the key, for example
+        because it has been forgotten. A failure's outcome tells whether the
+        record may be in the journal.
         """
         known = self._table and self._table.state_by_key.get(record.key)
         if known and known.done:
             return known
-        waiting = _Waiting(record, eventlet.event.Event())
-        self._waiting.append(waiting)
+        pending = _PendingRecord(record, eventlet.event.Event())
+        self._pending.append(pending)
         if not isinstance(record, records.Done):
-            self._hurry()
+            self._trigger_write()
         if not self._is_writing:
             self._is_writing = True
-            eventlet.spawn(self._write)
+            eventlet.spawn(self._write_groups)
         with eventlet.Timeout(seconds, False):
-            return waiting.event.wait()
+            return pending.event.wait()
         return failures.Failure(
             failures.Reason.STORE_UNAVAILABLE,
             'claim.submit',
@@ -95,32 +97,32 @@
             retry_after=WRITE_TIMEOUT_SECONDS,
         )
 
-    def _hurry(self) -> None:
-        if not self._is_urgent.ready():
-            self._is_urgent.send()
+    def _trigger_write(self) -> None:
+        if not self._write_trigger.ready():
+            self._write_trigger.send()
 
-    def _write(self) -> None:
+    def _write_groups(self) -> None:
         try:
-            while self._waiting:
-                with eventlet.Timeout(OUTCOME_SECONDS, False):
-                    self._is_urgent.wait()
-                due = self._written_at + WRITE_INTERVAL_SECONDS
+            while self._pending:
+                with eventlet.Timeout(MAX_OUTCOME_DELAY_SECONDS, False):
+                    self._write_trigger.wait()
+                due = self._last_write_at + WRITE_INTERVAL_SECONDS
                 eventlet.sleep(max(0.0, due - timers.now()))
-                self._is_urgent = eventlet.event.Event()
-                self._written_at = timers.now()
-                group = self._waiting[:GROUP_RECORDS]
-                self._waiting = self._waiting[GROUP_RECORDS:]
-                if self._waiting:
-                    self._hurry()
+                self._write_trigger = eventlet.event.Event()
+                self._last_write_at = timers.now()
+                group = self._pending[:MAX_GROUP_RECORD_COUNT]
+                self._pending = self._pending[MAX_GROUP_RECORD_COUNT:]
+                if self._pending:
+                    self._trigger_write()
                 self._commit(group)
         finally:
             self._is_writing = False
 
-    def _commit(self, group: list[_Waiting]) -> None:
-        """Write a group at the first free index.
+    def _commit(self, group: list[_PendingRecord]) -> None:
+        """Write a group at the first free index of the journal.
 
-        A write whose answer was lost may still take that index; then the
-        next group finds it there and takes it in.
+        If a write fails, its entry may still be created at that index. The
+        next write then finds the index occupied and applies that entry.
         """
         change = ids.ChangeId(ids.new_id())
         began = timers.now()
@@ -128,12 +130,14 @@
         while True:
             result = self._catch_up() if self._table is None else None
             if isinstance(result, failures.Failure):
-                return _answer(group, result)
-            group = self._choose(group)
+                return _fail_group(group, result)
+            group = self._select(group)
             if not group:
                 return None
-            lines = self._lines(group)
-            entry = journals.Entry(change, msgspec.to_builtins(lines))
+            journal_records = self._journal_records(group)
+            entry = journals.Entry(
+                change, msgspec.to_builtins(journal_records)
+            )
             result = self._journal.append(
                 self._table.last_index + 1, entry, deadline - timers.now()
             )
@@ -141,48 +145,59 @@
                 case journals.Appended() if (
                     timers.now() - began > self._retention / 2
                 ):
-                    # Paused since; the claims may be forgotten by now.
-                    result = _too_late()
+                    # The process was paused during the write; its claims may
+                    # have been forgotten since.
+                    result = _write_too_late()
                 case journals.Appended(index=index):
                     self._metrics.count('claims.groups')
                     self._metrics.count('claims.records', len(group))
-                    return self._decide(index, group, lines)
+                    return self._apply_group(index, group, journal_records)
                 case journals.Occupied():
                     result = self._catch_up()
                 case truncation.Truncated(index=index):
-                    LOG.warning('Fell behind: index {} is cut.', index)
+                    LOG.warning(
+                        'Claims journal truncated past index {}; reloading.',
+                        index,
+                    )
                     self._table = None
             if isinstance(result, failures.Failure):
-                return _answer(group, result)
+                return _fail_group(group, result)
 
-    def _choose(self, group: list[_Waiting]) -> list[_Waiting]:
-        """Return those whose records change something, one for each key.
+    def _select(self, group: list[_PendingRecord]) -> list[_PendingRecord]:
+        """Return one pending record for each key, if it changes the key.
 
-        Others of a key wait for the next group, when its state is known.
+        Submitters of records that change nothing get the current state.
+        Further records of a key are deferred to the next group, by which
+        time the key's new state is known.
         """
-        chosen: dict[str, _Waiting] = {}
-        for waiting in group:
-            record = waiting.record
+        selected: dict[str, _PendingRecord] = {}
+        for pending in group:
+            record = pending.record
             if not self._table.would_change(record):
-                waiting.event.send(self._table.state_by_key.get(record.key))
-            elif record.key in chosen:
-                self._waiting.append(waiting)
-                self._hurry()
+                pending.event.send(self._table.state_by_key.get(record.key))
+            elif record.key in selected:
+                self._pending.append(pending)
+                self._trigger_write()
             else:
-                chosen[record.key] = waiting
-        return list(chosen.values())
-
-    def _lines(self, group: list[_Waiting]) -> list[records.JournalRecord]:
-        lines: list[records.JournalRecord] = [
-            waiting.record for waiting in group
+                selected[record.key] = pending
+        return list(selected.values())
+
+    def _journal_records(
+        self, group: list[_PendingRecord]
+    ) -> list[records.JournalRecord]:
+        journal_records: list[records.JournalRecord] = [
+            pending.record for pending in group
         ]
         through = self._ages.expired_through()
         if through:
-            lines.append(records.Forgotten(through))
-        return lines
+            journal_records.append(records.Forgotten(through))
+        return journal_records
 
     def _catch_up(self) -> failures.Failure | None:
-        """Read on to the end, from the mark if nothing is known yet."""
+        """Apply new journal entries, up to the end of the journal.
+
+        Without a table, reading starts at the truncation point.
+        """
         table = self._table
         if table is None:
             point = self._journal.truncation_point()
@@ -200,50 +215,59 @@
                 self._table = table
                 return None
 
-    def _decide(
+    def _apply_group(
         self,
         index: int,
-        group: list[_Waiting],
-        lines: list[records.JournalRecord],
+        group: list[_PendingRecord],
+        journal_records: list[records.JournalRecord],
     ) -> None:
-        self._table.apply(index, lines)
+        self._table.apply(index, journal_records)
         self._ages.record(index)
-        for waiting in group:
-            state = self._table.state_by_key.get(waiting.record.key)
-            waiting.event.send(state)
-        for line in lines:
-            if isinstance(line, records.Forgotten):
-                self._ages.forget(line.through)
-                eventlet.spawn(self._cut, line.through)
-
-    def _cut(self, through: int) -> None:
-        """Remove what is forgotten, now that the journal says so."""
+        for pending in group:
+            state = self._table.state_by_key.get(pending.record.key)
+            pending.event.send(state)
+        for record in journal_records:
+            if isinstance(record, records.Forgotten):
+                self._ages.forget(record.through)
+                eventlet.spawn(self._truncate, record.through)
+
+    def _truncate(self, through: int) -> None:
+        """Remove the entries through ``through``.
+
+        Called once the journal holds the record that they are forgotten.
+        """
         failure = self._journal.truncate(through)
         if failure:
-            # The next cut takes these entries with it.
-            LOG.warning('Journal not cut: {}', failure.detail)
+            # The next truncation removes these entries too.
+            LOG.warning(
+                'Claims journal not truncated, left to the next truncation: '
+                '{}',
+                failure.detail,
+            )
             return
         self._metrics.count('claims.cuts')
 
 
-def _too_late() -> failures.Failure:
+def _write_too_late() -> failures.Failure:
     return failures.Failure(
         failures.Reason.STORE_UNAVAILABLE,
         'claim.commit',
-        detail='the write ended too late to count on',
+        detail='the write took so long that its claims may be forgotten',
         outcome=outcomes.Outcome.UNKNOWN,
         retry_after=WRITE_TIMEOUT_SECONDS,
     )
 
 
-def _answer(group: list[_Waiting], refusal: failures.Failure) -> None:
-    for waiting in group:
-        if not waiting.event.ready():
-            waiting.event.send(refusal)
+def _fail_group(
+    group: list[_PendingRecord], failure: failures.Failure
+) -> None:
+    for pending in group:
+        if not pending.event.ready():
+            pending.event.send(failure)
 
 
 class ClaimWriters:
-    """The shards that one process writes."""
+    """The claim writers of one side process, by shard."""
 
     def __init__(
         self,
@@ -251,9 +275,9 @@
         measures: metrics.Metrics,
         retention: float,
     ):
-        """Create a process's writers; none has work yet.
+        """Create an empty set; a shard's writer is created at first use.
 
-        :param retention: seconds for which a key is remembered at least
+        :param retention: least number of seconds for which a key is remembered
         """
         self._store = store
         self._metrics = measures
@@ -263,7 +287,7 @@
     def submit(
         self, shard: int, record: records.Record, seconds: float
     ) -> records.KeyState | failures.Failure | None:
-        """Append a record to a shard's journal."""
+        """Append a record to a shard's journal, as ShardWriter.submit does."""
         writer = self._writer_by_shard.get(shard)
         if writer is None:
             writer = ShardWriter(
--- a/libs/claims/burdockmast/claims/records.py
+++ b/libs/claims/burdockmast/claims/records.py
@@ -1,4 +1,4 @@
-"""Records of a claims journal and the state that they add up to."""
+"""Records of a claims journal, and the key states that they yield."""
 
 import hashlib
 import itertools
@@ -7,18 +7,18 @@
 
 from burdockmast.base import ids
 
-# Journals over which claims are spread; equal in every process.
+# Journals among which claims are divided; must be equal in every process.
 SHARD_COUNT = 8
 KEY_DIGEST_BYTES = 16
-# Largest body of an outcome that is kept for repeats, in bytes.
+# Largest response body that is stored to answer repeated requests.
 MAX_OUTCOME_BYTES = 8192
 
 
 class Claim(msgspec.Struct, tag='claim', frozen=True):
-    """The right to run a request once, by one process beside a server.
+    """Grants one side process the right to run a request once.
 
-    Only the side process ``incarnation`` may run it, and only as
-    ``attempt``; ``claimant`` is unique for each asking.
+    Only the side process ``incarnation`` may run the request, and only as
+    ``attempt``; ``claimant`` is unique to each call that asks for the claim.
     """
 
     key: str
@@ -31,7 +31,7 @@
 
 
 class Done(msgspec.Struct, tag='done', frozen=True):
-    """The request ran; this is what repeats are told."""
+    """The request ran; repeats of it get this stored response."""
 
     key: str
     attempt: int
@@ -41,27 +41,27 @@
 
 
 class Released(msgspec.Struct, tag='released', frozen=True):
-    """The attempt was proven not to run, now or later."""
+    """The attempt has not run and never will, so a next one may."""
 
     key: str
     attempt: int
 
 
 class Forgotten(msgspec.Struct, tag='forgotten', frozen=True):
-    """Keys claimed at ``through`` or before are no longer remembered."""
+    """Keys whose claims are at index ``through`` or below are forgotten."""
 
     through: int
 
 
-# What processes ask to be written, and what a journal holds.
+# Record: submitted by processes. JournalRecord: found in a journal.
 Record = Claim | Done | Released
 JournalRecord = Record | Forgotten
 
 
 class KeyState(msgspec.Struct):
-    """What a journal says of one key.
+    """State of one key according to the journal.
 
-    :ivar index: where the claim stands in the journal
+    :ivar index: journal index of the claim; sent as ``place``
     """
 
     claim: Claim
@@ -71,37 +71,40 @@
 
 
 class KeyTable:
-    """State of each key of one shard, in the order of their claims."""
+    """State of each key of one shard, ordered by the keys' claims.
+
+    :ivar last_index: index of the last journal entry applied
+    """
 
     def __init__(self, index: int = 0):
-        """Create the book of a journal that begins after ``index``."""
+        """Create the table of a journal that begins after ``index``."""
         self.last_index = index
         self.state_by_key: dict[str, KeyState] = {}
 
     def would_change(self, record: Record) -> bool:
         """Tell whether a record would change its key's state.
 
-        Only such records are written. So whoever begins to read in the
-        middle of a journal takes every claim there as those did who know
-        what came before.
+        Only such records are written. So a reader that starts at the
+        truncation point accepts the same claims as readers that have applied
+        the earlier entries.
         """
         state = self.state_by_key.get(record.key)
         match record:
             case Claim():
-                return state is None or _may_follow(state, record)
+                return state is None or _may_replace(state, record)
             case Done(attempt=attempt) | Released(attempt=attempt):
                 return _is_open(state, attempt)
 
-    def apply(self, index: int, lines: list[JournalRecord]) -> None:
-        """Apply what stands at the next place."""
+    def apply(self, index: int, journal_records: list[JournalRecord]) -> None:
+        """Apply the records of the next journal entry."""
         self.last_index = index
-        for line in lines:
-            if isinstance(line, Forgotten):
-                self._forget(line.through)
-            elif self.would_change(line):
-                self._apply(line)
+        for record in journal_records:
+            if isinstance(record, Forgotten):
+                self._forget(record.through)
+            elif self.would_change(record):
+                self._apply_record(record)
 
-    def _apply(self, record: Record) -> None:
+    def _apply_record(self, record: Record) -> None:
         match record:
             case Claim():
                 self.state_by_key.pop(record.key, None)
@@ -124,7 +127,7 @@
             del self.state_by_key[key]
 
 
-def _may_follow(state: KeyState, claim: Claim) -> bool:
+def _may_replace(state: KeyState, claim: Claim) -> bool:
     return (
         state.is_released
         and claim.attempt == state.claim.attempt + 1
@@ -144,34 +147,37 @@
 def hash_key(
     organisation: ids.OrganisationId, service: ids.ServiceId, key: str
 ) -> str:
-    """Return a caller's idempotency key as it is kept, and never shown."""
+    """Return the hash that stands for a caller's idempotency key.
+
+    The key itself is neither stored nor shown.
+    """
     joined = '\0'.join((organisation, service, key)).encode()
     return hashlib.blake2b(joined, digest_size=KEY_DIGEST_BYTES).hexdigest()
 
 
 def shard_of(key: str) -> int:
-    """Return the journal that a kept key belongs to."""
+    """Return the shard of a hashed key."""
     return int(key[:8], 16) % SHARD_COUNT
 
 
 def encode(record: Record) -> bytes:
-    """Return a record for sending."""
+    """Encode a record for the wire."""
     return msgspec.msgpack.encode(record)
 
 
 def decode(encoded: bytes) -> Record:
-    """Return a record that was sent.
+    """Decode a record from the wire.
 
-    :raises msgspec.DecodeError: if it is none
+    :raises msgspec.DecodeError: if it is not a valid record
     """
     return msgspec.msgpack.decode(encoded, type=Record)
 
 
 def encode_state(state: KeyState | None) -> bytes:
-    """Return a key's state for sending."""
+    """Encode a key's state for the wire."""
     return msgspec.msgpack.encode(state)
 
 
 def decode_state(encoded: bytes) -> KeyState | None:
-    """Return a key's state that was sent."""
+    """Decode a key's state from the wire."""
     return msgspec.msgpack.decode(encoded, type=KeyState | None)
--- a/libs/claims/burdockmast/claims/writer_directory.py
+++ b/libs/claims/burdockmast/claims/writer_directory.py
@@ -1,4 +1,4 @@
-"""Which side processes write a shard's claims."""
+"""Chooses the side processes that write a shard's claims."""
 
 import heapq
 
@@ -7,21 +7,21 @@
 from burdockmast.fleet import changes
 from burdockmast.fleet import follower
 
-# Processes that are tried for a shard, one after the other.
+# Side processes that are tried for a shard, one after the other.
 CANDIDATE_COUNT = 3
 
 
 class WriterDirectory:
-    """The side processes that write each shard, as one process sees it."""
+    """Candidate claim writers of each shard, from the local configuration."""
 
     def __init__(self, configuration: follower.Follower):
-        """Create a directory that follows the configuration."""
+        """Create a directory that reads the configuration from a follower."""
         self._follower = configuration
         self._version = ids.Version(-1)
         self._candidates_by_shard: dict[int, list[ids.Address]] = {}
 
     def candidates(self, shard: int) -> list[ids.Address]:
-        """Return the processes for a shard, the preferred one first."""
+        """Return the addresses of a shard's candidates, preferred first."""
         if self._version != self._follower.version:
             self._version = self._follower.version
             self._candidates_by_shard.clear()
@@ -37,9 +37,9 @@
             for server in self._follower.configuration.server_by_id.values()
             if server.state is changes.ServerState.ACTIVE
         ]
-        first = heapq.nsmallest(
+        ranked = heapq.nsmallest(
             CANDIDATE_COUNT,
             active,
             key=lambda server: ranks.rank(str(shard), server.id),
         )
-        return [server.address for server in first]
+        return [server.address for server in ranked]
