--- a/libs/store/burdockmast/store/__init__.py
+++ b/libs/store/burdockmast/store/__init__.py
@@ -1,1 +1,1 @@
-"""The platform's Object API, and journals kept in it."""
+"""Clients of the platform's Object API, and journals stored through it."""
--- a/libs/store/burdockmast/store/instance_list.py
+++ b/libs/store/burdockmast/store/instance_list.py
@@ -1,7 +1,7 @@
 """Client of the platform's instance list.
 
-Source: the platform's published interface. The list lags behind what
-happens, and its revision goes up with each change that it shows.
+Follows the platform's published interface. The list lags behind the actual
+state, and its revision increases with each change that it shows.
 """
 
 import msgspec
@@ -16,13 +16,13 @@
 
 
 class ListedInstance(msgspec.Struct, frozen=True):
-    """One instance as the list shows it."""
+    """One instance in the list."""
 
     id: ids.PlatformInstance
 
 
 class Listing(msgspec.Struct, frozen=True):
-    """Instances of one state, as of a revision of the list."""
+    """Instances in one state, at a revision of the list."""
 
     revision: int
     items: tuple[ListedInstance, ...]
@@ -32,15 +32,15 @@
     """The instance list of one platform, over HTTP."""
 
     def __init__(self, url: str):
-        """Create a client; it connects when it is used.
+        """Create a client; it connects at the first request.
 
-        :param url: base of the instance list
+        :param url: base URL of the instance list
         """
         self.url = url
         self._pool = urllib3.PoolManager(maxsize=1, retries=False)
 
     def list_draining(self) -> Listing | failures.Failure:
-        """Read which instances are leaving."""
+        """Read which instances the platform is about to remove."""
         try:
             response = self._pool.request(
                 'GET',
--- a/libs/store/burdockmast/store/journals.py
+++ b/libs/store/burdockmast/store/journals.py
@@ -1,10 +1,10 @@
-"""An ordered log kept in the store, safe with any number of writers.
+"""An ordered journal in the object store, safe with any number of writers.
 
 Entry ``n`` is an object named ``n`` that is created only if it does not
-exist. So each index has one winner, no writer needs a lease, and a paused
-writer that wakes can't overwrite anything. Each entry carries its writer's
-change id: a create whose answer was lost is simply repeated, and the entry
-that is found there tells whether it was ours.
+exist. So one writer wins each index, no writer needs a lease, and a writer
+that resumes after a pause can't overwrite an entry. Each entry carries its
+writer's change id: a create whose response was lost is repeated, and the
+change id of the entry found there tells whether this writer created it.
 """
 
 import dataclasses
@@ -21,12 +21,12 @@
 
 NAME_DIGITS = 12
 PAGE_ENTRY_COUNT = 200
-# Seconds between repeats of a create whose answer was lost.
+# Time between repeats of a create that failed or whose response was lost.
 RETRY_INTERVAL_SECONDS = 0.2
 
 
 class Entry(msgspec.Struct):
-    """What is stored at one index of a journal."""
+    """The stored value of one journal entry."""
 
     change: ids.ChangeId
     body: Any
@@ -41,7 +41,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Occupied:
-    """Another writer's entry is at ``index``; ours was not written."""
+    """Another writer's entry is at ``index``; the given one isn't written."""
 
     index: int
     entry: Entry
@@ -51,18 +51,18 @@
     """One journal, named by its kind in the store."""
 
     def __init__(self, store: objects.ObjectClient, kind: str):
-        """Open a journal; indexes count from 1."""
+        """Open a journal; the first index is 1."""
         self._store = store
         self._kind = kind
 
     def append(
         self, index: int, entry: Entry, seconds: float
     ) -> Appended | Occupied | failures.Failure:
-        """Write ``entry`` at ``index`` unless that index is taken.
+        """Write ``entry`` at ``index`` unless that index is occupied.
 
-        A failure's outcome is ``UNKNOWN`` if the entry may be there.
+        A failure's outcome is ``UNKNOWN`` if the entry may have been written.
 
-        :param seconds: how long to go on trying
+        :param seconds: how long to keep retrying
         """
         deadline = timers.now() + seconds
         outcome = outcomes.Outcome.NOT_RUN
@@ -88,7 +88,7 @@
     ) -> list[tuple[int, Entry]] | failures.Failure:
         """Return entries from ``start`` on, in order and without gaps.
 
-        :param wait: seconds to wait until there is one
+        :param wait: seconds to wait for the first such entry
         """
         items = self._store.list(
             self._kind, _name(start), PAGE_ENTRY_COUNT, wait
@@ -104,7 +104,7 @@
         return entries
 
     def remove(self, index: int) -> failures.Failure | None:
-        """Remove the entry at ``index``; see :mod:`.truncation` for when."""
+        """Remove the entry at ``index``; :mod:`.truncation` says when."""
         return self._store.delete(self._kind, _name(index))
 
     def _occupant(
@@ -121,7 +121,7 @@
                     failures.Reason.STORE_CONFLICT,
                     'journal.append',
                     self._kind,
-                    f'index {index} was taken and is now empty',
+                    f'index {index} was occupied and is now empty',
                     outcomes.Outcome.UNKNOWN,
                 )
             case failure:
--- a/libs/store/burdockmast/store/objects.py
+++ b/libs/store/burdockmast/store/objects.py
@@ -1,8 +1,8 @@
 """Client of the platform's Object API.
 
-Source: the platform's published interface. An object has a kind, a name, a
-JSON value of at most a megabyte, and a revision; writes are conditional.
-Nothing is retried here: whoever asks knows whether a repeat is safe.
+Follows the platform's published interface. An object has a kind, a name, a
+JSON value of at most a megabyte, and a revision; writes are conditional. The
+client retries nothing, because only its caller knows whether that is safe.
 """
 
 import collections
@@ -29,7 +29,7 @@
 
 
 class Stored(msgspec.Struct):
-    """An object as the store holds it."""
+    """An object in the store."""
 
     name: str
     revision: int
@@ -37,7 +37,7 @@
 
 
 class Listing(msgspec.Struct):
-    """Objects of a kind, ordered by name."""
+    """Objects of one kind, ordered by name."""
 
     items: list[Stored]
 
@@ -49,23 +49,22 @@
 
 
 class Absent(msgspec.Struct):
-    """There is no such object."""
+    """The object does not exist."""
 
     name: str
 
 
 class ObjectClient:
-    """Objects of one platform, over HTTP.
+    """Reads and writes the objects of one platform over HTTP.
 
-    :ivar call_observers: called with the kind of each call, its seconds, and
-        why
-        it failed, if it did
+    :ivar call_observers: called after each call with its method and kind, its
+        duration in seconds, and its failure, if any
     """
 
     def __init__(self, url: str):
-        """Create a client; it connects when it is used.
+        """Create a client; it connects at the first request.
 
-        :param url: base of the Object API
+        :param url: base URL of the Object API
         """
         self.url = url
         self.calls_by_kind: collections.Counter[str] = collections.Counter()
@@ -88,17 +87,17 @@
     def create(
         self, kind: str, name: str, value: Any
     ) -> Stored | Conflict | failures.Failure:
-        """Write an object that must not exist yet."""
+        """Write an object, unless one of this name exists."""
         return self._write(kind, name, value, {'If-None-Match': '*'})
 
     def update(
         self, kind: str, name: str, value: Any, revision: int
     ) -> Stored | Conflict | failures.Failure:
-        """Write an object that must still be at ``revision``."""
+        """Write an object, if it is still at ``revision``."""
         return self._write(kind, name, value, {'If-Match': f'"{revision}"'})
 
     def delete(self, kind: str, name: str) -> failures.Failure | None:
-        """Remove an object; it is no error if there is none."""
+        """Remove an object; a missing object is no error."""
         response = self._call('DELETE', kind, name)
         if isinstance(response, failures.Failure):
             return response
@@ -168,7 +167,7 @@
             return self._failure(method, outcomes.Outcome.UNKNOWN, str(error))
         if response.status == HTTP_TOO_MANY_REQUESTS:
             return self._failure(
-                method, outcomes.Outcome.NOT_RUN, 'over its call rate'
+                method, outcomes.Outcome.NOT_RUN, 'request rate limit exceeded'
             )
         if response.status >= 500:
             return self._failure(
--- a/libs/store/burdockmast/store/truncation.py
+++ b/libs/store/burdockmast/store/truncation.py
@@ -1,9 +1,10 @@
 """A journal whose old entries are removed.
 
-A truncation point in the store says through which index entries are gone; it
-moves before they go, and only up. A writer that was paused for long may create
-an entry where one was removed. So whoever has created an entry reads the point
-after that: an entry at or below it stands nowhere.
+A truncation point in the store says through which index the journal has been
+truncated. It is raised before entries are removed, and never lowered. A
+writer that was paused for long may create an entry at an index whose entry
+was removed. So each writer reads the truncation point after creating an
+entry: an entry at or below the point is not part of the journal.
 """
 
 import dataclasses
@@ -17,15 +18,15 @@
 from burdockmast.store import objects
 
 TRUNCATION_POINTS_KIND = 'journal-marks'
-# Time between two removals. They come out of the store's writes, and have to
-# outpace a journal's growth of ten entries a second.
+# Time between two removals. Removals use up the store's write rate, and have
+# to outpace a journal that grows by ten entries a second.
 REMOVE_INTERVAL_SECONDS = 0.05
 
 
 class TruncationPoint(msgspec.Struct, frozen=True):
-    """How far a journal is cut.
+    """How far a journal is truncated.
 
-    :ivar through: entries through this index count no more
+    :ivar through: entries through this index are no longer part of the journal
     :ivar removed: entries through this index are no longer in the store
     """
 
@@ -35,25 +36,26 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Truncated:
-    """An index where the journal has been cut away.
+    """The journal has been truncated past ``index``.
 
-    An entry there stands nowhere; who reads or writes there begins anew.
+    An entry at that index is not part of the journal. Readers and writers
+    have to reload the journal's state.
     """
 
     index: int
 
 
 class TruncatableJournal:
-    """A journal, and the mark below which it is cut."""
+    """A journal with its truncation point."""
 
     def __init__(self, store: objects.ObjectClient, kind: str):
-        """Open a journal; indexes count from 1."""
+        """Open a journal; the first index is 1."""
         self._store = store
         self._kind = kind
         self._journal = journals.Journal(store, kind)
 
     def truncation_point(self) -> TruncationPoint | failures.Failure:
-        """Read how far the journal is cut."""
+        """Read how far the journal is truncated."""
         found = self._read_point()
         if isinstance(found, failures.Failure):
             return found
@@ -62,7 +64,7 @@
     def append(
         self, index: int, entry: journals.Entry, seconds: float
     ) -> journals.Appended | journals.Occupied | Truncated | failures.Failure:
-        """Write ``entry`` at ``index`` unless that index is taken or cut."""
+        """Write ``entry`` at ``index`` unless it is taken or truncated."""
         result = self._journal.append(index, entry, seconds)
         if not isinstance(result, journals.Appended):
             return result
@@ -72,7 +74,7 @@
                     failure, outcome=outcomes.Outcome.UNKNOWN
                 )
             case TruncationPoint(through=through) if index <= through:
-                # Nobody reads it; it would only lie there for good.
+                # No reader gets it, and no later truncation removes it.
                 self._journal.remove(index)
                 return Truncated(index)
         return result
@@ -86,15 +88,15 @@
     def follow(
         self, start: int, wait: float = 0.0
     ) -> list[tuple[int, journals.Entry]] | Truncated | failures.Failure:
-        """Return entries from ``start`` on, if the journal is not cut there.
+        """Return entries from ``start`` on, unless ``start`` is truncated.
 
-        :param wait: seconds to wait until there is one
+        :param wait: seconds to wait for the first such entry
         """
         entries = self._journal.read(start, wait)
         if isinstance(entries, failures.Failure):
             return entries
-        # The mark is read last: what a late writer creates where entries
-        # were removed is below it.
+        # Read the truncation point last: an entry that a delayed writer
+        # created at a removed index is at or below it.
         point = self.truncation_point()
         if isinstance(point, failures.Failure):
             return point
@@ -105,27 +107,27 @@
     def truncate(self, through: int) -> failures.Failure | None:
         """Remove the entries through ``through``.
 
-        Any number of processes may do this at once, and each may stop in
-        the middle: the next cut goes on where the point says.
+        Several processes may do this at once, and each may stop midway. The
+        next truncation continues from the stored truncation point.
         """
         found = self._read_point()
         if isinstance(found, failures.Failure):
             return found
         point = _point_of(found)
-        cut = TruncationPoint(max(point.through, through), point.removed)
-        stored = self._write_point(found, cut)
+        target = TruncationPoint(max(point.through, through), point.removed)
+        stored = self._write_point(found, target)
         if not isinstance(stored, objects.Stored):
-            return _as_failure(stored, self._kind)
-        for index in range(cut.removed + 1, cut.through + 1):
+            return _to_failure(stored, self._kind)
+        for index in range(target.removed + 1, target.through + 1):
             failure = self._journal.remove(index)
             if failure:
                 return failure
             eventlet.sleep(REMOVE_INTERVAL_SECONDS)
-        done = TruncationPoint(cut.through, cut.through)
-        result = self._write_point(stored, done)
+        completed = TruncationPoint(target.through, target.through)
+        result = self._write_point(stored, completed)
         if isinstance(result, objects.Stored):
             return None
-        return _as_failure(result, self._kind)
+        return _to_failure(result, self._kind)
 
     def _read_point(
         self,
@@ -150,7 +152,7 @@
     return msgspec.convert(found.value, TruncationPoint)
 
 
-def _as_failure(
+def _to_failure(
     result: objects.Conflict | failures.Failure, kind: str
 ) -> failures.Failure:
     if isinstance(result, failures.Failure):
@@ -159,6 +161,6 @@
         failures.Reason.STORE_CONFLICT,
         'journal.cut',
         kind,
-        'another process moved the mark',
+        'another process changed the truncation point',
         outcomes.Outcome.NOT_RUN,
     )
