--- a/libs/node/burdockmast/node/node.py
+++ b/libs/node/burdockmast/node/node.py
@@ -23,7 +23,7 @@
 from burdockmast.node import dependency_monitor
 from burdockmast.node import inspection
 from burdockmast.settings import models
-from burdockmast.store import instancelist
+from burdockmast.store import instance_list
 from burdockmast.store import objects
 from burdockmast.wire import links
 from burdockmast.wire import messages
@@ -45,7 +45,7 @@
     settings: models.Settings
     events: timeline.Timeline
     metrics: metrics.Metrics
-    store: objects.Objects
+    store: objects.ObjectClient
     follower: follower.Follower
     peers: peers.Peers
     draining_instances: draining_instances.DrainingInstances
@@ -75,8 +75,8 @@
             settings.statsd_address, role.value
         )
         monitor = dependency_monitor.DependencyMonitor(events, measures)
-        store = objects.Objects(settings.store_url)
-        store.answered.append(monitor.on_store_call_ended)
+        store = objects.ObjectClient(settings.store_url)
+        store.call_observers.append(monitor.on_store_call_ended)
         configuration = follower.Follower(store, server, settings.zone, events)
         hello = messages.Hello(
             messages.PROTOCOL_VERSION,
@@ -90,9 +90,9 @@
         process_peers.connect_subscribers.append(monitor.on_connected)
         configuration.peer_links = process_peers.all
         configuration.heartbeat_period = process_peers.heartbeat_period
-        instance_list = None
+        listing = None
         if settings.instances_url:
-            instance_list = instancelist.InstanceList(settings.instances_url)
+            listing = instance_list.InstanceList(settings.instances_url)
         return cls(
             settings,
             events,
@@ -101,7 +101,7 @@
             configuration,
             process_peers,
             draining_instances.DrainingInstances(
-                instance_list, settings.instance, configuration
+                listing, settings.instance, configuration
             ),
             crashreports.CrashReports(),
             timers.TimerService(),
--- a/libs/operator/burdockmast/operator/context.py
+++ b/libs/operator/burdockmast/operator/context.py
@@ -55,9 +55,9 @@
             raise click.UsageError('give --settings or --store')
         return cls(settings, is_json)
 
-    def store(self) -> objects.Objects:
+    def store(self) -> objects.ObjectClient:
         """Return a client of the platform's store."""
-        return objects.Objects(self.settings.store_url)
+        return objects.ObjectClient(self.settings.store_url)
 
     def writer(self) -> change_journal.ChangeWriter:
         """Return a configuration writer that has read all accepted changes."""
--- a/libs/side/burdockmast/side/server.py
+++ b/libs/side/burdockmast/side/server.py
@@ -4,7 +4,7 @@
 
 from burdockmast.base import failures
 from burdockmast.base import timers
-from burdockmast.claims import home
+from burdockmast.claims import claim_writer
 from burdockmast.claims import records
 from burdockmast.fleet import changes
 from burdockmast.node import node
@@ -30,7 +30,7 @@
             settings, messages.Role.SIDE, self, settings.server
         )
         self.node.describe_role = self._status_details
-        self.claim_writers = home.Homes(
+        self.claim_writers = claim_writer.ClaimWriters(
             self.node.store, self.node.metrics, settings.claims_retention
         )
         self.stage: stage.Stage | None = None
@@ -127,7 +127,7 @@
     def _submit_claim(self, link: links.Link, claim: messages.Claim) -> None:
         record = records.decode(claim.record)
         state = self.claim_writers.submit(
-            claim.shard, record, home.WRITE_SECONDS
+            claim.shard, record, claim_writer.WRITE_TIMEOUT_SECONDS
         )
         if isinstance(state, failures.Failure):
             reply = messages.Claimed(
--- a/libs/store/burdockmast/store/instancelist.py
+++ b/libs/store/burdockmast/store/instance_list.py
@@ -1,7 +1,7 @@
 """Client of the platform's instance list.
 
-Source: the platform's published interface. The list lags behind what
-happens, and its revision goes up with each change that it shows.
+Follows the platform's published interface. The list lags behind the actual
+state, and its revision increases with each change that it shows.
 """
 
 import msgspec
@@ -15,32 +15,32 @@
 HTTP_OK = 200
 
 
-class Listed(msgspec.Struct, frozen=True):
-    """One instance as the list shows it."""
+class ListedInstance(msgspec.Struct, frozen=True):
+    """One instance in the list."""
 
     id: ids.PlatformInstance
 
 
 class Listing(msgspec.Struct, frozen=True):
-    """Instances of one state, as of a revision of the list."""
+    """Instances in one state, at a revision of the list."""
 
     revision: int
-    items: tuple[Listed, ...]
+    items: tuple[ListedInstance, ...]
 
 
 class InstanceList:
     """The instance list of one platform, over HTTP."""
 
     def __init__(self, url: str):
-        """Create a client; it connects when it is used.
+        """Create a client; it connects at the first request.
 
-        :param url: base of the instance list
+        :param url: base URL of the instance list
         """
         self.url = url
         self._pool = urllib3.PoolManager(maxsize=1, retries=False)
 
-    def leaving(self) -> Listing | failures.Failure:
-        """Read which instances are leaving."""
+    def list_draining(self) -> Listing | failures.Failure:
+        """Read which instances the platform is about to remove."""
         try:
             response = self._pool.request(
                 'GET',
--- a/libs/store/burdockmast/store/objects.py
+++ b/libs/store/burdockmast/store/objects.py
@@ -1,8 +1,8 @@
 """Client of the platform's Object API.
 
-Source: the platform's published interface. An object has a kind, a name, a
-JSON value of at most a megabyte, and a revision; writes are conditional.
-Nothing is retried here: whoever asks knows whether a repeat is safe.
+Follows the platform's published interface. An object has a kind, a name, a
+JSON value of at most a megabyte, and a revision; writes are conditional. The
+client retries nothing, because only its caller knows whether that is safe.
 """
 
 import collections
@@ -20,16 +20,16 @@
 LOG = logs.get('store')
 
 TIMEOUT_SECONDS = 2.0
-CONNECTIONS = 8
+POOL_CONNECTION_COUNT = 8
 HTTP_OK = 200
 HTTP_CREATED = 201
 HTTP_NOT_FOUND = 404
-HTTP_CONFLICT = 412
-HTTP_TOO_MANY = 429
+HTTP_PRECONDITION_FAILED = 412
+HTTP_TOO_MANY_REQUESTS = 429
 
 
 class Stored(msgspec.Struct):
-    """An object as the store holds it."""
+    """An object in the store."""
 
     name: str
     revision: int
@@ -37,7 +37,7 @@
 
 
 class Listing(msgspec.Struct):
-    """Objects of a kind, ordered by name."""
+    """Objects of one kind, ordered by name."""
 
     items: list[Stored]
 
@@ -49,30 +49,30 @@
 
 
 class Absent(msgspec.Struct):
-    """There is no such object."""
+    """The object does not exist."""
 
     name: str
 
 
-class Objects:
-    """Objects of one platform, over HTTP.
+class ObjectClient:
+    """Reads and writes the objects of one platform over HTTP.
 
-    :ivar answered: called with the kind of each call, its seconds, and why
-        it failed, if it did
+    :ivar call_observers: called after each call with its method and kind, its
+        duration in seconds, and its failure, if any
     """
 
     def __init__(self, url: str):
-        """Create a client; it connects when it is used.
+        """Create a client; it connects at the first request.
 
-        :param url: base of the Object API
+        :param url: base URL of the Object API
         """
         self.url = url
         self.calls_by_kind: collections.Counter[str] = collections.Counter()
-        self.answered: list[
+        self.call_observers: list[
             Callable[[str, float, failures.Failure | None], None]
         ] = []
         self._pool = urllib3.PoolManager(
-            maxsize=CONNECTIONS, retries=False, block=False
+            maxsize=POOL_CONNECTION_COUNT, retries=False, block=False
         )
 
     def get(self, kind: str, name: str) -> Stored | Absent | failures.Failure:
@@ -87,17 +87,17 @@
     def create(
         self, kind: str, name: str, value: Any
     ) -> Stored | Conflict | failures.Failure:
-        """Write an object that must not exist yet."""
+        """Write an object, unless one of this name exists."""
         return self._write(kind, name, value, {'If-None-Match': '*'})
 
     def update(
         self, kind: str, name: str, value: Any, revision: int
     ) -> Stored | Conflict | failures.Failure:
-        """Write an object that must still be at ``revision``."""
+        """Write an object, if it is still at ``revision``."""
         return self._write(kind, name, value, {'If-Match': f'"{revision}"'})
 
     def delete(self, kind: str, name: str) -> failures.Failure | None:
-        """Remove an object; it is no error if there is none."""
+        """Remove an object; a missing object is no error."""
         response = self._call('DELETE', kind, name)
         if isinstance(response, failures.Failure):
             return response
@@ -131,7 +131,7 @@
         response = self._call('PUT', kind, name, body=body, headers=condition)
         if isinstance(response, failures.Failure):
             return response
-        if response.status == HTTP_CONFLICT:
+        if response.status == HTTP_PRECONDITION_FAILED:
             return Conflict(name)
         return self._parse(response, Stored, 'write')
 
@@ -141,8 +141,8 @@
         began = timers.now()
         found = self._request(method, kind, name, **options)
         failure = found if isinstance(found, failures.Failure) else None
-        for subscriber in self.answered:
-            subscriber(f'{method} {kind}', timers.now() - began, failure)
+        for observer in self.call_observers:
+            observer(f'{method} {kind}', timers.now() - began, failure)
         return found
 
     def _request(
@@ -165,9 +165,9 @@
             return self._failure(method, outcomes.Outcome.NOT_RUN, str(error))
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return self._failure(method, outcomes.Outcome.UNKNOWN, str(error))
-        if response.status == HTTP_TOO_MANY:
+        if response.status == HTTP_TOO_MANY_REQUESTS:
             return self._failure(
-                method, outcomes.Outcome.NOT_RUN, 'over its call rate'
+                method, outcomes.Outcome.NOT_RUN, 'request rate limit exceeded'
             )
         if response.status >= 500:
             return self._failure(
