Spell the limits' module names with underscores

Cause: retryschedule and crashreports were the only modules of several words without an underscore. Change: limits/retryschedule.py -> retry_schedule.py, limits/crashreports.py -> crash_reports.py, tests/test_crashreports.py -> test_crash_reports.py, with all uses; renames only.

--- a/libs/entry/burdockmast/entry/web.py
+++ b/libs/entry/burdockmast/entry/web.py
@@ -21,7 +21,7 @@
 from burdockmast.entry import request_parser
 from burdockmast.entry import services
 from burdockmast.limits import queues
-from burdockmast.limits import retryschedule
+from burdockmast.limits import retry_schedule
 from burdockmast.node import node
 
 # Only one pause in this many items is timed, since an entry relays thousands
@@ -272,7 +272,7 @@
         seconds = failure.retry_after
         if seconds is None or failure.step == queues.WAIT_STEP:
             return failure
-        later = retryschedule.add_jitter(seconds, self._random)
+        later = retry_schedule.add_jitter(seconds, self._random)
         return dataclasses.replace(failure, retry_after=round(later, 3))
 
     def _record_refusal(
--- a/libs/gateway/burdockmast/gateway/wsgi.py
+++ b/libs/gateway/burdockmast/gateway/wsgi.py
@@ -20,7 +20,7 @@
 from burdockmast.gateway import retries
 from burdockmast.gateway import streams
 from burdockmast.gateway import view
-from burdockmast.limits import retryschedule
+from burdockmast.limits import retry_schedule
 
 LOG = logs.get('callers')
 
@@ -307,7 +307,7 @@
         if status == 503:
             retry_after = failure.retry_after or RETRY_AFTER_SECONDS
             retry_after = round(
-                retryschedule.add_jitter(retry_after, self._rng), 3
+                retry_schedule.add_jitter(retry_after, self._rng), 3
             )
             headers.append(('Retry-After', str(retry_after)))
         if self.is_draining:
--- a/libs/limits/burdockmast/limits/queues.py
+++ b/libs/limits/burdockmast/limits/queues.py
@@ -13,7 +13,7 @@
 from burdockmast.base import failures
 from burdockmast.base import ids
 from burdockmast.base import timers
-from burdockmast.limits import retryschedule
+from burdockmast.limits import retry_schedule
 
 # Weight of the newest sample in the smoothed interval between admissions.
 INTERVAL_WEIGHT = 0.1
@@ -65,7 +65,9 @@
         self._virtual_time = 0.0
         self._admission_interval = 0.0
         self._admitted_at = 0.0
-        self._retry_schedule = retryschedule.RetrySchedule(random.Random(seed))
+        self._retry_schedule = retry_schedule.RetrySchedule(
+            random.Random(seed)
+        )
 
     def __len__(self) -> int:
         """Return the number of waiting requests."""
--- a/libs/node/burdockmast/node/node.py
+++ b/libs/node/burdockmast/node/node.py
@@ -16,7 +16,7 @@
 from burdockmast.base import timers
 from burdockmast.fleet import draining_instances
 from burdockmast.fleet import follower
-from burdockmast.limits import crashreports
+from burdockmast.limits import crash_reports
 from burdockmast.node import dependencies
 from burdockmast.node import inspection
 from burdockmast.settings import models
@@ -45,7 +45,7 @@
     follower: follower.Follower
     peers: peers.Peers
     instances: draining_instances.DrainingInstances
-    strikes: crashreports.CrashReports
+    strikes: crash_reports.CrashReports
     timers: timers.TimerService
     dependencies: dependencies.Dependencies
     log: logs.Log
@@ -97,7 +97,7 @@
             draining_instances.DrainingInstances(
                 listing, settings.instance, configuration
             ),
-            crashreports.CrashReports(),
+            crash_reports.CrashReports(),
             timers.TimerService(),
             depended,
             cls._log(settings, events, hello),
--- a/libs/side/burdockmast/side/stage.py
+++ b/libs/side/burdockmast/side/stage.py
@@ -12,7 +12,7 @@
 from burdockmast.base import ids
 from burdockmast.base import outcomes
 from burdockmast.base import timers
-from burdockmast.limits import crashreports
+from burdockmast.limits import crash_reports
 from burdockmast.node import node
 from burdockmast.side import batch_scheduler
 from burdockmast.side import engine
@@ -226,7 +226,7 @@
         reached this process yet.
         """
         return (
-            start.strikes >= crashreports.SUSPECT_CRASH_COUNT
+            start.strikes >= crash_reports.SUSPECT_CRASH_COUNT
             or self._crash_reports.is_suspect(start.fingerprint)
         )
 
--- a/tests/test_crashreports.py
+++ b/tests/test_crash_reports.py
@@ -6,7 +6,7 @@
 
 import program
 
-from burdockmast.limits import crashreports
+from burdockmast.limits import crash_reports
 from burdockmast.standins import layouts
 from burdockmast.standins import tokens
 
@@ -63,7 +63,7 @@
         for prompt, future in healthy:
             found = program.answer_tokens(future.result())
             assert found == program.expected_tokens(prompt, 80)
-    assert platform.crashes <= crashreports.QUARANTINE_CRASH_COUNT
+    assert platform.crashes <= crash_reports.QUARANTINE_CRASH_COUNT
 
 
 def test_request_that_finds_engines_dead_is_not_blamed(own_fleet):
@@ -72,7 +72,7 @@
     dead = [f'engine-e{number}' for number in range(1, 5)]
     for name in dead:
         fleet.kill(name)
-    for _ in range(crashreports.QUARANTINE_CRASH_COUNT):
+    for _ in range(crash_reports.QUARANTINE_CRASH_COUNT):
         refused = fleet.complete([8], 4, **{'Burdockmast-Deadline': '0.5'})
         assert program.error_of(refused)['type'] != 'crashes_servers'
     for name in dead:
@@ -83,7 +83,7 @@
 
 
 def test_repeated_reports_of_one_crash_count_once():
-    reports = crashreports.CrashReports()
+    reports = crash_reports.CrashReports()
     for _ in range(10):
         reports.add('f', 'crash1')
     assert reports.count('f') == 1
@@ -96,7 +96,7 @@
 
 
 def test_reports_of_the_most_reported_request_are_never_left_out():
-    reports = crashreports.CrashReports()
+    reports = crash_reports.CrashReports()
     for crash in ('c1', 'c2', 'c3'):
         reports.add('poison', crash)
         for number in range(100):
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -10,7 +10,7 @@
 
 from burdockmast.base import timers
 from burdockmast.limits import queues
-from burdockmast.limits import retryschedule
+from burdockmast.limits import retry_schedule
 
 SERVED_PER_SECOND = 20
 INTERVAL_SECONDS = 1 / SERVED_PER_SECOND
@@ -161,7 +161,7 @@
 
 
 def scheduled_delay(seed):
-    schedule = retryschedule.RetrySchedule(random.Random(seed))
+    schedule = retry_schedule.RetrySchedule(random.Random(seed))
     return lambda now, wait: schedule.next_delay(now, wait, INTERVAL_SECONDS)
 
 
@@ -177,7 +177,7 @@
     """The longest delays, of 30 s, fit twice into a deadline of a minute."""
     baseline = Burst(expected_wait, seed).run(90)
     scheduled = Burst(scheduled_delay(seed), seed).run(90)
-    max_refusals = 1 + DEADLINE_SECONDS / retryschedule.MAX_DELAY_SECONDS
+    max_refusals = 1 + DEADLINE_SECONDS / retry_schedule.MAX_DELAY_SECONDS
     assert max(scheduled.refusals_by_caller.values()) <= max_refusals
     assert scheduled.refusals_by_caller.total() < (
         0.5 * baseline.refusals_by_caller.total()
@@ -200,9 +200,9 @@
     for number in range(100_000):
         seconds = schedule(number * 1e-6, 2.0)
         assert (
-            retryschedule.MIN_DELAY_SECONDS
+            retry_schedule.MIN_DELAY_SECONDS
             <= seconds
-            <= retryschedule.MAX_DELAY_SECONDS
+            <= retry_schedule.MAX_DELAY_SECONDS
         )
 
 
