Begin docstrings of tests with "Proves:" again

Cause: 14 tests lost the mark, by which the claims that tests back are found. Change: docstrings only; two tests get back the docstring that was dropped.

--- a/tests/test_caches.py
+++ b/tests/test_caches.py
@@ -114,7 +114,7 @@
 )
 @settings(derandomize=True, max_examples=60, deadline=None)
 def test_estimate_stays_within_capacity_whatever_is_lost(picks, loss):
-    """Errors from lost cache events don't accumulate."""
+    """Proves: errors from lost cache events don't accumulate."""
     published = Published(blocks=64, loss=loss)
     view = polled_caches(published)
     rng = random.Random(3)
@@ -203,7 +203,7 @@
 
 
 def test_cached_prefix_is_weighed_against_load():
-    """A cached prefix attracts answers only while that saves time."""
+    """Proves: a cached prefix attracts answers only while it saves time."""
     prefixes = affinity.Affinity()
     prefixes.record(BEGINNING, [hop('e0')])
     # With 200 answer tokens, prefill of the prompt costs 1.5 times as much as
@@ -242,7 +242,7 @@
 
 
 def test_entries_find_what_others_have_had_cached(own_fleet):
-    """Caches are used though their events are late and partly lost."""
+    """Proves: caches are used though events are late and partly lost."""
     fleet = own_fleet(
         engine_options=('--cache-lag', '1', '--cache-loss', '0.2')
     )
--- a/tests/test_crash_reports.py
+++ b/tests/test_crash_reports.py
@@ -40,7 +40,7 @@
 
 
 def test_crashing_request_is_refused_everywhere_after_few_crashes(own_fleet):
-    """All entries refuse it at once, and healthy requests still complete."""
+    """Proves: all entries refuse it at once; healthy requests complete."""
     fleet = own_fleet(
         groups=(
             layouts.Group(0, 12, 5, program.UNHURRIED),
@@ -67,7 +67,7 @@
 
 
 def test_request_that_finds_engines_dead_is_not_blamed(own_fleet):
-    """Engines that were already down don't count as crashes of a request."""
+    """Proves: a request isn't blamed for engines that were already down."""
     fleet = own_fleet(groups=(layouts.Group(0, 24, 4),), services=0)
     dead = [f'engine-e{number}' for number in range(1, 5)]
     for name in dead:
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -25,7 +25,7 @@
 def test_side_process_frozen_over_a_switch_sends_no_old_order(
     own_fleet, fenced
 ):
-    """A side process that thaws doesn't act on an outdated configuration."""
+    """Proves: a thawed process doesn't act on an outdated configuration."""
     fleet = own_fleet(groups=GROUPS, engine_options=(fenced,))
     fleet.freeze('side-e1')
     fleet.operate(
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -131,7 +131,10 @@
 @given(ranges=strategies.lists(RANGE, min_size=1, max_size=12))
 @settings(derandomize=True, max_examples=100, deadline=None)
 def test_path_runs_each_layer_once_in_order_or_there_is_none(policy, ranges):
-    """Ranges may overlap, leave gaps, or be held by several servers."""
+    """Proves: every layer once, in order, over any overlapping ranges.
+
+    Ranges may also leave gaps, or be held by several servers.
+    """
     table, servers = table_of(ranges)
     router = paths.Router(table, policy, seed=1)
     path = router.choose(changes.Model('draft', 24), servers)
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -92,7 +92,7 @@
 @pytest.mark.parametrize('stage', STAGES)
 @pytest.mark.parametrize('kind', ['side', 'engine'])
 def test_answers_continue_when_a_process_dies(own_fleet, kind, stage):
-    """No token is repeated or skipped when a stage dies during an answer."""
+    """Proves: no token is repeated or skipped if a stage dies midway."""
     fleet = own_fleet(groups=GROUPS)
     with futures.ThreadPoolExecutor(CALLER_COUNT) as pool:
         started = start_answers(fleet, pool)
@@ -114,7 +114,7 @@
 
 @pytest.mark.parametrize('fault', ['silence_open', 'cut_open'])
 def test_answers_continue_when_connections_are_lost(own_fleet, fault):
-    """Connections that are cut, or go silent for good, are replaced.
+    """Proves: connections that are cut, or go silent for good, are replaced.
 
     Only connections that are open at the fault are affected; new ones work.
     """
@@ -133,7 +133,7 @@
 
 @pytest.mark.parametrize('kind', FAILED_STEP_BY_KIND)
 def test_stalled_answer_moves_before_its_peers_time_out(own_fleet, kind):
-    """Recovery doesn't wait for missing heartbeats or engine timeouts."""
+    """Proves: recovery doesn't wait for heartbeats or engine timeouts."""
     fleet = own_fleet(groups=GROUPS)
     before = steps_by_server(fleet, 'middle')
     with futures.ThreadPoolExecutor(1) as pool:
@@ -166,6 +166,7 @@
 
 
 def test_planned_stop_of_a_side_process_cuts_no_answer(own_fleet):
+    """Proves: a planned stop is graceful and cuts no request."""
     fleet = own_fleet(groups=GROUPS)
     with futures.ThreadPoolExecutor(CALLER_COUNT) as pool:
         started = start_answers(fleet, pool)
@@ -210,7 +211,7 @@
 
 
 def test_planned_stop_ends_though_callers_keep_coming(own_fleet):
-    """A planned stop cuts no request of callers that keep asking.
+    """Proves: a planned stop cuts no request of callers that keep asking.
 
     Their connections are refused before they have sent anything.
     """
@@ -230,7 +231,7 @@
 
 
 def test_retired_server_ends_its_answers_and_gets_no_new_ones(own_fleet):
-    """A draining server gets no new work after a few seconds."""
+    """Proves: a draining server gets no new work after a few seconds."""
     fleet = own_fleet(groups=GROUPS)
     with futures.ThreadPoolExecutor(CALLER_COUNT) as pool:
         started = start_answers(fleet, pool)
@@ -249,6 +250,7 @@
 
 
 def test_switch_of_preset_under_load_cuts_no_answer(own_fleet):
+    """Proves: a switch of preset cuts no running work."""
     fleet = own_fleet(groups=GROUPS)
     moved = layouts.Layout(
         groups=(
