Rename gateway and entry attributes that kept earlier names

Cause: some attributes and parameters kept the name of a class or module that had been renamed, or named one thing differently in two places. Change (renames alone): in the gateway, dialect -> header_codec, Platform. deployments -> configurations, chooser -> path_selector, Head.facts -> metadata, BATCH_SECONDS -> BATCH_DELAY_SECONDS; in the entry, Application. running -> running_count as in the gateway, _timeline -> _events as elsewhere, FleetView's size -> group_limit as in Subset; CrashReports.add's crash -> crash_id; ServiceExecutor.resolve's settle -> request. Tests with processes were not run.

--- a/libs/entry/burdockmast/entry/fleet.py
+++ b/libs/entry/burdockmast/entry/fleet.py
@@ -72,18 +72,18 @@
         self,
         process: node.Node,
         policy: policies.Policy,
-        size: int,
+        group_limit: int,
         seed: int | None = None,
     ):
         """Create a view without servers.
 
-        :param size: number of servers used of each group of equal servers
+        :param group_limit: servers used of each group of interchangeable ones
         """
         self.peers = process.peers
         self.follower = process.follower
         self.loads = loads.LoadTable()
         self.affinity = affinity.Affinity()
-        self._subset = subsets.Subset(process.peers.hello.process, size)
+        self._subset = subsets.Subset(process.peers.hello.process, group_limit)
         self._router = paths.Router(self.loads, policy, seed)
         self._dialling: set[ids.Address] = set()
         # Monotonic seconds at which the last failed dial of a server began,
--- a/libs/entry/burdockmast/entry/server.py
+++ b/libs/entry/burdockmast/entry/server.py
@@ -112,7 +112,7 @@
         :param serving: the task that runs ``serve``
         """
         self.node.events.add(
-            'process.stopping', requests=self.application.running
+            'process.stopping', requests=self.application.running_count
         )
         self._is_stopping = True
         self.application.is_draining = True
@@ -174,7 +174,7 @@
     def _details(self) -> dict:
         return {
             'http_address': self.settings.http_address,
-            'requests': self.application.running,
+            'requests': self.application.running_count,
             'waiting': len(self.queue),
             'servers': len(self.view.servers),
         }
--- a/libs/entry/burdockmast/entry/web.py
+++ b/libs/entry/burdockmast/entry/web.py
@@ -53,7 +53,7 @@
     def close(self) -> None:
         """Count the request as ended and close the wrapped body."""
         if self._application:
-            self._application.running -= 1
+            self._application.running_count -= 1
             self._application = None
         if hasattr(self._body, 'close'):
             self._body.close()
@@ -76,12 +76,12 @@
         :param max_body_bytes: largest body of a request
         """
         self.is_draining = False
-        self.running = 0
+        self.running_count = 0
         self._follower = process.follower
         self._answers = model_answers
         self._service_client = service_client
         self._metrics = process.metrics
-        self._timeline = process.events
+        self._events = process.events
         self._request_parser = request_parser.RequestParser(
             process.follower, default_deadline_seconds, max_body_bytes
         )
@@ -91,11 +91,11 @@
         """Serve one request."""
         if self.is_draining:
             start_response = _with_connection_close(start_response)
-        self.running += 1
+        self.running_count += 1
         try:
             body = self._route(environ, start_response)
         except BaseException:
-            self.running -= 1
+            self.running_count -= 1
             raise
         return CountedBody(body, self)
 
@@ -279,7 +279,7 @@
         self, failure: failures.Failure, request_id: ids.RequestId
     ) -> None:
         self._metrics.count(f'refusals.{failure.reason.value}')
-        self._timeline.add(
+        self._events.add(
             'request.refused',
             request_id,
             reason=failure.reason.value,
--- a/libs/gateway/burdockmast/gateway/calls.py
+++ b/libs/gateway/burdockmast/gateway/calls.py
@@ -37,14 +37,14 @@
     def __init__(
         self,
         fleet: view.View,
-        dialect: interfaces.HeaderCodec,
+        header_codec: interfaces.HeaderCodec,
         budget: retries.Budget,
         zone: ids.ZoneId,
         rng: random.Random,
     ):
         """Create a proxy that prefers servers in ``zone``."""
         self._view = fleet
-        self._dialect = dialect
+        self._header_codec = header_codec
         self._budget = budget
         self._zone = zone
         self._rng = rng
@@ -138,17 +138,17 @@
     def _exchange(
         self, job: jobs.Job, exchange: upstream.Exchange
     ) -> jobs.Reply | failures.Failure:
-        sending = interfaces.Attempt(
+        attempt = interfaces.Attempt(
             exchange.server, job.organisation, job.seconds_left, (), None, 0
         )
-        headers = self._dialect.backend_headers(job.request, sending)
+        headers = self._header_codec.backend_headers(job.request, attempt)
         failure = exchange.send(job.request, headers)
         if failure:
             return failure
-        head = exchange.read_head(job.id, job.deadline, self._dialect)
+        head = exchange.read_head(job.id, job.deadline, self._header_codec)
         if isinstance(head, failures.Failure):
             return head
-        if head.facts.is_not_run:
+        if head.metadata.is_not_run:
             return exchange.refusal(head, RETRY_AFTER_SECONDS)
         try:
             body = exchange.read_body(job.deadline, MAX_BODY_BYTES)
@@ -156,13 +156,13 @@
             return exchange.unknown_outcome(
                 'body', f'reading the body failed: {error}'
             )
-        if head.facts.is_encoded or (
-            head.status in SUCCESS_STATUSES and not head.facts.is_signed
+        if head.metadata.is_encoded or (
+            head.status in SUCCESS_STATUSES and not head.metadata.is_signed
         ):
             return exchange.unknown_outcome(
                 'body', 'reply is unsigned or content-encoded'
             )
-        return jobs.Reply.from_head(head, self._dialect, body)
+        return jobs.Reply.from_head(head, self._header_codec, body)
 
     def _record_result(
         self,
--- a/libs/gateway/burdockmast/gateway/jobs.py
+++ b/libs/gateway/burdockmast/gateway/jobs.py
@@ -60,9 +60,9 @@
     def from_head(
         cls,
         head: upstream.Head,
-        dialect: interfaces.HeaderCodec,
+        header_codec: interfaces.HeaderCodec,
         body: bytes | None = None,
     ) -> 'Reply':
         """Create the caller's reply from a backend server's."""
-        headers = dialect.caller_headers(head.headers)
+        headers = header_codec.caller_headers(head.headers)
         return cls(head.status, head.phrase, headers, body)
--- a/libs/gateway/burdockmast/gateway/object_follower.py
+++ b/libs/gateway/burdockmast/gateway/object_follower.py
@@ -17,7 +17,7 @@
 RETRY_SECONDS = 0.25
 # Pause after a call that returned changes, so that the next one returns more
 # of them at once.
-BATCH_SECONDS = 0.15
+BATCH_DELAY_SECONDS = 0.15
 # Time after an outage of the store in which live writers renew the entries
 # that expired meanwhile: about 2 s by the platform's documentation.
 EXPIRY_GRACE_SECONDS = 2.0
@@ -192,7 +192,7 @@
                 self.item_by_name.pop(change.name, None)
         if changes.changes:
             self._notify()
-            eventlet.sleep(BATCH_SECONDS)
+            eventlet.sleep(BATCH_DELAY_SECONDS)
 
     def _is_outdated(self, name: str, item: T) -> bool:
         current = self.item_by_name.get(name)
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -63,12 +63,12 @@
 class Platform:
     """Adapters to the platform that a gateway runs on."""
 
-    deployments: interfaces.Feed[config.Configuration]
+    configurations: interfaces.Feed[config.Configuration]
     servers: interfaces.Feed[backends.BackendServer]
     planner_lock: interfaces.PlannerLock
     gateway_registry: interfaces.GatewayRegistry
     engines: interfaces.EngineClient
-    dialect: interfaces.HeaderCodec
+    header_codec: interfaces.HeaderCodec
 
 
 class Gateway:
@@ -89,8 +89,10 @@
                 'zone': gateway_settings.zone,
             },
         )
-        self._deployments = object_follower.Follower(
-            'configuration', platform.deployments, CONFIGURATION_WAIT_SECONDS
+        self._configurations = object_follower.Follower(
+            'configuration',
+            platform.configurations,
+            CONFIGURATION_WAIT_SECONDS,
         )
         self._servers = object_follower.Follower(
             'servers',
@@ -99,14 +101,14 @@
             keeps_expired=True,
             is_older=backends.BackendServer.is_older_than,
         )
-        self.view = view.View(self._deployments, self._servers)
+        self.view = view.View(self._configurations, self._servers)
         budget = retries.Budget(
             gateway_settings.retry_ratio,
             gateway_settings.retry_slack,
             gateway_settings.retry_window,
         )
         usage = memory.Usage()
-        self._chooser = path_selector.PathSelector(
+        self._path_selector = path_selector.PathSelector(
             self.view,
             reports.ServerReports(self.view, platform.engines),
             usage,
@@ -115,15 +117,19 @@
         )
         self.application = wsgi.Application(
             self.view,
-            platform.dialect,
+            platform.header_codec,
             calls.CallProxy(
-                self.view, platform.dialect, budget, gateway_settings.zone, rng
+                self.view,
+                platform.header_codec,
+                budget,
+                gateway_settings.zone,
+                rng,
             ),
             streams.StreamProxy(
                 self.view,
-                platform.dialect,
+                platform.header_codec,
                 budget,
-                self._chooser,
+                self._path_selector,
                 self._metrics,
             ),
             budget,
@@ -149,7 +155,7 @@
         signal.signal(signal.SIGTERM, self._stop)
         signal.signal(signal.SIGINT, self._stop)
         signal.signal(signal.SIGHUP, self._ignore_reload)
-        self._deployments.start()
+        self._configurations.start()
         self._servers.start()
         self._timers.subscribe(
             'logs', logs.REPORT_SECONDS, self._log.handler.report
@@ -160,7 +166,7 @@
         self._timers.subscribe(
             'queue',
             path_selector.WAKE_INTERVAL_SECONDS,
-            self._chooser.wake_waiter,
+            self._path_selector.wake_waiter,
         )
         eventlet.spawn(self._count_gateways)
         self._timers.subscribe(
@@ -209,7 +215,7 @@
                 extra={'count': count, 'before': self._budget.gateway_count},
             )
         self._budget.gateway_count = count
-        self._chooser.gateway_count = count
+        self._path_selector.gateway_count = count
 
     def record_store_call(
         self, call: str, seconds: float, failure: failures.Failure | None
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -75,16 +75,16 @@
     def __init__(
         self,
         fleet: view.View,
-        dialect: interfaces.HeaderCodec,
+        header_codec: interfaces.HeaderCodec,
         budget: retries.Budget,
-        chooser: path_selector.PathSelector,
+        selector: path_selector.PathSelector,
         measures: metrics.Metrics,
     ):
         """Create a proxy that chooses paths and retries within the budget."""
         self._view = fleet
-        self._dialect = dialect
+        self._header_codec = header_codec
         self._budget = budget
-        self._chooser = chooser
+        self._path_selector = selector
         self._metrics = measures
 
     def forward(
@@ -96,7 +96,7 @@
         """
         progress = _Progress(job.request.last_event_id)
         while True:
-            path = self._chooser.wait_for_path(
+            path = self._path_selector.wait_for_path(
                 job, progress.failed_servers, progress.has_begun
             )
             failure = None
@@ -106,7 +106,7 @@
                 failure = yield from self._attempt(job, path, progress)
                 if failure is None:
                     return
-            failure = failure or self._chooser.no_path_failure(job)
+            failure = failure or self._path_selector.no_path_failure(job)
             if path and self._may_retry(job, progress, failure):
                 continue
             if progress.possible_runs:
@@ -153,13 +153,13 @@
         exchange = upstream.Exchange(path[0].server)
         began = timers.now()
         events_before = progress.event_count
-        self._chooser.reserve(job, path)
+        self._path_selector.reserve(job, path)
         progress.attempts += 1
         try:
             failure = yield from self._relay(job, exchange, path, progress)
         finally:
             exchange.close()
-            self._chooser.release(job, path)
+            self._path_selector.release(job, path)
         LOG.info(
             'stream completed' if failure is None else 'stream attempt failed',
             extra={
@@ -193,7 +193,7 @@
         path: tuple[backends.Stage, ...],
         progress: _Progress,
     ) -> Iterator[jobs.Reply | bytes]:
-        sending = interfaces.Attempt(
+        attempt = interfaces.Attempt(
             exchange.server,
             job.organisation,
             job.seconds_left,
@@ -201,17 +201,17 @@
             progress.last_event_id,
             min(9, job.priority),
         )
-        headers = self._dialect.backend_headers(job.request, sending)
+        headers = self._header_codec.backend_headers(job.request, attempt)
         failure = exchange.send(job.request, headers)
         if failure:
             return failure
         self._wait_for_head(job, exchange, path, progress)
         head = exchange.read_head(
-            job.id, timers.now() + HEAD_TIMEOUT_SECONDS, self._dialect
+            job.id, timers.now() + HEAD_TIMEOUT_SECONDS, self._header_codec
         )
         if isinstance(head, failures.Failure):
             return head
-        if head.facts.is_not_run:
+        if head.metadata.is_not_run:
             return exchange.refusal(head, path_selector.RETRY_AFTER_SECONDS)
         if head.status != STATUS_OK:
             return (
@@ -219,7 +219,7 @@
                     job, exchange, head, progress
                 )
             )
-        if not head.facts.is_signed or head.facts.is_encoded:
+        if not head.metadata.is_signed or head.metadata.is_encoded:
             return exchange.unknown_outcome(
                 'events', 'reply is unsigned or content-encoded'
             )
@@ -297,7 +297,7 @@
             return exchange.unknown_outcome(
                 'events', f'reading the error body failed: {error}'
             )
-        yield jobs.Reply.from_head(head, self._dialect, body)
+        yield jobs.Reply.from_head(head, self._header_codec, body)
         return None
 
     def _forward_events(
@@ -338,7 +338,7 @@
                     )
                 if not progress.has_begun:
                     progress.has_begun = True
-                    yield jobs.Reply.from_head(head, self._dialect)
+                    yield jobs.Reply.from_head(head, self._header_codec)
                 return None
             now = timers.now()
             pause = now - last_data_at
@@ -357,7 +357,7 @@
                 self._metrics.timing(
                     'stream.first_event', timers.now() - job.arrived_at
                 )
-                yield jobs.Reply.from_head(head, self._dialect)
+                yield jobs.Reply.from_head(head, self._header_codec)
             progress.last_event_id = splitter.last_id
             progress.event_count += splitter.completed_count
             self._view.record_activity(servers)
@@ -375,7 +375,7 @@
         """Request reports from the servers of a path that is slow."""
         objective = job.route.gap_objective_seconds or PAUSE_TIMEOUT_SECONDS
         if job.service.engine and seconds > objective * SLOW_PAUSE_SHARE:
-            self._chooser.reports.fetch(
+            self._path_selector.reports.fetch(
                 [stage.server for stage in path], job.id
             )
 
@@ -422,7 +422,7 @@
                 progress.failed_servers.extend(
                     stage.server.id for stage in path
                 )
-                self._chooser.reports.fetch(
+                self._path_selector.reports.fetch(
                     [stage.server for stage in path], job.id
                 )
             case _:
--- a/libs/gateway/burdockmast/gateway/upstream.py
+++ b/libs/gateway/burdockmast/gateway/upstream.py
@@ -48,7 +48,7 @@
     status: int
     phrase: str
     headers: list[tuple[str, str]]
-    facts: interfaces.ReplyMetadata
+    metadata: interfaces.ReplyMetadata
 
 
 class ResetAwareSocket(greenio.GreenSocket):
@@ -151,7 +151,10 @@
         return True
 
     def read_head(
-        self, request: str, deadline: float, dialect: interfaces.HeaderCodec
+        self,
+        request: str,
+        deadline: float,
+        header_codec: interfaces.HeaderCodec,
     ) -> Head | failures.Failure:
         """Read the status line and headers of the reply.
 
@@ -172,8 +175,8 @@
         except CONNECTION_ERRORS as error:
             return self._failure('head', outcomes.Outcome.UNKNOWN, error)
         headers = list(self._response.headers.items())
-        facts = dialect.read_reply(headers)
-        if facts.request and facts.request != request:
+        metadata = header_codec.read_reply(headers)
+        if metadata.request and metadata.request != request:
             return self._failure(
                 'head',
                 outcomes.Outcome.UNKNOWN,
@@ -183,7 +186,7 @@
             self._response.status,
             self._response.reason or 'Answered',
             headers,
-            facts,
+            metadata,
         )
 
     @property
@@ -260,7 +263,7 @@
         return failures.Failure(
             failures.Reason.ENGINE_REFUSED,
             'backend.head',
-            head.facts.refused_by or self.server.id,
+            head.metadata.refused_by or self.server.id,
             f'status {head.status}',
             retry_after=retry_after,
         )
--- a/libs/gateway/burdockmast/gateway/wsgi.py
+++ b/libs/gateway/burdockmast/gateway/wsgi.py
@@ -68,7 +68,7 @@
     def __init__(
         self,
         fleet: view.View,
-        dialect: interfaces.HeaderCodec,
+        header_codec: interfaces.HeaderCodec,
         call_proxy: calls.CallProxy,
         stream_proxy: streams.StreamProxy,
         budget: retries.Budget,
@@ -91,7 +91,7 @@
         self.rejects_requests = False
         self.running_count = 0
         self._view = fleet
-        self._dialect = dialect
+        self._header_codec = header_codec
         self._call_proxy = call_proxy
         self._stream_proxy = stream_proxy
         self._budget = budget
@@ -169,7 +169,7 @@
             return failures.Failure(
                 failures.Reason.BAD_REQUEST, 'request.body', detail=str(error)
             )
-        return self._dialect.read_request(
+        return self._header_codec.read_request(
             environ['REQUEST_METHOD'], target, environ['headers_raw'], body
         )
 
--- a/libs/limits/burdockmast/limits/crash_reports.py
+++ b/libs/limits/burdockmast/limits/crash_reports.py
@@ -32,13 +32,13 @@
             ids.Fingerprint, dict[str, float]
         ] = {}
 
-    def add(self, fingerprint: ids.Fingerprint, crash: str) -> None:
+    def add(self, fingerprint: ids.Fingerprint, crash_id: str) -> None:
         """Report that a request was running when a server crashed.
 
-        :param crash: id of the crash; reports of the same crash count once
+        :param crash_id: reports of the same crash count once
         """
         crashes = self._crashes_by_fingerprint.setdefault(fingerprint, {})
-        crashes.setdefault(crash, timers.now())
+        crashes.setdefault(crash_id, timers.now())
 
     def clear(self, fingerprint: ids.Fingerprint) -> None:
         """Drop the reports of a request that has completed."""
--- a/libs/platform/burdockmast/platform/program.py
+++ b/libs/platform/burdockmast/platform/program.py
@@ -53,7 +53,7 @@
     gateway = server.Gateway(
         platform_settings.gateway,
         server.Platform(
-            deployments=store.Feed(
+            configurations=store.Feed(
                 store_client, configuration.KIND, configuration.decode
             ),
             servers=store.Feed(store_client, servers.KIND, servers.decode),
@@ -64,7 +64,7 @@
                 store_client, platform_settings.gateway.instance
             ),
             engines=engine_client.EngineClient(),
-            dialect=headers.HeaderCodec(),
+            header_codec=headers.HeaderCodec(),
         ),
     )
     store_client.on_call_end.append(gateway.record_store_call)
--- a/libs/side/burdockmast/side/service_executor.py
+++ b/libs/side/burdockmast/side/service_executor.py
@@ -77,23 +77,23 @@
             return self._refuse(call, failures.Reason.DEADLINE)
         return self._execute_key(call)
 
-    def resolve(self, settle: messages.Settle) -> messages.ServiceReply:
+    def resolve(self, request: messages.Settle) -> messages.ServiceReply:
         """Return the outcome of a key; void its attempt if it never began."""
-        self._events.witness(settle.clock)
-        if settle.incarnation != self._incarnation:
+        self._events.witness(request.clock)
+        if request.incarnation != self._incarnation:
             return self._reply(
-                settle.call,
+                request.call,
                 outcomes.Outcome.UNKNOWN,
                 reason=failures.Reason.STALE_INCARNATION,
             )
-        earlier = self._execution_by_key.get(settle.key)
+        earlier = self._execution_by_key.get(request.key)
         if earlier and not earlier.is_voided:
-            return _reply_for_call(earlier.reply_event.wait(), settle.call)
-        voided = Execution(settle.attempt, eventlet.event.Event(), True)
-        self._remember(settle.key, voided)
-        self._events.add('execution.barred', attempt=settle.attempt)
+            return _reply_for_call(earlier.reply_event.wait(), request.call)
+        voided = Execution(request.attempt, eventlet.event.Event(), True)
+        self._remember(request.key, voided)
+        self._events.add('execution.barred', attempt=request.attempt)
         return self._reply(
-            settle.call,
+            request.call,
             outcomes.Outcome.NOT_RUN,
             reason=failures.Reason.CANCELLED,
         )
--- a/tests/test_gateway_upstream.py
+++ b/tests/test_gateway_upstream.py
@@ -98,7 +98,7 @@
 
 def test_a_reply_without_length_ends_with_its_connection(exchange):
     found, _ = exchange(HEAD + b'\r\nbody')
-    assert read_head(found).facts.is_signed
+    assert read_head(found).metadata.is_signed
     assert read_body(found) == b'body'
 
 
