--- a/libs/entry/burdockmast/entry/hedges.py
+++ b/libs/entry/burdockmast/entry/hedges.py
@@ -26,7 +26,7 @@
 MAX_CONCURRENT_ATTEMPTS = 2
 # Quantile of the recent latencies that is the delay of a hedge.
 HEDGE_QUANTILE = 0.95
-# Recent calls whose latencies are kept, and the fewest that give a delay.
+# Recent latencies that are kept, and the fewest from which a delay is derived.
 SAMPLE_COUNT = 200
 MIN_SAMPLE_COUNT = 20
 MIN_HEDGE_DELAY_SECONDS = 0.02
--- a/libs/fleet/burdockmast/fleet/encoding.py
+++ b/libs/fleet/burdockmast/fleet/encoding.py
@@ -36,7 +36,7 @@
         raise ValueError(f'damaged: {error}') from error
     if not unpacker.eof:
         raise ValueError(
-            f'cut short, or larger than {MAX_DECOMPRESSED_BYTES} bytes'
+            f'truncated, or larger than {MAX_DECOMPRESSED_BYTES} bytes'
         )
     return msgspec.json.decode(data, type=kind)
 
--- a/libs/gateway/burdockmast/gateway/planner.py
+++ b/libs/gateway/burdockmast/gateway/planner.py
@@ -318,7 +318,7 @@
             )
         return report.accepted_orders
 
-    def _log_failure(self, what: str, failure: failures.Failure) -> None:
+    def _log_failure(self, message: str, failure: failures.Failure) -> None:
         LOG.warning(
-            what, extra={'reason': failure.detail, 'step': failure.step}
+            message, extra={'reason': failure.detail, 'step': failure.step}
         )
--- a/libs/gateway/burdockmast/gateway/view.py
+++ b/libs/gateway/burdockmast/gateway/view.py
@@ -71,10 +71,10 @@
 
     def model_services(self) -> list[config.Service]:
         """Return the services whose servers hold layers of a model."""
-        known = self.configuration
-        if known is None:
+        current = self.configuration
+        if current is None:
             return []
-        return [s for s in known.service_by_id.values() if s.engine]
+        return [s for s in current.service_by_id.values() if s.engine]
 
     def listed(self, service: ids.ServiceId) -> list[backends.BackendServer]:
         """Return all listed servers of a service."""
--- a/libs/side/burdockmast/side/engine.py
+++ b/libs/side/burdockmast/side/engine.py
@@ -42,7 +42,7 @@
 
 
 class Iteration(msgspec.Struct):
-    """Sequences to open, steps to run and sequences to close."""
+    """One call: sequences to open, steps to run, sequences to close."""
 
     open: list[OpenSequence]
     steps: list[Step]
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -211,9 +211,9 @@
 
 @pytest.mark.parametrize('cut', [0, 1, 20, -1])
 def test_damaged_change_is_an_error(cut):
-    whole = encoded(1)
-    with pytest.raises(ValueError, match='damaged|cut short'):
-        encoding.decode(whole[:cut], changes.Change)
+    complete = encoded(1)
+    with pytest.raises(ValueError, match='damaged|truncated'):
+        encoding.decode(complete[:cut], changes.Change)
 
 
 def test_change_that_would_fill_the_memory_is_an_error(monkeypatch):
--- a/tests/test_once.py
+++ b/tests/test_once.py
@@ -233,7 +233,7 @@
 
 
 def test_settled_claim_is_barred_for_good(own_fleet):
-    """Proves: a paused holder that wakes can't run what was settled."""
+    """Proves: a paused holder that wakes can't run a resolved claim."""
     fleet = own_fleet()
     claim = claim_as_dead_entry(fleet, 'barred')
     settle = messages.Settle(
