Log the prompt parts of requests whose server crashed

Cause: a connection that ends looked the same whether the server died or only broke off an answer, and nothing read the parts of a prompt, so that the logs could not tell the hypotheses on servers that crash one after the other apart.

Change: parts are read from the request (all but the last, 32 at most). After a connection broke, the server is asked for a new one; if it refuses, that is logged with the request's parts and counted. No decision depends on it yet.

--- a/libs/gateway/burdockmast/gateway/interfaces.py
+++ b/libs/gateway/burdockmast/gateway/interfaces.py
@@ -88,6 +88,8 @@
     :ivar length_hint: the caller's estimate of the answer's tokens, or 0
     :ivar last_event_id: of the last event that the caller received, or None
     :ivar headers: those that are forwarded unchanged
+    :ivar prompt_parts: parts of the prompt that other requests may share,
+        without the last one, which is the request's own
     """
 
     id: ids.RequestId
@@ -103,6 +105,7 @@
     last_event_id: int | None
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    prompt_parts: tuple[ids.Fingerprint, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -10,6 +10,7 @@
 from burdockmast.base import outcomes
 from burdockmast.base import timers
 from burdockmast.gateway import backends
+from burdockmast.gateway import crash_checks
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import jobs
 from burdockmast.gateway import path_selector
@@ -62,6 +63,7 @@
         self._budget = budget
         self._path_selector = selector
         self._metrics = measures
+        self._crash_checks = crash_checks.CrashChecks()
 
     def forward(
         self, job: jobs.Job
@@ -160,11 +162,38 @@
         )
         if failure is None:
             return None
+        self._check_for_crash(job, exchange.server, progress, failure)
         if failure.outcome is not outcomes.Outcome.NOT_RUN:
             progress.possible_runs += 1
         self._record_failure(job, path, progress, failure, began)
         return failure
 
+    def _check_for_crash(
+        self,
+        job: jobs.Job,
+        server: backends.BackendServer,
+        progress: stream_progress.Progress,
+        failure: failures.Failure,
+    ) -> None:
+        if (
+            failure.reason is not failures.Reason.ENGINE_LOST
+            or failure.step == 'backend.connect'
+            or not self._crash_checks.has_crashed(server)
+        ):
+            return
+        self._metrics.count('streams.server_crashed')
+        LOG.info(
+            'server crashed during a stream',
+            extra={
+                'request': job.id,
+                'server': server.id,
+                'started_ms': server.started_ms,
+                'prompt_parts': job.request.prompt_parts,
+                'events': progress.event_count,
+                'step': failure.step,
+            },
+        )
+
     def _relay(
         self,
         job: jobs.Job,
--- a/libs/platform/burdockmast/platform/headers.py
+++ b/libs/platform/burdockmast/platform/headers.py
@@ -18,6 +18,11 @@
 # "PROMPT,ANSWER": tokens of the prompt and the limit for the answer.
 TOKEN_COUNTS = 'Burdockmast-Token-Counts'
 LENGTH_HINT = 'Burdockmast-Length-Hint'
+# Despite its name, lists the parts of the prompt: "ID:TOKENS", separated by
+# commas.
+PROMPT_PARTS = 'Burdockmast-Prefix-Hash'
+# Most parts of a prompt that are read.
+MAX_PROMPT_PARTS = 32
 # Despite its name, lists the stages of a path: "IP:PORT=FROM-TO", separated by
 # commas.
 PATH = 'Burdockmast-Hop-Count'
@@ -98,6 +103,9 @@
                 headers, value_by_name, _DROPPED_CALLER_HEADERS
             ),
             body=body,
+            prompt_parts=_parse_prompt_parts(
+                value_by_name.get(PROMPT_PARTS.lower(), '')
+            ),
         )
 
     def backend_headers(
@@ -165,6 +173,13 @@
     )
 
 
+def _parse_prompt_parts(text: str) -> tuple[ids.Fingerprint, ...]:
+    """Return the ids of all parts but the last, without repetitions."""
+    parts = text.split(',', MAX_PROMPT_PARTS)[:-1]
+    names = (part.partition(':')[0].strip().lower() for part in parts)
+    return tuple(dict.fromkeys(ids.Fingerprint(n) for n in names if n))
+
+
 def _parse_integer(text: str | None) -> int | None:
     if text is None or not _INTEGER.fullmatch(text.strip()):
         return None
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -186,6 +186,22 @@
     assert found.last_event_id == 12
 
 
+@pytest.mark.parametrize(
+    ('value', 'parts'),
+    [
+        ('5c1e:800,91bd:410,e440:250', ('5c1e', '91bd')),
+        ('5c1e:800,5c1e:800,e440:250', ('5c1e',)),
+        ('e440:250', ()),
+        ('', ()),
+        (',,:3,', ()),
+        (','.join(f'{n}:1' for n in range(99)), tuple(map(str, range(32)))),
+    ],
+)
+def test_prompt_parts_are_read_without_the_last(value, parts):
+    found = read_request((('Burdockmast-Prefix-Hash', value),))
+    assert found.prompt_parts == parts
+
+
 @pytest.mark.parametrize('value', ['', 'soon', '-5', '1e3', '9' * 40])
 def test_an_invalid_deadline_is_ignored(value):
     found = read_request((('Burdockmast-Deadline-Ms', value),))
