Add failing tests of requests that crash server after server

What callers see: each request with such a part crashes as many servers as its route allows attempts, however often that has happened.

--- a/libs/platform/burdockmast/platform/standin.py
+++ b/libs/platform/burdockmast/platform/standin.py
@@ -8,6 +8,7 @@
 import dataclasses
 import itertools
 import json
+import socket
 from typing import Any
 import urllib.parse
 
@@ -21,21 +22,23 @@
 
 # Seconds between events of a stream.
 EVENT_INTERVAL_SECONDS = 0.005
+# Time for which a server that crashed refuses connections.
+RESTART_SECONDS = 0.2
 
 
 def listen(host: str, application: Any) -> str:
     """Serve a WSGI application on a free port and return its address."""
     sock = eventlet.listen((host, 0), backlog=256)
-    eventlet.spawn(
-        eventlet.wsgi.server,
-        sock,
-        application,
-        log_output=False,
-        minimum_chunk_size=1,
-    )
+    eventlet.spawn(_serve, sock, application)
     return '{}:{}'.format(*sock.getsockname())
 
 
+def _serve(sock: socket.socket, application: Any) -> None:
+    eventlet.wsgi.server(
+        sock, application, log_output=False, minimum_chunk_size=1
+    )
+
+
 class MetadataStore:
     """Objects by kind and name, with revisions and watches.
 
@@ -182,6 +185,9 @@
     :ivar pause_seconds: how long it stalls
     :ivar is_unsigned: reply without a signature
     :ivar is_silent: accept requests and reply only after a minute
+    :ivar crashes_on: part of a prompt, or path, whose requests end the
+        server's process when they begin
+    :ivar crash_count: how often it has crashed
     """
 
     def __init__(self, host: str, metadata_store: MetadataStore, entry: dict):
@@ -192,11 +198,16 @@
         self.pause_before_event: int | None = None
         self.pause_seconds = 0.0
         self.is_silent = False
+        self.crashes_on = ''
+        self.crash_count = 0
+        self._connections: set[socket.socket] = set()
         self.requests: list[ReceivedRequest] = []
         self.orders: list[dict] = []
         self.highest_fencing_number = 0
         self.id = entry['id']
-        self.address = listen(host, self)
+        self._host = host
+        self._port = 0
+        self._listen()
         self._metadata_store = metadata_store
         self._entry = {
             **entry,
@@ -209,6 +220,26 @@
         del self._entry['id']
         self.update_entry()
 
+    def _listen(self) -> None:
+        self._sock = eventlet.listen((self._host, self._port), backlog=256)
+        self._port = self._sock.getsockname()[1]
+        self.address = f'{self._host}:{self._port}'
+        self._server = eventlet.spawn(_serve, self._sock, self)
+
+    def crash(self) -> None:
+        """End all connections and refuse new ones for some time."""
+        self.crash_count += 1
+        self._server.kill()
+        self._sock.close()
+        for connection in self._connections:
+            connection.shutdown(socket.SHUT_RDWR)
+        self._connections.clear()
+        eventlet.spawn_after(RESTART_SECONDS, self._restart)
+
+    def _restart(self) -> None:
+        self._listen()
+        self.update_entry(born=1000 + self.crash_count)
+
     def update_entry(self, **changes: object) -> None:
         """Write the server's entry with changed fields."""
         self._entry.update(changes)
@@ -217,6 +248,14 @@
 
     def __call__(self, environ: dict, start_response: Any) -> Any:
         """Handle one call."""
+        connection = environ['eventlet.input'].get_socket()
+        self._connections.add(connection)
+        try:
+            yield from self._reply(environ, start_response)
+        finally:
+            self._connections.discard(connection)
+
+    def _reply(self, environ: dict, start_response: Any) -> Any:
         body = environ['wsgi.input'].read()
         match environ['PATH_INFO']:
             case engine_client.ORDER_PATH:
@@ -247,6 +286,9 @@
             request_id, environ['RAW_PATH_INFO'], header_by_name
         )
         self.requests.append(received)
+        if self._is_deadly(received):
+            self.crash()
+            raise ConnectionError('server crashed')
         if self.is_silent:
             eventlet.sleep(60)
         if self.refuses:
@@ -269,6 +311,13 @@
         start_response('200 OK', reply_headers)
         return self._stream(header_by_name)
 
+    def _is_deadly(self, received: ReceivedRequest) -> bool:
+        parts = received.header_by_name.get(headers.PROMPT_PARTS.lower(), '')
+        return bool(self.crashes_on) and (
+            f'{self.crashes_on}:' in parts
+            or received.path.startswith(self.crashes_on)
+        )
+
     def _stream(self, header_by_name: dict[str, str]) -> Any:
         last = int(header_by_name.get(headers.LAST_EVENT_ID.lower(), 0))
         break_after_events = self._metadata_store.break_next_stream_after
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,7 +4,10 @@
 
 warnings.filterwarnings('ignore', message=r'\s*Eventlet is deprecated')
 
+import os  # noqa: E402
+
 import known_red  # noqa: E402
+import platforms  # noqa: E402
 import pytest  # noqa: E402
 
 from burdockmast.base import timers  # noqa: E402
@@ -80,3 +83,14 @@
     yield start
     for fleet in started:
         fleet.close()
+
+
+@pytest.fixture
+def platform(tmp_path):
+    """A gateway on the stand-in for the platform."""
+    found = platforms.Platform(tmp_path, os.getpid() % 60000)
+    try:
+        found.start()
+        yield found
+    finally:
+        found.stop()
