Quarantine prompt parts and requests that crash servers

Cause: gateways remembered nothing of what their requests did to servers. A request that had ended one was sent to the next, beside the other requests of the lost server, and each new request with the part began from nothing.

Change: each part of a prompt, and each request, is accused of the crashes at which it had just begun. A request with an accused part is kept apart from others; after two crashes in a row it is tried alone; after three it is rejected. Sound runs end the accusation, and requests of which another part explains the crashes are not rejected.

--- a/libs/gateway/burdockmast/gateway/calls.py
+++ b/libs/gateway/burdockmast/gateway/calls.py
@@ -12,6 +12,8 @@
 from burdockmast.base import outcomes
 from burdockmast.base import timers
 from burdockmast.gateway import backends
+from burdockmast.gateway import crash_checks
+from burdockmast.gateway import crash_suspects
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import jobs
 from burdockmast.gateway import retries
@@ -41,6 +43,7 @@
         budget: retries.Budget,
         zone: ids.ZoneId,
         rng: random.Random,
+        suspects: crash_suspects.CrashSuspects,
     ):
         """Create a proxy that prefers servers in ``zone``."""
         self._view = fleet
@@ -48,13 +51,20 @@
         self._budget = budget
         self._zone = zone
         self._rng = rng
+        self._suspects = suspects
+        self._crash_checks = crash_checks.CrashChecks()
 
     def forward(self, job: jobs.Job) -> jobs.Reply | failures.Failure:
         """Forward a call, retrying as its route and the budget allow."""
         tried: list[ids.ServerId] = []
         possible_runs = 0
         last_result: jobs.Reply | failures.Failure | None = None
+        fingerprints = job.fingerprints
         for attempt in range(retries.MAX_NOT_RUN_ATTEMPTS):
+            verdict = self._suspects.judge(fingerprints)
+            if verdict is crash_suspects.Verdict.REJECT:
+                last_result = self._suspects.rejection(fingerprints)
+                break
             server = self._choose(job, tried)
             if server is None:
                 break
@@ -65,7 +75,7 @@
                 )
                 break
             tried.append(server.id)
-            last_result = self._attempt(job, server)
+            last_result = self._attempt(job, server, fingerprints)
             if isinstance(last_result, jobs.Reply):
                 possible_runs += 1
                 if (
@@ -122,19 +132,50 @@
         )
 
     def _attempt(
-        self, job: jobs.Job, server: backends.BackendServer
+        self,
+        job: jobs.Job,
+        server: backends.BackendServer,
+        fingerprints: tuple[ids.Fingerprint, ...],
     ) -> jobs.Reply | failures.Failure:
         began = timers.now()
         exchange = upstream.Exchange(server)
         self._view.add_request((server.id,))
+        tracked = self._suspects.track(fingerprints, server)
         try:
             result = self._exchange(job, exchange)
+            self._record_health(job, tracked, result)
         finally:
             exchange.close()
+            self._suspects.untrack(tracked)
             self._view.remove_request((server.id,))
         self._record_result(job, server, result, timers.now() - began)
         return result
 
+    def _record_health(
+        self,
+        job: jobs.Job,
+        tracked: crash_suspects.Attempt,
+        result: jobs.Reply | failures.Failure,
+    ) -> None:
+        """Record whether the server has survived the request."""
+        match result:
+            case jobs.Reply():
+                self._suspects.record_answer(tracked)
+            case failures.Failure(
+                reason=failures.Reason.ENGINE_LOST,
+                step='backend.send' | 'backend.head' | 'backend.body',
+            ) if self._crash_checks.has_crashed(tracked.server):
+                self._suspects.record_crash(tracked)
+                LOG.info(
+                    'server crashed during a call',
+                    extra={
+                        'request': job.id,
+                        'server': tracked.server.id,
+                        'started_ms': tracked.server.started_ms,
+                        'step': result.step,
+                    },
+                )
+
     def _exchange(
         self, job: jobs.Job, exchange: upstream.Exchange
     ) -> jobs.Reply | failures.Failure:
--- a/libs/gateway/burdockmast/gateway/interfaces.py
+++ b/libs/gateway/burdockmast/gateway/interfaces.py
@@ -252,3 +252,29 @@
 
     def remove(self, name: str) -> failures.Failure | None:
         """Remove a gateway that is gone."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuarantineRecord:
+    """A fingerprint of requests that crash servers.
+
+    :ivar crashes: names of servers' incarnations
+    :ivar age_seconds: since the last of the crashes
+    """
+
+    fingerprint: ids.Fingerprint
+    crashes: tuple[str, ...]
+    age_seconds: float
+
+
+class QuarantineRegistry(Protocol):
+    """The quarantine records that outlast the gateways."""
+
+    def list(self) -> list[QuarantineRecord] | failures.Failure:
+        """Return all records."""
+
+    def add(self, record: QuarantineRecord) -> failures.Failure | None:
+        """Add a record; another gateway may have added it."""
+
+    def remove(self, fingerprint: ids.Fingerprint) -> failures.Failure | None:
+        """Remove a record; it may be removed already."""
--- a/libs/gateway/burdockmast/gateway/jobs.py
+++ b/libs/gateway/burdockmast/gateway/jobs.py
@@ -5,6 +5,7 @@
 from burdockmast.base import ids
 from burdockmast.base import timers
 from burdockmast.gateway import config
+from burdockmast.gateway import crash_suspects
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import upstream
 
@@ -36,6 +37,13 @@
         """The id that the caller gave to the request."""
         return self.request.id
 
+    @property
+    def fingerprints(self) -> tuple[ids.Fingerprint, ...]:
+        """What it has in common with requests that may crash servers."""
+        return crash_suspects.fingerprints_of(
+            self.request, self.service.id, self.organisation
+        )
+
     @property
     def seconds_left(self) -> float:
         """Seconds until the deadline; negative after it."""
--- a/libs/gateway/burdockmast/gateway/neighbour_link.py
+++ b/libs/gateway/burdockmast/gateway/neighbour_link.py
@@ -8,6 +8,7 @@
 from burdockmast.base import ids
 from burdockmast.base import logs
 from burdockmast.base import timers
+from burdockmast.gateway import crash_suspects
 from burdockmast.gateway import memory
 from burdockmast.gateway import neighbours
 from burdockmast.gateway import relays
@@ -34,6 +35,7 @@
         usage: memory.Usage,
         server_reports: reports.ServerReports,
         relay: relays.Relay,
+        suspects: crash_suspects.CrashSuspects,
     ):
         """Prepare to listen at ``address``."""
         self.address = address
@@ -41,6 +43,7 @@
         self._usage = usage
         self._reports = server_reports
         self._relay = relay
+        self._suspects = suspects
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(neighbours.Message)
         self._sock: socket.socket | None = None
@@ -57,7 +60,9 @@
         """Send the messages that are due."""
         encoded: dict[int, bytes] = {}
         for address, message in self._neighbours.due_messages(
-            self._usage.load_by_server(), self._zone_news
+            self._usage.load_by_server(),
+            self._zone_news,
+            self._suspects.news,
         ):
             data = encoded.get(id(message))
             if data is None:
@@ -100,6 +105,8 @@
 
     def _take_over(self, message: neighbours.Message) -> None:
         self._neighbours.receive(message)
+        if message.crashes is not None:
+            self._suspects.receive(message.crashes)
         news = message.zone_news
         if news is None or not self._neighbours.is_neighbour(message.sender):
             return
--- a/libs/gateway/burdockmast/gateway/neighbours.py
+++ b/libs/gateway/burdockmast/gateway/neighbours.py
@@ -15,6 +15,7 @@
 
 from burdockmast.base import ids
 from burdockmast.base import timers
+from burdockmast.gateway import crash_suspects
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import loads
 from burdockmast.gateway import relays
@@ -67,6 +68,7 @@
 
     :ivar address: at which the sender receives messages
     :ivar zone_news: only in messages to the sender's own zone
+    :ivar crashes: requests that crash servers, if any are known
     """
 
     sender: str
@@ -74,6 +76,7 @@
     address: str
     loads: list[SourceLoad]
     zone_news: ZoneNews | None = None
+    crashes: crash_suspects.CrashNews | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -208,21 +211,28 @@
         self,
         own_load: loads.LoadByServer,
         zone_news: Callable[[], ZoneNews | None] = lambda: None,
+        crash_news: Callable[[], crash_suspects.CrashNews | None] = lambda: (
+            None
+        ),
     ) -> list[tuple[ids.Address, Message]]:
         """Return the messages that are due now, with their receivers.
 
         :param zone_news: called if the messages to this zone are due
+        :param crash_news: called if any messages are due
         """
         now = self._now()
         found = []
         if now >= self._next_local_at:
-            found += self._local_messages(own_load, zone_news())
+            found += self._local_messages(own_load, zone_news(), crash_news())
         if now >= self._next_remote_at:
-            found += self._remote_messages(own_load)
+            found += self._remote_messages(own_load, crash_news)
         return found
 
     def _local_messages(
-        self, own_load: loads.LoadByServer, zone_news: ZoneNews | None
+        self,
+        own_load: loads.LoadByServer,
+        zone_news: ZoneNews | None,
+        crash_news: crash_suspects.CrashNews | None,
     ) -> list[tuple[ids.Address, Message]]:
         neighbours = [
             peer
@@ -239,6 +249,7 @@
                 *self._relayed.values(),
             ],
             zone_news,
+            crash_news,
         )
         self._relayed = {}
         return [
@@ -262,7 +273,9 @@
         return True
 
     def _remote_messages(
-        self, own_load: loads.LoadByServer
+        self,
+        own_load: loads.LoadByServer,
+        crash_news: Callable[[], crash_suspects.CrashNews | None],
     ) -> list[tuple[ids.Address, Message]]:
         """Return a message to the next zone if this gateway speaks for its."""
         peers_by_zone: dict[ids.ZoneId, list[_Peer]] = {}
@@ -287,7 +300,8 @@
             own_load, *(self._table.load_of(name) for name in alive)
         )
         message = self._message(
-            [SourceLoad(zone_source(self._own.zone), total)]
+            [SourceLoad(zone_source(self._own.zone), total)],
+            crash_news=crash_news(),
         )
         return [(self._rng.choice(receivers).gateway.address, message)]
 
@@ -295,6 +309,7 @@
         self,
         source_loads: list[SourceLoad],
         zone_news: ZoneNews | None = None,
+        crash_news: crash_suspects.CrashNews | None = None,
     ) -> Message:
         return Message(
             self._own.name,
@@ -302,4 +317,5 @@
             self._own.address,
             source_loads,
             zone_news,
+            crash_news,
         )
--- a/libs/gateway/burdockmast/gateway/path_selector.py
+++ b/libs/gateway/burdockmast/gateway/path_selector.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Collection
+from collections.abc import Mapping
 import random
 
 from burdockmast.base import failures
@@ -97,6 +98,7 @@
         job: jobs.Job,
         failed: Collection[ids.ServerId],
         has_begun: bool,
+        is_isolated: bool = False,
     ) -> tuple[backends.Stage, ...] | failures.Failure:
         """Return a path, waiting for one while servers are busy.
 
@@ -106,9 +108,10 @@
 
         :param failed: servers that failed this request
         :param has_begun: the caller has received events
+        :param is_isolated: prefer a server with few other requests
         :returns: no stages if waiting would not help
         """
-        path = self.find_path(job, failed, has_begun)
+        path = self.find_path(job, failed, has_begun, is_isolated)
         until = timers.now() + RESUME_QUEUE_SECONDS
         if not has_begun:
             until = job.arrived_at + MAX_QUEUE_SECONDS
@@ -130,7 +133,7 @@
                     },
                 )
                 return refusal
-            path = self.find_path(job, failed, has_begun)
+            path = self.find_path(job, failed, has_begun, is_isolated)
         return path
 
     def _is_covered(self, job: jobs.Job) -> bool:
@@ -174,11 +177,13 @@
         job: jobs.Job,
         failed: Collection[ids.ServerId],
         has_begun: bool = False,
+        is_isolated: bool = False,
     ) -> tuple[backends.Stage, ...]:
         """Return the cheapest path, no stages if none has room.
 
         :param failed: servers that failed this request
         :param has_begun: the caller has received events
+        :param is_isolated: prefer a first server with few other requests
         """
         engine = job.service.engine
         if engine is None:
@@ -202,7 +207,11 @@
                 return memory.informed_cost_factor(share, reported, has_begun)
             return memory.cost_factor(share, self.gateway_count, reported)
 
-        for excluded in (failed, ()):
+        exclusions = [failed, ()]
+        if is_isolated:
+            crowded = self._crowded_first_servers(job, failed, load_by_server)
+            exclusions.insert(0, [*failed, *crowded])
+        for excluded in exclusions:
             path = paths.cheapest(
                 engine,
                 self._view.usable(job.service.id, excluded),
@@ -220,6 +229,29 @@
                 return path
         return ()
 
+    def _crowded_first_servers(
+        self,
+        job: jobs.Job,
+        failed: Collection[ids.ServerId],
+        load_by_server: Mapping[ids.ServerId, loads.Load],
+    ) -> list[ids.ServerId]:
+        """Return all servers of the first layer but one with few requests.
+
+        It is one of the less loaded half, so that not all gateways choose the
+        same for requests that each of them keeps apart.
+        """
+        first = [
+            server.id
+            for server in self._view.usable(job.service.id, failed)
+            if server.layers and server.layers.first == 0
+        ]
+        if not first:
+            return []
+        self._rng.shuffle(first)
+        first.sort(key=lambda s: load_by_server.get(s, loads.NO_LOAD)[0])
+        chosen = self._rng.choice(first[: (len(first) + 1) // 2])
+        return [server for server in first if server != chosen]
+
     def _request_size(
         self, job: jobs.Job, engine: config.Engine
     ) -> paths.RequestSize:
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -19,6 +19,7 @@
 from burdockmast.gateway import backends
 from burdockmast.gateway import calls
 from burdockmast.gateway import config
+from burdockmast.gateway import crash_suspects
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import memory
 from burdockmast.gateway import neighbour_link
@@ -26,6 +27,7 @@
 from burdockmast.gateway import object_follower
 from burdockmast.gateway import path_selector
 from burdockmast.gateway import planner
+from burdockmast.gateway import quarantine
 from burdockmast.gateway import relays
 from burdockmast.gateway import reports
 from burdockmast.gateway import retries
@@ -72,6 +74,7 @@
     servers: interfaces.Feed[backends.BackendServer]
     planner_lock: interfaces.PlannerLock
     gateway_registry: interfaces.GatewayRegistry
+    quarantine_registry: interfaces.QuarantineRegistry
     engines: interfaces.EngineClient
     header_codec: interfaces.HeaderCodec
 
@@ -117,6 +120,7 @@
             gateway_settings.retry_window,
         )
         usage = memory.Usage()
+        self._suspects = crash_suspects.CrashSuspects()
         server_reports = reports.ServerReports(
             self.view, platform.engines, rng
         )
@@ -141,6 +145,7 @@
                     'servers': self._servers,
                 },
             ),
+            self._suspects,
         )
         self.application = wsgi.Application(
             self.view,
@@ -151,6 +156,7 @@
                 budget,
                 gateway_settings.zone,
                 rng,
+                self._suspects,
             ),
             streams.StreamProxy(
                 self.view,
@@ -158,6 +164,7 @@
                 budget,
                 self._path_selector,
                 self._metrics,
+                self._suspects,
             ),
             budget,
             self._metrics,
@@ -173,6 +180,11 @@
             rng,
             self._neighbours.is_watcher,
         )
+        self._quarantine_keeper = quarantine.QuarantineKeeper(
+            self._suspects,
+            platform.quarantine_registry,
+            self._neighbours.is_watcher,
+        )
         self._budget = budget
         self._gateway_registry = platform.gateway_registry
         self._is_registered = False
@@ -207,6 +219,12 @@
         self._timers.subscribe(
             'roster', GATEWAY_COUNT_INTERVAL_SECONDS, self._count_gateways
         )
+        eventlet.spawn(self._quarantine_keeper.sync)
+        self._timers.subscribe(
+            'quarantine',
+            quarantine.SYNC_INTERVAL_SECONDS,
+            self._quarantine_keeper.sync,
+        )
         self._serve_metrics()
         self._listen(
             self._settings.ready_address, wsgi.Readiness(self.application)
@@ -328,6 +346,10 @@
         self._metrics.gauge(
             'servers.age_seconds', lambda: self.view.server_list_age
         )
+        self._metrics.gauge(
+            'quarantine.fingerprints',
+            lambda: len(self._suspects.quarantined()),
+        )
         self._metrics.gauge(
             'requests.running', lambda: self.application.running_count
         )
--- a/libs/gateway/burdockmast/gateway/stream_progress.py
+++ b/libs/gateway/burdockmast/gateway/stream_progress.py
@@ -4,6 +4,7 @@
 
 from burdockmast.base import ids
 from burdockmast.gateway import backends
+from burdockmast.gateway import crash_suspects
 from burdockmast.gateway import jobs
 
 
@@ -11,6 +12,8 @@
 class Progress:
     """State of a stream across its attempts.
 
+    :ivar fingerprints: see ``crash_suspects``
+    :ivar tracked: the attempt that is under way
     :ivar last_event_id: of the last event that the caller has received
     :ivar attempts: to send the request to any server
     :ivar possible_runs: attempts that may have run
@@ -21,6 +24,8 @@
     """
 
     last_event_id: int | None
+    fingerprints: tuple[ids.Fingerprint, ...]
+    tracked: crash_suspects.Attempt | None = None
     attempts: int = 0
     possible_runs: int = 0
     event_count: int = 0
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -4,6 +4,8 @@
 import dataclasses
 import functools
 
+import eventlet
+
 from burdockmast.base import failures
 from burdockmast.base import logs
 from burdockmast.base import metrics
@@ -11,6 +13,7 @@
 from burdockmast.base import timers
 from burdockmast.gateway import backends
 from burdockmast.gateway import crash_checks
+from burdockmast.gateway import crash_suspects
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import jobs
 from burdockmast.gateway import path_selector
@@ -39,6 +42,9 @@
 MAX_EVENT_BYTES = 1024 * 1024
 # Largest body of a server's error reply that is forwarded to the caller.
 MAX_ERROR_BODY_BYTES = 1024 * 1024
+# Longest wait of a request that may crash servers for others to be tried.
+MAX_TRIAL_WAIT_SECONDS = 1.0
+TRIAL_POLL_SECONDS = 0.02
 STATUS_OK = 200
 
 
@@ -56,6 +62,7 @@
         budget: retries.Budget,
         selector: path_selector.PathSelector,
         measures: metrics.Metrics,
+        suspects: crash_suspects.CrashSuspects,
     ):
         """Create a proxy that chooses paths and retries within the budget."""
         self._view = fleet
@@ -63,6 +70,7 @@
         self._budget = budget
         self._path_selector = selector
         self._metrics = measures
+        self._suspects = suspects
         self._crash_checks = crash_checks.CrashChecks()
 
     def forward(
@@ -72,11 +80,11 @@
 
         :raises StreamAborted: if a stream that has begun can't be completed
         """
-        progress = stream_progress.Progress(job.request.last_event_id)
+        progress = stream_progress.Progress(
+            job.request.last_event_id, job.fingerprints
+        )
         while True:
-            path = self._path_selector.wait_for_path(
-                job, progress.failed_servers, progress.has_begun
-            )
+            path = self._wait_for_path(job, progress)
             failure = None
             if isinstance(path, failures.Failure):
                 failure, path = path, ()
@@ -97,6 +105,51 @@
             yield failure
             return
 
+    def _wait_for_path(
+        self, job: jobs.Job, progress: stream_progress.Progress
+    ) -> tuple[backends.Stage, ...] | failures.Failure:
+        """Return a path, first waiting while a suspect must be tried alone."""
+        fingerprints = progress.fingerprints
+        until = min(
+            timers.now() + MAX_TRIAL_WAIT_SECONDS,
+            job.deadline,
+        )
+        while True:
+            verdict = self._suspects.judge(fingerprints)
+            if verdict is crash_suspects.Verdict.REJECT:
+                self._metrics.count('streams.quarantined')
+                return self._suspects.rejection(fingerprints)
+            is_waiting = (
+                verdict is crash_suspects.Verdict.TRY_ALONE
+                and self._suspects.is_trial_running(fingerprints)
+            )
+            if not is_waiting:
+                break
+            if timers.now() >= until:
+                return failures.Failure(
+                    failures.Reason.OVERLOADED,
+                    'stream.trial',
+                    detail='other requests with a part of this prompt, which '
+                    'may crash servers, are tried first',
+                    retry_after=path_selector.RETRY_AFTER_SECONDS,
+                )
+            eventlet.sleep(TRIAL_POLL_SECONDS)
+        if verdict is not crash_suspects.Verdict.SOUND:
+            LOG.info(
+                'request may crash servers; keeping it from others',
+                extra={
+                    'request': job.id,
+                    'verdict': verdict.value,
+                    'crashes': self._suspects.counts(fingerprints),
+                },
+            )
+        return self._path_selector.wait_for_path(
+            job,
+            progress.failed_servers,
+            progress.has_begun,
+            verdict is not crash_suspects.Verdict.SOUND,
+        )
+
     def _may_retry(
         self,
         job: jobs.Job,
@@ -136,10 +189,18 @@
         events_before = progress.event_count
         self._path_selector.reserve(job, path)
         progress.attempts += 1
+        progress.tracked = self._suspects.track(
+            progress.fingerprints, exchange.server
+        )
         try:
             failure = yield from self._relay(job, exchange, path, progress)
+            if failure is None:
+                self._suspects.record_answer(progress.tracked)
+            else:
+                self._check_for_crash(job, exchange.server, progress, failure)
         finally:
             exchange.close()
+            self._suspects.untrack(progress.tracked)
             self._path_selector.release(job, path)
         LOG.info(
             'stream completed' if failure is None else 'stream attempt failed',
@@ -162,7 +223,6 @@
         )
         if failure is None:
             return None
-        self._check_for_crash(job, exchange.server, progress, failure)
         if failure.outcome is not outcomes.Outcome.NOT_RUN:
             progress.possible_runs += 1
         self._record_failure(job, path, progress, failure, began)
@@ -181,6 +241,7 @@
             or not self._crash_checks.has_crashed(server)
         ):
             return
+        self._suspects.record_crash(progress.tracked)
         self._metrics.count('streams.server_crashed')
         LOG.info(
             'server crashed during a stream',
@@ -228,6 +289,7 @@
         )
         if isinstance(head, failures.Failure):
             return head
+        self._suspects.record_head(progress.tracked)
         if head.metadata.is_not_run:
             return exchange.refusal(head, path_selector.RETRY_AFTER_SECONDS)
         if head.status != STATUS_OK:
@@ -370,6 +432,7 @@
             progress.last_event_id = splitter.last_id
             progress.event_count += splitter.completed_count
             self._view.record_activity(servers)
+            self._suspects.record_event(progress.tracked)
             yield complete_events
             limit_seconds = PAUSE_TIMEOUT_SECONDS
 
--- a/libs/platform/burdockmast/platform/program.py
+++ b/libs/platform/burdockmast/platform/program.py
@@ -63,6 +63,7 @@
             gateway_registry=store.GatewayRegistry(
                 store_client, platform_settings.gateway.record
             ),
+            quarantine_registry=store.QuarantineRegistry(store_client),
             engines=engine_client.EngineClient(),
             header_codec=headers.HeaderCodec(),
         ),
--- a/libs/platform/burdockmast/platform/store.py
+++ b/libs/platform/burdockmast/platform/store.py
@@ -6,6 +6,8 @@
 
 from collections.abc import Callable
 import dataclasses
+import hashlib
+import time
 from typing import Any
 from typing import Generic
 from typing import TypeVar
@@ -35,6 +37,7 @@
 HTTP_GONE = 410
 HTTP_TOO_MANY_REQUESTS = 429
 HTTP_UNAVAILABLE = 503
+MS_PER_SECOND = 1000.0
 
 T = TypeVar('T')
 # Decodes an object from its name and spec.
@@ -59,6 +62,14 @@
     has_more: bool = False
 
 
+class _QuarantineSpec(msgspec.Struct, frozen=True, rename='kebab'):
+    """``crashed_at_ms`` is the time of the last crash, since the epoch."""
+
+    fingerprint: str
+    crashes: list[str]
+    crashed_at_ms: int
+
+
 class _Event(msgspec.Struct, frozen=True):
     object: _Object
     deleted: bool = False
@@ -267,6 +278,23 @@
             return None
 
 
+def _list_objects(
+    client: Client, kind: str
+) -> list[_Object] | failures.Failure:
+    """Return all objects of a kind, which may be some seconds old."""
+    found: list[_Object] = []
+    query: dict[str, object] = {'stale-ok': 1}
+    while True:
+        response = client.call('GET', kind, query=query)
+        page = client.decode_response(response, _ListResponse, kind)
+        if isinstance(page, failures.Failure):
+            return page
+        found += page.items
+        if not page.has_more or not page.items:
+            return found
+        query = {'stale-ok': 1, 'after': page.items[-1].metadata.name}
+
+
 class GatewayRegistry:
     """The gateways, each an object of a kind that only gateways use."""
 
@@ -295,19 +323,10 @@
 
     def list(self) -> list[interfaces.GatewayRecord] | failures.Failure:
         """Return the registered gateways; some may have stopped."""
-        found: list[interfaces.GatewayRecord] = []
-        query: dict[str, object] = {'stale-ok': 1}
-        while True:
-            response = self._client.call('GET', self.KIND, query=query)
-            page = self._client.decode_response(
-                response, _ListResponse, self.KIND
-            )
-            if isinstance(page, failures.Failure):
-                return page
-            found += [self._record(item) for item in page.items]
-            if not page.has_more or not page.items:
-                return found
-            query = {'stale-ok': 1, 'after': page.items[-1].metadata.name}
+        found = _list_objects(self._client, self.KIND)
+        if isinstance(found, failures.Failure):
+            return found
+        return [self._record(item) for item in found]
 
     def remove(self, name: str) -> failures.Failure | None:
         """Remove a gateway that is gone; it may be removed already."""
@@ -324,6 +343,74 @@
         )
 
 
+class QuarantineRegistry:
+    """Fingerprints of requests that crash servers, an object each."""
+
+    KIND = 'burdockmast-quarantines'
+
+    def __init__(self, client: Client):
+        """Create the registry."""
+        self._client = client
+
+    def list(self) -> list[interfaces.QuarantineRecord] | failures.Failure:
+        """Return all records that can be decoded."""
+        found = _list_objects(self._client, self.KIND)
+        if isinstance(found, failures.Failure):
+            return found
+        return [
+            record
+            for item in found
+            if (record := self._record(item)) is not None
+        ]
+
+    def add(
+        self, record: interfaces.QuarantineRecord
+    ) -> failures.Failure | None:
+        """Add a record; another gateway may have added it."""
+        body = {
+            'metadata': {'name': _name_of(record.fingerprint)},
+            'spec': {
+                'fingerprint': record.fingerprint,
+                'crashes': list(record.crashes),
+                'crashed-at-ms': int(
+                    (time.time() - record.age_seconds) * MS_PER_SECOND
+                ),
+            },
+        }
+        response = self._client.call('POST', self.KIND, body=body)
+        return response if isinstance(response, failures.Failure) else None
+
+    def remove(self, fingerprint: ids.Fingerprint) -> failures.Failure | None:
+        """Remove a record; it may be removed already."""
+        response = self._client.call(
+            'DELETE', self.KIND, _name_of(fingerprint)
+        )
+        return response if isinstance(response, failures.Failure) else None
+
+    @staticmethod
+    def _record(item: _Object) -> interfaces.QuarantineRecord | None:
+        try:
+            spec = msgspec.convert(item.spec, _QuarantineSpec)
+        except msgspec.ValidationError as error:
+            LOG.warning(
+                'quarantine record cannot be decoded; ignoring it',
+                extra={'name': item.metadata.name, 'reason': str(error)},
+            )
+            return None
+        age = time.time() - spec.crashed_at_ms / MS_PER_SECOND
+        return interfaces.QuarantineRecord(
+            ids.Fingerprint(spec.fingerprint),
+            tuple(spec.crashes),
+            max(0.0, age),
+        )
+
+
+def _name_of(fingerprint: ids.Fingerprint) -> str:
+    """Return an object's name, which may hold fewer characters."""
+    digest = hashlib.blake2b(fingerprint.encode(), digest_size=16)
+    return digest.hexdigest()
+
+
 class PlannerLock:
     """A mutex, stored as one object of a kind that only gateways use.
 
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -29,27 +29,52 @@
     )
 
 
+def ask_deadly(platform, number):
+    return platform.ask(
+        f'/draft/{number}',
+        Burdockmast_Prefix_Hash=DEADLY_PARTS % (number + 16),
+        Burdockmast_Request_Id=f'r{number}',
+    )
+
+
 def deadly_requests(servers):
     return [
         seen
         for seen in platforms.requests_at(servers)
-        if DEADLY_PART in seen.header_by_name['burdockmast-prefix-hash']
+        if DEADLY_PART
+        in seen.header_by_name.get('burdockmast-prefix-hash', '')
     ]
 
 
 def test_requests_with_a_part_that_crashes_servers_are_stopped(platform):
     crash_on(platform, DEADLY_PART)
     for number in range(8):
-        platform.ask(
-            f'/draft/{number}',
-            Burdockmast_Prefix_Hash=DEADLY_PARTS % (number + 16),
-            Burdockmast_Request_Id=f'r{number}',
-        )
+        ask_deadly(platform, number)
         wait_for_service(platform)
     found = deadly_requests(platform.engines)
     assert len(found) <= LEARNING_CRASHES + LATE_REQUESTS
 
 
+def test_a_quarantine_outlasts_the_gateway_process(platform):
+    crash_on(platform, DEADLY_PART)
+    for number in range(3):
+        ask_deadly(platform, number)
+        wait_for_service(platform)
+    kept = platform.store.objects_by_kind['burdockmast-quarantines']
+    platform.wait_for(
+        lambda: any(
+            DEADLY_PART in stored['spec']['fingerprint']
+            for stored in kept.values()
+        )
+    )
+    platform.stop()
+    platform.start()
+    wait_for_service(platform)
+    for number in range(3, 6):
+        ask_deadly(platform, number)
+    assert not deadly_requests(platform.engines)
+
+
 def test_a_call_that_crashes_servers_is_stopped(platform):
     crash_on(platform, '/lookup/deadly')
     for _ in range(12):
--- a/tests/test_gateway_neighbours.py
+++ b/tests/test_gateway_neighbours.py
@@ -8,6 +8,7 @@
 import msgspec
 import pytest
 
+from burdockmast.gateway import crash_suspects
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import loads
 from burdockmast.gateway import memory
@@ -247,6 +248,7 @@
             usage,
             reports.ServerReports(None, None, random.Random(1)),
             relays.Relay(record.name, {}),
+            crash_suspects.CrashSuspects(),
         )
         link.start()
         created.append((known, usage, link))
