Deliver streams that end with their connection as complete

Each such stream was taken for broken off: it was sent to a second server after its last event and, where it may not run again, its caller's connection was cut after a complete answer.

Cause: completeness was only believed with framing.

Change: a stream without framing is complete if its connection ended in order, between two events, after at least one event of this attempt, and its server still accepts connections; a server that crashed ends connections in order too.

--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -386,6 +386,7 @@
         servers = [stage.server.id for stage in path]
         last_event_at = timers.now()
         limit_seconds = FIRST_EVENT_TIMEOUT_SECONDS
+        has_events = False
         while True:
             waiting = stream_progress.Waiting(
                 job, path, progress, last_event_at, limit_seconds
@@ -400,10 +401,17 @@
             except upstream.IncompleteReply as error:
                 return exchange.unknown_outcome('events', str(error))
             if not data:
-                if splitter.incomplete or not exchange.is_framed:
+                if splitter.incomplete:
                     return exchange.unknown_outcome(
-                        'events',
-                        'stream ended inside an event or without framing',
+                        'events', 'stream ended inside an event'
+                    )
+                if not exchange.is_framed and (
+                    not has_events
+                    or self._crash_checks.has_crashed(exchange.server)
+                ):
+                    # Only such a stream looks complete when it is broken off.
+                    return exchange.unknown_outcome(
+                        'events', 'connection of an unframed stream ended'
                     )
                 if not progress.has_begun:
                     progress.has_begun = True
@@ -433,6 +441,7 @@
             progress.event_count += splitter.completed_count
             self._view.record_activity(servers)
             self._suspects.record_event(progress.tracked)
+            has_events = True
             yield complete_events
             limit_seconds = PAUSE_TIMEOUT_SECONDS
 
--- a/libs/platform/burdockmast/platform/standin.py
+++ b/libs/platform/burdockmast/platform/standin.py
@@ -5,11 +5,13 @@
 """
 
 import collections
+import contextlib
 import dataclasses
 import itertools
 import json
 import socket
 from typing import Any
+from typing import NoReturn
 import urllib.parse
 
 import eventlet
@@ -185,6 +187,8 @@
     :ivar pause_seconds: how long it stalls
     :ivar is_unsigned: reply without a signature
     :ivar is_silent: accept requests and reply only after a minute
+    :ivar is_unframed: streams have neither a length nor chunks, and end with
+        their connection
     :ivar crashes_on: part of a prompt, or path, whose requests end the
         server's process when they begin
     :ivar crash_count: how often it has crashed
@@ -198,6 +202,7 @@
         self.pause_before_event: int | None = None
         self.pause_seconds = 0.0
         self.is_silent = False
+        self.is_unframed = False
         self.crashes_on = ''
         self.crash_count = 0
         self._connections: set[socket.socket] = set()
@@ -308,9 +313,29 @@
             length = ('Content-Length', str(len(body)))
             start_response('200 OK', [*reply_headers, length])
             return [body]
+        if self.is_unframed:
+            self._send_unframed(
+                environ['eventlet.input'].get_socket(),
+                reply_headers,
+                header_by_name,
+            )
         start_response('200 OK', reply_headers)
         return self._stream(header_by_name)
 
+    def _send_unframed(
+        self,
+        connection: socket.socket,
+        reply_headers: list[tuple[str, str]],
+        header_by_name: dict[str, str],
+    ) -> NoReturn:
+        head = ''.join(f'{name}: {value}\r\n' for name, value in reply_headers)
+        connection.sendall(f'HTTP/1.1 200 OK\r\n{head}\r\n'.encode())
+        with contextlib.suppress(ConnectionError):
+            for event in self._stream(header_by_name):
+                connection.sendall(event)
+        connection.shutdown(socket.SHUT_RDWR)
+        raise ConnectionError('the stream ends with its connection')
+
     def _is_deadly(self, received: ReceivedRequest) -> bool:
         parts = received.header_by_name.get(headers.PROMPT_PARTS.lower(), '')
         return bool(self.crashes_on) and (
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -34,6 +34,45 @@
     assert sorted(resumed, key=str) == ['2', None]
 
 
+@pytest.mark.parametrize('path', ['/draft/x', '/draft/once/x'])
+def test_a_stream_that_ends_with_its_connection_is_complete(platform, path):
+    for engine in platform.engines:
+        engine.is_unframed = True
+    status, _, body = platform.ask(path)
+    assert status == 200
+    assert body == platforms.events(1, 5)
+    assert len(platforms.requests_at(platform.engines)) == 1
+
+
+def test_a_stream_that_ends_with_its_connection_in_an_event_resumes(platform):
+    platform.store.break_next_stream_after = 2
+    for engine in platform.engines:
+        engine.is_unframed = True
+    status, _, body = platform.ask('/draft/x')
+    assert status == 200
+    assert body == platforms.events(1, 5)
+    assert len(platforms.requests_at(platform.engines)) == 2
+
+
+def test_a_stream_of_a_server_that_crashed_is_not_complete(platform):
+    for engine in platform.engines:
+        engine.is_unframed = True
+        engine.event_count = 30
+
+    def crash_in_the_middle():
+        platform.wait_for(lambda: platforms.requests_at(platform.engines))
+        eventlet.sleep(0.04)
+        for engine in platform.engines:
+            if engine.requests:
+                engine.crash()
+
+    crashing = eventlet.spawn(crash_in_the_middle)
+    status, _, body = platform.ask('/draft/x')
+    crashing.wait()
+    assert status == 200
+    assert body == platforms.events(1, 30)
+
+
 @pytest.mark.parametrize('event', [1, 3])
 def test_a_busy_path_that_cannot_be_replaced_is_waited_for(platform, event):
     for engine in platform.engines:
