Resume streams although more servers crashed than a route allows attempts

What callers saw: a stream of which they had events was cut when its second server crashed, since a route's two attempts were used up.

Cause: an attempt counted although its server had ended, so that nothing ran there any more.

Change: attempts of begun streams whose server is known to have crashed don't count against the route's limit; the retry budget and the deadline still bound them. Streams that had not begun are counted as before: they may be the cause.

Evidence: the test failed before (IncompleteRead at the caller).

--- a/libs/gateway/burdockmast/gateway/stream_progress.py
+++ b/libs/gateway/burdockmast/gateway/stream_progress.py
@@ -17,6 +17,8 @@
     :ivar last_event_id: of the last event that the caller has received
     :ivar attempts: to send the request to any server
     :ivar possible_runs: attempts that may have run
+    :ivar ended_runs: those of them that ended a begun stream because their
+        server crashed, so that nothing runs there any more
     :ivar event_count: events forwarded to the caller
     :ivar longest_pause: seconds without data from the server
     :ivar has_begun: the reply head has been sent to the caller
@@ -28,6 +30,7 @@
     tracked: crash_suspects.Attempt | None = None
     attempts: int = 0
     possible_runs: int = 0
+    ended_runs: int = 0
     event_count: int = 0
     longest_pause: float = 0.0
     has_begun: bool = False
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -159,7 +159,8 @@
         if failure.outcome is not outcomes.Outcome.NOT_RUN:
             if (
                 not job.is_idempotent
-                or progress.possible_runs >= job.route.max_attempts
+                or progress.possible_runs - progress.ended_runs
+                >= job.route.max_attempts
             ):
                 return False
         elif (
@@ -242,6 +243,8 @@
         ):
             return
         self._suspects.record_crash(progress.tracked)
+        if progress.has_begun:
+            progress.ended_runs += 1
         self._metrics.count('streams.server_crashed')
         LOG.info(
             'server crashed during a stream',
@@ -334,7 +337,8 @@
         servers = [stage.server.id for stage in waiting.path]
         may_retry = (
             job.is_idempotent
-            and progress.possible_runs + 1 < job.route.max_attempts
+            and progress.possible_runs - progress.ended_runs + 1
+            < job.route.max_attempts
             and self._budget.can_withdraw(job.service.id)
         )
         return silence.should_wait(
--- a/tests/test_gateway_crashes.py
+++ b/tests/test_gateway_crashes.py
@@ -3,6 +3,8 @@
 import eventlet
 import platforms
 
+from burdockmast.platform import standin
+
 # Crashes of which all gateways may need to learn, and requests that may still
 # reach servers after that, by the operators' rule.
 LEARNING_CRASHES = 5
@@ -55,6 +57,28 @@
     assert len(found) <= LEARNING_CRASHES + LATE_REQUESTS
 
 
+def test_a_stream_goes_on_after_more_crashes_than_attempts(platform):
+    """Its route allows two attempts, and two of its servers crash."""
+    for engine in platform.engines:
+        engine.event_count = 200
+        engine.requests.clear()
+
+    def crash_two():
+        for _ in range(2):
+            platform.wait_for(lambda: platforms.requests_at(platform.engines))
+            eventlet.sleep(2 * standin.RESTART_SECONDS)
+            for engine in platform.engines:
+                if engine.requests:
+                    engine.crash()
+                    engine.requests.clear()
+
+    crashing = eventlet.spawn(crash_two)
+    status, _, body = platform.ask('/draft/x')
+    crashing.wait()
+    assert status == 200
+    assert body == platforms.events(1, 200)
+
+
 def test_a_quarantine_outlasts_the_gateway_process(platform):
     crash_on(platform, DEADLY_PART)
     for number in range(3):
