Log the limits that servers name and what is sent to them

Nothing read the header, so that the logs could not tell whether gateways don't hear a limit or break it together. No decision depends on it yet.

--- a/libs/gateway/burdockmast/gateway/calls.py
+++ b/libs/gateway/burdockmast/gateway/calls.py
@@ -17,6 +17,7 @@
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import jobs
 from burdockmast.gateway import retries
+from burdockmast.gateway import server_limits
 from burdockmast.gateway import upstream
 from burdockmast.gateway import view
 
@@ -44,6 +45,7 @@
         zone: ids.ZoneId,
         rng: random.Random,
         suspects: crash_suspects.CrashSuspects,
+        limits: server_limits.ServerLimits,
     ):
         """Create a proxy that prefers servers in ``zone``."""
         self._view = fleet
@@ -52,6 +54,7 @@
         self._zone = zone
         self._rng = rng
         self._suspects = suspects
+        self._limits = limits
         self._crash_checks = crash_checks.CrashChecks()
 
     def forward(self, job: jobs.Job) -> jobs.Reply | failures.Failure:
@@ -183,12 +186,16 @@
             exchange.server, job.organisation, job.seconds_left, (), None, 0
         )
         headers = self._header_codec.backend_headers(job.request, attempt)
+        self._limits.record_sent(exchange.server.id)
         failure = exchange.send(job.request, headers)
         if failure:
             return failure
         head = exchange.read_head(job.id, job.deadline, self._header_codec)
         if isinstance(head, failures.Failure):
             return head
+        self._limits.record_answer(
+            exchange.server.id, head.metadata.limit, job.id
+        )
         if head.metadata.is_not_run:
             return exchange.refusal(head, RETRY_AFTER_SECONDS)
         try:
--- a/libs/gateway/burdockmast/gateway/interfaces.py
+++ b/libs/gateway/burdockmast/gateway/interfaces.py
@@ -137,6 +137,8 @@
     :ivar refused_by: address of the server that caused a refusal, or empty
     :ivar is_encoded: the body has a content encoding, so it is not what the
         server itself sent
+    :ivar limit: requests a second that the server accepts from all gateways
+        together, None if it names no limit
     """
 
     request: str
@@ -144,6 +146,7 @@
     is_not_run: bool
     refused_by: ids.Address
     is_encoded: bool
+    limit: float | None = None
 
 
 class HeaderCodec(Protocol):
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -31,6 +31,7 @@
 from burdockmast.gateway import relays
 from burdockmast.gateway import reports
 from burdockmast.gateway import retries
+from burdockmast.gateway import server_limits
 from burdockmast.gateway import settings
 from burdockmast.gateway import streams
 from burdockmast.gateway import view
@@ -121,6 +122,7 @@
         )
         usage = memory.Usage()
         self._suspects = crash_suspects.CrashSuspects()
+        self._limits = server_limits.ServerLimits()
         server_reports = reports.ServerReports(
             self.view, platform.engines, rng
         )
@@ -157,6 +159,7 @@
                 gateway_settings.zone,
                 rng,
                 self._suspects,
+                self._limits,
             ),
             streams.StreamProxy(
                 self.view,
@@ -165,6 +168,7 @@
                 self._path_selector,
                 self._metrics,
                 self._suspects,
+                self._limits,
             ),
             budget,
             self._metrics,
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -18,6 +18,7 @@
 from burdockmast.gateway import jobs
 from burdockmast.gateway import path_selector
 from burdockmast.gateway import retries
+from burdockmast.gateway import server_limits
 from burdockmast.gateway import silence
 from burdockmast.gateway import sse
 from burdockmast.gateway import stream_progress
@@ -63,6 +64,7 @@
         selector: path_selector.PathSelector,
         measures: metrics.Metrics,
         suspects: crash_suspects.CrashSuspects,
+        limits: server_limits.ServerLimits,
     ):
         """Create a proxy that chooses paths and retries within the budget."""
         self._view = fleet
@@ -71,6 +73,7 @@
         self._path_selector = selector
         self._metrics = measures
         self._suspects = suspects
+        self._limits = limits
         self._crash_checks = crash_checks.CrashChecks()
 
     def forward(
@@ -274,6 +277,7 @@
             min(9, job.priority),
         )
         headers = self._header_codec.backend_headers(job.request, attempt)
+        self._limits.record_sent(exchange.server.id)
         failure = exchange.send(job.request, headers)
         if failure:
             return failure
@@ -292,6 +296,9 @@
         )
         if isinstance(head, failures.Failure):
             return head
+        self._limits.record_answer(
+            exchange.server.id, head.metadata.limit, job.id
+        )
         self._suspects.record_head(progress.tracked)
         if head.metadata.is_not_run:
             return exchange.refusal(head, path_selector.RETRY_AFTER_SECONDS)
--- a/libs/platform/burdockmast/platform/headers.py
+++ b/libs/platform/burdockmast/platform/headers.py
@@ -30,6 +30,8 @@
 # The backend server's signature of its reply.
 SIGNATURE = 'Burdockmast-Response-Seal'
 NOT_RUN = 'Burdockmast-Not-Executed'
+# Requests a second that the server accepts from all gateways together.
+LIMIT = 'Server-Limit'
 # Address of the server that caused a refusal.
 REFUSED_BY = 'At-Server'
 
@@ -65,6 +67,7 @@
     )
 )
 _INTEGER = re.compile(r'\d{1,12}')
+_DECIMAL = re.compile(r'\d{1,12}(\.\d{1,12})?')
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -138,6 +141,7 @@
             is_not_run=NOT_RUN.lower() in value_by_name,
             refused_by=ids.Address(value_by_name.get(REFUSED_BY.lower(), '')),
             is_encoded='content-encoding' in value_by_name,
+            limit=_parse_decimal(value_by_name.get(LIMIT.lower())),
         )
 
     def caller_headers(
@@ -180,6 +184,12 @@
     return tuple(dict.fromkeys(ids.Fingerprint(n) for n in names if n))
 
 
+def _parse_decimal(text: str | None) -> float | None:
+    if text is None or not _DECIMAL.fullmatch(text.strip()):
+        return None
+    return float(text)
+
+
 def _parse_integer(text: str | None) -> int | None:
     if text is None or not _INTEGER.fullmatch(text.strip()):
         return None
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -202,6 +202,25 @@
     assert found.prompt_parts == parts
 
 
+@pytest.mark.parametrize(
+    ('value', 'limit'),
+    [
+        ('2.5', 2.5),
+        ('0', 0.0),
+        (' 7 ', 7.0),
+        ('-1', None),
+        ('nan', None),
+        ('inf', None),
+        ('1e9', None),
+        ('9' * 40, None),
+        ('', None),
+    ],
+)
+def test_a_limit_of_a_server_is_read(value, limit):
+    reply = headers.HeaderCodec().read_reply([('Server-Limit', value)])
+    assert reply.limit == limit
+
+
 @pytest.mark.parametrize('value', ['', 'soon', '-5', '1e3', '9' * 40])
 def test_an_invalid_deadline_is_ignored(value):
     found = read_request((('Burdockmast-Deadline-Ms', value),))
