--- a/libs/platform/burdockmast/platform/standin.py
+++ b/libs/platform/burdockmast/platform/standin.py
@@ -18,6 +18,7 @@
 import eventlet.event
 import eventlet.wsgi
 
+from burdockmast.base import timers
 from burdockmast.platform import engine_client
 from burdockmast.platform import headers
 from burdockmast.platform import store
@@ -171,11 +172,12 @@
 
 @dataclasses.dataclass(slots=True)
 class ReceivedRequest:
-    """A request that a backend server received."""
+    """A request that a backend server received, at monotonic seconds."""
 
     id: str
     path: str
     header_by_name: dict[str, str]
+    at: float = dataclasses.field(default_factory=timers.now)
 
 
 class BackendServer:
@@ -189,6 +191,7 @@
     :ivar is_silent: accept requests and reply only after a minute
     :ivar is_unframed: streams have neither a length nor chunks, and end with
         their connection
+    :ivar limit: requests a second that it names in its answers, or None
     :ivar crashes_on: part of a prompt, or path, whose requests end the
         server's process when they begin
     :ivar crash_count: how often it has crashed
@@ -203,6 +206,7 @@
         self.pause_seconds = 0.0
         self.is_silent = False
         self.is_unframed = False
+        self.limit: float | None = None
         self.crashes_on = ''
         self.crash_count = 0
         self._connections: set[socket.socket] = set()
@@ -308,6 +312,8 @@
             (headers.REQUEST_ID, request_id),
             (headers.SIGNATURE, f'seal-{self.id}'),
         ]
+        if self.limit is not None:
+            reply_headers.append((headers.LIMIT, str(self.limit)))
         if headers.TOKEN_COUNTS.lower() not in header_by_name:
             body = f'answer of {self.id}'.encode()
             length = ('Content-Length', str(len(body)))
