Keep to the limits that servers name, all gateways together

Ruled out as causes, but reproduced as faults of simpler mends: each gateway keeping to the limit by itself, and bursts.

Change: a limit is divided among a few gateways by rendezvous hashing; each sends what its token bucket holds. Gateways tell each other limits, with their ages.

--- a/libs/gateway/burdockmast/gateway/calls.py
+++ b/libs/gateway/burdockmast/gateway/calls.py
@@ -25,6 +25,8 @@
 
 # Retry-After value while no server is reachable.
 RETRY_AFTER_SECONDS = 0.1
+# The same while servers name limits: another gateway may have room.
+MAX_LIMIT_RETRY_AFTER_SECONDS = 0.5
 # No attempt starts this close to the deadline: the reply must still reach the
 # caller.
 REPLY_MARGIN_SECONDS = 0.02
@@ -106,7 +108,23 @@
             return dataclasses.replace(
                 last_result, outcome=outcomes.Outcome.UNKNOWN
             )
-        return last_result or failures.Failure(
+        return last_result or self._no_server_failure(job)
+
+    def _no_server_failure(self, job: jobs.Job) -> failures.Failure:
+        """Return a failure that says when to come back."""
+        waits = [
+            self._limits.seconds_until_room(server)
+            for server in self._view.usable(job.service.id)
+        ]
+        if waits:
+            return failures.Failure(
+                failures.Reason.OVERLOADED,
+                'call.limit',
+                detail=f'servers of {job.service.id} accept no more requests '
+                'a second',
+                retry_after=min(*waits, MAX_LIMIT_RETRY_AFTER_SECONDS),
+            )
+        return failures.Failure(
             failures.Reason.NO_SERVER,
             'call.choose',
             detail=f'no server of {job.service.id} is reachable',
@@ -123,6 +141,7 @@
             candidates = [
                 s for s in self._view.listed(job.service.id) if s.is_ready
             ]
+        candidates = [s for s in candidates if self._limits.has_room(s)]
         if not candidates:
             return None
         return min(
@@ -186,7 +205,7 @@
             exchange.server, job.organisation, job.seconds_left, (), None, 0
         )
         headers = self._header_codec.backend_headers(job.request, attempt)
-        self._limits.record_sent(exchange.server.id)
+        self._limits.record_sent(exchange.server)
         failure = exchange.send(job.request, headers)
         if failure:
             return failure
@@ -194,7 +213,7 @@
         if isinstance(head, failures.Failure):
             return head
         self._limits.record_answer(
-            exchange.server.id, head.metadata.limit, job.id
+            exchange.server, head.metadata.limit, job.id
         )
         if head.metadata.is_not_run:
             return exchange.refusal(head, RETRY_AFTER_SECONDS)
--- a/libs/gateway/burdockmast/gateway/neighbour_link.py
+++ b/libs/gateway/burdockmast/gateway/neighbour_link.py
@@ -13,6 +13,7 @@
 from burdockmast.gateway import neighbours
 from burdockmast.gateway import relays
 from burdockmast.gateway import reports
+from burdockmast.gateway import server_limits
 
 LOG = logs.get('neighbours')
 
@@ -36,6 +37,7 @@
         server_reports: reports.ServerReports,
         relay: relays.Relay,
         suspects: crash_suspects.CrashSuspects,
+        limits: server_limits.ServerLimits,
     ):
         """Prepare to listen at ``address``."""
         self.address = address
@@ -44,6 +46,7 @@
         self._reports = server_reports
         self._relay = relay
         self._suspects = suspects
+        self._limits = limits
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(neighbours.Message)
         self._sock: socket.socket | None = None
@@ -62,13 +65,16 @@
         for address, message in self._neighbours.due_messages(
             self._usage.load_by_server(),
             self._zone_news,
-            self._suspects.news,
+            self._learned,
         ):
             data = encoded.get(id(message))
             if data is None:
                 data = encoded[id(message)] = self._encoder.encode(message)
             self.send(address, data)
 
+    def _learned(self) -> neighbours.Learned:
+        return neighbours.Learned(self._suspects.news(), self._limits.news())
+
     def _zone_news(self) -> neighbours.ZoneNews:
         store = None
         if self._neighbours.is_watcher():
@@ -105,8 +111,9 @@
 
     def _take_over(self, message: neighbours.Message) -> None:
         self._neighbours.receive(message)
-        if message.crashes is not None:
-            self._suspects.receive(message.crashes)
+        if message.learned.crashes is not None:
+            self._suspects.receive(message.learned.crashes)
+        self._limits.receive(message.learned.limits, message.sender)
         news = message.zone_news
         if news is None or not self._neighbours.is_neighbour(message.sender):
             return
--- a/libs/gateway/burdockmast/gateway/neighbours.py
+++ b/libs/gateway/burdockmast/gateway/neighbours.py
@@ -20,6 +20,7 @@
 from burdockmast.gateway import loads
 from burdockmast.gateway import relays
 from burdockmast.gateway import reports
+from burdockmast.gateway import server_limits
 
 # Interval of messages within a zone. In a larger zone it is longer, so that a
 # gateway handles at most this many messages a second.
@@ -63,12 +64,25 @@
     store: relays.StoreNews | None
 
 
+class Learned(msgspec.Struct, frozen=True, array_like=True):
+    """What a gateway has learned from servers' answers, for all gateways.
+
+    :ivar crashes: requests that crash servers, if any are known
+    :ivar limits: that servers have named
+    """
+
+    crashes: crash_suspects.CrashNews | None = None
+    limits: list[server_limits.LimitNews] = []
+
+
+NOTHING_LEARNED = Learned()
+
+
 class Message(msgspec.Struct, frozen=True, array_like=True):
     """What one gateway tells another.
 
     :ivar address: at which the sender receives messages
     :ivar zone_news: only in messages to the sender's own zone
-    :ivar crashes: requests that crash servers, if any are known
     """
 
     sender: str
@@ -76,7 +90,7 @@
     address: str
     loads: list[SourceLoad]
     zone_news: ZoneNews | None = None
-    crashes: crash_suspects.CrashNews | None = None
+    learned: Learned = NOTHING_LEARNED
 
 
 @dataclasses.dataclass(slots=True)
@@ -133,6 +147,20 @@
         earlier = [n for n in self.alive_neighbours() if n < self._own.name]
         return len(earlier) < WATCHERS_PER_ZONE
 
+    def known_gateways(self) -> list[str]:
+        """Return the other gateways that may be running.
+
+        Of those in this zone, if any is heard, only the ones heard lately.
+        """
+        alive = set(self.alive_neighbours())
+        return [
+            name
+            for name, peer in self._peer_by_name.items()
+            if not alive
+            or name in alive
+            or peer.gateway.zone != self._own.zone
+        ]
+
     def alive_neighbours(self) -> list[str]:
         """Return the gateways of this zone that were heard lately."""
         return [
@@ -211,28 +239,26 @@
         self,
         own_load: loads.LoadByServer,
         zone_news: Callable[[], ZoneNews | None] = lambda: None,
-        crash_news: Callable[[], crash_suspects.CrashNews | None] = lambda: (
-            None
-        ),
+        learned: Callable[[], Learned] = lambda: NOTHING_LEARNED,
     ) -> list[tuple[ids.Address, Message]]:
         """Return the messages that are due now, with their receivers.
 
         :param zone_news: called if the messages to this zone are due
-        :param crash_news: called if any messages are due
+        :param learned: called if any messages are due
         """
         now = self._now()
         found = []
         if now >= self._next_local_at:
-            found += self._local_messages(own_load, zone_news(), crash_news())
+            found += self._local_messages(own_load, zone_news(), learned())
         if now >= self._next_remote_at:
-            found += self._remote_messages(own_load, crash_news)
+            found += self._remote_messages(own_load, learned)
         return found
 
     def _local_messages(
         self,
         own_load: loads.LoadByServer,
         zone_news: ZoneNews | None,
-        crash_news: crash_suspects.CrashNews | None,
+        learned: Learned,
     ) -> list[tuple[ids.Address, Message]]:
         neighbours = [
             peer
@@ -249,7 +275,7 @@
                 *self._relayed.values(),
             ],
             zone_news,
-            crash_news,
+            learned,
         )
         self._relayed = {}
         return [
@@ -275,7 +301,7 @@
     def _remote_messages(
         self,
         own_load: loads.LoadByServer,
-        crash_news: Callable[[], crash_suspects.CrashNews | None],
+        learned: Callable[[], Learned],
     ) -> list[tuple[ids.Address, Message]]:
         """Return a message to the next zone if this gateway speaks for its."""
         peers_by_zone: dict[ids.ZoneId, list[_Peer]] = {}
@@ -301,7 +327,7 @@
         )
         message = self._message(
             [SourceLoad(zone_source(self._own.zone), total)],
-            crash_news=crash_news(),
+            learned=learned(),
         )
         return [(self._rng.choice(receivers).gateway.address, message)]
 
@@ -309,7 +335,7 @@
         self,
         source_loads: list[SourceLoad],
         zone_news: ZoneNews | None = None,
-        crash_news: crash_suspects.CrashNews | None = None,
+        learned: Learned = NOTHING_LEARNED,
     ) -> Message:
         return Message(
             self._own.name,
@@ -317,5 +343,5 @@
             self._own.address,
             source_loads,
             zone_news,
-            crash_news,
+            learned,
         )
--- a/libs/gateway/burdockmast/gateway/path_selector.py
+++ b/libs/gateway/burdockmast/gateway/path_selector.py
@@ -18,6 +18,7 @@
 from burdockmast.gateway import neighbours
 from burdockmast.gateway import paths
 from burdockmast.gateway import reports
+from burdockmast.gateway import server_limits
 from burdockmast.gateway import view
 from burdockmast.limits import queues
 
@@ -25,6 +26,8 @@
 
 # Retry-After for callers whose request finds no path.
 RETRY_AFTER_SECONDS = 0.3
+# The same while servers name limits: another gateway may have room.
+MAX_LIMIT_RETRY_AFTER_SECONDS = 0.5
 # Longest wait for a path, counted from the request's arrival. Callers
 # disconnect after 2 s without an event, and the first event takes some tenths
 # of a second.
@@ -48,6 +51,7 @@
         others: neighbours.Neighbours,
         zone: ids.ZoneId,
         rng: random.Random,
+        limits: server_limits.ServerLimits,
         now: Callable[[], float] = timers.now,
     ):
         """Create a selector with an empty queue.
@@ -62,6 +66,7 @@
         self._others = others
         self._zone = zone
         self._rng = rng
+        self._limits = limits
         self._queue = queues.FairQueue(MAX_QUEUED_REQUESTS)
         self._links = links.ZoneLinks(now)
 
@@ -117,6 +122,9 @@
             until = job.arrived_at + MAX_QUEUE_SECONDS
         until = min(until, job.deadline)
         while not path and self._is_covered(job):
+            failure = self._limit_failure(job, until)
+            if failure:
+                return failure
             waiter = queues.Waiter(job.organisation, -job.priority, 1.0)
             refusal = self._queue.wait(waiter, until - timers.now())
             if refusal:
@@ -207,10 +215,17 @@
                 return memory.informed_cost_factor(share, reported, has_begun)
             return memory.cost_factor(share, self.gateway_count, reported)
 
-        exclusions = [failed, ()]
+        limited = [
+            server.id
+            for server in self._first_servers(job, ())
+            if not self._limits.has_room(server)
+        ]
+        exclusions = [[*failed, *limited], limited]
         if is_isolated:
-            crowded = self._crowded_first_servers(job, failed, load_by_server)
-            exclusions.insert(0, [*failed, *crowded])
+            crowded = self._crowded_first_servers(
+                job, exclusions[0], load_by_server
+            )
+            exclusions.insert(0, [*failed, *limited, *crowded])
         for excluded in exclusions:
             path = paths.cheapest(
                 engine,
@@ -240,11 +255,7 @@
         It is one of the less loaded half, so that not all gateways choose the
         same for requests that each of them keeps apart.
         """
-        first = [
-            server.id
-            for server in self._view.usable(job.service.id, failed)
-            if server.layers and server.layers.first == 0
-        ]
+        first = [server.id for server in self._first_servers(job, failed)]
         if not first:
             return []
         self._rng.shuffle(first)
@@ -252,6 +263,37 @@
         chosen = self._rng.choice(first[: (len(first) + 1) // 2])
         return [server for server in first if server != chosen]
 
+    def _first_servers(
+        self, job: jobs.Job, excluded: Collection[ids.ServerId]
+    ) -> list[backends.BackendServer]:
+        """Return the servers at which paths can begin."""
+        return [
+            server
+            for server in self._view.usable(job.service.id, excluded)
+            if server.layers and server.layers.first == 0
+        ]
+
+    def _limit_failure(
+        self, job: jobs.Job, until: float
+    ) -> failures.Failure | None:
+        """Return a failure if all first servers are at limits for too long.
+
+        :param until: monotonic seconds up to which the request may wait
+        """
+        waits = [
+            self._limits.seconds_until_room(server)
+            for server in self._first_servers(job, ())
+        ]
+        if not waits or timers.now() + min(waits) < until:
+            return None
+        return failures.Failure(
+            failures.Reason.OVERLOADED,
+            'stream.limit',
+            detail=f'servers of {job.service.id} accept no more requests a '
+            'second',
+            retry_after=min(*waits, MAX_LIMIT_RETRY_AFTER_SECONDS),
+        )
+
     def _request_size(
         self, job: jobs.Job, engine: config.Engine
     ) -> paths.RequestSize:
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -122,7 +122,9 @@
         )
         usage = memory.Usage()
         self._suspects = crash_suspects.CrashSuspects()
-        self._limits = server_limits.ServerLimits()
+        self._limits = server_limits.ServerLimits(
+            gateway_settings.instance, self._neighbours.known_gateways, rng
+        )
         server_reports = reports.ServerReports(
             self.view, platform.engines, rng
         )
@@ -134,6 +136,7 @@
             self._neighbours,
             gateway_settings.zone,
             rng,
+            self._limits,
         )
         self._neighbour_link = neighbour_link.NeighbourLink(
             gateway_settings.neighbours_address,
@@ -148,6 +151,7 @@
                 },
             ),
             self._suspects,
+            self._limits,
         )
         self.application = wsgi.Application(
             self.view,
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -277,7 +277,7 @@
             min(9, job.priority),
         )
         headers = self._header_codec.backend_headers(job.request, attempt)
-        self._limits.record_sent(exchange.server.id)
+        self._limits.record_sent(exchange.server)
         failure = exchange.send(job.request, headers)
         if failure:
             return failure
@@ -297,7 +297,7 @@
         if isinstance(head, failures.Failure):
             return head
         self._limits.record_answer(
-            exchange.server.id, head.metadata.limit, job.id
+            exchange.server, head.metadata.limit, job.id
         )
         self._suspects.record_head(progress.tracked)
         if head.metadata.is_not_run:
--- a/libs/model/burdockmast/model/play.py
+++ b/libs/model/burdockmast/model/play.py
@@ -13,6 +13,7 @@
 from burdockmast.gateway import memory
 from burdockmast.gateway import neighbours
 from burdockmast.gateway import path_selector
+from burdockmast.gateway import server_limits
 from burdockmast.model import engines
 from burdockmast.model import events
 
@@ -153,6 +154,9 @@
             self.neighbours,
             record.zone,
             rng,
+            server_limits.ServerLimits(
+                record.name, self.neighbours.known_gateways, rng, clock
+            ),
             clock,
         )
 
--- a/tests/test_gateway_links.py
+++ b/tests/test_gateway_links.py
@@ -18,6 +18,7 @@
 from burdockmast.gateway import neighbours
 from burdockmast.gateway import path_selector
 from burdockmast.gateway import paths
+from burdockmast.gateway import server_limits
 
 # Length and rate of the simulated burst.
 BURST_SECONDS = 4.0
@@ -84,6 +85,7 @@
         unheard,
         zone,
         rng,
+        server_limits.ServerLimits(f'gateway-{seed}', list, rng),
         lambda: timers.now(),
     )
     created.gateway_count = gateways
--- a/tests/test_gateway_neighbours.py
+++ b/tests/test_gateway_neighbours.py
@@ -16,6 +16,7 @@
 from burdockmast.gateway import neighbours
 from burdockmast.gateway import relays
 from burdockmast.gateway import reports
+from burdockmast.gateway import server_limits
 
 TICK_SECONDS = 0.05
 
@@ -249,6 +250,7 @@
             reports.ServerReports(None, None, random.Random(1)),
             relays.Relay(record.name, {}),
             crash_suspects.CrashSuspects(),
+            server_limits.ServerLimits(record.name, list, random.Random(1)),
         )
         link.start()
         created.append((known, usage, link))
--- a/tests/test_gateway_server_limits.py
+++ b/tests/test_gateway_server_limits.py
@@ -1,6 +1,15 @@
 """Requests to servers that name a limit in their answers."""
 
+import dataclasses
+import functools
+import itertools
+import random
+
 import eventlet
+import pytest
+
+from burdockmast.gateway import backends
+from burdockmast.gateway import server_limits
 
 # The operators' rule: in some seconds a server gets at most so many times what
 # its limit allows, and some requests more.
@@ -40,3 +49,158 @@
         assert platform.ask(f'/draft/{number}')[0] == 200
     received = [seen.at for seen in limited.requests]
     assert most_in_a_window(received) <= allowed(limited.limit)
+
+
+class Clock:
+    def __init__(self):
+        self.now = 1000.0
+
+    def __call__(self):
+        return self.now
+
+
+@pytest.fixture
+def time():
+    return Clock()
+
+
+SERVER = backends.BackendServer(
+    'i-1', 'llm', 'h:1', 'a', True, backends.NO_LAYERS, '', 1, 1
+)
+RESTARTED = dataclasses.replace(SERVER, started_ms=2)
+
+
+def limits_of(count, time):
+    names = [f'gateway-{number}' for number in range(count)]
+    return [
+        server_limits.ServerLimits(
+            name, lambda: names, random.Random(number), time
+        )
+        for number, name in enumerate(names)
+    ]
+
+
+@pytest.fixture
+def alone(time):
+    (found,) = limits_of(1, time)
+    return found
+
+
+@pytest.mark.parametrize('limit', [0.0, 0.3, 1.0, 2.5, 15.0, 200.0])
+@pytest.mark.parametrize('count', [1, 4, 29, 68])
+def test_gateways_together_keep_to_a_limit(count, limit, time):
+    """All have requests at any moment, and none hears from another."""
+    gateways = limits_of(count, time)
+    for gateway in gateways:
+        gateway.record_answer(SERVER, limit, 'r')
+    sent = []
+    while time.now < 1020.0:
+        time.now += 0.02
+        for gateway in gateways:
+            while gateway.has_room(SERVER):
+                gateway.record_sent(SERVER)
+                gateway.record_answer(SERVER, limit, 'r')
+                sent.append(time.now)
+    assert most_in_a_window(sent) <= allowed(limit)
+    if limit >= 1.0:
+        assert len(sent) >= 0.8 * limit * 20.0
+
+
+@pytest.mark.parametrize('count', [4, 68])
+def test_a_rush_after_a_calm_keeps_to_a_limit(count, time):
+    gateways = limits_of(count, time)
+    for gateway in gateways:
+        gateway.record_answer(SERVER, 1.0, 'r')
+    time.now += 20.0
+    for gateway in gateways:
+        gateway.record_answer(SERVER, 1.0, 'r')
+    sent = []
+    for gateway in gateways:
+        while gateway.has_room(SERVER):
+            gateway.record_sent(SERVER)
+            sent.append(time.now)
+    assert 0 < len(sent) <= allowed(1.0)
+
+
+def test_gateways_that_know_different_neighbours_keep_to_a_limit(time):
+    """One has just started, some don't hear a zone, some are gone."""
+    rng = random.Random(3)
+    names = [f'gateway-{number}' for number in range(29)]
+    gateways = [
+        server_limits.ServerLimits(
+            name,
+            functools.partial(tuple, rng.sample(names, 25)),
+            random.Random(number),
+            time,
+        )
+        for number, name in enumerate(names)
+    ]
+    for gateway in gateways:
+        gateway.record_answer(SERVER, 2.0, 'r')
+    sent = []
+    while time.now < 1020.0:
+        time.now += 0.01
+        for gateway in gateways:
+            if gateway.has_room(SERVER):
+                gateway.record_sent(SERVER)
+                sent.append(time.now)
+    assert most_in_a_window(sent) <= allowed(2.0)
+
+
+def test_a_limit_is_told_and_ends_for_all(time):
+    first, second = limits_of(2, time)
+    first.record_answer(SERVER, 0.5, 'r')
+    time.now += 0.2
+    second.receive(first.news(), 'first')
+    assert second.news() == first.news()
+    first.record_answer(SERVER, None, 'r')
+    time.now += 0.2
+    first.receive(second.news(), 'second')
+    second.receive(first.news(), 'first')
+    for gateway in (first, second):
+        assert gateway.has_room(SERVER)
+        gateway.record_sent(SERVER)
+        assert gateway.has_room(SERVER)
+
+
+def test_a_server_that_started_again_has_no_limit(alone, time):
+    alone.record_answer(SERVER, 0.0, 'r')
+    for _ in range(20):
+        alone.record_sent(SERVER)
+    assert not alone.has_room(SERVER)
+    assert alone.has_room(RESTARTED)
+
+
+def test_a_limit_that_nobody_hears_again_lapses(alone, time):
+    alone.record_answer(SERVER, 0.0, 'r')
+    for _ in range(20):
+        alone.record_sent(SERVER)
+    time.now += server_limits.LIMIT_TTL_SECONDS + 0.1
+    assert alone.has_room(SERVER)
+    assert alone.news() == []
+
+
+def test_each_gateway_is_told_the_wait_until_its_next_request(time):
+    gateways = limits_of(29, time)
+    waits = []
+    for gateway in gateways:
+        gateway.record_answer(SERVER, 1.0, 'r')
+        while gateway.has_room(SERVER):
+            gateway.record_sent(SERVER)
+        waits.append(gateway.seconds_until_room(SERVER))
+    senders = [wait for wait in waits if wait != float('inf')]
+    assert 1 <= len(senders) < len(gateways)
+    assert all(0 < wait <= 1 / server_limits.MIN_RATE for wait in senders)
+
+
+def test_changing_limits_grant_no_more(alone, time):
+    """A server that names another limit in each answer."""
+    sent = []
+    values = itertools.cycle([1.0, 1.1, 0.9])
+    while time.now < 1020.0:
+        time.now += 0.01
+        if alone.has_room(SERVER):
+            alone.record_sent(SERVER)
+            alone.record_answer(SERVER, next(values), 'r')
+            sent.append(time.now)
+    assert most_in_a_window(sent) <= allowed(1.0)
