Give each test process its own addresses for datagrams

Tests of the link between gateways failed in 2 to 4 of 25 cases when several workers ran the file at the same time (Address already in use): all bound the same two addresses. Ruled out: the fixture leaving sockets open, since it passes with one worker. Addresses are made of the process's id now, as for fleets.

--- a/tests/test_gateway_neighbours.py
+++ b/tests/test_gateway_neighbours.py
@@ -1,7 +1,7 @@
 """Gateways know the load of all others, with few messages."""
 
 import collections
-import itertools
+import os
 import random
 
 import eventlet
@@ -233,10 +233,11 @@
 @pytest.fixture
 def linked():
     """Two gateways with real sockets on the loopback interface."""
-    ports = itertools.count(7400)
+    process = os.getpid() % 60000
+    host = f'127.91.{process // 250}.{process % 250 + 1}'
     records = [
-        interfaces.GatewayRecord(f'a-{n}', 'a', f'127.0.91.{n + 1}:{port}')
-        for n, port in zip(range(2), ports, strict=False)
+        interfaces.GatewayRecord(f'a-{n}', 'a', f'{host}:{7400 + n}')
+        for n in range(2)
     ]
     created = []
     for record in records:
