Take a reply whose head is cut off for broken

What callers see: a server that stops in the middle of its head and closes gave them a 200 with an empty body, framed as whole; a head cut after the header that says so was believed not to have run.

Cause: the HTTP client takes the end of a connection for the end of the head.

Change: a reply is no answer if the connection ended before its head did; its outcome is unknown.

By reading, the side process's calls of plain services have the same fault (not shown by a test, open).

--- a/libs/gateway/burdockmast/gateway/upstream.py
+++ b/libs/gateway/burdockmast/gateway/upstream.py
@@ -73,6 +73,7 @@
 
     :ivar deadline: monotonic seconds until which reads may go on
     :ivar bytes_left: that may still be received
+    :ivar has_ended: the server has closed the connection
     :ivar should_keep_waiting: called after the deadline; if it returns true,
         reads go on. ``TimeoutError`` is not raised in that case, because after
         an error the response can't be read any further.
@@ -80,6 +81,7 @@
 
     deadline: float = math.inf
     bytes_left: int = MAX_BYTES_PER_READ
+    has_ended: bool = False
     should_keep_waiting: Callable[[], bool] | None = None
     _immediate_reads: int = 0
 
@@ -102,6 +104,7 @@
                 self._wait()
                 continue
             self.bytes_left -= received
+            self.has_ended = received == 0
             self._let_others_run()
             return received
 
@@ -222,6 +225,14 @@
             )
         except CONNECTION_ERRORS as error:
             return self._failure('head', outcomes.Outcome.UNKNOWN, error)
+        if self._sock.has_ended:
+            # The HTTP client takes the end of the connection for the end of
+            # the head, which would make a part of it look whole.
+            return self._failure(
+                'head',
+                outcomes.Outcome.UNKNOWN,
+                'the connection ended inside the head',
+            )
         headers = list(self._response.headers.items())
         metadata = header_codec.read_reply(headers)
         if metadata.request and metadata.request != request:
--- a/tests/test_gateway_upstream.py
+++ b/tests/test_gateway_upstream.py
@@ -295,3 +295,26 @@
     finally:
         task.kill()
     assert len(turns) > 10
+
+
+WHOLE_HEAD = HEAD + b'Content-Length: 4\r\nBurdockmast-Not-Executed: 1\r\n\r\n'
+
+
+@pytest.mark.parametrize('length', range(0, len(WHOLE_HEAD), 3))
+def test_a_head_that_is_cut_off_is_no_answer(exchange, length):
+    found, _ = exchange(WHOLE_HEAD[:length])
+    head = read_head(found)
+    assert isinstance(head, failures.Failure)
+    assert head.outcome is outcomes.Outcome.UNKNOWN
+
+
+def test_a_whole_head_before_the_end_of_a_connection_is_an_answer(exchange):
+    found, _ = exchange(WHOLE_HEAD)
+    assert read_head(found).metadata.is_not_run
+
+
+def test_a_refusal_of_another_request_is_not_believed(exchange):
+    found, _ = exchange(WHOLE_HEAD.replace(b'Id: r1', b'Id: r0'))
+    head = read_head(found)
+    assert isinstance(head, failures.Failure)
+    assert head.outcome is outcomes.Outcome.UNKNOWN
