--- a/libs/platform/burdockmast/platform/standin.py
+++ b/libs/platform/burdockmast/platform/standin.py
@@ -5,6 +5,7 @@
 """
 
 import collections
+from collections.abc import Callable
 import contextlib
 import dataclasses
 import itertools
@@ -50,6 +51,7 @@
         410, as their history is gone
     :ivar break_next_stream_after: number of events after which the next
         stream of any engine breaks off, or None
+    :ivar on_stream_break: called when it does
     :ivar calls: number of calls by method and kind
     """
 
@@ -58,6 +60,7 @@
         self.is_down = False
         self.oldest_watchable_revision = 0
         self.break_next_stream_after: int | None = None
+        self.on_stream_break: Callable[[], None] = lambda: None
         self.revision = 1
         self.calls: collections.Counter[str] = collections.Counter()
         self.objects_by_kind: dict[str, dict[str, dict]] = (
@@ -191,6 +194,7 @@
     :ivar is_silent: accept requests and reply only after a minute
     :ivar is_unframed: streams have neither a length nor chunks, and end with
         their connection
+    :ivar error_text: body of the error with which it replies, or empty
     :ivar limit: requests a second that it names in its answers, or None
     :ivar crashes_on: part of a prompt, or path, whose requests end the
         server's process when they begin
@@ -206,6 +210,7 @@
         self.pause_seconds = 0.0
         self.is_silent = False
         self.is_unframed = False
+        self.error_text = ''
         self.limit: float | None = None
         self.crashes_on = ''
         self.crash_count = 0
@@ -306,6 +311,8 @@
                 [(headers.NOT_RUN, '1'), ('Content-Length', '0')],
             )
             return [b'']
+        if self.error_text:
+            return _respond(start_response, 500, self.error_text)
         if self.is_unsigned:
             return _respond(start_response, 200, 'unsigned')
         reply_headers = [
@@ -358,6 +365,7 @@
             if number > self.event_count:
                 return
             if sent_count == break_after_events:
+                self._metadata_store.on_stream_break()
                 yield b'id: 99'
                 raise ConnectionError('stream broken off by the test')
             if number == self.pause_before_event:
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -1,5 +1,6 @@
 """A gateway process on a stand-in for the platform."""
 
+import http.client
 import signal
 
 import eventlet
@@ -34,6 +35,26 @@
     assert sorted(resumed, key=str) == ['2', None]
 
 
+@pytest.mark.parametrize(
+    ('attribute', 'value'),
+    [('error_text', 'no such weights'), ('is_unsigned', True)],
+)
+def test_no_error_gets_into_a_stream_that_broke_off(
+    platform, attribute, value
+):
+    """The next server replies with an error, or without a signature."""
+
+    def fail_from_now_on():
+        for engine in platform.engines:
+            setattr(engine, attribute, value)
+
+    platform.store.break_next_stream_after = 2
+    platform.store.on_stream_break = fail_from_now_on
+    with pytest.raises(http.client.IncompleteRead) as raised:
+        platform.ask('/draft/x')
+    assert raised.value.partial == platforms.events(1, 2)
+
+
 @pytest.mark.parametrize('path', ['/draft/x', '/draft/once/x'])
 def test_a_stream_that_ends_with_its_connection_is_complete(platform, path):
     for engine in platform.engines:
