--- a/libs/bench/burdockmast/bench/program.py
+++ b/libs/bench/burdockmast/bench/program.py
@@ -17,6 +17,7 @@
 from burdockmast.bench import capacity  # noqa: E402
 from burdockmast.bench import demo  # noqa: E402
 from burdockmast.bench import experiments  # noqa: E402
+from burdockmast.bench import gateway_soak  # noqa: E402
 from burdockmast.bench import loading  # noqa: E402
 from burdockmast.bench import loads  # noqa: E402
 from burdockmast.bench import measures  # noqa: E402
@@ -202,6 +203,22 @@
     raise SystemExit(int(is_broken))
 
 
+@main.command('gateway-soak')
+@click.option('--seed', default=1, help='First seed.')
+@click.option('--count', default=1, help='Seeds to play, one after another.')
+@click.option('--keep', type=FILE, help='Folder for logs of broken promises.')
+def run_gateway_soak(seed: int, count: int, keep: pathlib.Path | None) -> None:
+    """Play random faults on gateways; exit with 1 if a promise is broken."""
+    is_broken = False
+    for number in range(seed, seed + count):
+        report = gateway_soak.play(number, keep)
+        click.echo(f'seed {number}: {dict(report.statuses)}')
+        for line in report.violations:
+            is_broken = True
+            click.echo(f'  broken: {line}; faults: {report.faults}')
+    raise SystemExit(int(is_broken))
+
+
 @main.command('capacity')
 @click.argument('measured', type=FILE)
 @click.argument('page', type=FILE)
--- a/libs/platform/burdockmast/platform/standin.py
+++ b/libs/platform/burdockmast/platform/standin.py
@@ -198,7 +198,7 @@
     :ivar limit: requests a second that it names in its answers, or None
     :ivar crashes_on: part of a prompt, or path, whose requests end the
         server's process when they begin
-    :ivar crash_count: how often it has crashed
+    :ivar crashed_at: monotonic seconds of its crashes
     """
 
     def __init__(self, host: str, metadata_store: MetadataStore, entry: dict):
@@ -213,7 +213,7 @@
         self.error_text = ''
         self.limit: float | None = None
         self.crashes_on = ''
-        self.crash_count = 0
+        self.crashed_at: list[float] = []
         self._connections: set[socket.socket] = set()
         self.requests: list[ReceivedRequest] = []
         self.orders: list[dict] = []
@@ -242,7 +242,7 @@
 
     def crash(self) -> None:
         """End all connections and refuse new ones for some time."""
-        self.crash_count += 1
+        self.crashed_at.append(timers.now())
         self._server.kill()
         self._sock.close()
         for connection in self._connections:
@@ -252,7 +252,7 @@
 
     def _restart(self) -> None:
         self._listen()
-        self.update_entry(born=1000 + self.crash_count)
+        self.update_entry(born=1000 + len(self.crashed_at))
 
     def update_entry(self, **changes: object) -> None:
         """Write the server's entry with changed fields."""
