Go on accusing parts that crash servers before any head

Cause: if a server had just begun to answer some request, requests that it had not begun were cleared of its crash for good, also after the answered one turned out to be sound. A part that ends servers before they send a head was cleared by whatever had just begun there.

Change: they are cleared only while a request that was answered is still accused.

--- a/libs/gateway/burdockmast/gateway/crash_suspects.py
+++ b/libs/gateway/burdockmast/gateway/crash_suspects.py
@@ -153,8 +153,8 @@
         self._sound_at: dict[ids.Fingerprint, float] = {}
         self._heard_at: dict[ids.Fingerprint, float] = {}
         self._running: dict[ids.Fingerprint, set[Attempt]] = {}
-        # Crashes at which a server had begun to answer an accused request.
-        self._answering_at: dict[str, float] = {}
+        # By crash, fingerprints of requests that servers just began to answer.
+        self._answering: dict[str, set[ids.Fingerprint]] = {}
 
     def track(
         self,
@@ -215,8 +215,8 @@
         if name not in crashes or crash.was_answering:
             crashes[name] = crash
         if crash.was_answering:
-            self._answering_at[name] = crash.at
-            self._limit(self._answering_at)
+            self._answering.setdefault(name, set()).add(fingerprint)
+            self._limit(self._answering)
         self._heard_at[fingerprint] = self._now()
         if len(crashes) > MAX_CRASHES:
             del crashes[min(crashes, key=lambda n: crashes[n].at)]
@@ -238,12 +238,23 @@
     def _open_crashes(self, fingerprint: ids.Fingerprint) -> dict[str, _Crash]:
         """Return the crashes since which no such request ran well.
 
-        Crashes while servers answered other requests are left out.
+        Those are left out of which a request is accused that the server had
+        just begun to answer, if this one only waited there.
         """
         crashes = self._crashes.get(fingerprint)
         if not crashes:
             return {}
-        sound_at = max(
+        sound_at = self._last_sound_at(fingerprint)
+        return {
+            name: crash
+            for name, crash in crashes.items()
+            if crash.at > sound_at
+            and (crash.was_answering or not self._has_answered_cause(name))
+        }
+
+    def _last_sound_at(self, fingerprint: ids.Fingerprint) -> float:
+        """Return when a request began that ran well; older crashes expire."""
+        return max(
             self._sound_at.get(fingerprint, float('-inf')),
             self._now() - ACCUSATION_TTL_SECONDS,
             *(
@@ -252,12 +263,14 @@
                 if attempt.begun_at is not None
             ),
         )
-        return {
-            name: crash
-            for name, crash in crashes.items()
-            if crash.at > sound_at
-            and (crash.was_answering or name not in self._answering_at)
-        }
+
+    def _has_answered_cause(self, name: str) -> bool:
+        """Return whether a request that was answered is still accused."""
+        for fingerprint in self._answering.get(name, ()):
+            crash = self._crashes.get(fingerprint, {}).get(name)
+            if crash and crash.at > self._last_sound_at(fingerprint):
+                return True
+        return False
 
     def count(self, fingerprint: ids.Fingerprint) -> int:
         """Return the number of crashes in a row."""
--- a/tests/test_gateway_crash_suspects.py
+++ b/tests/test_gateway_crash_suspects.py
@@ -109,6 +109,20 @@
     assert suspects.judge(['deadly']) is Verdict.REJECT
 
 
+def test_a_part_that_crashes_servers_before_any_head_is_learned(
+    suspects, time
+):
+    """Others had just begun at each of the servers, and run well elsewhere."""
+    for number in range(3):
+        begun = suspects.track((f'begun {number}',), server(number))
+        suspects.record_head(begun)
+        crash(suspects, time, number, 'deadly', is_answering=False)
+        suspects.record_crash(begun)
+        suspects.untrack(begun)
+        run_well(suspects, time, f'begun {number}')
+    assert suspects.judge(['deadly']) is Verdict.REJECT
+
+
 def test_crashes_before_any_head_are_learned_too(suspects, time):
     for number in range(3):
         crash(suspects, time, number, 'deadly', is_answering=False)
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -8,7 +8,9 @@
 from burdockmast.platform import standin
 
 # Seeds that ever failed stay here, with a line on the cause.
-REGRESSIONS = {1: 'the first seed of all; it never failed'}
+REGRESSIONS = {
+    115: 'a part that crashed servers before any head was cleared by others',
+}
 
 
 class Server:
