Keep to limits with streams of plain services, and ignore odd news

What servers saw: a stream route on a plain service chose its server before the limits were asked. A message with a limit that is no number, or an age that is negative, was kept for ever and could fail each request to that server.

Change: such streams ask the limits too; news that make no sense are ignored. Evidence: both tests failed before (the plain stream, and all four odd messages).

--- a/libs/gateway/burdockmast/gateway/path_selector.py
+++ b/libs/gateway/burdockmast/gateway/path_selector.py
@@ -195,7 +195,11 @@
         """
         engine = job.service.engine
         if engine is None:
-            servers = self._view.usable(job.service.id, failed)
+            servers = [
+                server
+                for server in self._view.usable(job.service.id, failed)
+                if self._limits.has_room(server)
+            ]
             return tuple(backends.Stage(s, 0, 0) for s in servers[:1])
         size = self._request_size(job, engine)
         is_informed = self._others.is_informed
--- a/libs/gateway/burdockmast/gateway/server_limits.py
+++ b/libs/gateway/burdockmast/gateway/server_limits.py
@@ -234,7 +234,9 @@
         """Take over what another gateway has heard later."""
         now = self._now()
         for told in news:
-            heard_at = now - max(0.0, told.age)
+            if not (told.age >= 0 and (told.limit is None or told.limit >= 0)):
+                continue
+            heard_at = now - told.age
             known = self._heard_by_server.get(told.server)
             if known is not None and (
                 told.started_ms < known.started_ms
--- a/tests/test_gateway_server_limits.py
+++ b/tests/test_gateway_server_limits.py
@@ -4,11 +4,14 @@
 import functools
 import itertools
 import random
+import types
 
 import eventlet
 import pytest
 
 from burdockmast.gateway import backends
+from burdockmast.gateway import config
+from burdockmast.gateway import path_selector
 from burdockmast.gateway import server_limits
 
 # The operators' rule: in some seconds a server gets at most so many times what
@@ -163,6 +166,34 @@
         assert gateway.has_room(SERVER)
 
 
+@pytest.mark.parametrize(
+    ('limit', 'age'),
+    [(float('nan'), 0.0), (-1.0, 0.0), (1.0, float('nan')), (1.0, -3.0)],
+)
+def test_odd_news_of_a_limit_is_ignored(alone, limit, age):
+    alone.receive([server_limits.LimitNews('i-1', 1, limit, age)], 'other')
+    assert alone.news() == []
+    assert alone.has_room(SERVER)
+
+
+def test_a_stream_of_a_plain_service_keeps_to_a_limit(time, alone):
+    alone.record_answer(SERVER, 0.0, 'r')
+    for _ in range(20):
+        alone.record_sent(SERVER)
+    selector = path_selector.PathSelector(
+        types.SimpleNamespace(usable=lambda service, excluded: [SERVER]),
+        None,
+        None,
+        None,
+        'a',
+        random.Random(1),
+        alone,
+        time,
+    )
+    job = types.SimpleNamespace(service=config.Service('llm', None))
+    assert selector.find_path(job, ()) == ()
+
+
 def test_a_server_that_started_again_has_no_limit(alone, time):
     alone.record_answer(SERVER, 0.0, 'r')
     for _ in range(20):
