Send no requests to servers that say they leave or want rest

What servers saw: a server that said in its answers that it leaves, while its entry in the store said ready, went on getting requests (10 and 15 of 20); one that refused with Retry-After got 17 of 30 calls within that time.

Cause: neither header was read.

--- a/libs/gateway/burdockmast/gateway/calls.py
+++ b/libs/gateway/burdockmast/gateway/calls.py
@@ -212,8 +212,8 @@
         head = exchange.read_head(job.id, job.deadline, self._header_codec)
         if isinstance(head, failures.Failure):
             return head
-        self._limits.record_answer(
-            exchange.server, head.metadata.limit, job.id
+        self._limits.record_reply(
+            exchange.server, head.metadata, head.status, job.id
         )
         if head.metadata.is_not_run:
             return exchange.refusal(head, RETRY_AFTER_SECONDS)
--- a/libs/gateway/burdockmast/gateway/interfaces.py
+++ b/libs/gateway/burdockmast/gateway/interfaces.py
@@ -139,6 +139,9 @@
         server itself sent
     :ivar limit: requests a second that the server accepts from all gateways
         together, None if it names no limit
+    :ivar rest_seconds: for which the server wants no requests from this
+        gateway, None if it doesn't say
+    :ivar is_leaving: the server is about to end
     """
 
     request: str
@@ -147,6 +150,8 @@
     refused_by: ids.Address
     is_encoded: bool
     limit: float | None = None
+    rest_seconds: float | None = None
+    is_leaving: bool = False
 
 
 class HeaderCodec(Protocol):
--- a/libs/gateway/burdockmast/gateway/neighbour_link.py
+++ b/libs/gateway/burdockmast/gateway/neighbour_link.py
@@ -73,7 +73,11 @@
             self.send(address, data)
 
     def _learned(self) -> neighbours.Learned:
-        return neighbours.Learned(self._suspects.news(), self._limits.news())
+        return neighbours.Learned(
+            self._suspects.news(),
+            self._limits.news(),
+            self._limits.leaving_news(),
+        )
 
     def _zone_news(self) -> neighbours.ZoneNews:
         store = None
@@ -114,6 +118,7 @@
         if message.learned.crashes is not None:
             self._suspects.receive(message.learned.crashes)
         self._limits.receive(message.learned.limits, message.sender)
+        self._limits.receive_leaving(message.learned.leaving, message.sender)
         news = message.zone_news
         if news is None or not self._neighbours.is_neighbour(message.sender):
             return
--- a/libs/gateway/burdockmast/gateway/neighbours.py
+++ b/libs/gateway/burdockmast/gateway/neighbours.py
@@ -69,10 +69,12 @@
 
     :ivar crashes: requests that crash servers, if any are known
     :ivar limits: that servers have named
+    :ivar leaving: servers that have said that they leave
     """
 
     crashes: crash_suspects.CrashNews | None = None
     limits: list[server_limits.LimitNews] = []
+    leaving: list[server_limits.LeavingNews] = []
 
 
 NOTHING_LEARNED = Learned()
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -296,8 +296,8 @@
         )
         if isinstance(head, failures.Failure):
             return head
-        self._limits.record_answer(
-            exchange.server, head.metadata.limit, job.id
+        self._limits.record_reply(
+            exchange.server, head.metadata, head.status, job.id
         )
         self._suspects.record_head(progress.tracked)
         if head.metadata.is_not_run:
--- a/libs/platform/burdockmast/platform/headers.py
+++ b/libs/platform/burdockmast/platform/headers.py
@@ -32,6 +32,10 @@
 NOT_RUN = 'Burdockmast-Not-Executed'
 # Requests a second that the server accepts from all gateways together.
 LIMIT = 'Server-Limit'
+# The server is about to end, if the value is 1.
+LEAVING = 'Server-Leaving'
+# In refusals: seconds for which a server wants no requests from this gateway.
+REST = 'Retry-After'
 # Address of the server that caused a refusal.
 REFUSED_BY = 'At-Server'
 
@@ -142,6 +146,8 @@
             refused_by=ids.Address(value_by_name.get(REFUSED_BY.lower(), '')),
             is_encoded='content-encoding' in value_by_name,
             limit=_parse_decimal(value_by_name.get(LIMIT.lower())),
+            rest_seconds=_parse_decimal(value_by_name.get(REST.lower())),
+            is_leaving=value_by_name.get(LEAVING.lower(), '').strip() == '1',
         )
 
     def caller_headers(
--- a/libs/platform/burdockmast/platform/standin.py
+++ b/libs/platform/burdockmast/platform/standin.py
@@ -195,6 +195,8 @@
     :ivar is_unframed: streams have neither a length nor chunks, and end with
         their connection
     :ivar error_text: body of the error with which it replies, or empty
+    :ivar rest_seconds: for which it wants no requests after a refusal
+    :ivar is_leaving: says in its answers that it leaves
     :ivar limit: requests a second that it names in its answers, or None
     :ivar crashes_on: part of a prompt, or path, whose requests end the
         server's process when they begin
@@ -211,6 +213,8 @@
         self.is_silent = False
         self.is_unframed = False
         self.error_text = ''
+        self.rest_seconds: float | None = None
+        self.is_leaving = False
         self.limit: float | None = None
         self.crashes_on = ''
         self.crashed_at: list[float] = []
@@ -306,10 +310,10 @@
         if self.is_silent:
             eventlet.sleep(60)
         if self.refuses:
-            start_response(
-                '503 Service Unavailable',
-                [(headers.NOT_RUN, '1'), ('Content-Length', '0')],
-            )
+            refusal = [(headers.NOT_RUN, '1'), ('Content-Length', '0')]
+            if self.rest_seconds is not None:
+                refusal.append(('Retry-After', str(self.rest_seconds)))
+            start_response('503 Service Unavailable', refusal)
             return [b'']
         if self.error_text:
             return _respond(start_response, 500, self.error_text)
@@ -319,6 +323,8 @@
             (headers.REQUEST_ID, request_id),
             (headers.SIGNATURE, f'seal-{self.id}'),
         ]
+        if self.is_leaving:
+            reply_headers.append(('Server-Leaving', '1'))
         if self.limit is not None:
             reply_headers.append((headers.LIMIT, str(self.limit)))
         if headers.TOKEN_COUNTS.lower() not in header_by_name:
--- a/tests/test_gateway_server_limits.py
+++ b/tests/test_gateway_server_limits.py
@@ -11,6 +11,7 @@
 
 from burdockmast.gateway import backends
 from burdockmast.gateway import config
+from burdockmast.gateway import interfaces
 from burdockmast.gateway import path_selector
 from burdockmast.gateway import server_limits
 
@@ -54,6 +55,37 @@
     assert most_in_a_window(received) <= allowed(limited.limit)
 
 
+def test_a_server_that_wants_rest_gets_no_calls_meanwhile(platform):
+    resting = platform.apps[0]
+    resting.refuses, resting.rest_seconds = True, 2.0
+    for _ in range(30):
+        assert platform.ask('/lookup/x', 'GET')[0] == 200
+        eventlet.sleep(0.02)
+    assert len(resting.requests) == 1
+    resting.refuses = False
+    platform.wait_for(
+        lambda: (
+            platform.ask('/lookup/x', 'GET')[0] == 200
+            and len(resting.requests) > 1
+        )
+    )
+    first, second = resting.requests[:2]
+    assert second.at - first.at >= resting.rest_seconds
+
+
+@pytest.mark.parametrize('path', ['/lookup/x', '/draft/x'])
+def test_a_server_that_says_it_leaves_gets_no_more_requests(platform, path):
+    """Also while its entry in the store says that it is ready."""
+    servers = platform.apps if 'lookup' in path else platform.engines
+    platform.ask(path)
+    leaving = next(server for server in servers if server.requests)
+    leaving.is_leaving = True
+    seen = len(leaving.requests)
+    for _ in range(20):
+        assert platform.ask(path)[0] == 200
+    assert len(leaving.requests) <= seen + 1
+
+
 class Clock:
     def __init__(self):
         self.now = 1000.0
@@ -235,3 +267,44 @@
             alone.record_answer(SERVER, next(values), 'r')
             sent.append(time.now)
     assert most_in_a_window(sent) <= allowed(1.0)
+
+
+def reply(**said):
+    return interfaces.ReplyMetadata('r', True, False, '', False, **said)
+
+
+def test_a_rest_binds_only_the_gateway_that_was_asked(time):
+    asked, other = limits_of(2, time)
+    asked.record_reply(SERVER, reply(rest_seconds=3.0), 503, 'r')
+    other.receive(asked.news(), 'asked')
+    assert not asked.has_room(SERVER)
+    assert other.has_room(SERVER)
+    time.now += 2.9
+    assert not asked.has_room(SERVER)
+    time.now += 3.0 * server_limits.REST_JITTER_SHARE + 0.2
+    assert asked.has_room(SERVER)
+
+
+@pytest.mark.parametrize('status', [200, 500, 502, 504])
+def test_only_a_refusal_asks_for_rest(alone, status):
+    alone.record_reply(SERVER, reply(rest_seconds=3.0), status, 'r')
+    assert alone.has_room(SERVER)
+
+
+def test_a_rest_without_end_is_bounded(alone, time):
+    alone.record_reply(SERVER, reply(rest_seconds=1e9), 503, 'r')
+    time.now += server_limits.MAX_REST_SECONDS * 1.3
+    assert alone.has_room(SERVER)
+
+
+def test_all_gateways_learn_that_a_server_leaves(time):
+    told, other = limits_of(2, time)
+    told.record_reply(SERVER, reply(is_leaving=True), 200, 'r')
+    other.receive_leaving(told.leaving_news(), 'told')
+    for gateway in (told, other):
+        assert gateway.is_leaving(SERVER)
+        assert not gateway.has_room(SERVER)
+        assert gateway.has_room(RESTARTED)
+    time.now += server_limits.LEAVING_NEWS_SECONDS + 0.1
+    assert other.leaving_news() == []
+    assert other.is_leaving(SERVER)
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -202,6 +202,29 @@
     assert found.prompt_parts == parts
 
 
+@pytest.mark.parametrize(
+    ('value', 'seconds'),
+    [
+        ('3', 3.0),
+        ('0.5', 0.5),
+        ('-3', None),
+        ('Wed, 21 Oct 2026 07:28:00 GMT', None),
+        ('soon', None),
+    ],
+)
+def test_a_rest_is_read_in_seconds(value, seconds):
+    reply = headers.HeaderCodec().read_reply([('Retry-After', value)])
+    assert reply.rest_seconds == seconds
+
+
+@pytest.mark.parametrize(
+    ('value', 'leaves'), [('1', True), ('0', False), ('yes', False), ('', 0)]
+)
+def test_only_one_value_says_that_a_server_leaves(value, leaves):
+    reply = headers.HeaderCodec().read_reply([('Server-Leaving', value)])
+    assert reply.is_leaving == leaves
+
+
 @pytest.mark.parametrize(
     ('value', 'limit'),
     [
