--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -4,8 +4,6 @@
 import dataclasses
 import functools
 
-import eventlet
-
 from burdockmast.base import failures
 from burdockmast.base import logs
 from burdockmast.base import metrics
@@ -22,6 +20,7 @@
 from burdockmast.gateway import silence
 from burdockmast.gateway import sse
 from burdockmast.gateway import stream_progress
+from burdockmast.gateway import suspect_trials
 from burdockmast.gateway import upstream
 from burdockmast.gateway import view
 
@@ -43,9 +42,6 @@
 MAX_EVENT_BYTES = 1024 * 1024
 # Largest body of a server's error reply that is forwarded to the caller.
 MAX_ERROR_BODY_BYTES = 1024 * 1024
-# Longest wait of a request that may crash servers for others to be tried.
-MAX_TRIAL_WAIT_SECONDS = 1.0
-TRIAL_POLL_SECONDS = 0.02
 STATUS_OK = 200
 
 
@@ -112,40 +108,13 @@
         self, job: jobs.Job, progress: stream_progress.Progress
     ) -> tuple[backends.Stage, ...] | failures.Failure:
         """Return a path, first waiting while a suspect must be tried alone."""
-        fingerprints = progress.fingerprints
-        until = min(
-            timers.now() + MAX_TRIAL_WAIT_SECONDS,
-            job.deadline,
+        verdict = suspect_trials.wait_for_turn(
+            self._suspects, job, progress.fingerprints
         )
-        while True:
-            verdict = self._suspects.judge(fingerprints)
-            if verdict is crash_suspects.Verdict.REJECT:
+        if isinstance(verdict, failures.Failure):
+            if verdict.reason is failures.Reason.CRASHES_SERVERS:
                 self._metrics.count('streams.quarantined')
-                return self._suspects.rejection(fingerprints)
-            is_waiting = (
-                verdict is crash_suspects.Verdict.TRY_ALONE
-                and self._suspects.is_trial_running(fingerprints)
-            )
-            if not is_waiting:
-                break
-            if timers.now() >= until:
-                return failures.Failure(
-                    failures.Reason.OVERLOADED,
-                    'stream.trial',
-                    detail='other requests with a part of this prompt, which '
-                    'may crash servers, are tried first',
-                    retry_after=path_selector.RETRY_AFTER_SECONDS,
-                )
-            eventlet.sleep(TRIAL_POLL_SECONDS)
-        if verdict is not crash_suspects.Verdict.SOUND:
-            LOG.info(
-                'request may crash servers; keeping it from others',
-                extra={
-                    'request': job.id,
-                    'verdict': verdict.value,
-                    'crashes': self._suspects.counts(fingerprints),
-                },
-            )
+            return verdict
         return self._path_selector.wait_for_path(
             job,
             progress.failed_servers,
