Log when a gateway learns that a server leaves, and from whom

The logs showed how old a gateway's list of servers was, but not when and from whom it learned that a server leaves, so that the hypotheses of late and of skipped news could not be told apart. No decision changes.

--- a/libs/gateway/burdockmast/gateway/object_follower.py
+++ b/libs/gateway/burdockmast/gateway/object_follower.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterable
+import enum
 from typing import Generic
 from typing import TypeVar
 
@@ -37,12 +38,20 @@
 T = TypeVar('T')
 
 
+class Source(enum.Enum):
+    """From where a copy was last changed."""
+
+    STORE = 'store'
+    NEIGHBOUR = 'neighbour'
+
+
 class Follower(Generic[T]):
     """A copy of all objects of a kind, with its age.
 
     :ivar item_by_name: the current objects
     :ivar revision: of the store that the copy reflects, None before a listing
     :ivar on_change: functions that are called after each change
+    :ivar source: of the last change
     """
 
     def __init__(
@@ -71,6 +80,7 @@
         self.item_by_name: dict[str, T] = {}
         self.revision: int | None = None
         self.on_change: list[Callable[[], None]] = []
+        self.source = Source.STORE
         self._name = name
         self._feed = feed
         self._watch_seconds = watch_seconds
@@ -222,7 +232,7 @@
                 for name, data in news.changes
             )
             self._advance(news.revision, news.changed_revision)
-            self._notify()
+            self._notify(Source.NEIGHBOUR)
         if self.revision < news.changed_revision:
             self._is_behind = True
             return
@@ -380,6 +390,7 @@
         if expired:
             self._notify()
 
-    def _notify(self) -> None:
+    def _notify(self, source: Source = Source.STORE) -> None:
+        self.source = source
         for subscriber in self.on_change:
             subscriber()
--- a/libs/gateway/burdockmast/gateway/view.py
+++ b/libs/gateway/burdockmast/gateway/view.py
@@ -42,7 +42,9 @@
         )
         self._version = 0
         self._last_activity: dict[ids.ServerId, float] = {}
+        self._ready_servers: set[ids.ServerId] = set()
         servers.on_change.append(self._drop_unlisted)
+        servers.on_change.append(self._log_leaving)
 
     @property
     def configuration(self) -> config.Configuration | None:
@@ -115,6 +117,23 @@
             for server in known.keys() - listed.keys():
                 del known[server]
 
+    def _log_leaving(self) -> None:
+        """Log servers that no longer accept requests, and who said so."""
+        listed = self._servers.item_by_name
+        ready = {server.id for server in listed.values() if server.is_ready}
+        for server in self._ready_servers - ready:
+            LOG.info(
+                'server accepts no more requests',
+                extra={
+                    'server': server,
+                    'listed': server in listed,
+                    'source': self._servers.source.value,
+                    'revision': self._servers.revision,
+                    'list_age': round(self.server_list_age, 3),
+                },
+            )
+        self._ready_servers = ready
+
     def running_requests(self, server: ids.ServerId) -> int:
         """Return how many requests of this gateway run at a server."""
         return self._running_by_server[server]
