Learn within the operators' bound that servers leave

Callers saw: their requests went on to a server that had said in the store that it leaves, up to 3.7 s later, at gateways that rely on neighbours. Cause: a gateway asked the store itself only once its copy was as old as a watch of 3 s and 0.6 s, whatever bound the deployment has (2, 3 or 4 s). The neighbours that watch may be cut off from the store while they are still heard, and a cut without resets shows them nothing for as long. Why this works: the age from which a gateway asks the store follows from the deployment's bound less the time to react, and watches that neighbours rely on are short enough to confirm their copies before that. The configuration had the same fault with its own bound and is covered by the same change.

--- a/libs/gateway/burdockmast/gateway/neighbours.py
+++ b/libs/gateway/burdockmast/gateway/neighbours.py
@@ -149,6 +149,10 @@
         earlier = [n for n in self.alive_neighbours() if n < self._own.name]
         return len(earlier) < WATCHERS_PER_ZONE
 
+    def is_relied_on(self) -> bool:
+        """Return whether a neighbour may rely on this gateway's watches."""
+        return len(self.alive_neighbours()) >= WATCHERS_PER_ZONE
+
     def known_gateways(self) -> list[str]:
         """Return the other gateways that may be running.
 
--- a/libs/gateway/burdockmast/gateway/object_follower.py
+++ b/libs/gateway/burdockmast/gateway/object_follower.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import enum
+import math
 from typing import Generic
 from typing import TypeVar
 
@@ -31,9 +32,13 @@
 REPEAT_CHANGES_SECONDS = 0.7
 # How often a gateway that relies on neighbours checks that it still may.
 RELY_CHECK_SECONDS = 0.1
-# Age of the copy beyond the length of a watch at which a gateway stops relying
-# on neighbours.
+# Time from the end of a watch until neighbours have its confirmation.
 RELY_MARGIN_SECONDS = 0.6
+# Time until a change is in force once a gateway no longer relies on
+# neighbours: its next check, the call to the store, and the requests that have
+# just chosen a server by the older copy.
+REACTION_SECONDS = 0.7
+MIN_WATCH_SECONDS = 0.3
 
 T = TypeVar('T')
 
@@ -63,6 +68,8 @@
         is_older: Callable[[T, T], bool] | None = None,
         is_watcher: Callable[[], bool] = lambda: True,
         relayed_type: type[T] | None = None,
+        bound_seconds: float = math.inf,
+        is_relied_on: Callable[[], bool] = lambda: False,
     ):
         """Create an empty copy.
 
@@ -76,6 +83,9 @@
             although neighbours tell it about changes
         :param relayed_type: of the objects if neighbours tell each other their
             content; if not, each asks the store for what has changed
+        :param bound_seconds: within which a change must be in force, also
+            where the neighbours that watch can't reach the store
+        :param is_relied_on: returns whether neighbours rely on this gateway
         """
         self.item_by_name: dict[str, T] = {}
         self.revision: int | None = None
@@ -88,6 +98,12 @@
         self._is_older = is_older
         self._is_watcher = is_watcher
         self._relayed_type = relayed_type
+        # Age of the copy from which a gateway asks the store itself.
+        self._max_relied_age = min(
+            watch_seconds + RELY_MARGIN_SECONDS,
+            bound_seconds - REACTION_SECONDS,
+        )
+        self._is_relied_on = is_relied_on
         self._changed_revision = 0
         self._recent_batches: collections.deque[relays.Batch] = (
             collections.deque()
@@ -169,7 +185,7 @@
             self.revision is not None
             and not self._is_behind
             and not self._is_watcher()
-            and self.age < self._watch_seconds + RELY_MARGIN_SECONDS
+            and self.age < self._max_relied_age
         )
         if relies != self._relies_on_neighbours and not self._is_behind:
             self._relies_on_neighbours = relies
@@ -244,10 +260,15 @@
         self._changed_revision = max(self._changed_revision, changed_revision)
 
     def _next_watch_seconds(self) -> float:
+        seconds = self._watch_seconds
+        if self._is_relied_on():
+            # A watch confirms the copy only when it ends.
+            most = self._max_relied_age - RELY_MARGIN_SECONDS
+            seconds = min(seconds, max(MIN_WATCH_SECONDS, most))
         if not self._drop_at_by_name:
-            return self._watch_seconds
+            return seconds
         earliest = min(at for at in self._drop_at_by_name.values())
-        return min(self._watch_seconds, max(0.05, earliest - timers.now()))
+        return min(seconds, max(0.05, earliest - timers.now()))
 
     def _on_failure(self, failure: failures.Failure) -> None:
         if failure.reason is failures.Reason.STORE_CONFLICT:
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -104,6 +104,8 @@
             platform.configurations,
             CONFIGURATION_WAIT_SECONDS,
             is_watcher=self._neighbours.is_watcher,
+            bound_seconds=gateway_settings.apply_seconds,
+            is_relied_on=self._neighbours.is_relied_on,
         )
         self._servers = object_follower.Follower(
             'servers',
@@ -113,6 +115,8 @@
             is_older=backends.BackendServer.is_older_than,
             is_watcher=self._neighbours.is_watcher,
             relayed_type=backends.BackendServer,
+            bound_seconds=gateway_settings.drain_seconds,
+            is_relied_on=self._neighbours.is_relied_on,
         )
         self.view = view.View(self._configurations, self._servers)
         budget = retries.Budget(
--- a/libs/gateway/burdockmast/gateway/settings.py
+++ b/libs/gateway/burdockmast/gateway/settings.py
@@ -16,6 +16,9 @@
     :ivar metrics_address: listens for metrics scrapes
     :ivar neighbours_address: listens for datagrams of other gateways
     :ivar revoke_seconds: within which a revoked key must stop working
+    :ivar apply_seconds: within which a configuration must be in force
+    :ivar drain_seconds: within which a server that leaves must get no more
+        requests
     :ivar grace_seconds: from the stop signal until the process is killed
     :ivar retry_ratio: retries for each request, over all gateways
     :ivar retry_slack: further retries in each window, over all gateways
@@ -29,6 +32,8 @@
     metrics_address: ids.Address
     neighbours_address: ids.Address
     revoke_seconds: float
+    apply_seconds: float
+    drain_seconds: float
     grace_seconds: float
     retry_ratio: float
     retry_slack: float
--- a/libs/platform/burdockmast/platform/settings.py
+++ b/libs/platform/burdockmast/platform/settings.py
@@ -23,6 +23,8 @@
 class _Bounds(msgspec.Struct, frozen=True, rename='kebab'):
     grace_s: float = 8
     revoke_ms: float = 5000
+    config_apply_ms: float = 2000
+    drain_ms: float = 2000
     budget_ratio: float = 0.2
     budget_window_s: float = 10
     retry_slack: float = 0
@@ -93,6 +95,8 @@
                 f'{decoded.ip}:{decoded.internal_ports[0]}'
             ),
             revoke_seconds=bounds.revoke_ms / 1000,
+            apply_seconds=bounds.config_apply_ms / 1000,
+            drain_seconds=bounds.drain_ms / 1000,
             grace_seconds=bounds.grace_s,
             retry_ratio=bounds.budget_ratio,
             retry_slack=bounds.retry_slack,
--- a/tests/test_gateway_leaving_servers.py
+++ b/tests/test_gateway_leaving_servers.py
@@ -208,6 +208,8 @@
             server.SERVERS_WAIT_SECONDS,
             is_watcher=lambda name=name: name != 'a-2',
             relayed_type=backends.BackendServer,
+            bound_seconds=drain_seconds,
+            is_relied_on=lambda: True,
         )
         for name in ('a-0', 'a-1', 'a-2')
     }
