Take servers that say they leave out of every choice, not only the first

Callers saw: requests, also resumed streams, were sent on paths that led through a server which had said that it leaves; it refuses them. Cause: what servers say of leaving was asked for by one try of one decision. The later tries of find_path forgot it, the wait for a path counted such a server as one that may get room, and the planner saw only the store's copy. Why this works: the fact moves from the limits into the view of the fleet (leaving_servers), which every choice reads: such a server is listed as not ready, so that no path, call, retry or placement can use it, and a request that only it could serve is rejected at once.

--- a/libs/gateway/burdockmast/gateway/calls.py
+++ b/libs/gateway/burdockmast/gateway/calls.py
@@ -16,6 +16,7 @@
 from burdockmast.gateway import crash_suspects
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import jobs
+from burdockmast.gateway import leaving_servers
 from burdockmast.gateway import retries
 from burdockmast.gateway import server_limits
 from burdockmast.gateway import upstream
@@ -48,6 +49,7 @@
         rng: random.Random,
         suspects: crash_suspects.CrashSuspects,
         limits: server_limits.ServerLimits,
+        leaving: leaving_servers.LeavingServers,
     ):
         """Create a proxy that prefers servers in ``zone``."""
         self._view = fleet
@@ -57,6 +59,7 @@
         self._rng = rng
         self._suspects = suspects
         self._limits = limits
+        self._leaving = leaving
         self._crash_checks = crash_checks.CrashChecks()
 
     def forward(self, job: jobs.Job) -> jobs.Reply | failures.Failure:
@@ -215,6 +218,10 @@
         self._limits.record_reply(
             exchange.server, head.metadata, head.status, job.id
         )
+        if head.metadata.is_leaving:
+            self._leaving.record(
+                exchange.server.id, exchange.server.started_ms, job.id
+            )
         if head.metadata.is_not_run:
             return exchange.refusal(head, RETRY_AFTER_SECONDS)
         try:
--- a/libs/gateway/burdockmast/gateway/neighbour_link.py
+++ b/libs/gateway/burdockmast/gateway/neighbour_link.py
@@ -9,6 +9,7 @@
 from burdockmast.base import logs
 from burdockmast.base import timers
 from burdockmast.gateway import crash_suspects
+from burdockmast.gateway import leaving_servers
 from burdockmast.gateway import memory
 from burdockmast.gateway import neighbours
 from burdockmast.gateway import relays
@@ -38,6 +39,7 @@
         relay: relays.Relay,
         suspects: crash_suspects.CrashSuspects,
         limits: server_limits.ServerLimits,
+        leaving: leaving_servers.LeavingServers,
     ):
         """Prepare to listen at ``address``."""
         self.address = address
@@ -47,6 +49,7 @@
         self._relay = relay
         self._suspects = suspects
         self._limits = limits
+        self._leaving = leaving
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(neighbours.Message)
         self._sock: socket.socket | None = None
@@ -76,7 +79,7 @@
         return neighbours.Learned(
             self._suspects.news(),
             self._limits.news(),
-            self._limits.leaving_news(),
+            self._leaving.news(),
         )
 
     def _zone_news(self) -> neighbours.ZoneNews:
@@ -118,7 +121,7 @@
         if message.learned.crashes is not None:
             self._suspects.receive(message.learned.crashes)
         self._limits.receive(message.learned.limits, message.sender)
-        self._limits.receive_leaving(message.learned.leaving, message.sender)
+        self._leaving.receive(message.learned.leaving, message.sender)
         news = message.zone_news
         if news is None or not self._neighbours.is_neighbour(message.sender):
             return
--- a/libs/gateway/burdockmast/gateway/neighbours.py
+++ b/libs/gateway/burdockmast/gateway/neighbours.py
@@ -17,6 +17,7 @@
 from burdockmast.base import timers
 from burdockmast.gateway import crash_suspects
 from burdockmast.gateway import interfaces
+from burdockmast.gateway import leaving_servers
 from burdockmast.gateway import loads
 from burdockmast.gateway import relays
 from burdockmast.gateway import reports
@@ -74,7 +75,7 @@
 
     crashes: crash_suspects.CrashNews | None = None
     limits: list[server_limits.LimitNews] = []
-    leaving: list[server_limits.LeavingNews] = []
+    leaving: list[leaving_servers.LeavingNews] = []
 
 
 NOTHING_LEARNED = Learned()
--- a/libs/gateway/burdockmast/gateway/path_selector.py
+++ b/libs/gateway/burdockmast/gateway/path_selector.py
@@ -224,14 +224,7 @@
             for server in self._first_servers(job, ())
             if not self._limits.has_room(server)
         ]
-        leaving = [
-            server.id
-            for server in self._view.usable(job.service.id)
-            if self._limits.is_leaving(server)
-        ]
         exclusions = [[*failed, *limited], limited]
-        if leaving:
-            exclusions.insert(0, [*failed, *limited, *leaving])
         if is_isolated:
             crowded = self._crowded_first_servers(
                 job, exclusions[0], load_by_server
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -21,6 +21,7 @@
 from burdockmast.gateway import config
 from burdockmast.gateway import crash_suspects
 from burdockmast.gateway import interfaces
+from burdockmast.gateway import leaving_servers
 from burdockmast.gateway import memory
 from burdockmast.gateway import neighbour_link
 from burdockmast.gateway import neighbours
@@ -118,7 +119,10 @@
             bound_seconds=gateway_settings.drain_seconds,
             is_relied_on=self._neighbours.is_relied_on,
         )
-        self.view = view.View(self._configurations, self._servers)
+        self._leaving = leaving_servers.LeavingServers()
+        self.view = view.View(
+            self._configurations, self._servers, self._leaving
+        )
         budget = retries.Budget(
             gateway_settings.retry_ratio,
             gateway_settings.retry_slack,
@@ -156,6 +160,7 @@
             ),
             self._suspects,
             self._limits,
+            self._leaving,
         )
         self.application = wsgi.Application(
             self.view,
@@ -168,6 +173,7 @@
                 rng,
                 self._suspects,
                 self._limits,
+                self._leaving,
             ),
             streams.StreamProxy(
                 self.view,
@@ -177,6 +183,7 @@
                 self._metrics,
                 self._suspects,
                 self._limits,
+                self._leaving,
             ),
             budget,
             self._metrics,
--- a/libs/gateway/burdockmast/gateway/server_limits.py
+++ b/libs/gateway/burdockmast/gateway/server_limits.py
@@ -1,7 +1,7 @@
-"""Keeps to what servers say of themselves in their answers.
+"""Keeps to what servers say in their answers of how much they can take.
 
-A server that leaves gets no more requests. One that asks for rest gets none
-from the gateway that it asked. A server in need names a limit.
+One that asks for rest gets no requests from the gateway that it asked. A
+server in need names a limit.
 
 The load: a server names how many requests a second it accepts from all
 gateways together, while each gateway has requests for it, as many at once as
@@ -48,24 +48,10 @@
 LIMIT_TTL_SECONDS = 30.0
 # Age up to which other gateways are told that a limit has ended.
 ENDED_NEWS_SECONDS = 3.0
-
-
 # Longest rest, so that a server that asks for more is tried again.
 MAX_REST_SECONDS = 60.0
 # Largest random share added to a rest, so that gateways return one by one.
 REST_JITTER_SHARE = 0.2
-# Time for which it is remembered that an incarnation of a server leaves. It
-# may be listed long after it has ended, while the store is away.
-LEAVING_TTL_SECONDS = 600.0
-# Age up to which other gateways are told that a server leaves.
-LEAVING_NEWS_SECONDS = 10.0
-
-
-class LeavingNews(msgspec.Struct, frozen=True, array_like=True):
-    """A server's incarnation that has said that it leaves."""
-
-    server: ids.ServerId
-    started_ms: int
 
 
 class LimitNews(msgspec.Struct, frozen=True, array_like=True):
@@ -118,10 +104,9 @@
         self._rng = rng
         self._now = now
         self._heard_by_server: dict[ids.ServerId, _Heard] = {}
-        # Each with the start of the server's incarnation, then monotonic
-        # seconds until which it rests, or at which it was heard to leave.
+        # Start of the server's incarnation, and monotonic seconds until which
+        # it rests.
         self._rest_until: dict[ids.ServerId, tuple[int, float]] = {}
-        self._leaving_since: dict[ids.ServerId, tuple[int, float]] = {}
 
     def record_reply(
         self,
@@ -132,23 +117,9 @@
     ) -> None:
         """Record what the head of a reply says of the server."""
         self.record_answer(server, reply.limit, request)
-        if reply.is_leaving:
-            self._record_leaving(server.id, server.started_ms, request)
         if status == UNAVAILABLE_STATUS and reply.rest_seconds:
             self._record_rest(server, reply.rest_seconds, request)
 
-    def _record_leaving(
-        self, server: ids.ServerId, started_ms: int, source: str
-    ) -> None:
-        known, _ = self._leaving_since.get(server, (-1, 0.0))
-        if known >= started_ms:
-            return
-        self._leaving_since[server] = started_ms, self._now()
-        LOG.info(
-            'server says that it leaves',
-            extra={'server': server, 'source': source},
-        )
-
     def _record_rest(
         self, server: backends.BackendServer, seconds: float, request: str
     ) -> None:
@@ -165,11 +136,6 @@
             },
         )
 
-    def is_leaving(self, server: backends.BackendServer) -> bool:
-        """Return whether a server has said that it leaves."""
-        started_ms, _ = self._leaving_since.get(server.id, (-1, 0.0))
-        return started_ms == server.started_ms
-
     def record_answer(
         self,
         server: backends.BackendServer,
@@ -258,10 +224,8 @@
     def seconds_until_room(self, server: backends.BackendServer) -> float:
         """Return after what time a request may be sent.
 
-        It is infinite if the server leaves, or only other gateways may send.
+        It is infinite if only other gateways may send.
         """
-        if self.is_leaving(server):
-            return float('inf')
         started_ms, until = self._rest_until.get(server.id, (-1, 0.0))
         rest = until - self._now() if started_ms == server.started_ms else 0.0
         return max(0.0, rest, self._seconds_until_token(server))
@@ -298,6 +262,9 @@
     def news(self) -> list[LimitNews]:
         """Return what to tell other gateways."""
         now = self._now()
+        for server, (_, until) in list(self._rest_until.items()):
+            if until < now:
+                del self._rest_until[server]
         for server, known in list(self._heard_by_server.items()):
             age = now - known.heard_at
             if age > (
@@ -311,32 +278,6 @@
             for server, k in self._heard_by_server.items()
         ]
 
-    def leaving_news(self) -> list[LeavingNews]:
-        """Return which servers lately said that they leave."""
-        oldest = self._now() - LEAVING_TTL_SECONDS
-        for server, (_, at) in list(self._leaving_since.items()):
-            if at < oldest:
-                del self._leaving_since[server]
-        for server, (_, until) in list(self._rest_until.items()):
-            if until < self._now():
-                del self._rest_until[server]
-        since = self._now() - LEAVING_NEWS_SECONDS
-        return [
-            LeavingNews(server, started_ms)
-            for server, (started_ms, at) in self._leaving_since.items()
-            if at >= since
-        ]
-
-    def receive_leaving(
-        self, news: Iterable[LeavingNews], sender: str
-    ) -> None:
-        """Take over which servers have told another gateway that they leave.
-
-        One heard before isn't told again, so that news ends.
-        """
-        for told in news:
-            self._record_leaving(told.server, told.started_ms, sender)
-
     def receive(self, news: Iterable[LimitNews], sender: str) -> None:
         """Take over what another gateway has heard later."""
         now = self._now()
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -14,6 +14,7 @@
 from burdockmast.gateway import crash_suspects
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import jobs
+from burdockmast.gateway import leaving_servers
 from burdockmast.gateway import path_selector
 from burdockmast.gateway import retries
 from burdockmast.gateway import server_limits
@@ -61,6 +62,7 @@
         measures: metrics.Metrics,
         suspects: crash_suspects.CrashSuspects,
         limits: server_limits.ServerLimits,
+        leaving: leaving_servers.LeavingServers,
     ):
         """Create a proxy that chooses paths and retries within the budget."""
         self._view = fleet
@@ -70,6 +72,7 @@
         self._metrics = measures
         self._suspects = suspects
         self._limits = limits
+        self._leaving = leaving
         self._crash_checks = crash_checks.CrashChecks()
 
     def forward(
@@ -268,6 +271,10 @@
         self._limits.record_reply(
             exchange.server, head.metadata, head.status, job.id
         )
+        if head.metadata.is_leaving:
+            self._leaving.record(
+                exchange.server.id, exchange.server.started_ms, job.id
+            )
         self._suspects.record_head(progress.tracked)
         if head.metadata.is_not_run:
             return exchange.refusal(head, path_selector.RETRY_AFTER_SECONDS)
--- a/libs/gateway/burdockmast/gateway/view.py
+++ b/libs/gateway/burdockmast/gateway/view.py
@@ -8,6 +8,7 @@
 from burdockmast.base import timers
 from burdockmast.gateway import backends
 from burdockmast.gateway import config
+from burdockmast.gateway import leaving_servers
 from burdockmast.gateway import object_follower
 
 LOG = logs.get('view')
@@ -31,8 +32,13 @@
         self,
         configurations: object_follower.Follower[config.Configuration],
         servers: object_follower.Follower[backends.BackendServer],
+        leaving: leaving_servers.LeavingServers,
     ):
-        """Create a view of the followed configurations and servers."""
+        """Create a view of the followed configurations and servers.
+
+        :param leaving: servers that are not ready, whatever the store says
+        """
+        self._leaving = leaving
         self._configurations = configurations
         self._servers = servers
         self._ejected_until: dict[ids.ServerId, float] = {}
@@ -82,14 +88,15 @@
     def listed(self, service: ids.ServiceId) -> list[backends.BackendServer]:
         """Return all listed servers of a service."""
         return [
-            server
+            self._leaving.as_known(server)
             for server in self._servers.item_by_name.values()
             if server.service == service
         ]
 
     def server(self, server: ids.ServerId) -> backends.BackendServer | None:
         """Return a listed server."""
-        return self._servers.item_by_name.get(server)
+        found = self._servers.item_by_name.get(server)
+        return self._leaving.as_known(found) if found else None
 
     def usable(
         self,
--- a/tests/test_gateway_leaving_servers.py
+++ b/tests/test_gateway_leaving_servers.py
@@ -11,6 +11,8 @@
 from burdockmast.gateway import backends
 from burdockmast.gateway import config
 from burdockmast.gateway import interfaces
+from burdockmast.gateway import layer_placement
+from burdockmast.gateway import leaving_servers
 from burdockmast.gateway import memory
 from burdockmast.gateway import neighbours
 from burdockmast.gateway import object_follower
@@ -83,8 +85,8 @@
 
     def __init__(self, servers):
         rng = random.Random(1)
-        self.limits = server_limits.ServerLimits('gateway', list, rng)
-        self.view = view.View(following([]), following(servers))
+        self.leaving = leaving_servers.LeavingServers(lambda: timers.now())
+        self.view = view.View(following([]), following(servers), self.leaving)
         self.selector = path_selector.PathSelector(
             self.view,
             types.SimpleNamespace(
@@ -96,11 +98,11 @@
             ),
             'a',
             rng,
-            self.limits,
+            server_limits.ServerLimits('gateway', list, rng),
         )
 
-    def hear_leaving(self, leaving):
-        self.limits.record_reply(leaving, LEAVING, 200, 'r')
+    def hear_leaving(self, server):
+        self.leaving.record(server.id, server.started_ms, 'r')
 
     def job(self):
         return types.SimpleNamespace(
@@ -145,6 +147,35 @@
     assert clock.now == 100.0
 
 
+def test_layers_of_a_server_that_said_it_leaves_are_placed_elsewhere():
+    """Before its entry in the store says so."""
+    gateway = Gateway([HEAD, MIDDLE, TAIL])
+    gateway.hear_leaving(MIDDLE)
+    placements = layer_placement.plan(
+        ENGINE, gateway.view.listed(SERVICE.id), {}
+    )
+    held = set()
+    for placement in placements:
+        held |= set(range(placement.layers.first, placement.layers.end))
+    assert set(range(20, 60)) <= held
+    assert MIDDLE not in [placement.server for placement in placements]
+
+
+def test_all_gateways_learn_that_a_server_leaves(clock):
+    told, other = Gateway([HEAD]), Gateway([HEAD])
+    told.hear_leaving(HEAD)
+    other.leaving.receive(told.leaving.news(), 'told')
+    for gateway in (told, other):
+        assert gateway.view.usable(SERVICE.id) == []
+        assert not gateway.view.server(HEAD.id).is_ready
+        assert not gateway.leaving.includes(
+            dataclasses.replace(HEAD, started_ms=2000)
+        )
+    clock.now += leaving_servers.NEWS_SECONDS + 0.1
+    assert other.leaving.news() == []
+    assert other.view.usable(SERVICE.id) == []
+
+
 class Store:
     """Objects with revisions, which some gateways can't reach."""
 
--- a/tests/test_gateway_neighbours.py
+++ b/tests/test_gateway_neighbours.py
@@ -10,6 +10,7 @@
 
 from burdockmast.gateway import crash_suspects
 from burdockmast.gateway import interfaces
+from burdockmast.gateway import leaving_servers
 from burdockmast.gateway import loads
 from burdockmast.gateway import memory
 from burdockmast.gateway import neighbour_link
@@ -252,6 +253,7 @@
             relays.Relay(record.name, {}),
             crash_suspects.CrashSuspects(),
             server_limits.ServerLimits(record.name, list, random.Random(1)),
+            leaving_servers.LeavingServers(),
         )
         link.start()
         created.append((known, usage, link))
--- a/tests/test_gateway_server_limits.py
+++ b/tests/test_gateway_server_limits.py
@@ -295,16 +295,3 @@
     alone.record_reply(SERVER, reply(rest_seconds=1e9), 503, 'r')
     time.now += server_limits.MAX_REST_SECONDS * 1.3
     assert alone.has_room(SERVER)
-
-
-def test_all_gateways_learn_that_a_server_leaves(time):
-    told, other = limits_of(2, time)
-    told.record_reply(SERVER, reply(is_leaving=True), 200, 'r')
-    other.receive_leaving(told.leaving_news(), 'told')
-    for gateway in (told, other):
-        assert gateway.is_leaving(SERVER)
-        assert not gateway.has_room(SERVER)
-        assert gateway.has_room(RESTARTED)
-    time.now += server_limits.LEAVING_NEWS_SECONDS + 0.1
-    assert other.leaving_news() == []
-    assert other.is_leaving(SERVER)
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -10,6 +10,7 @@
 from burdockmast.base import timers
 from burdockmast.gateway import backends
 from burdockmast.gateway import interfaces
+from burdockmast.gateway import leaving_servers
 from burdockmast.gateway import object_follower
 from burdockmast.gateway import reports
 from burdockmast.gateway import silence
@@ -81,7 +82,9 @@
         follower = object_follower.Follower('servers', None, 1.0)
         follower.item_by_name = {s.id: s for s in self.servers}
         self.view = view.View(
-            object_follower.Follower('configuration', None, 1.0), follower
+            object_follower.Follower('configuration', None, 1.0),
+            follower,
+            leaving_servers.LeavingServers(),
         )
         self.reports = reports.ServerReports(
             self.view, engines, random.Random(1)
