List all objects again after a watch that was cut off

Callers saw: possibly requests to a server that had left while the store dropped its history, until its entry went away. Cause: a follower went on from the revision that its last watch named, though that watch may not have told all changes before it, and told neighbours that its copy was complete up to there. Evidence: test_changes_before_a_cut_are_not_skipped, test_a_change_that_a_watch_ skipped_reaches_all_gateways and test_a_listing_does_not_undo_what_a_neighbour_ told_meanwhile failed before. Why this works: only a listing proves a copy complete; after a failed watch, or where a neighbour knows more than it tells, the gateway lists. A listing that corrects a copy is told to neighbours by its revision, so that theirs are corrected as well.

--- a/libs/gateway/burdockmast/gateway/object_follower.py
+++ b/libs/gateway/burdockmast/gateway/object_follower.py
@@ -105,11 +105,18 @@
         )
         self._is_relied_on = is_relied_on
         self._changed_revision = 0
+        # Revisions of the last listing, and of the last one that showed what
+        # watches had not told.
+        self._listed_revision = 0
+        self._corrected_revision = 0
         self._recent_batches: collections.deque[relays.Batch] = (
             collections.deque()
         )
         # A neighbour knows of changes that this copy lacks.
         self._is_behind = False
+        # The last watch failed, or a neighbour knows more: a watch that goes
+        # on from this copy's revision could skip changes.
+        self._must_list = False
         self._relies_on_neighbours = False
         # Monotonic seconds at which objects that went missing around an outage
         # are dropped.
@@ -151,13 +158,15 @@
             eventlet.sleep(RELY_CHECK_SECONDS)
             self._drop_expired()
             return
+        must_list = self._must_list or self._is_behind
         self._is_behind = False
         called_at = timers.boottime_now()
-        if self.revision is None:
-            found = self._feed.list()
-        else:
-            watch_seconds = self._next_watch_seconds()
+        is_watch = self.revision is not None and not must_list
+        watch_seconds = self._next_watch_seconds()
+        if is_watch:
             found = self._feed.watch(self.revision, watch_seconds)
+        else:
+            found = self._feed.list()
         self._drop_expired()
         match found:
             case failures.Failure():
@@ -219,6 +228,7 @@
             outage_end_age if outage_end_age < EXPIRY_GRACE_SECONDS else None,
             from_revision if is_relayed else self.revision,
             changes if is_relayed else [],
+            self._corrected_revision,
         )
 
     def take_over(
@@ -249,7 +259,10 @@
             )
             self._advance(news.revision, news.changed_revision)
             self._notify(Source.NEIGHBOUR)
-        if self.revision < news.changed_revision:
+        if (
+            self.revision < news.changed_revision
+            or self._listed_revision < news.corrected_revision
+        ):
             self._is_behind = True
             return
         self._advance(news.revision, news.changed_revision)
@@ -271,6 +284,7 @@
         return min(seconds, max(0.05, earliest - timers.now()))
 
     def _on_failure(self, failure: failures.Failure) -> None:
+        self._must_list = True
         if failure.reason is failures.Reason.STORE_CONFLICT:
             LOG.info(
                 'change history is gone; listing all objects again',
@@ -304,6 +318,15 @@
         )
 
     def _apply_listing(self, listing: interfaces.Listing[T]) -> None:
+        if self.revision is not None and listing.revision < self.revision:
+            # A neighbour has told of later changes during the call.
+            return
+        self._must_list = False
+        before = {
+            name: item
+            for name, item in self.item_by_name.items()
+            if name not in self._drop_at_by_name
+        }
         missing = self.item_by_name.keys() - listing.item_by_name.keys()
         missing_items = {name: self.item_by_name[name] for name in missing}
         self.item_by_name = {
@@ -312,12 +335,16 @@
             else item
             for name, item in listing.item_by_name.items()
         }
+        has_changed = self.item_by_name != before
         for name in listing.item_by_name:
             self._drop_at_by_name.pop(name, None)
         for name, item in missing_items.items():
             if self._is_kept(name):
                 self.item_by_name[name] = item
-        self._advance(listing.revision, listing.revision)
+        self._advance(listing.revision, listing.revision if has_changed else 0)
+        self._listed_revision = listing.revision
+        if has_changed:
+            self._corrected_revision = listing.revision
         self._recent_batches.clear()
         LOG.info(
             'objects listed',
--- a/libs/gateway/burdockmast/gateway/relays.py
+++ b/libs/gateway/burdockmast/gateway/relays.py
@@ -34,6 +34,8 @@
         or None
     :ivar from_revision: revision after which ``changes`` are complete
     :ivar changes: name and encoded object, None if it was deleted
+    :ivar corrected_revision: of the last listing that showed what watches had
+        not told; copies that were listed before may lack it
     """
 
     kind: str
@@ -43,6 +45,7 @@
     outage_end_age: float | None
     from_revision: int
     changes: list[tuple[str, bytes | None]]
+    corrected_revision: int = 0
 
 
 class StoreNews(msgspec.Struct, frozen=True, array_like=True):
--- a/tests/test_gateway_object_follower.py
+++ b/tests/test_gateway_object_follower.py
@@ -13,11 +13,14 @@
 
     def __init__(self):
         self.answers = []
+        self.calls = []
 
     def list(self):
+        self.calls.append('list')
         return self.answers.pop(0)
 
     def watch(self, revision, timeout_seconds):
+        self.calls.append('watch')
         return self.answers.pop(0)
 
 
@@ -84,7 +87,13 @@
 
 def test_a_server_that_expired_and_was_renewed_stays(follower, feed, clock):
     poll_all(follower, feed, interfaces.Listing(1, {'a': 1}))
-    poll_all(follower, feed, store_lost(), changes(2, a=None), changes(3, a=2))
+    poll_all(
+        follower,
+        feed,
+        store_lost(),
+        changes(2, a=None),
+        changes(3, a=2),
+    )
     clock.now += object_follower.EXPIRY_GRACE_SECONDS
     poll_all(follower, feed, changes(3))
     assert follower.item_by_name == {'a': 2}
@@ -110,6 +119,30 @@
     assert follower.item_by_name == {'b': 1}
 
 
+def test_changes_before_a_cut_are_not_skipped(follower, feed):
+    """A watch may end at a revision of which it has not told all changes."""
+    poll_all(follower, feed, interfaces.Listing(1, {'a': 1}))
+    poll_all(follower, feed, changes(5), store_lost())
+    feed.calls.clear()
+    poll_all(follower, feed, interfaces.Listing(5, {'a': 2}))
+    assert feed.calls == ['list']
+    assert follower.item_by_name == {'a': 2}
+
+
+def test_a_listing_does_not_undo_what_a_neighbour_told_meanwhile(
+    follower, feed
+):
+    poll_all(follower, feed, interfaces.Listing(1, {'a': 1}), store_lost())
+
+    def told_during_the_call():
+        follower._apply_changes(changes(7, a=2))
+        return interfaces.Listing(5, {'a': 1})
+
+    feed.list = told_during_the_call
+    follower.poll()
+    assert follower.item_by_name == {'a': 2}
+
+
 def test_an_older_entry_does_not_replace_a_newer_one(follower, feed):
     poll_all(follower, feed, interfaces.Listing(1, {'a': 5}))
     poll_all(follower, feed, changes(2, a=4))
--- a/tests/test_gateway_relays.py
+++ b/tests/test_gateway_relays.py
@@ -175,6 +175,30 @@
     assert gateway.texts() == {'one': 'first', 'two': 'second'}
 
 
+def test_a_change_that_a_watch_skipped_reaches_all_gateways(
+    clock, store, watcher, gateway
+):
+    """As when the history is dropped after a change that no watch told."""
+    exchange(clock, watcher, gateway)
+    store.write('one', None)
+    store.history.clear()
+    watcher.follower.poll()
+    exchange(clock, watcher, gateway)
+    gateway.follower.poll()
+    assert gateway.texts() == {'one': 'first'}
+    store.is_down = True
+    watcher.follower.poll()
+    store.is_down = False
+    watcher.follower.poll()
+    exchange(clock, watcher, gateway)
+    gateway.follower.poll()
+    clock.now += object_follower.EXPIRY_GRACE_SECONDS
+    watcher.follower.poll()
+    gateway.follower.poll()
+    assert watcher.texts() == {}
+    assert gateway.texts() == {}
+
+
 def test_changes_of_two_watchers_leave_nothing_out(clock, store, watcher):
     """A watcher that took over changes does not pass on half of them."""
     other = Gateway('a-1', store, True)
@@ -256,6 +280,7 @@
     store.write('one', None)
     watcher.follower.poll()
     exchange(clock, watcher, gateway)
+    gateway.follower.poll()
     assert 'one' in watcher.texts()
     assert 'one' in gateway.texts()
     clock.now += object_follower.EXPIRY_GRACE_SECONDS
