Drop servers that are gone at once after a watch was cut off

Callers saw: requests went to a server whose entry had been removed for 2 s more, if a watch had been cut off shortly before. Servers that never say in the store that they leave are removed at that moment. Cause: a cut watch was taken for an outage of the store, after which entries that lapsed are kept until live servers have written them again. Class: a gateway's own trouble taken for that of all. Why this works: the store counts as away only if it also fails the next call, or if a call got no answer at all (a reason of its own now).

--- a/libs/gateway/burdockmast/gateway/object_follower.py
+++ b/libs/gateway/burdockmast/gateway/object_follower.py
@@ -170,7 +170,7 @@
         self._drop_expired()
         match found:
             case failures.Failure():
-                self._on_failure(found)
+                self._on_failure(found, is_watch)
             case interfaces.Listing():
                 self._on_store_answer()
                 self._apply_listing(found)
@@ -283,7 +283,7 @@
         earliest = min(at for at in self._drop_at_by_name.values())
         return min(seconds, max(0.05, earliest - timers.now()))
 
-    def _on_failure(self, failure: failures.Failure) -> None:
+    def _on_failure(self, failure: failures.Failure, is_watch: bool) -> None:
         self._must_list = True
         if failure.reason is failures.Reason.STORE_CONFLICT:
             LOG.info(
@@ -292,7 +292,18 @@
             )
             self.revision = None
             return
-        if self._store_lost_at is None:
+        if is_watch and failure.reason is not failures.Reason.PEER_SILENT:
+            # The store may cut a waiting watch off at any time. Only if it
+            # does not answer the next call either is it away.
+            LOG.info(
+                'watch was cut off; listing all objects again',
+                extra={
+                    'what': self._name,
+                    'revision': self.revision,
+                    'reason': failure.detail,
+                },
+            )
+        elif self._store_lost_at is None:
             self._store_lost_at = timers.now()
             LOG.warning(
                 'store unreachable; keeping the last copy',
--- a/libs/platform/burdockmast/platform/store.py
+++ b/libs/platform/burdockmast/platform/store.py
@@ -145,6 +145,14 @@
             )
         except urllib3.exceptions.NewConnectionError as error:
             return self._failure(method, kind, outcomes.Outcome.NOT_RUN, error)
+        except urllib3.exceptions.TimeoutError as error:
+            return self._failure(
+                method,
+                kind,
+                outcomes.Outcome.UNKNOWN,
+                error,
+                failures.Reason.PEER_SILENT,
+            )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return self._failure(method, kind, outcomes.Outcome.UNKNOWN, error)
         match response.status:
--- a/tests/test_gateway_relays.py
+++ b/tests/test_gateway_relays.py
@@ -276,6 +276,7 @@
     exchange(clock, watcher, gateway)
     store.is_down = True
     watcher.follower.poll()
+    watcher.follower.poll()
     store.is_down = False
     store.write('one', None)
     watcher.follower.poll()
