Trust no confirmation that lies in the future

Callers could see: keys, routes and servers trusted for seconds too long by a gateway whose instance had just rebooted. Cause: a stamp from before a reboot was recognised only if it was later than the new clock; a smaller one and the seconds since it was heard could lie in the future, and the copy then had a negative age. Evidence: the new case (stamp 99) of test_a_stamp_of_an_earlier_start_confirms_ nothing failed before. Why this works: a watcher hears a stamp after it was sent, so that the stamp and the time since then can't be later than now by the same clock.

--- a/libs/gateway/burdockmast/gateway/relays.py
+++ b/libs/gateway/burdockmast/gateway/relays.py
@@ -22,6 +22,9 @@
 # Largest encoded size of the changes of one message. Neighbours that miss
 # changes ask the store themselves.
 MAX_CHANGES_BYTES = 32000
+# Largest difference of two instances' clocks over the time that a time stamp
+# is on its way.
+MAX_DRIFT_SECONDS = 0.01
 
 
 class FeedNews(msgspec.Struct, frozen=True, array_like=True):
@@ -147,8 +150,9 @@
         if heard is None:
             return
         stamp, since_heard = heard
-        if stamp > timers.boottime_now():
-            # The stamp is of an earlier incarnation of this instance.
+        if stamp + since_heard > timers.boottime_now() + MAX_DRIFT_SECONDS:
+            # The stamp is of an earlier start of this instance, whose clock
+            # began anew since then.
             return
         for feed in news.feeds:
             follower = self._follower_by_kind.get(feed.kind)
--- a/tests/test_gateway_relays.py
+++ b/tests/test_gateway_relays.py
@@ -260,11 +260,15 @@
     assert ('two' in gateway.texts()) == (seconds > margin)
 
 
-def test_a_stamp_of_an_earlier_start_confirms_nothing(clock, store, watcher):
+@pytest.mark.parametrize('stamp', [5000.0, 99.0])
+def test_a_stamp_of_an_earlier_start_confirms_nothing(
+    clock, store, watcher, stamp
+):
     """The steady clock of an instance begins anew when it restarts."""
-    watcher.relay.record_stamp('a-1', 5000.0)
+    watcher.relay.record_stamp('a-1', stamp)
     gateway = Gateway('a-1', store, False)
     clock.now += 1.0
+    watcher.relay._heard['a-1'] = (stamp, clock.now - 10.0)
     gateway.relay.receive(watcher.relay.news(['a-1']))
     assert gateway.follower.age == 1.0
 
