--- a/libs/platform/burdockmast/platform/store.py
+++ b/libs/platform/burdockmast/platform/store.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 import dataclasses
 import hashlib
+import re
 import time
 from typing import Any
 from typing import Generic
@@ -25,6 +26,10 @@
 LOG = logs.get('store')
 
 OBJECTS_PATH = '/api/objects'
+# Number of the store's history, in all its answers. It rises when the store
+# comes back from an older copy.
+ERA = 'Store-Era'
+_ERA = re.compile(r'\d{1,9}')
 # Timeout of a call. The store responds in 4 ms when it is healthy and about 80
 # times slower during its disruptions.
 TIMEOUT_SECONDS = 1.0
@@ -95,6 +100,7 @@
     _pool: urllib3.PoolManager = dataclasses.field(
         default_factory=lambda: urllib3.PoolManager(maxsize=4, retries=False)
     )
+    _era: int = 0
 
     def call(
         self,
@@ -155,6 +161,7 @@
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return self._failure(method, kind, outcomes.Outcome.UNKNOWN, error)
+        self._record_era(era_of(response))
         match response.status:
             case status if status in (
                 HTTP_TOO_MANY_REQUESTS,
@@ -169,6 +176,16 @@
             method, kind, outcome, f'status {response.status}'
         )
 
+    def _record_era(self, era: int) -> None:
+        if era <= self._era:
+            return
+        if self._era:
+            LOG.warning(
+                'store was restored from an older copy',
+                extra={'era': era, 'before': self._era},
+            )
+        self._era = era
+
     def _failure(
         self,
         method: str,
@@ -211,6 +228,12 @@
             return self._failure('get', kind, outcomes.Outcome.UNKNOWN, error)
 
 
+def era_of(response: urllib3.BaseHTTPResponse) -> int:
+    """Return the number of the store's history, 0 if it names none."""
+    text = response.headers.get(ERA, '').strip()
+    return int(text) if _ERA.fullmatch(text) else 0
+
+
 class Feed(Generic[T]):
     """Lists and watches the objects of one kind, and decodes them."""
 
