--- a/libs/platform/burdockmast/platform/standin.py
+++ b/libs/platform/burdockmast/platform/standin.py
@@ -7,6 +7,7 @@
 import collections
 from collections.abc import Callable
 import contextlib
+import copy
 import dataclasses
 import itertools
 import json
@@ -43,10 +44,19 @@
     )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreCopy:
+    """A copy of the store's objects at a revision."""
+
+    revision: int
+    objects_by_kind: dict[str, dict[str, dict]]
+
+
 class MetadataStore:
     """Objects by kind and name, with revisions and watches.
 
     :ivar is_down: answer every call with status 503
+    :ivar era: number of the store's history, in all answers
     :ivar oldest_watchable_revision: watches from before it fail with status
         410, as their history is gone
     :ivar break_next_stream_after: number of events after which the next
@@ -58,6 +68,7 @@
     def __init__(self):
         """Create an empty store."""
         self.is_down = False
+        self.era = 1
         self.oldest_watchable_revision = 0
         self.break_next_stream_after: int | None = None
         self.on_stream_break: Callable[[], None] = lambda: None
@@ -98,6 +109,18 @@
         self._history.clear()
         self._wake_watches()
 
+    def copy(self) -> 'StoreCopy':
+        """Return a copy from which the store can be restored."""
+        return StoreCopy(self.revision, copy.deepcopy(self.objects_by_kind))
+
+    def restore(self, saved: 'StoreCopy') -> None:
+        """Come back from a copy; later revisions are given out again."""
+        self.era += 1
+        self.revision = saved.revision
+        self.objects_by_kind = copy.deepcopy(saved.objects_by_kind)
+        self._history = [h for h in self._history if h[0] <= self.revision]
+        self._wake_watches()
+
     def _record_change(self, kind: str, stored: dict, deleted: bool) -> None:
         self._history.append((self.revision, kind, stored, deleted))
         self._wake_watches()
@@ -108,6 +131,13 @@
 
     def __call__(self, environ: dict, start_response: Any) -> list[bytes]:
         """Handle one call."""
+
+        def start_with_era(status: str, given: list[tuple[str, str]]) -> Any:
+            return start_response(status, [*given, (store.ERA, str(self.era))])
+
+        return self._answer(environ, start_with_era)
+
+    def _answer(self, environ: dict, start_response: Any) -> list[bytes]:
         method = environ['REQUEST_METHOD']
         path = environ['PATH_INFO'].removeprefix(store.OBJECTS_PATH + '/')
         kind, _, name = path.partition('/')
@@ -141,18 +171,21 @@
         since = int(query['watch'])
         with eventlet.Timeout(int(query['wait-ms']) / 1000, False):
             while not self._events_after(kind, since):
-                if since < self.oldest_watchable_revision or self.is_down:
+                if self._is_unknown(since) or self.is_down:
                     break
                 self._changed.wait()
         if self.is_down:
             return 503, None
-        if since < self.oldest_watchable_revision:
+        if self._is_unknown(since):
             return 410, None
         return 200, {
             'events': self._events_after(kind, since),
             'current-rev': self.revision,
         }
 
+    def _is_unknown(self, since: int) -> bool:
+        return not self.oldest_watchable_revision <= since <= self.revision
+
     def _events_after(self, kind: str, since: int) -> list[dict]:
         return [
             {'object': stored, 'deleted': deleted}
