Compare revisions of the store only within one history

Cause: revisions were compared as if the store had one history. A gateway that relies on neighbours and was ahead of the copy took all that they told of the new history for old news, and counted it as confirmed; one that watches could go on from a revision that had been given out again and skip or mix changes; an older configuration replaced the newer one until it was written again. Why this works: each listing and watch names its era, as does what gateways tell each other. Another era makes a gateway list all anew and start the grace for entries that the restore lost; news of an earlier era is ignored, news of a later one makes the gateway ask the store. The configuration in force is replaced only by a greater version.

--- a/libs/gateway/burdockmast/gateway/interfaces.py
+++ b/libs/gateway/burdockmast/gateway/interfaces.py
@@ -14,10 +14,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Listing(Generic[T]):
-    """All objects of a kind at one revision of the store."""
+    """All objects of a kind at one revision of the store.
+
+    :ivar era: number of the store's history, whose revisions it names
+    """
 
     revision: int
     item_by_name: dict[str, T]
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,10 +34,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Changes(Generic[T]):
-    """The changes up to a revision, in order; empty if there were none."""
+    """The changes up to a revision, in order; empty if there were none.
+
+    :ivar era: number of the store's history, whose revisions it names
+    """
 
     revision: int
     changes: tuple[Change[T], ...]
+    era: int = 0
 
 
 class Feed(Protocol[T]):
--- a/libs/gateway/burdockmast/gateway/object_follower.py
+++ b/libs/gateway/burdockmast/gateway/object_follower.py
@@ -39,6 +39,9 @@
 # just chosen a server by the older copy.
 REACTION_SECONDS = 0.7
 MIN_WATCH_SECONDS = 0.3
+# Least time between two listings because neighbours know a later history that
+# the store does not confirm.
+ERA_CHECK_SECONDS = 0.5
 
 T = TypeVar('T')
 
@@ -55,7 +58,10 @@
 
     :ivar item_by_name: the current objects
     :ivar revision: of the store that the copy reflects, None before a listing
+    :ivar era: number of the store's history, whose revisions these are
     :ivar on_change: functions that are called after each change
+    :ivar on_restore: functions that are called when the store has come back
+        from an older copy
     :ivar source: of the last change
     """
 
@@ -89,7 +95,9 @@
         """
         self.item_by_name: dict[str, T] = {}
         self.revision: int | None = None
+        self.era = 0
         self.on_change: list[Callable[[], None]] = []
+        self.on_restore: list[Callable[[], None]] = []
         self.source = Source.STORE
         self._name = name
         self._feed = feed
@@ -118,6 +126,9 @@
         # on from this copy's revision could skip changes.
         self._must_list = False
         self._relies_on_neighbours = False
+        # Monotonic seconds before which a neighbour's word of a later era does
+        # not cause another listing.
+        self._next_era_check_at = 0.0
         # Monotonic seconds at which objects that went missing around an outage
         # are dropped.
         self._drop_at_by_name: dict[str, float] = {}
@@ -162,6 +173,8 @@
         self._is_behind = False
         called_at = timers.boottime_now()
         is_watch = self.revision is not None and not must_list
+        if not is_watch:
+            self._next_era_check_at = timers.now() + ERA_CHECK_SECONDS
         watch_seconds = self._next_watch_seconds()
         if is_watch:
             found = self._feed.watch(self.revision, watch_seconds)
@@ -171,10 +184,17 @@
         match found:
             case failures.Failure():
                 self._on_failure(found, is_watch)
+            case interfaces.Listing() if found.era < self.era:
+                # A delayed answer; the copy reflects a later history.
+                eventlet.sleep(RETRY_SECONDS)
             case interfaces.Listing():
                 self._on_store_answer()
+                self._begin_era(found.era)
                 self._apply_listing(found)
                 self._confirm(called_at)
+            case interfaces.Changes() if found.era != self.era:
+                # Its revisions are not those that the watch asked for.
+                self._must_list = True
             case interfaces.Changes():
                 self._on_store_answer()
                 self._apply_changes(found)
@@ -186,6 +206,36 @@
                     # The watch timed out, so nothing had changed until then.
                     self._confirm(called_at + watch_seconds)
 
+    def _begin_era(self, era: int) -> None:
+        """Forget the revisions of an earlier history of the store.
+
+        Entries that are missing in the new one are kept for a while, as after
+        an outage: their writers write them again.
+        """
+        if era == self.era:
+            return
+        is_first = self.revision is None and not self.item_by_name
+        LOG.info(
+            'following another history of the store',
+            extra={
+                'what': self._name,
+                'era': era,
+                'before': self.era,
+                'revision': self.revision,
+            },
+        )
+        self.era = era
+        self.revision = None
+        self._changed_revision = 0
+        self._listed_revision = 0
+        self._corrected_revision = 0
+        self._recent_batches.clear()
+        if is_first:
+            return
+        self._store_back_at = timers.now()
+        for subscriber in self.on_restore:
+            subscriber()
+
     def _confirm(self, at: float) -> None:
         self._confirmed_at = max(self._confirmed_at, at)
 
@@ -229,6 +279,7 @@
             from_revision if is_relayed else self.revision,
             changes if is_relayed else [],
             self._corrected_revision,
+            self.era,
         )
 
     def take_over(
@@ -238,7 +289,10 @@
         outage_end_at: float | None,
     ) -> None:
         """Apply what a neighbour that watches the store tells."""
-        if self.revision is None:
+        if self.revision is None or news.era < self.era:
+            return
+        if news.era > self.era:
+            self._is_behind = timers.now() >= self._next_era_check_at
             return
         if outage_end_at is not None:
             age = timers.boottime_now() - outage_end_at
--- a/libs/gateway/burdockmast/gateway/relays.py
+++ b/libs/gateway/burdockmast/gateway/relays.py
@@ -39,6 +39,7 @@
     :ivar changes: name and encoded object, None if it was deleted
     :ivar corrected_revision: of the last listing that showed what watches had
         not told; copies that were listed before may lack it
+    :ivar era: number of the store's history, whose revisions these are
     """
 
     kind: str
@@ -49,6 +50,7 @@
     from_revision: int
     changes: list[tuple[str, bytes | None]]
     corrected_revision: int = 0
+    era: int = 0
 
 
 class StoreNews(msgspec.Struct, frozen=True, array_like=True):
--- a/libs/gateway/burdockmast/gateway/view.py
+++ b/libs/gateway/burdockmast/gateway/view.py
@@ -46,7 +46,8 @@
         self._running_by_server: collections.Counter[ids.ServerId] = (
             collections.Counter()
         )
-        self._version = 0
+        self._configuration: config.Configuration | None = None
+        configurations.on_change.append(self._apply_newest)
         self._last_activity: dict[ids.ServerId, float] = {}
         self._ready_servers: set[ids.ServerId] = set()
         servers.on_change.append(self._drop_unlisted)
@@ -55,18 +56,26 @@
     @property
     def configuration(self) -> config.Configuration | None:
         """The newest configuration, None before the first is known."""
-        newest = max(
-            self._configurations.item_by_name.values(),
-            key=lambda found: found.version,
-            default=None,
-        )
-        if newest and newest.version != self._version:
-            LOG.info(
-                'configuration applied',
-                extra={'version': newest.version, 'before': self._version},
-            )
-            self._version = newest.version
-        return newest
+        return self._configuration
+
+    def _apply_newest(self) -> None:
+        """Put the newest configuration in force.
+
+        A store that was restored may hold an older one for a while, which does
+        not replace it.
+        """
+        for found in self._configurations.item_by_name.values():
+            before = self._configuration.version if self._configuration else 0
+            if self._configuration is None or found.version > before:
+                self._configuration = found
+                LOG.info(
+                    'configuration applied',
+                    extra={
+                        'version': found.version,
+                        'before': before,
+                        'era': self._configurations.era,
+                    },
+                )
 
     @property
     def configuration_age(self) -> float:
--- a/libs/platform/burdockmast/platform/store.py
+++ b/libs/platform/burdockmast/platform/store.py
@@ -91,6 +91,7 @@
 
     :ivar on_call_end: functions that are called after each call with its
         method and kind, its duration in seconds and its failure, if any
+    :ivar era: latest number of the store's history in an answer
     """
 
     address: ids.Address
@@ -100,7 +101,7 @@
     _pool: urllib3.PoolManager = dataclasses.field(
         default_factory=lambda: urllib3.PoolManager(maxsize=4, retries=False)
     )
-    _era: int = 0
+    era: int = 0
 
     def call(
         self,
@@ -177,14 +178,14 @@
         )
 
     def _record_era(self, era: int) -> None:
-        if era <= self._era:
+        if era <= self.era:
             return
-        if self._era:
+        if self.era:
             LOG.warning(
                 'store was restored from an older copy',
-                extra={'era': era, 'before': self._era},
+                extra={'era': era, 'before': self.era},
             )
-        self._era = era
+        self.era = era
 
     def _failure(
         self,
@@ -202,6 +203,16 @@
             outcome,
         )
 
+    def conflict(self, kind: str, detail: str) -> failures.Failure:
+        """Return the failure of a call that must begin anew."""
+        return self._failure(
+            'get',
+            kind,
+            outcomes.Outcome.NOT_RUN,
+            detail,
+            failures.Reason.STORE_CONFLICT,
+        )
+
     def decode_response(
         self,
         response: urllib3.BaseHTTPResponse | failures.Failure,
@@ -212,13 +223,7 @@
         if isinstance(response, failures.Failure):
             return response
         if response.status == HTTP_GONE:
-            return self._failure(
-                'get',
-                kind,
-                outcomes.Outcome.NOT_RUN,
-                'history is gone',
-                failures.Reason.STORE_CONFLICT,
-            )
+            return self.conflict(kind, 'history is gone')
         if response.status not in (HTTP_OK, HTTP_CREATED):
             detail = f'status {response.status}: {response.data[:200]!r}'
             return self._failure('get', kind, outcomes.Outcome.NOT_RUN, detail)
@@ -250,7 +255,7 @@
         changes that were made while later pages were read.
         """
         item_by_name: dict[str, T] = {}
-        revision = None
+        revision = era = None
         query: dict[str, object] = {}
         while True:
             response = self._client.call('GET', self._kind, query=query)
@@ -260,13 +265,17 @@
             if isinstance(page, failures.Failure):
                 return page
             if revision is None:
-                revision = page.current_rev
+                revision, era = page.current_rev, era_of(response)
+            elif era != era_of(response):
+                return self._client.conflict(
+                    self._kind, 'store was restored during a listing'
+                )
             for item in page.items:
                 decoded = self._decode_object(item)
                 if decoded is not None:
                     item_by_name[item.metadata.name] = decoded
             if not page.has_more or not page.items:
-                return interfaces.Listing(revision, item_by_name)
+                return interfaces.Listing(revision, item_by_name, era)
             query = {'after': page.items[-1].metadata.name}
 
     def watch(
@@ -291,7 +300,9 @@
             )
             for event in watched.events
         )
-        return interfaces.Changes(watched.current_rev, changes)
+        return interfaces.Changes(
+            watched.current_rev, changes, era_of(response)
+        )
 
     def _decode_object(self, stored: _Object) -> T | None:
         try:
