Keep servers away that had left before the store was restored

Callers could see: requests sent to servers that had left or ended, whose entries came back with an older copy of the store. Cause: a gateway forgot an entry once it was removed, so that a restored one looked new. Class: what a gateway knows from an earlier history is lost with it. Why this works: entries are ordered by their server's own start and sequence, which no restore turns back. The last version of a removed entry is remembered, and one of a later era counts only if it is newer.

--- a/libs/gateway/burdockmast/gateway/object_follower.py
+++ b/libs/gateway/burdockmast/gateway/object_follower.py
@@ -42,6 +42,8 @@
 # Least time between two listings because neighbours know a later history that
 # the store does not confirm.
 ERA_CHECK_SECONDS = 0.5
+# Most removed objects that are remembered, the latest.
+MAX_REMOVED_OBJECTS = 10000
 
 T = TypeVar('T')
 
@@ -129,6 +131,9 @@
         # Monotonic seconds before which a neighbour's word of a later era does
         # not cause another listing.
         self._next_era_check_at = 0.0
+        # The last version of each object that was removed, with the era in
+        # which it was.
+        self._removed_by_name: dict[str, tuple[int, T]] = {}
         # Monotonic seconds at which objects that went missing around an outage
         # are dropped.
         self._drop_at_by_name: dict[str, float] = {}
@@ -399,6 +404,7 @@
             if self._is_outdated(name, item)
             else item
             for name, item in listing.item_by_name.items()
+            if not self._was_removed(name, item)
         }
         has_changed = self.item_by_name != before
         for name in listing.item_by_name:
@@ -406,6 +412,8 @@
         for name, item in missing_items.items():
             if self._is_kept(name):
                 self.item_by_name[name] = item
+            else:
+                self._record_removed(name, item)
         self._advance(listing.revision, listing.revision if has_changed else 0)
         self._listed_revision = listing.revision
         if has_changed:
@@ -460,11 +468,36 @@
     def _apply_items(self, changes: Iterable[interfaces.Change[T]]) -> None:
         for change in changes:
             if change.item is not None:
+                if self._was_removed(change.name, change.item):
+                    continue
                 self._drop_at_by_name.pop(change.name, None)
                 if not self._is_outdated(change.name, change.item):
                     self.item_by_name[change.name] = change.item
             elif not self._is_kept(change.name):
-                self.item_by_name.pop(change.name, None)
+                self._remove(change.name)
+
+    def _remove(self, name: str) -> None:
+        item = self.item_by_name.pop(name, None)
+        if item is not None:
+            self._record_removed(name, item)
+
+    def _record_removed(self, name: str, item: T) -> None:
+        """Remember an object that its writer has removed, or let lapse."""
+        if self._is_older is None:
+            return
+        self._removed_by_name.pop(name, None)
+        self._removed_by_name[name] = self.era, item
+        while len(self._removed_by_name) > MAX_REMOVED_OBJECTS:
+            del self._removed_by_name[next(iter(self._removed_by_name))]
+
+    def _was_removed(self, name: str, item: T) -> bool:
+        """Return whether an object was removed in an earlier history.
+
+        A restored store holds it again as it was before, until its writer
+        writes a newer one.
+        """
+        era, removed = self._removed_by_name.get(name, (self.era, None))
+        return era < self.era and not self._is_older(removed, item)
 
     def _is_outdated(self, name: str, item: T) -> bool:
         current = self.item_by_name.get(name)
@@ -495,7 +528,7 @@
         expired = [n for n, at in self._drop_at_by_name.items() if now >= at]
         for name in expired:
             del self._drop_at_by_name[name]
-            self.item_by_name.pop(name, None)
+            self._remove(name)
             LOG.info(
                 'expired object was not renewed; dropping it',
                 extra={'what': self._name, 'name': name},
