Let fencing numbers rise over restores of the store

Callers could see: layers that nobody orders, as servers refuse orders whose fencing number is lower than one they have seen, or orders of two gateways at once. Cause: the planner lock's revision was the fencing number, and a restored store gives revisions out again: the old holder could find its own number confirmed with another holder, and the new one got a lower number. Evidence: three tests of the lock in test_gateway_restored_store failed before. Why this works: the era is the upper part of the number, and a lock that was read in an earlier era acquires nothing.

--- a/libs/gateway/burdockmast/gateway/interfaces.py
+++ b/libs/gateway/burdockmast/gateway/interfaces.py
@@ -64,7 +64,8 @@
 class LockState:
     """Who acquired the planner lock last.
 
-    :ivar revision: of the store at that write, 0 if it was never acquired
+    :ivar revision: the fencing number of that write, 0 if it was never
+        acquired in the store's present history
     :ivar holder: name of the gateway, which may have restarted since
     """
 
@@ -78,7 +79,9 @@
     def acquire(self, revision: int) -> int | failures.Failure:
         """Acquire the lock, unless somebody else did after ``revision``.
 
-        :returns: a fencing number, greater than all earlier ones
+        :param revision: as read; one of an earlier history acquires nothing
+        :returns: a fencing number, greater than all earlier ones, also of
+            earlier histories
         """
 
     def read(self) -> 'LockState | failures.Failure':
--- a/libs/platform/burdockmast/platform/store.py
+++ b/libs/platform/burdockmast/platform/store.py
@@ -35,6 +35,9 @@
 TIMEOUT_SECONDS = 1.0
 # Time after the end of its wait at which a watch counts as lost.
 WATCH_MARGIN_SECONDS = 0.7
+# Revisions that a history of the store may have: fencing numbers of the next
+# one are greater.
+REVISIONS_PER_ERA = 1_000_000_000
 HTTP_OK = 200
 HTTP_CREATED = 201
 HTTP_NOT_FOUND = 404
@@ -457,7 +460,8 @@
     """A mutex, stored as one object of a kind that only gateways use.
 
     The object's revision, which the store raises at each write, is the
-    fencing number.
+    fencing number, together with the store's era: a restored store gives
+    revisions out again.
     """
 
     KIND = 'burdockmast-planner'
@@ -480,7 +484,7 @@
             return lock
         spec = lock.spec if isinstance(lock.spec, dict) else {}
         return interfaces.LockState(
-            lock.metadata.revision, str(spec.get('holder', ''))
+            _fencing_number(response, lock), str(spec.get('holder', ''))
         )
 
     def acquire(self, revision: int) -> int | failures.Failure:
@@ -493,7 +497,11 @@
         spec = {'holder': self._holder, 'at': timers.now()}
         metadata: dict[str, object] = {'name': self.NAME}
         if revision:
-            metadata['revision'] = revision
+            era, metadata['revision'] = divmod(revision, REVISIONS_PER_ERA)
+            if era < self._client.era:
+                return self._client.conflict(
+                    self.KIND, 'store was restored since the lock was read'
+                )
             response = self._client.call(
                 'PUT',
                 self.KIND,
@@ -507,4 +515,9 @@
         acquired = self._client.decode_response(response, _Object, self.KIND)
         if isinstance(acquired, failures.Failure):
             return acquired
-        return acquired.metadata.revision
+        return _fencing_number(response, acquired)
+
+
+def _fencing_number(response: urllib3.BaseHTTPResponse, lock: _Object) -> int:
+    """Return a number that rises with each write, in all histories."""
+    return era_of(response) * REVISIONS_PER_ERA + lock.metadata.revision
