Write again what a restore of the store has lost

Callers could see: more retries than the budget of all gateways allows, and requests with a quarantined part tried again by gateways that start later. Cause: registrations and quarantine records were written once; a restored store may lack them, and the budget is divided by the registered gateways. Why this works: a new era makes each gateway register again and the keeper write its records; until all have had time to, the last count of gateways holds, which is not lower.

--- a/libs/gateway/burdockmast/gateway/quarantine.py
+++ b/libs/gateway/burdockmast/gateway/quarantine.py
@@ -45,6 +45,10 @@
         for fingerprint in self._known - quarantined.keys():
             self._remove(fingerprint)
 
+    def write_again(self) -> None:
+        """Let the next ``sync`` write all records, which the store lost."""
+        self._known.clear()
+
     def _load(self) -> bool:
         records = self._registry.list()
         if isinstance(records, failures.Failure):
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -208,6 +208,8 @@
         self._gateway_registry = platform.gateway_registry
         self._is_registered = False
         self._registered_at = 0.0
+        self._restored_at = float('-inf')
+        self._configurations.on_restore.append(self._on_restore)
         self._stop_requested = eventlet.event.Event()
 
     def run(self) -> None:
@@ -262,6 +264,12 @@
         self._stop_requested.wait()
         self._shut_down(listener)
 
+    def _on_restore(self) -> None:
+        """Write again what the store may have lost."""
+        self._is_registered = False
+        self._restored_at = timers.now()
+        self._quarantine_keeper.write_again()
+
     def _count_gateways(self) -> None:
         """Register this gateway, then count all that share the budget."""
         if not self._is_registered:
@@ -274,6 +282,10 @@
                 return
             self._is_registered = True
             self._registered_at = timers.now()
+        if timers.now() < self._restored_at + REGISTERED_SECONDS:
+            # Others may not have registered again yet; a lower count would
+            # give each gateway a larger part of the budget.
+            return
         found = self._gateway_registry.list()
         if isinstance(found, failures.Failure):
             LOG.warning(
