Play restores of the store and leaving servers in the soak of gateways

Checked: each gateway serves the newest route at the end, no server that left gets requests after 2 s. The number of gateways can be chosen.

--- a/libs/bench/burdockmast/bench/gateway_soak.py
+++ b/libs/bench/burdockmast/bench/gateway_soak.py
@@ -1,9 +1,10 @@
 """Plays random faults on gateway processes before stand-in servers.
 
-Servers crash on parts of prompts, name limits, break off streams and crash by
-themselves; gateways are killed, stopped and suspended; the store goes away.
-Faults come in series and overlap. Callers keep their connections open until
-the gateway is gone. What callers and servers see is checked.
+Servers crash on parts of prompts, name limits, leave, break off streams and
+crash by themselves; gateways are killed, stopped and suspended; the store goes
+away, or comes back from an older copy. Faults come in series and overlap.
+Callers keep their connections open until the gateway is gone. What callers and
+servers see is checked.
 """
 
 import collections
@@ -29,6 +30,10 @@
 GATEWAY_COUNT = 3
 PLAY_SECONDS = 14.0
 FAULT_COUNT = 8
+# Faults of the store's content: changes, restores, servers that leave.
+RECORD_FAULT_COUNT = 4
+# Longest time after which a server that leaves gets no more requests.
+DRAIN_SECONDS = 2.0
 # Sound and deadly requests, and calls, of each gateway's callers in a second.
 CALLERS_PER_GATEWAY = 3
 CALLER_PAUSE_SECONDS = 0.15
@@ -106,7 +111,7 @@
             'internal-ports = [7010, 7020]\n[zones]\na = "region"\n'
             f'[listen]\nfront = "{host}:7000"\nready = "{host}:7001"\n'
             '[bounds]\nrevoke-ms = 5000\ngrace-s = 8\nbudget-ratio = 0.2\n'
-            'budget-window-s = 10\nretry-slack = 200\n'
+            'budget-window-s = 10\nretry-slack = 200\ndrain-ms = 2000\n'
             f'[platform]\naddress = "{store}"\n'
         )
         self._log = (directory / f'{host}.log').open('ab')
@@ -146,14 +151,17 @@
 class Play:
     """One play of a seed."""
 
-    def __init__(self, seed: int, directory: pathlib.Path):
+    def __init__(
+        self, seed: int, directory: pathlib.Path, gateways: int = GATEWAY_COUNT
+    ):
         """Start servers and gateways."""
         self.report = Report()
         self._rng = random.Random(seed)
+        self._record_rng = random.Random(f'records {seed}')
         self._numbers = itertools.count(1)
         process = os.getpid() % 60000
-        network = f'127.{70 + process // 15000}.{process // 60 % 250}'
-        hosts = [f'{network}.{process % 60 * 4 + n + 1}' for n in range(4)]
+        network = f'127.{70 + process // 250 % 100}.{process % 250}'
+        hosts = [f'{network}.{n + 1}' for n in range(gateways + 1)]
         self._store = standin.MetadataStore()
         self._engines = [
             standin.BackendServer(
@@ -176,9 +184,10 @@
         self._store.put('config', 'main', CONFIGURATION)
         address = standin.listen(hosts[-1], self._store)
         self._gateways = [
-            GatewayProcess(directory, host, address)
-            for host in hosts[:GATEWAY_COUNT]
+            GatewayProcess(directory, host, address) for host in hosts[:-1]
         ]
+        self._configuration = CONFIGURATION
+        self._leaving_since: dict[str, float] = {}
         self._deadly_part = f'dead{seed:x}'
         self._crashed_at: list[float] = []
         self._named: dict[str, tuple[float, float]] = {}
@@ -197,12 +206,17 @@
                 )
             ]
             faults = [eventlet.spawn(self._strike) for _ in range(FAULT_COUNT)]
+            faults += [
+                eventlet.spawn(self._strike_records)
+                for _ in range(RECORD_FAULT_COUNT)
+            ]
             for task in (*faults, *callers):
                 task.wait()
             for server in (*self._engines, *self._apps):
                 server.limit = None
             for gateway in self._gateways:
                 self._wait_until_served(gateway)
+                self._wait_for_configuration(gateway)
             self._check()
         finally:
             for gateway in self._gateways:
@@ -238,6 +252,51 @@
                 found = 'deadly part'
         self.report.faults.append(found)
 
+    def _strike_records(self) -> None:
+        """Change what the store holds, or restore an older copy of it."""
+        rng = self._record_rng
+        eventlet.sleep(rng.uniform(0.5, PLAY_SECONDS - 6.0))
+        match rng.randrange(3):
+            case 0:
+                self._add_route()
+                found = f'version {self._configuration["version"]}'
+            case 1:
+                saved = self._store.copy()
+                eventlet.sleep(rng.uniform(0.2, 2.0))
+                self._add_route()
+                eventlet.sleep(rng.uniform(0.0, 1.0))
+                self._store.restore(saved)
+                eventlet.sleep(rng.uniform(0.0, 1.0))
+                self._write_again()
+                found = f'restored, era {self._store.era}'
+            case _:
+                server = rng.choice([*self._engines[:1], *self._apps[:1]])
+                server.is_leaving = True
+                server.update_entry(state='draining')
+                self._leaving_since.setdefault(server.id, timers.now())
+                found = f'{server.id} leaves'
+        self.report.faults.append(found)
+
+    def _add_route(self) -> None:
+        version = self._configuration['version'] + 1
+        added = {
+            **CONFIGURATION['routes'][-1],
+            'name': f'added-{version}',
+            'path-prefix': f'/added-{version}/',
+        }
+        self._configuration = {
+            **self._configuration,
+            'version': version,
+            'routes': [*self._configuration['routes'], added],
+        }
+        self._store.put('config', 'main', self._configuration)
+
+    def _write_again(self) -> None:
+        """Write what the operator and the servers had written."""
+        self._store.put('config', 'main', self._configuration)
+        for server in (*self._engines, *self._apps):
+            server.update_entry()
+
     def _call(self, gateway: GatewayProcess, rng: random.Random) -> None:
         """Send requests on one connection until it ends, then on the next."""
         connection: http.client.HTTPConnection | None = None
@@ -261,25 +320,39 @@
     ) -> int:
         number = next(self._numbers)
         route = rng.choice(('draft', 'draft', 'confirm', 'lookup'))
+        sent = {}
+        if route == 'draft':
+            is_deadly = rng.random() < DEADLY_SHARE
+            part = self._deadly_part if is_deadly else f'50d{number % 4}'
+            sent[headers.TOKEN_COUNTS] = '100,10'
+            sent[headers.PROMPT_PARTS] = SOUND_PARTS % (part, number)
+        status, body = self._send(
+            connection, f'/{route}/{number}', sent, number
+        )
+        self.report.statuses[f'{route} {status}'] += 1
+        if status == 200 and route == 'draft':
+            self._check_stream(number, body)
+        return status
+
+    def _send(
+        self,
+        connection: http.client.HTTPConnection,
+        path: str,
+        sent: dict[str, str],
+        number: int = 0,
+    ) -> tuple[int, bytes]:
+        """Send a request; return the status and the body of its answer."""
         sent = {
             'Host': 'h.example',
             headers.REQUEST_ID: f'r{number}',
             headers.DEADLINE: '5000',
             headers.API_KEY: 'k1',
+            **sent,
         }
-        if route == 'draft':
-            is_deadly = rng.random() < DEADLY_SHARE
-            part = self._deadly_part if is_deadly else f'50d{number % 4}'
-            sent[headers.TOKEN_COUNTS] = '100,10'
-            sent[headers.PROMPT_PARTS] = SOUND_PARTS % (part, number)
         with eventlet.Timeout(8.0, TimeoutError('no answer')):
-            connection.request('POST', f'/{route}/{number}', headers=sent)
+            connection.request('POST', path, headers=sent)
             response = connection.getresponse()
-            body = response.read()
-        self.report.statuses[f'{route} {response.status}'] += 1
-        if response.status == 200 and route == 'draft':
-            self._check_stream(number, body)
-        return response.status
+            return response.status, response.read()
 
     def _check_stream(self, number: int, body: bytes) -> None:
         whole = b''.join(
@@ -304,7 +377,38 @@
                 served += status == 200
             eventlet.sleep(0.05)
 
+    def _wait_for_configuration(self, gateway: GatewayProcess) -> None:
+        """Wait until the newest route is served."""
+        until = timers.now() + SETTLE_SECONDS
+        path = self._configuration['routes'][-1]['path-prefix']
+        status = 0
+        while status != 200:
+            if timers.now() > until:
+                self.report.violations.append(
+                    f'{gateway.host} answers {status} on {path}'
+                )
+                return
+            with contextlib.suppress(OSError, http.client.HTTPException):
+                status = self._send(self._connect(gateway), f'{path}x', {})[0]
+            eventlet.sleep(0.05)
+
+    def _check_leaving(self, server: standin.BackendServer) -> None:
+        since = self._leaving_since[server.id] + DRAIN_SECONDS
+        excused = max(gateway.excused_until for gateway in self._gateways)
+        late = [
+            seen.id
+            for seen in server.requests
+            if max(since, excused) < seen.at < self._ends_at
+        ]
+        if late:
+            self.report.violations.append(
+                f'{server.id} got {late[:3]} after it had left'
+            )
+
     def _check(self) -> None:
+        for server in (*self._engines, *self._apps):
+            if server.id in self._leaving_since:
+                self._check_leaving(server)
         self._check_commands()
         self._check_deadly()
         for server in (*self._engines, *self._apps):
@@ -364,14 +468,19 @@
             )
 
 
-def play(seed: int, keep: pathlib.Path | None = None) -> Report:
+def play(
+    seed: int,
+    keep: pathlib.Path | None = None,
+    gateways: int = GATEWAY_COUNT,
+) -> Report:
     """Play one seed.
 
+    :param gateways: number of gateway processes
     :param keep: folder for the gateways' logs if a promise is broken
     """
     with tempfile.TemporaryDirectory() as name:
         directory = pathlib.Path(name)
-        report = Play(seed, directory).run()
+        report = Play(seed, directory, gateways).run()
         if report.violations and keep:
             kept = keep / f'gateways-{seed}'
             kept.mkdir(parents=True, exist_ok=True)
--- a/libs/bench/burdockmast/bench/program.py
+++ b/libs/bench/burdockmast/bench/program.py
@@ -207,11 +207,14 @@
 @click.option('--seed', default=1, help='First seed.')
 @click.option('--count', default=1, help='Seeds to play, one after another.')
 @click.option('--keep', type=FILE, help='Folder for logs of broken promises.')
-def run_gateway_soak(seed: int, count: int, keep: pathlib.Path | None) -> None:
+@click.option('--gateways', default=3, help='Gateway processes of a play.')
+def run_gateway_soak(
+    seed: int, count: int, keep: pathlib.Path | None, gateways: int
+) -> None:
     """Play random faults on gateways; exit with 1 if a promise is broken."""
     is_broken = False
     for number in range(seed, seed + count):
-        report = gateway_soak.play(number, keep)
+        report = gateway_soak.play(number, keep, gateways)
         click.echo(f'seed {number}: {dict(report.statuses)}')
         for line in report.violations:
             is_broken = True
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -59,6 +59,14 @@
     assert len(play.report.violations) == violations
 
 
+@pytest.mark.parametrize(('seconds', 'violations'), [(1.9, 0), (2.1, 1)])
+def test_requests_to_a_server_that_left_are_found(play, seconds, violations):
+    play._leaving_since = {'i-1': 50.0}
+    play._gateways = [type('Calm', (), {'excused_until': 0.0})]
+    play._check_leaving(Server([50.0 + seconds]))
+    assert len(play.report.violations) == violations
+
+
 def test_a_command_that_ran_twice_is_found(play):
     play._apps = [Server([1.0, 2.0], path='/confirm/1')]
     play._check_commands()
