Read each object of the store by itself

Another operator reported, and it happened here: one odd entry among those of the servers hid the sound ones. Nested 3,000 levels deep it made the reader fail with an error that nobody expected, so that a gateway listed all objects each 0.25 s for as long as it stood; a number too large refused the whole page; ports, starts, sequences and layers out of range went on to connections, arithmetic and messages of gateways. Cause: a page was decoded as one document, and entries were checked by type only. Why this works: objects and events are decoded one by one; where the decoder fails for the page, its list is split by brackets without recursion. An event whose object can't be told makes the gateway list again. Values are checked for their range, also in reports and registrations, and only the operator's object is a configuration.

--- a/libs/gateway/burdockmast/gateway/neighbour_link.py
+++ b/libs/gateway/burdockmast/gateway/neighbour_link.py
@@ -97,7 +97,7 @@
         """Send one datagram; if that fails, the next message makes up."""
         try:
             self._sock.sendto(data, addresses.split(address))
-        except (OSError, ValueError) as error:
+        except (OSError, ValueError, OverflowError) as error:
             self._record_loss('message to a gateway not sent', error)
 
     def close(self) -> None:
--- a/libs/platform/burdockmast/platform/configuration.py
+++ b/libs/platform/burdockmast/platform/configuration.py
@@ -109,8 +109,11 @@
 def decode(name: str, spec: object) -> config.Configuration:
     """Decode the object that holds the configuration.
 
-    :raises msgspec.ValidationError: if it is not a valid configuration
+    :raises msgspec.ValidationError: if it is not a valid configuration, or not
+        the object that the operator writes
     """
+    if name != NAME:
+        raise msgspec.ValidationError(f'object is not called {NAME!r}')
     decoded = msgspec.convert(spec, _Configuration)
     routes = [_convert_route(route) for route in decoded.routes]
     # Longer prefixes come first, since the first match is used.
--- a/libs/platform/burdockmast/platform/engine_client.py
+++ b/libs/platform/burdockmast/platform/engine_client.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from burdockmast.base import addresses
 from burdockmast.base import failures
 from burdockmast.base import ids
 from burdockmast.base import outcomes
@@ -12,6 +13,8 @@
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import upstream
 from burdockmast.platform import headers
+from burdockmast.platform import json_lists
+from burdockmast.platform import servers
 
 ORDER_PATH = '/api/order'
 REPORT_PATH = '/api/report'
@@ -23,6 +26,8 @@
 REPORT_TIMEOUT_SECONDS = 0.3
 # Largest response that is read.
 MAX_RESPONSE_BYTES = 1024 * 1024
+# Largest slowdown of a server that may still answer.
+MAX_PACE = 10000.0
 HTTP_OK = 200
 HTTP_ACCEPTED = 202
 HTTP_FENCED = 412
@@ -52,6 +57,17 @@
     kv_total: float = 0.0
     stalled: list[_StalledRequest] = []
 
+    @property
+    def is_plausible(self) -> bool:
+        """Whether a sound server may report these values."""
+        return (
+            0 <= self.sequence <= servers.MAX_INTEGER
+            and 0 < self.pace <= MAX_PACE
+            and self.kv_used >= 0
+            and self.kv_total >= 0
+            and all(addresses.parse(s.address) for s in self.stalled)
+        )
+
 
 class _Response(NamedTuple):
     """A complete response of a server."""
@@ -143,14 +159,16 @@
                 f'status {response.status}',
             )
         try:
-            return msgspec.json.decode(response.data, type=_Report)
-        except msgspec.MsgspecError as error:
-            return failures.Failure(
-                failures.Reason.PROTOCOL,
-                'engine.report',
-                server.id,
-                str(error),
-            )
+            report = msgspec.json.decode(response.data, type=_Report)
+        except json_lists.DECODE_ERRORS as error:
+            detail = str(error)
+        else:
+            if report.is_plausible:
+                return report
+            detail = f'values out of range: {response.data[:200]!r}'
+        return failures.Failure(
+            failures.Reason.PROTOCOL, 'engine.report', server.id, detail
+        )
 
     def _call(
         self,
--- /dev/null
+++ b/libs/platform/burdockmast/platform/json_lists.py
@@ -0,0 +1,50 @@
+"""Takes lists apart whose elements may not be decodable.
+
+One element that is nested too deeply, or is no JSON, makes the decoder fail
+for the whole document. Here the elements are told apart by their brackets
+alone, without recursion, so that each can be decoded by itself.
+"""
+
+import re
+
+import msgspec
+
+# What the decoder raises for JSON that it can't read: it gives up on deep
+# nesting with an error of its own kind.
+DECODE_ERRORS = (msgspec.MsgspecError, RecursionError)
+
+_TOKEN = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"|[\[\]{},]', re.DOTALL)
+
+
+def split(document: bytes, key: str) -> tuple[bytes, list[bytes]]:
+    """Split the list under a key of a JSON object.
+
+    :returns: the document with an empty list, and the undecoded elements
+    :raises msgspec.DecodeError: if the document has no such list
+    """
+    name = f'"{key}"'.encode()
+    depth = 0
+    before = b''
+    elements = []
+    list_starts_at = element_starts_at = -1
+    for match in _TOKEN.finditer(document):
+        token = match.group()
+        if token == b'[' and depth == 1 and before == name:
+            list_starts_at = element_starts_at = match.end()
+        if token in b'[{':
+            depth += 1
+        elif token in b']}':
+            depth -= 1
+        has_ended = list_starts_at >= 0 and depth == 1 and token == b']'
+        if list_starts_at >= 0 and (
+            has_ended or (depth == 2 and token == b',')
+        ):
+            element = document[element_starts_at : match.start()].strip()
+            if element:
+                elements.append(element)
+            element_starts_at = match.end()
+        if has_ended:
+            rest = document[:list_starts_at] + document[match.start() :]
+            return rest, elements
+        before = token
+    raise msgspec.DecodeError(f'no complete list {key!r}')
--- a/libs/platform/burdockmast/platform/servers.py
+++ b/libs/platform/burdockmast/platform/servers.py
@@ -2,12 +2,16 @@
 
 import msgspec
 
+from burdockmast.base import addresses
 from burdockmast.base import ids
 from burdockmast.gateway import backends
 
 KIND = 'servers'
 READY = 'ready'
 DRAINING = 'draining'
+# Larger than all that a sound entry holds, and safe in messages of gateways.
+MAX_INTEGER = 2**53
+MAX_LAYERS = 100_000
 
 
 class _Layers(
@@ -46,18 +50,25 @@
     entry = msgspec.convert(spec, _Entry)
     if entry.state not in (READY, DRAINING):
         raise msgspec.ValidationError(f'unknown state {entry.state!r}')
-    host, _, port = entry.address.partition(':')
-    if not host or not port.isdecimal():
+    address = addresses.parse(entry.address)
+    if address is None:
         raise msgspec.ValidationError(
-            f'address {entry.address!r} is not of the form HOST:PORT'
+            f'address {entry.address!r} is not of the form IP:PORT'
         )
+    for field, number in (('sequence', entry.sequence), ('born', entry.born)):
+        if not 0 <= number <= MAX_INTEGER:
+            raise msgspec.ValidationError(f'{field} {number} is out of range')
     layers = backends.NO_LAYERS
     if entry.layers and entry.layers.first < entry.layers.end:
         layers = backends.LayerRange(entry.layers.first, entry.layers.end)
+    if layers.first < 0 or layers.end > MAX_LAYERS:
+        raise msgspec.ValidationError(
+            f'layers {layers.first} to {layers.end} are out of range'
+        )
     return backends.BackendServer(
         id=ids.ServerId(name),
         service=ids.ServiceId(entry.service),
-        address=ids.Address(entry.address),
+        address=address,
         zone=ids.ZoneId(entry.zone),
         is_ready=entry.state == READY,
         layers=layers,
--- a/libs/platform/burdockmast/platform/store.py
+++ b/libs/platform/burdockmast/platform/store.py
@@ -16,12 +16,14 @@
 import msgspec
 import urllib3
 
+from burdockmast.base import addresses
 from burdockmast.base import failures
 from burdockmast.base import ids
 from burdockmast.base import logs
 from burdockmast.base import outcomes
 from burdockmast.base import timers
 from burdockmast.gateway import interfaces
+from burdockmast.platform import json_lists
 
 LOG = logs.get('store')
 
@@ -46,6 +48,8 @@
 HTTP_TOO_MANY_REQUESTS = 429
 HTTP_UNAVAILABLE = 503
 MS_PER_SECOND = 1000.0
+# Bytes of an object that can't be decoded that a log line shows.
+LOGGED_BYTES = 100
 
 T = TypeVar('T')
 # Decodes an object from its name and spec.
@@ -65,7 +69,7 @@
 class _ListResponse(msgspec.Struct, frozen=True, rename='kebab'):
     """``current_rev`` is the revision of the whole store."""
 
-    items: list[_Object]
+    items: list[msgspec.Raw]
     current_rev: int
     has_more: bool = False
 
@@ -83,9 +87,18 @@
     deleted: bool = False
 
 
+class _NamedEvent(msgspec.Struct, frozen=True):
+    """As much of an event as tells whose it is."""
+
+    class Object(msgspec.Struct, frozen=True):
+        metadata: _Metadata
+
+    object: Object
+
+
 class _WatchResponse(msgspec.Struct, frozen=True, rename='kebab'):
     current_rev: int
-    events: list[_Event] = []
+    events: list[msgspec.Raw] = []
 
 
 @dataclasses.dataclass(slots=True)
@@ -232,7 +245,33 @@
             return self._failure('get', kind, outcomes.Outcome.NOT_RUN, detail)
         try:
             return msgspec.json.decode(response.data, type=body_type)
-        except msgspec.MsgspecError as error:
+        except json_lists.DECODE_ERRORS as error:
+            return self._failure('get', kind, outcomes.Outcome.UNKNOWN, error)
+
+    def decode_list(
+        self,
+        response: urllib3.BaseHTTPResponse | failures.Failure,
+        body_type: type[T],
+        kind: str,
+        key: str,
+    ) -> tuple[T, list[bytes]] | failures.Failure:
+        """Decode a response without the elements of its list.
+
+        :param key: of the list
+        :returns: the response, and the undecoded elements
+        """
+        found = self.decode_response(response, body_type, kind)
+        if not isinstance(found, failures.Failure):
+            return found, [bytes(raw) for raw in getattr(found, key)]
+        if (
+            isinstance(response, failures.Failure)
+            or response.status != HTTP_OK
+        ):
+            return found
+        try:
+            rest, elements = json_lists.split(response.data, key)
+            return msgspec.json.decode(rest, type=body_type), elements
+        except json_lists.DECODE_ERRORS as error:
             return self._failure('get', kind, outcomes.Outcome.UNKNOWN, error)
 
 
@@ -262,24 +301,26 @@
         query: dict[str, object] = {}
         while True:
             response = self._client.call('GET', self._kind, query=query)
-            page = self._client.decode_response(
-                response, _ListResponse, self._kind
+            decoded_page = self._client.decode_list(
+                response, _ListResponse, self._kind, 'items'
             )
-            if isinstance(page, failures.Failure):
-                return page
+            if isinstance(decoded_page, failures.Failure):
+                return decoded_page
+            page, raw_items = decoded_page
+            objects = _decode_objects(raw_items, self._kind)
             if revision is None:
                 revision, era = page.current_rev, era_of(response)
             elif era != era_of(response):
                 return self._client.conflict(
                     self._kind, 'store was restored during a listing'
                 )
-            for item in page.items:
+            for item in objects:
                 decoded = self._decode_object(item)
                 if decoded is not None:
                     item_by_name[item.metadata.name] = decoded
-            if not page.has_more or not page.items:
+            if not page.has_more or not objects:
                 return interfaces.Listing(revision, item_by_name, era)
-            query = {'after': page.items[-1].metadata.name}
+            query = {'after': objects[-1].metadata.name}
 
     def watch(
         self, revision: int, timeout_seconds: float
@@ -291,38 +332,73 @@
             query={'watch': revision, 'wait-ms': int(timeout_seconds * 1000)},
             timeout=timeout_seconds + WATCH_MARGIN_SECONDS,
         )
-        watched = self._client.decode_response(
-            response, _WatchResponse, self._kind
-        )
-        if isinstance(watched, failures.Failure):
-            return watched
-        changes = tuple(
-            interfaces.Change(
-                event.object.metadata.name,
-                None if event.deleted else self._decode_object(event.object),
-            )
-            for event in watched.events
+        decoded = self._client.decode_list(
+            response, _WatchResponse, self._kind, 'events'
         )
+        if isinstance(decoded, failures.Failure):
+            return decoded
+        watched, raw_events = decoded
+        changes = []
+        for raw in raw_events:
+            change = self._decode_event(raw)
+            if change is None:
+                return self._client.conflict(
+                    self._kind, 'an event names no object'
+                )
+            changes.append(change)
         return interfaces.Changes(
-            watched.current_rev, changes, era_of(response)
+            watched.current_rev, tuple(changes), era_of(response)
         )
 
+    def _decode_event(self, raw: bytes) -> interfaces.Change[T] | None:
+        """Decode an event, None if it can't be told whose it is."""
+        try:
+            event = msgspec.json.decode(raw, type=_Event)
+        except json_lists.DECODE_ERRORS as error:
+            try:
+                named = msgspec.json.decode(raw, type=_NamedEvent)
+            except json_lists.DECODE_ERRORS:
+                _log_odd(self._kind, raw, error)
+                return None
+            name = named.object.metadata.name
+            _log_odd(self._kind, raw, error, name)
+            return interfaces.Change(name, None)
+        item = None if event.deleted else self._decode_object(event.object)
+        return interfaces.Change(event.object.metadata.name, item)
+
     def _decode_object(self, stored: _Object) -> T | None:
         try:
             return self._decode(stored.metadata.name, stored.spec)
         except msgspec.ValidationError as error:
-            LOG.warning(
-                'object cannot be decoded; treating it as absent',
-                extra={
-                    'kind': self._kind,
-                    'name': stored.metadata.name,
-                    'revision': stored.metadata.revision,
-                    'reason': str(error),
-                },
-            )
+            _log_odd(self._kind, b'', error, stored.metadata.name)
             return None
 
 
+def _decode_objects(raw_items: list[bytes], kind: str) -> list[_Object]:
+    """Decode the objects of a page, leaving out those that can't be."""
+    found = []
+    for raw in raw_items:
+        try:
+            found.append(msgspec.json.decode(raw, type=_Object))
+        except json_lists.DECODE_ERRORS as error:
+            _log_odd(kind, raw, error)
+    return found
+
+
+def _log_odd(
+    kind: str, raw: bytes, error: Exception, name: str | None = None
+) -> None:
+    LOG.warning(
+        'object cannot be decoded; treating it as absent',
+        extra={
+            'kind': kind,
+            'name': name,
+            'begins': raw[:LOGGED_BYTES].decode(errors='replace'),
+            'reason': str(error),
+        },
+    )
+
+
 def _list_objects(
     client: Client, kind: str
 ) -> list[_Object] | failures.Failure:
@@ -331,13 +407,15 @@
     query: dict[str, object] = {'stale-ok': 1}
     while True:
         response = client.call('GET', kind, query=query)
-        page = client.decode_response(response, _ListResponse, kind)
-        if isinstance(page, failures.Failure):
-            return page
-        found += page.items
-        if not page.has_more or not page.items:
+        decoded = client.decode_list(response, _ListResponse, kind, 'items')
+        if isinstance(decoded, failures.Failure):
+            return decoded
+        page, raw_items = decoded
+        objects = _decode_objects(raw_items, kind)
+        found += objects
+        if not page.has_more or not objects:
             return found
-        query = {'stale-ok': 1, 'after': page.items[-1].metadata.name}
+        query = {'stale-ok': 1, 'after': objects[-1].metadata.name}
 
 
 class GatewayRegistry:
@@ -371,7 +449,8 @@
         found = _list_objects(self._client, self.KIND)
         if isinstance(found, failures.Failure):
             return found
-        return [self._record(item) for item in found]
+        records = (self._record(item) for item in found)
+        return [record for record in records if record is not None]
 
     def remove(self, name: str) -> failures.Failure | None:
         """Remove a gateway that is gone; it may be removed already."""
@@ -379,12 +458,17 @@
         return response if isinstance(response, failures.Failure) else None
 
     @staticmethod
-    def _record(item: _Object) -> interfaces.GatewayRecord:
+    def _record(item: _Object) -> interfaces.GatewayRecord | None:
         spec = item.spec if isinstance(item.spec, dict) else {}
+        address = addresses.parse(str(spec.get('address', '')))
+        if address is None:
+            LOG.warning(
+                'registered gateway has no valid address; ignoring it',
+                extra={'name': item.metadata.name},
+            )
+            return None
         return interfaces.GatewayRecord(
-            item.metadata.name,
-            ids.ZoneId(str(spec.get('zone', ''))),
-            ids.Address(str(spec.get('address', ''))),
+            item.metadata.name, ids.ZoneId(str(spec.get('zone', ''))), address
         )
 
 
