Wait for a complete fleet before a server of a test leaves

The test of servers that say they leave failed twice beside load with a 503. Traced with the gateway's log: the first request was answered while the gateway knew one server of the first layers only; the news of the other came with the next batch of changes, 0.15 s later. Since leaving servers count as not ready, a request in between is rejected at once, as for servers that drain by the store, where it waited before. The test now waits until another server has answered; that 20 requests then get 200 and the leaving server at most one more is unchanged.

--- a/tests/test_gateway_server_limits.py
+++ b/tests/test_gateway_server_limits.py
@@ -7,6 +7,7 @@
 import types
 
 import eventlet
+import platforms
 import pytest
 
 from burdockmast.gateway import backends
@@ -81,6 +82,11 @@
     leaving = next(server for server in servers if server.requests)
     leaving.is_leaving = True
     seen = len(leaving.requests)
+    others = [server for server in servers if server is not leaving]
+    # The gateway may not know yet that others hold the same layers.
+    platform.wait_for(
+        lambda: platform.ask(path)[0] == 200 and platforms.requests_at(others)
+    )
     for _ in range(20):
         assert platform.ask(path)[0] == 200
     assert len(leaving.requests) <= seen + 1
