Answer requests that wait before a planned stop ends

Another operator reported, and it happened here: a call that was taken at the beginning of the grace and whose server was still at work at its end was cut off without an answer, also one that may not be repeated. (Requests later than 3 s after the signal were rejected as not run already.) Cause: the process ended half a second before the grace, whatever still ran. Why this works: 0.3 s before the exit each task whose caller has got nothing ends with 502, which says that the request may have run. A reply that has begun is not touched.

--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -59,6 +59,8 @@
 DRAIN_ACCEPT_SECONDS = 3.0
 # The process exits this long before its grace period ends.
 EXIT_MARGIN_SECONDS = 0.5
+# Requests that still wait for an answer get one this long before the exit.
+ANSWER_MARGIN_SECONDS = 0.3
 # Longest stall of a caller's connection while it is read or written.
 SOCKET_TIMEOUT_SECONDS = 20.0
 KEEPALIVE_SECONDS = 15.0
@@ -341,8 +343,9 @@
         listener.shutdown(socket.SHUT_RDWR)
         listener.close()
         until = began + self._settings.grace_seconds - EXIT_MARGIN_SECONDS
-        while self.application.running_count and timers.now() < until:
-            eventlet.sleep(DRAIN_POLL_SECONDS)
+        self._wait_for_requests(until - ANSWER_MARGIN_SECONDS)
+        self.application.end_unanswered()
+        self._wait_for_requests(until)
         LOG.info(
             'stopped',
             extra={
@@ -352,6 +355,10 @@
         )
         self._log.close()
 
+    def _wait_for_requests(self, until: float) -> None:
+        while self.application.running_count and timers.now() < until:
+            eventlet.sleep(DRAIN_POLL_SECONDS)
+
     def _listen(self, address: ids.Address, application: object) -> object:
         sock = eventlet.listen(
             addresses.split(address), backlog=LISTEN_BACKLOG
--- a/libs/gateway/burdockmast/gateway/wsgi.py
+++ b/libs/gateway/burdockmast/gateway/wsgi.py
@@ -6,6 +6,9 @@
 import dataclasses
 import random
 
+import eventlet.hubs
+import greenlet
+
 from burdockmast.base import failures
 from burdockmast.base import ids
 from burdockmast.base import logs
@@ -65,6 +68,10 @@
     return 502
 
 
+class GatewayStopping(Exception):
+    """The gateway ends before the request has an answer."""
+
+
 class Application:
     """Admits callers' requests and replies to them."""
 
@@ -93,6 +100,8 @@
         self.is_draining = False
         self.rejects_requests = False
         self.running_count = 0
+        # Tasks whose callers have got nothing of a reply yet.
+        self._unanswered: set[greenlet.greenlet] = set()
         self._view = fleet
         self._header_codec = header_codec
         self._call_proxy = call_proxy
@@ -122,8 +131,19 @@
             body = self._serve(environ, start_response, arrived_at)
             yield from body
         finally:
+            self._unanswered.discard(greenlet.getcurrent())
             self.running_count -= 1
 
+    def end_unanswered(self) -> None:
+        """Answer all admitted requests that wait, as they may have run."""
+        hub = eventlet.hubs.get_hub()
+        for task in self._unanswered:
+            hub.schedule_call_global(0, self._end, task)
+
+    def _end(self, task: greenlet.greenlet) -> None:
+        if task in self._unanswered and not task.dead:
+            task.throw(GatewayStopping('the gateway is shutting down'))
+
     def _serve(
         self, environ: dict, start_response: StartResponse, arrived_at: float
     ) -> Iterator[bytes]:
@@ -136,6 +156,7 @@
             yield self._send_error(start_response, request.id, job)
             return
         self._budget.deposit(job.service.id)
+        self._unanswered.add(greenlet.getcurrent())
         try:
             with disconnects.Watch(environ['eventlet.input'].get_socket()):
                 yield from self._forward(job, start_response)
@@ -149,6 +170,17 @@
                 },
             )
             raise
+        except GatewayStopping as error:
+            yield self._send_error(
+                start_response,
+                job.id,
+                failures.Failure(
+                    failures.Reason.LEAVING,
+                    'request.stop',
+                    detail=str(error),
+                    outcome=outcomes.Outcome.UNKNOWN,
+                ),
+            )
         except streams.StreamAborted as error:
             self._metrics.count('streams.cut')
             LOG.warning(
@@ -293,6 +325,7 @@
         reply: jobs.Reply,
         headers: list[tuple[str, str]],
     ) -> None:
+        self._unanswered.discard(greenlet.getcurrent())
         if self.is_draining:
             headers = [*headers, ('Connection', 'close')]
         start_response(f'{reply.status} {reply.phrase}', headers)
@@ -303,6 +336,7 @@
         request_id: ids.RequestId,
         failure: failures.Failure,
     ) -> bytes:
+        self._unanswered.discard(greenlet.getcurrent())
         status = http_status(failure)
         self._metrics.count(f'refusals.{failure.reason.value}')
         headers = [('Content-Type', 'text/plain')]
--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -127,6 +127,12 @@
         for server in [*self.engines, *self.apps]:
             server.requests.clear()
 
+    def restart_with(self, setting, changed):
+        """Start the gateway again with another value of a setting."""
+        self.stop()
+        self.file.write_text(self.file.read_text().replace(setting, changed))
+        self.start()
+
     def wait_for(self, condition):
         with eventlet.Timeout(TEST_TIMEOUT_SECONDS):
             while not condition():
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -212,3 +212,20 @@
     assert found.wait()[2] == platforms.events(1, 100)
     platform.wait_for(lambda: platform.process.poll() is not None)
     assert platform.process.returncode == 0
+
+
+@pytest.mark.parametrize('path', ['/confirm/x', '/draft/x'])
+def test_no_request_is_cut_off_without_an_answer_at_the_end_of_a_stop(
+    platform, path
+):
+    """It may have run, and is told so before the grace ends."""
+    platform.restart_with('grace-s = 30', 'grace-s = 4')
+    servers = platform.apps if path == '/confirm/x' else platform.engines
+    for server in servers:
+        server.is_silent = True
+    found = eventlet.spawn(platform.ask, path)
+    platform.wait_for(lambda: platforms.requests_at(servers))
+    platform.process.send_signal(signal.SIGTERM)
+    assert found.wait()[0] in (502, 504)
+    platform.wait_for(lambda: platform.process.poll() is not None)
+    assert platform.process.returncode == 0
