--- a/tests/test_gateway_restored_store.py
+++ b/tests/test_gateway_restored_store.py
@@ -4,6 +4,7 @@
 import itertools
 
 import eventlet
+import platforms
 import pytest
 import urllib3
 
@@ -319,3 +320,27 @@
         metadata.restore(metadata.copy())
         poll_until_idle(follower)
     assert noticed == [2, 3]
+
+
+def test_a_running_gateway_follows_a_restore(platform):
+    """Its registration and a route, both lost, are there again."""
+    kind = store.GatewayRegistry.KIND
+    platform.wait_for(lambda: platform.store.objects_by_kind[kind])
+    saved = platform.store.copy()
+    saved.objects_by_kind[kind].clear()
+    route = {**platforms.CONFIGURATION['routes'][-1], 'path-prefix': '/new/'}
+    changed = {
+        **platforms.CONFIGURATION,
+        'version': 8,
+        'routes': [*platforms.CONFIGURATION['routes'], route],
+    }
+    platform.store.put(configuration.KIND, 'main', changed)
+    platform.wait_for(lambda: platform.ask('/new/x', 'GET')[0] == 200)
+    platform.store.restore(saved)
+    for _ in range(20):
+        assert platform.ask('/new/x', 'GET')[0] == 200
+        eventlet.sleep(0.02)
+    platform.wait_for(lambda: platform.store.objects_by_kind[kind])
+    changed = {**changed, 'version': 9, 'routes': changed['routes'][:-1]}
+    platform.store.put(configuration.KIND, 'main', changed)
+    platform.wait_for(lambda: platform.ask('/new/x', 'GET')[0] == 404)
