Let no listing confirm copies that are ahead of its own

Callers could see: a route or server missing at a gateway that relies on neighbours, for as long as nothing else changed. Cause: since failed watches end in a listing, one that showed no difference was told to neighbours as 'nothing has changed'. What had changed for a neighbour that was further may have changed back, and its copy was confirmed as it was. Evidence: test_a_listing_without_changes_does_not_confirm_other_copies failed before. Why this works: only a watch proves that nothing changed; after a listing, neighbours at an earlier revision list too.

--- a/libs/gateway/burdockmast/gateway/object_follower.py
+++ b/libs/gateway/burdockmast/gateway/object_follower.py
@@ -414,7 +414,9 @@
                 self.item_by_name[name] = item
             else:
                 self._record_removed(name, item)
-        self._advance(listing.revision, listing.revision if has_changed else 0)
+        # Copies at earlier revisions may lack a change, though this one does
+        # not: what has changed may have changed back.
+        self._advance(listing.revision, listing.revision)
         self._listed_revision = listing.revision
         if has_changed:
             self._corrected_revision = listing.revision
--- a/tests/test_gateway_relays.py
+++ b/tests/test_gateway_relays.py
@@ -199,6 +199,27 @@
     assert gateway.texts() == {}
 
 
+def test_a_listing_without_changes_does_not_confirm_other_copies(
+    clock, store, watcher, gateway
+):
+    """What has changed for others meanwhile may have changed back."""
+    other = Gateway('a-2', store, True)
+    store.write('one', Item('other'))
+    other.follower.poll()
+    exchange(clock, other, gateway)
+    gateway.follower.poll()
+    assert gateway.texts() == {'one': 'other'}
+    store.write('one', Item('first'))
+    store.is_down = True
+    watcher.follower.poll()
+    store.is_down = False
+    watcher.follower.poll()
+    assert watcher.texts() == {'one': 'first'}
+    exchange(clock, watcher, gateway)
+    gateway.follower.poll()
+    assert gateway.texts() == {'one': 'first'}
+
+
 def test_changes_of_two_watchers_leave_nothing_out(clock, store, watcher):
     """A watcher that took over changes does not pass on half of them."""
     other = Gateway('a-1', store, True)
