Confirm a copy soon after a change, so that neighbours go on relying on it

Cause: a watch that tells a change confirms the copy only as of its call, and the next one only when it ends. Evidence: 15 cases of test_a_change_does_not_make_neighbours_stop_relying_on_a_ watcher failed before.

--- a/libs/gateway/burdockmast/gateway/object_follower.py
+++ b/libs/gateway/burdockmast/gateway/object_follower.py
@@ -334,8 +334,9 @@
     def _next_watch_seconds(self) -> float:
         seconds = self._watch_seconds
         if self._is_relied_on():
-            # A watch confirms the copy only when it ends.
-            most = self._max_relied_age - RELY_MARGIN_SECONDS
+            # A watch confirms the copy only when it ends, one that has told
+            # changes only as of the call.
+            most = self._max_relied_age - RELY_MARGIN_SECONDS - self.age
             seconds = min(seconds, max(MIN_WATCH_SECONDS, most))
         if not self._drop_at_by_name:
             return seconds
--- a/tests/test_gateway_object_follower.py
+++ b/tests/test_gateway_object_follower.py
@@ -201,3 +201,35 @@
     follower._feed = slow = SlowFeed(clock, seconds)
     poll_all(follower, slow, answer)
     assert follower.age == pytest.approx(age)
+
+
+@pytest.mark.parametrize('bound', [2.0, 3.0, 4.0])
+@pytest.mark.parametrize('seconds', [0.1, 0.5, 1.0, 1.6, 2.4])
+def test_a_change_does_not_make_neighbours_stop_relying_on_a_watcher(
+    feed, clock, bound, seconds
+):
+    """A watch that tells changes confirms the copy only as of its call."""
+    follower = object_follower.Follower(
+        'servers', feed, 3.0, bound_seconds=bound, is_relied_on=lambda: True
+    )
+    poll_all(follower, feed, interfaces.Listing(1, {}))
+    lengths = []
+
+    def watch(revision, timeout_seconds):
+        lengths.append(timeout_seconds)
+        is_first = len(lengths) == 1
+        clock.now += min(seconds, timeout_seconds)
+        return changes(2, a=1) if is_first else changes(2)
+
+    feed.watch = watch
+    follower.poll()
+    age = follower.age
+    follower.poll()
+    until_neighbours_ask = bound - object_follower.REACTION_SECONDS
+    assert lengths[1] <= max(
+        object_follower.MIN_WATCH_SECONDS,
+        until_neighbours_ask
+        - object_follower.RELY_MARGIN_SECONDS
+        - age
+        + 1e-6,
+    )
