--- a/libs/platform/burdockmast/platform/program.py
+++ b/libs/platform/burdockmast/platform/program.py
@@ -24,6 +24,7 @@
 from burdockmast.platform import headers  # noqa: E402
 from burdockmast.platform import servers  # noqa: E402
 from burdockmast.platform import settings  # noqa: E402
+from burdockmast.platform import shared_records  # noqa: E402
 from burdockmast.platform import store  # noqa: E402
 from burdockmast.settings import loader  # noqa: E402
 
@@ -57,13 +58,15 @@
                 store_client, configuration.KIND, configuration.decode
             ),
             servers=store.Feed(store_client, servers.KIND, servers.decode),
-            planner_lock=store.PlannerLock(
+            planner_lock=shared_records.PlannerLock(
                 store_client, platform_settings.gateway.instance
             ),
-            gateway_registry=store.GatewayRegistry(
+            gateway_registry=shared_records.GatewayRegistry(
                 store_client, platform_settings.gateway.record
             ),
-            quarantine_registry=store.QuarantineRegistry(store_client),
+            quarantine_registry=shared_records.QuarantineRegistry(
+                store_client
+            ),
             engines=engine_client.EngineClient(),
             header_codec=headers.HeaderCodec(),
         ),
--- a/libs/platform/burdockmast/platform/store.py
+++ b/libs/platform/burdockmast/platform/store.py
@@ -6,9 +6,7 @@
 
 from collections.abc import Callable
 import dataclasses
-import hashlib
 import re
-import time
 from typing import Any
 from typing import Generic
 from typing import TypeVar
@@ -16,7 +14,6 @@
 import msgspec
 import urllib3
 
-from burdockmast.base import addresses
 from burdockmast.base import failures
 from burdockmast.base import ids
 from burdockmast.base import logs
@@ -37,17 +34,11 @@
 TIMEOUT_SECONDS = 1.0
 # Time after the end of its wait at which a watch counts as lost.
 WATCH_MARGIN_SECONDS = 0.7
-# Revisions that a history of the store may have: fencing numbers of the next
-# one are greater.
-REVISIONS_PER_ERA = 1_000_000_000
 HTTP_OK = 200
 HTTP_CREATED = 201
-HTTP_NOT_FOUND = 404
-HTTP_CONFLICT = 409
 HTTP_GONE = 410
 HTTP_TOO_MANY_REQUESTS = 429
 HTTP_UNAVAILABLE = 503
-MS_PER_SECOND = 1000.0
 # Bytes of an object that can't be decoded that a log line shows.
 LOGGED_BYTES = 100
 
@@ -56,17 +47,21 @@
 Decode = Callable[[str, object], T]
 
 
-class _Metadata(msgspec.Struct, frozen=True, rename='kebab'):
+class Metadata(msgspec.Struct, frozen=True, rename='kebab'):
+    """Name of an object, and the store's revision at its last change."""
+
     name: str
     revision: int = 0
 
 
-class _Object(msgspec.Struct, frozen=True):
-    metadata: _Metadata
+class Object(msgspec.Struct, frozen=True):
+    """An object as the store holds it."""
+
+    metadata: Metadata
     spec: Any = None
 
 
-class _ListResponse(msgspec.Struct, frozen=True, rename='kebab'):
+class ListResponse(msgspec.Struct, frozen=True, rename='kebab'):
     """``current_rev`` is the revision of the whole store."""
 
     items: list[msgspec.Raw]
@@ -74,16 +69,8 @@
     has_more: bool = False
 
 
-class _QuarantineSpec(msgspec.Struct, frozen=True, rename='kebab'):
-    """``crashed_at_ms`` is the time of the last crash, since the epoch."""
-
-    fingerprint: str
-    crashes: list[str]
-    crashed_at_ms: int
-
-
 class _Event(msgspec.Struct, frozen=True):
-    object: _Object
+    object: Object
     deleted: bool = False
 
 
@@ -91,7 +78,7 @@
     """As much of an event as tells whose it is."""
 
     class Object(msgspec.Struct, frozen=True):
-        metadata: _Metadata
+        metadata: Metadata
 
     object: Object
 
@@ -302,12 +289,12 @@
         while True:
             response = self._client.call('GET', self._kind, query=query)
             decoded_page = self._client.decode_list(
-                response, _ListResponse, self._kind, 'items'
+                response, ListResponse, self._kind, 'items'
             )
             if isinstance(decoded_page, failures.Failure):
                 return decoded_page
             page, raw_items = decoded_page
-            objects = _decode_objects(raw_items, self._kind)
+            objects = decode_objects(raw_items, self._kind)
             if revision is None:
                 revision, era = page.current_rev, era_of(response)
             elif era != era_of(response):
@@ -366,7 +353,7 @@
         item = None if event.deleted else self._decode_object(event.object)
         return interfaces.Change(event.object.metadata.name, item)
 
-    def _decode_object(self, stored: _Object) -> T | None:
+    def _decode_object(self, stored: Object) -> T | None:
         try:
             return self._decode(stored.metadata.name, stored.spec)
         except msgspec.ValidationError as error:
@@ -374,12 +361,12 @@
             return None
 
 
-def _decode_objects(raw_items: list[bytes], kind: str) -> list[_Object]:
+def decode_objects(raw_items: list[bytes], kind: str) -> list[Object]:
     """Decode the objects of a page, leaving out those that can't be."""
     found = []
     for raw in raw_items:
         try:
-            found.append(msgspec.json.decode(raw, type=_Object))
+            found.append(msgspec.json.decode(raw, type=Object))
         except json_lists.DECODE_ERRORS as error:
             _log_odd(kind, raw, error)
     return found
@@ -397,211 +384,3 @@
             'reason': str(error),
         },
     )
-
-
-def _list_objects(
-    client: Client, kind: str
-) -> list[_Object] | failures.Failure:
-    """Return all objects of a kind, which may be some seconds old."""
-    found: list[_Object] = []
-    query: dict[str, object] = {'stale-ok': 1}
-    while True:
-        response = client.call('GET', kind, query=query)
-        decoded = client.decode_list(response, _ListResponse, kind, 'items')
-        if isinstance(decoded, failures.Failure):
-            return decoded
-        page, raw_items = decoded
-        objects = _decode_objects(raw_items, kind)
-        found += objects
-        if not page.has_more or not objects:
-            return found
-        query = {'stale-ok': 1, 'after': objects[-1].metadata.name}
-
-
-class GatewayRegistry:
-    """The gateways, each an object of a kind that only gateways use."""
-
-    KIND = 'burdockmast-gateways'
-
-    def __init__(self, client: Client, own: interfaces.GatewayRecord):
-        """Create the registry for the gateway ``own``."""
-        self._client = client
-        self._own = own
-
-    def register(self) -> failures.Failure | None:
-        """Register this gateway, replacing its earlier registration."""
-        body = {
-            'metadata': {'name': self._own.name},
-            'spec': {'zone': self._own.zone, 'address': self._own.address},
-        }
-        response = self._client.call('POST', self.KIND, body=body)
-        if (
-            not isinstance(response, failures.Failure)
-            and response.status == HTTP_CONFLICT
-        ):
-            response = self._client.call(
-                'PUT', self.KIND, self._own.name, body=body
-            )
-        return response if isinstance(response, failures.Failure) else None
-
-    def list(self) -> list[interfaces.GatewayRecord] | failures.Failure:
-        """Return the registered gateways; some may have stopped."""
-        found = _list_objects(self._client, self.KIND)
-        if isinstance(found, failures.Failure):
-            return found
-        records = (self._record(item) for item in found)
-        return [record for record in records if record is not None]
-
-    def remove(self, name: str) -> failures.Failure | None:
-        """Remove a gateway that is gone; it may be removed already."""
-        response = self._client.call('DELETE', self.KIND, name)
-        return response if isinstance(response, failures.Failure) else None
-
-    @staticmethod
-    def _record(item: _Object) -> interfaces.GatewayRecord | None:
-        spec = item.spec if isinstance(item.spec, dict) else {}
-        address = addresses.parse(str(spec.get('address', '')))
-        if address is None:
-            LOG.warning(
-                'registered gateway has no valid address; ignoring it',
-                extra={'name': item.metadata.name},
-            )
-            return None
-        return interfaces.GatewayRecord(
-            item.metadata.name, ids.ZoneId(str(spec.get('zone', ''))), address
-        )
-
-
-class QuarantineRegistry:
-    """Fingerprints of requests that crash servers, an object each."""
-
-    KIND = 'burdockmast-quarantines'
-
-    def __init__(self, client: Client):
-        """Create the registry."""
-        self._client = client
-
-    def list(self) -> list[interfaces.QuarantineRecord] | failures.Failure:
-        """Return all records that can be decoded."""
-        found = _list_objects(self._client, self.KIND)
-        if isinstance(found, failures.Failure):
-            return found
-        return [
-            record
-            for item in found
-            if (record := self._record(item)) is not None
-        ]
-
-    def add(
-        self, record: interfaces.QuarantineRecord
-    ) -> failures.Failure | None:
-        """Add a record; another gateway may have added it."""
-        body = {
-            'metadata': {'name': _name_of(record.fingerprint)},
-            'spec': {
-                'fingerprint': record.fingerprint,
-                'crashes': list(record.crashes),
-                'crashed-at-ms': int(
-                    (time.time() - record.age_seconds) * MS_PER_SECOND
-                ),
-            },
-        }
-        response = self._client.call('POST', self.KIND, body=body)
-        return response if isinstance(response, failures.Failure) else None
-
-    def remove(self, fingerprint: ids.Fingerprint) -> failures.Failure | None:
-        """Remove a record; it may be removed already."""
-        response = self._client.call(
-            'DELETE', self.KIND, _name_of(fingerprint)
-        )
-        return response if isinstance(response, failures.Failure) else None
-
-    @staticmethod
-    def _record(item: _Object) -> interfaces.QuarantineRecord | None:
-        try:
-            spec = msgspec.convert(item.spec, _QuarantineSpec)
-        except msgspec.ValidationError as error:
-            LOG.warning(
-                'quarantine record cannot be decoded; ignoring it',
-                extra={'name': item.metadata.name, 'reason': str(error)},
-            )
-            return None
-        age = time.time() - spec.crashed_at_ms / MS_PER_SECOND
-        return interfaces.QuarantineRecord(
-            ids.Fingerprint(spec.fingerprint),
-            tuple(spec.crashes),
-            max(0.0, age),
-        )
-
-
-def _name_of(fingerprint: ids.Fingerprint) -> str:
-    """Return an object's name, which may hold fewer characters."""
-    digest = hashlib.blake2b(fingerprint.encode(), digest_size=16)
-    return digest.hexdigest()
-
-
-class PlannerLock:
-    """A mutex, stored as one object of a kind that only gateways use.
-
-    The object's revision, which the store raises at each write, is the
-    fencing number, together with the store's era: a restored store gives
-    revisions out again.
-    """
-
-    KIND = 'burdockmast-planner'
-    # All gateways must use the same object, whatever their version.
-    NAME = 'seat'
-
-    def __init__(self, client: Client, holder: str):
-        """Create the lock for the gateway ``holder``."""
-        self._client = client
-        self._holder = holder
-
-    def read(self) -> interfaces.LockState | failures.Failure:
-        """Return who acquired the lock last."""
-        response = self._client.call('GET', self.KIND, self.NAME)
-        if not isinstance(response, failures.Failure):
-            if response.status == HTTP_NOT_FOUND:
-                return interfaces.LockState(0, '')
-        lock = self._client.decode_response(response, _Object, self.KIND)
-        if isinstance(lock, failures.Failure):
-            return lock
-        spec = lock.spec if isinstance(lock.spec, dict) else {}
-        return interfaces.LockState(
-            _fencing_number(response, lock), str(spec.get('holder', ''))
-        )
-
-    def acquire(self, revision: int) -> int | failures.Failure:
-        """Acquire the lock, unless somebody else did after ``revision``.
-
-        :returns: the fencing number
-        """
-        # The time makes each write a change of the object, and the store
-        # raises the revision only then.
-        spec = {'holder': self._holder, 'at': timers.now()}
-        metadata: dict[str, object] = {'name': self.NAME}
-        if revision:
-            era, metadata['revision'] = divmod(revision, REVISIONS_PER_ERA)
-            if era < self._client.era:
-                return self._client.conflict(
-                    self.KIND, 'store was restored since the lock was read'
-                )
-            response = self._client.call(
-                'PUT',
-                self.KIND,
-                self.NAME,
-                body={'metadata': metadata, 'spec': spec},
-            )
-        else:
-            response = self._client.call(
-                'POST', self.KIND, body={'metadata': metadata, 'spec': spec}
-            )
-        acquired = self._client.decode_response(response, _Object, self.KIND)
-        if isinstance(acquired, failures.Failure):
-            return acquired
-        return _fencing_number(response, acquired)
-
-
-def _fencing_number(response: urllib3.BaseHTTPResponse, lock: _Object) -> int:
-    """Return a number that rises with each write, in all histories."""
-    return era_of(response) * REVISIONS_PER_ERA + lock.metadata.revision
--- a/tests/test_gateway_restored_store.py
+++ b/tests/test_gateway_restored_store.py
@@ -19,6 +19,7 @@
 from burdockmast.gateway import view
 from burdockmast.platform import configuration
 from burdockmast.platform import servers
+from burdockmast.platform import shared_records
 from burdockmast.platform import standin
 from burdockmast.platform import store
 
@@ -260,7 +261,7 @@
 
 
 def test_fencing_numbers_do_not_go_back_with_the_store(metadata, client):
-    lock = store.PlannerLock(client, 'a-0')
+    lock = shared_records.PlannerLock(client, 'a-0')
     saved = metadata.copy()
     for number in range(30):
         metadata.put('others', f'o-{number}', number)
@@ -272,11 +273,11 @@
 
 def test_a_lock_of_an_earlier_history_is_not_confirmed(metadata, client):
     """Another holder has the same revision in the new history."""
-    holder = store.PlannerLock(client, 'a-0')
+    holder = shared_records.PlannerLock(client, 'a-0')
     saved = metadata.copy()
     fencing_number = holder.acquire(holder.read().revision)
     metadata.restore(saved)
-    store.PlannerLock(client, 'a-1').acquire(0)
+    shared_records.PlannerLock(client, 'a-1').acquire(0)
     state = holder.read()
     assert state.holder == 'a-1'
     assert state.revision != fencing_number
@@ -285,12 +286,12 @@
 def test_a_lock_is_not_acquired_by_a_revision_of_an_earlier_history(
     metadata, client
 ):
-    lock = store.PlannerLock(client, 'a-0')
+    lock = shared_records.PlannerLock(client, 'a-0')
     saved = metadata.copy()
     lock.acquire(0)
     read = lock.read()
     metadata.restore(saved)
-    store.PlannerLock(client, 'a-1').acquire(0)
+    shared_records.PlannerLock(client, 'a-1').acquire(0)
     assert isinstance(lock.acquire(read.revision), failures.Failure)
 
 
@@ -299,7 +300,7 @@
     record = interfaces.QuarantineRecord(
         'part', ('i-1@1', 'i-2@1', 'i-3@1', 'i-4@1'), 0.0
     )
-    registry = store.QuarantineRegistry(client)
+    registry = shared_records.QuarantineRegistry(client)
     keeper = quarantine.QuarantineKeeper(suspects, registry, lambda: True)
     keeper.sync()
     saved = metadata.copy()
@@ -324,7 +325,7 @@
 
 def test_a_running_gateway_follows_a_restore(platform):
     """Its registration and a route, both lost, are there again."""
-    kind = store.GatewayRegistry.KIND
+    kind = shared_records.GatewayRegistry.KIND
     platform.wait_for(lambda: platform.store.objects_by_kind[kind])
     saved = platform.store.copy()
     saved.objects_by_kind[kind].clear()
--- a/tests/test_platform_odd_entries.py
+++ b/tests/test_platform_odd_entries.py
@@ -13,6 +13,7 @@
 from burdockmast.platform import engine_client
 from burdockmast.platform import json_lists
 from burdockmast.platform import servers
+from burdockmast.platform import shared_records
 from burdockmast.platform import store
 
 ENTRY = {
@@ -167,7 +168,7 @@
         stored('odd', specs[0]), stored('sound', specs[1]), stored('n', '7')
     )
     client = store.Client('store', _pool=Connections(body))
-    found = store.GatewayRegistry(client, None).list()
+    found = shared_records.GatewayRegistry(client, None).list()
     assert [gateway.name for gateway in found] == ['sound']
 
 
