Move decisions about missing and removed objects out of the follower

Which entries are kept after an outage, and which count as removed over a restore, is decided in absent_objects, without calls to the store. No change of behaviour; tests name the new places of a constant and a field.

--- a/libs/gateway/burdockmast/gateway/object_follower.py
+++ b/libs/gateway/burdockmast/gateway/object_follower.py
@@ -14,6 +14,7 @@
 from burdockmast.base import failures
 from burdockmast.base import logs
 from burdockmast.base import timers
+from burdockmast.gateway import absent_objects
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import relays
 
@@ -24,9 +25,6 @@
 # Pause after a call that returned changes, so that the next one returns more
 # of them at once.
 BATCH_DELAY_SECONDS = 0.15
-# Time after an outage of the store in which live writers renew the entries
-# that expired meanwhile: about 2 s by the platform's documentation.
-EXPIRY_GRACE_SECONDS = 2.0
 # Time for which changes are repeated to neighbours, since a message may get
 # lost.
 REPEAT_CHANGES_SECONDS = 0.7
@@ -39,11 +37,11 @@
 # just chosen a server by the older copy.
 REACTION_SECONDS = 0.7
 MIN_WATCH_SECONDS = 0.3
+# The same where an object is to be dropped.
+MIN_DROP_WATCH_SECONDS = 0.05
 # Least time between two listings because neighbours know a later history that
 # the store does not confirm.
 ERA_CHECK_SECONDS = 0.5
-# Most removed objects that are remembered, the latest.
-MAX_REMOVED_OBJECTS = 10000
 
 T = TypeVar('T')
 
@@ -104,7 +102,6 @@
         self._name = name
         self._feed = feed
         self._watch_seconds = watch_seconds
-        self._keeps_expired = keeps_expired
         self._is_older = is_older
         self._is_watcher = is_watcher
         self._relayed_type = relayed_type
@@ -131,15 +128,9 @@
         # Monotonic seconds before which a neighbour's word of a later era does
         # not cause another listing.
         self._next_era_check_at = 0.0
-        # The last version of each object that was removed, with the era in
-        # which it was.
-        self._removed_by_name: dict[str, tuple[int, T]] = {}
-        # Monotonic seconds at which objects that went missing around an outage
-        # are dropped.
-        self._drop_at_by_name: dict[str, float] = {}
+        self._absent = absent_objects.AbsentObjects[T](keeps_expired, is_older)
         self._confirmed_at = float('-inf')
         self._store_lost_at: float | None = None
-        self._store_back_at = float('-inf')
 
     @property
     def age(self) -> float:
@@ -237,7 +228,7 @@
         self._recent_batches.clear()
         if is_first:
             return
-        self._store_back_at = timers.now()
+        self._absent.record_outage_end(timers.now())
         for subscriber in self.on_restore:
             subscriber()
 
@@ -274,13 +265,15 @@
         from_revision, changes = relays.contiguous_changes(batches)
         size = sum(len(item or b'') for _, item in changes)
         is_relayed = bool(changes) and size <= relays.MAX_CHANGES_BYTES
-        outage_end_age = now - self._store_back_at
+        outage_end_age = now - self._absent.store_back_at
         return relays.FeedNews(
             self._name,
             self.revision,
             self._changed_revision,
             self.age,
-            outage_end_age if outage_end_age < EXPIRY_GRACE_SECONDS else None,
+            outage_end_age
+            if outage_end_age < absent_objects.EXPIRY_GRACE_SECONDS
+            else None,
             from_revision if is_relayed else self.revision,
             changes if is_relayed else [],
             self._corrected_revision,
@@ -301,7 +294,7 @@
             return
         if outage_end_at is not None:
             age = timers.boottime_now() - outage_end_at
-            self._store_back_at = max(self._store_back_at, timers.now() - age)
+            self._absent.record_outage_end(timers.now() - age)
         if (
             news.changes
             and self._relayed_type is not None
@@ -338,10 +331,8 @@
             # changes only as of the call.
             most = self._max_relied_age - RELY_MARGIN_SECONDS - self.age
             seconds = min(seconds, max(MIN_WATCH_SECONDS, most))
-        if not self._drop_at_by_name:
-            return seconds
-        earliest = min(at for at in self._drop_at_by_name.values())
-        return min(seconds, max(0.05, earliest - timers.now()))
+        until_drop = self._absent.next_drop_at - timers.now()
+        return min(seconds, max(MIN_DROP_WATCH_SECONDS, until_drop))
 
     def _on_failure(self, failure: failures.Failure, is_watch: bool) -> None:
         self._must_list = True
@@ -382,7 +373,7 @@
             return
         seconds = timers.now() - self._store_lost_at
         self._store_lost_at = None
-        self._store_back_at = timers.now()
+        self._absent.record_outage_end(timers.now())
         LOG.info(
             'store reachable again',
             extra={'what': self._name, 'away_seconds': round(seconds, 3)},
@@ -396,7 +387,7 @@
         before = {
             name: item
             for name, item in self.item_by_name.items()
-            if name not in self._drop_at_by_name
+            if name not in self._absent.drop_at_by_name
         }
         missing = self.item_by_name.keys() - listing.item_by_name.keys()
         missing_items = {name: self.item_by_name[name] for name in missing}
@@ -405,16 +396,16 @@
             if self._is_outdated(name, item)
             else item
             for name, item in listing.item_by_name.items()
-            if not self._was_removed(name, item)
+            if not self._absent.was_removed(name, item, self.era)
         }
         has_changed = self.item_by_name != before
         for name in listing.item_by_name:
-            self._drop_at_by_name.pop(name, None)
+            self._absent.record_present(name)
         for name, item in missing_items.items():
-            if self._is_kept(name):
+            if self._absent.is_kept(name):
                 self.item_by_name[name] = item
             else:
-                self._record_removed(name, item)
+                self._absent.record_removed(name, item, self.era)
         # Copies at earlier revisions may lack a change, though this one does
         # not: what has changed may have changed back.
         self._advance(listing.revision, listing.revision)
@@ -471,36 +462,20 @@
     def _apply_items(self, changes: Iterable[interfaces.Change[T]]) -> None:
         for change in changes:
             if change.item is not None:
-                if self._was_removed(change.name, change.item):
+                if self._absent.was_removed(
+                    change.name, change.item, self.era
+                ):
                     continue
-                self._drop_at_by_name.pop(change.name, None)
+                self._absent.record_present(change.name)
                 if not self._is_outdated(change.name, change.item):
                     self.item_by_name[change.name] = change.item
-            elif not self._is_kept(change.name):
+            elif not self._absent.is_kept(change.name):
                 self._remove(change.name)
 
     def _remove(self, name: str) -> None:
         item = self.item_by_name.pop(name, None)
         if item is not None:
-            self._record_removed(name, item)
-
-    def _record_removed(self, name: str, item: T) -> None:
-        """Remember an object that its writer has removed, or let lapse."""
-        if self._is_older is None:
-            return
-        self._removed_by_name.pop(name, None)
-        self._removed_by_name[name] = self.era, item
-        while len(self._removed_by_name) > MAX_REMOVED_OBJECTS:
-            del self._removed_by_name[next(iter(self._removed_by_name))]
-
-    def _was_removed(self, name: str, item: T) -> bool:
-        """Return whether an object was removed in an earlier history.
-
-        A restored store holds it again as it was before, until its writer
-        writes a newer one.
-        """
-        era, removed = self._removed_by_name.get(name, (self.era, None))
-        return era < self.era and not self._is_older(removed, item)
+            self._absent.record_removed(name, item, self.era)
 
     def _is_outdated(self, name: str, item: T) -> bool:
         current = self.item_by_name.get(name)
@@ -513,24 +488,9 @@
         )
         return True
 
-    def _is_kept(self, name: str) -> bool:
-        """Return whether a missing object may have expired in an outage."""
-        if not self._keeps_expired:
-            return False
-        known_drop_at = self._drop_at_by_name.get(name)
-        if known_drop_at is not None:
-            return timers.now() < known_drop_at
-        drop_at = self._store_back_at + EXPIRY_GRACE_SECONDS
-        if timers.now() >= drop_at:
-            return False
-        self._drop_at_by_name[name] = drop_at
-        return True
-
     def _drop_expired(self) -> None:
-        now = timers.now()
-        expired = [n for n, at in self._drop_at_by_name.items() if now >= at]
+        expired = self._absent.take_expired()
         for name in expired:
-            del self._drop_at_by_name[name]
             self._remove(name)
             LOG.info(
                 'expired object was not renewed; dropping it',
--- a/tests/test_gateway_object_follower.py
+++ b/tests/test_gateway_object_follower.py
@@ -4,6 +4,7 @@
 
 from burdockmast.base import failures
 from burdockmast.base import timers
+from burdockmast.gateway import absent_objects
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import object_follower
 
@@ -80,7 +81,7 @@
     poll_all(follower, feed, interfaces.Listing(1, {'a': 1}))
     poll_all(follower, feed, store_lost(), store_lost(), changes(2, a=None))
     assert follower.item_by_name == {'a': 1}
-    clock.now += object_follower.EXPIRY_GRACE_SECONDS
+    clock.now += absent_objects.EXPIRY_GRACE_SECONDS
     poll_all(follower, feed, changes(2))
     assert follower.item_by_name == {}
 
@@ -95,7 +96,7 @@
         changes(2, a=None),
         changes(3, a=2),
     )
-    clock.now += object_follower.EXPIRY_GRACE_SECONDS
+    clock.now += absent_objects.EXPIRY_GRACE_SECONDS
     poll_all(follower, feed, changes(3))
     assert follower.item_by_name == {'a': 2}
 
@@ -116,7 +117,7 @@
         interfaces.Listing(9, {'b': 1}),
     )
     assert follower.item_by_name == {'a': 1, 'b': 1}
-    clock.now += object_follower.EXPIRY_GRACE_SECONDS
+    clock.now += absent_objects.EXPIRY_GRACE_SECONDS
     poll_all(follower, feed, changes(9))
     assert follower.item_by_name == {'b': 1}
 
--- a/tests/test_gateway_relays.py
+++ b/tests/test_gateway_relays.py
@@ -6,6 +6,7 @@
 
 from burdockmast.base import failures
 from burdockmast.base import timers
+from burdockmast.gateway import absent_objects
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import object_follower
 from burdockmast.gateway import relays
@@ -192,7 +193,7 @@
     watcher.follower.poll()
     exchange(clock, watcher, gateway)
     gateway.follower.poll()
-    clock.now += object_follower.EXPIRY_GRACE_SECONDS
+    clock.now += absent_objects.EXPIRY_GRACE_SECONDS
     watcher.follower.poll()
     gateway.follower.poll()
     assert watcher.texts() == {}
@@ -309,7 +310,7 @@
     gateway.follower.poll()
     assert 'one' in watcher.texts()
     assert 'one' in gateway.texts()
-    clock.now += object_follower.EXPIRY_GRACE_SECONDS
+    clock.now += absent_objects.EXPIRY_GRACE_SECONDS
     watcher.follower.poll()
     gateway.follower.poll()
     assert 'one' not in watcher.texts()
--- a/tests/test_gateway_restored_store.py
+++ b/tests/test_gateway_restored_store.py
@@ -10,6 +10,7 @@
 
 from burdockmast.base import failures
 from burdockmast.base import timers
+from burdockmast.gateway import absent_objects
 from burdockmast.gateway import crash_suspects
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import leaving_servers
@@ -253,9 +254,9 @@
     poll_until_idle(follower)
     assert set(follower.item_by_name) == {'i-1', 'i-2'}
     metadata.put(servers.KIND, 'i-1', server_entry(sequence=5))
-    monkeypatch.setattr(object_follower, 'EXPIRY_GRACE_SECONDS', 0.0)
-    for name in follower._drop_at_by_name:
-        follower._drop_at_by_name[name] = 0.0
+    monkeypatch.setattr(absent_objects, 'EXPIRY_GRACE_SECONDS', 0.0)
+    for name in follower._absent.drop_at_by_name:
+        follower._absent.drop_at_by_name[name] = 0.0
     poll_until_idle(follower)
     assert set(follower.item_by_name) == {'i-1'}
 
