--- a/libs/bench/burdockmast/bench/gateway_soak.py
+++ b/libs/bench/burdockmast/bench/gateway_soak.py
@@ -129,15 +129,18 @@
     def strike(self, rng: random.Random) -> str:
         """Kill, stop or suspend the process, and start it again."""
         number = rng.choice((signal.SIGKILL, signal.SIGTERM, signal.SIGSTOP))
-        self.process.send_signal(number)
+        # Another fault may end it meanwhile, and start the next process.
+        process = self.process
+        process.send_signal(number)
         seconds = rng.uniform(0.5, 2.5)
         if number is signal.SIGSTOP:
             eventlet.sleep(seconds)
-            self.process.send_signal(signal.SIGCONT)
+            process.send_signal(signal.SIGCONT)
         else:
-            while self.process.poll() is None:
+            while process.poll() is None:
                 eventlet.sleep(0.05)
-            self.start()
+            if self.process is process:
+                self.start()
         self.excused_until = timers.now() + STABLE_SECONDS
         return f'{number.name} for {seconds:.1f} s at {self.host}'
 
