--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -13,6 +13,11 @@
 }
 
 
+# Seeds with so many gateways that failed and are not mended yet.
+MANY_GATEWAYS = 30
+OPEN_WITH_MANY_GATEWAYS = (501,)
+
+
 class Server:
     """A server that has received requests at given times."""
 
@@ -84,3 +89,9 @@
     report = gateway_soak.play(seed, tmp_path)
     assert not report.violations, (report.faults, report.violations)
     assert report.statuses['draft 200']
+
+
+@pytest.mark.parametrize('seed', OPEN_WITH_MANY_GATEWAYS)
+def test_promises_hold_with_many_gateways(seed, tmp_path):
+    report = gateway_soak.play(seed, tmp_path, MANY_GATEWAYS)
+    assert not report.violations, (report.faults, report.violations)
