List streams that are cut for want of retries as open

Traced: the retries of all requests of a gateway share one budget, and streams that had begun found it used up when their path was lost. The failing test asks for a part of the budget that only such streams may use.

--- a/tests/test_gateway_sse.py
+++ b/tests/test_gateway_sse.py
@@ -52,3 +52,12 @@
         pass
     now[0] = 10.1
     assert budget.withdraw('draft')
+
+
+def test_retries_of_new_requests_leave_some_to_streams_that_have_begun():
+    """A stream that is cut costs its caller more than a refusal."""
+    budget = retries.Budget(0.2, 40, 10.0, now=lambda: 0.0)
+    budget.gateway_count = 1
+    while budget.withdraw('llm'):
+        pass
+    assert budget.withdraw('llm', has_begun=True)
