--- /dev/null
+++ b/review/rig/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, servers and callers around real gateways."""
