Add a review case: a gateway stops accepting for good

Rule: RECOVER (a machine that says it is ready takes no new connection). Disruption: 1.7 times the callers for 10 s (burst), on a gateway with the descriptors of its settings.

--- a/review/rig/deployment.py
+++ b/review/rig/deployment.py
@@ -8,6 +8,7 @@
 import json
 import os
 import pathlib
+import resource
 import shlex
 import signal
 import socket
@@ -17,6 +18,7 @@
 import time
 import tomllib
 
+from rig import callers
 from rig import replica
 from rig import wire
 
@@ -25,6 +27,7 @@
 HOST = '127.0.0.1'
 ZONE = 'ma-north-a'
 START_SECONDS = 20.0
+MAX_FDS = 4200
 BOUNDS = """
 seed-lag-s = 3
 reuse-after-s = 2
@@ -128,6 +131,22 @@
         self._start_standin('rig.metadata_store', HOST, str(port))
         await self._wait_for(lambda: _accepts(port), 'the store')
 
+    def start_callers(self, name: str, **options: object) -> None:
+        """Start a process with callers, whose log ends in ``.calls``."""
+        log = str(self.folder / f'{name}.calls')
+        given = callers.Options(name=name, log=log, **options)
+        self._start_standin(
+            'rig.callers', json.dumps(dataclasses.asdict(given))
+        )
+
+    def calls(self) -> list[list]:
+        """Return the lines of all callers, in the order of time."""
+        found = []
+        for log in self.folder.glob('*.calls'):
+            text = log.read_text(encoding='utf-8')
+            found += map(json.loads, text.splitlines())
+        return sorted(found)
+
     async def start_replica(
         self, name: str, service: str, **options: object
     ) -> subprocess.Popen:
@@ -184,7 +203,7 @@
             f'[listen]\nfront = "{HOST}:{ports[0]}"\n'
             f'ready = "{HOST}:{ports[1]}"\n'
             f'[limits]\ncpu-share = 0.817\ncores = 1\nmemory-mb = 300\n'
-            f'max-fds = 4200\nlink-mbps = 1000.0\ndisk-mb = 0\n'
+            f'max-fds = {MAX_FDS}\nlink-mbps = 1000.0\ndisk-mb = 0\n'
             f'[bounds]\n{BOUNDS}\n'
             f'[platform]\naddress = "{store or self.store}"\n'
             f'form = "objects"\nwrites-per-s = 400\nreads-per-s = 2000\n'
@@ -257,7 +276,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Gateway:
-    """One gateway process with its settings."""
+    """One gateway process with its settings.
+
+    :ivar keeps_descriptors: the process gets no more descriptors than its
+        settings name
+    """
 
     deployment: Deployment
     name: str
@@ -265,6 +288,15 @@
     front: str
     ready: str
     process: subprocess.Popen | None = None
+    keeps_descriptors: bool = False
+
+    def _limit_descriptors(self) -> None:
+        """Give the process the descriptors that its settings name."""
+        limit = resource.RLIMIT_NOFILE
+        try:
+            resource.prlimit(self.process.pid, limit, (MAX_FDS, MAX_FDS))
+        except (OSError, ValueError) as error:
+            raise CannotRun(f'no {MAX_FDS} descriptors: {error}') from None
 
     async def start(self) -> None:
         """Start it with the command of the deploy file."""
@@ -283,6 +315,8 @@
                 'BURDOCKMAST_NODE_FILE': str(self.settings),
             },
         )
+        if self.keeps_descriptors:
+            self._limit_descriptors()
         until = time.monotonic() + START_SECONDS
         while not await self.is_ready():
             if time.monotonic() > until:
@@ -318,6 +352,7 @@
     :param scene: returns the number of times that the rule was broken
     """
     deployment = Deployment(case)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         broken = asyncio.run(scene(deployment))
         deployment.note(f'the rule was broken {broken} times')
