Log why a silent path is left, and what was left to a cut stream

The logs named the failure of the last attempt only, so that a path left for its silence, attempts used up and an empty budget looked alike. No logic is changed.

--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -103,10 +103,36 @@
                     failure, outcome=outcomes.Outcome.UNKNOWN
                 )
             if progress.has_begun:
+                self._log_abort(job, progress, failure)
                 raise StreamAborted(str(failure))
             yield failure
             return
 
+    def _log_abort(
+        self,
+        job: jobs.Job,
+        progress: stream_progress.Progress,
+        failure: failures.Failure,
+    ) -> None:
+        """Log what was left to a stream that is cut."""
+        LOG.info(
+            'no attempt is left to a stream that has begun',
+            extra={
+                'request': job.id,
+                'reason': failure.reason.value,
+                'step': failure.step,
+                'peer': failure.peer,
+                'attempts': progress.attempts,
+                'possible_runs': progress.possible_runs,
+                'ended_runs': progress.ended_runs,
+                'max_attempts': job.route.max_attempts,
+                'has_budget': self._budget.can_withdraw(job.service.id),
+                'left': round(job.seconds_left, 3),
+                'last_event': progress.last_event_id,
+                'admitted_by': job.configuration_version,
+            },
+        )
+
     def _wait_for_path(
         self, job: jobs.Job, progress: stream_progress.Progress
     ) -> tuple[backends.Stage, ...] | failures.Failure:
@@ -324,18 +350,26 @@
             < job.route.max_attempts
             and self._budget.can_withdraw(job.service.id)
         )
-        return silence.should_wait(
-            silence.Silence(
-                now - waiting.since,
-                waiting.limit_seconds,
-                job.seconds_left,
-                may_retry,
-                bool(self._view.lost_since(servers, waiting.since)),
-                self._view.all_active_since(
-                    servers, now - RECENT_EVENT_SECONDS
-                ),
-            )
+        found = silence.Silence(
+            now - waiting.since,
+            waiting.limit_seconds,
+            job.seconds_left,
+            may_retry,
+            bool(self._view.lost_since(servers, waiting.since)),
+            self._view.all_active_since(servers, now - RECENT_EVENT_SECONDS),
         )
+        if silence.should_wait(found):
+            return True
+        LOG.info(
+            'stream leaves a silent path',
+            extra={
+                'request': job.id,
+                'path': servers,
+                'last_event': progress.last_event_id,
+                **dataclasses.asdict(found),
+            },
+        )
+        return False
 
     def _forward_error_reply(
         self,
