--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -39,6 +39,16 @@
             'max-attempts': 1,
             'resumable': True,
         },
+        {
+            'name': 'plain',
+            'host': 'h.example',
+            'path-prefix': '/draft/plain/',
+            'kind': 'streaming',
+            'timeout-ms': 20000,
+            'service': 'app',
+            'max-attempts': 2,
+            'resumable': True,
+        },
         {
             'name': 'confirm',
             'host': 'h.example',
