Keep a silent stream until another attempt delivers

Cause: the wait for a silent server ended on a guess. Another attempt was allowed and a retry was left, so that the attempt was closed; only then a path, admission and the budget were asked for. Where one of them failed (one server, full servers, an empty budget, the last attempt) the answer was lost. After 1.9 s a stream was ended in any case, whatever its deadline.

Change: other attempts are started beside a silent one, each in a task of its own, once path and retry are to be had. The first that delivers goes on, the others are closed. Silence alone ends nothing before the deadline. A stream that has begun and has lost its path searches until its deadline for a path and a retry, in place of one wait of 0.6 s. A pause in which the caller itself was slow to read is no silence of the server. One attempt is one class now, the stream's state another.

Log lines before: 'stream leaves a silent path' before each cut stream, with may_retry true and no server lost.

--- /dev/null
+++ b/libs/gateway/burdockmast/gateway/stream_attempts.py
@@ -0,0 +1,388 @@
+"""One attempt to have a stream served, on one path."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+import dataclasses
+
+from burdockmast.base import failures
+from burdockmast.base import ids
+from burdockmast.base import logs
+from burdockmast.base import outcomes
+from burdockmast.base import timers
+from burdockmast.gateway import backends
+from burdockmast.gateway import crash_checks
+from burdockmast.gateway import crash_suspects
+from burdockmast.gateway import interfaces
+from burdockmast.gateway import jobs
+from burdockmast.gateway import leaving_servers
+from burdockmast.gateway import path_selector
+from burdockmast.gateway import server_limits
+from burdockmast.gateway import silence
+from burdockmast.gateway import sse
+from burdockmast.gateway import upstream
+from burdockmast.gateway import view
+
+LOG = logs.get('streams')
+
+# Another path is tried if the first event takes longer than this.
+FIRST_EVENT_TIMEOUT_SECONDS = 1.0
+# Time to read the reply head after waiting for its first bytes.
+HEAD_TIMEOUT_SECONDS = 0.1
+# A pause between events after which another path is tried.
+PAUSE_TIMEOUT_SECONDS = 0.6
+# A path counts as slow if a pause exceeds this share of the route's objective
+# for pauses.
+SLOW_PAUSE_SHARE = 0.4
+# Largest event of a stream.
+MAX_EVENT_BYTES = 1024 * 1024
+# Largest body of a server's error reply that is forwarded to the caller.
+MAX_ERROR_BODY_BYTES = 1024 * 1024
+STATUS_OK = 200
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Events:
+    """Complete events of a stream.
+
+    :ivar data: as the server sent them
+    :ivar last_id: of the last of them
+    :ivar count: number of events
+    """
+
+    data: bytes
+    last_id: int | None
+    count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Gateway:
+    """The parts of the gateway that an attempt uses."""
+
+    view: view.View
+    header_codec: interfaces.HeaderCodec
+    path_selector: path_selector.PathSelector
+    suspects: crash_suspects.CrashSuspects
+    limits: server_limits.ServerLimits
+    leaving: leaving_servers.LeavingServers
+    crash_checks: crash_checks.CrashChecks
+
+
+class StreamAttempt:
+    """One attempt to have a stream served.
+
+    :ivar path: the servers that it passes
+    :ivar head: of the reply, None before it was received
+    :ivar is_sent: the request may run, or have run
+    :ivar has_crashed: the server broke off the reply by crashing
+    :ivar silent_since: monotonic seconds of the last event, or of the start
+    :ivar limit_seconds: see ``silence.Silence``
+    :ivar keep_waiting: called again and again while nothing arrives; false
+        ends the attempt
+    :ivar forwards_errors: called for an error reply; true forwards it to the
+        caller, false makes it a failure
+    """
+
+    def __init__(
+        self,
+        gateway: Gateway,
+        job: jobs.Job,
+        path: tuple[backends.Stage, ...],
+        fingerprints: tuple[ids.Fingerprint, ...],
+        last_event_id: int | None,
+    ):
+        """Prepare an attempt that continues after ``last_event_id``."""
+        self.path = path
+        self.head: upstream.Head | None = None
+        self.is_sent = False
+        self.has_crashed = False
+        self.silent_since = timers.now()
+        self.limit_seconds = FIRST_EVENT_TIMEOUT_SECONDS
+        self.keep_waiting: Callable[[], bool] = lambda: job.seconds_left > 0
+        self.forwards_errors: Callable[[], bool] = lambda: False
+        self._gateway = gateway
+        self._job = job
+        self._fingerprints = fingerprints
+        self._last_event_id = last_event_id
+        self._exchange = upstream.Exchange(path[0].server)
+        self._tracked: crash_suspects.Attempt | None = None
+        self._began = timers.now()
+        self._event_count = 0
+        self._longest_pause = 0.0
+        self._items = self._run()
+        self._received: list[Events | jobs.Reply] = []
+
+    @property
+    def servers(self) -> list[ids.ServerId]:
+        """The servers of the path."""
+        return [stage.server.id for stage in self.path]
+
+    @property
+    def has_events(self) -> bool:
+        """Whether events were received."""
+        return self._event_count > 0
+
+    @property
+    def silent_seconds(self) -> float:
+        """Seconds without an event."""
+        return timers.now() - self.silent_since
+
+    def receive_first(self) -> failures.Failure | None:
+        """Wait for the first events, which ``receive`` then returns."""
+        try:
+            self._received.append(next(self._items))
+        except StopIteration as end:
+            return end.value
+        return None
+
+    def receive(self) -> Iterator[Events | jobs.Reply]:
+        """Yield events, or an error reply; return the failure, if any."""
+        while self._received:
+            yield self._received.pop()
+        return (yield from self._items)
+
+    def close(self) -> None:
+        """End the attempt, which cancels the request at its servers."""
+        self._items.close()
+
+    def record_lost_servers(self) -> list[ids.ServerId]:
+        """Return the likely lost servers of a silent path.
+
+        All of them get asked for reports.
+        """
+        self.fetch_reports()
+        lost = self._gateway.view.lost_since(self.servers, self._began)
+        return lost or self.servers
+
+    def fetch_reports(self) -> None:
+        """Ask the path's servers for reports, which show lost ones."""
+        if self._job.service.engine:
+            self._gateway.path_selector.reports.fetch(
+                [stage.server for stage in self.path], self._job.id
+            )
+
+    def _run(self) -> Iterator[Events | jobs.Reply]:
+        gateway, exchange = self._gateway, self._exchange
+        gateway.path_selector.reserve(self._job, self.path)
+        self._tracked = gateway.suspects.track(
+            self._fingerprints, exchange.server
+        )
+        try:
+            failure = yield from self._exchange_messages()
+            if failure is None:
+                gateway.suspects.record_answer(self._tracked)
+            else:
+                self._check_for_crash(failure)
+        finally:
+            exchange.close()
+            gateway.suspects.untrack(self._tracked)
+            gateway.path_selector.release(self._job, self.path)
+        self._log_end(failure)
+        return failure
+
+    def _log_end(self, failure: failures.Failure | None) -> None:
+        job = self._job
+        LOG.info(
+            'stream completed' if failure is None else 'stream attempt failed',
+            extra={
+                'request': job.id,
+                'path': [
+                    f'{stage.server.id}={stage.first}-{stage.end}'
+                    for stage in self.path
+                ],
+                'events': self._event_count,
+                'last_event': self._last_event_id,
+                'prompt_tokens': job.request.prompt_tokens,
+                'answer_tokens': job.request.max_answer_tokens,
+                'length_hint': job.request.length_hint,
+                'longest_pause': round(self._longest_pause, 3),
+                'seconds': round(timers.now() - self._began, 3),
+                'list_age': round(self._gateway.view.server_list_age, 3),
+                'outcome': str(failure) if failure else 'whole',
+            },
+        )
+
+    def _check_for_crash(self, failure: failures.Failure) -> None:
+        server = self._exchange.server
+        if (
+            failure.reason is not failures.Reason.ENGINE_LOST
+            or failure.step == 'backend.connect'
+            or not self._gateway.crash_checks.has_crashed(server)
+        ):
+            return
+        self.has_crashed = True
+        self._gateway.suspects.record_crash(self._tracked)
+        LOG.info(
+            'server crashed during a stream',
+            extra={
+                'request': self._job.id,
+                'server': server.id,
+                'started_ms': server.started_ms,
+                'prompt_parts': self._job.request.prompt_parts,
+                'events': self._event_count,
+                'step': failure.step,
+            },
+        )
+
+    def _exchange_messages(self) -> Iterator[Events | jobs.Reply]:
+        gateway, exchange, job = self._gateway, self._exchange, self._job
+        attempt = interfaces.Attempt(
+            exchange.server,
+            job.organisation,
+            job.seconds_left,
+            self.path if job.service.engine else (),
+            self._last_event_id,
+            min(9, job.priority),
+        )
+        headers = gateway.header_codec.backend_headers(job.request, attempt)
+        gateway.limits.record_sent(exchange.server)
+        failure = exchange.send(job.request, headers)
+        if failure:
+            self.is_sent = failure.outcome is not outcomes.Outcome.NOT_RUN
+            return failure
+        self.is_sent = True
+        self.silent_since = timers.now()
+        if not self._wait_for_head():
+            return self._timeout_failure()
+        head = exchange.read_head(
+            job.id,
+            timers.now() + HEAD_TIMEOUT_SECONDS,
+            gateway.header_codec,
+            self._keep_waiting,
+        )
+        if isinstance(head, failures.Failure):
+            return head
+        gateway.limits.record_reply(
+            exchange.server, head.metadata, head.status, job.id
+        )
+        if head.metadata.is_leaving:
+            gateway.leaving.record(
+                exchange.server.id, exchange.server.started_ms, job.id
+            )
+        gateway.suspects.record_head(self._tracked)
+        if head.metadata.is_not_run:
+            self.is_sent = False
+            return exchange.refusal(head, path_selector.RETRY_AFTER_SECONDS)
+        self.head = head
+        if head.status != STATUS_OK:
+            return (yield from self._forward_error_reply(head))
+        if not head.metadata.is_signed or head.metadata.is_encoded:
+            return exchange.unknown_outcome(
+                'events', 'reply is unsigned or content-encoded'
+            )
+        return (yield from self._receive_events())
+
+    def _wait_for_head(self) -> bool:
+        """Wait for the reply; return false if the attempt is to end."""
+        seconds = silence.CHECK_SECONDS
+        while not self._exchange.wait_for_reply(
+            min(self._job.seconds_left, seconds)
+        ):
+            if not self.keep_waiting():
+                return False
+            seconds = upstream.SILENCE_RECHECK_SECONDS
+        return True
+
+    def _forward_error_reply(
+        self, head: upstream.Head
+    ) -> Iterator[jobs.Reply]:
+        """Forward a server's error reply unless the request can be retried."""
+        exchange = self._exchange
+        if not self.forwards_errors():
+            return exchange.unknown_outcome(
+                'events', f'server replied with status {head.status}'
+            )
+        try:
+            body = exchange.read_body(self._job.deadline, MAX_ERROR_BODY_BYTES)
+        except (upstream.IncompleteReply, TimeoutError) as error:
+            return exchange.unknown_outcome(
+                'events', f'reading the error body failed: {error}'
+            )
+        yield jobs.Reply.from_head(head, self._gateway.header_codec, body)
+        return None
+
+    def _receive_events(self) -> Iterator[Events]:
+        exchange = self._exchange
+        splitter = sse.EventSplitter(self._last_event_id)
+        self.silent_since = timers.now()
+        while True:
+            try:
+                data = exchange.read_some(
+                    min(
+                        self._job.deadline,
+                        self.silent_since + silence.CHECK_SECONDS,
+                    ),
+                    self._keep_waiting,
+                )
+            except TimeoutError:
+                return self._timeout_failure()
+            except upstream.IncompleteReply as error:
+                return exchange.unknown_outcome('events', str(error))
+            if not data:
+                return self._end_failure(splitter)
+            complete_events = splitter.feed(data)
+            if splitter.is_out_of_order:
+                return exchange.unknown_outcome(
+                    'events', 'event ids do not increase'
+                )
+            if len(splitter.incomplete) > MAX_EVENT_BYTES:
+                return exchange.unknown_outcome('events', 'event is too large')
+            if complete_events:
+                self._record_events(splitter)
+                yield Events(
+                    complete_events, splitter.last_id, splitter.completed_count
+                )
+                # The caller may have been slow to read them.
+                self.silent_since = timers.now()
+
+    def _keep_waiting(self) -> bool:
+        return self.keep_waiting()
+
+    def _end_failure(
+        self, splitter: sse.EventSplitter
+    ) -> failures.Failure | None:
+        """Return why a stream that ended is not complete, None if it is."""
+        exchange = self._exchange
+        if splitter.incomplete:
+            return exchange.unknown_outcome(
+                'events', 'stream ended inside an event'
+            )
+        if not exchange.is_framed and (
+            not self.has_events
+            or self._gateway.crash_checks.has_crashed(exchange.server)
+        ):
+            # Only such a stream looks complete when it is broken off.
+            return exchange.unknown_outcome(
+                'events', 'connection of an unframed stream ended'
+            )
+        return None
+
+    def _record_events(self, splitter: sse.EventSplitter) -> None:
+        pause = self.silent_seconds
+        self.silent_since = timers.now()
+        self.limit_seconds = PAUSE_TIMEOUT_SECONDS
+        self._check_pause(pause)
+        self._longest_pause = max(self._longest_pause, pause)
+        self._last_event_id = splitter.last_id
+        self._event_count += splitter.completed_count
+        self._gateway.view.record_activity(self.servers)
+        self._gateway.suspects.record_event(self._tracked)
+
+    def _check_pause(self, seconds: float) -> None:
+        """Request reports from the servers of a path that is slow."""
+        objective = (
+            self._job.route.gap_objective_seconds or PAUSE_TIMEOUT_SECONDS
+        )
+        if seconds > objective * SLOW_PAUSE_SHARE:
+            self.fetch_reports()
+
+    def _timeout_failure(self) -> failures.Failure:
+        reason = failures.Reason.PEER_SILENT
+        if self._job.seconds_left <= 0:
+            reason = failures.Reason.DEADLINE
+        return failures.Failure(
+            reason,
+            'backend.events',
+            self._exchange.server.id,
+            'no event within the time limit',
+            outcomes.Outcome.UNKNOWN,
+        )
--- a/libs/gateway/burdockmast/gateway/upstream.py
+++ b/libs/gateway/burdockmast/gateway/upstream.py
@@ -37,7 +37,7 @@
 # Reads in a row that found data, after which other tasks run.
 MAX_IMMEDIATE_READS = 8
 # How often a wait for a server that sends nothing is reconsidered.
-SILENCE_RECHECK_SECONDS = 0.1
+SILENCE_RECHECK_SECONDS = 0.05
 
 CONNECTION_ERRORS = (
     OSError,
@@ -206,14 +206,17 @@
         request: str,
         deadline: float,
         header_codec: interfaces.HeaderCodec,
+        should_keep_waiting: Callable[[], bool] | None = None,
     ) -> Head | failures.Failure:
         """Read the status line and headers of the reply.
 
         :param request: id that the reply must echo if it has one
         :param deadline: monotonic time
+        :param should_keep_waiting: called after ``deadline``; true waits on
         """
         try:
             self._set_bounds(deadline, MAX_HEAD_BYTES)
+            self._sock.should_keep_waiting = should_keep_waiting
             self._response = self._connection.getresponse()
         except TimeoutError:
             return failures.Failure(
