Leave retries to streams that have begun

Callers saw streams end in the middle of their answers while other servers could have gone on with them. Cause: one budget for all retries, first come first served. Where a server was lost or full, the retries of new requests used it up. A refused request may come again; a stream that is cut is lost. Now retries of new requests use 0.6 of a gateway's budget, those of streams that have begun, and of calls that a server may have run, all of it. Their sum is bounded as before, so that the fleet's stays within its allowance.

--- a/libs/gateway/burdockmast/gateway/calls.py
+++ b/libs/gateway/burdockmast/gateway/calls.py
@@ -76,7 +76,9 @@
             server = self._choose(job, tried)
             if server is None:
                 break
-            if attempt and not self._budget.withdraw(job.service.id):
+            if attempt and not self._budget.withdraw(
+                job.service.id, has_begun=possible_runs > 0
+            ):
                 LOG.info(
                     'retry budget exhausted; request is not retried',
                     extra={'request': job.id, 'sends': attempt},
--- a/libs/gateway/burdockmast/gateway/retries.py
+++ b/libs/gateway/burdockmast/gateway/retries.py
@@ -23,6 +23,9 @@
 # Share of the ratio that is used; the rest is a margin, as requests may arrive
 # unevenly in the two windows that are compared.
 RATIO_SHARE = 0.75
+# Share of its retries that a gateway uses for new requests. A refused request
+# may come again; a begun stream that is not resumed is cut.
+NEW_REQUESTS_SHARE = 0.6
 
 
 class Budget:
@@ -53,20 +56,30 @@
         """Record a request."""
         self._recent_times(self._requests, service).append(self._now())
 
-    def withdraw(self, service: ids.ServiceId) -> bool:
+    def withdraw(
+        self, service: ids.ServiceId, has_begun: bool = False
+    ) -> bool:
         """Take one retry; return false if none is left."""
-        if not self.can_withdraw(service):
+        if not self.can_withdraw(service, has_begun):
             return False
         self._retries[service].append(self._now())
         return True
 
-    def can_withdraw(self, service: ids.ServiceId) -> bool:
-        """Tell whether a retry is left."""
+    def can_withdraw(
+        self, service: ids.ServiceId, has_begun: bool = False
+    ) -> bool:
+        """Tell whether a retry is left.
+
+        :param has_begun: the retry resumes what has begun, and may use the
+            part that is kept from new requests
+        """
         retries = self._recent_times(self._retries, service)
         requests = self._recent_times(self._requests, service)
         allowed = self._slack / self.gateway_count + self._ratio * len(
             requests
         )
+        if not has_begun:
+            allowed *= NEW_REQUESTS_SHARE
         return len(retries) < allowed
 
     def _recent_times(
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -266,7 +266,7 @@
         return (
             job.is_idempotent
             and progress.counted_runs < job.route.max_attempts
-            and self._budget.can_withdraw(job.service.id)
+            and self._budget.can_withdraw(job.service.id, progress.has_begun)
         )
 
     def _start_standby(
@@ -284,12 +284,12 @@
         self, job: jobs.Job, progress: stream_progress.Progress
     ) -> stream_attempts.StreamAttempt | failures.Failure:
         """Return an attempt once both a path and a retry are to be had."""
-        if not self._budget.can_withdraw(job.service.id):
+        if not self._budget.can_withdraw(job.service.id, progress.has_begun):
             return self._no_retry_failure(job, progress)
         attempt = self._open(job, progress)
         if isinstance(attempt, failures.Failure):
             return attempt
-        if self._budget.withdraw(job.service.id):
+        if self._budget.withdraw(job.service.id, progress.has_begun):
             return attempt
         progress.attempts -= 1
         return self._no_retry_failure(job, progress)
@@ -442,7 +442,9 @@
                 'possible_runs': progress.possible_runs,
                 'ended_runs': progress.ended_runs,
                 'max_attempts': job.route.max_attempts,
-                'has_budget': self._budget.can_withdraw(job.service.id),
+                'has_budget': self._budget.can_withdraw(
+                    job.service.id, progress.has_begun
+                ),
                 'left': round(job.seconds_left, 3),
                 'last_event': progress.last_event_id,
                 'admitted_by': job.configuration_version,
--- a/tests/test_gateway_sse.py
+++ b/tests/test_gateway_sse.py
@@ -61,3 +61,16 @@
     while budget.withdraw('llm'):
         pass
     assert budget.withdraw('llm', has_begun=True)
+
+
+def test_retries_of_begun_streams_and_new_requests_stay_within_one_budget():
+    budget = retries.Budget(0.2, 40, 10.0, now=lambda: 0.0)
+    budget.gateway_count = 4
+    for _ in range(100):
+        budget.deposit('llm')
+    taken = sum(
+        budget.withdraw('llm', has_begun=number % 2 == 0)
+        for number in range(1000)
+    )
+    assert 0 < taken <= 0.2 * 100 + 40 / 4
+    assert not budget.can_withdraw('llm')
