Stop sending a call at its deadline

Callers with a body larger than the socket buffers got no answer at all, long past their deadline and their route's timeout, if the server that got the request did not read it. The HTTP client takes the timeout off the socket before it sends, and nothing else bounded the send.

Sends of calls now end at the request's deadline, like reads, and not sooner: a server may be silent for a second and then read on. Streams don't pass their deadline yet; their sends stay unbounded.

--- a/libs/gateway/burdockmast/gateway/calls.py
+++ b/libs/gateway/burdockmast/gateway/calls.py
@@ -211,7 +211,7 @@
         )
         headers = self._header_codec.backend_headers(job.request, attempt)
         self._limits.record_sent(exchange.server)
-        failure = exchange.send(job.request, headers)
+        failure = exchange.send(job.request, headers, job.deadline)
         if failure:
             return failure
         head = exchange.read_head(job.id, job.deadline, self._header_codec)
--- a/libs/gateway/burdockmast/gateway/upstream.py
+++ b/libs/gateway/burdockmast/gateway/upstream.py
@@ -71,7 +71,7 @@
     Unlike eventlet's own socket, it raises an error when the connection is
     reset, so that a truncated reply without a length does not look complete.
 
-    :ivar deadline: monotonic seconds until which reads may go on
+    :ivar deadline: monotonic seconds until which sends and reads may go on
     :ivar bytes_left: that may still be received
     :ivar has_ended: the server has closed the connection
     :ivar should_keep_waiting: called after the deadline; if it returns true,
@@ -85,6 +85,21 @@
     should_keep_waiting: Callable[[], bool] | None = None
     _immediate_reads: int = 0
 
+    def sendall(self, data: bytes, flags: int = 0) -> None:
+        """Send all of ``data``, however long the server doesn't read it.
+
+        :raises OSError: if the connection breaks
+        :raises TimeoutError: after the deadline
+        """
+        left = memoryview(data)
+        while left:
+            if timers.now() >= self.deadline:
+                raise TimeoutError('the request is not sent in time')
+            try:
+                left = left[self.fd.send(left, flags) :]
+            except BlockingIOError:
+                self._wait(is_send=True)
+
     def recv_into(
         self, buffer: bytearray, nbytes: int = 0, flags: int = 0
     ) -> int:
@@ -113,15 +128,16 @@
             raise TimeoutError('no complete data within the time limit')
         self.deadline = timers.now() + SILENCE_RECHECK_SECONDS
 
-    def _wait(self) -> None:
+    def _wait(self, is_send: bool = False) -> None:
         self._immediate_reads = 0
         seconds = self.deadline - timers.now()
         with contextlib.suppress(TimeoutError):
             hubs.trampoline(
                 self.fd,
-                read=True,
+                read=not is_send,
+                write=is_send,
                 timeout=None if math.isinf(seconds) else max(0.0, seconds),
-                timeout_exc=TimeoutError('no data yet'),
+                timeout_exc=TimeoutError('not ready yet'),
             )
 
     def _let_others_run(self) -> None:
@@ -147,10 +163,14 @@
         self,
         request: interfaces.CallerRequest,
         headers: list[tuple[str, str]],
+        deadline: float = math.inf,
     ) -> failures.Failure | None:
-        """Connect and send a caller's request."""
+        """Connect and send a caller's request.
+
+        :param deadline: monotonic time
+        """
         return self.send_bytes(
-            request.method, request.target, headers, request.body
+            request.method, request.target, headers, request.body, deadline
         )
 
     def send_bytes(
@@ -159,8 +179,13 @@
         target: str,
         headers: list[tuple[str, str]],
         body: bytes,
+        deadline: float = math.inf,
     ) -> failures.Failure | None:
-        """Connect and send a request of any kind."""
+        """Connect and send a request of any kind.
+
+        :param deadline: monotonic time
+        """
+        self._sock.deadline = deadline
         try:
             self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             self._sock.settimeout(CONNECT_TIMEOUT_SECONDS)
@@ -184,6 +209,8 @@
                 preload_content=False,
                 decode_content=False,
             )
+        except TimeoutError:
+            return self._deadline_failure('send', 'not sent in time')
         except CONNECTION_ERRORS as error:
             return self._failure('send', outcomes.Outcome.UNKNOWN, error)
         return None
@@ -219,12 +246,8 @@
             self._sock.should_keep_waiting = should_keep_waiting
             self._response = self._connection.getresponse()
         except TimeoutError:
-            return failures.Failure(
-                failures.Reason.DEADLINE,
-                'backend.head',
-                self.server.id,
-                'no reply within the time limit',
-                outcomes.Outcome.UNKNOWN,
+            return self._deadline_failure(
+                'head', 'no reply within the time limit'
             )
         except CONNECTION_ERRORS as error:
             return self._failure('head', outcomes.Outcome.UNKNOWN, error)
@@ -327,6 +350,15 @@
             retry_after=retry_after,
         )
 
+    def _deadline_failure(self, step: str, detail: str) -> failures.Failure:
+        return failures.Failure(
+            failures.Reason.DEADLINE,
+            f'backend.{step}',
+            self.server.id,
+            detail,
+            outcomes.Outcome.UNKNOWN,
+        )
+
     def _failure(
         self, step: str, outcome: outcomes.Outcome, error: object
     ) -> failures.Failure:
--- a/tests/test_platform_connections.py
+++ b/tests/test_platform_connections.py
@@ -1,6 +1,8 @@
 """Callers' connections to a gateway process."""
 
+import functools
 import signal
+import socket
 
 import eventlet
 import platforms
@@ -13,6 +15,8 @@
     b'Content-Length: 0\r\n'
     b'\r\n'
 ) % platforms.KEY.encode()
+# More than the socket buffers hold, less than the limit for bodies.
+LONG_BODY = b'x' * 4_000_000
 
 
 def count_successes(sock, expected):
@@ -45,3 +49,27 @@
         sock.sendall(REQUEST[40:])
         assert count_successes(sock, 2) == 2
         sock.close()
+
+
+def replace_servers(platform):
+    """Let a bare socket, which is returned, stand in for all plain servers."""
+    sock = eventlet.listen((platform.host, 0))
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+    address = '{}:{}'.format(*sock.getsockname())
+    for app in platform.apps:
+        app.update_entry(address=address)
+    ask = functools.partial(
+        platform.ask, '/confirm/x', Burdockmast_Deadline_Ms='100'
+    )
+    platform.wait_for(lambda: ask()[0] == 504)
+    return sock
+
+
+def test_a_request_that_its_server_does_not_read_is_answered_in_time(platform):
+    server = replace_servers(platform)
+    with eventlet.Timeout(5):
+        answer = platform.ask(
+            '/confirm/x', body=LONG_BODY, Burdockmast_Deadline_Ms='500'
+        )
+    assert answer[0] == 504
+    server.close()
