Admit requests that are woken as their time in the queue ends

Cause: a wake takes a request out of the queue and schedules its task; where its time limit fires in the same turn of the event loop, the wait took itself out again, which raised ValueError. The caller got 500, nothing was logged, and the room that the wake stood for went unused. More likely the busier the loop is, and after the process was suspended.

--- a/libs/limits/burdockmast/limits/queues.py
+++ b/libs/limits/burdockmast/limits/queues.py
@@ -122,6 +122,9 @@
             self._shed()
         with eventlet.Timeout(seconds, False):
             return waiter.event.wait()
+        if waiter.event.ready():
+            # Admitted or shed in the same turn of the event loop.
+            return waiter.event.wait()
         self._waiting.remove(waiter)
         return failures.Failure(
             failures.Reason.DEADLINE,
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -2,6 +2,7 @@
 
 import collections
 import random
+import time
 
 import eventlet
 from hypothesis import given
@@ -40,6 +41,16 @@
     return [name for name, refusal in outcomes if refusal is None]
 
 
+def test_request_that_is_woken_as_its_time_ends_is_admitted():
+    queue = queues.FairQueue(100)
+    waiting = eventlet.spawn(queue.wait, queues.Waiter('a', 5, 1.0), 0.01)
+    eventlet.sleep(0)
+    # The time ends while no other task runs, as in a suspended process.
+    time.sleep(0.02)
+    queue.wake()
+    assert waiting.wait() is None
+
+
 def test_large_organisation_does_not_crowd_out_small_ones():
     queue = queues.FairQueue(100)
     outcomes = enqueue(
