Split the soak of gateways by job

Processes, callers, checks and the play each get a module of their own, as new faults and checks come. The checks are functions that return what they find, so that tests need no half-made play.

No draw and no check changes; the tests of the checks call them directly.

--- a/libs/bench/burdockmast/bench/gateway_soak.py
+++ b/libs/bench/burdockmast/bench/gateway_soak.py
@@ -7,24 +7,17 @@
 servers see is checked.
 """
 
-import collections
-import contextlib
-import dataclasses
-import http.client
-import itertools
 import os
 import pathlib
 import random
-import signal
-import subprocess
-import sys
 import tempfile
 
 import eventlet
 
 from burdockmast.base import timers
-from burdockmast.platform import headers
-from burdockmast.platform import settings
+from burdockmast.bench import gateway_callers
+from burdockmast.bench import gateway_checks
+from burdockmast.bench import gateway_processes
 from burdockmast.platform import standin
 
 GATEWAY_COUNT = 3
@@ -32,25 +25,9 @@
 FAULT_COUNT = 8
 # Faults of the store's content: changes, restores, servers that leave.
 RECORD_FAULT_COUNT = 4
-# Longest time after which a server that leaves gets no more requests.
-DRAIN_SECONDS = 2.0
-# Sound and deadly requests, and calls, of each gateway's callers in a second.
+# Callers of each gateway.
 CALLERS_PER_GATEWAY = 3
-CALLER_PAUSE_SECONDS = 0.15
-DEADLY_SHARE = 0.06
 LAYERS = 80
-EVENTS = 20
-SETTLE_SECONDS = 20.0
-# The operators' rules: crashes until all gateways should know a part, seconds
-# after that, and requests that may still come; what a server may get beyond
-# its limit in some seconds.
-LEARNING_CRASHES = 5
-STABLE_SECONDS = 3.0
-LATE_REQUESTS = 3
-LIMIT_FACTOR = 1.5
-LIMIT_SLACK = 5
-WINDOW_SECONDS = 4.0
-SOUND_PARTS = '5a5a:50,%s:50,%x:20'
 CONFIGURATION = {
     'version': 7,
     'routes': [
@@ -87,70 +64,6 @@
 }
 
 
-@dataclasses.dataclass(slots=True)
-class Report:
-    """What happened in a play."""
-
-    faults: list[str] = dataclasses.field(default_factory=list)
-    violations: list[str] = dataclasses.field(default_factory=list)
-    statuses: collections.Counter[str] = dataclasses.field(
-        default_factory=collections.Counter
-    )
-
-
-class GatewayProcess:
-    """One gateway as a process of its own."""
-
-    def __init__(self, directory: pathlib.Path, host: str, store: str):
-        """Write the settings and start the process."""
-        self.host = host
-        self.excused_until = 0.0
-        self._file = directory / f'{host}.toml'
-        self._file.write_text(
-            f'node = "gateway-{host}"\nip = "{host}"\nzone = "a"\n'
-            'internal-ports = [7010, 7020]\n[zones]\na = "region"\n'
-            f'[listen]\nfront = "{host}:7000"\nready = "{host}:7001"\n'
-            '[bounds]\nrevoke-ms = 5000\ngrace-s = 8\nbudget-ratio = 0.2\n'
-            'budget-window-s = 10\nretry-slack = 200\ndrain-ms = 2000\n'
-            f'[platform]\naddress = "{store}"\n'
-        )
-        self._log = (directory / f'{host}.log').open('ab')
-        self.start()
-
-    def start(self) -> None:
-        """Start the process."""
-        self.process = subprocess.Popen(
-            [sys.executable, '-m', 'burdockmast.platform.program'],
-            env={**os.environ, settings.PATH_VARIABLE: str(self._file)},
-            stdout=self._log,
-            stderr=self._log,
-        )
-
-    def strike(self, rng: random.Random) -> str:
-        """Kill, stop or suspend the process, and start it again."""
-        number = rng.choice((signal.SIGKILL, signal.SIGTERM, signal.SIGSTOP))
-        # Another fault may end it meanwhile, and start the next process.
-        process = self.process
-        process.send_signal(number)
-        seconds = rng.uniform(0.5, 2.5)
-        if number is signal.SIGSTOP:
-            eventlet.sleep(seconds)
-            process.send_signal(signal.SIGCONT)
-        else:
-            while process.poll() is None:
-                eventlet.sleep(0.05)
-            if self.process is process:
-                self.start()
-        self.excused_until = timers.now() + STABLE_SECONDS
-        return f'{number.name} for {seconds:.1f} s at {self.host}'
-
-    def close(self) -> None:
-        """End the process."""
-        self.process.kill()
-        self.process.wait()
-        self._log.close()
-
-
 class Play:
     """One play of a seed."""
 
@@ -158,10 +71,9 @@
         self, seed: int, directory: pathlib.Path, gateways: int = GATEWAY_COUNT
     ):
         """Start servers and gateways."""
-        self.report = Report()
+        self.report = gateway_checks.Report()
         self._rng = random.Random(seed)
         self._record_rng = random.Random(f'records {seed}')
-        self._numbers = itertools.count(1)
         process = os.getpid() % 60000
         network = f'127.{70 + process // 250 % 100}.{process % 250}'
         hosts = [f'{network}.{n + 1}' for n in range(gateways + 1)]
@@ -183,27 +95,33 @@
             for n in range(3)
         ]
         for engine in self._engines:
-            engine.event_count = EVENTS
+            engine.event_count = gateway_callers.EVENTS
         self._store.put('config', 'main', CONFIGURATION)
         address = standin.listen(hosts[-1], self._store)
         self._gateways = [
-            GatewayProcess(directory, host, address) for host in hosts[:-1]
+            gateway_processes.GatewayProcess(directory, host, address)
+            for host in hosts[:-1]
         ]
         self._configuration = CONFIGURATION
         self._leaving_since: dict[str, float] = {}
         self._deadly_part = f'dead{seed:x}'
-        self._crashed_at: list[float] = []
+        self._callers = gateway_callers.Callers(self.report, self._deadly_part)
         self._named: dict[str, tuple[float, float]] = {}
         self._ends_at = 0.0
 
-    def run(self) -> Report:
+    def run(self) -> gateway_checks.Report:
         """Play the faults, then check that all gateways serve."""
         try:
             for gateway in self._gateways:
-                self._wait_until_served(gateway)
+                self._callers.wait_until_served(gateway)
             self._ends_at = timers.now() + PLAY_SECONDS
             callers = [
-                eventlet.spawn(self._call, gateway, random.Random(number))
+                eventlet.spawn(
+                    self._callers.call,
+                    gateway,
+                    random.Random(number),
+                    self._ends_at,
+                )
                 for number, gateway in enumerate(
                     self._gateways * CALLERS_PER_GATEWAY
                 )
@@ -218,8 +136,10 @@
             for server in (*self._engines, *self._apps):
                 server.limit = None
             for gateway in self._gateways:
-                self._wait_until_served(gateway)
-                self._wait_for_configuration(gateway)
+                self._callers.wait_until_served(gateway)
+                self._callers.wait_for_route(
+                    gateway, self._configuration['routes'][-1]['path-prefix']
+                )
             self._check()
         finally:
             for gateway in self._gateways:
@@ -238,7 +158,9 @@
                 self._store.is_down = False
                 found = 'store down'
             case 2:
-                self._store.break_next_stream_after = rng.randrange(EVENTS)
+                self._store.break_next_stream_after = rng.randrange(
+                    gateway_callers.EVENTS
+                )
                 found = 'stream breaks'
             case 3:
                 server = rng.choice([*self._engines, *self._apps])
@@ -300,182 +222,33 @@
         for server in (*self._engines, *self._apps):
             server.update_entry()
 
-    def _call(self, gateway: GatewayProcess, rng: random.Random) -> None:
-        """Send requests on one connection until it ends, then on the next."""
-        connection: http.client.HTTPConnection | None = None
-        while timers.now() < self._ends_at:
-            eventlet.sleep(CALLER_PAUSE_SECONDS * rng.uniform(0.5, 1.5))
-            try:
-                connection = connection or self._connect(gateway)
-                self._ask(connection, rng)
-            except (OSError, http.client.HTTPException) as error:
-                self.report.statuses[type(error).__name__] += 1
-                connection = None
-
-    def _connect(self, gateway: GatewayProcess) -> http.client.HTTPConnection:
-        connection = http.client.HTTPConnection(gateway.host, 7000)
-        with eventlet.Timeout(2.0, TimeoutError('no connection')):
-            connection.sock = eventlet.connect((gateway.host, 7000))
-        return connection
-
-    def _ask(
-        self, connection: http.client.HTTPConnection, rng: random.Random
-    ) -> int:
-        number = next(self._numbers)
-        route = rng.choice(('draft', 'draft', 'confirm', 'lookup'))
-        sent = {}
-        if route == 'draft':
-            is_deadly = rng.random() < DEADLY_SHARE
-            part = self._deadly_part if is_deadly else f'50d{number % 4}'
-            sent[headers.TOKEN_COUNTS] = '100,10'
-            sent[headers.PROMPT_PARTS] = SOUND_PARTS % (part, number)
-        status, body = self._send(
-            connection, f'/{route}/{number}', sent, number
-        )
-        self.report.statuses[f'{route} {status}'] += 1
-        if status == 200 and route == 'draft':
-            self._check_stream(number, body)
-        return status
-
-    def _send(
-        self,
-        connection: http.client.HTTPConnection,
-        path: str,
-        sent: dict[str, str],
-        number: int = 0,
-    ) -> tuple[int, bytes]:
-        """Send a request; return the status and the body of its answer."""
-        sent = {
-            'Host': 'h.example',
-            headers.REQUEST_ID: f'r{number}',
-            headers.DEADLINE: '5000',
-            headers.API_KEY: 'k1',
-            **sent,
-        }
-        with eventlet.Timeout(8.0, TimeoutError('no answer')):
-            connection.request('POST', path, headers=sent)
-            response = connection.getresponse()
-            return response.status, response.read()
-
-    def _check_stream(self, number: int, body: bytes) -> None:
-        whole = b''.join(
-            b'id: %d\ndata: token %d\n\n' % (n, n)
-            for n in range(1, EVENTS + 1)
-        )
-        if body != whole:
-            self.report.violations.append(
-                f'r{number} looks complete with {body[-60:]!r}'
-            )
-
-    def _wait_until_served(self, gateway: GatewayProcess) -> None:
-        until = timers.now() + SETTLE_SECONDS
-        sound = random.Random(1)
-        served = 0
-        while served < 3:
-            if timers.now() > until:
-                self.report.violations.append(f'{gateway.host} serves nothing')
-                return
-            with contextlib.suppress(OSError, http.client.HTTPException):
-                status = self._ask(self._connect(gateway), sound)
-                served += status == 200
-            eventlet.sleep(0.05)
-
-    def _wait_for_configuration(self, gateway: GatewayProcess) -> None:
-        """Wait until the newest route is served."""
-        until = timers.now() + SETTLE_SECONDS
-        path = self._configuration['routes'][-1]['path-prefix']
-        status = 0
-        while status != 200:
-            if timers.now() > until:
-                self.report.violations.append(
-                    f'{gateway.host} answers {status} on {path}'
-                )
-                return
-            with contextlib.suppress(OSError, http.client.HTTPException):
-                status = self._send(self._connect(gateway), f'{path}x', {})[0]
-            eventlet.sleep(0.05)
-
-    def _check_leaving(self, server: standin.BackendServer) -> None:
-        since = self._leaving_since[server.id] + DRAIN_SECONDS
-        excused = max(gateway.excused_until for gateway in self._gateways)
-        late = [
-            seen.id
-            for seen in server.requests
-            if max(since, excused) < seen.at < self._ends_at
-        ]
-        if late:
-            self.report.violations.append(
-                f'{server.id} got {late[:3]} after it had left'
-            )
-
     def _check(self) -> None:
+        """Add what the servers have seen to the violations."""
+        excused = max(gateway.excused_until for gateway in self._gateways)
+        violations = self.report.violations
         for server in (*self._engines, *self._apps):
             if server.id in self._leaving_since:
-                self._check_leaving(server)
-        self._check_commands()
-        self._check_deadly()
-        for server in (*self._engines, *self._apps):
+                violations += gateway_checks.find_late_arrivals(
+                    server,
+                    self._leaving_since[server.id],
+                    excused,
+                    self._ends_at,
+                )
             if server.id in self._named:
-                self._check_limit(server)
-
-    def _check_commands(self) -> None:
-        runs = collections.Counter(
-            seen.id
-            for app in self._apps
-            for seen in app.requests
-            if seen.path.startswith('/confirm/')
-        )
-        self.report.violations += [
-            f'{request} ran {count} times'
-            for request, count in runs.items()
-            if count > 1
-        ]
-
-    def _check_deadly(self) -> None:
-        crashes = sorted(at for e in self._engines for at in e.crashed_at)
-        if len(crashes) < LEARNING_CRASHES:
-            return
-        since = crashes[LEARNING_CRASHES - 1] + STABLE_SECONDS
-        late = [
-            seen
-            for engine in self._engines
-            for seen in engine.requests
-            if f'{self._deadly_part}:'
-            in seen.header_by_name.get(headers.PROMPT_PARTS.lower(), '')
-            and seen.at > since
-        ]
-        if len(late) > LATE_REQUESTS:
-            self.report.violations.append(
-                f'{len(late)} deadly requests after {len(crashes)} crashes'
-            )
-
-    def _check_limit(self, server: standin.BackendServer) -> None:
-        named_at, limit = self._named[server.id]
-        excused = max(gateway.excused_until for gateway in self._gateways)
-        since = max(named_at + STABLE_SECONDS, excused)
-        times = [
-            seen.at
-            for seen in server.requests
-            if since <= seen.at < self._ends_at
-        ]
-        most = max(
-            (
-                sum(first <= at < first + WINDOW_SECONDS for at in times)
-                for first in times
-            ),
-            default=0,
+                violations += gateway_checks.find_excess(
+                    server, *self._named[server.id], excused, self._ends_at
+                )
+        violations += gateway_checks.find_repeated_commands(self._apps)
+        violations += gateway_checks.find_deadly_requests(
+            self._engines, self._deadly_part
         )
-        if most > LIMIT_FACTOR * limit * WINDOW_SECONDS + LIMIT_SLACK:
-            self.report.violations.append(
-                f'{server.id} got {most} requests at the limit {limit}'
-            )
 
 
 def play(
     seed: int,
     keep: pathlib.Path | None = None,
     gateways: int = GATEWAY_COUNT,
-) -> Report:
+) -> gateway_checks.Report:
     """Play one seed.
 
     :param gateways: number of gateway processes
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -1,8 +1,11 @@
 """The fault soak of gateways: what counts as a broken promise, a short run."""
 
+import math
+
 import pytest
 
-from burdockmast.base import timers
+from burdockmast.bench import gateway_checks
+from burdockmast.bench import gateway_processes
 from burdockmast.bench import gateway_soak
 from burdockmast.platform import headers
 from burdockmast.platform import standin
@@ -33,54 +36,42 @@
         ]
 
 
-@pytest.fixture
-def play():
-    """A play without servers and gateways."""
-    found = gateway_soak.Play.__new__(gateway_soak.Play)
-    found.report = gateway_soak.Report()
-    found._engines, found._apps, found._gateways = [], [], []
-    found._deadly_part = 'dead'
-    found._ends_at = timers.now() + 1e6
-    return found
-
-
 @pytest.mark.parametrize(('count', 'violations'), [(3, 0), (4, 1)])
 def test_deadly_requests_after_the_gateways_should_know_are_found(
-    play, count, violations
+    count, violations
 ):
     late = [
-        10.0 + gateway_soak.STABLE_SECONDS + n for n in range(1, count + 1)
+        10.0 + gateway_processes.STABLE_SECONDS + n
+        for n in range(1, count + 1)
     ]
-    play._engines = [Server(late, 'dead', crashed_at=[6, 7, 8, 9, 10.0])]
-    play._check_deadly()
-    assert len(play.report.violations) == violations
+    engine = Server(late, 'dead', crashed_at=[6, 7, 8, 9, 10.0])
+    found = gateway_checks.find_deadly_requests([engine], 'dead')
+    assert len(found) == violations
 
 
 @pytest.mark.parametrize(('count', 'violations'), [(11, 0), (12, 1)])
-def test_requests_beyond_a_limit_are_found(play, count, violations):
-    play._named = {'i-1': (0.0, 1.0)}
-    play._gateways = [type('Calm', (), {'excused_until': 0.0})]
-    play._check_limit(Server([50.0 + n / 10 for n in range(count)]))
-    assert len(play.report.violations) == violations
+def test_requests_beyond_a_limit_are_found(count, violations):
+    server = Server([50.0 + n / 10 for n in range(count)])
+    found = gateway_checks.find_excess(server, 0.0, 1.0, 0.0, math.inf)
+    assert len(found) == violations
 
 
 @pytest.mark.parametrize(('seconds', 'violations'), [(1.9, 0), (2.1, 1)])
-def test_requests_to_a_server_that_left_are_found(play, seconds, violations):
-    play._leaving_since = {'i-1': 50.0}
-    play._gateways = [type('Calm', (), {'excused_until': 0.0})]
-    play._check_leaving(Server([50.0 + seconds]))
-    assert len(play.report.violations) == violations
+def test_requests_to_a_server_that_left_are_found(seconds, violations):
+    found = gateway_checks.find_late_arrivals(
+        Server([50.0 + seconds]), 50.0, 0.0, math.inf
+    )
+    assert len(found) == violations
 
 
-def test_a_command_that_ran_twice_is_found(play):
-    play._apps = [Server([1.0, 2.0], path='/confirm/1')]
-    play._check_commands()
-    assert len(play.report.violations) == 1
+def test_a_command_that_ran_twice_is_found():
+    server = Server([1.0, 2.0], path='/confirm/1')
+    assert len(gateway_checks.find_repeated_commands([server])) == 1
 
 
-def test_a_stream_that_is_cut_but_looks_complete_is_found(play):
-    play._check_stream(1, b'id: 1\ndata: token 1\n\n')
-    assert len(play.report.violations) == 1
+def test_a_stream_that_is_cut_but_looks_complete_is_found():
+    cut = b'id: 1\ndata: token 1\n\n'
+    assert len(gateway_checks.find_false_end(1, cut, events=2)) == 1
 
 
 @pytest.mark.parametrize('seed', REGRESSIONS)
