Let servers fall silent in the soak of gateways

A sound server may send nothing for a second or two in the middle of all its answers, and go on. The stand-in's servers do so now, with their reports or without, for streams and for calls before the head or inside the body.

The soak silences one or several of them in series, beside planned stops, reload signals, changes of a route's timeout and routes that are removed again. More callers ask for answers of over a second, on routes with and without resumed streams and on one with a single server. Faults that were there before keep their random numbers.

--- a/libs/bench/burdockmast/bench/gateway_callers.py
+++ b/libs/bench/burdockmast/bench/gateway_callers.py
@@ -1,5 +1,6 @@
 """Callers of gateways, which keep their connections while they can."""
 
+from collections.abc import Callable
 import contextlib
 import http.client
 import itertools
@@ -11,11 +12,19 @@
 from burdockmast.bench import gateway_checks
 from burdockmast.bench import gateway_processes
 from burdockmast.platform import headers
+from burdockmast.platform import standin
 
 PAUSE_SECONDS = 0.15
 DEADLY_SHARE = 0.06
 EVENTS = 20
+# Of longer answers, which are still under way when their servers fall silent.
+LONG_PACE = standin.Pace(event_count=60, interval_seconds=0.02)
+DEADLINE_SECONDS = 5.0
+LONG_DEADLINE_SECONDS = 8.0
+# Wait for an answer after its deadline.
+ANSWER_MARGIN_SECONDS = 3.0
 SETTLE_SECONDS = 20.0
+LONG_PATHS = ('/long/', '/once/', '/narrow/')
 SOUND_PARTS = '5a5a:50,%s:50,%x:20'
 
 
@@ -45,6 +54,28 @@
                 self._report.statuses[type(error).__name__] += 1
                 connection = None
 
+    def call_at_length(
+        self,
+        gateway: gateway_processes.GatewayProcess,
+        rng: random.Random,
+        until: float,
+        routes: Callable[[], list[str]],
+    ) -> None:
+        """Send requests with long answers, and some to routes that change.
+
+        :param routes: returns the prefixes of routes that were added
+        """
+        connection: http.client.HTTPConnection | None = None
+        while timers.now() < until:
+            eventlet.sleep(PAUSE_SECONDS * rng.uniform(0.5, 1.5))
+            path = rng.choice([*LONG_PATHS, *routes()[-1:]])
+            try:
+                connection = connection or self._connect(gateway)
+                self._ask_at_length(connection, path)
+            except (OSError, http.client.HTTPException) as error:
+                self._report.statuses[type(error).__name__] += 1
+                connection = None
+
     def wait_until_served(
         self, gateway: gateway_processes.GatewayProcess
     ) -> None:
@@ -76,7 +107,10 @@
                 )
                 return
             with contextlib.suppress(OSError, http.client.HTTPException):
-                status = self._send(self._connect(gateway), f'{path}x', {})[0]
+                number = next(self._numbers)
+                status, _ = self._send(
+                    self._connect(gateway), f'{path}{number}', {}, number
+                )
             eventlet.sleep(0.05)
 
     def _connect(
@@ -108,22 +142,40 @@
             )
         return status
 
+    def _ask_at_length(
+        self, connection: http.client.HTTPConnection, path: str
+    ) -> None:
+        number = next(self._numbers)
+        sent = {}
+        if path in LONG_PATHS:
+            sent[headers.TOKEN_COUNTS] = f'100,{LONG_PACE.event_count}'
+        status, body = self._send(
+            connection, f'{path}{number}', sent, number, LONG_DEADLINE_SECONDS
+        )
+        self._report.statuses[f'{path.split("-")[0]} {status}'] += 1
+        if status == 200 and path in LONG_PATHS:
+            self._report.violations += gateway_checks.find_false_end(
+                number, body, LONG_PACE.event_count
+            )
+
     def _send(
         self,
         connection: http.client.HTTPConnection,
         path: str,
         sent: dict[str, str],
-        number: int = 0,
+        number: int,
+        deadline_seconds: float = DEADLINE_SECONDS,
     ) -> tuple[int, bytes]:
         """Send a request; return the status and the body of its answer."""
         sent = {
             'Host': 'h.example',
             headers.REQUEST_ID: f'r{number}',
-            headers.DEADLINE: '5000',
+            headers.DEADLINE: str(int(deadline_seconds * 1000)),
             headers.API_KEY: 'k1',
             **sent,
         }
-        with eventlet.Timeout(8.0, TimeoutError('no answer')):
+        limit = deadline_seconds + ANSWER_MARGIN_SECONDS
+        with eventlet.Timeout(limit, TimeoutError('no answer')):
             connection.request('POST', path, headers=sent)
             response = connection.getresponse()
             return response.status, response.read()
--- a/libs/bench/burdockmast/bench/gateway_processes.py
+++ b/libs/bench/burdockmast/bench/gateway_processes.py
@@ -1,5 +1,7 @@
 """Gateways as processes of their own, with settings for a soak."""
 
+import dataclasses
+import math
 import os
 import pathlib
 import random
@@ -14,6 +16,22 @@
 
 # Time without disruption after which a gateway keeps all promises.
 STABLE_SECONDS = 3.0
+# From the stop signal until the process must have ended.
+GRACE_SECONDS = 8
+# A process ignores the reload signal only once it has started.
+START_SECONDS = 3.0
+
+
+@dataclasses.dataclass(slots=True)
+class Outage:
+    """A signal's effect on a gateway, in monotonic seconds.
+
+    :ivar ended_at: at which it went on, or was started again
+    """
+
+    signal: signal.Signals
+    began_at: float
+    ended_at: float = math.inf
 
 
 class GatewayProcess:
@@ -23,12 +41,14 @@
         """Write the settings and start the process."""
         self.host = host
         self.excused_until = 0.0
+        self.outages: list[Outage] = []
         self._file = directory / f'{host}.toml'
         self._file.write_text(
             f'node = "gateway-{host}"\nip = "{host}"\nzone = "a"\n'
             'internal-ports = [7010, 7020]\n[zones]\na = "region"\n'
             f'[listen]\nfront = "{host}:7000"\nready = "{host}:7001"\n'
-            '[bounds]\nrevoke-ms = 5000\ngrace-s = 8\nbudget-ratio = 0.2\n'
+            f'[bounds]\nrevoke-ms = 5000\ngrace-s = {GRACE_SECONDS}\n'
+            'budget-ratio = 0.2\n'
             'budget-window-s = 10\nretry-slack = 200\ndrain-ms = 2000\n'
             f'[platform]\naddress = "{store}"\n'
         )
@@ -37,6 +57,7 @@
 
     def start(self) -> None:
         """Start the process."""
+        self._started_at = timers.now()
         self.process = subprocess.Popen(
             [sys.executable, '-m', 'burdockmast.platform.program'],
             env={**os.environ, settings.PATH_VARIABLE: str(self._file)},
@@ -47,21 +68,47 @@
     def strike(self, rng: random.Random) -> str:
         """Kill, stop or suspend the process, and start it again."""
         number = rng.choice((signal.SIGKILL, signal.SIGTERM, signal.SIGSTOP))
-        # Another fault may end it meanwhile, and start the next process.
-        process = self.process
-        process.send_signal(number)
         seconds = rng.uniform(0.5, 2.5)
         if number is signal.SIGSTOP:
-            eventlet.sleep(seconds)
-            process.send_signal(signal.SIGCONT)
+            self._suspend(seconds)
         else:
-            while process.poll() is None:
-                eventlet.sleep(0.05)
-            if self.process is process:
-                self.start()
-        self.excused_until = timers.now() + STABLE_SECONDS
+            self.restart(number)
         return f'{number.name} for {seconds:.1f} s at {self.host}'
 
+    def restart(self, number: signal.Signals) -> None:
+        """End the process with a signal, and start the next one."""
+        outage = self._begin_outage(number)
+        # Another fault may end it meanwhile, and start the next process.
+        process = self.process
+        process.send_signal(number)
+        while process.poll() is None:
+            eventlet.sleep(0.05)
+        if self.process is process:
+            self.start()
+        self._end_outage(outage)
+
+    def _suspend(self, seconds: float) -> None:
+        outage = self._begin_outage(signal.SIGSTOP)
+        process = self.process
+        process.send_signal(signal.SIGSTOP)
+        eventlet.sleep(seconds)
+        process.send_signal(signal.SIGCONT)
+        self._end_outage(outage)
+
+    def _begin_outage(self, number: signal.Signals) -> Outage:
+        outage = Outage(number, timers.now())
+        self.outages.append(outage)
+        return outage
+
+    def _end_outage(self, outage: Outage) -> None:
+        outage.ended_at = timers.now()
+        self.excused_until = outage.ended_at + STABLE_SECONDS
+
+    def reload(self) -> None:
+        """Send the reload signal, unless the process has just started."""
+        if timers.now() > self._started_at + START_SECONDS:
+            self.process.send_signal(signal.SIGHUP)
+
     def close(self) -> None:
         """End the process."""
         self.process.kill()
--- a/libs/bench/burdockmast/bench/gateway_soak.py
+++ b/libs/bench/burdockmast/bench/gateway_soak.py
@@ -1,8 +1,9 @@
 """Plays random faults on gateway processes before stand-in servers.
 
-Servers crash on parts of prompts, name limits, leave, break off streams and
-crash by themselves; gateways are killed, stopped and suspended; the store goes
-away, or comes back from an older copy. Faults come in series and overlap.
+Servers crash on parts of prompts, name limits, leave, break off streams, fall
+silent and go on; gateways are killed, stopped, suspended and told to reload;
+the configuration changes; the store goes away, or comes back from an older
+copy. Faults come in series and overlap.
 Callers keep their connections open until the gateway is gone. What callers and
 servers see is checked.
 """
@@ -10,6 +11,7 @@
 import os
 import pathlib
 import random
+import signal
 import tempfile
 
 import eventlet
@@ -25,8 +27,18 @@
 FAULT_COUNT = 8
 # Faults of the store's content: changes, restores, servers that leave.
 RECORD_FAULT_COUNT = 4
-# Callers of each gateway.
+# Series of silences of one or several servers, and planned changes.
+SILENCE_FAULT_COUNT = 5
+CHANGE_FAULT_COUNT = 6
+SILENT_SECONDS = (0.8, 2.2)
+SILENCE_INTERVAL_SECONDS = (0.05, 0.5)
+# Share of silences in which the servers report nothing either.
+SILENT_REPORTS_SHARE = 0.3
+BODY_PAUSE_SECONDS = 0.03
+ROUTE_TIMEOUTS_MS = (3000, 8000, 20000)
+# Callers of each gateway, and those that ask for long answers.
 CALLERS_PER_GATEWAY = 3
+LONG_CALLERS_PER_GATEWAY = 2
 LAYERS = 80
 CONFIGURATION = {
     'version': 7,
@@ -38,13 +50,16 @@
             'kind': kind,
             'timeout-ms': 20000,
             'service': service,
-            'max-attempts': 3,
-            'resumable': kind == 'streaming',
+            'max-attempts': attempts,
+            'resumable': kind == 'streaming' and attempts > 1,
         }
-        for name, kind, service in (
-            ('draft', 'streaming', 'llm'),
-            ('confirm', 'unsafe', 'app'),
-            ('lookup', 'safe', 'app'),
+        for name, kind, service, attempts in (
+            ('long', 'streaming', 'llm', 2),
+            ('once', 'streaming', 'llm', 1),
+            ('narrow', 'streaming', 'speech', 2),
+            ('draft', 'streaming', 'llm', 3),
+            ('confirm', 'unsafe', 'app', 3),
+            ('lookup', 'safe', 'app', 3),
         )
     ],
     'services': [
@@ -59,6 +74,7 @@
             },
         },
         {'name': 'app'},
+        {'name': 'speech'},
     ],
     'tenants': [{'name': 'fes', 'api-keys': ['k1']}],
 }
@@ -74,6 +90,8 @@
         self.report = gateway_checks.Report()
         self._rng = random.Random(seed)
         self._record_rng = random.Random(f'records {seed}')
+        self._silence_rng = random.Random(f'silences {seed}')
+        self._change_rng = random.Random(f'changes {seed}')
         process = os.getpid() % 60000
         network = f'127.{70 + process // 250 % 100}.{process % 250}'
         hosts = [f'{network}.{n + 1}' for n in range(gateways + 1)]
@@ -94,8 +112,17 @@
             )
             for n in range(3)
         ]
-        for engine in self._engines:
-            engine.event_count = gateway_callers.EVENTS
+        self._speech = standin.BackendServer(
+            hosts[-1],
+            self._store,
+            {'id': 'i-speech', 'service': 'speech', 'zone': 'a', 'kind': ''},
+        )
+        self._servers = [*self._engines, *self._apps, self._speech]
+        for server in self._servers:
+            server.event_count = gateway_callers.EVENTS
+            server.body_pause_seconds = BODY_PAUSE_SECONDS
+            for path in gateway_callers.LONG_PATHS:
+                server.pace_by_path[path] = gateway_callers.LONG_PACE
         self._store.put('config', 'main', CONFIGURATION)
         address = standin.listen(hosts[-1], self._store)
         self._gateways = [
@@ -126,14 +153,31 @@
                     self._gateways * CALLERS_PER_GATEWAY
                 )
             ]
-            faults = [eventlet.spawn(self._strike) for _ in range(FAULT_COUNT)]
-            faults += [
-                eventlet.spawn(self._strike_records)
-                for _ in range(RECORD_FAULT_COUNT)
+            callers += [
+                eventlet.spawn(
+                    self._callers.call_at_length,
+                    gateway,
+                    random.Random(number),
+                    self._ends_at,
+                    self._added_paths,
+                )
+                for number, gateway in enumerate(
+                    self._gateways * LONG_CALLERS_PER_GATEWAY
+                )
+            ]
+            faults = [
+                eventlet.spawn(fault)
+                for fault, count in (
+                    (self._strike, FAULT_COUNT),
+                    (self._strike_records, RECORD_FAULT_COUNT),
+                    (self._silence_servers, SILENCE_FAULT_COUNT),
+                    (self._change, CHANGE_FAULT_COUNT),
+                )
+                for _ in range(count)
             ]
             for task in (*faults, *callers):
                 task.wait()
-            for server in (*self._engines, *self._apps):
+            for server in self._servers:
                 server.limit = None
             for gateway in self._gateways:
                 self._callers.wait_until_served(gateway)
@@ -202,6 +246,59 @@
                 found = f'{server.id} leaves'
         self.report.faults.append(found)
 
+    def _silence_servers(self) -> None:
+        """Let some servers fall silent in the middle of their answers."""
+        rng = self._silence_rng
+        eventlet.sleep(rng.uniform(0.5, PLAY_SECONDS - 4.0))
+        count = rng.choice((1, 2, 4, len(self._servers)))
+        servers = rng.sample(self._servers, count)
+        with_reports = rng.random() < SILENT_REPORTS_SHARE
+        times = rng.randrange(1, 4)
+        for _ in range(times):
+            seconds = rng.uniform(*SILENT_SECONDS)
+            for server in servers:
+                server.fall_silent(seconds, with_reports)
+            eventlet.sleep(seconds + rng.uniform(*SILENCE_INTERVAL_SECONDS))
+        reports = ', reports too' if with_reports else ''
+        self.report.faults.append(
+            f'{[s.id for s in servers]} silent {times} times{reports}'
+        )
+
+    def _change(self) -> None:
+        """Change a route, or stop or reload gateways, as planned."""
+        rng = self._change_rng
+        eventlet.sleep(rng.uniform(0.5, PLAY_SECONDS - 4.0))
+        match rng.randrange(4):
+            case 0:
+                route = rng.choice(CONFIGURATION['routes'])['name']
+                timeout_ms = rng.choice(ROUTE_TIMEOUTS_MS)
+                self._set_timeout(route, timeout_ms)
+                found = f'timeout of {route} now {timeout_ms} ms'
+            case 1:
+                count = len(self._added_paths())
+                self._remove_route()
+                found = f'first of {count} added routes removed'
+            case 2:
+                gateways = rng.sample(
+                    self._gateways, rng.randrange(1, len(self._gateways) + 1)
+                )
+                for gateway in gateways:
+                    gateway.reload()
+                found = f'SIGHUP at {[g.host for g in gateways]}'
+            case _:
+                gateway = rng.choice(self._gateways)
+                gateway.restart(signal.SIGTERM)
+                found = f'planned stop of {gateway.host}'
+        self.report.faults.append(found)
+
+    def _added_paths(self) -> list[str]:
+        """Return the prefixes of the routes that were added."""
+        return [
+            route['path-prefix']
+            for route in self._configuration['routes']
+            if route['name'].startswith('added-')
+        ]
+
     def _add_route(self) -> None:
         version = self._configuration['version'] + 1
         added = {
@@ -209,17 +306,41 @@
             'name': f'added-{version}',
             'path-prefix': f'/added-{version}/',
         }
+        self._write_routes([*self._configuration['routes'], added])
+
+    def _remove_route(self) -> None:
+        """Remove the route that was added first, if there is one."""
+        removed = self._added_paths()[:1]
+        self._write_routes(
+            [
+                route
+                for route in self._configuration['routes']
+                if route['path-prefix'] not in removed
+            ]
+        )
+
+    def _set_timeout(self, name: str, timeout_ms: int) -> None:
+        self._write_routes(
+            [
+                {**route, 'timeout-ms': timeout_ms}
+                if route['name'] == name
+                else route
+                for route in self._configuration['routes']
+            ]
+        )
+
+    def _write_routes(self, routes: list[dict]) -> None:
         self._configuration = {
             **self._configuration,
-            'version': version,
-            'routes': [*self._configuration['routes'], added],
+            'version': self._configuration['version'] + 1,
+            'routes': routes,
         }
         self._store.put('config', 'main', self._configuration)
 
     def _write_again(self) -> None:
         """Write what the operator and the servers had written."""
         self._store.put('config', 'main', self._configuration)
-        for server in (*self._engines, *self._apps):
+        for server in self._servers:
             server.update_entry()
 
     def _check(self) -> None:
--- a/libs/platform/burdockmast/platform/standin.py
+++ b/libs/platform/burdockmast/platform/standin.py
@@ -11,6 +11,7 @@
 import dataclasses
 import itertools
 import json
+import math
 import socket
 from typing import Any
 from typing import NoReturn
@@ -208,18 +209,36 @@
 
 @dataclasses.dataclass(slots=True)
 class ReceivedRequest:
-    """A request that a backend server received, at monotonic seconds."""
+    """A request that a backend server received, at monotonic seconds.
+
+    :ivar ended_at: at which the server stopped work on it; an answer that
+        nobody reads any more ends with the next write
+    :ivar is_broken_off: the server broke off its answer
+    """
 
     id: str
     path: str
     header_by_name: dict[str, str]
     at: float = dataclasses.field(default_factory=timers.now)
+    ended_at: float = math.inf
+    is_broken_off: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pace:
+    """Length and speed of a stream."""
+
+    event_count: int
+    interval_seconds: float = EVENT_INTERVAL_SECONDS
 
 
 class BackendServer:
     """A backend server that accepts layers and streams numbered events.
 
     :ivar event_count: number of the last event of each stream
+    :ivar pace_by_path: of streams on paths that begin so, in place of
+        ``event_count``
+    :ivar body_pause_seconds: between the two halves of the body of a call
     :ivar refuses: refuse requests with a guarantee that they did not run
     :ivar pause_before_event: event before which a stream stalls, or None
     :ivar pause_seconds: how long it stalls
@@ -240,6 +259,8 @@
     def __init__(self, host: str, metadata_store: MetadataStore, entry: dict):
         """Start serving and write the server's entry to the store."""
         self.event_count = 5
+        self.pace_by_path: dict[str, Pace] = {}
+        self.body_pause_seconds = 0.0
         self.refuses = False
         self.is_unsigned = False
         self.pause_before_event: int | None = None
@@ -253,6 +274,8 @@
         self.limit: float | None = None
         self.crashes_on = ''
         self.crashed_at: list[float] = []
+        self._silent_until = 0.0
+        self._has_silent_reports = False
         self._connections: set[socket.socket] = set()
         self.requests: list[ReceivedRequest] = []
         self.orders: list[dict] = []
@@ -282,6 +305,9 @@
     def crash(self) -> None:
         """End all connections and refuse new ones for some time."""
         self.crashed_at.append(timers.now())
+        for received in self.requests:
+            if math.isinf(received.ended_at):
+                received.is_broken_off = True
         self._server.kill()
         self._sock.close()
         for connection in self._connections:
@@ -293,6 +319,18 @@
         self._listen()
         self.update_entry(born=1000 + len(self.crashed_at))
 
+    def fall_silent(self, seconds: float, with_reports: bool) -> None:
+        """Send nothing for some time, in the middle of all answers.
+
+        :param with_reports: of answers to requests for reports as well
+        """
+        self._silent_until = max(self._silent_until, timers.now() + seconds)
+        self._has_silent_reports = with_reports
+
+    def _wait_while_silent(self) -> None:
+        while self._silent_until > timers.now():
+            eventlet.sleep(self._silent_until - timers.now())
+
     def update_entry(self, **changes: object) -> None:
         """Write the server's entry with changed fields."""
         self._entry.update(changes)
@@ -313,11 +351,20 @@
         match environ['PATH_INFO']:
             case engine_client.ORDER_PATH:
                 status = self._accept_order(json.loads(body))
-                return _respond(start_response, status, None)
+                yield from _respond(start_response, status, None)
             case engine_client.REPORT_PATH:
+                if self._has_silent_reports:
+                    self._wait_while_silent()
                 report = {'sequence': len(self.orders), 'pace': 1.0}
-                return _respond(start_response, 200, report)
-        return self._serve_request(environ, start_response)
+                yield from _respond(start_response, 200, report)
+            case _:
+                received = self._receive(environ)
+                try:
+                    yield from self._serve_request(
+                        received, environ, start_response
+                    )
+                finally:
+                    received.ended_at = timers.now()
 
     def _accept_order(self, order: dict) -> int:
         if order['fence'] < self.highest_fencing_number:
@@ -330,7 +377,7 @@
         self.update_entry(layers=held)
         return engine_client.HTTP_ACCEPTED
 
-    def _serve_request(self, environ: dict, start_response: Any) -> Any:
+    def _receive(self, environ: dict) -> ReceivedRequest:
         header_by_name = {
             name.lower(): value for name, value in environ['headers_raw']
         }
@@ -339,6 +386,11 @@
             request_id, environ['RAW_PATH_INFO'], header_by_name
         )
         self.requests.append(received)
+        return received
+
+    def _serve_request(
+        self, received: ReceivedRequest, environ: dict, start_response: Any
+    ) -> Any:
         if self._is_deadly(received):
             self.crash()
             raise ConnectionError('server crashed')
@@ -356,37 +408,44 @@
         if self.is_unsigned:
             return _respond(start_response, 200, 'unsigned')
         reply_headers = [
-            (headers.REQUEST_ID, request_id),
+            (headers.REQUEST_ID, received.id),
             (headers.SIGNATURE, f'seal-{self.id}'),
         ]
         if self.is_leaving:
             reply_headers.append(('Server-Leaving', '1'))
         if self.limit is not None:
             reply_headers.append((headers.LIMIT, str(self.limit)))
-        if headers.TOKEN_COUNTS.lower() not in header_by_name:
+        if headers.TOKEN_COUNTS.lower() not in received.header_by_name:
             body = f'answer of {self.id}'.encode()
             length = ('Content-Length', str(len(body)))
             start_response('200 OK', [*reply_headers, length])
-            return [body]
+            return self._send_in_halves(body)
         if self.is_unframed:
             self._send_unframed(
                 environ['eventlet.input'].get_socket(),
                 reply_headers,
-                header_by_name,
+                received,
             )
         start_response('200 OK', reply_headers)
-        return self._stream(header_by_name)
+        return self._stream(received)
+
+    def _send_in_halves(self, body: bytes) -> Any:
+        self._wait_while_silent()
+        yield body[: len(body) // 2]
+        eventlet.sleep(self.body_pause_seconds)
+        self._wait_while_silent()
+        yield body[len(body) // 2 :]
 
     def _send_unframed(
         self,
         connection: socket.socket,
         reply_headers: list[tuple[str, str]],
-        header_by_name: dict[str, str],
+        received: ReceivedRequest,
     ) -> NoReturn:
         head = ''.join(f'{name}: {value}\r\n' for name, value in reply_headers)
         connection.sendall(f'HTTP/1.1 200 OK\r\n{head}\r\n'.encode())
         with contextlib.suppress(ConnectionError):
-            for event in self._stream(header_by_name):
+            for event in self._stream(received):
                 connection.sendall(event)
         connection.shutdown(socket.SHUT_RDWR)
         raise ConnectionError('the stream ends with its connection')
@@ -398,22 +457,33 @@
             or received.path.startswith(self.crashes_on)
         )
 
-    def _stream(self, header_by_name: dict[str, str]) -> Any:
-        last = int(header_by_name.get(headers.LAST_EVENT_ID.lower(), 0))
+    def _pace(self, path: str) -> Pace:
+        for prefix, pace in self.pace_by_path.items():
+            if path.startswith(prefix):
+                return pace
+        return Pace(self.event_count)
+
+    def _stream(self, received: ReceivedRequest) -> Any:
+        pace = self._pace(received.path)
+        last = int(
+            received.header_by_name.get(headers.LAST_EVENT_ID.lower(), 0)
+        )
         break_after_events = self._metadata_store.break_next_stream_after
         self._metadata_store.break_next_stream_after = None
         for sent_count in itertools.count():
             number = last + sent_count + 1
-            if number > self.event_count:
+            if number > pace.event_count:
                 return
             if sent_count == break_after_events:
+                received.is_broken_off = True
                 self._metadata_store.on_stream_break()
                 yield b'id: 99'
                 raise ConnectionError('stream broken off by the test')
             if number == self.pause_before_event:
                 eventlet.sleep(self.pause_seconds)
+            self._wait_while_silent()
             yield b'id: %d\ndata: token %d\n\n' % (number, number)
-            eventlet.sleep(EVENT_INTERVAL_SECONDS)
+            eventlet.sleep(pace.interval_seconds)
 
 
 def _respond(start_response: Any, status: int, value: object) -> list[bytes]:
