Take requests that are ended while they wait out of the queue

Callers that wait behind them waited longer than there was need: a request that is ended while it waits (its caller has left, a standby attempt is no longer needed) stayed in the queue, counted in the expected wait and took wake-ups. Cause: only a time-out took it out. One that was woken already passes the wake-up on. The test failed before.

--- a/libs/limits/burdockmast/limits/queues.py
+++ b/libs/limits/burdockmast/limits/queues.py
@@ -120,8 +120,12 @@
         self._waiting.append(waiter)
         if len(self._waiting) > self._limit:
             self._shed()
-        with eventlet.Timeout(seconds, False):
-            return waiter.event.wait()
+        try:
+            with eventlet.Timeout(seconds, False):
+                return waiter.event.wait()
+        except BaseException:
+            self._leave(waiter)
+            raise
         if waiter.event.ready():
             # Admitted or shed in the same turn of the event loop.
             return waiter.event.wait()
@@ -133,6 +137,14 @@
             retry_after=self.retry_after(waiter),
         )
 
+    def _leave(self, waiter: Waiter) -> None:
+        """Forget a request that was ended while it waited."""
+        if waiter in self._waiting:
+            self._waiting.remove(waiter)
+        else:
+            # It can't use the capacity for which it was woken.
+            self.wake()
+
     def wake(self, count: int = 1) -> None:
         """Admit up to ``count`` waiting requests."""
         for _ in range(min(count, len(self._waiting))):
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -51,6 +51,24 @@
     assert waiting.wait() is None
 
 
+def test_request_that_is_ended_while_it_waits_leaves_the_queue():
+    queue = queues.FairQueue(100)
+    ended = [
+        eventlet.spawn(queue.wait, queues.Waiter('a', 5, 1.0), 5.0)
+        for _ in range(2)
+    ]
+    eventlet.sleep(0)
+    other = eventlet.spawn(queue.wait, queues.Waiter('a', 5, 1.0), 5.0)
+    eventlet.sleep(0)
+    ended[0].kill()
+    assert len(queue) == 2
+    # The second is woken and ended in the same turn of the event loop.
+    queue.wake()
+    ended[1].kill()
+    assert other.wait() is None
+    assert not len(queue)
+
+
 def test_large_organisation_does_not_crowd_out_small_ones():
     queue = queues.FairQueue(100)
     outcomes = enqueue(
