Let a crash check go on when the request that asked has ended

Others that wait for the same check were told 'not crashed' of a server that had, and took a stream without a length that it broke off for whole. Cause: the check ran in the task of the first that asked, and its end sent the answer. It has a task of its own now; the test failed before.

--- a/libs/gateway/burdockmast/gateway/crash_checks.py
+++ b/libs/gateway/burdockmast/gateway/crash_checks.py
@@ -30,13 +30,19 @@
         if running is not None:
             return running.wait()
         running = self._running[server.id] = eventlet.event.Event()
+        # The task that asks may be ended, and others wait for the answer.
+        eventlet.spawn_n(self._check, server, running)
+        return running.wait()
+
+    def _check(
+        self, server: backends.BackendServer, running: eventlet.event.Event
+    ) -> None:
         refuses = False
         try:
             refuses = _refuses_connections(server)
         finally:
             del self._running[server.id]
             running.send(refuses)
-        return refuses
 
 
 def _refuses_connections(server: backends.BackendServer) -> bool:
--- a/tests/test_gateway_crash_checks.py
+++ b/tests/test_gateway_crash_checks.py
@@ -36,3 +36,18 @@
     ]
     assert all(task.wait() for task in tasks)
     assert len(asked) == 1
+
+
+def test_a_check_goes_on_though_the_request_that_asked_has_ended(monkeypatch):
+    def refuse(server):
+        eventlet.sleep(0.01)
+        return True
+
+    monkeypatch.setattr(crash_checks, '_refuses_connections', refuse)
+    checks = crash_checks.CrashChecks()
+    first, second = (
+        eventlet.spawn(checks.has_crashed, server_at('h:1')) for _ in range(2)
+    )
+    eventlet.sleep(0)
+    first.kill()
+    assert second.wait()
