Don't wait for a trial at a server that sends nothing

A stream that may crash servers, at a server that was silent for good, was answered with an error after its whole deadline, and others with its part of the prompt were refused: its own silent attempt counted as the running trial, so that its standby never went. A trial holds others back for one second now. The test failed before.

--- a/libs/gateway/burdockmast/gateway/crash_suspects.py
+++ b/libs/gateway/burdockmast/gateway/crash_suspects.py
@@ -37,6 +37,8 @@
 # rejected.
 TRIAL_CRASHES = 2
 QUARANTINE_CRASHES = 3
+# Time after which a trial that has not begun no longer holds others back.
+MAX_TRIAL_SECONDS = 1.0
 # Time that a request must run after its first event to be taken for sound.
 SURVIVAL_SECONDS = 0.3
 # Time after its first event for which a request counts as just begun.
@@ -347,9 +349,13 @@
     def is_trial_running(
         self, fingerprints: Iterable[ids.Fingerprint]
     ) -> bool:
-        """Return whether a request to be tried alone has not begun yet."""
+        """Return whether a request to be tried alone has not begun yet.
+
+        One whose server sends nothing for long is not waited for.
+        """
+        since = self._now() - MAX_TRIAL_SECONDS
         return any(
-            attempt.begun_at is None
+            attempt.begun_at is None and attempt.sent_at > since
             for fingerprint in fingerprints
             if self.count(fingerprint) >= TRIAL_CRASHES
             for attempt in self._running.get(fingerprint, ())
--- a/tests/test_gateway_crash_suspects.py
+++ b/tests/test_gateway_crash_suspects.py
@@ -163,6 +163,14 @@
     assert not suspects.is_trial_running(['deadly'])
 
 
+def test_a_trial_at_a_silent_server_holds_no_others_back(suspects, time):
+    for number in range(2):
+        crash(suspects, time, number, 'deadly')
+    suspects.track(('deadly',), server(3))
+    time.now += crash_suspects.MAX_TRIAL_SECONDS
+    assert not suspects.is_trial_running(['deadly'])
+
+
 def test_a_quarantine_ends_after_its_time(suspects, time):
     for number in range(3):
         crash(suspects, time, number, 'deadly')
