--- a/libs/gateway/burdockmast/gateway/stream_progress.py
+++ b/libs/gateway/burdockmast/gateway/stream_progress.py
@@ -17,7 +17,8 @@
     :ivar possible_runs: ended attempts that may have run
     :ivar ended_runs: those of them that ended a begun stream because their
         server crashed, so that nothing runs there any more
-    :ivar refusals: in a row, of servers that did not run the request
+    :ivar refusals: by servers that did not run the request, since the last
+        event
     :ivar event_count: events forwarded to the caller
     :ivar has_begun: the reply head has been sent to the caller
     :ivar failed_servers: servers that failed this request
--- a/libs/gateway/burdockmast/gateway/stream_standbys.py
+++ b/libs/gateway/burdockmast/gateway/stream_standbys.py
@@ -14,6 +14,7 @@
 
 from burdockmast.base import failures
 from burdockmast.base import logs
+from burdockmast.base import outcomes
 from burdockmast.gateway import stream_attempts
 
 LOG = logs.get('standbys')
@@ -46,7 +47,6 @@
         :param record_failure: called for an attempt that fails at once
         """
         self.state = State.OPENING
-        self.failure: failures.Failure | None = None
         self.attempt: stream_attempts.StreamAttempt | None = None
         self._open_attempt = open_attempt
         self._record_failure = record_failure
@@ -64,7 +64,7 @@
             self._ended.wait(max(0.0, seconds))
 
     def cancel(self) -> bool:
-        """Give the attempt up; return whether it may have run."""
+        """Give the attempt up; return whether it may run, or have run."""
         before, self.state = self.state, State.CANCELLED
         match before:
             case State.OPENING:
@@ -73,26 +73,31 @@
                 )
             case State.READY:
                 self.attempt.close()
-        return (
-            before is not State.FAILED
-            and self.attempt is not None
-            and self.attempt.is_sent
-        )
+        return before is not State.FAILED and self.attempt is not None
 
     def _run(self) -> None:
         try:
             self._receive_first()
-        except Exception:
+        except Exception as error:
             # Nobody waits for the result of this task.
             LOG.exception('standby attempt failed unexpectedly')
-            self.state = State.FAILED
+            self._fail(
+                failures.Failure(
+                    failures.Reason.ENGINE_LOST,
+                    'backend.standby',
+                    detail=str(error),
+                    outcome=outcomes.Outcome.UNKNOWN,
+                )
+            )
         finally:
             self._ended.send(None)
 
     def _receive_first(self) -> None:
         found = self._open_attempt()
         if isinstance(found, failures.Failure):
-            self.failure, self.state = found, State.FAILED
+            self._fail(found)
+            return
+        if self.state is State.CANCELLED:
             return
         self.attempt = found
         failure = found.receive_first()
@@ -101,8 +106,14 @@
         elif failure is None:
             self.state = State.READY
         else:
-            self.failure, self.state = failure, State.FAILED
-            self._record_failure(found, failure)
+            self._fail(failure)
+
+    def _fail(self, failure: failures.Failure) -> None:
+        if self.state is State.CANCELLED:
+            return
+        self.state = State.FAILED
+        if self.attempt is not None:
+            self._record_failure(self.attempt, failure)
 
 
 def _end_task(task: greenlet.greenlet) -> None:
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -38,6 +38,8 @@
 RECENT_EVENT_SECONDS = 0.4
 # Time after which a stream that could not go on elsewhere tries that again.
 RESUME_INTERVAL_SECONDS = 0.3
+# How often standby attempts are looked at when no other attempt is left.
+STANDBY_POLL_SECONDS = 0.05
 
 
 class StreamAborted(Exception):
@@ -88,7 +90,7 @@
         try:
             failure = yield from self._forward(job, progress)
         finally:
-            self._cancel_standbys(progress)
+            self._cancel_standbys(job, progress)
             if progress.current:
                 progress.current.close()
         if failure is None:
@@ -177,7 +179,7 @@
                 if end.value is None and not progress.has_begun:
                     yield self._begin(job, attempt, progress)
                 return end.value
-            self._cancel_standbys(progress)
+            self._cancel_standbys(job, progress)
             if isinstance(item, jobs.Reply):
                 progress.has_begun = True
                 yield item
@@ -207,7 +209,10 @@
         attempt: stream_attempts.StreamAttempt,
         progress: stream_progress.Progress,
     ) -> bool:
-        """Return whether to wait for a silent attempt, no other delivers."""
+        """Return whether to keep waiting for a silent attempt.
+
+        Starts a standby attempt if that may help.
+        """
         if job.seconds_left <= 0:
             return False
         if any(
@@ -272,7 +277,10 @@
     def _start_standby(
         self, job: jobs.Job, progress: stream_progress.Progress
     ) -> None:
-        progress.next_standby_at = timers.now() + RESUME_INTERVAL_SECONDS
+        pause = RESUME_INTERVAL_SECONDS * 2 ** min(
+            progress.refusals, retries.MAX_NOT_RUN_ATTEMPTS
+        )
+        progress.next_standby_at = timers.now() + pause
         progress.standbys.append(
             stream_standbys.Standby(
                 functools.partial(self._open_with_retry, job, progress),
@@ -308,9 +316,17 @@
             retry_after=path_selector.RETRY_AFTER_SECONDS,
         )
 
-    def _cancel_standbys(self, progress: stream_progress.Progress) -> None:
+    def _cancel_standbys(
+        self, job: jobs.Job, progress: stream_progress.Progress
+    ) -> None:
         for standby in progress.standbys:
-            if not standby.has_ended and standby.cancel():
+            if standby.has_ended:
+                continue
+            LOG.info(
+                'standby attempt is cancelled',
+                extra={'request': job.id, 'state': standby.state.value},
+            )
+            if standby.cancel():
                 progress.possible_runs += 1
         progress.standbys.clear()
 
@@ -339,7 +355,8 @@
             found = self._open_with_retry(job, progress)
             if not isinstance(found, failures.Failure):
                 return found
-            if not progress.has_begun:
+            is_final = found.reason is failures.Reason.CRASHES_SERVERS
+            if is_final or not progress.has_begun:
                 return found
             # Its caller would lose what it has got.
             failure = found
@@ -379,7 +396,7 @@
             if progress.standbys:
                 if job.seconds_left <= 0:
                     return None
-                progress.standbys[-1].wait(RESUME_INTERVAL_SECONDS)
+                progress.standbys[-1].wait(STANDBY_POLL_SECONDS)
         return None
 
     def _record_end(
--- a/libs/gateway/burdockmast/gateway/upstream.py
+++ b/libs/gateway/burdockmast/gateway/upstream.py
@@ -37,7 +37,7 @@
 # Reads in a row that found data, after which other tasks run.
 MAX_IMMEDIATE_READS = 8
 # How often a wait for a server that sends nothing is reconsidered.
-SILENCE_RECHECK_SECONDS = 0.05
+SILENCE_RECHECK_SECONDS = 0.1
 
 CONNECTION_ERRORS = (
     OSError,
--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -39,6 +39,15 @@
             'max-attempts': 1,
             'resumable': True,
         },
+        {
+            'name': 'unsafe',
+            'host': 'h.example',
+            'path-prefix': '/draft/unsafe/',
+            'kind': 'streaming',
+            'timeout-ms': 20000,
+            'service': 'llm',
+            'max-attempts': 2,
+        },
         {
             'name': 'plain',
             'host': 'h.example',
