Read the reply to a request that could not be sent whole

A server may reply before it has read a long body, and read on later or close. Callers got 502 instead of its reply, or 504 at their deadline: the whole request had to be sent before the reply was read, and a broken connection was taken for the outcome, although a refusal that promises that nothing ran was there to be read.

Sending now stops when the server has replied and takes no more, or when the connection breaks. The reply is read in both cases; the error is raised after it, so that a reply without a length doesn't look complete.

--- a/libs/gateway/burdockmast/gateway/upstream.py
+++ b/libs/gateway/burdockmast/gateway/upstream.py
@@ -84,21 +84,44 @@
     has_ended: bool = False
     should_keep_waiting: Callable[[], bool] | None = None
     _immediate_reads: int = 0
+    _send_error: OSError | None = None
 
     def sendall(self, data: bytes, flags: int = 0) -> None:
-        """Send all of ``data``, however long the server doesn't read it.
+        """Send ``data``, or what the server takes of it before it replies.
+
+        An error is raised by reads, after what the server has replied.
 
-        :raises OSError: if the connection breaks
         :raises TimeoutError: after the deadline
         """
         left = memoryview(data)
-        while left:
-            if timers.now() >= self.deadline:
-                raise TimeoutError('the request is not sent in time')
-            try:
-                left = left[self.fd.send(left, flags) :]
-            except BlockingIOError:
-                self._wait(is_send=True)
+        try:
+            while left:
+                if timers.now() >= self.deadline:
+                    raise TimeoutError('the request is not sent in time')
+                try:
+                    left = left[self.fd.send(left, flags) :]
+                except BlockingIOError:
+                    if self._is_readable():
+                        return
+                    self._wait_to_send()
+        except ConnectionError as error:
+            self._send_error = error
+
+    def _is_readable(self) -> bool:
+        with contextlib.suppress(BlockingIOError):
+            self.fd.recv(1, socket.MSG_PEEK)
+            return True
+        return False
+
+    def _wait_to_send(self) -> None:
+        seconds = min(self.deadline - timers.now(), SILENCE_RECHECK_SECONDS)
+        with contextlib.suppress(TimeoutError):
+            hubs.trampoline(
+                self.fd,
+                write=True,
+                timeout=max(0.0, seconds),
+                timeout_exc=TimeoutError('not sent yet'),
+            )
 
     def recv_into(
         self, buffer: bytearray, nbytes: int = 0, flags: int = 0
@@ -118,6 +141,8 @@
             except BlockingIOError:
                 self._wait()
                 continue
+            if not received and self._send_error is not None:
+                raise self._send_error
             self.bytes_left -= received
             self.has_ended = received == 0
             self._let_others_run()
@@ -128,16 +153,15 @@
             raise TimeoutError('no complete data within the time limit')
         self.deadline = timers.now() + SILENCE_RECHECK_SECONDS
 
-    def _wait(self, is_send: bool = False) -> None:
+    def _wait(self) -> None:
         self._immediate_reads = 0
         seconds = self.deadline - timers.now()
         with contextlib.suppress(TimeoutError):
             hubs.trampoline(
                 self.fd,
-                read=not is_send,
-                write=is_send,
+                read=True,
                 timeout=None if math.isinf(seconds) else max(0.0, seconds),
-                timeout_exc=TimeoutError('not ready yet'),
+                timeout_exc=TimeoutError('no data yet'),
             )
 
     def _let_others_run(self) -> None:
--- a/tests/test_platform_connections.py
+++ b/tests/test_platform_connections.py
@@ -15,6 +15,12 @@
     b'Content-Length: 0\r\n'
     b'\r\n'
 ) % platforms.KEY.encode()
+REFUSAL = (
+    b'HTTP/1.1 503 Busy\r\n'
+    b'Burdockmast-Not-Executed: 1\r\n'
+    b'Content-Length: 0\r\n'
+    b'\r\n'
+)
 # More than the socket buffers hold, less than the limit for bodies.
 LONG_BODY = b'x' * 4_000_000
 
@@ -73,3 +79,23 @@
         )
     assert answer[0] == 504
     server.close()
+
+
+def test_a_reply_to_a_request_that_is_not_read_whole_gets_to_its_caller(
+    platform,
+):
+    server = replace_servers(platform)
+
+    def reply_to_long_bodies():
+        while True:
+            connection, _ = server.accept()
+            if len(connection.makefile('rb').read(65536)) == 65536:
+                connection.sendall(REFUSAL)
+            connection.close()
+
+    replying = eventlet.spawn(reply_to_long_bodies)
+    answers = [
+        platform.ask('/confirm/x', body=LONG_BODY)[0] for _ in range(10)
+    ]
+    replying.kill()
+    assert answers == [503] * 10
