Send streams until their deadline, as calls are

A stream whose request is longer than the socket buffers waited for a server that doesn't read it without any bound, since sends are bounded by a deadline in place of 0.25 s and streams named none. Found by reading. What was sent is no longer recorded, as nobody asks for it.

--- a/libs/gateway/burdockmast/gateway/stream_attempts.py
+++ b/libs/gateway/burdockmast/gateway/stream_attempts.py
@@ -72,7 +72,6 @@
 
     :ivar path: the servers that it passes
     :ivar head: of the reply, None before it was received
-    :ivar is_sent: the request may run, or have run
     :ivar has_crashed: the server broke off the reply by crashing
     :ivar silent_since: monotonic seconds of the last event, or of the start
     :ivar limit_seconds: see ``silence.Silence``
@@ -93,7 +92,6 @@
         """Prepare an attempt that continues after ``last_event_id``."""
         self.path = path
         self.head: upstream.Head | None = None
-        self.is_sent = False
         self.has_crashed = False
         self.silent_since = timers.now()
         self.limit_seconds = FIRST_EVENT_TIMEOUT_SECONDS
@@ -235,11 +233,9 @@
         )
         headers = gateway.header_codec.backend_headers(job.request, attempt)
         gateway.limits.record_sent(exchange.server)
-        failure = exchange.send(job.request, headers)
+        failure = exchange.send(job.request, headers, job.deadline)
         if failure:
-            self.is_sent = failure.outcome is not outcomes.Outcome.NOT_RUN
             return failure
-        self.is_sent = True
         self.silent_since = timers.now()
         if not self._wait_for_head():
             return self._timeout_failure()
@@ -260,7 +256,6 @@
             )
         gateway.suspects.record_head(self._tracked)
         if head.metadata.is_not_run:
-            self.is_sent = False
             return exchange.refusal(head, path_selector.RETRY_AFTER_SECONDS)
         self.head = head
         if head.status != STATUS_OK:
--- a/tests/test_gateway_standbys.py
+++ b/tests/test_gateway_standbys.py
@@ -14,8 +14,6 @@
 class Attempt:
     """An attempt whose first events come when the test says so."""
 
-    is_sent = True
-
     def __init__(self):
         self.first = eventlet.event.Event()
         self.has_been_closed = False
