--- a/libs/gateway/burdockmast/gateway/neighbour_link.py
+++ b/libs/gateway/burdockmast/gateway/neighbour_link.py
@@ -14,7 +14,6 @@
 from burdockmast.gateway import neighbours
 from burdockmast.gateway import relays
 from burdockmast.gateway import reports
-from burdockmast.gateway import retries
 from burdockmast.gateway import server_limits
 
 LOG = logs.get('neighbours')
@@ -41,7 +40,6 @@
         suspects: crash_suspects.CrashSuspects,
         limits: server_limits.ServerLimits,
         leaving: leaving_servers.LeavingServers,
-        budget: retries.Budget,
     ):
         """Prepare to listen at ``address``."""
         self.address = address
@@ -52,7 +50,6 @@
         self._suspects = suspects
         self._limits = limits
         self._leaving = leaving
-        self._budget = budget
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(neighbours.Message)
         self._sock: socket.socket | None = None
@@ -72,7 +69,6 @@
             self._usage.load_by_server(),
             self._zone_news,
             self._learned,
-            self._budget.counts,
         ):
             data = encoded.get(id(message))
             if data is None:
--- a/libs/gateway/burdockmast/gateway/neighbours.py
+++ b/libs/gateway/burdockmast/gateway/neighbours.py
@@ -21,7 +21,6 @@
 from burdockmast.gateway import loads
 from burdockmast.gateway import relays
 from burdockmast.gateway import reports
-from burdockmast.gateway import retry_counts
 from burdockmast.gateway import server_limits
 
 # Interval of messages within a zone. In a larger zone it is longer, so that a
@@ -44,14 +43,10 @@
 
 
 class SourceLoad(msgspec.Struct, frozen=True, array_like=True):
-    """The load of one source: a gateway, or all gateways of a zone.
-
-    :ivar counts: its requests and retries
-    """
+    """The load of one source: a gateway, or all gateways of a zone."""
 
     source: str
     load_by_server: dict[str, tuple[int, float]]
-    counts: retry_counts.SourceCounts = retry_counts.NO_COUNTS
 
 
 class ZoneNews(msgspec.Struct, frozen=True, array_like=True):
@@ -129,18 +124,13 @@
         own: interfaces.GatewayRecord,
         rng: random.Random,
         now: Callable[[], float] = timers.now,
-        counts: retry_counts.CountTable | None = None,
     ):
-        """Create a gateway that knows no others.
-
-        :param counts: takes over the requests and retries of others
-        """
+        """Create a gateway that knows no others."""
         self._own = own
         self._rng = rng
         self._now = now
         self._peer_by_name: dict[str, _Peer] = {}
         self._table = loads.LoadTable(now)
-        self._counts = counts or retry_counts.CountTable(0.0, now)
         self._relayed: dict[str, SourceLoad] = {}
         self._next_local_at = 0.0
         self._next_remote_at = 0.0
@@ -249,7 +239,6 @@
             if load.source in (self._own.name, own_zone):
                 continue
             self._table.update(load.source, load.load_by_server)
-            self._counts.update(load.source, load.counts)
             if not is_neighbour:
                 self._relayed[load.source] = load
 
@@ -258,28 +247,23 @@
         own_load: loads.LoadByServer,
         zone_news: Callable[[], ZoneNews | None] = lambda: None,
         learned: Callable[[], Learned] = lambda: NOTHING_LEARNED,
-        own_counts: Callable[[], retry_counts.SourceCounts] = lambda: (
-            retry_counts.NO_COUNTS
-        ),
     ) -> list[tuple[ids.Address, Message]]:
         """Return the messages that are due now, with their receivers.
 
         :param zone_news: called if the messages to this zone are due
         :param learned: called if any messages are due
-        :param own_counts: called if any messages are due
         """
         now = self._now()
         found = []
         if now >= self._next_local_at:
-            load = SourceLoad(self._own.name, dict(own_load), own_counts())
-            found += self._local_messages(load, zone_news(), learned())
+            found += self._local_messages(own_load, zone_news(), learned())
         if now >= self._next_remote_at:
-            found += self._remote_messages(own_load, learned, own_counts)
+            found += self._remote_messages(own_load, learned)
         return found
 
     def _local_messages(
         self,
-        own_load: SourceLoad,
+        own_load: loads.LoadByServer,
         zone_news: ZoneNews | None,
         learned: Learned,
     ) -> list[tuple[ids.Address, Message]]:
@@ -293,7 +277,10 @@
         )
         self._next_local_at = self._next_turn(self._next_local_at, interval)
         message = self._message(
-            [own_load, *self._relayed.values()],
+            [
+                SourceLoad(self._own.name, dict(own_load)),
+                *self._relayed.values(),
+            ],
             zone_news,
             learned,
         )
@@ -322,7 +309,6 @@
         self,
         own_load: loads.LoadByServer,
         learned: Callable[[], Learned],
-        own_counts: Callable[[], retry_counts.SourceCounts],
     ) -> list[tuple[ids.Address, Message]]:
         """Return a message to the next zone if this gateway speaks for its."""
         peers_by_zone: dict[ids.ZoneId, list[_Peer]] = {}
@@ -346,11 +332,8 @@
         total = loads.add(
             own_load, *(self._table.load_of(name) for name in alive)
         )
-        counts = retry_counts.add(
-            (own_counts(), self._counts.sum_of_sources(self.is_neighbour))
-        )
         message = self._message(
-            [SourceLoad(zone_source(self._own.zone), total, counts)],
+            [SourceLoad(zone_source(self._own.zone), total)],
             learned=learned(),
         )
         return [(self._rng.choice(receivers).gateway.address, message)]
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -32,7 +32,6 @@
 from burdockmast.gateway import relays
 from burdockmast.gateway import reports
 from burdockmast.gateway import retries
-from burdockmast.gateway import retry_counts
 from burdockmast.gateway import server_limits
 from burdockmast.gateway import settings
 from burdockmast.gateway import streams
@@ -102,10 +101,7 @@
                 'zone': gateway_settings.zone,
             },
         )
-        others_counts = retry_counts.CountTable(gateway_settings.retry_window)
-        self._neighbours = neighbours.Neighbours(
-            gateway_settings.record, rng, counts=others_counts
-        )
+        self._neighbours = neighbours.Neighbours(gateway_settings.record, rng)
         self._configurations = object_follower.Follower(
             'configuration',
             platform.configurations,
@@ -133,8 +129,6 @@
             gateway_settings.retry_ratio,
             gateway_settings.retry_slack,
             gateway_settings.retry_window,
-            others=others_counts,
-            rng=rng,
         )
         usage = memory.Usage()
         self._suspects = crash_suspects.CrashSuspects()
@@ -169,7 +163,6 @@
             self._suspects,
             self._limits,
             self._leaving,
-            budget,
         )
         self.application = wsgi.Application(
             self.view,
--- a/tests/test_gateway_neighbours.py
+++ b/tests/test_gateway_neighbours.py
@@ -17,8 +17,6 @@
 from burdockmast.gateway import neighbours
 from burdockmast.gateway import relays
 from burdockmast.gateway import reports
-from burdockmast.gateway import retries
-from burdockmast.gateway import retry_counts
 from burdockmast.gateway import server_limits
 
 TICK_SECONDS = 0.05
@@ -34,7 +32,6 @@
         self.sent = collections.Counter()
         self.sent_bytes_between_zones = 0
         self.load_by_name = {}
-        self.counts = retry_counts.NO_COUNTS
         self.by_name = {}
         self.records = [
             interfaces.GatewayRecord(f'{zone}-{n}', zone, f'{zone}-{n}:1')
@@ -46,10 +43,7 @@
 
     def start(self, record):
         created = neighbours.Neighbours(
-            record,
-            self.rng,
-            lambda: self.clock.now,
-            retry_counts.CountTable(10.0, lambda: self.clock.now),
+            record, self.rng, lambda: self.clock.now
         )
         created.set_registered(self.records)
         self.by_name[record.name] = created
@@ -65,9 +59,7 @@
                 self._send(name)
 
     def _send(self, name):
-        due = self.by_name[name].due_messages(
-            self.load_by_name[name], own_counts=lambda: self.counts
-        )
+        due = self.by_name[name].due_messages(self.load_by_name[name])
         for address, message in due:
             receiver = address.partition(':')[0]
             self.sent[name] += 1
@@ -191,10 +183,6 @@
         fleet.load_by_name[name] = {
             f'{name[0]}-{n}': (3, 200000.0) for n in range(30)
         }
-    counts = retry_counts.ServiceCounts(200, 20, 1)
-    fleet.counts = retry_counts.SourceCounts(
-        1, {f'service-{n}': counts for n in range(39)}
-    )
     fleet.run(2.0)
     fleet.sent_bytes_between_zones = 0
     fleet.run(5.0)
@@ -266,7 +254,6 @@
             crash_suspects.CrashSuspects(),
             server_limits.ServerLimits(record.name, list, random.Random(1)),
             leaving_servers.LeavingServers(),
-            retries.Budget(0.2, 200, 10.0),
         )
         link.start()
         created.append((known, usage, link))
