--- a/tests/test_platform_connections.py
+++ b/tests/test_platform_connections.py
@@ -6,6 +6,7 @@
 
 import eventlet
 import platforms
+import pytest
 
 REQUEST = (
     b'POST /confirm/x HTTP/1.1\r\n'
@@ -71,11 +72,14 @@
     return sock
 
 
-def test_a_request_that_its_server_does_not_read_is_answered_in_time(platform):
+@pytest.mark.parametrize('path', ['/confirm/x', '/draft/plain/x'])
+def test_a_request_that_its_server_does_not_read_is_answered_in_time(
+    platform, path
+):
     server = replace_servers(platform)
     with eventlet.Timeout(5):
         answer = platform.ask(
-            '/confirm/x', body=LONG_BODY, Burdockmast_Deadline_Ms='500'
+            path, body=LONG_BODY, Burdockmast_Deadline_Ms='500'
         )
     assert answer[0] == 504
     server.close()
