Accept no request that a planned stop might have to cut

Such requests must be refused or answered whole. Cause: the three seconds of acceptance began when the event loop noticed the signal, up to 0.1 s late. They begin in the signal's handler now, and are 2.8, which the load balancer's two failed checks leave. The test got 200 before and gets 503.

--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -1,6 +1,7 @@
 """Assembles a gateway process and runs it until it gets a stop signal."""
 
 import dataclasses
+import math
 import random
 import signal
 import socket
@@ -54,9 +55,10 @@
 # Share of that time after which the readiness check fails, so that gateways
 # that can reach the store get the new requests.
 READY_AGE_SHARE = 0.5
-# A gateway that shuts down still accepts connections for this long: the load
-# balancer checks readiness once a second and gives up after two failures.
-DRAIN_ACCEPT_SECONDS = 3.0
+# A gateway accepts requests for this long after its stop signal: the load
+# balancer checks readiness once a second and gives up after two failures. What
+# is sent later than 3 s after the signal must not be cut by the stop.
+DRAIN_ACCEPT_SECONDS = 2.8
 # The process exits this long before its grace period ends.
 EXIT_MARGIN_SECONDS = 0.5
 # Requests that still wait for an answer get one this long before the exit.
@@ -213,6 +215,7 @@
         self._restored_at = float('-inf')
         self._configurations.on_restore.append(self._on_restore)
         self._stop_requested = eventlet.event.Event()
+        self._stopped_at = math.inf
 
     def run(self) -> None:
         """Serve until a stop signal, then let running requests complete."""
@@ -333,10 +336,9 @@
 
     def _shut_down(self, listener: object) -> None:
         """Fail the readiness check, then stop listening and drain."""
-        began = timers.now()
-        self.application.is_draining = True
+        began = self._stopped_at
         LOG.info('stopping', extra={'running': self.application.running_count})
-        eventlet.sleep(DRAIN_ACCEPT_SECONDS)
+        eventlet.sleep(max(0.0, began + DRAIN_ACCEPT_SECONDS - timers.now()))
         # Requests that still arrive are refused without running, or find no
         # listener: they might not complete before the process is killed.
         self.application.rejects_requests = True
@@ -398,6 +400,9 @@
 
     def _stop(self, number: int, frame: object) -> None:
         if not self._stop_requested.ready():
+            # The event loop may notice the request later.
+            self._stopped_at = timers.now()
+            self.application.is_draining = True
             self._stop_requested.send(number)
 
     def _ignore_reload(self, number: int, frame: object) -> None:
--- a/tests/test_platform_connections.py
+++ b/tests/test_platform_connections.py
@@ -8,6 +8,8 @@
 import platforms
 import pytest
 
+from burdockmast.platform import standin
+
 REQUEST = (
     b'POST /confirm/x HTTP/1.1\r\n'
     b'Host: h.example\r\n'
@@ -103,3 +105,20 @@
     ]
     replying.kill()
     assert answers == [503] * 10
+
+
+def test_a_stopping_gateway_accepts_nothing_that_it_might_have_to_cut(
+    platform,
+):
+    for engine in platform.engines:
+        engine.pace_by_path['/draft/'] = standin.Pace(300, 0.02)
+    stream = eventlet.spawn(platform.ask, '/draft/x')
+    platform.wait_for(lambda: platforms.requests_at(platform.engines))
+    sock = eventlet.connect((platform.host, 7000))
+    sock.sendall(REQUEST)
+    assert count_successes(sock, 1) == 1
+    platform.process.send_signal(signal.SIGTERM)
+    eventlet.sleep(2.9)
+    sock.sendall(REQUEST)
+    assert sock.recv(4096).startswith(b'HTTP/1.1 503 ')
+    assert stream.wait()[2] == platforms.events(1, 300)
