--- a/libs/gateway/burdockmast/gateway/stream_attempts.py
+++ b/libs/gateway/burdockmast/gateway/stream_attempts.py
@@ -55,8 +55,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Gateway:
-    """The parts of the gateway that an attempt uses."""
+class Dependencies:
+    """The parts of the gateway that an attempt deps."""
 
     view: view.View
     header_codec: interfaces.HeaderCodec
@@ -83,7 +83,7 @@
 
     def __init__(
         self,
-        gateway: Gateway,
+        dependencies: Dependencies,
         job: jobs.Job,
         path: tuple[backends.Stage, ...],
         fingerprints: tuple[ids.Fingerprint, ...],
@@ -97,7 +97,7 @@
         self.limit_seconds = FIRST_EVENT_TIMEOUT_SECONDS
         self.keep_waiting: Callable[[], bool] = lambda: job.seconds_left > 0
         self.forwards_errors: Callable[[], bool] = lambda: False
-        self._gateway = gateway
+        self._dependencies = dependencies
         self._job = job
         self._fingerprints = fingerprints
         self._last_event_id = last_event_id
@@ -148,32 +148,32 @@
         All of them get asked for reports.
         """
         self.fetch_reports()
-        lost = self._gateway.view.lost_since(self.servers, self._began)
+        lost = self._dependencies.view.lost_since(self.servers, self._began)
         return lost or self.servers
 
     def fetch_reports(self) -> None:
         """Ask the path's servers for reports, which show lost ones."""
         if self._job.service.engine:
-            self._gateway.path_selector.reports.fetch(
+            self._dependencies.path_selector.reports.fetch(
                 [stage.server for stage in self.path], self._job.id
             )
 
     def _run(self) -> Iterator[Events | jobs.Reply]:
-        gateway, exchange = self._gateway, self._exchange
-        gateway.path_selector.reserve(self._job, self.path)
-        self._tracked = gateway.suspects.track(
+        deps, exchange = self._dependencies, self._exchange
+        deps.path_selector.reserve(self._job, self.path)
+        self._tracked = deps.suspects.track(
             self._fingerprints, exchange.server
         )
         try:
             failure = yield from self._exchange_messages()
             if failure is None:
-                gateway.suspects.record_answer(self._tracked)
+                deps.suspects.record_answer(self._tracked)
             else:
                 self._check_for_crash(failure)
         finally:
             exchange.close()
-            gateway.suspects.untrack(self._tracked)
-            gateway.path_selector.release(self._job, self.path)
+            deps.suspects.untrack(self._tracked)
+            deps.path_selector.release(self._job, self.path)
         self._log_end(failure)
         return failure
 
@@ -194,7 +194,7 @@
                 'length_hint': job.request.length_hint,
                 'longest_pause': round(self._longest_pause, 3),
                 'seconds': round(timers.now() - self._began, 3),
-                'list_age': round(self._gateway.view.server_list_age, 3),
+                'list_age': round(self._dependencies.view.server_list_age, 3),
                 'outcome': str(failure) if failure else 'whole',
             },
         )
@@ -204,11 +204,11 @@
         if (
             failure.reason is not failures.Reason.ENGINE_LOST
             or failure.step == 'backend.connect'
-            or not self._gateway.crash_checks.has_crashed(server)
+            or not self._dependencies.crash_checks.has_crashed(server)
         ):
             return
         self.has_crashed = True
-        self._gateway.suspects.record_crash(self._tracked)
+        self._dependencies.suspects.record_crash(self._tracked)
         LOG.info(
             'server crashed during a stream',
             extra={
@@ -222,7 +222,7 @@
         )
 
     def _exchange_messages(self) -> Iterator[Events | jobs.Reply]:
-        gateway, exchange, job = self._gateway, self._exchange, self._job
+        deps, exchange, job = self._dependencies, self._exchange, self._job
         attempt = interfaces.Attempt(
             exchange.server,
             job.organisation,
@@ -231,8 +231,8 @@
             self._last_event_id,
             min(9, job.priority),
         )
-        headers = gateway.header_codec.backend_headers(job.request, attempt)
-        gateway.limits.record_sent(exchange.server)
+        headers = deps.header_codec.backend_headers(job.request, attempt)
+        deps.limits.record_sent(exchange.server)
         failure = exchange.send(job.request, headers, job.deadline)
         if failure:
             return failure
@@ -242,19 +242,19 @@
         head = exchange.read_head(
             job.id,
             timers.now() + HEAD_TIMEOUT_SECONDS,
-            gateway.header_codec,
+            deps.header_codec,
             self._keep_waiting,
         )
         if isinstance(head, failures.Failure):
             return head
-        gateway.limits.record_reply(
+        deps.limits.record_reply(
             exchange.server, head.metadata, head.status, job.id
         )
         if head.metadata.is_leaving:
-            gateway.leaving.record(
+            deps.leaving.record(
                 exchange.server.id, exchange.server.started_ms, job.id
             )
-        gateway.suspects.record_head(self._tracked)
+        deps.suspects.record_head(self._tracked)
         if head.metadata.is_not_run:
             return exchange.refusal(head, path_selector.RETRY_AFTER_SECONDS)
         self.head = head
@@ -292,7 +292,7 @@
             return exchange.unknown_outcome(
                 'events', f'reading the error body failed: {error}'
             )
-        yield jobs.Reply.from_head(head, self._gateway.header_codec, body)
+        yield jobs.Reply.from_head(head, self._dependencies.header_codec, body)
         return None
 
     def _receive_events(self) -> Iterator[Events]:
@@ -330,6 +330,7 @@
                 self.silent_since = timers.now()
 
     def _keep_waiting(self) -> bool:
+        """Ask the current owner, which changes when a standby takes over."""
         return self.keep_waiting()
 
     def _end_failure(
@@ -343,7 +344,7 @@
             )
         if not exchange.is_framed and (
             not self.has_events
-            or self._gateway.crash_checks.has_crashed(exchange.server)
+            or self._dependencies.crash_checks.has_crashed(exchange.server)
         ):
             # Only such a stream looks complete when it is broken off.
             return exchange.unknown_outcome(
@@ -359,8 +360,8 @@
         self._longest_pause = max(self._longest_pause, pause)
         self._last_event_id = splitter.last_id
         self._event_count += splitter.completed_count
-        self._gateway.view.record_activity(self.servers)
-        self._gateway.suspects.record_event(self._tracked)
+        self._dependencies.view.record_activity(self.servers)
+        self._dependencies.suspects.record_event(self._tracked)
 
     def _check_pause(self, seconds: float) -> None:
         """Request reports from the servers of a path that is slow."""
--- a/libs/gateway/burdockmast/gateway/stream_progress.py
+++ b/libs/gateway/burdockmast/gateway/stream_progress.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from burdockmast.base import ids
+from burdockmast.gateway import retries
 from burdockmast.gateway import stream_attempts
 from burdockmast.gateway import stream_standbys
 
@@ -51,6 +52,11 @@
         under_way += self.current is not None
         return self.possible_runs - self.ended_runs + under_way
 
+    @property
+    def is_often_refused(self) -> bool:
+        """Whether a new request would not be sent again after its refusals."""
+        return self.refusals >= retries.MAX_NOT_RUN_ATTEMPTS
+
     def drop_failed_standbys(self) -> None:
         """Drop the standby attempts that have failed."""
         self.standbys = [s for s in self.standbys if not s.has_ended]
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -67,7 +67,7 @@
         self._path_selector = selector
         self._metrics = measures
         self._suspects = suspects
-        self._gateway = stream_attempts.Gateway(
+        self._dependencies = stream_attempts.Dependencies(
             fleet,
             header_codec,
             selector,
@@ -132,7 +132,7 @@
             return self._path_selector.no_path_failure(job)
         progress.attempts += 1
         return stream_attempts.StreamAttempt(
-            self._gateway,
+            self._dependencies,
             job,
             path,
             progress.fingerprints,
@@ -352,6 +352,8 @@
         while attempt is None:
             if not self._may_retry(job, progress, failure):
                 return failure
+            if progress.is_often_refused:
+                eventlet.sleep(RESUME_INTERVAL_SECONDS)
             found = self._open_with_retry(job, progress)
             if not isinstance(found, failures.Failure):
                 return found
@@ -377,11 +379,7 @@
             or progress.counted_runs >= job.route.max_attempts
         ):
             return False
-        if progress.refusals < retries.MAX_NOT_RUN_ATTEMPTS:
-            return True
-        if progress.has_begun:
-            eventlet.sleep(RESUME_INTERVAL_SECONDS)
-        return progress.has_begun
+        return progress.has_begun or not progress.is_often_refused
 
     def _await_standby(
         self, job: jobs.Job, progress: stream_progress.Progress
