Give no organisation to requests without a key

Callers saw: where an organisation's list of keys held an empty one, requests without a key ran as that organisation's.

Cause: a missing header is read as an empty key, which was looked up like any other.

Ruled out: a difference between a missing and an empty header; both were let in.

Change: the decoder leaves empty keys out, so they are nobody's and the logged number of keys in force is that of usable ones.

Evidence: test_an_empty_key_is_not_the_key_of_callers_that_send_none and the property test over configurations with empty, missing and odd lists of keys in tests/test_gateway_authentication.py failed before, and pass after.

--- a/libs/platform/burdockmast/platform/configuration.py
+++ b/libs/platform/burdockmast/platform/configuration.py
@@ -149,6 +149,8 @@
             )
             for tenant in tenants
             for key in tenant.api_keys
+            # A request without a key would hold an empty one.
+            if key
         }
     )
 
