Stop trusting keys when the newest configuration can't be read

Callers saw: where the store came to hold a configuration that the gateway can't decode, or none, keys of the version before went on being accepted for as long as the gateway ran, whatever that version had revoked.

Cause: the copy of the store's objects was confirmed although it held no configuration, so the last readable one counted as current.

Ruled out: a decoder that lets parts through. It raises for the whole object, and the follower drops it, as it should.

Change: while the store holds no readable configuration, its age counts from the last check that found one. So keyed requests get 503 and the readiness check fails within the times that hold for a lost store; public routes are served. A warning says which version is kept.

--- a/libs/gateway/burdockmast/gateway/view.py
+++ b/libs/gateway/burdockmast/gateway/view.py
@@ -47,6 +47,8 @@
             collections.Counter()
         )
         self._configuration: config.Configuration | None = None
+        # Since when the store has held none that can be read.
+        self._unreadable_since: float | None = None
         configurations.on_change.append(self._apply_newest)
         self._last_activity: dict[ids.ServerId, float] = {}
         self._ready_servers: set[ids.ServerId] = set()
@@ -64,6 +66,7 @@
         A store that was restored may hold an older one for a while, which does
         not replace it.
         """
+        self._check_readable()
         for found in self._configurations.item_by_name.values():
             before = self._configuration.version if self._configuration else 0
             if self._configuration is None or found.version > before:
@@ -78,10 +81,30 @@
                     },
                 )
 
+    def _check_readable(self) -> None:
+        """Record since when the store has held no readable configuration."""
+        if self._configurations.item_by_name:
+            self._unreadable_since = None
+        elif self._configuration and self._unreadable_since is None:
+            # It may have become unreadable right after the last check.
+            self._unreadable_since = timers.boottime_now() - (
+                self._configurations.age
+            )
+            LOG.warning(
+                'store holds no readable configuration; keeping the last one',
+                extra={'version': self._configuration.version},
+            )
+
     @property
     def configuration_age(self) -> float:
-        """Seconds since the configuration was last confirmed."""
-        return self._configurations.age
+        """Seconds since the configuration was last confirmed.
+
+        One that can't be read confirms nothing: it may have revoked keys.
+        """
+        if self._unreadable_since is None:
+            return self._configurations.age
+        unreadable_seconds = timers.boottime_now() - self._unreadable_since
+        return max(self._configurations.age, unreadable_seconds)
 
     @property
     def server_list_age(self) -> float:
--- a/tests/test_gateway_api_keys.py
+++ b/tests/test_gateway_api_keys.py
@@ -1,11 +1,12 @@
 """API keys: who may send requests, whatever keys a configuration holds."""
 
+import eventlet
 import platforms
 import pytest
 
 REVOKED = 'k1'
 UNKNOWN = 'never-held'
-# The gateway's key revocation time, and its settings' name for it.
+# Key revocation time in the gateway's settings.
 REVOKE_SECONDS = 5.0
 PUBLIC_ROUTE = {
     **platforms.CONFIGURATION['routes'][-1],
@@ -98,3 +99,26 @@
     for seen in platforms.requests_at(platform.apps):
         assert 'burdockmast-tenant' not in seen.header_by_name
         assert 'burdockmast-key' not in seen.header_by_name
+
+
+@pytest.mark.parametrize('is_deleted', [False, True], ids=['odd', 'deleted'])
+def test_no_key_is_trusted_long_after_the_configuration_became_unreadable(
+    platform, is_deleted
+):
+    """A version that can't be read may have revoked any key."""
+    write(platform, 9)
+    if is_deleted:
+        platform.store.remove('config', 'main')
+    else:
+        odd = configuration(10, tenants=7)
+        platform.store.put('config', 'main', odd)
+    assert statuses(platform, REVOKED) == {200}
+    eventlet.sleep(REVOKE_SECONDS)
+    for app in platform.apps:
+        app.requests.clear()
+    assert_nobody_may_call(platform, 503)
+    assert not platform.is_ready()
+    assert statuses(platform, None, '/open/x') == {200}
+    write(platform, 11)
+    assert statuses(platform, REVOKED) == {200}
+    assert platform.is_ready()
