Send nothing to services whose weights are all 0

Callers saw: on a route whose traffic split gives every service the weight 0, or has only one service, of weight 0, all requests ran at the first of them, to which the configuration allows none.

Cause: a sum of weights of 0 was taken for "no choice to be made".

Ruled out: single services of weight 0 beside others; random.choices never picks those.

Change: the decoder keeps only services that get traffic and adds up those named twice; `service` counts only where there is no split. A route without such a service is refused at once with 503, as one without a service is.

--- a/libs/gateway/burdockmast/gateway/config.py
+++ b/libs/gateway/burdockmast/gateway/config.py
@@ -74,7 +74,7 @@
 class Route:
     """Where the requests for a host and path prefix go.
 
-    :ivar weight_by_service: shares of the traffic
+    :ivar weight_by_service: shares of the traffic, of services that get any
     :ivar is_stream: answered by a stream of numbered events
     :ivar is_resumable: a stream may continue on another server
     :ivar timeout_seconds: until the end of the answer
--- a/libs/gateway/burdockmast/gateway/wsgi.py
+++ b/libs/gateway/burdockmast/gateway/wsgi.py
@@ -269,13 +269,12 @@
     def _choose_service(
         self, configuration: config.Configuration, route: config.Route
     ) -> config.Service | None:
-        services = list(route.weight_by_service)
-        if not services:
+        if not route.weight_by_service:
             return None
-        weights = list(route.weight_by_service.values())
-        chosen = services[0]
-        if len(services) > 1 and sum(weights) > 0:
-            chosen = self._rng.choices(services, weights)[0]
+        (chosen,) = self._rng.choices(
+            list(route.weight_by_service),
+            list(route.weight_by_service.values()),
+        )
         return configuration.service_by_id.get(
             chosen, config.Service(chosen, None)
         )
--- a/libs/platform/burdockmast/platform/configuration.py
+++ b/libs/platform/burdockmast/platform/configuration.py
@@ -158,17 +158,11 @@
 def _convert_route(route: _Route) -> config.Route:
     is_stream = route.kind == 'streaming'
     is_repeatable = route.kind == 'safe' or (is_stream and route.resumable)
-    weights = {
-        ids.ServiceId(split.service): split.weight
-        for split in route.traffic_split
-    }
-    if not weights and route.service:
-        weights = {ids.ServiceId(route.service): 1.0}
     return config.Route(
         name=route.name,
         host=route.host,
         path_prefix=route.path_prefix,
-        weight_by_service=weights,
+        weight_by_service=_weight_by_service(route),
         execution=(
             config.Execution.REPEATABLE
             if is_repeatable
@@ -185,6 +179,20 @@
     )
 
 
+def _weight_by_service(route: _Route) -> dict[ids.ServiceId, float]:
+    """Return the weights of the services that get any traffic."""
+    if not route.traffic_split:
+        return {ids.ServiceId(route.service): 1.0} if route.service else {}
+    weight_by_service: dict[ids.ServiceId, float] = {}
+    for split in route.traffic_split:
+        if split.weight > 0:
+            service = ids.ServiceId(split.service)
+            weight_by_service[service] = (
+                weight_by_service.get(service, 0.0) + split.weight
+            )
+    return weight_by_service
+
+
 def _convert_engine(engine: _Engine) -> config.Engine | None:
     if not engine.layers:
         return None
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -262,3 +262,38 @@
     assert value_by_name['X-Own'] == 'kept'
     for name in ('Burdockmast-Key', 'X-Hop', 'Connection'):
         assert name not in value_by_name
+
+
+ROUTE = {
+    'name': 'confirm',
+    'host': 'h.example',
+    'path-prefix': '/confirm/',
+    'kind': 'unsafe',
+}
+
+
+@pytest.mark.parametrize(
+    ('given', 'weight_by_service'),
+    [
+        ({}, {}),
+        ({'service': 'a'}, {'a': 1.0}),
+        ({'service': 'a', 'traffic-split': []}, {'a': 1.0}),
+        ({'traffic-split': [('a', 0), ('b', 5)]}, {'b': 5.0}),
+        ({'traffic-split': [('a', 2), ('b', 5), ('a', 1)]}, {'a': 3, 'b': 5}),
+        ({'traffic-split': [('a', 0)]}, {}),
+        ({'traffic-split': [('a', 0), ('b', 0)]}, {}),
+        ({'traffic-split': [('a', -1)]}, {}),
+        ({'service': 'a', 'traffic-split': [('a', 0), ('b', 0)]}, {}),
+    ],
+)
+def test_services_without_weight_get_no_traffic(given, weight_by_service):
+    """A split whose weights are all 0 used to send everything to the first."""
+    route = {**ROUTE, **given}
+    if 'traffic-split' in route:
+        route['traffic-split'] = [
+            {'service': service, 'weight': weight}
+            for service, weight in route['traffic-split']
+        ]
+    decoded = configuration.decode('main', {'version': 7, 'routes': [route]})
+    found = decoded.find_route('h.example', '/confirm/1')
+    assert found.weight_by_service == weight_by_service
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -229,3 +229,28 @@
     assert found.wait()[0] in (502, 504)
     platform.wait_for(lambda: platform.process.poll() is not None)
     assert platform.process.returncode == 0
+
+
+def test_a_route_whose_services_have_no_weight_is_refused_at_once(platform):
+    split = [{'service': 'app', 'weight': 0}, {'service': 'llm', 'weight': 0}]
+    stopped = {
+        **platforms.CONFIGURATION['routes'][-1],
+        'path-prefix': '/lookup/stopped/',
+        'traffic-split': split,
+    }
+    platform.store.put(
+        'config',
+        'main',
+        {
+            **platforms.CONFIGURATION,
+            'version': 9,
+            'routes': [*platforms.CONFIGURATION['routes'], stopped],
+        },
+    )
+    platform.wait_for(lambda: platform.ask('/lookup/stopped/x')[0] == 503)
+    for app in platform.apps:
+        app.requests.clear()
+    status, headers, _ = platform.ask('/lookup/stopped/x')
+    assert status == 503
+    assert float(headers['Retry-After']) > 0
+    assert not platforms.requests_at([*platform.apps, *platform.engines])
