Go on behind a page of objects that can't be decoded

Callers saw: 503 from a gateway that started or listed the servers again while a page of the listing held only entries that it can't decode, though sound servers stood on later pages. One large odd entry fills a page. The count of gateways was too small in the same way, which gives each a larger part of the retry budget than it has.

Cause: no decodable object on a page was taken for the end of the list, whatever `has-more` said.

Ruled out: pages with at least one sound object; they went on.

Change: a listing ends only where the store says so. It goes on behind the last name on the page, which is read without decoding the rest; where a page names nothing, the listing fails and is tried again, and the last copy stays. Names are quoted in the query.

--- a/libs/platform/burdockmast/platform/json_lists.py
+++ b/libs/platform/burdockmast/platform/json_lists.py
@@ -1,4 +1,4 @@
-"""Takes lists apart whose elements may not be decodable.
+"""Reads JSON of which parts may not be decodable.
 
 One element that is nested too deeply, or is no JSON, makes the decoder fail
 for the whole document. Here the elements are told apart by their brackets
@@ -48,3 +48,29 @@
             return rest, elements
         before = token
     raise msgspec.DecodeError(f'no complete list {key!r}')
+
+
+def find_string(document: bytes, outer: str, inner: str) -> str | None:
+    """Return the string under a key of an object that is under a key.
+
+    :returns: None if there is none that can be decoded
+    """
+    outer_name, inner_name = (f'"{key}"'.encode() for key in (outer, inner))
+    depth = 0
+    is_in_outer = False
+    before = b''
+    for match in _TOKEN.finditer(document):
+        token = match.group()
+        if token in b'[{':
+            depth += 1
+            if depth == 2:
+                is_in_outer = token == b'{' and before == outer_name
+        elif token in b']}':
+            depth -= 1
+        elif depth == 2 and is_in_outer and before == inner_name:
+            try:
+                return msgspec.json.decode(token, type=str)
+            except DECODE_ERRORS:
+                return None
+        before = token
+    return None
--- a/libs/platform/burdockmast/platform/shared_records.py
+++ b/libs/platform/burdockmast/platform/shared_records.py
@@ -46,11 +46,13 @@
         if isinstance(decoded, failures.Failure):
             return decoded
         page, raw_items = decoded
-        objects = store.decode_objects(raw_items, kind)
-        found += objects
-        if not page.has_more or not objects:
+        found += store.decode_objects(raw_items, kind)
+        if not page.has_more:
             return found
-        query = {'stale-ok': 1, 'after': objects[-1].metadata.name}
+        after = client.last_name(raw_items, kind)
+        if isinstance(after, failures.Failure):
+            return after
+        query = {'stale-ok': 1, 'after': after}
 
 
 class GatewayRegistry:
--- a/libs/platform/burdockmast/platform/store.py
+++ b/libs/platform/burdockmast/platform/store.py
@@ -10,6 +10,7 @@
 from typing import Any
 from typing import Generic
 from typing import TypeVar
+import urllib.parse
 
 import msgspec
 import urllib3
@@ -141,7 +142,9 @@
         if name:
             url = f'{url}/{name}'
         if query:
-            url += '?' + '&'.join(f'{k}={v}' for k, v in query.items())
+            url += '?' + urllib.parse.urlencode(
+                query, quote_via=urllib.parse.quote
+            )
         options: dict[str, Any] = {}
         if body is not None:
             options['body'] = msgspec.json.encode(body)
@@ -261,6 +264,24 @@
         except json_lists.DECODE_ERRORS as error:
             return self._failure('get', kind, outcomes.Outcome.UNKNOWN, error)
 
+    def last_name(
+        self, raw_items: list[bytes], kind: str
+    ) -> str | failures.Failure:
+        """Return the last name on a page, behind which the next one begins.
+
+        Objects that can't be decoded may fill a page.
+        """
+        for raw in reversed(raw_items):
+            name = json_lists.find_string(raw, 'metadata', 'name')
+            if name:
+                return name
+        return self._failure(
+            'get',
+            kind,
+            outcomes.Outcome.UNKNOWN,
+            f'a page of {len(raw_items)} objects names none, but more follow',
+        )
+
 
 def era_of(response: urllib3.BaseHTTPResponse) -> int:
     """Return the number of the store's history, 0 if it names none."""
@@ -305,9 +326,12 @@
                 decoded = self._decode_object(item)
                 if decoded is not None:
                     item_by_name[item.metadata.name] = decoded
-            if not page.has_more or not objects:
+            if not page.has_more:
                 return interfaces.Listing(revision, item_by_name, era)
-            query = {'after': objects[-1].metadata.name}
+            after = self._client.last_name(raw_items, self._kind)
+            if isinstance(after, failures.Failure):
+                return after
+            query = {'after': after}
 
     def watch(
         self, revision: int, timeout_seconds: float
--- a/tests/test_platform_odd_entries.py
+++ b/tests/test_platform_odd_entries.py
@@ -1,6 +1,7 @@
 """One odd entry of another writer does not hide or spoil the sound ones."""
 
 import json
+from urllib import parse
 
 import msgspec
 import pytest
@@ -9,6 +10,7 @@
 from burdockmast.base import failures
 from burdockmast.base import ids
 from burdockmast.gateway import backends
+from burdockmast.gateway import interfaces
 from burdockmast.platform import configuration
 from burdockmast.platform import engine_client
 from burdockmast.platform import json_lists
@@ -91,6 +93,29 @@
     return f'{{"items":[{",".join(items)}],"current-rev":9}}'
 
 
+class Pages:
+    """Gives lists of objects, each behind the last name of the one before."""
+
+    def __init__(self, *pages):
+        self._pages = pages
+        self.asked = []
+
+    def request(self, method, url, **options):
+        query = dict(parse.parse_qsl(parse.urlsplit(url).query))
+        self.asked.append(query.get('after'))
+        number = len(self.asked) - 1
+        has_more = 'true' if self._pages[number + 1 :] else 'false'
+        body = (
+            f'{listing_of(*self._pages[number])[:-1]},"has-more":{has_more}}}'
+        )
+        return urllib3.HTTPResponse(
+            body=body.encode(errors='surrogateescape'),
+            headers={},
+            status=200,
+            preload_content=True,
+        )
+
+
 @pytest.mark.parametrize('order', [1, -1])
 @pytest.mark.parametrize('odd', ODD_SPECS)
 def test_a_listing_with_an_odd_entry_has_the_sound_ones(odd, order):
@@ -125,6 +150,43 @@
     assert set(found.item_by_name) == {'i-1'}
 
 
+@pytest.mark.parametrize('name', ['i-odd', 'a&b=c', '\u00e9 "x"'])
+@pytest.mark.parametrize('odd', ODD_SPECS)
+def test_a_listing_goes_on_behind_a_page_of_odd_entries(odd, name):
+    """Such a page used to end the listing, so that sound servers were lost."""
+    pages = Pages(
+        [stored('i-1', entry())],
+        [stored(name, ODD_SPECS[odd])],
+        [stored('i-2', entry())],
+    )
+    client = store.Client('store', _pool=pages)
+    found = store.Feed(client, servers.KIND, servers.decode).list()
+    assert set(found.item_by_name) == {'i-1', 'i-2'}
+    assert pages.asked == [None, 'i-1', name]
+
+
+@pytest.mark.parametrize('page', [[], ['7'], ['{"metadata":{}}']])
+def test_a_listing_fails_if_it_can_not_go_on(page):
+    pages = Pages([stored('i-1', entry())], page, [stored('i-2', entry())])
+    client = store.Client('store', _pool=pages)
+    found = store.Feed(client, servers.KIND, servers.decode).list()
+    assert found.reason is failures.Reason.STORE_UNAVAILABLE
+
+
+def test_gateways_behind_a_page_of_odd_entries_are_counted():
+    """Fewer would give each gateway a larger part of the retry budget."""
+    spec = json.dumps({'zone': 'a', 'address': '10.1.0.9:7010'})
+    pages = Pages(
+        [stored('gateway-1', spec)],
+        [stored('odd', DEEP)],
+        [stored('gateway-2', spec)],
+    )
+    client = store.Client('store', _pool=pages)
+    own = interfaces.GatewayRecord('gateway-1', 'a', '10.1.0.9:7010')
+    found = shared_records.GatewayRegistry(client, own).list()
+    assert [record.name for record in found] == ['gateway-1', 'gateway-2']
+
+
 @pytest.mark.parametrize(
     'document',
     [
