Pass the request target on as its caller sent it

Callers saw: a request to /confirm/x? ran at a server as /confirm/x, and one to //confirm/x, which no route begins, ran as /confirm/x.

Cause: the gateway put the target together from the WSGI environment. An empty query was taken for none, and Python's HTTP server joins slashes at the start of a path before anybody sees them.

Ruled out: the client that sends to servers; it writes the target as given.

Change: a protocol class of the WSGI server keeps the target of the request line, byte for byte, for routing and for sending.

--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -32,6 +32,7 @@
 from burdockmast.gateway import quarantine
 from burdockmast.gateway import relays
 from burdockmast.gateway import reports
+from burdockmast.gateway import request_target
 from burdockmast.gateway import retries
 from burdockmast.gateway import server_limits
 from burdockmast.gateway import settings
@@ -369,6 +370,7 @@
             eventlet.wsgi.server,
             sock,
             application,
+            protocol=request_target.Protocol,
             log_output=False,
             keepalive=KEEPALIVE_SECONDS,
             socket_timeout=SOCKET_TIMEOUT_SECONDS,
--- a/libs/gateway/burdockmast/gateway/wsgi.py
+++ b/libs/gateway/burdockmast/gateway/wsgi.py
@@ -21,6 +21,7 @@
 from burdockmast.gateway import disconnects
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import jobs
+from burdockmast.gateway import request_target
 from burdockmast.gateway import retries
 from burdockmast.gateway import streams
 from burdockmast.gateway import view
@@ -190,10 +191,6 @@
     def _read_request(
         self, environ: dict
     ) -> interfaces.CallerRequest | failures.Failure:
-        target = environ['RAW_PATH_INFO']
-        query = environ.get('QUERY_STRING')
-        if query:
-            target = f'{target}?{query}'
         try:
             # One byte more than the limit shows that it is exceeded.
             body = environ['wsgi.input'].read(self._max_body_bytes + 1)
@@ -202,7 +199,10 @@
                 failures.Reason.BAD_REQUEST, 'request.body', detail=str(error)
             )
         return self._header_codec.read_request(
-            environ['REQUEST_METHOD'], target, environ['headers_raw'], body
+            environ['REQUEST_METHOD'],
+            environ[request_target.ENVIRON_KEY],
+            environ['headers_raw'],
+            body,
         )
 
     def _admit(
--- a/libs/platform/burdockmast/platform/standin.py
+++ b/libs/platform/burdockmast/platform/standin.py
@@ -23,6 +23,7 @@
 import eventlet.wsgi
 
 from burdockmast.base import timers
+from burdockmast.gateway import request_target
 from burdockmast.platform import engine_client
 from burdockmast.platform import headers
 from burdockmast.platform import store
@@ -44,7 +45,11 @@
 
 def _serve(sock: socket.socket, application: Any) -> None:
     eventlet.wsgi.server(
-        sock, application, log_output=False, minimum_chunk_size=1
+        sock,
+        application,
+        protocol=request_target.Protocol,
+        log_output=False,
+        minimum_chunk_size=1,
     )
 
 
@@ -214,6 +219,7 @@
 class ReceivedRequest:
     """A request that a backend server received, at monotonic seconds.
 
+    :ivar target: path and query as sent
     :ivar ended_at: at which the server stopped work on it
     :ivar broken_off_at: at which the server broke off its answer
     """
@@ -225,6 +231,7 @@
     ended_at: float = math.inf
     broken_off_at: float = math.inf
     server: str = ''
+    target: str = ''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -407,6 +414,7 @@
             environ['RAW_PATH_INFO'],
             header_by_name,
             server=self.id,
+            target=environ[request_target.ENVIRON_KEY],
         )
         self.requests.append(received)
         return received
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -254,3 +254,27 @@
     assert status == 503
     assert float(headers['Retry-After']) > 0
     assert not platforms.requests_at([*platform.apps, *platform.engines])
+
+
+@pytest.mark.parametrize(
+    'target',
+    [
+        '/confirm/x?',
+        '/confirm/x?a=&b=%41?c',
+        '/confirm/x??',
+        '/confirm//x/',
+        '/confirm/%2e%2E/%C3%A9;v=1',
+        '/draft/x?',
+    ],
+)
+def test_path_and_query_reach_the_server_as_sent(platform, target):
+    """An empty query used to be left out."""
+    assert platform.ask(target)[0] == 200
+    (seen,) = platforms.requests_at([*platform.engines, *platform.apps])
+    assert seen.target == target
+
+
+def test_a_path_that_no_route_begins_is_not_changed_into_one(platform):
+    """Several slashes at the start used to be read as one."""
+    assert platform.ask('//confirm/x')[0] == 404
+    assert not platforms.requests_at(platform.apps)
