Keep the refusals that the configuration causes in a module of their own

They had moved to the module that decides about keys, where nobody looks for the refusal of a route without a service.

--- a/libs/gateway/burdockmast/gateway/authentication.py
+++ b/libs/gateway/burdockmast/gateway/authentication.py
@@ -3,10 +3,8 @@
 from burdockmast.base import failures
 from burdockmast.base import ids
 from burdockmast.gateway import config
+from burdockmast.gateway import refusals
 
-# Retry-After value while the configuration is not known to be current. Outages
-# of the store last for seconds.
-STORE_RETRY_AFTER_SECONDS = 1.0
 # Of requests that need no API key.
 ANONYMOUS = config.Organisation(ids.OrganisationId(''), None)
 
@@ -20,6 +18,8 @@
 ) -> config.Organisation | failures.Failure:
     """Return the organisation that holds a request's API key.
 
+    One lookup for each request, however many keys there are.
+
     :param api_key: as sent, empty if there is none
     :param age_seconds: since the configuration was last known to be current
     :param trusted_seconds: age up to which its keys are accepted
@@ -31,7 +31,7 @@
             return ANONYMOUS
         case config.ApiKeyAuthentication(organisation_by_api_key=holders):
             if age_seconds > trusted_seconds:
-                return stale_configuration(age_seconds)
+                return refusals.stale_configuration(age_seconds)
             holder = holders.get(api_key)
             if holder is None:
                 return failures.Failure(
@@ -40,18 +40,3 @@
                     detail=f'key not in configuration {configuration.version}',
                 )
             return holder
-
-
-def stale_configuration(age_seconds: float) -> failures.Failure:
-    """Return the refusal of a request that a newer version might allow."""
-    return unavailable(f'configuration last confirmed {age_seconds:.1f} s ago')
-
-
-def unavailable(detail: str) -> failures.Failure:
-    """Return the refusal of a request that the configuration can't place."""
-    return failures.Failure(
-        failures.Reason.STORE_UNAVAILABLE,
-        'request.configuration',
-        detail=detail,
-        retry_after=STORE_RETRY_AFTER_SECONDS,
-    )
--- a/libs/gateway/burdockmast/gateway/wsgi.py
+++ b/libs/gateway/burdockmast/gateway/wsgi.py
@@ -21,6 +21,7 @@
 from burdockmast.gateway import disconnects
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import jobs
+from burdockmast.gateway import refusals
 from burdockmast.gateway import request_target
 from burdockmast.gateway import retries
 from burdockmast.gateway import streams
@@ -217,7 +218,7 @@
             )
         configuration = self._view.configuration
         if configuration is None:
-            return authentication.unavailable(
+            return refusals.unavailable(
                 'no configuration has been received yet'
             )
         route = configuration.find_route(request.host, request.path)
@@ -225,7 +226,7 @@
         if route is None:
             # The route may be new and missing only from an old configuration.
             if age > self._trusted_seconds:
-                return authentication.stale_configuration(age)
+                return refusals.stale_configuration(age)
             return failures.Failure(
                 failures.Reason.UNKNOWN_SERVICE,
                 'request.route',
@@ -248,9 +249,7 @@
             )
         service = self._choose_service(configuration, route)
         if service is None:
-            return authentication.unavailable(
-                f'route {route.name} has no service'
-            )
+            return refusals.unavailable(f'route {route.name} has no service')
         seconds = request.timeout_seconds
         if seconds is None:
             seconds = DEFAULT_DEADLINE_SECONDS
