Notice the return of an older store though the copy is empty

A gateway whose copy of the configurations is empty, since the store holds none or none that it can read, would not have written its registration and the records of the quarantine again after the store came back from an older copy.

Cause: an empty copy without a revision was taken for one that was never filled. A copy has no revision also after the store said that the history is gone, which is what a restored store says.

Change: a copy that was ever confirmed is not the first.

Evidence: test_a_restore_is_noticed_though_the_copy_is_empty failed before.

--- a/libs/gateway/burdockmast/gateway/object_follower.py
+++ b/libs/gateway/burdockmast/gateway/object_follower.py
@@ -210,7 +210,7 @@
         """
         if era == self.era:
             return
-        is_first = self.revision is None and not self.item_by_name
+        is_first = math.isinf(self._confirmed_at)
         LOG.info(
             'following another history of the store',
             extra={
--- a/tests/test_gateway_restored_store.py
+++ b/tests/test_gateway_restored_store.py
@@ -324,6 +324,19 @@
     assert noticed == [2, 3]
 
 
+def test_a_restore_is_noticed_though_the_copy_is_empty(metadata, client):
+    """An empty copy used to be taken for one that was never filled."""
+    follower = follow(client, 'things', lambda name, spec: spec)
+    noticed = []
+    follower.on_restore.append(lambda: noticed.append(metadata.era))
+    saved = metadata.copy()
+    metadata.put('others', 'x', {})
+    poll_until_idle(follower)
+    metadata.restore(saved)
+    poll_until_idle(follower)
+    assert noticed == [2]
+
+
 def test_a_running_gateway_follows_a_restore(platform):
     """Its registration and a route, both lost, are there again."""
     kind = shared_records.GatewayRegistry.KIND
