Revoke all keys in the soak of gateways

Callers send the revoked key, one that never existed and none on kept connections. A request that ran with a key that never was in force, or with the revoked one 5 s after it was, is a broken promise that nothing excuses. Then all gateways must serve again.

--- a/libs/bench/burdockmast/bench/gateway_callers.py
+++ b/libs/bench/burdockmast/bench/gateway_callers.py
@@ -26,6 +26,7 @@
 # Wait for an answer after its deadline.
 ANSWER_MARGIN_SECONDS = 3.0
 SETTLE_SECONDS = 20.0
+KEY = 'k1'
 LONG_PATHS = ('/long/', '/once/', '/narrow/')
 SOUND_PARTS = '5a5a:50,%s:50,%x:20'
 
@@ -84,6 +85,28 @@
                 self._report.statuses[type(error).__name__] += 1
                 connection = None
 
+    def call_with_key(
+        self, gateway: gateway_processes.GatewayProcess, key: str, until: float
+    ) -> None:
+        """Send requests with an API key, on connections that are kept."""
+        connection: http.client.HTTPConnection | None = None
+        while timers.now() < until:
+            eventlet.sleep(PAUSE_SECONDS)
+            number = next(self._numbers)
+            try:
+                if connection is None or _has_ended(connection):
+                    connection = self._connect(gateway)
+                status, _ = self._send(
+                    connection,
+                    f'/confirm/{number}',
+                    {headers.API_KEY: key},
+                    number,
+                )
+                self._report.statuses[f'key {key!r} {status}'] += 1
+            except (OSError, http.client.HTTPException) as error:
+                self._report.statuses[type(error).__name__] += 1
+                connection = None
+
     def wait_until_served(
         self, gateway: gateway_processes.GatewayProcess
     ) -> None:
@@ -179,7 +202,7 @@
             'Host': 'h.example',
             headers.REQUEST_ID: f'r{number}',
             headers.DEADLINE: str(int(deadline_seconds * 1000)),
-            headers.API_KEY: 'k1',
+            headers.API_KEY: KEY,
             **sent,
         }
         limit = deadline_seconds + ANSWER_MARGIN_SECONDS
@@ -191,6 +214,7 @@
                 path,
                 timers.now(),
                 deadline_seconds,
+                api_key=sent[headers.API_KEY],
             )
             self.sent.append(request)
             return self._read_answer(connection, request)
--- a/libs/bench/burdockmast/bench/gateway_checks.py
+++ b/libs/bench/burdockmast/bench/gateway_checks.py
@@ -19,6 +19,8 @@
 LIMIT_FACTOR = 1.5
 LIMIT_SLACK = 5
 WINDOW_SECONDS = 4.0
+# Time after which no gateway accepts a key that was revoked.
+REVOKE_SECONDS = 5.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -139,3 +141,31 @@
     if most <= LIMIT_FACTOR * limit * WINDOW_SECONDS + LIMIT_SLACK:
         return []
     return [f'{server.id} got {most} requests at the limit {limit}']
+
+
+def find_unauthorized(
+    requests: Iterable[lost_requests.SentRequest],
+    servers: Iterable[standin.BackendServer],
+    held_key: str,
+    revoked_at: float,
+) -> list[str]:
+    """Return a violation for each other key, or late use of the held one.
+
+    No disruption excuses one.
+
+    :param held_key: the only key that was ever in force
+    """
+    ran = {seen.id for server in servers for seen in server.requests}
+    count_by_key = collections.Counter(
+        request.api_key
+        for request in requests
+        if request.id in ran
+        and (
+            request.api_key != held_key
+            or request.sent_at > revoked_at + REVOKE_SECONDS
+        )
+    )
+    return [
+        f'{count} requests with the key {key!r} ran'
+        for key, count in count_by_key.items()
+    ]
--- a/libs/bench/burdockmast/bench/gateway_soak.py
+++ b/libs/bench/burdockmast/bench/gateway_soak.py
@@ -3,7 +3,7 @@
 Servers crash on parts of prompts, name limits, leave, break off streams, fall
 silent and go on; gateways are killed, stopped, suspended and told to reload;
 the configuration changes; the store goes away, or comes back from an older
-copy. Faults come in series and overlap.
+copy; all API keys are revoked. Faults come in series and overlap.
 Callers keep their connections open until the gateway is gone. What callers and
 servers see is checked.
 """
@@ -20,6 +20,7 @@
 from burdockmast.bench import gateway_callers
 from burdockmast.bench import gateway_checks
 from burdockmast.bench import gateway_processes
+from burdockmast.bench import gateway_revocations
 from burdockmast.bench import lost_requests
 from burdockmast.platform import standin
 
@@ -77,7 +78,7 @@
         {'name': 'app'},
         {'name': 'speech'},
     ],
-    'tenants': [{'name': 'fes', 'api-keys': ['k1']}],
+    'tenants': [{'name': 'fes', 'api-keys': [gateway_callers.KEY]}],
 }
 
 
@@ -135,6 +136,13 @@
         self._leaving_since: dict[str, float] = {}
         self._deadly_part = f'dead{seed:x}'
         self._callers = gateway_callers.Callers(self.report, self._deadly_part)
+        self._revocation = gateway_revocations.Revocation(
+            random.Random(f'keys {seed}'),
+            self.report,
+            self._gateways,
+            self._store,
+            self._callers,
+        )
         self._named: dict[str, tuple[float, float]] = {}
         self._ends_at = 0.0
 
@@ -187,6 +195,7 @@
                     gateway, self._configuration['routes'][-1]['path-prefix']
                 )
             self._check()
+            self._revoke_keys()
         finally:
             for gateway in self._gateways:
                 gateway.close()
@@ -308,13 +317,13 @@
             'name': f'added-{version}',
             'path-prefix': f'/added-{version}/',
         }
-        self._write_routes([*self._configuration['routes'], added])
+        self._write(routes=[*self._configuration['routes'], added])
 
     def _remove_route(self) -> None:
         """Remove the route that was added first, if there is one."""
         removed = self._added_paths()[:1]
-        self._write_routes(
-            [
+        self._write(
+            routes=[
                 route
                 for route in self._configuration['routes']
                 if route['path-prefix'] not in removed
@@ -327,8 +336,8 @@
                 f'/{name}/', timeout_ms / 1000, timers.now()
             )
         )
-        self._write_routes(
-            [
+        self._write(
+            routes=[
                 {**route, 'timeout-ms': timeout_ms}
                 if route['name'] == name
                 else route
@@ -336,11 +345,12 @@
             ]
         )
 
-    def _write_routes(self, routes: list[dict]) -> None:
+    def _write(self, **changed: object) -> None:
+        """Write the next version of the configuration."""
         self._configuration = {
             **self._configuration,
             'version': self._configuration['version'] + 1,
-            'routes': routes,
+            **changed,
         }
         self._store.put('config', 'main', self._configuration)
 
@@ -350,6 +360,16 @@
         for server in self._servers:
             server.update_entry()
 
+    def _revoke_keys(self) -> None:
+        """Leave no key in force for a while, then check that all serve."""
+        configuration = self._configuration
+        self._revocation.play(
+            lambda tenants: self._write(tenants=tenants), self._servers
+        )
+        self._write(tenants=configuration['tenants'])
+        for gateway in self._gateways:
+            self._callers.wait_until_served(gateway)
+
     def _check(self) -> None:
         """Add what the servers have seen to the violations."""
         excused = max(gateway.excused_until for gateway in self._gateways)
--- a/libs/bench/burdockmast/bench/lost_requests.py
+++ b/libs/bench/burdockmast/bench/lost_requests.py
@@ -62,6 +62,7 @@
     ending: Ending = Ending.OPEN
     status: int | None = None
     detail: str = ''
+    api_key: str = ''
 
     @property
     def is_lost(self) -> bool:
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -10,6 +10,7 @@
 from burdockmast.bench import gateway_checks
 from burdockmast.bench import gateway_processes
 from burdockmast.bench import gateway_soak
+from burdockmast.bench import lost_requests
 from burdockmast.platform import headers
 from burdockmast.platform import standin
 
@@ -78,6 +79,25 @@
     assert len(gateway_checks.find_false_end(1, cut, events=2)) == 1
 
 
+@pytest.mark.parametrize(
+    ('key', 'sent_at', 'violations'),
+    [('k1', 54.9, 0), ('k1', 55.1, 1), ('unknown', 1.0, 1), ('', 1.0, 1)],
+)
+def test_requests_that_run_without_a_key_in_force_are_found(
+    key, sent_at, violations
+):
+    request = lost_requests.SentRequest(
+        'r1', 'host', '/confirm/1', sent_at, 5.0, api_key=key
+    )
+    found = gateway_checks.find_unauthorized(
+        [request], [Server([sent_at])], 'k1', 50.0
+    )
+    assert len(found) == violations
+    assert not gateway_checks.find_unauthorized(
+        [request], [Server([])], 'k1', 50.0
+    )
+
+
 def test_signals_that_overlap_start_one_process():
     class Gateway(gateway_processes.GatewayProcess):
         def __init__(self):
