--- a/libs/gateway/burdockmast/gateway/stream_attempts.py
+++ b/libs/gateway/burdockmast/gateway/stream_attempts.py
@@ -15,6 +15,7 @@
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import jobs
 from burdockmast.gateway import leaving_servers
+from burdockmast.gateway import links
 from burdockmast.gateway import path_selector
 from burdockmast.gateway import server_limits
 from burdockmast.gateway import silence
@@ -104,6 +105,7 @@
         self._exchange = upstream.Exchange(path[0].server)
         self._tracked: crash_suspects.Attempt | None = None
         self._began = timers.now()
+        self._first_event_at: float | None = None
         self._event_count = 0
         self._longest_pause = 0.0
         self._items = self._run()
@@ -192,6 +194,13 @@
                 'prompt_tokens': job.request.prompt_tokens,
                 'answer_tokens': job.request.max_answer_tokens,
                 'length_hint': job.request.length_hint,
+                'crossings': len(links.inter_zone_links(self.path)),
+                'waited': round(self._began - job.arrived_at, 3),
+                'first_event': (
+                    round(self._first_event_at - job.arrived_at, 3)
+                    if self._first_event_at
+                    else None
+                ),
                 'longest_pause': round(self._longest_pause, 3),
                 'seconds': round(timers.now() - self._began, 3),
                 'list_age': round(self._dependencies.view.server_list_age, 3),
@@ -356,6 +365,7 @@
         pause = self.silent_seconds
         self.silent_since = timers.now()
         self.limit_seconds = PAUSE_TIMEOUT_SECONDS
+        self._first_event_at = self._first_event_at or self.silent_since
         self._check_pause(pause)
         self._longest_pause = max(self._longest_pause, pause)
         self._last_event_id = splitter.last_id
