Never take the end of a connection for the end of a body

Callers that left in the middle of an upload had the first half of it run as a whole request, on unsafe routes too. Callers that sent an invalid chunk or another transfer coding had the bytes that followed read as their next request, which ran. Callers that asked for their connection to be closed and sent more than the limit got a reset in place of 413.

Cause: the WSGI server's input decided where a body ends. It returns what has come when the connection ends, takes the 0 of a cut chunk size for the last chunk, accepts sizes such as -4 and 0x4, reads over what stands in place of the end of a chunk, and knows no other transfer coding, so that such a body counts as empty. After an invalid chunk it goes on reading the connection. And it closes connections with bytes that nobody has read, which resets them.

A reader of our own takes the framing from the head and returns a body only once its last byte or its last chunk has come. A body whose end is unclear is refused, and its connection closed. The reader works on any stream: generated bodies, cut at each byte in each framing, are refused, and the request behind them is untouched.

--- a/libs/gateway/burdockmast/gateway/wsgi.py
+++ b/libs/gateway/burdockmast/gateway/wsgi.py
@@ -16,6 +16,7 @@
 from burdockmast.base import outcomes
 from burdockmast.base import timers
 from burdockmast.gateway import authentication
+from burdockmast.gateway import bodies
 from burdockmast.gateway import calls
 from burdockmast.gateway import config
 from burdockmast.gateway import disconnects
@@ -146,18 +147,26 @@
     def _serve(
         self, environ: dict, start_response: StartResponse, arrived_at: float
     ) -> Iterator[bytes]:
-        request = self._read_request(environ)
+        connection = environ['eventlet.input'].get_socket()
+        body = bodies.from_environ(environ)
+        request = self._read_request(environ, body)
         if isinstance(request, failures.Failure):
-            yield self._send_error(start_response, ids.RequestId(''), request)
+            yield self._send_error(
+                start_response, ids.RequestId(''), request, body.has_near_end
+            )
+            body.drop(connection)
             return
         job = self._admit(request, arrived_at)
         if isinstance(job, failures.Failure):
-            yield self._send_error(start_response, request.id, job)
+            yield self._send_error(
+                start_response, request.id, job, body.has_near_end
+            )
+            body.drop(connection)
             return
         self._budget.deposit(job.service.id)
         self._unanswered.add(greenlet.getcurrent())
         try:
-            with disconnects.Watch(environ['eventlet.input'].get_socket()):
+            with disconnects.Watch(connection):
                 yield from self._forward(job, start_response)
         except disconnects.CallerDisconnected:
             self._metrics.count('callers.gone')
@@ -190,20 +199,16 @@
         self._metrics.timing('request', timers.now() - arrived_at)
 
     def _read_request(
-        self, environ: dict
+        self, environ: dict, body: bodies.Body
     ) -> interfaces.CallerRequest | failures.Failure:
-        try:
-            # One byte more than the limit shows that it is exceeded.
-            body = environ['wsgi.input'].read(self._max_body_bytes + 1)
-        except (OSError, ValueError) as error:
-            return failures.Failure(
-                failures.Reason.BAD_REQUEST, 'request.body', detail=str(error)
-            )
+        content = body.read(self._max_body_bytes)
+        if isinstance(content, failures.Failure):
+            return content
         return self._header_codec.read_request(
             environ['REQUEST_METHOD'],
             environ[request_target.ENVIRON_KEY],
             environ['headers_raw'],
-            body,
+            content,
         )
 
     def _admit(
@@ -322,6 +327,7 @@
         start_response: StartResponse,
         request_id: ids.RequestId,
         failure: failures.Failure,
+        keeps_connection: bool = True,
     ) -> bytes:
         self._unanswered.discard(greenlet.getcurrent())
         status = http_status(failure)
@@ -335,7 +341,7 @@
                 retry_schedule.add_jitter(retry_after, self._rng), 3
             )
             headers.append(('Retry-After', str(retry_after)))
-        if self.is_draining:
+        if self.is_draining or not keeps_connection:
             headers.append(('Connection', 'close'))
         headers.append(('Content-Length', str(len(body))))
         LOG.info(
--- a/libs/platform/burdockmast/platform/standin.py
+++ b/libs/platform/burdockmast/platform/standin.py
@@ -232,6 +232,7 @@
     broken_off_at: float = math.inf
     server: str = ''
     target: str = ''
+    body: bytes = b''
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -385,7 +386,7 @@
                 report = {'sequence': len(self.orders), 'pace': 1.0}
                 yield from _respond(start_response, 200, report)
             case _:
-                received = self._receive(environ)
+                received = self._receive(environ, body)
                 try:
                     yield from self._serve_request(
                         received, connection, start_response
@@ -404,7 +405,7 @@
         self.update_entry(layers=held)
         return engine_client.HTTP_ACCEPTED
 
-    def _receive(self, environ: dict) -> ReceivedRequest:
+    def _receive(self, environ: dict, body: bytes) -> ReceivedRequest:
         header_by_name = {
             name.lower(): value for name, value in environ['headers_raw']
         }
@@ -415,6 +416,7 @@
             header_by_name,
             server=self.id,
             target=environ[request_target.ENVIRON_KEY],
+            body=body,
         )
         self.requests.append(received)
         return received
