Don't ask for a body whose end is unclear

A caller that waits to be asked for its body, and announces it with another transfer coding than chunks, was asked for it and then refused. The reader asked before it looked at the framing. It now refuses at once.

Evidence: test_caller_is_not_asked_for_a_body_without_a_clear_end failed before. The tests of connections that fail in the middle of a body passed before as well; they guard what the reader returns then.

--- a/libs/gateway/burdockmast/gateway/bodies.py
+++ b/libs/gateway/burdockmast/gateway/bodies.py
@@ -110,6 +110,8 @@
                 return b''
             case Length(size_bytes=size) if size > max_bytes:
                 return _too_large(max_bytes)
+            case Unclear(detail=detail):
+                return _invalid(f'the end of the body is unclear: {detail}')
         content = io.BytesIO()
         try:
             self._ask_for_it()
@@ -119,9 +121,7 @@
                 content.write(piece)
         except (OSError, _InvalidBodyError) as error:
             self._is_invalid = True
-            return failures.Failure(
-                failures.Reason.BAD_REQUEST, 'request.body', detail=str(error)
-            )
+            return _invalid(str(error))
         self._is_read = True
         return content.getvalue()
 
@@ -196,6 +196,12 @@
     )
 
 
+def _invalid(detail: str) -> failures.Failure:
+    return failures.Failure(
+        failures.Reason.BAD_REQUEST, 'request.body', detail=detail
+    )
+
+
 def _drop(pieces: Iterator[bytes]) -> bool:
     """Read pieces up to a bound; tell whether it was all of them."""
     dropped_bytes = 0
@@ -233,10 +239,6 @@
                 if stream.read(2) != b'\r\n':
                     raise _InvalidBodyError('a chunk does not end with a line')
             _read_trailers(stream)
-        case Unclear(detail=detail):
-            raise _InvalidBodyError(
-                f'the end of the body is unclear: {detail}'
-            )
 
 
 def _read_exactly(stream: io.BufferedIOBase, size: int) -> Iterator[bytes]:
--- a/tests/test_gateway_body_reader.py
+++ b/tests/test_gateway_body_reader.py
@@ -223,3 +223,41 @@
     assert not asked
     assert body.read(4) == b'body'
     assert asked == [1]
+
+
+def test_caller_is_not_asked_for_a_body_without_a_clear_end():
+    """It would send what can only be refused."""
+    asked = []
+    stream = io.BufferedReader(io.BytesIO(b'body'))
+    framing = bodies.Unclear('transfer coding gzip')
+    body = bodies.Body(stream, framing, lambda: asked.append(1))
+    assert reason_of(body.read(LIMIT_BYTES)) is failures.Reason.BAD_REQUEST
+    assert not asked
+
+
+@pytest.mark.parametrize('error', [TimeoutError, ConnectionResetError])
+@pytest.mark.parametrize(
+    ('framing', 'sent'),
+    [(bodies.Length(8), b'half'), (bodies.Chunks(), b'8\r\nhalf')],
+)
+def test_body_whose_connection_fails_is_not_taken_for_whole(
+    framing, sent, error, connection
+):
+    class Failing(io.RawIOBase):
+        left = sent
+
+        def readable(self):
+            return True
+
+        def readinto(self, buffer):
+            if not self.left:
+                raise error('the connection failed')
+            buffer[:1] = self.left[:1]
+            self.left = self.left[1:]
+            return 1
+
+    body = bodies.Body(io.BufferedReader(Failing()), framing)
+    found = body.read(LIMIT_BYTES)
+    assert reason_of(found) is failures.Reason.BAD_REQUEST
+    with pytest.raises(bodies.UnreadBodyError):
+        body.drop(connection)
