Drop a refused body for as long as callers may send it

A caller that sends all of a body before it reads the answer, and takes 20 s for that, got a broken connection in place of its refusal: what is left of a refused body was dropped for 10 s, then the connection was closed with bytes still on their way.

What bounds the work is the 64 MiB that are dropped at most; a caller that sends nothing only keeps its connection.

--- a/libs/gateway/burdockmast/gateway/bodies.py
+++ b/libs/gateway/burdockmast/gateway/bodies.py
@@ -24,8 +24,9 @@
 MAX_TRAILER_BYTES = 16 * 1024
 # Most bytes that are read and dropped after the refusal of a request.
 MAX_DROPPED_BYTES = 64 * 1024 * 1024
-# Longest time for which a refused body is dropped.
-DROP_SECONDS = 10.0
+# Longest time for which a refused body is dropped; its caller may send all of
+# it before it reads the answer.
+DROP_SECONDS = 30.0
 _LENGTH = re.compile(r'[0-9]{1,18}')
 _CHUNK_SIZE = re.compile(rb'([0-9A-Fa-f]{1,15})[ \t]*(;[^\r\n]*)?\r\n')
 
--- a/tests/test_gateway_bodies.py
+++ b/tests/test_gateway_bodies.py
@@ -17,6 +17,8 @@
 PASSED_ON_SECONDS = 0.3
 # A refusal doesn't wait for a body that is slow.
 REFUSED_SECONDS = 2.0
+# As long as a caller of these tests waits for its answer.
+SLOW_BODY_SECONDS = 20.0
 SMUGGLED = (
     b'POST /confirm/smuggled HTTP/1.1\r\nHost: h.example\r\n'
     b'Burdockmast-Key: k1\r\nBurdockmast-Request-Id: r2\r\n'
@@ -244,6 +246,20 @@
     assert bodies_run(platform) == []
 
 
+def test_refusal_reaches_a_caller_that_sends_for_long_before_it_reads(
+    platform,
+):
+    """Its body used to be dropped for half of this time only."""
+    connection = begin(
+        platform, Burdockmast_Key='unknown', Content_Length='40'
+    )
+    for _ in range(40):
+        eventlet.sleep(SLOW_BODY_SECONDS / 40)
+        connection.send(b'x')
+    assert answer_of(connection) == 401
+    assert ask_on(connection, platform) == 200
+
+
 @pytest.mark.parametrize('framing', ['length', 'chunks'])
 @pytest.mark.parametrize(
     ('path', 'key', 'status'), [*REFUSALS[1:], ('/confirm/x', '', 401)]
