Test that a changed limit leaves no upload without an answer

Beside a change of max-body-bytes, a caller that asked for its connection to be closed and sent a long body got neither an answer nor a refusal, though it had sent its whole request. Where the limit was raised the request had run, cut to the earlier limit.

Cause: the gateway stopped reading at the limit, answered, and closed the connection with unread bytes, which resets it.

--- a/tests/test_gateway_bodies.py
+++ b/tests/test_gateway_bodies.py
@@ -174,6 +174,22 @@
     assert bodies_run(platform) == [LONG]
 
 
+@pytest.mark.parametrize('framing', ['length', 'chunks'])
+@pytest.mark.parametrize('limit_bytes', [MIB, 16 * MIB])
+def test_last_request_of_a_connection_is_answered_beside_a_changed_limit(
+    platform, framing, limit_bytes
+):
+    """It got neither an answer nor a refusal: its connection was reset."""
+    set_limit(platform, 8, DEFAULT_LIMIT_BYTES)
+    header, sent = framed(framing, LONG * 2)
+    connection = begin(platform, Connection='close', **header)
+    connection.send(sent[:MIB])
+    set_limit(platform, 9, limit_bytes)
+    connection.send(sent[MIB:])
+    assert answer_of(connection) == 413
+    assert bodies_run(platform) == []
+
+
 @pytest.mark.parametrize('framing', ['length', 'chunks'])
 def test_body_during_which_the_limit_is_lowered_is_run(platform, framing):
     """A limit that was applied later used to refuse it."""
