Apply the configuration's limits on headers and on idle connections

Callers saw: connections that were idle for less than 4/5 of the operators' idle-timeout-ms closed under them, and requests with a header line of 8,192 bytes or more answered 400 though max-header-bytes allows 16,384.

Cause: the gateway knew max-body-bytes only. Idle connections ended after a fixed 15 s, a header line at 8,192 bytes, all headers at 65,536; the time for a head had no bound but 20 s for each read, and its end closed the connection without an answer.

Evidence, real gateway processes, on: with idle-timeout-ms 22000 a connection that was idle for 17 s was closed; with 1000 it lasted 15.0 s; a header line of 15,884 bytes got 400; one of 16,384 bytes, over the limit of all headers, was refused as a line that is too long (400), not for the limit (431).

Change: each wait for a request and each head takes the limits of the configuration in force when it begins; the idle timeout is looked up again when its time is over, so that a raised one holds for connections that are idle already. A head over the limit gets 431, a request line over it 414, a head that takes too long 408, which promises that nothing was run.

More than 100 headers are still refused with 431, by the HTTP library.

--- a/libs/gateway/burdockmast/gateway/caller_connections.py
+++ b/libs/gateway/burdockmast/gateway/caller_connections.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 import dataclasses
 import enum
+import http
 import io
 import math
 import typing
@@ -83,6 +84,10 @@
     return Step.WAIT if now < closes_at else Step.CLOSE
 
 
+class HeadTooLarge(Exception):
+    """The head of a request exceeds its limit."""
+
+
 class ReceivedBytes(io.RawIOBase):
     """What a caller has sent.
 
@@ -158,6 +163,26 @@
             task.switch()
 
 
+class Head:
+    """The lines of a request's head, up to a limit."""
+
+    def __init__(self, received: io.BufferedReader, max_bytes: int):
+        """Read the lines that follow the request line."""
+        self._received = received
+        self._left = max_bytes
+
+    def readline(self, size: int = -1) -> bytes:
+        """Return the next line.
+
+        :raises HeadTooLarge: if the limit is exceeded
+        """
+        line = self._received.readline(self._left + 1)
+        self._left -= len(line)
+        if self._left < 0:
+            raise HeadTooLarge
+        return line
+
+
 class Protocol(request_target.Protocol):
     """Reads and answers the requests of one connection, one by one."""
 
@@ -180,11 +205,20 @@
         try:
             if not self._await_request():
                 return b''
+            limits = self.server.limits()
             # The WSGI server tells callers about it.
-            self.server.keepalive = self.server.limits().idle_timeout_seconds
-            return self.rfile.readline(self.server.url_length_limit)
+            self.server.keepalive = limits.idle_timeout_seconds
+            self._received.until = timers.now() + limits.header_timeout_seconds
+            line = self.rfile.readline(limits.max_header_bytes)
+        except TimeoutError:
+            self._refuse(http.HTTPStatus.REQUEST_TIMEOUT)
+            return b''
         except OSError:
             return b''
+        if len(line) == limits.max_header_bytes:
+            self._refuse(http.HTTPStatus.REQUEST_URI_TOO_LONG)
+            return b''
+        return line
 
     def _await_request(self) -> bool:
         """Wait for a request; return False once the connection must end."""
@@ -210,6 +244,28 @@
         finally:
             self._received.may_wait = True
 
+    def parse_request(self) -> bool:
+        """Read the rest of a request's head; tell whether it is sound."""
+        # The caller of this method restores the attribute.
+        self.rfile = Head(self.rfile.fp, self.server.limits().max_header_bytes)
+        try:
+            return super().parse_request()
+        except HeadTooLarge:
+            self._refuse(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
+        except TimeoutError:
+            self._refuse(http.HTTPStatus.REQUEST_TIMEOUT)
+        finally:
+            self._received.until = math.inf
+        return False
+
+    def _refuse(self, status: http.HTTPStatus) -> None:
+        LOG.info('head of a request refused', extra={'status': status.value})
+        self.close_connection = True
+        self.wfile.write(
+            f'HTTP/1.1 {status.value} {status.phrase}\r\n'
+            'Connection: close\r\nContent-Length: 0\r\n\r\n'.encode()
+        )
+
     def finish(self) -> None:
         """Close the connection."""
         self.server.protocols.discard(self)
@@ -233,6 +289,7 @@
             protocol=Protocol,
             minimum_chunk_size=1,
             log_output=False,
+            url_length_limit=math.inf,
             debug=False,
             socket_timeout=STALL_SECONDS,
         )
--- a/libs/gateway/burdockmast/gateway/config.py
+++ b/libs/gateway/burdockmast/gateway/config.py
@@ -126,10 +126,14 @@
 class CallerLimits:
     """Limits on what callers may send, and on the time that they take.
 
+    :ivar max_header_bytes: of all headers of a request
+    :ivar header_timeout_seconds: for the head of a request
     :ivar idle_timeout_seconds: between two requests of a connection
     """
 
     max_body_bytes: int = 4194304
+    max_header_bytes: int = 16384
+    header_timeout_seconds: float = 20.0
     idle_timeout_seconds: float = 15.0
 
 
--- a/libs/platform/burdockmast/platform/configuration.py
+++ b/libs/platform/burdockmast/platform/configuration.py
@@ -96,6 +96,9 @@
 
 class _Limits(msgspec.Struct, frozen=True, rename='kebab'):
     max_body_bytes: int = 4194304
+    max_header_bytes: int = 16384
+    header_timeout_ms: float = 20000
+    idle_timeout_ms: float = 15000
 
 
 class _Configuration(msgspec.Struct, frozen=True):
@@ -133,7 +136,16 @@
             for service in decoded.services
         },
         _convert_tenants(decoded.tenants),
-        config.CallerLimits(decoded.limits.max_body_bytes),
+        _convert_limits(decoded.limits),
+    )
+
+
+def _convert_limits(limits: _Limits) -> config.CallerLimits:
+    return config.CallerLimits(
+        limits.max_body_bytes,
+        limits.max_header_bytes,
+        limits.header_timeout_ms / 1000,
+        limits.idle_timeout_ms / 1000,
     )
 
 
--- a/tests/test_gateway_caller_connections.py
+++ b/tests/test_gateway_caller_connections.py
@@ -16,6 +16,8 @@
 HOST = '127.0.0.1'
 WAIT_SECONDS = 10.0
 LIMITS = config.CallerLimits(
+    max_header_bytes=2000,
+    header_timeout_seconds=0.3,
     idle_timeout_seconds=0.3,
 )
 HEAD = b'POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\n'
@@ -132,6 +134,33 @@
     assert service.bodies == [b'body'] * 2
 
 
+def test_a_slow_head_is_refused_as_not_run(service):
+    caller = service.connect(HEAD[:30])
+    assert read_all(caller).startswith(b'HTTP/1.1 408 ')
+    assert not service.bodies
+
+
+@pytest.mark.parametrize('limit', [2000, 20000])
+@pytest.mark.parametrize('line_length', [300, 9000])
+def test_heads_are_read_up_to_the_limit_in_force(service, limit, line_length):
+    service.limits = dataclasses.replace(LIMITS, max_header_bytes=limit)
+    # 34 bytes of other headers and of the end, 4 and a line end in each line.
+    line = b'a: ' + b'x' * (line_length - 5) + b'\r\n'
+    room = limit - len(HEAD.partition(b'\r\n')[2])
+    lines = line * (room // line_length)
+    lines += b'a:' + b'x' * (room - len(lines) - 4) + b'\r\n'
+    for added, status in [(b'', b'200'), (b'x', b'431')]:
+        head = HEAD.replace(b'\r\n\r\n', b'\r\n' + added + lines + b'\r\n')
+        caller = service.connect(head + b'body')
+        assert read(caller).split()[1] == status
+
+
+def test_a_request_line_over_the_limit_is_refused(service):
+    caller = service.connect(b'GET /' + b'x' * LIMITS.max_header_bytes)
+    assert read_all(caller).startswith(b'HTTP/1.1 414 ')
+    assert not service.bodies
+
+
 def test_a_raised_idle_timeout_holds_for_idle_connections(service):
     caller = service.connect_kept()
     service.limits = dataclasses.replace(LIMITS, idle_timeout_seconds=60.0)
--- a/tests/test_gateway_connection_ends.py
+++ b/tests/test_gateway_connection_ends.py
@@ -8,7 +8,11 @@
 import platforms
 import pytest
 
+from burdockmast.base import timers
+
+IDLE_MS = 1000
 LONG_IDLE_MS = 15000
+MAX_HEADER_BYTES = 16384
 STOP_ACCEPT_SECONDS = 2.8
 PAUSE_SECONDS = 2.0
 # The event loop is busy for a while after the signal.
@@ -25,6 +29,14 @@
 )
 
 
+@pytest.fixture
+def limited(platform):
+    """The platform with a short idle timeout in force."""
+    put_configuration(platform, 8, idle_timeout_ms=IDLE_MS)
+    platform.wait_for(lambda: platform.ask('/new8/')[0] == 200)
+    return platform
+
+
 @pytest.fixture
 def pausing(platform):
     """The platform with a gateway that can be made busy."""
@@ -114,3 +126,39 @@
         sock.sendall(REQUEST + b'\r\n')
     statuses = [read_status(sock) for sock in found]
     assert all(status in (200, 503) for status in statuses), statuses
+
+
+def test_idle_connections_end_by_the_limit_in_force(limited):
+    sock = kept_connection(limited)
+    answered_at = timers.now()
+    with eventlet.Timeout(platforms.TEST_TIMEOUT_SECONDS):
+        assert sock.recv(1) == b''
+    assert timers.now() - answered_at < IDLE_MS / 1000 + 3
+
+
+def test_a_raised_idle_timeout_holds_for_idle_connections(limited):
+    sock = kept_connection(limited)
+    put_configuration(limited, 9, idle_timeout_ms=60000)
+    eventlet.sleep(IDLE_MS / 1000 * 3)
+    assert ask(sock) == 200
+
+
+def test_connections_idle_for_less_than_a_long_limit_are_reused(platform):
+    put_configuration(platform, 8, idle_timeout_ms=22000)
+    platform.wait_for(lambda: platform.ask('/new8/')[0] == 200)
+    sock = kept_connection(platform)
+    eventlet.sleep(17.0)
+    assert ask(sock) == 200
+
+
+@pytest.mark.parametrize(
+    ('header_bytes', 'status'),
+    [(MAX_HEADER_BYTES - 500, 404), (MAX_HEADER_BYTES, 431)],
+)
+def test_headers_are_read_up_to_the_limit_in_force(
+    platform, header_bytes, status
+):
+    sock = platform.connect().sock
+    sock.sendall(REQUEST.replace(b'/lookup/', b'/none/'))
+    sock.sendall(b'Long: ' + b'x' * header_bytes + b'\r\n\r\n')
+    assert read_status(sock) == status
