Run no request whose caller left within its head

Servers saw: a request that lacked the rest of its headers, as its caller had closed the connection, or its half of it, in the middle of them.

Cause: the HTTP library takes the end of a connection for the end of the headers.

Evidence, a real gateway process on: of two heads that were cut in or after a header line, one reached a server; why the other didn't was not traced. None did in a process with this change, and in the tests of the module none reaches the application.

Change: a head counts only once its empty line has been read. A connection that ends before is closed.

--- a/libs/gateway/burdockmast/gateway/caller_connections.py
+++ b/libs/gateway/burdockmast/gateway/caller_connections.py
@@ -84,6 +84,10 @@
     return Step.WAIT if now < closes_at else Step.CLOSE
 
 
+class CallerLeft(Exception):
+    """The caller closed its connection within the head of a request."""
+
+
 class HeadTooLarge(Exception):
     """The head of a request exceeds its limit."""
 
@@ -174,12 +178,15 @@
     def readline(self, size: int = -1) -> bytes:
         """Return the next line.
 
+        :raises CallerLeft: if the connection ends before the head does
         :raises HeadTooLarge: if the limit is exceeded
         """
         line = self._received.readline(self._left + 1)
         self._left -= len(line)
         if self._left < 0:
             raise HeadTooLarge
+        if not line.endswith(b'\n'):
+            raise CallerLeft
         return line
 
 
@@ -215,10 +222,11 @@
             return b''
         except OSError:
             return b''
+        if line.endswith(b'\n'):
+            return line
         if len(line) == limits.max_header_bytes:
             self._refuse(http.HTTPStatus.REQUEST_URI_TOO_LONG)
-            return b''
-        return line
+        return b''
 
     def _await_request(self) -> bool:
         """Wait for a request; return False once the connection must end."""
@@ -254,6 +262,8 @@
             self._refuse(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
         except TimeoutError:
             self._refuse(http.HTTPStatus.REQUEST_TIMEOUT)
+        except CallerLeft:
+            self.close_connection = True
         finally:
             self._received.until = math.inf
         return False
--- a/tests/test_gateway_caller_connections.py
+++ b/tests/test_gateway_caller_connections.py
@@ -140,6 +140,14 @@
     assert not service.bodies
 
 
+@pytest.mark.parametrize('length', [10, 20, len(HEAD) - 2])
+def test_a_head_that_its_caller_left_is_not_run(service, length):
+    caller = service.connect(HEAD[:length])
+    caller.shutdown(socket.SHUT_WR)
+    read_all(caller)
+    assert not service.bodies
+
+
 @pytest.mark.parametrize('limit', [2000, 20000])
 @pytest.mark.parametrize('line_length', [300, 9000])
 def test_heads_are_read_up_to_the_limit_in_force(service, limit, line_length):
--- a/tests/test_gateway_connection_ends.py
+++ b/tests/test_gateway_connection_ends.py
@@ -2,6 +2,7 @@
 
 import http.client
 import signal
+import socket
 import sys
 
 import eventlet
@@ -162,3 +163,12 @@
     sock.sendall(REQUEST.replace(b'/lookup/', b'/none/'))
     sock.sendall(b'Long: ' + b'x' * header_bytes + b'\r\n\r\n')
     assert read_status(sock) == status
+
+
+@pytest.mark.parametrize('length', [10, len(REQUEST) - 40, len(REQUEST)])
+def test_a_head_that_its_caller_left_is_not_run(platform, length):
+    with platform.connect().sock as sock:
+        sock.sendall(REQUEST[:length])
+        sock.shutdown(socket.SHUT_WR)
+        assert read_status(sock) != 200
+    assert not platforms.requests_at(platform.apps)
