Let callers that are still sending see their answer

Callers saw: a connection that was reset while they still sent a request which the gateway had answered with an error (400, and now 408, 414, 431). One that gives up on a failed send gets neither an answer nor a refusal.

Cause: the connection was closed right after the answer. What the caller still sent, or what had arrived and was not read, made the kernel reset it.

Change: after an answer the gateway closes its own half of the connection and drops what still comes until its caller closes too, for 1 s without bytes, 5 s in all, and 16 MB at most. Callers that close at once cost one more read.

--- a/libs/gateway/burdockmast/gateway/caller_connections.py
+++ b/libs/gateway/burdockmast/gateway/caller_connections.py
@@ -10,6 +10,7 @@
 import http
 import io
 import math
+import socket
 import typing
 
 import eventlet
@@ -39,6 +40,13 @@
 IDLE_MARGIN_SECONDS = 1.0
 # At a stop, the first request of a new connection is awaited for this long.
 FIRST_REQUEST_SECONDS = 1.0
+# What a caller still sends after its answer is read and dropped for this long,
+# and up to this size: the kernel would else reset the connection, and the
+# caller might not see its answer.
+LINGER_SECONDS = 5.0
+LINGER_STALL_SECONDS = 1.0
+LINGER_BYTES = 16 * 1024 * 1024
+READ_BYTES = 65536
 
 
 class Step(enum.Enum):
@@ -202,6 +210,7 @@
         self._received = ReceivedBytes(self.connection)
         self.rfile = io.BufferedReader(self._received)
         self._is_new = True
+        self._has_begun = False
         self.server.protocols.add(self)
 
     def wake(self) -> None:
@@ -223,6 +232,7 @@
         except OSError:
             return b''
         if line.endswith(b'\n'):
+            self._has_begun = True
             return line
         if len(line) == limits.max_header_bytes:
             self._refuse(http.HTTPStatus.REQUEST_URI_TOO_LONG)
@@ -231,6 +241,7 @@
     def _await_request(self) -> bool:
         """Wait for a request; return False once the connection must end."""
         idle = IdleConnection(timers.now(), self._is_new)
+        self._has_begun = False
         while True:
             closes_at = idle.closes_at(
                 self.server.limits(), self.server.is_closing
@@ -271,16 +282,34 @@
     def _refuse(self, status: http.HTTPStatus) -> None:
         LOG.info('head of a request refused', extra={'status': status.value})
         self.close_connection = True
+        self._has_begun = True
         self.wfile.write(
             f'HTTP/1.1 {status.value} {status.phrase}\r\n'
             'Connection: close\r\nContent-Length: 0\r\n\r\n'.encode()
         )
 
     def finish(self) -> None:
-        """Close the connection."""
+        """Close the connection, after a last answer once that was seen."""
         self.server.protocols.discard(self)
+        try:
+            self.wfile.flush()
+            if self._has_begun:
+                self._linger()
+        except OSError:
+            # The caller has left, or went on for too long.
+            pass
         super().finish()
 
+    def _linger(self) -> None:
+        """Drop what the caller still sends until it closes too."""
+        self.connection.shutdown(socket.SHUT_WR)
+        self._received.until = timers.now() + LINGER_SECONDS
+        self._received.stall_seconds = LINGER_STALL_SECONDS
+        buffer = bytearray(READ_BYTES)
+        left = LINGER_BYTES
+        while left > 0 and (count := self._received.readinto(buffer)):
+            left -= count
+
 
 class _Server(eventlet.wsgi.Server):
     """What the connections of a listener share."""
--- a/tests/test_gateway_caller_connections.py
+++ b/tests/test_gateway_caller_connections.py
@@ -69,6 +69,8 @@
     monkeypatch.setattr(caller_connections, 'IDLE_MARGIN_SECONDS', 0.0)
     monkeypatch.setattr(caller_connections, 'STALL_SECONDS', 0.3)
     monkeypatch.setattr(caller_connections, 'FIRST_REQUEST_SECONDS', 0.5)
+    monkeypatch.setattr(caller_connections, 'LINGER_SECONDS', 1.0)
+    monkeypatch.setattr(caller_connections, 'LINGER_STALL_SECONDS', 0.5)
     found = Service()
     yield found
     for caller in found.callers:
@@ -140,6 +142,14 @@
     assert not service.bodies
 
 
+def test_time_for_a_head_is_not_renewed_by_each_byte(service):
+    caller = service.connect(HEAD[:20])
+    for byte in HEAD[20:26]:
+        eventlet.sleep(0.1)
+        caller.sendall(bytes([byte]))
+    assert read_all(caller).startswith(b'HTTP/1.1 408 ')
+
+
 @pytest.mark.parametrize('length', [10, 20, len(HEAD) - 2])
 def test_a_head_that_its_caller_left_is_not_run(service, length):
     caller = service.connect(HEAD[:length])
@@ -224,6 +234,26 @@
     assert read(silent) == b''
 
 
+def test_an_error_reaches_a_caller_that_goes_on_sending(service):
+    caller = service.connect(HEAD.replace(b'4', b'-4') + b'x' * 200000)
+    for _ in range(5):
+        eventlet.sleep(0.05)
+        caller.sendall(b'x' * 1000)
+    assert read_all(caller).startswith(b'HTTP/1.0 400 ')
+
+
+@pytest.mark.parametrize('sent', [b'', b'x'], ids=['silent', 'slow'])
+def test_a_caller_that_ignores_a_close_can_not_keep_its_connection(
+    service, sent
+):
+    caller = service.connect(HEAD.replace(b'4', b'-4'))
+    with eventlet.Timeout(WAIT_SECONDS), pytest.raises(ConnectionError):
+        while service.connections.open_count:
+            eventlet.sleep(0.1)
+            caller.sendall(sent)
+        raise ConnectionError
+
+
 def test_connections_are_accepted_again_after_a_failure(service, monkeypatch):
     failures = [OSError(errno.EMFILE, 'Too many open files')]
     accept = eventlet.greenio.GreenSocket.accept
--- a/tests/test_gateway_connection_ends.py
+++ b/tests/test_gateway_connection_ends.py
@@ -165,6 +165,31 @@
     assert read_status(sock) == status
 
 
+@pytest.mark.parametrize(
+    'head',
+    [
+        b'Content-Length: 9\r\nTransfer-Encoding: chunked\r\n\r\n',
+        b'Content-Length: -1\r\n\r\n',
+        b'Long: ' + b'x' * 2 * MAX_HEADER_BYTES + b'\r\n\r\n',
+    ],
+    ids=['two lengths', 'negative length', 'long header'],
+)
+def test_an_error_reaches_a_caller_that_is_still_sending(platform, head):
+    statuses = []
+    for _ in range(10):
+        with platform.connect().sock as sock:
+            sock.sendall(REQUEST + head)
+            eventlet.sleep(0.02)
+            try:
+                sock.sendall(b'y' * 1000)
+                eventlet.sleep(0.02)
+                sock.sendall(b'y' * 1000)
+                statuses.append(read_status(sock))
+            except ConnectionError:
+                statuses.append(None)
+    assert all(status in (400, 431) for status in statuses), statuses
+
+
 @pytest.mark.parametrize('length', [10, len(REQUEST) - 40, len(REQUEST)])
 def test_a_head_that_its_caller_left_is_not_run(platform, length):
     with platform.connect().sock as sock:
