Close the connection when a stopping gateway has announced it

Callers saw: a Connection: close that wasn't followed by a close, on a connection that the gateway went on to read until its process ended.

Cause: the WSGI server doesn't look at the Connection header of the application.

Evidence, a real gateway process on: a request is sent 0.1 s after the stop signal; its answer announces the close, and the connection is still open 1 s later. The header is sent once.

Change: an answer that announces a close makes the connection end after it.

--- a/libs/gateway/burdockmast/gateway/caller_connections.py
+++ b/libs/gateway/burdockmast/gateway/caller_connections.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 import enum
 import http
@@ -47,6 +48,7 @@
 LINGER_STALL_SECONDS = 1.0
 LINGER_BYTES = 16 * 1024 * 1024
 READ_BYTES = 65536
+CLOSE_HEADER = ('Connection', 'close')
 
 
 class Step(enum.Enum):
@@ -288,6 +290,25 @@
             'Connection: close\r\nContent-Length: 0\r\n\r\n'.encode()
         )
 
+    def handle_one_response(self) -> None:
+        """Answer a request; an answer that announces a close gets one."""
+        self.application = self._run_application
+        super().handle_one_response()
+
+    def _run_application(
+        self, environ: dict, start_response: Callable
+    ) -> Iterable[bytes]:
+        def start(
+            status: str, headers: list[tuple[str, str]], *error: object
+        ) -> object:
+            if CLOSE_HEADER in headers:
+                # The WSGI server sends it again, and closes.
+                headers = [pair for pair in headers if pair != CLOSE_HEADER]
+                self.close_connection = True
+            return start_response(status, headers, *error)
+
+        return self.server.app(environ, start)
+
     def finish(self) -> None:
         """Close the connection, after a last answer once that was seen."""
         self.server.protocols.discard(self)
--- a/tests/test_gateway_caller_connections.py
+++ b/tests/test_gateway_caller_connections.py
@@ -234,6 +234,12 @@
     assert read(silent) == b''
 
 
+def test_an_announced_close_is_announced_once_and_comes(service):
+    service.reply_headers = [('Connection', 'close')]
+    answer = read_all(service.connect(REQUEST))
+    assert answer.count(b'Connection: close\r\n') == 1
+
+
 def test_an_error_reaches_a_caller_that_goes_on_sending(service):
     caller = service.connect(HEAD.replace(b'4', b'-4') + b'x' * 200000)
     for _ in range(5):
--- a/tests/test_gateway_connection_ends.py
+++ b/tests/test_gateway_connection_ends.py
@@ -190,6 +190,18 @@
     assert all(status in (400, 431) for status in statuses), statuses
 
 
+def test_a_close_that_a_stopping_gateway_announces_comes(platform):
+    sock = kept_connection(platform)
+    platform.process.send_signal(signal.SIGTERM)
+    eventlet.sleep(0.1)
+    sock.sendall(REQUEST + b'\r\n')
+    answer = b''
+    with eventlet.Timeout(1.0):
+        while found := sock.recv(65536):
+            answer += found
+    assert answer.lower().count(b'\r\nconnection: close\r\n') == 1
+
+
 @pytest.mark.parametrize('length', [10, len(REQUEST) - 40, len(REQUEST)])
 def test_a_head_that_its_caller_left_is_not_run(platform, length):
     with platform.connect().sock as sock:
