--- a/libs/gateway/burdockmast/gateway/config.py
+++ b/libs/gateway/burdockmast/gateway/config.py
@@ -124,9 +124,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CallerLimits:
-    """Limits on what callers may send."""
+    """Limits on what callers may send, and on the time that they take.
 
-    max_body_bytes: int
+    :ivar max_header_bytes: of all headers of a request
+    :ivar header_timeout_seconds: for the head of a request
+    :ivar idle_timeout_seconds: between two requests of a connection
+    """
+
+    max_body_bytes: int = 4194304
+    max_header_bytes: int = 16384
+    header_timeout_seconds: float = 20.0
+    idle_timeout_seconds: float = 15.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
