Look at the socket before a timeout concludes anything

After a pause of the gateway (a suspended process, a large configuration that is decoded), sound servers were taken for unreachable or silent, and requests for late, although the connection was made, or the answer had come, meanwhile.

Cause: the event loop calls expired timers before it looks at sockets, and reads checked their deadline before they looked. A connect that a pause of 0.35 s met ended as timed out, which ejects its server for 4 s; a report that had come was "no reply within the time limit", with the same result.

Ruled out: the event loop alone; where it looks at sockets first (a pause inside a timer that no other expired timer follows) nothing failed.

Change: after a timeout of connect, of the wait for a reply and of a read, the socket is looked at once more. Data that has come is read for 0.2 s after the deadline at most, so that a server that never stops sending is still ended in time. A reset that this look finds is kept for the reads. The checks for crashes connect in the same way.

Evidence: four tests in test_gateway_upstream failed before (connection, refusal, first bytes, whole reply) and pass after; those of replies without an end pass unchanged. In-process: on one machine a connection is made at once, so that a real process hardly ever has one under way in a pause.

--- a/libs/gateway/burdockmast/gateway/crash_checks.py
+++ b/libs/gateway/burdockmast/gateway/crash_checks.py
@@ -4,9 +4,10 @@
 off. A server whose process has ended refuses new connections.
 """
 
+import socket
+
 import eventlet
 import eventlet.event
-from eventlet.green import socket
 
 from burdockmast.base import addresses
 from burdockmast.base import ids
@@ -46,7 +47,7 @@
 
 
 def _refuses_connections(server: backends.BackendServer) -> bool:
-    with socket.socket(socket.AF_INET, socket.SOCK_STREAM) as sock:
+    with upstream.BoundedSocket(socket.AF_INET, socket.SOCK_STREAM) as sock:
         sock.settimeout(upstream.CONNECT_TIMEOUT_SECONDS)
         try:
             sock.connect(addresses.split(server.address))
--- a/libs/gateway/burdockmast/gateway/upstream.py
+++ b/libs/gateway/burdockmast/gateway/upstream.py
@@ -15,6 +15,7 @@
 import eventlet
 from eventlet import greenio
 from eventlet import hubs
+from eventlet.greenio import base as greenio_base
 import urllib3
 import urllib3.connection
 import urllib3.exceptions
@@ -38,6 +39,8 @@
 MAX_IMMEDIATE_READS = 8
 # How often a wait for a server that sends nothing is reconsidered.
 SILENCE_RECHECK_SECONDS = 0.1
+# Time for which data that has come is still read after the deadline.
+LATE_READ_SECONDS = 0.2
 
 CONNECTION_ERRORS = (
     OSError,
@@ -71,6 +74,9 @@
     Unlike eventlet's own socket, it raises an error when the connection is
     reset, so that a truncated reply without a length does not look complete.
 
+    A timeout is only raised if the socket has nothing: after a pause of the
+    gateway, the event loop calls expired timers before it looks at sockets.
+
     :ivar deadline: monotonic seconds until which sends and reads may go on
     :ivar bytes_left: that may still be received
     :ivar has_ended: the server has closed the connection
@@ -84,7 +90,20 @@
     has_ended: bool = False
     should_keep_waiting: Callable[[], bool] | None = None
     _immediate_reads: int = 0
-    _send_error: OSError | None = None
+    _late_since: float = math.inf
+    _error: OSError | None = None
+
+    def connect(self, address: tuple[str, int]) -> None:
+        """Connect within the socket's timeout.
+
+        :raises TimeoutError: if the connection is not made by then
+        """
+        try:
+            super().connect(address)
+        except TimeoutError:
+            found = greenio_base.socket_connect(self.fd, address)
+            if found is None:
+                raise
 
     def sendall(self, data: bytes, flags: int = 0) -> None:
         """Send ``data``, or what the server takes of it before it replies.
@@ -101,17 +120,21 @@
                 try:
                     left = left[self.fd.send(left, flags) :]
                 except BlockingIOError:
-                    if self._is_readable():
+                    if self.is_readable():
                         return
                     self._wait_to_send()
         except ConnectionError as error:
-            self._send_error = error
+            self._error = error
 
-    def _is_readable(self) -> bool:
-        with contextlib.suppress(BlockingIOError):
+    def is_readable(self) -> bool:
+        """Return whether there is data to read, an end or an error."""
+        try:
             self.fd.recv(1, socket.MSG_PEEK)
-            return True
-        return False
+        except BlockingIOError:
+            return False
+        except ConnectionError as error:
+            self._error = error
+        return True
 
     def _wait_to_send(self) -> None:
         seconds = min(self.deadline - timers.now(), SILENCE_RECHECK_SECONDS)
@@ -134,20 +157,36 @@
         if self.bytes_left <= 0:
             raise OSError(errno.EMSGSIZE, 'more bytes than a reply may have')
         while True:
-            if timers.now() >= self.deadline:
-                self._extend_deadline()
+            is_late = self._is_late()
             try:
                 received = self.fd.recv_into(buffer, nbytes, flags)
             except BlockingIOError:
+                if is_late:
+                    self._extend_deadline()
                 self._wait()
                 continue
-            if not received and self._send_error is not None:
-                raise self._send_error
+            if not received and self._error is not None:
+                raise self._error
             self.bytes_left -= received
             self.has_ended = received == 0
             self._let_others_run()
             return received
 
+    def _is_late(self) -> bool:
+        """Return whether the deadline is over, and end what goes on after it.
+
+        :raises TimeoutError: if late reads have gone on for too long
+        """
+        now = timers.now()
+        if now < self.deadline:
+            self._late_since = math.inf
+            return False
+        self._late_since = min(self._late_since, now)
+        if now < self._late_since + LATE_READ_SECONDS:
+            return True
+        self._extend_deadline()
+        return False
+
     def _extend_deadline(self) -> None:
         if self.should_keep_waiting is None or not self.should_keep_waiting():
             raise TimeoutError('no complete data within the time limit')
@@ -249,7 +288,7 @@
                 timeout_exc=TimeoutError('no reply within the time limit'),
             )
         except TimeoutError:
-            return False
+            return self._sock.is_readable()
         return True
 
     def read_head(
--- a/tests/test_gateway_upstream.py
+++ b/tests/test_gateway_upstream.py
@@ -2,14 +2,17 @@
 
 import socket
 import struct
+import time
 
 import eventlet
+import eventlet.hubs
 import pytest
 
 from burdockmast.base import failures
 from burdockmast.base import outcomes
 from burdockmast.base import timers
 from burdockmast.gateway import backends
+from burdockmast.gateway import crash_checks
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import upstream
 from burdockmast.platform import headers
@@ -318,3 +321,73 @@
     head = read_head(found)
     assert isinstance(head, failures.Failure)
     assert head.outcome is outcomes.Outcome.UNKNOWN
+
+
+def pause_gateway(seconds):
+    """Suspend the process; its timers then fire before it reads sockets."""
+    hub = eventlet.hubs.get_hub()
+
+    def pause():
+        time.sleep(seconds)
+        hub.prepare_timers()
+        hub.fire_timers(hub.clock())
+
+    hub.schedule_call_global(0, pause)
+
+
+@pytest.fixture
+def listening():
+    """A server that listens and never accepts, and its address."""
+    sock = eventlet.listen(('127.0.0.1', 0))
+    yield sock, '{}:{}'.format(*sock.getsockname())
+    sock.close()
+
+
+def server_at(address):
+    return backends.BackendServer(
+        'i-1', 'app', address, 'a', True, backends.NO_LAYERS, '', 1, 1
+    )
+
+
+def test_a_connection_made_while_the_gateway_paused_does_not_fail(listening):
+    found = upstream.Exchange(server_at(listening[1]))
+    sending = eventlet.spawn(found.send, REQUEST, [('Host', 'h')])
+    pause_gateway(upstream.CONNECT_TIMEOUT_SECONDS + 0.1)
+    assert sending.wait() is None
+    found.close()
+
+
+def test_a_refusal_while_the_gateway_paused_is_noticed(listening):
+    sock, address = listening
+    checks = crash_checks.CrashChecks()
+    sock.close()
+    checking = eventlet.spawn(checks.has_crashed, server_at(address))
+    eventlet.sleep(0)
+    pause_gateway(upstream.CONNECT_TIMEOUT_SECONDS + 0.1)
+    assert checking.wait()
+
+
+def test_a_reply_that_came_before_its_wait_ended_is_found(exchange):
+    found, _ = exchange(WHOLE_HEAD)
+    assert found.wait_for_reply(TEST_TIMEOUT_SECONDS)
+    waiting = eventlet.spawn(found.wait_for_reply, 0.1)
+    pause_gateway(0.2)
+    assert waiting.wait()
+
+
+def test_a_whole_reply_that_came_before_the_deadline_is_read(exchange):
+    found, _ = exchange(HEAD + b'Content-Length: 4\r\n\r\nbody')
+    assert found.wait_for_reply(TEST_TIMEOUT_SECONDS)
+    late = timers.now() - 1.0
+    head = found.read_head('r1', late, headers.HeaderCodec())
+    assert head.status == 200
+    assert found.read_body(late, 1000) == b'body'
+
+
+def test_a_reset_that_ended_a_wait_does_not_make_a_reply_whole(exchange):
+    found, _ = exchange(HEAD + b'\r\nbod', resets=True)
+    read_head(found)
+    eventlet.sleep(0.1)
+    assert found.wait_for_reply(-1.0)
+    with pytest.raises(upstream.IncompleteReply):
+        read_body(found)
