Avoid silent servers, and take only those with evidence of a loss for lost

Callers saw: after a pause of all servers that streams pass through, new requests were refused for four seconds, though all servers had gone on.

Cause: a report that wasn't answered within 0.3 s, or a connection that wasn't made within 0.25 s, ejected its server for 4 s, like one that refuses connections. Nothing that the server did meanwhile ended that. A sound server may be silent for a second, so that of all servers that hold some layers none was left.

Ruled out: the list of servers (all stayed listed and ready), their limits and the links: every refusal was `no_path`, or the queue's after 1.2 s.

Change: what is seen of a server is evidence, and a module of its own decides what it shows. A server that gives no answer is `unresponsive`: it gets requests only where the other servers don't hold all layers, or where it is the only plain server. Any answer or event ends that; the report that was late is waited for up to 2 s, without another one being asked. A server is `lost` if it refuses a connection, or if other servers tell that requests wait for it; an event of a stream through it ends the latter. Evidence holds for one incarnation, and for 4 s. A standby attempt isn't sent through an unresponsive server, as it would be as silent as the attempt beside it.

test_lost_servers_are_told_from_those_that_refuse is replaced, as the two are separate records now. The tests of reports ask for the servers that paths prefer in place of those that are not ejected: a server without an answer isn't among them, as before.

--- a/libs/gateway/burdockmast/gateway/calls.py
+++ b/libs/gateway/burdockmast/gateway/calls.py
@@ -19,6 +19,7 @@
 from burdockmast.gateway import leaving_servers
 from burdockmast.gateway import retries
 from burdockmast.gateway import server_limits
+from burdockmast.gateway import server_states
 from burdockmast.gateway import upstream
 from burdockmast.gateway import view
 
@@ -142,7 +143,7 @@
         """Return the least loaded server, on a tie one in this zone."""
         candidates = self._view.usable(job.service.id, tried)
         if not candidates and not tried:
-            # With no other server left, ejected ones are tried as well.
+            # With no other server left, lost ones are tried as well.
             candidates = [
                 s for s in self._view.listed(job.service.id) if s.is_ready
             ]
@@ -152,6 +153,7 @@
         return min(
             candidates,
             key=lambda s: (
+                self._view.is_unresponsive(s.id),
                 self._view.running_requests(s.id),
                 s.zone != self._zone,
                 self._rng.random(),
@@ -217,6 +219,7 @@
         head = exchange.read_head(job.id, job.deadline, self._header_codec)
         if isinstance(head, failures.Failure):
             return head
+        self._view.record_answer(exchange.server.id)
         self._limits.record_reply(
             exchange.server, head.metadata, head.status, job.id
         )
@@ -272,4 +275,9 @@
                     },
                 )
                 if result.step == 'backend.connect':
-                    self._view.eject(server.id, result.detail, job.id)
+                    self._view.record_failure(
+                        server.id,
+                        server_states.evidence_of(result),
+                        result.detail,
+                        job.id,
+                    )
--- a/libs/gateway/burdockmast/gateway/interfaces.py
+++ b/libs/gateway/burdockmast/gateway/interfaces.py
@@ -1,5 +1,6 @@
 """Interfaces that the platform implements for the gateway."""
 
+from collections.abc import Callable
 import dataclasses
 from typing import Generic
 from typing import Protocol
@@ -242,9 +243,15 @@
         """
 
     def fetch_report(
-        self, server: backends.BackendServer
+        self,
+        server: backends.BackendServer,
+        should_keep_waiting: Callable[[], bool] | None = None,
     ) -> ServerReport | failures.Failure:
-        """Fetch a server's report."""
+        """Fetch a server's report.
+
+        :param should_keep_waiting: called again and again while the answer
+            is late; true waits on
+        """
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/gateway/burdockmast/gateway/path_selector.py
+++ b/libs/gateway/burdockmast/gateway/path_selector.py
@@ -233,7 +233,7 @@
         for excluded in exclusions:
             path = paths.cheapest(
                 engine,
-                self._view.usable(job.service.id, excluded),
+                self._view.preferred(job.service, excluded),
                 size,
                 self._zone,
                 running_requests,
--- a/libs/gateway/burdockmast/gateway/reports.py
+++ b/libs/gateway/burdockmast/gateway/reports.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterable
 import dataclasses
+import functools
 import random
 
 import eventlet
@@ -19,6 +20,7 @@
 from burdockmast.base import timers
 from burdockmast.gateway import backends
 from burdockmast.gateway import interfaces
+from burdockmast.gateway import server_states
 from burdockmast.gateway import view
 
 LOG = logs.get('reports')
@@ -35,6 +37,8 @@
 # Time after which a server that has not answered yet may be lost.
 # Servers answer within some milliseconds.
 ANSWER_SECONDS = 0.05
+# Longest wait for a report. The answer of a silent server ends its state.
+MAX_WAIT_SECONDS = 2.0
 # Time for which a neighbour's finding that a server does not answer is valid.
 UNRESPONSIVE_VALID_SECONDS = 1.0
 # Slowdown that is assumed of a server that does not answer, so that paths
@@ -80,6 +84,8 @@
         # Monotonic seconds at which an outstanding report was requested, and
         # until which a neighbour's finding is valid.
         self._asked_at: dict[ids.ServerId, float] = {}
+        # Servers whose outstanding report is late.
+        self._late: set[ids.ServerId] = set()
         self._unresponsive_until: dict[ids.ServerId, float] = {}
         self._view = fleet
         self._engines = engines
@@ -95,6 +101,7 @@
         if (
             self._asked_at.get(server.id, now) < now - ANSWER_SECONDS
             or self._unresponsive_until.get(server.id, 0.0) > now
+            or self._view.is_unresponsive(server.id)
         ):
             return UNRESPONSIVE_SLOWDOWN
         last = self._report_by_server.get(server.id)
@@ -124,9 +131,14 @@
         """
         now = timers.now()
         for server in servers:
-            if now >= self._next_fetch_at.get(server.id, 0.0):
+            if self._may_ask(server.id, now):
                 self._start_fetch(server, request)
 
+    def _may_ask(self, server: ids.ServerId, now: float) -> bool:
+        return server not in self._asked_at and (
+            now >= self._next_fetch_at.get(server, 0.0)
+        )
+
     def _start_fetch(
         self, server: backends.BackendServer, request: str
     ) -> None:
@@ -178,11 +190,11 @@
         now = timers.now()
         for name in servers:
             server = self._view.server(ids.ServerId(name))
-            if server is None or self._view.lost_since(
-                [server.id], now - view.EJECT_SECONDS
-            ):
+            if server is None or not self._may_ask(server.id, now):
                 continue
-            if now < self._next_fetch_at.get(server.id, 0.0):
+            if self._view.failed_since(
+                [server.id], now - server_states.EVIDENCE_VALID_SECONDS
+            ):
                 continue
             self._unresponsive_until[server.id] = (
                 now + UNRESPONSIVE_VALID_SECONDS
@@ -200,16 +212,22 @@
 
     def _fetch(self, server: backends.BackendServer, request: str) -> None:
         try:
-            report = self._engines.fetch_report(server)
+            report = self._engines.fetch_report(
+                server, functools.partial(self._keep_waiting, server, request)
+            )
         finally:
-            self._asked_at.pop(server.id, None)
+            was_late = server.id in self._late
+            self._late.discard(server.id)
+            del self._asked_at[server.id]
         if isinstance(report, failures.Failure):
-            if report.reason is not failures.Reason.PROTOCOL:
-                self._view.eject(
-                    server.id, f'no report: {report.detail}', request
-                )
-                self.record_lost(server.id)
+            evidence = server_states.evidence_of(report)
+            is_known = (
+                was_late and evidence is server_states.Evidence.NO_ANSWER
+            )
+            if report.reason is not failures.Reason.PROTOCOL and not is_known:
+                self._record_failure(server, evidence, str(report), request)
             return
+        self._view.record_answer(server.id)
         self._unresponsive_until.pop(server.id, None)
         self._report_by_server[server.id] = _LastReport(
             report.slowdown, report.occupancy, timers.now()
@@ -229,4 +247,35 @@
                 },
             )
         for address in {stalled.address for stalled in report.stalled}:
-            self._view.eject_address(address, 'requests stall', request)
+            self._view.record_failure_at(
+                address,
+                server_states.Evidence.REQUESTS_STALL,
+                'requests stall',
+                request,
+            )
+
+    def _keep_waiting(
+        self, server: backends.BackendServer, request: str
+    ) -> bool:
+        """Record that a report is late, and wait on for it."""
+        if server.id not in self._late:
+            self._late.add(server.id)
+            self._record_failure(
+                server,
+                server_states.Evidence.NO_ANSWER,
+                'no answer yet',
+                request,
+            )
+        return timers.now() < self._asked_at[server.id] + MAX_WAIT_SECONDS
+
+    def _record_failure(
+        self,
+        server: backends.BackendServer,
+        evidence: server_states.Evidence,
+        reason: str,
+        request: str,
+    ) -> None:
+        self._view.record_failure(
+            server.id, evidence, f'no report: {reason}', request
+        )
+        self.record_lost(server.id)
--- a/libs/gateway/burdockmast/gateway/silence.py
+++ b/libs/gateway/burdockmast/gateway/silence.py
@@ -24,14 +24,15 @@
     :ivar limit_seconds: after which another path is tried, unless this one is
         known to be alive
     :ivar may_retry: another attempt is allowed
-    :ivar has_lost_server: a server of the path was found lost meanwhile
+    :ivar has_failed_server: a server of the path was found lost or
+        unresponsive meanwhile
     :ivar is_path_active: other streams have just passed all its servers
     """
 
     seconds: float
     limit_seconds: float
     may_retry: bool
-    has_lost_server: bool
+    has_failed_server: bool
     is_path_active: bool
 
 
@@ -39,7 +40,7 @@
     """Return whether to try another path beside the silent one."""
     if not silence.may_retry:
         return False
-    if silence.has_lost_server or silence.seconds > MAX_BUSY_SECONDS:
+    if silence.has_failed_server or silence.seconds > MAX_BUSY_SECONDS:
         return True
     return (
         silence.seconds >= silence.limit_seconds and not silence.is_path_active
--- a/libs/gateway/burdockmast/gateway/stream_attempts.py
+++ b/libs/gateway/burdockmast/gateway/stream_attempts.py
@@ -148,8 +148,10 @@
         All of them get asked for reports.
         """
         self.fetch_reports()
-        lost = self._dependencies.view.lost_since(self.servers, self._began)
-        return lost or self.servers
+        failed = self._dependencies.view.failed_since(
+            self.servers, self._began
+        )
+        return failed or self.servers
 
     def fetch_reports(self) -> None:
         """Ask the path's servers for reports, which show lost ones."""
@@ -247,6 +249,7 @@
         )
         if isinstance(head, failures.Failure):
             return head
+        deps.view.record_answer(exchange.server.id)
         deps.limits.record_reply(
             exchange.server, head.metadata, head.status, job.id
         )
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -25,6 +25,7 @@
 from burdockmast.gateway import path_selector
 from burdockmast.gateway import retries
 from burdockmast.gateway import server_limits
+from burdockmast.gateway import server_states
 from burdockmast.gateway import silence
 from burdockmast.gateway import stream_attempts
 from burdockmast.gateway import stream_progress
@@ -128,7 +129,7 @@
         path = self._wait_for_path(job, progress)
         if isinstance(path, failures.Failure):
             return path
-        if not path:
+        if not path or (progress.current and self._is_unresponsive(path)):
             return self._path_selector.no_path_failure(job)
         progress.attempts += 1
         return stream_attempts.StreamAttempt(
@@ -139,6 +140,12 @@
             progress.last_event_id,
         )
 
+    def _is_unresponsive(self, path: tuple[backends.Stage, ...]) -> bool:
+        """Return whether a path would be as silent as another one."""
+        return any(
+            self._view.is_unresponsive(stage.server.id) for stage in path
+        )
+
     def _wait_for_path(
         self, job: jobs.Job, progress: stream_progress.Progress
     ) -> tuple[backends.Stage, ...] | failures.Failure:
@@ -259,7 +266,7 @@
             newest.silent_seconds,
             newest.limit_seconds,
             self._may_try_another(job, progress),
-            bool(self._view.lost_since(newest.servers, since)),
+            bool(self._view.failed_since(newest.servers, since)),
             self._view.all_active_since(
                 newest.servers, timers.now() - RECENT_EVENT_SECONDS
             ),
@@ -417,7 +424,12 @@
         match failure:
             case failures.Failure(step='backend.connect'):
                 progress.failed_servers.append(first.id)
-                self._view.eject(first.id, failure.detail, job.id)
+                self._view.record_failure(
+                    first.id,
+                    server_states.evidence_of(failure),
+                    failure.detail,
+                    job.id,
+                )
                 self._path_selector.reports.record_lost(first.id)
             case failures.Failure(reason=failures.Reason.ENGINE_REFUSED):
                 culprit = next(
@@ -429,9 +441,7 @@
                     first.id,
                 )
                 progress.failed_servers.append(culprit)
-                self._view.eject(
-                    culprit, failure.detail, job.id, view.REFUSAL_EJECT_SECONDS
-                )
+                self._view.rest(culprit, failure.detail, job.id)
             case failures.Failure(
                 reason=failures.Reason.PEER_SILENT | failures.Reason.DEADLINE
             ):
--- a/libs/gateway/burdockmast/gateway/upstream.py
+++ b/libs/gateway/burdockmast/gateway/upstream.py
@@ -254,8 +254,15 @@
             self._sock.settimeout(CONNECT_TIMEOUT_SECONDS)
             self._sock.connect(self._address)
             self._connection.sock = self._sock
-        except CONNECTION_ERRORS as error:
+        except ConnectionRefusedError as error:
             return self._failure('connect', outcomes.Outcome.NOT_RUN, error)
+        except CONNECTION_ERRORS as error:
+            return failures.Failure(
+                failures.Reason.PEER_SILENT,
+                'backend.connect',
+                self.server.id,
+                str(error),
+            )
         sent = urllib3.HTTPHeaderDict()
         for name, value in headers:
             sent.add(name, value)
--- a/libs/gateway/burdockmast/gateway/view.py
+++ b/libs/gateway/burdockmast/gateway/view.py
@@ -10,22 +10,20 @@
 from burdockmast.gateway import config
 from burdockmast.gateway import leaving_servers
 from burdockmast.gateway import object_follower
+from burdockmast.gateway import server_states
 
 LOG = logs.get('view')
 
-# Time for which a server that failed gets no requests. A dead server is
-# removed from the list after three missed heartbeats, which is 3.6 s.
-EJECT_SECONDS = 4.0
-# The same for a server that refused a request: a full server has room again
-# when one of its answers ends.
-REFUSAL_EJECT_SECONDS = 0.3
+# Time for which a server that refused a request gets none: a full server has
+# room again when one of its answers ends.
+REST_SECONDS = 0.3
 
 
 class View:
     """The newest configuration, the listed servers and their local state.
 
-    The state is which servers are ejected, when each was last active and how
-    many plain calls of this gateway run there.
+    The state is which servers have failed or rest, when each was last active
+    and how many plain calls of this gateway run there.
     """
 
     def __init__(
@@ -41,8 +39,8 @@
         self._leaving = leaving
         self._configurations = configurations
         self._servers = servers
-        self._ejected_until: dict[ids.ServerId, float] = {}
-        self._lost_at: dict[ids.ServerId, float] = {}
+        self._rests_until: dict[ids.ServerId, float] = {}
+        self._states = server_states.ServerStates()
         self._running_by_server: collections.Counter[ids.ServerId] = (
             collections.Counter()
         )
@@ -136,26 +134,48 @@
         service: ids.ServiceId,
         excluded: Iterable[ids.ServerId] = (),
     ) -> list[backends.BackendServer]:
-        """Return servers that may get new requests."""
+        """Return servers that may get new requests, unresponsive ones last."""
         now = timers.now()
-        return [
+        lost = self._states.in_state(server_states.State.LOST)
+        found = [
             server
             for server in self.listed(service)
             if server.is_ready
             and server.id not in excluded
-            and self._ejected_until.get(server.id, 0.0) <= now
+            and server.id not in lost
+            and self._rests_until.get(server.id, 0.0) <= now
         ]
+        unresponsive = self._unresponsive()
+        if unresponsive:
+            found.sort(key=lambda server: server.id in unresponsive)
+        return found
+
+    def preferred(
+        self,
+        service: config.Service,
+        excluded: Iterable[ids.ServerId] = (),
+    ) -> list[backends.BackendServer]:
+        """Return the usable servers, unresponsive ones only if needed."""
+        return server_states.spare(
+            service.engine,
+            self.usable(service.id, excluded),
+            self._unresponsive(),
+        )
+
+    def _unresponsive(self) -> set[ids.ServerId]:
+        return self._states.in_state(server_states.State.UNRESPONSIVE)
+
+    def is_unresponsive(self, server: ids.ServerId) -> bool:
+        """Return whether a server does not answer, but may be sound."""
+        return self._states.state(server) is server_states.State.UNRESPONSIVE
 
     def _drop_unlisted(self) -> None:
         """Drop the state of servers that are no longer listed."""
         listed = self._servers.item_by_name
-        for known in (
-            self._ejected_until,
-            self._last_activity,
-            self._lost_at,
-        ):
+        for known in (self._rests_until, self._last_activity):
             for server in known.keys() - listed.keys():
                 del known[server]
+        self._states.keep_listed(listed)
 
     def _log_leaving(self) -> None:
         """Log servers that no longer accept requests, and who said so."""
@@ -191,6 +211,8 @@
         now = timers.now()
         for server in servers:
             self._last_activity[server] = now
+            if self._states.record_event(server):
+                self._log_answer(server)
 
     def all_active_since(
         self, servers: Iterable[ids.ServerId], since: float
@@ -201,50 +223,68 @@
         """
         return all(self._last_activity.get(s, 0.0) >= since for s in servers)
 
-    def lost_since(
+    def failed_since(
         self, servers: Iterable[ids.ServerId], since: float
     ) -> list[ids.ServerId]:
-        """Return those of the servers that were found lost since a time.
+        """Return those of the servers that are not sound since a time.
 
         :param since: monotonic seconds
         """
-        return [s for s in servers if self._lost_at.get(s, 0.0) >= since]
+        return self._states.failed_since(servers, since)
+
+    def rest(self, server: ids.ServerId, reason: str, request: str) -> None:
+        """Give a server that refused a request a rest from new ones."""
+        self._rests_until[server] = timers.now() + REST_SECONDS
+        self._log_ejection(server, reason, request, 'rests')
 
-    def eject(
+    def record_failure(
         self,
         server: ids.ServerId,
+        evidence: server_states.Evidence,
+        reason: str,
+        request: str,
+    ) -> None:
+        """Record evidence that a server may be lost."""
+        listed = self._servers.item_by_name.get(server)
+        if listed is None:
+            return
+        self._states.record(listed, evidence)
+        state = self._states.state(server)
+        self._log_ejection(server, reason, request, state.value)
+
+    def record_failure_at(
+        self,
+        address: ids.Address,
+        evidence: server_states.Evidence,
         reason: str,
         request: str,
-        seconds: float = EJECT_SECONDS,
     ) -> None:
-        """Give a server no new requests for some seconds.
+        """Record evidence against the servers at an address."""
+        for server in self._servers.item_by_name.values():
+            if server.address == address:
+                self.record_failure(server.id, evidence, reason, request)
 
-        One that is ejected for ``EJECT_SECONDS`` counts as lost.
-        """
-        if seconds >= EJECT_SECONDS:
-            self._lost_at[server] = timers.now()
-        until = max(
-            self._ejected_until.get(server, 0.0), timers.now() + seconds
-        )
-        self._ejected_until[server] = until
+    def record_answer(self, server: ids.ServerId) -> None:
+        """Record that a server has answered this gateway."""
+        if self._states.record_answer(server):
+            self._log_answer(server)
+
+    def _log_ejection(
+        self, server: ids.ServerId, reason: str, request: str, state: str
+    ) -> None:
         LOG.info(
             'server ejected',
             extra={
                 'server': server,
+                'state': state,
                 'reason': reason,
                 'request': request,
-                'seconds': seconds,
                 'list_age': round(self.server_list_age, 3),
             },
         )
 
-    def eject_address(
-        self, address: ids.Address, reason: str, request: str
-    ) -> None:
-        """Eject the servers at an address."""
-        for server in self._servers.item_by_name.values():
-            if server.address == address:
-                self.eject(server.id, reason, request)
+    def _log_answer(self, server: ids.ServerId) -> None:
+        LOG.info('server answers again', extra={'server': server})
 
 
 def _key_count(authentication: config.Authentication) -> int | None:
--- a/libs/model/burdockmast/model/play.py
+++ b/libs/model/burdockmast/model/play.py
@@ -101,6 +101,11 @@
     ) -> list[backends.BackendServer]:
         return self._servers
 
+    def preferred(
+        self, service: config.Service, excluded: object = ()
+    ) -> list[backends.BackendServer]:
+        return self._servers
+
     def listed(self, service: ids.ServiceId) -> list[backends.BackendServer]:
         return self._servers
 
--- a/libs/platform/burdockmast/platform/engine_client.py
+++ b/libs/platform/burdockmast/platform/engine_client.py
@@ -1,5 +1,6 @@
 """Sends orders to backend servers and fetches their reports."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 import msgspec
@@ -21,7 +22,8 @@
 # A server that gives up layers keeps them until the requests that pass through
 # them have ended.
 RELEASE_STRATEGY = 'wait'
-# Timeout of a call; servers answer within some milliseconds.
+# Timeout of a call, for the head and the body of its response each; servers
+# answer within some milliseconds.
 TIMEOUT_SECONDS = 0.5
 REPORT_TIMEOUT_SECONDS = 0.3
 # Largest response that is read.
@@ -123,10 +125,16 @@
         )
 
     def fetch_report(
-        self, server: backends.BackendServer
+        self,
+        server: backends.BackendServer,
+        should_keep_waiting: Callable[[], bool] | None = None,
     ) -> interfaces.ServerReport | failures.Failure:
-        """Fetch a server's report."""
-        report = self._report(server)
+        """Fetch a server's report.
+
+        :param should_keep_waiting: called again and again while the answer
+            is late; true waits on
+        """
+        report = self._report(server, should_keep_waiting)
         if isinstance(report, failures.Failure):
             return report
         total_kv = report.kv_total
@@ -144,10 +152,17 @@
         )
 
     def _report(
-        self, server: backends.BackendServer
+        self,
+        server: backends.BackendServer,
+        should_keep_waiting: Callable[[], bool] | None,
     ) -> _Report | failures.Failure:
         response = self._call(
-            'GET', server, REPORT_PATH, None, REPORT_TIMEOUT_SECONDS
+            'GET',
+            server,
+            REPORT_PATH,
+            None,
+            REPORT_TIMEOUT_SECONDS,
+            should_keep_waiting,
         )
         if isinstance(response, failures.Failure):
             return response
@@ -177,6 +192,7 @@
         path: str,
         body: bytes | None,
         timeout: float = TIMEOUT_SECONDS,
+        should_keep_waiting: Callable[[], bool] | None = None,
     ) -> _Response | failures.Failure:
         sent = [
             ('Host', server.address),
@@ -184,16 +200,22 @@
         ]
         if body is not None:
             sent.append(('Content-Type', 'application/json'))
-        deadline = timers.now() + timeout
         exchange = upstream.Exchange(server)
         try:
             failure = exchange.send_bytes(method, path, sent, body or b'')
             if failure:
                 return failure
-            head = exchange.read_head('', deadline, self._header_codec)
+            head = exchange.read_head(
+                '',
+                timers.now() + timeout,
+                self._header_codec,
+                should_keep_waiting,
+            )
             if isinstance(head, failures.Failure):
                 return head
-            data = exchange.read_body(deadline, MAX_RESPONSE_BYTES)
+            data = exchange.read_body(
+                timers.now() + timeout, MAX_RESPONSE_BYTES
+            )
             return _Response(head.status, data)
         except (upstream.IncompleteReply, TimeoutError) as error:
             return failures.Failure(
--- a/tests/test_gateway_links.py
+++ b/tests/test_gateway_links.py
@@ -64,6 +64,9 @@
     def usable(self, service, excluded=()):
         return [s for s in self.servers if s.id not in excluded]
 
+    def preferred(self, service, excluded=()):
+        return self.usable(service.id, excluded)
+
     def listed(self, service):
         return self.servers
 
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -2,25 +2,31 @@
 
 import dataclasses
 import random
+import types
 
 import eventlet
+import eventlet.event
 import pytest
 
 from burdockmast.base import failures
 from burdockmast.base import timers
 from burdockmast.gateway import backends
+from burdockmast.gateway import config
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import leaving_servers
 from burdockmast.gateway import object_follower
 from burdockmast.gateway import reports
+from burdockmast.gateway import server_states
 from burdockmast.gateway import silence
 from burdockmast.gateway import view
 
+LAYERS = 10
+SERVICE = config.Service('s', types.SimpleNamespace(layers=LAYERS))
 BUSY = silence.Silence(
     seconds=0.3,
     limit_seconds=0.6,
     may_retry=True,
-    has_lost_server=False,
+    has_failed_server=False,
     is_path_active=False,
 )
 
@@ -32,9 +38,9 @@
         ({'seconds': 0.7}, True),
         ({'seconds': 0.7, 'is_path_active': True}, False),
         ({'seconds': 2.0, 'is_path_active': True}, True),
-        ({'has_lost_server': True}, True),
-        ({'has_lost_server': True, 'is_path_active': True}, True),
-        ({'has_lost_server': True, 'may_retry': False}, False),
+        ({'has_failed_server': True}, True),
+        ({'has_failed_server': True, 'is_path_active': True}, True),
+        ({'has_failed_server': True, 'may_retry': False}, False),
         ({'seconds': 1.5, 'may_retry': False}, False),
         ({'seconds': 10.0, 'may_retry': False}, False),
     ],
@@ -51,7 +57,7 @@
         self.lost = set()
         self.asked = []
 
-    def fetch_report(self, server):
+    def fetch_report(self, server, should_keep_waiting):
         self.asked.append(server.id)
         if server.id in self.lost:
             return failures.Failure(
@@ -71,7 +77,7 @@
                 f'i-{n}:1',
                 'a',
                 True,
-                backends.NO_LAYERS,
+                backends.LayerRange(0, LAYERS),
                 '',
                 1,
                 1,
@@ -90,7 +96,7 @@
         )
 
     def usable(self):
-        return [s.id for s in self.view.usable('s')]
+        return [s.id for s in self.view.preferred(SERVICE)]
 
 
 @pytest.fixture
@@ -155,7 +161,7 @@
 def test_a_report_that_cannot_be_read_ejects_nobody(gateway, monkeypatch):
     failure = failures.Failure(failures.Reason.PROTOCOL, 'engine.report')
     monkeypatch.setattr(
-        gateway.reports._engines, 'fetch_report', lambda server: failure
+        gateway.reports._engines, 'fetch_report', lambda *given: failure
     )
     gateway.reports.fetch(gateway.servers, 'r1')
     eventlet.sleep(0)
@@ -174,9 +180,63 @@
     assert len(engines.asked) == before
 
 
-def test_lost_servers_are_told_from_those_that_refuse(gateway):
+def test_failed_servers_are_told_from_those_that_refuse(gateway):
     began = timers.now()
-    gateway.view.eject('i-0', 'full', 'r1', seconds=view.REFUSAL_EJECT_SECONDS)
-    gateway.view.eject('i-1', 'no report', 'r1')
-    assert gateway.view.lost_since(['i-0', 'i-1'], began) == ['i-1']
-    assert gateway.view.lost_since(['i-1'], timers.now() + 1) == []
+    gateway.view.rest('i-0', 'full', 'r1')
+    gateway.view.record_failure(
+        'i-1', server_states.Evidence.NO_ANSWER, 'no report', 'r1'
+    )
+    assert gateway.view.failed_since(['i-0', 'i-1'], began) == ['i-1']
+    assert gateway.view.failed_since(['i-1'], timers.now() + 1) == []
+
+
+def test_a_late_report_ends_the_state_of_a_silent_server(
+    engines, gateway, monkeypatch
+):
+    """It is asked once only, and is avoided until it answers."""
+    answered = eventlet.event.Event()
+
+    def fetch_report(server, should_keep_waiting):
+        engines.asked.append(server.id)
+        while not answered.ready():
+            assert should_keep_waiting()
+            eventlet.sleep(0.01)
+        return interfaces.ServerReport(0, False, 1.0, 0.4, ())
+
+    monkeypatch.setattr(engines, 'fetch_report', fetch_report)
+    for _ in range(3):
+        gateway.reports.fetch(gateway.servers[:1], 'r1')
+        eventlet.sleep(0.01)
+    assert gateway.usable() == ['i-1']
+    assert gateway.reports.slowdown(gateway.servers[0]) > 1.0
+    answered.send(None)
+    eventlet.sleep(0.02)
+    assert gateway.usable() == ['i-0', 'i-1']
+    assert engines.asked == ['i-0']
+
+
+def test_a_wait_for_a_late_report_ends(gateway, engines, monkeypatch):
+    now = timers.now()
+    monkeypatch.setattr(timers, 'now', lambda: now)
+    waits = []
+
+    def fetch_report(server, should_keep_waiting):
+        nonlocal now
+        while should_keep_waiting():
+            waits.append(now)
+            now += 0.1
+        return failures.Failure(failures.Reason.DEADLINE, 'backend.head')
+
+    monkeypatch.setattr(engines, 'fetch_report', fetch_report)
+    gateway.reports.fetch(gateway.servers[:1], 'r1')
+    eventlet.sleep(0)
+    assert len(waits) <= reports.MAX_WAIT_SECONDS / 0.1 + 1
+    assert gateway.usable() == ['i-1']
+
+
+def test_a_silent_server_that_alone_holds_layers_is_used(gateway):
+    for server in gateway.servers:
+        gateway.view.record_failure(
+            server.id, server_states.Evidence.NO_ANSWER, 'silent', 'r1'
+        )
+    assert gateway.usable() == ['i-0', 'i-1']
--- a/tests/test_gateway_upstream.py
+++ b/tests/test_gateway_upstream.py
@@ -391,3 +391,30 @@
     assert found.wait_for_reply(-1.0)
     with pytest.raises(upstream.IncompleteReply):
         read_body(found)
+
+
+@pytest.fixture
+def full_backlog():
+    """Return the address of a server that doesn't accept connections."""
+    sock = eventlet.listen(('127.0.0.1', 0), backlog=0)
+    waiting = [socket.socket() for _ in range(4)]
+    for one in waiting:
+        one.setblocking(False)
+        one.connect_ex(sock.getsockname())
+    yield '{}:{}'.format(*sock.getsockname())
+    for one in (*waiting, sock):
+        one.close()
+
+
+def test_a_silent_server_is_told_from_one_that_refuses(
+    full_backlog, listening
+):
+    silent = upstream.Exchange(server_at(full_backlog)).send(REQUEST, [])
+    sock, address = listening
+    sock.close()
+    refusing = upstream.Exchange(server_at(address)).send(REQUEST, [])
+    assert silent.reason is failures.Reason.PEER_SILENT
+    assert refusing.reason is failures.Reason.ENGINE_LOST
+    for failure in (silent, refusing):
+        assert failure.step == 'backend.connect'
+        assert failure.outcome is outcomes.Outcome.NOT_RUN
