Send nothing to a server that crashed in the middle of an answer

Callers saw: requests that were late, and begun streams that were cut for want of a retry, as their next attempt went to a server that had just crashed, and found its connection refused.

Cause: when an answer breaks off, the gateway asks the server for a connection, to tell a crash from a broken answer. What that showed was only used for requests that crash servers. The request itself avoided the server; all others went on choosing it until one of them was refused.

Ruled out: the list of servers, which drops a crashed server only after three missed heartbeats.

Change: an answer that breaks off together with a refused connection is evidence of a loss, for streams and calls; neighbours are told to check the engine's server, as they are after a refused connection.

The lines that the gateway process logs are now kept for tests.

--- a/libs/gateway/burdockmast/gateway/calls.py
+++ b/libs/gateway/burdockmast/gateway/calls.py
@@ -195,6 +195,12 @@
                 step='backend.send' | 'backend.head' | 'backend.body',
             ) if self._crash_checks.has_crashed(tracked.server):
                 self._suspects.record_crash(tracked)
+                self._view.record_failure(
+                    tracked.server.id,
+                    server_states.Evidence.CONNECTION_REFUSED,
+                    'crashed during a call',
+                    job.id,
+                )
                 LOG.info(
                     'server crashed during a call',
                     extra={
--- a/libs/gateway/burdockmast/gateway/stream_attempts.py
+++ b/libs/gateway/burdockmast/gateway/stream_attempts.py
@@ -17,6 +17,7 @@
 from burdockmast.gateway import leaving_servers
 from burdockmast.gateway import path_selector
 from burdockmast.gateway import server_limits
+from burdockmast.gateway import server_states
 from burdockmast.gateway import silence
 from burdockmast.gateway import sse
 from burdockmast.gateway import upstream
@@ -211,6 +212,7 @@
             return
         self.has_crashed = True
         self._dependencies.suspects.record_crash(self._tracked)
+        self._record_loss(server.id)
         LOG.info(
             'server crashed during a stream',
             extra={
@@ -223,6 +225,18 @@
             },
         )
 
+    def _record_loss(self, server: ids.ServerId) -> None:
+        """Keep other requests from a server that crashed."""
+        deps = self._dependencies
+        deps.view.record_failure(
+            server,
+            server_states.Evidence.CONNECTION_REFUSED,
+            'crashed during a stream',
+            self._job.id,
+        )
+        if self._job.service.engine:
+            deps.path_selector.reports.record_lost(server)
+
     def _exchange_messages(self) -> Iterator[Events | jobs.Reply]:
         deps, exchange, job = self._dependencies, self._exchange, self._job
         attempt = interfaces.Attempt(
--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -1,6 +1,7 @@
 """Runs a gateway process on a stand-in for the platform, for tests."""
 
 import http.client
+import json
 import os
 import subprocess
 import sys
@@ -106,6 +107,7 @@
         self.apps = [self._server(f'i-app{n}', 'app', '') for n in range(2)]
         self.store.put('config', 'main', CONFIGURATION)
         self.file = directory / 'local.toml'
+        self.log_file = directory / 'gateway.log'
         self.callers = f'{self.host}:7000'
         self.ready = f'{self.host}:7001'
         self.file.write_text(
@@ -137,11 +139,18 @@
 
     def launch(self):
         """Start the process without waiting for it."""
-        self.process = subprocess.Popen(
-            [sys.executable, '-m', 'burdockmast.platform.program'],
-            env={**os.environ, settings.PATH_VARIABLE: str(self.file)},
-            stdout=subprocess.DEVNULL,
-        )
+        with self.log_file.open('ab') as log:
+            self.process = subprocess.Popen(
+                [sys.executable, '-m', 'burdockmast.platform.program'],
+                env={**os.environ, settings.PATH_VARIABLE: str(self.file)},
+                stdout=log,
+            )
+
+    def logged(self, message):
+        """Return the lines that the gateway has logged with a message."""
+        lines = self.log_file.read_text().splitlines()
+        found = [json.loads(line) for line in lines if message in line]
+        return [line for line in found if line['message'] == message]
 
     def start(self):
         self.launch()
