Let begun streams go on at servers that have already run them

Callers saw: a stream on a route with two attempts, whose path had paused once and gone on, was cut when its connection broke later. One on a route with a single attempt was cut by each broken connection, though its server went on serving.

Cause: attempts were counted, whether or not they ran on a further server. A standby attempt that was cancelled before it delivered used up an attempt for good, and so did an attempt that broke off without a crash. What the route limits is the number of servers that run a request.

Ruled out: the budget of retries (`has_budget` was true for the cut streams), and the deadline.

Change: for a stream that has begun, the servers at which it may have run are kept, by their incarnation. While they are fewer than the route's attempts, any server may be next; after that, only those. An incarnation that has certainly ended (it refuses connections, or a later one is listed) doesn't count; one that only left the list does. Not run is only what never got a connection or was refused as not executed, as before. A silent stream whose attempts are used up is sent to such a server after 1.2 s. No attempt begins where another one of the request is under way; that was possible where no other server held the first layers. Requests without an event yet count attempts as before, and the budget of retries bounds all.

--- a/libs/gateway/burdockmast/gateway/backends.py
+++ b/libs/gateway/burdockmast/gateway/backends.py
@@ -1,6 +1,7 @@
 """Backend servers as the platform lists them."""
 
 import dataclasses
+from typing import NamedTuple
 
 from burdockmast.base import ids
 
@@ -20,6 +21,16 @@
 NO_LAYERS = LayerRange(0, 0)
 
 
+class Incarnation(NamedTuple):
+    """One start of a server.
+
+    :ivar started_ms: milliseconds since the epoch
+    """
+
+    server: ids.ServerId
+    started_ms: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class BackendServer:
     """One listed backend server.
@@ -42,6 +53,11 @@
     started_ms: int
     entry_sequence: int
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """The start of the server that wrote this entry."""
+        return Incarnation(self.id, self.started_ms)
+
     def is_older_than(self, other: 'BackendServer') -> bool:
         """Return whether this entry was written before ``other``."""
         return (self.started_ms, self.entry_sequence) < (
--- a/libs/gateway/burdockmast/gateway/path_selector.py
+++ b/libs/gateway/burdockmast/gateway/path_selector.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from collections.abc import Collection
+from collections.abc import Container
 from collections.abc import Mapping
 import random
 
@@ -104,6 +105,7 @@
         failed: Collection[ids.ServerId],
         has_begun: bool,
         is_isolated: bool = False,
+        first_servers: Container[ids.ServerId] | None = None,
     ) -> tuple[backends.Stage, ...] | failures.Failure:
         """Return a path, waiting for one while servers are busy.
 
@@ -114,14 +116,17 @@
         :param failed: servers that failed this request
         :param has_begun: the caller has received events
         :param is_isolated: prefer a server with few other requests
+        :param first_servers: at which the path may begin, None for any
         :returns: no stages if waiting would not help
         """
-        path = self.find_path(job, failed, has_begun, is_isolated)
+        path = self.find_path(
+            job, failed, has_begun, is_isolated, first_servers
+        )
         until = timers.now() + RESUME_QUEUE_SECONDS
         if not has_begun:
             until = job.arrived_at + MAX_QUEUE_SECONDS
         until = min(until, job.deadline)
-        while not path and self._is_covered(job):
+        while not path and self._is_covered(job, first_servers):
             failure = self._limit_failure(job, until)
             if failure:
                 return failure
@@ -141,15 +146,31 @@
                     },
                 )
                 return refusal
-            path = self.find_path(job, failed, has_begun, is_isolated)
+            path = self.find_path(
+                job, failed, has_begun, is_isolated, first_servers
+            )
         return path
 
-    def _is_covered(self, job: jobs.Job) -> bool:
-        """Return whether ready servers hold all layers, though maybe busy."""
+    def _is_covered(
+        self, job: jobs.Job, first_servers: Container[ids.ServerId] | None
+    ) -> bool:
+        """Return whether ready servers hold all layers, though maybe busy.
+
+        :param first_servers: at which the path may begin, None for any
+        """
         engine = job.service.engine
         if engine is None:
             return False
-        ready = [s for s in self._view.listed(job.service.id) if s.is_ready]
+        ready = [
+            server
+            for server in self._view.listed(job.service.id)
+            if server.is_ready
+            and (
+                first_servers is None
+                or server.layers.first
+                or server.id in first_servers
+            )
+        ]
         return paths.first_uncovered_layer(engine, ready) is None
 
     def _full_servers(self, job: jobs.Job) -> list[str]:
@@ -186,20 +207,20 @@
         failed: Collection[ids.ServerId],
         has_begun: bool = False,
         is_isolated: bool = False,
+        first_servers: Container[ids.ServerId] | None = None,
     ) -> tuple[backends.Stage, ...]:
         """Return the cheapest path, no stages if none has room.
 
         :param failed: servers that failed this request
         :param has_begun: the caller has received events
         :param is_isolated: prefer a first server with few other requests
+        :param first_servers: at which the path may begin, None for any
         """
         engine = job.service.engine
         if engine is None:
-            servers = [
-                server
-                for server in self._view.usable(job.service.id, failed)
-                if self._limits.has_room(server)
-            ]
+            servers = self._plain_servers(job, failed, first_servers)
+            if not servers and has_begun:
+                servers = self._plain_servers(job, (), first_servers)
             return tuple(backends.Stage(s, 0, 0) for s in servers[:1])
         size = self._request_size(job, engine)
         is_informed = self._others.is_informed
@@ -223,6 +244,7 @@
             server.id
             for server in self._first_servers(job, ())
             if not self._limits.has_room(server)
+            or (first_servers is not None and server.id not in first_servers)
         ]
         exclusions = [[*failed, *limited], limited]
         if is_isolated:
@@ -248,6 +270,19 @@
                 return path
         return ()
 
+    def _plain_servers(
+        self,
+        job: jobs.Job,
+        excluded: Collection[ids.ServerId],
+        allowed: Container[ids.ServerId] | None,
+    ) -> list[backends.BackendServer]:
+        return [
+            server
+            for server in self._view.usable(job.service.id, excluded)
+            if self._limits.has_room(server)
+            and (allowed is None or server.id in allowed)
+        ]
+
     def _crowded_first_servers(
         self,
         job: jobs.Job,
--- a/libs/gateway/burdockmast/gateway/server_states.py
+++ b/libs/gateway/burdockmast/gateway/server_states.py
@@ -78,6 +78,15 @@
             return State.UNRESPONSIVE
         return State.LOST
 
+    def refuses_connections(self, server: ids.ServerId) -> bool:
+        """Return whether a server has lately refused a connection."""
+        found = self._finding_by_server.get(server)
+        return (
+            found is not None
+            and not _has_expired(found)
+            and found.evidence is Evidence.CONNECTION_REFUSED
+        )
+
     def in_state(self, state: State) -> set[ids.ServerId]:
         """Return the servers in a state other than sound."""
         return {s for s in self._finding_by_server if self.state(s) is state}
--- a/libs/gateway/burdockmast/gateway/silence.py
+++ b/libs/gateway/burdockmast/gateway/silence.py
@@ -14,6 +14,10 @@
 # Silence after which another path is tried even though the servers of this one
 # serve other streams.
 MAX_BUSY_SECONDS = 1.9
+# Silence after which a stream whose route has no more attempts is sent again
+# to a server that has had it. Callers leave after 2 s, and the first event
+# takes some tenths of a second.
+REPEAT_SECONDS = 1.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,6 +28,7 @@
     :ivar limit_seconds: after which another path is tried, unless this one is
         known to be alive
     :ivar may_retry: another attempt is allowed
+    :ivar is_repeat: it would run at a server that has run the request
     :ivar has_failed_server: a server of the path was found lost or
         unresponsive meanwhile
     :ivar is_path_active: other streams have just passed all its servers
@@ -32,6 +37,7 @@
     seconds: float
     limit_seconds: float
     may_retry: bool
+    is_repeat: bool
     has_failed_server: bool
     is_path_active: bool
 
@@ -40,6 +46,8 @@
     """Return whether to try another path beside the silent one."""
     if not silence.may_retry:
         return False
+    if silence.is_repeat and silence.seconds < REPEAT_SECONDS:
+        return False
     if silence.has_failed_server or silence.seconds > MAX_BUSY_SECONDS:
         return True
     return (
--- a/libs/gateway/burdockmast/gateway/stream_progress.py
+++ b/libs/gateway/burdockmast/gateway/stream_progress.py
@@ -3,11 +3,35 @@
 import dataclasses
 
 from burdockmast.base import ids
+from burdockmast.gateway import backends
 from burdockmast.gateway import retries
 from burdockmast.gateway import stream_attempts
 from burdockmast.gateway import stream_standbys
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class FirstServers:
+    """The servers at which another attempt may begin.
+
+    :ivar excluded: where one is under way
+    :ivar allowed: None if any other server is
+    """
+
+    excluded: frozenset[ids.ServerId]
+    allowed: frozenset[ids.ServerId] | None
+
+    def __contains__(self, server: object) -> bool:
+        """Return whether an attempt may begin at a server."""
+        if self.allowed is None:
+            return server not in self.excluded
+        return server in self.allowed
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no other attempt is left."""
+        return self.allowed == frozenset()
+
+
 @dataclasses.dataclass(slots=True)
 class Progress:
     """State of a stream across its attempts.
@@ -16,10 +40,10 @@
     :ivar last_event_id: of the last event that the caller has received
     :ivar attempts: to send the request to any server
     :ivar possible_runs: ended attempts that may have run
-    :ivar ended_runs: those of them that ended a begun stream because their
-        server crashed, so that nothing runs there any more
-    :ivar refusals: by servers that did not run the request, since the last
-        event
+    :ivar ran_at: where ended attempts may have run, but for servers that
+        have ended since
+    :ivar refusals: by servers that did not run the request, or gave a begun
+        stream no event, since the last event
     :ivar event_count: events forwarded to the caller
     :ivar has_begun: the reply head has been sent to the caller
     :ivar failed_servers: servers that failed this request
@@ -32,7 +56,7 @@
     fingerprints: tuple[ids.Fingerprint, ...]
     attempts: int = 0
     possible_runs: int = 0
-    ended_runs: int = 0
+    ran_at: set[backends.Incarnation] = dataclasses.field(default_factory=set)
     refusals: int = 0
     event_count: int = 0
     has_begun: bool = False
@@ -45,12 +69,38 @@
     )
     next_standby_at: float = 0.0
 
-    @property
-    def counted_runs(self) -> int:
-        """Runs that count as attempts of the route, those under way too."""
-        under_way = sum(not s.has_ended for s in self.standbys)
-        under_way += self.current is not None
-        return self.possible_runs - self.ended_runs + under_way
+    def first_servers(self, max_attempts: int) -> FirstServers:
+        """Return the servers at which another attempt may begin.
+
+        A begun stream may run again where it has run, but at no more servers
+        than its route has attempts.
+        """
+        under_way = self._under_way()
+        excluded = frozenset(i.server for i in under_way)
+        if self.has_begun:
+            may_be_new = len(self.ran_at | under_way) < max_attempts
+            known = frozenset(i.server for i in self.ran_at) - excluded
+        else:
+            may_be_new = not self.is_repeat(max_attempts)
+            known = frozenset()
+        return FirstServers(excluded, None if may_be_new else known)
+
+    def is_repeat(self, max_attempts: int) -> bool:
+        """Return whether the request has run as often as its route allows."""
+        return self.possible_runs + len(self._under_way()) >= max_attempts
+
+    def _under_way(self) -> set[backends.Incarnation]:
+        attempts = [s.attempt for s in self.standbys if not s.has_ended]
+        return {
+            attempt.path[0].server.incarnation
+            for attempt in (self.current, *attempts)
+            if attempt is not None
+        }
+
+    def record_run(self, attempt: stream_attempts.StreamAttempt) -> None:
+        """Record an attempt that has ended and may have run."""
+        self.possible_runs += 1
+        self.ran_at.add(attempt.path[0].server.incarnation)
 
     @property
     def is_often_refused(self) -> bool:
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -163,8 +163,24 @@
             [*progress.failed_servers, *silent],
             progress.has_begun,
             verdict is not crash_suspects.Verdict.SOUND,
+            self._first_servers(job, progress),
         )
 
+    def _first_servers(
+        self, job: jobs.Job, progress: stream_progress.Progress
+    ) -> stream_progress.FirstServers:
+        """Return the servers at which another attempt may begin.
+
+        Those that have ended don't count as servers that ran the request.
+        """
+        if progress.has_begun:
+            progress.ran_at = {
+                incarnation
+                for incarnation in progress.ran_at
+                if not self._view.has_ended(incarnation)
+            }
+        return progress.first_servers(job.route.max_attempts)
+
     def _relay(
         self,
         job: jobs.Job,
@@ -239,7 +255,7 @@
                     'request': job.id,
                     'path': attempt.servers,
                     'last_event': progress.last_event_id,
-                    'runs': progress.counted_runs,
+                    'runs': progress.possible_runs,
                     'left': round(job.seconds_left, 3),
                     **dataclasses.asdict(found),
                 },
@@ -260,12 +276,13 @@
             newest = progress.standbys[-1].attempt
         if newest is None:
             # It has found no path yet.
-            return silence.Silence(0.0, 0.0, False, False, False)
+            return silence.Silence(0.0, 0.0, False, False, False, False)
         since = newest.silent_since
         return silence.Silence(
             newest.silent_seconds,
             newest.limit_seconds,
             self._may_try_another(job, progress),
+            progress.is_repeat(job.route.max_attempts),
             bool(self._view.failed_since(newest.servers, since)),
             self._view.all_active_since(
                 newest.servers, timers.now() - RECENT_EVENT_SECONDS
@@ -277,7 +294,7 @@
     ) -> bool:
         return (
             job.is_idempotent
-            and progress.counted_runs < job.route.max_attempts
+            and not self._first_servers(job, progress).is_empty
             and self._budget.can_withdraw(job.service.id, progress.has_begun)
         )
 
@@ -334,7 +351,7 @@
                 extra={'request': job.id, 'state': standby.state.value},
             )
             if standby.cancel():
-                progress.possible_runs += 1
+                progress.record_run(standby.attempt)
         progress.standbys.clear()
 
     def _forwards_errors(
@@ -343,10 +360,8 @@
         """Return whether an error reply is final."""
         if progress.has_begun or progress.standbys:
             return False
-        return not (
-            job.is_idempotent
-            and progress.counted_runs < job.route.max_attempts
-        )
+        runs = progress.possible_runs + 1
+        return not job.is_idempotent or runs >= job.route.max_attempts
 
     def _replacement(
         self,
@@ -383,7 +398,7 @@
             return False
         if progress.possible_runs and (
             not job.is_idempotent
-            or progress.counted_runs >= job.route.max_attempts
+            or self._first_servers(job, progress).is_empty
         ):
             return False
         return progress.has_begun or not progress.is_often_refused
@@ -412,15 +427,17 @@
         failure: failures.Failure,
     ) -> None:
         """Record an attempt that failed, and its likely failed servers."""
+        first = attempt.path[0].server
         if failure.outcome is outcomes.Outcome.NOT_RUN:
             progress.refusals += 1
         else:
-            progress.possible_runs += 1
+            progress.record_run(attempt)
+            if progress.has_begun and not attempt.has_events:
+                progress.refusals += 1
         if attempt.has_crashed:
             self._metrics.count('streams.server_crashed')
             if progress.has_begun:
-                progress.ended_runs += 1
-        first = attempt.path[0].server
+                progress.ran_at.discard(first.incarnation)
         match failure:
             case failures.Failure(step='backend.connect'):
                 progress.failed_servers.append(first.id)
@@ -465,7 +482,7 @@
                 'peer': failure.peer,
                 'attempts': progress.attempts,
                 'possible_runs': progress.possible_runs,
-                'ended_runs': progress.ended_runs,
+                'ran_at': [i.server for i in progress.ran_at],
                 'max_attempts': job.route.max_attempts,
                 'has_budget': self._budget.can_withdraw(
                     job.service.id, progress.has_begun
--- a/libs/gateway/burdockmast/gateway/view.py
+++ b/libs/gateway/burdockmast/gateway/view.py
@@ -165,6 +165,15 @@
     def _unresponsive(self) -> set[ids.ServerId]:
         return self._states.in_state(server_states.State.UNRESPONSIVE)
 
+    def has_ended(self, incarnation: backends.Incarnation) -> bool:
+        """Return whether an incarnation of a server has certainly ended."""
+        listed = self._servers.item_by_name.get(incarnation.server)
+        if listed is None:
+            return False
+        if listed.started_ms == incarnation.started_ms:
+            return self._states.refuses_connections(incarnation.server)
+        return listed.started_ms > incarnation.started_ms
+
     def is_unresponsive(self, server: ids.ServerId) -> bool:
         """Return whether a server does not answer, but may be sound."""
         return self._states.state(server) is server_states.State.UNRESPONSIVE
--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -137,6 +137,10 @@
         entry = {'id': name, 'service': service, 'zone': 'a', 'kind': kind}
         return standin.BackendServer(self.host, self.store, entry)
 
+    def add_app(self, name):
+        """Start one more plain server."""
+        self.apps.append(self._server(name, 'app', ''))
+
     def launch(self):
         """Start the process without waiting for it."""
         with self.log_file.open('ab') as log:
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -26,6 +26,7 @@
     seconds=0.3,
     limit_seconds=0.6,
     may_retry=True,
+    is_repeat=False,
     has_failed_server=False,
     is_path_active=False,
 )
@@ -41,6 +42,10 @@
         ({'has_failed_server': True}, True),
         ({'has_failed_server': True, 'is_path_active': True}, True),
         ({'has_failed_server': True, 'may_retry': False}, False),
+        ({'seconds': 1.1, 'is_repeat': True}, False),
+        ({'has_failed_server': True, 'is_repeat': True}, False),
+        ({'seconds': 1.3, 'is_repeat': True}, True),
+        ({'seconds': 1.3, 'is_repeat': True, 'is_path_active': True}, False),
         ({'seconds': 1.5, 'may_retry': False}, False),
         ({'seconds': 10.0, 'may_retry': False}, False),
     ],
