--- a/libs/gateway/burdockmast/gateway/silence.py
+++ b/libs/gateway/burdockmast/gateway/silence.py
@@ -11,9 +11,16 @@
 
 # Silence after which the path's servers are asked for reports.
 CHECK_SECONDS = 0.2
+# Silence after which another path is tried if a server of this one doesn't
+# answer a report either.
+UNRESPONSIVE_SECONDS = 0.5
 # Silence after which another path is tried even though the servers of this one
 # serve other streams.
 MAX_BUSY_SECONDS = 1.9
+# Silence after which a stream whose route has no more attempts is sent again
+# to a server that has had it. Callers leave after 2 s, and the first event
+# takes some tenths of a second.
+REPEAT_SECONDS = 1.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,14 +31,18 @@
     :ivar limit_seconds: after which another path is tried, unless this one is
         known to be alive
     :ivar may_retry: another attempt is allowed
+    :ivar is_repeat: it would run at a server that has run the request
     :ivar has_lost_server: a server of the path was found lost meanwhile
+    :ivar has_unresponsive_server: the same for one that doesn't answer
     :ivar is_path_active: other streams have just passed all its servers
     """
 
     seconds: float
     limit_seconds: float
     may_retry: bool
+    is_repeat: bool
     has_lost_server: bool
+    has_unresponsive_server: bool
     is_path_active: bool
 
 
@@ -41,6 +52,10 @@
         return False
     if silence.has_lost_server or silence.seconds > MAX_BUSY_SECONDS:
         return True
+    if silence.is_repeat and silence.seconds < REPEAT_SECONDS:
+        return False
+    if silence.has_unresponsive_server:
+        return silence.seconds >= UNRESPONSIVE_SECONDS
     return (
         silence.seconds >= silence.limit_seconds and not silence.is_path_active
     )
--- a/libs/gateway/burdockmast/gateway/stream_attempts.py
+++ b/libs/gateway/burdockmast/gateway/stream_attempts.py
@@ -18,6 +18,7 @@
 from burdockmast.gateway import links
 from burdockmast.gateway import path_selector
 from burdockmast.gateway import server_limits
+from burdockmast.gateway import server_states
 from burdockmast.gateway import silence
 from burdockmast.gateway import sse
 from burdockmast.gateway import upstream
@@ -150,8 +151,10 @@
         All of them get asked for reports.
         """
         self.fetch_reports()
-        lost = self._dependencies.view.lost_since(self.servers, self._began)
-        return lost or self.servers
+        failed = self._dependencies.view.failed_since(
+            self.servers, self._began
+        )
+        return failed or self.servers
 
     def fetch_reports(self) -> None:
         """Ask the path's servers for reports, which show lost ones."""
@@ -218,6 +221,7 @@
             return
         self.has_crashed = True
         self._dependencies.suspects.record_crash(self._tracked)
+        self._record_loss(server.id)
         LOG.info(
             'server crashed during a stream',
             extra={
@@ -230,6 +234,18 @@
             },
         )
 
+    def _record_loss(self, server: ids.ServerId) -> None:
+        """Keep other requests from a server that crashed."""
+        deps = self._dependencies
+        deps.view.record_failure(
+            server,
+            server_states.Evidence.CONNECTION_REFUSED,
+            'crashed during a stream',
+            self._job.id,
+        )
+        if self._job.service.engine:
+            deps.path_selector.reports.record_lost(server)
+
     def _exchange_messages(self) -> Iterator[Events | jobs.Reply]:
         deps, exchange, job = self._dependencies, self._exchange, self._job
         attempt = interfaces.Attempt(
@@ -256,6 +272,7 @@
         )
         if isinstance(head, failures.Failure):
             return head
+        deps.view.record_answer(exchange.server.id)
         deps.limits.record_reply(
             exchange.server, head.metadata, head.status, job.id
         )
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -25,6 +25,7 @@
 from burdockmast.gateway import path_selector
 from burdockmast.gateway import retries
 from burdockmast.gateway import server_limits
+from burdockmast.gateway import server_states
 from burdockmast.gateway import silence
 from burdockmast.gateway import stream_attempts
 from burdockmast.gateway import stream_progress
@@ -128,7 +129,7 @@
         path = self._wait_for_path(job, progress)
         if isinstance(path, failures.Failure):
             return path
-        if not path:
+        if not path or (progress.current and self._is_unresponsive(path)):
             return self._path_selector.no_path_failure(job)
         progress.attempts += 1
         return stream_attempts.StreamAttempt(
@@ -139,6 +140,12 @@
             progress.last_event_id,
         )
 
+    def _is_unresponsive(self, path: tuple[backends.Stage, ...]) -> bool:
+        """Return whether a path would be as silent as another one."""
+        return any(
+            self._view.is_unresponsive(stage.server.id) for stage in path
+        )
+
     def _wait_for_path(
         self, job: jobs.Job, progress: stream_progress.Progress
     ) -> tuple[backends.Stage, ...] | failures.Failure:
@@ -156,8 +163,24 @@
             [*progress.failed_servers, *silent],
             progress.has_begun,
             verdict is not crash_suspects.Verdict.SOUND,
+            self._first_servers(job, progress),
         )
 
+    def _first_servers(
+        self, job: jobs.Job, progress: stream_progress.Progress
+    ) -> stream_progress.FirstServers:
+        """Return the servers at which another attempt may begin.
+
+        Those that have ended don't count as servers that ran the request.
+        """
+        if progress.has_begun:
+            progress.ran_at = {
+                incarnation
+                for incarnation in progress.ran_at
+                if not self._view.has_ended(incarnation)
+            }
+        return progress.first_servers(job.route.max_attempts)
+
     def _relay(
         self,
         job: jobs.Job,
@@ -232,7 +255,7 @@
                     'request': job.id,
                     'path': attempt.servers,
                     'last_event': progress.last_event_id,
-                    'runs': progress.counted_runs,
+                    'runs': progress.possible_runs,
                     'left': round(job.seconds_left, 3),
                     **dataclasses.asdict(found),
                 },
@@ -253,13 +276,16 @@
             newest = progress.standbys[-1].attempt
         if newest is None:
             # It has found no path yet.
-            return silence.Silence(0.0, 0.0, False, False, False)
-        since = newest.silent_since
+            return silence.Silence(0.0, 0.0, False, False, False, False, False)
+        failed = self._view.failed_since(newest.servers, newest.silent_since)
+        unresponsive = [s for s in failed if self._view.is_unresponsive(s)]
         return silence.Silence(
             newest.silent_seconds,
             newest.limit_seconds,
             self._may_try_another(job, progress),
-            bool(self._view.lost_since(newest.servers, since)),
+            progress.is_repeat(job.route.max_attempts),
+            len(unresponsive) < len(failed),
+            bool(unresponsive),
             self._view.all_active_since(
                 newest.servers, timers.now() - RECENT_EVENT_SECONDS
             ),
@@ -270,7 +296,7 @@
     ) -> bool:
         return (
             job.is_idempotent
-            and progress.counted_runs < job.route.max_attempts
+            and not self._first_servers(job, progress).is_empty
             and self._budget.can_withdraw(job.service.id, progress.has_begun)
         )
 
@@ -327,7 +353,7 @@
                 extra={'request': job.id, 'state': standby.state.value},
             )
             if standby.cancel():
-                progress.possible_runs += 1
+                progress.record_run(standby.attempt)
         progress.standbys.clear()
 
     def _forwards_errors(
@@ -336,10 +362,8 @@
         """Return whether an error reply is final."""
         if progress.has_begun or progress.standbys:
             return False
-        return not (
-            job.is_idempotent
-            and progress.counted_runs < job.route.max_attempts
-        )
+        runs = progress.possible_runs + 1
+        return not job.is_idempotent or runs >= job.route.max_attempts
 
     def _replacement(
         self,
@@ -376,7 +400,7 @@
             return False
         if progress.possible_runs and (
             not job.is_idempotent
-            or progress.counted_runs >= job.route.max_attempts
+            or self._first_servers(job, progress).is_empty
         ):
             return False
         return progress.has_begun or not progress.is_often_refused
@@ -405,19 +429,26 @@
         failure: failures.Failure,
     ) -> None:
         """Record an attempt that failed, and its likely failed servers."""
+        first = attempt.path[0].server
         if failure.outcome is outcomes.Outcome.NOT_RUN:
             progress.refusals += 1
         else:
-            progress.possible_runs += 1
+            progress.record_run(attempt)
+            if progress.has_begun and not attempt.has_events:
+                progress.refusals += 1
         if attempt.has_crashed:
             self._metrics.count('streams.server_crashed')
             if progress.has_begun:
-                progress.ended_runs += 1
-        first = attempt.path[0].server
+                progress.ran_at.discard(first.incarnation)
         match failure:
             case failures.Failure(step='backend.connect'):
                 progress.failed_servers.append(first.id)
-                self._view.eject(first.id, failure.detail, job.id)
+                self._view.record_failure(
+                    first.id,
+                    server_states.evidence_of(failure),
+                    failure.detail,
+                    job.id,
+                )
                 self._path_selector.reports.record_lost(first.id)
             case failures.Failure(reason=failures.Reason.ENGINE_REFUSED):
                 culprit = next(
@@ -429,9 +460,7 @@
                     first.id,
                 )
                 progress.failed_servers.append(culprit)
-                self._view.eject(
-                    culprit, failure.detail, job.id, view.REFUSAL_EJECT_SECONDS
-                )
+                self._view.rest(culprit, failure.detail, job.id)
             case failures.Failure(
                 reason=failures.Reason.PEER_SILENT | failures.Reason.DEADLINE
             ):
@@ -455,7 +484,7 @@
                 'peer': failure.peer,
                 'attempts': progress.attempts,
                 'possible_runs': progress.possible_runs,
-                'ended_runs': progress.ended_runs,
+                'ran_at': [i.server for i in progress.ran_at],
                 'max_attempts': job.route.max_attempts,
                 'has_budget': self._budget.can_withdraw(
                     job.service.id, progress.has_begun
