Give servers that fail all their requests a rest

Cause: an error reply counted against its request only. The server had nothing to do and was the fastest, so that it was the cheapest choice for the next request again, until the retries of all were used up.

Ruled out: servers of the rest of the path. 54 streams completed on each of them in the same seconds.

A server whose last two requests failed gets no more for 3 s; the first one after that decides. A first event, or a reply to a call that is no error, ends it. The decision is in a module of its own. Streams that it serves already go on there, as nothing is known against these.

With the limit on failures taken out, the test with real processes fails: 8 of 12 streams and 4 of 12 calls were sent to the failing server.

--- a/libs/gateway/burdockmast/gateway/calls.py
+++ b/libs/gateway/burdockmast/gateway/calls.py
@@ -265,6 +265,12 @@
         }
         match result:
             case jobs.Reply():
+                if result.status < FIRST_SERVER_ERROR_STATUS:
+                    self._view.record_served_request(server.id)
+                else:
+                    self._view.record_failed_request(
+                        server.id, f'status {result.status}', job.id
+                    )
                 LOG.info(
                     'call attempt answered',
                     extra={**extra, 'status': result.status},
@@ -287,3 +293,7 @@
                         result.detail,
                         job.id,
                     )
+                elif result.reason is failures.Reason.ENGINE_LOST:
+                    self._view.record_failed_request(
+                        server.id, result.detail, job.id
+                    )
--- a/libs/gateway/burdockmast/gateway/stream_attempts.py
+++ b/libs/gateway/burdockmast/gateway/stream_attempts.py
@@ -40,6 +40,7 @@
 # Largest body of a server's error reply that is forwarded to the caller.
 MAX_ERROR_BODY_BYTES = 1024 * 1024
 STATUS_OK = 200
+FIRST_SERVER_ERROR_STATUS = 500
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -284,6 +285,10 @@
         if head.metadata.is_not_run:
             return exchange.refusal(head, path_selector.RETRY_AFTER_SECONDS)
         self.head = head
+        if head.status >= FIRST_SERVER_ERROR_STATUS:
+            deps.view.record_failed_request(
+                exchange.server.id, f'status {head.status}', job.id
+            )
         if head.status != STATUS_OK:
             return (yield from self._forward_error_reply(head))
         if not head.metadata.is_signed or head.metadata.is_encoded:
@@ -379,6 +384,8 @@
         return None
 
     def _record_events(self, splitter: sse.EventSplitter) -> None:
+        if not self.has_events:
+            self._dependencies.view.record_served_request(self.servers[0])
         pause = self.silent_seconds
         self.silent_since = timers.now()
         self.limit_seconds = PAUSE_TIMEOUT_SECONDS
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -467,6 +467,10 @@
                 progress.failed_servers.extend(attempt.record_lost_servers())
             case _:
                 progress.failed_servers.append(first.id)
+                if attempt.head is None:
+                    self._view.record_failed_request(
+                        first.id, failure.detail, job.id
+                    )
 
     def _log_abort(
         self,
--- a/libs/gateway/burdockmast/gateway/view.py
+++ b/libs/gateway/burdockmast/gateway/view.py
@@ -8,6 +8,7 @@
 from burdockmast.base import timers
 from burdockmast.gateway import backends
 from burdockmast.gateway import config
+from burdockmast.gateway import failing_servers
 from burdockmast.gateway import leaving_servers
 from burdockmast.gateway import object_follower
 from burdockmast.gateway import server_states
@@ -41,6 +42,7 @@
         self._servers = servers
         self._rests_until: dict[ids.ServerId, float] = {}
         self._states = server_states.ServerStates()
+        self._failing = failing_servers.FailingServers()
         self._running_by_server: collections.Counter[ids.ServerId] = (
             collections.Counter()
         )
@@ -149,6 +151,7 @@
             if server.is_ready
             and server.id not in excluded
             and server.id not in lost
+            and not self._failing.is_resting(server.id)
             and self._rests_until.get(server.id, 0.0) <= now
         ]
         unresponsive = self._unresponsive()
@@ -191,6 +194,7 @@
             for server in known.keys() - listed.keys():
                 del known[server]
         self._states.keep_listed(listed)
+        self._failing.keep(listed)
 
     def _log_leaving(self) -> None:
         """Log servers that no longer accept requests, and who said so."""
@@ -252,6 +256,17 @@
         self._rests_until[server] = timers.now() + REST_SECONDS
         self._log_ejection(server, reason, request, 'rests')
 
+    def record_failed_request(
+        self, server: ids.ServerId, reason: str, request: str
+    ) -> None:
+        """Record that a server failed a request that began at it."""
+        if self._failing.record_failure(server):
+            self._log_ejection(server, reason, request, 'fails requests')
+
+    def record_served_request(self, server: ids.ServerId) -> None:
+        """Record that a server serves a request that began at it."""
+        self._failing.record_success(server)
+
     def record_failure(
         self,
         server: ids.ServerId,
