Let no request cross zones for want of room alone

Cause: a request for which no zone had room went through servers of several zones. Its prompt occupies a link between zones for 100 ms there, and the tokens of all answers on the link wait behind it.

A path now crosses only if it would with room everywhere, that is, where no zone holds all layers or a zone is slow; otherwise the request waits for room, and is refused if none comes. Streams that have begun are rather sent to full servers, as before over links as the last resort. Prompts get 0.35 of a link in place of 0.7.

--- a/libs/gateway/burdockmast/gateway/links.py
+++ b/libs/gateway/burdockmast/gateway/links.py
@@ -15,8 +15,8 @@
 from burdockmast.gateway import backends
 
 # Share of a link's bandwidth for prompts. The rest is for the tokens of their
-# answers, and for traffic of other gateways that this one does not know of.
-PROMPT_SHARE = 0.7
+# answers, which must not wait for long, and for streams that resume.
+PROMPT_SHARE = 0.35
 # Backlog of prompts from which a link is full: about as long as the first
 # event of an answer may take.
 MAX_BACKLOG_SECONDS = 0.7
--- a/libs/gateway/burdockmast/gateway/path_selector.py
+++ b/libs/gateway/burdockmast/gateway/path_selector.py
@@ -4,6 +4,7 @@
 from collections.abc import Collection
 from collections.abc import Container
 from collections.abc import Mapping
+import functools
 import random
 
 from burdockmast.base import failures
@@ -12,6 +13,7 @@
 from burdockmast.base import timers
 from burdockmast.gateway import backends
 from burdockmast.gateway import config
+from burdockmast.gateway import crossings
 from burdockmast.gateway import jobs
 from burdockmast.gateway import links
 from burdockmast.gateway import loads
@@ -232,12 +234,18 @@
                 running if is_informed else (running * memory.OWN_USAGE_FACTOR)
             )
 
-        def memory_factor(server: backends.BackendServer) -> float:
+        def memory_factor(
+            room: crossings.Room, server: backends.BackendServer
+        ) -> float:
+            if room is crossings.Room.UNLIMITED:
+                return 1.0
             _, reserved = load_by_server.get(server.id, loads.NO_LOAD)
             share = reserved / memory.cache_capacity(engine, server)
             reported = self.reports.occupancy(server)
             if is_informed:
-                return memory.informed_cost_factor(share, reported, has_begun)
+                return memory.informed_cost_factor(
+                    share, reported, room is crossings.Room.OVERFULL
+                )
             return memory.cost_factor(share, self.gateway_count, reported)
 
         limited = [
@@ -252,24 +260,48 @@
                 job, exclusions[0], load_by_server
             )
             exclusions.insert(0, [*exclusions[0], *crowded])
-        for excluded in exclusions:
-            path = paths.cheapest(
+
+        def search(
+            excluded: Collection[ids.ServerId],
+            room: crossings.Room,
+            crossing: crossings.Crossing,
+        ) -> tuple[backends.Stage, ...]:
+            return paths.cheapest(
                 engine,
-                self._view.preferred(job.service, excluded),
+                self._view.preferred(
+                    job.service,
+                    excluded,
+                    may_rest=room is crossings.Room.UNLIMITED,
+                ),
                 size,
                 self._zone,
                 running_requests,
-                memory_factor,
+                functools.partial(memory_factor, room),
                 self.reports.slowdown,
-                # A broken answer is worse for its caller than the delay that
-                # one more prompt on a full link causes for the others.
-                (lambda link: False) if has_begun else self._links.is_full,
+                functools.partial(self._is_closed, crossing),
                 self._rng,
             )
+
+        for excluded in exclusions:
+            path = crossings.find_path(
+                functools.partial(search, excluded), has_begun
+            )
             if path:
                 return path
         return ()
 
+    def _is_closed(
+        self, crossing: crossings.Crossing, link: links.Link
+    ) -> bool:
+        """Return whether a path may not use an inter-zone link."""
+        match crossing:
+            case crossings.Crossing.NONE:
+                return True
+            case crossings.Crossing.FREE:
+                return self._links.is_full(link)
+            case crossings.Crossing.ANY:
+                return False
+
     def _plain_servers(
         self,
         job: jobs.Job,
--- a/libs/gateway/burdockmast/gateway/view.py
+++ b/libs/gateway/burdockmast/gateway/view.py
@@ -141,8 +141,12 @@
         self,
         service: ids.ServiceId,
         excluded: Iterable[ids.ServerId] = (),
+        may_rest: bool = False,
     ) -> list[backends.BackendServer]:
-        """Return servers that may get new requests, unresponsive ones last."""
+        """Return servers that may get new requests, unresponsive ones last.
+
+        :param may_rest: include those that have just refused a request
+        """
         now = timers.now()
         lost = self._states.in_state(server_states.State.LOST)
         found = [
@@ -152,7 +156,7 @@
             and server.id not in excluded
             and server.id not in lost
             and not self._failing.is_resting(server.id)
-            and self._rests_until.get(server.id, 0.0) <= now
+            and (may_rest or self._rests_until.get(server.id, 0.0) <= now)
         ]
         unresponsive = self._unresponsive()
         if unresponsive:
@@ -163,11 +167,15 @@
         self,
         service: config.Service,
         excluded: Iterable[ids.ServerId] = (),
+        may_rest: bool = False,
     ) -> list[backends.BackendServer]:
-        """Return the usable servers, unresponsive ones only if needed."""
+        """Return the usable servers, unresponsive ones only if needed.
+
+        :param may_rest: see ``usable``
+        """
         return server_states.spare(
             service.engine,
-            self.usable(service.id, excluded),
+            self.usable(service.id, excluded, may_rest),
             self._unresponsive(),
         )
 
--- a/libs/model/burdockmast/model/play.py
+++ b/libs/model/burdockmast/model/play.py
@@ -102,7 +102,10 @@
         return self._servers
 
     def preferred(
-        self, service: config.Service, excluded: object = ()
+        self,
+        service: config.Service,
+        excluded: object = (),
+        may_rest: bool = False,
     ) -> list[backends.BackendServer]:
         return self._servers
 
--- a/tests/test_gateway_links.py
+++ b/tests/test_gateway_links.py
@@ -64,7 +64,7 @@
     def usable(self, service, excluded=()):
         return [s for s in self.servers if s.id not in excluded]
 
-    def preferred(self, service, excluded=()):
+    def preferred(self, service, excluded=(), may_rest=False):
         return self.usable(service.id, excluded)
 
     def listed(self, service):
