Keep the memory of zones with one pipeline for requests

Cause: servers kept room for 48 requests each and spent the rest on layers, so a zone held 1.2 to 2 copies of them. By the published costs a pass for 50 requests takes about 1.5 times as long as one for a single request, so that memory is what limits a zone.

A zone with one pipeline now holds at most half of its layers twice, and none if less than a third could be. In exchange the loss of one server breaks such a zone more often. If its servers can spare nothing for the gap, all of them are arranged anew after 8 s, while other zones hold every layer; a crashed server is back before.

--- a/libs/gateway/burdockmast/gateway/layer_placement.py
+++ b/libs/gateway/burdockmast/gateway/layer_placement.py
@@ -14,6 +14,7 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
+import enum
 
 from burdockmast.base import ids
 from burdockmast.gateway import backends
@@ -27,6 +28,13 @@
 # are lost there, requests run longer and gather at the others.
 AMPLE_CONCURRENT_REQUESTS = 72
 AMPLE_PIPELINES = 2
+# A zone with one pipeline holds at most this share of its layers twice, and
+# none if it would be less than the other. The rest of its memory is for
+# requests: where it is full, they have to go to other zones.
+MAX_REDUNDANT_SHARE = 1 / 2
+MIN_REDUNDANT_SHARE = 1 / 3
+# Step in which the number of requests grows.
+REQUESTS_STEP = 8
 # The same if there are too few servers for that: a zone's share of the
 # requests in flight at the usual load.
 MIN_CONCURRENT_REQUESTS = 16
@@ -35,16 +43,26 @@
 MIN_RANGE_SHARE = 0.5
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Placement:
-    """A server and the layers that it is to hold.
+class Urgency(enum.IntEnum):
+    """How long an order may wait for servers that come back.
 
-    :ivar is_urgent: the server is empty, or no server holds these layers
+    HIGH: the server is empty, or no server holds these layers.
+    MEDIUM: the servers of a zone lack these layers.
+    LOW: the same, and all of its servers would have to move.
     """
 
+    LOW = 0
+    MEDIUM = 1
+    HIGH = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Placement:
+    """A server and the layers that it is to hold."""
+
     server: backends.BackendServer
     layers: backends.LayerRange
-    is_urgent: bool = True
+    urgency: Urgency = Urgency.HIGH
 
 
 def max_layers(
@@ -69,6 +87,16 @@
     return min(engine.layers, max(by_memory, 1))
 
 
+def _layers_that_fit(
+    engine: config.Engine, accelerators: Iterable[str], requests: int
+) -> int:
+    """Return how many layers servers can hold beside some requests."""
+    return sum(
+        max_layers(engine, accelerator, requests)
+        for accelerator in accelerators
+    )
+
+
 class _Coverage:
     """Numbers of servers that hold each layer, by zone and in the fleet.
 
@@ -77,9 +105,9 @@
 
     def __init__(self, engine: config.Engine):
         self._engine = engine
-        self._ample_layers_by_zone: collections.Counter[ids.ZoneId] = (
-            collections.Counter()
-        )
+        self._accelerators_by_zone: collections.defaultdict[
+            ids.ZoneId, list[str]
+        ] = collections.defaultdict(list)
         self.fleet_counts = [0] * engine.layers
         self.counts_by_zone: collections.defaultdict[ids.ZoneId, list[int]] = (
             collections.defaultdict(lambda: [0] * engine.layers)
@@ -103,26 +131,44 @@
 
     def preferred_requests(self, zone: ids.ZoneId) -> int:
         """Return for how many requests the servers of a zone keep room."""
-        if self._ample_layers_by_zone[zone] >= AMPLE_PIPELINES * len(
-            self.fleet_counts
-        ):
+        if self._pipelines(zone, AMPLE_CONCURRENT_REQUESTS) >= AMPLE_PIPELINES:
             return AMPLE_CONCURRENT_REQUESTS
-        return PREFERRED_CONCURRENT_REQUESTS
+        requests = PREFERRED_CONCURRENT_REQUESTS
+        wanted = _wanted_pipelines(self._pipelines(zone, requests))
+        while self._pipelines(zone, requests + REQUESTS_STEP) >= wanted:
+            requests += REQUESTS_STEP
+        return requests
+
+    def _pipelines(self, zone: ids.ZoneId, requests: int) -> float:
+        """Return how many copies of all layers fit beside some requests."""
+        accelerators = self._accelerators_by_zone[zone]
+        layers = _layers_that_fit(self._engine, accelerators, requests)
+        return layers / self._engine.layers
 
     def add_capacity(self, server: backends.BackendServer) -> None:
         """Count what a server can hold."""
+        self._accelerators_by_zone[server.zone].append(server.accelerator)
         self.max_layers_by_zone[server.zone] += max_layers(
             self._engine, server.accelerator, MIN_CONCURRENT_REQUESTS
         )
-        self._ample_layers_by_zone[server.zone] += max_layers(
-            self._engine, server.accelerator, AMPLE_CONCURRENT_REQUESTS
-        )
 
     def fits_pipeline(self, zone: ids.ZoneId) -> bool:
         """Return whether a zone has room for a pipeline of its own."""
         return self.max_layers_by_zone[zone] >= len(self.fleet_counts)
 
 
+def _wanted_pipelines(possible: float) -> float:
+    """Return how many copies of all layers a zone is to hold.
+
+    :param possible: copies that fit beside the preferred number of requests
+    """
+    if 1 <= possible < 1 + MIN_REDUNDANT_SHARE:
+        return 1.0
+    if 1 + MAX_REDUNDANT_SHARE < possible < AMPLE_PIPELINES:
+        return 1 + MAX_REDUNDANT_SHARE
+    return possible
+
+
 def plan(
     engine: config.Engine,
     servers: Iterable[backends.BackendServer],
@@ -174,26 +220,64 @@
     """Return layer moves that close gaps of the fleet, else of one zone."""
     if not min(coverage.fleet_counts):
         return _close_gaps(
-            engine, holding, coverage, coverage.fleet_counts, is_urgent=True
+            engine, holding, coverage, coverage.fleet_counts, Urgency.HIGH
         )
     for zone, zone_counts in coverage.counts_by_zone.items():
         if min(zone_counts) or not coverage.fits_pipeline(zone):
             continue
         in_zone = [server for server in holding if server.zone == zone]
         found = _close_gaps(
-            engine, in_zone, coverage, zone_counts, is_urgent=False
-        )
+            engine, in_zone, coverage, zone_counts, Urgency.MEDIUM
+        ) or _arrange_anew(engine, in_zone, coverage, zone_counts)
         if found:
             return found
     return []
 
 
+def _arrange_anew(
+    engine: config.Engine,
+    servers: list[backends.BackendServer],
+    coverage: _Coverage,
+    zone_counts: list[int],
+) -> list[Placement]:
+    """Return moves that let a zone's servers hold one pipeline together.
+
+    No server can spare its layers there, so that all of them hold more. Other
+    zones have to hold every layer meanwhile.
+    """
+    elsewhere = (
+        in_fleet - in_zone
+        for in_fleet, in_zone in zip(
+            coverage.fleet_counts, zone_counts, strict=True
+        )
+    )
+    if not min(elsewhere):
+        return []
+    requests = MIN_CONCURRENT_REQUESTS
+    accelerators = [server.accelerator for server in servers]
+    while (
+        _layers_that_fit(engine, accelerators, requests + REQUESTS_STEP)
+        >= engine.layers
+    ):
+        requests += REQUESTS_STEP
+    found = []
+    first = 0
+    for server in sorted(servers, key=lambda s: (s.layers.first, s.id)):
+        size = max_layers(engine, server.accelerator, requests)
+        end = min(first + size, engine.layers)
+        layers = backends.LayerRange(first, end)
+        if len(layers) and layers != server.layers:
+            found.append(Placement(server, layers, Urgency.LOW))
+        first = end
+    return found if first == engine.layers else []
+
+
 def _close_gaps(
     engine: config.Engine,
     holding: list[backends.BackendServer],
     coverage: _Coverage,
     counts: list[int],
-    is_urgent: bool,
+    urgency: Urgency,
 ) -> list[Placement]:
     """Return layer moves that close all gaps.
 
@@ -212,12 +296,12 @@
             engine, left, gap
         ) or _move_redundant_server(engine, coverage, left, gap, counts)
         if not placements:
-            return found if is_urgent else []
+            return found if urgency is Urgency.HIGH else []
         for placement in placements:
             left.remove(placement.server)
             _add_to_counts(counts, placement.server.layers, -1)
             _add_to_counts(counts, placement.layers, 1)
-            found.append(dataclasses.replace(placement, is_urgent=is_urgent))
+            found.append(dataclasses.replace(placement, urgency=urgency))
     return found
 
 
@@ -283,7 +367,7 @@
             engine, server.accelerator, MIN_CONCURRENT_REQUESTS
         )
         return max(
-            coverage.preferred_layers(server),
+            max_layers(engine, server.accelerator),
             min(with_fewest_requests, len(gap)),
         )
 
--- a/libs/gateway/burdockmast/gateway/planner.py
+++ b/libs/gateway/burdockmast/gateway/planner.py
@@ -45,8 +45,10 @@
 LOCK_CHECK_SECONDS = 1.0
 # Time for which a zone must lack layers before its servers get layer moves, so
 # that a list which is written in parts is complete. A crashed server is back
-# after some 4 s, but until then each prompt of the zone crosses to others.
+# after some 4 s, and has its layers again some seconds later.
 ZONE_GAP_SECONDS = 2.0
+# The same if all servers of the zone would have to move.
+ZONE_ARRANGE_SECONDS = 8.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -159,18 +161,24 @@
             placements += layer_placement.plan(
                 service.engine, servers, pending
             )
-        urgent = [placement for placement in placements if placement.is_urgent]
+        urgent = [
+            placement
+            for placement in placements
+            if placement.urgency is layer_placement.Urgency.HIGH
+        ]
         if urgent or not placements:
             self._zone_gap_since = None
             return urgent
         now = timers.now()
         if self._zone_gap_since is None:
             self._zone_gap_since = now
-        return (
-            placements
-            if now - self._zone_gap_since >= ZONE_GAP_SECONDS
-            else []
+        urgency = max(placement.urgency for placement in placements)
+        delay = (
+            ZONE_GAP_SECONDS
+            if urgency is layer_placement.Urgency.MEDIUM
+            else ZONE_ARRANGE_SECONDS
         )
+        return placements if now - self._zone_gap_since >= delay else []
 
     def _drop_finished_orders(self) -> None:
         now = timers.now()
--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -1,5 +1,6 @@
 """Path search and layer placement, simulated without a network."""
 
+import dataclasses
 import random
 
 import pytest
@@ -181,6 +182,84 @@
     assert len(complete_zones) >= 2
 
 
+def complete_zones(servers):
+    return {
+        s.zone
+        for s in servers
+        if paths.first_uncovered_layer(
+            ENGINE, [other for other in servers if other.zone == s.zone]
+        )
+        is None
+    }
+
+
+def room(servers, zone):
+    """Return the requests for whose KV caches a zone's servers have room."""
+    tokens = ENGINE.mean_prompt_tokens + ENGINE.mean_answer_tokens
+    room_by_layer = [0.0] * ENGINE.layers
+    for s in servers:
+        for layer in (
+            range(s.layers.first, s.layers.end) if s.zone == zone else ()
+        ):
+            room_by_layer[layer] += memory.cache_capacity(ENGINE, s) / (
+                tokens * len(s.layers)
+            )
+    return min(room_by_layer)
+
+
+def test_a_zone_with_one_pipeline_has_room_for_the_requests_of_a_lost_zone():
+    """A full zone sends its requests to others, which fill as well."""
+    servers = with_planned_layers(
+        [server(f's{n}', 'a', 'small') for n in range(7)]
+        + [server(f'm{n}', 'a', 'middle') for n in range(4)]
+        + [server('l', 'a', 'large')]
+    )
+    assert complete_zones(servers) == {'a'}
+    assert room(servers, 'a') >= 1.5 * (
+        layer_placement.PREFERRED_CONCURRENT_REQUESTS
+    )
+
+
+def test_a_zone_whose_servers_can_spare_nothing_is_arranged_anew():
+    """Otherwise all of them are idle for good after the loss of one."""
+    servers = with_planned_layers(
+        [
+            server(f'{zone}{kind}{n}', zone, kind)
+            for zone in 'ab'
+            for kind, count in (('small', 7), ('middle', 4), ('large', 1))
+            for n in range(count)
+        ]
+    )
+    lost = next(s for s in servers if s.id == 'alarge0')
+    servers.remove(lost)
+    assert complete_zones(servers) == {'b'}
+    moves = layer_placement.plan(ENGINE, servers, {})
+    assert {move.urgency for move in moves} == {layer_placement.Urgency.LOW}
+    moved = {move.server.id: move.layers for move in moves}
+    servers = [
+        dataclasses.replace(s, layers=moved.get(s.id, s.layers))
+        for s in servers
+    ]
+    assert complete_zones(servers) == {'a', 'b'}
+    assert layer_placement.plan(ENGINE, servers, {}) == []
+
+
+def test_no_zone_is_arranged_anew_that_alone_holds_some_layers():
+    servers = [
+        server('a1', 'a', 'middle', held=(0, 8)),
+        *[
+            server(f'a{n}', 'a', 'large', held=(n * 11, n * 11 + 11))
+            for n in range(2, 7)
+        ],
+        server('b', 'b', 'middle', held=(8, 22)),
+        server('c', 'c', 'middle', held=(77, 80)),
+    ]
+    assert not any(
+        move.urgency is layer_placement.Urgency.LOW
+        for move in layer_placement.plan(ENGINE, servers, {})
+    )
+
+
 def test_a_pending_order_is_not_given_twice():
     servers = [server('one')]
     pending = {'one': backends.LayerRange(0, 17)}
