Serve queued requests that can still be in time before late ones

The queue's order within a priority was that of arrival (fair between organisations). Requests whose objective can still be met now go before those that are late anyway, and streams that have begun before all, as their callers leave soon. The test fails with the order of arrival (the late one goes first).

--- a/libs/gateway/burdockmast/gateway/path_selector.py
+++ b/libs/gateway/burdockmast/gateway/path_selector.py
@@ -41,6 +41,24 @@
 WAKE_INTERVAL_SECONDS = 0.1
 # Longest wait for another path to resume a stream.
 RESUME_QUEUE_SECONDS = 0.6
+# Priority of streams that have begun; those of others are 0 or less.
+BEGUN_PRIORITY = 1
+# Usual time from the choice of a path to the first event.
+FIRST_EVENT_SECONDS = 0.15
+
+
+def _waiter(job: jobs.Job, has_begun: bool) -> queues.Waiter:
+    """Return a request's place in the queue.
+
+    Streams that have begun go first, then requests that can be in time.
+    """
+    objective_at = job.arrived_at + job.route.objective_seconds
+    return queues.Waiter(
+        job.organisation,
+        BEGUN_PRIORITY if has_begun else -job.priority,
+        1.0,
+        objective_at - FIRST_EVENT_SECONDS,
+    )
 
 
 class PathSelector:
@@ -132,7 +150,7 @@
             failure = self._limit_failure(job, until)
             if failure:
                 return failure
-            waiter = queues.Waiter(job.organisation, -job.priority, 1.0)
+            waiter = _waiter(job, has_begun)
             refusal = self._queue.wait(waiter, until - timers.now())
             if refusal:
                 LOG.info(
--- a/libs/limits/burdockmast/limits/queues.py
+++ b/libs/limits/burdockmast/limits/queues.py
@@ -27,12 +27,15 @@
 
     :ivar priority: larger goes first
     :ivar weight: the organisation's share of admissions
+    :ivar in_time_until: monotonic seconds after which it is late anyway;
+        within a priority, requests that can still be in time go first
     :ivar number: order of arrival, kept if the request has to wait again
     """
 
     organisation: ids.OrganisationId
     priority: int
     weight: float
+    in_time_until: float = math.inf
     number: int | None = None
     event: eventlet.event.Event = dataclasses.field(
         default_factory=eventlet.event.Event
@@ -153,12 +156,13 @@
             self._record_admission(waiter)
             waiter.event.send(None)
 
-    def _sort_key(self, waiter: Waiter) -> tuple[int, float, int]:
+    def _sort_key(self, waiter: Waiter) -> tuple[int, bool, float, int]:
         start = self._virtual_start(waiter.organisation)
-        return (-waiter.priority, start, waiter.number)
+        is_late = timers.now() >= waiter.in_time_until
+        return (-waiter.priority, is_late, start, waiter.number)
 
     def _record_admission(self, waiter: Waiter) -> None:
-        _, start, _ = self._sort_key(waiter)
+        start = self._virtual_start(waiter.organisation)
         self._virtual_time = start
         organisation = waiter.organisation
         self._virtual_time_by_organisation[organisation] = (
--- a/tests/test_limits.py
+++ b/tests/test_limits.py
@@ -100,6 +100,27 @@
     assert admitted_names(outcomes) == ['high'] * 3
 
 
+def test_requests_that_can_be_in_time_go_before_late_ones(clock):
+    queue = queues.FairQueue(100)
+    admitted = []
+
+    def wait(name, in_time_until):
+        waiter = queues.Waiter(name, 5, 1.0, in_time_until)
+        if queue.wait(waiter, 5.0) is None:
+            admitted.append(name)
+
+    eventlet.spawn(wait, 'late', clock.now + 0.2)
+    eventlet.spawn(wait, 'fresh', clock.now + 0.9)
+    eventlet.sleep(0)
+    clock.now += 0.5
+    queue.wake(1)
+    eventlet.sleep(0)
+    assert admitted == ['fresh']
+    queue.wake(1)
+    eventlet.sleep(0)
+    assert admitted == ['fresh', 'late']
+
+
 def test_full_queue_refuses_largest_organisation_with_retry_after():
     queue = queues.FairQueue(10)
     outcomes = enqueue(
