Keep zones apart only where prompts between them delay answers

Cause: their links carry a usual prompt in 36 ms at a pause objective of 200 ms, so that a crossing costs nobody his objective, and copies of layers in other zones serve as well as room. On the grown sites it takes 101 ms at 250 ms.

Whether three prompts on a link fit into the pause that the route allows now decides, for the path (by the request's route) and for the layers (by the strictest route).

--- a/libs/gateway/burdockmast/gateway/crossings.py
+++ b/libs/gateway/burdockmast/gateway/crossings.py
@@ -1,10 +1,10 @@
 """Decides whether a request's path may cross between availability zones.
 
 The load: servers are lost or slow, so that a zone lacks layers, while other
-zones are full. A prompt occupies an inter-zone link for a tenth of a second,
-and the tokens of all answers on the link wait behind it. Streams that cross
-are late, and hold memory of zones that could serve others by themselves. So a
-path crosses where no zone serves the request well, not for want of room.
+zones are full. Where a prompt occupies an inter-zone link for a tenth of a
+second, the tokens of all answers on the link wait behind it. Streams that
+cross are late, and hold memory of zones that could serve others by themselves.
+There a path crosses if no zone serves the request well, not for want of room.
 """
 
 from collections.abc import Callable
@@ -35,12 +35,19 @@
 Search = Callable[[Room, Crossing], Path]
 
 
-def find_path(search: Search, has_begun: bool) -> Path:
+def find_path(search: Search, delays_answers: bool, has_begun: bool) -> Path:
     """Return a path, no stages if the request has to wait for room.
 
     :param search: returns the cheapest path, no stages if there is none
+    :param delays_answers: prompts between zones make other answers late
     :param has_begun: the caller has received events, and leaves soon
     """
+    if not delays_answers:
+        if has_begun:
+            # A broken answer is worse for its caller than the delay that one
+            # more prompt on a full link causes for the others.
+            return search(Room.OVERFULL, Crossing.ANY)
+        return search(Room.FREE, Crossing.FREE)
     path = search(Room.FREE, Crossing.FREE)
     if path and not links.inter_zone_links(path):
         return path
--- a/libs/gateway/burdockmast/gateway/layer_placement.py
+++ b/libs/gateway/burdockmast/gateway/layer_placement.py
@@ -103,8 +103,9 @@
     ``max_layers_by_zone`` sums what the servers of a zone can hold.
     """
 
-    def __init__(self, engine: config.Engine):
+    def __init__(self, engine: config.Engine, are_zones_apart: bool):
         self._engine = engine
+        self._are_zones_apart = are_zones_apart
         self._accelerators_by_zone: collections.defaultdict[
             ids.ZoneId, list[str]
         ] = collections.defaultdict(list)
@@ -134,6 +135,8 @@
         if self._pipelines(zone, AMPLE_CONCURRENT_REQUESTS) >= AMPLE_PIPELINES:
             return AMPLE_CONCURRENT_REQUESTS
         requests = PREFERRED_CONCURRENT_REQUESTS
+        if not self._are_zones_apart:
+            return requests
         wanted = _wanted_pipelines(self._pipelines(zone, requests))
         while self._pipelines(zone, requests + REQUESTS_STEP) >= wanted:
             requests += REQUESTS_STEP
@@ -173,12 +176,15 @@
     engine: config.Engine,
     servers: Iterable[backends.BackendServer],
     pending: Mapping[ids.ServerId, backends.LayerRange],
+    are_zones_apart: bool = False,
 ) -> list[Placement]:
     """Return placements for servers without a pending order.
 
     :param pending: layers that servers have been ordered to hold
+    :param are_zones_apart: a zone can't use the servers of others for part
+        of a path
     """
-    coverage = _Coverage(engine)
+    coverage = _Coverage(engine, are_zones_apart)
     empty: list[backends.BackendServer] = []
     holding: list[backends.BackendServer] = []
     for server in servers:
@@ -208,7 +214,7 @@
         placements.append(Placement(server, layers))
         coverage.add(server.zone, layers)
     if holding and not placements:
-        placements += _layer_moves(engine, holding, coverage)
+        placements += _layer_moves(engine, holding, coverage, are_zones_apart)
     return placements
 
 
@@ -216,6 +222,7 @@
     engine: config.Engine,
     holding: list[backends.BackendServer],
     coverage: _Coverage,
+    are_zones_apart: bool,
 ) -> list[Placement]:
     """Return layer moves that close gaps of the fleet, else of one zone."""
     if not min(coverage.fleet_counts):
@@ -228,7 +235,9 @@
         in_zone = [server for server in holding if server.zone == zone]
         found = _close_gaps(
             engine, in_zone, coverage, zone_counts, Urgency.MEDIUM
-        ) or _arrange_anew(engine, in_zone, coverage, zone_counts)
+        )
+        if not found and are_zones_apart:
+            found = _arrange_anew(engine, in_zone, coverage, zone_counts)
         if found:
             return found
     return []
--- a/libs/gateway/burdockmast/gateway/links.py
+++ b/libs/gateway/burdockmast/gateway/links.py
@@ -15,8 +15,12 @@
 from burdockmast.gateway import backends
 
 # Share of a link's bandwidth for prompts. The rest is for the tokens of their
-# answers, which must not wait for long, and for streams that resume.
-PROMPT_SHARE = 0.35
+# answers, and for traffic of other gateways that this one does not know of.
+PROMPT_SHARE = 0.7
+# The same where prompts delay answers, whose tokens must not wait for long.
+DELAYING_PROMPT_SHARE = 0.35
+# Prompts that may be on a link at once. The tokens behind them wait for all.
+PROMPTS_AT_ONCE = 3
 # Backlog of prompts from which a link is full: about as long as the first
 # event of an answer may take.
 MAX_BACKLOG_SECONDS = 0.7
@@ -30,6 +34,15 @@
     return [pair for pair in itertools.pairwise(zones) if pair[0] != pair[1]]
 
 
+def delays_answers(transfer_seconds: float, pause_seconds: float) -> bool:
+    """Return whether prompts on a link make the answers behind them late.
+
+    :param transfer_seconds: for which a usual prompt occupies the link
+    :param pause_seconds: objective for the time between two events
+    """
+    return PROMPTS_AT_ONCE * transfer_seconds > pause_seconds
+
+
 class ZoneLinks:
     """Backlogs of prompts on the inter-zone links.
 
@@ -47,16 +60,20 @@
         self._free_at: dict[Link, float] = {}
 
     def record_prompt(
-        self, path: Iterable[backends.Stage], seconds: float
+        self,
+        path: Iterable[backends.Stage],
+        seconds: float,
+        share: float = PROMPT_SHARE,
     ) -> None:
         """Add a prompt to the backlog of each link on its path.
 
         :param seconds: for which the prompt occupies one link
+        :param share: of the link's bandwidth that is for prompts
         """
         for link in inter_zone_links(path):
             free_at = max(self._now(), self._free_at.get(link, 0.0))
             self._free_at[link] = (
-                free_at + seconds * self.gateway_count / PROMPT_SHARE
+                free_at + seconds * self.gateway_count / share
             )
 
     def backlog_seconds(self, link: Link) -> float:
--- a/libs/gateway/burdockmast/gateway/path_selector.py
+++ b/libs/gateway/burdockmast/gateway/path_selector.py
@@ -47,6 +47,11 @@
 FIRST_EVENT_SECONDS = 0.15
 
 
+def _delays_answers(job: jobs.Job, engine: config.Engine) -> bool:
+    """Return whether prompts between zones make other answers late."""
+    return paths.delays_answers(engine, job.route.gap_objective_seconds)
+
+
 def _waiter(job: jobs.Job, has_begun: bool) -> queues.Waiter:
     """Return a request's place in the queue.
 
@@ -108,7 +113,13 @@
             return
         size = self._request_size(job, engine)
         self._usage.reserve(path, size.reserved_tokens)
-        self._links.record_prompt(path, paths.transfer_ms(engine, size) / 1000)
+        self._links.record_prompt(
+            path,
+            paths.transfer_ms(engine, size) / 1000,
+            links.DELAYING_PROMPT_SHARE
+            if _delays_answers(job, engine)
+            else links.PROMPT_SHARE,
+        )
 
     def release(self, job: jobs.Job, path: tuple[backends.Stage, ...]) -> None:
         """Stop accounting for a request, and let a queued one try again."""
@@ -300,9 +311,10 @@
                 self._rng,
             )
 
+        delays_answers = _delays_answers(job, engine)
         for excluded in exclusions:
             path = crossings.find_path(
-                functools.partial(search, excluded), has_begun
+                functools.partial(search, excluded), delays_answers, has_begun
             )
             if path:
                 return path
--- a/libs/gateway/burdockmast/gateway/paths.py
+++ b/libs/gateway/burdockmast/gateway/paths.py
@@ -119,6 +119,18 @@
     return size.prompt_tokens * bits / engine.zone_link_mbps / 1000
 
 
+def delays_answers(engine: config.Engine, pause_seconds: float) -> bool:
+    """Return whether usual prompts between zones make other answers late.
+
+    :param pause_seconds: objective for the time between two events, 0 if
+        there is none
+    """
+    size = RequestSize(engine.mean_prompt_tokens, engine.mean_answer_tokens)
+    return pause_seconds > 0 and links.delays_answers(
+        transfer_ms(engine, size) / 1000, pause_seconds
+    )
+
+
 def zone_crossing_ms(engine: config.Engine, size: RequestSize) -> float:
     """Return the cost of a crossing to another zone for a complete answer."""
     shared = LINK_SHARING_FACTOR * transfer_ms(engine, size)
--- a/libs/gateway/burdockmast/gateway/planner.py
+++ b/libs/gateway/burdockmast/gateway/planner.py
@@ -19,6 +19,7 @@
 from burdockmast.gateway import backends
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import layer_placement
+from burdockmast.gateway import paths
 from burdockmast.gateway import view
 
 LOG = logs.get('planner')
@@ -158,8 +159,12 @@
         placements = []
         for service in self._view.model_services():
             servers = self._view.listed(service.id)
+            pause = self._view.pause_objective(service.id)
             placements += layer_placement.plan(
-                service.engine, servers, pending
+                service.engine,
+                servers,
+                pending,
+                paths.delays_answers(service.engine, pause),
             )
         urgent = [
             placement
--- a/libs/gateway/burdockmast/gateway/view.py
+++ b/libs/gateway/burdockmast/gateway/view.py
@@ -124,6 +124,25 @@
             return []
         return [s for s in current.service_by_id.values() if s.engine]
 
+    def pause_objective(self, service: ids.ServiceId) -> float:
+        """Return the strictest pause between events that routes allow.
+
+        It is in seconds, 0 if no route to the service names any.
+        """
+        current = self.configuration
+        if current is None:
+            return 0.0
+        return min(
+            (
+                route.gap_objective_seconds
+                for routes in current.routes_by_host.values()
+                for route in routes
+                if service in route.weight_by_service
+                and route.gap_objective_seconds
+            ),
+            default=0.0,
+        )
+
     def listed(self, service: ids.ServiceId) -> list[backends.BackendServer]:
         """Return all listed servers of a service."""
         return [
--- a/libs/model/burdockmast/model/play.py
+++ b/libs/model/burdockmast/model/play.py
@@ -132,12 +132,20 @@
     length_hint: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Route:
+    """The objective of a route that the path selector reads."""
+
+    gap_objective_seconds: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Job:
     """As much of a request as the path selector reads."""
 
     service: config.Service
     request: _Request
+    route: _Route
 
 
 class _Gateway:
@@ -343,7 +351,11 @@
         self._last_event_at: float | None = None
         self._is_late = False
         self._prompt = prompt
-        self._job = _Job(play._service, _Request(prompt, answer, answer))
+        self._job = _Job(
+            play._service,
+            _Request(prompt, answer, answer),
+            _Route(play._load.pause_seconds),
+        )
         self._request: engines.Request | None = None
 
     def try_to_begin(self) -> None:
--- a/tests/test_gateway_leaving_servers.py
+++ b/tests/test_gateway_leaving_servers.py
@@ -112,6 +112,9 @@
             priority=1,
             arrived_at=timers.now(),
             deadline=timers.now() + 20.0,
+            route=types.SimpleNamespace(
+                gap_objective_seconds=0.25, objective_seconds=0.6
+            ),
             request=types.SimpleNamespace(
                 prompt_tokens=700, max_answer_tokens=150, length_hint=0
             ),
--- a/tests/test_gateway_links.py
+++ b/tests/test_gateway_links.py
@@ -95,7 +95,7 @@
     return created
 
 
-def job(engine=fleets.ENGINE):
+def job(engine=fleets.ENGINE, pause_seconds=0.2):
     request = types.SimpleNamespace(
         prompt_tokens=fleets.SIZE.prompt_tokens,
         max_answer_tokens=fleets.SIZE.answer_tokens,
@@ -105,6 +105,8 @@
     service = config.Service(ids.ServiceId('draft'), engine)
     object.__setattr__(created, 'service', service)
     object.__setattr__(created, 'request', request)
+    route = types.SimpleNamespace(gap_objective_seconds=pause_seconds)
+    object.__setattr__(created, 'route', route)
     return created
 
 
--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -62,10 +62,10 @@
     ]
 
 
-def with_planned_layers(servers):
+def with_planned_layers(servers, are_zones_apart=False):
     layers_by_server = {
         p.server.id: p.layers
-        for p in layer_placement.plan(ENGINE, servers, {})
+        for p in layer_placement.plan(ENGINE, servers, {}, are_zones_apart)
     }
     return [
         server(
@@ -147,15 +147,18 @@
     assert layer_placement.plan(ENGINE, servers, {}) == []
 
 
+@pytest.mark.parametrize('are_zones_apart', [False, True])
 @pytest.mark.parametrize('seed', range(20))
-def test_zones_keep_complete_pipelines_while_servers_leave(seed):
+def test_zones_keep_complete_pipelines_while_servers_leave(
+    seed, are_zones_apart
+):
     """Removes servers one by one, as releases and crashes do."""
     rng = random.Random(seed)
-    servers = with_planned_layers(empty_fleet())
+    servers = with_planned_layers(empty_fleet(), are_zones_apart)
     for _ in range(6):
         servers.remove(rng.choice(servers))
         for _ in range(10):
-            moves = layer_placement.plan(ENGINE, servers, {})
+            moves = layer_placement.plan(ENGINE, servers, {}, are_zones_apart)
             if not moves:
                 break
             by_id = {move.server.id: move.layers for move in moves}
@@ -212,7 +215,8 @@
     servers = with_planned_layers(
         [server(f's{n}', 'a', 'small') for n in range(7)]
         + [server(f'm{n}', 'a', 'middle') for n in range(4)]
-        + [server('l', 'a', 'large')]
+        + [server('l', 'a', 'large')],
+        are_zones_apart=True,
     )
     assert complete_zones(servers) == {'a'}
     assert room(servers, 'a') >= 1.5 * (
@@ -228,12 +232,13 @@
             for zone in 'ab'
             for kind, count in (('small', 7), ('middle', 4), ('large', 1))
             for n in range(count)
-        ]
+        ],
+        are_zones_apart=True,
     )
     lost = next(s for s in servers if s.id == 'alarge0')
     servers.remove(lost)
     assert complete_zones(servers) == {'b'}
-    moves = layer_placement.plan(ENGINE, servers, {})
+    moves = layer_placement.plan(ENGINE, servers, {}, True)
     assert {move.urgency for move in moves} == {layer_placement.Urgency.LOW}
     moved = {move.server.id: move.layers for move in moves}
     servers = [
@@ -241,7 +246,7 @@
         for s in servers
     ]
     assert complete_zones(servers) == {'a', 'b'}
-    assert layer_placement.plan(ENGINE, servers, {}) == []
+    assert layer_placement.plan(ENGINE, servers, {}, True) == []
 
 
 def test_no_zone_is_arranged_anew_that_alone_holds_some_layers():
@@ -256,7 +261,7 @@
     ]
     assert not any(
         move.urgency is layer_placement.Urgency.LOW
-        for move in layer_placement.plan(ENGINE, servers, {})
+        for move in layer_placement.plan(ENGINE, servers, {}, True)
     )
 
 
--- a/tests/test_gateway_planner.py
+++ b/tests/test_gateway_planner.py
@@ -85,6 +85,9 @@
             1,
         )
 
+    def pause_objective(self, service):
+        return 0.0
+
     def model_services(self):
         return [config.Service('draft', ENGINE)]
 
