Test that a server without room for connections is used once it has

Evidence: test_no_request_is_refused_after_connections_were_not_accepted, a gateway process whose only plain server doesn't accept connections and then goes on.

--- a/tests/test_gateway_silent_servers.py
+++ b/tests/test_gateway_silent_servers.py
@@ -1,6 +1,7 @@
 """Servers that answer nobody for a while, and then go on."""
 
 import collections
+import socket
 
 import eventlet
 import platforms
@@ -46,3 +47,61 @@
     found = collections.Counter(task.wait() for task in asked)
     assert found == {200: REQUEST_COUNT}
     assert [task.wait()[0] for task in running] == [200] * len(running)
+
+
+class BareServer:
+    """A server that accepts connections only once it is told to."""
+
+    def __init__(self, host):
+        self._sock = eventlet.listen((host, 0), backlog=0)
+        self.address = '{}:{}'.format(*self._sock.getsockname())
+        self._task = None
+        self._waiting = [socket.socket() for _ in range(4)]
+        for one in self._waiting:
+            one.setblocking(False)
+            one.connect_ex(self._sock.getsockname())
+
+    def go_on(self):
+        for one in self._waiting:
+            one.close()
+        self._task = eventlet.spawn(self._serve)
+
+    def close(self):
+        self._task.kill()
+        self._sock.close()
+
+    def _serve(self):
+        while True:
+            connection, _ = self._sock.accept()
+            eventlet.spawn(self._answer, connection)
+
+    def _answer(self, connection):
+        got = b''
+        while b'\r\n\r\n' not in got:
+            received = connection.recv(4096)
+            if not received:
+                return
+            got += received
+        body = platforms.events(1, 5)
+        connection.sendall(
+            b'HTTP/1.1 200 OK\r\nBurdockmast-Request-Id: new\r\n'
+            b'Burdockmast-Response-Seal: s\r\nContent-Length: %d\r\n\r\n%s'
+            % (len(body), body)
+        )
+        connection.close()
+
+
+def test_no_request_is_refused_after_connections_were_not_accepted(platform):
+    """A silent server had no room for more connections."""
+    server = BareServer(platform.host)
+    for app in platform.apps:
+        app.update_entry(address=server.address)
+    platform.wait_for(lambda: ask(platform, '/draft/plain/x') == 503)
+    server.go_on()
+    eventlet.sleep(0.1)
+    found = collections.Counter()
+    for _ in range(20):
+        found[ask(platform, '/draft/plain/x')] += 1
+        eventlet.sleep(0.1)
+    server.close()
+    assert found == {200: 20}
