Test that a suspended gateway takes no sound server for silent

Evidence: test_a_suspended_gateway_takes_no_sound_server_for_silent, a gateway process that is suspended for 0.4 s again and again beside 20 streams that fetch reports.

--- a/tests/test_gateway_silent_servers.py
+++ b/tests/test_gateway_silent_servers.py
@@ -1,17 +1,28 @@
 """Servers that answer nobody for a while, and then go on."""
 
 import collections
+import signal
 import socket
 
 import eventlet
 import platforms
 import pytest
 
+from burdockmast.base import timers
 from burdockmast.platform import standin
 
 # Requests that are sent after a pause, and the time between two of them.
 REQUEST_COUNT = 40
 REQUEST_INTERVAL_SECONDS = 0.1
+# How often a gateway is suspended beside streams that fetch reports, for how
+# long, and how long it runs in between.
+SUSPENSION_COUNT = 12
+SUSPENSION_SECONDS = 0.4
+RUN_SECONDS = 0.13
+# Longest delay of the servers with which they count as sound, and plays until
+# one has none that is longer.
+SERVERS_SOUND_SECONDS = 0.15
+MAX_PLAYS = 4
 
 
 def ask(platform, path='/draft/x'):
@@ -105,3 +116,47 @@
         eventlet.sleep(0.1)
     server.close()
     assert found == {200: 20}
+
+
+def longest_delay(until):
+    """Return for how long this process, with its servers, was held up."""
+    longest = 0.0
+    while timers.now() < until:
+        before = timers.now()
+        eventlet.sleep(0.02)
+        longest = max(longest, timers.now() - before - 0.02)
+    return longest
+
+
+def suspend_beside_streams(platform):
+    """Suspend the gateway again and again; return the servers' delay."""
+    count = 20
+    seen = len(platforms.requests_at(platform.engines))
+    running = [eventlet.spawn(platform.ask, '/draft/x') for _ in range(count)]
+    platform.wait_for(
+        lambda: len(platforms.requests_at(platform.engines)) == seen + count
+    )
+    seconds = SUSPENSION_COUNT * (RUN_SECONDS + SUSPENSION_SECONDS)
+    delay = eventlet.spawn(longest_delay, timers.now() + seconds)
+    for _ in range(SUSPENSION_COUNT):
+        eventlet.sleep(RUN_SECONDS)
+        platform.process.send_signal(signal.SIGSTOP)
+        eventlet.sleep(SUSPENSION_SECONDS)
+        platform.process.send_signal(signal.SIGCONT)
+    assert [task.wait()[0] for task in running] == [200] * count
+    assert len(platforms.requests_at(platform.engines)) == seen + count
+    return delay.wait()
+
+
+def test_a_suspended_gateway_takes_no_sound_server_for_silent(platform):
+    """Answers come while it can't read them, and its timers expire.
+
+    A play in which the servers were silent themselves shows nothing.
+    """
+    for engine in platform.engines:
+        engine.pace_by_path['/draft/'] = standin.Pace(80, 0.1)
+    for _ in range(MAX_PLAYS):
+        before = len(platform.logged('server ejected'))
+        if suspend_beside_streams(platform) < SERVERS_SOUND_SECONDS:
+            break
+    assert len(platform.logged('server ejected')) == before
