--- a/tests/test_gateway_silent_servers.py
+++ b/tests/test_gateway_silent_servers.py
@@ -66,6 +66,7 @@
     def __init__(self, host):
         self._sock = eventlet.listen((host, 0), backlog=0)
         self.address = '{}:{}'.format(*self._sock.getsockname())
+        self._task = None
         self._waiting = [socket.socket() for _ in range(4)]
         for one in self._waiting:
             one.setblocking(False)
@@ -74,9 +75,10 @@
     def go_on(self):
         for one in self._waiting:
             one.close()
-        eventlet.spawn(self._serve)
+        self._task = eventlet.spawn(self._serve)
 
     def close(self):
+        self._task.kill()
         self._sock.close()
 
     def _serve(self):
