Change limits under uploads in the soak of gateways

The soak sent no bodies and left the limits on callers alone, so that a body that was cut at the limit of the request before, or a refusal that its caller lost, could not show. Commands now have bodies of up to 3 MB, the larger ones in two parts, while the body limit and the idle timeout change; each body must run as it was sent, or not at all, and each request must get its answer.

--- a/libs/bench/burdockmast/bench/gateway_callers.py
+++ b/libs/bench/burdockmast/bench/gateway_callers.py
@@ -1,6 +1,7 @@
 """Callers of gateways, which keep their connections while they can."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
 import contextlib
 import http.client
 import itertools
@@ -27,6 +28,10 @@
 ANSWER_MARGIN_SECONDS = 3.0
 SETTLE_SECONDS = 20.0
 KEY = 'k1'
+# Sizes of commands' bodies, by turns. The larger ones come in two parts, and
+# the limit may change in between.
+BODY_BYTES = (0, 800, 300_000, 3_000_000)
+UPLOAD_PAUSE_SECONDS = 0.2
 LONG_PATHS = ('/long/', '/once/', '/narrow/')
 SOUND_PARTS = '5a5a:50,%s:50,%x:20'
 
@@ -163,8 +168,11 @@
             part = self._deadly_part if is_deadly else f'50d{number % 4}'
             sent[headers.TOKEN_COUNTS] = '100,10'
             sent[headers.PROMPT_PARTS] = SOUND_PARTS % (part, number)
+        size = 0
+        if route == 'confirm':
+            size = BODY_BYTES[number % len(BODY_BYTES)]
         status, body = self._send(
-            connection, f'/{route}/{number}', sent, number
+            connection, f'/{route}/{number}', sent, number, body_bytes=size
         )
         self._report.statuses[f'{route} {status}'] += 1
         if status == 200 and route == 'draft':
@@ -196,6 +204,7 @@
         sent: dict[str, str],
         number: int,
         deadline_seconds: float = DEADLINE_SECONDS,
+        body_bytes: int = 0,
     ) -> tuple[int, bytes]:
         """Send a request; return the status and the body of its answer."""
         sent = {
@@ -203,11 +212,14 @@
             headers.REQUEST_ID: f'r{number}',
             headers.DEADLINE: str(int(deadline_seconds * 1000)),
             headers.API_KEY: KEY,
+            'Content-Length': str(body_bytes),
             **sent,
         }
         limit = deadline_seconds + ANSWER_MARGIN_SECONDS
         with eventlet.Timeout(limit, TimeoutError('no answer')):
-            connection.request('POST', path, headers=sent)
+            connection.request(
+                'POST', path, headers=sent, body=_parts(body_bytes)
+            )
             request = lost_requests.SentRequest(
                 f'r{number}',
                 connection.host,
@@ -215,6 +227,7 @@
                 timers.now(),
                 deadline_seconds,
                 api_key=sent[headers.API_KEY],
+                body_bytes=body_bytes,
             )
             self.sent.append(request)
             return self._read_answer(connection, request)
@@ -238,6 +251,14 @@
         return response.status, body
 
 
+def _parts(size: int) -> Iterator[bytes]:
+    """Yield a body of some bytes in two parts."""
+    yield bytes(size // 2)
+    if size > min(BODY_BYTES[2:]) / 2:
+        eventlet.sleep(UPLOAD_PAUSE_SECONDS)
+    yield bytes(size - size // 2)
+
+
 def _has_ended(connection: http.client.HTTPConnection) -> bool:
     """Return whether a connection was closed, by either side."""
     if connection.sock is None:
--- a/libs/bench/burdockmast/bench/gateway_checks.py
+++ b/libs/bench/burdockmast/bench/gateway_checks.py
@@ -79,6 +79,20 @@
     return [f'{server.id} got {late[:3]} after it had left']
 
 
+def find_cut_bodies(
+    requests: Iterable[lost_requests.SentRequest],
+    servers: Iterable[standin.BackendServer],
+) -> list[str]:
+    """Return a violation for each body that did not run as it was sent."""
+    size_by_request = {request.id: request.body_bytes for request in requests}
+    return [
+        f'{seen.id} ran with {len(seen.body)} bytes of its body'
+        for server in servers
+        for seen in server.requests
+        if len(seen.body) != size_by_request.get(seen.id, len(seen.body))
+    ]
+
+
 def find_repeated_commands(
     servers: Iterable[standin.BackendServer],
 ) -> list[str]:
--- a/libs/bench/burdockmast/bench/gateway_soak.py
+++ b/libs/bench/burdockmast/bench/gateway_soak.py
@@ -2,8 +2,9 @@
 
 Servers crash on parts of prompts, name limits, leave, break off streams, fall
 silent and go on; gateways are killed, stopped, suspended and told to reload;
-the configuration changes; the store goes away, or comes back from an older
-copy; all API keys are revoked. Faults come in series and overlap.
+the configuration changes, also the limits on callers while they send; the
+store goes away, or comes back from an older copy; all API keys are revoked.
+Faults come in series and overlap.
 Callers keep their connections open until the gateway is gone. What callers and
 servers see is checked.
 """
@@ -32,6 +33,10 @@
 # Series of silences of one or several servers, and planned changes.
 SILENCE_FAULT_COUNT = 5
 CHANGE_FAULT_COUNT = 6
+# Changes of the limits on callers.
+LIMIT_FAULT_COUNT = 6
+MAX_BODIES_BYTES = (1024, 1_000_000, 4_194_304, 16_777_216)
+IDLE_TIMEOUTS_MS = (1000, 15000)
 SILENT_SECONDS = (0.8, 2.2)
 SILENCE_INTERVAL_SECONDS = (0.05, 0.5)
 # Share of silences in which the servers report nothing either.
@@ -94,6 +99,7 @@
         self._record_rng = random.Random(f'records {seed}')
         self._silence_rng = random.Random(f'silences {seed}')
         self._change_rng = random.Random(f'changes {seed}')
+        self._limit_rng = random.Random(f'limits {seed}')
         process = os.getpid() % 60000
         network = f'127.{70 + process // 250 % 100}.{process % 250}'
         hosts = [f'{network}.{n + 1}' for n in range(gateways + 1)]
@@ -182,6 +188,7 @@
                     (self._strike_records, RECORD_FAULT_COUNT),
                     (self._silence_servers, SILENCE_FAULT_COUNT),
                     (self._change, CHANGE_FAULT_COUNT),
+                    (self._change_limits, LIMIT_FAULT_COUNT),
                 )
                 for _ in range(count)
             ]
@@ -302,6 +309,17 @@
                 found = f'planned stop of {gateway.host}'
         self.report.faults.append(found)
 
+    def _change_limits(self) -> None:
+        """Change what callers may send, and how long they may stay idle."""
+        rng = self._limit_rng
+        eventlet.sleep(rng.uniform(0.5, PLAY_SECONDS - 4.0))
+        limits = {
+            'max-body-bytes': rng.choice(MAX_BODIES_BYTES),
+            'idle-timeout-ms': rng.choice(IDLE_TIMEOUTS_MS),
+        }
+        self._write(limits=limits)
+        self.report.faults.append(f'limits {limits}')
+
     def _added_paths(self) -> list[str]:
         """Return the prefixes of the routes that were added."""
         return [
@@ -387,6 +405,9 @@
                     server, *self._named[server.id], excused, self._ends_at
                 )
         violations += gateway_checks.find_repeated_commands(self._apps)
+        violations += gateway_checks.find_cut_bodies(
+            self._callers.sent, self._apps
+        )
         violations += gateway_checks.find_deadly_requests(
             self._engines, self._deadly_part
         )
--- a/libs/bench/burdockmast/bench/lost_requests.py
+++ b/libs/bench/burdockmast/bench/lost_requests.py
@@ -51,6 +51,7 @@
     :ivar host: of the gateway
     :ivar sent_at: monotonic seconds of its last byte
     :ivar status: of the answer, or None if no head was received
+    :ivar body_bytes: size of the request's body
     """
 
     id: str
@@ -63,6 +64,7 @@
     status: int | None = None
     detail: str = ''
     api_key: str = ''
+    body_bytes: int = 0
 
     @property
     def is_lost(self) -> bool:
