--- a/libs/gateway/burdockmast/gateway/calls.py
+++ b/libs/gateway/burdockmast/gateway/calls.py
@@ -36,6 +36,8 @@
 MAX_BODY_BYTES = 16 * 1024 * 1024
 SUCCESS_STATUSES = range(200, 300)
 FIRST_SERVER_ERROR_STATUS = 500
+# A server's answer to a request that it could not serve in time.
+DEADLINE_STATUS = 504
 
 
 class CallProxy:
@@ -150,10 +152,11 @@
         candidates = [s for s in candidates if self._limits.has_room(s)]
         if not candidates:
             return None
+        avoided = {s.id for s in candidates if self._view.is_avoided(s.id)}
         return min(
             candidates,
             key=lambda s: (
-                self._view.is_unresponsive(s.id),
+                s.id in avoided,
                 self._view.running_requests(s.id),
                 s.zone != self._zone,
                 self._rng.random(),
@@ -267,7 +270,7 @@
             case jobs.Reply():
                 if result.status < FIRST_SERVER_ERROR_STATUS:
                     self._view.record_served_request(server.id)
-                else:
+                elif result.status != DEADLINE_STATUS:
                     self._view.record_failed_request(
                         server.id, f'status {result.status}', job.id
                     )
--- a/libs/gateway/burdockmast/gateway/failing_servers.py
+++ b/libs/gateway/burdockmast/gateway/failing_servers.py
@@ -6,14 +6,15 @@
 """
 
 import collections
-from collections.abc import Container
+from collections.abc import Iterable
 
 from burdockmast.base import ids
 from burdockmast.base import timers
+from burdockmast.gateway import backends
 
 # Failures in a row after which a server gets no more requests.
 MAX_FAILURES = 2
-# Time for which it gets none. The first one after that decides.
+# Time for which it gets none. The next outcome decides after that.
 REST_SECONDS = 3.0
 
 
@@ -22,12 +23,12 @@
 
     def __init__(self):
         """Create a record without failures."""
-        self._failures_by_server: collections.Counter[ids.ServerId] = (
+        self._failures_by_server: collections.Counter[backends.Incarnation] = (
             collections.Counter()
         )
-        self._rests_until: dict[ids.ServerId, float] = {}
+        self._rests_until: dict[backends.Incarnation, float] = {}
 
-    def record_failure(self, server: ids.ServerId) -> bool:
+    def record_failure(self, server: backends.Incarnation) -> bool:
         """Record a failed request; return whether the server is to rest."""
         self._failures_by_server[server] += 1
         if self._failures_by_server[server] < MAX_FAILURES:
@@ -35,18 +36,22 @@
         self._rests_until[server] = timers.now() + REST_SECONDS
         return True
 
-    def record_success(self, server: ids.ServerId) -> None:
+    def record_success(self, server: backends.Incarnation) -> None:
         """Record that a server has served a request."""
         if server in self._failures_by_server:
             del self._failures_by_server[server]
             self._rests_until.pop(server, None)
 
-    def is_resting(self, server: ids.ServerId) -> bool:
-        """Return whether a server is to get no requests."""
-        return self._rests_until.get(server, 0.0) > timers.now()
-
-    def keep(self, servers: Container[ids.ServerId]) -> None:
-        """Drop what is known of other servers."""
-        for server in list(self._failures_by_server):
-            if server not in servers:
-                self.record_success(server)
+    def resting(self) -> set[ids.ServerId]:
+        """Return the servers that are to get no requests."""
+        now = timers.now()
+        return {
+            incarnation.server
+            for incarnation, until in self._rests_until.items()
+            if until > now
+        }
+
+    def keep(self, listed: Iterable[backends.Incarnation]) -> None:
+        """Drop what is known of other incarnations."""
+        for gone in self._failures_by_server.keys() - set(listed):
+            self.record_success(gone)
--- a/libs/gateway/burdockmast/gateway/layer_placement.py
+++ b/libs/gateway/burdockmast/gateway/layer_placement.py
@@ -11,6 +11,7 @@
 """
 
 import collections
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
@@ -33,8 +34,9 @@
 # requests: where it is full, they have to go to other zones.
 MAX_REDUNDANT_SHARE = 1 / 2
 MIN_REDUNDANT_SHARE = 1 / 3
-# Step in which the number of requests grows.
+# Step in which the number of requests grows, and its limit.
 REQUESTS_STEP = 8
+MAX_CONCURRENT_REQUESTS = 256
 # The same if there are too few servers for that: a zone's share of the
 # requests in flight at the usual load.
 MIN_CONCURRENT_REQUESTS = 16
@@ -97,6 +99,26 @@
     )
 
 
+def _most_requests(
+    engine: config.Engine,
+    accelerators: Collection[str],
+    least: int,
+    layers: float,
+) -> int:
+    """Return for how many requests servers have room that hold some layers.
+
+    :param least: the result if the layers don't fit beside more
+    """
+    requests = least
+    while (
+        requests < MAX_CONCURRENT_REQUESTS
+        and _layers_that_fit(engine, accelerators, requests + REQUESTS_STEP)
+        >= layers
+    ):
+        requests += REQUESTS_STEP
+    return requests
+
+
 class _Coverage:
     """Numbers of servers that hold each layer, by zone and in the fleet.
 
@@ -138,9 +160,12 @@
         if not self._are_zones_apart:
             return requests
         wanted = _wanted_pipelines(self._pipelines(zone, requests))
-        while self._pipelines(zone, requests + REQUESTS_STEP) >= wanted:
-            requests += REQUESTS_STEP
-        return requests
+        return _most_requests(
+            self._engine,
+            self._accelerators_by_zone[zone],
+            requests,
+            wanted * self._engine.layers,
+        )
 
     def _pipelines(self, zone: ids.ZoneId, requests: int) -> float:
         """Return how many copies of all layers fit beside some requests."""
@@ -229,15 +254,19 @@
         return _close_gaps(
             engine, holding, coverage, coverage.fleet_counts, Urgency.HIGH
         )
-    for zone, zone_counts in coverage.counts_by_zone.items():
-        if min(zone_counts) or not coverage.fits_pipeline(zone):
-            continue
-        in_zone = [server for server in holding if server.zone == zone]
+    broken_zones = [
+        (zone_counts, [server for server in holding if server.zone == zone])
+        for zone, zone_counts in coverage.counts_by_zone.items()
+        if not min(zone_counts) and coverage.fits_pipeline(zone)
+    ]
+    for zone_counts, in_zone in broken_zones:
         found = _close_gaps(
             engine, in_zone, coverage, zone_counts, Urgency.MEDIUM
         )
-        if not found and are_zones_apart:
-            found = _arrange_anew(engine, in_zone, coverage, zone_counts)
+        if found:
+            return found
+    for zone_counts, in_zone in broken_zones if are_zones_apart else ():
+        found = _arrange_anew(engine, in_zone, coverage, zone_counts)
         if found:
             return found
     return []
@@ -262,13 +291,12 @@
     )
     if not min(elsewhere):
         return []
-    requests = MIN_CONCURRENT_REQUESTS
-    accelerators = [server.accelerator for server in servers]
-    while (
-        _layers_that_fit(engine, accelerators, requests + REQUESTS_STEP)
-        >= engine.layers
-    ):
-        requests += REQUESTS_STEP
+    requests = _most_requests(
+        engine,
+        [server.accelerator for server in servers],
+        MIN_CONCURRENT_REQUESTS,
+        engine.layers,
+    )
     found = []
     first = 0
     for server in sorted(servers, key=lambda s: (s.layers.first, s.id)):
--- a/libs/gateway/burdockmast/gateway/path_selector.py
+++ b/libs/gateway/burdockmast/gateway/path_selector.py
@@ -5,6 +5,7 @@
 from collections.abc import Container
 from collections.abc import Mapping
 import functools
+import math
 import random
 
 from burdockmast.base import failures
@@ -41,29 +42,17 @@
 WAKE_INTERVAL_SECONDS = 0.1
 # Longest wait for another path to resume a stream.
 RESUME_QUEUE_SECONDS = 0.6
-# Priority of streams that have begun; those of others are 0 or less.
-BEGUN_PRIORITY = 1
 # Usual time from the choice of a path to the first event.
 FIRST_EVENT_SECONDS = 0.15
 
 
-def _delays_answers(job: jobs.Job, engine: config.Engine) -> bool:
-    """Return whether prompts between zones make other answers late."""
-    return paths.delays_answers(engine, job.route.gap_objective_seconds)
-
-
 def _waiter(job: jobs.Job, has_begun: bool) -> queues.Waiter:
-    """Return a request's place in the queue.
-
-    Streams that have begun go first, then requests that can be in time.
-    """
-    objective_at = job.arrived_at + job.route.objective_seconds
-    return queues.Waiter(
-        job.organisation,
-        BEGUN_PRIORITY if has_begun else -job.priority,
-        1.0,
-        objective_at - FIRST_EVENT_SECONDS,
-    )
+    """Return a request's place in the queue, before those that are late."""
+    in_time_until = math.inf
+    if not has_begun:
+        objective_at = job.arrived_at + job.route.objective_seconds
+        in_time_until = objective_at - FIRST_EVENT_SECONDS
+    return queues.Waiter(job.organisation, -job.priority, 1.0, in_time_until)
 
 
 class PathSelector:
@@ -117,7 +106,7 @@
             path,
             paths.transfer_ms(engine, size) / 1000,
             links.DELAYING_PROMPT_SHARE
-            if _delays_answers(job, engine)
+            if self._delays_answers(job.service)
             else links.PROMPT_SHARE,
         )
 
@@ -283,7 +272,9 @@
             if not self._limits.has_room(server)
             or (first_servers is not None and server.id not in first_servers)
         ]
-        exclusions = [[*failed, *limited], limited]
+        exclusions = [[*failed, *limited]]
+        if failed:
+            exclusions.append(limited)
         if is_isolated:
             crowded = self._crowded_first_servers(
                 job, exclusions[0], load_by_server
@@ -311,7 +302,7 @@
                 self._rng,
             )
 
-        delays_answers = _delays_answers(job, engine)
+        delays_answers = self._delays_answers(job.service)
         for excluded in exclusions:
             path = crossings.find_path(
                 functools.partial(search, excluded), delays_answers, has_begun
@@ -320,6 +311,11 @@
                 return path
         return ()
 
+    def _delays_answers(self, service: config.Service) -> bool:
+        """Return whether prompts between zones make other answers late."""
+        pause_seconds = self._view.pause_objective(service.id)
+        return paths.delays_answers(service.engine, pause_seconds)
+
     def _is_closed(
         self, crossing: crossings.Crossing, link: links.Link
     ) -> bool:
--- a/libs/gateway/burdockmast/gateway/planner.py
+++ b/libs/gateway/burdockmast/gateway/planner.py
@@ -65,6 +65,16 @@
     expires_at: float
 
 
+def _zone_gap_seconds(urgency: layer_placement.Urgency) -> float:
+    """Return how long a zone must lack layers before an order is sent."""
+    match urgency:
+        case layer_placement.Urgency.LOW:
+            return ZONE_ARRANGE_SECONDS
+        case layer_placement.Urgency.MEDIUM:
+            return ZONE_GAP_SECONDS
+    return 0.0
+
+
 class Planner:
     """Plans layer placements and orders them while this gateway has the lock.
 
@@ -171,19 +181,20 @@
             for placement in placements
             if placement.urgency is layer_placement.Urgency.HIGH
         ]
-        if urgent or not placements:
-            self._zone_gap_since = None
+        if urgent:
             return urgent
+        if not placements:
+            self._zone_gap_since = None
+            return []
         now = timers.now()
         if self._zone_gap_since is None:
             self._zone_gap_since = now
-        urgency = max(placement.urgency for placement in placements)
-        delay = (
-            ZONE_GAP_SECONDS
-            if urgency is layer_placement.Urgency.MEDIUM
-            else ZONE_ARRANGE_SECONDS
-        )
-        return placements if now - self._zone_gap_since >= delay else []
+        waited = now - self._zone_gap_since
+        return [
+            placement
+            for placement in placements
+            if waited >= _zone_gap_seconds(placement.urgency)
+        ]
 
     def _drop_finished_orders(self) -> None:
         now = timers.now()
@@ -234,7 +245,8 @@
             return True
         if self._waiting_since is None:
             # The holder has known of a zone's gap for as long as this gateway.
-            self._start_waiting(state, self._zone_gap_since or now)
+            since = self._zone_gap_since or now
+            self._start_waiting(state, max(since, now - ZONE_GAP_SECONDS))
         elif state.revision != self._waited_revision:
             self._start_waiting(state, now)
         wait_seconds = TAKEOVER_SECONDS * self._takeover_factor
--- a/libs/gateway/burdockmast/gateway/stream_attempts.py
+++ b/libs/gateway/burdockmast/gateway/stream_attempts.py
@@ -41,6 +41,8 @@
 MAX_ERROR_BODY_BYTES = 1024 * 1024
 STATUS_OK = 200
 FIRST_SERVER_ERROR_STATUS = 500
+# A server's answer to a request that it could not serve in time.
+DEADLINE_STATUS = 504
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -285,7 +287,10 @@
         if head.metadata.is_not_run:
             return exchange.refusal(head, path_selector.RETRY_AFTER_SECONDS)
         self.head = head
-        if head.status >= FIRST_SERVER_ERROR_STATUS:
+        if (
+            head.status >= FIRST_SERVER_ERROR_STATUS
+            and head.status != DEADLINE_STATUS
+        ):
             deps.view.record_failed_request(
                 exchange.server.id, f'status {head.status}', job.id
             )
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -467,7 +467,7 @@
                 progress.failed_servers.extend(attempt.record_lost_servers())
             case _:
                 progress.failed_servers.append(first.id)
-                if attempt.head is None:
+                if attempt.head is None and not attempt.has_crashed:
                     self._view.record_failed_request(
                         first.id, failure.detail, job.id
                     )
--- a/libs/gateway/burdockmast/gateway/view.py
+++ b/libs/gateway/burdockmast/gateway/view.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections.abc import Iterable
+import math
 
 from burdockmast.base import ids
 from burdockmast.base import logs
@@ -47,6 +48,7 @@
             collections.Counter()
         )
         self._configuration: config.Configuration | None = None
+        self._pause_objective_by_service: dict[ids.ServiceId, float] = {}
         # Since when the store has held none that can be read.
         self._unreadable_since: float | None = None
         configurations.on_change.append(self._apply_newest)
@@ -77,6 +79,7 @@
             before = self._configuration.version if self._configuration else 0
             if self._configuration is None or found.version > before:
                 self._configuration = found
+                self._pause_objective_by_service = _pause_objectives(found)
                 LOG.info(
                     'configuration applied',
                     extra={
@@ -129,19 +132,7 @@
 
         It is in seconds, 0 if no route to the service names any.
         """
-        current = self.configuration
-        if current is None:
-            return 0.0
-        return min(
-            (
-                route.gap_objective_seconds
-                for routes in current.routes_by_host.values()
-                for route in routes
-                if service in route.weight_by_service
-                and route.gap_objective_seconds
-            ),
-            default=0.0,
-        )
+        return self._pause_objective_by_service.get(service, 0.0)
 
     def listed(self, service: ids.ServiceId) -> list[backends.BackendServer]:
         """Return all listed servers of a service."""
@@ -162,7 +153,7 @@
         excluded: Iterable[ids.ServerId] = (),
         may_rest: bool = False,
     ) -> list[backends.BackendServer]:
-        """Return servers that may get new requests, unresponsive ones last.
+        """Return servers that may get new requests, those to avoid last.
 
         :param may_rest: include those that have just refused a request
         """
@@ -174,12 +165,11 @@
             if server.is_ready
             and server.id not in excluded
             and server.id not in lost
-            and not self._failing.is_resting(server.id)
             and (may_rest or self._rests_until.get(server.id, 0.0) <= now)
         ]
-        unresponsive = self._unresponsive()
-        if unresponsive:
-            found.sort(key=lambda server: server.id in unresponsive)
+        avoided = self._avoided()
+        if avoided:
+            found.sort(key=lambda server: server.id in avoided)
         return found
 
     def preferred(
@@ -188,18 +178,24 @@
         excluded: Iterable[ids.ServerId] = (),
         may_rest: bool = False,
     ) -> list[backends.BackendServer]:
-        """Return the usable servers, unresponsive ones only if needed.
+        """Return the usable servers, those to avoid only if needed.
 
         :param may_rest: see ``usable``
         """
         return server_states.spare(
             service.engine,
             self.usable(service.id, excluded, may_rest),
-            self._unresponsive(),
+            self._avoided(),
         )
 
-    def _unresponsive(self) -> set[ids.ServerId]:
-        return self._states.in_state(server_states.State.UNRESPONSIVE)
+    def _avoided(self) -> set[ids.ServerId]:
+        """Return the servers that don't answer, or fail what they get."""
+        unresponsive = self._states.in_state(server_states.State.UNRESPONSIVE)
+        return unresponsive | self._failing.resting()
+
+    def is_avoided(self, server: ids.ServerId) -> bool:
+        """Return whether others are to be preferred to a server."""
+        return server in self._avoided()
 
     def has_ended(self, incarnation: backends.Incarnation) -> bool:
         """Return whether an incarnation of a server has certainly ended."""
@@ -221,7 +217,7 @@
             for server in known.keys() - listed.keys():
                 del known[server]
         self._states.keep_listed(listed)
-        self._failing.keep(listed)
+        self._failing.keep(server.incarnation for server in listed.values())
 
     def _log_leaving(self) -> None:
         """Log servers that no longer accept requests, and who said so."""
@@ -287,12 +283,15 @@
         self, server: ids.ServerId, reason: str, request: str
     ) -> None:
         """Record that a server failed a request that began at it."""
-        if self._failing.record_failure(server):
+        listed = self._servers.item_by_name.get(server)
+        if listed and self._failing.record_failure(listed.incarnation):
             self._log_ejection(server, reason, request, 'fails requests')
 
     def record_served_request(self, server: ids.ServerId) -> None:
         """Record that a server serves a request that began at it."""
-        self._failing.record_success(server)
+        listed = self._servers.item_by_name.get(server)
+        if listed:
+            self._failing.record_success(listed.incarnation)
 
     def record_failure(
         self,
@@ -344,6 +343,23 @@
         LOG.info('server answers again', extra={'server': server})
 
 
+def _pause_objectives(
+    configuration: config.Configuration,
+) -> dict[ids.ServiceId, float]:
+    """Return the strictest pause objective of the routes to each service."""
+    found: dict[ids.ServiceId, float] = {}
+    for routes in configuration.routes_by_host.values():
+        for route in routes:
+            if not route.gap_objective_seconds:
+                continue
+            for service in route.weight_by_service:
+                found[service] = min(
+                    route.gap_objective_seconds,
+                    found.get(service, math.inf),
+                )
+    return found
+
+
 def _key_count(authentication: config.Authentication) -> int | None:
     """Return how many API keys are in force, None if callers need none."""
     match authentication:
--- a/libs/gateway/burdockmast/gateway/wsgi.py
+++ b/libs/gateway/burdockmast/gateway/wsgi.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 import dataclasses
 import random
+import socket
 
 import eventlet.hubs
 import greenlet
@@ -156,7 +157,7 @@
             yield self._send_error(
                 start_response, request.id, job, body.has_near_end
             )
-            body.drop(connection)
+            self._drop(body, connection)
             return
         self._budget.deposit(job.service.id)
         self._unanswered.add(greenlet.getcurrent())
@@ -193,6 +194,14 @@
             raise
         self._metrics.timing('request', timers.now() - arrived_at)
 
+    def _drop(self, body: bodies.Body, connection: socket.socket) -> None:
+        """Drop the rest of an answered request, which delays no stop."""
+        self.running_count -= 1
+        try:
+            body.drop(connection)
+        finally:
+            self.running_count += 1
+
     def _admit(
         self,
         request: interfaces.CallerRequest,
@@ -223,9 +232,9 @@
         content = body.read(configuration.limits.max_body_bytes)
         if isinstance(content, failures.Failure):
             return content
-        refusal = self._refuse_after_body(route, request)
-        if refusal:
-            return refusal
+        organisation = self._admit_after_body(route, request)
+        if isinstance(organisation, failures.Failure):
+            return organisation
         seconds = request.timeout_seconds
         if seconds is None:
             seconds = DEFAULT_DEADLINE_SECONDS
@@ -251,16 +260,14 @@
             retry_after=RETRY_AFTER_SECONDS,
         )
 
-    def _refuse_after_body(
+    def _admit_after_body(
         self, route: config.Route, request: interfaces.CallerRequest
-    ) -> failures.Failure | None:
-        """Refuse what was stopped or revoked while the body was read."""
+    ) -> config.Organisation | failures.Failure:
+        """Return who holds the key now that the body has been read."""
         refusal = self._refuse_while_stopping()
         if refusal:
             return refusal
-        newest = self._view.configuration
-        holder = self._authenticate(newest, route, request)
-        return holder if isinstance(holder, failures.Failure) else None
+        return self._authenticate(self._view.configuration, route, request)
 
     def _find_route(
         self,
--- a/libs/model/burdockmast/model/play.py
+++ b/libs/model/burdockmast/model/play.py
@@ -93,8 +93,14 @@
 
     server_list_age = 0.0
 
-    def __init__(self, servers: list[backends.BackendServer]):
+    def __init__(
+        self, servers: list[backends.BackendServer], pause_seconds: float
+    ):
         self._servers = servers
+        self._pause_seconds = pause_seconds
+
+    def pause_objective(self, service: ids.ServiceId) -> float:
+        return self._pause_seconds
 
     def usable(
         self, service: ids.ServiceId, excluded: object = ()
@@ -132,20 +138,12 @@
     length_hint: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Route:
-    """The objective of a route that the path selector reads."""
-
-    gap_objective_seconds: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Job:
     """As much of a request as the path selector reads."""
 
     service: config.Service
     request: _Request
-    route: _Route
 
 
 class _Gateway:
@@ -229,7 +227,7 @@
             )
             for server in servers
         }
-        fleet = _FixedFleet(servers)
+        fleet = _FixedFleet(servers, load.pause_seconds)
         self.gateways_by_zone = {
             zone: [
                 _Gateway(
@@ -351,11 +349,7 @@
         self._last_event_at: float | None = None
         self._is_late = False
         self._prompt = prompt
-        self._job = _Job(
-            play._service,
-            _Request(prompt, answer, answer),
-            _Route(play._load.pause_seconds),
-        )
+        self._job = _Job(play._service, _Request(prompt, answer, answer))
         self._request: engines.Request | None = None
 
     def try_to_begin(self) -> None:
--- a/tests/test_gateway_crossings.py
+++ b/tests/test_gateway_crossings.py
@@ -140,8 +140,11 @@
         fleet.selector(servers, zone, seed) for seed, zone in enumerate('abc')
     ]
     job = fleet.job(SLOW_LINKS)
+    found = []
     for number in range(300):
         gateway = gateways[number % 3]
         if path := gateway.find_path(job, ()):
             gateway.reserve(job, path)
-            assert len({stage.server.zone for stage in path}) == 1
+            found.append(path)
+    assert found
+    assert all(len({s.server.zone for s in path}) == 1 for path in found)
--- a/tests/test_gateway_failing_servers.py
+++ b/tests/test_gateway_failing_servers.py
@@ -3,9 +3,11 @@
 import pytest
 
 from burdockmast.base import ids
+from burdockmast.gateway import backends
 from burdockmast.gateway import failing_servers
 
-SERVER = ids.ServerId('i-1')
+SERVER = backends.Incarnation(ids.ServerId('i-1'), 1)
+OTHER = backends.Incarnation(ids.ServerId('i-2'), 1)
 REQUEST_COUNT = 12
 
 
@@ -16,22 +18,22 @@
 
 def test_a_server_rests_after_failures_in_a_row(failing, clock):
     assert not failing.record_failure(SERVER)
-    assert not failing.is_resting(SERVER)
+    assert not failing.resting()
     assert failing.record_failure(SERVER)
-    assert failing.is_resting(SERVER)
-    assert not failing.is_resting(ids.ServerId('i-2'))
+    assert not failing.record_failure(OTHER)
+    assert failing.resting() == {SERVER.server}
     clock.now += failing_servers.REST_SECONDS
-    assert not failing.is_resting(SERVER)
+    assert not failing.resting()
 
 
-def test_the_first_request_after_a_rest_decides(failing, clock):
+def test_the_next_outcome_after_a_rest_decides(failing, clock):
     for _ in range(failing_servers.MAX_FAILURES):
         failing.record_failure(SERVER)
     clock.now += failing_servers.REST_SECONDS
     assert failing.record_failure(SERVER)
-    assert failing.is_resting(SERVER)
+    assert failing.resting()
     failing.record_success(SERVER)
-    assert not failing.is_resting(SERVER)
+    assert not failing.resting()
     assert not failing.record_failure(SERVER)
 
 
@@ -41,20 +43,40 @@
         failing.record_success(SERVER)
 
 
-def test_servers_that_are_gone_are_forgotten(failing):
+def test_a_server_that_has_started_again_does_not_rest(failing):
     for _ in range(failing_servers.MAX_FAILURES):
         failing.record_failure(SERVER)
-    failing.keep({ids.ServerId('i-2')})
-    assert not failing.is_resting(SERVER)
+    failing.keep([SERVER, OTHER])
+    assert failing.resting()
+    failing.keep([SERVER._replace(started_ms=2), OTHER])
+    assert not failing.resting()
+
+
+@pytest.fixture
+def counted(platform):
+    """A gateway that knows that it has the whole budget of retries."""
+    platform.wait_for(lambda: platform.logged('number of gateways changed'))
+    return platform
 
 
 @pytest.mark.parametrize('path', ['/draft/x', '/lookup/x'])
-def test_a_server_that_fails_everything_is_not_asked_on_and_on(platform, path):
+def test_a_server_that_fails_everything_is_not_asked_on_and_on(counted, path):
     """It has nothing to do, and looks like the best choice each time."""
-    servers = platform.engines if 'draft' in path else platform.apps
-    failing_server = servers[0]
-    failing_server.error_text = 'broken'
-    statuses = [platform.ask(path)[0] for _ in range(REQUEST_COUNT)]
-    # Without a retry in the budget its error is the answer.
-    assert statuses.count(200) >= REQUEST_COUNT - failing_servers.MAX_FAILURES
-    assert len(failing_server.requests) < REQUEST_COUNT / 3
+    servers = counted.engines if 'draft' in path else counted.apps
+    servers[0].error_text = 'broken'
+    for _ in range(REQUEST_COUNT):
+        assert counted.ask(path)[0] == 200
+    assert len(servers[0].requests) < REQUEST_COUNT / 3
+
+
+@pytest.mark.parametrize('path', ['/draft/x', '/lookup/x'])
+def test_servers_that_all_fail_are_asked_all_the_same(counted, path):
+    """Their callers would find nobody for as long as they rest."""
+    servers = counted.engines if 'draft' in path else counted.apps
+    for server in servers:
+        server.error_text = 'broken'
+    for _ in range(REQUEST_COUNT):
+        assert counted.ask(path)[0] == 500
+    for server in servers:
+        server.error_text = ''
+    assert counted.ask(path)[0] == 200
--- a/tests/test_gateway_links.py
+++ b/tests/test_gateway_links.py
@@ -23,6 +23,8 @@
 # Length and rate of the simulated burst.
 BURST_SECONDS = 4.0
 REQUESTS_PER_SECOND = 90
+# Objective for the time between two events.
+PAUSE_SECONDS = 0.2
 
 
 def test_a_link_is_full_until_its_backlog_is_sent(clock):
@@ -64,6 +66,9 @@
     def usable(self, service, excluded=()):
         return [s for s in self.servers if s.id not in excluded]
 
+    def pause_objective(self, service):
+        return PAUSE_SECONDS
+
     def preferred(self, service, excluded=(), may_rest=False):
         return self.usable(service.id, excluded)
 
@@ -95,7 +100,7 @@
     return created
 
 
-def job(engine=fleets.ENGINE, pause_seconds=0.2):
+def job(engine=fleets.ENGINE):
     request = types.SimpleNamespace(
         prompt_tokens=fleets.SIZE.prompt_tokens,
         max_answer_tokens=fleets.SIZE.answer_tokens,
@@ -105,8 +110,6 @@
     service = config.Service(ids.ServiceId('draft'), engine)
     object.__setattr__(created, 'service', service)
     object.__setattr__(created, 'request', request)
-    route = types.SimpleNamespace(gap_objective_seconds=pause_seconds)
-    object.__setattr__(created, 'route', route)
     return created
 
 
--- a/tests/test_gateway_paths.py
+++ b/tests/test_gateway_paths.py
@@ -224,6 +224,22 @@
     )
 
 
+@pytest.mark.parametrize(
+    ('kind', 'cache_bytes'), [('unknown', 918000), ('large', 0)]
+)
+def test_a_plan_ends_whatever_servers_and_engines_name(kind, cache_bytes):
+    """Entries may lack their kind, and engines the size of their caches."""
+    engine = dataclasses.replace(ENGINE, cache_bytes_per_token=cache_bytes)
+    servers = [server(f's{n}', 'a', kind) for n in range(100)]
+    layer_placement.plan(engine, servers, {}, True)
+    held = [
+        server(f's{n}', 'a', kind, held=(n % 70, n % 70 + 1))
+        for n in range(100)
+    ]
+    other = server('other', 'b', 'large', held=(0, 80))
+    layer_placement.plan(engine, [*held, other], {}, True)
+
+
 def test_a_zone_whose_servers_can_spare_nothing_is_arranged_anew():
     """Otherwise all of them are idle for good after the loss of one."""
     servers = with_planned_layers(
