Wait for two pipelines before a test breaks the server of one

Cause: the fixture waits for the first answer. A gateway that has ordered layers hears from the store when each server holds them, one after the other, some tens of milliseconds later beside load. Until it has heard of the second server of the first layers, both attempts of a request go to the only one it knows, and 500 is the right answer. The logs of three failing plays show just that: the paths begin at i-a only, up to 0.15 s after the orders, and at i-c from then on.

The test now waits until two servers have begun a request, and breaks one of them, whichever it is. It is as strict: each answer must be 200, the broken server gets less than a third, and the other one must get each request.

--- a/tests/test_gateway_failing_servers.py
+++ b/tests/test_gateway_failing_servers.py
@@ -59,14 +59,31 @@
     return platform
 
 
+def servers_that_begin(counted, path):
+    """Ask until the gateway knows two servers at which requests begin."""
+    servers = counted.engines if 'draft' in path else counted.apps
+    found = []
+
+    def has_found_two():
+        assert counted.ask(path)[0] == 200
+        found[:] = [server for server in servers if server.requests]
+        return len(found) == 2
+
+    counted.wait_for(has_found_two)
+    for server in found:
+        server.requests.clear()
+    return found
+
+
 @pytest.mark.parametrize('path', ['/draft/x', '/lookup/x'])
 def test_a_server_that_fails_everything_is_not_asked_on_and_on(counted, path):
     """It has nothing to do, and looks like the best choice each time."""
-    servers = counted.engines if 'draft' in path else counted.apps
-    servers[0].error_text = 'broken'
+    failing, sound = servers_that_begin(counted, path)
+    failing.error_text = 'broken'
     for _ in range(REQUEST_COUNT):
         assert counted.ask(path)[0] == 200
-    assert len(servers[0].requests) < REQUEST_COUNT / 3
+    assert len(failing.requests) < REQUEST_COUNT / 3
+    assert len(sound.requests) == REQUEST_COUNT
 
 
 @pytest.mark.parametrize('path', ['/draft/x', '/lookup/x'])
