Play retry storms and endless replies, and write down what they show

Users saw BUDGET on real processes. The plays run real gateways on the stand-in and count arrivals at the servers, so that no count of a gateway's own is trusted.

--- a/libs/bench/burdockmast/bench/gateway_processes.py
+++ b/libs/bench/burdockmast/bench/gateway_processes.py
@@ -20,6 +20,12 @@
 GRACE_SECONDS = 8
 # A process ignores the reload signal only once it has started.
 START_SECONDS = 3.0
+# Memory of an instance of the usual size.
+MEMORY_MB = 300
+# Bounds on retries, over all gateways.
+RETRY_RATIO = 0.2
+RETRY_SLACK = 200
+RETRY_WINDOW_SECONDS = 10
 
 
 @dataclasses.dataclass(slots=True)
@@ -37,20 +43,29 @@
 class GatewayProcess:
     """One gateway as a process of its own."""
 
-    def __init__(self, directory: pathlib.Path, host: str, store: str):
+    def __init__(
+        self,
+        directory: pathlib.Path,
+        host: str,
+        store: str,
+        memory_mb: int = MEMORY_MB,
+    ):
         """Write the settings and start the process."""
         self.host = host
+        self.name = f'gateway-{host}'
         self.excused_until = 0.0
         self.outages: list[Outage] = []
         self._replaced: subprocess.Popen | None = None
         self._file = directory / f'{host}.toml'
         self._file.write_text(
-            f'node = "gateway-{host}"\nip = "{host}"\nzone = "a"\n'
+            f'node = "{self.name}"\nip = "{host}"\nzone = "a"\n'
             'internal-ports = [7010, 7020]\n[zones]\na = "region"\n'
             f'[listen]\nfront = "{host}:7000"\nready = "{host}:7001"\n'
             f'[bounds]\nrevoke-ms = 5000\ngrace-s = {GRACE_SECONDS}\n'
-            'budget-ratio = 0.2\n'
-            'budget-window-s = 10\nretry-slack = 200\ndrain-ms = 2000\n'
+            f'budget-ratio = {RETRY_RATIO}\n'
+            f'budget-window-s = {RETRY_WINDOW_SECONDS}\n'
+            f'retry-slack = {RETRY_SLACK}\ndrain-ms = 2000\n'
+            f'[limits]\nmemory-mb = {memory_mb}\n'
             f'[platform]\naddress = "{store}"\n'
         )
         self._log = (directory / f'{host}.log').open('ab')
@@ -71,7 +86,7 @@
         number = rng.choice((signal.SIGKILL, signal.SIGTERM, signal.SIGSTOP))
         seconds = rng.uniform(0.5, 2.5)
         if number is signal.SIGSTOP:
-            self._suspend(seconds)
+            self.suspend(seconds)
         else:
             self.restart(number)
         return f'{number.name} for {seconds:.1f} s at {self.host}'
@@ -90,7 +105,8 @@
             self.start()
         self._end_outage(outage)
 
-    def _suspend(self, seconds: float) -> None:
+    def suspend(self, seconds: float) -> None:
+        """Suspend the process for some time."""
         outage = self._begin_outage(signal.SIGSTOP)
         process = self.process
         process.send_signal(signal.SIGSTOP)
--- a/libs/bench/burdockmast/bench/program.py
+++ b/libs/bench/burdockmast/bench/program.py
@@ -16,6 +16,8 @@
 
 from burdockmast.bench import capacity  # noqa: E402
 from burdockmast.bench import demo  # noqa: E402
+from burdockmast.bench import endless_replies  # noqa: E402
+from burdockmast.bench import endless_server  # noqa: E402
 from burdockmast.bench import experiments  # noqa: E402
 from burdockmast.bench import gateway_soak  # noqa: E402
 from burdockmast.bench import loading  # noqa: E402
@@ -24,6 +26,7 @@
 from burdockmast.bench import mixes  # noqa: E402
 from burdockmast.bench import plots  # noqa: E402
 from burdockmast.bench import report  # noqa: E402
+from burdockmast.bench import retry_storms  # noqa: E402
 from burdockmast.bench import slopes  # noqa: E402
 from burdockmast.bench import soak  # noqa: E402
 from burdockmast.model import play  # noqa: E402
@@ -231,6 +234,61 @@
     raise SystemExit(int(is_broken))
 
 
+@main.command('retry-storm')
+@click.option(
+    '--disruption',
+    multiple=True,
+    default=[one.value for one in retry_storms.Disruption],
+    type=click.Choice([one.value for one in retry_storms.Disruption]),
+)
+@click.option('--seed', default=1, help='First seed.')
+@click.option('--count', default=1, help='Seeds to play, one after another.')
+@click.option('--keep', type=FILE, help='Folder for logs of broken rules.')
+@click.option('--gateways', default=retry_storms.GATEWAY_COUNT)
+def run_retry_storm(
+    disruption: tuple[str, ...],
+    seed: int,
+    count: int,
+    keep: pathlib.Path | None,
+    gateways: int,
+) -> None:
+    """Disrupt gateways of failing servers; exit with 1 on excess retries."""
+    is_broken = False
+    plays = itertools.product(range(seed, seed + count), disruption)
+    for number, name in plays:
+        usage, statuses = retry_storms.play(
+            retry_storms.Disruption(name), number, keep, gateways
+        )
+        is_broken |= usage.windows_over > 0
+        click.echo(
+            f'seed {number} {name}: {usage.retries} retries of '
+            f'{usage.allowance:.0f} allowed ({usage.share:.2f}, usually '
+            f'{usage.usual_share:.2f}), '
+            f'{usage.windows_over} windows over, {dict(statuses)}'
+        )
+    raise SystemExit(int(is_broken))
+
+
+@main.command('endless-replies')
+@click.option(
+    '--trouble',
+    multiple=True,
+    default=[one.value for one in endless_server.Trouble],
+    type=click.Choice([one.value for one in endless_server.Trouble]),
+)
+@click.option('--route', default='read', help='read, write or draft.')
+def run_endless_replies(trouble: tuple[str, ...], route: str) -> None:
+    """Measure a gateway whose servers send without end."""
+    for name in trouble:
+        found = endless_replies.play(endless_server.Trouble(name), route)
+        click.echo(
+            f'{route} {name}: {found.peak_mb:.0f} MB at the peak, '
+            f'{found.sound} of {endless_replies.SOUND_REQUESTS} sound '
+            f'requests served, {found.late} of {endless_replies.CALLERS} '
+            'callers without an answer in time'
+        )
+
+
 @main.command('capacity')
 @click.argument('measured', type=FILE)
 @click.argument('page', type=FILE)
--- a/libs/platform/burdockmast/platform/standin.py
+++ b/libs/platform/burdockmast/platform/standin.py
@@ -13,6 +13,7 @@
 import itertools
 import json
 import math
+import random
 import socket
 from typing import Any
 from typing import NoReturn
@@ -259,6 +260,7 @@
     :ivar is_unframed: streams have neither a length nor chunks, and end with
         their connection
     :ivar error_text: body of the error with which it replies, or empty
+    :ivar failing_share: of requests, which it answers with an error
     :ivar rest_seconds: for which it wants no requests after a refusal
     :ivar is_leaving: says in its answers that it leaves
     :ivar limit: requests a second that it names in its answers, or None
@@ -280,6 +282,8 @@
         self.delay_seconds = 0.0
         self.is_unframed = False
         self.error_text = ''
+        self.failing_share = 0.0
+        self._rng = random.Random(entry['id'])
         self.rest_seconds: float | None = None
         self.is_leaving = False
         self.limit: float | None = None
@@ -439,6 +443,8 @@
                 refusal.append(('Retry-After', str(self.rest_seconds)))
             start_response('503 Service Unavailable', refusal)
             return [b'']
+        if self._rng.random() < self.failing_share:
+            return _respond(start_response, 500, 'failed')
         if self.error_text:
             return _respond(start_response, 500, self.error_text)
         if self.is_unsigned:
