Hold the slack of retries in slots that all gateways share

Users saw BUDGET: retries beyond what is allowed, summed over all gateways.

Cause: each process kept its share of the slack for its own lifetime and by its own count of gateways. A process that started again had a whole share once more; one that counted too few took too much. Besides, parts of a retry were rounded up, a gateway's clock stood still while it was suspended, and a retry could be sent long after it was allowed.

The slack is split into slots now, each an object in the store that one gateway at a time uses, for 15 s after its last conditional write. Others take it over once it is marked as free by a holder that has not used it for a window, or once they have seen it unchanged for longer than its holder may use it and a window more. No count, clock of another process or memory of an earlier one enters; a restored store makes all observations begin anew. What a gateway's own requests allow stays its own, rounded down. A calm fleet makes no writes for it. The count of gateways only decides who takes how many slots. The store is asked when the budget runs low; a request waits at most 0.25 s for a slot. Metrics: retries.allowed, refused, slots_acquired, slots_held.

Mutants of the wait, lease, era and release fail the tests.

The soak checks the rule for each service.

--- a/libs/bench/burdockmast/bench/gateway_processes.py
+++ b/libs/bench/burdockmast/bench/gateway_processes.py
@@ -12,6 +12,7 @@
 import eventlet
 
 from burdockmast.base import timers
+from burdockmast.bench import retry_checks
 from burdockmast.platform import settings
 
 # Time without disruption after which a gateway keeps all promises.
@@ -23,9 +24,7 @@
 # Memory of an instance of the usual size.
 MEMORY_MB = 300
 # Bounds on retries, over all gateways.
-RETRY_RATIO = 0.2
-RETRY_SLACK = 200
-RETRY_WINDOW_SECONDS = 10
+RETRY_RULE = retry_checks.RetryRule(ratio=0.2, slack=200, window_seconds=10.0)
 
 
 @dataclasses.dataclass(slots=True)
@@ -62,9 +61,9 @@
             'internal-ports = [7010, 7020]\n[zones]\na = "region"\n'
             f'[listen]\nfront = "{host}:7000"\nready = "{host}:7001"\n'
             f'[bounds]\nrevoke-ms = 5000\ngrace-s = {GRACE_SECONDS}\n'
-            f'budget-ratio = {RETRY_RATIO}\n'
-            f'budget-window-s = {RETRY_WINDOW_SECONDS}\n'
-            f'retry-slack = {RETRY_SLACK}\ndrain-ms = 2000\n'
+            f'budget-ratio = {RETRY_RULE.ratio}\n'
+            f'budget-window-s = {RETRY_RULE.window_seconds}\n'
+            f'retry-slack = {RETRY_RULE.slack}\ndrain-ms = 2000\n'
             f'[limits]\nmemory-mb = {memory_mb}\n'
             f'[platform]\naddress = "{store}"\n'
         )
--- a/libs/bench/burdockmast/bench/gateway_soak.py
+++ b/libs/bench/burdockmast/bench/gateway_soak.py
@@ -23,6 +23,7 @@
 from burdockmast.bench import gateway_processes
 from burdockmast.bench import gateway_revocations
 from burdockmast.bench import lost_requests
+from burdockmast.bench import retry_checks
 from burdockmast.platform import standin
 
 GATEWAY_COUNT = 3
@@ -372,6 +373,21 @@
         }
         self._store.put('config', 'main', self._configuration)
 
+    def _service_of(self, path: str) -> str:
+        """Return the service that gets requests for a path.
+
+        Routes that were added go where the last of the given ones does.
+        """
+        routes = CONFIGURATION['routes']
+        return next(
+            (
+                str(route['service'])
+                for route in routes
+                if path.startswith(str(route['path-prefix']))
+            ),
+            str(routes[-1]['service']),
+        )
+
     def _write_again(self) -> None:
         """Write what the operator and the servers had written."""
         self._store.put('config', 'main', self._configuration)
@@ -404,6 +420,21 @@
                 violations += gateway_checks.find_excess(
                     server, *self._named[server.id], excused, self._ends_at
                 )
+        for service, servers in (
+            ('llm', self._engines),
+            ('app', self._apps),
+            ('speech', [self._speech]),
+        ):
+            violations += retry_checks.find_excess(
+                service,
+                [
+                    request.sent_at
+                    for request in self._callers.sent
+                    if self._service_of(request.path) == service
+                ],
+                [seen for server in servers for seen in server.requests],
+                gateway_processes.RETRY_RULE,
+            )
         violations += gateway_checks.find_repeated_commands(self._apps)
         violations += gateway_checks.find_cut_bodies(
             self._callers.sent, self._apps
--- a/libs/bench/burdockmast/bench/retry_checks.py
+++ b/libs/bench/burdockmast/bench/retry_checks.py
@@ -66,7 +66,7 @@
     """
     sent_at = sorted(sent_at)
     retries = _retry_times(received)
-    begun_at = sent_at[0] + rule.window_seconds
+    begun_at = min(sent_at, default=0.0) + rule.window_seconds
     worst = Usage(0.0, 0.0, 0, rule.slack, 0)
     shares = []
     over = 0
@@ -86,6 +86,22 @@
     )
 
 
+def find_excess(
+    service: str,
+    sent_at: Iterable[float],
+    received: Iterable[standin.ReceivedRequest],
+    rule: RetryRule,
+) -> list[str]:
+    """Return a violation if a service got more retries than allowed."""
+    usage = measure(sent_at, received, rule)
+    if not usage.windows_over:
+        return []
+    return [
+        f'{service} got {usage.retries} retries in a window, '
+        f'{usage.allowance:.0f} are allowed'
+    ]
+
+
 def _retry_times(received: Iterable[standin.ReceivedRequest]) -> list[float]:
     """Return the times of all arrivals but the first of each request."""
     seen: set[str] = set()
--- a/libs/bench/burdockmast/bench/retry_storms.py
+++ b/libs/bench/burdockmast/bench/retry_storms.py
@@ -36,11 +36,6 @@
 ANSWER_SECONDS = 4.0
 KEY = 'k1'
 SERVICE = 'app'
-RULE = retry_checks.RetryRule(
-    gateway_processes.RETRY_RATIO,
-    gateway_processes.RETRY_SLACK,
-    gateway_processes.RETRY_WINDOW_SECONDS,
-)
 CONFIGURATION = {
     'version': 7,
     'routes': [
@@ -134,7 +129,7 @@
             return retry_checks.measure(
                 self._sent_at,
                 [r for server in self._servers for r in server.requests],
-                RULE,
+                gateway_processes.RETRY_RULE,
             )
         finally:
             for gateway in self._gateways:
--- a/libs/gateway/burdockmast/gateway/calls.py
+++ b/libs/gateway/burdockmast/gateway/calls.py
@@ -18,6 +18,7 @@
 from burdockmast.gateway import jobs
 from burdockmast.gateway import leaving_servers
 from burdockmast.gateway import retries
+from burdockmast.gateway import retry_allowance
 from burdockmast.gateway import server_limits
 from burdockmast.gateway import server_states
 from burdockmast.gateway import upstream
@@ -47,7 +48,7 @@
         self,
         fleet: view.View,
         header_codec: interfaces.HeaderCodec,
-        budget: retries.Budget,
+        budget: retry_allowance.RetryAllowance,
         zone: ids.ZoneId,
         rng: random.Random,
         suspects: crash_suspects.CrashSuspects,
@@ -79,16 +80,19 @@
             server = self._choose(job, tried)
             if server is None:
                 break
-            if attempt and not self._budget.withdraw(
-                job.service.id, has_begun=possible_runs > 0
-            ):
+            permit: retries.Permit | None = retries.FIRST_ATTEMPT
+            if attempt:
+                permit = self._budget.withdraw(
+                    job.service.id, possible_runs > 0, job.seconds_left
+                )
+            if permit is None:
                 LOG.info(
                     'retry budget exhausted; request is not retried',
                     extra={'request': job.id, 'sends': attempt},
                 )
                 break
             tried.append(server.id)
-            last_result = self._attempt(job, server, fingerprints)
+            last_result = self._attempt(job, server, fingerprints, permit)
             if isinstance(last_result, jobs.Reply):
                 possible_runs += 1
                 if (
@@ -168,9 +172,10 @@
         job: jobs.Job,
         server: backends.BackendServer,
         fingerprints: tuple[ids.Fingerprint, ...],
+        permit: retries.Permit,
     ) -> jobs.Reply | failures.Failure:
         began = timers.now()
-        exchange = upstream.Exchange(server)
+        exchange = upstream.Exchange(server, permit.send_before)
         self._view.add_request((server.id,))
         tracked = self._suspects.track(fingerprints, server)
         try:
--- a/libs/gateway/burdockmast/gateway/interfaces.py
+++ b/libs/gateway/burdockmast/gateway/interfaces.py
@@ -268,7 +268,7 @@
 
 
 class GatewayRegistry(Protocol):
-    """The gateways that share the fleet and the retry budget."""
+    """The gateways that share the fleet."""
 
     def register(self) -> failures.Failure | None:
         """Add this gateway to the registry."""
@@ -304,3 +304,66 @@
 
     def remove(self, fingerprint: ids.Fingerprint) -> failures.Failure | None:
         """Remove a record; it may be removed already."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotRecord:
+    """A slot of the retry slack, see ``retry_slots``.
+
+    :ivar holder: address of the gateway that uses it, empty if it is free and
+        was not used in the last window
+    :ivar era: number of the store's history for which the writer vouches
+    :ivar revision: of the store at the last write
+    """
+
+    holder: ids.Address
+    era: int
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotListing:
+    """All slots that were ever written, at some moment.
+
+    :ivar era: number of the store's history that was listed
+    """
+
+    era: int
+    record_by_number: dict[int, SlotRecord]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SlotAnswer:
+    """The store's answer to the write of a slot.
+
+    :ivar record: as the store holds it now; None if it doesn't say
+    :ivar era: number of the store's history in which it answered
+    :ivar is_written: false if somebody else wrote before
+    """
+
+    record: SlotRecord | None
+    era: int
+    is_written: bool
+
+
+class RetrySlotRegistry(Protocol):
+    """The slots of the retry slack that all gateways share."""
+
+    def list(self) -> SlotListing | failures.Failure:
+        """Return all slots, which may be some seconds old."""
+
+    def write(
+        self,
+        number: int,
+        holder: ids.Address,
+        era: int,
+        before: SlotRecord | None,
+    ) -> SlotAnswer | failures.Failure:
+        """Write a slot, unless somebody else did after ``before``.
+
+        A write whose answer is lost may be executed seconds later, if
+        nobody else has written by then.
+
+        :param era: see ``SlotRecord``
+        :param before: as read, None if the slot was never written
+        """
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -31,6 +31,8 @@
 from burdockmast.gateway import relays
 from burdockmast.gateway import reports
 from burdockmast.gateway import retries
+from burdockmast.gateway import retry_allowance
+from burdockmast.gateway import retry_slots
 from burdockmast.gateway import server_limits
 from burdockmast.gateway import settings
 from burdockmast.gateway import streams
@@ -73,6 +75,7 @@
     planner_lock: interfaces.PlannerLock
     gateway_registry: interfaces.GatewayRegistry
     quarantine_registry: interfaces.QuarantineRegistry
+    retry_slots: interfaces.RetrySlotRegistry
     engines: interfaces.EngineClient
     header_codec: interfaces.HeaderCodec
 
@@ -119,10 +122,23 @@
         self.view = view.View(
             self._configurations, self._servers, self._leaving
         )
-        budget = retries.Budget(
-            gateway_settings.retry_ratio,
-            gateway_settings.retry_slack,
-            gateway_settings.retry_window,
+        split = retry_slots.Split.from_slack(gateway_settings.retry_slack)
+        budget = retry_allowance.RetryAllowance(
+            gateway_settings.neighbours_address,
+            retries.Budget(
+                gateway_settings.retry_ratio,
+                split,
+                gateway_settings.retry_window,
+            ),
+            retry_slots.SlotTable(
+                gateway_settings.neighbours_address,
+                split,
+                gateway_settings.retry_window,
+            ),
+            platform.retry_slots,
+            self._neighbours.is_watcher,
+            self._metrics,
+            rng,
         )
         usage = memory.Usage()
         self._suspects = crash_suspects.CrashSuspects()
@@ -243,6 +259,9 @@
             quarantine.SYNC_INTERVAL_SECONDS,
             self._quarantine_keeper.sync,
         )
+        self._timers.subscribe(
+            'retries', retry_allowance.SYNC_INTERVAL_SECONDS, self._budget.sync
+        )
         self._serve_metrics()
         caller_connections.CallerConnections(
             self._settings.ready_address,
@@ -272,7 +291,7 @@
         self._quarantine_keeper.write_again()
 
     def _count_gateways(self) -> None:
-        """Register this gateway, then count all that share the budget."""
+        """Register this gateway, then count all that share the fleet."""
         if not self._is_registered:
             failure = self._gateway_registry.register()
             if failure:
@@ -284,8 +303,7 @@
             self._is_registered = True
             self._registered_at = timers.now()
         if timers.now() < self._restored_at + REGISTERED_SECONDS:
-            # Others may not have registered again yet; a lower count would
-            # give each gateway a larger part of the budget.
+            # Others may not have registered again yet.
             return
         found = self._gateway_registry.list()
         if isinstance(found, failures.Failure):
@@ -347,6 +365,7 @@
             until - ANSWER_MARGIN_SECONDS,
         )
         self.application.end_unanswered()
+        self._budget.release_unused()
         callers.close_idle()
         _wait_while(lambda: callers.open_count, until)
         LOG.info(
@@ -371,6 +390,9 @@
             'quarantine.fingerprints',
             lambda: len(self._suspects.quarantined()),
         )
+        self._metrics.gauge(
+            'retries.slots_held', lambda: self._budget.held_count
+        )
         self._metrics.gauge(
             'requests.running', lambda: self.application.running_count
         )
--- a/libs/gateway/burdockmast/gateway/stream_attempts.py
+++ b/libs/gateway/burdockmast/gateway/stream_attempts.py
@@ -130,6 +130,10 @@
         """Seconds without an event."""
         return timers.now() - self.silent_since
 
+    def send_before(self, boottime: float) -> None:
+        """Let the request be sent only until then."""
+        self._exchange.send_before = boottime
+
     def receive_first(self) -> failures.Failure | None:
         """Wait for the first events, which ``receive`` then returns."""
         try:
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -24,6 +24,7 @@
 from burdockmast.gateway import leaving_servers
 from burdockmast.gateway import path_selector
 from burdockmast.gateway import retries
+from burdockmast.gateway import retry_allowance
 from burdockmast.gateway import server_limits
 from burdockmast.gateway import server_states
 from burdockmast.gateway import silence
@@ -31,6 +32,7 @@
 from burdockmast.gateway import stream_progress
 from burdockmast.gateway import stream_standbys
 from burdockmast.gateway import suspect_trials
+from burdockmast.gateway import upstream
 from burdockmast.gateway import view
 
 LOG = logs.get('streams')
@@ -54,7 +56,7 @@
         self,
         fleet: view.View,
         header_codec: interfaces.HeaderCodec,
-        budget: retries.Budget,
+        budget: retry_allowance.RetryAllowance,
         selector: path_selector.PathSelector,
         measures: metrics.Metrics,
         suspects: crash_suspects.CrashSuspects,
@@ -323,7 +325,11 @@
         attempt = self._open(job, progress)
         if isinstance(attempt, failures.Failure):
             return attempt
-        if self._budget.withdraw(job.service.id, progress.has_begun):
+        permit = self._budget.withdraw(
+            job.service.id, progress.has_begun, job.seconds_left
+        )
+        if permit is not None:
+            attempt.send_before(permit.send_before)
             return attempt
         progress.attempts -= 1
         return self._no_retry_failure(job, progress)
@@ -441,6 +447,8 @@
             if progress.has_begun:
                 progress.ran_at.discard(first.incarnation)
         match failure:
+            case failures.Failure(step=upstream.NOT_SENT_STEP):
+                pass
             case failures.Failure(step='backend.connect'):
                 progress.failed_servers.append(first.id)
                 self._view.record_failure(
--- a/libs/gateway/burdockmast/gateway/upstream.py
+++ b/libs/gateway/burdockmast/gateway/upstream.py
@@ -42,6 +42,9 @@
 # Time for which data that has come is still read after the deadline.
 LATE_READ_SECONDS = 0.2
 
+# Step of a request that was not sent, which says nothing about its server.
+NOT_SENT_STEP = 'backend.not_sent'
+
 CONNECTION_ERRORS = (
     OSError,
     urllib3.exceptions.HTTPError,
@@ -213,9 +216,15 @@
 class Exchange:
     """A request and its reply."""
 
-    def __init__(self, server: backends.BackendServer):
-        """Prepare a connection to a server; nothing is sent yet."""
+    def __init__(
+        self, server: backends.BackendServer, send_before: float = math.inf
+    ):
+        """Prepare a connection to a server; nothing is sent yet.
+
+        :param send_before: boot time seconds after which nothing is sent
+        """
         self.server = server
+        self.send_before = send_before
         self._address = addresses.split(server.address)
         self._connection = urllib3.connection.HTTPConnection(*self._address)
         self._response: urllib3.BaseHTTPResponse | None = None
@@ -263,6 +272,14 @@
                 self.server.id,
                 str(error),
             )
+        if timers.boottime_now() >= self.send_before:
+            return failures.Failure(
+                failures.Reason.OVERLOADED,
+                NOT_SENT_STEP,
+                self.server.id,
+                'the retry was allowed too long ago',
+                retry_after=0.0,
+            )
         sent = urllib3.HTTPHeaderDict()
         for name, value in headers:
             sent.add(name, value)
--- a/libs/gateway/burdockmast/gateway/wsgi.py
+++ b/libs/gateway/burdockmast/gateway/wsgi.py
@@ -25,7 +25,7 @@
 from burdockmast.gateway import jobs
 from burdockmast.gateway import refusals
 from burdockmast.gateway import request_target
-from burdockmast.gateway import retries
+from burdockmast.gateway import retry_allowance
 from burdockmast.gateway import streams
 from burdockmast.gateway import view
 from burdockmast.limits import retry_schedule
@@ -80,7 +80,7 @@
         header_codec: interfaces.HeaderCodec,
         call_proxy: calls.CallProxy,
         stream_proxy: streams.StreamProxy,
-        budget: retries.Budget,
+        budget: retry_allowance.RetryAllowance,
         measures: metrics.Metrics,
         trusted_seconds: float,
         ready_seconds: float,
--- a/libs/platform/burdockmast/platform/program.py
+++ b/libs/platform/burdockmast/platform/program.py
@@ -22,6 +22,7 @@
 from burdockmast.platform import configuration  # noqa: E402
 from burdockmast.platform import engine_client  # noqa: E402
 from burdockmast.platform import headers  # noqa: E402
+from burdockmast.platform import retry_slots  # noqa: E402
 from burdockmast.platform import servers  # noqa: E402
 from burdockmast.platform import settings  # noqa: E402
 from burdockmast.platform import shared_records  # noqa: E402
@@ -67,6 +68,7 @@
             quarantine_registry=shared_records.QuarantineRegistry(
                 store_client
             ),
+            retry_slots=retry_slots.RetrySlotRegistry(store_client),
             engines=engine_client.EngineClient(),
             header_codec=headers.HeaderCodec(),
         ),
--- /dev/null
+++ b/libs/platform/burdockmast/platform/retry_slots.py
@@ -0,0 +1,119 @@
+"""The slots of the shared retry slack, each an object in the store."""
+
+import msgspec
+import urllib3
+
+from burdockmast.base import failures
+from burdockmast.base import ids
+from burdockmast.base import logs
+from burdockmast.base import timers
+from burdockmast.gateway import interfaces
+from burdockmast.platform import json_lists
+from burdockmast.platform import store
+
+LOG = logs.get('store')
+
+KIND = 'burdockmast-retry-slots'
+HTTP_CONFLICT = 409
+# Era of an object that can't be read: that of no answer of the store.
+UNREADABLE_ERA = -1
+
+
+class _Spec(msgspec.Struct, frozen=True):
+    """``at`` makes each write a change of the object."""
+
+    holder: str
+    era: int
+    at: float = 0.0
+
+
+class RetrySlotRegistry:
+    """Reads and writes slots, each named by its number."""
+
+    def __init__(self, client: store.Client):
+        """Create the registry."""
+        self._client = client
+
+    def list(self) -> interfaces.SlotListing | failures.Failure:
+        """Return all slots, which may be some seconds old."""
+        record_by_number: dict[int, interfaces.SlotRecord] = {}
+        query: dict[str, object] = {'stale-ok': 1}
+        era = None
+        while True:
+            response = self._client.call('GET', KIND, query=query)
+            decoded = self._client.decode_list(
+                response, store.ListResponse, KIND, 'items'
+            )
+            if isinstance(decoded, failures.Failure):
+                return decoded
+            page, raw_items = decoded
+            if era is None:
+                era = store.era_of(response)
+            elif era != store.era_of(response):
+                return self._client.conflict(
+                    KIND, 'store was restored during a listing'
+                )
+            for item in store.decode_objects(raw_items, KIND):
+                if item.metadata.name.isdecimal():
+                    number = int(item.metadata.name)
+                    record_by_number[number] = _record(item)
+            if not page.has_more:
+                return interfaces.SlotListing(era, record_by_number)
+            after = self._client.last_name(raw_items, KIND)
+            if isinstance(after, failures.Failure):
+                return after
+            query = {'stale-ok': 1, 'after': after}
+
+    def write(
+        self,
+        number: int,
+        holder: str,
+        era: int,
+        before: interfaces.SlotRecord | None,
+    ) -> interfaces.SlotAnswer | failures.Failure:
+        """Write a slot, unless somebody else did after ``before``."""
+        name = str(number)
+        spec = {'holder': holder, 'era': era, 'at': timers.now()}
+        metadata: dict[str, object] = {'name': name}
+        if before is None:
+            response = self._client.call(
+                'POST', KIND, body={'metadata': metadata, 'spec': spec}
+            )
+        else:
+            metadata['revision'] = before.revision
+            response = self._client.call(
+                'PUT', KIND, name, body={'metadata': metadata, 'spec': spec}
+            )
+        if isinstance(response, failures.Failure):
+            return response
+        era = store.era_of(response)
+        if response.status == HTTP_CONFLICT:
+            return interfaces.SlotAnswer(_conflicting(response), era, False)
+        found = self._client.decode_response(response, store.Object, KIND)
+        if isinstance(found, failures.Failure):
+            return found
+        return interfaces.SlotAnswer(_record(found), era, True)
+
+
+def _conflicting(
+    response: urllib3.BaseHTTPResponse,
+) -> interfaces.SlotRecord | None:
+    """Return the present state of a slot, if the store tells it."""
+    try:
+        return _record(msgspec.json.decode(response.data, type=store.Object))
+    except json_lists.DECODE_ERRORS:
+        return None
+
+
+def _record(item: store.Object) -> interfaces.SlotRecord:
+    try:
+        spec = msgspec.convert(item.spec, _Spec)
+    except msgspec.ValidationError as error:
+        LOG.warning(
+            'retry slot cannot be decoded; treating it as held',
+            extra={'name': item.metadata.name, 'reason': str(error)},
+        )
+        spec = _Spec('', UNREADABLE_ERA)
+    return interfaces.SlotRecord(
+        ids.Address(spec.holder), spec.era, item.metadata.revision
+    )
