Bound what a process holds of all replies, and of all requests' bodies

Another operator saw a machine run out of memory: a replica sent bytes without end, and all requests of the machine ended with it.

Cause: each reply is bounded, the process was not; 60 replies of 16 MiB are more than any instance has. Replies take at most a fifth of the instance's memory-mb together now, requests' bodies another fifth. When there is no room the largest incomplete reply is given up, as one without end outgrows sound ones; its server counts as failing. An upload without room is refused with 503 and Retry-After before it is read. Events of streams count as well, and are bounded at 256 KiB in place of 1 MiB. Metrics: replies.held_bytes, replies.given_up, the same of uploads.

The play's count of sound requests lost some that overlapped; it counts answers by status now.

--- a/libs/bench/burdockmast/bench/endless_replies.py
+++ b/libs/bench/burdockmast/bench/endless_replies.py
@@ -4,6 +4,7 @@
 service. The gateway's memory and what both kinds of callers get is measured.
 """
 
+import collections
 import contextlib
 import dataclasses
 import http.client
@@ -69,15 +70,22 @@
     """What was measured in one play.
 
     :ivar peak_mb: memory of the gateway at its peak, resident
-    :ivar sound: sound requests that were served
+    :ivar sound_statuses: of the answers to sound requests
     :ivar late: callers of endless replies without an answer soon after their
         deadline
     """
 
     peak_mb: float = 0.0
-    sound: int = 0
+    sound_statuses: collections.Counter = dataclasses.field(
+        default_factory=collections.Counter
+    )
     late: int = 0
 
+    @property
+    def sound(self) -> int:
+        """Sound requests that were served."""
+        return self.sound_statuses[200]
+
 
 class Play:
     """One gateway, two servers in trouble and a sound one."""
@@ -174,9 +182,11 @@
             self._figures.late += 1
 
     def _call_sound(self, path: str) -> None:
+        status = 'no answer in time'
         with contextlib.suppress(TimeoutError):
             with eventlet.Timeout(DEADLINE_SECONDS, TimeoutError):
-                self._figures.sound += self._ask(path, DEADLINE_SECONDS) == 200
+                status = self._ask(path, DEADLINE_SECONDS)
+        self._figures.sound_statuses[status] += 1
 
     def _ask(self, path: str, seconds: float) -> int:
         """Return the status of an answer, 0 if it was broken off."""
--- a/libs/bench/burdockmast/bench/program.py
+++ b/libs/bench/burdockmast/bench/program.py
@@ -285,7 +285,8 @@
             f'{route} {name}: {found.peak_mb:.0f} MB at the peak, '
             f'{found.sound} of {endless_replies.SOUND_REQUESTS} sound '
             f'requests served, {found.late} of {endless_replies.CALLERS} '
-            'callers without an answer in time'
+            'callers without an answer in time; sound: '
+            f'{dict(found.sound_statuses)}'
         )
 
 
--- a/libs/gateway/burdockmast/gateway/bodies.py
+++ b/libs/gateway/burdockmast/gateway/bodies.py
@@ -15,6 +15,7 @@
 import eventlet
 
 from burdockmast.base import failures
+from burdockmast.gateway import buffers
 
 # Most bytes that are read at once.
 PIECE_BYTES = 256 * 1024
@@ -27,6 +28,8 @@
 # Longest time for which a refused body is dropped; its caller may send all of
 # it before it reads the answer.
 DROP_SECONDS = 30.0
+# Retry-After value while the bodies of other requests take all room.
+RETRY_AFTER_SECONDS = 0.5
 _LENGTH = re.compile(r'[0-9]{1,18}')
 _CHUNK_SIZE = re.compile(rb'([0-9A-Fa-f]{1,15})[ \t]*(;[^\r\n]*)?\r\n')
 
@@ -104,8 +107,14 @@
         self._is_read = framing == Length(0)
         self._is_invalid = isinstance(framing, Unclear)
 
-    def read(self, max_bytes: int) -> bytes | failures.Failure:
-        """Return the body, unless it is larger or its end doesn't come."""
+    def read(
+        self, max_bytes: int, buffer: buffers.Buffer
+    ) -> bytes | failures.Failure:
+        """Return the body, unless it is larger or its end doesn't come.
+
+        :param buffer: room that the body takes; a length that is named takes
+            all of it at once
+        """
         match self._framing:
             case Length(size_bytes=0):
                 return b''
@@ -115,15 +124,28 @@
                 return _invalid(f'the end of the body is unclear: {detail}')
         content = io.BytesIO()
         try:
+            if isinstance(self._framing, Length):
+                buffer.grow(self._framing.size_bytes)
+                buffer.is_complete = True
             self._ask_for_it()
             for piece in self._pieces:
                 if content.tell() + len(piece) > max_bytes:
                     return _too_large(max_bytes)
+                if not buffer.is_complete:
+                    buffer.grow(len(piece))
                 content.write(piece)
+        except buffers.BufferFull as error:
+            return failures.Failure(
+                failures.Reason.OVERLOADED,
+                'request.body',
+                detail=str(error),
+                retry_after=RETRY_AFTER_SECONDS,
+            )
         except (OSError, _InvalidBodyError) as error:
             self._is_invalid = True
             return _invalid(str(error))
         self._is_read = True
+        buffer.is_complete = True
         return content.getvalue()
 
     def _ask_for_it(self) -> None:
--- a/libs/gateway/burdockmast/gateway/calls.py
+++ b/libs/gateway/burdockmast/gateway/calls.py
@@ -12,6 +12,7 @@
 from burdockmast.base import outcomes
 from burdockmast.base import timers
 from burdockmast.gateway import backends
+from burdockmast.gateway import buffers
 from burdockmast.gateway import crash_checks
 from burdockmast.gateway import crash_suspects
 from burdockmast.gateway import interfaces
@@ -66,8 +67,13 @@
         self._leaving = leaving
         self._crash_checks = crash_checks.CrashChecks()
 
-    def forward(self, job: jobs.Job) -> jobs.Reply | failures.Failure:
-        """Forward a call, retrying as its route and the budget allow."""
+    def forward(
+        self, job: jobs.Job, buffer: buffers.Buffer
+    ) -> jobs.Reply | failures.Failure:
+        """Forward a call, retrying as its route and the budget allow.
+
+        :param buffer: room that the reply takes
+        """
         tried: list[ids.ServerId] = []
         possible_runs = 0
         last_result: jobs.Reply | failures.Failure | None = None
@@ -92,7 +98,9 @@
                 )
                 break
             tried.append(server.id)
-            last_result = self._attempt(job, server, fingerprints, permit)
+            last_result = self._attempt(
+                job, server, fingerprints, permit, buffer
+            )
             if isinstance(last_result, jobs.Reply):
                 possible_runs += 1
                 if (
@@ -173,13 +181,14 @@
         server: backends.BackendServer,
         fingerprints: tuple[ids.Fingerprint, ...],
         permit: retries.Permit,
+        buffer: buffers.Buffer,
     ) -> jobs.Reply | failures.Failure:
         began = timers.now()
         exchange = upstream.Exchange(server, permit.send_before)
         self._view.add_request((server.id,))
         tracked = self._suspects.track(fingerprints, server)
         try:
-            result = self._exchange(job, exchange)
+            result = self._exchange(job, exchange, buffer)
             self._record_health(job, tracked, result)
         finally:
             exchange.close()
@@ -220,7 +229,10 @@
                 )
 
     def _exchange(
-        self, job: jobs.Job, exchange: upstream.Exchange
+        self,
+        job: jobs.Job,
+        exchange: upstream.Exchange,
+        buffer: buffers.Buffer,
     ) -> jobs.Reply | failures.Failure:
         attempt = interfaces.Attempt(
             exchange.server, job.organisation, job.seconds_left, (), None, 0
@@ -243,8 +255,9 @@
             )
         if head.metadata.is_not_run:
             return exchange.refusal(head, RETRY_AFTER_SECONDS)
+        buffer.restart()
         try:
-            body = exchange.read_body(job.deadline, MAX_BODY_BYTES)
+            body = exchange.read_body(job.deadline, MAX_BODY_BYTES, buffer)
         except (upstream.IncompleteReply, TimeoutError) as error:
             return exchange.unknown_outcome(
                 'body', f'reading the body failed: {error}'
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import functools
 import math
 import random
 import signal
@@ -15,6 +16,7 @@
 from burdockmast.base import metrics
 from burdockmast.base import timers
 from burdockmast.gateway import backends
+from burdockmast.gateway import buffers
 from burdockmast.gateway import caller_connections
 from burdockmast.gateway import calls
 from burdockmast.gateway import config
@@ -140,6 +142,13 @@
             self._metrics,
             rng,
         )
+        memory_bytes = gateway_settings.memory_mb * buffers.BYTES_PER_MB
+        self._replies = buffers.BufferPool(
+            memory_bytes * buffers.REPLIES_SHARE
+        )
+        self._uploads = buffers.BufferPool(
+            memory_bytes * buffers.REQUESTS_SHARE
+        )
         usage = memory.Usage()
         self._suspects = crash_suspects.CrashSuspects()
         self._limits = server_limits.ServerLimits(
@@ -196,8 +205,11 @@
                 self._suspects,
                 self._limits,
                 self._leaving,
+                self._replies,
             ),
             budget,
+            self._uploads,
+            self._replies,
             self._metrics,
             gateway_settings.revoke_seconds * TRUSTED_AGE_SHARE,
             gateway_settings.revoke_seconds * READY_AGE_SHARE,
@@ -390,6 +402,18 @@
             'quarantine.fingerprints',
             lambda: len(self._suspects.quarantined()),
         )
+        for name, pool in (
+            ('replies', self._replies),
+            ('uploads', self._uploads),
+        ):
+            self._metrics.gauge(
+                f'{name}.held_bytes',
+                functools.partial(getattr, pool, 'held_bytes'),
+            )
+            self._metrics.gauge(
+                f'{name}.given_up',
+                functools.partial(getattr, pool, 'given_up_count'),
+            )
         self._metrics.gauge(
             'retries.slots_held', lambda: self._budget.held_count
         )
--- a/libs/gateway/burdockmast/gateway/settings.py
+++ b/libs/gateway/burdockmast/gateway/settings.py
@@ -20,6 +20,7 @@
     :ivar drain_seconds: within which a server that leaves must get no more
         requests
     :ivar grace_seconds: from the stop signal until the process is killed
+    :ivar memory_mb: of the instance
     :ivar retry_ratio: retries for each request, over all gateways
     :ivar retry_slack: further retries in each window, over all gateways
     :ivar retry_window: length of the sliding window in seconds
@@ -35,6 +36,7 @@
     apply_seconds: float
     drain_seconds: float
     grace_seconds: float
+    memory_mb: float
     retry_ratio: float
     retry_slack: float
     retry_window: float
--- a/libs/gateway/burdockmast/gateway/stream_attempts.py
+++ b/libs/gateway/burdockmast/gateway/stream_attempts.py
@@ -10,6 +10,7 @@
 from burdockmast.base import outcomes
 from burdockmast.base import timers
 from burdockmast.gateway import backends
+from burdockmast.gateway import buffers
 from burdockmast.gateway import crash_checks
 from burdockmast.gateway import crash_suspects
 from burdockmast.gateway import interfaces
@@ -36,7 +37,7 @@
 # for pauses.
 SLOW_PAUSE_SHARE = 0.4
 # Largest event of a stream.
-MAX_EVENT_BYTES = 1024 * 1024
+MAX_EVENT_BYTES = 256 * 1024
 # Largest body of a server's error reply that is forwarded to the caller.
 MAX_ERROR_BODY_BYTES = 1024 * 1024
 STATUS_OK = 200
@@ -70,6 +71,7 @@
     limits: server_limits.ServerLimits
     leaving: leaving_servers.LeavingServers
     crash_checks: crash_checks.CrashChecks
+    replies: buffers.BufferPool
 
 
 class StreamAttempt:
@@ -112,6 +114,7 @@
         self._first_event_at: float | None = None
         self._event_count = 0
         self._longest_pause = 0.0
+        self._buffer: buffers.Buffer | None = None
         self._items = self._run()
         self._received: list[Events | jobs.Reply] = []
 
@@ -176,6 +179,7 @@
         self._tracked = deps.suspects.track(
             self._fingerprints, exchange.server
         )
+        self._buffer = deps.replies.open()
         try:
             failure = yield from self._exchange_messages()
             if failure is None:
@@ -184,6 +188,7 @@
                 self._check_for_crash(failure)
         finally:
             exchange.close()
+            self._buffer.close()
             deps.suspects.untrack(self._tracked)
             deps.path_selector.release(self._job, self.path)
         self._log_end(failure)
@@ -327,7 +332,9 @@
                 'events', f'server replied with status {head.status}'
             )
         try:
-            body = exchange.read_body(self._job.deadline, MAX_ERROR_BODY_BYTES)
+            body = exchange.read_body(
+                self._job.deadline, MAX_ERROR_BODY_BYTES, self._buffer
+            )
         except (upstream.IncompleteReply, TimeoutError) as error:
             return exchange.unknown_outcome(
                 'events', f'reading the error body failed: {error}'
@@ -359,8 +366,12 @@
                 return exchange.unknown_outcome(
                     'events', 'event ids do not increase'
                 )
-            if len(splitter.incomplete) > MAX_EVENT_BYTES:
-                return exchange.unknown_outcome('events', 'event is too large')
+            excess = self._check_size(splitter)
+            if excess:
+                self._dependencies.view.record_failed_request(
+                    exchange.server.id, excess, self._job.id
+                )
+                return exchange.unknown_outcome('events', excess)
             if complete_events:
                 self._record_events(splitter)
                 yield Events(
@@ -369,6 +380,17 @@
                 # The caller may have been slow to read them.
                 self.silent_since = timers.now()
 
+    def _check_size(self, splitter: sse.EventSplitter) -> str:
+        """Return why an event that is not complete is given up, or nothing."""
+        size = len(splitter.incomplete)
+        if size > MAX_EVENT_BYTES:
+            return 'event is too large'
+        try:
+            self._buffer.resize(size)
+        except buffers.BufferFull as error:
+            return str(error)
+        return ''
+
     def _keep_waiting(self) -> bool:
         """Ask the current owner, which changes when a standby takes over."""
         return self.keep_waiting()
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -17,6 +17,7 @@
 from burdockmast.base import outcomes
 from burdockmast.base import timers
 from burdockmast.gateway import backends
+from burdockmast.gateway import buffers
 from burdockmast.gateway import crash_checks
 from burdockmast.gateway import crash_suspects
 from burdockmast.gateway import interfaces
@@ -62,8 +63,12 @@
         suspects: crash_suspects.CrashSuspects,
         limits: server_limits.ServerLimits,
         leaving: leaving_servers.LeavingServers,
+        replies: buffers.BufferPool,
     ):
-        """Create a proxy that chooses paths and retries within the budget."""
+        """Create a proxy that chooses paths and retries within the budget.
+
+        :param replies: room for all replies
+        """
         self._view = fleet
         self._header_codec = header_codec
         self._budget = budget
@@ -78,6 +83,7 @@
             limits,
             leaving,
             crash_checks.CrashChecks(),
+            replies,
         )
 
     def forward(
--- a/libs/gateway/burdockmast/gateway/upstream.py
+++ b/libs/gateway/burdockmast/gateway/upstream.py
@@ -26,6 +26,7 @@
 from burdockmast.base import outcomes
 from burdockmast.base import timers
 from burdockmast.gateway import backends
+from burdockmast.gateway import buffers
 from burdockmast.gateway import interfaces
 
 # A live server accepts a connection within 1 ms plus a round trip.
@@ -394,9 +395,15 @@
             )
         return data
 
-    def read_body(self, deadline: float, limit: int) -> bytes:
+    def read_body(
+        self,
+        deadline: float,
+        limit: int,
+        buffer: buffers.Buffer | None = None,
+    ) -> bytes:
         """Return the complete body.
 
+        :param buffer: room that the body takes
         :raises TimeoutError: if it is not complete before ``deadline``
         :raises IncompleteReply: if the connection breaks, or the body is too
             large
@@ -406,8 +413,12 @@
         while True:
             data = self.read_some(deadline)
             if not data:
+                if buffer is not None:
+                    buffer.is_complete = True
                 return b''.join(parts)
             size += len(data)
+            if buffer is not None:
+                _grow(buffer, len(data))
             if size > limit:
                 raise IncompleteReply(f'the body is larger than {limit} bytes')
             parts.append(data)
@@ -456,3 +467,10 @@
             str(error) or type(error).__name__,
             outcome,
         )
+
+
+def _grow(buffer: buffers.Buffer, added_bytes: int) -> None:
+    try:
+        buffer.grow(added_bytes)
+    except buffers.BufferFull as error:
+        raise IncompleteReply(str(error)) from None
--- a/libs/gateway/burdockmast/gateway/wsgi.py
+++ b/libs/gateway/burdockmast/gateway/wsgi.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
+import contextlib
 import dataclasses
 import random
 import socket
@@ -18,6 +19,7 @@
 from burdockmast.base import timers
 from burdockmast.gateway import authentication
 from burdockmast.gateway import bodies
+from burdockmast.gateway import buffers
 from burdockmast.gateway import calls
 from burdockmast.gateway import config
 from burdockmast.gateway import disconnects
@@ -81,6 +83,8 @@
         call_proxy: calls.CallProxy,
         stream_proxy: streams.StreamProxy,
         budget: retry_allowance.RetryAllowance,
+        uploads: buffers.BufferPool,
+        replies: buffers.BufferPool,
         measures: metrics.Metrics,
         trusted_seconds: float,
         ready_seconds: float,
@@ -91,6 +95,8 @@
         ``is_draining`` fails the readiness check and closes connections after
         each reply; ``rejects_requests`` refuses all new requests.
 
+        :param uploads: room for all requests' bodies
+        :param replies: room for all replies
         :param trusted_seconds: age of the configuration up to which the keys
             that it names are accepted
         :param ready_seconds: age of the configuration up to which the
@@ -106,6 +112,8 @@
         self._call_proxy = call_proxy
         self._stream_proxy = stream_proxy
         self._budget = budget
+        self._uploads = uploads
+        self._replies = replies
         self._metrics = measures
         self._trusted_seconds = trusted_seconds
         self._ready_seconds = ready_seconds
@@ -126,8 +134,10 @@
         arrived_at = timers.now()
         self.running_count += 1
         try:
-            body = self._serve(environ, start_response, arrived_at)
-            yield from body
+            with contextlib.closing(self._uploads.open()) as buffer:
+                yield from self._serve(
+                    environ, start_response, arrived_at, buffer
+                )
         finally:
             self._unanswered.discard(greenlet.getcurrent())
             self.running_count -= 1
@@ -143,7 +153,11 @@
             task.throw(GatewayStopping('the gateway is shutting down'))
 
     def _serve(
-        self, environ: dict, start_response: StartResponse, arrived_at: float
+        self,
+        environ: dict,
+        start_response: StartResponse,
+        arrived_at: float,
+        buffer: buffers.Buffer,
     ) -> Iterator[bytes]:
         connection = environ['eventlet.input'].get_socket()
         body = bodies.from_environ(environ)
@@ -152,7 +166,7 @@
             environ[request_target.ENVIRON_KEY],
             environ['headers_raw'],
         )
-        job = self._admit(request, body, arrived_at)
+        job = self._admit(request, body, arrived_at, buffer)
         if isinstance(job, failures.Failure):
             yield self._send_error(
                 start_response, request.id, job, body.has_near_end
@@ -207,6 +221,7 @@
         request: interfaces.CallerRequest,
         body: bodies.Body,
         arrived_at: float,
+        buffer: buffers.Buffer,
     ) -> jobs.Job | failures.Failure:
         """Decide about a request from its head, and read its body if allowed.
 
@@ -229,7 +244,7 @@
         service = self._choose_service(configuration, route)
         if service is None:
             return refusals.unavailable(f'route {route.name} has no service')
-        content = body.read(configuration.limits.max_body_bytes)
+        content = body.read(configuration.limits.max_body_bytes, buffer)
         if isinstance(content, failures.Failure):
             return content
         organisation = self._admit_after_body(route, request)
@@ -319,11 +334,12 @@
         self, job: jobs.Job, start_response: StartResponse
     ) -> Iterator[bytes]:
         if not job.route.is_stream:
-            result = self._call_proxy.forward(job)
-            if isinstance(result, failures.Failure):
-                yield self._send_error(start_response, job.id, result)
-            else:
-                yield self._send_reply(start_response, result)
+            with contextlib.closing(self._replies.open()) as buffer:
+                result = self._call_proxy.forward(job, buffer)
+                if isinstance(result, failures.Failure):
+                    yield self._send_error(start_response, job.id, result)
+                else:
+                    yield self._send_reply(start_response, result)
             return
         for item in self._stream_proxy.forward(job):
             match item:
--- a/libs/platform/burdockmast/platform/settings.py
+++ b/libs/platform/burdockmast/platform/settings.py
@@ -30,6 +30,10 @@
     retry_slack: float = 0
 
 
+class _Limits(msgspec.Struct, frozen=True, rename='kebab'):
+    memory_mb: float = 256
+
+
 class _Platform(msgspec.Struct, frozen=True):
     address: str
 
@@ -44,6 +48,7 @@
     listen: _Listen
     platform: _Platform
     bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,6 +103,7 @@
             apply_seconds=bounds.config_apply_ms / 1000,
             drain_seconds=bounds.drain_ms / 1000,
             grace_seconds=bounds.grace_s,
+            memory_mb=decoded.limits.memory_mb,
             retry_ratio=bounds.budget_ratio,
             retry_slack=bounds.retry_slack,
             retry_window=bounds.budget_window_s,
--- a/tests/test_gateway_body_reader.py
+++ b/tests/test_gateway_body_reader.py
@@ -10,6 +10,7 @@
 
 from burdockmast.base import failures
 from burdockmast.gateway import bodies
+from burdockmast.gateway import buffers
 
 LIMIT_BYTES = 1000
 NEXT_REQUEST = b'POST /next HTTP/1.1\r\n\r\n'
@@ -59,10 +60,10 @@
     length = ('Content-Length', str(len(content)))
     for end in range(len(content)):
         _, body = make_body(content[:end], length)
-        found = body.read(LIMIT_BYTES)
+        found = body.read(LIMIT_BYTES, buffers.BufferPool().open())
         assert reason_of(found) is failures.Reason.BAD_REQUEST
     stream, body = make_body(content + NEXT_REQUEST, length)
-    assert body.read(LIMIT_BYTES) == content
+    assert body.read(LIMIT_BYTES, buffers.BufferPool().open()) == content
     assert stream.read() == NEXT_REQUEST
 
 
@@ -73,10 +74,12 @@
     sent = in_chunks(chunks, extension, trailers, zeros)
     for end in range(len(sent)):
         _, body = make_chunked_body(sent[:end])
-        found = body.read(LIMIT_BYTES)
+        found = body.read(LIMIT_BYTES, buffers.BufferPool().open())
         assert reason_of(found) is failures.Reason.BAD_REQUEST
     stream, body = make_chunked_body(sent + NEXT_REQUEST)
-    assert body.read(LIMIT_BYTES) == b''.join(chunks)
+    assert body.read(LIMIT_BYTES, buffers.BufferPool().open()) == b''.join(
+        chunks
+    )
     assert stream.read() == NEXT_REQUEST
 
 
@@ -88,7 +91,7 @@
         make_body(content, length)[1],
         make_chunked_body(in_chunks(chunks))[1],
     ):
-        found = body.read(limit_bytes)
+        found = body.read(limit_bytes, buffers.BufferPool().open())
         if len(content) <= limit_bytes:
             assert found == content
         else:
@@ -107,7 +110,7 @@
     else:
         length = ('Content-Length', str(len(content)))
         stream, body = make_body(content + NEXT_REQUEST, length)
-    body.read(limit_bytes)
+    body.read(limit_bytes, buffers.BufferPool().open())
     assert body.has_near_end
     here, there = socket.socketpair()
     with here, there:
@@ -136,7 +139,7 @@
 )
 def test_chunks_that_can_be_read_in_two_ways_are_refused(sent):
     _, body = make_chunked_body(sent)
-    found = body.read(LIMIT_BYTES)
+    found = body.read(LIMIT_BYTES, buffers.BufferPool().open())
     assert reason_of(found) is failures.Reason.BAD_REQUEST
     assert not body.has_near_end
 
@@ -161,7 +164,10 @@
     request_headers, connection
 ):
     stream, body = make_body(b'body' + NEXT_REQUEST, *request_headers)
-    assert reason_of(body.read(LIMIT_BYTES)) is failures.Reason.BAD_REQUEST
+    assert (
+        reason_of(body.read(LIMIT_BYTES, buffers.BufferPool().open()))
+        is failures.Reason.BAD_REQUEST
+    )
     assert not body.has_near_end
     with pytest.raises(bodies.UnreadBodyError):
         body.drop(connection)
@@ -171,21 +177,34 @@
 
 def test_request_without_a_length_has_no_body():
     stream, body = make_body(NEXT_REQUEST, ('Host', 'h'))
-    assert body.read(0) == b''
+    assert body.read(0, buffers.BufferPool().open()) == b''
     assert stream.read() == NEXT_REQUEST
 
 
 def test_same_length_named_twice_is_one_length():
     length = ('Content-Length', '4')
-    assert make_body(b'body', length, length)[1].read(LIMIT_BYTES) == b'body'
+    assert (
+        make_body(b'body', length, length)[1].read(
+            LIMIT_BYTES, buffers.BufferPool().open()
+        )
+        == b'body'
+    )
 
 
 def test_long_body_is_read_whole():
     content = bytes(range(256)) * (3 * bodies.PIECE_BYTES // 256) + b'x'
     length = ('Content-Length', str(len(content)))
-    assert make_body(content, length)[1].read(len(content)) == content
+    assert (
+        make_body(content, length)[1].read(
+            len(content), buffers.BufferPool().open()
+        )
+        == content
+    )
     chunked = make_chunked_body(in_chunks([content, content]))[1]
-    assert chunked.read(2 * len(content)) == content + content
+    assert (
+        chunked.read(2 * len(content), buffers.BufferPool().open())
+        == content + content
+    )
 
 
 def test_refused_body_without_end_is_dropped_up_to_a_bound(connection):
@@ -218,10 +237,13 @@
     asked = []
     stream = io.BufferedReader(io.BytesIO(b'body'))
     body = bodies.Body(stream, bodies.Length(4), lambda: asked.append(1))
-    assert reason_of(body.read(3)) is failures.Reason.TOO_LARGE
+    assert (
+        reason_of(body.read(3, buffers.BufferPool().open()))
+        is failures.Reason.TOO_LARGE
+    )
     assert not body.has_near_end
     assert not asked
-    assert body.read(4) == b'body'
+    assert body.read(4, buffers.BufferPool().open()) == b'body'
     assert asked == [1]
 
 
@@ -231,7 +253,10 @@
     stream = io.BufferedReader(io.BytesIO(b'body'))
     framing = bodies.Unclear('transfer coding gzip')
     body = bodies.Body(stream, framing, lambda: asked.append(1))
-    assert reason_of(body.read(LIMIT_BYTES)) is failures.Reason.BAD_REQUEST
+    assert (
+        reason_of(body.read(LIMIT_BYTES, buffers.BufferPool().open()))
+        is failures.Reason.BAD_REQUEST
+    )
     assert not asked
 
 
@@ -257,7 +282,7 @@
             return 1
 
     body = bodies.Body(io.BufferedReader(Failing()), framing)
-    found = body.read(LIMIT_BYTES)
+    found = body.read(LIMIT_BYTES, buffers.BufferPool().open())
     assert reason_of(found) is failures.Reason.BAD_REQUEST
     with pytest.raises(bodies.UnreadBodyError):
         body.drop(connection)
