Let replies that always have more to read leave time to other requests

Cause: a reader that always finds data only yielded to others after eight reads, so that each turn of the event loop took as long as all such readers together; and each piece of an event made the splitter search all of it anew.

--- a/libs/gateway/burdockmast/gateway/sse.py
+++ b/libs/gateway/burdockmast/gateway/sse.py
@@ -3,6 +3,7 @@
 import re
 
 _EVENT_END = re.compile(rb'\r?\n\r?\n')
+LONGEST_END_BYTES = 4
 _ID_FIELD = re.compile(rb'^id: ?(\d+)\r?$', re.MULTILINE)
 
 
@@ -24,10 +25,12 @@
 
     def feed(self, data: bytes) -> bytes:
         """Return the events that ``data`` completes, none if out of order."""
+        # What came earlier was searched then.
+        searched = max(0, len(self.incomplete) - LONGEST_END_BYTES + 1)
         data = self.incomplete + data
         start = 0
         self.completed_count = 0
-        for end in _EVENT_END.finditer(data):
+        for end in _EVENT_END.finditer(data, searched):
             found = _ID_FIELD.search(data, start, end.start())
             if found:
                 number = int(found[1])
--- a/libs/gateway/burdockmast/gateway/upstream.py
+++ b/libs/gateway/burdockmast/gateway/upstream.py
@@ -27,6 +27,7 @@
 from burdockmast.base import timers
 from burdockmast.gateway import backends
 from burdockmast.gateway import buffers
+from burdockmast.gateway import busy_readers
 from burdockmast.gateway import interfaces
 
 # A live server accepts a connection within 1 ms plus a round trip.
@@ -38,6 +39,8 @@
 MAX_BYTES_PER_READ = 1048576
 # Reads in a row that found data, after which other tasks run.
 MAX_IMMEDIATE_READS = 8
+# Longest turn of a reader that is counted; it may have waited in between.
+MAX_TURN_SECONDS = 0.01
 # How often a wait for a server that sends nothing is reconsidered.
 SILENCE_RECHECK_SECONDS = 0.1
 # Time for which data that has come is still read after the deadline.
@@ -53,6 +56,9 @@
     ValueError,
 )
 
+# Turns of all readers of this process.
+BUSY_READERS = busy_readers.Schedule()
+
 
 class IncompleteReply(Exception):
     """The reply ended too early or its body is too large."""
@@ -94,6 +100,7 @@
     has_ended: bool = False
     should_keep_waiting: Callable[[], bool] | None = None
     _immediate_reads: int = 0
+    _turn_began_at: float = 0.0
     _late_since: float = math.inf
     _error: OSError | None = None
 
@@ -206,12 +213,20 @@
                 timeout=None if math.isinf(seconds) else max(0.0, seconds),
                 timeout_exc=TimeoutError('no data yet'),
             )
+        self._turn_began_at = timers.now()
 
     def _let_others_run(self) -> None:
+        """Pause after reads that all found data, until the next turn."""
         self._immediate_reads += 1
-        if self._immediate_reads >= MAX_IMMEDIATE_READS:
-            self._immediate_reads = 0
-            eventlet.sleep(0)
+        if self._immediate_reads < MAX_IMMEDIATE_READS:
+            return
+        self._immediate_reads = 0
+        now = timers.now()
+        pause = BUSY_READERS.pause_after(
+            min(now - self._turn_began_at, MAX_TURN_SECONDS)
+        )
+        eventlet.sleep(max(0.0, min(pause, self.deadline - now)))
+        self._turn_began_at = timers.now()
 
 
 class Exchange:
--- a/tests/test_gateway_buffers.py
+++ b/tests/test_gateway_buffers.py
@@ -1,10 +1,11 @@
-"""What a process holds of bodies."""
+"""What a process holds of bodies, and the time that busy readers take."""
 
 import pytest
 
 from burdockmast.base import failures
 from burdockmast.gateway import bodies
 from burdockmast.gateway import buffers
+from burdockmast.gateway import busy_readers
 
 
 @pytest.fixture
@@ -71,3 +72,22 @@
     found = bodies.Body(None, bodies.Length(50)).read(1000, pool.open())
     assert found.reason is failures.Reason.OVERLOADED
     assert found.retry_after > 0
+
+
+def test_busy_readers_leave_time_to_others():
+    """However many there are, and whatever each turn takes."""
+    now = 0.0
+    schedule = busy_readers.Schedule(lambda: now)
+    next_turn_at = [0.0] * 60
+    spent = 0.0
+    while now < 10.0:
+        number = min(range(60), key=next_turn_at.__getitem__)
+        now = max(now, next_turn_at[number]) + 0.002
+        spent += 0.002
+        next_turn_at[number] = now + schedule.pause_after(0.002)
+    assert spent <= 0.5 * now
+
+
+def test_a_single_busy_reader_goes_on_at_once_after_a_pause():
+    schedule = busy_readers.Schedule(lambda: 5.0)
+    assert schedule.pause_after(0.002) == 0.0
--- a/tests/test_gateway_sse.py
+++ b/tests/test_gateway_sse.py
@@ -32,3 +32,22 @@
     splitter = sse.EventSplitter(2)
     assert splitter.feed(event(3)) == event(3)
     assert not splitter.is_out_of_order
+
+
+def test_an_event_without_end_is_searched_once():
+    """Searching it anew with each piece took the processor from others."""
+    splitter = sse.EventSplitter(None)
+    searched = []
+
+    class Pattern:
+        def finditer(self, data, start=0):
+            searched.append(len(data) - start)
+            return iter(())
+
+    pattern, sse._EVENT_END = sse._EVENT_END, Pattern()
+    try:
+        for _ in range(100):
+            splitter.feed(b'x' * 1000)
+    finally:
+        sse._EVENT_END = pattern
+    assert sum(searched) < 2 * 100 * 1000
