--- a/libs/gateway/burdockmast/gateway/retry_allowance.py
+++ b/libs/gateway/burdockmast/gateway/retry_allowance.py
@@ -175,7 +175,7 @@
     def _acquire_one(self) -> None:
         number = self._choose()
         if number is None:
-            self._give_up('all slots are in use')
+            self._give_up('no slot is known to be unused')
             return
         written_at = self._now()
         era = self._table.era
--- a/libs/gateway/burdockmast/gateway/stream_attempts.py
+++ b/libs/gateway/burdockmast/gateway/stream_attempts.py
@@ -62,7 +62,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Dependencies:
-    """The parts of the gateway that an attempt deps."""
+    """The parts of the gateway that an attempt needs."""
 
     view: view.View
     header_codec: interfaces.HeaderCodec
