Expose the decoder's type and defaults to a check of configurations

Cause: a check of a configuration before it is sent needs the decoder's field names and types, and the values that gateways take for absent keys.

configuration.wire_type and configuration.complete return them, settings names its defaults for memory and for the bounds on keys and configurations, and headers.head_bytes says how large a request's headers may need to be. What the decoder accepts is unchanged.

--- a/libs/platform/burdockmast/platform/configuration.py
+++ b/libs/platform/burdockmast/platform/configuration.py
@@ -1,5 +1,7 @@
 """Decodes the configuration that operators write to the platform."""
 
+from typing import Any
+
 import msgspec
 
 from burdockmast.base import ids
@@ -140,6 +142,22 @@
     )
 
 
+def wire_type() -> type[msgspec.Struct]:
+    """Return the type that defines the known keys and the type of each."""
+    return _Configuration
+
+
+def complete(spec: object) -> dict[str, Any]:
+    """Return a configuration with all known keys, by their wire names.
+
+    Keys that are absent have the value that a gateway takes for them, except
+    for ``tenants``. Unknown keys are left out.
+
+    :raises msgspec.ValidationError: if it is not a valid configuration
+    """
+    return msgspec.to_builtins(msgspec.convert(spec, _Configuration))
+
+
 def _convert_limits(limits: _Limits) -> config.CallerLimits:
     return config.CallerLimits(
         limits.max_body_bytes,
--- a/libs/platform/burdockmast/platform/headers.py
+++ b/libs/platform/burdockmast/platform/headers.py
@@ -39,6 +39,11 @@
 REFUSED_BY = 'At-Server'
 
 MS_PER_SECOND = 1000.0
+# Digits of the largest integer that is read; a UUID as text; an id of 16
+# digits, a colon, six digits of tokens and a comma.
+_INTEGER_BYTES = 12
+_ID_BYTES = 36
+_PROMPT_PART_BYTES = 24
 # Headers that apply to one connection, so they are not forwarded.
 _CONNECTION_HEADERS = frozenset(
     (
@@ -75,6 +80,27 @@
 Headers = tuple[tuple[str, str], ...]
 
 
+def head_bytes(host: str, api_key: str) -> int:
+    """Return the size of a request's headers if it has all of the platform's.
+
+    Values that vary have the largest size that is read, or the usual one.
+    """
+    value_bytes_by_name = {
+        'Host': len(host.encode()),
+        REQUEST_ID: _ID_BYTES,
+        DEADLINE: _INTEGER_BYTES,
+        API_KEY: len(api_key.encode()),
+        TOKEN_COUNTS: 2 * _INTEGER_BYTES + 1,
+        LENGTH_HINT: _INTEGER_BYTES,
+        PROMPT_PARTS: MAX_PROMPT_PARTS * _PROMPT_PART_BYTES,
+        LAST_EVENT_ID: _INTEGER_BYTES,
+    }
+    return sum(
+        len(f'{name}: \r\n') + value_bytes
+        for name, value_bytes in value_bytes_by_name.items()
+    )
+
+
 class HeaderCodec:
     """Reads and writes the headers that the platform defines."""
 
--- a/libs/platform/burdockmast/platform/settings.py
+++ b/libs/platform/burdockmast/platform/settings.py
@@ -14,6 +14,11 @@
 # Environment variable with the path of the settings file.
 PATH_VARIABLE = 'BURDOCKMAST_NODE_FILE'
 
+# Values that apply where the file doesn't give them.
+DEFAULT_REVOKE_MS = 5000
+DEFAULT_APPLY_MS = 2000
+DEFAULT_MEMORY_MB = 256
+
 
 class _Listen(msgspec.Struct, frozen=True):
     front: str | None = None
@@ -22,8 +27,8 @@
 
 class _Bounds(msgspec.Struct, frozen=True, rename='kebab'):
     grace_s: float = 8
-    revoke_ms: float = 5000
-    config_apply_ms: float = 2000
+    revoke_ms: float = DEFAULT_REVOKE_MS
+    config_apply_ms: float = DEFAULT_APPLY_MS
     drain_ms: float = 2000
     budget_ratio: float = 0.2
     budget_window_s: float = 10
@@ -31,7 +36,7 @@
 
 
 class _Limits(msgspec.Struct, frozen=True, rename='kebab'):
-    memory_mb: float = 256
+    memory_mb: float = DEFAULT_MEMORY_MB
 
 
 class _Platform(msgspec.Struct, frozen=True):
