Check configurations before they are sent to gateways

Cause: gateways ignore a configuration that they can't decode, and say so only in their logs; unknown keys, shadowed routes and limits that contradict each other are not reported at all.

burdockmast config check reports all findings of a file at once, and the differences from another file or from the version in force with their effect on callers.

--- a/libs/operator/burdockmast/operator/cli/definition.py
+++ b/libs/operator/burdockmast/operator/cli/definition.py
@@ -12,6 +12,7 @@
 from burdockmast.operator import presets
 from burdockmast.operator import servers
 from burdockmast.operator.cli import types
+from burdockmast.operator.config_check import command as config_command
 from burdockmast.platform import program as platform_program
 from burdockmast.platform import settings as platform_settings
 from burdockmast.settings import loader
@@ -144,6 +145,47 @@
     presets.switch(ctx, ids.PresetId(preset_id), expected, unserved)
 
 
+@program.group()
+def config() -> None:
+    """Check configurations of gateways."""
+
+
+@config.command('check')
+@click.argument('path', metavar='FILE', type=types.FILE)
+@click.option(
+    '--against',
+    metavar='FILE|in-force',
+    help='Show the differences from a file or the version in force.',
+)
+@click.option(
+    '--store',
+    metavar='ADDRESS',
+    help="IP:port of the platform's store, for the version in force.",
+)
+@click.option(
+    '--format',
+    'output_format',
+    type=types.OUTPUT_FORMAT,
+    default=config_command.TEXT,
+    show_default=True,
+    help='Print text or JSON.',
+)
+def check_config(
+    path: pathlib.Path,
+    against: str | None,
+    store: str | None,
+    output_format: str,
+) -> int:
+    """Check a configuration of gateways without sending it.
+
+    Exits with 0 if there are no findings, 1 if there are some, and 2 if a
+    configuration can't be read.
+
+    Example: burdockmast config check new.json --against old.json
+    """
+    return config_command.run(path, against, store, output_format)
+
+
 @program.group()
 def server() -> None:
     """Manage backend servers."""
--- a/libs/operator/burdockmast/operator/cli/types.py
+++ b/libs/operator/burdockmast/operator/cli/types.py
@@ -6,6 +6,7 @@
 
 import click
 
+from burdockmast.operator.config_check import command as config_command
 from burdockmast.settings import models
 
 Command = TypeVar('Command', bound=Callable)
@@ -20,6 +21,7 @@
 # in SETTINGS_BY_ROLE.
 GATEWAY = 'gateway'
 ROLE = click.Choice(sorted([*SETTINGS_BY_ROLE, GATEWAY]))
+OUTPUT_FORMAT = click.Choice([config_command.TEXT, config_command.JSON])
 SHELL = click.Choice(['bash', 'zsh', 'fish'])
 
 
--- /dev/null
+++ b/libs/operator/burdockmast/operator/config_check/__init__.py
@@ -0,0 +1,1 @@
+"""Checks a configuration before it is sent to the platform."""
--- a/libs/operator/burdockmast/operator/exit_status.py
+++ b/libs/operator/burdockmast/operator/exit_status.py
@@ -8,7 +8,8 @@
 
     SUCCESS = 0
     ERROR = 1
-    # Set by click for wrong options and arguments.
+    # Set by click for wrong options and arguments; also the status if a
+    # configuration that is to be checked can't be read.
     USAGE = 2
     BAD_SETTINGS = 3
     ADDRESS_IN_USE = 4
