Admit requests by priority while servers lack memory

Cause: a request of a low priority found room at one gateway while those of the highest waited or were refused at others. Change: gateways tell each other by priority how many requests wait, were refused and were admitted lately; lower priorities fill only a part of each server meanwhile, and a newcomer takes no room for which better requests of its gateway wait. On only where streams to a service have several priorities, or hops between zones are slow.

--- a/libs/base/burdockmast/base/metrics.py
+++ b/libs/base/burdockmast/base/metrics.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Mapping
 
 import prometheus_client
 from prometheus_client import core
@@ -40,6 +41,9 @@
         self.count_by_name: collections.Counter[str] = collections.Counter()
         self.registry = prometheus_client.CollectorRegistry()
         self._gauge_by_name: dict[str, Callable[[], float]] = {}
+        self._labelled_gauge_by_name: dict[
+            str, tuple[str, Callable[[], Mapping[str, float]]]
+        ] = {}
         self._histogram_by_name: dict[str, prometheus_client.Histogram] = {}
         self.registry.register(_Collector(self))
 
@@ -65,6 +69,15 @@
         """Export a gauge whose value ``read`` returns at each scrape."""
         self._gauge_by_name[name] = read
 
+    def gauges(
+        self, name: str, label: str, read: Callable[[], Mapping[str, float]]
+    ) -> None:
+        """Export a gauge for each value of a label, of which there are few.
+
+        :param read: returns the gauges by their labels' values
+        """
+        self._labelled_gauge_by_name[name] = label, read
+
     def timing(self, name: str, seconds: float) -> None:
         """Record a duration."""
         histogram = self._histogram_by_name.get(name)
@@ -103,6 +116,13 @@
             yield core.GaugeMetricFamily(
                 _prometheus_name(name), f'Value of {name}', value=read()
             )
+        for name, (label, read) in self._labelled_gauge_by_name.items():
+            family = core.GaugeMetricFamily(
+                _prometheus_name(name), f'Value of {name}', labels=[label]
+            )
+            for value, number in read().items():
+                family.add_metric([value], number)
+            yield family
 
 
 class _Collector(registry.Collector):
--- /dev/null
+++ b/libs/gateway/burdockmast/gateway/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Admission of requests while servers have too little memory for all."""
--- a/libs/gateway/burdockmast/gateway/memory.py
+++ b/libs/gateway/burdockmast/gateway/memory.py
@@ -116,7 +116,10 @@
 
 
 def informed_cost_factor(
-    share: float, reported_share: float, may_overfill: bool
+    share: float,
+    reported_share: float,
+    may_overfill: bool,
+    allowed_share: float = 1.0,
 ) -> float:
     """Return the factor on a server's cost if the use of all is known.
 
@@ -125,9 +128,10 @@
     :param share: of its memory that all requests there will need
     :param reported_share: of its memory that is in use, 0 if unknown
     :param may_overfill: use a full server as a last resort
+    :param allowed_share: of the room that the request's priority may fill
     """
     occupancy = max(share, reported_share)
-    if occupancy >= FULL_SHARE:
+    if occupancy >= FULL_SHARE * allowed_share:
         return OVERFULL_COST_FACTOR if may_overfill else math.inf
     return _gradual_factor(occupancy, KNOWN_FULL_COST_FACTOR)
 
--- a/libs/gateway/burdockmast/gateway/neighbour_link.py
+++ b/libs/gateway/burdockmast/gateway/neighbour_link.py
@@ -15,6 +15,7 @@
 from burdockmast.gateway import relays
 from burdockmast.gateway import reports
 from burdockmast.gateway import server_limits
+from burdockmast.gateway.admission import pressure
 
 LOG = logs.get('neighbours')
 
@@ -40,8 +41,12 @@
         suspects: crash_suspects.CrashSuspects,
         limits: server_limits.ServerLimits,
         leaving: leaving_servers.LeavingServers,
+        waiting: pressure.Pressure | None = None,
     ):
-        """Prepare to listen at ``address``."""
+        """Prepare to listen at ``address``.
+
+        :param waiting: requests that wait for room, None to report none
+        """
         self.address = address
         self._neighbours = known
         self._usage = usage
@@ -50,6 +55,7 @@
         self._suspects = suspects
         self._limits = limits
         self._leaving = leaving
+        self._pressure = waiting
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(neighbours.Message)
         self._sock: socket.socket | None = None
@@ -75,11 +81,16 @@
                 data = encoded[id(message)] = self._encoder.encode(message)
             self.send(address, data)
 
-    def _learned(self) -> neighbours.Learned:
+    def _learned(self, is_for_other_zones: bool) -> neighbours.Learned:
         return neighbours.Learned(
             self._suspects.news(),
             self._limits.news(),
             self._leaving.news(),
+            pressure=(
+                self._pressure.news(is_for_other_zones)
+                if self._pressure
+                else []
+            ),
         )
 
     def _zone_news(self) -> neighbours.ZoneNews:
@@ -122,8 +133,13 @@
             self._suspects.receive(message.learned.crashes)
         self._limits.receive(message.learned.limits, message.sender)
         self._leaving.receive(message.learned.leaving, message.sender)
+        is_neighbour = self._neighbours.is_neighbour(message.sender)
+        if self._pressure:
+            self._pressure.receive(
+                message.learned.pressure, message.sender, is_neighbour
+            )
         news = message.zone_news
-        if news is None or not self._neighbours.is_neighbour(message.sender):
+        if news is None or not is_neighbour:
             return
         self._relay.record_stamp(message.sender, news.stamp)
         self._reports.take_over(news.reports)
--- a/libs/gateway/burdockmast/gateway/neighbours.py
+++ b/libs/gateway/burdockmast/gateway/neighbours.py
@@ -22,6 +22,7 @@
 from burdockmast.gateway import relays
 from burdockmast.gateway import reports
 from burdockmast.gateway import server_limits
+from burdockmast.gateway.admission import pressure as admission_pressure
 
 # Interval of messages within a zone. In a larger zone it is longer, so that a
 # gateway handles at most this many messages a second.
@@ -71,11 +72,13 @@
     :ivar crashes: requests that crash servers, if any are known
     :ivar limits: that servers have named
     :ivar leaving: servers that have said that they leave
+    :ivar pressure: requests that wait for room, by priority
     """
 
     crashes: crash_suspects.CrashNews | None = None
     limits: list[server_limits.LimitNews] = []
     leaving: list[leaving_servers.LeavingNews] = []
+    pressure: list[admission_pressure.PressureNews] = []
 
 
 NOTHING_LEARNED = Learned()
@@ -246,17 +249,20 @@
         self,
         own_load: loads.LoadByServer,
         zone_news: Callable[[], ZoneNews | None] = lambda: None,
-        learned: Callable[[], Learned] = lambda: NOTHING_LEARNED,
+        learned: Callable[[bool], Learned] = lambda _: NOTHING_LEARNED,
     ) -> list[tuple[ids.Address, Message]]:
         """Return the messages that are due now, with their receivers.
 
         :param zone_news: called if the messages to this zone are due
-        :param learned: called if any messages are due
+        :param learned: called if any messages are due, with whether they are
+            for other zones
         """
         now = self._now()
         found = []
         if now >= self._next_local_at:
-            found += self._local_messages(own_load, zone_news(), learned())
+            found += self._local_messages(
+                own_load, zone_news(), learned(False)
+            )
         if now >= self._next_remote_at:
             found += self._remote_messages(own_load, learned)
         return found
@@ -308,7 +314,7 @@
     def _remote_messages(
         self,
         own_load: loads.LoadByServer,
-        learned: Callable[[], Learned],
+        learned: Callable[[bool], Learned],
     ) -> list[tuple[ids.Address, Message]]:
         """Return a message to the next zone if this gateway speaks for its."""
         peers_by_zone: dict[ids.ZoneId, list[_Peer]] = {}
@@ -334,7 +340,7 @@
         )
         message = self._message(
             [SourceLoad(zone_source(self._own.zone), total)],
-            learned=learned(),
+            learned=learned(True),
         )
         return [(self._rng.choice(receivers).gateway.address, message)]
 
--- a/libs/gateway/burdockmast/gateway/path_selector.py
+++ b/libs/gateway/burdockmast/gateway/path_selector.py
@@ -4,6 +4,7 @@
 from collections.abc import Collection
 from collections.abc import Container
 from collections.abc import Mapping
+import contextlib
 import functools
 import math
 import random
@@ -24,6 +25,8 @@
 from burdockmast.gateway import reports
 from burdockmast.gateway import server_limits
 from burdockmast.gateway import view
+from burdockmast.gateway.admission import policy
+from burdockmast.gateway.admission import pressure
 from burdockmast.limits import queues
 
 LOG = logs.get('choosing')
@@ -40,13 +43,17 @@
 # Interval at which a queued request tries again, since the ejection of a
 # server that refused may have ended.
 WAKE_INTERVAL_SECONDS = 0.1
+# Queued requests that try when an answer ends, or at that interval, where
+# requests are admitted in order. The first of them may lack a server that the
+# others don't need.
+TURNS = 4
 # Longest wait for another path to resume a stream.
 RESUME_QUEUE_SECONDS = 0.6
 # Usual time from the choice of a path to the first event.
 FIRST_EVENT_SECONDS = 0.15
 
 
-def _waiter(job: jobs.Job, has_begun: bool) -> queues.Waiter:
+def waiter_of(job: jobs.Job, has_begun: bool) -> queues.Waiter:
     """Return a request's place in the queue, before those that are late."""
     in_time_until = math.inf
     if not has_begun:
@@ -68,12 +75,14 @@
         rng: random.Random,
         limits: server_limits.ServerLimits,
         now: Callable[[], float] = timers.now,
+        waiting: pressure.Pressure | None = None,
     ):
         """Create a selector with an empty queue.
 
         :param usage: of this gateway's requests
         :param others: the other gateways, with the load that they report
         :param zone: of this gateway's callers
+        :param waiting: requests of all gateways that compete for memory
         """
         self.reports = server_reports
         self._view = fleet
@@ -82,7 +91,13 @@
         self._zone = zone
         self._rng = rng
         self._limits = limits
-        self._queue = queues.FairQueue(MAX_QUEUED_REQUESTS)
+        self._now = now
+        self._queue = queues.FairQueue(MAX_QUEUED_REQUESTS, now=now)
+        self._pressure = waiting or pressure.Pressure(
+            lambda _: policy.OFF, zone, now
+        )
+        # Of services whose requests are admitted in order.
+        self._queue_by_service: dict[ids.ServiceId, queues.FairQueue] = {}
         self._links = links.ZoneLinks(now)
 
     @property
@@ -113,6 +128,9 @@
     def release(self, job: jobs.Job, path: tuple[backends.Stage, ...]) -> None:
         """Stop accounting for a request, and let a queued one try again."""
         self._usage.release(path, self._reserved_tokens(job))
+        queue = self._queue_by_service.get(job.service.id)
+        if queue is not None:
+            queue.begin_round()
         self.wake_waiter()
 
     def _reserved_tokens(self, job: jobs.Job) -> int:
@@ -139,6 +157,8 @@
         :param first_servers: at which the path may begin, None for any
         :returns: no stages if waiting would not help
         """
+        if not has_begun and self._pressure.is_contended(job.service.id):
+            return self._wait_in_order(job, failed, is_isolated, first_servers)
         path = self.find_path(
             job, failed, has_begun, is_isolated, first_servers
         )
@@ -150,27 +170,104 @@
             failure = self._limit_failure(job, until)
             if failure:
                 return failure
-            waiter = _waiter(job, has_begun)
+            waiter = waiter_of(job, has_begun)
             refusal = self._queue.wait(waiter, until - timers.now())
             if refusal:
-                LOG.info(
-                    'no path found while queued; giving up',
-                    extra={
-                        'request': job.id,
-                        'waiting': len(self._queue),
-                        'full_servers': self._full_servers(job),
-                        'links': self._links.describe(),
-                        'gateways': self.gateway_count,
-                        'list_age': round(self._view.server_list_age, 3),
-                        'outcome': str(refusal),
-                    },
-                )
+                self._log_refusal(job, self._queue, refusal)
                 return refusal
             path = self.find_path(
                 job, failed, has_begun, is_isolated, first_servers
             )
         return path
 
+    def _wait_in_order(
+        self,
+        job: jobs.Job,
+        failed: Collection[ids.ServerId],
+        is_isolated: bool,
+        first_servers: Container[ids.ServerId] | None,
+    ) -> tuple[backends.Stage, ...] | failures.Failure:
+        """Return a path for a new request, after better ones that wait."""
+        queue = self.queue_of(job.service.id)
+        waiter = waiter_of(job, False)
+        may_try = self.may_try(job, waiter)
+        until = min(job.arrived_at + MAX_QUEUE_SECONDS, job.deadline)
+        is_queued = False
+        with contextlib.ExitStack() as stack:
+            while True:
+                if may_try:
+                    path = self.find_path(
+                        job, failed, False, is_isolated, first_servers
+                    )
+                    if path:
+                        self.record_admission(job, waiter)
+                        return path
+                if not self._is_covered(job, first_servers):
+                    return ()
+                refusal = self._limit_failure(job, until)
+                if refusal:
+                    return refusal
+                if not is_queued:
+                    is_queued = True
+                    refusal = queue.enter(waiter, until - timers.now())
+                    stack.callback(queue.leave, waiter)
+                    stack.enter_context(
+                        self._pressure.waiting(job.service.id, job.priority)
+                    )
+                refusal = refusal or queue.wait_for_turn(
+                    waiter, until - timers.now()
+                )
+                if refusal:
+                    self.record_rejection(job)
+                    self._log_refusal(job, queue, refusal)
+                    return refusal
+                may_try = True
+
+    def queue_of(self, service: ids.ServiceId) -> queues.FairQueue:
+        """Return the queue in which a service's new requests wait."""
+        if not self._pressure.is_contended(service):
+            return self._queue
+        queue = self._queue_by_service.get(service)
+        if queue is None:
+            queue = self._queue_by_service[service] = queues.FairQueue(
+                MAX_QUEUED_REQUESTS, now=self._now
+            )
+        return queue
+
+    def may_try(self, job: jobs.Job, waiter: queues.Waiter) -> bool:
+        """Return whether no better request waits for the same room."""
+        return self._pressure.has_turn(
+            job.service.id, job.priority
+        ) or self.queue_of(job.service.id).is_next(waiter)
+
+    def record_admission(self, job: jobs.Job, waiter: queues.Waiter) -> None:
+        """Record that a new request got a path."""
+        self.queue_of(job.service.id).record_admission(waiter)
+        self._pressure.record_admission(job.service.id, job.priority)
+
+    def record_rejection(self, job: jobs.Job) -> None:
+        """Record that a request was not run for want of room."""
+        self._pressure.record_refusal(job.service.id, job.priority)
+
+    def _log_refusal(
+        self,
+        job: jobs.Job,
+        queue: queues.FairQueue,
+        refusal: failures.Failure,
+    ) -> None:
+        LOG.info(
+            'no path found while queued; giving up',
+            extra={
+                'request': job.id,
+                'waiting': len(queue),
+                'full_servers': self._full_servers(job),
+                'links': self._links.describe(),
+                'gateways': self.gateway_count,
+                'list_age': round(self._view.server_list_age, 3),
+                'outcome': str(refusal),
+            },
+        )
+
     def _is_covered(
         self, job: jobs.Job, first_servers: Container[ids.ServerId] | None
     ) -> bool:
@@ -218,8 +315,21 @@
         return loads.add(own, self._others.load_by_server())
 
     def wake_waiter(self) -> None:
-        """Let one queued request try again to get a path."""
+        """Let queued requests try again to get a path.
+
+        One does, and where requests are admitted in order, several.
+        """
         self._queue.wake()
+        for service, queue in self._queue_by_service.items():
+            queue.wake_in_turn(TURNS, self._goes_first(service))
+
+    def _goes_first(
+        self, service: ids.ServiceId
+    ) -> Callable[[queues.Waiter], bool]:
+        """Return what tells whether a waiting request has a turn."""
+        return lambda waiter: self._pressure.has_turn(
+            service, -waiter.priority
+        )
 
     def find_path(
         self,
@@ -244,6 +354,9 @@
             return tuple(backends.Stage(s, 0, 0) for s in servers[:1])
         size = self._request_size(job, engine)
         is_informed = self._others.is_informed
+        allowed_share = 1.0
+        if not has_begun and is_informed:
+            allowed_share = self._allowed_share(job)
         load_by_server = self._load_by_server()
 
         def running_requests(server: ids.ServerId) -> int:
@@ -262,7 +375,10 @@
             reported = self.reports.occupancy(server)
             if is_informed:
                 return memory.informed_cost_factor(
-                    share, reported, room is crossings.Room.OVERFULL
+                    share,
+                    reported,
+                    room is crossings.Room.OVERFULL,
+                    allowed_share,
                 )
             return memory.cost_factor(share, self.gateway_count, reported)
 
@@ -311,6 +427,12 @@
                 return path
         return ()
 
+    def _allowed_share(self, job: jobs.Job) -> float:
+        """Return the share of memory that a new request may fill."""
+        if not self._pressure.is_contended(job.service.id):
+            return 1.0
+        return self._pressure.share(job.service.id, job.priority)
+
     def _delays_answers(self, service: config.Service) -> bool:
         """Return whether prompts between zones make other answers late."""
         pause_seconds = self._view.pause_objective(service.id)
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -40,6 +40,7 @@
 from burdockmast.gateway import streams
 from burdockmast.gateway import view
 from burdockmast.gateway import wsgi
+from burdockmast.gateway.admission import pressure
 
 LOG = logs.get('gateway')
 
@@ -159,6 +160,9 @@
             self.view, platform.engines, rng
         )
         self._servers.on_change.append(server_reports.drop_unlisted)
+        self._pressure = pressure.Pressure(
+            self.view.admission_policy, gateway_settings.zone
+        )
         self._path_selector = path_selector.PathSelector(
             self.view,
             server_reports,
@@ -167,6 +171,7 @@
             gateway_settings.zone,
             rng,
             self._limits,
+            waiting=self._pressure,
         )
         self._neighbour_link = neighbour_link.NeighbourLink(
             gateway_settings.neighbours_address,
@@ -183,6 +188,7 @@
             self._suspects,
             self._limits,
             self._leaving,
+            self._pressure,
         )
         self.application = wsgi.Application(
             self.view,
@@ -420,6 +426,9 @@
         self._metrics.gauge(
             'retries.slots_held', lambda: self._budget.held_count
         )
+        self._metrics.gauges(
+            'admission.share', 'priority', self._pressure.shares
+        )
         self._metrics.gauge(
             'requests.running', lambda: self.application.running_count
         )
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -475,6 +475,7 @@
                 )
                 progress.failed_servers.append(culprit)
                 self._view.rest(culprit, failure.detail, job.id)
+                self._path_selector.record_rejection(job)
             case failures.Failure(
                 reason=failures.Reason.PEER_SILENT | failures.Reason.DEADLINE
             ):
--- a/libs/gateway/burdockmast/gateway/view.py
+++ b/libs/gateway/burdockmast/gateway/view.py
@@ -13,6 +13,7 @@
 from burdockmast.gateway import leaving_servers
 from burdockmast.gateway import object_follower
 from burdockmast.gateway import server_states
+from burdockmast.gateway.admission import policy
 
 LOG = logs.get('view')
 
@@ -49,6 +50,7 @@
         )
         self._configuration: config.Configuration | None = None
         self._pause_objective_by_service: dict[ids.ServiceId, float] = {}
+        self._policy_by_service: dict[ids.ServiceId, policy.Policy] = {}
         # Since when the store has held none that can be read.
         self._unreadable_since: float | None = None
         configurations.on_change.append(self._apply_newest)
@@ -80,6 +82,7 @@
             if self._configuration is None or found.version > before:
                 self._configuration = found
                 self._pause_objective_by_service = _pause_objectives(found)
+                self._policy_by_service = policy.policy_by_service(found)
                 LOG.info(
                     'configuration applied',
                     extra={
@@ -134,6 +137,10 @@
         """
         return self._pause_objective_by_service.get(service, 0.0)
 
+    def admission_policy(self, service: ids.ServiceId) -> policy.Policy:
+        """Return which admission decisions apply to a service."""
+        return self._policy_by_service.get(service, policy.OFF)
+
     def listed(self, service: ids.ServiceId) -> list[backends.BackendServer]:
         """Return all listed servers of a service."""
         return [
--- a/libs/limits/burdockmast/limits/queues.py
+++ b/libs/limits/burdockmast/limits/queues.py
@@ -30,6 +30,7 @@
     :ivar in_time_until: monotonic seconds after which it is late anyway;
         within a priority, requests that can still be in time go first
     :ivar number: order of arrival, kept if the request has to wait again
+    :ivar tried_round: in which it took its turn last
     """
 
     organisation: ids.OrganisationId
@@ -37,6 +38,7 @@
     weight: float
     in_time_until: float = math.inf
     number: int | None = None
+    tried_round: int = 0
     event: eventlet.event.Event = dataclasses.field(
         default_factory=eventlet.event.Event
     )
@@ -53,13 +55,20 @@
     organisation with the most waiting requests relative to its weight.
     """
 
-    def __init__(self, limit: int, seed: int | None = None):
+    def __init__(
+        self,
+        limit: int,
+        seed: int | None = None,
+        now: Callable[[], float] = lambda: timers.now(),
+    ):
         """Create an empty queue.
 
         :param limit: requests that may wait
         :param seed: makes retry delays repeatable
         """
         self._limit = limit
+        self._now = now
+        self._round = 1
         self._numbers = itertools.count()
         self._waiting: list[Waiter] = []
         self._virtual_time_by_organisation: dict[
@@ -148,27 +157,117 @@
             # It can't use the capacity for which it was woken.
             self.wake()
 
+    def enter(self, waiter: Waiter, seconds: float) -> failures.Failure | None:
+        """Add a request that tries in turn; return why it was refused.
+
+        It stays until ``leave``, whatever comes of its turns.
+
+        :param seconds: longest wait after which the request is of use
+        """
+        if self.expected_wait(waiter) > seconds:
+            return self._refusal(
+                waiter, 'expected wait exceeds the time limit'
+            )
+        if not self._waiting:
+            # Time in which nobody waited is no interval between admissions.
+            self._admitted_at = 0.0
+        if waiter.number is None:
+            waiter.number = next(self._numbers)
+        self._waiting.append(waiter)
+        if len(self._waiting) > self._limit:
+            self._shed()
+        return None
+
+    def leave(self, waiter: Waiter) -> None:
+        """Remove a request that was added by ``enter``, if it is still in."""
+        if waiter in self._waiting:
+            self._waiting.remove(waiter)
+
+    def is_next(self, waiter: Waiter) -> bool:
+        """Return whether no waiting request goes before a new one."""
+        own_rank = self._sort_key(waiter)[:3]
+        return all(self._sort_key(w)[:3] > own_rank for w in self._waiting)
+
+    def begin_round(self) -> None:
+        """Let turns begin with the first request again."""
+        self._round += 1
+
+    def take_turns(
+        self, count: int, goes_first: Callable[[Waiter], bool]
+    ) -> list[Waiter]:
+        """Return the requests that are to try now, in order.
+
+        They are the next of this round, so that one that fits nowhere holds
+        up no others. A round in which all have tried ends.
+
+        :param goes_first: whether a request goes before all others
+        """
+        due = [w for w in self._waiting if w.tried_round < self._round]
+        if not due:
+            self.begin_round()
+            due = self._waiting
+        ordered = sorted(
+            due, key=lambda w: (not goes_first(w), self._sort_key(w))
+        )
+        for waiter in ordered[:count]:
+            waiter.tried_round = self._round
+        return ordered[:count]
+
+    def wait_for_turn(
+        self, waiter: Waiter, seconds: float
+    ) -> failures.Failure | None:
+        """Wait until the request may try; return None, or why it is refused.
+
+        :param seconds: longest wait after which the request is of use
+        """
+        with eventlet.Timeout(max(0.0, seconds), False):
+            woken = waiter.event
+            refusal = woken.wait()
+            if waiter.event is woken:
+                waiter.event = eventlet.event.Event()
+            return refusal
+        return failures.Failure(
+            failures.Reason.DEADLINE,
+            WAIT_STEP,
+            detail='timed out in the admission queue',
+            retry_after=self.retry_after(waiter),
+        )
+
+    def wake_in_turn(
+        self,
+        count: int,
+        goes_first: Callable[[Waiter], bool] = lambda _: False,
+    ) -> None:
+        """Let up to ``count`` waiting requests try, which stay in the queue.
+
+        :param goes_first: whether a request goes before all others
+        """
+        for waiter in self.take_turns(count, goes_first):
+            if not waiter.event.ready():
+                waiter.event.send(None)
+
     def wake(self, count: int = 1) -> None:
         """Admit up to ``count`` waiting requests."""
         for _ in range(min(count, len(self._waiting))):
             waiter = min(self._waiting, key=self._sort_key)
             self._waiting.remove(waiter)
-            self._record_admission(waiter)
+            self.record_admission(waiter)
             waiter.event.send(None)
 
     def _sort_key(self, waiter: Waiter) -> tuple[int, bool, float, int]:
         start = self._virtual_start(waiter.organisation)
-        is_late = timers.now() >= waiter.in_time_until
+        is_late = self._now() >= waiter.in_time_until
         return (-waiter.priority, is_late, start, waiter.number)
 
-    def _record_admission(self, waiter: Waiter) -> None:
+    def record_admission(self, waiter: Waiter) -> None:
+        """Count a request towards its organisation's share."""
         start = self._virtual_start(waiter.organisation)
         self._virtual_time = start
         organisation = waiter.organisation
         self._virtual_time_by_organisation[organisation] = (
             start + 1 / waiter.weight
         )
-        now = timers.now()
+        now = self._now()
         if self._admitted_at:
             sample = min(now - self._admitted_at, 1.0)
             self._admission_interval += INTERVAL_WEIGHT * (
@@ -191,6 +290,9 @@
         )
         self._waiting.remove(victim)
         refusal = self._refusal(victim, 'admission queue is full')
+        if victim.event.ready():
+            # It has been woken for its turn, which it takes first.
+            victim.event = eventlet.event.Event()
         victim.event.send(refusal)
 
     def _refusal(self, waiter: Waiter, detail: str) -> failures.Failure:
@@ -205,7 +307,7 @@
         """Return the seconds after which a refused caller may retry."""
         wait = self.expected_wait(waiter)
         return self._retry_schedule.next_delay(
-            timers.now(), wait, self._admission_interval
+            self._now(), wait, self._admission_interval
         )
 
 
--- a/libs/model/burdockmast/model/play.py
+++ b/libs/model/burdockmast/model/play.py
@@ -1,7 +1,10 @@
 """Plays a load on a fleet, and counts what callers get."""
 
+import collections
 from collections.abc import Callable
+import contextlib
 import dataclasses
+import enum
 import itertools
 import random
 
@@ -14,6 +17,9 @@
 from burdockmast.gateway import neighbours
 from burdockmast.gateway import path_selector
 from burdockmast.gateway import server_limits
+from burdockmast.gateway.admission import policy
+from burdockmast.gateway.admission import pressure
+from burdockmast.limits import queues
 from burdockmast.model import engines
 from burdockmast.model import events
 
@@ -30,6 +36,19 @@
 MAX_LENGTH_FACTOR = 3.5
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerClass:
+    """Callers of one priority.
+
+    :ivar weight: share of the requests
+    :ivar first_event_seconds: objective for the first event
+    """
+
+    priority: int
+    weight: float
+    first_event_seconds: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Load:
     """What callers ask for.
@@ -38,6 +57,7 @@
     :ivar answer_tokens: mean, before the longest ones are cut off
     :ivar first_event_seconds: objective for the first event
     :ivar pause_seconds: objective for the time between two events
+    :ivar classes: of callers, if there are several
     """
 
     requests_per_second: dict[ids.ZoneId, float]
@@ -46,6 +66,7 @@
     answer_tokens: int
     first_event_seconds: float
     pause_seconds: float
+    classes: tuple[CallerClass, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,6 +84,14 @@
     stride: int
 
 
+class End(enum.Enum):
+    """How a request ended."""
+
+    IN_TIME = 'in time'
+    LATE = 'late'
+    REFUSED = 'refused'
+
+
 @dataclasses.dataclass(slots=True)
 class Outcome:
     """What callers got.
@@ -72,6 +101,7 @@
     :ivar peak_share: largest share of a server's memory that was in use
     :ivar crossings: of prompts between zones
     :ivar first_event_seconds: of each request that was answered
+    :ivar ends: requests by priority and end
     """
 
     in_time: int = 0
@@ -81,6 +111,25 @@
     peak_share: float = 0.0
     crossings: int = 0
     first_event_seconds: list[float] = dataclasses.field(default_factory=list)
+    ends: collections.Counter[tuple[int, End]] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+    def record(self, priority: int, end: End) -> None:
+        """Count a request."""
+        self.ends[priority, end] += 1
+        match end:
+            case End.IN_TIME:
+                self.in_time += 1
+            case End.LATE:
+                self.late += 1
+            case End.REFUSED:
+                self.refused += 1
+
+    def share_in_time_of(self, priority: int) -> float:
+        """Return the share of a priority that was answered in time."""
+        requests = sum(self.ends[priority, end] for end in End)
+        return self.ends[priority, End.IN_TIME] / max(1, requests)
 
     @property
     def share_in_time(self) -> float:
@@ -138,12 +187,36 @@
     length_hint: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Route:
+    """The objective that a caller's route names."""
+
+    objective_seconds: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Job:
     """As much of a request as the path selector reads."""
 
     service: config.Service
     request: _Request
+    route: _Route
+    priority: int
+    arrived_at: float
+    organisation: ids.OrganisationId = ids.OrganisationId('')
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Turn:
+    """Takes a waiting request's turns, in place of an event."""
+
+    take: Callable[[object], None]
+
+    def ready(self) -> bool:
+        return False
+
+    def send(self, refusal: object) -> None:
+        self.take(refusal)
 
 
 class _Gateway:
@@ -156,8 +229,12 @@
         clock: Callable[[], float],
         rng: random.Random,
         hears_neighbours: bool,
+        admission: policy.Policy,
     ):
         self.record = record
+        self.pressure = pressure.Pressure(
+            lambda _: admission, record.zone, clock
+        )
         self.usage = memory.Usage()
         self.neighbours = neighbours.Neighbours(record, rng, clock)
         self.hears_neighbours = hears_neighbours
@@ -172,6 +249,20 @@
                 record.name, self.neighbours.known_gateways, rng, clock
             ),
             clock,
+            self.pressure,
+        )
+
+    def learned(self, is_for_other_zones: bool) -> neighbours.Learned:
+        return neighbours.Learned(
+            pressure=self.pressure.news(is_for_other_zones)
+        )
+
+    def receive(self, message: neighbours.Message) -> None:
+        self.neighbours.receive(message)
+        self.pressure.receive(
+            message.learned.pressure,
+            message.sender,
+            self.neighbours.is_neighbour(message.sender),
         )
 
 
@@ -207,16 +298,23 @@
     """One play of a load on a site."""
 
     def __init__(
-        self, site: Site, load: Load, seed: int, hears_neighbours: bool = True
+        self,
+        site: Site,
+        load: Load,
+        seed: int,
+        hears_neighbours: bool = True,
+        admission: policy.Policy = policy.OFF,
     ):
         """Create the fleet.
 
         :param hears_neighbours: gateways receive each other's messages
+        :param admission: which admission decisions apply
         """
         self.outcome = Outcome()
         self.timeline = events.Timeline()
         self._site = site
         self._load = load
+        self._only_class = CallerClass(0, 1.0, load.first_event_seconds)
         self._rng = random.Random(seed)
         self._service = config.Service(SERVICE, site.engine)
         servers = servers_of(site)
@@ -238,6 +336,7 @@
                     self.timeline.time,
                     random.Random(self._rng.random()),
                     hears_neighbours,
+                    admission,
                 )
                 for number in range(count)
             ]
@@ -255,6 +354,10 @@
                 self._rng.random() * SEND_INTERVAL_SECONDS,
                 lambda gateway=gateway: self._send_due(gateway),
             )
+            self.timeline.after(
+                self._rng.random() * path_selector.WAKE_INTERVAL_SECONDS,
+                lambda gateway=gateway: self._wake(gateway),
+            )
 
     def _gateways(self) -> list[_Gateway]:
         return list(
@@ -273,11 +376,17 @@
             )
         return self.outcome
 
+    def _wake(self, gateway: _Gateway) -> None:
+        gateway.selector.wake_waiter()
+        self.timeline.after(
+            path_selector.WAKE_INTERVAL_SECONDS, lambda: self._wake(gateway)
+        )
+
     def _send_due(self, gateway: _Gateway) -> None:
         if self.timeline.now > self._load.seconds:
             return
         for address, message in gateway.neighbours.due_messages(
-            gateway.usage.load_by_server()
+            gateway.usage.load_by_server(), learned=gateway.learned
         ):
             receiver = self._gateway_by_address[address]
             if (
@@ -286,7 +395,7 @@
             ):
                 self.timeline.after(
                     MESSAGE_SECONDS,
-                    lambda r=receiver, m=message: r.neighbours.receive(m),
+                    lambda r=receiver, m=message: r.receive(m),
                 )
         self.timeline.after(
             SEND_INTERVAL_SECONDS, lambda: self._send_due(gateway)
@@ -313,7 +422,15 @@
             1, int(self._load.prompt_tokens * self._rng.uniform(1 / 3, 5 / 3))
         )
         gateway = self._rng.choice(self.gateways_by_zone[zone])
-        _Stream(self, gateway, prompt, answer).try_to_begin()
+        if not self._load.classes:
+            _Stream(
+                self, gateway, prompt, answer, self._only_class
+            ).try_to_begin()
+            return
+        (caller,) = self._rng.choices(
+            self._load.classes, [c.weight for c in self._load.classes]
+        )
+        _Stream(self, gateway, prompt, answer, caller).arrive()
 
     def _move_on(self, request: engines.Request, stage: int) -> None:
         """Pass a request to its next stage, or its tokens to the caller."""
@@ -340,7 +457,12 @@
     """A caller's request from its arrival to the end of its answer."""
 
     def __init__(
-        self, play: Play, gateway: _Gateway, prompt: int, answer: int
+        self,
+        play: Play,
+        gateway: _Gateway,
+        prompt: int,
+        answer: int,
+        caller: CallerClass,
     ):
         self._play = play
         self._gateway = gateway
@@ -349,9 +471,91 @@
         self._last_event_at: float | None = None
         self._is_late = False
         self._prompt = prompt
-        self._job = _Job(play._service, _Request(prompt, answer, answer))
+        self._caller = caller
+        self._job = _Job(
+            play._service,
+            _Request(prompt, answer, answer),
+            _Route(caller.first_event_seconds),
+            caller.priority,
+            play.timeline.now,
+        )
+        self._waiter: queues.Waiter | None = None
+        self._waiting = contextlib.ExitStack()
         self._request: engines.Request | None = None
 
+    def arrive(self) -> None:
+        """Take a path, or wait in the gateway's queue for one."""
+        waiter = self._new_waiter()
+        may_try = not self._is_ordered or self._gateway.selector.may_try(
+            self._job, waiter
+        )
+        if may_try and self._try_path(waiter):
+            return
+        if self._is_ordered:
+            self._waiting.enter_context(
+                self._gateway.pressure.waiting(SERVICE, self._job.priority)
+            )
+        self._enter(waiter)
+        self._play.timeline.after(
+            path_selector.MAX_QUEUE_SECONDS, self._give_up
+        )
+
+    @property
+    def _is_ordered(self) -> bool:
+        return self._gateway.pressure.is_contended(SERVICE)
+
+    def _new_waiter(self) -> queues.Waiter:
+        waiter = path_selector.waiter_of(self._job, False)
+        waiter.event = _Turn(self._take_turn)
+        return waiter
+
+    def _enter(self, waiter: queues.Waiter) -> None:
+        self._waiter = waiter
+        waited = self._play.timeline.now - self._arrived_at
+        refusal = self._gateway.selector.queue_of(SERVICE).enter(
+            waiter, path_selector.MAX_QUEUE_SECONDS - waited
+        )
+        if refusal:
+            self._give_up()
+
+    def _take_turn(self, refusal: object) -> None:
+        call = self._give_up if refusal else self._try_again
+        self._play.timeline.after(0.0, call)
+
+    def _try_again(self) -> None:
+        if self._waiter is None:
+            return
+        if not self._try_path(self._waiter):
+            if not self._is_ordered:
+                self._enter(self._new_waiter())
+            return
+        self._stop_waiting()
+
+    def _try_path(self, waiter: queues.Waiter) -> bool:
+        """Begin if there is a path."""
+        selector = self._gateway.selector
+        path = selector.find_path(self._job, ())
+        if not path:
+            return False
+        if self._is_ordered:
+            selector.record_admission(self._job, waiter)
+        self._begin(path)
+        return True
+
+    def _give_up(self) -> None:
+        """End the request unless it has begun."""
+        if self._waiter is None:
+            return
+        self._stop_waiting()
+        if self._is_ordered:
+            self._gateway.selector.record_rejection(self._job)
+        self._play.outcome.record(self._job.priority, End.REFUSED)
+
+    def _stop_waiting(self) -> None:
+        self._gateway.selector.queue_of(SERVICE).leave(self._waiter)
+        self._waiter = None
+        self._waiting.close()
+
     def try_to_begin(self) -> None:
         """Send the request to a path, or wait for one as the product does."""
         play, selector = self._play, self._gateway.selector
@@ -359,12 +563,16 @@
         if not path:
             waited = play.timeline.now - self._arrived_at
             if waited > path_selector.MAX_QUEUE_SECONDS:
-                play.outcome.refused += 1
+                play.outcome.record(self._job.priority, End.REFUSED)
                 return
             play.timeline.after(
                 path_selector.WAKE_INTERVAL_SECONDS, self.try_to_begin
             )
             return
+        self._begin(path)
+
+    def _begin(self, path: tuple[backends.Stage, ...]) -> None:
+        play, selector = self._play, self._gateway.selector
         selector.reserve(self._job, path)
         zones = [stage.server.zone for stage in path]
         play.outcome.crossings += sum(
@@ -381,7 +589,7 @@
         if self._last_event_at is None:
             waited = now - self._arrived_at
             play.outcome.first_event_seconds.append(waited)
-            self._is_late = waited > load.first_event_seconds
+            self._is_late = waited > self._caller.first_event_seconds
         elif now - self._last_event_at > load.pause_seconds:
             self._is_late = True
         self._last_event_at = now
@@ -397,10 +605,9 @@
         for stage in self._request.path:
             self._play.engine_by_server[stage.server.id].end(self._request)
         self._gateway.selector.release(self._job, self._request.path)
-        if self._is_late:
-            self._play.outcome.late += 1
-        else:
-            self._play.outcome.in_time += 1
+        self._play.outcome.record(
+            self._job.priority, End.LATE if self._is_late else End.IN_TIME
+        )
 
 
 def percentile(values: list[float], share: float) -> float:
