Let a lower priority keep a part of the admissions, and no more

Cause: turns were earned only while requests waited, and not when they were refused at once; a lower priority could be admitted more often than a higher one under a long overload. Change: turns count refused requests too, and are bounded by the share of the higher priorities' requests that are admitted; of each priority only the next request goes first. The share falls by a fifth for each pressed priority.

--- a/libs/gateway/burdockmast/gateway/admission/pressure.py
+++ b/libs/gateway/burdockmast/gateway/admission/pressure.py
@@ -34,19 +34,24 @@
 # gateways as well: as long as their loads.
 RECENT_SECONDS = 1.5
 # A priority is under pressure if more than this share of its requests wait or
-# were refused lately: a single one that a server rejected holds back nobody.
-PRESSED_SHARE = 0.02
+# were refused lately. Callers need 95 in 100 answers in time; a single request
+# that a server rejected holds back nobody.
+PRESSED_SHARE = 0.05
 # Factor on the memory that a priority may fill, for each higher priority that
-# is under pressure.
-HELD_SHARE = 0.7
+# is under pressure. A fifth of a server's memory may fill before other
+# gateways hear of it.
+HELD_SHARE = 0.8
 # Time in which the share falls by what one higher priority takes from it. A
 # request may wait for a second, so that the room has to come free earlier.
 FALL_SECONDS = 0.3
 # Time in which it rises again: about as long as answers hold their memory, so
 # that lower priorities don't fill at once what higher ones were waiting for.
 RISE_SECONDS = 3.0
-# Part of a higher priority's admissions that each lower one may have.
+# Part of the higher priorities' admissions that a lower one keeps, and the
+# share of its requests up to which it does, relative to the share of theirs
+# that are admitted: it must not be served better than they are.
 MIN_ADMITTED_SHARE = 0.1
+MAX_RELATIVE_SHARE = 0.5
 # Turns that a priority may save up at a gateway.
 MAX_TURNS = 2.0
 # Priorities of a service that are told apart; lower ones count as the last.
@@ -90,11 +95,25 @@
             self.admitted + other.admitted,
         )
 
+    @property
+    def total(self) -> int:
+        """All of them."""
+        return self.waiting + self.refused + self.admitted
+
+    @property
+    def lacking(self) -> int:
+        """Those without a path."""
+        return self.waiting + self.refused
+
+    @property
+    def admitted_share(self) -> float:
+        """Share of them that got a path."""
+        return self.admitted / self.total if self.total else 1.0
+
     @property
     def is_pressed(self) -> bool:
         """Whether requests of this priority lack room."""
-        lacking = self.waiting + self.refused
-        return lacking > PRESSED_SHARE * (lacking + self.admitted)
+        return 1 - self.admitted_share > PRESSED_SHARE
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -293,25 +312,24 @@
         seconds = now - state.advanced_at
         state.advanced_at = now
         target = 1.0
-        admitted_before = 0
+        higher = Counts()
+        least_share = 1.0
         for index, level in enumerate(state.levels):
             own = level.own_counts(now)
             total = own + level.heard_counts(now, from_zones=True)
             self._move_share(service, state, index, target, seconds)
-            if target < 1.0 and own.waiting:
-                level.turns = min(
-                    MAX_TURNS,
-                    level.turns
-                    + seconds
-                    * MIN_ADMITTED_SHARE
-                    * admitted_before
-                    / RECENT_SECONDS
-                    * own.waiting
-                    / total.waiting,
-                )
-            elif target >= 1.0:
+            if target >= 1.0:
                 level.turns = 0.0
-            admitted_before += total.admitted
+            elif own.lacking:
+                admissions = min(
+                    MIN_ADMITTED_SHARE * higher.admitted,
+                    MAX_RELATIVE_SHARE * least_share * total.total,
+                )
+                own_part = own.lacking / total.lacking
+                earned = admissions / RECENT_SECONDS * own_part * seconds
+                level.turns = min(MAX_TURNS, level.turns + earned)
+            higher += total
+            least_share = min(least_share, total.admitted_share)
             if total.is_pressed:
                 target *= HELD_SHARE
 
--- a/libs/gateway/burdockmast/gateway/path_selector.py
+++ b/libs/gateway/burdockmast/gateway/path_selector.py
@@ -242,7 +242,9 @@
 
     def record_admission(self, job: jobs.Job, waiter: queues.Waiter) -> None:
         """Record that a new request got a path."""
-        self.queue_of(job.service.id).record_admission(waiter)
+        queue = self.queue_of(job.service.id)
+        if len(queue):
+            queue.record_admission(waiter)
         self._pressure.record_admission(job.service.id, job.priority)
 
     def record_rejection(self, job: jobs.Job) -> None:
@@ -321,15 +323,13 @@
         """
         self._queue.wake()
         for service, queue in self._queue_by_service.items():
-            queue.wake_in_turn(TURNS, self._goes_first(service))
-
-    def _goes_first(
-        self, service: ids.ServiceId
-    ) -> Callable[[queues.Waiter], bool]:
-        """Return what tells whether a waiting request has a turn."""
-        return lambda waiter: self._pressure.has_turn(
-            service, -waiter.priority
-        )
+            queue.wake_in_turn(
+                TURNS, functools.partial(self._goes_first, service)
+            )
+
+    def _goes_first(self, service: ids.ServiceId, rank: int) -> bool:
+        """Return whether requests of a rank in the queue have a turn."""
+        return self._pressure.has_turn(service, -rank)
 
     def find_path(
         self,
--- a/libs/limits/burdockmast/limits/queues.py
+++ b/libs/limits/burdockmast/limits/queues.py
@@ -193,25 +193,33 @@
         self._round += 1
 
     def take_turns(
-        self, count: int, goes_first: Callable[[Waiter], bool]
+        self, count: int, goes_first: Callable[[int], bool]
     ) -> list[Waiter]:
         """Return the requests that are to try now, in order.
 
         They are the next of this round, so that one that fits nowhere holds
         up no others. A round in which all have tried ends.
 
-        :param goes_first: whether a request goes before all others
+        :param goes_first: whether the next request of a priority goes before
+            those of all others
         """
         due = [w for w in self._waiting if w.tried_round < self._round]
         if not due:
             self.begin_round()
             due = self._waiting
-        ordered = sorted(
-            due, key=lambda w: (not goes_first(w), self._sort_key(w))
-        )
-        for waiter in ordered[:count]:
+        ordered = sorted(due, key=self._sort_key)
+        first_by_priority: dict[int, Waiter] = {}
+        for waiter in ordered:
+            first_by_priority.setdefault(waiter.priority, waiter)
+        chosen = [
+            waiter
+            for priority, waiter in first_by_priority.items()
+            if goes_first(priority)
+        ]
+        chosen += [w for w in ordered if w not in chosen]
+        for waiter in chosen[:count]:
             waiter.tried_round = self._round
-        return ordered[:count]
+        return chosen[:count]
 
     def wait_for_turn(
         self, waiter: Waiter, seconds: float
@@ -236,11 +244,11 @@
     def wake_in_turn(
         self,
         count: int,
-        goes_first: Callable[[Waiter], bool] = lambda _: False,
+        goes_first: Callable[[int], bool] = lambda _: False,
     ) -> None:
         """Let up to ``count`` waiting requests try, which stay in the queue.
 
-        :param goes_first: whether a request goes before all others
+        :param goes_first: see ``take_turns``
         """
         for waiter in self.take_turns(count, goes_first):
             if not waiter.event.ready():
