--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -467,15 +467,16 @@
             case failures.Failure(reason=failures.Reason.ENGINE_REFUSED):
                 culprit = next(
                     (
-                        stage.server.id
+                        stage.server
                         for stage in attempt.path
                         if stage.server.address == failure.peer
                     ),
-                    first.id,
+                    first,
                 )
-                progress.failed_servers.append(culprit)
-                self._view.rest(culprit, failure.detail, job.id)
-                self._path_selector.record_rejection(job)
+                progress.failed_servers.append(culprit.id)
+                self._view.rest(culprit.id, failure.detail, job.id)
+                if not self._dependencies.leaving.includes(culprit):
+                    self._path_selector.record_rejection(job)
             case failures.Failure(
                 reason=failures.Reason.PEER_SILENT | failures.Reason.DEADLINE
             ):
