--- a/tests/test_gateway_pressure.py
+++ b/tests/test_gateway_pressure.py
@@ -127,27 +127,21 @@
 def test_all_gateways_hold_back_for_the_highest_and_let_go_again(clock):
     """Guards against decisions from a gateway's own queue alone."""
     gateways = Gateways(clock, 'a', 'a', 'b', 'b')
+    held = pressure.HELD_SHARE
     with gateways.all[1].waiting(SERVICE, 0):
         gateways.run(1.0)
-        for number in range(4):
-            first, *lower = gateways.shares(number)
-            assert first == 1.0
-            assert lower == [pressure.HELD_SHARE] * 2
+        assert gateways.shares(3) == [1.0, held, held]
+        with gateways.all[0].waiting(SERVICE, 3):
+            gateways.run(1.0)
+            for number in range(4):
+                shares = gateways.shares(number)
+                assert shares == pytest.approx([1.0, held, held**2])
     gateways.run(0.2)
-    assert pressure.HELD_SHARE <= gateways.shares(3)[1] < 1.0
-    gateways.run(2 * pressure.RISE_SECONDS)
+    assert held <= gateways.shares(3)[1] < 1.0
+    gateways.run(3 * pressure.RISE_SECONDS)
     assert [gateways.shares(n) for n in range(4)] == [[1.0] * 3] * 4
 
 
-def test_less_is_left_for_each_higher_priority_that_waits(clock):
-    gateways = Gateways(clock, 'a', 'a')
-    with gateways.all[0].waiting(SERVICE, 0):
-        gateways.all[0].record_refusal(SERVICE, 3)
-        gateways.run(1.0)
-        held = pressure.HELD_SHARE
-        assert gateways.shares(1) == pytest.approx([1.0, held, held**2])
-
-
 def test_expired_news_holds_back_nobody(clock):
     """Guards against a gateway that is lost while its requests wait."""
     gateways = Gateways(clock, 'a', 'a', 'b')
