--- a/libs/gateway/burdockmast/gateway/neighbour_link.py
+++ b/libs/gateway/burdockmast/gateway/neighbour_link.py
@@ -1,5 +1,8 @@
 """Sends and receives the messages between gateways as datagrams."""
 
+from collections.abc import Callable
+import math
+
 import eventlet
 from eventlet.green import socket
 import msgspec
@@ -42,10 +45,13 @@
         limits: server_limits.ServerLimits,
         leaving: leaving_servers.LeavingServers,
         waiting: pressure.Pressure | None = None,
+        configuration_age: Callable[[], float] = lambda: math.inf,
     ):
         """Prepare to listen at ``address``.
 
         :param waiting: requests that wait for room, None to report none
+        :param configuration_age: returns the seconds since this gateway's
+            configuration was last confirmed
         """
         self.address = address
         self._neighbours = known
@@ -56,6 +62,7 @@
         self._limits = limits
         self._leaving = leaving
         self._pressure = waiting
+        self._configuration_age = configuration_age
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(neighbours.Message)
         self._sock: socket.socket | None = None
@@ -91,6 +98,7 @@
                 if self._pressure
                 else []
             ),
+            configuration_age=self._configuration_age(),
         )
 
     def _zone_news(self) -> neighbours.ZoneNews:
--- a/libs/gateway/burdockmast/gateway/neighbours.py
+++ b/libs/gateway/burdockmast/gateway/neighbours.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
+import math
 import random
 
 import msgspec
@@ -73,12 +74,15 @@
     :ivar limits: that servers have named
     :ivar leaving: servers that have said that they leave
     :ivar pressure: requests that wait for room, by priority
+    :ivar configuration_age: seconds since the sender's configuration was
+        last confirmed
     """
 
     crashes: crash_suspects.CrashNews | None = None
     limits: list[server_limits.LimitNews] = []
     leaving: list[leaving_servers.LeavingNews] = []
     pressure: list[admission_pressure.PressureNews] = []
+    configuration_age: float = math.inf
 
 
 NOTHING_LEARNED = Learned()
@@ -106,12 +110,15 @@
     :ivar known_since: monotonic seconds
     :ivar heard_at: monotonic seconds of its last message
     :ivar told_at: monotonic seconds of the last message to it
+    :ivar confirmed_at: monotonic seconds at which its configuration was last
+        confirmed
     """
 
     gateway: interfaces.GatewayRecord
     known_since: float
     heard_at: float = float('-inf')
     told_at: float = float('-inf')
+    confirmed_at: float = float('-inf')
 
 
 def zone_source(zone: ids.ZoneId) -> str:
@@ -179,6 +186,17 @@
             if peer.gateway.zone == self._own.zone and self._is_alive(peer)
         ]
 
+    def others_confirm(self, max_age_seconds: float) -> bool:
+        """Return whether other gateways may know the configuration in force.
+
+        One that hears nobody is likely to be cut off by itself.
+
+        :param max_age_seconds: age up to which it counts as known
+        """
+        heard = [p for p in self._peer_by_name.values() if self._is_alive(p)]
+        since = self._now() - max_age_seconds
+        return not heard or any(p.confirmed_at > since for p in heard)
+
     def is_neighbour(self, name: str) -> bool:
         """Return whether a known gateway is in this zone."""
         peer = self._peer_by_name.get(name)
@@ -235,7 +253,9 @@
             ids.ZoneId(message.zone),
             ids.Address(message.address),
         )
-        self._learn(gateway).heard_at = self._now()
+        peer = self._learn(gateway)
+        peer.heard_at = self._now()
+        peer.confirmed_at = peer.heard_at - message.learned.configuration_age
         is_neighbour = gateway.zone == self._own.zone
         own_zone = zone_source(self._own.zone)
         for load in message.loads:
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -189,6 +189,7 @@
             self._limits,
             self._leaving,
             self._pressure,
+            lambda: self.view.configuration_age,
         )
         self.application = wsgi.Application(
             self.view,
@@ -221,6 +222,7 @@
             gateway_settings.revoke_seconds * TRUSTED_AGE_SHARE,
             gateway_settings.revoke_seconds * READY_AGE_SHARE,
             rng,
+            self._neighbours,
         )
         self._planner = planner.Planner(
             self.view,
--- a/libs/gateway/burdockmast/gateway/view.py
+++ b/libs/gateway/burdockmast/gateway/view.py
@@ -90,6 +90,7 @@
                         'before': before,
                         'era': self._configurations.era,
                         'api_keys': _key_count(found.authentication),
+                        'controls_admission': self.controls_admission,
                     },
                 )
 
@@ -141,6 +142,11 @@
         """Return which admission decisions apply to a service."""
         return self._policy_by_service.get(service, policy.OFF)
 
+    @property
+    def controls_admission(self) -> bool:
+        """Whether admission decisions apply to any service."""
+        return any(p.is_contended for p in self._policy_by_service.values())
+
     def listed(self, service: ids.ServiceId) -> list[backends.BackendServer]:
         """Return all listed servers of a service."""
         return [
--- a/libs/gateway/burdockmast/gateway/wsgi.py
+++ b/libs/gateway/burdockmast/gateway/wsgi.py
@@ -25,11 +25,13 @@
 from burdockmast.gateway import disconnects
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import jobs
+from burdockmast.gateway import neighbours
 from burdockmast.gateway import refusals
 from burdockmast.gateway import request_target
 from burdockmast.gateway import retry_allowance
 from burdockmast.gateway import streams
 from burdockmast.gateway import view
+from burdockmast.gateway.admission import return_times
 from burdockmast.limits import retry_schedule
 
 LOG = logs.get('callers')
@@ -89,6 +91,7 @@
         trusted_seconds: float,
         ready_seconds: float,
         rng: random.Random,
+        others: neighbours.Neighbours,
     ):
         """Create an application.
 
@@ -101,6 +104,7 @@
             that it names are accepted
         :param ready_seconds: age of the configuration up to which the
             readiness check succeeds
+        :param others: the other gateways, to which refused callers return
         """
         self.is_draining = False
         self.rejects_requests = False
@@ -118,6 +122,7 @@
         self._trusted_seconds = trusted_seconds
         self._ready_seconds = ready_seconds
         self._rng = rng
+        self._others = others
 
     def is_ready(self) -> bool:
         """Tell whether the load balancer may send new requests here."""
@@ -169,7 +174,10 @@
         job = self._admit(request, body, arrived_at, buffer)
         if isinstance(job, failures.Failure):
             yield self._send_error(
-                start_response, request.id, job, body.has_near_end
+                start_response,
+                request.id,
+                self._with_return_time(job, request, arrived_at),
+                body.has_near_end,
             )
             self._drop(body, connection)
             return
@@ -337,14 +345,26 @@
             with contextlib.closing(self._replies.open()) as buffer:
                 result = self._call_proxy.forward(job, buffer)
                 if isinstance(result, failures.Failure):
-                    yield self._send_error(start_response, job.id, result)
+                    yield self._send_error(
+                        start_response,
+                        job.id,
+                        self._with_return_time(
+                            result, job.request, job.arrived_at
+                        ),
+                    )
                 else:
                     yield self._send_reply(start_response, result)
             return
         for item in self._stream_proxy.forward(job):
             match item:
                 case failures.Failure():
-                    yield self._send_error(start_response, job.id, item)
+                    yield self._send_error(
+                        start_response,
+                        job.id,
+                        self._with_return_time(
+                            item, job.request, job.arrived_at
+                        ),
+                    )
                 case jobs.Reply(body=None):
                     self._start_reply(start_response, item, item.headers)
                 case jobs.Reply():
@@ -352,6 +372,30 @@
                 case _:
                     yield item
 
+    def _with_return_time(
+        self,
+        failure: failures.Failure,
+        request: interfaces.CallerRequest,
+        arrived_at: float,
+    ) -> failures.Failure:
+        """Return a failure with the time after which its caller may return.
+
+        It changes only where a deployment calls for admission control.
+        """
+        configuration = self._view.configuration
+        if configuration is None or not self._view.controls_admission:
+            return failure
+        route = configuration.find_route(request.host, request.path)
+        if route is None:
+            return failure
+        return return_times.with_return_time(
+            failure,
+            return_times.Refused(
+                timers.now() - arrived_at, route.objective_seconds
+            ),
+            self._others.others_confirm(self._trusted_seconds),
+        )
+
     def _send_reply(
         self, start_response: StartResponse, reply: jobs.Reply
     ) -> bytes:
