Admit in order only where routes have several priorities

Cause: the order of new requests in a queue of their own also held for services with slow hops and one priority. Organisations' priorities alone don't switch it on either: earlier deployments have one priority of routes and are to be served as before.

--- a/libs/gateway/burdockmast/gateway/admission/policy.py
+++ b/libs/gateway/burdockmast/gateway/admission/policy.py
@@ -38,7 +38,13 @@
         if service is None or service.engine is None:
             return OFF
         priorities = _priorities(configuration, service_id)
-        has_priorities = len(priorities) >= 2
+        has_priorities = (
+            min(
+                len(priorities),
+                len(_route_priorities(configuration, service_id)),
+            )
+            > 1
+        )
         return cls(
             priorities,
             has_priorities,
@@ -64,6 +70,18 @@
     }
 
 
+def _route_priorities(
+    configuration: config.Configuration, service: ids.ServiceId
+) -> set[int]:
+    """Return the priorities of the routes of streams to a service."""
+    return {
+        route.priority
+        for routes in configuration.routes_by_host.values()
+        for route in routes
+        if route.is_stream and service in route.weight_by_service
+    }
+
+
 def _priorities(
     configuration: config.Configuration, service: ids.ServiceId
 ) -> tuple[int, ...]:
--- a/libs/gateway/burdockmast/gateway/admission/pressure.py
+++ b/libs/gateway/burdockmast/gateway/admission/pressure.py
@@ -219,9 +219,9 @@
             tuple[str, str, int], tuple[PressureNews, float]
         ] = {}
 
-    def is_contended(self, service: ids.ServiceId) -> bool:
-        """Return whether requests of a service are admitted in order."""
-        return self._policy_of(service).is_contended
+    def admits_in_order(self, service: ids.ServiceId) -> bool:
+        """Return whether requests of a service are admitted by priority."""
+        return self._policy_of(service).has_priorities
 
     def _service(self, service: ids.ServiceId) -> _Service | None:
         """Return the state of a service that has several priorities."""
--- a/libs/gateway/burdockmast/gateway/path_selector.py
+++ b/libs/gateway/burdockmast/gateway/path_selector.py
@@ -157,7 +157,7 @@
         :param first_servers: at which the path may begin, None for any
         :returns: no stages if waiting would not help
         """
-        if not has_begun and self._pressure.is_contended(job.service.id):
+        if not has_begun and self._pressure.admits_in_order(job.service.id):
             return self._wait_in_order(job, failed, is_isolated, first_servers)
         path = self.find_path(
             job, failed, has_begun, is_isolated, first_servers
@@ -225,7 +225,7 @@
 
     def queue_of(self, service: ids.ServiceId) -> queues.FairQueue:
         """Return the queue in which a service's new requests wait."""
-        if not self._pressure.is_contended(service):
+        if not self._pressure.admits_in_order(service):
             return self._queue
         queue = self._queue_by_service.get(service)
         if queue is None:
@@ -429,7 +429,7 @@
 
     def _allowed_share(self, job: jobs.Job) -> float:
         """Return the share of memory that a new request may fill."""
-        if not self._pressure.is_contended(job.service.id):
+        if not self._pressure.admits_in_order(job.service.id):
             return 1.0
         return self._pressure.share(job.service.id, job.priority)
 
--- a/libs/model/burdockmast/model/play.py
+++ b/libs/model/burdockmast/model/play.py
@@ -502,7 +502,7 @@
 
     @property
     def _is_ordered(self) -> bool:
-        return self._gateway.pressure.is_contended(SERVICE)
+        return self._gateway.pressure.admits_in_order(SERVICE)
 
     def _new_waiter(self) -> queues.Waiter:
         waiter = path_selector.waiter_of(self._job, False)
