Read the delays between zones from the configuration

A service's engine names the delay of a hop between each pair of zones, which was ignored. Keep the longest one as zone_delay_ms, 0 if none is named, so that parts can tell where hops between zones are slow.

--- a/libs/gateway/burdockmast/gateway/config.py
+++ b/libs/gateway/burdockmast/gateway/config.py
@@ -43,6 +43,7 @@
     :ivar prefill_tokens_per_second: over all layers
     :ivar activation_bytes_per_token: sent from each stage to the next
     :ivar zone_link_mbps: bandwidth between two zones, shared by all transfers
+    :ivar zone_delay_ms: longest hop between two zones, 0 if none is known
     """
 
     layers: int
@@ -57,6 +58,7 @@
     activation_bytes_per_token: float
     zone_link_mbps: float
     accelerator_by_name: dict[str, AcceleratorKind]
+    zone_delay_ms: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/libs/platform/burdockmast/platform/configuration.py
+++ b/libs/platform/burdockmast/platform/configuration.py
@@ -56,6 +56,12 @@
     answer: int = 100
 
 
+class _Delay(msgspec.Struct, frozen=True):
+    """The delay of a hop from one zone to another."""
+
+    delay_ms: float = 0.0
+
+
 class _Engine(msgspec.Struct, frozen=True):
     """The model that a service runs, and what running it costs.
 
@@ -79,6 +85,7 @@
     pipe_mbps: float = msgspec.field(default=0.0, name='pipe-mbps')
     usual: _MeanTokens = _MeanTokens()
     kinds: list[_AcceleratorKind] = []
+    delays: list[_Delay] = []
 
 
 class _Service(msgspec.Struct, frozen=True):
@@ -226,4 +233,5 @@
             )
             for kind in engine.kinds
         },
+        zone_delay_ms=max((d.delay_ms for d in engine.delays), default=0.0),
     )
