Divide the room for prompts on links by the demand of all gateways

Where hops between zones are slow, requests in bursts take paths through several zones. Each gateway guesses what the others send, and the backlog of a link may reach 0.7 s before it counts as full, while callers expect events 0.25 s apart.

For services whose hops take over half of a decode step, gateways now tell each other which links their prompts take or wait for, and each sends its part of a rate with which the backlog rarely exceeds half of the objective for pauses. A request that leaves its zone takes all stages in one other zone while any has room. Other services are served as before.

--- /dev/null
+++ b/libs/gateway/burdockmast/gateway/balance/__init__.py
@@ -0,0 +1,1 @@
+"""Balances the requests of availability zones over all zones."""
--- a/libs/gateway/burdockmast/gateway/crossings.py
+++ b/libs/gateway/burdockmast/gateway/crossings.py
@@ -35,14 +35,24 @@
 Search = Callable[[Room, Crossing], Path]
 
 
-def find_path(search: Search, delays_answers: bool, has_begun: bool) -> Path:
+def find_path(
+    search: Search,
+    delays_answers: bool,
+    has_begun: bool,
+    prefers_whole_zones: bool = False,
+) -> Path:
     """Return a path, no stages if the request has to wait for room.
 
     :param search: returns the cheapest path, no stages if there is none
     :param delays_answers: prompts between zones make other answers late
     :param has_begun: the caller has received events, and leaves soon
+    :param prefers_whole_zones: all stages are in one zone while any has room
     """
     if not delays_answers:
+        if prefers_whole_zones:
+            path = _find_in_whole_zones(search)
+            if path or not has_begun:
+                return path
         if has_begun:
             # A broken answer is worse for its caller than the delay that one
             # more prompt on a full link causes for the others.
@@ -58,3 +68,20 @@
             Room.OVERFULL, Crossing.ANY
         )
     return ()
+
+
+def _find_in_whole_zones(search: Search) -> Path:
+    """Return a path in one zone if any has room, else one that crosses.
+
+    Where crossing is better even without other requests, zones lack servers
+    or these are slow, and costs decide.
+    """
+    path = search(Room.FREE, Crossing.FREE)
+    if not links.inter_zone_links(path):
+        return path
+    whole = search(Room.FREE, Crossing.NONE)
+    if not whole or links.inter_zone_links(
+        search(Room.UNLIMITED, Crossing.ANY)
+    ):
+        return path
+    return whole
--- a/libs/gateway/burdockmast/gateway/neighbours.py
+++ b/libs/gateway/burdockmast/gateway/neighbours.py
@@ -22,6 +22,7 @@
 from burdockmast.gateway import relays
 from burdockmast.gateway import reports
 from burdockmast.gateway import server_limits
+from burdockmast.gateway.balance import demand as zone_demand
 
 # Interval of messages within a zone. In a larger zone it is longer, so that a
 # gateway handles at most this many messages a second.
@@ -71,11 +72,13 @@
     :ivar crashes: requests that crash servers, if any are known
     :ivar limits: that servers have named
     :ivar leaving: servers that have said that they leave
+    :ivar demand: of the sender's callers, and of whole zones
     """
 
     crashes: crash_suspects.CrashNews | None = None
     limits: list[server_limits.LimitNews] = []
     leaving: list[leaving_servers.LeavingNews] = []
+    demand: list[zone_demand.DemandNews] = []
 
 
 NOTHING_LEARNED = Learned()
--- a/libs/gateway/burdockmast/gateway/path_selector.py
+++ b/libs/gateway/burdockmast/gateway/path_selector.py
@@ -24,6 +24,7 @@
 from burdockmast.gateway import reports
 from burdockmast.gateway import server_limits
 from burdockmast.gateway import view
+from burdockmast.gateway.balance import zone_balance
 from burdockmast.limits import queues
 
 LOG = logs.get('choosing')
@@ -68,12 +69,14 @@
         rng: random.Random,
         limits: server_limits.ServerLimits,
         now: Callable[[], float] = timers.now,
+        balance: zone_balance.ZoneBalance | None = None,
     ):
         """Create a selector with an empty queue.
 
         :param usage: of this gateway's requests
         :param others: the other gateways, with the load that they report
         :param zone: of this gateway's callers
+        :param balance: between zones, None if no service calls for it
         """
         self.reports = server_reports
         self._view = fleet
@@ -84,6 +87,7 @@
         self._limits = limits
         self._queue = queues.FairQueue(MAX_QUEUED_REQUESTS)
         self._links = links.ZoneLinks(now)
+        self._balance = balance
 
     @property
     def gateway_count(self) -> int:
@@ -93,6 +97,8 @@
     @gateway_count.setter
     def gateway_count(self, count: int) -> None:
         self._links.gateway_count = count
+        if self._balance:
+            self._balance.set_gateway_count(count)
 
     def reserve(self, job: jobs.Job, path: tuple[backends.Stage, ...]) -> None:
         """Account for a request on its path."""
@@ -102,9 +108,12 @@
             return
         size = self._request_size(job, engine)
         self._usage.reserve(path, size.reserved_tokens)
+        prompt_seconds = paths.transfer_ms(engine, size) / 1000
+        if self._balance:
+            self._balance.record_path(job.service, path, prompt_seconds)
         self._links.record_prompt(
             path,
-            paths.transfer_ms(engine, size) / 1000,
+            prompt_seconds,
             links.DELAYING_PROMPT_SHARE
             if self._delays_answers(job.service)
             else links.PROMPT_SHARE,
@@ -139,6 +148,8 @@
         :param first_servers: at which the path may begin, None for any
         :returns: no stages if waiting would not help
         """
+        if self._balance and not has_begun:
+            self._balance.record_arrival(job.service)
         path = self.find_path(
             job, failed, has_begun, is_isolated, first_servers
         )
@@ -160,6 +171,7 @@
                         'waiting': len(self._queue),
                         'full_servers': self._full_servers(job),
                         'links': self._links.describe(),
+                        'budget': self._describe_balance(),
                         'gateways': self.gateway_count,
                         'list_age': round(self._view.server_list_age, 3),
                         'outcome': str(refusal),
@@ -212,6 +224,9 @@
                 found.append(f'{server.id} {share:.2f} {reported:.2f}')
         return found
 
+    def _describe_balance(self) -> dict[str, float]:
+        return self._balance.describe() if self._balance else {}
+
     def _load_by_server(self) -> dict[ids.ServerId, loads.Load]:
         """Return the load of all gateways, as far as it is known."""
         own = self._usage.load_by_server()
@@ -281,6 +296,15 @@
             )
             exclusions.insert(0, [*exclusions[0], *crowded])
 
+        balance = None
+        if self._balance and zone_balance.is_on(job.service):
+            balance = self._balance
+
+        def entry_ms(zone: ids.ZoneId) -> float:
+            if balance is None:
+                return paths.REMOTE_ENTRY_MS
+            return balance.entry_cost_ms(self._zone, zone, job.service)
+
         def search(
             excluded: Collection[ids.ServerId],
             room: crossings.Room,
@@ -298,17 +322,33 @@
                 running_requests,
                 functools.partial(memory_factor, room),
                 self.reports.slowdown,
-                functools.partial(self._is_closed, crossing),
+                functools.partial(
+                    self._is_closed, balance, job.service, crossing
+                ),
                 self._rng,
+                entry_ms,
             )
 
         delays_answers = self._delays_answers(job.service)
         for excluded in exclusions:
             path = crossings.find_path(
-                functools.partial(search, excluded), delays_answers, has_begun
+                functools.partial(search, excluded),
+                delays_answers,
+                has_begun,
+                prefers_whole_zones=balance is not None,
             )
             if path:
                 return path
+        if balance:
+            balance.record_wait(
+                job.service,
+                functools.partial(
+                    search,
+                    exclusions[-1],
+                    crossings.Room.FREE,
+                    crossings.Crossing.ANY,
+                ),
+            )
         return ()
 
     def _delays_answers(self, service: config.Service) -> bool:
@@ -317,12 +357,18 @@
         return paths.delays_answers(service.engine, pause_seconds)
 
     def _is_closed(
-        self, crossing: crossings.Crossing, link: links.Link
+        self,
+        balance: zone_balance.ZoneBalance | None,
+        service: config.Service,
+        crossing: crossings.Crossing,
+        link: links.Link,
     ) -> bool:
         """Return whether a path may not use an inter-zone link."""
         match crossing:
             case crossings.Crossing.NONE:
                 return True
+            case crossings.Crossing.FREE if balance:
+                return not balance.may_cross(link, service)
             case crossings.Crossing.FREE:
                 return self._links.is_full(link)
             case crossings.Crossing.ANY:
--- a/libs/gateway/burdockmast/gateway/paths.py
+++ b/libs/gateway/burdockmast/gateway/paths.py
@@ -180,6 +180,7 @@
     slowdown: Callable[[backends.BackendServer], float],
     is_full: Callable[[links.Link], bool],
     rng: random.Random,
+    entry_ms: Callable[[ids.ZoneId], float] = lambda zone: REMOTE_ENTRY_MS,
 ) -> tuple[backends.Stage, ...]:
     """Return the stages of the cheapest path, empty if there is none.
 
@@ -188,6 +189,7 @@
         infinite if it gets no request
     :param slowdown: how many times slower than usual a server is
     :param is_full: whether an inter-zone link has no room for a prompt
+    :param entry_ms: cost of a first stage in another zone
     """
     holding = [
         (server, factor)
@@ -210,7 +212,12 @@
                 slowdown(server),
             )
         )
-    found = _search(engine.layers, [s for s, _ in holding], zone, costs)
+    entry_ms_by_link = {
+        (zone, other): entry_ms(other) for other in zones - {zone}
+    }
+    found = _search(
+        engine.layers, [s for s, _ in holding], zone, entry_ms_by_link, costs
+    )
     return _merge_repeated_servers(_stages(found, engine.layers))
 
 
@@ -218,6 +225,7 @@
     layers: int,
     servers: list[backends.BackendServer],
     zone: ids.ZoneId,
+    entry_ms: dict[links.Link, float],
     costs: _Costs,
 ) -> _Partial | None:
     """Return the cheapest path through all layers.
@@ -235,7 +243,6 @@
     for server in servers:
         starting_at.setdefault(server.layers.first, []).append(server)
     best_by_zone = {zone: _Partial(0.0, None, 0, None)}
-    entry_ms = {(zone, s.zone): REMOTE_ENTRY_MS for s in servers}
     partials: list[tuple[backends.BackendServer, _Partial | None]] = []
     for first, end in itertools.pairwise(boundaries):
         partials = [p for p in partials if p[0].layers.end > first]
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -40,6 +40,7 @@
 from burdockmast.gateway import streams
 from burdockmast.gateway import view
 from burdockmast.gateway import wsgi
+from burdockmast.gateway.balance import zone_balance
 
 LOG = logs.get('gateway')
 
@@ -159,6 +160,13 @@
             self.view, platform.engines, rng
         )
         self._servers.on_change.append(server_reports.drop_unlisted)
+        balance = zone_balance.ZoneBalance(
+            gateway_settings.instance,
+            gateway_settings.zone,
+            self.view.pause_objective,
+            self._metrics,
+            rng,
+        )
         self._path_selector = path_selector.PathSelector(
             self.view,
             server_reports,
@@ -167,6 +175,7 @@
             gateway_settings.zone,
             rng,
             self._limits,
+            balance=balance,
         )
         self._neighbour_link = neighbour_link.NeighbourLink(
             gateway_settings.neighbours_address,
@@ -183,6 +192,7 @@
             self._suspects,
             self._limits,
             self._leaving,
+            balance.demand,
         )
         self.application = wsgi.Application(
             self.view,
