Share the requests of a full zone among zones with room

Each request takes the path that is cheapest at that moment, with a constant cost for a first stage in another zone. All gateways of a full zone decide alone and at the same time, and mix stages of several zones.

Where hops between zones are slow, the first gateway of each zone now decides what share of the zone's requests goes to which other zone, from the demand and the memory of all zones, and its neighbours follow. None goes while the zone has room. A path with stages in several zones is taken only if no zone has room for all stages, or if the servers of that zone report to be slow.

--- a/libs/gateway/burdockmast/gateway/balance/demand.py
+++ b/libs/gateway/burdockmast/gateway/balance/demand.py
@@ -47,6 +47,8 @@
     :ivar arrivals: requests a second
     :ivar prompts: zones of each inter-zone link that prompts take or wait
         for, and the time for which they occupy it, in seconds a second
+    :ivar shares: of the zone's requests that go to other zones, None unless
+        the gateway decides them
     """
 
     zone: str
@@ -55,6 +57,7 @@
     age: float
     arrivals: float
     prompts: list[tuple[str, str, float]] = []
+    shares: list[tuple[str, float]] | None = None
 
 
 class Rate:
@@ -91,6 +94,8 @@
 class _OwnDemand:
     arrivals: Rate
     seconds_by_link: dict[links.Link, Rate]
+    share_by_zone: dict[ids.ZoneId, float] | None = None
+    decided_at: float = -math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -103,6 +108,7 @@
     reported_at: float
     arrivals: float
     seconds_by_link: dict[links.Link, float]
+    share_by_zone: dict[ids.ZoneId, float] | None = None
 
 
 Source = tuple[ids.ZoneId, str]
@@ -161,6 +167,9 @@
                     for link, rate in own.seconds_by_link.items()
                     if rate.per_second >= MIN_RATE
                 },
+                own.share_by_zone
+                if self._now() - own.decided_at < VALID_SECONDS
+                else None,
             )
             for service, own in self._own.items()
         }
@@ -193,6 +202,38 @@
             found.append(self._own[service].arrivals.per_second)
         return sum(found) if found else None
 
+    def record_shares(
+        self, service: ids.ServiceId, shares: dict[ids.ZoneId, float]
+    ) -> None:
+        """Record the shares that this gateway has decided for its zone."""
+        own = self._own_demand(service)
+        own.share_by_zone = shares
+        own.decided_at = self._now()
+
+    def decided_shares(
+        self, service: ids.ServiceId
+    ) -> dict[ids.ZoneId, float] | None:
+        """Return what another gateway decides for this zone.
+
+        It is the first one by name that decides, None if that is this one.
+        """
+        deciding = [
+            (name, heard[service].share_by_zone)
+            for (zone, name), heard in self._sources(VALID_SECONDS)
+            if zone == self._zone
+            and name < self._gateway
+            and service in heard
+            and heard[service].share_by_zone is not None
+        ]
+        return min(deciding, key=lambda d: d[0])[1] if deciding else None
+
+    def zones(self) -> set[ids.ZoneId]:
+        """Return the zones that were heard lately, and the own one."""
+        return {
+            self._zone,
+            *(zone for (zone, _), _ in self._sources(VALID_SECONDS)),
+        }
+
     def seconds_by_link(self) -> tuple[dict, dict]:
         """Return how busy prompts want links, in seconds a second.
 
@@ -248,6 +289,12 @@
             round(max(0.0, self._now() - heard.reported_at), 3),
             round(heard.arrivals, 3),
             [(*link, round(seconds, 4)) for link, seconds in busiest],
+            None
+            if heard.share_by_zone is None
+            else [
+                (zone, round(share, 3))
+                for zone, share in heard.share_by_zone.items()
+            ][:MAX_LINKS],
         )
 
     def receive(self, news: Iterable[DemandNews]) -> None:
@@ -284,6 +331,12 @@
                     (ids.ZoneId(a), ids.ZoneId(b)): seconds
                     for a, b, seconds in item.prompts[:MAX_LINKS]
                 },
+                None
+                if item.shares is None
+                else {
+                    ids.ZoneId(zone): share
+                    for zone, share in item.shares[:MAX_LINKS]
+                },
             )
 
     def _drop_old(self) -> None:
@@ -299,6 +352,7 @@
 def _is_sound(item: DemandNews) -> bool:
     """Return whether all numbers of a message can be true."""
     numbers = [item.age, item.arrivals, *(p[2] for p in item.prompts)]
+    numbers += [share for _, share in item.shares or ()]
     return all(0 <= number < math.inf for number in numbers)
 
 
@@ -319,7 +373,7 @@
         for service, item in heard.items():
             before = found.get(service)
             if before is None:
-                found[service] = item
+                found[service] = dataclasses.replace(item, share_by_zone=None)
                 continue
             seconds_by_link = dict(before.seconds_by_link)
             for link, seconds in item.seconds_by_link.items():
--- a/libs/gateway/burdockmast/gateway/balance/zone_balance.py
+++ b/libs/gateway/burdockmast/gateway/balance/zone_balance.py
@@ -8,22 +8,42 @@
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import dataclasses
 import random
 
 from burdockmast.base import ids
+from burdockmast.base import logs
 from burdockmast.base import metrics
 from burdockmast.base import timers
 from burdockmast.gateway import backends
 from burdockmast.gateway import config
 from burdockmast.gateway import links
+from burdockmast.gateway import loads
+from burdockmast.gateway import memory
+from burdockmast.gateway import neighbours
 from burdockmast.gateway import paths
+from burdockmast.gateway import reports
+from burdockmast.gateway import view
 from burdockmast.gateway.balance import demand
 from burdockmast.gateway.balance import link_budget
+from burdockmast.gateway.balance import zone_load
+from burdockmast.gateway.balance import zone_shares
+
+LOG = logs.get('balance')
 
 # Share of a decode step from which a hop between zones counts as slow.
 SLOW_HOP_SHARE = 0.5
 # Shortest time between two searches for the links that waiting requests want.
 WISH_INTERVAL_SECONDS = 0.1
+# Interval of decisions on shares, about that of messages between zones.
+DECISION_SECONDS = 0.5
+# Change of a share that is logged.
+LOGGED_CHANGE = 0.1
+# Time over which the memory that a request needs is averaged, so that more
+# requests show as more demand before their caches have filled.
+MEMORY_SECONDS = 10.0
+# Requests that a share has owed to a zone from which the next one goes there.
+OWED_REQUESTS = 0.5
 
 
 def is_on(service: config.Service) -> bool:
@@ -35,6 +55,25 @@
     )
 
 
+@dataclasses.dataclass(slots=True)
+class _ServiceState:
+    """What a gateway keeps for one service.
+
+    :ivar usual_answer_ms: time of an answer on servers without other requests
+    :ivar memory: tokens that requests need, averaged over time
+    :ivar arrivals: requests a second, averaged over the same time
+    :ivar owed_by_zone: requests by which each zone's part is behind its share
+    """
+
+    shares: zone_shares.ZoneShares
+    owed_by_zone: dict[ids.ZoneId, float]
+    memory: demand.Rate
+    arrivals: demand.Rate
+    usual_answer_ms: float = paths.REMOTE_ENTRY_MS
+    decided_at: float | None = None
+    logged: dict[ids.ZoneId, float] = dataclasses.field(default_factory=dict)
+
+
 class ZoneBalance:
     """The balance between zones, as one gateway sees it.
 
@@ -45,7 +84,10 @@
         self,
         gateway: str,
         zone: ids.ZoneId,
-        pause_objective: Callable[[ids.ServiceId], float],
+        fleet: view.View,
+        usage: memory.Usage,
+        others: neighbours.Neighbours,
+        server_reports: reports.ServerReports,
         measures: metrics.Metrics,
         rng: random.Random,
         now: Callable[[], float] = timers.now,
@@ -53,12 +95,17 @@
         """Create a balance without demand.
 
         :param zone: of this gateway's callers
-        :param pause_objective: returns the objective of a service for the
-            seconds between two events, 0 if there is none
+        :param usage: of this gateway's requests
+        :param others: the other gateways, with the load that they report
         """
         self.demand = demand.Demand(gateway, zone, now)
         self._zone = zone
-        self._pause_objective = pause_objective
+        self._view = fleet
+        self._usage = usage
+        self._others = others
+        self._reports = server_reports
+        self._rng = rng
+        self._state_by_service: dict[ids.ServiceId, _ServiceState] = {}
         self._metrics = measures
         self._now = now
         self._budget = link_budget.LinkBudget(self.demand, rng, now)
@@ -83,8 +130,155 @@
         zone_to: ids.ZoneId,
         service: config.Service,
     ) -> float:
-        """Return the cost of a path's first stage in another zone."""
-        return paths.REMOTE_ENTRY_MS
+        """Return the cost of a path's first stage in another zone.
+
+        It is negative if that zone's share is due: the request goes there
+        unless its answer would take twice as long as usual. Otherwise it goes
+        there only if it would take so long everywhere else.
+        """
+        if zone_from == zone_to:
+            return 0.0
+        state = self._decided_state(service)
+        owed = state.owed_by_zone.get(zone_to, 0.0)
+        is_due = zone_to in state.shares.share_by_zone and (
+            owed >= OWED_REQUESTS
+        )
+        return state.usual_answer_ms * (-1 if is_due else 1)
+
+    def _decided_state(self, service: config.Service) -> _ServiceState:
+        state = self._state_by_service.get(service.id)
+        if state is None:
+            state = self._state_by_service[service.id] = _ServiceState(
+                zone_shares.ZoneShares(),
+                {},
+                demand.Rate(self._now, MEMORY_SECONDS),
+                demand.Rate(self._now, MEMORY_SECONDS),
+            )
+        now = self._now()
+        if state.decided_at is None or (
+            now >= state.decided_at + DECISION_SECONDS
+        ):
+            seconds = now - (state.decided_at or now)
+            state.decided_at = now
+            self._decide(service, state, seconds)
+        return state
+
+    def _decide(
+        self, service: config.Service, state: _ServiceState, seconds: float
+    ) -> None:
+        """Decide on the zone's shares, or follow the gateway that does."""
+        servers = [
+            server
+            for server in self._view.preferred(service, (), may_rest=True)
+            if len(server.layers)
+        ]
+        load_by_zone = self._load_by_zone(service, servers, state, seconds)
+        state.usual_answer_ms = _usual_answer_ms(service.engine, servers)
+        decided = self.demand.decided_shares(service.id)
+        if decided is not None:
+            state.shares.follow(decided)
+            state.logged = dict(decided)
+        else:
+            decision = state.shares.decide(self._zone, load_by_zone, seconds)
+            self.demand.record_shares(service.id, dict(decision.share_by_zone))
+            self._log_changes(service, state, decision, load_by_zone)
+        for zone in state.shares.share_by_zone:
+            # Gateways don't all send their first request at once.
+            state.owed_by_zone.setdefault(
+                zone, OWED_REQUESTS * self._rng.random()
+            )
+
+    def _load_by_zone(
+        self,
+        service: config.Service,
+        servers: list[backends.BackendServer],
+        state: _ServiceState,
+        seconds: float,
+    ) -> dict[ids.ZoneId, zone_load.ZoneLoad]:
+        """Return room and demand of all zones.
+
+        A zone needs at least as much as its arrivals would with the mean
+        memory of all requests.
+        """
+        engine = service.engine
+        load_by_source = self._others.load_by_source()
+        own_loads = [self._usage.load_by_server()]
+        tokens_by_zone: dict[ids.ZoneId, float] = {}
+        zones = {server.zone for server in servers} | self.demand.zones()
+        zone_by_source = {neighbours.zone_source(z): z for z in zones}
+        for source, load in load_by_source.items():
+            zone = zone_by_source.get(source)
+            if zone is None:
+                own_loads.append(load)
+                continue
+            tokens_by_zone[zone] = zone_load.demand_tokens(
+                engine, load, servers
+            )
+        own_load = loads.add(*own_loads)
+        tokens_by_zone[self._zone] = zone_load.demand_tokens(
+            engine, own_load, servers
+        )
+        rate_by_zone = {
+            zone: self.demand.arrivals(zone, service.id) or 0.0
+            for zone in tokens_by_zone
+        }
+        state.memory.add(sum(tokens_by_zone.values()) * seconds)
+        state.arrivals.add(sum(rate_by_zone.values()) * seconds)
+        total_load = loads.add(own_load, *load_by_source.values())
+        arrivals = state.arrivals.per_second
+        tokens_per_arrival = (
+            state.memory.per_second / arrivals if arrivals else 0.0
+        )
+        found = {}
+        for zone in zones:
+            held = [server for server in servers if server.zone == zone]
+            if zone in tokens_by_zone:
+                wanted = max(
+                    tokens_by_zone[zone],
+                    rate_by_zone[zone] * tokens_per_arrival,
+                )
+            else:
+                wanted = zone_load.silent_demand_tokens(
+                    engine,
+                    held,
+                    total_load,
+                    self._reports.occupancy,
+                    zone_shares.OWN_SHARE,
+                )
+            found[zone] = zone_load.ZoneLoad(
+                zone_load.capacity_tokens(engine, held), wanted
+            )
+        return found
+
+    def _log_changes(
+        self,
+        service: config.Service,
+        state: _ServiceState,
+        decision: zone_shares.Decision,
+        load_by_zone: dict[ids.ZoneId, zone_load.ZoneLoad],
+    ) -> None:
+        """Log shares that have changed by much, with the reason."""
+        shares = decision.share_by_zone
+        for zone in shares.keys() | state.logged.keys():
+            share = shares.get(zone, 0.0)
+            before = state.logged.get(zone, 0.0)
+            if abs(share - before) <= LOGGED_CHANGE:
+                continue
+            own = load_by_zone[self._zone]
+            LOG.info(
+                'share of requests to another zone changed',
+                extra={
+                    'service': service.id,
+                    'from_zone': self._zone,
+                    'to_zone': zone,
+                    'share': round(share, 3),
+                    'before': round(before, 3),
+                    'cause': decision.cause.value,
+                    'demand_tokens': round(own.demand_tokens),
+                    'capacity_tokens': round(own.capacity_tokens),
+                },
+            )
+            state.logged[zone] = share
 
     def may_cross(self, link: links.Link, service: config.Service) -> bool:
         """Return whether a prompt may take an inter-zone link in a path."""
@@ -92,7 +286,7 @@
 
     def _bound(self, service: config.Service) -> link_budget.Bound:
         return link_budget.Bound.from_config(
-            service.engine, self._pause_objective(service.id)
+            service.engine, self._view.pause_objective(service.id)
         )
 
     def record_arrival(self, service: config.Service) -> None:
@@ -103,7 +297,7 @@
     def record_path(
         self,
         service: config.Service,
-        path: Iterable[backends.Stage],
+        path: tuple[backends.Stage, ...],
         prompt_seconds: float,
     ) -> None:
         """Account for a request that is sent to a path.
@@ -118,6 +312,7 @@
         for link in crossed:
             self._budget.record_prompt(link, prompt_seconds, bound)
         self._arrivals.add(1.0)
+        self._settle(service, path[0].server.zone)
         if crossed:
             self._metrics.count('balance.left_mixed')
         elif any(stage.server.zone != self._zone for stage in path):
@@ -126,6 +321,20 @@
             return
         self._departures.add(1.0)
 
+    def _settle(self, service: config.Service, begins_in: ids.ZoneId) -> None:
+        """Count a request for the shares of the zones."""
+        state = self._state_by_service.get(service.id)
+        if state is None:
+            return
+        shares = state.shares.share_by_zone
+        for zone in list(state.owed_by_zone):
+            if zone not in shares:
+                del state.owed_by_zone[zone]
+                continue
+            owed = state.owed_by_zone[zone] + shares[zone]
+            owed -= zone == begins_in
+            state.owed_by_zone[zone] = max(-1.0, min(1.0, owed))
+
     def record_wait(
         self,
         service: config.Service,
@@ -148,3 +357,22 @@
     def describe(self) -> dict[str, float]:
         """Return the link time that is used up in advance, for logs."""
         return self._budget.describe()
+
+
+def _usual_answer_ms(
+    engine: config.Engine, servers: Iterable[backends.BackendServer]
+) -> float:
+    """Return the mean time of an answer on servers without requests."""
+    size = paths.RequestSize(
+        engine.mean_prompt_tokens, engine.mean_answer_tokens
+    )
+    total_ms, layers = 0.0, 0
+    for server in servers:
+        held = len(server.layers)
+        layers += held
+        total_ms += paths.stage_ms(engine, server, held, size, 0)
+    return (
+        total_ms / layers * engine.layers
+        if layers
+        else (paths.REMOTE_ENTRY_MS)
+    )
--- a/libs/gateway/burdockmast/gateway/crossings.py
+++ b/libs/gateway/burdockmast/gateway/crossings.py
@@ -17,11 +17,15 @@
 
 
 class Room(enum.Enum):
-    """Which servers a path may use."""
+    """Which servers a path may use.
+
+    ``IDLE`` is ``UNLIMITED``, with costs as if no requests ran.
+    """
 
     FREE = 'free'
     OVERFULL = 'overfull'
     UNLIMITED = 'unlimited'
+    IDLE = 'idle'
 
 
 class Crossing(enum.Enum):
@@ -39,18 +43,19 @@
     search: Search,
     delays_answers: bool,
     has_begun: bool,
-    prefers_whole_zones: bool = False,
+    is_slow: Callable[[Path], bool] | None = None,
 ) -> Path:
     """Return a path, no stages if the request has to wait for room.
 
     :param search: returns the cheapest path, no stages if there is none
     :param delays_answers: prompts between zones make other answers late
     :param has_begun: the caller has received events, and leaves soon
-    :param prefers_whole_zones: all stages are in one zone while any has room
+    :param is_slow: whether a path has servers that are slower than usual; if
+        given, all stages are in one zone while one has room and is not slow
     """
     if not delays_answers:
-        if prefers_whole_zones:
-            path = _find_in_whole_zones(search)
+        if is_slow:
+            path = _find_in_whole_zones(search, is_slow)
             if path or not has_begun:
                 return path
         if has_begun:
@@ -70,18 +75,21 @@
     return ()
 
 
-def _find_in_whole_zones(search: Search) -> Path:
+def _find_in_whole_zones(
+    search: Search, is_slow: Callable[[Path], bool]
+) -> Path:
     """Return a path in one zone if any has room, else one that crosses.
 
-    Where crossing is better even without other requests, zones lack servers
-    or these are slow, and costs decide.
+    A slow zone is left if crossing is better even if no requests ran.
     """
     path = search(Room.FREE, Crossing.FREE)
     if not links.inter_zone_links(path):
         return path
     whole = search(Room.FREE, Crossing.NONE)
-    if not whole or links.inter_zone_links(
-        search(Room.UNLIMITED, Crossing.ANY)
+    if not whole:
+        return path
+    if is_slow(whole) and links.inter_zone_links(
+        search(Room.IDLE, Crossing.ANY)
     ):
         return path
     return whole
--- a/libs/gateway/burdockmast/gateway/neighbours.py
+++ b/libs/gateway/burdockmast/gateway/neighbours.py
@@ -148,6 +148,13 @@
         """Return the load of all other gateways that were heard lately."""
         return self._table.total()
 
+    def load_by_source(self) -> dict[str, loads.LoadByServer]:
+        """Return the load of each gateway or zone that was heard lately."""
+        return {
+            source: self._table.load_of(source)
+            for source in self._table.sources()
+        }
+
     def is_watcher(self) -> bool:
         """Return whether this gateway watches the store for its neighbours."""
         earlier = [n for n in self.alive_neighbours() if n < self._own.name]
--- a/libs/gateway/burdockmast/gateway/path_selector.py
+++ b/libs/gateway/burdockmast/gateway/path_selector.py
@@ -45,6 +45,8 @@
 RESUME_QUEUE_SECONDS = 0.6
 # Usual time from the choice of a path to the first event.
 FIRST_EVENT_SECONDS = 0.15
+# Searches that ignore how much memory is left.
+UNLIMITED_ROOM = (crossings.Room.UNLIMITED, crossings.Room.IDLE)
 
 
 def _waiter(job: jobs.Job, has_begun: bool) -> queues.Waiter:
@@ -267,10 +269,13 @@
                 running if is_informed else (running * memory.OWN_USAGE_FACTOR)
             )
 
+        def no_requests(server: ids.ServerId) -> int:
+            return 0
+
         def memory_factor(
             room: crossings.Room, server: backends.BackendServer
         ) -> float:
-            if room is crossings.Room.UNLIMITED:
+            if room in UNLIMITED_ROOM:
                 return 1.0
             _, reserved = load_by_server.get(server.id, loads.NO_LOAD)
             share = reserved / memory.cache_capacity(engine, server)
@@ -315,11 +320,13 @@
                 self._view.preferred(
                     job.service,
                     excluded,
-                    may_rest=room is crossings.Room.UNLIMITED,
+                    may_rest=room in UNLIMITED_ROOM,
                 ),
                 size,
                 self._zone,
-                running_requests,
+                no_requests
+                if room is crossings.Room.IDLE
+                else running_requests,
                 functools.partial(memory_factor, room),
                 self.reports.slowdown,
                 functools.partial(
@@ -335,7 +342,7 @@
                 functools.partial(search, excluded),
                 delays_answers,
                 has_begun,
-                prefers_whole_zones=balance is not None,
+                self._is_slow if balance else None,
             )
             if path:
                 return path
@@ -356,6 +363,13 @@
         pause_seconds = self._view.pause_objective(service.id)
         return paths.delays_answers(service.engine, pause_seconds)
 
+    def _is_slow(self, path: tuple[backends.Stage, ...]) -> bool:
+        """Return whether servers of a path report that they are slow."""
+        return any(
+            self.reports.slowdown(stage.server) >= reports.SLOW_THRESHOLD
+            for stage in path
+        )
+
     def _is_closed(
         self,
         balance: zone_balance.ZoneBalance | None,
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -163,7 +163,10 @@
         balance = zone_balance.ZoneBalance(
             gateway_settings.instance,
             gateway_settings.zone,
-            self.view.pause_objective,
+            self.view,
+            usage,
+            self._neighbours,
+            server_reports,
             self._metrics,
             rng,
         )
--- a/libs/model/burdockmast/model/engines.py
+++ b/libs/model/burdockmast/model/engines.py
@@ -49,6 +49,7 @@
         self._seconds_per_token = (
             engine.activation_bytes_per_token * 8 / engine.zone_link_mbps / 1e6
         )
+        self._hop_seconds = engine.zone_delay_ms / 1000 or ZONE_HOP_SECONDS
         self._free_at: dict[tuple[str, str], float] = {}
 
     def delay(self, source: str, target: str, tokens: int) -> float:
@@ -59,7 +60,7 @@
         free_at = max(now, self._free_at.get((source, target), 0.0))
         free_at += tokens * self._seconds_per_token
         self._free_at[source, target] = free_at
-        return free_at - now + ZONE_HOP_SECONDS
+        return free_at - now + self._hop_seconds
 
 
 class EngineModel:
--- a/libs/model/burdockmast/model/play.py
+++ b/libs/model/burdockmast/model/play.py
@@ -1,11 +1,13 @@
 """Plays a load on a fleet, and counts what callers get."""
 
+import collections
 from collections.abc import Callable
 import dataclasses
 import itertools
 import random
 
 from burdockmast.base import ids
+from burdockmast.base import metrics
 from burdockmast.gateway import backends
 from burdockmast.gateway import config
 from burdockmast.gateway import interfaces
@@ -14,6 +16,7 @@
 from burdockmast.gateway import neighbours
 from burdockmast.gateway import path_selector
 from burdockmast.gateway import server_limits
+from burdockmast.gateway.balance import zone_balance
 from burdockmast.model import engines
 from burdockmast.model import events
 
@@ -72,6 +75,8 @@
     :ivar peak_share: largest share of a server's memory that was in use
     :ivar crossings: of prompts between zones
     :ivar first_event_seconds: of each request that was answered
+    :ivar requests_by_zone: by zone of the caller
+    :ivar in_time_by_zone: answered within the objectives, likewise
     """
 
     in_time: int = 0
@@ -81,6 +86,12 @@
     peak_share: float = 0.0
     crossings: int = 0
     first_event_seconds: list[float] = dataclasses.field(default_factory=list)
+    requests_by_zone: collections.Counter[ids.ZoneId] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    in_time_by_zone: collections.Counter[ids.ZoneId] = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
     @property
     def share_in_time(self) -> float:
@@ -156,11 +167,23 @@
         clock: Callable[[], float],
         rng: random.Random,
         hears_neighbours: bool,
+        balances_zones: bool,
     ):
         self.record = record
         self.usage = memory.Usage()
         self.neighbours = neighbours.Neighbours(record, rng, clock)
         self.hears_neighbours = hears_neighbours
+        self.balance = zone_balance.ZoneBalance(
+            record.name,
+            record.zone,
+            fleet,
+            self.usage,
+            self.neighbours,
+            _NoReports(),
+            metrics.Metrics(),
+            rng,
+            clock,
+        )
         self.selector = path_selector.PathSelector(
             fleet,
             _NoReports(),
@@ -172,8 +195,14 @@
                 record.name, self.neighbours.known_gateways, rng, clock
             ),
             clock,
+            self.balance if balances_zones else None,
         )
 
+    def receive(self, message: neighbours.Message) -> None:
+        """Take over what another gateway reports."""
+        self.neighbours.receive(message)
+        self.balance.demand.receive(message.learned.demand)
+
 
 def servers_of(site: Site) -> list[backends.BackendServer]:
     """Return the servers of a site with the layers that a plan gives them."""
@@ -207,11 +236,17 @@
     """One play of a load on a site."""
 
     def __init__(
-        self, site: Site, load: Load, seed: int, hears_neighbours: bool = True
+        self,
+        site: Site,
+        load: Load,
+        seed: int,
+        hears_neighbours: bool = True,
+        balances_zones: bool = True,
     ):
         """Create the fleet.
 
         :param hears_neighbours: gateways receive each other's messages
+        :param balances_zones: gateways balance zones if hops are slow
         """
         self.outcome = Outcome()
         self.timeline = events.Timeline()
@@ -238,6 +273,7 @@
                     self.timeline.time,
                     random.Random(self._rng.random()),
                     hears_neighbours,
+                    balances_zones,
                 )
                 for number in range(count)
             ]
@@ -277,7 +313,10 @@
         if self.timeline.now > self._load.seconds:
             return
         for address, message in gateway.neighbours.due_messages(
-            gateway.usage.load_by_server()
+            gateway.usage.load_by_server(),
+            learned=lambda: neighbours.Learned(
+                demand=gateway.balance.demand.news()
+            ),
         ):
             receiver = self._gateway_by_address[address]
             if (
@@ -286,7 +325,7 @@
             ):
                 self.timeline.after(
                     MESSAGE_SECONDS,
-                    lambda r=receiver, m=message: r.neighbours.receive(m),
+                    lambda r=receiver, m=message: r.receive(m),
                 )
         self.timeline.after(
             SEND_INTERVAL_SECONDS, lambda: self._send_due(gateway)
@@ -313,6 +352,8 @@
             1, int(self._load.prompt_tokens * self._rng.uniform(1 / 3, 5 / 3))
         )
         gateway = self._rng.choice(self.gateways_by_zone[zone])
+        self.outcome.requests_by_zone[zone] += 1
+        gateway.balance.record_arrival(self._service)
         _Stream(self, gateway, prompt, answer).try_to_begin()
 
     def _move_on(self, request: engines.Request, stage: int) -> None:
@@ -401,6 +442,8 @@
             self._play.outcome.late += 1
         else:
             self._play.outcome.in_time += 1
+            zone = self._gateway.record.zone
+            self._play.outcome.in_time_by_zone[zone] += 1
 
 
 def percentile(values: list[float], share: float) -> float:
--- a/tests/test_gateway_links.py
+++ b/tests/test_gateway_links.py
@@ -81,7 +81,7 @@
 )
 
 
-def selector(servers, zone, seed, gateways=6, balance=None):
+def selector(servers, zone, seed, gateways=6):
     rng = random.Random(seed)
     unheard = neighbours.Neighbours(
         interfaces.GatewayRecord(f'gateway-{seed}', zone, ''), rng
@@ -95,7 +95,6 @@
         rng,
         server_limits.ServerLimits(f'gateway-{seed}', list, rng),
         lambda: timers.now(),
-        balance,
     )
     created.gateway_count = gateways
     return created
--- a/tests/test_gateway_zone_balance.py
+++ b/tests/test_gateway_zone_balance.py
@@ -217,28 +217,36 @@
 
 
 def selector(servers, zone='a', gateways=1):
-    balance = zone_balance.ZoneBalance(
+    created = fleet.selector(servers, zone, 1, gateways)
+    balance = created._balance = zone_balance.ZoneBalance(
         f'{zone}-0',
         zone,
-        lambda service: PAUSE_SECONDS,
+        created._view,
+        created._usage,
+        created._others,
+        fleet.NO_REPORTS,
         metrics.Metrics(),
         random.Random(1),
         lambda: timers.now(),
     )
-    created = fleet.selector(servers, zone, 1, gateways, balance)
+    created._view.pause_objective = lambda service: PAUSE_SECONDS
+    created.gateway_count = gateways
     return created, balance
 
 
 def test_a_request_takes_one_other_zone_rather_than_several(clock):
     """Its prompt would occupy a link for which no need exists."""
-    servers = [
-        fleets.server('near', 'a', held=(0, 40)),
-        fleets.server('far', 'b', 'large', held=(40, 80)),
-        fleets.server('whole', 'b', 'middle', held=(0, 80)),
-    ]
-    created, _ = selector(servers)
-    path = created.find_path(fleet.job(SLOW_HOPS), ())
+    near = fleets.server('near', 'a', held=(0, 40))
+    far = fleets.server('far', 'b', held=(40, 80))
+    whole = fleets.server('whole', 'b', held=(0, 80))
+    created, balance = selector([near, far, whole])
+    for _ in range(40):
+        created._usage.reserve(fleets.path([whole]), 1)
+    job = fleet.job(SLOW_HOPS)
+    path = created.find_path(job, ())
     assert [stage.server.zone for stage in path] in (['b'], ['b', 'b'])
+    created._balance = None
+    assert links.inter_zone_links(created.find_path(job, ())) == [LINK]
 
 
 def test_a_request_waits_while_the_budget_of_a_link_is_used_up(clock):
