Keep the shares of a zone steady while its demand varies

Shares follow from the demand of a few hundred requests, which varies. Where prompts delay answers, none crosses for want of room, with the balance as without; searches that ignore load use the former cost of an entry.

--- a/libs/gateway/burdockmast/gateway/balance/zone_shares.py
+++ b/libs/gateway/burdockmast/gateway/balance/zone_shares.py
@@ -18,9 +18,12 @@
 # Share of its capacity up to which a zone keeps its own requests, and to which
 # others fill it.
 OWN_SHARE = memory.OVERFULL_SHARE
-# Smallest change of a share that is followed. The demand of some hundred
-# requests varies by about as much.
-MIN_CHANGE = 0.05
+# Utilisation below the level of the others at which a zone begins to keep more
+# of its requests. The demand of some hundred requests varies by about as much,
+# and shares between the two levels stay as they are.
+LEVEL_MARGIN = 0.1
+# Smallest share that is followed.
+MIN_SHARE = 0.05
 # Largest decrease of a share in a second. A burst is followed at once, and its
 # end over some seconds, as bursts come in rows.
 MAX_DECREASE_PER_SECOND = 0.1
@@ -56,12 +59,9 @@
     """
     own = load_by_zone[zone]
     level = _level(load_by_zone)
-    share = 1.0
-    if own.capacity_tokens:
-        excess = own.demand_tokens - level * own.capacity_tokens
-        if excess <= 0:
-            return {}
-        share = excess / own.demand_tokens
+    share = _total_share(own, level)
+    if not share:
+        return {}
     room_by_zone = {
         other: room
         for other, load in load_by_zone.items()
@@ -77,6 +77,14 @@
     }
 
 
+def _total_share(own: zone_load.ZoneLoad, level: float) -> float:
+    """Return the share that leaves a zone that is filled up to a level."""
+    if not own.capacity_tokens:
+        return 1.0
+    excess = own.demand_tokens - level * own.capacity_tokens
+    return excess / own.demand_tokens if excess > 0 else 0.0
+
+
 def _level(load_by_zone: Mapping[ids.ZoneId, zone_load.ZoneLoad]) -> float:
     """Return the utilisation up to which zones are filled."""
     capacity = sum(load.capacity_tokens for load in load_by_zone.values())
@@ -107,6 +115,7 @@
         """
         target = target_shares(zone, load_by_zone)
         own = load_by_zone[zone]
+        most = _total_share(own, _level(load_by_zone) - LEVEL_MARGIN)
         before = sum(self.share_by_zone.values())
         lost = [
             other
@@ -114,7 +123,10 @@
             if share and not _has_room(load_by_zone, other)
         ]
         wanted = sum(target.values())
-        total = wanted
+        total = max(wanted, before)
+        if total > most:
+            decrease = MAX_DECREASE_PER_SECOND * seconds
+            total = max(wanted, most, before - decrease)
         if lost:
             cause = Cause.LOST_TARGET
         elif not own.capacity_tokens:
@@ -123,10 +135,6 @@
             cause = Cause.OVERLOAD
         else:
             cause = Cause.ROOM
-        if wanted < before:
-            total = max(wanted, before - MAX_DECREASE_PER_SECOND * seconds)
-        if not lost and abs(wanted - before) < MIN_CHANGE and wanted:
-            total = before
         self.share_by_zone = self._spread(total, target, lost)
         return Decision(self.share_by_zone, cause)
 
@@ -140,7 +148,7 @@
             if other not in lost
         }
         weight = sum(weights.values())
-        if not weight or total < MIN_CHANGE:
+        if not weight or total < MIN_SHARE:
             return {}
         return {o: total * w / weight for o, w in weights.items()}
 
--- a/libs/gateway/burdockmast/gateway/crossings.py
+++ b/libs/gateway/burdockmast/gateway/crossings.py
@@ -53,11 +53,11 @@
     :param is_slow: whether a path has servers that are slower than usual; if
         given, all stages are in one zone while one has room and is not slow
     """
+    if is_slow:
+        path = _find_in_whole_zones(search, is_slow, delays_answers)
+        if path or not has_begun:
+            return path
     if not delays_answers:
-        if is_slow:
-            path = _find_in_whole_zones(search, is_slow)
-            if path or not has_begun:
-                return path
         if has_begun:
             # A broken answer is worse for its caller than the delay that one
             # more prompt on a full link causes for the others.
@@ -76,20 +76,24 @@
 
 
 def _find_in_whole_zones(
-    search: Search, is_slow: Callable[[Path], bool]
+    search: Search, is_slow: Callable[[Path], bool], delays_answers: bool
 ) -> Path:
     """Return a path in one zone if any has room, else one that crosses.
 
-    A slow zone is left if crossing is better even if no requests ran.
+    A slow zone is left if crossing is better even if no requests ran. Where
+    prompts delay answers, none crosses for want of room.
     """
     path = search(Room.FREE, Crossing.FREE)
     if not links.inter_zone_links(path):
         return path
     whole = search(Room.FREE, Crossing.NONE)
-    if not whole:
-        return path
-    if is_slow(whole) and links.inter_zone_links(
-        search(Room.IDLE, Crossing.ANY)
+    if whole:
+        is_needed = is_slow(whole) and links.inter_zone_links(
+            search(Room.IDLE, Crossing.ANY)
+        )
+        return path if is_needed else whole
+    if delays_answers and not links.inter_zone_links(
+        search(Room.UNLIMITED, Crossing.ANY)
     ):
-        return path
-    return whole
+        return ()
+    return path
--- a/libs/gateway/burdockmast/gateway/path_selector.py
+++ b/libs/gateway/burdockmast/gateway/path_selector.py
@@ -305,8 +305,8 @@
         if self._balance and zone_balance.is_on(job.service):
             balance = self._balance
 
-        def entry_ms(zone: ids.ZoneId) -> float:
-            if balance is None:
+        def entry_ms(room: crossings.Room, zone: ids.ZoneId) -> float:
+            if balance is None or room in UNLIMITED_ROOM:
                 return paths.REMOTE_ENTRY_MS
             return balance.entry_cost_ms(self._zone, zone, job.service)
 
@@ -333,7 +333,7 @@
                     self._is_closed, balance, job.service, crossing
                 ),
                 self._rng,
-                entry_ms,
+                functools.partial(entry_ms, room),
             )
 
         delays_answers = self._delays_answers(job.service)
