--- a/libs/gateway/burdockmast/gateway/config.py
+++ b/libs/gateway/burdockmast/gateway/config.py
@@ -43,7 +43,7 @@
     :ivar prefill_tokens_per_second: over all layers
     :ivar activation_bytes_per_token: sent from each stage to the next
     :ivar zone_link_mbps: bandwidth between two zones, shared by all transfers
-    :ivar zone_delay_ms: longest delay of a hop between two zones
+    :ivar zone_delay_ms: longest hop between two zones, 0 if none is known
     """
 
     layers: int
--- a/libs/gateway/burdockmast/gateway/crossings.py
+++ b/libs/gateway/burdockmast/gateway/crossings.py
@@ -17,11 +17,15 @@
 
 
 class Room(enum.Enum):
-    """Which servers a path may use."""
+    """Which servers a path may use.
+
+    ``IDLE`` is ``UNLIMITED``, with costs as if no requests ran.
+    """
 
     FREE = 'free'
     OVERFULL = 'overfull'
     UNLIMITED = 'unlimited'
+    IDLE = 'idle'
 
 
 class Crossing(enum.Enum):
@@ -35,13 +39,24 @@
 Search = Callable[[Room, Crossing], Path]
 
 
-def find_path(search: Search, delays_answers: bool, has_begun: bool) -> Path:
+def find_path(
+    search: Search,
+    delays_answers: bool,
+    has_begun: bool,
+    is_slow: Callable[[Path], bool] | None = None,
+) -> Path:
     """Return a path, no stages if the request has to wait for room.
 
     :param search: returns the cheapest path, no stages if there is none
     :param delays_answers: prompts between zones make other answers late
     :param has_begun: the caller has received events, and leaves soon
+    :param is_slow: whether a path has servers that are slower than usual; if
+        given, all stages are in one zone while one has room and is not slow
     """
+    if is_slow:
+        path = _find_in_whole_zones(search, is_slow, delays_answers)
+        if path or not has_begun:
+            return path
     if not delays_answers:
         if has_begun:
             # A broken answer is worse for its caller than the delay that one
@@ -58,3 +73,27 @@
             Room.OVERFULL, Crossing.ANY
         )
     return ()
+
+
+def _find_in_whole_zones(
+    search: Search, is_slow: Callable[[Path], bool], delays_answers: bool
+) -> Path:
+    """Return a path in one zone if any has room, else one that crosses.
+
+    A slow zone is left if crossing is better even if no requests ran. Where
+    prompts delay answers, none crosses for want of room.
+    """
+    path = search(Room.FREE, Crossing.FREE)
+    if not links.inter_zone_links(path):
+        return path
+    whole = search(Room.FREE, Crossing.NONE)
+    if whole:
+        is_needed = is_slow(whole) and links.inter_zone_links(
+            search(Room.IDLE, Crossing.ANY)
+        )
+        return path if is_needed else whole
+    if delays_answers and not links.inter_zone_links(
+        search(Room.UNLIMITED, Crossing.ANY)
+    ):
+        return ()
+    return path
--- a/libs/gateway/burdockmast/gateway/neighbours.py
+++ b/libs/gateway/burdockmast/gateway/neighbours.py
@@ -24,6 +24,7 @@
 from burdockmast.gateway import reports
 from burdockmast.gateway import server_limits
 from burdockmast.gateway.admission import pressure as admission_pressure
+from burdockmast.gateway.balance import demand as zone_demand
 
 # Interval of messages within a zone. In a larger zone it is longer, so that a
 # gateway handles at most this many messages a second.
@@ -73,6 +74,7 @@
     :ivar crashes: requests that crash servers, if any are known
     :ivar limits: that servers have named
     :ivar leaving: servers that have said that they leave
+    :ivar demand: of the sender's callers, and of whole zones
     :ivar pressure: requests that wait for room, by priority
     :ivar configuration_age: seconds since the sender's configuration was
         last confirmed
@@ -81,6 +83,7 @@
     crashes: crash_suspects.CrashNews | None = None
     limits: list[server_limits.LimitNews] = []
     leaving: list[leaving_servers.LeavingNews] = []
+    demand: list[zone_demand.DemandNews] = []
     pressure: list[admission_pressure.PressureNews] = []
     configuration_age: float = math.inf
 
@@ -155,6 +158,13 @@
         """Return the load of all other gateways that were heard lately."""
         return self._table.total()
 
+    def load_by_source(self) -> dict[str, loads.LoadByServer]:
+        """Return the load of each gateway or zone that was heard lately."""
+        return {
+            source: self._table.load_of(source)
+            for source in self._table.sources()
+        }
+
     def is_watcher(self) -> bool:
         """Return whether this gateway watches the store for its neighbours."""
         earlier = [n for n in self.alive_neighbours() if n < self._own.name]
--- a/libs/gateway/burdockmast/gateway/path_selector.py
+++ b/libs/gateway/burdockmast/gateway/path_selector.py
@@ -27,6 +27,7 @@
 from burdockmast.gateway import view
 from burdockmast.gateway.admission import policy
 from burdockmast.gateway.admission import pressure
+from burdockmast.gateway.balance import zone_balance
 from burdockmast.limits import queues
 
 LOG = logs.get('choosing')
@@ -51,6 +52,8 @@
 RESUME_QUEUE_SECONDS = 0.6
 # Usual time from the choice of a path to the first event.
 FIRST_EVENT_SECONDS = 0.15
+# Searches that ignore how much memory is left.
+UNLIMITED_ROOM = (crossings.Room.UNLIMITED, crossings.Room.IDLE)
 
 
 def waiter_of(job: jobs.Job, has_begun: bool) -> queues.Waiter:
@@ -76,6 +79,7 @@
         limits: server_limits.ServerLimits,
         now: Callable[[], float] = timers.now,
         waiting: pressure.Pressure | None = None,
+        balance: zone_balance.ZoneBalance | None = None,
     ):
         """Create a selector with an empty queue.
 
@@ -83,6 +87,7 @@
         :param others: the other gateways, with the load that they report
         :param zone: of this gateway's callers
         :param waiting: requests of all gateways that compete for memory
+        :param balance: between zones, None if no service calls for it
         """
         self.reports = server_reports
         self._view = fleet
@@ -99,6 +104,7 @@
         # Of services whose requests are admitted in order.
         self._queue_by_service: dict[ids.ServiceId, queues.FairQueue] = {}
         self._links = links.ZoneLinks(now)
+        self._balance = balance
 
     @property
     def gateway_count(self) -> int:
@@ -108,6 +114,8 @@
     @gateway_count.setter
     def gateway_count(self, count: int) -> None:
         self._links.gateway_count = count
+        if self._balance:
+            self._balance.set_gateway_count(count)
 
     def reserve(self, job: jobs.Job, path: tuple[backends.Stage, ...]) -> None:
         """Account for a request on its path."""
@@ -117,9 +125,12 @@
             return
         size = self._request_size(job, engine)
         self._usage.reserve(path, size.reserved_tokens)
+        prompt_seconds = paths.transfer_ms(engine, size) / 1000
+        if self._balance:
+            self._balance.record_path(job.service, path, prompt_seconds)
         self._links.record_prompt(
             path,
-            paths.transfer_ms(engine, size) / 1000,
+            prompt_seconds,
             links.DELAYING_PROMPT_SHARE
             if self._delays_answers(job.service)
             else links.PROMPT_SHARE,
@@ -157,6 +168,8 @@
         :param first_servers: at which the path may begin, None for any
         :returns: no stages if waiting would not help
         """
+        if self._balance and not has_begun:
+            self._balance.record_arrival(job.service)
         if not has_begun and self._pressure.admits_in_order(job.service.id):
             return self._wait_in_order(job, failed, is_isolated, first_servers)
         path = self.find_path(
@@ -264,6 +277,7 @@
                 'waiting': len(queue),
                 'full_servers': self._full_servers(job),
                 'links': self._links.describe(),
+                'budget': self._describe_balance(),
                 'gateways': self.gateway_count,
                 'list_age': round(self._view.server_list_age, 3),
                 'outcome': str(refusal),
@@ -311,6 +325,9 @@
                 found.append(f'{server.id} {share:.2f} {reported:.2f}')
         return found
 
+    def _describe_balance(self) -> dict[str, float]:
+        return self._balance.describe() if self._balance else {}
+
     def _load_by_server(self) -> dict[ids.ServerId, loads.Load]:
         """Return the load of all gateways, as far as it is known."""
         own = self._usage.load_by_server()
@@ -365,10 +382,13 @@
                 running if is_informed else (running * memory.OWN_USAGE_FACTOR)
             )
 
+        def no_requests(server: ids.ServerId) -> int:
+            return 0
+
         def memory_factor(
             room: crossings.Room, server: backends.BackendServer
         ) -> float:
-            if room is crossings.Room.UNLIMITED:
+            if room in UNLIMITED_ROOM:
                 return 1.0
             _, reserved = load_by_server.get(server.id, loads.NO_LOAD)
             share = reserved / memory.cache_capacity(engine, server)
@@ -397,6 +417,15 @@
             )
             exclusions.insert(0, [*exclusions[0], *crowded])
 
+        balance = None
+        if self._balance and zone_balance.is_on(job.service):
+            balance = self._balance
+
+        def entry_ms(room: crossings.Room, zone: ids.ZoneId) -> float:
+            if balance is None or room in UNLIMITED_ROOM:
+                return paths.REMOTE_ENTRY_MS
+            return balance.entry_cost_ms(self._zone, zone, job.service)
+
         def search(
             excluded: Collection[ids.ServerId],
             room: crossings.Room,
@@ -407,24 +436,42 @@
                 self._view.preferred(
                     job.service,
                     excluded,
-                    may_rest=room is crossings.Room.UNLIMITED,
+                    may_rest=room in UNLIMITED_ROOM,
                 ),
                 size,
                 self._zone,
-                running_requests,
+                no_requests
+                if room is crossings.Room.IDLE
+                else running_requests,
                 functools.partial(memory_factor, room),
                 self.reports.slowdown,
-                functools.partial(self._is_closed, crossing),
+                functools.partial(
+                    self._is_closed, balance, job.service, crossing
+                ),
                 self._rng,
+                functools.partial(entry_ms, room),
             )
 
         delays_answers = self._delays_answers(job.service)
         for excluded in exclusions:
             path = crossings.find_path(
-                functools.partial(search, excluded), delays_answers, has_begun
+                functools.partial(search, excluded),
+                delays_answers,
+                has_begun,
+                self._is_slow if balance else None,
             )
             if path:
                 return path
+        if balance:
+            balance.record_wait(
+                job.service,
+                functools.partial(
+                    search,
+                    exclusions[-1],
+                    crossings.Room.FREE,
+                    crossings.Crossing.ANY,
+                ),
+            )
         return ()
 
     def _allowed_share(self, job: jobs.Job) -> float:
@@ -438,13 +485,26 @@
         pause_seconds = self._view.pause_objective(service.id)
         return paths.delays_answers(service.engine, pause_seconds)
 
+    def _is_slow(self, path: tuple[backends.Stage, ...]) -> bool:
+        """Return whether servers of a path report that they are slow."""
+        return any(
+            self.reports.slowdown(stage.server) >= reports.SLOW_THRESHOLD
+            for stage in path
+        )
+
     def _is_closed(
-        self, crossing: crossings.Crossing, link: links.Link
+        self,
+        balance: zone_balance.ZoneBalance | None,
+        service: config.Service,
+        crossing: crossings.Crossing,
+        link: links.Link,
     ) -> bool:
         """Return whether a path may not use an inter-zone link."""
         match crossing:
             case crossings.Crossing.NONE:
                 return True
+            case crossings.Crossing.FREE if balance:
+                return not balance.may_cross(link, service)
             case crossings.Crossing.FREE:
                 return self._links.is_full(link)
             case crossings.Crossing.ANY:
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -41,6 +41,7 @@
 from burdockmast.gateway import view
 from burdockmast.gateway import wsgi
 from burdockmast.gateway.admission import pressure
+from burdockmast.gateway.balance import zone_balance
 
 LOG = logs.get('gateway')
 
@@ -163,6 +164,16 @@
         self._pressure = pressure.Pressure(
             self.view.admission_policy, gateway_settings.zone
         )
+        balance = zone_balance.ZoneBalance(
+            gateway_settings.instance,
+            gateway_settings.zone,
+            self.view,
+            usage,
+            self._neighbours,
+            server_reports,
+            self._metrics,
+            rng,
+        )
         self._path_selector = path_selector.PathSelector(
             self.view,
             server_reports,
@@ -172,6 +183,7 @@
             rng,
             self._limits,
             waiting=self._pressure,
+            balance=balance,
         )
         self._neighbour_link = neighbour_link.NeighbourLink(
             gateway_settings.neighbours_address,
@@ -189,6 +201,7 @@
             self._limits,
             self._leaving,
             self._pressure,
+            balance.demand,
             lambda: self.view.configuration_age,
         )
         self.application = wsgi.Application(
--- a/libs/model/burdockmast/model/play.py
+++ b/libs/model/burdockmast/model/play.py
@@ -9,6 +9,7 @@
 import random
 
 from burdockmast.base import ids
+from burdockmast.base import metrics
 from burdockmast.gateway import backends
 from burdockmast.gateway import config
 from burdockmast.gateway import interfaces
@@ -19,6 +20,7 @@
 from burdockmast.gateway import server_limits
 from burdockmast.gateway.admission import policy
 from burdockmast.gateway.admission import pressure
+from burdockmast.gateway.balance import zone_balance
 from burdockmast.limits import queues
 from burdockmast.model import engines
 from burdockmast.model import events
@@ -102,6 +104,8 @@
     :ivar crossings: of prompts between zones
     :ivar first_event_seconds: of each request that was answered
     :ivar ends: requests by priority and end
+    :ivar requests_by_zone: by zone of the caller
+    :ivar in_time_by_zone: answered within the objectives, likewise
     """
 
     in_time: int = 0
@@ -131,6 +135,13 @@
         requests = sum(self.ends[priority, end] for end in End)
         return self.ends[priority, End.IN_TIME] / max(1, requests)
 
+    requests_by_zone: collections.Counter[ids.ZoneId] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    in_time_by_zone: collections.Counter[ids.ZoneId] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
     @property
     def share_in_time(self) -> float:
         """Share of all requests that were answered in time."""
@@ -230,6 +241,7 @@
         rng: random.Random,
         hears_neighbours: bool,
         admission: policy.Policy,
+        balances_zones: bool,
     ):
         self.record = record
         self.pressure = pressure.Pressure(
@@ -238,6 +250,17 @@
         self.usage = memory.Usage()
         self.neighbours = neighbours.Neighbours(record, rng, clock)
         self.hears_neighbours = hears_neighbours
+        self.balance = zone_balance.ZoneBalance(
+            record.name,
+            record.zone,
+            fleet,
+            self.usage,
+            self.neighbours,
+            _NoReports(),
+            metrics.Metrics(),
+            rng,
+            clock,
+        )
         self.selector = path_selector.PathSelector(
             fleet,
             _NoReports(),
@@ -250,15 +273,19 @@
             ),
             clock,
             self.pressure,
+            self.balance if balances_zones else None,
         )
 
     def learned(self, is_for_other_zones: bool) -> neighbours.Learned:
         return neighbours.Learned(
-            pressure=self.pressure.news(is_for_other_zones)
+            demand=self.balance.demand.news(),
+            pressure=self.pressure.news(is_for_other_zones),
         )
 
     def receive(self, message: neighbours.Message) -> None:
+        """Take over what another gateway reports."""
         self.neighbours.receive(message)
+        self.balance.demand.receive(message.learned.demand)
         self.pressure.receive(
             message.learned.pressure,
             message.sender,
@@ -304,11 +331,13 @@
         seed: int,
         hears_neighbours: bool = True,
         admission: policy.Policy = policy.OFF,
+        balances_zones: bool = True,
     ):
         """Create the fleet.
 
         :param hears_neighbours: gateways receive each other's messages
         :param admission: which admission decisions apply
+        :param balances_zones: gateways balance zones if hops are slow
         """
         self.outcome = Outcome()
         self.timeline = events.Timeline()
@@ -337,6 +366,7 @@
                     random.Random(self._rng.random()),
                     hears_neighbours,
                     admission,
+                    balances_zones,
                 )
                 for number in range(count)
             ]
@@ -422,6 +452,8 @@
             1, int(self._load.prompt_tokens * self._rng.uniform(1 / 3, 5 / 3))
         )
         gateway = self._rng.choice(self.gateways_by_zone[zone])
+        self.outcome.requests_by_zone[zone] += 1
+        gateway.balance.record_arrival(self._service)
         if not self._load.classes:
             _Stream(
                 self, gateway, prompt, answer, self._only_class
@@ -608,6 +640,9 @@
         self._play.outcome.record(
             self._job.priority, End.LATE if self._is_late else End.IN_TIME
         )
+        if not self._is_late:
+            zone = self._gateway.record.zone
+            self._play.outcome.in_time_by_zone[zone] += 1
 
 
 def percentile(values: list[float], share: float) -> float:
