--- a/libs/gateway/burdockmast/gateway/balance/zone_balance.py
+++ b/libs/gateway/burdockmast/gateway/balance/zone_balance.py
@@ -198,7 +198,8 @@
         """Return room and demand of all zones.
 
         A zone needs at least as much as its arrivals would with the mean
-        memory of all requests.
+        memory of all requests. A gateway that hears no others takes its own
+        load times a factor.
         """
         engine = service.engine
         load_by_source = self._others.load_by_source()
@@ -215,7 +216,8 @@
                 engine, load, servers
             )
         own_load = loads.add(*own_loads)
-        tokens_by_zone[self._zone] = zone_load.demand_tokens(
+        factor = 1 if self._others.is_informed else memory.OWN_USAGE_FACTOR
+        tokens_by_zone[self._zone] = factor * zone_load.demand_tokens(
             engine, own_load, servers
         )
         rate_by_zone = {
