Keep requests in zones with room, and decide shares on a timer

Zones with slower servers sent requests away while they had room, since the cost of leaving was one usual answer of all zones: 51 of 582 at the usual load of the larger site. The deciding gateway decided only when it had a request, up to 1 s apart at 9 gateways; now whenever it sends messages.

--- a/libs/gateway/burdockmast/gateway/balance/zone_balance.py
+++ b/libs/gateway/burdockmast/gateway/balance/zone_balance.py
@@ -44,6 +44,9 @@
 MEMORY_SECONDS = 10.0
 # Requests that a share has owed to a zone from which the next one goes there.
 OWED_REQUESTS = 0.5
+# Cost of leaving a zone without need, in usual answers of the zone. On busy
+# servers with little memory left, an answer costs up to 2.4 times as much.
+LEAVING_FACTOR = 2.5
 
 
 def is_on(service: config.Service) -> bool:
@@ -59,18 +62,21 @@
 class _ServiceState:
     """What a gateway keeps for one service.
 
-    :ivar usual_answer_ms: time of an answer on servers without other requests
+    :ivar usual_ms_by_zone: times of answers if no other requests ran
     :ivar memory: tokens that requests need, averaged over time
     :ivar arrivals: requests a second, averaged over the same time
     :ivar owed_by_zone: requests by which each zone's part is behind its share
     """
 
+    service: config.Service
     shares: zone_shares.ZoneShares
     owed_by_zone: dict[ids.ZoneId, float]
     memory: demand.Rate
     arrivals: demand.Rate
-    usual_answer_ms: float = paths.REMOTE_ENTRY_MS
     decided_at: float | None = None
+    usual_ms_by_zone: dict[ids.ZoneId, float] = dataclasses.field(
+        default_factory=dict
+    )
     logged: dict[ids.ZoneId, float] = dataclasses.field(default_factory=dict)
 
 
@@ -133,8 +139,8 @@
         """Return the cost of a path's first stage in another zone.
 
         It is negative if that zone's share is due: the request goes there
-        unless its answer would take twice as long as usual. Otherwise it goes
-        there only if it would take so long everywhere else.
+        unless its answer would take much longer than is usual there. Otherwise
+        it goes there only if its own zone lacks room or layers, or is slow.
         """
         if zone_from == zone_to:
             return 0.0
@@ -143,17 +149,22 @@
         is_due = zone_to in state.shares.share_by_zone and (
             owed >= OWED_REQUESTS
         )
-        return state.usual_answer_ms * (-1 if is_due else 1)
+        if is_due:
+            return -state.usual_ms_by_zone.get(zone_to, 0.0)
+        usual_ms = state.usual_ms_by_zone.get(zone_from, 0.0)
+        return max(paths.REMOTE_ENTRY_MS, LEAVING_FACTOR * usual_ms)
 
     def _decided_state(self, service: config.Service) -> _ServiceState:
         state = self._state_by_service.get(service.id)
         if state is None:
             state = self._state_by_service[service.id] = _ServiceState(
+                service,
                 zone_shares.ZoneShares(),
                 {},
                 demand.Rate(self._now, MEMORY_SECONDS),
                 demand.Rate(self._now, MEMORY_SECONDS),
             )
+        state.service = service
         now = self._now()
         if state.decided_at is None or (
             now >= state.decided_at + DECISION_SECONDS
@@ -173,7 +184,7 @@
             if len(server.layers)
         ]
         load_by_zone = self._load_by_zone(service, servers, state, seconds)
-        state.usual_answer_ms = _usual_answer_ms(service.engine, servers)
+        state.usual_ms_by_zone = _usual_ms_by_zone(service.engine, servers)
         decided = self.demand.decided_shares(service.id)
         if decided is not None:
             state.shares.follow(decided)
@@ -282,6 +293,15 @@
             )
             state.logged[zone] = share
 
+    def news(self) -> list[demand.DemandNews]:
+        """Return what to tell other gateways, with shares that are due.
+
+        A gateway decides for its neighbours also while it gets no requests.
+        """
+        for state in list(self._state_by_service.values()):
+            self._decided_state(state.service)
+        return self.demand.news()
+
     def may_cross(self, link: links.Link, service: config.Service) -> bool:
         """Return whether a prompt may take an inter-zone link in a path."""
         return self._budget.may_send(link, self._bound(service))
@@ -361,20 +381,22 @@
         return self._budget.describe()
 
 
-def _usual_answer_ms(
+def _usual_ms_by_zone(
     engine: config.Engine, servers: Iterable[backends.BackendServer]
-) -> float:
-    """Return the mean time of an answer on servers without requests."""
+) -> dict[ids.ZoneId, float]:
+    """Return the mean time of an answer in each zone without requests."""
     size = paths.RequestSize(
         engine.mean_prompt_tokens, engine.mean_answer_tokens
     )
-    total_ms, layers = 0.0, 0
+    held_by_zone: dict[ids.ZoneId, int] = {}
+    ms_by_zone: dict[ids.ZoneId, float] = {}
     for server in servers:
-        held = len(server.layers)
-        layers += held
-        total_ms += paths.stage_ms(engine, server, held, size, 0)
-    return (
-        total_ms / layers * engine.layers
-        if layers
-        else (paths.REMOTE_ENTRY_MS)
-    )
+        zone, held = server.zone, len(server.layers)
+        held_by_zone[zone] = held_by_zone.get(zone, 0) + held
+        ms_by_zone[zone] = ms_by_zone.get(zone, 0.0) + paths.stage_ms(
+            engine, server, held, size, 0
+        )
+    return {
+        zone: total_ms / held_by_zone[zone] * engine.layers
+        for zone, total_ms in ms_by_zone.items()
+    }
--- a/libs/gateway/burdockmast/gateway/neighbour_link.py
+++ b/libs/gateway/burdockmast/gateway/neighbour_link.py
@@ -15,7 +15,7 @@
 from burdockmast.gateway import relays
 from burdockmast.gateway import reports
 from burdockmast.gateway import server_limits
-from burdockmast.gateway.balance import demand as zone_demand
+from burdockmast.gateway.balance import zone_balance
 
 LOG = logs.get('neighbours')
 
@@ -41,11 +41,11 @@
         suspects: crash_suspects.CrashSuspects,
         limits: server_limits.ServerLimits,
         leaving: leaving_servers.LeavingServers,
-        demand: zone_demand.Demand | None = None,
+        balance: zone_balance.ZoneBalance | None = None,
     ):
         """Prepare to listen at ``address``.
 
-        :param demand: of callers, None if it is not exchanged
+        :param balance: between zones, None if it is not exchanged
         """
         self.address = address
         self._neighbours = known
@@ -55,7 +55,7 @@
         self._suspects = suspects
         self._limits = limits
         self._leaving = leaving
-        self._demand = demand
+        self._balance = balance
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(neighbours.Message)
         self._sock: socket.socket | None = None
@@ -86,7 +86,7 @@
             self._suspects.news(),
             self._limits.news(),
             self._leaving.news(),
-            self._demand.news() if self._demand else [],
+            self._balance.news() if self._balance else [],
         )
 
     def _zone_news(self) -> neighbours.ZoneNews:
@@ -129,8 +129,8 @@
             self._suspects.receive(message.learned.crashes)
         self._limits.receive(message.learned.limits, message.sender)
         self._leaving.receive(message.learned.leaving, message.sender)
-        if self._demand:
-            self._demand.receive(message.learned.demand)
+        if self._balance:
+            self._balance.demand.receive(message.learned.demand)
         news = message.zone_news
         if news is None or not self._neighbours.is_neighbour(message.sender):
             return
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -195,7 +195,7 @@
             self._suspects,
             self._limits,
             self._leaving,
-            balance.demand,
+            balance,
         )
         self.application = wsgi.Application(
             self.view,
--- a/libs/model/burdockmast/model/play.py
+++ b/libs/model/burdockmast/model/play.py
@@ -314,9 +314,7 @@
             return
         for address, message in gateway.neighbours.due_messages(
             gateway.usage.load_by_server(),
-            learned=lambda: neighbours.Learned(
-                demand=gateway.balance.demand.news()
-            ),
+            learned=lambda: neighbours.Learned(demand=gateway.balance.news()),
         ):
             receiver = self._gateway_by_address[address]
             if (
--- a/tests/test_gateway_zone_balance.py
+++ b/tests/test_gateway_zone_balance.py
@@ -466,11 +466,16 @@
     assert after.crossings <= before.crossings / 2
 
 
-def test_gateways_that_hear_nobody_still_serve():
+@pytest.mark.parametrize('hears_neighbours', [True, False])
+def test_requests_stay_in_zones_with_room(hears_neighbours):
+    """Traffic between zones costs money, and each gateway would send some."""
     rates = {zone: rate / 2 for zone, rate in sites.DOZENS_RATES.items()}
     engine = dataclasses.replace(sites.DOZENS.engine, zone_delay_ms=2.0)
     site = dataclasses.replace(sites.DOZENS, engine=engine)
     load = play.Load(rates, 2.0, 772, 141, 0.6, PAUSE_SECONDS)
-    outcome = play.Play(site, load, 4, hears_neighbours=False).run()
+    played = play.Play(site, load, 4, hears_neighbours)
+    outcome = played.run()
+    gateways = itertools.chain(*played.gateways_by_zone.values())
+    assert not any(gateway.balance.leaving_share for gateway in gateways)
     assert outcome.refused == 0
     assert outcome.in_time + outcome.late > 0
