--- a/libs/gateway/burdockmast/gateway/neighbour_link.py
+++ b/libs/gateway/burdockmast/gateway/neighbour_link.py
@@ -19,7 +19,7 @@
 from burdockmast.gateway import reports
 from burdockmast.gateway import server_limits
 from burdockmast.gateway.admission import pressure
-from burdockmast.gateway.balance import demand as zone_demand
+from burdockmast.gateway.balance import zone_balance
 
 LOG = logs.get('neighbours')
 
@@ -46,13 +46,13 @@
         limits: server_limits.ServerLimits,
         leaving: leaving_servers.LeavingServers,
         waiting: pressure.Pressure | None = None,
-        demand: zone_demand.Demand | None = None,
+        balance: zone_balance.ZoneBalance | None = None,
         configuration_age: Callable[[], float] = lambda: math.inf,
     ):
         """Prepare to listen at ``address``.
 
         :param waiting: requests that wait for room, None to report none
-        :param demand: of callers, None if it is not exchanged
+        :param balance: between zones, None if it is not exchanged
         :param configuration_age: returns the seconds since this gateway's
             configuration was last confirmed
         """
@@ -66,7 +66,7 @@
         self._leaving = leaving
         self._pressure = waiting
         self._configuration_age = configuration_age
-        self._demand = demand
+        self._balance = balance
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(neighbours.Message)
         self._sock: socket.socket | None = None
@@ -97,7 +97,7 @@
             self._suspects.news(),
             self._limits.news(),
             self._leaving.news(),
-            self._demand.news() if self._demand else [],
+            self._balance.news() if self._balance else [],
             pressure=(
                 self._pressure.news(is_for_other_zones)
                 if self._pressure
@@ -151,8 +151,8 @@
             self._pressure.receive(
                 message.learned.pressure, message.sender, is_neighbour
             )
-        if self._demand:
-            self._demand.receive(message.learned.demand)
+        if self._balance:
+            self._balance.demand.receive(message.learned.demand)
         news = message.zone_news
         if news is None or not is_neighbour:
             return
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -201,7 +201,7 @@
             self._limits,
             self._leaving,
             self._pressure,
-            balance.demand,
+            balance,
             lambda: self.view.configuration_age,
         )
         self.application = wsgi.Application(
--- a/libs/model/burdockmast/model/play.py
+++ b/libs/model/burdockmast/model/play.py
@@ -278,7 +278,7 @@
 
     def learned(self, is_for_other_zones: bool) -> neighbours.Learned:
         return neighbours.Learned(
-            demand=self.balance.demand.news(),
+            demand=self.balance.news(),
             pressure=self.pressure.news(is_for_other_zones),
         )
 
