Learn from rejections how much memory of a server may be used

Cause: gateways' estimate of what requests hold is too low where answers differ much in length.

Change: the known load at a rejection limits what all gateways send, with a shared backoff; the limit rises again by itself. Only at contended services.

--- a/libs/gateway/burdockmast/gateway/memory.py
+++ b/libs/gateway/burdockmast/gateway/memory.py
@@ -119,7 +119,7 @@
     share: float,
     reported_share: float,
     may_overfill: bool,
-    allowed_share: float = 1.0,
+    full_share: float = FULL_SHARE,
 ) -> float:
     """Return the factor on a server's cost if the use of all is known.
 
@@ -128,10 +128,10 @@
     :param share: of its memory that all requests there will need
     :param reported_share: of its memory that is in use, 0 if unknown
     :param may_overfill: use a full server as a last resort
-    :param allowed_share: of the room that the request's priority may fill
+    :param full_share: of its memory, from which it has no room
     """
     occupancy = max(share, reported_share)
-    if occupancy >= FULL_SHARE * allowed_share:
+    if occupancy >= full_share:
         return OVERFULL_COST_FACTOR if may_overfill else math.inf
     return _gradual_factor(occupancy, KNOWN_FULL_COST_FACTOR)
 
--- a/libs/gateway/burdockmast/gateway/neighbour_link.py
+++ b/libs/gateway/burdockmast/gateway/neighbour_link.py
@@ -18,6 +18,7 @@
 from burdockmast.gateway import relays
 from burdockmast.gateway import reports
 from burdockmast.gateway import server_limits
+from burdockmast.gateway.admission import full_servers
 from burdockmast.gateway.admission import pressure
 from burdockmast.gateway.balance import zone_balance
 
@@ -47,12 +48,14 @@
         leaving: leaving_servers.LeavingServers,
         waiting: pressure.Pressure | None = None,
         balance: zone_balance.ZoneBalance | None = None,
+        full: full_servers.FullServers | None = None,
         configuration_age: Callable[[], float] = lambda: math.inf,
     ):
         """Prepare to listen at ``address``.
 
         :param waiting: requests that wait for room, None to report none
         :param balance: between zones, None if it is not exchanged
+        :param full: servers that reject requests, None to report none
         :param configuration_age: returns the seconds since this gateway's
             configuration was last confirmed
         """
@@ -67,6 +70,7 @@
         self._pressure = waiting
         self._configuration_age = configuration_age
         self._balance = balance
+        self._full = full
         self._encoder = msgspec.msgpack.Encoder()
         self._decoder = msgspec.msgpack.Decoder(neighbours.Message)
         self._sock: socket.socket | None = None
@@ -104,6 +108,7 @@
                 else []
             ),
             configuration_age=self._configuration_age(),
+            full=self._full.news() if self._full else [],
         )
 
     def _zone_news(self) -> neighbours.ZoneNews:
@@ -151,6 +156,8 @@
             self._pressure.receive(
                 message.learned.pressure, message.sender, is_neighbour
             )
+        if self._full:
+            self._full.receive(message.learned.full)
         if self._balance:
             self._balance.demand.receive(message.learned.demand)
         news = message.zone_news
--- a/libs/gateway/burdockmast/gateway/neighbours.py
+++ b/libs/gateway/burdockmast/gateway/neighbours.py
@@ -23,6 +23,7 @@
 from burdockmast.gateway import relays
 from burdockmast.gateway import reports
 from burdockmast.gateway import server_limits
+from burdockmast.gateway.admission import full_servers
 from burdockmast.gateway.admission import pressure as admission_pressure
 from burdockmast.gateway.balance import demand as zone_demand
 
@@ -78,6 +79,7 @@
     :ivar pressure: requests that wait for room, by priority
     :ivar configuration_age: seconds since the sender's configuration was
         last confirmed
+    :ivar full: servers that have rejected requests for want of memory
     """
 
     crashes: crash_suspects.CrashNews | None = None
@@ -86,6 +88,7 @@
     demand: list[zone_demand.DemandNews] = []
     pressure: list[admission_pressure.PressureNews] = []
     configuration_age: float = math.inf
+    full: list[full_servers.FullNews] = []
 
 
 NOTHING_LEARNED = Learned()
--- a/libs/gateway/burdockmast/gateway/path_selector.py
+++ b/libs/gateway/burdockmast/gateway/path_selector.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Container
+from collections.abc import Iterable
 from collections.abc import Mapping
 import contextlib
 import functools
@@ -25,6 +26,7 @@
 from burdockmast.gateway import reports
 from burdockmast.gateway import server_limits
 from burdockmast.gateway import view
+from burdockmast.gateway.admission import full_servers
 from burdockmast.gateway.admission import policy
 from burdockmast.gateway.admission import pressure
 from burdockmast.gateway.balance import zone_balance
@@ -80,6 +82,7 @@
         now: Callable[[], float] = timers.now,
         waiting: pressure.Pressure | None = None,
         balance: zone_balance.ZoneBalance | None = None,
+        full: full_servers.FullServers | None = None,
     ):
         """Create a selector with an empty queue.
 
@@ -88,6 +91,7 @@
         :param zone: of this gateway's callers
         :param waiting: requests of all gateways that compete for memory
         :param balance: between zones, None if no service calls for it
+        :param full: servers that have lately rejected requests
         """
         self.reports = server_reports
         self._view = fleet
@@ -105,6 +109,7 @@
         self._queue_by_service: dict[ids.ServiceId, queues.FairQueue] = {}
         self._links = links.ZoneLinks(now)
         self._balance = balance
+        self._full = full or full_servers.FullServers(rng, now)
 
     @property
     def gateway_count(self) -> int:
@@ -306,6 +311,19 @@
         ]
         return paths.first_uncovered_layer(engine, ready) is None
 
+    def record_full(
+        self, job: jobs.Job, server: backends.BackendServer
+    ) -> None:
+        """Record that a server of a path rejected a request."""
+        _, reserved = self._load_by_server().get(server.id, loads.NO_LOAD)
+        capacity = memory.cache_capacity(job.service.engine, server)
+        self._full.record_rejection(server, reserved / capacity)
+
+    def record_accepted(self, path: Iterable[backends.Stage]) -> None:
+        """Record that the servers of a path accepted a request."""
+        for stage in path:
+            self._full.record_accepted(stage.server.id)
+
     def _full_servers(self, job: jobs.Job) -> list[str]:
         """Return the servers without room, for logs.
 
@@ -393,12 +411,15 @@
             _, reserved = load_by_server.get(server.id, loads.NO_LOAD)
             share = reserved / memory.cache_capacity(engine, server)
             reported = self.reports.occupancy(server)
+            if self._full.backs_off(server.id):
+                return math.inf
             if is_informed:
                 return memory.informed_cost_factor(
                     share,
                     reported,
                     room is crossings.Room.OVERFULL,
-                    allowed_share,
+                    self._full.limit(server.id, memory.FULL_SHARE)
+                    * allowed_share,
                 )
             return memory.cost_factor(share, self.gateway_count, reported)
 
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -40,6 +40,7 @@
 from burdockmast.gateway import streams
 from burdockmast.gateway import view
 from burdockmast.gateway import wsgi
+from burdockmast.gateway.admission import full_servers
 from burdockmast.gateway.admission import pressure
 from burdockmast.gateway.balance import zone_balance
 
@@ -174,6 +175,10 @@
             self._metrics,
             rng,
         )
+        full = full_servers.FullServers(rng)
+        self._servers.on_change.append(
+            lambda: full.keep(self._servers.item_by_name.values())
+        )
         self._path_selector = path_selector.PathSelector(
             self.view,
             server_reports,
@@ -183,6 +188,7 @@
             rng,
             self._limits,
             waiting=self._pressure,
+            full=full,
             balance=balance,
         )
         self._neighbour_link = neighbour_link.NeighbourLink(
@@ -202,6 +208,7 @@
             self._leaving,
             self._pressure,
             balance,
+            full,
             lambda: self.view.configuration_age,
         )
         self.application = wsgi.Application(
--- a/libs/gateway/burdockmast/gateway/stream_attempts.py
+++ b/libs/gateway/burdockmast/gateway/stream_attempts.py
@@ -295,6 +295,7 @@
         deps.suspects.record_head(self._tracked)
         if head.metadata.is_not_run:
             return exchange.refusal(head, path_selector.RETRY_AFTER_SECONDS)
+        deps.path_selector.record_accepted(self.path)
         self.head = head
         if (
             head.status >= FIRST_SERVER_ERROR_STATUS
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -474,7 +474,7 @@
                     first,
                 )
                 progress.failed_servers.append(culprit.id)
-                self._view.rest(culprit.id, failure.detail, job.id)
+                self._back_off(job, culprit, failure)
                 if not self._dependencies.leaving.includes(culprit):
                     self._path_selector.record_rejection(job)
             case failures.Failure(
@@ -488,6 +488,18 @@
                         first.id, failure.detail, job.id
                     )
 
+    def _back_off(
+        self,
+        job: jobs.Job,
+        server: backends.BackendServer,
+        failure: failures.Failure,
+    ) -> None:
+        """Send a server that rejected a request none for a moment."""
+        if self._view.admission_policy(job.service.id).is_contended:
+            self._path_selector.record_full(job, server)
+        else:
+            self._view.rest(server.id, failure.detail, job.id)
+
     def _log_abort(
         self,
         job: jobs.Job,
