Bound what untrusted callers take of a gateway

Cause: a body that was evicted kept its bytes while its reader waited for a silent caller, pieces of up to 256 KiB were held before they were accounted for, and reads of data that had arrived already let nobody else run, however small its chunks. Now eviction frees the bytes at that moment and wakes the reader (503, not run); stalled bodies are evicted first; a declared length is evicted too until all of it has come. Readers share 0.4 of the time by counted work; chunks of less than 32 bytes on average, after the first 8192, get 400; 256 bytes or the end must come within 30 s, else 408 (a stalled body got 400 after 20 s). The oldest idle connection is closed for a new one at the limit. Each connection's receive buffer is 128 KiB, since what is left there is read after its caller has disconnected.

--- a/libs/base/burdockmast/base/failures.py
+++ b/libs/base/burdockmast/base/failures.py
@@ -18,6 +18,7 @@
     UNKNOWN_SERVICE = 'unknown_service'
     UNKNOWN_ORGANISATION = 'unknown_organisation'
     TOO_LARGE = 'too_large'
+    TOO_SLOW = 'too_slow'
     KEY_REUSED = 'idempotency_key_reused'
     NO_PATH = 'no_path'
     NO_SERVER = 'no_server'
--- a/libs/gateway/burdockmast/gateway/bodies.py
+++ b/libs/gateway/burdockmast/gateway/bodies.py
@@ -7,18 +7,26 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Iterator
+import contextlib
 import dataclasses
 import io
+import math
 import re
 import socket
+import typing
 
 import eventlet
 
 from burdockmast.base import failures
+from burdockmast.base import timers
 from burdockmast.gateway import buffers
+from burdockmast.gateway.intake import held_bytes
+from burdockmast.gateway.intake import progress
+from burdockmast.gateway.intake import shared
+from burdockmast.gateway.intake import work_budget
 
-# Most bytes that are read at once.
-PIECE_BYTES = 256 * 1024
+# Most bytes that are read at once. Each reader that waits holds as many.
+PIECE_BYTES = 32 * 1024
 # Longest line with the size of a chunk.
 MAX_SIZE_LINE_BYTES = 1024
 # Longest trailer section after the last chunk.
@@ -42,6 +50,27 @@
     """The body is cut, or it doesn't follow its framing."""
 
 
+class _ExcessiveFramingError(_InvalidBodyError):
+    """The chunks of a body are too small."""
+
+
+class Received(typing.Protocol):
+    """What a caller has sent, with the limits on reads that wait.
+
+    :ivar until: time at which they fail
+    :ivar stall_seconds: longest wait of a single one
+    """
+
+    until: float
+    stall_seconds: float
+
+    def interrupt(self) -> None:
+        """Let the read that waits fail, or the next one that would."""
+
+    def clear_interrupt(self) -> None:
+        """Let reads wait again."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Length:
     """A body whose head names its length."""
@@ -93,17 +122,24 @@
         stream: io.BufferedIOBase,
         framing: Framing,
         invite: Callable[[], object] | None = None,
+        intake: shared.Intake | None = None,
+        received: Received | None = None,
     ):
         """Create a body of which nothing has been read.
 
         :param stream: what the caller sends after the head
         :param invite: asks the caller for the body, None if it doesn't wait
             to be asked
+        :param intake: shared by all bodies, None if there is only one
+        :param received: what ``stream`` reads from, if reads wait
         """
+        self._intake = intake or shared.Intake()
+        self._received = received
+        self._work = self._intake.new_work()
         self._stream = stream
         self._framing = framing
         self._invite = invite
-        self._pieces = _read_pieces(stream, framing)
+        self._pieces = _read_pieces(stream, framing, self._work)
         self._is_read = framing == Length(0)
         self._is_invalid = isinstance(framing, Unclear)
 
@@ -113,7 +149,8 @@
         """Return the body, unless it is larger or its end doesn't come.
 
         :param buffer: room that the body takes; a length that is named takes
-            all of it at once
+            all of it at once. If it is given up, the bytes are freed and the
+            read ends, whatever the caller sends
         """
         match self._framing:
             case Length(size_bytes=0):
@@ -122,31 +159,65 @@
                 return _too_large(max_bytes)
             case Unclear(detail=detail):
                 return _invalid(f'the end of the body is unclear: {detail}')
-        content = io.BytesIO()
+        content = held_bytes.Content(buffer, self._interrupt)
         try:
-            if isinstance(self._framing, Length):
-                buffer.grow(self._framing.size_bytes)
-                buffer.is_complete = True
-            self._ask_for_it()
-            for piece in self._pieces:
-                if content.tell() + len(piece) > max_bytes:
-                    return _too_large(max_bytes)
-                if not buffer.is_complete:
-                    buffer.grow(len(piece))
-                content.write(piece)
+            with self._intake.waiting(buffer):
+                return self._read_into(content, max_bytes)
         except buffers.BufferFull as error:
+            return _overloaded(str(error))
+        except progress.TooSlow as error:
+            self._is_invalid = True
+            self._intake.count('too_slow')
             return failures.Failure(
-                failures.Reason.OVERLOADED,
-                'request.body',
-                detail=str(error),
-                retry_after=RETRY_AFTER_SECONDS,
+                failures.Reason.TOO_SLOW, 'request.body', detail=str(error)
             )
         except (OSError, _InvalidBodyError) as error:
             self._is_invalid = True
+            if buffer.is_given_up:
+                return _overloaded('another body needed the room')
+            if isinstance(error, _ExcessiveFramingError):
+                self._intake.count('excessive_framing')
             return _invalid(str(error))
+        finally:
+            content.close()
+            if self._received:
+                self._received.clear_interrupt()
+
+    def _read_into(
+        self, content: held_bytes.Content, max_bytes: int
+    ) -> bytes | failures.Failure:
+        if isinstance(self._framing, Length):
+            content.reserve(self._framing.size_bytes)
+        self._ask_for_it()
+        pace = self._intake.new_progress()
+        with self._limit_waits(pace):
+            for piece in self._pieces:
+                if content.size_bytes + len(piece) > max_bytes:
+                    return _too_large(max_bytes)
+                content.add(piece)
+                pace.add(len(piece), timers.now())
+                if self._received:
+                    self._received.until = pace.until
+        whole = content.complete()
         self._is_read = True
-        buffer.is_complete = True
-        return content.getvalue()
+        return whole
+
+    @contextlib.contextmanager
+    def _limit_waits(self, pace: progress.Progress) -> Iterator[None]:
+        received = self._received
+        if received is None:
+            yield
+            return
+        stall_seconds = received.stall_seconds
+        received.until, received.stall_seconds = pace.until, math.inf
+        try:
+            yield
+        finally:
+            received.until, received.stall_seconds = math.inf, stall_seconds
+
+    def _interrupt(self) -> None:
+        if self._received:
+            self._received.interrupt()
 
     def _ask_for_it(self) -> None:
         if self._invite:
@@ -179,30 +250,34 @@
                     self._is_read = _drop(self._pieces)
                 else:
                     connection.shutdown(socket.SHUT_WR)
-                    _drop(_read_to_end(self._stream))
+                    _drop(_read_to_end(self._stream, self._work))
             except (OSError, _InvalidBodyError) as error:
                 raise UnreadBodyError(str(error)) from None
         if not self._is_read:
             raise UnreadBodyError('the end of the body has not come')
 
 
-def from_environ(environ: dict) -> Body:
+def from_environ(environ: dict, intake: shared.Intake) -> Body:
     """Return the body of a WSGI request.
 
     The WSGI server reads nothing of it afterwards.
+
+    :param intake: shared by all requests of the process
     """
     source = environ['eventlet.input']
     framing = find_framing(environ['headers_raw'])
     _take_over(source)
     if not source.should_send_hundred_continue:
-        return Body(source.rfile, framing)
+        return Body(
+            source.rfile, framing, intake=intake, received=source.rfile.raw
+        )
 
     def invite() -> None:
         # Sends an interim response, although it reads nothing.
         source.read(0)
         _take_over(source)
 
-    return Body(source.rfile, framing, invite)
+    return Body(source.rfile, framing, invite, intake, source.rfile.raw)
 
 
 def _take_over(source: object) -> None:
@@ -219,6 +294,15 @@
     )
 
 
+def _overloaded(detail: str) -> failures.Failure:
+    return failures.Failure(
+        failures.Reason.OVERLOADED,
+        'request.body',
+        detail=detail,
+        retry_after=RETRY_AFTER_SECONDS,
+    )
+
+
 def _invalid(detail: str) -> failures.Failure:
     return failures.Failure(
         failures.Reason.BAD_REQUEST, 'request.body', detail=detail
@@ -228,26 +312,37 @@
 def _drop(pieces: Iterator[bytes]) -> bool:
     """Read pieces up to a bound; tell whether it was all of them."""
     dropped_bytes = 0
-    paused_bytes = 0
     for piece in pieces:
         dropped_bytes += len(piece)
         if dropped_bytes > MAX_DROPPED_BYTES:
             return False
-        if dropped_bytes - paused_bytes >= PIECE_BYTES:
-            # Reads of what has arrived already don't let others run.
-            eventlet.sleep(0)
-            paused_bytes = dropped_bytes
     return True
 
 
-def _read_to_end(stream: io.BufferedIOBase) -> Iterator[bytes]:
+def _let_others_run(work: work_budget.WorkBudget) -> None:
+    """End the turn of a body that has used up its work.
+
+    Reads of what has arrived already don't let others run.
+    """
+    pause = work.pause_seconds()
+    if pause is not None:
+        eventlet.sleep(pause)
+
+
+def _read_to_end(
+    stream: io.BufferedIOBase, work: work_budget.WorkBudget
+) -> Iterator[bytes]:
     """Yield what comes until the connection ends."""
     while piece := stream.read1(PIECE_BYTES):
+        work.add_bytes(len(piece))
+        _let_others_run(work)
         yield piece
 
 
 def _read_pieces(
-    stream: io.BufferedIOBase, framing: Framing
+    stream: io.BufferedIOBase,
+    framing: Framing,
+    work: work_budget.WorkBudget,
 ) -> Iterator[bytes]:
     """Yield a body piece by piece, and nothing that follows it.
 
@@ -255,25 +350,30 @@
     """
     match framing:
         case Length(size_bytes=size):
-            yield from _read_exactly(stream, size)
+            yield from _read_exactly(stream, size, work)
         case Chunks():
             while size := _read_chunk_size(stream):
-                yield from _read_exactly(stream, size)
+                work.add_chunk()
+                yield from _read_exactly(stream, size, work)
                 if stream.read(2) != b'\r\n':
                     raise _InvalidBodyError('a chunk does not end with a line')
+                if work.has_excessive_framing:
+                    raise _ExcessiveFramingError('the chunks are too small')
             _read_trailers(stream)
 
 
-def _read_exactly(stream: io.BufferedIOBase, size: int) -> Iterator[bytes]:
+def _read_exactly(
+    stream: io.BufferedIOBase, size: int, work: work_budget.WorkBudget
+) -> Iterator[bytes]:
     left = size
     while left:
-        wanted = min(left, PIECE_BYTES)
-        piece = stream.read(wanted)
-        if len(piece) < wanted:
-            raise _InvalidBodyError(
-                f'the body ends {left - len(piece)} bytes early'
-            )
-        left -= wanted
+        # What has come is yielded at once, so that it is accounted for.
+        piece = stream.read1(min(left, PIECE_BYTES))
+        if not piece:
+            raise _InvalidBodyError(f'the body ends {left} bytes early')
+        left -= len(piece)
+        work.add_bytes(len(piece))
+        _let_others_run(work)
         yield piece
 
 
--- a/libs/gateway/burdockmast/gateway/buffers.py
+++ b/libs/gateway/burdockmast/gateway/buffers.py
@@ -5,6 +5,7 @@
 times as much as there are requests.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 import math
@@ -25,12 +26,16 @@
 
     :ivar is_complete: its end has come, so that it is not given up
     :ivar is_given_up: another body needed the room
+    :ivar progressed_at: time at which it has grown last
+    :ivar on_give_up: frees the body's bytes at that moment
     """
 
     pool: 'BufferPool'
     size_bytes: int = 0
     is_complete: bool = False
     is_given_up: bool = False
+    progressed_at: float = 0.0
+    on_give_up: Callable[[], object] | None = None
 
     def grow(self, added_bytes: int) -> None:
         """Take room for more of the body.
@@ -57,6 +62,8 @@
         """Give back all room; the next growth fails."""
         self.is_given_up = True
         self._give_back(self.size_bytes)
+        if self.on_give_up:
+            self.on_give_up()
 
     def restart(self) -> None:
         """Begin with another body."""
@@ -85,6 +92,16 @@
     )
 
 
+def larger_than_grown(
+    buffers: Iterable[Buffer], growing: Buffer, added_bytes: int
+) -> Buffer | None:
+    """Return the body to give up for one that grows, None for that one."""
+    found = largest(buffers)
+    if found is None or found.size_bytes <= growing.size_bytes + added_bytes:
+        return None
+    return found
+
+
 class BufferPool:
     """The room for bodies of one kind.
 
@@ -92,9 +109,20 @@
     :ivar given_up_count: bodies that were given up for want of room
     """
 
-    def __init__(self, limit_bytes: float = math.inf):
-        """Create a pool without bodies."""
+    def __init__(
+        self,
+        limit_bytes: float = math.inf,
+        choose: Callable[
+            [Iterable[Buffer], Buffer, int], Buffer | None
+        ] = larger_than_grown,
+    ):
+        """Create a pool without bodies.
+
+        :param choose: returns the body to give up for one that grows by some
+            bytes, None if that is the one itself
+        """
         self.limit_bytes = limit_bytes
+        self._choose = choose
         self.held_bytes = 0
         self.given_up_count = 0
         self.buffers: set[Buffer] = set()
@@ -105,18 +133,23 @@
         self.buffers.add(buffer)
         return buffer
 
+    def sum_bytes(self, is_complete: bool) -> int:
+        """Return what bodies take whose ends have come, or have not."""
+        return sum(
+            buffer.size_bytes
+            for buffer in self.buffers
+            if buffer.is_complete == is_complete
+        )
+
     def make_room(self, buffer: Buffer, added_bytes: int) -> None:
-        """Give up the largest bodies until there is room for more of one.
+        """Give up other bodies until there is room for more of one.
 
-        :raises BufferFull: if that one is the largest
+        :raises BufferFull: if that one is given up
         """
         while self.held_bytes + added_bytes > self.limit_bytes:
-            found = largest(self.buffers)
+            found = self._choose(self.buffers, buffer, added_bytes)
             self.given_up_count += 1
-            if (
-                found is None
-                or found.size_bytes <= buffer.size_bytes + added_bytes
-            ):
+            if found is None:
                 buffer.give_up()
                 raise BufferFull(
                     f'all bodies together exceed {self.limit_bytes:.0f} bytes'
--- a/libs/gateway/burdockmast/gateway/caller_connections.py
+++ b/libs/gateway/burdockmast/gateway/caller_connections.py
@@ -27,12 +27,17 @@
 from burdockmast.base import timers
 from burdockmast.gateway import config
 from burdockmast.gateway import request_target
+from burdockmast.gateway.intake import connection_limits
+from burdockmast.gateway.intake import progress
+from burdockmast.gateway.intake import shared
 
 LOG = logs.get('connections')
 
 LISTEN_BACKLOG = 1024
-# Connections that are served concurrently.
-MAX_CONNECTIONS = 3000
+# What the kernel holds of each connection that is not read. Its own bound is
+# several megabytes, and what a caller has left there is still read after it
+# has disconnected.
+RECEIVE_BUFFER_BYTES = 128 * 1024
 ACCEPT_RETRY_SECONDS = 0.1
 # Longest stall of a connection while a request is read or answered.
 STALL_SECONDS = 20.0
@@ -102,6 +107,10 @@
     """The head of a request exceeds its limit."""
 
 
+class ReadInterrupted(OSError):
+    """A read ended because what it would return is not needed any more."""
+
+
 class ReceivedBytes(io.RawIOBase):
     """What a caller has sent.
 
@@ -122,6 +131,7 @@
         self.stall_seconds = STALL_SECONDS
         self._sock = sock
         self._waiting: greenlet.greenlet | None = None
+        self._is_interrupted = False
 
     def readable(self) -> bool:
         """Tell that this can be read."""
@@ -130,7 +140,8 @@
     def readinto(self, buffer: typing.Any) -> int | None:
         """Read what has arrived, 0 bytes at the end of the connection.
 
-        :raises TimeoutError: if nothing has arrived in time
+        :raises progress.TooSlow: if nothing has arrived in time
+        :raises ReadInterrupted: after ``interrupt``, if nothing has arrived
         """
         until = None
         while True:
@@ -145,11 +156,13 @@
                 return 0
             if not self.may_wait:
                 return None
+            if self._is_interrupted:
+                raise ReadInterrupted('the read was interrupted')
             now = timers.now()
             if until is None:
                 until = min(self.until, now + self.stall_seconds)
             if now >= until:
-                raise TimeoutError('the caller sent nothing in time')
+                raise progress.TooSlow('the caller sent nothing in time')
             self.wait(until - now)
 
     def wait(self, seconds: float) -> None:
@@ -171,6 +184,15 @@
         """End the wait that is under way, if any."""
         eventlet.hubs.get_hub().schedule_call_global(0, self._resume)
 
+    def interrupt(self) -> None:
+        """Let the read that waits fail, or the next one that would."""
+        self._is_interrupted = True
+        self.wake()
+
+    def clear_interrupt(self) -> None:
+        """Let reads wait again."""
+        self._is_interrupted = False
+
     def _resume(self, *_: object) -> None:
         task, self._waiting = self._waiting, None
         if task is not None:
@@ -213,12 +235,18 @@
         self.rfile = io.BufferedReader(self._received)
         self._is_new = True
         self._has_begun = False
+        self._makes_room = False
         self.server.protocols.add(self)
 
     def wake(self) -> None:
         """Decide again what to do next, if the connection is idle."""
         self._received.wake()
 
+    def make_room(self) -> None:
+        """Close the idle connection, unless a request has arrived."""
+        self._makes_room = True
+        self.wake()
+
     def _read_request_line(self) -> bytes:
         try:
             if not self._await_request():
@@ -244,19 +272,25 @@
         """Wait for a request; return False once the connection must end."""
         idle = IdleConnection(timers.now(), self._is_new)
         self._has_begun = False
-        while True:
-            closes_at = idle.closes_at(
-                self.server.limits(), self.server.is_closing
-            )
-            now = timers.now()
-            match next_step(self._has_unread(), closes_at, now):
-                case Step.READ:
-                    self._is_new = False
-                    return True
-                case Step.WAIT:
-                    self._received.wait(closes_at - now)
-                case Step.CLOSE:
-                    return False
+        try:
+            while True:
+                closes_at = idle.closes_at(
+                    self.server.limits(), self.server.is_closing
+                )
+                if self._makes_room or self.server.needs_room:
+                    closes_at = -math.inf
+                now = timers.now()
+                match next_step(self._has_unread(), closes_at, now):
+                    case Step.READ:
+                        self._is_new = False
+                        return True
+                    case Step.WAIT:
+                        self.server.idle[self] = None
+                        self._received.wait(closes_at - now)
+                    case Step.CLOSE:
+                        return False
+        finally:
+            self.server.idle.pop(self, None)
 
     def _has_unread(self) -> bool:
         self._received.may_wait = False
@@ -328,18 +362,29 @@
         self._received.stall_seconds = LINGER_STALL_SECONDS
         buffer = bytearray(READ_BYTES)
         left = LINGER_BYTES
+        work = self.server.intake.new_work()
         while left > 0 and (count := self._received.readinto(buffer)):
             left -= count
+            work.add_bytes(count)
+            pause = work.pause_seconds()
+            if pause is not None:
+                # Reads of what has arrived already don't let others run.
+                eventlet.sleep(pause)
 
 
 class _Server(eventlet.wsgi.Server):
-    """What the connections of a listener share."""
+    """What the connections of a listener share.
+
+    :ivar idle: connections without a request, the oldest first
+    :ivar needs_room: a new connection waits until one ends
+    """
 
     def __init__(
         self,
         sock: eventlet.greenio.GreenSocket,
         application: Callable,
         limits: Callable[[], config.CallerLimits],
+        intake: shared.Intake,
     ):
         super().__init__(
             sock,
@@ -356,33 +401,49 @@
         self.limits = limits
         self.is_closing = False
         self.protocols: set[Protocol] = set()
+        self.intake = intake
+        self.idle: dict[Protocol, None] = {}
+        self.needs_room = False
 
 
 class CallerConnections:
-    """Accepts connections and serves the requests that come on them.
-
-    :ivar open_count: connections that were accepted and not closed yet
-    """
+    """Accepts connections and serves the requests that come on them."""
 
     def __init__(
         self,
         address: ids.Address,
         application: Callable,
         limits: Callable[[], config.CallerLimits],
+        intake: shared.Intake | None = None,
     ):
         """Listen on an address.
 
         :param application: the WSGI application that answers the requests
         :param limits: returns those of the configuration in force
+        :param intake: limits on connections, the defaults if none are given
         """
-        self.open_count = 0
+        self._intake = intake or shared.Intake()
+        self._connections = connection_limits.ConnectionCount(
+            self._intake.limits.max_connections,
+            self._intake.limits.max_connections_per_address,
+        )
         self._listener = eventlet.listen(
             addresses.split(address), backlog=LISTEN_BACKLOG
         )
-        self._server = _Server(self._listener, application, limits)
-        self._room = eventlet.semaphore.Semaphore(MAX_CONNECTIONS)
+        self._listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+        self._server = _Server(
+            self._listener, application, limits, self._intake
+        )
+        self._room = eventlet.semaphore.Semaphore(self._connections.max_count)
         self._accepting = eventlet.spawn(self._accept)
 
+    @property
+    def open_count(self) -> int:
+        """Number of connections that were accepted and not closed yet."""
+        return self._connections.open_count
+
     def stop_accepting(self) -> None:
         """Accept the connections that were made so far, and no others."""
         self._accepting.kill()
@@ -404,7 +465,7 @@
 
     def _accept(self) -> None:
         while True:
-            self._room.acquire()
+            self._wait_for_room()
             try:
                 sock, address = self._listener.accept()
             except OSError as error:
@@ -415,13 +476,45 @@
                 )
                 eventlet.sleep(ACCEPT_RETRY_SECONDS)
                 continue
+            if self._connections.is_address_full(address[0]):
+                self._room.release()
+                self._intake.count('address_limit')
+                LOG.warning(
+                    'connection closed: too many from one address',
+                    extra={'address': address[0]},
+                )
+                sock.close()
+                continue
             self._start(sock, address)
 
+    def _wait_for_room(self) -> None:
+        """Wait until a connection may be accepted.
+
+        The oldest idle connection is closed for it, or the next one that
+        becomes idle.
+        """
+        if self._room.acquire(blocking=False):
+            return
+        oldest = next(iter(self._server.idle), None)
+        if oldest is None:
+            self._server.needs_room = True
+        else:
+            oldest.make_room()
+        self._intake.count('connections_exceeded')
+        LOG.warning(
+            'too many connections; closing an idle one',
+            extra={'open': self.open_count, 'idle': len(self._server.idle)},
+        )
+        try:
+            self._room.acquire()
+        finally:
+            self._server.needs_room = False
+
     def _start(
         self, sock: eventlet.greenio.GreenSocket, address: tuple
     ) -> None:
         sock.settimeout(STALL_SECONDS)
-        self.open_count += 1
+        self._connections.add(address[0])
         eventlet.spawn_n(self._serve, sock, address)
 
     def _serve(
@@ -434,5 +527,5 @@
             LOG.info('connection failed', extra={'reason': str(error)})
         finally:
             sock.close()
-            self.open_count -= 1
+            self._connections.remove(address[0])
             self._room.release()
--- /dev/null
+++ b/libs/gateway/burdockmast/gateway/intake/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on what untrusted callers take of a gateway."""
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -40,6 +40,10 @@
 from burdockmast.gateway import streams
 from burdockmast.gateway import view
 from burdockmast.gateway import wsgi
+from burdockmast.gateway.intake import connection_limits
+from burdockmast.gateway.intake import held_bytes
+from burdockmast.gateway.intake import limits
+from burdockmast.gateway.intake import shared
 
 LOG = logs.get('gateway')
 
@@ -64,6 +68,8 @@
 ANSWER_MARGIN_SECONDS = 0.3
 DRAIN_POLL_SECONDS = 0.05
 GATEWAY_COUNT_INTERVAL_SECONDS = 4.0
+# Connections to the metrics address, of which a scraper needs one.
+MAX_SCRAPERS = 50
 # Time after which a registration shows in the list, which may be stale.
 REGISTERED_SECONDS = 15.0
 
@@ -148,7 +154,17 @@
             memory_bytes * buffers.REPLIES_SHARE
         )
         self._uploads = buffers.BufferPool(
-            memory_bytes * buffers.REQUESTS_SHARE
+            memory_bytes * buffers.REQUESTS_SHARE, held_bytes.choose_evicted
+        )
+        self._intake = shared.Intake(
+            dataclasses.replace(
+                gateway_settings.intake,
+                max_connections=connection_limits.max_connections(
+                    gateway_settings.intake.max_connections,
+                    gateway_settings.max_descriptors,
+                ),
+            ),
+            self._metrics,
         )
         usage = memory.Usage()
         self._suspects = crash_suspects.CrashSuspects()
@@ -215,6 +231,7 @@
             gateway_settings.revoke_seconds * TRUSTED_AGE_SHARE,
             gateway_settings.revoke_seconds * READY_AGE_SHARE,
             rng,
+            self._intake,
         )
         self._planner = planner.Planner(
             self.view,
@@ -286,6 +303,7 @@
             self._settings.callers_address,
             self.application,
             self.view.caller_limits,
+            self._intake,
         )
         LOG.info(
             'started',
@@ -417,6 +435,14 @@
                 f'{name}.given_up',
                 functools.partial(getattr, pool, 'given_up_count'),
             )
+        for name, is_complete in (('waiting', False), ('read', True)):
+            self._metrics.gauge(
+                f'intake.{name}_bytes',
+                functools.partial(self._uploads.sum_bytes, is_complete),
+            )
+        self._metrics.gauge(
+            'intake.waiting_bodies', lambda: self._intake.waiting_count
+        )
         self._metrics.gauge(
             'retries.slots_held', lambda: self._budget.held_count
         )
@@ -427,6 +453,7 @@
             self._settings.metrics_address,
             prometheus_client.make_wsgi_app(self._metrics.registry),
             config.CallerLimits,
+            shared.Intake(limits.Limits(MAX_SCRAPERS)),
         )
 
     def _stop(self, number: int, frame: object) -> None:
--- a/libs/gateway/burdockmast/gateway/settings.py
+++ b/libs/gateway/burdockmast/gateway/settings.py
@@ -1,9 +1,11 @@
 """Settings of one gateway process."""
 
 import dataclasses
+import math
 
 from burdockmast.base import ids
 from burdockmast.gateway import interfaces
+from burdockmast.gateway.intake import limits
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -21,6 +23,8 @@
         requests
     :ivar grace_seconds: from the stop signal until the process is killed
     :ivar memory_mb: of the instance
+    :ivar max_descriptors: of the instance
+    :ivar intake: limits on callers
     :ivar retry_ratio: retries for each request, over all gateways
     :ivar retry_slack: further retries in each window, over all gateways
     :ivar retry_window: length of the sliding window in seconds
@@ -40,6 +44,8 @@
     retry_ratio: float
     retry_slack: float
     retry_window: float
+    max_descriptors: float = math.inf
+    intake: limits.Limits = limits.Limits()
 
     @property
     def record(self) -> interfaces.GatewayRecord:
--- a/libs/gateway/burdockmast/gateway/wsgi.py
+++ b/libs/gateway/burdockmast/gateway/wsgi.py
@@ -30,6 +30,7 @@
 from burdockmast.gateway import retry_allowance
 from burdockmast.gateway import streams
 from burdockmast.gateway import view
+from burdockmast.gateway.intake import shared
 from burdockmast.limits import retry_schedule
 
 LOG = logs.get('callers')
@@ -44,6 +45,7 @@
     400: 'Bad Request',
     401: 'Unauthorized',
     404: 'Not Found',
+    408: 'Request Timeout',
     413: 'Content Too Large',
     502: 'Bad Gateway',
     503: 'Service Unavailable',
@@ -60,6 +62,8 @@
             return 401
         case failures.Reason.UNKNOWN_SERVICE:
             return 404
+        case failures.Reason.TOO_SLOW:
+            return 408
         case failures.Reason.TOO_LARGE:
             return 413
     if failure.outcome is outcomes.Outcome.NOT_RUN:
@@ -89,6 +93,7 @@
         trusted_seconds: float,
         ready_seconds: float,
         rng: random.Random,
+        intake: shared.Intake,
     ):
         """Create an application.
 
@@ -101,6 +106,7 @@
             that it names are accepted
         :param ready_seconds: age of the configuration up to which the
             readiness check succeeds
+        :param intake: limits on callers
         """
         self.is_draining = False
         self.rejects_requests = False
@@ -118,6 +124,7 @@
         self._trusted_seconds = trusted_seconds
         self._ready_seconds = ready_seconds
         self._rng = rng
+        self._intake = intake
 
     def is_ready(self) -> bool:
         """Tell whether the load balancer may send new requests here."""
@@ -160,7 +167,7 @@
         buffer: buffers.Buffer,
     ) -> Iterator[bytes]:
         connection = environ['eventlet.input'].get_socket()
-        body = bodies.from_environ(environ)
+        body = bodies.from_environ(environ, self._intake)
         request = self._header_codec.read_request(
             environ['REQUEST_METHOD'],
             environ[request_target.ENVIRON_KEY],
--- a/libs/platform/burdockmast/platform/settings.py
+++ b/libs/platform/burdockmast/platform/settings.py
@@ -1,20 +1,31 @@
 """Reads the TOML settings file that the platform writes for each process."""
 
 import dataclasses
+import math
 import os
 import pathlib
+import resource
 import tomllib
+from typing import Annotated
 
 import msgspec
 
 from burdockmast.base import ids
 from burdockmast.gateway import settings
+from burdockmast.gateway.intake import limits
 from burdockmast.settings import loader
 
 # Environment variable with the path of the settings file.
 PATH_VARIABLE = 'BURDOCKMAST_NODE_FILE'
 
 
+_DEFAULTS = limits.Limits()
+_Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+_ProgressSeconds = Annotated[float, msgspec.Meta(ge=1, le=600)]
+_ProgressBytes = Annotated[int, msgspec.Meta(ge=1, le=65536)]
+_ChunkBytes = Annotated[int, msgspec.Meta(ge=0, le=1024)]
+
+
 class _Listen(msgspec.Struct, frozen=True):
     front: str | None = None
     ready: str | None = None
@@ -32,6 +43,16 @@
 
 class _Limits(msgspec.Struct, frozen=True, rename='kebab'):
     memory_mb: float = 256
+    max_fds: _Count | None = None
+
+
+class _Intake(msgspec.Struct, frozen=True, rename='kebab'):
+    max_connections: _Count = _DEFAULTS.max_connections
+    max_connections_per_address: _Count = _DEFAULTS.max_connections_per_address
+    max_waiting_bodies: _Count = _DEFAULTS.max_waiting_bodies
+    body_progress_s: _ProgressSeconds = _DEFAULTS.body_progress_seconds
+    body_progress_bytes: _ProgressBytes = _DEFAULTS.body_progress_bytes
+    min_chunk_bytes: _ChunkBytes = _DEFAULTS.min_chunk_bytes
 
 
 class _Platform(msgspec.Struct, frozen=True):
@@ -49,6 +70,7 @@
     platform: _Platform
     bounds: _Bounds = _Bounds()
     limits: _Limits = _Limits()
+    intake: _Intake = _Intake()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,6 +108,7 @@
             f'{path}: at $.listen: a gateway needs "front" and "ready"'
         )
     bounds = decoded.bounds
+    intake = decoded.intake
     return PlatformSettings(
         ids.Address(decoded.platform.address),
         settings.Settings(
@@ -107,5 +130,21 @@
             retry_ratio=bounds.budget_ratio,
             retry_slack=bounds.retry_slack,
             retry_window=bounds.budget_window_s,
+            max_descriptors=decoded.limits.max_fds or _max_descriptors(),
+            intake=limits.Limits(
+                max_connections=intake.max_connections,
+                max_connections_per_address=(
+                    intake.max_connections_per_address
+                ),
+                max_waiting_bodies=intake.max_waiting_bodies,
+                body_progress_seconds=intake.body_progress_s,
+                body_progress_bytes=intake.body_progress_bytes,
+                min_chunk_bytes=intake.min_chunk_bytes,
+            ),
         ),
     )
+
+
+def _max_descriptors() -> float:
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    return math.inf if soft_limit == resource.RLIM_INFINITY else soft_limit
