Close one idle connection for each new one at the limit

Cause: at the limit one was closed before anybody connected, and each that became idle meanwhile was too. A connection is closed now only once another is there.

--- a/libs/gateway/burdockmast/gateway/caller_connections.py
+++ b/libs/gateway/burdockmast/gateway/caller_connections.py
@@ -235,18 +235,12 @@
         self.rfile = io.BufferedReader(self._received)
         self._is_new = True
         self._has_begun = False
-        self._makes_room = False
         self.server.protocols.add(self)
 
     def wake(self) -> None:
         """Decide again what to do next, if the connection is idle."""
         self._received.wake()
 
-    def make_room(self) -> None:
-        """Close the idle connection, unless a request has arrived."""
-        self._makes_room = True
-        self.wake()
-
     def _read_request_line(self) -> bytes:
         try:
             if not self._await_request():
@@ -277,7 +271,7 @@
                 closes_at = idle.closes_at(
                     self.server.limits(), self.server.is_closing
                 )
-                if self._makes_room or self.server.needs_room:
+                if self.server.needs_room:
                     closes_at = -math.inf
                 now = timers.now()
                 match next_step(self._has_unread(), closes_at, now):
@@ -288,6 +282,8 @@
                         self.server.idle[self] = None
                         self._received.wait(closes_at - now)
                     case Step.CLOSE:
+                        # One connection is closed for each new one.
+                        self.server.needs_room = False
                         return False
         finally:
             self.server.idle.pop(self, None)
@@ -490,16 +486,16 @@
     def _wait_for_room(self) -> None:
         """Wait until a connection may be accepted.
 
-        The oldest idle connection is closed for it, or the next one that
-        becomes idle.
+        Once there is a new one, the oldest idle connection is closed for it,
+        or the next one that becomes idle.
         """
         if self._room.acquire(blocking=False):
             return
+        eventlet.hubs.trampoline(self._listener, read=True)
+        self._server.needs_room = True
         oldest = next(iter(self._server.idle), None)
-        if oldest is None:
-            self._server.needs_room = True
-        else:
-            oldest.make_room()
+        if oldest is not None:
+            oldest.wake()
         self._intake.count('connections_exceeded')
         LOG.warning(
             'too many connections; closing an idle one',
--- a/libs/gateway/burdockmast/gateway/intake/shared.py
+++ b/libs/gateway/burdockmast/gateway/intake/shared.py
@@ -1,7 +1,7 @@
 """What the readers of all callers' bodies share."""
 
-import contextlib
 from collections.abc import Iterator
+import contextlib
 
 from burdockmast.base import metrics
 from burdockmast.base import timers
--- a/tests/test_gateway_caller_connections.py
+++ b/tests/test_gateway_caller_connections.py
@@ -12,6 +12,8 @@
 
 from burdockmast.gateway import caller_connections
 from burdockmast.gateway import config
+from burdockmast.gateway.intake import limits
+from burdockmast.gateway.intake import shared
 
 HOST = '127.0.0.1'
 WAIT_SECONDS = 10.0
@@ -28,7 +30,7 @@
 class Service:
     """Connections to an application that records what it was asked."""
 
-    def __init__(self):
+    def __init__(self, intake=None):
         self.limits = LIMITS
         self.bodies = []
         self.reply_headers = []
@@ -36,7 +38,7 @@
         with socket.create_server((HOST, 0)) as found:
             self.port = found.getsockname()[1]
         self.connections = caller_connections.CallerConnections(
-            f'{HOST}:{self.port}', self.answer, lambda: self.limits
+            f'{HOST}:{self.port}', self.answer, lambda: self.limits, intake
         )
 
     def answer(self, environ, start_response):
@@ -65,13 +67,19 @@
 
 
 @pytest.fixture
-def service(monkeypatch):
+def intake_limits():
+    """Limits on connections, the defaults unless a test names others."""
+    return limits.Limits()
+
+
+@pytest.fixture
+def service(monkeypatch, intake_limits):
     monkeypatch.setattr(caller_connections, 'IDLE_MARGIN_SECONDS', 0.0)
     monkeypatch.setattr(caller_connections, 'STALL_SECONDS', 0.3)
     monkeypatch.setattr(caller_connections, 'FIRST_REQUEST_SECONDS', 0.5)
     monkeypatch.setattr(caller_connections, 'LINGER_SECONDS', 1.0)
     monkeypatch.setattr(caller_connections, 'LINGER_STALL_SECONDS', 0.5)
-    found = Service()
+    found = Service(shared.Intake(intake_limits))
     yield found
     for caller in found.callers:
         caller.close()
@@ -273,3 +281,40 @@
     service.connect_kept()
     service.connect_kept()
     assert not failures
+
+
+@pytest.mark.parametrize('intake_limits', [limits.Limits(max_connections=3)])
+def test_oldest_idle_connection_is_closed_for_a_new_one(service):
+    """Connections that were only kept open used to keep others waiting."""
+    service.limits = config.CallerLimits()
+    oldest, *others = [service.connect_kept() for _ in range(3)]
+    service.connect_kept()
+    assert read(oldest) == b''
+    others[1].sendall(REQUEST)
+    assert read(others[1]).startswith(b'HTTP/1.1 200 OK')
+
+
+@pytest.mark.parametrize('intake_limits', [limits.Limits(max_connections=2)])
+def test_request_that_has_begun_is_not_closed_for_a_new_connection(service):
+    service.limits = config.CallerLimits()
+    begun = [service.connect(HEAD) for _ in range(2)]
+    new = service.connect(REQUEST)
+    eventlet.sleep(0.1)
+    begun[0].sendall(b'body')
+    assert read(begun[0]).startswith(b'HTTP/1.1 200 OK')
+    assert read(new).startswith(b'HTTP/1.1 200 OK')
+
+
+@pytest.mark.parametrize(
+    'intake_limits', [limits.Limits(max_connections_per_address=2)]
+)
+def test_connections_over_the_limit_of_an_address_are_closed(service):
+    service.limits = config.CallerLimits()
+    kept = [service.connect_kept() for _ in range(2)]
+    assert read(service.connect()) == b''
+    kept[0].close()
+    service.callers.remove(kept[0])
+    with eventlet.Timeout(WAIT_SECONDS):
+        while service.connections.open_count > 1:
+            eventlet.sleep(0.01)
+    service.connect_kept()
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -7,6 +7,7 @@
 from burdockmast.base import failures
 from burdockmast.gateway import config
 from burdockmast.gateway import interfaces
+from burdockmast.gateway.intake import limits
 from burdockmast.platform import configuration
 from burdockmast.platform import headers
 from burdockmast.platform import servers
@@ -68,6 +69,16 @@
     assert found.revoke_seconds == 4.0
     assert found.grace_seconds == 8.0
     assert found.metrics_address == '10.1.0.40:7355'
+    assert found.intake == limits.Limits()
+
+
+def test_limits_on_callers_are_read(settings_file):
+    settings_file.write_text(
+        SETTINGS + '[limits]\nmax-fds = 900\n[intake]\nmax-connections = 7\n'
+    )
+    found = settings.load(settings_file).gateway
+    assert found.max_descriptors == 900
+    assert found.intake == limits.Limits(max_connections=7)
 
 
 def test_settings_check_accepts_the_platforms_file(settings_file):
@@ -84,6 +95,9 @@
         ('node = ', 'local.toml'),
         (SETTINGS.replace('front =', 'other ='), 'front'),
         (SETTINGS.replace('4000', '"soon"'), 'revoke-ms'),
+        (SETTINGS + '[intake]\nmax-connections = 0\n', 'max-connections'),
+        (SETTINGS + '[intake]\nbody-progress-s = 0.5\n', 'body-progress-s'),
+        (SETTINGS + '[intake]\nmin-chunk-bytes = -1\n', 'min-chunk-bytes'),
     ],
 )
 def test_invalid_settings_name_the_file_or_field(settings_file, text, named):
