Let others run while datagrams keep arriving

Cause: datagrams that have arrived already are received without a wait, so that a flood of them at the neighbours' port lets nothing else run.

--- a/libs/gateway/burdockmast/gateway/neighbour_link.py
+++ b/libs/gateway/burdockmast/gateway/neighbour_link.py
@@ -8,6 +8,7 @@
 from burdockmast.base import ids
 from burdockmast.base import logs
 from burdockmast.base import timers
+from burdockmast.gateway import busy_readers
 from burdockmast.gateway import crash_suspects
 from burdockmast.gateway import leaving_servers
 from burdockmast.gateway import memory
@@ -15,11 +16,14 @@
 from burdockmast.gateway import relays
 from burdockmast.gateway import reports
 from burdockmast.gateway import server_limits
+from burdockmast.gateway.intake import work_budget
 
 LOG = logs.get('neighbours')
 
 # Largest datagram that is received.
 MAX_DATAGRAM_BYTES = 65507
+# Work to decode a byte of a message, as that to copy so many.
+DECODING_WORK = 16
 # Messages that can't be decoded or sent are logged once for this many.
 LOG_EVERY = 1000
 
@@ -55,6 +59,7 @@
         self._sock: socket.socket | None = None
         self._task: eventlet.greenthread.GreenThread | None = None
         self.lost_messages = 0
+        self._work = work_budget.WorkBudget(busy_readers.Schedule(), 0)
 
     def start(self) -> None:
         """Open the socket and receive messages in a background task."""
@@ -108,8 +113,13 @@
 
     def _receive(self) -> None:
         while True:
+            pause = self._work.pause_seconds()
+            if pause is not None:
+                # Datagrams that have arrived already don't let others run.
+                eventlet.sleep(pause)
             try:
                 data, _ = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
+                self._work.add_bytes(len(data) * DECODING_WORK)
                 self._take_over(self._decoder.decode(data))
             except Exception as error:
                 # Whatever one message causes, the next ones are received.
