--- a/tests/test_gateway_bodies.py
+++ b/tests/test_gateway_bodies.py
@@ -222,6 +222,21 @@
     assert b'halfhalf' not in bodies_run(platform)
 
 
+@pytest.mark.parametrize('framing', ['length', 'chunks'])
+def test_body_that_stalls_is_refused_as_too_slow(platform, framing):
+    """It got 400, as if the caller had made a mistake."""
+    platform.restart_with(
+        '[platform]', '[intake]\nbody-progress-s = 1\n[platform]'
+    )
+    header, sent = framed(framing, b'halfhalf')
+    connection = begin(platform, **header)
+    connection.send(sent[:5])
+    answer = read_to_end(connection)
+    assert answer.startswith(b'HTTP/1.1 408 ')
+    assert answer.count(b'HTTP/1.1 ') == 1
+    assert bodies_run(platform) == []
+
+
 def test_body_that_ends_as_a_stopping_gateway_refuses_is_not_run(platform):
     platform.restart_with('grace-s = 30', 'grace-s = 8')
     connection = begin(platform, Content_Length='8')
