Run the tests of crowds by themselves

Cause: they measure memory of a gateway beside its callers, which other tests in parallel would disturb.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,8 @@
 BIN := $(VENV)/bin
 # Tests that run at once; each may have some twenty processes.
 WORKERS ?= 4
+# Tests that measure memory run one at a time, apart from others.
+CROWDS := tests/test_gateway_crowds.py
 LIBS := $(sort $(wildcard libs/*))
 
 .PHONY: install test lint format demo binary capacity load clean
@@ -25,7 +27,8 @@
 	    -r requirements.txt
 
 test: install
-	$(BIN)/python -m pytest -n $(WORKERS)
+	$(BIN)/python -m pytest -n $(WORKERS) --ignore=$(CROWDS)
+	$(BIN)/python -m pytest $(CROWDS)
 
 lint: install
 	$(BIN)/ruff format --check .
