--- a/libs/gateway/burdockmast/gateway/admission/full_servers.py
+++ b/libs/gateway/burdockmast/gateway/admission/full_servers.py
@@ -18,9 +18,12 @@
 import msgspec
 
 from burdockmast.base import ids
+from burdockmast.base import logs
 from burdockmast.base import timers
 from burdockmast.gateway import backends
 
+LOG = logs.get('admission')
+
 # Share of the load at a rejection that a server is given afterwards.
 USED_SHARE = 0.97
 # Lowest limit: with less load, another cause than memory is likely.
@@ -90,6 +93,17 @@
         :param share: of its memory that all other known requests need
         """
         self._record(server.id, server.started_ms, share, self._now())
+        known = self._rejecting_by_server[server.id]
+        LOG.info(
+            'server rejected a request; limiting its load',
+            extra={
+                'server': server.id,
+                'share': round(share, 3),
+                'limit': round(known.limit, 3),
+                'rejections': known.count,
+                'seconds': round(known.backs_off_until - self._now(), 3),
+            },
+        )
 
     def record_accepted(self, server: ids.ServerId) -> None:
         """Record that a server accepted a request."""
@@ -133,6 +147,13 @@
             return usual
         return min(usual, self._limit_at(known, self._now()))
 
+    def limited_count(self, usual: float) -> int:
+        """Return how many servers get less than is usual."""
+        return sum(
+            self.limit(server, usual) < usual
+            for server in self._rejecting_by_server
+        )
+
     def backs_off(self, server: ids.ServerId) -> bool:
         """Return whether a server gets no requests for a moment."""
         known = self._rejecting_by_server.get(server)
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -191,9 +191,9 @@
             self._metrics,
             rng,
         )
-        full = full_servers.FullServers(rng)
+        self._full = full_servers.FullServers(rng)
         self._servers.on_change.append(
-            lambda: full.keep(self._servers.item_by_name.values())
+            lambda: self._full.keep(self._servers.item_by_name.values())
         )
         self._path_selector = path_selector.PathSelector(
             self.view,
@@ -204,7 +204,7 @@
             rng,
             self._limits,
             waiting=self._pressure,
-            full=full,
+            full=self._full,
             balance=balance,
         )
         self._neighbour_link = neighbour_link.NeighbourLink(
@@ -224,7 +224,7 @@
             self._leaving,
             self._pressure,
             balance,
-            full,
+            self._full,
             lambda: self.view.configuration_age,
         )
         self.application = wsgi.Application(
@@ -474,6 +474,10 @@
         self._metrics.gauge(
             'retries.slots_held', lambda: self._budget.held_count
         )
+        self._metrics.gauge(
+            'admission.limited_servers',
+            lambda: self._full.limited_count(memory.FULL_SHARE),
+        )
         self._metrics.gauges(
             'admission.share', 'priority', self._pressure.shares
         )
