Decide in one place whether hops between zones are slow

Cause: the balance and the admission policy each held the same rule and share. No decision changes; the tests of both parts passed.

--- a/libs/gateway/burdockmast/gateway/balance/zone_balance.py
+++ b/libs/gateway/burdockmast/gateway/balance/zone_balance.py
@@ -24,6 +24,7 @@
 from burdockmast.gateway import paths
 from burdockmast.gateway import reports
 from burdockmast.gateway import view
+from burdockmast.gateway.admission import policy
 from burdockmast.gateway.balance import demand
 from burdockmast.gateway.balance import link_budget
 from burdockmast.gateway.balance import zone_load
@@ -31,8 +32,6 @@
 
 LOG = logs.get('balance')
 
-# Share of a decode step from which a hop between zones counts as slow.
-SLOW_HOP_SHARE = 0.5
 # Shortest time between two searches for the links that waiting requests want.
 WISH_INTERVAL_SECONDS = 0.1
 # Interval of decisions on shares, about that of messages between zones.
@@ -51,11 +50,7 @@
 
 def is_on(service: config.Service) -> bool:
     """Return whether the configuration of a service calls for balancing."""
-    engine = service.engine
-    return (
-        engine is not None
-        and engine.zone_delay_ms > SLOW_HOP_SHARE * engine.step_ms
-    )
+    return service.engine is not None and policy.has_slow_hops(service.engine)
 
 
 @dataclasses.dataclass(slots=True)
