Wait for all links before a test fleet counts as started

test_resolved_claim_is_void_for_good failed once: the side process s2 refused connections (ECONNREFUSED) right after own_fleet had returned. Cause: start_all returned as soon as each entry completed one answer and one service call, which needs only one of two servers; the other side process may not listen by then. It is a race in the fixture. Neither a process that ended nor a fault of the product is involved.

start_all now waits until each entry has links to all side processes, as its status reports.

--- a/libs/standins/burdockmast/standins/fleets.py
+++ b/libs/standins/burdockmast/standins/fleets.py
@@ -12,9 +12,12 @@
 
 import urllib3
 
+from burdockmast.base import failures
 from burdockmast.base import ids
 from burdockmast.fleet import change_journal
 from burdockmast.fleet import changes
+from burdockmast.node import inspection
+from burdockmast.operator import queries
 from burdockmast.standins import layouts
 from burdockmast.standins import processes
 from burdockmast.store import objects
@@ -223,6 +226,10 @@
             processes.wait_until(lambda s=server: self.holds_layers(s), server)
         for entry in self.entries:
             processes.wait_until(lambda e=entry: self.serves(e), entry)
+        for entry in self.entries:
+            processes.wait_until(
+                lambda e=entry: self.is_linked(e), f'all links of {entry}'
+            )
 
     def _start_service_server(self, server: str, number: int) -> None:
         zone = layouts.ZONES[number % len(layouts.ZONES)]
@@ -264,6 +271,25 @@
         path = f'{layouts.SERVICE}/ping'
         return self.call(path, entry=entry, method='GET').status == 200
 
+    def is_linked(self, entry: str) -> bool:
+        """Tell whether an entry has links to all side processes.
+
+        It serves as soon as one path is complete, while other side processes
+        may not even listen yet.
+        """
+        self.check_alive()
+        address = ids.Address(self.address_by_name[f'{entry}-peer'])
+        body = queries.send_query(address, 'status')
+        if isinstance(body, failures.Failure):
+            return False
+        linked = {
+            peer.address for peer in inspection.decode_status(body).peers
+        }
+        return linked >= {
+            self.address_by_name[f'side-{server.id}']
+            for server in self.servers
+        }
+
     # Operators and callers.
 
     def writer(self, author: str = 'tests') -> change_journal.ChangeWriter:
