Acquire retry slots without trying each taken one

When many gateways ran out of retries at once, each chose among all slots that it had not seen taken, and found out by a refused write for each slot that it was: up to as many writes per gateway as there are slots. A gateway now tries the slots first whose number falls to its position among the counted gateways, and lists the slots as they are now after a refused write. Which slots are acquired never decided how many retries there are, so this holds for all deployments.

The new test runs 16 gateways against the stand-in of the store without processes; it failed with the former choice of slots.

--- a/libs/gateway/burdockmast/gateway/interfaces.py
+++ b/libs/gateway/burdockmast/gateway/interfaces.py
@@ -359,8 +359,12 @@
 
     boot: str
 
-    def list(self) -> SlotListing | failures.Failure:
-        """Return all slots, which may be some seconds old."""
+    def list(self, is_fresh: bool = False) -> SlotListing | failures.Failure:
+        """Return all slots.
+
+        :param is_fresh: as they are now, at ten times the price; otherwise
+            they may be some seconds old
+        """
 
     def write(
         self,
--- a/libs/gateway/burdockmast/gateway/retry_allowance.py
+++ b/libs/gateway/burdockmast/gateway/retry_allowance.py
@@ -48,6 +48,8 @@
 
     :ivar gateway_count: gateways as last counted; decides only how many
         slots this one takes, never how many there are
+    :ivar position: of this gateway among the counted, None if not known;
+        decides only which slots it tries first
     """
 
     def __init__(
@@ -66,6 +68,7 @@
         :param own: holder of this gateway's slots
         """
         self.gateway_count = ASSUMED_GATEWAY_COUNT
+        self.position: int | None = None
         self._own = own
         self._budget = budget
         self._table = table
@@ -182,17 +185,40 @@
         answer = self._write(
             number, self._own, era, self._table.record_of(number)
         )
-        if answer is None or not answer.is_written or answer.era != era:
+        if answer is None:
+            return
+        if not answer.is_written:
+            self._on_conflict()
+            return
+        if answer.era != era:
             return
         self._budget.add_slot(number, answer.record, written_at)
         self._metrics.count('retries.slots_acquired')
 
+    def _on_conflict(self) -> None:
+        """List the slots as they are now: others acquire them as well.
+
+        Many gateways that run out of retries at once would otherwise find out
+        by a refused write for each slot that it is taken.
+        """
+        if self._list(is_fresh=True) and not self._available():
+            self._give_up('others have acquired the last slots')
+
     def _choose(self) -> int | None:
-        """Return a slot that can be used at once, if there is any."""
+        """Return a slot that can be used at once, if there is any.
+
+        Each gateway tries other slots first, so that few writes of gateways
+        that acquire slots at the same time are refused.
+        """
         found = self._available()
         if not found and self._list():
             found = self._available()
-        return self._rng.choice(found) if found else None
+        own = [
+            number
+            for number in found
+            if number % max(1, self.gateway_count) == self.position
+        ]
+        return self._rng.choice(own or found) if found else None
 
     def _available(self) -> list[int]:
         held = {slot.number for slot in self._budget.slots}
@@ -257,8 +283,8 @@
         ):
             self._write(number, FREE, era, record)
 
-    def _list(self) -> bool:
-        listing = self._registry.list()
+    def _list(self, is_fresh: bool = False) -> bool:
+        listing = self._registry.list(is_fresh)
         if isinstance(listing, failures.Failure):
             self._give_up(str(listing))
             return False
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -288,6 +288,32 @@
         signal.signal(signal.SIGTERM, self._stop)
         signal.signal(signal.SIGINT, self._stop)
         signal.signal(signal.SIGHUP, self._ignore_reload)
+        self.start_following()
+        self._serve_metrics()
+        caller_connections.CallerConnections(
+            self._settings.ready_address,
+            wsgi.Readiness(self.application),
+            config.CallerLimits,
+        )
+        callers = caller_connections.CallerConnections(
+            self._settings.callers_address,
+            self.application,
+            self.view.caller_limits,
+            self._intake,
+        )
+        LOG.info(
+            'started',
+            extra={
+                'callers': self._settings.callers_address,
+                'ready': self._settings.ready_address,
+                'metrics': self._settings.metrics_address,
+            },
+        )
+        self._stop_requested.wait()
+        self._shut_down(callers)
+
+    def start_following(self) -> None:
+        """Start to follow the store and to exchange messages."""
         self._configurations.start()
         self._servers.start()
         self._neighbour_link.start()
@@ -321,28 +347,6 @@
         self._timers.subscribe(
             'retries', retry_allowance.SYNC_INTERVAL_SECONDS, self._budget.sync
         )
-        self._serve_metrics()
-        caller_connections.CallerConnections(
-            self._settings.ready_address,
-            wsgi.Readiness(self.application),
-            config.CallerLimits,
-        )
-        callers = caller_connections.CallerConnections(
-            self._settings.callers_address,
-            self.application,
-            self.view.caller_limits,
-            self._intake,
-        )
-        LOG.info(
-            'started',
-            extra={
-                'callers': self._settings.callers_address,
-                'ready': self._settings.ready_address,
-                'metrics': self._settings.metrics_address,
-            },
-        )
-        self._stop_requested.wait()
-        self._shut_down(callers)
 
     def _on_restore(self) -> None:
         """Write again what the store may have lost."""
@@ -387,6 +391,12 @@
                 extra={'count': count, 'before': self._budget.gateway_count},
             )
         self._budget.gateway_count = count
+        names = sorted(gateway.name for gateway in found)
+        self._budget.position = (
+            names.index(self._settings.instance)
+            if self._settings.instance in names
+            else None
+        )
         self._path_selector.gateway_count = count
 
     def _unregister_gone(self) -> None:
--- a/libs/platform/burdockmast/platform/retry_slots.py
+++ b/libs/platform/burdockmast/platform/retry_slots.py
@@ -40,10 +40,13 @@
         self._client = client
         self.boot = _boot_id()
 
-    def list(self) -> interfaces.SlotListing | failures.Failure:
-        """Return all slots, which may be some seconds old."""
+    def list(
+        self, is_fresh: bool = False
+    ) -> interfaces.SlotListing | failures.Failure:
+        """Return all slots; see ``interfaces.RetrySlotRegistry``."""
         record_by_number: dict[int, interfaces.SlotRecord] = {}
-        query: dict[str, object] = {'stale-ok': 1}
+        page_query: dict[str, object] = {} if is_fresh else {'stale-ok': 1}
+        query = page_query
         era = None
         while True:
             response = self._client.call('GET', KIND, query=query)
@@ -68,7 +71,7 @@
             after = self._client.last_name(raw_items, KIND)
             if isinstance(after, failures.Failure):
                 return after
-            query = {'stale-ok': 1, 'after': after}
+            query = {**page_query, 'after': after}
 
     def write(
         self,
--- a/tests/test_gateway_retries.py
+++ b/tests/test_gateway_retries.py
@@ -44,10 +44,10 @@
         self.records = dict(copy)
         self.listings.clear()
 
-    def list(self):
+    def list(self, is_fresh):
         """Return what the store holds, or held some calls ago."""
         self.listings.append(dict(self.records))
-        found = self.rng.choice(self.listings[-3:])
+        found = self.rng.choice(self.listings[-1 if is_fresh else -3 :])
         return interfaces.SlotListing(self.era, dict(found))
 
     def write(self, number, holder, era, before, unused_since=None, boot=''):
@@ -78,8 +78,8 @@
         self.loss = 0.0
         self.meanwhile = lambda: None
 
-    def list(self):
-        return self._failure() if self.is_cut else self.slots.list()
+    def list(self, is_fresh=False):
+        return self._failure() if self.is_cut else self.slots.list(is_fresh)
 
     def write(self, number, holder, era, before, unused_since=None):
         arguments = (number, holder, era, before, unused_since, self.boot)
--- /dev/null
+++ b/tests/test_gateway_store_calls.py
@@ -0,0 +1,43 @@
+"""Gateways call the store seldom, also if all need the same at once."""
+
+import eventlet
+import logbook
+import pytest
+import store_calls
+
+
+@pytest.fixture
+def start_fleet(monkeypatch):
+    """Start gateways in virtual time, in zones a, b and so on."""
+    fleets = []
+
+    def start(*counts, **options):
+        fleets.append(
+            store_calls.Fleet(
+                dict(zip('abcdef', counts, strict=False)), **options
+            )
+        )
+        return fleets[-1]
+
+    store_calls.VirtualTime(monkeypatch)
+    with logbook.NullHandler().applicationbound():
+        yield start
+        for fleet in fleets:
+            fleet.close()
+        # Lets the tasks of the gateways end.
+        eventlet.sleep(30.0)
+
+
+def test_gateways_that_run_out_of_retries_at_once_acquire_slots(start_fleet):
+    """Each used to try nearly all slots, one refused write after the other."""
+    fleet = start_fleet(8, 8)
+    eventlet.sleep(10.0)
+    before = fleet.count()
+    for gateway in fleet.gateways:
+        eventlet.spawn(gateway.take_retries)
+    eventlet.sleep(2.0)
+    calls = fleet.count() - before
+    slots = fleet.metadata.objects_by_kind['burdockmast-retry-slots']
+    assert len(slots) == 46
+    assert calls['POST', 'burdockmast-retry-slots', 'write'] <= 2 * len(slots)
+    assert calls['GET', 'burdockmast-retry-slots', 'list'] <= 4 * 16
