Keep gateways that start from making their neighbours list

A gateway that has just started knows of the last change only that it came before its own listing, and took that listing for a correction of what watches had told. Before it had heard its neighbours it counted itself among the watchers of its zone and told them so; all of them listed the configuration and the servers again. Now its first listing corrects nothing, it tells no news while it hears those of others (for 2 s at most, and until 0.5 s after its listing where it hears none), and it learns from a watcher whose copy is as new which change was the last.

The test of converging copies now restarts gateways as well, with the quiet time and without.

--- a/libs/gateway/burdockmast/gateway/object_follower.py
+++ b/libs/gateway/burdockmast/gateway/object_follower.py
@@ -42,6 +42,9 @@
 # Least time between two listings because neighbours know a later history that
 # the store does not confirm.
 ERA_CHECK_SECONDS = 0.5
+# Longest time for which a gateway that has just started tells neighbours
+# nothing while others do.
+MAX_QUIET_SECONDS = 2.0
 
 T = TypeVar('T')
 
@@ -76,6 +79,7 @@
         relayed_type: type[T] | None = None,
         bound_seconds: float = math.inf,
         is_relied_on: Callable[[], bool] = lambda: False,
+        quiet_seconds: float = 0.0,
     ):
         """Create an empty copy.
 
@@ -92,6 +96,8 @@
         :param bound_seconds: within which a change must be in force, also
             where the neighbours that watch can't reach the store
         :param is_relied_on: returns whether neighbours rely on this gateway
+        :param quiet_seconds: time after the first listing, and after each news
+            of others, in which a gateway that has just started tells nothing
         """
         self.item_by_name: dict[str, T] = {}
         self.revision: int | None = None
@@ -111,6 +117,11 @@
             bound_seconds - REACTION_SECONDS,
         )
         self._is_relied_on = is_relied_on
+        self._quiet_seconds = quiet_seconds
+        # The last change is known, not only that it came before the listing.
+        self._knows_last_change = False
+        self._first_listed_at: float | None = None
+        self._heard_at = float('-inf')
         self._changed_revision = 0
         # Revisions of the last listing, and of the last one that showed what
         # watches had not told.
@@ -254,7 +265,7 @@
 
     def news(self) -> relays.FeedNews | None:
         """Return what to tell neighbours, None without a copy."""
-        if self.revision is None:
+        if self.revision is None or self._is_quiet():
             return None
         now = timers.now()
         batches = self._recent_batches
@@ -280,6 +291,31 @@
             self.era,
         )
 
+    def _is_quiet(self) -> bool:
+        """Return whether others tell the news better than this gateway.
+
+        One that has just started knows only that the last change came before
+        its listing. All neighbours whose copies are at an earlier revision
+        would list the objects again.
+        """
+        if self._knows_last_change or self._first_listed_at is None:
+            return False
+        now = timers.now()
+        silent_since = max(self._first_listed_at, self._heard_at)
+        return (
+            now < silent_since + self._quiet_seconds
+            and now < self._first_listed_at + MAX_QUIET_SECONDS
+        )
+
+    def _learn_last_change(self, news: relays.FeedNews) -> None:
+        """Learn which change was the last before the first listing."""
+        self._heard_at = timers.now()
+        if self._knows_last_change or news.revision < self._listed_revision:
+            return
+        self._knows_last_change = True
+        if news.changed_revision < self._changed_revision:
+            self._changed_revision = news.changed_revision
+
     def take_over(
         self,
         news: relays.FeedNews,
@@ -292,6 +328,7 @@
         if news.era > self.era:
             self._is_behind = timers.now() >= self._next_era_check_at
             return
+        self._learn_last_change(news)
         if outage_end_at is not None:
             age = timers.boottime_now() - outage_end_at
             self._absent.record_outage_end(timers.now() - age)
@@ -410,8 +447,12 @@
         # not: what has changed may have changed back.
         self._advance(listing.revision, listing.revision)
         self._listed_revision = listing.revision
-        if has_changed:
-            self._corrected_revision = listing.revision
+        if self._first_listed_at is None:
+            self._first_listed_at = timers.now()
+        else:
+            self._knows_last_change = True
+            if has_changed:
+                self._corrected_revision = listing.revision
         self._recent_batches.clear()
         LOG.info(
             'objects listed',
@@ -434,6 +475,7 @@
         )
         self._apply_items(changes.changes)
         if changes.changes:
+            self._knows_last_change = True
             self._record_batch(from_revision, changes)
             self._notify()
             eventlet.sleep(BATCH_DELAY_SECONDS)
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -55,6 +55,9 @@
 CONFIGURATION_WAIT_SECONDS = 1.4
 # Longest wait of one call for changes to the list of servers.
 SERVERS_WAIT_SECONDS = 3.0
+# Time for which a gateway that has started waits for news of others before it
+# tells its own. They come every 0.1 s, in large zones every 0.4 s.
+QUIET_SECONDS = 0.5
 # Share of the key revocation time for which an unconfirmed configuration is
 # trusted; the rest allows for requests in transit to this gateway.
 TRUSTED_AGE_SHARE = 0.95
@@ -117,6 +120,7 @@
             is_watcher=self._neighbours.is_watcher,
             bound_seconds=gateway_settings.apply_seconds,
             is_relied_on=self._neighbours.is_relied_on,
+            quiet_seconds=QUIET_SECONDS,
         )
         self._servers = object_follower.Follower(
             'servers',
@@ -128,6 +132,7 @@
             relayed_type=backends.BackendServer,
             bound_seconds=gateway_settings.drain_seconds,
             is_relied_on=self._neighbours.is_relied_on,
+            quiet_seconds=QUIET_SECONDS,
         )
         self._leaving = leaving_servers.LeavingServers()
         self.view = view.View(
--- a/tests/test_gateway_copies_converge.py
+++ b/tests/test_gateway_copies_converge.py
@@ -113,7 +113,7 @@
 class Gateway:
     """A gateway's copy, and what it tells others."""
 
-    def __init__(self, name, store):
+    def __init__(self, name, store, options):
         self.name = name
         self.follower = object_follower.Follower(
             'things',
@@ -123,6 +123,7 @@
             relayed_type=str,
             bound_seconds=3.0,
             is_relied_on=lambda: True,
+            **options,
         )
         self.relay = relays.Relay(name, {'things': self.follower})
 
@@ -153,6 +154,7 @@
     operation('mend', GATEWAY),
     operation('wait'),
     operation('arrive'),
+    operation('restart', GATEWAY),
 )
 OPERATIONS = strategies.one_of(HONEST_OPERATIONS, operation('drop_history'))
 
@@ -160,9 +162,12 @@
 class World:
     """A store and three gateways."""
 
-    def __init__(self):
+    def __init__(self, options):
         self.store = Store()
-        self.by_name = {name: Gateway(name, self.store) for name in GATEWAYS}
+        self._options = options
+        self.by_name = {
+            name: Gateway(name, self.store, options) for name in GATEWAYS
+        }
         self._number = 0
         self._delayed = []
         for gateway in self.by_name.values():
@@ -192,6 +197,10 @@
                 Clock.now += 0.8
             case ('arrive',):
                 self._arrive()
+            case ('restart', name):
+                restarted = Gateway(name, self.store, self._options)
+                self.by_name[name] = restarted
+                restarted.follower.poll()
             case ('tell', sender, receiver, is_delayed):
                 self._tell(sender, receiver, is_delayed)
         Clock.now += 0.01
@@ -242,10 +251,14 @@
 )
 
 
+OPTIONS = pytest.mark.parametrize('options', [{}, {'quiet_seconds': 0.5}])
+
+
+@OPTIONS
 @MANY
 @hypothesis.given(strategies.lists(OPERATIONS, min_size=10, max_size=40))
-def test_copies_converge_to_the_store(operations):
-    world = World()
+def test_copies_converge_to_the_store(options, operations):
+    world = World(options)
     for operation in operations:
         world.apply(operation)
     world.settle()
@@ -254,13 +267,14 @@
         assert gateway.follower.era == world.store.era
 
 
+@OPTIONS
 @MANY
 @hypothesis.given(
     strategies.lists(HONEST_OPERATIONS, min_size=10, max_size=60)
 )
-def test_a_copy_is_no_older_than_its_age_says(operations):
+def test_a_copy_is_no_older_than_its_age_says(options, operations):
     """By the time at which it was confirmed, it held all that was written."""
-    world = World()
+    world = World(options)
     for operation in operations:
         world.apply(operation)
         for gateway in world.by_name.values():
--- a/tests/test_gateway_store_calls.py
+++ b/tests/test_gateway_store_calls.py
@@ -41,3 +41,21 @@
     assert len(slots) == 46
     assert calls['POST', 'burdockmast-retry-slots', 'write'] <= 2 * len(slots)
     assert calls['GET', 'burdockmast-retry-slots', 'list'] <= 4 * 16
+
+
+@pytest.mark.parametrize('number', [0, 1, 5])
+def test_a_gateway_that_restarts_does_not_make_neighbours_list(
+    start_fleet, number
+):
+    """It knows only that the last change came before its own listing."""
+    fleet = start_fleet(6)
+    eventlet.sleep(5.0)
+    fleet.put_server('i-1', 1)
+    eventlet.sleep(5.0)
+    fleet.metadata.put('others', 'x', {})
+    before = fleet.count()
+    fleet.restart(fleet.gateways[number])
+    eventlet.sleep(4.0)
+    calls = fleet.count() - before
+    assert calls['GET', 'config', 'list'] == 1
+    assert calls['GET', 'servers', 'list'] == 1
