List a configuration that changes quickly at most once a second

Each gateway that relies on its neighbours listed the configuration for each change that one of them told of. Where admission is controlled, it now lists at most once a second for that; it lists earlier if its copy is as old as it may be, so the bound on the time until a change is in force holds as before. A watcher waits for up to 0.5 s after a change, so that its next watch returns several. It also no longer lists for what it was told of during that pause, or during a watch that returned it. Other deployments list at once.

--- a/libs/gateway/burdockmast/gateway/object_follower.py
+++ b/libs/gateway/burdockmast/gateway/object_follower.py
@@ -80,6 +80,7 @@
         bound_seconds: float = math.inf,
         is_relied_on: Callable[[], bool] = lambda: False,
         quiet_seconds: float = 0.0,
+        change_interval: Callable[[], float] = lambda: 0.0,
     ):
         """Create an empty copy.
 
@@ -98,6 +99,10 @@
         :param is_relied_on: returns whether neighbours rely on this gateway
         :param quiet_seconds: time after the first listing, and after each news
             of others, in which a gateway that has just started tells nothing
+        :param change_interval: returns the least seconds between a listing and
+            the next one that news of a change cause; it ends earlier where the
+            copy is as old as it may be. A watcher waits for up to half of it
+            after a change.
         """
         self.item_by_name: dict[str, T] = {}
         self.revision: int | None = None
@@ -130,8 +135,15 @@
         self._recent_batches: collections.deque[relays.Batch] = (
             collections.deque()
         )
-        # A neighbour knows of changes that this copy lacks.
-        self._is_behind = False
+        self._change_interval = change_interval
+        # Monotonic seconds of the last call for a listing.
+        self._listed_at = float('-inf')
+        # What neighbours know: the revisions of the last change and of the
+        # last listing that showed what watches had not told, and whether there
+        # is a later era.
+        self._told_revision = 0
+        self._told_correction = 0
+        self._is_told_of_era = False
         # The last watch failed, or a neighbour knows more: a watch that goes
         # on from this copy's revision could skip changes.
         self._must_list = False
@@ -151,6 +163,20 @@
         """
         return timers.boottime_now() - self._confirmed_at
 
+    @property
+    def _is_behind(self) -> bool:
+        """Whether a neighbour knows of changes that this copy lacks."""
+        return (
+            self._is_told_of_era
+            or (self.revision or 0) < self._told_revision
+            or self._listed_revision < self._told_correction
+        )
+
+    def _forget_told(self) -> None:
+        self._told_revision = 0
+        self._told_correction = 0
+        self._is_told_of_era = False
+
     def start(self) -> None:
         """Start to follow in a background task."""
         eventlet.spawn(self._run)
@@ -177,10 +203,11 @@
             self._drop_expired()
             return
         must_list = self._must_list or self._is_behind
-        self._is_behind = False
+        self._forget_told()
         called_at = timers.boottime_now()
         is_watch = self.revision is not None and not must_list
         if not is_watch:
+            self._listed_at = timers.now()
             self._next_era_check_at = timers.now() + ERA_CHECK_SECONDS
         watch_seconds = self._next_watch_seconds()
         if is_watch:
@@ -236,6 +263,7 @@
         self._changed_revision = 0
         self._listed_revision = 0
         self._corrected_revision = 0
+        self._forget_told()
         self._recent_batches.clear()
         if is_first:
             return
@@ -247,9 +275,10 @@
         self._confirmed_at = max(self._confirmed_at, at)
 
     def _may_rely_on_neighbours(self) -> bool:
+        is_due = timers.now() >= self._listed_at + self._change_interval()
         relies = (
             self.revision is not None
-            and not self._is_behind
+            and not (self._is_behind and is_due)
             and not self._is_watcher()
             and self.age < self._max_relied_age
         )
@@ -326,7 +355,7 @@
         if self.revision is None or news.era < self.era:
             return
         if news.era > self.era:
-            self._is_behind = timers.now() >= self._next_era_check_at
+            self._is_told_of_era = timers.now() >= self._next_era_check_at
             return
         self._learn_last_change(news)
         if outage_end_at is not None:
@@ -352,7 +381,12 @@
             self.revision < news.changed_revision
             or self._listed_revision < news.corrected_revision
         ):
-            self._is_behind = True
+            self._told_revision = max(
+                self._told_revision, news.changed_revision
+            )
+            self._told_correction = max(
+                self._told_correction, news.corrected_revision
+            )
             return
         self._advance(news.revision, news.changed_revision)
         self._confirmed_at = max(self._confirmed_at, confirmed_at)
@@ -478,7 +512,23 @@
             self._knows_last_change = True
             self._record_batch(from_revision, changes)
             self._notify()
-            eventlet.sleep(BATCH_DELAY_SECONDS)
+            eventlet.sleep(self._batch_delay())
+            # The next watch tells what neighbours have told meanwhile.
+            self._told_revision = 0
+
+    def _batch_delay(self) -> float:
+        """Return the pause after a change, before the next watch.
+
+        Neighbours that rely on the copy must get its next confirmation before
+        it is too old.
+        """
+        most = (
+            self._max_relied_age
+            - RELY_MARGIN_SECONDS
+            - MIN_WATCH_SECONDS
+            - self.age
+        )
+        return max(BATCH_DELAY_SECONDS, min(self._change_interval() / 2, most))
 
     def _record_batch(
         self, from_revision: int, changes: interfaces.Changes[T]
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -53,6 +53,10 @@
 # Longest wait of one call for configuration changes. Keys are trusted only
 # while the configuration was confirmed within the key revocation time.
 CONFIGURATION_WAIT_SECONDS = 1.4
+# Least time between two listings of the configuration that neighbours cause,
+# where admission is controlled. In a quick series of changes, each gateway
+# would otherwise list it for each of them.
+CONFIGURATION_INTERVAL_SECONDS = 1.0
 # Longest wait of one call for changes to the list of servers.
 SERVERS_WAIT_SECONDS = 3.0
 # Time for which a gateway that has started waits for news of others before it
@@ -121,6 +125,7 @@
             bound_seconds=gateway_settings.apply_seconds,
             is_relied_on=self._neighbours.is_relied_on,
             quiet_seconds=QUIET_SECONDS,
+            change_interval=self._configuration_interval,
         )
         self._servers = object_follower.Follower(
             'servers',
@@ -353,6 +358,12 @@
             'retries', retry_allowance.SYNC_INTERVAL_SECONDS, self._budget.sync
         )
 
+    def _configuration_interval(self) -> float:
+        """Return the least seconds between listings of the configuration."""
+        if self.view.controls_admission:
+            return CONFIGURATION_INTERVAL_SECONDS
+        return 0.0
+
     def _on_restore(self) -> None:
         """Write again what the store may have lost."""
         self._is_registered = False
--- a/tests/store_calls.py
+++ b/tests/store_calls.py
@@ -53,7 +53,7 @@
 def configuration_of(version, is_contended=True):
     engine = {'layers': 80, 'step-ms': 1.0}
     if is_contended:
-        engine['delays'] = [{'from': 'a', 'to': 'b', 'delay-ms': 20.0}]
+        engine['delays'] = [{'from': 'a', 'to': 'b', 'delay_ms': 20.0}]
     return {
         'version': version,
         'services': [{'name': 'llm', 'engine': engine}, {'name': 'app'}],
@@ -238,6 +238,24 @@
     def deliver(self, address, data):
         self.gateway_by_address[address].deliver(data)
 
+    def change_configuration_quickly(self, seconds, interval=0.1):
+        """Write versions, and return the seconds until each was in force."""
+        until = timers.now() + seconds
+        next_at = timers.now()
+        written_at = {}
+        delays = []
+        while written_at or timers.now() < until:
+            if next_at <= timers.now() < until:
+                written_at[self.configure()] = timers.now()
+                next_at += interval
+            eventlet.sleep(0.02)
+            everywhere = min(
+                gateway.view.configuration.version for gateway in self.gateways
+            )
+            for version in [v for v in written_at if v <= everywhere]:
+                delays.append(timers.now() - written_at.pop(version))
+        return delays
+
     def close(self):
         for gateway in self.gateways:
             gateway.stop()
--- a/tests/test_gateway_copies_converge.py
+++ b/tests/test_gateway_copies_converge.py
@@ -251,7 +251,14 @@
 )
 
 
-OPTIONS = pytest.mark.parametrize('options', [{}, {'quiet_seconds': 0.5}])
+OPTIONS = pytest.mark.parametrize(
+    'options',
+    [
+        {},
+        {'quiet_seconds': 0.5},
+        {'quiet_seconds': 0.5, 'change_interval': lambda: 1.0},
+    ],
+)
 
 
 @OPTIONS
--- a/tests/test_gateway_store_calls.py
+++ b/tests/test_gateway_store_calls.py
@@ -59,3 +59,34 @@
     calls = fleet.count() - before
     assert calls['GET', 'config', 'list'] == 1
     assert calls['GET', 'servers', 'list'] == 1
+
+
+@pytest.mark.parametrize('loss', [0.0, 0.3])
+def test_quick_changes_do_not_make_each_gateway_list_each_time(
+    start_fleet, loss
+):
+    """Each used to list the configuration for each change it was told of."""
+    fleet = start_fleet(6, 6, loss=loss)
+    eventlet.sleep(5.0)
+    before = fleet.count()
+    delays = fleet.change_configuration_quickly(4.0)
+    calls = fleet.count() - before
+    assert calls['GET', 'config', 'list'] <= 12 * 6
+    assert calls['GET', 'config', 'watch'] <= 12 * 6
+    assert max(delays) < 2.0
+
+
+def test_a_change_is_in_force_at_a_gateway_that_misses_all_messages(
+    start_fleet,
+):
+    """It asks the store by itself before its copy is too old."""
+    fleet = start_fleet(6)
+    eventlet.sleep(5.0)
+    fleet.gateways[4].deliver = lambda data: None
+    assert max(fleet.change_configuration_quickly(4.0)) < 3.0
+
+
+def test_deployments_without_admission_control_list_at_once(start_fleet):
+    fleet = start_fleet(6, is_contended=False)
+    eventlet.sleep(5.0)
+    assert max(fleet.change_configuration_quickly(2.0)) < 0.5
