--- a/libs/gateway/burdockmast/gateway/object_follower.py
+++ b/libs/gateway/burdockmast/gateway/object_follower.py
@@ -42,6 +42,9 @@
 # Least time between two listings because neighbours know a later history that
 # the store does not confirm.
 ERA_CHECK_SECONDS = 0.5
+# Longest time for which a gateway that has just started tells neighbours
+# nothing while others do.
+MAX_QUIET_SECONDS = 2.0
 
 T = TypeVar('T')
 
@@ -76,6 +79,8 @@
         relayed_type: type[T] | None = None,
         bound_seconds: float = math.inf,
         is_relied_on: Callable[[], bool] = lambda: False,
+        quiet_seconds: float = 0.0,
+        change_interval: Callable[[], float] = lambda: 0.0,
     ):
         """Create an empty copy.
 
@@ -92,6 +97,12 @@
         :param bound_seconds: within which a change must be in force, also
             where the neighbours that watch can't reach the store
         :param is_relied_on: returns whether neighbours rely on this gateway
+        :param quiet_seconds: time after the first listing, and after each news
+            of others, in which a gateway that has just started tells nothing
+        :param change_interval: returns the least seconds between a listing and
+            the next one that news of a change cause; it ends earlier where the
+            copy is as old as it may be. A watcher waits for up to half of it
+            after a change.
         """
         self.item_by_name: dict[str, T] = {}
         self.revision: int | None = None
@@ -111,6 +122,11 @@
             bound_seconds - REACTION_SECONDS,
         )
         self._is_relied_on = is_relied_on
+        self._quiet_seconds = quiet_seconds
+        # The last change is known, not only that it came before the listing.
+        self._knows_last_change = False
+        self._first_listed_at: float | None = None
+        self._heard_at = float('-inf')
         self._changed_revision = 0
         # Revisions of the last listing, and of the last one that showed what
         # watches had not told.
@@ -119,8 +135,15 @@
         self._recent_batches: collections.deque[relays.Batch] = (
             collections.deque()
         )
-        # A neighbour knows of changes that this copy lacks.
-        self._is_behind = False
+        self._change_interval = change_interval
+        # Monotonic seconds of the last call for a listing.
+        self._listed_at = float('-inf')
+        # What neighbours know: the revisions of the last change and of the
+        # last listing that showed what watches had not told, and whether there
+        # is a later era.
+        self._told_revision = 0
+        self._told_correction = 0
+        self._is_told_of_era = False
         # The last watch failed, or a neighbour knows more: a watch that goes
         # on from this copy's revision could skip changes.
         self._must_list = False
@@ -140,6 +163,20 @@
         """
         return timers.boottime_now() - self._confirmed_at
 
+    @property
+    def _is_behind(self) -> bool:
+        """Whether a neighbour knows of changes that this copy lacks."""
+        return (
+            self._is_told_of_era
+            or (self.revision or 0) < self._told_revision
+            or self._listed_revision < self._told_correction
+        )
+
+    def _forget_told(self) -> None:
+        self._told_revision = 0
+        self._told_correction = 0
+        self._is_told_of_era = False
+
     def start(self) -> None:
         """Start to follow in a background task."""
         eventlet.spawn(self._run)
@@ -166,10 +203,11 @@
             self._drop_expired()
             return
         must_list = self._must_list or self._is_behind
-        self._is_behind = False
+        self._forget_told()
         called_at = timers.boottime_now()
         is_watch = self.revision is not None and not must_list
         if not is_watch:
+            self._listed_at = timers.now()
             self._next_era_check_at = timers.now() + ERA_CHECK_SECONDS
         watch_seconds = self._next_watch_seconds()
         if is_watch:
@@ -225,6 +263,7 @@
         self._changed_revision = 0
         self._listed_revision = 0
         self._corrected_revision = 0
+        self._forget_told()
         self._recent_batches.clear()
         if is_first:
             return
@@ -236,9 +275,10 @@
         self._confirmed_at = max(self._confirmed_at, at)
 
     def _may_rely_on_neighbours(self) -> bool:
+        is_due = timers.now() >= self._listed_at + self._change_interval()
         relies = (
             self.revision is not None
-            and not self._is_behind
+            and not (self._is_behind and is_due)
             and not self._is_watcher()
             and self.age < self._max_relied_age
         )
@@ -254,7 +294,7 @@
 
     def news(self) -> relays.FeedNews | None:
         """Return what to tell neighbours, None without a copy."""
-        if self.revision is None:
+        if self.revision is None or self._is_quiet():
             return None
         now = timers.now()
         batches = self._recent_batches
@@ -280,6 +320,31 @@
             self.era,
         )
 
+    def _is_quiet(self) -> bool:
+        """Return whether others tell the news better than this gateway.
+
+        One that has just started knows only that the last change came before
+        its listing. All neighbours whose copies are at an earlier revision
+        would list the objects again.
+        """
+        if self._knows_last_change or self._first_listed_at is None:
+            return False
+        now = timers.now()
+        silent_since = max(self._first_listed_at, self._heard_at)
+        return (
+            now < silent_since + self._quiet_seconds
+            and now < self._first_listed_at + MAX_QUIET_SECONDS
+        )
+
+    def _learn_last_change(self, news: relays.FeedNews) -> None:
+        """Learn which change was the last before the first listing."""
+        self._heard_at = timers.now()
+        if self._knows_last_change or news.revision < self._listed_revision:
+            return
+        self._knows_last_change = True
+        if news.changed_revision < self._changed_revision:
+            self._changed_revision = news.changed_revision
+
     def take_over(
         self,
         news: relays.FeedNews,
@@ -290,8 +355,9 @@
         if self.revision is None or news.era < self.era:
             return
         if news.era > self.era:
-            self._is_behind = timers.now() >= self._next_era_check_at
+            self._is_told_of_era = timers.now() >= self._next_era_check_at
             return
+        self._learn_last_change(news)
         if outage_end_at is not None:
             age = timers.boottime_now() - outage_end_at
             self._absent.record_outage_end(timers.now() - age)
@@ -315,7 +381,12 @@
             self.revision < news.changed_revision
             or self._listed_revision < news.corrected_revision
         ):
-            self._is_behind = True
+            self._told_revision = max(
+                self._told_revision, news.changed_revision
+            )
+            self._told_correction = max(
+                self._told_correction, news.corrected_revision
+            )
             return
         self._advance(news.revision, news.changed_revision)
         self._confirmed_at = max(self._confirmed_at, confirmed_at)
@@ -410,8 +481,12 @@
         # not: what has changed may have changed back.
         self._advance(listing.revision, listing.revision)
         self._listed_revision = listing.revision
-        if has_changed:
-            self._corrected_revision = listing.revision
+        if self._first_listed_at is None:
+            self._first_listed_at = timers.now()
+        else:
+            self._knows_last_change = True
+            if has_changed:
+                self._corrected_revision = listing.revision
         self._recent_batches.clear()
         LOG.info(
             'objects listed',
@@ -434,9 +509,26 @@
         )
         self._apply_items(changes.changes)
         if changes.changes:
+            self._knows_last_change = True
             self._record_batch(from_revision, changes)
             self._notify()
-            eventlet.sleep(BATCH_DELAY_SECONDS)
+            eventlet.sleep(self._batch_delay())
+            # The next watch tells what neighbours have told meanwhile.
+            self._told_revision = 0
+
+    def _batch_delay(self) -> float:
+        """Return the pause after a change, before the next watch.
+
+        Neighbours that rely on the copy must get its next confirmation before
+        it is too old.
+        """
+        most = (
+            self._max_relied_age
+            - RELY_MARGIN_SECONDS
+            - MIN_WATCH_SECONDS
+            - self.age
+        )
+        return max(BATCH_DELAY_SECONDS, min(self._change_interval() / 2, most))
 
     def _record_batch(
         self, from_revision: int, changes: interfaces.Changes[T]
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -53,8 +53,15 @@
 # Longest wait of one call for configuration changes. Keys are trusted only
 # while the configuration was confirmed within the key revocation time.
 CONFIGURATION_WAIT_SECONDS = 1.4
+# Least time between two listings of the configuration that neighbours cause,
+# where admission is controlled. In a quick series of changes, each gateway
+# would otherwise list it for each of them.
+CONFIGURATION_INTERVAL_SECONDS = 1.0
 # Longest wait of one call for changes to the list of servers.
 SERVERS_WAIT_SECONDS = 3.0
+# Time for which a gateway that has started waits for news of others before it
+# tells its own. They come every 0.1 s, in large zones every 0.4 s.
+QUIET_SECONDS = 0.5
 # Share of the key revocation time for which an unconfirmed configuration is
 # trusted; the rest allows for requests in transit to this gateway.
 TRUSTED_AGE_SHARE = 0.95
@@ -117,6 +124,8 @@
             is_watcher=self._neighbours.is_watcher,
             bound_seconds=gateway_settings.apply_seconds,
             is_relied_on=self._neighbours.is_relied_on,
+            quiet_seconds=QUIET_SECONDS,
+            change_interval=self._configuration_interval,
         )
         self._servers = object_follower.Follower(
             'servers',
@@ -128,6 +137,7 @@
             relayed_type=backends.BackendServer,
             bound_seconds=gateway_settings.drain_seconds,
             is_relied_on=self._neighbours.is_relied_on,
+            quiet_seconds=QUIET_SECONDS,
         )
         self._leaving = leaving_servers.LeavingServers()
         self.view = view.View(
@@ -288,6 +298,32 @@
         signal.signal(signal.SIGTERM, self._stop)
         signal.signal(signal.SIGINT, self._stop)
         signal.signal(signal.SIGHUP, self._ignore_reload)
+        self.start_following()
+        self._serve_metrics()
+        caller_connections.CallerConnections(
+            self._settings.ready_address,
+            wsgi.Readiness(self.application),
+            config.CallerLimits,
+        )
+        callers = caller_connections.CallerConnections(
+            self._settings.callers_address,
+            self.application,
+            self.view.caller_limits,
+            self._intake,
+        )
+        LOG.info(
+            'started',
+            extra={
+                'callers': self._settings.callers_address,
+                'ready': self._settings.ready_address,
+                'metrics': self._settings.metrics_address,
+            },
+        )
+        self._stop_requested.wait()
+        self._shut_down(callers)
+
+    def start_following(self) -> None:
+        """Start to follow the store and to exchange messages."""
         self._configurations.start()
         self._servers.start()
         self._neighbour_link.start()
@@ -321,28 +357,12 @@
         self._timers.subscribe(
             'retries', retry_allowance.SYNC_INTERVAL_SECONDS, self._budget.sync
         )
-        self._serve_metrics()
-        caller_connections.CallerConnections(
-            self._settings.ready_address,
-            wsgi.Readiness(self.application),
-            config.CallerLimits,
-        )
-        callers = caller_connections.CallerConnections(
-            self._settings.callers_address,
-            self.application,
-            self.view.caller_limits,
-            self._intake,
-        )
-        LOG.info(
-            'started',
-            extra={
-                'callers': self._settings.callers_address,
-                'ready': self._settings.ready_address,
-                'metrics': self._settings.metrics_address,
-            },
-        )
-        self._stop_requested.wait()
-        self._shut_down(callers)
+
+    def _configuration_interval(self) -> float:
+        """Return the least seconds between listings of the configuration."""
+        if self.view.controls_admission:
+            return CONFIGURATION_INTERVAL_SECONDS
+        return 0.0
 
     def _on_restore(self) -> None:
         """Write again what the store may have lost."""
@@ -387,6 +407,12 @@
                 extra={'count': count, 'before': self._budget.gateway_count},
             )
         self._budget.gateway_count = count
+        names = sorted(gateway.name for gateway in found)
+        self._budget.position = (
+            names.index(self._settings.instance)
+            if self._settings.instance in names
+            else None
+        )
         self._path_selector.gateway_count = count
 
     def _unregister_gone(self) -> None:
--- /dev/null
+++ b/tests/test_gateway_store_calls.py
@@ -0,0 +1,92 @@
+"""Gateways call the store seldom, also if all need the same at once."""
+
+import eventlet
+import logbook
+import pytest
+import store_calls
+
+
+@pytest.fixture
+def start_fleet(monkeypatch):
+    """Start gateways in virtual time, in zones a, b and so on."""
+    fleets = []
+
+    def start(*counts, **options):
+        fleets.append(
+            store_calls.Fleet(
+                dict(zip('abcdef', counts, strict=False)), **options
+            )
+        )
+        return fleets[-1]
+
+    store_calls.VirtualTime(monkeypatch)
+    with logbook.NullHandler().applicationbound():
+        yield start
+        for fleet in fleets:
+            fleet.close()
+        # Lets the tasks of the gateways end.
+        eventlet.sleep(30.0)
+
+
+def test_gateways_that_run_out_of_retries_at_once_acquire_slots(start_fleet):
+    """Each used to try nearly all slots, one refused write after the other."""
+    fleet = start_fleet(8, 8)
+    eventlet.sleep(10.0)
+    before = fleet.count()
+    for gateway in fleet.gateways:
+        eventlet.spawn(gateway.take_retries)
+    eventlet.sleep(2.0)
+    calls = fleet.count() - before
+    slots = fleet.metadata.objects_by_kind['burdockmast-retry-slots']
+    assert len(slots) == 46
+    assert calls['POST', 'burdockmast-retry-slots', 'write'] <= 2 * len(slots)
+    assert calls['GET', 'burdockmast-retry-slots', 'list'] <= 4 * 16
+
+
+@pytest.mark.parametrize('number', [0, 1, 5])
+def test_a_gateway_that_restarts_does_not_make_neighbours_list(
+    start_fleet, number
+):
+    """It knows only that the last change came before its own listing."""
+    fleet = start_fleet(6)
+    eventlet.sleep(5.0)
+    fleet.put_server('i-1', 1)
+    eventlet.sleep(5.0)
+    fleet.metadata.put('others', 'x', {})
+    before = fleet.count()
+    fleet.restart(fleet.gateways[number])
+    eventlet.sleep(4.0)
+    calls = fleet.count() - before
+    assert calls['GET', 'config', 'list'] == 1
+    assert calls['GET', 'servers', 'list'] == 1
+
+
+@pytest.mark.parametrize('loss', [0.0, 0.3])
+def test_quick_changes_do_not_make_each_gateway_list_each_time(
+    start_fleet, loss
+):
+    """Each used to list the configuration for each change it was told of."""
+    fleet = start_fleet(6, 6, loss=loss)
+    eventlet.sleep(5.0)
+    before = fleet.count()
+    delays = fleet.change_configuration_quickly(4.0)
+    calls = fleet.count() - before
+    assert calls['GET', 'config', 'list'] <= 12 * 6
+    assert calls['GET', 'config', 'watch'] <= 12 * 6
+    assert max(delays) < 2.0
+
+
+def test_a_change_is_in_force_at_a_gateway_that_misses_all_messages(
+    start_fleet,
+):
+    """It asks the store by itself before its copy is too old."""
+    fleet = start_fleet(6)
+    eventlet.sleep(5.0)
+    fleet.gateways[4].deliver = lambda data: None
+    assert max(fleet.change_configuration_quickly(4.0)) < 3.0
+
+
+def test_deployments_without_admission_control_list_at_once(start_fleet):
+    fleet = start_fleet(6, is_contended=False)
+    eventlet.sleep(5.0)
+    assert max(fleet.change_configuration_quickly(2.0)) < 0.5
