Let the stand-in's engine run requests on paths of servers

Cause: the stand-in ignored the path of a request, so no test could show that a server in the middle of a path dies, that a path is changed, or that a server rejects a request for want of memory.

Change: servers that join a standin_paths.PathEngine produce each event together. The order `repath` changes the path: 200, 404 for an unknown request, 409 with the address of a server that is down, lacks the layers or has no memory, 400 for a path that does not hold each layer once, in order. The same causes reject a new request as not run, with At-Server. The engine records the stages of each event, all rejections and invalid paths, and delays events by the hops between zones. Servers that join no engine work as before.

--- a/libs/platform/burdockmast/platform/standin.py
+++ b/libs/platform/burdockmast/platform/standin.py
@@ -27,6 +27,7 @@
 from burdockmast.gateway import request_target
 from burdockmast.platform import engine_client
 from burdockmast.platform import headers
+from burdockmast.platform import standin_paths
 from burdockmast.platform import store
 
 # Seconds between events of a stream.
@@ -223,6 +224,7 @@
     :ivar target: path and query as sent
     :ivar ended_at: at which the server stopped work on it
     :ivar broken_off_at: at which the server broke off its answer
+    :ivar run: on a path of several servers, or None
     """
 
     id: str
@@ -234,6 +236,7 @@
     server: str = ''
     target: str = ''
     body: bytes = b''
+    run: standin_paths.Run | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -267,6 +270,11 @@
     :ivar crashes_on: part of a prompt, or path, whose requests end the
         server's process when they begin
     :ivar crashed_at: monotonic seconds of its crashes
+    :ivar engine: runs streams on the paths that their requests name, or None
+        to run them on this server alone
+    :ivar kv_total: memory of runs of ``engine``, in tokens times layers
+    :ivar zone: availability zone
+    :ivar is_down: refuses connections after a crash
     """
 
     def __init__(self, host: str, metadata_store: MetadataStore, entry: dict):
@@ -289,6 +297,10 @@
         self.limit: float | None = None
         self.crashes_on = ''
         self.crashed_at: list[float] = []
+        self.engine: standin_paths.PathEngine | None = None
+        self.kv_total = math.inf
+        self.zone = entry['zone']
+        self.is_down = False
         self._silent_until = 0.0
         self._has_silent_reports = False
         self._connections: set[socket.socket] = set()
@@ -320,8 +332,29 @@
             _serve, self._sock, functools.partial(self._handle, incarnation)
         )
 
-    def crash(self) -> None:
+    def join(self, engine: standin_paths.PathEngine) -> None:
+        """Run streams together with other servers of an engine."""
+        self.engine = engine
+        engine.add(self)
+
+    @property
+    def incarnation(self) -> int:
+        """Number of restarts."""
+        return len(self.crashed_at)
+
+    @property
+    def is_quiet(self) -> bool:
+        """Whether the server has fallen silent."""
+        return self._silent_until > timers.now()
+
+    def holds(self, first: int, end: int) -> bool:
+        """Return whether the server has these layers."""
+        held = self._entry['layers']
+        return bool(held) and held['from'] <= first and end <= held['to']
+
+    def crash(self, seconds: float = RESTART_SECONDS) -> None:
         """End all connections and refuse new ones for some time."""
+        self.is_down = True
         self.crashed_at.append(timers.now())
         for received in self.requests:
             if math.isinf(received.ended_at):
@@ -331,10 +364,11 @@
         for connection in self._connections:
             connection.shutdown(socket.SHUT_RDWR)
         self._connections.clear()
-        eventlet.spawn_after(RESTART_SECONDS, self._restart)
+        eventlet.spawn_after(seconds, self._restart)
 
     def _restart(self) -> None:
         self._listen()
+        self.is_down = False
         self.update_entry(born=1000 + len(self.crashed_at))
 
     def fall_silent(self, seconds: float, with_reports: bool) -> None:
@@ -350,12 +384,27 @@
 
         :raises ConnectionError: if the caller leaves meanwhile
         """
-        flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
-        while self._silent_until > timers.now():
-            with contextlib.suppress(BlockingIOError):
-                if not connection.fd.recv(1, flags):
-                    raise ConnectionError('the caller has left')
-            eventlet.sleep(SILENCE_POLL_SECONDS)
+        while self.is_quiet:
+            _wait_while_connected(connection)
+
+    def _wait_for_stages(
+        self,
+        connection: socket.socket,
+        received: ReceivedRequest,
+        run: standin_paths.Run,
+    ) -> None:
+        """Wait until all servers of a run can produce the next event.
+
+        :raises ConnectionError: if the caller leaves meanwhile, or the run is
+            aborted
+        """
+        until = timers.now() + self.engine.stall_seconds
+        while not self.engine.can_step(run):
+            if timers.now() >= until:
+                run.is_aborted = True
+                received.broken_off_at = timers.now()
+                raise ConnectionError('a server of the path is down')
+            _wait_while_connected(connection)
 
     def update_entry(self, **changes: object) -> None:
         """Write the server's entry with changed fields."""
@@ -382,12 +431,14 @@
         connection = environ['eventlet.input'].get_socket()
         match environ['PATH_INFO']:
             case engine_client.ORDER_PATH:
-                status = self._accept_order(json.loads(body))
-                yield from _respond(start_response, status, None)
+                status, result = self._accept_order(json.loads(body))
+                yield from _respond(start_response, status, result)
             case engine_client.REPORT_PATH:
                 if self._has_silent_reports:
                     self._wait_while_silent(connection)
                 report = {'sequence': len(self.orders), 'pace': 1.0}
+                if self.engine:
+                    report |= self.engine.report(self)
                 yield from _respond(start_response, 200, report)
             case _:
                 received = self._receive(environ, body)
@@ -397,8 +448,17 @@
                     )
                 finally:
                     received.ended_at = timers.now()
+                    if received.run:
+                        received.run.end()
 
-    def _accept_order(self, order: dict) -> int:
+    def _accept_order(self, order: dict) -> tuple[int, Any]:
+        if order['op'] == 'repath':
+            if self.engine is None:
+                return 404, None
+            return self.engine.change_path(self, order)
+        return self._place(order), None
+
+    def _place(self, order: dict) -> int:
         if order['fence'] < self.highest_fencing_number:
             return engine_client.HTTP_FENCED
         self.highest_fencing_number = order['fence']
@@ -449,6 +509,21 @@
             return _respond(start_response, 500, self.error_text)
         if self.is_unsigned:
             return _respond(start_response, 200, 'unsigned')
+        run = None
+        if self.engine and headers.PATH.lower() in received.header_by_name:
+            try:
+                run = self.engine.begin(self, received.header_by_name)
+            except ValueError as error:
+                return _respond(start_response, 400, str(error))
+        if isinstance(run, standin_paths.Rejection):
+            refusal = [
+                (headers.NOT_RUN, '1'),
+                (headers.REFUSED_BY, run.address),
+                ('Content-Length', '0'),
+            ]
+            start_response('503 Service Unavailable', refusal)
+            return [b'']
+        received.run = run
         reply_headers = [
             (headers.REQUEST_ID, received.id),
             (headers.SIGNATURE, f'seal-{self.id}'),
@@ -522,10 +597,26 @@
             if number == self.pause_before_event:
                 eventlet.sleep(self.pause_seconds)
             self._wait_while_silent(connection)
+            if received.run:
+                self._wait_for_stages(connection, received, received.run)
+                self.engine.record_event(received.run, number)
+                eventlet.sleep(self.engine.hop_seconds(received.run))
             yield b'id: %d\ndata: token %d\n\n' % (number, number)
             eventlet.sleep(pace.interval_seconds)
 
 
+def _wait_while_connected(connection: socket.socket) -> None:
+    """Wait for a moment.
+
+    :raises ConnectionError: if the caller has left
+    """
+    flags = socket.MSG_PEEK | socket.MSG_DONTWAIT
+    with contextlib.suppress(BlockingIOError):
+        if not connection.fd.recv(1, flags):
+            raise ConnectionError('the caller has left')
+    eventlet.sleep(SILENCE_POLL_SECONDS)
+
+
 def _respond(start_response: Any, status: int, value: object) -> list[bytes]:
     body = json.dumps(value).encode()
     start_response(
