Test datagrams, heads, descriptors and entries under many callers

Part 3 of docs/running-answers.md names four limits that are missing. These tests run 40 callers, or 20 senders of datagrams, against the code as it stands, at a load average of 15 to 45:

- forged datagrams: the ordinary request got 503, all servers counted as leaving
- datagrams from one address: memory grew by 701 MiB, 50 are allowed
- datagrams of 57 KB from 20 addresses: memory grew by 749 MiB
- unfinished heads of 2 MiB: memory grew by 81 MiB, 50 are allowed
- stalled bodies at an entry: memory grew by 319 MiB, 120 are allowed

Chunks of one byte at an entry show no fault; that test is a guard.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 # Tests that run at once; each may have some twenty processes.
 WORKERS ?= 4
 # Tests that measure memory run one at a time, apart from others.
-CROWDS := tests/test_gateway_crowds.py
+CROWDS := tests/test_gateway_crowds.py tests/test_entry_crowds.py
 LIBS := $(sort $(wildcard libs/*))
 
 .PHONY: install test lint format demo binary capacity load clean
@@ -27,7 +27,7 @@
 	    -r requirements.txt
 
 test: install
-	$(BIN)/python -m pytest -n $(WORKERS) --ignore=$(CROWDS)
+	$(BIN)/python -m pytest -n $(WORKERS) $(CROWDS:%=--ignore=%)
 	$(BIN)/python -m pytest $(CROWDS)
 
 lint: install
--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -1,7 +1,9 @@
 """Concurrent callers that send what a gateway must withstand, for tests."""
 
 import http.client
+import itertools
 import pathlib
+import socket
 
 import eventlet
 import eventlet.greenpool
@@ -28,13 +30,33 @@
 
         :param pieces: returns an iterator over the pieces of the body
         """
+        self._run_all(self._send_one, path, headers, pieces)
+
+    def send_head(self, value):
+        """Send a head on all connections whose last line doesn't end.
+
+        :param value: of the header in that line
+        """
+        self._run_all(self._send_one_head, value)
+
+    def _run_all(self, send, *arguments):
         pool = eventlet.greenpool.GreenPool(len(self._connections))
         for connection in self._connections:
-            pool.spawn_n(self._send_one, connection, path, headers, pieces)
+            pool.spawn_n(send, connection, *arguments)
         with eventlet.Timeout(SENDING_SECONDS, False):
             pool.waitall()
         eventlet.sleep(SETTLING_SECONDS)
 
+    def _send_one_head(self, connection, value):
+        try:
+            connection.sock.sendall(
+                b'GET /lookup/x HTTP/1.1\r\nHost: h.example\r\nX-Long: '
+            )
+            connection.sock.sendall(value)
+        except OSError:
+            # The gateway has closed the connection, or the test has.
+            return
+
     def _send_one(self, connection, path, headers, pieces):
         try:
             connection.putrequest('POST', path, skip_host=True)
@@ -55,6 +77,29 @@
             connection.close()
 
 
+def flood(address, sources, datagrams, seconds=SENDING_SECONDS):
+    """Send datagrams from several addresses for some time.
+
+    :param sources: address of each sender; one may have several senders
+    :param datagrams: iterator over what is sent, shared by the senders
+    """
+    host, _, port = address.rpartition(':')
+    senders = []
+    for source in sources:
+        sender = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        sender.bind((source, 0))
+        senders.append(sender)
+    try:
+        with eventlet.Timeout(seconds, False):
+            for sender in itertools.cycle(senders):
+                sender.sendto(next(datagrams), (host, int(port)))
+                eventlet.sleep(0)
+    finally:
+        for sender in senders:
+            sender.close()
+    eventlet.sleep(SETTLING_SECONDS)
+
+
 def _status_kib(pid, field):
     for line in pathlib.Path(f'/proc/{pid}/status').read_text().splitlines():
         name, _, value = line.partition(':')
