Limit the datagrams that are decoded on the neighbours' port

Anybody could send well-formed messages there: they marked servers as leaving, and each made-up gateway with its loads was kept.

Datagrams are now checked in intake/datagrams before they are decoded. With the optional setting neighbours-key each carries an HMAC-SHA256 of its content, and others are dropped. Each refusal has a counter. Without the key nothing changes on the wire.

The key has a check of its own, as messages about invalid settings contain the value. The digest is checked before the rate, so that forged datagrams use up no rate of a gateway.

--- a/libs/gateway/burdockmast/gateway/neighbour_link.py
+++ b/libs/gateway/burdockmast/gateway/neighbour_link.py
@@ -1,5 +1,6 @@
 """Sends and receives the messages between gateways as datagrams."""
 
+import collections
 from collections.abc import Callable
 import math
 
@@ -22,13 +23,15 @@
 from burdockmast.gateway.admission import full_servers
 from burdockmast.gateway.admission import pressure
 from burdockmast.gateway.balance import zone_balance
+from burdockmast.gateway.intake import datagrams
 from burdockmast.gateway.intake import work_budget
 
 LOG = logs.get('neighbours')
 
-# Largest datagram that is received.
-MAX_DATAGRAM_BYTES = 65507
-# Work to decode a byte of a message, as that to copy so many.
+# Work to receive a datagram, to hash a byte of it and to decode one, as that
+# to copy so many bytes.
+RECEIVING_WORK = 20 * 1024
+HASHING_WORK = 4
 DECODING_WORK = 64
 # Messages that can't be decoded or sent are logged once for this many.
 LOG_EVERY = 1000
@@ -38,6 +41,9 @@
     """The datagram socket of a gateway.
 
     A lost datagram is replaced by the next one, which has all data again.
+
+    :ivar largest_sent_bytes: of a datagram so far
+    :ivar dropped: number of datagrams that were not decoded, by reason
     """
 
     def __init__(
@@ -54,6 +60,8 @@
         balance: zone_balance.ZoneBalance | None = None,
         full: full_servers.FullServers | None = None,
         configuration_age: Callable[[], float] = lambda: math.inf,
+        datagram_limits: datagrams.DatagramLimits | None = None,
+        count: Callable[[str], object] = lambda _: None,
     ):
         """Prepare to listen at ``address``.
 
@@ -62,6 +70,8 @@
         :param full: servers that reject requests, None to report none
         :param configuration_age: returns the seconds since this gateway's
             configuration was last confirmed
+        :param datagram_limits: the defaults if none are given
+        :param count: counts a dropped datagram of a kind
         """
         self.address = address
         self._neighbours = known
@@ -80,6 +90,14 @@
         self._sock: socket.socket | None = None
         self._task: eventlet.greenthread.GreenThread | None = None
         self.lost_messages = 0
+        self.largest_sent_bytes = 0
+        self.dropped: collections.Counter[datagrams.Refusal] = (
+            collections.Counter()
+        )
+        self._filter = datagrams.DatagramFilter(
+            datagram_limits or datagrams.DatagramLimits()
+        )
+        self._count = count
         self._work = work_budget.WorkBudget(busy_readers.Schedule(), 0)
 
     def start(self) -> None:
@@ -98,8 +116,20 @@
         ):
             data = encoded.get(id(message))
             if data is None:
-                data = encoded[id(message)] = self._encoder.encode(message)
-            self.send(address, data)
+                data = encoded[id(message)] = self._seal(message)
+            if data:
+                self.send(address, data)
+
+    def _seal(self, message: neighbours.Message) -> bytes:
+        """Return the datagram of a message, empty if it is too large."""
+        try:
+            data = self._filter.seal(self._encoder.encode(message))
+        except ValueError as error:
+            self._count('datagrams_not_sent')
+            self._record_loss('message to a gateway not sent', error)
+            return b''
+        self.largest_sent_bytes = max(self.largest_sent_bytes, len(data))
+        return data
 
     def _learned(self, is_for_other_zones: bool) -> neighbours.Learned:
         return neighbours.Learned(
@@ -147,9 +177,15 @@
                 # Datagrams that have arrived already don't let others run.
                 eventlet.sleep(pause)
             try:
-                data, _ = self._sock.recvfrom(MAX_DATAGRAM_BYTES)
-                self._work.add_bytes(len(data) * DECODING_WORK)
-                self._take_over(self._decoder.decode(data))
+                # A larger one is cut, but is still seen to be too large.
+                data, sender = self._sock.recvfrom(self._filter.max_bytes + 1)
+                self._work.add_bytes(RECEIVING_WORK + len(data) * HASHING_WORK)
+                content = self._filter.open(data, sender[0])
+                if isinstance(content, datagrams.Refusal):
+                    self._record_refusal(content, sender[0])
+                    continue
+                self._work.add_bytes(len(content) * DECODING_WORK)
+                self._take_over(self._decoder.decode(content))
             except Exception as error:
                 # Whatever one message causes, the next ones are received.
                 self._record_loss('message of a gateway not received', error)
@@ -179,6 +215,21 @@
         if news.store is not None:
             self._relay.receive(news.store)
 
+    def _record_refusal(
+        self, refusal: datagrams.Refusal, address: str
+    ) -> None:
+        self._count(refusal.value)
+        if self.dropped[refusal] % LOG_EVERY == 0:
+            LOG.warning(
+                'datagram dropped',
+                extra={
+                    'reason': refusal.value,
+                    'address': address,
+                    'dropped': self.dropped[refusal],
+                },
+            )
+        self.dropped[refusal] += 1
+
     def _record_loss(self, message: str, error: Exception) -> None:
         if self.lost_messages % LOG_EVERY == 0:
             LOG.warning(
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -226,6 +226,8 @@
             balance,
             self._full,
             lambda: self.view.configuration_age,
+            gateway_settings.datagram_limits,
+            self._intake.count,
         )
         self.application = wsgi.Application(
             self.view,
@@ -471,6 +473,10 @@
         self._metrics.gauge(
             'intake.waiting_bodies', lambda: self._intake.waiting_count
         )
+        self._metrics.gauge(
+            'neighbours.largest_sent_bytes',
+            lambda: self._neighbour_link.largest_sent_bytes,
+        )
         self._metrics.gauge(
             'retries.slots_held', lambda: self._budget.held_count
         )
--- a/libs/gateway/burdockmast/gateway/settings.py
+++ b/libs/gateway/burdockmast/gateway/settings.py
@@ -5,6 +5,7 @@
 
 from burdockmast.base import ids
 from burdockmast.gateway import interfaces
+from burdockmast.gateway.intake import datagrams
 from burdockmast.gateway.intake import limits
 
 
@@ -25,6 +26,7 @@
     :ivar memory_mb: of the instance
     :ivar max_descriptors: of the instance
     :ivar intake: limits on callers
+    :ivar datagram_limits: limits on datagrams of other gateways
     :ivar retry_ratio: retries for each request, over all gateways
     :ivar retry_slack: further retries in each window, over all gateways
     :ivar retry_window: length of the sliding window in seconds
@@ -46,6 +48,7 @@
     retry_window: float
     max_descriptors: float = math.inf
     intake: limits.Limits = limits.Limits()
+    datagram_limits: datagrams.DatagramLimits = datagrams.DatagramLimits()
 
     @property
     def record(self) -> interfaces.GatewayRecord:
--- a/libs/platform/burdockmast/platform/settings.py
+++ b/libs/platform/burdockmast/platform/settings.py
@@ -12,6 +12,7 @@
 
 from burdockmast.base import ids
 from burdockmast.gateway import settings
+from burdockmast.gateway.intake import datagrams
 from burdockmast.gateway.intake import limits
 from burdockmast.settings import loader
 
@@ -29,6 +30,11 @@
 _ProgressSeconds = Annotated[float, msgspec.Meta(ge=1, le=600)]
 _ProgressBytes = Annotated[int, msgspec.Meta(ge=1, le=65536)]
 _ChunkBytes = Annotated[int, msgspec.Meta(ge=0, le=1024)]
+_DATAGRAM_DEFAULTS = datagrams.DatagramLimits()
+_DatagramCount = Annotated[int, msgspec.Meta(ge=20, le=100_000)]
+_DatagramBytes = Annotated[
+    int, msgspec.Meta(ge=4096, le=datagrams.MAX_UDP_BYTES)
+]
 
 
 class _Listen(msgspec.Struct, frozen=True):
@@ -58,6 +64,12 @@
     body_progress_s: _ProgressSeconds = _DEFAULTS.body_progress_seconds
     body_progress_bytes: _ProgressBytes = _DEFAULTS.body_progress_bytes
     min_chunk_bytes: _ChunkBytes = _DEFAULTS.min_chunk_bytes
+    neighbour_datagrams_per_s: _DatagramCount = (
+        _DATAGRAM_DEFAULTS.max_per_second
+    )
+    max_neighbour_datagram_bytes: _DatagramBytes = _DATAGRAM_DEFAULTS.max_bytes
+    # Checked by hand, as messages about invalid values contain the value.
+    neighbours_key: object = None
 
 
 class _Platform(msgspec.Struct, frozen=True):
@@ -146,10 +158,30 @@
                 body_progress_bytes=intake.body_progress_bytes,
                 min_chunk_bytes=intake.min_chunk_bytes,
             ),
+            datagram_limits=datagrams.DatagramLimits(
+                _checked_key(intake.neighbours_key, path),
+                intake.neighbour_datagrams_per_s,
+                intake.max_neighbour_datagram_bytes,
+            ),
         ),
     )
 
 
+def _checked_key(key: object, path: pathlib.Path) -> bytes:
+    """Return the key that gateways share, empty if there is none.
+
+    :raises loader.SettingsError: if it is invalid; it doesn't contain the key
+    """
+    if key is None:
+        return b''
+    if not isinstance(key, str) or len(key) < datagrams.MIN_KEY_CHARACTERS:
+        raise loader.SettingsError(
+            f'{path}: at $.intake.neighbours-key: expected text of at least '
+            f'{datagrams.MIN_KEY_CHARACTERS} characters'
+        )
+    return key.encode()
+
+
 def _max_descriptors() -> float:
     soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     return math.inf if soft_limit == resource.RLIM_INFINITY else soft_limit
--- a/tests/test_gateway_neighbours.py
+++ b/tests/test_gateway_neighbours.py
@@ -1,6 +1,7 @@
 """Gateways know the load of all others, with few messages."""
 
 import collections
+import dataclasses
 import os
 import random
 
@@ -18,6 +19,7 @@
 from burdockmast.gateway import relays
 from burdockmast.gateway import reports
 from burdockmast.gateway import server_limits
+from burdockmast.gateway.intake import datagrams
 
 TICK_SECONDS = 0.05
 
@@ -232,7 +234,13 @@
 
 
 @pytest.fixture
-def linked():
+def limits_by_name():
+    """Limits on datagrams of gateways that don't have the defaults."""
+    return {}
+
+
+@pytest.fixture
+def linked(limits_by_name):
     """Two gateways with real sockets on the loopback interface."""
     process = os.getpid() % 60000
     host = f'127.91.{process // 250}.{process % 250 + 1}'
@@ -254,6 +262,7 @@
             crash_suspects.CrashSuspects(),
             server_limits.ServerLimits(record.name, list, random.Random(1)),
             leaving_servers.LeavingServers(),
+            datagram_limits=limits_by_name.get(record.name),
         )
         link.start()
         created.append((known, usage, link))
@@ -310,3 +319,60 @@
         while not known.is_informed:
             sender.send_due()
             eventlet.sleep(0.02)
+
+
+KEYED = datagrams.DatagramLimits(b'known-to-gateways-only')
+OTHER_KEY = datagrams.DatagramLimits(b'known-to-others-only')
+
+
+@pytest.mark.parametrize('limits_by_name', [{'a-0': KEYED, 'a-1': KEYED}])
+def test_gateways_with_the_same_key_hear_each_other(linked):
+    (_, _, sender), (known, _, _) = linked
+    with eventlet.Timeout(10):
+        while not known.is_informed:
+            sender.send_due()
+            eventlet.sleep(0.02)
+
+
+@pytest.mark.parametrize(
+    'limits_by_name', [{'a-1': KEYED}, {'a-0': OTHER_KEY, 'a-1': KEYED}]
+)
+def test_a_gateway_with_a_key_hears_only_those_that_have_it(linked):
+    (_, _, sender), (known, _, receiver) = linked
+    with eventlet.Timeout(10):
+        while sum(receiver.dropped.values()) < 3:
+            sender.send_due()
+            eventlet.sleep(0.02)
+    assert set(receiver.dropped) == {datagrams.Refusal.UNAUTHENTICATED}
+    assert not receiver.lost_messages
+    assert not known.alive_neighbours()
+
+
+def test_forged_datagrams_use_up_no_rate_of_a_gateway(clock):
+    """Anybody can send with the address of a gateway."""
+    limits = dataclasses.replace(KEYED, max_per_second=3)
+    found = datagrams.DatagramFilter(limits, lambda: clock.now)
+    for _ in range(10):
+        opened = found.open(b'x' * 40, '127.0.0.1')
+        assert opened is datagrams.Refusal.UNAUTHENTICATED
+    sealed = found.seal(b'content')
+    opened = [found.open(sealed, '127.0.0.1') for _ in range(4)]
+    assert opened == [b'content'] * 3 + [datagrams.Refusal.RATE_EXCEEDED]
+    clock.now += datagrams.WINDOW_SECONDS
+    assert found.open(sealed, '127.0.0.1') == b'content'
+
+
+def test_many_sender_addresses_take_bounded_memory(clock):
+    """Sender addresses can be forged, each with a count of its own."""
+    rates = datagrams.SenderRates(3, lambda: clock.now)
+    accepted = sum(rates.add(str(n)) for n in range(2 * 4096))
+    assert accepted == datagrams.MAX_ADDRESSES + 3
+
+
+def test_a_datagram_that_others_would_drop_is_not_sent(clock):
+    found = datagrams.DatagramFilter(dataclasses.replace(KEYED, max_bytes=64))
+    assert len(found.seal(b'x' * 32)) == 64
+    with pytest.raises(ValueError, match='65 bytes'):
+        found.seal(b'x' * 33)
+    opened = found.open(b'x' * 65, '127.0.0.1')
+    assert opened is datagrams.Refusal.TOO_LARGE
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -81,6 +81,26 @@
     assert found.intake == limits.Limits(max_connections=7)
 
 
+def test_the_neighbours_key_is_read_but_not_printed(settings_file):
+    key = 'known-to-gateways-only'
+    settings_file.write_text(SETTINGS + f"[intake]\nneighbours-key = '{key}'")
+    found = settings.load(settings_file)
+    assert found.gateway.datagram_limits.key == key.encode()
+    assert key not in repr(found)
+
+
+@pytest.mark.parametrize(
+    'key', ["'too-short'", '1234567890123456789', "['q9z']"]
+)
+def test_an_invalid_neighbours_key_is_not_printed(settings_file, key):
+    """Messages about invalid settings contain their values."""
+    settings_file.write_text(SETTINGS + f'[intake]\nneighbours-key = {key}')
+    with pytest.raises(loader.SettingsError) as caught:
+        settings.load(settings_file)
+    assert '$.intake.neighbours-key' in str(caught.value)
+    assert key.strip("[]'") not in str(caught.value).partition('expected')[2]
+
+
 def test_settings_check_accepts_the_platforms_file(settings_file):
     done = program.run_command(
         'settings', 'check', 'gateway', str(settings_file)
@@ -98,6 +118,14 @@
         (SETTINGS + '[intake]\nmax-connections = 0\n', 'max-connections'),
         (SETTINGS + '[intake]\nbody-progress-s = 0.5\n', 'body-progress-s'),
         (SETTINGS + '[intake]\nmin-chunk-bytes = -1\n', 'min-chunk-bytes'),
+        (
+            SETTINGS + '[intake]\nneighbour-datagrams-per-s = 19\n',
+            'neighbour-datagrams-per-s',
+        ),
+        (
+            SETTINGS + '[intake]\nmax-neighbour-datagram-bytes = 65508\n',
+            'max-neighbour-datagram-bytes',
+        ),
     ],
 )
 def test_invalid_settings_name_the_file_or_field(settings_file, text, named):
