Search paths through a range of layers

Cause: only whole paths could be searched, so that a path that lacks one server can't be completed. Change: cheapest() takes the layers to run; without them all are run, as before. The tests of paths pass unchanged.

--- a/libs/gateway/burdockmast/gateway/paths.py
+++ b/libs/gateway/burdockmast/gateway/paths.py
@@ -181,6 +181,7 @@
     is_full: Callable[[links.Link], bool],
     rng: random.Random,
     entry_ms: Callable[[ids.ZoneId], float] = lambda zone: REMOTE_ENTRY_MS,
+    layers: backends.LayerRange | None = None,
 ) -> tuple[backends.Stage, ...]:
     """Return the stages of the cheapest path, empty if there is none.
 
@@ -190,7 +191,9 @@
     :param slowdown: how many times slower than usual a server is
     :param is_full: whether an inter-zone link has no room for a prompt
     :param entry_ms: cost of a first stage in another zone
+    :param layers: that the path runs, None for all
     """
+    layers = layers or backends.LayerRange(0, engine.layers)
     holding = [
         (server, factor)
         for server in servers
@@ -216,33 +219,39 @@
         (zone, other): entry_ms(other) for other in zones - {zone}
     }
     found = _search(
-        engine.layers, [s for s, _ in holding], zone, entry_ms_by_link, costs
+        layers, [s for s, _ in holding], zone, entry_ms_by_link, costs
     )
-    return _merge_repeated_servers(_stages(found, engine.layers))
+    return _merge_repeated_servers(_stages(found, layers.end))
 
 
 def _search(
-    layers: int,
+    layers: backends.LayerRange,
     servers: list[backends.BackendServer],
     zone: ids.ZoneId,
     entry_ms: dict[links.Link, float],
     costs: _Costs,
 ) -> _Partial | None:
-    """Return the cheapest path through all layers.
+    """Return the cheapest path through a range of layers.
 
     Between two boundaries of layer ranges, a path either stays at its server
     or moves on to another, so that the work grows with the layers that all
     servers hold together.
     """
+    servers = [
+        s
+        for s in servers
+        if s.layers.first < layers.end and s.layers.end > layers.first
+    ]
     boundaries = sorted(
-        {0, layers}
-        | {s.layers.first for s in servers if s.layers.first < layers}
-        | {s.layers.end for s in servers if s.layers.end < layers}
+        {layers.first, layers.end}
+        | {max(s.layers.first, layers.first) for s in servers}
+        | {min(s.layers.end, layers.end) for s in servers}
     )
     starting_at: dict[int, list[backends.BackendServer]] = {}
     for server in servers:
-        starting_at.setdefault(server.layers.first, []).append(server)
-    best_by_zone = {zone: _Partial(0.0, None, 0, None)}
+        first = max(server.layers.first, layers.first)
+        starting_at.setdefault(first, []).append(server)
+    best_by_zone = {zone: _Partial(0.0, None, layers.first, None)}
     partials: list[tuple[backends.BackendServer, _Partial | None]] = []
     for first, end in itertools.pairwise(boundaries):
         partials = [p for p in partials if p[0].layers.end > first]
@@ -250,7 +259,7 @@
         prefixes = _cheapest_prefixes(
             best_by_zone,
             {s.zone for s, _ in partials},
-            costs.crossing_ms if first else entry_ms,
+            costs.crossing_ms if first > layers.first else entry_ms,
         )
         best_by_zone = {}
         for index, (server, partial) in enumerate(partials):
