Replace lost servers on the paths of running answers

Cause: when a server dies that dozens of answers pass, each of them was sent again on another path. Prompts and tokens were read again at every stage, all at once, and the next event came 0.5 to 0.9 s after the last, where callers want 0.25 s.

Change: gateway/rerouting. A silent stream is looked at after 0.4 of its objective, the servers of its path that have sent nothing since are asked for a connection, and the first server is ordered to go on over other servers for the layers of lost ones. Uses no retry. On where admission is controlled.

--- a/libs/gateway/burdockmast/gateway/balance/zone_balance.py
+++ b/libs/gateway/burdockmast/gateway/balance/zone_balance.py
@@ -311,6 +311,22 @@
         if is_on(service):
             self.demand.record_arrival(service.id)
 
+    def record_crossings(
+        self,
+        service: config.Service,
+        crossed: Iterable[links.Link],
+        prompt_seconds: float,
+    ) -> None:
+        """Account for a running request whose path now crosses links.
+
+        :param prompt_seconds: for which the prompt occupies each link
+        """
+        if not is_on(service):
+            return
+        bound = self._bound(service)
+        for link in crossed:
+            self._budget.record_prompt(link, prompt_seconds, bound)
+
     def record_path(
         self,
         service: config.Service,
--- a/libs/gateway/burdockmast/gateway/interfaces.py
+++ b/libs/gateway/burdockmast/gateway/interfaces.py
@@ -242,6 +242,18 @@
             one
         """
 
+    def change_path(
+        self, request: ids.RequestId, path: tuple[backends.Stage, ...]
+    ) -> failures.Failure | None:
+        """Order the first server of a running request to change its path.
+
+        Servers that are new on the path read the prompt and all tokens so far
+        through their layers; the others keep what they have read. A failure
+        names the address of the server that has no room as its peer.
+
+        :param path: begins at the same server as before
+        """
+
     def fetch_report(
         self,
         server: backends.BackendServer,
--- a/libs/gateway/burdockmast/gateway/path_selector.py
+++ b/libs/gateway/burdockmast/gateway/path_selector.py
@@ -1,5 +1,6 @@
 """Selects a path for each request, and queues requests while all are busy."""
 
+import collections
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Container
@@ -30,6 +31,7 @@
 from burdockmast.gateway.admission import policy
 from burdockmast.gateway.admission import pressure
 from burdockmast.gateway.balance import zone_balance
+from burdockmast.gateway.rerouting import detours
 from burdockmast.limits import queues
 
 LOG = logs.get('choosing')
@@ -388,17 +390,13 @@
                 servers = self._plain_servers(job, (), first_servers)
             return tuple(backends.Stage(s, 0, 0) for s in servers[:1])
         size = self._request_size(job, engine)
-        is_informed = self._others.is_informed
         allowed_share = 1.0
-        if not has_begun and is_informed:
+        if not has_begun and self._others.is_informed:
             allowed_share = self._allowed_share(job)
         load_by_server = self._load_by_server()
-
-        def running_requests(server: ids.ServerId) -> int:
-            running, _ = load_by_server.get(server, loads.NO_LOAD)
-            return (
-                running if is_informed else (running * memory.OWN_USAGE_FACTOR)
-            )
+        running_requests = functools.partial(
+            self._running_requests, load_by_server
+        )
 
         def no_requests(server: ids.ServerId) -> int:
             return 0
@@ -406,22 +404,9 @@
         def memory_factor(
             room: crossings.Room, server: backends.BackendServer
         ) -> float:
-            if room in UNLIMITED_ROOM:
-                return 1.0
-            _, reserved = load_by_server.get(server.id, loads.NO_LOAD)
-            share = reserved / memory.cache_capacity(engine, server)
-            reported = self.reports.occupancy(server)
-            if self._full.backs_off(server.id):
-                return math.inf
-            if is_informed:
-                return memory.informed_cost_factor(
-                    share,
-                    reported,
-                    room is crossings.Room.OVERFULL,
-                    self._full.limit(server.id, memory.FULL_SHARE)
-                    * allowed_share,
-                )
-            return memory.cost_factor(share, self.gateway_count, reported)
+            return self._memory_factor(
+                engine, load_by_server, allowed_share, room, server
+            )
 
         limited = [
             server.id
@@ -497,6 +482,112 @@
             )
         return ()
 
+    def _running_requests(
+        self, load_by_server: loads.LoadByServer, server: ids.ServerId
+    ) -> int:
+        """Return how many requests run at a server, as far as is known."""
+        running, _ = load_by_server.get(server, loads.NO_LOAD)
+        if self._others.is_informed:
+            return running
+        return running * memory.OWN_USAGE_FACTOR
+
+    def _memory_factor(
+        self,
+        engine: config.Engine,
+        load_by_server: loads.LoadByServer,
+        allowed_share: float,
+        room: crossings.Room,
+        server: backends.BackendServer,
+    ) -> float:
+        """Return the factor on a server's cost for its memory use.
+
+        :param allowed_share: of the server's memory that may be filled
+        """
+        if room in UNLIMITED_ROOM:
+            return 1.0
+        _, reserved = load_by_server.get(server.id, loads.NO_LOAD)
+        share = reserved / memory.cache_capacity(engine, server)
+        reported = self.reports.occupancy(server)
+        if self._full.backs_off(server.id):
+            return math.inf
+        if self._others.is_informed:
+            return memory.informed_cost_factor(
+                share,
+                reported,
+                room is crossings.Room.OVERFULL,
+                self._full.limit(server.id, memory.FULL_SHARE) * allowed_share,
+            )
+        return memory.cost_factor(share, self.gateway_count, reported)
+
+    def find_detour(
+        self,
+        job: jobs.Job,
+        path: tuple[backends.Stage, ...],
+        affected: Collection[int],
+        failed: Collection[ids.ServerId] = (),
+    ) -> tuple[backends.Stage, ...]:
+        """Return a path with other servers for some stages of a running one.
+
+        The other stages keep what they have read of the request.
+
+        :param affected: indexes of the stages to replace, without the first
+        :param failed: servers that can't take the request
+        :returns: no stages if other servers lack room
+        """
+        engine = job.service.engine
+        if engine is None:
+            return ()
+        excluded = {*failed, *(stage.server.id for stage in path)}
+        servers = self._view.preferred(job.service, excluded)
+        load_by_server = self._load_by_server()
+
+        def search(
+            layers: backends.LayerRange,
+            before: backends.Stage,
+            room: crossings.Room,
+            crossing: crossings.Crossing,
+        ) -> tuple[backends.Stage, ...]:
+            return paths.cheapest(
+                engine,
+                servers,
+                self._request_size(job, engine),
+                before.server.zone,
+                functools.partial(self._running_requests, load_by_server),
+                functools.partial(
+                    self._memory_factor, engine, load_by_server, 1.0, room
+                ),
+                self.reports.slowdown,
+                functools.partial(
+                    self._is_closed, self._balance, job.service, crossing
+                ),
+                self._rng,
+                lambda _: (
+                    math.inf
+                    if crossing is crossings.Crossing.NONE
+                    else paths.REMOTE_ENTRY_MS
+                ),
+                layers,
+            )
+
+        return detours.find(path, affected, search)
+
+    def move(
+        self,
+        job: jobs.Job,
+        before: tuple[backends.Stage, ...],
+        after: tuple[backends.Stage, ...],
+    ) -> None:
+        """Account for a running request on another path than before."""
+        tokens = self._reserved_tokens(job)
+        self._usage.reserve(after, tokens)
+        self._usage.release(before, tokens)
+        engine = job.service.engine
+        seconds = paths.transfer_ms(engine, self._request_size(job, engine))
+        if self._balance:
+            self._balance.record_crossings(
+                job.service, _new_links(before, after), seconds / 1000
+            )
+
     def _allowed_share(self, job: jobs.Job) -> float:
         """Return the share of memory that a new request may fill."""
         if not self._pressure.admits_in_order(job.service.id):
@@ -621,3 +712,12 @@
             detail=f'no usable server of {job.service.id} holds layer {layer}',
             retry_after=RETRY_AFTER_SECONDS,
         )
+
+
+def _new_links(
+    before: Iterable[backends.Stage], after: Iterable[backends.Stage]
+) -> list[links.Link]:
+    """Return the inter-zone links that only the second path uses."""
+    left = collections.Counter(links.inter_zone_links(after))
+    left.subtract(links.inter_zone_links(before))
+    return list(left.elements())
--- /dev/null
+++ b/libs/gateway/burdockmast/gateway/rerouting/__init__.py
@@ -0,0 +1,1 @@
+"""Moves running answers to other servers, stage by stage."""
--- /dev/null
+++ b/libs/gateway/burdockmast/gateway/rerouting/rerouter.py
@@ -0,0 +1,208 @@
+"""Changes the paths of answers that pass servers which are lost."""
+
+import dataclasses
+
+import eventlet
+
+from burdockmast.base import failures
+from burdockmast.base import ids
+from burdockmast.base import logs
+from burdockmast.base import metrics
+from burdockmast.base import outcomes
+from burdockmast.base import timers
+from burdockmast.gateway import backends
+from burdockmast.gateway import interfaces
+from burdockmast.gateway import jobs
+from burdockmast.gateway import path_selector
+from burdockmast.gateway import stream_attempts
+from burdockmast.gateway import view
+from burdockmast.gateway.rerouting import decision
+from burdockmast.gateway.rerouting import probes
+
+LOG = logs.get('rerouting')
+
+# Interval at which a silent attempt is looked at again.
+RECHECK_SECONDS = 0.02
+# Time that a changed path gets for its next event before a new attempt is
+# considered.
+SETTLE_SECONDS = 0.3
+# Orders for one change: servers may have no room, or be lost unnoticed.
+MAX_ORDERS = 3
+
+
+@dataclasses.dataclass(slots=True)
+class _Change:
+    """A change of an attempt's path.
+
+    :ivar affected: indexes of the stages to replace
+    :ivar failed: servers that can't take the request
+    :ivar after: the path after the last order, empty before it
+    :ivar failure: why that was not carried out
+    """
+
+    before: tuple[backends.Stage, ...]
+    affected: set[int]
+    failed: list[ids.ServerId] = dataclasses.field(default_factory=list)
+    after: tuple[backends.Stage, ...] = ()
+    failure: failures.Failure | None = None
+
+    def learn(self, address: ids.Address) -> bool:
+        """Take over which server an order failed at.
+
+        Returns whether another order may help.
+        """
+        for index, stage in enumerate(self.before):
+            if stage.server.address == address:
+                self.affected.add(index)
+                return index != 0
+        for stage in self.after:
+            if stage.server.address == address:
+                self.failed.append(stage.server.id)
+                return True
+        return False
+
+
+class Rerouter:
+    """Changes paths of this gateway's streams."""
+
+    def __init__(
+        self,
+        fleet: view.View,
+        engines: interfaces.EngineClient,
+        selector: path_selector.PathSelector,
+        connections: probes.ConnectionProbes,
+        measures: metrics.Metrics,
+    ):
+        """Create a rerouter without state; attempts keep theirs."""
+        self._view = fleet
+        self._engines = engines
+        self._selector = selector
+        self._connections = connections
+        self._metrics = measures
+
+    def prepare(
+        self, job: jobs.Job, attempt: stream_attempts.StreamAttempt
+    ) -> None:
+        """Let an attempt be looked at early where paths may change."""
+        if self._is_on(job):
+            attempt.check_early(
+                lambda longest_pause: decision.check_seconds(
+                    job.route.gap_objective_seconds, longest_pause
+                ),
+                RECHECK_SECONDS,
+            )
+
+    def _is_on(self, job: jobs.Job) -> bool:
+        return self._view.admission_policy(job.service.id).is_contended
+
+    def keep(
+        self, job: jobs.Job, attempt: stream_attempts.StreamAttempt
+    ) -> bool:
+        """Change the path of a silent attempt if that helps.
+
+        Returns whether the attempt is expected to go on.
+        """
+        if not self._is_on(job) or len(attempt.path) < 2:
+            return False
+        if attempt.is_rerouting:
+            return True
+        inactive = [
+            stage.server
+            for stage in attempt.path
+            if not self._is_active(stage, attempt)
+        ]
+        self._connections.ask(inactive, job.id)
+        affected = decision.affected_stages(
+            [self._state_of(stage, attempt) for stage in attempt.path],
+            attempt.path_changes,
+        )
+        if affected:
+            attempt.is_rerouting = True
+            attempt.path_changes += 1
+            eventlet.spawn_n(self._reroute, job, attempt, affected)
+            return True
+        return timers.now() < attempt.rerouted_at + SETTLE_SECONDS
+
+    def _is_active(
+        self, stage: backends.Stage, attempt: stream_attempts.StreamAttempt
+    ) -> bool:
+        return self._view.all_active_since(
+            [stage.server.id], attempt.silent_since
+        )
+
+    def _state_of(
+        self, stage: backends.Stage, attempt: stream_attempts.StreamAttempt
+    ) -> decision.StageState:
+        server = stage.server.id
+        return decision.StageState(
+            self._view.is_lost(server),
+            self._connections.unanswered_seconds(server),
+            self._is_active(stage, attempt)
+            or self._connections.has_accepted_since(
+                server, attempt.silent_since
+            ),
+        )
+
+    def _reroute(
+        self,
+        job: jobs.Job,
+        attempt: stream_attempts.StreamAttempt,
+        affected: tuple[int, ...],
+    ) -> None:
+        change = _Change(attempt.path, set(affected))
+        try:
+            self._change_path(job, attempt, change)
+        finally:
+            attempt.is_rerouting = False
+        is_changed = bool(change.after) and change.failure is None
+        self._metrics.count(
+            'streams.path_changed'
+            if is_changed
+            else 'streams.path_change_failed'
+        )
+        LOG.info(
+            'path of a stream is changed'
+            if is_changed
+            else 'path of a stream is not changed',
+            extra={
+                'request': job.id,
+                'path': [s.server.id for s in change.before],
+                'affected': [
+                    change.before[i].server.id for i in sorted(change.affected)
+                ],
+                'new': [
+                    f'{s.server.id}={s.first}-{s.end}'
+                    for s in change.after
+                    if s not in change.before
+                ],
+                'last_event': attempt.last_event_id,
+                'silent': round(attempt.silent_seconds, 3),
+                'failed': change.failed,
+                'outcome': str(change.failure) if change.failure else '',
+            },
+        )
+
+    def _change_path(
+        self,
+        job: jobs.Job,
+        attempt: stream_attempts.StreamAttempt,
+        change: _Change,
+    ) -> None:
+        """Order the change, with other servers if some can't take part."""
+        for _ in range(MAX_ORDERS):
+            change.after = self._selector.find_detour(
+                job, change.before, change.affected, change.failed
+            )
+            if not change.after or not attempt.change_path(change.after):
+                return
+            change.failure = self._engines.change_path(job.id, change.after)
+            if (
+                change.failure is None
+                or change.failure.outcome is outcomes.Outcome.UNKNOWN
+            ):
+                # An order without an answer may be carried out.
+                attempt.rerouted_at = timers.now()
+                return
+            attempt.change_path(change.before)
+            if not change.learn(change.failure.peer):
+                return
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -47,6 +47,8 @@
 from burdockmast.gateway.intake import held_bytes
 from burdockmast.gateway.intake import limits
 from burdockmast.gateway.intake import shared
+from burdockmast.gateway.rerouting import probes
+from burdockmast.gateway.rerouting import rerouter
 
 LOG = logs.get('gateway')
 
@@ -207,6 +209,8 @@
             full=self._full,
             balance=balance,
         )
+        connections = probes.ConnectionProbes(self.view, server_reports)
+        self._servers.on_change.append(connections.drop_unlisted)
         self._neighbour_link = neighbour_link.NeighbourLink(
             gateway_settings.neighbours_address,
             self._neighbours,
@@ -250,6 +254,13 @@
                 self._limits,
                 self._leaving,
                 self._replies,
+                rerouter.Rerouter(
+                    self.view,
+                    platform.engines,
+                    self._path_selector,
+                    connections,
+                    self._metrics,
+                ),
             ),
             budget,
             self._uploads,
--- a/libs/gateway/burdockmast/gateway/stream_attempts.py
+++ b/libs/gateway/burdockmast/gateway/stream_attempts.py
@@ -84,6 +84,9 @@
     :ivar limit_seconds: see ``silence.Silence``
     :ivar keep_waiting: called again and again while nothing arrives; false
         ends the attempt
+    :ivar is_rerouting: its path is being changed
+    :ivar path_changes: of its path so far
+    :ivar rerouted_at: monotonic seconds of the last change
     :ivar forwards_errors: called for an error reply; true forwards it to the
         caller, false makes it a failure
     """
@@ -102,6 +105,9 @@
         self.has_crashed = False
         self.silent_since = timers.now()
         self.limit_seconds = FIRST_EVENT_TIMEOUT_SECONDS
+        self.is_rerouting = False
+        self.path_changes = 0
+        self.rerouted_at = float('-inf')
         self.keep_waiting: Callable[[], bool] = lambda: job.seconds_left > 0
         self.forwards_errors: Callable[[], bool] = lambda: False
         self._dependencies = dependencies
@@ -114,6 +120,10 @@
         self._first_event_at: float | None = None
         self._event_count = 0
         self._longest_pause = 0.0
+        self._has_ended = False
+        self._check_seconds: Callable[[float], float] = lambda longest_pause: (
+            silence.CHECK_SECONDS
+        )
         self._buffer: buffers.Buffer | None = None
         self._items = self._run()
         self._received: list[Events | jobs.Reply] = []
@@ -123,6 +133,31 @@
         """The servers of the path."""
         return [stage.server.id for stage in self.path]
 
+    @property
+    def last_event_id(self) -> int | None:
+        """The id of the last event that was received."""
+        return self._last_event_id
+
+    def check_early(
+        self,
+        check_seconds: Callable[[float], float],
+        recheck_seconds: float,
+    ) -> None:
+        """Call ``keep_waiting`` after less silence than usual.
+
+        :param check_seconds: returns the silence for the longest pause so far
+        """
+        self._check_seconds = check_seconds
+        self._exchange.recheck_seconds = recheck_seconds
+
+    def change_path(self, path: tuple[backends.Stage, ...]) -> bool:
+        """Account for the attempt on another path, unless it has ended."""
+        if self._has_ended:
+            return False
+        self._dependencies.path_selector.move(self._job, self.path, path)
+        self.path = path
+        return True
+
     @property
     def has_events(self) -> bool:
         """Whether events were received."""
@@ -190,6 +225,7 @@
             exchange.close()
             self._buffer.close()
             deps.suspects.untrack(self._tracked)
+            self._has_ended = True
             deps.path_selector.release(self._job, self.path)
         self._log_end(failure)
         return failure
@@ -320,7 +356,7 @@
         ):
             if not self.keep_waiting():
                 return False
-            seconds = upstream.SILENCE_RECHECK_SECONDS
+            seconds = self._exchange.recheck_seconds
         return True
 
     def _forward_error_reply(
@@ -352,7 +388,8 @@
                 data = exchange.read_some(
                     min(
                         self._job.deadline,
-                        self.silent_since + silence.CHECK_SECONDS,
+                        self.silent_since
+                        + self._check_seconds(self._longest_pause),
                     ),
                     self._keep_waiting,
                 )
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -35,6 +35,7 @@
 from burdockmast.gateway import suspect_trials
 from burdockmast.gateway import upstream
 from burdockmast.gateway import view
+from burdockmast.gateway.rerouting import rerouter as rerouting
 
 LOG = logs.get('streams')
 
@@ -64,6 +65,7 @@
         limits: server_limits.ServerLimits,
         leaving: leaving_servers.LeavingServers,
         replies: buffers.BufferPool,
+        rerouter: rerouting.Rerouter,
     ):
         """Create a proxy that chooses paths and retries within the budget.
 
@@ -75,6 +77,7 @@
         self._path_selector = selector
         self._metrics = measures
         self._suspects = suspects
+        self._rerouter = rerouter
         self._dependencies = stream_attempts.Dependencies(
             fleet,
             header_codec,
@@ -140,13 +143,15 @@
         if not path or (progress.current and self._is_unresponsive(path)):
             return self._path_selector.no_path_failure(job)
         progress.attempts += 1
-        return stream_attempts.StreamAttempt(
+        attempt = stream_attempts.StreamAttempt(
             self._dependencies,
             job,
             path,
             progress.fingerprints,
             progress.last_event_id,
         )
+        self._rerouter.prepare(job, attempt)
+        return attempt
 
     def _is_unresponsive(self, path: tuple[backends.Stage, ...]) -> bool:
         """Return whether a path would be as silent as another one."""
@@ -252,6 +257,10 @@
         ):
             return False
         attempt.fetch_reports()
+        if self._rerouter.keep(job, attempt):
+            return True
+        if attempt.silent_seconds < silence.CHECK_SECONDS:
+            return True
         found = self._silence(job, attempt, progress)
         if (
             timers.now() >= progress.next_standby_at
--- a/libs/gateway/burdockmast/gateway/upstream.py
+++ b/libs/gateway/burdockmast/gateway/upstream.py
@@ -98,6 +98,7 @@
     deadline: float = math.inf
     bytes_left: int = MAX_BYTES_PER_READ
     has_ended: bool = False
+    recheck_seconds: float = SILENCE_RECHECK_SECONDS
     should_keep_waiting: Callable[[], bool] | None = None
     _immediate_reads: int = 0
     _turn_began_at: float = 0.0
@@ -201,7 +202,7 @@
     def _extend_deadline(self) -> None:
         if self.should_keep_waiting is None or not self.should_keep_waiting():
             raise TimeoutError('no complete data within the time limit')
-        self.deadline = timers.now() + SILENCE_RECHECK_SECONDS
+        self.deadline = timers.now() + self.recheck_seconds
 
     def _wait(self) -> None:
         self._immediate_reads = 0
@@ -247,6 +248,15 @@
         # Kept here as HTTPConnection drops its reference after the reply head.
         self._sock = BoundedSocket(socket.AF_INET, socket.SOCK_STREAM)
 
+    @property
+    def recheck_seconds(self) -> float:
+        """Interval at which a wait for a silent server is reconsidered."""
+        return self._sock.recheck_seconds
+
+    @recheck_seconds.setter
+    def recheck_seconds(self, seconds: float) -> None:
+        self._sock.recheck_seconds = seconds
+
     def send(
         self,
         request: interfaces.CallerRequest,
--- a/libs/gateway/burdockmast/gateway/view.py
+++ b/libs/gateway/burdockmast/gateway/view.py
@@ -287,6 +287,10 @@
         """
         return self._states.failed_since(servers, since)
 
+    def is_lost(self, server: ids.ServerId) -> bool:
+        """Return whether a server was found lost."""
+        return self._states.state(server) is server_states.State.LOST
+
     def rest(self, server: ids.ServerId, reason: str, request: str) -> None:
         """Give a server that refused a request a rest from new ones."""
         self._rests_until[server] = timers.now() + REST_SECONDS
--- a/libs/platform/burdockmast/platform/engine_client.py
+++ b/libs/platform/burdockmast/platform/engine_client.py
@@ -26,6 +26,7 @@
 # answer within some milliseconds.
 TIMEOUT_SECONDS = 0.5
 REPORT_TIMEOUT_SECONDS = 0.3
+PATH_TIMEOUT_SECONDS = 0.3
 # Largest response that is read.
 MAX_RESPONSE_BYTES = 1024 * 1024
 # Largest slowdown of a server that may still answer.
@@ -71,6 +72,12 @@
         )
 
 
+class _Conflict(msgspec.Struct, frozen=True):
+    """Why a server can't carry out an order: the server at ``address``."""
+
+    address: str = ''
+
+
 class _Response(NamedTuple):
     """A complete response of a server."""
 
@@ -124,6 +131,34 @@
             f'status {response.status}: {response.data[:200]!r}',
         )
 
+    def change_path(
+        self, request: ids.RequestId, path: tuple[backends.Stage, ...]
+    ) -> failures.Failure | None:
+        """Order the first server of a running request to change its path."""
+        server = path[0].server
+        order = {
+            'op': 'repath',
+            'id': request,
+            'path': headers.format_path(path),
+        }
+        response = self._call(
+            'POST',
+            server,
+            ORDER_PATH,
+            msgspec.json.encode(order),
+            PATH_TIMEOUT_SECONDS,
+        )
+        if isinstance(response, failures.Failure):
+            return response
+        if response.status in (HTTP_OK, HTTP_ACCEPTED):
+            return None
+        return failures.Failure(
+            failures.Reason.ENGINE_REFUSED,
+            'engine.path',
+            _named_address(response.data) or server.address,
+            f'status {response.status}: {response.data[:200]!r}',
+        )
+
     def fetch_report(
         self,
         server: backends.BackendServer,
@@ -227,3 +262,11 @@
             )
         finally:
             exchange.close()
+
+
+def _named_address(data: bytes) -> str:
+    """Return the address in the body of a refusal, empty if there is none."""
+    try:
+        return msgspec.json.decode(data, type=_Conflict).address
+    except json_lists.DECODE_ERRORS:
+        return ''
--- /dev/null
+++ b/tests/test_gateway_rerouting.py
@@ -0,0 +1,269 @@
+"""Running answers leave lost servers without a new attempt."""
+
+import dataclasses
+import types
+
+import eventlet
+import pytest
+import test_gateway_paths as fleets
+
+from burdockmast.base import failures
+from burdockmast.base import metrics
+from burdockmast.base import outcomes
+from burdockmast.gateway import backends
+from burdockmast.gateway import crossings
+from burdockmast.gateway.rerouting import decision
+from burdockmast.gateway.rerouting import detours
+from burdockmast.gateway.rerouting import rerouter
+
+RUNS = decision.StageState(False, 0.0, True)
+LOST = decision.StageState(True, 0.0, False)
+UNREACHABLE = decision.StageState(False, 0.05, False)
+# Its connection is only slower than a round trip.
+CONNECTING = decision.StageState(False, 0.01, False)
+
+
+@pytest.mark.parametrize(
+    'stages, changes, affected',
+    [
+        ([RUNS, RUNS, RUNS], 0, ()),
+        ([RUNS, LOST, RUNS], 0, (1,)),
+        ([RUNS, LOST, UNREACHABLE], 0, (1,)),
+        ([RUNS, UNREACHABLE, RUNS], 0, (1,)),
+        ([RUNS, UNREACHABLE, UNREACHABLE], 1, (1, 2)),
+        # The first server holds the answer.
+        ([LOST, LOST, RUNS], 0, ()),
+        ([UNREACHABLE, RUNS], 0, ()),
+        # It is not known that the others run.
+        ([RUNS, UNREACHABLE, CONNECTING], 0, ()),
+        # The gateway itself is cut off, or too busy to connect.
+        ([RUNS, UNREACHABLE, UNREACHABLE, UNREACHABLE], 0, ()),
+        # A request that ends its servers ends no more of them.
+        ([RUNS, LOST, RUNS], 2, ()),
+    ],
+)
+def test_only_servers_that_are_lost_alone_are_replaced(
+    stages, changes, affected
+):
+    assert decision.affected_stages(stages, changes) == affected
+
+
+@pytest.mark.parametrize(
+    'objective, longest_pause, seconds',
+    [
+        (0.25, 0.0, 0.1),
+        (0.25, 0.06, 0.1),
+        (0.25, 0.12, 0.18),
+        (0.25, 0.9, 0.2),
+        (0.0, 0.0, 0.2),
+        (5.0, 0.0, 0.2),
+    ],
+)
+def test_a_silent_answer_is_looked_at_in_time_for_its_objective(
+    objective, longest_pause, seconds
+):
+    found = decision.check_seconds(objective, longest_pause)
+    assert found == pytest.approx(seconds)
+
+
+def stages(*held):
+    """Return a path of servers named by their position."""
+    return tuple(
+        backends.Stage(fleets.server(f's{index}', held=layers), *layers)
+        for index, layers in enumerate(held)
+    )
+
+
+PATH = stages((0, 20), (20, 40), (40, 60), (60, 80))
+SPARES = [
+    fleets.server('spare', held=(15, 50)),
+    fleets.server('late', held=(50, 80)),
+]
+
+
+def search(spares):
+    """Return a search among servers; each room and crossing is recorded."""
+    asked = []
+
+    def run(layers, before, room, crossing):
+        asked.append((layers, before.server.id, room, crossing))
+        return fleets.path(spares, layers=layers)
+
+    run.asked = asked
+    return run
+
+
+def test_neighbouring_lost_servers_are_replaced_together():
+    found = detours.find(PATH, {1, 2}, search(SPARES))
+    assert found[0] == PATH[0]
+    assert found[-1] == PATH[3]
+    fleets.assert_runs_every_layer_once(found)
+    assert {s.server.id for s in found[1:-1]} == {'spare', 'late'}
+
+
+@pytest.mark.parametrize(
+    'affected, spares',
+    [
+        ({0}, SPARES),
+        (set(), SPARES),
+        ({1}, SPARES[1:]),
+        # One server can't stand on a path twice.
+        ({1, 3}, [fleets.server('only', held=(0, 80))]),
+    ],
+)
+def test_no_path_is_returned_that_engines_would_reject(affected, spares):
+    assert detours.find(PATH, affected, search(spares)) == ()
+
+
+def test_other_zones_are_asked_last():
+    asking = search([])
+    detours.find(PATH, {2}, asking)
+    layers = backends.LayerRange(40, 60)
+    assert [a[0] for a in asking.asked] == [layers] * 3
+    assert [a[3] for a in asking.asked] == [
+        crossings.Crossing.NONE,
+        crossings.Crossing.NONE,
+        crossings.Crossing.FREE,
+    ]
+
+
+@dataclasses.dataclass
+class Attempt:
+    """A silent attempt, and the paths that it was accounted for."""
+
+    path: tuple = PATH
+    silent_since: float = 0.0
+    silent_seconds: float = 0.1
+    is_rerouting: bool = False
+    path_changes: int = 0
+    rerouted_at: float = float('-inf')
+    last_event_id: int = 7
+    has_ended: bool = False
+
+    def change_path(self, path):
+        if not self.has_ended:
+            self.path = path
+        return not self.has_ended
+
+
+class Fleet:
+    """A view, a selector, an engine and probes with given answers."""
+
+    def __init__(self, lost, answers):
+        self.lost = set(lost)
+        self.answers = list(answers)
+        self.orders = []
+        self.asked = []
+        spares = {'spare': (20, 60), 'other': (20, 60)}
+        self.spares = [
+            fleets.server(name, held=held) for name, held in spares.items()
+        ]
+
+    def admission_policy(self, service):
+        return types.SimpleNamespace(is_contended=True)
+
+    def is_lost(self, server):
+        return server in self.lost
+
+    def all_active_since(self, servers, since):
+        return not self.lost & set(servers)
+
+    def unanswered_seconds(self, server):
+        return 0.0
+
+    def has_accepted_since(self, server, since):
+        return server not in self.lost
+
+    def ask(self, servers, request):
+        self.asked += [server.id for server in servers]
+
+    def find_detour(self, job, path, affected, failed):
+        spares = [s for s in self.spares if s.id not in failed]
+        return detours.find(path, affected, search(spares))
+
+    def change_path(self, request, path):
+        self.orders.append([stage.server.id for stage in path])
+        return self.answers.pop(0)
+
+    def rerouter(self):
+        return rerouter.Rerouter(self, self, self, self, metrics.Metrics())
+
+
+JOB = types.SimpleNamespace(
+    id='r1', service=types.SimpleNamespace(id='draft'), route=None
+)
+
+
+def refused_by(address):
+    return failures.Failure(
+        failures.Reason.ENGINE_REFUSED, 'engine.path', address
+    )
+
+
+def look_at(fleet, attempt):
+    """Look at a silent attempt, and let the order be answered."""
+    keeps = fleet.rerouter().keep(JOB, attempt)
+    eventlet.sleep(0)
+    eventlet.sleep(0)
+    return keeps
+
+
+def test_a_lost_server_is_replaced_and_the_others_stay():
+    fleet, attempt = Fleet({'s1'}, [None]), Attempt()
+    assert look_at(fleet, attempt)
+    assert fleet.asked == ['s1']
+    assert [s.server.id for s in attempt.path] in (
+        ['s0', 'spare', 's2', 's3'],
+        ['s0', 'other', 's2', 's3'],
+    )
+    fleets.assert_runs_every_layer_once(attempt.path)
+    assert not attempt.is_rerouting
+    assert look_at(fleet, Attempt()) and len(fleet.orders) == 2
+
+
+def test_a_kept_server_that_the_engine_finds_lost_is_replaced_as_well():
+    fleet, attempt = Fleet({'s1'}, [refused_by('s2:1'), None]), Attempt()
+    look_at(fleet, attempt)
+    assert len(fleet.orders) == 2
+    assert not {'s1', 's2'} & {s.server.id for s in attempt.path}
+    fleets.assert_runs_every_layer_once(attempt.path)
+
+
+def test_a_server_without_room_is_not_asked_again():
+    fleet, attempt = Fleet({'s1'}, []), Attempt()
+    fleet.answers = [refused_by('spare:1'), None]
+    fleet.spares.pop()
+    look_at(fleet, attempt)
+    assert len(fleet.orders) == 1
+    assert attempt.path == PATH
+
+
+@pytest.mark.parametrize(
+    'refusal, is_kept',
+    [
+        # The first server doesn't know the request, or can't change it.
+        (refused_by('s0:1'), True),
+        # The order may be carried out later.
+        (
+            failures.Failure(
+                failures.Reason.ENGINE_LOST,
+                'engine.order',
+                's0',
+                outcome=outcomes.Outcome.UNKNOWN,
+            ),
+            False,
+        ),
+    ],
+)
+def test_a_path_counts_as_changed_only_if_it_may_be(refusal, is_kept):
+    fleet, attempt = Fleet({'s1'}, [refusal]), Attempt()
+    look_at(fleet, attempt)
+    assert len(fleet.orders) == 1
+    assert (attempt.path == PATH) is is_kept
+
+
+def test_an_attempt_that_has_ended_is_not_accounted_for_again():
+    fleet, attempt = Fleet({'s1'}, [None]), Attempt(has_ended=True)
+    look_at(fleet, attempt)
+    assert attempt.path == PATH
+    assert fleet.orders == []
