Replace servers that end after they were last seen to run

A server counted as running for a whole silence once it had accepted a probe, or relayed an event of another answer, since 0.25 s before the silence began. One whose host ended later was never found unreachable, nor probed: most answers end their events before the last answer that passes the same server. A server is now unreachable if it neither accepts the latest probe nor relays an event after it, and is probed if it has relayed none for 0.1 s.

--- a/libs/gateway/burdockmast/gateway/rerouting/decision.py
+++ b/libs/gateway/burdockmast/gateway/rerouting/decision.py
@@ -34,9 +34,10 @@
     """What is known of a server on the path of a silent answer.
 
     :ivar is_lost: it was found lost
-    :ivar unanswered_seconds: for which it has not accepted a connection
-    :ivar is_running: it has accepted one, or sent events, since the silence
-        began
+    :ivar unanswered_seconds: for which it has not accepted the latest
+        connection, nor relayed events since
+    :ivar is_running: it has accepted one, or relayed events, since the
+        silence began; it may have ended after that
     """
 
     is_lost: bool
@@ -46,9 +47,7 @@
     @property
     def is_unreachable(self) -> bool:
         """Whether the server does not accept connections."""
-        return (
-            not self.is_running and self.unanswered_seconds >= CONNECT_SECONDS
-        )
+        return self.unanswered_seconds >= CONNECT_SECONDS
 
 
 def check_seconds(pause_objective: float, longest_pause: float) -> float:
--- a/libs/gateway/burdockmast/gateway/rerouting/probes.py
+++ b/libs/gateway/burdockmast/gateway/rerouting/probes.py
@@ -66,10 +66,15 @@
         return accepted_at >= since - INTERVAL_SECONDS
 
     def unanswered_seconds(self, server: ids.ServerId) -> float:
-        """Return for how long the latest probe has not been accepted."""
+        """Return for how long the latest probe has not been accepted.
+
+        It is 0 if the server has relayed an event since the probe began.
+        """
         began_at = self._began_at.get(server)
-        if began_at is None or began_at <= self._accepted_at.get(
-            server, float('-inf')
+        if (
+            began_at is None
+            or began_at <= self._accepted_at.get(server, float('-inf'))
+            or self._view.all_active_since([server], began_at)
         ):
             return 0.0
         return timers.now() - began_at
--- a/libs/gateway/burdockmast/gateway/rerouting/rerouter.py
+++ b/libs/gateway/burdockmast/gateway/rerouting/rerouter.py
@@ -23,6 +23,10 @@
 
 # Interval at which a silent attempt is looked at again.
 RECHECK_SECONDS = 0.02
+# Time for which an event shows that the servers of its path run. Most servers
+# relay events of other answers after the last event of a silent one, and may
+# have ended after that.
+ACTIVE_SECONDS = 0.1
 # Time that a changed path gets for its next event before a new attempt is
 # considered.
 SETTLE_SECONDS = 0.3
@@ -106,10 +110,11 @@
             return False
         if attempt.is_rerouting:
             return True
+        since = max(attempt.silent_since, timers.now() - ACTIVE_SECONDS)
         inactive = [
             stage.server
             for stage in attempt.path
-            if not self._is_active(stage, attempt)
+            if not self._view.all_active_since([stage.server.id], since)
         ]
         self._connections.ask(inactive, job.id)
         affected = decision.affected_stages(
@@ -123,13 +128,6 @@
             return True
         return timers.now() < attempt.rerouted_at + SETTLE_SECONDS
 
-    def _is_active(
-        self, stage: backends.Stage, attempt: stream_attempts.StreamAttempt
-    ) -> bool:
-        return self._view.all_active_since(
-            [stage.server.id], attempt.silent_since
-        )
-
     def _state_of(
         self, stage: backends.Stage, attempt: stream_attempts.StreamAttempt
     ) -> decision.StageState:
@@ -137,7 +135,7 @@
         return decision.StageState(
             self._view.is_lost(server),
             self._connections.unanswered_seconds(server),
-            self._is_active(stage, attempt)
+            self._view.all_active_since([server], attempt.silent_since)
             or self._connections.has_accepted_since(
                 server, attempt.silent_since
             ),
--- a/tests/test_gateway_rerouting.py
+++ b/tests/test_gateway_rerouting.py
@@ -1,6 +1,8 @@
 """Running answers leave lost servers without a new attempt."""
 
+import contextlib
 import dataclasses
+import socket
 import types
 
 import eventlet
@@ -10,10 +12,13 @@
 from burdockmast.base import failures
 from burdockmast.base import metrics
 from burdockmast.base import outcomes
+from burdockmast.base import timers
 from burdockmast.gateway import backends
 from burdockmast.gateway import crossings
+from burdockmast.gateway import server_states
 from burdockmast.gateway.rerouting import decision
 from burdockmast.gateway.rerouting import detours
+from burdockmast.gateway.rerouting import probes
 from burdockmast.gateway.rerouting import rerouter
 
 RUNS = decision.StageState(False, 0.0, True)
@@ -30,6 +35,8 @@
         ([RUNS, LOST, RUNS], 0, (1,)),
         ([RUNS, LOST, UNREACHABLE], 0, (1,)),
         ([RUNS, UNREACHABLE, RUNS], 0, (1,)),
+        # It ran when the silence began.
+        ([RUNS, decision.StageState(False, 0.05, True), RUNS], 0, (1,)),
         ([RUNS, UNREACHABLE, UNREACHABLE], 1, (1, 2)),
         # The first server holds the answer.
         ([LOST, LOST, RUNS], 0, ()),
@@ -152,6 +159,7 @@
     def __init__(self, lost, answers):
         self.lost = set(lost)
         self.answers = list(answers)
+        self.active_at = {}
         self.orders = []
         self.asked = []
         spares = {'spare': (20, 60), 'other': (20, 60)}
@@ -166,7 +174,11 @@
         return server in self.lost
 
     def all_active_since(self, servers, since):
-        return not self.lost & set(servers)
+        return all(
+            server not in self.lost
+            and since <= self.active_at.get(server, float('inf'))
+            for server in servers
+        )
 
     def unanswered_seconds(self, server):
         return 0.0
@@ -267,3 +279,76 @@
     look_at(fleet, attempt)
     assert attempt.path == PATH
     assert fleet.orders == []
+
+
+def test_a_server_that_relayed_events_after_the_last_one_is_asked():
+    """It may have died just after it, unlike one that still relays some."""
+    fleet, attempt = Fleet(set(), []), Attempt(silent_since=timers.now() - 0.5)
+    fleet.active_at = {'s1': timers.now() - 0.4}
+    assert not look_at(fleet, attempt)
+    assert fleet.asked == ['s1']
+
+
+class ProbedFleet:
+    """A view and reports that record what probes find."""
+
+    def __init__(self):
+        self.active_at = float('-inf')
+        self.failures = []
+
+    def all_active_since(self, servers, since):
+        return self.active_at >= since
+
+    def record_failure(self, server, evidence, reason, request):
+        self.failures.append(evidence)
+
+    def record_lost(self, server):
+        self.failures.append(server)
+
+
+@pytest.fixture
+def probed():
+    fleet = ProbedFleet()
+    return fleet, probes.ConnectionProbes(fleet, fleet)
+
+
+def target(port=1):
+    found = fleets.server('s1', held=(20, 40))
+    return dataclasses.replace(found, address=f'127.0.0.1:{port}')
+
+
+@pytest.fixture
+def full_listener():
+    """Return the address of a host that answers no more connections."""
+    with socket.socket() as listener, contextlib.ExitStack() as stack:
+        listener.bind(('127.0.0.1', 0))
+        listener.listen(0)
+        for _ in range(3):
+            sock = stack.enter_context(socket.socket())
+            sock.setblocking(False)
+            sock.connect_ex(listener.getsockname())
+        yield listener.getsockname()[1]
+
+
+def test_a_server_counts_as_unreachable_only_until_it_relays_an_event(
+    probed, full_listener
+):
+    """A probe that was accepted earlier says nothing about it."""
+    fleet, connections = probed
+    connections.ask([target(full_listener)], 'r1')
+    eventlet.sleep(0.05)
+    assert connections.unanswered_seconds('s1') > 0.03
+    fleet.active_at = timers.now()
+    assert connections.unanswered_seconds('s1') == 0
+    fleet.active_at = float('-inf')
+    eventlet.sleep(0.25)
+    assert connections.unanswered_seconds('s1') > 0.25
+
+
+def test_a_refused_connection_is_reported(probed):
+    fleet, connections = probed
+    with socket.socket() as closed:
+        closed.bind(('127.0.0.1', 0))
+        connections.ask([target(closed.getsockname()[1])], 'r1')
+        eventlet.sleep(0.05)
+    assert fleet.failures[0] is server_states.Evidence.CONNECTION_REFUSED
