Don't take a held up gateway for an unreachable server

The time of a probe counted from the order to start it until its task had seen the connection. If the event loop or the process was held up for more than 0.03 s in between, sound servers were replaced, since expired timers run before sockets are looked at. The time now counts from the call to connect, and the kernel is asked whether the connection is made.

--- a/libs/gateway/burdockmast/gateway/rerouting/probes.py
+++ b/libs/gateway/burdockmast/gateway/rerouting/probes.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Iterable
+import dataclasses
 import socket
 
 import eventlet
@@ -23,6 +24,33 @@
 INTERVAL_SECONDS = 0.25
 
 
+@dataclasses.dataclass(slots=True)
+class _Probe:
+    """The latest probe of a server.
+
+    :ivar began_at: monotonic seconds at which it was ordered, or at which it
+        began to connect
+    :ivar sock: that connects, None before it does
+    """
+
+    began_at: float
+    sock: upstream.BoundedSocket | None = None
+
+    def is_unanswered(self) -> bool:
+        """Return whether the server has not accepted the connection.
+
+        The kernel is asked: the event loop, or the whole process, may have
+        been held up since the connection was made.
+        """
+        if self.sock is None:
+            return False
+        try:
+            self.sock.getpeername()
+        except OSError:
+            return True
+        return False
+
+
 class ConnectionProbes:
     """Connections to servers that are opened only to see whether they run."""
 
@@ -36,9 +64,8 @@
         """
         self._view = fleet
         self._reports = server_reports
-        # Monotonic seconds at which the latest probe of a server began, and
-        # at which it last accepted one.
-        self._began_at: dict[ids.ServerId, float] = {}
+        self._latest: dict[ids.ServerId, _Probe] = {}
+        # Monotonic seconds at which a server last accepted a probe.
         self._accepted_at: dict[ids.ServerId, float] = {}
 
     def ask(
@@ -50,10 +77,10 @@
         """
         now = timers.now()
         for server in servers:
-            began_at = self._began_at.get(server.id)
-            if began_at is None or now >= began_at + INTERVAL_SECONDS:
-                self._began_at[server.id] = now
-                eventlet.spawn_n(self._probe, server, request)
+            latest = self._latest.get(server.id)
+            if latest is None or now >= latest.began_at + INTERVAL_SECONDS:
+                probe = self._latest[server.id] = _Probe(now)
+                eventlet.spawn_n(self._run, probe, server, request)
 
     def has_accepted_since(self, server: ids.ServerId, since: float) -> bool:
         """Return whether a server is known to run since a time.
@@ -70,41 +97,59 @@
 
         It is 0 if the server has relayed an event since the probe began.
         """
-        began_at = self._began_at.get(server)
+        probe = self._latest.get(server)
         if (
-            began_at is None
-            or began_at <= self._accepted_at.get(server, float('-inf'))
-            or self._view.all_active_since([server], began_at)
+            probe is None
+            or not probe.is_unanswered()
+            or self._view.all_active_since([server], probe.began_at)
         ):
             return 0.0
-        return timers.now() - began_at
+        return timers.now() - probe.began_at
 
     def drop_unlisted(self) -> None:
         """Drop what is known of servers that are no longer listed."""
-        for known in (self._began_at, self._accepted_at):
+        for known in (self._latest, self._accepted_at):
             for server in list(known):
                 if self._view.server(server) is None:
                     del known[server]
 
-    def _probe(
-        self, server: backends.BackendServer, request: ids.RequestId
+    def _run(
+        self,
+        probe: _Probe,
+        server: backends.BackendServer,
+        request: ids.RequestId,
     ) -> None:
-        with upstream.BoundedSocket(
-            socket.AF_INET, socket.SOCK_STREAM
-        ) as sock:
-            sock.settimeout(upstream.CONNECT_TIMEOUT_SECONDS)
-            try:
+        try:
+            with upstream.BoundedSocket(
+                socket.AF_INET, socket.SOCK_STREAM
+            ) as sock:
+                probe.sock = sock
+                # The event loop may have been busy since it was ordered.
+                probe.began_at = timers.now()
+                sock.settimeout(upstream.CONNECT_TIMEOUT_SECONDS)
                 sock.connect(addresses.split(server.address))
-            except ConnectionRefusedError as error:
-                self._view.record_failure(
-                    server.id,
-                    server_states.Evidence.CONNECTION_REFUSED,
-                    f'probe failed: {error}',
-                    request,
-                )
-                self._reports.record_lost(server.id)
-            except OSError:
-                # It may only be cut off; its age tells.
-                return
-            else:
                 self._accepted_at[server.id] = timers.now()
+                probe.sock = None
+        except ConnectionRefusedError as error:
+            self._record_failure(
+                server,
+                server_states.Evidence.CONNECTION_REFUSED,
+                str(error),
+                request,
+            )
+        except OSError:
+            # It may only be cut off. The closed socket keeps the probe
+            # unanswered.
+            return
+
+    def _record_failure(
+        self,
+        server: backends.BackendServer,
+        evidence: server_states.Evidence,
+        reason: str,
+        request: ids.RequestId,
+    ) -> None:
+        self._view.record_failure(
+            server.id, evidence, f'probe failed: {reason}', request
+        )
+        self._reports.record_lost(server.id)
--- a/tests/test_gateway_rerouting.py
+++ b/tests/test_gateway_rerouting.py
@@ -3,6 +3,7 @@
 import contextlib
 import dataclasses
 import socket
+import time
 import types
 
 import eventlet
@@ -352,3 +353,20 @@
         connections.ask([target(closed.getsockname()[1])], 'r1')
         eventlet.sleep(0.05)
     assert fleet.failures[0] is server_states.Evidence.CONNECTION_REFUSED
+
+
+def test_a_gateway_that_is_held_up_finds_no_server_unreachable(probed):
+    """Its event loop has not yet seen that the connection was made."""
+    fleet, connections = probed
+    with socket.socket() as listener:
+        listener.bind(('127.0.0.1', 0))
+        listener.listen(8)
+        connections.ask([target(listener.getsockname()[1])], 'r1')
+        time.sleep(0.05)
+        assert connections.unanswered_seconds('s1') == 0
+        eventlet.sleep(0)
+        time.sleep(0.05)
+        assert connections.unanswered_seconds('s1') == 0
+        eventlet.sleep(0.02)
+    assert connections.has_accepted_since('s1', timers.now())
+    assert fleet.failures == []
