Don't take a lack of sockets for an unreachable server

A probe that failed for want of file descriptors or ports stayed unanswered, so that a server of which nothing is known was replaced. The error of the socket's creation also ended the task with a trace outside of the log. Such a probe is now void, and logged.

--- a/libs/gateway/burdockmast/gateway/rerouting/probes.py
+++ b/libs/gateway/burdockmast/gateway/rerouting/probes.py
@@ -13,6 +13,7 @@
 
 from burdockmast.base import addresses
 from burdockmast.base import ids
+from burdockmast.base import logs
 from burdockmast.base import timers
 from burdockmast.gateway import backends
 from burdockmast.gateway import reports
@@ -20,6 +21,8 @@
 from burdockmast.gateway import upstream
 from burdockmast.gateway import view
 
+LOG = logs.get('rerouting')
+
 # Least time between two probes of a server.
 INTERVAL_SECONDS = 0.25
 
@@ -30,7 +33,7 @@
 
     :ivar began_at: monotonic seconds at which it was ordered, or at which it
         began to connect
-    :ivar sock: that connects, None before it does
+    :ivar sock: that connects, None before it does and after a local error
     """
 
     began_at: float
@@ -137,10 +140,17 @@
                 str(error),
                 request,
             )
-        except OSError:
+        except TimeoutError:
             # It may only be cut off. The closed socket keeps the probe
             # unanswered.
             return
+        except OSError as error:
+            # Too many open files, for instance, say nothing about the server.
+            probe.sock = None
+            LOG.warning(
+                'server can not be probed',
+                extra={'server': server.id, 'reason': str(error)},
+            )
 
     def _record_failure(
         self,
--- a/tests/test_gateway_rerouting.py
+++ b/tests/test_gateway_rerouting.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import dataclasses
+import errno
 import socket
 import time
 import types
@@ -370,3 +371,18 @@
         eventlet.sleep(0.02)
     assert connections.has_accepted_since('s1', timers.now())
     assert fleet.failures == []
+
+
+def test_a_gateway_without_sockets_finds_no_server_unreachable(
+    probed, monkeypatch
+):
+    fleet, connections = probed
+
+    def fail(*args):
+        raise OSError(errno.EMFILE, 'too many open files')
+
+    monkeypatch.setattr(probes.upstream, 'BoundedSocket', fail)
+    connections.ask([target()], 'r1')
+    eventlet.sleep(0.05)
+    assert connections.unanswered_seconds('s1') == 0
+    assert fleet.failures == []
