Record servers that accept no connection as unresponsive

A probe that timed out was recorded nowhere. The answers left the server and went on, so that nothing asked for its report until another request had fallen silent there. It is now recorded as without an answer, as a timeout of a request's own connection is: others are preferred to it, and neighbours look at it. Any answer or event ends that.

--- a/libs/gateway/burdockmast/gateway/rerouting/probes.py
+++ b/libs/gateway/burdockmast/gateway/rerouting/probes.py
@@ -140,10 +140,11 @@
                 str(error),
                 request,
             )
-        except TimeoutError:
-            # It may only be cut off. The closed socket keeps the probe
-            # unanswered.
-            return
+        except TimeoutError as error:
+            # The closed socket keeps the probe unanswered.
+            self._record_failure(
+                server, server_states.Evidence.NO_ANSWER, str(error), request
+            )
         except OSError as error:
             # Too many open files, for instance, say nothing about the server.
             probe.sock = None
--- a/tests/test_gateway_rerouting.py
+++ b/tests/test_gateway_rerouting.py
@@ -332,10 +332,8 @@
         yield listener.getsockname()[1]
 
 
-def test_a_server_counts_as_unreachable_only_until_it_relays_an_event(
-    probed, full_listener
-):
-    """A probe that was accepted earlier says nothing about it."""
+def test_a_server_that_accepts_nothing_is_reported(probed, full_listener):
+    """Other requests would use it until a report is asked for, and late."""
     fleet, connections = probed
     connections.ask([target(full_listener)], 'r1')
     eventlet.sleep(0.05)
@@ -344,6 +342,7 @@
     assert connections.unanswered_seconds('s1') == 0
     fleet.active_at = float('-inf')
     eventlet.sleep(0.25)
+    assert fleet.failures == [server_states.Evidence.NO_ANSWER, 's1']
     assert connections.unanswered_seconds('s1') > 0.25
 
 
