Read the reply's head before the signal in the test of closed connections

test_connections_end_as_soon_as_a_stopping_gateway_reads_them_no_more[40] failed once with an AttributeError, as the test's connection had no socket. The test sent the stop signal once a server had the request. If the reply begins after the signal, its head announces the close, as it should, and http.client drops the socket that the test reads from. It is a fault of the test.

The test now reads the head before it sends the signal; what it checks is unchanged.

--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -229,9 +229,11 @@
     idle = [eventlet.connect((platform.host, 7000)) for _ in range(waiting)]
     connection = platform.connect()
     connection.request('POST', '/draft/x', headers=platform.headers())
-    platform.wait_for(lambda: platforms.requests_at(platform.engines))
+    # The head of a reply that begins after the signal announces the close,
+    # and the client then drops its socket, which this test reads from.
+    reply = connection.getresponse()
     platform.process.send_signal(signal.SIGTERM)
-    assert connection.getresponse().read() == platforms.events(1, 700)
+    assert reply.read() == platforms.events(1, 700)
     answered_at = timers.now()
     with eventlet.Timeout(platforms.TEST_TIMEOUT_SECONDS):
         assert not connection.sock.recv(1)
