Count the processes of a fleet by its layout in the test of watchers

test_change_spreads_although_all_watchers_have_died failed in 2 of 19 runs: not all processes at version 11 after 60 s. It is a fault of the test. It counted the processes that answered right after the start. A side process that did not listen yet was missing from the count and answered later, so that the number that the test waited for was never met.

The test now takes the processes and those that it kills from the fleet's layout, so that a process that does not answer can't lower the count either.

--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -59,10 +59,8 @@
 
 def test_change_spreads_although_all_watchers_have_died(own_fleet):
     fleet = own_fleet()
-    processes = len(statuses(fleet))
-    watchers = [
-        status.server for status in statuses(fleet) if status.role == 'side'
-    ][:4]
+    processes = len(fleet.servers) + len(fleet.entries)
+    watchers = [server.id for server in fleet.servers][:4]
     for server in watchers:
         fleet.kill(f'side-{server}')
     accepted = fleet.operate(put('next'))
