Play contention and deaths in the middle of paths in the gateway soak

Cause: the soak had one priority, one zone, engines without paths or memory, and no untrusted callers, so it could not find faults of admission control, of the balance between zones or of path changes.

Deaths are not counted as crashes on a prompt. A server that is down can not crash again, which would have started it twice.

--- a/libs/bench/burdockmast/bench/gateway_callers.py
+++ b/libs/bench/burdockmast/bench/gateway_callers.py
@@ -73,19 +73,21 @@
         rng: random.Random,
         until: float,
         routes: Callable[[], list[str]],
+        paths: tuple[str, ...] = LONG_PATHS,
     ) -> None:
         """Send requests with long answers, and some to routes that change.
 
         :param routes: returns the prefixes of routes that were added
+        :param paths: prefixes of routes with long answers
         """
         connection: http.client.HTTPConnection | None = None
         while timers.now() < until:
             eventlet.sleep(PAUSE_SECONDS * rng.uniform(0.5, 1.5))
-            path = rng.choice([*LONG_PATHS, *routes()[-1:]])
+            path = rng.choice([*paths, *routes()[-1:]])
             try:
                 if connection is None or _has_ended(connection):
                     connection = self._connect(gateway)
-                self._ask_at_length(connection, path)
+                self._ask_at_length(connection, path, path in paths)
             except (OSError, http.client.HTTPException) as error:
                 self._report.statuses[type(error).__name__] += 1
                 connection = None
@@ -182,17 +184,20 @@
         return status
 
     def _ask_at_length(
-        self, connection: http.client.HTTPConnection, path: str
+        self,
+        connection: http.client.HTTPConnection,
+        path: str,
+        is_stream: bool,
     ) -> None:
         number = next(self._numbers)
         sent = {}
-        if path in LONG_PATHS:
+        if is_stream:
             sent[headers.TOKEN_COUNTS] = f'100,{LONG_PACE.event_count}'
         status, body = self._send(
             connection, f'{path}{number}', sent, number, LONG_DEADLINE_SECONDS
         )
         self._report.statuses[f'{path.split("-")[0]} {status}'] += 1
-        if status == 200 and path in LONG_PATHS:
+        if status == 200 and is_stream:
             self._report.violations += gateway_checks.find_false_end(
                 number, body, LONG_PACE.event_count
             )
--- a/libs/bench/burdockmast/bench/gateway_processes.py
+++ b/libs/bench/burdockmast/bench/gateway_processes.py
@@ -48,6 +48,7 @@
         host: str,
         store: str,
         memory_mb: int = MEMORY_MB,
+        zone: str = 'a',
     ):
         """Write the settings and start the process."""
         self.host = host
@@ -57,8 +58,9 @@
         self._replaced: subprocess.Popen | None = None
         self._file = directory / f'{host}.toml'
         self._file.write_text(
-            f'node = "{self.name}"\nip = "{host}"\nzone = "a"\n'
-            'internal-ports = [7010, 7020]\n[zones]\na = "region"\n'
+            f'node = "{self.name}"\nip = "{host}"\nzone = "{zone}"\n'
+            'internal-ports = [7010, 7020]\n'
+            '[zones]\na = "region"\nb = "region"\n'
             f'[listen]\nfront = "{host}:7000"\nready = "{host}:7001"\n'
             f'[bounds]\nrevoke-ms = 5000\ngrace-s = {GRACE_SECONDS}\n'
             f'budget-ratio = {RETRY_RULE.ratio}\n'
--- a/libs/bench/burdockmast/bench/gateway_soak.py
+++ b/libs/bench/burdockmast/bench/gateway_soak.py
@@ -4,7 +4,8 @@
 silent and go on; gateways are killed, stopped, suspended and told to reload;
 the configuration changes, also the limits on callers while they send; the
 store goes away, or comes back from an older copy; all API keys are revoked.
-Faults come in series and overlap.
+Faults come in series and overlap. In plays of higher seeds, requests compete
+for servers as well: see gateway_contention.
 Callers keep their connections open until the gateway is gone. What callers and
 servers see is checked.
 """
@@ -20,6 +21,8 @@
 from burdockmast.base import timers
 from burdockmast.bench import gateway_callers
 from burdockmast.bench import gateway_checks
+from burdockmast.bench import gateway_contention
+from burdockmast.bench import gateway_path_checks
 from burdockmast.bench import gateway_processes
 from burdockmast.bench import gateway_revocations
 from burdockmast.bench import lost_requests
@@ -104,12 +107,18 @@
         process = os.getpid() % 60000
         network = f'127.{70 + process // 250 % 100}.{process % 250}'
         hosts = [f'{network}.{n + 1}' for n in range(gateways + 1)]
+        plan = gateway_contention.Plan.from_seed(seed)
         self._store = standin.MetadataStore()
         self._engines = [
             standin.BackendServer(
                 hosts[-1],
                 self._store,
-                {'id': f'i-{n}', 'service': 'llm', 'zone': 'a', 'kind': 'big'},
+                {
+                    'id': f'i-{n}',
+                    'service': 'llm',
+                    'zone': plan.zone(n),
+                    'kind': 'big',
+                },
             )
             for n in range(8)
         ]
@@ -132,13 +141,18 @@
             server.body_pause_seconds = BODY_PAUSE_SECONDS
             for path in gateway_callers.LONG_PATHS:
                 server.pace_by_path[path] = gateway_callers.LONG_PACE
-        self._store.put('config', 'main', CONFIGURATION)
+        self._contention = gateway_contention.Contention(
+            seed, LAYERS, self._engines, self.report.faults
+        )
+        self._configuration = plan.configure(CONFIGURATION)
+        self._store.put('config', 'main', self._configuration)
         address = standin.listen(hosts[-1], self._store)
         self._gateways = [
-            gateway_processes.GatewayProcess(directory, host, address)
-            for host in hosts[:-1]
+            gateway_processes.GatewayProcess(
+                directory, host, address, zone=plan.zone(number)
+            )
+            for number, host in enumerate(hosts[:-1])
         ]
-        self._configuration = CONFIGURATION
         self._timeouts: list[lost_requests.RouteTimeout] = []
         self._leaving_since: dict[str, float] = {}
         self._deadly_part = f'dead{seed:x}'
@@ -182,7 +196,10 @@
                     self._gateways * LONG_CALLERS_PER_GATEWAY
                 )
             ]
-            faults = [
+            callers += self._contention.spawn_callers(
+                self._callers, self._gateways, self._ends_at
+            )
+            faults = self._contention.spawn_faults() + [
                 eventlet.spawn(fault)
                 for fault, count in (
                     (self._strike, FAULT_COUNT),
@@ -378,7 +395,7 @@
 
         Routes that were added go where the last of the given ones does.
         """
-        routes = CONFIGURATION['routes']
+        routes = self._configuration['routes']
         return next(
             (
                 str(route['service'])
@@ -408,6 +425,7 @@
         """Add what the servers have seen to the violations."""
         excused = max(gateway.excused_until for gateway in self._gateways)
         violations = self.report.violations
+        self._contention.count(self.report.statuses)
         for server in (*self._engines, *self._apps):
             if server.id in self._leaving_since:
                 violations += gateway_checks.find_late_arrivals(
@@ -439,6 +457,14 @@
         violations += gateway_checks.find_cut_bodies(
             self._callers.sent, self._apps
         )
+        violations += gateway_path_checks.find_violations(
+            self._contention.engine,
+            self._callers.sent,
+            self._servers,
+            gateway_contention.PRIORITY_BY_PATH
+            if self._contention.plan.has_priorities
+            else {},
+        )
         violations += gateway_checks.find_deadly_requests(
             self._engines, self._deadly_part
         )
--- a/libs/platform/burdockmast/platform/standin.py
+++ b/libs/platform/burdockmast/platform/standin.py
@@ -297,6 +297,7 @@
         self.limit: float | None = None
         self.crashes_on = ''
         self.crashed_at: list[float] = []
+        self._incarnation = 0
         self.engine: standin_paths.PathEngine | None = None
         self.kv_total = math.inf
         self.zone = entry['zone']
@@ -327,7 +328,7 @@
         self._sock = eventlet.listen((self._host, self._port), backlog=256)
         self._port = self._sock.getsockname()[1]
         self.address = f'{self._host}:{self._port}'
-        incarnation = len(self.crashed_at)
+        incarnation = self._incarnation
         self._server = eventlet.spawn(
             _serve, self._sock, functools.partial(self._handle, incarnation)
         )
@@ -340,22 +341,36 @@
     @property
     def incarnation(self) -> int:
         """Number of restarts."""
-        return len(self.crashed_at)
+        return self._incarnation
 
     @property
     def is_quiet(self) -> bool:
         """Whether the server has fallen silent."""
         return self._silent_until > timers.now()
 
+    @property
+    def layer_count(self) -> int:
+        """Number of layers that the server has."""
+        held = self._entry['layers']
+        return held['to'] - held['from'] if held else 0
+
     def holds(self, first: int, end: int) -> bool:
         """Return whether the server has these layers."""
         held = self._entry['layers']
         return bool(held) and held['from'] <= first and end <= held['to']
 
-    def crash(self, seconds: float = RESTART_SECONDS) -> None:
+    def crash(self) -> None:
+        """Crash on a request, and start again."""
+        if not self.is_down:
+            self.crashed_at.append(timers.now())
+            self.die(RESTART_SECONDS)
+
+    def die(self, seconds: float) -> None:
         """End all connections and refuse new ones for some time."""
+        if self.is_down:
+            return
         self.is_down = True
-        self.crashed_at.append(timers.now())
+        self._incarnation += 1
         for received in self.requests:
             if math.isinf(received.ended_at):
                 received.broken_off_at = timers.now()
@@ -369,7 +384,7 @@
     def _restart(self) -> None:
         self._listen()
         self.is_down = False
-        self.update_entry(born=1000 + len(self.crashed_at))
+        self.update_entry(born=1000 + self._incarnation)
 
     def fall_silent(self, seconds: float, with_reports: bool) -> None:
         """Send nothing for some time, in the middle of all answers.
@@ -392,19 +407,20 @@
         connection: socket.socket,
         received: ReceivedRequest,
         run: standin_paths.Run,
-    ) -> None:
+    ) -> bool:
         """Wait until all servers of a run can produce the next event.
 
-        :raises ConnectionError: if the caller leaves meanwhile, or the run is
-            aborted
+        :return: false if the run is aborted
+        :raises ConnectionError: if the caller leaves meanwhile
         """
         until = timers.now() + self.engine.stall_seconds
         while not self.engine.can_step(run):
             if timers.now() >= until:
                 run.is_aborted = True
                 received.broken_off_at = timers.now()
-                raise ConnectionError('a server of the path is down')
+                return False
             _wait_while_connected(connection)
+        return True
 
     def update_entry(self, **changes: object) -> None:
         """Write the server's entry with changed fields."""
@@ -416,7 +432,7 @@
         self, incarnation: int, environ: dict, start_response: Any
     ) -> Any:
         connection = environ['eventlet.input'].get_socket()
-        if incarnation < len(self.crashed_at):
+        if incarnation < self._incarnation:
             # Its connection was accepted before the crash.
             connection.shutdown(socket.SHUT_RDWR)
             raise ConnectionError('server crashed')
@@ -598,7 +614,12 @@
                 eventlet.sleep(self.pause_seconds)
             self._wait_while_silent(connection)
             if received.run:
-                self._wait_for_stages(connection, received, received.run)
+                if not self._wait_for_stages(
+                    connection, received, received.run
+                ):
+                    # Without it, an unframed stream would look complete.
+                    yield b'id: 99'
+                    raise ConnectionError('a server of the path is down')
                 self.engine.record_event(received.run, number)
                 eventlet.sleep(self.engine.hop_seconds(received.run))
             yield b'id: %d\ndata: token %d\n\n' % (number, number)
--- a/tests/test_standin_paths.py
+++ b/tests/test_standin_paths.py
@@ -77,7 +77,7 @@
     """Without a stall, no test shows that a path was changed in time."""
     response = engine.stream('a', 'b', 'c')
     read = response.read(20)
-    engine.server_by_name['b'].crash(0.05)
+    engine.server_by_name['b'].die(0.05)
     eventlet.sleep(0.2)
     run = engine.paths.runs[0]
     count = len(run.events)
@@ -96,7 +96,7 @@
 def test_stalled_stream_is_aborted(engine):
     """A stream that never ends would hide that nobody changed its path."""
     response = engine.stream('a', 'b', 'c')
-    engine.server_by_name['b'].crash(0.05)
+    engine.server_by_name['b'].die(0.05)
     with pytest.raises(http.client.IncompleteRead):
         response.read()
     assert engine.paths.runs[0].is_aborted
@@ -108,7 +108,7 @@
     assert engine.change('a', 'b2', 'c')[0] == 404
     engine.stream('a', 'b', 'c').read(20)
     assert engine.change('a', 'b2', 'c', request='r2')[0] == 404
-    engine.server_by_name['b2'].crash()
+    engine.server_by_name['b2'].die(5.0)
     refused = engine.change('a', 'b2', 'c')
     assert refused == (409, {'address': engine.server_by_name['b2'].address})
     assert engine.change('a', 'c', 'b2')[0] == 409
