Describe the seeds of the gateway soak that compete for servers

Cause: neither CONTRIBUTING.md nor the help of gateway-soak said from which seed on a play has priorities, slow hops, full servers, deaths of servers and untrusted callers.

No code changes.

--- a/libs/bench/burdockmast/bench/program.py
+++ b/libs/bench/burdockmast/bench/program.py
@@ -214,7 +214,10 @@
 def run_gateway_soak(
     seed: int, count: int, keep: pathlib.Path | None, gateways: int
 ) -> None:
-    """Play random faults on gateways; exit with 1 if a promise is broken."""
+    """Play random faults on gateways; exit with 1 if a promise is broken.
+
+    From seed 10000 on, requests also compete for servers.
+    """
     is_broken = False
     for number in range(seed, seed + count):
         report = gateway_soak.play(number, keep, gateways)
