List the registered gateways less often while they stay the same

Each gateway listed all registered gateways every 4 s, though neighbours that start are known by their messages at once. Where admission is controlled, the interval now doubles up to 16 s while listings show the same gateways, and is 4 s again after one that differs. Counts of gateways, and a registration that was removed by mistake, are noticed up to 16 s late; other deployments keep the 4 s.

The tests check that a gateway that starts is counted, and one that was unregistered registers again; the first failed without the interval.

--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -47,6 +47,7 @@
 from burdockmast.gateway.intake import held_bytes
 from burdockmast.gateway.intake import limits
 from burdockmast.gateway.intake import shared
+from burdockmast.gateway.store_calls import listing_schedule
 
 LOG = logs.get('gateway')
 
@@ -77,7 +78,6 @@
 # Requests that still wait for an answer get one this long before the exit.
 ANSWER_MARGIN_SECONDS = 0.3
 DRAIN_POLL_SECONDS = 0.05
-GATEWAY_COUNT_INTERVAL_SECONDS = 4.0
 # Connections to the metrics address, of which a scraper needs one.
 MAX_SCRAPERS = 50
 # Time after which a registration shows in the list, which may be stale.
@@ -286,6 +286,9 @@
         )
         self._budget = budget
         self._gateway_registry = platform.gateway_registry
+        self._listing_schedule = listing_schedule.ListingSchedule(
+            lambda: self.view.controls_admission
+        )
         self._is_registered = False
         self._registered_at = 0.0
         self._restored_at = float('-inf')
@@ -345,7 +348,9 @@
         )
         eventlet.spawn(self._count_gateways)
         self._timers.subscribe(
-            'roster', GATEWAY_COUNT_INTERVAL_SECONDS, self._count_gateways
+            'roster',
+            listing_schedule.MIN_INTERVAL_SECONDS,
+            self._count_gateways,
         )
         eventlet.spawn(self._quarantine_keeper.sync)
         self._timers.subscribe(
@@ -385,6 +390,8 @@
         if timers.now() < self._restored_at + REGISTERED_SECONDS:
             # Others may not have registered again yet.
             return
+        if not self._listing_schedule.is_due():
+            return
         found = self._gateway_registry.list()
         if isinstance(found, failures.Failure):
             LOG.warning(
@@ -392,6 +399,7 @@
                 extra={'reason': str(found)},
             )
             return
+        self._listing_schedule.record(found)
         self._neighbours.set_registered(found)
         if (
             self._settings.record not in found
--- a/tests/store_calls.py
+++ b/tests/store_calls.py
@@ -7,7 +7,6 @@
 import collections
 import io
 import random
-import types
 from unittest import mock
 
 import eventlet
@@ -175,26 +174,22 @@
         self.configure()
         for zone, count in gateways_by_zone.items():
             for number in range(count):
-                self.start(
-                    types.SimpleNamespace(name=f'{zone}-{number}', zone=zone)
-                )
+                self.start(f'{zone}-{number}', zone)
 
     @property
     def gateways(self):
         return list(self.gateway_by_address.values())
 
-    def start(self, record):
-        number = len(self.gateway_by_address)
-        address = getattr(record, 'address', f'127.0.0.1:{7000 + number}')
-        gateway = Gateway(
-            self,
-            server.interfaces.GatewayRecord(record.name, record.zone, address),
+    def start(self, name, zone, address=None):
+        address = address or f'127.0.0.1:{7000 + len(self.gateways)}'
+        self.gateway_by_address[address] = Gateway(
+            self, server.interfaces.GatewayRecord(name, zone, address)
         )
-        self.gateway_by_address[address] = gateway
 
     def restart(self, gateway):
         gateway.stop()
-        self.start(gateway.record)
+        record = gateway.record
+        self.start(record.name, record.zone, record.address)
 
     def configure(self):
         """Write the next version, and return it."""
--- a/tests/test_gateway_store_calls.py
+++ b/tests/test_gateway_store_calls.py
@@ -90,3 +90,28 @@
     fleet = start_fleet(6, is_contended=False)
     eventlet.sleep(5.0)
     assert max(fleet.change_configuration_quickly(2.0)) < 0.5
+
+
+def test_a_gateway_that_starts_is_counted_though_listings_are_rare(
+    start_fleet,
+):
+    fleet = start_fleet(2, 2)
+    eventlet.sleep(60.0)
+    before = fleet.count()
+    eventlet.sleep(64.0)
+    listings = fleet.count() - before
+    assert listings['GET', 'burdockmast-gateways', 'list'] <= 4 * 5
+    fleet.start('a-9', 'a')
+    eventlet.sleep(1.0)
+    assert 'a-9' in fleet.gateways[0].server._neighbours.known_gateways()
+    eventlet.sleep(18.0)
+    assert {g.server._budget.gateway_count for g in fleet.gateways} == {5}
+
+
+def test_a_gateway_that_was_unregistered_registers_again(start_fleet):
+    """Another one may have taken it for gone."""
+    fleet = start_fleet(3)
+    eventlet.sleep(60.0)
+    fleet.metadata.remove('burdockmast-gateways', 'a-1')
+    eventlet.sleep(24.0)
+    assert 'a-1' in fleet.metadata.objects_by_kind['burdockmast-gateways']
