--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -49,6 +49,8 @@
 from burdockmast.gateway.intake import shared
 from burdockmast.gateway.rerouting import probes
 from burdockmast.gateway.rerouting import rerouter
+from burdockmast.gateway.store_calls import listing_schedule
+from burdockmast.gateway.store_calls import watch_duty
 
 LOG = logs.get('gateway')
 
@@ -79,7 +81,6 @@
 # Requests that still wait for an answer get one this long before the exit.
 ANSWER_MARGIN_SECONDS = 0.3
 DRAIN_POLL_SECONDS = 0.05
-GATEWAY_COUNT_INTERVAL_SECONDS = 4.0
 # Connections to the metrics address, of which a scraper needs one.
 MAX_SCRAPERS = 50
 # Time after which a registration shows in the list, which may be stale.
@@ -119,13 +120,18 @@
             },
         )
         self._neighbours = neighbours.Neighbours(gateway_settings.record, rng)
+        duty = watch_duty.WatchDuty(
+            self._neighbours,
+            lambda: self.view.controls_admission,
+            lambda: self._configurations.age,
+        )
         self._configurations = object_follower.Follower(
             'configuration',
             platform.configurations,
             CONFIGURATION_WAIT_SECONDS,
-            is_watcher=self._neighbours.is_watcher,
+            is_watcher=duty.watches,
             bound_seconds=gateway_settings.apply_seconds,
-            is_relied_on=self._neighbours.is_relied_on,
+            is_relied_on=duty.is_relied_on,
             quiet_seconds=QUIET_SECONDS,
             change_interval=self._configuration_interval,
         )
@@ -135,10 +141,10 @@
             SERVERS_WAIT_SECONDS,
             keeps_expired=True,
             is_older=backends.BackendServer.is_older_than,
-            is_watcher=self._neighbours.is_watcher,
+            is_watcher=duty.watches,
             relayed_type=backends.BackendServer,
             bound_seconds=gateway_settings.drain_seconds,
-            is_relied_on=self._neighbours.is_relied_on,
+            is_relied_on=duty.is_relied_on,
             quiet_seconds=QUIET_SECONDS,
         )
         self._leaving = leaving_servers.LeavingServers()
@@ -299,6 +305,9 @@
         )
         self._budget = budget
         self._gateway_registry = platform.gateway_registry
+        self._listing_schedule = listing_schedule.ListingSchedule(
+            lambda: self.view.controls_admission
+        )
         self._is_registered = False
         self._registered_at = 0.0
         self._restored_at = float('-inf')
@@ -358,7 +367,9 @@
         )
         eventlet.spawn(self._count_gateways)
         self._timers.subscribe(
-            'roster', GATEWAY_COUNT_INTERVAL_SECONDS, self._count_gateways
+            'roster',
+            listing_schedule.MIN_INTERVAL_SECONDS,
+            self._count_gateways,
         )
         eventlet.spawn(self._quarantine_keeper.sync)
         self._timers.subscribe(
@@ -398,6 +409,8 @@
         if timers.now() < self._restored_at + REGISTERED_SECONDS:
             # Others may not have registered again yet.
             return
+        if not self._listing_schedule.is_due():
+            return
         found = self._gateway_registry.list()
         if isinstance(found, failures.Failure):
             LOG.warning(
@@ -405,6 +418,7 @@
                 extra={'reason': str(found)},
             )
             return
+        self._listing_schedule.record(found)
         self._neighbours.set_registered(found)
         if (
             self._settings.record not in found
