Count heads of requests in the bytes that bodies may take

Heads were bounded for each connection only: 40 unfinished ones of 2 MiB took 81 MiB, whatever memory-mb was.

A head now takes room of the same pool as bodies, from its first line to the end of its answer, beyond its first 4096 bytes. Those are free so that requests without bodies are admitted while bodies take all room. Lines are read piece by piece, so that one that doesn't end is counted and can be evicted while its reader waits. It gets 503, not run; a counter counts these.

--- a/libs/gateway/burdockmast/gateway/caller_connections.py
+++ b/libs/gateway/burdockmast/gateway/caller_connections.py
@@ -11,6 +11,7 @@
 import http
 import io
 import math
+import random
 import socket
 import typing
 
@@ -25,11 +26,15 @@
 from burdockmast.base import ids
 from burdockmast.base import logs
 from burdockmast.base import timers
+from burdockmast.gateway import bodies
+from burdockmast.gateway import buffers
 from burdockmast.gateway import config
 from burdockmast.gateway import request_target
 from burdockmast.gateway.intake import connection_limits
+from burdockmast.gateway.intake import heads
 from burdockmast.gateway.intake import progress
 from burdockmast.gateway.intake import shared
+from burdockmast.limits import retry_schedule
 
 LOG = logs.get('connections')
 
@@ -99,14 +104,6 @@
     return Step.WAIT if now < closes_at else Step.CLOSE
 
 
-class CallerLeft(Exception):
-    """The caller closed its connection within the head of a request."""
-
-
-class HeadTooLarge(Exception):
-    """The head of a request exceeds its limit."""
-
-
 class ReadInterrupted(OSError):
     """A read ended because what it would return is not needed any more."""
 
@@ -199,29 +196,6 @@
             task.switch()
 
 
-class Head:
-    """The lines of a request's head, up to a limit."""
-
-    def __init__(self, received: io.BufferedReader, max_bytes: int):
-        """Read the lines that follow the request line."""
-        self._received = received
-        self._left = max_bytes
-
-    def readline(self, size: int = -1) -> bytes:
-        """Return the next line.
-
-        :raises CallerLeft: if the connection ends before the head does
-        :raises HeadTooLarge: if the limit is exceeded
-        """
-        line = self._received.readline(self._left + 1)
-        self._left -= len(line)
-        if self._left < 0:
-            raise HeadTooLarge
-        if not line.endswith(b'\n'):
-            raise CallerLeft
-        return line
-
-
 class Protocol(request_target.Protocol):
     """Reads and answers the requests of one connection, one by one."""
 
@@ -235,12 +209,22 @@
         self.rfile = io.BufferedReader(self._received)
         self._is_new = True
         self._has_begun = False
+        self._head: heads.HeldHead | None = None
         self.server.protocols.add(self)
 
     def wake(self) -> None:
         """Decide again what to do next, if the connection is idle."""
         self._received.wake()
 
+    def handle_one_request(self) -> None:
+        """Read and answer a request; its head takes room until then."""
+        try:
+            super().handle_one_request()
+        finally:
+            if self._head:
+                self._head.close()
+                self._head = None
+
     def _read_request_line(self) -> bytes:
         try:
             if not self._await_request():
@@ -249,17 +233,23 @@
             # The WSGI server tells callers about it.
             self.server.keepalive = limits.idle_timeout_seconds
             self._received.until = timers.now() + limits.header_timeout_seconds
-            line = self.rfile.readline(limits.max_header_bytes)
-        except TimeoutError:
-            self._refuse(http.HTTPStatus.REQUEST_TIMEOUT)
-            return b''
-        except OSError:
-            return b''
-        if line.endswith(b'\n'):
+            self._head = heads.HeldHead(
+                self.server.intake.pool, self._received.interrupt
+            )
+            line = heads.HeadReader(
+                self.rfile, limits.max_header_bytes, self._head
+            ).readline()
             self._has_begun = True
             return line
-        if len(line) == limits.max_header_bytes:
+        except heads.HeadTooLarge:
             self._refuse(http.HTTPStatus.REQUEST_URI_TOO_LONG)
+        except TimeoutError:
+            self._refuse(http.HTTPStatus.REQUEST_TIMEOUT)
+        except (OSError, buffers.BufferFull):
+            if self._head and self._head.is_evicted:
+                self._refuse_evicted()
+        except heads.CallerLeft:
+            pass
         return b''
 
     def _await_request(self) -> bool:
@@ -298,26 +288,44 @@
     def parse_request(self) -> bool:
         """Read the rest of a request's head; tell whether it is sound."""
         # The caller of this method restores the attribute.
-        self.rfile = Head(self.rfile.fp, self.server.limits().max_header_bytes)
+        self.rfile = heads.HeadReader(
+            self.rfile.fp, self.server.limits().max_header_bytes, self._head
+        )
         try:
-            return super().parse_request()
-        except HeadTooLarge:
+            is_sound = super().parse_request()
+            self._head.complete()
+            return is_sound
+        except heads.HeadTooLarge:
             self._refuse(http.HTTPStatus.REQUEST_HEADER_FIELDS_TOO_LARGE)
         except TimeoutError:
             self._refuse(http.HTTPStatus.REQUEST_TIMEOUT)
-        except CallerLeft:
+        except (heads.CallerLeft, ReadInterrupted, buffers.BufferFull):
             self.close_connection = True
+            if self._head.is_evicted:
+                self._refuse_evicted()
         finally:
             self._received.until = math.inf
         return False
 
-    def _refuse(self, status: http.HTTPStatus) -> None:
+    def _refuse_evicted(self) -> None:
+        """Refuse a request, not run, as there is no room for its head."""
+        self._received.clear_interrupt()
+        self.server.intake.count('heads_evicted')
+        retry_after = retry_schedule.add_jitter(
+            bodies.RETRY_AFTER_SECONDS, self.server.rng
+        )
+        self._refuse(
+            http.HTTPStatus.SERVICE_UNAVAILABLE,
+            f'Retry-After: {retry_after:.3f}\r\n',
+        )
+
+    def _refuse(self, status: http.HTTPStatus, headers: str = '') -> None:
         LOG.info('head of a request refused', extra={'status': status.value})
         self.close_connection = True
         self._has_begun = True
         self.wfile.write(
             f'HTTP/1.1 {status.value} {status.phrase}\r\n'
-            'Connection: close\r\nContent-Length: 0\r\n\r\n'.encode()
+            f'Connection: close\r\n{headers}Content-Length: 0\r\n\r\n'.encode()
         )
 
     def handle_one_response(self) -> None:
@@ -400,6 +408,7 @@
         self.intake = intake
         self.idle: dict[Protocol, None] = {}
         self.needs_room = False
+        self.rng = random.Random()
 
 
 class CallerConnections:
--- a/libs/gateway/burdockmast/gateway/intake/shared.py
+++ b/libs/gateway/burdockmast/gateway/intake/shared.py
@@ -17,15 +17,21 @@
     """The limits on callers and what they have taken so far.
 
     :ivar limits: from the settings
+    :ivar pool: room for all heads and bodies
     """
 
     def __init__(
         self,
         intake_limits: limits.Limits | None = None,
         measures: metrics.Metrics | None = None,
+        pool: buffers.BufferPool | None = None,
     ):
-        """Create the state of a process."""
+        """Create the state of a process.
+
+        :param pool: without a limit if none is given
+        """
         self.limits = intake_limits or limits.Limits()
+        self.pool = pool or buffers.BufferPool()
         self._metrics = measures
         self._schedule = busy_readers.Schedule()
         self._waiting: set[buffers.Buffer] = set()
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -168,6 +168,7 @@
                 ),
             ),
             self._metrics,
+            self._uploads,
         )
         usage = memory.Usage()
         self._suspects = crash_suspects.CrashSuspects()
--- a/tests/test_gateway_intake.py
+++ b/tests/test_gateway_intake.py
@@ -14,6 +14,7 @@
 from burdockmast.gateway import busy_readers
 from burdockmast.gateway import wsgi
 from burdockmast.gateway.intake import connection_limits
+from burdockmast.gateway.intake import heads
 from burdockmast.gateway.intake import held_bytes
 from burdockmast.gateway.intake import limits
 from burdockmast.gateway.intake import progress
@@ -284,3 +285,68 @@
     count.remove('a')
     assert not count.is_address_full('a')
     assert count.open_count == 1
+
+
+class Sent:
+    """What a caller has sent, as a stream that tells what is read of it."""
+
+    def __init__(self, *pieces):
+        self._pieces = list(pieces)
+
+    def peek(self, size):
+        return self._pieces[0] if self._pieces else b''
+
+    def read(self, size):
+        if not self._pieces:
+            return b''
+        piece = self._pieces.pop(0)
+        if piece[size:]:
+            self._pieces.insert(0, piece[size:])
+        return piece[:size]
+
+
+def read_head(pool, *pieces, max_bytes=100_000):
+    """Read a line; return the head and what the read returned or raised."""
+    head = heads.HeldHead(pool, lambda: None, lambda: 0.0)
+    try:
+        sent = Sent(*pieces)
+        return head, heads.HeadReader(sent, max_bytes, head).readline()
+    except (heads.CallerLeft, heads.HeadTooLarge, buffers.BufferFull) as error:
+        return head, type(error)
+
+
+@pytest.mark.parametrize(
+    ('pieces', 'expected'),
+    [
+        ([b'one\ntwo\n'], b'one\n'),
+        ([b'on', b'e\ntwo'], b'one\n'),
+        ([b'one'], heads.CallerLeft),
+        ([b'x' * 101], heads.HeadTooLarge),
+        ([b'x' * 99 + b'\n'], b'x' * 99 + b'\n'),
+    ],
+)
+def test_lines_of_heads_are_read_up_to_the_limit(pieces, expected):
+    _, found = read_head(buffers.BufferPool(), *pieces, max_bytes=100)
+    assert found == expected
+
+
+def test_the_largest_unfinished_head_is_evicted_first():
+    """Heads were bounded one by one only, whatever all of them took."""
+    pool = buffers.BufferPool(10_000, held_bytes.choose_evicted)
+    large, _ = read_head(pool, b'x' * (heads.FREE_BYTES + 8000))
+    small, _ = read_head(pool, b'x' * (heads.FREE_BYTES + 1000))
+    _, found = read_head(pool, b'x' * (heads.FREE_BYTES + 2000), b'\n')
+    assert found == b'x' * (heads.FREE_BYTES + 2000) + b'\n'
+    assert (large.is_evicted, small.is_evicted) == (True, False)
+    assert not large.line
+
+
+def test_a_short_head_is_read_while_bodies_take_all_room():
+    """Ordinary requests without bodies must not depend on that room."""
+    pool = buffers.BufferPool(100)
+    body = pool.open()
+    body.grow(100)
+    body.is_complete = True
+    line = b'x' * (heads.FREE_BYTES - 1) + b'\n'
+    assert read_head(pool, line)[1] == line
+    assert read_head(pool, b'x', line)[1] is buffers.BufferFull
