--- a/tests/test_gateway_intake.py
+++ b/tests/test_gateway_intake.py
@@ -1,8 +1,11 @@
 """Decisions about bodies and connections of untrusted callers."""
 
 import dataclasses
+import io
+import socket
 
 import eventlet
+import eventlet.greenio
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies
@@ -12,8 +15,10 @@
 from burdockmast.gateway import bodies
 from burdockmast.gateway import buffers
 from burdockmast.gateway import busy_readers
+from burdockmast.gateway import caller_connections
 from burdockmast.gateway import wsgi
 from burdockmast.gateway.intake import connection_limits
+from burdockmast.gateway.intake import heads
 from burdockmast.gateway.intake import held_bytes
 from burdockmast.gateway.intake import limits
 from burdockmast.gateway.intake import progress
@@ -132,6 +137,8 @@
 
     until = float('inf')
     stall_seconds = 20.0
+    has_ended = False
+    ahead_bytes = 0
 
     def __init__(self, sent):
         self._sent = sent
@@ -153,6 +160,12 @@
 
     read = read1
 
+    def read_ahead(self, max_bytes):
+        return 0
+
+    def drop_ahead(self):
+        self.ahead_bytes = 0
+
     def interrupt(self):
         self._woken.send(None)
 
@@ -284,3 +297,155 @@
     count.remove('a')
     assert not count.is_address_full('a')
     assert count.open_count == 1
+
+
+SMALL_CHUNKS = b'6\r\nxxxxxx\r\n' * 20_000
+
+
+@pytest.fixture
+def connection():
+    """What is received of a caller that is connected, and the caller."""
+    here, there = (
+        eventlet.greenio.GreenSocket(sock) for sock in socket.socketpair()
+    )
+    yield caller_connections.ReceivedBytes(here), there
+    here.close()
+    there.close()
+
+
+def start_reading(received, pool):
+    """Start to read a chunked body; return it and the task."""
+    stream = io.BufferedReader(received)
+    body = bodies.Body(stream, bodies.Chunks(), received=received)
+    buffer = pool.open()
+    return body, buffer, eventlet.spawn(body.read, 10**6, buffer)
+
+
+def test_a_caller_that_left_amid_small_chunks_is_missed_at_once(connection):
+    """What it had sent was parsed to its end before that."""
+    received, caller = connection
+    pool = buffers.BufferPool()
+    caller.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 10**6)
+    caller.sendall(SMALL_CHUNKS)
+    caller.close()
+    body, buffer, reader = start_reading(received, pool)
+    with eventlet.Timeout(5):
+        found = reader.wait()
+    assert 'disconnected' in found.detail
+    assert not body.has_near_end
+    assert pool.held_bytes == 0
+
+
+def test_bytes_that_were_read_ahead_are_read_and_take_room(connection):
+    """They are not lost, nor are those of the next request."""
+    received, caller = connection
+    pool = buffers.BufferPool()
+    body, buffer, reader = start_reading(received, pool)
+    next_request = b'GET / HTTP/1.1\r\n'
+    ended = SMALL_CHUNKS + b'0\r\n\r\n' + next_request
+    sender = eventlet.spawn(caller.sendall, ended)
+    with eventlet.Timeout(5):
+        whole = reader.wait()
+        sender.wait()
+    assert whole == b'x' * 120_000
+    assert buffer.size_bytes == len(whole) + received.ahead_bytes
+    assert body._stream.read(len(next_request)) == next_request
+
+
+def test_nothing_behind_a_gap_is_taken_for_a_request(connection):
+    """An evicted body was parsed on behind the bytes that it had lost."""
+    received, caller = connection
+    pool = buffers.BufferPool()
+    body, buffer, reader = start_reading(received, pool)
+    sender = eventlet.spawn(caller.sendall, SMALL_CHUNKS)
+    with eventlet.Timeout(5):
+        while not received.ahead_bytes:
+            eventlet.sleep(0)
+        buffer.give_up()
+        assert not received.ahead_bytes
+        found = reader.wait()
+    sender.kill()
+    assert found.reason is failures.Reason.OVERLOADED
+    assert not body.has_near_end
+
+
+def test_a_body_that_failed_is_not_taken_for_one_that_was_read(connection):
+    """A generator that has failed ends like one that is complete."""
+    received, caller = connection
+    pool = buffers.BufferPool(40_000, held_bytes.choose_evicted)
+    other = pool.open()
+    body, _, reader = start_reading(received, pool)
+    other.grow(39_000)
+    other.is_complete = True
+    sender = eventlet.spawn(caller.sendall, SMALL_CHUNKS)
+    with eventlet.Timeout(5):
+        assert reader.wait().reason is failures.Reason.OVERLOADED
+        caller.close()
+        sender.kill()
+        with pytest.raises(bodies.UnreadBodyError):
+            body.drop(received._sock)
+
+
+class Sent:
+    """What a caller has sent, as a stream that tells what is read of it."""
+
+    def __init__(self, *pieces):
+        self._pieces = list(pieces)
+
+    def peek(self, size):
+        return self._pieces[0] if self._pieces else b''
+
+    def read(self, size):
+        if not self._pieces:
+            return b''
+        piece = self._pieces.pop(0)
+        if piece[size:]:
+            self._pieces.insert(0, piece[size:])
+        return piece[:size]
+
+
+def read_head(pool, *pieces, max_bytes=100_000):
+    """Read a line; return the head and what the read returned or raised."""
+    head = heads.HeldHead(pool, lambda: None, lambda: 0.0)
+    try:
+        sent = Sent(*pieces)
+        return head, heads.HeadReader(sent, max_bytes, head).readline()
+    except (heads.CallerLeft, heads.HeadTooLarge, buffers.BufferFull) as error:
+        return head, type(error)
+
+
+@pytest.mark.parametrize(
+    ('pieces', 'expected'),
+    [
+        ([b'one\ntwo\n'], b'one\n'),
+        ([b'on', b'e\ntwo'], b'one\n'),
+        ([b'one'], heads.CallerLeft),
+        ([b'x' * 101], heads.HeadTooLarge),
+        ([b'x' * 99 + b'\n'], b'x' * 99 + b'\n'),
+    ],
+)
+def test_lines_of_heads_are_read_up_to_the_limit(pieces, expected):
+    _, found = read_head(buffers.BufferPool(), *pieces, max_bytes=100)
+    assert found == expected
+
+
+def test_the_largest_unfinished_head_is_evicted_first():
+    """Heads were bounded one by one only, whatever all of them took."""
+    pool = buffers.BufferPool(10_000, held_bytes.choose_evicted)
+    large, _ = read_head(pool, b'x' * (heads.FREE_BYTES + 8000))
+    small, _ = read_head(pool, b'x' * (heads.FREE_BYTES + 1000))
+    _, found = read_head(pool, b'x' * (heads.FREE_BYTES + 2000), b'\n')
+    assert found == b'x' * (heads.FREE_BYTES + 2000) + b'\n'
+    assert (large.is_evicted, small.is_evicted) == (True, False)
+    assert not large.line
+
+
+def test_a_short_head_is_read_while_bodies_take_all_room():
+    """Ordinary requests without bodies must not depend on that room."""
+    pool = buffers.BufferPool(100)
+    body = pool.open()
+    body.grow(100)
+    body.is_complete = True
+    line = b'x' * (heads.FREE_BYTES - 1) + b'\n'
+    assert read_head(pool, line)[1] == line
+    assert read_head(pool, b'x', line)[1] is buffers.BufferFull
