Look at answers that are not moved as before

A check of the silence was added for all streams: one that is looked at before 0.2 s, as while its head arrives, no longer started a standby for a server that was found lost. Streams of contended services with a single server, which are never moved, were looked at early but got a standby as early as at 0.1 s. Both now depend on whether the attempt was prepared to be checked early, which also stays as it is if the configuration changes meanwhile.

Both new cases failed before: no standby was started.

--- a/libs/gateway/burdockmast/gateway/rerouting/rerouter.py
+++ b/libs/gateway/burdockmast/gateway/rerouting/rerouter.py
@@ -88,7 +88,7 @@
         self, job: jobs.Job, attempt: stream_attempts.StreamAttempt
     ) -> None:
         """Let an attempt be looked at early where paths may change."""
-        if self._is_on(job):
+        if self._is_on(job) and len(attempt.path) > 1:
             attempt.check_early(
                 lambda longest_pause: decision.check_seconds(
                     job.route.gap_objective_seconds, longest_pause
@@ -106,7 +106,7 @@
 
         Returns whether the attempt is expected to go on.
         """
-        if not self._is_on(job) or len(attempt.path) < 2:
+        if not attempt.is_checked_early:
             return False
         if attempt.is_rerouting:
             return True
--- a/libs/gateway/burdockmast/gateway/stream_attempts.py
+++ b/libs/gateway/burdockmast/gateway/stream_attempts.py
@@ -84,6 +84,7 @@
     :ivar limit_seconds: see ``silence.Silence``
     :ivar keep_waiting: called again and again while nothing arrives; false
         ends the attempt
+    :ivar is_checked_early: see ``check_early``
     :ivar is_rerouting: its path is being changed
     :ivar path_changes: of its path so far
     :ivar rerouted_at: monotonic seconds of the last change
@@ -105,6 +106,7 @@
         self.has_crashed = False
         self.silent_since = timers.now()
         self.limit_seconds = FIRST_EVENT_TIMEOUT_SECONDS
+        self.is_checked_early = False
         self.is_rerouting = False
         self.path_changes = 0
         self.rerouted_at = float('-inf')
@@ -147,6 +149,7 @@
 
         :param check_seconds: returns the silence for the longest pause so far
         """
+        self.is_checked_early = True
         self._check_seconds = check_seconds
         self._exchange.recheck_seconds = recheck_seconds
 
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -259,7 +259,10 @@
         attempt.fetch_reports()
         if self._rerouter.keep(job, attempt):
             return True
-        if attempt.silent_seconds < silence.CHECK_SECONDS:
+        if (
+            attempt.is_checked_early
+            and attempt.silent_seconds < silence.CHECK_SECONDS
+        ):
             return True
         found = self._silence(job, attempt, progress)
         if (
--- a/tests/test_gateway_rerouting.py
+++ b/tests/test_gateway_rerouting.py
@@ -18,6 +18,9 @@
 from burdockmast.gateway import backends
 from burdockmast.gateway import crossings
 from burdockmast.gateway import server_states
+from burdockmast.gateway import silence
+from burdockmast.gateway import stream_progress
+from burdockmast.gateway import streams
 from burdockmast.gateway.rerouting import decision
 from burdockmast.gateway.rerouting import detours
 from burdockmast.gateway.rerouting import probes
@@ -148,6 +151,14 @@
     rerouted_at: float = float('-inf')
     last_event_id: int = 7
     has_ended: bool = False
+    is_checked_early: bool = True
+    servers: tuple = ()
+
+    def check_early(self, check_seconds, recheck_seconds):
+        self.is_checked_early = True
+
+    def fetch_reports(self):
+        pass
 
     def change_path(self, path):
         if not self.has_ended:
@@ -161,6 +172,7 @@
     def __init__(self, lost, answers):
         self.lost = set(lost)
         self.answers = list(answers)
+        self.is_contended = True
         self.active_at = {}
         self.orders = []
         self.asked = []
@@ -170,7 +182,7 @@
         ]
 
     def admission_policy(self, service):
-        return types.SimpleNamespace(is_contended=True)
+        return types.SimpleNamespace(is_contended=self.is_contended)
 
     def is_lost(self, server):
         return server in self.lost
@@ -204,7 +216,10 @@
 
 
 JOB = types.SimpleNamespace(
-    id='r1', service=types.SimpleNamespace(id='draft'), route=None
+    id='r1',
+    service=types.SimpleNamespace(id='draft'),
+    route=None,
+    seconds_left=9.0,
 )
 
 
@@ -291,6 +306,28 @@
     assert fleet.asked == ['s1']
 
 
+@pytest.mark.parametrize(
+    'is_contended, path', [(False, PATH), (True, PATH[:1])]
+)
+def test_answers_that_are_not_moved_are_looked_at_as_before(
+    is_contended, path, monkeypatch
+):
+    """A lost server starts a standby at whatever silence it is seen."""
+    fleet = Fleet({'s0'}, [])
+    fleet.is_contended = is_contended
+    attempt = Attempt(path=path, is_checked_early=False)
+    rerouting = fleet.rerouter()
+    rerouting.prepare(JOB, attempt)
+    proxy = streams.StreamProxy(*[fleet] * 9, rerouting)
+    progress = stream_progress.Progress(None, ())
+    started = []
+    found = silence.Silence(0.1, 1.0, True, False, True, False, False)
+    monkeypatch.setattr(proxy, '_silence', lambda *_: found)
+    monkeypatch.setattr(proxy, '_start_standby', lambda *a: started.append(a))
+    assert proxy._keep_waiting(JOB, attempt, progress)
+    assert started and not fleet.asked
+
+
 class ProbedFleet:
     """A view and reports that record what probes find."""
 
