Bound the time for which orders hold up a new attempt

While a path was being changed, no standby was started. An order to a first server that is busy or silent takes up to 0.85 s, three of them more than 2 s, after which callers leave. A change now has 0.3 s from its begin, and 0.3 s more once it is carried out; one that fails leaves no time.

The new test found the attempt still kept before.

--- a/libs/gateway/burdockmast/gateway/rerouting/rerouter.py
+++ b/libs/gateway/burdockmast/gateway/rerouting/rerouter.py
@@ -27,8 +27,8 @@
 # relay events of other answers after the last event of a silent one, and may
 # have ended after that.
 ACTIVE_SECONDS = 0.1
-# Time that a changed path gets for its next event before a new attempt is
-# considered.
+# Time that a change of the path, and then the changed path, gets for the next
+# event before a new attempt is considered.
 SETTLE_SECONDS = 0.3
 # Orders for one change: servers may have no room, or be lost unnoticed.
 MAX_ORDERS = 3
@@ -109,7 +109,7 @@
         if not attempt.is_checked_early:
             return False
         if attempt.is_rerouting:
-            return True
+            return self._has_time(attempt)
         since = max(attempt.silent_since, timers.now() - ACTIVE_SECONDS)
         inactive = [
             stage.server
@@ -124,8 +124,13 @@
         if affected:
             attempt.is_rerouting = True
             attempt.path_changes += 1
+            attempt.rerouted_at = timers.now()
             eventlet.spawn_n(self._reroute, job, attempt, affected)
             return True
+        return self._has_time(attempt)
+
+    @staticmethod
+    def _has_time(attempt: stream_attempts.StreamAttempt) -> bool:
         return timers.now() < attempt.rerouted_at + SETTLE_SECONDS
 
     def _state_of(
@@ -153,6 +158,8 @@
         finally:
             attempt.is_rerouting = False
         is_changed = bool(change.after) and change.failure is None
+        if attempt.path == change.before:
+            attempt.rerouted_at = float('-inf')
         self._metrics.count(
             'streams.path_changed'
             if is_changed
--- a/libs/gateway/burdockmast/gateway/stream_attempts.py
+++ b/libs/gateway/burdockmast/gateway/stream_attempts.py
@@ -87,7 +87,8 @@
     :ivar is_checked_early: see ``check_early``
     :ivar is_rerouting: its path is being changed
     :ivar path_changes: of its path so far
-    :ivar rerouted_at: monotonic seconds of the last change
+    :ivar rerouted_at: monotonic seconds at which the last change began, or
+        was carried out
     :ivar forwards_errors: called for an error reply; true forwards it to the
         caller, false makes it a failure
     """
--- a/tests/test_gateway_rerouting.py
+++ b/tests/test_gateway_rerouting.py
@@ -8,6 +8,7 @@
 import types
 
 import eventlet
+import eventlet.event
 import pytest
 import test_gateway_paths as fleets
 
@@ -291,6 +292,22 @@
     assert (attempt.path == PATH) is is_kept
 
 
+def test_a_slow_order_delays_a_new_attempt_only_for_a_while(monkeypatch):
+    """Three orders to a busy first server take more than two seconds."""
+    fleet, attempt = Fleet({'s1'}, []), Attempt()
+    answered = eventlet.event.Event()
+    monkeypatch.setattr(fleet, 'change_path', lambda *_: answered.wait())
+    assert look_at(fleet, attempt)
+    assert look_at(fleet, attempt) and attempt.is_rerouting
+    monkeypatch.setattr(rerouter, 'SETTLE_SECONDS', 0.0)
+    assert not look_at(fleet, attempt)
+    monkeypatch.undo()
+    answered.send(refused_by('s0:1'))
+    eventlet.sleep(0)
+    attempt.path_changes = decision.MAX_CHANGES
+    assert not look_at(fleet, attempt)
+
+
 def test_an_attempt_that_has_ended_is_not_accounted_for_again():
     fleet, attempt = Fleet({'s1'}, [None]), Attempt(has_ended=True)
     look_at(fleet, attempt)
