Restore the path of an attempt if its order raises an error

An order that can't be sent for want of a socket raises OSError. The attempt was then accounted for, and looked at, on a path that its servers had never been told, and the error was printed outside of the log.

The new test found the other path before.

--- a/libs/gateway/burdockmast/gateway/rerouting/rerouter.py
+++ b/libs/gateway/burdockmast/gateway/rerouting/rerouter.py
@@ -155,6 +155,11 @@
         change = _Change(attempt.path, set(affected))
         try:
             self._change_path(job, attempt, change)
+        except Exception:
+            # Nobody waits for the result of this task.
+            LOG.exception('path change failed unexpectedly')
+            attempt.change_path(change.before)
+            change.after = ()
         finally:
             attempt.is_rerouting = False
         is_changed = bool(change.after) and change.failure is None
--- a/tests/test_gateway_rerouting.py
+++ b/tests/test_gateway_rerouting.py
@@ -308,6 +308,21 @@
     assert not look_at(fleet, attempt)
 
 
+def test_an_order_that_raises_an_error_leaves_the_path(monkeypatch):
+    """A gateway without sockets accounted for servers not in use."""
+    fleet, attempt = Fleet({'s1'}, []), Attempt()
+
+    def fail(*args):
+        raise OSError(errno.EMFILE, 'too many open files')
+
+    monkeypatch.setattr(fleet, 'change_path', fail)
+    look_at(fleet, attempt)
+    assert attempt.path == PATH
+    assert not attempt.is_rerouting
+    attempt.path_changes = decision.MAX_CHANGES
+    assert not look_at(fleet, attempt)
+
+
 def test_an_attempt_that_has_ended_is_not_accounted_for_again():
     fleet, attempt = Fleet({'s1'}, [None]), Attempt(has_ended=True)
     look_at(fleet, attempt)
