Allow for the round trip between zones in probes

Servers that need more than 0.03 s for a connection because of the distance were replaced though they run: with hops of 20 ms, all in other zones. The configured longest hop now counts twice on top.

--- a/libs/gateway/burdockmast/gateway/rerouting/decision.py
+++ b/libs/gateway/burdockmast/gateway/rerouting/decision.py
@@ -19,7 +19,8 @@
 # Factor on the longest pause of an answer so far: one on a slow path is
 # looked at later.
 USUAL_PAUSE_FACTOR = 1.5
-# Time within which a server that runs accepts a connection, also a slow one.
+# Time within which a server that runs accepts a connection, also a slow one,
+# beside the round trip between zones.
 CONNECT_SECONDS = 0.03
 # Servers of a path that may be unreachable. If it is more, this gateway or the
 # network is in trouble, and another path would be no better.
@@ -38,16 +39,20 @@
         connection, nor relayed events since
     :ivar is_running: it has accepted one, or relayed events, since the
         silence began; it may have ended after that
+    :ivar round_trip_seconds: longest usual one to the server, 0 if unknown
     """
 
     is_lost: bool
     unanswered_seconds: float
     is_running: bool
+    round_trip_seconds: float = 0.0
 
     @property
     def is_unreachable(self) -> bool:
         """Whether the server does not accept connections."""
-        return self.unanswered_seconds >= CONNECT_SECONDS
+        return self.unanswered_seconds >= (
+            CONNECT_SECONDS + self.round_trip_seconds
+        )
 
 
 def check_seconds(pause_objective: float, longest_pause: float) -> float:
--- a/libs/gateway/burdockmast/gateway/rerouting/rerouter.py
+++ b/libs/gateway/burdockmast/gateway/rerouting/rerouter.py
@@ -118,7 +118,7 @@
         ]
         self._connections.ask(inactive, job.id)
         affected = decision.affected_stages(
-            [self._state_of(stage, attempt) for stage in attempt.path],
+            [self._state_of(job, stage, attempt) for stage in attempt.path],
             attempt.path_changes,
         )
         if affected:
@@ -134,9 +134,13 @@
         return timers.now() < attempt.rerouted_at + SETTLE_SECONDS
 
     def _state_of(
-        self, stage: backends.Stage, attempt: stream_attempts.StreamAttempt
+        self,
+        job: jobs.Job,
+        stage: backends.Stage,
+        attempt: stream_attempts.StreamAttempt,
     ) -> decision.StageState:
         server = stage.server.id
+        engine = job.service.engine
         return decision.StageState(
             self._view.is_lost(server),
             self._connections.unanswered_seconds(server),
@@ -144,6 +148,7 @@
             or self._connections.has_accepted_since(
                 server, attempt.silent_since
             ),
+            2 * engine.zone_delay_ms / 1000 if engine else 0.0,
         )
 
     def _reroute(
