Let detours cross only links that have room

The cost of reaching a detour's first server in another zone did not depend on the link, so that all answers of a lost server crossed at once, whatever the link carried. Nor were their prompts added to the link's backlog where zones are not balanced, and the balance's budget was asked there though it is never written. Detours now ask the record that applies to the service, for the first hop as well, and add to it.

--- a/libs/gateway/burdockmast/gateway/links.py
+++ b/libs/gateway/burdockmast/gateway/links.py
@@ -70,7 +70,13 @@
         :param seconds: for which the prompt occupies one link
         :param share: of the link's bandwidth that is for prompts
         """
-        for link in inter_zone_links(path):
+        self.record_crossings(inter_zone_links(path), seconds, share)
+
+    def record_crossings(
+        self, crossed: Iterable[Link], seconds: float, share: float
+    ) -> None:
+        """Add a prompt to the backlog of each of some links."""
+        for link in crossed:
             free_at = max(self._now(), self._free_at.get(link, 0.0))
             self._free_at[link] = (
                 free_at + seconds * self.gateway_count / share
--- a/libs/gateway/burdockmast/gateway/path_selector.py
+++ b/libs/gateway/burdockmast/gateway/path_selector.py
@@ -138,9 +138,7 @@
         self._links.record_prompt(
             path,
             prompt_seconds,
-            links.DELAYING_PROMPT_SHARE
-            if self._delays_answers(job.service)
-            else links.PROMPT_SHARE,
+            self._prompt_share(job.service),
         )
 
     def release(self, job: jobs.Job, path: tuple[backends.Stage, ...]) -> None:
@@ -537,8 +535,12 @@
         engine = job.service.engine
         if engine is None:
             return ()
+        balance = None
+        if self._balance and zone_balance.is_on(job.service):
+            balance = self._balance
         excluded = {*failed, *(stage.server.id for stage in path)}
         servers = self._view.preferred(job.service, excluded)
+        size = self._request_size(job, engine)
         load_by_server = self._load_by_server()
 
         def search(
@@ -547,25 +549,28 @@
             room: crossings.Room,
             crossing: crossings.Crossing,
         ) -> tuple[backends.Stage, ...]:
+            is_closed = functools.partial(
+                self._is_closed, balance, job.service, crossing
+            )
+
+            def entry_ms(zone: ids.ZoneId) -> float:
+                if is_closed((before.server.zone, zone)):
+                    return math.inf
+                return paths.zone_crossing_ms(engine, size)
+
             return paths.cheapest(
                 engine,
                 servers,
-                self._request_size(job, engine),
+                size,
                 before.server.zone,
                 functools.partial(self._running_requests, load_by_server),
                 functools.partial(
                     self._memory_factor, engine, load_by_server, 1.0, room
                 ),
                 self.reports.slowdown,
-                functools.partial(
-                    self._is_closed, self._balance, job.service, crossing
-                ),
+                is_closed,
                 self._rng,
-                lambda _: (
-                    math.inf
-                    if crossing is crossings.Crossing.NONE
-                    else paths.REMOTE_ENTRY_MS
-                ),
+                entry_ms,
                 layers,
             )
 
@@ -582,11 +587,16 @@
         self._usage.reserve(after, tokens)
         self._usage.release(before, tokens)
         engine = job.service.engine
-        seconds = paths.transfer_ms(engine, self._request_size(job, engine))
+        size = self._request_size(job, engine)
+        prompt_seconds = paths.transfer_ms(engine, size) / 1000
+        crossed = _new_links(before, after)
         if self._balance:
             self._balance.record_crossings(
-                job.service, _new_links(before, after), seconds / 1000
+                job.service, crossed, prompt_seconds
             )
+        self._links.record_crossings(
+            crossed, prompt_seconds, self._prompt_share(job.service)
+        )
 
     def _allowed_share(self, job: jobs.Job) -> float:
         """Return the share of memory that a new request may fill."""
@@ -599,6 +609,12 @@
         pause_seconds = self._view.pause_objective(service.id)
         return paths.delays_answers(service.engine, pause_seconds)
 
+    def _prompt_share(self, service: config.Service) -> float:
+        """Return the share of a link's bandwidth that is for prompts."""
+        if self._delays_answers(service):
+            return links.DELAYING_PROMPT_SHARE
+        return links.PROMPT_SHARE
+
     def _is_slow(self, path: tuple[backends.Stage, ...]) -> bool:
         """Return whether servers of a path report that they are slow."""
         return any(
--- a/tests/test_gateway_rerouting.py
+++ b/tests/test_gateway_rerouting.py
@@ -10,7 +10,9 @@
 import eventlet
 import eventlet.event
 import pytest
+import test_gateway_links as link_tests
 import test_gateway_paths as fleets
+import test_gateway_zone_balance as zones
 
 from burdockmast.base import failures
 from burdockmast.base import metrics
@@ -337,6 +339,31 @@
     assert len(fleet.orders) == orders
 
 
+HOPS = (
+    fleets.server('near', 'a', held=(0, 40)),
+    fleets.server('lost', 'a', held=(40, 80)),
+)
+
+
+@pytest.mark.parametrize('zone_delay_ms', [0.0, 5.0])
+def test_detours_to_another_zone_fill_its_link(zone_delay_ms):
+    """All answers of a lost server look for one at the same time."""
+    far = fleets.server('far', 'b', held=(40, 80))
+    selector, _ = zones.selector([*HOPS, far])
+    job = link_tests.job(
+        dataclasses.replace(fleets.ENGINE, zone_delay_ms=zone_delay_ms)
+    )
+    path = tuple(
+        backends.Stage(s, *dataclasses.astuple(s.layers)) for s in HOPS
+    )
+    count = 0
+    while count < 100 and (found := selector.find_detour(job, path, {1})):
+        selector.reserve(job, path)
+        selector.move(job, path, found)
+        count += 1
+    assert 0 < count < 100
+
+
 def test_an_attempt_that_has_ended_is_not_accounted_for_again():
     fleet, attempt = Fleet({'s1'}, [None]), Attempt(has_ended=True)
     look_at(fleet, attempt)
