Count a prompt on a link once when a path change is refused

When an attempt went back to its path before a refused order, the links that only that path uses got its prompt again, though nothing was sent on them. The servers' memory was accounted for rightly, also if the attempt ended in between; the test covers both.

--- a/libs/gateway/burdockmast/gateway/path_selector.py
+++ b/libs/gateway/burdockmast/gateway/path_selector.py
@@ -581,11 +581,18 @@
         job: jobs.Job,
         before: tuple[backends.Stage, ...],
         after: tuple[backends.Stage, ...],
+        is_restored: bool = False,
     ) -> None:
-        """Account for a running request on another path than before."""
+        """Account for a running request on another path than before.
+
+        :param is_restored: it is the path on which the request has run, so
+            that no prompt is sent again
+        """
         tokens = self._reserved_tokens(job)
         self._usage.reserve(after, tokens)
         self._usage.release(before, tokens)
+        if is_restored:
+            return
         engine = job.service.engine
         size = self._request_size(job, engine)
         prompt_seconds = paths.transfer_ms(engine, size) / 1000
--- a/libs/gateway/burdockmast/gateway/rerouting/rerouter.py
+++ b/libs/gateway/burdockmast/gateway/rerouting/rerouter.py
@@ -163,7 +163,7 @@
         except Exception:
             # Nobody waits for the result of this task.
             LOG.exception('path change failed unexpectedly')
-            attempt.change_path(change.before)
+            attempt.restore_path(change.before)
             change.after = ()
         finally:
             attempt.is_rerouting = False
@@ -218,6 +218,6 @@
                 # An order without an answer may be carried out.
                 attempt.rerouted_at = timers.now()
                 return
-            attempt.change_path(change.before)
+            attempt.restore_path(change.before)
             if not change.learn(change.failure.peer):
                 return
--- a/libs/gateway/burdockmast/gateway/stream_attempts.py
+++ b/libs/gateway/burdockmast/gateway/stream_attempts.py
@@ -162,6 +162,13 @@
         self.path = path
         return True
 
+    def restore_path(self, path: tuple[backends.Stage, ...]) -> None:
+        """Account for the attempt on its path before a change that failed."""
+        if not self._has_ended:
+            selector = self._dependencies.path_selector
+            selector.move(self._job, self.path, path, is_restored=True)
+            self.path = path
+
     @property
     def has_events(self) -> bool:
         """Whether events were received."""
--- a/tests/test_gateway_rerouting.py
+++ b/tests/test_gateway_rerouting.py
@@ -22,6 +22,7 @@
 from burdockmast.gateway import crossings
 from burdockmast.gateway import server_states
 from burdockmast.gateway import silence
+from burdockmast.gateway import stream_attempts
 from burdockmast.gateway import stream_progress
 from burdockmast.gateway import streams
 from burdockmast.gateway.rerouting import decision
@@ -168,6 +169,9 @@
             self.path = path
         return not self.has_ended
 
+    def restore_path(self, path):
+        self.change_path(path)
+
 
 class Fleet:
     """A view, a selector, an engine and probes with given answers."""
@@ -339,23 +343,27 @@
     assert len(fleet.orders) == orders
 
 
+FAR = fleets.server('far', 'b', held=(40, 80))
 HOPS = (
     fleets.server('near', 'a', held=(0, 40)),
     fleets.server('lost', 'a', held=(40, 80)),
 )
 
 
+def full_stages(servers):
+    return tuple(
+        backends.Stage(s, s.layers.first, s.layers.end) for s in servers
+    )
+
+
 @pytest.mark.parametrize('zone_delay_ms', [0.0, 5.0])
 def test_detours_to_another_zone_fill_its_link(zone_delay_ms):
     """All answers of a lost server look for one at the same time."""
-    far = fleets.server('far', 'b', held=(40, 80))
-    selector, _ = zones.selector([*HOPS, far])
+    selector, _ = zones.selector([*HOPS, FAR])
     job = link_tests.job(
         dataclasses.replace(fleets.ENGINE, zone_delay_ms=zone_delay_ms)
     )
-    path = tuple(
-        backends.Stage(s, *dataclasses.astuple(s.layers)) for s in HOPS
-    )
+    path = full_stages(HOPS)
     count = 0
     while count < 100 and (found := selector.find_detour(job, path, {1})):
         selector.reserve(job, path)
@@ -364,6 +372,31 @@
     assert 0 < count < 100
 
 
+def test_a_reservation_is_moved_once_whatever_happens_meanwhile():
+    """One that is refused, or whose attempt ends, must not leave a trace."""
+    selector, _ = zones.selector([*HOPS, FAR])
+    job = link_tests.job()
+    crossing = (HOPS[0], FAR)
+    before, after = full_stages(crossing), full_stages(HOPS)
+    attempt = object.__new__(stream_attempts.StreamAttempt)
+    attempt.path, attempt._job, attempt._has_ended = before, job, False
+    attempt._dependencies = types.SimpleNamespace(path_selector=selector)
+    selector.reserve(job, before)
+    load = selector._usage.load_by_server()
+    backlog = selector._links.backlog_seconds(('a', 'b'))
+    assert attempt.change_path(after)
+    assert set(selector._usage.load_by_server()) == {'near', 'lost'}
+    attempt.restore_path(before)
+    assert selector._usage.load_by_server() == load
+    assert selector._links.backlog_seconds(('a', 'b')) <= backlog
+    attempt.change_path(after)
+    attempt._has_ended = True
+    selector.release(job, attempt.path)
+    attempt.restore_path(before)
+    assert not attempt.change_path(after)
+    assert selector._usage.load_by_server() == {}
+
+
 def test_an_attempt_that_has_ended_is_not_accounted_for_again():
     fleet, attempt = Fleet({'s1'}, [None]), Attempt(has_ended=True)
     look_at(fleet, attempt)
