Prefer servers that answer for detours

Servers that don't answer were left out only if the others held all layers. As the servers of the path are excluded, they seldom do, so that an answer could move from a lost server to another one that was known not to answer. These are now used only if no other server can take the layers.

--- a/libs/gateway/burdockmast/gateway/path_selector.py
+++ b/libs/gateway/burdockmast/gateway/path_selector.py
@@ -539,11 +539,13 @@
         if self._balance and zone_balance.is_on(job.service):
             balance = self._balance
         excluded = {*failed, *(stage.server.id for stage in path)}
-        servers = self._view.preferred(job.service, excluded)
+        usable = self._view.usable(job.service.id, excluded)
+        sound = [s for s in usable if not self._view.is_avoided(s.id)]
         size = self._request_size(job, engine)
         load_by_server = self._load_by_server()
 
         def search(
+            servers: Collection[backends.BackendServer],
             layers: backends.LayerRange,
             before: backends.Stage,
             room: crossings.Room,
@@ -574,7 +576,12 @@
                 layers,
             )
 
-        return detours.find(path, affected, search)
+        found = detours.find(path, affected, functools.partial(search, sound))
+        if not found and len(sound) < len(usable):
+            found = detours.find(
+                path, affected, functools.partial(search, usable)
+            )
+        return found
 
     def move(
         self,
--- a/tests/test_gateway_links.py
+++ b/tests/test_gateway_links.py
@@ -66,6 +66,9 @@
     def usable(self, service, excluded=()):
         return [s for s in self.servers if s.id not in excluded]
 
+    def is_avoided(self, server):
+        return False
+
     def pause_objective(self, service):
         return PAUSE_SECONDS
 
--- a/tests/test_gateway_rerouting.py
+++ b/tests/test_gateway_rerouting.py
@@ -372,6 +372,28 @@
     assert 0 < count < 100
 
 
+def test_a_detour_leads_to_a_server_that_does_not_answer_as_a_last_resort(
+    monkeypatch,
+):
+    """The other servers never hold all layers without those of the path."""
+    spares = [fleets.server(n, 'a', held=(40, 80)) for n in ('b1', 'b2')]
+    selector, _ = zones.selector([*HOPS, *spares])
+    view, path = selector._view, full_stages(HOPS)
+    monkeypatch.setattr(
+        view,
+        'preferred',
+        lambda service, excluded: server_states.spare(
+            service.engine, view.usable(service.id, excluded), ['b1', 'b2']
+        ),
+    )
+    avoided = {'b1'}
+    monkeypatch.setattr(view, 'is_avoided', avoided.__contains__)
+    found = selector.find_detour(link_tests.job(), path, {1})
+    assert found[1].server.id == 'b2'
+    avoided.add('b2')
+    assert len(selector.find_detour(link_tests.job(), path, {1})) == 2
+
+
 def test_a_reservation_is_moved_once_whatever_happens_meanwhile():
     """One that is refused, or whose attempt ends, must not leave a trace."""
     selector, _ = zones.selector([*HOPS, FAR])
