Forget probes from before a suspension of the machine

The steady clock stands still in a suspension, in which the answer to a probe can be lost. After it, a server counted as unreachable 0.03 s later, and others as running because of what they had accepted before. Probes are now dropped if the clock that counts suspensions has moved on.

--- a/libs/gateway/burdockmast/gateway/rerouting/probes.py
+++ b/libs/gateway/burdockmast/gateway/rerouting/probes.py
@@ -25,6 +25,9 @@
 
 # Least time between two probes of a server.
 INTERVAL_SECONDS = 0.25
+# Suspension of the machine after which probes say nothing any more: answers
+# may have been lost, and what accepted a connection may have ended.
+MAX_SUSPENDED_SECONDS = 0.02
 
 
 @dataclasses.dataclass(slots=True)
@@ -70,6 +73,7 @@
         self._latest: dict[ids.ServerId, _Probe] = {}
         # Monotonic seconds at which a server last accepted a probe.
         self._accepted_at: dict[ids.ServerId, float] = {}
+        self._suspended_seconds = _suspended_seconds()
 
     def ask(
         self, servers: Iterable[backends.BackendServer], request: ids.RequestId
@@ -78,6 +82,7 @@
 
         :param request: that is silent, for logs
         """
+        self._forget_before_suspension()
         now = timers.now()
         for server in servers:
             latest = self._latest.get(server.id)
@@ -92,6 +97,7 @@
 
         :param since: monotonic seconds
         """
+        self._forget_before_suspension()
         accepted_at = self._accepted_at.get(server, float('-inf'))
         return accepted_at >= since - INTERVAL_SECONDS
 
@@ -100,6 +106,7 @@
 
         It is 0 if the server has relayed an event since the probe began.
         """
+        self._forget_before_suspension()
         probe = self._latest.get(server)
         if (
             probe is None
@@ -109,6 +116,14 @@
             return 0.0
         return timers.now() - probe.began_at
 
+    def _forget_before_suspension(self) -> None:
+        """Forget all probes if the machine was suspended since."""
+        suspended_seconds = _suspended_seconds()
+        if suspended_seconds > self._suspended_seconds + MAX_SUSPENDED_SECONDS:
+            self._latest.clear()
+            self._accepted_at.clear()
+        self._suspended_seconds = suspended_seconds
+
     def drop_unlisted(self) -> None:
         """Drop what is known of servers that are no longer listed."""
         for known in (self._latest, self._accepted_at):
@@ -142,9 +157,14 @@
             )
         except TimeoutError as error:
             # The closed socket keeps the probe unanswered.
-            self._record_failure(
-                server, server_states.Evidence.NO_ANSWER, str(error), request
-            )
+            self._forget_before_suspension()
+            if self._latest.get(server.id) is probe:
+                self._record_failure(
+                    server,
+                    server_states.Evidence.NO_ANSWER,
+                    str(error),
+                    request,
+                )
         except OSError as error:
             # Too many open files, for instance, say nothing about the server.
             probe.sock = None
@@ -164,3 +184,8 @@
             server.id, evidence, f'probe failed: {reason}', request
         )
         self._reports.record_lost(server.id)
+
+
+def _suspended_seconds() -> float:
+    """Return for how long the machine has been suspended since its start."""
+    return timers.boottime_now() - timers.now()
--- a/tests/test_gateway_rerouting.py
+++ b/tests/test_gateway_rerouting.py
@@ -537,6 +537,21 @@
     assert fleet.failures == []
 
 
+def test_a_suspended_gateway_finds_no_server_unreachable(
+    probed, full_listener, monkeypatch
+):
+    """Answers may be lost meanwhile; the steady clock doesn't show it."""
+    fleet, connections = probed
+    connections.ask([target(full_listener)], 'r1')
+    eventlet.sleep(0.05)
+    assert connections.unanswered_seconds('s1') > 0.03
+    before = timers.boottime_now
+    monkeypatch.setattr(timers, 'boottime_now', lambda: before() + 3)
+    assert connections.unanswered_seconds('s1') == 0
+    eventlet.sleep(0.25)
+    assert fleet.failures == []
+
+
 def test_a_gateway_without_sockets_finds_no_server_unreachable(
     probed, monkeypatch
 ):
