Test which server a refused order names

A server that an order is refused for is replaced as well, so that a refusal without a readable address must name none but the first.

--- a/tests/test_gateway_rerouting.py
+++ b/tests/test_gateway_rerouting.py
@@ -9,6 +9,7 @@
 
 import eventlet
 import eventlet.event
+import msgspec
 import pytest
 import test_gateway_links as link_tests
 import test_gateway_paths as fleets
@@ -29,6 +30,7 @@
 from burdockmast.gateway.rerouting import detours
 from burdockmast.gateway.rerouting import probes
 from burdockmast.gateway.rerouting import rerouter
+from burdockmast.platform import engine_client
 
 RUNS = decision.StageState(False, 0.0, True)
 LOST = decision.StageState(True, 0.0, False)
@@ -394,6 +396,43 @@
     assert len(selector.find_detour(link_tests.job(), path, {1})) == 2
 
 
+@pytest.mark.parametrize(
+    ('status', 'data', 'peer'),
+    [
+        (200, b'{}', None),
+        (202, b'', None),
+        (404, b'{}', 's0:1'),
+        (409, b'{"address": "s2:1"}', 's2:1'),
+        (409, b'{"address": 2}', 's0:1'),
+        (409, b'["s2:1"', 's0:1'),
+        (503, b'', 's0:1'),
+    ],
+)
+def test_an_order_that_is_refused_names_the_server(
+    status, data, peer, monkeypatch
+):
+    """Only a server that is named is replaced as well."""
+    client = engine_client.EngineClient()
+    calls = []
+
+    def call(method, server, path, body, timeout):
+        calls.append((method, server.id, path, msgspec.json.decode(body)))
+        return engine_client._Response(status, data)
+
+    monkeypatch.setattr(client, '_call', call)
+    failure = client.change_path('r1', PATH[:2])
+    assert calls == [
+        (
+            'POST',
+            's0',
+            '/api/order',
+            {'op': 'repath', 'id': 'r1', 'path': 's0:1=0-20,s1:1=20-40'},
+        )
+    ]
+    assert (failure.peer if failure else None) == peer
+    assert not failure or failure.outcome is outcomes.Outcome.NOT_RUN
+
+
 def test_a_reservation_is_moved_once_whatever_happens_meanwhile():
     """One that is refused, or whose attempt ends, must not leave a trace."""
     selector, _ = zones.selector([*HOPS, FAR])
