Test the bounds of path changes, probes and accounting

With each of these taken out, all tests passed: the limit of two changes, one change at a time, the longest path, the interval of probes, the mark of an ended attempt, the excluded servers of a search, and the calls of the rerouter by streams. The new tests fail for each.

--- a/tests/test_gateway_rerouting.py
+++ b/tests/test_gateway_rerouting.py
@@ -20,6 +20,8 @@
 from burdockmast.base import outcomes
 from burdockmast.base import timers
 from burdockmast.gateway import backends
+from burdockmast.gateway import buffers
+from burdockmast.gateway import crash_suspects
 from burdockmast.gateway import crossings
 from burdockmast.gateway import server_states
 from burdockmast.gateway import silence
@@ -133,6 +135,13 @@
     assert detours.find(PATH, affected, search(spares)) == ()
 
 
+def test_no_path_is_longer_than_engines_take():
+    held = [(2 * i, 2 * i + 2) for i in range(32)]
+    spares = [fleets.server(f'd{i}', held=(2 + i, 3 + i)) for i in range(2)]
+    assert detours.find(stages(*held), {1}, search(spares)) == ()
+    assert len(detours.find(stages(*held[:31]), {1}, search(spares))) == 32
+
+
 def test_other_zones_are_asked_last():
     asking = search([])
     detours.find(PATH, {2}, asking)
@@ -304,6 +313,69 @@
     assert (attempt.path == PATH) is is_kept
 
 
+def test_an_attempt_is_moved_twice_at_most_and_once_at_a_time(monkeypatch):
+    """A request that ends its servers would end all that hold its layers."""
+    fleet, attempt = Fleet({'s1'}, [None] * 5), Attempt()
+    monkeypatch.setattr(
+        fleet, 'is_lost', lambda server: server in ('s1', 'spare', 'other')
+    )
+    for server in fleet.spares:
+        fleet.spares = [server]
+        rerouting = fleet.rerouter()
+        assert rerouting.keep(JOB, attempt) and rerouting.keep(JOB, attempt)
+        assert look_at(fleet, attempt)
+    assert look_at(fleet, attempt)
+    attempt.rerouted_at = float('-inf')
+    assert not look_at(fleet, attempt)
+    assert len(fleet.orders) == 2
+
+
+def test_a_silent_stream_is_opened_and_looked_at_for_path_changes(monkeypatch):
+    fleet = Fleet({'s1'}, [None])
+    proxy = streams.StreamProxy(*[fleet] * 9, fleet.rerouter())
+    progress = stream_progress.Progress(None, ())
+    monkeypatch.setattr(proxy, '_wait_for_path', lambda *_: PATH)
+    assert proxy._open(JOB, progress).is_checked_early
+    assert proxy._keep_waiting(JOB, Attempt(), progress)
+    eventlet.sleep(0)
+    assert len(fleet.orders) == 1
+
+
+def test_an_ended_attempt_is_accounted_for_no_more():
+    """An order that is under way would reserve memory for good."""
+    selector, _ = zones.selector([*HOPS, FAR])
+    job = link_tests.job()
+    for name, value in (('deadline', timers.now() + 9), ('priority', 0)):
+        object.__setattr__(job, name, value)
+    object.__setattr__(job, 'organisation', '')
+    job.request.id, job.request.method = 'r1', 'POST'
+    job.request.target, job.request.body = '/', b''
+    codec = types.SimpleNamespace(backend_headers=lambda *_: [])
+    attempt = stream_attempts.StreamAttempt(
+        stream_attempts.Dependencies(
+            None,
+            codec,
+            selector,
+            crash_suspects.CrashSuspects(),
+            selector._limits,
+            None,
+            None,
+            buffers.BufferPool(10),
+        ),
+        job,
+        (backends.Stage(target(), 0, 40), full_stages(HOPS)[1]),
+        (),
+        None,
+    )
+    with pytest.MonkeyPatch.context() as patch:
+        patch.setattr(attempt, '_log_end', lambda failure: None)
+        assert attempt.receive_first().step == 'backend.connect'
+    assert selector._usage.load_by_server() == {}
+    assert not attempt.change_path(full_stages((HOPS[0], FAR)))
+    attempt.restore_path(full_stages(HOPS))
+    assert selector._usage.load_by_server() == {}
+
+
 def test_a_slow_order_delays_a_new_attempt_only_for_a_while(monkeypatch):
     """Three orders to a busy first server take more than two seconds."""
     fleet, attempt = Fleet({'s1'}, []), Attempt()
@@ -388,6 +460,8 @@
             service.engine, view.usable(service.id, excluded), ['b1', 'b2']
         ),
     )
+    found = selector.find_detour(link_tests.job(), path, {1}, ['b1'])
+    assert found[1].server.id == 'b2'
     avoided = {'b1'}
     monkeypatch.setattr(view, 'is_avoided', avoided.__contains__)
     found = selector.find_detour(link_tests.job(), path, {1})
@@ -550,6 +624,22 @@
     assert connections.unanswered_seconds('s1') > 0.25
 
 
+def test_a_server_is_probed_only_once_for_many_silent_streams(probed):
+    """In a slow phase, all streams of all gateways ask for it."""
+    _, connections = probed
+    with socket.socket() as listener:
+        listener.bind(('127.0.0.1', 0))
+        listener.listen(8)
+        listener.settimeout(0)
+        for _ in range(5):
+            server = target(listener.getsockname()[1])
+            connections.ask([server], 'r1')
+            eventlet.sleep(0.01)
+        listener.accept()[0].close()
+        with pytest.raises(BlockingIOError):
+            listener.accept()
+
+
 def test_a_refused_connection_is_reported(probed):
     fleet, connections = probed
     with socket.socket() as closed:
