--- a/libs/gateway/burdockmast/gateway/stream_attempts.py
+++ b/libs/gateway/burdockmast/gateway/stream_attempts.py
@@ -86,7 +86,7 @@
         ends the attempt
     :ivar is_checked_early: see ``check_early``
     :ivar is_rerouting: its path is being changed
-    :ivar path_changes: of its path so far
+    :ivar path_changes: of its path and those of earlier attempts
     :ivar rerouted_at: monotonic seconds at which the last change began, or
         was carried out
     :ivar forwards_errors: called for an error reply; true forwards it to the
--- a/libs/gateway/burdockmast/gateway/stream_progress.py
+++ b/libs/gateway/burdockmast/gateway/stream_progress.py
@@ -49,6 +49,8 @@
     :ivar failed_servers: servers that failed this request
     :ivar current: the attempt whose events the caller gets
     :ivar standbys: attempts beside it, while it sends nothing
+    :ivar path_changes: of all attempts' paths, so that a request that ends
+        the servers that run it ends few
     :ivar next_standby_at: monotonic seconds before which none is started
     """
 
@@ -67,6 +69,7 @@
     standbys: list[stream_standbys.Standby] = dataclasses.field(
         default_factory=list
     )
+    path_changes: int = 0
     next_standby_at: float = 0.0
 
     def first_servers(self, max_attempts: int) -> FirstServers:
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -150,6 +150,7 @@
             progress.fingerprints,
             progress.last_event_id,
         )
+        attempt.path_changes = progress.path_changes
         self._rerouter.prepare(job, attempt)
         return attempt
 
@@ -257,7 +258,11 @@
         ):
             return False
         attempt.fetch_reports()
-        if self._rerouter.keep(job, attempt):
+        is_kept = self._rerouter.keep(job, attempt)
+        progress.path_changes = max(
+            progress.path_changes, attempt.path_changes
+        )
+        if is_kept:
             return True
         if (
             attempt.is_checked_early
--- a/tests/test_gateway_rerouting.py
+++ b/tests/test_gateway_rerouting.py
@@ -694,3 +694,13 @@
     eventlet.sleep(0.05)
     assert connections.unanswered_seconds('s1') == 0
     assert fleet.failures == []
+
+
+def test_new_attempts_of_a_request_change_no_more_paths():
+    """One that ends the servers that run it would end two with each."""
+    proxy = streams.StreamProxy.__new__(streams.StreamProxy)
+    proxy._wait_for_path = lambda job, progress: PATH
+    proxy._dependencies = None
+    proxy._rerouter = types.SimpleNamespace(prepare=lambda job, attempt: None)
+    progress = stream_progress.Progress(None, (), path_changes=2)
+    assert proxy._open(JOB, progress).path_changes == 2
