Measure the usual share of retries over windows at equal intervals

test_calm_gateways_use_most_of_the_allowance failed once with 0.692 where 0.7 is wanted. It is a fault of the measure. The usual share was the median over windows that end with a retry. Retries come in bursts of about 3 s, every 10.5 s, so that most of these windows hold only a part of a burst. The figure shows how the bursts fall, and its bound of 0.7 lay within the spread.

The usual share is now the median over windows that end every 0.1 s, and the bound is 0.8. The margins of the design leave about 0.84.

--- a/libs/bench/burdockmast/bench/retry_checks.py
+++ b/libs/bench/burdockmast/bench/retry_checks.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 from collections.abc import Sequence
 import dataclasses
+import math
 import statistics
 
 from burdockmast.platform import standin
@@ -11,6 +12,8 @@
 # The requests of a window, the one before it or the one half a window before
 # it count, whichever has most.
 EARLIER_WINDOWS = (0.0, 0.5, 1.0)
+# Time between the ends of the windows whose median is the usual share.
+USUAL_STEP_SECONDS = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -43,7 +46,9 @@
     """How much of the allowance was used.
 
     :ivar share: of the allowance, in the worst window
-    :ivar usual_share: median over all windows that are wholly in the play
+    :ivar usual_share: median over windows that are wholly in the play and end
+        at equal intervals; retries come in bursts, and windows that end with
+        a retry would show how the bursts fall rather than what was used
     :ivar windows_over: windows with more retries than allowed
     """
 
@@ -66,22 +71,18 @@
     """
     sent_at = sorted(sent_at)
     retries = _retry_times(received)
-    begun_at = min(sent_at, default=0.0) + rule.window_seconds
     worst = Usage(0.0, 0.0, 0, rule.slack, 0)
-    shares = []
     over = 0
     for end in retries:
         count = _count(retries, end, rule.window_seconds)
         allowance = rule.allowance(sent_at, end)
         share = count / allowance
         over += count > allowance
-        if end >= begun_at:
-            shares.append(share)
         if share > worst.share:
             worst = Usage(share, 0.0, count, allowance, 0)
     return dataclasses.replace(
         worst,
-        usual_share=statistics.median(shares) if shares else 0.0,
+        usual_share=_usual_share(sent_at, retries, rule),
         windows_over=over,
     )
 
@@ -102,6 +103,27 @@
     ]
 
 
+def _usual_share(
+    sent_at: Sequence[float], retries: Sequence[float], rule: RetryRule
+) -> float:
+    """Return the median share of the allowance that windows use.
+
+    :param sent_at: sorted monotonic seconds of all requests
+    :param retries: sorted monotonic seconds of all retries
+    """
+    if not sent_at:
+        return 0.0
+    first_end = sent_at[0] + rule.window_seconds
+    count = math.floor((sent_at[-1] - first_end) / USUAL_STEP_SECONDS) + 1
+    ends = [first_end + n * USUAL_STEP_SECONDS for n in range(count)]
+    shares = [
+        _count(retries, end, rule.window_seconds)
+        / rule.allowance(sent_at, end)
+        for end in ends
+    ]
+    return statistics.median(shares) if shares else 0.0
+
+
 def _retry_times(received: Iterable[standin.ReceivedRequest]) -> list[float]:
     """Return the times of all arrivals but the first of each request."""
     seen: set[str] = set()
--- a/tests/test_gateway_retry_storms.py
+++ b/tests/test_gateway_retry_storms.py
@@ -7,9 +7,10 @@
 from burdockmast.platform import standin
 
 RULE = retry_checks.RetryRule(ratio=0.2, slack=4, window_seconds=10.0)
-# Share of the allowance that gateways used without disruptions when each had
-# a fixed share of it.
-CALM_SHARE = 0.7
+# The margins that gateways keep (RATIO_SHARE, SLACK_SHARE, SEND_SECONDS) leave
+# about 0.84 of the allowance at the load of a play. Gateways that each had a
+# fixed share of it used 0.73.
+CALM_SHARE = 0.8
 
 
 def arrivals(times):
@@ -38,6 +39,14 @@
     assert retry_checks.measure(sent, arrivals(late), RULE).windows_over
 
 
+def test_usual_share_does_not_depend_on_how_bursts_of_retries_fall():
+    """Many windows that end with a retry hold only a part of a burst."""
+    sent = [n / 10 for n in range(400)]
+    bursts = [10.05 * k + n / 100 for k in range(4) for n in range(12)]
+    usage = retry_checks.measure(sent, arrivals([0.0, *bursts]), RULE)
+    assert usage.usual_share == pytest.approx(12 / 24, rel=0.05)
+
+
 def test_calm_gateways_use_most_of_the_allowance(tmp_path):
     usage, statuses = retry_storms.play(
         retry_storms.Disruption.NONE, 1, tmp_path
