Excuse refused connections in the soak until a stop has really ended

It is a fault of the test. A stop may take longer without any fault: 2 s in which the entry reports that it is not ready, up to 10 s for requests until their deadlines, and the start of the next process.

Refusals are now excused until 10 s after the real end. As the former bound also limited the time of a stop, a stop that still runs when the play comes to its end, and takes more than 25 s, is now a violation of its own. Both have a test.

--- a/libs/bench/burdockmast/bench/soak.py
+++ b/libs/bench/burdockmast/bench/soak.py
@@ -8,6 +8,7 @@
 from concurrent import futures
 import dataclasses
 import json
+import math
 import pathlib
 import shutil
 import tempfile
@@ -39,6 +40,8 @@
 # Seconds by which a reply may be late: an entry may be frozen for the longest
 # fault, and the machine may be busy with other seeds.
 SLACK_SECONDS = 15.0
+# Time limit for a planned stop: running requests end by their deadlines.
+STOP_SECONDS = DEADLINE_SECONDS + SLACK_SECONDS
 # Seconds until a fleet without faults must serve everything again.
 HEAL_SECONDS = 30.0
 POLL_SECONDS = 0.05
@@ -95,6 +98,10 @@
         self._version_by_entry: dict[str, int] = {}
         # Entries that were killed, whose callers may see a cut.
         self._killed: set[str] = set()
+        # Seconds at which faults began and ended, later than planned if a stop
+        # or the machine was slow.
+        self._began_at: dict[soakplans.Strike, float] = {}
+        self._ended_at: dict[soakplans.Strike, float] = {}
         self._is_over = False
 
     def run(self) -> Report:
@@ -122,8 +129,10 @@
             self._sleep_until(at)
             if is_begin:
                 self._begin(strike)
+                self._began_at[strike] = time.monotonic() - self._began
             else:
                 self._end(strike)
+                self._ended_at[strike] = time.monotonic() - self._began
         self._sleep_until(soakplans.PLAY_SECONDS)
 
     def _sleep_until(self, at: float) -> None:
@@ -164,7 +173,7 @@
             case soakplans.Fault.KILLED:
                 fleet.start(target)
             case soakplans.Fault.STOPPED:
-                fleet.process_by_name.pop(target).wait()
+                self._await_stop(strike)
                 fleet.start(target)
             case soakplans.Fault.FROZEN:
                 fleet.thaw(target)
@@ -175,6 +184,16 @@
             case _:
                 fleet.set_faults(target)
 
+    def _await_stop(self, strike: soakplans.Strike) -> None:
+        """Wait until a stopped process has ended, which must not last."""
+        process = self._fleet.process_by_name.pop(strike.target)
+        if process.poll() is not None:
+            return
+        process.wait()
+        seconds = time.monotonic() - self._began - self._began_at[strike]
+        if seconds > STOP_SECONDS:
+            self._violated(f'{strike.target} took {seconds:.1f} s to stop')
+
     def _network(self, relay: str, **faults: object) -> None:
         self._fleet.post_json(f'{relay}-control', '/network', faults)
 
@@ -259,7 +278,8 @@
         """Tell whether a fault of an entry explains a broken connection.
 
         A planned stop explains only connections that were refused, since a
-        caller may then safely ask elsewhere.
+        caller may then safely ask elsewhere. A fault explains them until
+        shortly after its real end: a planned stop waits for running requests.
         """
         if entry in self._killed:
             return True
@@ -268,7 +288,9 @@
             strike.fault
             for strike in self.report.strikes
             if strike.target == entry
-            and strike.begin <= now <= strike.end + DEADLINE_SECONDS
+            and strike.begin
+            <= now
+            <= self._ended_at.get(strike, math.inf) + DEADLINE_SECONDS
         }
         if isinstance(error, urllib3.exceptions.NewConnectionError):
             return bool(faults)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,5 +1,6 @@
 """The fault soak: plans, what counts as a broken promise, and a short run."""
 
+import time
 import types
 
 import pytest
@@ -109,6 +110,30 @@
     assert len(play.report.violations) == 1
 
 
+def test_refusals_are_excused_until_shortly_after_a_stop_has_ended(play):
+    """A stop that waited for requests used to count as a broken promise."""
+    stop = soakplans.Strike(1.0, 2.0, soakplans.Fault.STOPPED, 'entry-0')
+    play.report.strikes = [stop]
+    play._began = time.monotonic() - 14.0
+    refused = urllib3.exceptions.NewConnectionError(None, 'refused')
+    play._note_cut('entry-0', 'answer', refused)
+    assert not play.report.violations
+    play._ended_at[stop] = 3.0
+    play._note_cut('entry-0', 'answer', refused)
+    assert len(play.report.violations) == 1
+
+
+@pytest.mark.parametrize(('began_ago', 'expected'), [(24.0, 0), (27.0, 1)])
+def test_a_stop_that_does_not_end_in_time_is_found(play, began_ago, expected):
+    stop = soakplans.Strike(1.0, 2.0, soakplans.Fault.STOPPED, 'entry-0')
+    stopping = types.SimpleNamespace(poll=lambda: None, wait=lambda: 0)
+    play._fleet.process_by_name = {'entry-0': stopping}
+    play._began_at[stop] = 1.0
+    play._began = time.monotonic() - began_ago
+    play._await_stop(stop)
+    assert len(play.report.violations) == expected
+
+
 @pytest.mark.parametrize('seed', REGRESSIONS)
 def test_promises_hold_in_a_short_soak(seed, tmp_path):
     """Proves: what must always hold, under random faults."""
