Let the standby watch in time where bounds are short

A standby took the watcher of its zone for failed when its own copy of the configuration was 1.7 s old. Where changes must be in force within 2 s, all copies are too old to rely on others at 1.3 s already, so that all gateways of the zone called the store. The standby now stands in 0.3 s before that age, which is 1.7 s where the bound is 3 s.

--- a/libs/gateway/burdockmast/gateway/object_follower.py
+++ b/libs/gateway/burdockmast/gateway/object_follower.py
@@ -66,6 +66,8 @@
     :ivar on_restore: functions that are called when the store has come back
         from an older copy
     :ivar source: of the last change
+    :ivar max_relied_age: age in seconds from which a gateway asks the store
+        itself
     """
 
     def __init__(
@@ -116,8 +118,7 @@
         self._is_older = is_older
         self._is_watcher = is_watcher
         self._relayed_type = relayed_type
-        # Age of the copy from which a gateway asks the store itself.
-        self._max_relied_age = min(
+        self.max_relied_age = min(
             watch_seconds + RELY_MARGIN_SECONDS,
             bound_seconds - REACTION_SECONDS,
         )
@@ -280,7 +281,7 @@
             self.revision is not None
             and not (self._is_behind and is_due)
             and not self._is_watcher()
-            and self.age < self._max_relied_age
+            and self.age < self.max_relied_age
         )
         if relies != self._relies_on_neighbours and not self._is_behind:
             self._relies_on_neighbours = relies
@@ -405,7 +406,7 @@
         if self._is_relied_on():
             # A watch confirms the copy only when it ends, one that has told
             # changes only as of the call.
-            most = self._max_relied_age - RELY_MARGIN_SECONDS - self.age
+            most = self.max_relied_age - RELY_MARGIN_SECONDS - self.age
             seconds = min(seconds, max(MIN_WATCH_SECONDS, most))
         until_drop = self._absent.next_drop_at - timers.now()
         return min(seconds, max(MIN_DROP_WATCH_SECONDS, until_drop))
@@ -528,7 +529,7 @@
         it is too old.
         """
         most = (
-            self._max_relied_age
+            self.max_relied_age
             - RELY_MARGIN_SECONDS
             - MIN_WATCH_SECONDS
             - self.age
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -121,7 +121,7 @@
         duty = watch_duty.WatchDuty(
             self._neighbours,
             lambda: self.view.controls_admission,
-            lambda: self._configurations.age,
+            lambda: self._configurations,
         )
         self._configurations = object_follower.Follower(
             'configuration',
--- a/libs/gateway/burdockmast/gateway/store_calls/watch_duty.py
+++ b/libs/gateway/burdockmast/gateway/store_calls/watch_duty.py
@@ -8,16 +8,18 @@
 
 from collections.abc import Callable
 import math
+from typing import Any
 
 from burdockmast.base import timers
 from burdockmast.gateway import neighbours
+from burdockmast.gateway import object_follower
 
 # Time without a message after which the first watcher counts as failed.
 # Messages come every 0.1 s, in large zones every 0.4 s.
 SILENT_SECONDS = 0.6
-# Age of the standby's copy at which the first one counts as failed: a watch
-# takes up to 1.4 s, and the message that confirms it arrives 0.2 s later.
-UNCONFIRMED_SECONDS = 1.7
+# The first one also counts as failed this long before the standby's copy is
+# too old to rely on others: all copies of the zone are about as old then.
+AGE_MARGIN_SECONDS = 0.3
 # Time for which a standby watches after it has found the first one failed. The
 # first may seem sound as soon as the standby confirms both their copies.
 STAND_IN_SECONDS = 10.0
@@ -30,18 +32,17 @@
         self,
         known: neighbours.Neighbours,
         is_enabled: Callable[[], bool],
-        copy_age: Callable[[], float],
+        followed: Callable[[], object_follower.Follower[Any]],
         now: Callable[[], float] = timers.now,
     ):
         """Create the duty of one gateway.
 
         :param is_enabled: returns whether the second watcher is a standby
-        :param copy_age: returns the seconds since this gateway's copy of the
-            configuration was confirmed
+        :param followed: returns this gateway's copy of the configuration
         """
         self._neighbours = known
         self._is_enabled = is_enabled
-        self._copy_age = copy_age
+        self._followed = followed
         self._now = now
         self._stands_in_until = -math.inf
 
@@ -53,13 +54,17 @@
         if first is None or not self._is_enabled():
             return True
         now = self._now()
-        if (
-            now - first.heard_at > SILENT_SECONDS
-            or UNCONFIRMED_SECONDS < self._copy_age() < math.inf
-        ):
+        if now - first.heard_at > SILENT_SECONDS or self._is_copy_late():
             self._stands_in_until = now + STAND_IN_SECONDS
         return now < self._stands_in_until
 
+    def _is_copy_late(self) -> bool:
+        copy = self._followed()
+        return (
+            copy.revision is not None
+            and copy.age > copy.max_relied_age - AGE_MARGIN_SECONDS
+        )
+
     def is_relied_on(self) -> bool:
         """Return whether a neighbour may rely on this gateway's watches."""
         if self._is_enabled():
--- a/tests/store_calls.py
+++ b/tests/store_calls.py
@@ -86,8 +86,8 @@
                     metrics_address='',
                     neighbours_address=record.address,
                     revoke_seconds=5.0,
-                    apply_seconds=3.0,
-                    drain_seconds=3.0,
+                    apply_seconds=fleet.bound_seconds,
+                    drain_seconds=fleet.bound_seconds,
                     grace_seconds=10.0,
                     memory_mb=1000.0,
                     retry_ratio=0.1,
@@ -179,12 +179,16 @@
     """Gateways in zones, and the calls that they make.
 
     :ivar calls: method and kind of each, with its time
+    :ivar bound_seconds: within which changes must be in force
     :ivar loss: share of the messages between gateways that get lost
     """
 
-    def __init__(self, gateways_by_zone, is_contended=True, loss=0.0):
+    def __init__(
+        self, gateways_by_zone, is_contended=True, loss=0.0, bound=3.0
+    ):
         self.rng = random.Random(1)
         self.loss = loss
+        self.bound_seconds = bound
         self.is_contended = is_contended
         self.metadata = standin.MetadataStore()
         self.calls = []
--- a/tests/test_gateway_store_calls.py
+++ b/tests/test_gateway_store_calls.py
@@ -141,15 +141,16 @@
     assert calls['GET', 'servers', 'list'] == 0
 
 
+@pytest.mark.parametrize('bound', [2.0, 3.0])
 @pytest.mark.parametrize('failure', ['stopped', 'cut', 'deaf', 'mute'])
 def test_changes_are_in_force_in_time_though_the_watcher_fails(
-    start_fleet, failure
+    start_fleet, failure, bound
 ):
-    fleet = start_fleet(6, loss=0.1)
+    fleet = start_fleet(6, loss=0.1, bound=bound)
     eventlet.sleep(20.0)
     watcher = fleet.gateways[0]
     setattr(watcher, f'is_{failure}', True)
-    assert max(fleet.change(6.0, interval=0.7)) < 3.0
+    assert max(fleet.change(6.0, interval=0.7)) < bound
 
 
 @pytest.mark.parametrize('pause', [0.0, 1.0, 3.0])
