Look for abandoned retry slots at the gateway that watches only

Both watchers of each zone listed the retry slots every 5 s to mark those that others have left as free. Where admission is controlled, the standby leaves that to the first watcher as well. When it stands in, it must see a slot unchanged for the whole time itself, so that slots of gateways that are gone may be marked later then.

--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -164,7 +164,7 @@
                 platform.retry_slots.boot,
             ),
             platform.retry_slots,
-            self._neighbours.is_watcher,
+            duty.watches,
             self._metrics,
             rng,
         )
