Let gateways that start hear their neighbours before they watch

A gateway that has just started hears nobody, counts itself among the watchers of its zone, and began to watch at once. It now waits 0.3 s after its first listing, as it waits after a change.

--- a/libs/gateway/burdockmast/gateway/object_follower.py
+++ b/libs/gateway/burdockmast/gateway/object_follower.py
@@ -37,6 +37,9 @@
 # just chosen a server by the older copy.
 REACTION_SECONDS = 0.7
 MIN_WATCH_SECONDS = 0.3
+# Longest pause after the first listing of a gateway, in which it hears of
+# neighbours that watch already.
+FIRST_PAUSE_SECONDS = 0.3
 # The same where an object is to be dropped.
 MIN_DROP_WATCH_SECONDS = 0.05
 # Least time between two listings because neighbours know a later history that
@@ -225,8 +228,13 @@
             case interfaces.Listing():
                 self._on_store_answer()
                 self._begin_era(found.era)
+                is_first = self._first_listed_at is None
                 self._apply_listing(found)
                 self._confirm(called_at)
+                if is_first:
+                    eventlet.sleep(
+                        min(FIRST_PAUSE_SECONDS, self._quiet_seconds)
+                    )
             case interfaces.Changes() if found.era != self.era:
                 # Its revisions are not those that the watch asked for.
                 self._must_list = True
--- a/tests/test_gateway_store_calls.py
+++ b/tests/test_gateway_store_calls.py
@@ -164,3 +164,12 @@
     fleet.restart(fleet.gateways[0])
     eventlet.sleep(1.0)
     assert max(fleet.change(4.0, interval=0.7)) < 3.0
+
+
+def test_gateways_that_start_at_once_do_not_all_watch(start_fleet):
+    """Each counts itself among the watchers before it hears the others."""
+    fleet = start_fleet(6, is_contended=False)
+    eventlet.sleep(1.0)
+    calls = fleet.count()
+    assert calls['GET', 'config', 'watch'] <= 3
+    assert calls['GET', 'servers', 'watch'] <= 3
