--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -123,7 +123,7 @@
         duty = watch_duty.WatchDuty(
             self._neighbours,
             lambda: self.view.controls_admission,
-            lambda: self._configurations.age,
+            lambda: self._configurations,
         )
         self._configurations = object_follower.Follower(
             'configuration',
@@ -166,7 +166,7 @@
                 platform.retry_slots.boot,
             ),
             platform.retry_slots,
-            self._neighbours.is_watcher,
+            duty.watches,
             self._metrics,
             rng,
         )
