End the periodic calls of gateways that tests stop

Gateways of the tests of store calls went on with their periodic calls in virtual time, and after it beside the tests that follow in the same process.

--- a/tests/store_calls.py
+++ b/tests/store_calls.py
@@ -111,10 +111,18 @@
         self.link = self.server._neighbour_link
         self.link.start = lambda: None
         self.link.send = self._send
+        self._subscriptions = []
+        subscribe = self.server._timers.subscribe
+        self.server._timers.subscribe = lambda *arguments: (
+            self._subscriptions.append(subscribe(*arguments))
+        )
         self.server.start_following()
 
     def stop(self):
+        """End all tasks, at their next calls."""
         self.is_stopped = True
+        for subscription in self._subscriptions:
+            subscription.cancel()
 
     def _check_running(self):
         if self.is_stopped:
--- a/tests/test_gateway_store_calls.py
+++ b/tests/test_gateway_store_calls.py
@@ -1,6 +1,7 @@
 """Gateways call the store seldom, also if all need the same at once."""
 
 import eventlet
+import eventlet.hubs
 import logbook
 import pytest
 import store_calls
@@ -173,3 +174,15 @@
     calls = fleet.count()
     assert calls['GET', 'config', 'watch'] <= 3
     assert calls['GET', 'servers', 'watch'] <= 3
+
+
+def test_gateways_of_this_file_leave_no_tasks_behind(start_fleet):
+    """They would go on beside the tests that follow."""
+    hub = eventlet.hubs.get_hub()
+    eventlet.sleep(1.0)
+    before = hub.get_timers_count()
+    fleet = start_fleet(2)
+    eventlet.sleep(3.0)
+    fleet.close()
+    eventlet.sleep(60.0)
+    assert hub.get_timers_count() <= before
