--- a/tests/test_gateway_store_calls.py
+++ b/tests/test_gateway_store_calls.py
@@ -186,3 +186,13 @@
     fleet.close()
     eventlet.sleep(60.0)
     assert hub.get_timers_count() <= before
+
+
+def test_changes_after_a_restore_are_in_force_in_time(start_fleet):
+    """What neighbours told of the earlier history must not delay them."""
+    fleet = start_fleet(6, loss=0.1)
+    eventlet.sleep(20.0)
+    saved = fleet.metadata.copy()
+    fleet.change(3.0)
+    fleet.metadata.restore(saved)
+    assert max(fleet.change(5.0, interval=0.3)) < 3.0
