Let the heads of stalled streams tell of the time at which they are sent

The gateway's log shows that the head of a stream which had stalled before its first event ended the limit: the stand-in had made the head when the stream began, before the limit was named.

Change: a run on a path waits for its servers before its head is made, and one that is aborted by then ends without a head. New stages of changed paths take 0.05 s in the soak.

Result: the new test of the head fails on the stand-in before (no limit in the head) and passes now.

--- a/libs/bench/burdockmast/bench/gateway_contention.py
+++ b/libs/bench/burdockmast/bench/gateway_contention.py
@@ -24,6 +24,8 @@
 PRIORITY_BY_PATH = {'/draft/': 1, '/long/': 5, '/once/': 5, BULK_PATH: 9}
 ZONES = ('a', 'b')
 HOP_SECONDS = 0.02
+# In which new stages of a changed path process the tokens so far.
+PREFILL_SECONDS = 0.05
 # Room for about three long answers at each server.
 SCARCE_KV_BYTES = 18_000_000
 BULK_CALLERS_PER_GATEWAY = 3
@@ -120,6 +122,7 @@
         self._death_rng = random.Random(f'deaths {seed}')
         if seed < FIRST_SEED:
             return
+        self.engine.prefill_seconds = PREFILL_SECONDS
         faults.append(self.plan.describe())
         for server in servers:
             server.join(self.engine)
--- a/libs/platform/burdockmast/platform/standin.py
+++ b/libs/platform/burdockmast/platform/standin.py
@@ -549,6 +549,10 @@
             start_response('503 Service Unavailable', refusal)
             return [b'']
         received.run = run
+        # The head is sent with the first event and tells of that time.
+        if run and not self._wait_for_stages(connection, received, run):
+            connection.shutdown(socket.SHUT_RDWR)
+            raise ConnectionError('a server of the path is down')
         reply_headers = [
             (headers.REQUEST_ID, received.id),
             (headers.SIGNATURE, f'seal-{self.id}'),
--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -24,6 +24,7 @@
     4224: 'an unframed stream of a crashed server looked complete (open)',
     6004: 'four requests with a deadly part after nine crashes (open)',
     6052: 'the same (open)',
+    10019: 'heads of stalled streams named the limit of an earlier time',
 }
 
 # Seeds with so many gateways that failed and are not mended yet.
--- a/tests/test_standin_paths.py
+++ b/tests/test_standin_paths.py
@@ -103,6 +103,14 @@
     assert engine.change('a', 'b2', 'c') == (404, None)
 
 
+def test_head_of_a_stalled_stream_names_the_limit_of_its_time(engine):
+    """Older heads that come later ended limits that had been named since."""
+    first = engine.server_by_name['a']
+    engine.server_by_name['b'].fall_silent(0.3, with_reports=False)
+    eventlet.spawn_after(0.1, setattr, first, 'limit', 2.0)
+    assert engine.stream('a', 'b', 'c').getheader(headers.LIMIT) == '2.0'
+
+
 def test_silence_of_a_server_aborts_nothing(engine):
     """An abort would excuse answers that are lost although no server is."""
     response = engine.stream('a', 'b', 'c')
@@ -110,6 +118,14 @@
     assert response.read().endswith(b'id: 20\ndata: token 20\n\n')
 
 
+def test_stream_that_is_aborted_before_its_first_event_has_no_head(engine):
+    """A status 500 of the stand-in would look like a gateway's mistake."""
+    engine.server_by_name['b'].fall_silent(0.2, with_reports=False)
+    eventlet.spawn_after(0.1, engine.server_by_name['b'].die, 5.0)
+    with pytest.raises(ConnectionError):
+        engine.stream('a', 'b', 'c')
+
+
 def test_changes_that_can_not_be_carried_out_are_rejected(engine):
     """A change to a server that is down must not look like a success."""
     assert engine.change('a', 'b2', 'c')[0] == 404
