Count requests beyond a limit from when a server has told of it

All its streams stalled on a dead server of their paths, so that no head could name the limit for more than 3 s, and gateways were expected to keep a limit that none of them could know.

Change: for servers of an engine the 3 s begin with the first head that names the limit.

--- a/libs/bench/burdockmast/bench/gateway_soak.py
+++ b/libs/bench/burdockmast/bench/gateway_soak.py
@@ -435,8 +435,12 @@
                     self._ends_at,
                 )
             if server.id in self._named:
+                named_at, limit = self._named[server.id]
+                if server.engine:
+                    # Its streams may stall, and gateways learn from heads.
+                    named_at = max(named_at, server.limit_told_at)
                 violations += gateway_checks.find_excess(
-                    server, *self._named[server.id], excused, self._ends_at
+                    server, named_at, limit, excused, self._ends_at
                 )
         for service, servers in (
             ('llm', self._engines),
--- a/libs/platform/burdockmast/platform/standin.py
+++ b/libs/platform/burdockmast/platform/standin.py
@@ -269,6 +269,7 @@
     :ivar rest_seconds: for which it wants no requests after a refusal
     :ivar is_leaving: says in its answers that it leaves
     :ivar limit: requests a second that it names in its answers, or None
+    :ivar limit_told_at: monotonic seconds of the first head that names one
     :ivar crashes_on: part of a prompt, or path, whose requests end the
         server's process when they begin
     :ivar crashed_at: monotonic seconds of its crashes
@@ -297,6 +298,7 @@
         self.rest_seconds: float | None = None
         self.is_leaving = False
         self.limit: float | None = None
+        self.limit_told_at = math.inf
         self.crashes_on = ''
         self.crashed_at: list[float] = []
         self._incarnation = 0
@@ -560,6 +562,7 @@
         if self.is_leaving:
             reply_headers.append(('Server-Leaving', '1'))
         if self.limit is not None:
+            self.limit_told_at = min(self.limit_told_at, timers.now())
             reply_headers.append((headers.LIMIT, str(self.limit)))
         if headers.TOKEN_COUNTS.lower() not in received.header_by_name:
             body = f'answer of {self.id}'.encode()
--- a/tests/test_standin_paths.py
+++ b/tests/test_standin_paths.py
@@ -6,6 +6,7 @@
 import eventlet
 import pytest
 
+from burdockmast.base import timers
 from burdockmast.platform import headers
 from burdockmast.platform import standin
 from burdockmast.platform import standin_paths
@@ -106,9 +107,11 @@
 def test_head_of_a_stalled_stream_names_the_limit_of_its_time(engine):
     """Older heads that come later ended limits that had been named since."""
     first = engine.server_by_name['a']
+    began_at = timers.now()
     engine.server_by_name['b'].fall_silent(0.3, with_reports=False)
     eventlet.spawn_after(0.1, setattr, first, 'limit', 2.0)
     assert engine.stream('a', 'b', 'c').getheader(headers.LIMIT) == '2.0'
+    assert began_at + 0.3 <= first.limit_told_at <= timers.now()
 
 
 def test_silence_of_a_server_aborts_nothing(engine):
