Bound what path changes take of a gateway, and leave them off by default

At gateways of a quarter of a core, silent answers that are looked at each 0.02 s, reports after 0.1 s and probes without bound slow the gateway, which silences more answers.

Change: at most 32 probes a second, long silences are looked at each 0.1 s, reports are asked for after 0.2 s as before, and the setting change-paths of the section streams, false by default, switches path changes on. What the bounds give with them on is not measured yet.

--- a/libs/gateway/burdockmast/gateway/rerouting/probes.py
+++ b/libs/gateway/burdockmast/gateway/rerouting/probes.py
@@ -25,6 +25,10 @@
 
 # Least time between two probes of a server.
 INTERVAL_SECONDS = 0.25
+# Probes of this gateway, and most at once: as many as a path has servers. A
+# slow phase silences many answers, and probes would slow the gateway further.
+MAX_PER_SECOND = 32
+MAX_AT_ONCE = 16
 # Suspension of the machine after which probes say nothing any more: answers
 # may have been lost, and what accepted a connection may have ended.
 MAX_SUSPENDED_SECONDS = 0.02
@@ -73,6 +77,9 @@
         self._latest: dict[ids.ServerId, _Probe] = {}
         # Monotonic seconds at which a server last accepted a probe.
         self._accepted_at: dict[ids.ServerId, float] = {}
+        # Probes that may begin, as of a monotonic time.
+        self._allowance = float(MAX_AT_ONCE)
+        self._allowed_at = timers.now()
         self._suspended_seconds = _suspended_seconds()
 
     def ask(
@@ -84,10 +91,18 @@
         """
         self._forget_before_suspension()
         now = timers.now()
+        self._allowance = min(
+            MAX_AT_ONCE,
+            self._allowance + (now - self._allowed_at) * MAX_PER_SECOND,
+        )
+        self._allowed_at = now
         for server in servers:
+            if self._allowance < 1:
+                return
             latest = self._latest.get(server.id)
             if latest is None or now >= latest.began_at + INTERVAL_SECONDS:
                 probe = self._latest[server.id] = _Probe(now)
+                self._allowance -= 1
                 eventlet.spawn_n(self._run, probe, server, request)
 
     def has_accepted_since(self, server: ids.ServerId, since: float) -> bool:
--- a/libs/gateway/burdockmast/gateway/rerouting/rerouter.py
+++ b/libs/gateway/burdockmast/gateway/rerouting/rerouter.py
@@ -15,14 +15,18 @@
 from burdockmast.gateway import jobs
 from burdockmast.gateway import path_selector
 from burdockmast.gateway import stream_attempts
+from burdockmast.gateway import upstream
 from burdockmast.gateway import view
 from burdockmast.gateway.rerouting import decision
 from burdockmast.gateway.rerouting import probes
 
 LOG = logs.get('rerouting')
 
-# Interval at which a silent attempt is looked at again.
-RECHECK_SECONDS = 0.02
+# Interval at which a silent attempt is looked at again, and the silence up to
+# which it is. Later its caller is late anyway, and many attempts that are
+# silent for long would take much of a small gateway's processor time.
+RECHECK_SECONDS = 0.04
+EARLY_SECONDS = 0.3
 # Time for which an event shows that the servers of its path run. Most servers
 # relay events of other answers after the last event of a silent one, and may
 # have ended after that.
@@ -76,13 +80,18 @@
         selector: path_selector.PathSelector,
         connections: probes.ConnectionProbes,
         measures: metrics.Metrics,
+        is_enabled: bool = True,
     ):
-        """Create a rerouter without state; attempts keep theirs."""
+        """Create a rerouter without state; attempts keep theirs.
+
+        :param is_enabled: by the settings of the gateway
+        """
         self._view = fleet
         self._engines = engines
         self._selector = selector
         self._connections = connections
         self._metrics = measures
+        self._is_enabled = is_enabled
 
     def prepare(
         self, job: jobs.Job, attempt: stream_attempts.StreamAttempt
@@ -92,12 +101,14 @@
             attempt.check_early(
                 lambda longest_pause: decision.check_seconds(
                     job.route.gap_objective_seconds, longest_pause
-                ),
-                RECHECK_SECONDS,
+                )
             )
 
     def _is_on(self, job: jobs.Job) -> bool:
-        return self._view.admission_policy(job.service.id).is_contended
+        return (
+            self._is_enabled
+            and self._view.admission_policy(job.service.id).is_contended
+        )
 
     def keep(
         self, job: jobs.Job, attempt: stream_attempts.StreamAttempt
@@ -108,6 +119,11 @@
         """
         if not attempt.is_checked_early:
             return False
+        attempt.recheck_after(
+            RECHECK_SECONDS
+            if attempt.silent_seconds < EARLY_SECONDS
+            else upstream.SILENCE_RECHECK_SECONDS
+        )
         if attempt.is_rerouting:
             return self._has_time(attempt)
         since = max(attempt.silent_since, timers.now() - ACTIVE_SECONDS)
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -279,6 +279,7 @@
                     self._path_selector,
                     connections,
                     self._metrics,
+                    gateway_settings.changes_paths,
                 ),
             ),
             budget,
--- a/libs/gateway/burdockmast/gateway/settings.py
+++ b/libs/gateway/burdockmast/gateway/settings.py
@@ -27,6 +27,8 @@
     :ivar max_descriptors: of the instance
     :ivar intake: limits on callers
     :ivar datagram_limits: limits on datagrams of other gateways
+    :ivar changes_paths: running answers leave lost servers where admission is
+        controlled
     :ivar retry_ratio: retries for each request, over all gateways
     :ivar retry_slack: further retries in each window, over all gateways
     :ivar retry_window: length of the sliding window in seconds
@@ -49,6 +51,7 @@
     max_descriptors: float = math.inf
     intake: limits.Limits = limits.Limits()
     datagram_limits: datagrams.DatagramLimits = datagrams.DatagramLimits()
+    changes_paths: bool = False
 
     @property
     def record(self) -> interfaces.GatewayRecord:
--- a/libs/gateway/burdockmast/gateway/stream_attempts.py
+++ b/libs/gateway/burdockmast/gateway/stream_attempts.py
@@ -141,18 +141,17 @@
         """The id of the last event that was received."""
         return self._last_event_id
 
-    def check_early(
-        self,
-        check_seconds: Callable[[float], float],
-        recheck_seconds: float,
-    ) -> None:
+    def check_early(self, check_seconds: Callable[[float], float]) -> None:
         """Call ``keep_waiting`` after less silence than usual.
 
         :param check_seconds: returns the silence for the longest pause so far
         """
         self.is_checked_early = True
         self._check_seconds = check_seconds
-        self._exchange.recheck_seconds = recheck_seconds
+
+    def recheck_after(self, seconds: float) -> None:
+        """Call ``keep_waiting`` again after such an interval."""
+        self._exchange.recheck_seconds = seconds
 
     def change_path(self, path: tuple[backends.Stage, ...]) -> bool:
         """Account for the attempt on another path, unless it has ended."""
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -257,17 +257,17 @@
             for standby in progress.standbys
         ):
             return False
-        attempt.fetch_reports()
+        is_early = (
+            attempt.is_checked_early
+            and attempt.silent_seconds < silence.CHECK_SECONDS
+        )
+        if not is_early:
+            attempt.fetch_reports()
         is_kept = self._rerouter.keep(job, attempt)
         progress.path_changes = max(
             progress.path_changes, attempt.path_changes
         )
-        if is_kept:
-            return True
-        if (
-            attempt.is_checked_early
-            and attempt.silent_seconds < silence.CHECK_SECONDS
-        ):
+        if is_kept or is_early:
             return True
         found = self._silence(job, attempt, progress)
         if (
--- a/libs/platform/burdockmast/platform/settings.py
+++ b/libs/platform/burdockmast/platform/settings.py
@@ -72,6 +72,10 @@
     neighbours_key: object = None
 
 
+class _Streams(msgspec.Struct, frozen=True, rename='kebab'):
+    change_paths: bool = False
+
+
 class _Platform(msgspec.Struct, frozen=True):
     address: str
 
@@ -88,6 +92,7 @@
     bounds: _Bounds = _Bounds()
     limits: _Limits = _Limits()
     intake: _Intake = _Intake()
+    streams: _Streams = _Streams()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -163,6 +168,7 @@
                 intake.neighbour_datagrams_per_s,
                 intake.max_neighbour_datagram_bytes,
             ),
+            changes_paths=decoded.streams.change_paths,
         ),
     )
 
--- a/tests/test_gateway_rerouting.py
+++ b/tests/test_gateway_rerouting.py
@@ -28,6 +28,7 @@
 from burdockmast.gateway import stream_attempts
 from burdockmast.gateway import stream_progress
 from burdockmast.gateway import streams
+from burdockmast.gateway import upstream
 from burdockmast.gateway.rerouting import decision
 from burdockmast.gateway.rerouting import detours
 from burdockmast.gateway.rerouting import probes
@@ -167,11 +168,15 @@
     last_event_id: int = 7
     has_ended: bool = False
     is_checked_early: bool = True
+    recheck_seconds: float = 0.0
     servers: tuple = ()
 
-    def check_early(self, check_seconds, recheck_seconds):
+    def check_early(self, check_seconds):
         self.is_checked_early = True
 
+    def recheck_after(self, seconds):
+        self.recheck_seconds = seconds
+
     def fetch_reports(self):
         pass
 
@@ -704,3 +709,34 @@
     proxy._rerouter = types.SimpleNamespace(prepare=lambda job, attempt: None)
     progress = stream_progress.Progress(None, (), path_changes=2)
     assert proxy._open(JOB, progress).path_changes == 2
+
+
+@pytest.mark.parametrize(
+    'silent_seconds, recheck_seconds',
+    [
+        (0.1, rerouter.RECHECK_SECONDS),
+        (0.5, upstream.SILENCE_RECHECK_SECONDS),
+    ],
+)
+def test_an_attempt_that_is_silent_for_long_is_looked_at_less_often(
+    silent_seconds, recheck_seconds
+):
+    """Many of them would take a small gateway's processor time."""
+    attempt = Attempt(silent_seconds=silent_seconds)
+    Fleet(set(), []).rerouter().keep(JOB, attempt)
+    assert attempt.recheck_seconds == recheck_seconds
+
+
+def test_a_gateway_begins_few_probes_while_many_answers_are_silent(
+    monkeypatch,
+):
+    """Probes slowed small gateways, which silenced more answers."""
+    began = []
+    monkeypatch.setattr(
+        probes.eventlet, 'spawn_n', lambda *args: began.append(args)
+    )
+    found = probes.ConnectionProbes(Fleet(set(), []), None)
+    for number in range(100):
+        servers = [fleets.server(f'{number}-{n}') for n in range(12)]
+        found.ask(servers, 'r1')
+    assert len(began) <= probes.MAX_AT_ONCE + probes.MAX_PER_SECOND
