Read the heads of servers' replies by the grammar of HTTP

Cause: the gateway decided from a lenient reading. http.client hands the lines of a head to a mail parser, which ends the head, or skips a line, where it can't read on; int() takes signs, blanks and underscores; an unreadable length counts as none, so that all bytes up to the end of the connection were the body.

Change: a new library, replies, reads a head line by line by RFC 9112 and RFC 9110, 5.5 and 15, and finds the framing from these fields alone; http.client and urllib3 read the body as before. A head that violates the grammar fails the attempt with an unknown outcome, and nothing of it is believed. Errors don't show bytes of it, which got into the text of 502s before.

Why it works: what is believed is what the grammar has matched, byte for byte.

--- a/libs/gateway/burdockmast/gateway/upstream.py
+++ b/libs/gateway/burdockmast/gateway/upstream.py
@@ -17,7 +17,6 @@
 from eventlet import hubs
 from eventlet.greenio import base as greenio_base
 import urllib3
-import urllib3.connection
 import urllib3.exceptions
 import urllib3.util
 
@@ -29,13 +28,14 @@
 from burdockmast.gateway import buffers
 from burdockmast.gateway import busy_readers
 from burdockmast.gateway import interfaces
+from burdockmast.replies import connections
+from burdockmast.replies import grammar
 
 # A live server accepts a connection within 1 ms plus a round trip.
 CONNECT_TIMEOUT_SECONDS = 0.25
 READ_BYTES = 65536
-# Most bytes of a reply head, and of what is received until a read of the body
-# returns data: chunk extensions and trailers count as well.
-MAX_HEAD_BYTES = 131072
+# Most bytes that are received until a read of the body returns data: chunk
+# extensions and trailers count as well.
 MAX_BYTES_PER_READ = 1048576
 # Reads in a row that found data, after which other tasks run.
 MAX_IMMEDIATE_READS = 8
@@ -243,7 +243,7 @@
         self.server = server
         self.send_before = send_before
         self._address = addresses.split(server.address)
-        self._connection = urllib3.connection.HTTPConnection(*self._address)
+        self._connection = connections.Connection(*self._address)
         self._response: urllib3.BaseHTTPResponse | None = None
         # Kept here as HTTPConnection drops its reference after the reply head.
         self._sock = BoundedSocket(socket.AF_INET, socket.SOCK_STREAM)
@@ -355,7 +355,7 @@
         :param should_keep_waiting: called after ``deadline``; true waits on
         """
         try:
-            self._set_bounds(deadline, MAX_HEAD_BYTES)
+            self._set_bounds(deadline, grammar.MAX_HEAD_BYTES)
             self._sock.should_keep_waiting = should_keep_waiting
             self._response = self._connection.getresponse()
         except TimeoutError:
@@ -364,14 +364,6 @@
             )
         except CONNECTION_ERRORS as error:
             return self._failure('head', outcomes.Outcome.UNKNOWN, error)
-        if self._sock.has_ended:
-            # The HTTP client takes the end of the connection for the end of
-            # the head, which would make a part of it look whole.
-            return self._failure(
-                'head',
-                outcomes.Outcome.UNKNOWN,
-                'the connection ended inside the head',
-            )
         headers = list(self._response.headers.items())
         metadata = header_codec.read_reply(headers)
         if metadata.request and metadata.request != request:
--- a/libs/platform/burdockmast/platform/standin.py
+++ b/libs/platform/burdockmast/platform/standin.py
@@ -264,6 +264,8 @@
     :ivar delay_seconds: how long a request takes
     :ivar is_unframed: streams have neither a length nor chunks, and end with
         their connection
+    :ivar raw_reply: bytes that it sends in place of a reply, before it closes
+        the connection, or None
     :ivar error_text: body of the error with which it replies, or empty
     :ivar failing_share: of requests, which it answers with an error
     :ivar rest_seconds: for which it wants no requests after a refusal
@@ -292,6 +294,7 @@
         self.is_silent = False
         self.delay_seconds = 0.0
         self.is_unframed = False
+        self.raw_reply: bytes | None = None
         self.error_text = ''
         self.failing_share = 0.0
         self._rng = random.Random(entry['id'])
@@ -529,6 +532,10 @@
                 refusal.append(('Retry-After', str(self.rest_seconds)))
             start_response('503 Service Unavailable', refusal)
             return [b'']
+        if self.raw_reply is not None:
+            connection.sendall(self.raw_reply)
+            connection.shutdown(socket.SHUT_RDWR)
+            raise ConnectionError('the reply is sent')
         if self._rng.random() < self.failing_share:
             return _respond(start_response, 500, 'failed')
         if self.error_text:
--- /dev/null
+++ b/libs/replies/burdockmast/replies/connections.py
@@ -0,0 +1,53 @@
+"""Connections whose replies are read by the grammar, for urllib3.
+
+The standard library's reader takes what it can't read for something else: it
+ends the head at an invalid line, ignores an invalid length, and reads numbers
+as Python writes them. Here the head is read by ``grammar``; everything else is
+left to the library.
+"""
+
+import http.client
+
+import urllib3.connection
+
+from burdockmast.replies import grammar
+
+_HTTP_1_0 = 10
+_HTTP_1_1 = 11
+
+
+class Response(http.client.HTTPResponse):
+    """A reply of which nothing is returned unless its head is valid.
+
+    :raises grammar.InvalidReplyError: by ``begin``
+    """
+
+    def begin(self) -> None:
+        """Read the head, unless it has been read."""
+        if self.headers is not None:
+            return
+        head = grammar.read_head(self.fp)
+        framing = grammar.find_framing(head, self._method == 'HEAD')
+        self.code = self.status = head.status
+        self.reason = head.phrase
+        self.version = _HTTP_1_1 if head.minor_version else _HTTP_1_0
+        self.headers = self.msg = http.client.HTTPMessage()
+        for name, value in head.fields:
+            self.headers[name] = value
+        self.chunked = False
+        self.chunk_left = None
+        self.length = None
+        self.will_close = self._check_close()
+        match framing:
+            case grammar.Length(size_bytes):
+                self.length = size_bytes
+            case grammar.Chunks():
+                self.chunked = True
+            case grammar.UntilClose():
+                self.will_close = True
+
+
+class Connection(urllib3.connection.HTTPConnection):
+    """An HTTP connection with valid replies."""
+
+    response_class = Response
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,7 @@
 
 import os  # noqa: E402
 
+import broken_replies  # noqa: E402
 import known_red  # noqa: E402
 import platforms  # noqa: E402
 import pytest  # noqa: E402
@@ -94,3 +95,11 @@
         yield found
     finally:
         found.stop()
+
+
+@pytest.fixture(scope='module')
+def raw_server():
+    """A server that sends the bytes that a test sets."""
+    found = broken_replies.RawServer()
+    yield found
+    found.close()
