Read the chunks of servers' replies by the grammar of HTTP

What callers saw: a body in chunks came as complete though its framing was broken: a size with a sign, an underscore or 0x, other bytes than a line end behind a chunk, half of the end of the last chunk, trailers that are no fields. A stream whose last chunk was cut counted as complete.

Cause: http.client reads sizes with int(), drops two bytes behind each chunk unseen, and takes the end of the connection for the end of the trailers.

Change: sizes with their extensions, line ends and trailers are read by the grammar (RFC 9112, 7.1). The one method that all reads of chunks go through, _get_chunk_left, is overridden; the tests show if another Python doesn't call it. An invalid chunk is an incomplete reply: a call fails with an unknown outcome, a resumable stream goes on at another server behind the events that were whole.

The property test covers chunks, extensions and trailers now. Why it works: no byte between the head and the end of the body is skipped unread.

--- a/libs/replies/burdockmast/replies/connections.py
+++ b/libs/replies/burdockmast/replies/connections.py
@@ -2,8 +2,8 @@
 
 The standard library's reader takes what it can't read for something else: it
 ends the head at an invalid line, ignores an invalid length, and reads numbers
-as Python writes them. Here the head is read by ``grammar``; everything else is
-left to the library.
+as Python writes them. Here the head and the framing of chunks are read by
+``grammar``; everything else is left to the library.
 """
 
 import http.client
@@ -19,7 +19,7 @@
 class Response(http.client.HTTPResponse):
     """A reply of which nothing is returned unless its head is valid.
 
-    :raises grammar.InvalidReplyError: by ``begin``
+    :raises grammar.InvalidReplyError: by ``begin`` and by reads of the body
     """
 
     def begin(self) -> None:
@@ -46,6 +46,21 @@
             case grammar.UntilClose():
                 self.will_close = True
 
+    def _get_chunk_left(self) -> int | None:
+        """Return the bytes left of a chunk, None behind the last one.
+
+        All reads of a body in chunks ask it before they read data.
+        """
+        if self.chunk_left:
+            return self.chunk_left
+        if self.chunk_left == 0:
+            grammar.read_chunk_end(self.fp)
+        self.chunk_left = grammar.read_chunk_size(self.fp) or None
+        if self.chunk_left is None:
+            grammar.read_trailers(self.fp)
+            self._close_conn()
+        return self.chunk_left
+
 
 class Connection(urllib3.connection.HTTPConnection):
     """An HTTP connection with valid replies."""
--- a/libs/replies/burdockmast/replies/grammar.py
+++ b/libs/replies/burdockmast/replies/grammar.py
@@ -15,6 +15,8 @@
 # Most bytes of a head, interim replies included, or of a trailer section.
 MAX_HEAD_BYTES = 131072
 MAX_FIELDS = 100
+# Most bytes of a line with the size of a chunk.
+MAX_SIZE_LINE_BYTES = 65536
 
 SWITCHING_PROTOCOLS = 101
 FIRST_FINAL_STATUS = 200
@@ -23,11 +25,26 @@
 
 _TOKEN = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+"
 _TEXT = rb'[\t\x20-\x7e\x80-\xff]*'
+_QUOTED = (
+    rb'"(?:[\t \x21\x23-\x5b\x5d-\x7e\x80-\xff]|\\[\t\x20-\x7e\x80-\xff])*"'
+)
+_EXTENSION = (
+    rb'[ \t]*;[ \t]*'
+    + _TOKEN
+    + rb'(?:[ \t]*=[ \t]*(?:'
+    + _TOKEN
+    + rb'|'
+    + _QUOTED
+    + rb'))?'
+)
 _STATUS_LINE = re.compile(
     rb'HTTP/1\.([0-9]) ([1-5][0-9]{2})(?: (' + _TEXT + rb'))?\r\n'
 )
 _FIELD = re.compile(rb'(' + _TOKEN + rb'):(' + _TEXT + rb')\r\n')
 _LENGTHS = re.compile(r'0*[0-9]{1,18}(?:[ \t]*,[ \t]*0*[0-9]{1,18})*')
+_CHUNK_SIZE = re.compile(
+    rb'0*([0-9A-Fa-f]{1,15})(?:' + _EXTENSION + rb')*\r\n'
+)
 _END_OF_LINE = b'\r\n'
 _BLANKS = b' \t'
 
@@ -103,6 +120,14 @@
             )
 
 
+def read_trailers(stream: io.BufferedIOBase) -> None:
+    """Read and drop the trailer section behind the last chunk.
+
+    :raises InvalidReplyError: if it is invalid
+    """
+    _read_fields(stream, MAX_HEAD_BYTES)
+
+
 def _read_fields(stream: io.BufferedIOBase, left: int) -> tuple[Fields, int]:
     """Read field lines up to the empty line.
 
@@ -162,6 +187,28 @@
     return Length(sizes.pop())
 
 
+def read_chunk_size(stream: io.BufferedIOBase) -> int:
+    """Read the line before the data of a chunk, and return its bytes.
+
+    :raises InvalidReplyError: if it is invalid
+    """
+    line = stream.readline(MAX_SIZE_LINE_BYTES)
+    found = _CHUNK_SIZE.fullmatch(line)
+    if not found:
+        raise _invalid('size of a chunk', line)
+    return int(found[1], 16)
+
+
+def read_chunk_end(stream: io.BufferedIOBase) -> None:
+    """Read the end of the line behind the data of a chunk.
+
+    :raises InvalidReplyError: if something else comes
+    """
+    end = stream.read(len(_END_OF_LINE))
+    if end != _END_OF_LINE:
+        raise _invalid('end of a chunk', end)
+
+
 def _invalid(what: str, line: bytes) -> InvalidReplyError:
     kind = 'invalid' if line.endswith(b'\n') else 'incomplete or too long'
     return InvalidReplyError(f'{kind} {what}')
--- a/tests/broken_replies.py
+++ b/tests/broken_replies.py
@@ -218,6 +218,65 @@
         CHUNKED, status=b'HTTP/1.0 200 OK', body=ONE_CHUNK + LAST_CHUNK
     ),
 }
+INVALID_CHUNKS = {
+    'size with a plus': _chunked(b'+' + ONE_CHUNK + LAST_CHUNK),
+    'size with a minus': _chunked(b'-' + ONE_CHUNK + LAST_CHUNK),
+    'size with an underscore': _chunked(
+        b'2_8\r\n' + BODY + b'\r\n' + LAST_CHUNK
+    ),
+    'size with 0x': _chunked(b'0x' + ONE_CHUNK + LAST_CHUNK),
+    'size with a blank before it': _chunked(b' ' + ONE_CHUNK + LAST_CHUNK),
+    'size with a blank inside': _chunked(
+        b'2 8\r\n' + BODY + b'\r\n' + LAST_CHUNK
+    ),
+    'size with a control byte': _chunked(
+        b'28\x0b\r\n' + BODY + b'\r\n' + LAST_CHUNK
+    ),
+    'size in words': _chunked(b'forty\r\n' + BODY + b'\r\n' + LAST_CHUNK),
+    'no size': _chunked(b'\r\n' + BODY + b'\r\n' + LAST_CHUNK),
+    'extension only': _chunked(b';a\r\n' + BODY + b'\r\n' + LAST_CHUNK),
+    'extension without a name': _chunked(
+        b'28;=a\r\n' + BODY + b'\r\n' + LAST_CHUNK
+    ),
+    'extension with a control byte': _chunked(
+        b'28;a\0\r\n' + BODY + b'\r\n' + LAST_CHUNK
+    ),
+    'extension with an open quote': _chunked(
+        b'28;a="b\r\n' + BODY + b'\r\n' + LAST_CHUNK
+    ),
+    'size that ends with a lone LF': _chunked(
+        b'28\n' + BODY + b'\r\n' + LAST_CHUNK
+    ),
+    'size that ends with a lone CR': _chunked(
+        b'28\r' + BODY + b'\r\n' + LAST_CHUNK
+    ),
+    'size too small': _chunked(b'27\r\n' + BODY + b'\r\n' + LAST_CHUNK),
+    'size too large': _chunked(b'29\r\n' + BODY + b'\r\n' + LAST_CHUNK),
+    'no line end behind the data': _chunked(b'28\r\n' + BODY + LAST_CHUNK),
+    'other bytes behind the data': _chunked(
+        b'28\r\n' + BODY + b'xx' + LAST_CHUNK
+    ),
+    'a lone LF behind the data': _chunked(
+        b'28\r\n' + BODY + b'\n' + LAST_CHUNK
+    ),
+    'no last chunk': _chunked(ONE_CHUNK),
+    'last chunk without its line end': _chunked(ONE_CHUNK + b'0'),
+    'half of the end of the last chunk': _chunked(ONE_CHUNK + b'0\r\n'),
+    'three quarters of that end': _chunked(ONE_CHUNK + b'0\r\n\r'),
+    'last chunk with a sign': _chunked(ONE_CHUNK + b'-0\r\n\r\n'),
+    'last chunk that ends with lone LFs': _chunked(ONE_CHUNK + b'0\n\n'),
+    'trailer without its end': _chunked(ONE_CHUNK + b'0\r\nX-A: b\r\n'),
+    'trailer cut inside': _chunked(ONE_CHUNK + b'0\r\nX-A: b'),
+    'trailer without a colon': _chunked(ONE_CHUNK + b'0\r\nno field\r\n\r\n'),
+    'trailer with a blank in its name': _chunked(
+        ONE_CHUNK + b'0\r\nX A: b\r\n\r\n'
+    ),
+    'trailer with NUL': _chunked(ONE_CHUNK + b'0\r\nX-A: \0\r\n\r\n'),
+    'trailer that ends with a lone LF': _chunked(
+        ONE_CHUNK + b'0\r\nX-A: b\n\r\n'
+    ),
+    'a head instead of chunks': _chunked(reply(LENGTH)),
+}
 SHORT_BODIES = {
     'shorter than its length': reply(LENGTH, body=BODY[:-1]),
     'nothing of its length': reply(LENGTH, body=b''),
@@ -240,6 +299,7 @@
         'status line': INVALID_STATUS_LINES,
         'interim reply': INVALID_INTERIM_REPLIES,
         'transfer coding': INVALID_CODINGS,
+        'chunks': INVALID_CHUNKS,
         'short body': SHORT_BODIES,
         'error reply': INVALID_ERRORS,
     }.items()
--- a/tests/test_gateway_broken_replies.py
+++ b/tests/test_gateway_broken_replies.py
@@ -197,6 +197,9 @@
     broken_replies.VALID['a length'],
     broken_replies.VALID['early hints'],
     broken_replies.VALID['the same length twice'],
+    broken_replies.VALID['several chunks'],
+    broken_replies.VALID['extensions'],
+    broken_replies.VALID['trailers'],
     broken_replies.reply(b'X-Name: value'),
     broken_replies.reply(
         broken_replies.LENGTH, status=b'HTTP/1.1 404 Not Found'
--- a/tests/test_platform_broken_replies.py
+++ b/tests/test_platform_broken_replies.py
@@ -6,6 +6,12 @@
 
 # The gateway's own answer where no server has given one.
 BAD_GATEWAY = 502
+INVALID_CHUNK_ENDS = {
+    'size with a sign': b'+5\r\n',
+    'size in words': b'five\r\n',
+    'half of the last chunk': b'0\r\n',
+    'trailer without a colon': b'0\r\nno field\r\n\r\n',
+}
 
 
 def ask(platform, path, **given):
@@ -83,6 +89,23 @@
         assert ask(platform, '/lookup/x')[0] == 200
 
 
+@pytest.mark.parametrize('case', INVALID_CHUNK_ENDS)
+def test_a_stream_with_an_invalid_chunk_goes_on_elsewhere(platform, case):
+    events = platforms.events(1, 2)
+    stream = broken_replies.reply(
+        broken_replies.CHUNKED,
+        body=b'%x\r\n%s\r\n' % (len(events), events)
+        + INVALID_CHUNK_ENDS[case],
+    )
+    broken, sound = platform.apps
+    send_from_now_on([broken], stream)
+    while not broken.requests:
+        status, _, body = ask(platform, '/draft/plain/x')
+        assert status == 200
+        assert body == platforms.events(1, 5)
+    assert sound.requests[-1].header_by_name.get('last-event-id') == '2'
+
+
 def test_a_sound_server_answers_in_place_of_a_broken_one(platform):
     broken, _ = platform.apps
     send_from_now_on([broken], broken_replies.INVALID['length: in words'])
