Read replies of the store, engines and plain services by the grammar too

What was seen: the store's client, that of the Object API, the instance list, and a side process towards its engine and its plain service took replies with broken heads and chunks for sound ones: a broken 429 counted as not run, a broken head named an era, a service's reply was passed on to callers with a body that was not the service's.

Cause: the same lenient reader as towards backend servers, in urllib3's pools.

Change: connections.pool_manager gives pools whose connections read replies by the grammar; all clients use it. An invalid reply is an error of urllib3 like any other that it can't read, so that each client reports a failure with an unknown outcome as before. Reports and orders go through the gateway's exchange and were mended with it.

What was handled already (reports, orders) keeps its tests. Why it works: no client has a reader of its own left.

--- a/libs/platform/burdockmast/platform/store.py
+++ b/libs/platform/burdockmast/platform/store.py
@@ -22,6 +22,7 @@
 from burdockmast.base import timers
 from burdockmast.gateway import interfaces
 from burdockmast.platform import json_lists
+from burdockmast.replies import connections
 
 LOG = logs.get('store')
 
@@ -103,7 +104,9 @@
         Callable[[str, float, failures.Failure | None], None]
     ] = dataclasses.field(default_factory=list)
     _pool: urllib3.PoolManager = dataclasses.field(
-        default_factory=lambda: urllib3.PoolManager(maxsize=4, retries=False)
+        default_factory=lambda: connections.pool_manager(
+            maxsize=4, retries=False
+        )
     )
     era: int = 0
 
--- a/libs/replies/burdockmast/replies/connections.py
+++ b/libs/replies/burdockmast/replies/connections.py
@@ -7,8 +7,11 @@
 """
 
 import http.client
+from typing import Any
 
+import urllib3
 import urllib3.connection
+import urllib3.connectionpool
 
 from burdockmast.replies import grammar
 
@@ -66,3 +69,27 @@
     """An HTTP connection with valid replies."""
 
     response_class = Response
+
+
+class _SecureConnection(urllib3.connection.HTTPSConnection):
+    response_class = Response
+
+
+class _Pool(urllib3.connectionpool.HTTPConnectionPool):
+    ConnectionCls = Connection
+
+
+class _SecurePool(urllib3.connectionpool.HTTPSConnectionPool):
+    ConnectionCls = _SecureConnection
+
+
+def pool_manager(**options: Any) -> urllib3.PoolManager:
+    """Return a pool manager that raises an error for invalid replies.
+
+    Like all that urllib3 can't read, they raise its ``ProtocolError``.
+
+    :param options: of ``urllib3.PoolManager``
+    """
+    manager = urllib3.PoolManager(**options)
+    manager.pool_classes_by_scheme = {'http': _Pool, 'https': _SecurePool}
+    return manager
--- a/libs/side/burdockmast/side/engine.py
+++ b/libs/side/burdockmast/side/engine.py
@@ -10,6 +10,7 @@
 
 from burdockmast.base import failures
 from burdockmast.base import outcomes
+from burdockmast.replies import connections
 
 # Timeout of all calls except loading layers.
 CALL_TIMEOUT_SECONDS = 10.0
@@ -118,7 +119,7 @@
         :param url: base of the engine's interface
         """
         self._url = url
-        self._pool = urllib3.PoolManager(maxsize=4, retries=False)
+        self._pool = connections.pool_manager(maxsize=4, retries=False)
         self._decoder = msgspec.json.Decoder(_Results)
 
     def iterate(
--- a/libs/side/burdockmast/side/service_executor.py
+++ b/libs/side/burdockmast/side/service_executor.py
@@ -9,6 +9,7 @@
 from burdockmast.base import failures
 from burdockmast.base import outcomes
 from burdockmast.node import node
+from burdockmast.replies import connections
 from burdockmast.wire import messages
 
 # Beyond this count, the oldest keys are forgotten.
@@ -53,7 +54,7 @@
         self._execution_by_key: collections.OrderedDict[str, Execution] = (
             collections.OrderedDict()
         )
-        self._pool = urllib3.PoolManager(maxsize=32, retries=False)
+        self._pool = connections.pool_manager(maxsize=32, retries=False)
 
     def call(self, call: messages.ServiceCall) -> messages.ServiceReply:
         """Execute or refuse a call, or return its key's earlier reply."""
@@ -133,7 +134,7 @@
         # whether the request ran. A new one fails before anything is sent.
         if call.method not in ('GET', 'HEAD'):
             headers['Connection'] = 'close'
-            pool = urllib3.PoolManager(retries=False)
+            pool = connections.pool_manager(retries=False)
         else:
             pool = self._pool
         try:
--- a/libs/store/burdockmast/store/instance_list.py
+++ b/libs/store/burdockmast/store/instance_list.py
@@ -10,6 +10,7 @@
 from burdockmast.base import failures
 from burdockmast.base import ids
 from burdockmast.base import outcomes
+from burdockmast.replies import connections
 
 TIMEOUT_SECONDS = 2.0
 HTTP_OK = 200
@@ -37,7 +38,7 @@
         :param url: base URL of the instance list
         """
         self.url = url
-        self._pool = urllib3.PoolManager(maxsize=1, retries=False)
+        self._pool = connections.pool_manager(maxsize=1, retries=False)
 
     def list_draining(self) -> Listing | failures.Failure:
         """Read which instances the platform is about to remove."""
--- a/libs/store/burdockmast/store/objects.py
+++ b/libs/store/burdockmast/store/objects.py
@@ -16,6 +16,7 @@
 from burdockmast.base import logs
 from burdockmast.base import outcomes
 from burdockmast.base import timers
+from burdockmast.replies import connections
 
 LOG = logs.get('store')
 
@@ -71,7 +72,7 @@
         self.call_observers: list[
             Callable[[str, float, failures.Failure | None], None]
         ] = []
-        self._pool = urllib3.PoolManager(
+        self._pool = connections.pool_manager(
             maxsize=POOL_CONNECTION_COUNT, retries=False, block=False
         )
 
--- a/tests/broken_replies.py
+++ b/tests/broken_replies.py
@@ -4,7 +4,9 @@
 caller may get of a valid one.
 """
 
-import eventlet
+import contextlib
+import socket
+import threading
 
 BODY = b'0123456789' * 4
 LENGTH = b'Content-Length: 40'
@@ -19,29 +21,37 @@
 class RawServer:
     """Sends ``reply`` on each connection, then closes it.
 
+    A thread runs it, as some clients block the thread that calls them.
+
     :ivar request_count: requests that have come
     """
 
     def __init__(self):
         self.reply = b''
         self.request_count = 0
-        self._sock = eventlet.listen(('127.0.0.1', 0))
+        self._sock = socket.create_server(('127.0.0.1', 0))
         self.address = '{}:{}'.format(*self._sock.getsockname())
-        self._task = eventlet.spawn(self._serve)
+        threading.Thread(target=self._serve, daemon=True).start()
 
     def _serve(self):
         while True:
-            connection, _ = self._sock.accept()
-            request = b''
-            while b'\r\n\r\n' not in request:
-                request += connection.recv(4096)
-            self.request_count += 1
-            connection.sendall(self.reply)
-            connection.close()
+            try:
+                connection, _ = self._sock.accept()
+            except OSError:
+                return
+            with connection, contextlib.suppress(OSError):
+                self._answer(connection)
+
+    def _answer(self, connection):
+        request = b''
+        while b'\r\n\r\n' not in request:
+            request += connection.recv(4096)
+        self.request_count += 1
+        connection.sendall(self.reply)
 
     def close(self):
         """Stop serving."""
-        self._task.kill()
+        self._sock.shutdown(socket.SHUT_RDWR)
         self._sock.close()
 
 
