Take no memory for a reply's body before it has come

What was seen: a reply to a client of the store, of an engine or of a plain service that promised 18 digits of bytes, as its length or as a chunk, raised MemoryError, which none of them catches: the task that asked ended, with a shorter promise it took that much memory at once.

Cause: http.client asks for all promised bytes in one read, and a buffered reader allocates room for them first.

Change: exact reads go on piece by piece; what doesn't come is an incomplete read. The gateway's exchange with servers reads what has come and wasn't hit.

Evidence: of 13 calls in tests/test_clients_of_broken_replies.py the 11 that go through urllib3's pools failed with MemoryError with the two new cases, and pass now. Why it works: memory grows with the bytes that have come.

--- a/libs/replies/burdockmast/replies/connections.py
+++ b/libs/replies/burdockmast/replies/connections.py
@@ -15,6 +15,8 @@
 
 from burdockmast.replies import grammar
 
+# Most bytes for which memory is taken before they have come.
+_PIECE_BYTES = 65536
 _HTTP_1_0 = 10
 _HTTP_1_1 = 11
 
@@ -64,6 +66,21 @@
             self._close_conn()
         return self.chunk_left
 
+    def _safe_read(self, amt: int) -> bytes:
+        """Return exactly so many bytes, whatever a server promises to send.
+
+        :raises http.client.IncompleteRead: if the connection ends before
+        """
+        pieces = []
+        left = amt
+        while left:
+            piece = self.fp.read(min(left, _PIECE_BYTES))
+            if not piece:
+                raise http.client.IncompleteRead(b''.join(pieces), left)
+            pieces.append(piece)
+            left -= len(piece)
+        return b''.join(pieces)
+
 
 class Connection(urllib3.connection.HTTPConnection):
     """An HTTP connection with valid replies."""
--- a/tests/broken_replies.py
+++ b/tests/broken_replies.py
@@ -269,6 +269,9 @@
     'a lone LF behind the data': _chunked(
         b'28\r\n' + BODY + b'\n' + LAST_CHUNK
     ),
+    'size larger than memory': _chunked(
+        b'f' * 15 + b'\r\n' + BODY + b'\r\n' + LAST_CHUNK
+    ),
     'no last chunk': _chunked(ONE_CHUNK),
     'last chunk without its line end': _chunked(ONE_CHUNK + b'0'),
     'half of the end of the last chunk': _chunked(ONE_CHUNK + b'0\r\n'),
@@ -290,6 +293,7 @@
 SHORT_BODIES = {
     'shorter than its length': reply(LENGTH, body=BODY[:-1]),
     'nothing of its length': reply(LENGTH, body=b''),
+    'shorter by far': _with_length(b'9' * 18),
     'an error shorter than its length': reply(
         LENGTH, status=b'HTTP/1.1 404 Not Found', body=BODY[:-1]
     ),
