Fail calls to engines and the store whose bodies can't be decoded

What was seen: a side process whose engine replied with 200 and a body that is no JSON, or with more or fewer results than steps, lost the task that runs its iterations: msgspec's error, or that of zip(), ended it, and all answers of that engine stalled. JSON that is nested too deeply did the same to tasks that read objects or the instance list, as the decoder gives up with RecursionError.

Cause: engine.Client decoded bodies without catching errors; the clients of the Object API and of the instance list caught one of the two kinds.

Change: all bodies of an engine are decoded in one place, which returns a failure with an unknown outcome, as does an iteration whose results don't match its steps. The stage then treats the engine as lost and asks for its status, as after any failed call.

Reports and watches were handled already and keep their tests. Why it works: no error of a decoder leaves a client.

--- a/libs/side/burdockmast/side/engine.py
+++ b/libs/side/burdockmast/side/engine.py
@@ -4,6 +4,7 @@
 """
 
 import dataclasses
+from typing import TypeVar
 
 import msgspec
 import urllib3
@@ -18,6 +19,8 @@
 HTTP_OK = 200
 HTTP_CONFLICT = 409
 
+T = TypeVar('T')
+
 
 class OpenSequence(msgspec.Struct):
     """Open a sequence on layers ``first`` up to, not including, ``end``."""
@@ -120,16 +123,26 @@
         """
         self._url = url
         self._pool = connections.pool_manager(maxsize=4, retries=False)
-        self._decoder = msgspec.json.Decoder(_Results)
+        self._result_decoder = msgspec.json.Decoder(_Results)
+        self._status_decoder = msgspec.json.Decoder(Status)
+        self._event_decoder = msgspec.json.Decoder(CacheEvents)
 
     def iterate(
         self, iteration: Iteration
     ) -> list[StepResult] | failures.Failure:
         """Run one iteration; return results in the order of its steps."""
-        response = self._call('/v1/iterate', iteration, CALL_TIMEOUT_SECONDS)
-        if isinstance(response, failures.Failure):
-            return response
-        return self._decoder.decode(response.data).results
+        path = '/v1/iterate'
+        found = self._fetch(path, iteration, self._result_decoder)
+        if isinstance(found, failures.Failure):
+            return found
+        if len(found.results) != len(iteration.steps):
+            return self._failure(
+                failures.Reason.PROTOCOL,
+                path,
+                f'{len(found.results)} results for {len(iteration.steps)} '
+                'steps',
+            )
+        return found.results
 
     def load_layers(
         self, fence: int, layers: HeldLayers
@@ -147,10 +160,7 @@
 
     def status(self) -> Status | failures.Failure:
         """Return the engine's status."""
-        response = self._call('/v1/status', None, CALL_TIMEOUT_SECONDS)
-        if isinstance(response, failures.Failure):
-            return response
-        return msgspec.json.decode(response.data, type=Status)
+        return self._fetch('/v1/status', None, self._status_decoder)
 
     def cache_events(
         self, epoch: str, after: int
@@ -161,10 +171,19 @@
         has.
         """
         body = {'epoch': epoch, 'after': after}
-        response = self._call('/v1/cache-events', body, CALL_TIMEOUT_SECONDS)
+        return self._fetch('/v1/cache-events', body, self._event_decoder)
+
+    def _fetch(
+        self, path: str, body: object, decoder: msgspec.json.Decoder[T]
+    ) -> T | failures.Failure:
+        """Call the engine and decode its reply."""
+        response = self._call(path, body, CALL_TIMEOUT_SECONDS)
         if isinstance(response, failures.Failure):
             return response
-        return msgspec.json.decode(response.data, type=CacheEvents)
+        try:
+            return decoder.decode(response.data)
+        except (msgspec.DecodeError, RecursionError) as error:
+            return self._failure(failures.Reason.PROTOCOL, path, str(error))
 
     def _call(
         self, path: str, body: object, timeout_seconds: float
--- a/libs/store/burdockmast/store/instance_list.py
+++ b/libs/store/burdockmast/store/instance_list.py
@@ -56,7 +56,7 @@
             return self._failure(f'status {response.status}')
         try:
             return msgspec.json.decode(response.data, type=Listing)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             return self._failure(str(error))
 
     def _failure(self, detail: str) -> failures.Failure:
--- a/libs/store/burdockmast/store/objects.py
+++ b/libs/store/burdockmast/store/objects.py
@@ -184,7 +184,7 @@
             return self._failure(step, outcomes.Outcome.NOT_RUN, detail)
         try:
             return msgspec.json.decode(response.data, type=kind)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, RecursionError) as error:
             return self._failure(step, outcomes.Outcome.UNKNOWN, str(error))
 
     def _failure(
--- a/tests/test_clients_of_broken_replies.py
+++ b/tests/test_clients_of_broken_replies.py
@@ -127,3 +127,58 @@
     reply = call_service(raw_server.address, 'POST')
     assert reply.outcome is outcomes.Outcome.RAN
     assert reply.body == broken_replies.BODY
+
+
+STEP = engine.Step('s1', 0, None, 1)
+DECODED_CALLS = {
+    name: call
+    for name, call in CALLS.items()
+    if name
+    in (
+        'watch the store',
+        'get an object',
+        'create an object',
+        'list instances',
+        'fetch a report',
+    )
+} | {
+    'run an iteration': lambda address: engine.Client(
+        f'http://{address}'
+    ).iterate(engine.Iteration([], [STEP, STEP], [])),
+    'ask for the status': lambda address: engine.Client(
+        f'http://{address}'
+    ).status(),
+    'ask for cache events': lambda address: engine.Client(
+        f'http://{address}'
+    ).cache_events('', 0),
+}
+UNDECODABLE = {
+    'empty': b'',
+    'no JSON': b'no JSON',
+    'cut': b'{"results": [{"state": 1',
+    'no text': b'\x93\xff\0\x80',
+    'another type': b'[1, 2]',
+    'nested too deeply': b'{"value": ' + b'[' * 100_000,
+}
+
+
+@pytest.mark.parametrize('call', DECODED_CALLS)
+@pytest.mark.parametrize('case', UNDECODABLE)
+def test_a_body_that_cannot_be_decoded_fails_the_call(raw_server, call, case):
+    body = UNDECODABLE[case]
+    raw_server.reply = broken_replies.reply(
+        b'Content-Length: %d' % len(body), body=body
+    )
+    found = DECODED_CALLS[call](raw_server.address)
+    assert isinstance(found, failures.Failure)
+
+
+@pytest.mark.parametrize('results', [b'', b'{}', b'{}, {}, {}'])
+def test_results_without_their_steps_fail_the_iteration(raw_server, results):
+    body = b'{"results": [%s]}' % results
+    raw_server.reply = broken_replies.reply(
+        b'Content-Length: %d' % len(body), body=body
+    )
+    found = DECODED_CALLS['run an iteration'](raw_server.address)
+    assert found.reason is failures.Reason.PROTOCOL
+    assert found.outcome is outcomes.Outcome.UNKNOWN
