Let gateways agree on the order of crashes

Cause: crashes count in a row if each request was sent after the crash before. A retry is sent within a millisecond of the crash that it follows, and gateways tell ages, which each message makes older by its own way: a crash told in a slow message seemed to come after the retry that it had caused, so that the two counted as one.

Change: of the times that are told of a crash again and again, the least delayed ones are kept, and two milliseconds out of order are tolerated. Ruled out: taking the times of the latest message, which would drift as gateways tell each other.

Evidence: the new test, news that take 0, 1 and 50 ms, failed for all three pairs on (the second gateway counted less than the first), and passes.

--- a/libs/gateway/burdockmast/gateway/crash_suspects.py
+++ b/libs/gateway/burdockmast/gateway/crash_suspects.py
@@ -48,6 +48,8 @@
 # Age at which other gateways are no longer told an accusation, unless its
 # fingerprint is in quarantine.
 NEWS_SECONDS = 10.0
+# By how much the times of two crashes that others tell may be out of order.
+ORDER_TOLERANCE_SECONDS = 0.002
 # Most accusations, and most fingerprints that ran well, in one message.
 MAX_NEWS_ITEMS = 64
 # Most fingerprints that are kept, of either sort.
@@ -430,6 +432,9 @@
             if told.crash in known and (
                 known[told.crash].was_answering or not told.was_answering
             ):
+                known[told.crash] = _least_delayed(
+                    known[told.crash], now - told.sent_age, now - told.age
+                )
                 if now - known[told.crash].at < ACCUSATION_TTL_SECONDS:
                     if self._is_sound_since(told.fingerprint, known):
                         # The sender has not heard that yet.
@@ -456,6 +461,17 @@
                 self._heard_at.pop(fingerprint, None)
 
 
+def _least_delayed(crash: _Crash, sent_at: float, at: float) -> _Crash:
+    """Return a crash with the earlier times that are known of it.
+
+    Times that others tell are late by how long each message takes, and a
+    retry is sent within a millisecond of the crash before it.
+    """
+    if at >= crash.at:
+        return crash
+    return dataclasses.replace(crash, sent_at=sent_at, at=at)
+
+
 def _has_just_begun(attempt: Attempt, now: float) -> bool:
     """Return whether a server has just begun to answer."""
     return attempt.has_head and (
@@ -468,7 +484,7 @@
     count = 0
     last_at = float('-inf')
     for crash in sorted(crashes, key=lambda c: c.at):
-        if crash.sent_at >= last_at:
+        if crash.sent_at >= last_at - ORDER_TOLERANCE_SECONDS:
             count += 1
             last_at = crash.at
     return count
--- a/tests/test_gateway_crash_suspects.py
+++ b/tests/test_gateway_crash_suspects.py
@@ -384,3 +384,29 @@
     keeper.sync()
     assert suspects.judge(['old']) is Verdict.SOUND
     assert registry.list() == []
+
+
+@pytest.mark.parametrize('delays', [(0.05, 0.0), (0.0, 0.05), (0.001, 0.0)])
+def test_gateways_agree_on_the_order_of_crashes(suspects, time, delays):
+    """A retry is sent right after a crash, and each news takes its time."""
+    hearing = crash_suspects.CrashSuspects(time)
+
+    def tell(delay):
+        news = suspects.news()
+        time.now += delay
+        hearing.receive(news)
+
+    for number, delay in enumerate(delays):
+        attempt = suspects.track(['deadly'], server(number))
+        time.now += RUN_SECONDS
+        suspects.record_crash(attempt)
+        suspects.untrack(attempt)
+        retry = suspects.track(['deadly'], server(number + 10))
+        tell(delay)
+        time.now += RUN_SECONDS
+        suspects.record_crash(retry)
+        suspects.untrack(retry)
+        tell(0.0)
+    tell(0.0)
+    assert suspects.judge(['deadly']) is Verdict.REJECT
+    assert hearing.count('deadly') == suspects.count('deadly') == 4
