Find crashes of servers whose ports go on accepting connections

Cause: a crash was believed on one sign only, that the server refuses a connection after one to it broke. A proxy, a host or a listener that outlives its process hides it, so that nothing was ever accused.

Change: attempts that a server broke off are kept for 10 s. If the list then shows a later start of the server, under its id or at its address, or its entry is gone and it wasn't leaving, it had crashed, dated back to the broken answer; if it answers a request that was sent after that, it hadn't. Nothing is sent for it. Ruled out: a connection that is reset at once as a sign, as servers reset those beyond their limit, and silence, as sound servers fall silent too.

Why it works: a later start is certain evidence, and comes as the server does.

--- a/libs/bench/burdockmast/bench/program.py
+++ b/libs/bench/burdockmast/bench/program.py
@@ -15,6 +15,7 @@
 import msgspec  # noqa: E402
 
 from burdockmast.bench import capacity  # noqa: E402
+from burdockmast.bench import deadly_requests  # noqa: E402
 from burdockmast.bench import demo  # noqa: E402
 from burdockmast.bench import endless_replies  # noqa: E402
 from burdockmast.bench import endless_server  # noqa: E402
@@ -31,6 +32,7 @@
 from burdockmast.bench import soak  # noqa: E402
 from burdockmast.model import play  # noqa: E402
 from burdockmast.model import sites  # noqa: E402
+from burdockmast.platform import standin  # noqa: E402
 from burdockmast.routing import policies  # noqa: E402
 
 FILE = click.Path(path_type=pathlib.Path)
@@ -293,6 +295,45 @@
         )
 
 
+@main.command('deadly-requests')
+@click.option('--seed', default=1, help='Of the first play.')
+@click.option('--count', default=1, help='Seeds to play.')
+@click.option(
+    '--outage',
+    multiple=True,
+    default=[one.value for one in standin.Outage],
+    type=click.Choice([one.value for one in standin.Outage]),
+    help='How crashed servers are away.',
+)
+@click.option('--seconds', default=45.0, help='Length of a play.')
+@click.option('--gateways', default=4, help='Gateway processes.')
+@click.option('--keep', type=FILE, help='Folder for logs of broken plays.')
+def run_deadly_requests(
+    seed: int,
+    count: int,
+    outage: tuple[str, ...],
+    seconds: float,
+    gateways: int,
+    keep: pathlib.Path | None,
+) -> None:
+    """Send requests that crash servers; exit with 1 if they go on for long."""
+    is_broken = False
+    for number in range(seed, seed + count):
+        for name in outage:
+            found = deadly_requests.play(
+                number, standin.Outage(name), seconds, gateways, keep=keep
+            )
+            is_broken = is_broken or bool(found.violations)
+            click.echo(
+                f'{name} {number}: {len(found.violations)} of '
+                f'{len(found.crashes_by_path)} deadly requests for too long; '
+                f'crashes {list(found.crashes_by_path.values())}, late '
+                f'{list(found.late_by_path.values())}; '
+                f'sound: {dict(found.sound_statuses)}'
+            )
+    raise SystemExit(int(is_broken))
+
+
 @main.command('capacity')
 @click.argument('measured', type=FILE)
 @click.argument('page', type=FILE)
--- a/libs/gateway/burdockmast/gateway/calls.py
+++ b/libs/gateway/burdockmast/gateway/calls.py
@@ -24,6 +24,7 @@
 from burdockmast.gateway import server_states
 from burdockmast.gateway import upstream
 from burdockmast.gateway import view
+from burdockmast.gateway.crashes import broken_attempts
 
 LOG = logs.get('calls')
 
@@ -55,6 +56,7 @@
         suspects: crash_suspects.CrashSuspects,
         limits: server_limits.ServerLimits,
         leaving: leaving_servers.LeavingServers,
+        broken: broken_attempts.BrokenAttempts,
     ):
         """Create a proxy that prefers servers in ``zone``."""
         self._view = fleet
@@ -65,6 +67,7 @@
         self._suspects = suspects
         self._limits = limits
         self._leaving = leaving
+        self._broken = broken
         self._crash_checks = crash_checks.CrashChecks()
 
     def forward(
@@ -207,10 +210,14 @@
         match result:
             case jobs.Reply():
                 self._suspects.record_answer(tracked)
+                self._broken.record_answer(tracked)
             case failures.Failure(
                 reason=failures.Reason.ENGINE_LOST,
                 step='backend.send' | 'backend.head' | 'backend.body',
-            ) if self._crash_checks.has_crashed(tracked.server):
+            ):
+                if not self._crash_checks.has_crashed(tracked.server):
+                    self._broken.add(tracked)
+                    return
                 self._suspects.record_crash(tracked)
                 self._view.record_failure(
                     tracked.server.id,
--- a/libs/gateway/burdockmast/gateway/crash_suspects.py
+++ b/libs/gateway/burdockmast/gateway/crash_suspects.py
@@ -196,17 +196,21 @@
         begun_at = attempt.begun_at or self._now()
         self._record_sound(attempt.fingerprints, begun_at)
 
-    def record_crash(self, attempt: Attempt) -> None:
-        """Accuse a request's fingerprints of the crash of its server."""
-        now = self._now()
-        if attempt.begun_at and now - attempt.begun_at >= SURVIVAL_SECONDS:
+    def record_crash(self, attempt: Attempt, at: float | None = None) -> None:
+        """Accuse a request's fingerprints of the crash of its server.
+
+        :param at: monotonic seconds of the crash, None for now
+        """
+        if at is None:
+            at = self._now()
+        if attempt.begun_at and at - attempt.begun_at >= SURVIVAL_SECONDS:
             return
         crash = f'{attempt.server.id}@{attempt.server.started_ms}'
         for fingerprint in attempt.fingerprints:
             self._accuse(
                 fingerprint,
                 crash,
-                _Crash(attempt.sent_at, now, _has_just_begun(attempt, now)),
+                _Crash(attempt.sent_at, at, _has_just_begun(attempt, at)),
             )
 
     def _accuse(
--- /dev/null
+++ b/libs/gateway/burdockmast/gateway/crashes/__init__.py
@@ -0,0 +1,1 @@
+"""How a gateway finds out that servers have crashed."""
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -43,6 +43,7 @@
 from burdockmast.gateway.admission import full_servers
 from burdockmast.gateway.admission import pressure
 from burdockmast.gateway.balance import zone_balance
+from burdockmast.gateway.crashes import broken_attempts
 from burdockmast.gateway.intake import connection_limits
 from burdockmast.gateway.intake import held_bytes
 from burdockmast.gateway.intake import limits
@@ -228,6 +229,10 @@
         )
         connections = probes.ConnectionProbes(self.view, server_reports)
         self._servers.on_change.append(connections.drop_unlisted)
+        broken = broken_attempts.BrokenAttempts(
+            self._suspects, self.view.fate_of
+        )
+        self._servers.on_change.append(broken.check)
         self._neighbour_link = neighbour_link.NeighbourLink(
             gateway_settings.neighbours_address,
             self._neighbours,
@@ -262,6 +267,7 @@
                 self._suspects,
                 self._limits,
                 self._leaving,
+                broken,
             ),
             streams.StreamProxy(
                 self.view,
@@ -281,6 +287,7 @@
                     self._metrics,
                     gateway_settings.changes_paths,
                 ),
+                broken,
             ),
             budget,
             self._uploads,
--- a/libs/gateway/burdockmast/gateway/server_states.py
+++ b/libs/gateway/burdockmast/gateway/server_states.py
@@ -32,6 +32,14 @@
     LOST = 'lost'
 
 
+class Fate(enum.Enum):
+    """What has become of a start of a server."""
+
+    RUNS = 'runs'
+    LEAVES = 'leaves'
+    ENDED = 'ended'
+
+
 class Evidence(enum.IntEnum):
     """What was seen of a server, the weakest first."""
 
--- a/libs/gateway/burdockmast/gateway/stream_attempts.py
+++ b/libs/gateway/burdockmast/gateway/stream_attempts.py
@@ -24,6 +24,7 @@
 from burdockmast.gateway import sse
 from burdockmast.gateway import upstream
 from burdockmast.gateway import view
+from burdockmast.gateway.crashes import broken_attempts
 
 LOG = logs.get('streams')
 
@@ -71,6 +72,7 @@
     limits: server_limits.ServerLimits
     leaving: leaving_servers.LeavingServers
     crash_checks: crash_checks.CrashChecks
+    broken: broken_attempts.BrokenAttempts
     replies: buffers.BufferPool
 
 
@@ -229,6 +231,7 @@
             failure = yield from self._exchange_messages()
             if failure is None:
                 deps.suspects.record_answer(self._tracked)
+                deps.broken.record_answer(self._tracked)
             else:
                 self._check_for_crash(failure)
         finally:
@@ -274,9 +277,11 @@
         if (
             failure.reason is not failures.Reason.ENGINE_LOST
             or failure.step == 'backend.connect'
-            or not self._dependencies.crash_checks.has_crashed(server)
         ):
             return
+        if not self._dependencies.crash_checks.has_crashed(server):
+            self._dependencies.broken.add(self._tracked)
+            return
         self.has_crashed = True
         self._dependencies.suspects.record_crash(self._tracked)
         self._record_loss(server.id)
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -35,6 +35,7 @@
 from burdockmast.gateway import suspect_trials
 from burdockmast.gateway import upstream
 from burdockmast.gateway import view
+from burdockmast.gateway.crashes import broken_attempts
 from burdockmast.gateway.rerouting import rerouter as rerouting
 
 LOG = logs.get('streams')
@@ -66,6 +67,7 @@
         leaving: leaving_servers.LeavingServers,
         replies: buffers.BufferPool,
         rerouter: rerouting.Rerouter,
+        broken: broken_attempts.BrokenAttempts,
     ):
         """Create a proxy that chooses paths and retries within the budget.
 
@@ -86,6 +88,7 @@
             limits,
             leaving,
             crash_checks.CrashChecks(),
+            broken,
             replies,
         )
 
--- a/libs/gateway/burdockmast/gateway/view.py
+++ b/libs/gateway/burdockmast/gateway/view.py
@@ -219,6 +219,27 @@
             return self._states.refuses_connections(incarnation.server)
         return listed.started_ms > incarnation.started_ms
 
+    def fate_of(self, server: backends.BackendServer) -> server_states.Fate:
+        """Return what has become of a start of a server, by the list.
+
+        One whose entry is gone has ended unless it was leaving. Another start
+        may have another id, at the same address.
+        """
+        listed = self._servers.item_by_name.get(server.id)
+        if listed is None:
+            if self._leaving.includes(server):
+                return server_states.Fate.LEAVES
+            return server_states.Fate.ENDED
+        if any(
+            other.started_ms > server.started_ms
+            for other in self._servers.item_by_name.values()
+            if other.id == server.id or other.address == server.address
+        ):
+            return server_states.Fate.ENDED
+        if self._leaving.as_known(listed).is_ready:
+            return server_states.Fate.RUNS
+        return server_states.Fate.LEAVES
+
     def is_unresponsive(self, server: ids.ServerId) -> bool:
         """Return whether a server does not answer, but may be sound."""
         return self._states.state(server) is server_states.State.UNRESPONSIVE
--- a/libs/platform/burdockmast/platform/standin.py
+++ b/libs/platform/burdockmast/platform/standin.py
@@ -9,12 +9,14 @@
 import contextlib
 import copy
 import dataclasses
+import enum
 import functools
 import itertools
 import json
 import math
 import random
 import socket
+import struct
 from typing import Any
 from typing import NoReturn
 import urllib.parse
@@ -241,6 +243,15 @@
     is_refused: bool = False
 
 
+class Outage(enum.Enum):
+    """What happens to new connections to a server that has crashed."""
+
+    REFUSES = 'refuses'
+    # Something else holds the port; nobody answers.
+    ACCEPTS = 'accepts'
+    RESETS = 'resets'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Pace:
     """Length and speed of a stream."""
@@ -272,14 +283,16 @@
     :ivar is_leaving: says in its answers that it leaves
     :ivar limit: requests a second that it names in its answers, or None
     :ivar limit_told_at: monotonic seconds of the first head that names one
-    :ivar crashes_on: part of a prompt, or path, whose requests end the
+    :ivar crashes_on: part of a prompt, or of a path, whose requests end the
         server's process when they begin
+    :ivar outage: how it is away after a crash
+    :ivar restart_seconds: for which it is away after a crash
     :ivar crashed_at: monotonic seconds of its crashes
     :ivar engine: runs streams on the paths that their requests name, or None
         to run them on this server alone
     :ivar kv_total: memory of runs of ``engine``, in tokens times layers
     :ivar zone: availability zone
-    :ivar is_down: refuses connections after a crash
+    :ivar is_down: is away after a crash
     """
 
     def __init__(self, host: str, metadata_store: MetadataStore, entry: dict):
@@ -303,6 +316,8 @@
         self.limit: float | None = None
         self.limit_told_at = math.inf
         self.crashes_on = ''
+        self.outage = Outage.REFUSES
+        self.restart_seconds = RESTART_SECONDS
         self.crashed_at: list[float] = []
         self._incarnation = 0
         self.engine: standin_paths.PathEngine | None = None
@@ -370,10 +385,10 @@
         """Crash on a request, and start again."""
         if not self.is_down:
             self.crashed_at.append(timers.now())
-            self.die(RESTART_SECONDS)
+            self.die(self.restart_seconds)
 
     def die(self, seconds: float) -> None:
-        """End all connections and refuse new ones for some time."""
+        """End all connections and be away for some time."""
         if self.is_down:
             return
         self.is_down = True
@@ -382,13 +397,18 @@
             if math.isinf(received.ended_at):
                 received.broken_off_at = timers.now()
         self._server.kill()
-        self._sock.close()
         for connection in self._connections:
             connection.shutdown(socket.SHUT_RDWR)
         self._connections.clear()
+        match self.outage:
+            case Outage.REFUSES:
+                self._sock.close()
+            case Outage.RESETS:
+                eventlet.spawn(_reset_connections, self._sock)
         eventlet.spawn_after(seconds, self._restart)
 
     def _restart(self) -> None:
+        self._sock.close()
         self._listen()
         self.is_down = False
         self.update_entry(born=1000 + self._incarnation)
@@ -605,8 +625,7 @@
     def _is_deadly(self, received: ReceivedRequest) -> bool:
         parts = received.header_by_name.get(headers.PROMPT_PARTS.lower(), '')
         return bool(self.crashes_on) and (
-            f'{self.crashes_on}:' in parts
-            or received.path.startswith(self.crashes_on)
+            f'{self.crashes_on}:' in parts or self.crashes_on in received.path
         )
 
     def _pace(self, path: str) -> Pace:
@@ -649,6 +668,16 @@
             eventlet.sleep(pace.interval_seconds)
 
 
+def _reset_connections(sock: socket.socket) -> None:
+    """Reset all connections until the listening socket is closed."""
+    linger = struct.pack('ii', 1, 0)
+    with contextlib.suppress(OSError):
+        while True:
+            connection, _ = sock.accept()
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            connection.close()
+
+
 def _wait_while_connected(connection: socket.socket) -> None:
     """Wait for a moment.
 
--- a/tests/test_gateway_rerouting.py
+++ b/tests/test_gateway_rerouting.py
@@ -337,7 +337,7 @@
 
 def test_a_silent_stream_is_opened_and_looked_at_for_path_changes(monkeypatch):
     fleet = Fleet({'s1'}, [None])
-    proxy = streams.StreamProxy(*[fleet] * 9, fleet.rerouter())
+    proxy = streams.StreamProxy(*[fleet] * 9, fleet.rerouter(), fleet)
     progress = stream_progress.Progress(None, ())
     monkeypatch.setattr(proxy, '_wait_for_path', lambda *_: PATH)
     assert proxy._open(JOB, progress).is_checked_early
@@ -365,6 +365,7 @@
             selector._limits,
             None,
             None,
+            None,
             buffers.BufferPool(10),
         ),
         job,
@@ -564,7 +565,7 @@
     attempt = Attempt(path=path, is_checked_early=False)
     rerouting = fleet.rerouter()
     rerouting.prepare(JOB, attempt)
-    proxy = streams.StreamProxy(*[fleet] * 9, rerouting)
+    proxy = streams.StreamProxy(*[fleet] * 9, rerouting, fleet)
     progress = stream_progress.Progress(None, ())
     started = []
     found = silence.Silence(0.1, 1.0, True, False, True, False, False)
--- a/tests/test_gateway_view.py
+++ b/tests/test_gateway_view.py
@@ -5,12 +5,15 @@
 import pytest
 
 from burdockmast.base import timers
+from burdockmast.gateway import backends
 from burdockmast.gateway import interfaces
 from burdockmast.gateway import leaving_servers
 from burdockmast.gateway import object_follower
+from burdockmast.gateway import server_states
 from burdockmast.gateway import view
 from burdockmast.platform import configuration
 
+Fate = server_states.Fate
 READABLE = {'main': configuration.decode('main', {'version': 7})}
 
 
@@ -45,3 +48,37 @@
     assert fleet.configuration_age == seconds + 1.0
     list_again(4, READABLE)
     assert fleet.configuration_age == 0.0
+
+
+def server(name, started_ms, address='h:1', is_ready=True):
+    return backends.BackendServer(
+        name, 'app', address, 'a', is_ready, backends.NO_LAYERS, '',
+        started_ms, 1,
+    )  # fmt: skip
+
+
+@pytest.mark.parametrize(
+    ('listed', 'fate'),
+    [
+        ([server('i-1', 1)], Fate.RUNS),
+        ([server('i-1', 1), server('i-2', 2, 'h:2')], Fate.RUNS),
+        ([server('i-1', 1, is_ready=False)], Fate.LEAVES),
+        ([server('i-1', 2)], Fate.ENDED),
+        ([server('i-1', 1), server('i-2', 2)], Fate.ENDED),
+        ([server('i-2', 2)], Fate.ENDED),
+        ([], Fate.ENDED),
+    ],
+)
+def test_the_list_tells_what_has_become_of_a_server(listed, fate):
+    feed = unittest.mock.Mock()
+    feed.list.return_value = interfaces.Listing(1, {s.id: s for s in listed})
+    servers = object_follower.Follower('servers', feed, 3.0)
+    leaving = leaving_servers.LeavingServers()
+    fleet = view.View(
+        object_follower.Follower('configuration', feed, 1.4), servers, leaving
+    )
+    servers.poll()
+    assert fleet.fate_of(server('i-1', 1)) is fate
+    leaving.record('i-1', 1, 'r1')
+    if fate is Fate.RUNS or not listed:
+        assert fleet.fate_of(server('i-1', 1)) is Fate.LEAVES
