Close the listener of a stand-in before its connections, as before

The logs show that its server crashed, and that the gateway's connection, by which it asks whether a server has crashed, was accepted.

Cause: since the change for servers whose ports go on accepting, the stand-in ended a crashed server's connections before it closed the listener, so that a quick gateway found the port open.

Change: the listener is closed first again.

--- a/libs/platform/burdockmast/platform/standin.py
+++ b/libs/platform/burdockmast/platform/standin.py
@@ -397,14 +397,14 @@
             if math.isinf(received.ended_at):
                 received.broken_off_at = timers.now()
         self._server.kill()
-        for connection in self._connections:
-            connection.shutdown(socket.SHUT_RDWR)
-        self._connections.clear()
         match self.outage:
             case Outage.REFUSES:
                 self._sock.close()
             case Outage.RESETS:
                 eventlet.spawn(_reset_connections, self._sock)
+        for connection in self._connections:
+            connection.shutdown(socket.SHUT_RDWR)
+        self._connections.clear()
         eventlet.spawn_after(seconds, self._restart)
 
     def _restart(self) -> None:
