Replace case 8: streams of a killed replica end as whole

Disruption: one replica of seven is killed (srv_crash), ten times, amid streams that have neither a length nor chunks.

--- a/review/rig_2/deployment.py
+++ b/review/rig_2/deployment.py
@@ -15,6 +15,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 
 from rig_2 import messages
 
@@ -28,6 +29,7 @@
 ZONE = 'ma-north-a'
 LOOKUP = '/cufi504/fi50/2f'
 CONFIRM = '/puxa403/2f'
+STREAMS = '/lohu930/'
 
 SETTINGS = """
 node = "front-{zone}-{number}"
@@ -136,6 +138,24 @@
     }
 
 
+def streaming_route() -> dict:
+    """Return a route of streams that may be resumed."""
+    return {
+        'name': 'r-stream',
+        'host': HOST,
+        'path-prefix': STREAMS,
+        'kind': 'streaming',
+        'resumable': True,
+        'max-attempts': 2,
+        'timeout-ms': 20000,
+        'slo-ms': 500,
+        'gap-aim-ms': 200,
+        'priority': 1,
+        'service': SERVICE,
+        'public': False,
+    }
+
+
 class CannotRun(Exception):
     """The case can't run here."""
 
@@ -349,6 +369,19 @@
     )
 
 
+def stream(name: str, seconds: float) -> bytes:
+    """Return a request for a stream, on a path of its own."""
+    return messages.encode(
+        f'GET {STREAMS}{name} HTTP/1.1',
+        {
+            'host': HOST,
+            messages.REQUEST_ID: name,
+            messages.DEADLINE: str(int(seconds * 1000)),
+            messages.KEY: API_KEY,
+        },
+    )
+
+
 def confirm(name: str, seconds: float, body: bytes) -> bytes:
     """Return an unsafe request."""
     return messages.encode(
@@ -408,6 +441,11 @@
         deployment.note(f'the case could not run: {error}')
         print(error, file=sys.stderr)
         return NOT_RUN
+    except Exception as error:
+        # An error of the script itself shows nothing.
+        deployment.note(f'the case could not run: {error!r}')
+        traceback.print_exc()
+        return NOT_RUN
     finally:
         signal.alarm(0)
         deployment.close()
--- a/review/rig_2/messages.py
+++ b/review/rig_2/messages.py
@@ -8,6 +8,7 @@
 KEY = 'burdockmast-key'
 EXPECTED_INSTANCE = 'burdockmast-expect-instance'
 INSTANCE = 'burdockmast-instance-id'
+LAST_EVENT = 'last-event-id'
 SEAL = 'burdockmast-response-seal'
 NOT_RUN = 'burdockmast-not-executed'
 
@@ -80,6 +81,16 @@
     return found
 
 
+async def read_chunk(reader: asyncio.StreamReader) -> bytes:
+    """Read a chunk; an empty one is the end of the body."""
+    try:
+        line = await reader.readuntil(b'\r\n')
+        data = await reader.readexactly(int(line.split(b';')[0], 16) + 2)
+    except (asyncio.IncompleteReadError, ConnectionError) as error:
+        raise Incomplete(type(error).__name__) from None
+    return data[:-2]
+
+
 async def _read_body(reader: asyncio.StreamReader, found: Message) -> None:
     if found.fields.get('transfer-encoding', '').lower() == 'chunked':
         pieces = []
--- a/review/rig_2/replica.py
+++ b/review/rig_2/replica.py
@@ -16,6 +16,10 @@
 SLOTS = 6
 QUEUE = 4
 BODY_BYTES = 1600
+# Paths below it are answered with streams.
+STREAMS = '/lohu930/'
+EVENTS = 40
+EVENT_MS = 100
 
 
 def body_of(request: str, server: str) -> bytes:
@@ -25,6 +29,11 @@
     return text[: BODY_BYTES - 4].encode() + b' END'
 
 
+def event_of(request: str, number: int) -> bytes:
+    """Return an event of the answer to a request."""
+    return f'id: {number}\ndata: piece {number} of {request}\n\n'.encode()
+
+
 def digest_of(body: bytes) -> str:
     """Return what names the body of a request in the log."""
     return hashlib.sha256(body).hexdigest()[:12]
@@ -61,7 +70,7 @@
                 'address': f'127.0.0.1:{port}',
                 'zone': self.options.zone,
                 'version': 'v1',
-                'slots': SLOTS,
+                'slots': self.options.slots,
                 'state': 'ready',
                 'cold-remaining-ms': 0,
                 'sequence': sequence,
@@ -117,7 +126,7 @@
         if expected and expected != self.options.id:
             writer.write(messages.answer(421, own))
             return False
-        if self.running >= SLOTS + QUEUE:
+        if self.running >= self.options.slots + QUEUE:
             writer.write(messages.answer(503, {messages.NOT_RUN: '1'}))
             return False
         self.running += 1
@@ -139,6 +148,8 @@
             digest=digest_of(request.body),
         )
         await asyncio.sleep(self.options.work_ms / 1000)
+        if request.words[1].startswith(STREAMS):
+            return await self._stream(request, writer)
         body = body_of(name, self.options.id)
         fields = {
             messages.REQUEST_ID: name,
@@ -151,21 +162,29 @@
             writer.write(messages.encode('HTTP/1.1 200 OK', fields, body))
             self.write('spoils its answer', request=name)
             return True
-        if self.options.unframed:
-            head = messages.encode('HTTP/1.1 200 OK', fields)
-            half = len(body) // 2
-            writer.write(head + body[:half])
-            await writer.drain()
-            self.write('has sent half', request=name)
-            await asyncio.sleep(self.options.pause_ms / 1000)
-            writer.write(body[half:])
-            await writer.drain()
-            self.write('has sent all', request=name)
-            return True
         writer.write(messages.answer(200, fields, body))
         self.write('answers', request=name)
         return False
 
+    async def _stream(
+        self, request: messages.Message, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Answer with events that end with the connection."""
+        name = request.fields.get(messages.REQUEST_ID, '')
+        last = int(request.fields.get(messages.LAST_EVENT, '0'))
+        fields = {
+            messages.REQUEST_ID: name,
+            messages.SEAL: f'3e1b.07.{self.options.id}',
+            'content-type': 'text/event-stream',
+        }
+        writer.write(messages.encode('HTTP/1.1 200 OK', fields))
+        for number in range(last + 1, EVENTS + 1):
+            writer.write(event_of(name, number))
+            await writer.drain()
+            await asyncio.sleep(EVENT_MS / 1000)
+        self.write('has sent all', request=name)
+        return True
+
 
 async def run(options: argparse.Namespace) -> None:
     """Serve until the process is killed."""
@@ -185,8 +204,7 @@
     parser.add_argument('--store', required=True)
     parser.add_argument('--log', required=True)
     parser.add_argument('--work-ms', type=float, default=30.0)
-    parser.add_argument('--pause-ms', type=float, default=0.0)
-    parser.add_argument('--unframed', action='store_true')
+    parser.add_argument('--slots', type=int, default=SLOTS)
     parser.add_argument('--spoil-answer', type=int, default=0)
     parser.add_argument('--spoiled-length', default='')
     asyncio.run(run(parser.parse_args()))
