Let a string without an end reach to the end of its page

Callers saw: after one page of the store that is no JSON, with escaped quotes outside of strings, or that ends within a string with escaped quotes, the gateway answered nobody for seconds.

Change: a string that doesn't end is one token up to the end of the document, and quotes within it begin no other. Such a document has no complete list, as before.

--- a/libs/platform/burdockmast/platform/json_lists.py
+++ b/libs/platform/burdockmast/platform/json_lists.py
@@ -13,7 +13,11 @@
 # nesting with an error of its own kind.
 DECODE_ERRORS = (msgspec.MsgspecError, RecursionError)
 
-_TOKEN = re.compile(rb'"[^"\\]*(?:\\.[^"\\]*)*"|[\[\]{},]', re.DOTALL)
+# A string that doesn't end reaches to the end of the document: each quote in
+# it would else begin a search of its own.
+_TOKEN = re.compile(
+    rb'"[^"\\]*+(?:\\.[^"\\]*+)*+(?:"|\\?\Z)|[\[\]{},]', re.DOTALL
+)
 
 
 def split(document: bytes, key: str) -> tuple[bytes, list[bytes]]:
--- a/tests/test_gateway_hostile_input.py
+++ b/tests/test_gateway_hostile_input.py
@@ -23,6 +23,10 @@
     'unequal zeros': b','.join(b'0' * n + b'1600' for n in range(6, 18))
     + b';',
 }
+PAGES = {
+    'escaped quotes outside of strings': b'\\"' * 40_000,
+    'the end within a string': b'{"items":["' + b'\\"' * 40_000,
+}
 
 
 def answered(platform):
@@ -74,6 +78,18 @@
     )
 
 
+@pytest.mark.parametrize('case', PAGES)
+def test_a_page_of_the_store_does_not_keep_the_gateway_from_others(
+    platform, case
+):
+    """Guards against pages whose reading grew with the square of them."""
+    page = PAGES[case]
+    check_reply_of_the_store(
+        platform,
+        broken_replies.reply(b'Content-Length: %d' % len(page), body=page),
+    )
+
+
 def check_reply_of_the_store(platform, reply):
     platform.store.raw_replies.extend([reply] * REPLIES_OF_THE_STORE)
     statuses = statuses_beside(platform, platform.store.discard_history)
