Leave the content types of callers' requests alone

A caller whose Content-Type is `multipart/form-data; a=";;;;...` holds the process: 8 KB and 33 KB of head took 0.049 and 0.71 s of processor time, and 16 KB, the default limit of a head, 0.12 s. A few such requests a second take all of it. Gateways, entries and the metrics address were open to it.

Cause: the standard library reads heads by its mail parser, which splits the parameters of a type of several parts to look for parts in the head, counting quotes from the start at each semicolon.

Change: the headers of a request say that their type is the default one. The WSGI environment has the header as it was sent, as before.

--- a/libs/entry/burdockmast/entry/server.py
+++ b/libs/entry/burdockmast/entry/server.py
@@ -10,6 +10,7 @@
 from burdockmast.base import addresses
 from burdockmast.base import failures
 from burdockmast.base import logs
+from burdockmast.base import request_heads
 from burdockmast.entry import answers
 from burdockmast.entry import fleet
 from burdockmast.entry import services
@@ -88,6 +89,7 @@
                 sock,
                 self.application,
                 log_output=False,
+                protocol=request_heads.Protocol,
                 max_size=MAX_CONCURRENT_REQUESTS,
                 # The default buffers 4 KiB, which is 20 tokens.
                 minimum_chunk_size=1,
--- a/libs/gateway/burdockmast/gateway/request_target.py
+++ b/libs/gateway/burdockmast/gateway/request_target.py
@@ -1,12 +1,12 @@
 """Keeps the target of a request as its caller sent it."""
 
-import eventlet.wsgi
+from burdockmast.base import request_heads
 
 # Key of the target in a WSGI environment.
 ENVIRON_KEY = 'REQUEST_URI'
 
 
-class Protocol(eventlet.wsgi.HttpProtocol):
+class Protocol(request_heads.Protocol):
     """Adds the target to the environment, byte for byte.
 
     The other keys don't tell an empty query from none, nor one slash at the
--- a/libs/node/burdockmast/node/node.py
+++ b/libs/node/burdockmast/node/node.py
@@ -15,6 +15,7 @@
 from burdockmast.base import ids
 from burdockmast.base import logs
 from burdockmast.base import metrics
+from burdockmast.base import request_heads
 from burdockmast.base import timeline
 from burdockmast.base import timers
 from burdockmast.fleet import draining_instances
@@ -175,7 +176,11 @@
         sock = eventlet.listen(addresses.split(self.settings.metrics_address))
         application = prometheus_client.make_wsgi_app(self.metrics.registry)
         eventlet.spawn(
-            eventlet.wsgi.server, sock, application, log_output=False
+            eventlet.wsgi.server,
+            sock,
+            application,
+            log_output=False,
+            protocol=request_heads.Protocol,
         )
 
     def on_closed(self, link: links.Link, why: failures.Failure) -> None:
--- a/tests/test_gateway_hostile_input.py
+++ b/tests/test_gateway_hostile_input.py
@@ -15,7 +15,9 @@
 ANSWER_SECONDS = 10.0
 BAD_GATEWAY = 502
 REPLIES_OF_THE_STORE = 3
+CALLERS = 40
 # A little less than a head may have.
+HEAD_BYTES = 15_000
 ZEROS = b'0000001600'
 LENGTHS = {
     'an empty element at the end': b', '.join([ZEROS] * 12) + b',',
@@ -27,6 +29,12 @@
     'escaped quotes outside of strings': b'\\"' * 40_000,
     'the end within a string': b'{"items":["' + b'\\"' * 40_000,
 }
+HEADS = {
+    'semicolons in a quoted parameter': (
+        b'Content-Type: multipart/form-data; a="' + b';' * HEAD_BYTES
+    ),
+    'many parameters': b'Content-Type: multipart/x' + b';a=b' * 3500,
+}
 
 
 def answered(platform):
@@ -95,3 +103,26 @@
     statuses = statuses_beside(platform, platform.store.discard_history)
     assert not platform.store.raw_replies
     assert set(statuses) == {200}
+
+
+@pytest.mark.parametrize('case', HEADS)
+def test_heads_of_callers_do_not_keep_the_gateway_from_others(platform, case):
+    """Guards against heads whose reading grew with the square of them."""
+    statuses = statuses_beside(
+        platform, *[lambda: send_head(platform, HEADS[case])] * CALLERS
+    )
+    assert set(statuses) == {200}
+
+
+def send_head(platform, line):
+    """Send a request with one more line in its head; wait for an answer."""
+    host, port = platform.callers.split(':')
+    sock = eventlet.connect((host, int(port)))
+    lines = (
+        b'GET /lookup/x HTTP/1.1',
+        *(f'{k}: {v}'.encode() for k, v in platform.headers().items()),
+        line,
+    )
+    sock.sendall(b'\r\n'.join(lines) + b'\r\n\r\n')
+    assert sock.recv(1)
+    sock.close()
