--- a/tests/test_gateway_sse.py
+++ b/tests/test_gateway_sse.py
@@ -28,6 +28,20 @@
     assert splitter.is_out_of_order
 
 
+def test_an_id_of_many_digits_is_out_of_order():
+    """Guards against ids at which the task of a stream failed."""
+    splitter = sse.EventSplitter(None)
+    assert splitter.feed(b'id: ' + b'9' * 5000 + b'\n\n') == b''
+    assert splitter.is_out_of_order
+
+
+def test_leading_zeros_of_an_id_are_no_digits():
+    splitter = sse.EventSplitter(2)
+    sent = b'id: ' + b'0' * 5000 + b'3\n\n'
+    assert splitter.feed(sent) == sent
+    assert splitter.last_id == 3
+
+
 def test_a_stream_resumes_after_the_last_event():
     splitter = sse.EventSplitter(2)
     assert splitter.feed(event(3)) == event(3)
