Leave the bodies of replies as they are sent

A body of 247 bytes with the content codings `gzip, gzip` became 50 MB in the clients of the store, of engines and of plain services; nothing bounds it. A compressed reply of a plain service reached callers unpacked, but still labelled as compressed.

Cause: urllib3 decodes content codings unless it is told otherwise, though no request of ours asks for one. The gateway's requests to backend servers told it.

Change: the pool manager of `replies/connections` leaves bodies as they come. An answer of the store or of an engine that is compressed can't be decoded, a failed call; one of a plain service is passed on as it is.

Before: both tests failed. After: they pass.

--- a/libs/replies/burdockmast/replies/connections.py
+++ b/libs/replies/burdockmast/replies/connections.py
@@ -100,13 +100,29 @@
     ConnectionCls = _SecureConnection
 
 
+class _PoolManager(urllib3.PoolManager):
+    """Leaves bodies as they are sent.
+
+    No request asks for a content coding, and a compressed body may have a
+    thousand times the bytes that have come.
+    """
+
+    def urlopen(
+        self, method: str, url: str, redirect: bool = True, **options: Any
+    ) -> urllib3.BaseHTTPResponse:
+        """Make a request, like that of urllib3."""
+        options['decode_content'] = False
+        return super().urlopen(method, url, redirect, **options)
+
+
 def pool_manager(**options: Any) -> urllib3.PoolManager:
     """Return a pool manager that raises an error for invalid replies.
 
-    Like all that urllib3 can't read, they raise its ``ProtocolError``.
+    Like all that urllib3 can't read, they raise its ``ProtocolError``. Content
+    codings are not decoded.
 
     :param options: of ``urllib3.PoolManager``
     """
-    manager = urllib3.PoolManager(**options)
+    manager = _PoolManager(**options)
     manager.pool_classes_by_scheme = {'http': _Pool, 'https': _SecurePool}
     return manager
--- a/tests/test_clients_of_broken_replies.py
+++ b/tests/test_clients_of_broken_replies.py
@@ -1,5 +1,6 @@
 """Broken replies to clients of the store, of engines and of plain services."""
 
+import gzip
 import types
 
 import broken_replies
@@ -16,6 +17,8 @@
 from burdockmast.store import objects
 from burdockmast.wire import messages
 
+SIZE_BEFORE_COMPRESSION = 50_000_000
+
 
 def server_at(address):
     return backends.BackendServer(
@@ -129,6 +132,32 @@
     assert reply.body == broken_replies.BODY
 
 
+def compressed_reply():
+    """Return a reply whose body is larger than what comes of it."""
+    body = gzip.compress(gzip.compress(bytes(SIZE_BEFORE_COMPRESSION)))
+    lines = (
+        b'Content-Length: %d' % len(body),
+        b'Content-Encoding: gzip, gzip',
+    )
+    return body, broken_replies.reply(*lines, body=body)
+
+
+def test_a_compressed_body_is_not_unpacked(raw_server):
+    """Guards against small replies that take all memory and time."""
+    body, raw_server.reply = compressed_reply()
+    response = store.Client(raw_server.address).call('GET', 'x')
+    assert response.data == body
+    found = CALLS['get an object'](raw_server.address)
+    assert isinstance(found, failures.Failure)
+
+
+def test_a_compressed_reply_of_the_service_is_passed_on_as_it_is(raw_server):
+    body, raw_server.reply = compressed_reply()
+    reply = call_service(raw_server.address, 'POST')
+    assert reply.body == body
+    assert ('Content-Encoding', 'gzip, gzip') in reply.headers
+
+
 STEP = engine.Step('s1', 0, None, 1)
 DECODED_CALLS = {
     name: call
