Look at all servers once for each report, not for each address in it

Callers saw nothing of it yet. A report may name 20,000 addresses at which requests stall; for each of them the gateway looked at all listed servers, so that the work was the product of the two.

Change: the addresses of a report are looked up as a set, in one walk.

Before: the test, with 1,001 addresses, saw 1,001 walks.

--- a/libs/gateway/burdockmast/gateway/reports.py
+++ b/libs/gateway/burdockmast/gateway/reports.py
@@ -246,9 +246,9 @@
                     'stalled': len(report.stalled),
                 },
             )
-        for address in {stalled.address for stalled in report.stalled}:
+        if report.stalled:
             self._view.record_failure_at(
-                address,
+                {stalled.address for stalled in report.stalled},
                 server_states.Evidence.REQUESTS_STALL,
                 'requests stall',
                 request,
--- a/libs/gateway/burdockmast/gateway/view.py
+++ b/libs/gateway/burdockmast/gateway/view.py
@@ -1,6 +1,7 @@
 """A gateway's view of the configuration and the backend servers."""
 
 import collections
+from collections.abc import Collection
 from collections.abc import Iterable
 import math
 
@@ -348,14 +349,17 @@
 
     def record_failure_at(
         self,
-        address: ids.Address,
+        addresses: Collection[ids.Address],
         evidence: server_states.Evidence,
         reason: str,
         request: str,
     ) -> None:
-        """Record evidence against the servers at an address."""
+        """Record evidence against the servers at some addresses.
+
+        :param addresses: a set; a server in trouble may name many
+        """
         for server in self._servers.item_by_name.values():
-            if server.address == address:
+            if server.address in addresses:
                 self.record_failure(server.id, evidence, reason, request)
 
     def record_answer(self, server: ids.ServerId) -> None:
--- a/tests/test_gateway_silence.py
+++ b/tests/test_gateway_silence.py
@@ -176,6 +176,34 @@
     assert gateway.usable() == ['i-0', 'i-1']
 
 
+class CountedServers(dict):
+    """Servers by name, which count how often all are looked at."""
+
+    walks = 0
+
+    def values(self):
+        self.walks += 1
+        return super().values()
+
+
+def test_a_report_with_many_addresses_walks_the_servers_once(
+    engines, gateway, monkeypatch
+):
+    """Guards against work that is the product of addresses and servers."""
+    stalled = tuple(
+        interfaces.StalledRequest(f'r{n}', f'10.0.{n // 250}.{n % 250}:1')
+        for n in range(1000)
+    ) + (interfaces.StalledRequest('r', 'i-1:1'),)
+    report = interfaces.ServerReport(0, False, 1.0, 0.4, stalled)
+    monkeypatch.setattr(engines, 'fetch_report', lambda *given: report)
+    servers = CountedServers(gateway.view._servers.item_by_name)
+    gateway.view._servers.item_by_name = servers
+    gateway.reports.fetch(gateway.servers[:1], 'r1')
+    eventlet.sleep(0)
+    assert servers.walks == 1
+    assert gateway.usable() == ['i-0']
+
+
 def test_gateways_share_the_reports_that_one_fetched(engines, gateway):
     neighbour = Gateway(engines)
     neighbour.reports.fetch(neighbour.servers, 'r1')
