Pass on no status of a side process that is not that of a final reply

Here no such reply of a server got through: `000 OK`, `000`, `00 OK` and `0 OK` are 502 on all kinds of route of a gateway, and a failed call of each client of servers, engines and the store, as before.

Cause, at entries: a status is a bare integer of a message from a side process, and of a stored outcome. The entry wrote into its status line whatever stood there: 0 where a side process made no call, any number of an older one.

Change: entries take 200 to 599 for answers. Everything else is a failed call of which it isn't known whether it ran.

Before: all 50 tests of invalid statuses failed, ten statuses on five ways: a call without a key, an idempotent one, one with a claim of its own, one whose claim another process holds, a replay. After: they pass.

--- a/libs/entry/burdockmast/entry/services.py
+++ b/libs/entry/burdockmast/entry/services.py
@@ -18,6 +18,7 @@
 from burdockmast.fleet import changes
 from burdockmast.limits import budgets
 from burdockmast.node import node
+from burdockmast.replies import grammar
 from burdockmast.wire import links
 from burdockmast.wire import messages
 
@@ -429,6 +430,8 @@
             reason=reply.reason.value if reply.reason else '',
         )
         if reply.outcome is outcomes.Outcome.RAN:
+            if reply.status not in grammar.FINAL_STATUSES:
+                return _invalid_status(reply.status, link.hello.server)
             return Reply(reply.status, reply.headers, reply.body)
         return failures.Failure(
             reply.reason,
@@ -454,5 +457,18 @@
     )
 
 
-def _replay(done: records.Done) -> Reply:
+def _replay(done: records.Done) -> Result:
+    if done.status not in grammar.FINAL_STATUSES:
+        return _invalid_status(done.status, '')
     return Reply(done.status, done.headers, done.body, is_replay=True)
+
+
+def _invalid_status(status: int, peer: str) -> failures.Failure:
+    """Return the failure of a call whose reply no caller may get."""
+    return failures.Failure(
+        failures.Reason.PROTOCOL,
+        'service.execute',
+        peer,
+        f'status {status} is not that of a final reply',
+        outcomes.Outcome.UNKNOWN,
+    )
--- a/tests/broken_replies.py
+++ b/tests/broken_replies.py
@@ -166,6 +166,9 @@
     )
     for line in (
         b'HTTP/1.1 000 OK',
+        b'HTTP/1.1 000',
+        b'HTTP/1.1 00 OK',
+        b'HTTP/1.1 0 OK',
         b'HTTP/1.1 099 OK',
         b'HTTP/1.1 20 OK',
         b'HTTP/1.1 2000 OK',
