Name two things of the test of readers plainly

Read as a newcomer: a variable hid the function it stood in, and a module was reached through another one's imports.

--- a/tests/growth.py
+++ b/tests/growth.py
@@ -58,6 +58,7 @@
 
     :param read: takes bytes
     :param hostile: the input
+    :returns: None if no input of three sizes fits into ``max_bytes``
     """
     seconds = []
     count = 1
@@ -70,14 +71,14 @@
         Growth(2**power, *pair)
         for power, pair in enumerate(zip(seconds, seconds[2:], strict=False))
     ]
-    worst = max(found, key=lambda growth: growth.factor, default=None)
-    if worst is None or worst.factor <= MAX_GROWTH:
-        return worst
-    return _measured_again(read, hostile, worst.count)
+    largest = max(found, key=lambda growth: growth.factor, default=None)
+    if largest is None or largest.factor <= MAX_GROWTH:
+        return largest
+    return _measured_again(read, hostile, largest.count)
 
 
 def _measured_again(read, hostile, count):
-    """Return a growth that isn't an interruption of the first measurement."""
+    """Measure a growth without what interrupted the first measurement."""
     shortest = [
         min(
             processor_seconds(read, hostile.repeat(count * factor))
--- a/tests/test_bounded_work.py
+++ b/tests/test_bounded_work.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import http.client
 import io
 import os
 import types
@@ -43,7 +44,7 @@
         response.begin()
         headers.HeaderCodec().read_reply(response.getheaders())
         response.read()
-    except connections.http.client.HTTPException:
+    except http.client.HTTPException:
         pass
 
 
