--- a/tests/test_input.py
+++ b/tests/test_input.py
@@ -1,7 +1,9 @@
 """Invalid input is refused with a clear error and affects nothing else."""
 
+import contextlib
 import json
 import socket
+import time
 
 from hypothesis import given
 from hypothesis import settings
@@ -13,6 +15,9 @@
 from burdockmast.wire import codec
 from burdockmast.wire import messages
 
+HEAVY_CALLERS = 200
+# Like the deadline of an ordinary request and half a second.
+ANSWER_SECONDS = 2.5
 VALID_BODY = {'model': 'draft', 'prompt': [1], 'max_tokens': 1}
 ORGANISATION = {'Burdockmast-Organisation': 'souk'}
 INVALID_BODIES = {
@@ -140,6 +145,25 @@
     assert b'400 Bad Request' in data and b'only once' in data
 
 
+def test_heads_of_callers_do_not_keep_an_entry_from_others(shared_fleet):
+    """Guards against heads whose reading grew with the square of them."""
+    host, port = shared_fleet.address_by_name['entry-0'].split(':')
+    head = (
+        b'GET /livez HTTP/1.1\r\nHost: x\r\nConnection: close\r\n'
+        b'Content-Type: multipart/form-data; a="' + b';' * 8000 + b'\r\n\r\n'
+    )
+    with contextlib.ExitStack() as stack:
+        for _ in range(HEAVY_CALLERS):
+            sock = socket.create_connection((host, int(port)), 5)
+            stack.enter_context(sock)
+            sock.sendall(head)
+        began = time.monotonic()
+        reply = program.request('GET', f'{shared_fleet.url("entry-0")}/livez')
+        took = time.monotonic() - began
+    assert reply.status == 200
+    assert took < ANSWER_SECONDS
+
+
 INVALID_FRAMES = {
     'random bytes': b'\x93\x01\x02\x03' * 50,
     'not a message': msgpack.packb({'a': 1}),
