--- /dev/null
+++ b/review/rig_3/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and helpers for the scripted cases of the third review."""
