--- a/review/rig_3/fleet.py
+++ b/review/rig_3/fleet.py
@@ -281,6 +281,10 @@
             'form = "objects"\n'
         )
         self.log = fleet.folder / f'{self.name}.log'
+        self.start()
+
+    def start(self):
+        """Start the process, also again after it has ended."""
         deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
         role = deploy['roles']['gateway']
         with self.log.open('ab') as output:
@@ -298,7 +302,7 @@
                 stdout=output,
                 stderr=subprocess.STDOUT,
             )
-        fleet.processes.append(self.process)
+        self._fleet.processes.append(self.process)
 
     def is_ready(self):
         """Ask the readiness check."""
--- a/review/rig_3/store.py
+++ b/review/rig_3/store.py
@@ -4,6 +4,7 @@
 writes, deletions and watches. It runs in threads of the calling process.
 """
 
+import copy
 import json
 import socket
 import threading
@@ -21,6 +22,8 @@
         self._objects = {}
         self._history = []
         self._revision = 1
+        self._era = 1
+        self._is_away = False
         self._changed = threading.Condition()
         self._listener = socket.create_server((host, 0), backlog=64)
         self.address = '{}:{}'.format(*self._listener.getsockname())
@@ -40,6 +43,25 @@
                 self._record(kind, found, True)
             return found
 
+    def save(self):
+        """Return a copy from which the store can come back."""
+        with self._changed:
+            return self._revision, copy.deepcopy(self._objects)
+
+    def go_away(self):
+        """Answer nothing, and end the connections on which calls come."""
+        with self._changed:
+            self._is_away = True
+            self._changed.notify_all()
+
+    def come_back(self, saved):
+        """Go on from a copy; later revisions are given out again."""
+        with self._changed:
+            self._revision, self._objects = copy.deepcopy(saved)
+            self._history = [h for h in self._history if h[0] <= saved[0]]
+            self._era += 1
+            self._is_away = False
+
     def _put(self, kind, name, spec):
         self._revision += 1
         of_kind = self._objects.setdefault(kind, {})
@@ -77,11 +99,16 @@
         reader = http_messages.Reader(sock)
         try:
             while (request := reader.message()) is not None:
+                if self._is_away:
+                    break
                 status, value = self._answer(request)
+                if self._is_away:
+                    break
                 body = json.dumps(value).encode()
                 sock.sendall(
                     f'HTTP/1.1 {status} Answered\r\n'
                     'Content-Type: application/json\r\n'
+                    f'Store-Era: {self._era}\r\n'
                     f'Content-Length: {len(body)}\r\n\r\n'.encode()
                     + body
                 )
@@ -140,6 +167,10 @@
         until = time.monotonic() + int(query['wait-ms']) / 1000
         with self._changed:
             while True:
+                if self._is_away:
+                    return 503, None
+                if since > self._revision:
+                    return 410, None
                 events = [
                     event
                     for revision, of_kind, event in self._history
