Show that a resumed stream with long event ids begins anew

Disruption: the connection of a client is reset, and it resumes with Last-Event-Id. The gateway drops an id of 13 digits, so that the replica begins anew and the client gets five events again.

--- a/review/rig_3/replica.py
+++ b/review/rig_3/replica.py
@@ -7,6 +7,7 @@
                their connection; the second half of a body comes later
   spoil=N      each Nth answer is spoiled: another success status, no seal and
                other bytes
+  first-id=N   the first event of a stream has this id
 """
 
 import json
@@ -40,6 +41,8 @@
         spoiled = [o for o in options if o.startswith('spoil=')]
         self._spoil_each = int(spoiled[0].split('=')[1]) if spoiled else 0
         self._answers = 0
+        first = [o for o in options if o.startswith('first-id=')]
+        self._first_id = int(first[0].split('=')[1]) if first else 1
 
     def _is_spoiled(self):
         with self._lock:
@@ -139,11 +142,12 @@
         return False
 
     def _stream(self, sock, request, fields, number):
-        first = int(request.headers.get('last-event-id', 0)) + 1
+        last = request.headers.get('last-event-id')
+        first = int(last) + 1 if last else self._first_id
         fields = [*fields, ('Content-Type', 'text/event-stream')]
         fields.append(('Transfer-Encoding', 'chunked'))
         self._send(sock, '200 OK', fields, framed=False)
-        for event in range(first, EVENTS + 1):
+        for event in range(first, self._first_id + EVENTS):
             data = f'id: {event}\ndata: {number} {event}\n\n'.encode()
             sock.sendall(b'%x\r\n%s\r\n' % (len(data), data))
             time.sleep(EVENT_SECONDS)
