Show that no replica gets layers once the store counts to 10^9

Disruption: all machines lose power once; the store's counter stands at 1.2 x 10^9. The planner lock can't be taken over again (409), replicas stay empty, and none of 20 streams is served from 12 s after the return.

--- a/review/rig_3/fleet.py
+++ b/review/rig_3/fleet.py
@@ -163,35 +163,48 @@
 
 
 class Replica:
-    """A replica process.
+    """A replica process and its entry in the store.
 
-    :ivar id: of its present start
+    :ivar id: its name in the store
     """
 
     def __init__(self, fleet, name, service, options=()):
-        """Start a replica and write its entry to the store."""
+        """Start a replica and write its entry to the store.
+
+        One with the option ``model`` starts without layers.
+        """
         self._fleet = fleet
         self.id = name
         self.service = service
+        self._options = list(options)
         self._log = fleet.folder / f'{name}.jsonl'
         self._log.touch()
         self.port = free_ports(fleet.host, 1)[0]
         self.address = f'{fleet.host}:{self.port}'
+        self.start()
+
+    def start(self):
+        """Start the process, also again after it has ended."""
+        fleet = self._fleet
         self.process = subprocess.Popen(
             [
                 sys.executable,
                 str(REPLICA),
                 fleet.host,
                 str(self.port),
-                name,
+                self.id,
                 str(self._log),
-                *options,
+                *self._options,
             ]
         )
         fleet.processes.append(self.process)
-        fleet.wait_for(self._accepts, f'replica {name}')
+        fleet.wait_for(self._accepts, f'replica {self.id}')
         self.sequence = 0
         self.born = int(time.time() * 1000)
+        self._orders = len(self.events('order'))
+        self._layers = None
+        if self.service == MODEL_SERVICE and 'model' not in self._options:
+            self._layers = {'from': 0, 'to': LAYERS, 'version': 1}
         self.register()
 
     def _accepts(self):
@@ -219,9 +232,18 @@
         }
         if self.service == MODEL_SERVICE:
             entry['kind'] = 'whole'
-            entry['layers'] = {'from': 0, 'to': LAYERS, 'version': 1}
+        if self._layers:
+            entry['layers'] = self._layers
         self._fleet.store.put('servers', self.id, {**entry, **changes})
 
+    def report_orders(self):
+        """Write the entry again if an order has changed the layers."""
+        orders = self.events('order')
+        if len(orders) > self._orders:
+            self._orders = len(orders)
+            self._layers = orders[-1]['layers']
+            self.register()
+
     def events(self, what=None):
         """Return what the replica has logged."""
         lines = self._log.read_text().splitlines()
@@ -342,15 +364,18 @@
     :ivar has_trouble: the disruption of the case happens
     """
 
-    def __init__(self, case):
-        """Create an empty fleet for the case in a folder."""
+    def __init__(self, case, revision=1):
+        """Create an empty fleet for the case in a folder.
+
+        :param revision: at which the store's counter of changes stands
+        """
         self.has_trouble = os.environ.get('TROUBLE', '1') != '0'
         self.case = pathlib.Path(case).resolve().parent
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix='review-'))
         high, low = divmod(os.getpid(), 250)
         self.host = f'127.83.{high % 250 + 1}.{low + 1}'
         self.processes = []
-        self.store = store.Store(self.host)
+        self.store = store.Store(self.host, revision)
         self._record = (self.case / 'record.txt').open('w')
         self._began = time.monotonic()
         self.record(f'trouble: {"yes" if self.has_trouble else "no"}')
@@ -383,13 +408,14 @@
         shutil.rmtree(self.folder, ignore_errors=True)
 
 
-def run(case, script):
+def run(case, script, revision=1):
     """Run a case; exit with 1 if the rule was broken, 0 if it held.
 
     :param case: the file of the script
     :param script: takes the fleet and returns whether the rule was broken
+    :param revision: at which the store's counter of changes stands
     """
-    fleet = Fleet(case)
+    fleet = Fleet(case, revision)
     status = UNUSABLE
     try:
         status = BROKEN if script(fleet) else HEALTHY
--- a/review/rig_3/replica.py
+++ b/review/rig_3/replica.py
@@ -7,6 +7,8 @@
                their connection; the second half of a body comes later
   spoil=N      each Nth answer is spoiled: another success status, no seal and
                other bytes
+  model        holds the layers that orders name, at first none, and runs
+               streams on the part of their path that is its own
   first-id=N   the first event of a stream has this id
 """
 
@@ -41,6 +43,9 @@
         spoiled = [o for o in options if o.startswith('spoil=')]
         self._spoil_each = int(spoiled[0].split('=')[1]) if spoiled else 0
         self._answers = 0
+        self._orders = 0
+        self._fence = 0
+        self._layers = None
         first = [o for o in options if o.startswith('first-id=')]
         self._first_id = int(first[0].split('=')[1]) if first else 1
 
@@ -95,13 +100,18 @@
             self._send(sock, '200 OK', identity)
             return True
         if target == '/api/report':
-            report = {'sequence': 0, 'busy': False, 'pace': 1.0}
+            report = {'sequence': self._orders, 'busy': False, 'pace': 1.0}
             self._send(sock, '200 OK', [], json.dumps(report).encode())
             return True
         if target == '/api/order':
-            self._send(sock, '409 Conflict', [])
+            order = json.loads(request.body)
+            self._send(sock, f'{self._accept_order(order)} Answered', [])
             return True
         number = request.headers.get('burdockmast-request-id', '')
+        path = request.headers.get('burdockmast-hop-count', '')
+        if 'model' in self._options and not self._holds(path):
+            self._send(sock, '421 Misdirected Request', identity)
+            return True
         self.record(
             'run',
             request=number,
@@ -124,6 +134,37 @@
             return False
         return self._call(sock, fields, number)
 
+    def _accept_order(self, order):
+        """Take layers as ordered; return the status of the answer."""
+        with self._lock:
+            if order['op'] != 'place':
+                return 400
+            if order.get('fence', 0) < self._fence:
+                return 412
+            if order.get('expect', self._orders) != self._orders:
+                return 409
+            self._fence = order.get('fence', 0)
+            self._orders += 1
+            self._layers = {
+                'from': order['from'],
+                'to': order['to'],
+                'version': 1,
+            }
+        self.record('order', layers=self._layers, fence=self._fence)
+        return 202
+
+    def _holds(self, path):
+        """Return whether this replica has its own part of a path."""
+        part = path.partition(',')[0].partition('=')[2]
+        first, _, end = part.partition('-')
+        held = self._layers
+        return (
+            held is not None
+            and first.isdigit()
+            and held['from'] <= int(first)
+            and int(end) <= held['to']
+        )
+
     def _call(self, sock, fields, number):
         lines = [
             f'{self._name} {number} line {n} of {BODY_LINES}\n'
--- a/review/rig_3/store.py
+++ b/review/rig_3/store.py
@@ -17,11 +17,14 @@
 class Store:
     """The store, listening on a free port of a loopback address."""
 
-    def __init__(self, host):
-        """Start to listen."""
+    def __init__(self, host, revision=1):
+        """Start to listen.
+
+        :param revision: at which the counter of changes stands
+        """
         self._objects = {}
         self._history = []
-        self._revision = 1
+        self._revision = revision
         self._era = 1
         self._is_away = False
         self._changed = threading.Condition()
