--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,8 +1,4 @@
-"""A gateway's own answers to HEAD have a body, behind which all is garbled.
-
-A client asks on one connection for a route's head, then posts. The operator
-takes its route away in between (with trouble), or only another one.
-"""
+"""A configuration whose mean token counts are fractions is never in force."""
 
 import pathlib
 import sys
@@ -12,60 +8,67 @@
 
 from rig_3 import clients  # noqa: E402
 from rig_3 import fleet as fleets  # noqa: E402
-from rig_3 import http_messages  # noqa: E402
 
 APPLY_SECONDS = 2.0
-
-
-def read_answer(reader, method):
-    """Read an answer as a client does: one to HEAD has no body."""
-    found = reader.head()
-    if found is not None and method != 'HEAD':
-        for piece in reader.body_pieces(found, is_request=False):
-            found.body += piece
-    return found
-
-
-def ask(fleet, sock, reader, method, target, body=b''):
-    """Send a request on a connection; return the first line of the answer."""
-    request = clients.new_id()
-    fields = {'Content_Length': str(len(body))} if body else {}
-    sock.sendall(clients.head(method, target, request, **fields) + body)
-    try:
-        found = read_answer(reader, method)
-        first = found.first_line if found else '(the connection ended)'
-    except (OSError, ValueError, http_messages.ConnectionEnded) as error:
-        first = f'(no answer: {error!r})'
-    fleet.record(f'{method} {target}, request {request}: {first!r}')
-    return request, first
+WATCHED_SECONDS = 8.0
+# Of the requests that a model service was sent lately.
+PROMPT_MEAN = 772.4
+ANSWER_MEAN = 154.2
 
 
 def script(fleet):
-    """Return whether a client got bytes that are no answer."""
+    """Return whether a route that was added is refused late with 404."""
     fleet.store.put('config', 'main', fleets.configuration(7))
-    replica = fleets.Replica(fleet, 'i-7f3a91c2', fleets.PLAIN_SERVICE)
+    fleets.Replica(fleet, 'i-7f3a91c2', fleets.PLAIN_SERVICE)
+    fleets.Replica(fleet, 'i-02d9e6b4', fleets.MODEL_SERVICE)
     gateway = fleets.Gateway(fleet, 1)
     fleet.wait_for(gateway.is_ready, 'the gateway')
-    with clients.connect(fleet.host, gateway.front) as sock:
-        reader = http_messages.Reader(sock)
-        _, first = ask(fleet, sock, reader, 'HEAD', '/cufi504/2f')
-        if not first.startswith('HTTP/1.1 200'):
-            raise fleets.UnusableError('no answer in calm')
-        changed = fleets.configuration(8)
-        gone = 'r-lookup' if fleet.has_trouble else 'r-plain-stream'
-        changed['routes'] = [
-            route for route in changed['routes'] if route['name'] != gone
-        ]
-        fleet.store.put('config', 'main', changed)
-        fleet.record(f'version 8 is acknowledged; it has no route {gone}')
-        time.sleep(APPLY_SECONDS + 0.5)
-        ask(fleet, sock, reader, 'HEAD', '/cufi504/2f')
-        request, first = ask(
-            fleet, sock, reader, 'POST', '/puxa403/2f', b'crate 7'
+    time.sleep(3.0)
+
+    def ask(what, method, target, **given):
+        answer = clients.ask(
+            fleet.host, gateway.front, method, target, **given
         )
-    ran = [e['request'] for e in replica.events('run')]
-    fleet.record(f'replica ran {ran}; the last request is {request}')
-    return not first.startswith('HTTP/1.1 ')
+        fleet.record(f'{what}: {answer.describe()}')
+        return answer.status
+
+    old = {
+        'a lookup': ('GET', '/cufi504/2f', {}),
+        'a stream': (
+            'POST',
+            '/lohu930/2f',
+            {'Burdockmast_Token_Counts': '760,154'},
+        ),
+    }
+    for what, (method, target, given) in old.items():
+        if ask(f'version 7, {what}', method, target, **given) != 200:
+            raise fleets.UnusableError('no answers in calm')
+    changed = fleets.configuration(8)
+    changed['routes'].append(
+        fleets.route('r-new', '/added77/', 'safe', fleets.PLAIN_SERVICE)
+    )
+    if fleet.has_trouble:
+        for service in changed['services']:
+            if 'engine' in service:
+                service['engine']['usual'] = {
+                    'prompt': PROMPT_MEAN,
+                    'answer': ANSWER_MEAN,
+                }
+    fleet.store.put('config', 'main', changed)
+    acknowledged_at = time.monotonic()
+    fleet.record('version 8 is acknowledged; it adds a route')
+    late = []
+    while (
+        since := time.monotonic() - acknowledged_at
+    ) < APPLY_SECONDS + WATCHED_SECONDS:
+        status = ask(f'{since:.2f} s later, added route', 'GET', '/added77/2f')
+        if since > APPLY_SECONDS:
+            late.append(status)
+        time.sleep(0.2)
+    fleet.record(f'the added route, later than {APPLY_SECONDS} s: {late}')
+    for what, (method, target, given) in old.items():
+        ask(f'at the end, {what}', method, target, **given)
+    return 404 in late
 
 
 fleets.run(__file__, script)
