Show that one refused request closes the links between zones

Disruption: one request of 1,000,000 tokens, larger than a replica's memory, is refused by the replica.

--- a/review/rig_3/fleet.py
+++ b/review/rig_3/fleet.py
@@ -131,7 +131,13 @@
                             'mb': 200000.0,
                             'pace': 1.0,
                             'read-x': 1.0,
-                        }
+                        },
+                        {
+                            'name': 'half',
+                            'mb': 90000.0,
+                            'pace': 1.0,
+                            'read-x': 1.0,
+                        },
                     ],
                 },
             },
@@ -168,11 +174,17 @@
     :ivar id: its name in the store
     """
 
-    def __init__(self, fleet, name, service, options=()):
+    def __init__(
+        self, fleet, name, service, options=(), zone='zone-a', layers=None
+    ):
         """Start a replica and write its entry to the store.
 
         One with the option ``model`` starts without layers.
+
+        :param layers: first and end of those that it holds, None for all
         """
+        self._zone = zone
+        self._held = layers or (0, LAYERS)
         self._fleet = fleet
         self.id = name
         self.service = service
@@ -204,7 +216,8 @@
         self._orders = len(self.events('order'))
         self._layers = None
         if self.service == MODEL_SERVICE and 'model' not in self._options:
-            self._layers = {'from': 0, 'to': LAYERS, 'version': 1}
+            first, end = self._held
+            self._layers = {'from': first, 'to': end, 'version': 1}
         self.register()
 
     def _accepts(self):
@@ -222,7 +235,7 @@
         entry = {
             'service': self.service,
             'address': self.address,
-            'zone': 'zone-a',
+            'zone': self._zone,
             'version': 'v1',
             'slots': 96,
             'state': 'ready',
@@ -231,7 +244,8 @@
             'born': self.born,
         }
         if self.service == MODEL_SERVICE:
-            entry['kind'] = 'whole'
+            is_whole = self._held == (0, LAYERS)
+            entry['kind'] = 'whole' if is_whole else 'half'
         if self._layers:
             entry['layers'] = self._layers
         self._fleet.store.put('servers', self.id, {**entry, **changes})
@@ -286,6 +300,7 @@
             'heartbeat-ms = 1200\n'
             '[zones]\n'
             'zone-a = "region-a"\n'
+            'zone-b = "region-a"\n'
             '[listen]\n'
             f'front = "{host}:{self.front}"\n'
             f'ready = "{host}:{self.ready}"\n'
--- a/review/rig_3/replica.py
+++ b/review/rig_3/replica.py
@@ -26,6 +26,8 @@
 BODY_LINES = 40
 PAUSE_SECONDS = 0.6
 EVENTS = 12
+# Larger requests are rejected as if the replica were full.
+KV_TOKENS = 50000
 EVENT_SECONDS = 0.005
 STREAM_PREFIXES = ('/lohu930/', '/pufi791/', '/oneway2/')
 
@@ -108,6 +110,12 @@
             self._send(sock, f'{self._accept_order(order)} Answered', [])
             return True
         number = request.headers.get('burdockmast-request-id', '')
+        tokens = request.headers.get('burdockmast-token-counts', '0')
+        if int(tokens.partition(',')[0]) > KV_TOKENS:
+            refusal = [('Burdockmast-Not-Executed', '1')]
+            self._send(sock, '503 Service Unavailable', refusal)
+            self.record('refused', request=number)
+            return True
         path = request.headers.get('burdockmast-hop-count', '')
         if 'model' in self._options and not self._holds(path):
             self._send(sock, '421 Misdirected Request', identity)
