Keep the ids of events as their servers wrote them

Cause: the reader of numbers in headers took at most 12 digits, and a longer id counted as none. The gateway writes that header itself, so that the caller's own was dropped, and the next server began anew. The same limit elsewhere on the way: the splitter of events took 18 digits, so that no stream with ids of 19 was ever served. And an id that is no number counted as none as well, so that a gateway which resumed such a stream joined a second run from the start to what its caller had.

Ruled out: the servers (they got no header), the events (the gateway had passed on all ids), the attempts of the gateway's own (one attempt, no failure).

An id is now text from end to end. A caller's is passed on as it came, on calls too. Ids that are numbers are compared by their digits, of any length. Where the last event has no such id, a gateway can't tell whether another run goes on behind it, and breaks the stream off: its caller knows its id and can resume.

On-call sees counters streams.resumed_by_caller, streams.out_of_order and streams.not_resumable, and resumed_after in the line of each attempt. Gateways share no ids, so that old and new ones don't disturb each other.

--- a/libs/base/burdockmast/base/ids.py
+++ b/libs/base/burdockmast/base/ids.py
@@ -9,6 +9,8 @@
 ServerId = NewType('ServerId', str)
 # A caller's request, and the answer to it.
 RequestId = NewType('RequestId', str)
+# An event of a stream, as its server wrote it.
+EventId = NewType('EventId', str)
 OrganisationId = NewType('OrganisationId', str)
 ZoneId = NewType('ZoneId', str)
 ModelId = NewType('ModelId', str)
--- a/libs/gateway/burdockmast/gateway/calls.py
+++ b/libs/gateway/burdockmast/gateway/calls.py
@@ -242,7 +242,12 @@
         buffer: buffers.Buffer,
     ) -> jobs.Reply | failures.Failure:
         attempt = interfaces.Attempt(
-            exchange.server, job.organisation, job.seconds_left, (), None, 0
+            exchange.server,
+            job.organisation,
+            job.seconds_left,
+            (),
+            job.request.last_event_id,
+            0,
         )
         headers = self._header_codec.backend_headers(job.request, attempt)
         self._limits.record_sent(exchange.server)
--- a/libs/gateway/burdockmast/gateway/interfaces.py
+++ b/libs/gateway/burdockmast/gateway/interfaces.py
@@ -98,7 +98,8 @@
     :ivar prompt_tokens: 0 unless the request generates text
     :ivar max_answer_tokens: limit for the answer, 0 if there is none
     :ivar length_hint: the caller's estimate of the answer's tokens, or 0
-    :ivar last_event_id: of the last event that the caller received, or None
+    :ivar last_event_id: of the last event that the caller received, as it
+        names it, or None
     :ivar headers: those that are forwarded unchanged
     :ivar prompt_parts: parts of the prompt that other requests may share,
         without the last one, which is the request's own
@@ -114,7 +115,7 @@
     prompt_tokens: int
     max_answer_tokens: int
     length_hint: int
-    last_event_id: int | None
+    last_event_id: ids.EventId | None
     headers: tuple[tuple[str, str], ...]
     body: bytes
     prompt_parts: tuple[ids.Fingerprint, ...] = ()
@@ -139,7 +140,7 @@
     organisation: str
     timeout_seconds: float
     path: tuple[backends.Stage, ...]
-    last_event_id: int | None
+    last_event_id: ids.EventId | None
     priority: int
 
 
--- a/libs/gateway/burdockmast/gateway/sse.py
+++ b/libs/gateway/burdockmast/gateway/sse.py
@@ -1,30 +1,42 @@
-"""Splits a stream of server-sent events."""
+"""Splits a stream of server-sent events.
+
+The ids of events increase and have any number of digits: servers count, or
+take the time in milliseconds or nanoseconds. They are kept as they were
+written, as a server recognises its own ids.
+"""
 
 import re
 
+from burdockmast.base import ids
+
 _EVENT_END = re.compile(rb'\r?\n\r?\n')
 LONGEST_END_BYTES = 4
-_ID_FIELD = re.compile(rb'^id: ?([0-9]++)\r?$', re.MULTILINE)
-# Most digits of an event's id, without leading zeros.
-MAX_ID_DIGITS = 18
+_ID_FIELD = re.compile(rb'^id: ?([^\r\n]*+)', re.MULTILINE)
+_DATA_FIELD = re.compile(rb'^data\b', re.MULTILINE)
+_NUMBER = re.compile(r'[0-9]+')
+# Longest id that a request to go on behind it names.
+MAX_ID_BYTES = 8192
 
 
 class EventSplitter:
     """Returns complete events and checks that their ids increase.
 
     :ivar incomplete: bytes of the event that is not complete yet
-    :ivar last_id: id of the last complete event
+    :ivar last_id: the last id that is a number
     :ivar completed_count: events that the last call of ``feed`` returned
-    :ivar is_out_of_order: an event's id is not above the one before it, or
-        larger than any
+    :ivar is_out_of_order: an event's id is not above the one before it
+    :ivar is_numbered: no event with data came behind the one with ``last_id``,
+        so that another run that goes on there repeats and leaves out nothing
     """
 
-    def __init__(self, last_id: int | None):
+    def __init__(self, last_id: ids.EventId | None):
         """Create a splitter of a stream that resumes after ``last_id``."""
         self.incomplete = b''
         self.last_id = last_id
         self.completed_count = 0
         self.is_out_of_order = False
+        self.is_numbered = True
+        self._last_rank = _rank(last_id) if last_id else None
 
     def feed(self, data: bytes) -> bytes:
         """Return the events that ``data`` completes, none if out of order."""
@@ -34,24 +46,33 @@
         start = 0
         self.completed_count = 0
         for end in _EVENT_END.finditer(data, searched):
-            found = _ID_FIELD.search(data, start, end.start())
-            if found:
-                number = _parse_id(found[1])
-                if number is None or (
-                    self.last_id is not None and number <= self.last_id
-                ):
-                    self.is_out_of_order = True
-                    return b''
-                self.last_id = number
+            if not self._check_id(data, start, end.start()):
+                self.is_out_of_order = True
+                return b''
             self.completed_count += 1
             start = end.end()
         self.incomplete = data[start:]
         return data[:start]
 
+    def _check_id(self, data: bytes, start: int, end: int) -> bool:
+        """Take an event's id; return false if it isn't above the last one."""
+        found = _ID_FIELD.search(data, start, end)
+        text = ids.EventId(found[1].strip().decode('latin-1')) if found else ''
+        rank = _rank(text)
+        if rank is None:
+            if found or _DATA_FIELD.search(data, start, end):
+                self.is_numbered = False
+            return True
+        if self._last_rank is not None and rank <= self._last_rank:
+            return False
+        self.last_id, self._last_rank = text, rank
+        self.is_numbered = True
+        return True
+
 
-def _parse_id(digits: bytes) -> int | None:
-    """Return an event's id, None if it is larger than any."""
-    significant = digits.lstrip(b'0')
-    if len(significant) > MAX_ID_DIGITS:
+def _rank(text: str) -> tuple[int, str] | None:
+    """Return what orders ids as numbers, None if an id is no number."""
+    if len(text) > MAX_ID_BYTES or not _NUMBER.fullmatch(text):
         return None
-    return int(significant or b'0')
+    significant = text.lstrip('0')
+    return len(significant), significant
--- a/libs/gateway/burdockmast/gateway/stream_attempts.py
+++ b/libs/gateway/burdockmast/gateway/stream_attempts.py
@@ -54,11 +54,13 @@
     :ivar data: as the server sent them
     :ivar last_id: of the last of them
     :ivar count: number of events
+    :ivar is_numbered: see ``sse.EventSplitter``
     """
 
     data: bytes
-    last_id: int | None
+    last_id: ids.EventId | None
     count: int
+    is_numbered: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,6 +84,7 @@
     :ivar path: the servers that it passes
     :ivar head: of the reply, None before it was received
     :ivar has_crashed: the server broke off the reply by crashing
+    :ivar is_out_of_order: the ids of its events did not increase
     :ivar silent_since: monotonic seconds of the last event, or of the start
     :ivar limit_seconds: see ``silence.Silence``
     :ivar keep_waiting: called again and again while nothing arrives; false
@@ -101,12 +104,13 @@
         job: jobs.Job,
         path: tuple[backends.Stage, ...],
         fingerprints: tuple[ids.Fingerprint, ...],
-        last_event_id: int | None,
+        last_event_id: ids.EventId | None,
     ):
         """Prepare an attempt that continues after ``last_event_id``."""
         self.path = path
         self.head: upstream.Head | None = None
         self.has_crashed = False
+        self.is_out_of_order = False
         self.silent_since = timers.now()
         self.limit_seconds = FIRST_EVENT_TIMEOUT_SECONDS
         self.is_checked_early = False
@@ -139,7 +143,7 @@
         return [stage.server.id for stage in self.path]
 
     @property
-    def last_event_id(self) -> int | None:
+    def last_event_id(self) -> ids.EventId | None:
         """The id of the last event that was received."""
         return self._last_event_id
 
@@ -254,6 +258,7 @@
                     for stage in self.path
                 ],
                 'events': self._event_count,
+                'resumed_after': job.request.last_event_id,
                 'last_event': self._last_event_id,
                 'prompt_tokens': job.request.prompt_tokens,
                 'answer_tokens': job.request.max_answer_tokens,
@@ -416,6 +421,7 @@
                 return self._end_failure(splitter)
             complete_events = splitter.feed(data)
             if splitter.is_out_of_order:
+                self.is_out_of_order = True
                 return exchange.unknown_outcome(
                     'events', 'event ids do not increase'
                 )
@@ -428,7 +434,10 @@
             if complete_events:
                 self._record_events(splitter)
                 yield Events(
-                    complete_events, splitter.last_id, splitter.completed_count
+                    complete_events,
+                    splitter.last_id,
+                    splitter.completed_count,
+                    splitter.is_numbered,
                 )
                 # The caller may have been slow to read them.
                 self.silent_since = timers.now()
--- a/libs/gateway/burdockmast/gateway/stream_progress.py
+++ b/libs/gateway/burdockmast/gateway/stream_progress.py
@@ -38,6 +38,7 @@
 
     :ivar fingerprints: see ``crash_suspects``
     :ivar last_event_id: of the last event that the caller has received
+    :ivar can_resume: another run can go on behind what the caller has received
     :ivar attempts: to send the request to any server
     :ivar possible_runs: ended attempts that may have run
     :ivar ran_at: where ended attempts may have run, but for servers that
@@ -54,8 +55,9 @@
     :ivar next_standby_at: monotonic seconds before which none is started
     """
 
-    last_event_id: int | None
+    last_event_id: ids.EventId | None
     fingerprints: tuple[ids.Fingerprint, ...]
+    can_resume: bool = True
     attempts: int = 0
     possible_runs: int = 0
     ran_at: set[backends.Incarnation] = dataclasses.field(default_factory=set)
--- a/libs/gateway/burdockmast/gateway/streams.py
+++ b/libs/gateway/burdockmast/gateway/streams.py
@@ -99,6 +99,8 @@
 
         :raises StreamAborted: if a stream that has begun can't be completed
         """
+        if job.request.last_event_id is not None:
+            self._metrics.count('streams.resumed_by_caller')
         progress = stream_progress.Progress(
             job.request.last_event_id, job.fingerprints
         )
@@ -116,6 +118,8 @@
                 failure, outcome=outcomes.Outcome.UNKNOWN
             )
         if progress.has_begun:
+            if not progress.can_resume:
+                self._metrics.count('streams.not_resumable')
             self._log_abort(job, progress, failure)
             raise StreamAborted(str(failure))
         yield failure
@@ -230,6 +234,7 @@
                 )
                 yield self._begin(job, attempt, progress)
             progress.last_event_id = item.last_id
+            progress.can_resume = item.is_numbered
             progress.event_count += item.count
             progress.refusals = 0
             yield item.data
@@ -324,6 +329,7 @@
     ) -> bool:
         return (
             job.is_idempotent
+            and progress.can_resume
             and not self._first_servers(job, progress).is_empty
             and self._budget.can_withdraw(job.service.id, progress.has_begun)
         )
@@ -428,7 +434,7 @@
         failure: failures.Failure,
     ) -> bool:
         """Return whether the route and the deadline allow another attempt."""
-        if job.seconds_left <= 0:
+        if job.seconds_left <= 0 or not progress.can_resume:
             return False
         if progress.possible_runs and (
             not job.is_idempotent
@@ -468,6 +474,8 @@
             progress.record_run(attempt)
             if progress.has_begun and not attempt.has_events:
                 progress.refusals += 1
+        if attempt.is_out_of_order:
+            self._metrics.count('streams.out_of_order')
         if attempt.has_crashed:
             self._metrics.count('streams.server_crashed')
             if progress.has_begun:
@@ -543,6 +551,7 @@
                 ),
                 'left': round(job.seconds_left, 3),
                 'last_event': progress.last_event_id,
+                'can_resume': progress.can_resume,
                 'admitted_by': job.configuration_version,
             },
         )
--- a/libs/platform/burdockmast/platform/headers.py
+++ b/libs/platform/burdockmast/platform/headers.py
@@ -128,9 +128,7 @@
             max_answer_tokens=_parse_integer(answer_tokens) or 0,
             length_hint=_parse_integer(value_by_name.get(LENGTH_HINT.lower()))
             or 0,
-            last_event_id=_parse_integer(
-                value_by_name.get(LAST_EVENT_ID.lower())
-            ),
+            last_event_id=_event_id(value_by_name.get(LAST_EVENT_ID.lower())),
             headers=_forwarded_headers(
                 headers, value_by_name, _DROPPED_CALLER_HEADERS
             ),
@@ -156,7 +154,7 @@
             sent.append((PATH, format_path(attempt.path)))
             sent.append((PRIORITY, str(attempt.priority)))
         if attempt.last_event_id is not None:
-            sent.append((LAST_EVENT_ID, str(attempt.last_event_id)))
+            sent.append((LAST_EVENT_ID, attempt.last_event_id))
         return sent
 
     def read_reply(
@@ -215,6 +213,11 @@
     return tuple(dict.fromkeys(ids.Fingerprint(n) for n in names if n))
 
 
+def _event_id(text: str | None) -> ids.EventId | None:
+    """Return an event's id as it was sent, None if there is none."""
+    return ids.EventId(text.strip()) if text and text.strip() else None
+
+
 def _parse_decimal(text: str | None) -> float | None:
     if text is None or not _DECIMAL.fullmatch(text.strip()):
         return None
--- a/libs/platform/burdockmast/platform/standin.py
+++ b/libs/platform/burdockmast/platform/standin.py
@@ -336,6 +336,8 @@
         self.requests: list[ReceivedRequest] = []
         self.orders: list[dict] = []
         self.highest_fencing_number = 0
+        self.ids_begin_after = 0
+        self.id_prefix = b''
         self.id = entry['id']
         self._host = host
         self._port = 0
@@ -642,9 +644,7 @@
         self, connection: socket.socket, received: ReceivedRequest
     ) -> Any:
         pace = self._pace(received.path)
-        last = int(
-            received.header_by_name.get(headers.LAST_EVENT_ID.lower(), 0)
-        )
+        last = self._last_number(received)
         break_after_events = self._metadata_store.break_next_stream_after
         self._metadata_store.break_next_stream_after = None
         for sent_count in itertools.count():
@@ -668,9 +668,21 @@
                     raise ConnectionError('a server of the path is down')
                 self.engine.record_event(received.run, number)
                 eventlet.sleep(self.engine.hop_seconds(received.run))
-            yield b'id: %d\ndata: token %d\n\n' % (number, number)
+            yield b'id: %s%d\ndata: token %d\n\n' % (
+                self.id_prefix,
+                self.ids_begin_after + number,
+                number,
+            )
             eventlet.sleep(pace.interval_seconds)
 
+    def _last_number(self, received: ReceivedRequest) -> int:
+        """Return the number of the event behind which a stream begins."""
+        last_id = received.header_by_name.get(headers.LAST_EVENT_ID.lower())
+        if last_id is None:
+            return 0
+        number = last_id.removeprefix(self.id_prefix.decode())
+        return int(number) - self.ids_begin_after
+
 
 def _reset_connections(sock: socket.socket) -> None:
     """Reset all connections until the listening socket is closed."""
--- a/tests/platforms.py
+++ b/tests/platforms.py
@@ -234,9 +234,10 @@
             self.process.wait()
 
 
-def events(first, last):
+def events(first, last, ids_begin_after=0, id_prefix=b''):
     return b''.join(
-        b'id: %d\ndata: token %d\n\n' % (n, n) for n in range(first, last + 1)
+        b'id: %s%d\ndata: token %d\n\n' % (id_prefix, ids_begin_after + n, n)
+        for n in range(first, last + 1)
     )
 
 
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -225,7 +225,7 @@
     assert found.timeout_seconds == 20.0
     assert (found.prompt_tokens, found.max_answer_tokens) == (1460, 80)
     assert found.length_hint == 60
-    assert found.last_event_id == 12
+    assert found.last_event_id == '12'
 
 
 @pytest.mark.parametrize(
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -40,6 +40,65 @@
     assert sorted(resumed, key=str) == ['2', None]
 
 
+# Ids as Unix times in milliseconds and nanoseconds, and longer ones.
+LONG_IDS = [1_796_679_042_000, 1_796_679_042_000_000_000, 10**24]
+
+
+@pytest.mark.parametrize('ids_begin_after', LONG_IDS)
+def test_a_caller_resumes_a_stream_whose_ids_are_long(
+    platform, ids_begin_after
+):
+    """Guards against dropping the caller's id, so that events come twice."""
+    for engine in platform.engines:
+        engine.ids_begin_after = ids_begin_after
+    status, _, body = platform.ask(
+        '/draft/x', Last_Event_Id=str(ids_begin_after + 2)
+    )
+    assert status == 200
+    assert body == platforms.events(3, 5, ids_begin_after)
+
+
+@pytest.mark.parametrize('ids_begin_after', LONG_IDS)
+def test_a_gateway_resumes_a_stream_whose_ids_are_long(
+    platform, ids_begin_after
+):
+    """Guards against a second run from the start, or no stream at all."""
+    for engine in platform.engines:
+        engine.ids_begin_after = ids_begin_after
+    platform.store.break_next_stream_after = 2
+    status, _, body = platform.ask('/draft/x')
+    assert status == 200
+    assert body == platforms.events(1, 5, ids_begin_after)
+
+
+def test_a_caller_resumes_with_an_id_that_is_no_number(platform):
+    """Guards against dropping an id that only its server understands."""
+    for engine in platform.engines:
+        engine.id_prefix = b'run-7/'
+    status, _, body = platform.ask('/draft/x', Last_Event_Id='run-7/2')
+    assert status == 200
+    assert body == platforms.events(3, 5, id_prefix=b'run-7/')
+
+
+def test_runs_whose_order_cannot_be_told_are_not_joined(platform):
+    """Guards against a run from the start behind events that were sent."""
+    for engine in platform.engines:
+        engine.id_prefix = b'run-7/'
+    platform.store.break_next_stream_after = 2
+    with pytest.raises(http.client.IncompleteRead) as raised:
+        platform.ask('/draft/x')
+    sent = platforms.events(1, 2, id_prefix=b'run-7/')
+    assert raised.value.partial == sent
+    (line,) = platform.logged('no attempt is left to a stream that has begun')
+    assert not line['can_resume']
+
+
+def test_a_call_keeps_its_last_event_id(platform):
+    assert platform.ask('/lookup/x', Last_Event_Id='7')[0] == 200
+    (seen,) = platforms.requests_at(platform.apps)
+    assert seen.header_by_name['last-event-id'] == '7'
+
+
 @pytest.mark.parametrize(
     ('attribute', 'value'),
     [('error_text', 'no such weights'), ('is_unsigned', True)],
