Read numbers in headers whatever their length

Cause: as for the ids of events, one expression of at most 12 digits for the numbers of callers and servers, and what it didn't match was read as absent. It also took digits of other scripts.

platform/numbers now reads them: ASCII digits of any length, a fraction of any length where the header holds a decimal number. A number above 2^53 - 1 counts as that one, which no bound reaches. What is no number is told: a deadline by 400, as waiting longer than a caller does serves nobody; token counts and the length hint, which only help to estimate, by a log line and the counter requests.unreadable_headers, and the request is passed on as it came; limits and rests of servers by a log line for each start of a server and the gauge servers.unreadable_limits. A limit that can't be read leaves the one in force.

Two tests are replaced by stricter ones: that a limit of 40 digits counts as none (it is a number), and that invalid deadlines are ignored (they are told). The size of headers that the check of configurations names has 20 digits for numbers now, those of 64 bits, in place of 12.

--- a/libs/gateway/burdockmast/gateway/interfaces.py
+++ b/libs/gateway/burdockmast/gateway/interfaces.py
@@ -103,6 +103,8 @@
     :ivar headers: those that are forwarded unchanged
     :ivar prompt_parts: parts of the prompt that other requests may share,
         without the last one, which is the request's own
+    :ivar unreadable_headers: names of those that should hold numbers
+    :ivar invalid_deadline: text that is no number of milliseconds, or None
     """
 
     id: ids.RequestId
@@ -119,6 +121,8 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     prompt_parts: tuple[ids.Fingerprint, ...] = ()
+    unreadable_headers: tuple[str, ...] = ()
+    invalid_deadline: str | None = None
 
     def with_body(self, body: bytes) -> 'CallerRequest':
         """Return the request with its whole body."""
@@ -159,6 +163,8 @@
     :ivar rest_seconds: for which the server wants no requests from this
         gateway, None if it doesn't say
     :ivar is_leaving: the server is about to end
+    :ivar is_limit_unreadable: it names a limit that is no number
+    :ivar is_rest_unreadable: it asks for a rest of no number of seconds
     """
 
     request: str
@@ -169,6 +175,8 @@
     limit: float | None = None
     rest_seconds: float | None = None
     is_leaving: bool = False
+    is_limit_unreadable: bool = False
+    is_rest_unreadable: bool = False
 
 
 class HeaderCodec(Protocol):
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -536,6 +536,9 @@
             'neighbours.largest_sent_bytes',
             lambda: self._neighbour_link.largest_sent_bytes,
         )
+        self._metrics.gauge(
+            'servers.unreadable_limits', lambda: self._limits.unreadable_count
+        )
         self._metrics.gauge(
             'retries.slots_held', lambda: self._budget.held_count
         )
--- a/libs/gateway/burdockmast/gateway/server_limits.py
+++ b/libs/gateway/burdockmast/gateway/server_limits.py
@@ -52,6 +52,9 @@
 MAX_REST_SECONDS = 60.0
 # Largest random share added to a rest, so that gateways return one by one.
 REST_JITTER_SHARE = 0.2
+# Most starts of servers of which it is known that their limits were logged as
+# unreadable.
+MAX_UNREADABLE_STARTS = 1000
 
 
 class LimitNews(msgspec.Struct, frozen=True, array_like=True):
@@ -86,7 +89,10 @@
 
 
 class ServerLimits:
-    """The limits that one gateway knows, and its part of each."""
+    """The limits that one gateway knows, and its part of each.
+
+    :ivar unreadable_count: replies with a limit or a rest that is no number
+    """
 
     def __init__(
         self,
@@ -103,7 +109,10 @@
         self._gateways = gateways
         self._rng = rng
         self._now = now
+        self.unreadable_count = 0
         self._heard_by_server: dict[ids.ServerId, _Heard] = {}
+        # Starts of servers' incarnations.
+        self._unreadable_by_server: dict[ids.ServerId, int] = {}
         # Start of the server's incarnation, and monotonic seconds until which
         # it rests.
         self._rest_until: dict[ids.ServerId, tuple[int, float]] = {}
@@ -115,11 +124,34 @@
         status: int,
         request: str,
     ) -> None:
-        """Record what the head of a reply says of the server."""
-        self.record_answer(server, reply.limit, request)
+        """Record what the head of a reply says of the server.
+
+        A limit that can't be read leaves the one in force as it is.
+        """
+        if reply.is_limit_unreadable or (
+            status == UNAVAILABLE_STATUS and reply.is_rest_unreadable
+        ):
+            self._record_unreadable(server, request)
+        if not reply.is_limit_unreadable:
+            self.record_answer(server, reply.limit, request)
         if status == UNAVAILABLE_STATUS and reply.rest_seconds:
             self._record_rest(server, reply.rest_seconds, request)
 
+    def _record_unreadable(
+        self, server: backends.BackendServer, request: str
+    ) -> None:
+        """Count a head, and log the first one of a server's start."""
+        self.unreadable_count += 1
+        if self._unreadable_by_server.get(server.id) == server.started_ms:
+            return
+        if len(self._unreadable_by_server) >= MAX_UNREADABLE_STARTS:
+            self._unreadable_by_server.clear()
+        self._unreadable_by_server[server.id] = server.started_ms
+        LOG.warning(
+            'server names a limit or a rest that is no number',
+            extra={'server': server.id, 'request': request},
+        )
+
     def _record_rest(
         self, server: backends.BackendServer, seconds: float, request: str
     ) -> None:
--- a/libs/gateway/burdockmast/gateway/wsgi.py
+++ b/libs/gateway/burdockmast/gateway/wsgi.py
@@ -42,6 +42,8 @@
 DEFAULT_DEADLINE_SECONDS = 60.0
 # Retry-After value while this gateway is shutting down: others take requests.
 RETRY_AFTER_SECONDS = 0.2
+# Characters of an invalid header that an error shows.
+MAX_SHOWN_CHARACTERS = 40
 StartResponse = Callable[[str, list[tuple[str, str]]], object]
 
 PHRASE_BY_STATUS = {
@@ -258,6 +260,14 @@
         organisation = self._authenticate(configuration, route, request)
         if isinstance(organisation, failures.Failure):
             return organisation
+        if request.invalid_deadline is not None:
+            return failures.Failure(
+                failures.Reason.BAD_REQUEST,
+                'request.deadline',
+                detail='deadline must be a decimal number of milliseconds, '
+                f'not {request.invalid_deadline[:MAX_SHOWN_CHARACTERS]!r}',
+            )
+        self._record_unreadable(request)
         service = self._choose_service(configuration, route)
         if service is None:
             return refusals.unavailable(f'route {route.name} has no service')
@@ -282,6 +292,19 @@
             configuration.version,
         )
 
+    def _record_unreadable(self, request: interfaces.CallerRequest) -> None:
+        """Log headers that are passed on, though they hold no numbers."""
+        if not request.unreadable_headers:
+            return
+        self._metrics.count('requests.unreadable_headers')
+        LOG.info(
+            'headers of a request hold no numbers; estimates are used',
+            extra={
+                'request': request.id,
+                'headers': request.unreadable_headers,
+            },
+        )
+
     def _refuse_while_stopping(self) -> failures.Failure | None:
         if timers.now() < self.rejects_at:
             return None
--- a/libs/platform/burdockmast/platform/headers.py
+++ b/libs/platform/burdockmast/platform/headers.py
@@ -1,10 +1,11 @@
 """Reads and writes the platform's headers of requests and replies."""
 
-import re
+from collections.abc import Callable
 
 from burdockmast.base import ids
 from burdockmast.gateway import backends
 from burdockmast.gateway import interfaces
+from burdockmast.platform import numbers
 
 REQUEST_ID = 'Burdockmast-Request-Id'
 DEADLINE = 'Burdockmast-Deadline-Ms'
@@ -39,9 +40,9 @@
 REFUSED_BY = 'At-Server'
 
 MS_PER_SECOND = 1000.0
-# Digits of the largest integer that is read; a UUID as text; an id of 16
-# digits, a colon, six digits of tokens and a comma.
-_INTEGER_BYTES = 12
+# Digits of the largest number of 64 bits; a UUID as text; an id of 16 digits,
+# a colon, six digits of tokens and a comma.
+_NUMBER_BYTES = 20
 _ID_BYTES = 36
 _PROMPT_PART_BYTES = 24
 # Headers that apply to one connection, so they are not forwarded.
@@ -74,8 +75,6 @@
         LAST_EVENT_ID,
     )
 )
-_INTEGER = re.compile(r'\d{1,12}')
-_DECIMAL = re.compile(r'\d{1,12}(\.\d{1,12})?')
 
 Headers = tuple[tuple[str, str], ...]
 
@@ -83,17 +82,17 @@
 def head_bytes(host: str, api_key: str) -> int:
     """Return the size of a request's headers if it has all of the platform's.
 
-    Values that vary have the largest size that is read, or the usual one.
+    Values that vary have the largest usual size.
     """
     value_bytes_by_name = {
         'Host': len(host.encode()),
         REQUEST_ID: _ID_BYTES,
-        DEADLINE: _INTEGER_BYTES,
+        DEADLINE: _NUMBER_BYTES,
         API_KEY: len(api_key.encode()),
-        TOKEN_COUNTS: 2 * _INTEGER_BYTES + 1,
-        LENGTH_HINT: _INTEGER_BYTES,
+        TOKEN_COUNTS: 2 * _NUMBER_BYTES + 1,
+        LENGTH_HINT: _NUMBER_BYTES,
         PROMPT_PARTS: MAX_PROMPT_PARTS * _PROMPT_PART_BYTES,
-        LAST_EVENT_ID: _INTEGER_BYTES,
+        LAST_EVENT_ID: _NUMBER_BYTES,
     }
     return sum(
         len(f'{name}: \r\n') + value_bytes
@@ -109,13 +108,12 @@
     ) -> interfaces.CallerRequest:
         """Read the head of a caller's request."""
         value_by_name = {name.lower(): value for name, value in headers}
-        request_id = value_by_name.get(REQUEST_ID.lower(), '')
-        timeout_ms = _parse_integer(value_by_name.get(DEADLINE.lower()))
-        prompt_tokens, _, answer_tokens = value_by_name.get(
-            TOKEN_COUNTS.lower(), ''
-        ).partition(',')
+        found = _NumberReader(value_by_name)
+        timeout_ms = found.decimal(DEADLINE)
+        prompt_tokens, answer_tokens = found.token_counts()
+        length_hint = found.whole(LENGTH_HINT)
         return interfaces.CallerRequest(
-            id=ids.RequestId(request_id),
+            id=ids.RequestId(value_by_name.get(REQUEST_ID.lower(), '')),
             method=method,
             target=target,
             path=target.partition('?')[0],
@@ -124,10 +122,9 @@
             timeout_seconds=(
                 None if timeout_ms is None else timeout_ms / MS_PER_SECOND
             ),
-            prompt_tokens=_parse_integer(prompt_tokens) or 0,
-            max_answer_tokens=_parse_integer(answer_tokens) or 0,
-            length_hint=_parse_integer(value_by_name.get(LENGTH_HINT.lower()))
-            or 0,
+            prompt_tokens=prompt_tokens,
+            max_answer_tokens=answer_tokens,
+            length_hint=length_hint or 0,
             last_event_id=_event_id(value_by_name.get(LAST_EVENT_ID.lower())),
             headers=_forwarded_headers(
                 headers, value_by_name, _DROPPED_CALLER_HEADERS
@@ -136,6 +133,12 @@
             prompt_parts=_parse_prompt_parts(
                 value_by_name.get(PROMPT_PARTS.lower(), '')
             ),
+            unreadable_headers=tuple(found.unreadable),
+            invalid_deadline=(
+                value_by_name[DEADLINE.lower()]
+                if DEADLINE in found.unreadable
+                else None
+            ),
         )
 
     def backend_headers(
@@ -162,15 +165,18 @@
     ) -> interfaces.ReplyMetadata:
         """Read the metadata of a backend server's reply."""
         value_by_name = {name.lower(): value for name, value in headers}
+        found = _NumberReader(value_by_name)
         return interfaces.ReplyMetadata(
             request=value_by_name.get(REQUEST_ID.lower(), ''),
             is_signed=SIGNATURE.lower() in value_by_name,
             is_not_run=NOT_RUN.lower() in value_by_name,
             refused_by=ids.Address(value_by_name.get(REFUSED_BY.lower(), '')),
             is_encoded='content-encoding' in value_by_name,
-            limit=_parse_decimal(value_by_name.get(LIMIT.lower())),
-            rest_seconds=_parse_decimal(value_by_name.get(REST.lower())),
+            limit=found.decimal(LIMIT),
+            rest_seconds=found.decimal(REST),
             is_leaving=value_by_name.get(LEAVING.lower(), '').strip() == '1',
+            is_limit_unreadable=LIMIT in found.unreadable,
+            is_rest_unreadable=REST in found.unreadable,
         )
 
     def caller_headers(
@@ -218,13 +224,43 @@
     return ids.EventId(text.strip()) if text and text.strip() else None
 
 
-def _parse_decimal(text: str | None) -> float | None:
-    if text is None or not _DECIMAL.fullmatch(text.strip()):
-        return None
-    return float(text)
+class _NumberReader:
+    """Reads numbers of a head, and notes the headers that hold none.
+
+    :ivar unreadable: names of the headers whose values are no numbers
+    """
+
+    def __init__(self, value_by_name: dict[str, str]):
+        """Create a reader of values by the headers' names in lower case."""
+        self.unreadable: list[str] = []
+        self._value_by_name = value_by_name
 
+    def decimal(self, name: str) -> float | None:
+        """Return a decimal number, None if it is absent or unreadable."""
+        return self._parse(name, numbers.parse_decimal)
+
+    def whole(self, name: str) -> int | None:
+        """Return a whole number, None if it is absent or unreadable."""
+        return self._parse(name, numbers.parse_whole)
+
+    def token_counts(self) -> tuple[int, int]:
+        """Return the tokens of the prompt and of the answer, 0 if absent."""
+        text = self._value_by_name.get(TOKEN_COUNTS.lower(), '')
+        counts = [
+            numbers.parse_whole(part) if part.strip() else 0
+            for part in text.partition(',')[::2]
+        ]
+        if None in counts:
+            self.unreadable.append(TOKEN_COUNTS)
+        return counts[0] or 0, counts[1] or 0
 
-def _parse_integer(text: str | None) -> int | None:
-    if text is None or not _INTEGER.fullmatch(text.strip()):
-        return None
-    return int(text)
+    def _parse(
+        self, name: str, parse: Callable[[str], float | None]
+    ) -> float | None:
+        text = self._value_by_name.get(name.lower())
+        if text is None:
+            return None
+        number = parse(text)
+        if number is None:
+            self.unreadable.append(name)
+        return number
--- a/tests/test_gateway_server_limits.py
+++ b/tests/test_gateway_server_limits.py
@@ -45,6 +45,17 @@
     assert most_in_a_window(received) <= allowed(limited.limit)
 
 
+def test_a_limit_with_many_decimals_is_kept(platform):
+    """Guards against a limit of 17 digits that counted as none."""
+    limited = platform.apps[0]
+    limited.limit = 10 / 9
+    for _ in range(60):
+        assert platform.ask('/lookup/x', 'GET')[0] == 200
+        eventlet.sleep(0.05)
+    received = [seen.at for seen in limited.requests]
+    assert most_in_a_window(received) <= allowed(limited.limit)
+
+
 def test_a_model_server_gets_no_more_requests_than_it_names(platform):
     """Requests begin at another server with the same layers meanwhile."""
     platform.ask('/draft/first')
@@ -301,3 +312,14 @@
     alone.record_reply(SERVER, reply(rest_seconds=1e9), 503, 'r')
     time.now += server_limits.MAX_REST_SECONDS * 1.3
     assert alone.has_room(SERVER)
+
+
+def test_a_limit_that_is_no_number_leaves_the_one_in_force(alone):
+    """Guards against a limit that ended as the next one was unreadable."""
+    alone.record_reply(SERVER, reply(limit=0.1), 200, 'r')
+    unreadable = reply(is_limit_unreadable=True)
+    for _ in range(3):
+        alone.record_reply(SERVER, unreadable, 200, 'r')
+        alone.record_sent(SERVER)
+    assert not alone.has_room(SERVER)
+    assert alone.unreadable_count == 3
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -10,6 +10,7 @@
 from burdockmast.gateway.intake import limits
 from burdockmast.platform import configuration
 from burdockmast.platform import headers
+from burdockmast.platform import numbers
 from burdockmast.platform import servers
 from burdockmast.platform import settings
 from burdockmast.settings import loader
@@ -226,6 +227,7 @@
     assert (found.prompt_tokens, found.max_answer_tokens) == (1460, 80)
     assert found.length_hint == 60
     assert found.last_event_id == '12'
+    assert not found.unreadable_headers
 
 
 @pytest.mark.parametrize(
@@ -277,19 +279,40 @@
         ('nan', None),
         ('inf', None),
         ('1e9', None),
-        ('9' * 40, None),
+        ('9' * 40, numbers.MAX_EXACT),
+        ('3.3333333333333335', 10 / 3),
         ('', None),
     ],
 )
 def test_a_limit_of_a_server_is_read(value, limit):
+    """Guards against decimals that counted as no limit."""
     reply = headers.HeaderCodec().read_reply([('Server-Limit', value)])
     assert reply.limit == limit
+    assert reply.is_limit_unreadable == (limit is None)
 
 
-@pytest.mark.parametrize('value', ['', 'soon', '-5', '1e3', '9' * 40])
-def test_an_invalid_deadline_is_ignored(value):
+@pytest.mark.parametrize('value', ['', 'soon', '-5', '1e3', '\u0665'])
+def test_an_invalid_deadline_is_told(value):
+    """Guards against deadlines that counted as none."""
     found = read_request((('Burdockmast-Deadline-Ms', value),))
     assert found.timeout_seconds is None
+    assert found.invalid_deadline == value
+
+
+@pytest.mark.parametrize(
+    ('value', 'seconds'),
+    [
+        ('1796679042000', 1796679042.0),
+        ('0001500', 1.5),
+        ('1500.5', 1.5005),
+        ('9' * 5000, numbers.MAX_EXACT / 1000),
+    ],
+)
+def test_a_deadline_of_any_length_is_read(value, seconds):
+    """Guards against deadlines that counted as none."""
+    found = read_request((('Burdockmast-Deadline-Ms', value),))
+    assert found.timeout_seconds == seconds
+    assert found.invalid_deadline is None
 
 
 def test_keys_and_forged_headers_are_not_forwarded():
--- a/tests/test_platform_gateway.py
+++ b/tests/test_platform_gateway.py
@@ -99,6 +99,15 @@
     assert seen.header_by_name['last-event-id'] == '7'
 
 
+@pytest.mark.parametrize('value', ['soon', '-5', '1e3', ''])
+def test_a_deadline_that_is_no_number_is_refused(platform, value):
+    """Guards against a request that waits longer than its caller does."""
+    status, _, body = platform.ask('/lookup/x', Burdockmast_Deadline_Ms=value)
+    assert status == 400
+    assert b'decimal number of milliseconds' in body
+    assert not platforms.requests_at(platform.apps)
+
+
 @pytest.mark.parametrize(
     ('attribute', 'value'),
     [('error_text', 'no such weights'), ('is_unsigned', True)],
