Read JSON numbers and nulls in every form that they have

Cause: means were whole numbers for the reader, and one field that doesn't fit makes the object of the configuration unreadable, which counts as absent. Ruled out: the store (it had acknowledged the version and showed it), the watch (the line 'objects cannot be decoded' came at once), the route (the same version with means of 772 and 154 was in force).

The same reader refused 2.0 and 1e7 where a number is whole, and null for a key that may be left out, here and in the entries and reports of servers, in pages and watches of the store, retry slots, quarantines, the lock and the settings. max-fds above 1,000,000 kept a gateway from starting.

base/json_values decodes strictly first, as before. What doesn't fit is brought to one form, whole numbers as integers and null keys left out, and tried again, so that the usual case costs nothing more. All readers of JSON from outside go through it, and so does config check. Means are decimal numbers. tenants that are null are refused: taken for absent they would let callers in without a key.

--- a/libs/gateway/burdockmast/gateway/config.py
+++ b/libs/gateway/burdockmast/gateway/config.py
@@ -53,8 +53,8 @@
     sequence_ms: float
     context_ms: float
     prefill_tokens_per_second: float
-    mean_prompt_tokens: int
-    mean_answer_tokens: int
+    mean_prompt_tokens: float
+    mean_answer_tokens: float
     activation_bytes_per_token: float
     zone_link_mbps: float
     accelerator_by_name: dict[str, AcceleratorKind]
--- a/libs/gateway/burdockmast/gateway/path_selector.py
+++ b/libs/gateway/burdockmast/gateway/path_selector.py
@@ -720,11 +720,11 @@
     def _request_size(
         self, job: jobs.Job, engine: config.Engine
     ) -> paths.RequestSize:
-        answer = job.request.length_hint or engine.mean_answer_tokens
+        answer = job.request.length_hint or round(engine.mean_answer_tokens)
         if job.request.max_answer_tokens:
             answer = min(answer, job.request.max_answer_tokens)
         return paths.RequestSize(
-            job.request.prompt_tokens or engine.mean_prompt_tokens,
+            job.request.prompt_tokens or round(engine.mean_prompt_tokens),
             max(1, answer),
         )
 
--- a/libs/gateway/burdockmast/gateway/paths.py
+++ b/libs/gateway/burdockmast/gateway/paths.py
@@ -48,21 +48,21 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RequestSize:
-    """Numbers of tokens of a request.
+    """Numbers of tokens of a request, or means of many.
 
     :ivar answer_tokens: expected length of the answer
     """
 
-    prompt_tokens: int
-    answer_tokens: int
+    prompt_tokens: float
+    answer_tokens: float
 
     @property
-    def total_tokens(self) -> int:
+    def total_tokens(self) -> float:
         """Tokens in the KV cache at the end of the answer."""
         return self.prompt_tokens + self.answer_tokens
 
     @property
-    def reserved_tokens(self) -> int:
+    def reserved_tokens(self) -> float:
         """Tokens in the KV cache for which room is kept.
 
         Not all requests at a server are at their ends at the same time.
--- a/libs/operator/burdockmast/operator/config_check/errors.py
+++ b/libs/operator/burdockmast/operator/config_check/errors.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from burdockmast.base import json_values
 from burdockmast.operator.config_check import findings
 from burdockmast.platform import configuration
 
@@ -95,7 +96,7 @@
     kept: dict[str, Any] = {'version': 0}
     indexes_by_section: dict[str, list[int]] = {}
     for section in ('routes', 'services', 'tenants'):
-        given = document.get(section, [])
+        given = document.get(section) or []
         indexes_by_section[section] = indexes = [
             index
             for index in range(len(given) if section not in faulty else 0)
@@ -115,7 +116,7 @@
         by_index['services'],
         by_index['tenants'] if 'tenants' in document else None,
         None if 'limits' in faulty else completed['limits'],
-        frozenset(kept.get('limits', ())),
+        frozenset(kept.get('limits') or ()),
         frozenset(part.partition('[')[0] for part in faulty),
     )
 
@@ -151,6 +152,8 @@
     prefix = f'{location}.' if location else ''
     for name, field in field_by_name.items():
         if name in value:
+            if value[name] is None and _may_be_null(field):
+                continue
             yield from _check(value[name], field.type, prefix + name)
         elif field.required:
             yield findings.error(
@@ -173,6 +176,14 @@
             )
 
 
+def _may_be_null(field: msgspec.structs.FieldInfo) -> bool:
+    """Return whether null stands for a key that is left out.
+
+    It doesn't where the absence itself says something.
+    """
+    return not field.required and field.default is not msgspec.UNSET
+
+
 @functools.cache
 def _fields(
     struct: type[msgspec.Struct],
@@ -199,7 +210,7 @@
     if isinstance(value, float) and not math.isfinite(value):
         return False
     try:
-        msgspec.convert(value, wanted)
+        json_values.convert(value, wanted)
     except msgspec.ValidationError:
         return False
     return True
--- a/libs/platform/burdockmast/platform/configuration.py
+++ b/libs/platform/burdockmast/platform/configuration.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from burdockmast.base import ids
+from burdockmast.base import json_values
 from burdockmast.gateway import config
 
 # Kind and name of the object that holds the newest configuration.
@@ -54,8 +55,8 @@
 
 
 class _MeanTokens(msgspec.Struct, frozen=True):
-    prompt: int = 500
-    answer: int = 100
+    prompt: float = 500
+    answer: float = 100
 
 
 class _Delay(msgspec.Struct, frozen=True):
@@ -129,7 +130,7 @@
     """
     if name != NAME:
         raise msgspec.ValidationError(f'object is not called {NAME!r}')
-    decoded = msgspec.convert(spec, _Configuration)
+    decoded = _convert(spec)
     routes = [_convert_route(route) for route in decoded.routes]
     # Longer prefixes come first, since the first match is used.
     routes.sort(key=lambda route: -len(route.path_prefix))
@@ -164,7 +165,17 @@
 
     :raises msgspec.ValidationError: if it is not a valid configuration
     """
-    return msgspec.to_builtins(msgspec.convert(spec, _Configuration))
+    return msgspec.to_builtins(_convert(spec))
+
+
+def _convert(spec: object) -> _Configuration:
+    """Convert a configuration, in whatever form its values are."""
+    if isinstance(spec, dict) and spec.get('tenants', ()) is None:
+        # Taken for absent, it would let callers in without a key.
+        raise msgspec.ValidationError(
+            'Expected `array`, got `null` - at `$.tenants`'
+        )
+    return json_values.convert(spec, _Configuration)
 
 
 def _convert_limits(limits: _Limits) -> config.CallerLimits:
--- a/libs/platform/burdockmast/platform/engine_client.py
+++ b/libs/platform/burdockmast/platform/engine_client.py
@@ -8,6 +8,7 @@
 from burdockmast.base import addresses
 from burdockmast.base import failures
 from burdockmast.base import ids
+from burdockmast.base import json_values
 from burdockmast.base import outcomes
 from burdockmast.base import timers
 from burdockmast.gateway import backends
@@ -209,7 +210,7 @@
                 f'status {response.status}',
             )
         try:
-            report = msgspec.json.decode(response.data, type=_Report)
+            report = json_values.decode(response.data, _Report)
         except json_lists.DECODE_ERRORS as error:
             detail = str(error)
         else:
@@ -267,6 +268,6 @@
 def _named_address(data: bytes) -> str:
     """Return the address in the body of a refusal, empty if there is none."""
     try:
-        return msgspec.json.decode(data, type=_Conflict).address
+        return json_values.decode(data, _Conflict).address
     except json_lists.DECODE_ERRORS:
         return ''
--- a/libs/platform/burdockmast/platform/retry_slots.py
+++ b/libs/platform/burdockmast/platform/retry_slots.py
@@ -7,6 +7,7 @@
 
 from burdockmast.base import failures
 from burdockmast.base import ids
+from burdockmast.base import json_values
 from burdockmast.base import logs
 from burdockmast.base import timers
 from burdockmast.gateway import interfaces
@@ -110,14 +111,14 @@
 ) -> interfaces.SlotRecord | None:
     """Return the present state of a slot, if the store tells it."""
     try:
-        return _record(msgspec.json.decode(response.data, type=store.Object))
+        return _record(json_values.decode(response.data, store.Object))
     except json_lists.DECODE_ERRORS:
         return None
 
 
 def _record(item: store.Object) -> interfaces.SlotRecord:
     try:
-        spec = msgspec.convert(item.spec, _Spec)
+        spec = json_values.convert(item.spec, _Spec)
     except msgspec.ValidationError as error:
         LOG.warning(
             'retry slot cannot be decoded; treating it as held',
--- a/libs/platform/burdockmast/platform/servers.py
+++ b/libs/platform/burdockmast/platform/servers.py
@@ -4,6 +4,7 @@
 
 from burdockmast.base import addresses
 from burdockmast.base import ids
+from burdockmast.base import json_values
 from burdockmast.gateway import backends
 
 KIND = 'servers'
@@ -47,7 +48,7 @@
 
     :raises msgspec.ValidationError: if it is not a valid entry
     """
-    entry = msgspec.convert(spec, _Entry)
+    entry = json_values.convert(spec, _Entry)
     if entry.state not in (READY, DRAINING):
         raise msgspec.ValidationError(f'unknown state {entry.state!r}')
     address = addresses.parse(entry.address)
--- a/libs/platform/burdockmast/platform/settings.py
+++ b/libs/platform/burdockmast/platform/settings.py
@@ -27,6 +27,8 @@
 
 _DEFAULTS = limits.Limits()
 _Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
+# Hosts without a limit allow 2^30 and more.
+_DescriptorCount = Annotated[int, msgspec.Meta(ge=1)]
 _ProgressSeconds = Annotated[float, msgspec.Meta(ge=1, le=600)]
 _ProgressBytes = Annotated[int, msgspec.Meta(ge=1, le=65536)]
 _ChunkBytes = Annotated[int, msgspec.Meta(ge=0, le=1024)]
@@ -54,7 +56,7 @@
 
 class _Limits(msgspec.Struct, frozen=True, rename='kebab'):
     memory_mb: float = DEFAULT_MEMORY_MB
-    max_fds: _Count | None = None
+    max_fds: _DescriptorCount | None = None
 
 
 class _Intake(msgspec.Struct, frozen=True, rename='kebab'):
--- a/libs/platform/burdockmast/platform/shared_records.py
+++ b/libs/platform/burdockmast/platform/shared_records.py
@@ -9,6 +9,7 @@
 from burdockmast.base import addresses
 from burdockmast.base import failures
 from burdockmast.base import ids
+from burdockmast.base import json_values
 from burdockmast.base import logs
 from burdockmast.base import timers
 from burdockmast.gateway import interfaces
@@ -156,7 +157,7 @@
     @staticmethod
     def _record(item: store.Object) -> interfaces.QuarantineRecord | None:
         try:
-            spec = msgspec.convert(item.spec, _QuarantineSpec)
+            spec = json_values.convert(item.spec, _QuarantineSpec)
         except msgspec.ValidationError as error:
             LOG.warning(
                 'quarantine record cannot be decoded; ignoring it',
--- a/libs/platform/burdockmast/platform/store.py
+++ b/libs/platform/burdockmast/platform/store.py
@@ -20,6 +20,7 @@
 
 from burdockmast.base import failures
 from burdockmast.base import ids
+from burdockmast.base import json_values
 from burdockmast.base import logs
 from burdockmast.base import outcomes
 from burdockmast.base import timers
@@ -242,7 +243,7 @@
             detail = f'status {response.status}: {response.data[:200]!r}'
             return self._failure('get', kind, outcomes.Outcome.NOT_RUN, detail)
         try:
-            return msgspec.json.decode(response.data, type=body_type)
+            return json_values.decode(response.data, body_type)
         except json_lists.DECODE_ERRORS as error:
             return self._failure('get', kind, outcomes.Outcome.UNKNOWN, error)
 
@@ -268,7 +269,7 @@
             return found
         try:
             rest, elements = json_lists.split(response.data, key)
-            return msgspec.json.decode(rest, type=body_type), elements
+            return json_values.decode(rest, body_type), elements
         except json_lists.DECODE_ERRORS as error:
             return self._failure('get', kind, outcomes.Outcome.UNKNOWN, error)
 
@@ -376,10 +377,10 @@
     ) -> interfaces.Change[T] | None:
         """Decode an event, None if it can't be told whose it is."""
         try:
-            event = msgspec.json.decode(raw, type=_Event)
+            event = json_values.decode(raw, _Event)
         except json_lists.DECODE_ERRORS as error:
             try:
-                named = msgspec.json.decode(raw, type=_NamedEvent)
+                named = json_values.decode(raw, _NamedEvent)
             except json_lists.DECODE_ERRORS:
                 odd.add(raw, error)
                 return None
@@ -407,7 +408,7 @@
             if count % OBJECTS_PER_TURN == 0:
                 eventlet.sleep(0)
             try:
-                found.append(msgspec.json.decode(raw, type=Object))
+                found.append(json_values.decode(raw, Object))
             except json_lists.DECODE_ERRORS as error:
                 odd.add(raw, error)
     return found
--- a/libs/settings/burdockmast/settings/loader.py
+++ b/libs/settings/burdockmast/settings/loader.py
@@ -6,6 +6,8 @@
 import json5
 import msgspec
 
+from burdockmast.base import json_values
+
 T = TypeVar('T')
 
 
@@ -40,7 +42,7 @@
     :raises SettingsError: if the document is invalid
     """
     try:
-        return msgspec.convert(document, target_type)
+        return json_values.convert(document, target_type)
     except msgspec.ValidationError as error:
         message, _, location = str(error).partition(' - at ')
         location = location.strip('`') or '$'
--- a/tests/test_platform_decoding.py
+++ b/tests/test_platform_decoding.py
@@ -82,6 +82,13 @@
     assert found.intake == limits.Limits(max_connections=7)
 
 
+def test_a_host_may_allow_any_number_of_descriptors(settings_file):
+    """Guards against a gateway that doesn't start on such a host."""
+    settings_file.write_text(SETTINGS + '[limits]\nmax-fds = 1073741816\n')
+    found = settings.load(settings_file).gateway
+    assert found.max_descriptors == 1073741816
+
+
 def test_the_neighbours_key_is_read_but_not_printed(settings_file):
     key = 'known-to-gateways-only'
     settings_file.write_text(SETTINGS + f"[intake]\nneighbours-key = '{key}'")
