Let a field that can't be read take only what depends on it

Cause: the configuration was decoded whole or not at all.

Where keys can't be read, a key that isn't known gets 503 in place of 401, so that its caller comes back; keys that were taken back are refused at once.

During a roll old gateways go on to reject such a version; they share nothing of it with new ones.

--- a/libs/gateway/burdockmast/gateway/authentication.py
+++ b/libs/gateway/burdockmast/gateway/authentication.py
@@ -29,10 +29,17 @@
     match configuration.authentication:
         case config.NoAuthentication():
             return ANONYMOUS
-        case config.ApiKeyAuthentication(organisation_by_api_key=holders):
+        case config.ApiKeyAuthentication(
+            organisation_by_api_key=holders, is_complete=is_complete
+        ):
             if age_seconds > trusted_seconds:
                 return refusals.stale_configuration(age_seconds)
             holder = holders.get(api_key)
+            if holder is None and not is_complete:
+                return refusals.unavailable(
+                    f'not all keys of configuration {configuration.version} '
+                    'can be read'
+                )
             if holder is None:
                 return failures.Failure(
                     failures.Reason.UNKNOWN_ORGANISATION,
--- a/libs/gateway/burdockmast/gateway/config.py
+++ b/libs/gateway/burdockmast/gateway/config.py
@@ -116,9 +116,13 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ApiKeyAuthentication:
-    """Callers need an API key; where none is in force, nobody has one."""
+    """Callers need an API key; where none is in force, nobody has one.
+
+    :ivar is_complete: false if a key that is not listed may be in force
+    """
 
     organisation_by_api_key: dict[str, Organisation]
+    is_complete: bool = True
 
 
 Authentication = NoAuthentication | ApiKeyAuthentication
@@ -141,13 +145,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Configuration:
-    """One version of the operator's configuration."""
+    """One version of the operator's configuration.
+
+    :ivar faults: fields that could not be read, and what follows
+    """
 
     version: int
     routes_by_host: dict[str, tuple[Route, ...]]
     service_by_id: dict[ids.ServiceId, Service]
     authentication: Authentication
     limits: CallerLimits
+    faults: tuple[str, ...] = ()
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of ``path``, if any."""
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -505,6 +505,14 @@
         self._metrics.gauge(
             'configuration.age_seconds', lambda: self.view.configuration_age
         )
+        self._metrics.gauge(
+            'configuration.unreadable_fields',
+            lambda: self.view.configuration_faults,
+        )
+        self._metrics.gauge(
+            'configuration.is_unreadable',
+            lambda: self.view.is_configuration_unreadable,
+        )
         self._metrics.gauge(
             'servers.age_seconds', lambda: self.view.server_list_age
         )
--- a/libs/gateway/burdockmast/gateway/view.py
+++ b/libs/gateway/burdockmast/gateway/view.py
@@ -21,6 +21,8 @@
 # Time for which a server that refused a request gets none: a full server has
 # room again when one of its answers ends.
 REST_SECONDS = 0.3
+# Faults of a configuration that a log line shows.
+MAX_LOGGED_FAULTS = 5
 
 
 class View:
@@ -94,6 +96,17 @@
                         'controls_admission': self.controls_admission,
                     },
                 )
+                _log_faults(found)
+
+    @property
+    def configuration_faults(self) -> int:
+        """Number of fields of the configuration that can't be read."""
+        return len(self._configuration.faults) if self._configuration else 0
+
+    @property
+    def is_configuration_unreadable(self) -> bool:
+        """Whether the store holds a configuration of which nothing is read."""
+        return self._unreadable_since is not None
 
     def _check_readable(self) -> None:
         """Record since when the store has held no readable configuration."""
@@ -385,6 +398,18 @@
         LOG.info('server answers again', extra={'server': server})
 
 
+def _log_faults(configuration: config.Configuration) -> None:
+    if configuration.faults:
+        LOG.warning(
+            'fields of the configuration cannot be read',
+            extra={
+                'version': configuration.version,
+                'count': len(configuration.faults),
+                'first': configuration.faults[:MAX_LOGGED_FAULTS],
+            },
+        )
+
+
 def _pause_objectives(
     configuration: config.Configuration,
 ) -> dict[ids.ServiceId, float]:
--- a/libs/operator/burdockmast/operator/config_check/check.py
+++ b/libs/operator/burdockmast/operator/config_check/check.py
@@ -31,7 +31,7 @@
     :param against: name of the other configuration
     :param before: the other configuration, with all known keys
     """
-    if not errors.is_accepted(document):
+    if not errors.is_readable(document):
         return report.Result(result.file, result.found, against)
     found_differences, found = differences.find(
         before, configuration.complete(document)
