Take the planner lock over at any revision of the store

Cause: the fencing number is era * 10^9 + revision, and the revision for the next conditional write was taken out of it with divmod. From 10^9 on that isn't the lock's revision, so that each takeover got 409. Ruled out: the planner (it asked once a second), the servers (they got no order to refuse), a race of gateways (409 came with the same object each time).

The revision and its era are kept beside the fencing number now, which nobody takes apart. Its formula stays: it rises with each write and each restore, whatever the revision, and in a roll old and new gateways, with one store and the same servers, make the same number of a write. Era numbers of ten digits and more, which earlier versions take for 0, count modulo 2^23, so that the number stays exact in servers that hold it as a double.

The same cause beside it: eras were read up to nine digits and counted as the first history beyond, so that a restore went unnoticed (a copy kept what the store had lost); one that is no number now fails its call, with the reason. Revisions above 2^63 - 1, of which no message to neighbours can be made, are refused by their reader. Names of retry slots are read only as gateways write them; one of 5,000 digits made each listing fail.

On-call saw 409 each second, as after a lost race. The line 'planner lock cannot be taken over; servers get no orders' comes once after three refusals of the same state, and the gauge planner.refused_takeovers counts them.

--- a/libs/gateway/burdockmast/gateway/interfaces.py
+++ b/libs/gateway/burdockmast/gateway/interfaces.py
@@ -65,27 +65,34 @@
 class LockState:
     """Who acquired the planner lock last.
 
-    :ivar revision: the fencing number of that write, 0 if it was never
-        acquired in the store's present history
+    :ivar fencing_number: of that write, 0 if the lock was never acquired in
+        the store's present history
     :ivar holder: name of the gateway, which may have restarted since
+    :ivar revision: of the store at that write
+    :ivar era: number of the store's history, whose revision it is
     """
 
-    revision: int
+    fencing_number: int
     holder: str
+    revision: int = 0
+    era: int = 0
 
 
 class PlannerLock(Protocol):
     """A mutex in the store, acquired by a conditional write."""
 
-    def acquire(self, revision: int) -> int | failures.Failure:
-        """Acquire the lock, unless somebody else did after ``revision``.
+    def acquire(self, before: LockState) -> int | failures.Failure:
+        """Acquire the lock, unless somebody else did since it was read.
+
+        A failure with ``STORE_CONFLICT`` means that somebody did, by what the
+        store says.
 
-        :param revision: as read; one of an earlier history acquires nothing
+        :param before: as read; one of an earlier history acquires nothing
         :returns: a fencing number, greater than all earlier ones, also of
             earlier histories
         """
 
-    def read(self) -> 'LockState | failures.Failure':
+    def read(self) -> LockState | failures.Failure:
         """Return who acquired the lock last."""
 
 
--- a/libs/gateway/burdockmast/gateway/planner.py
+++ b/libs/gateway/burdockmast/gateway/planner.py
@@ -44,6 +44,9 @@
 # Time for which the last read of the lock counts as current, which must be
 # less than TAKEOVER_SECONDS.
 LOCK_CHECK_SECONDS = 1.0
+# Refusals in a row of the same state of the lock from which it is stuck.
+# Another gateway can have been first once, but then the state has changed.
+STUCK_TAKEOVERS = 3
 # Time for which a zone must lack layers before its servers get layer moves, so
 # that a list which is written in parts is complete. A crashed server is back
 # after some 4 s, and has its layers again some seconds later.
@@ -81,6 +84,9 @@
     A few gateways without the lock plan as well, to notice a holder that
     fails. If all did, each order that is due would have all of them read the
     lock.
+
+    :ivar refused_takeovers: refusals in a row of the same state of the lock,
+        as if somebody else had acquired it meanwhile
     """
 
     def __init__(
@@ -104,12 +110,14 @@
         self._instance = instance
         self._rng = rng
         self._may_take_over = may_take_over
+        self.refused_takeovers = 0
         self._fencing_number: int | None = None
         self._waiting_since: float | None = None
         self._takeover_factor = 1.0
         self._lock_read_at = float('-inf')
         self._has_confirmed_lock = False
-        self._waited_revision = 0
+        self._waited_number = 0
+        self._refused_state: interfaces.LockState | None = None
         self._zone_gap_since: float | None = None
         self._listed_count = 0
         self._count_changed_at = 0.0
@@ -230,10 +238,10 @@
             )
             return False
         if self._fencing_number is not None:
-            if state.revision == self._fencing_number:
+            if state.fencing_number == self._fencing_number:
                 return True
             self._drop_lock(f'acquired by {state.holder}')
-        if state.revision and not self._is_takeover_due(state, now):
+        if state.fencing_number and not self._is_takeover_due(state, now):
             return False
         return self._acquire_lock(state)
 
@@ -247,7 +255,7 @@
             # The holder has known of a zone's gap for as long as this gateway.
             since = self._zone_gap_since or now
             self._start_waiting(state, max(since, now - ZONE_GAP_SECONDS))
-        elif state.revision != self._waited_revision:
+        elif state.fencing_number != self._waited_number:
             self._start_waiting(state, now)
         wait_seconds = TAKEOVER_SECONDS * self._takeover_factor
         return now - self._waiting_since >= wait_seconds
@@ -257,21 +265,46 @@
     ) -> None:
         """Give a holder time to send orders, counted from ``since``."""
         self._waiting_since = since
-        self._waited_revision = state.revision
+        self._waited_number = state.fencing_number
         self._takeover_factor = self._rng.uniform(1, 2)
 
     def _acquire_lock(self, state: interfaces.LockState) -> bool:
-        fencing_number = self._lock.acquire(state.revision)
+        fencing_number = self._lock.acquire(state)
         if isinstance(fencing_number, failures.Failure):
             self._log_failure('planner lock not acquired', fencing_number)
+            self._record_refusal(state, fencing_number)
             return False
         LOG.info(
             'planner lock acquired',
-            extra={'fence': fencing_number, 'before': state.revision},
+            extra={'fence': fencing_number, 'before': state.fencing_number},
         )
+        self.refused_takeovers = 0
         self._fencing_number = fencing_number
         return True
 
+    def _record_refusal(
+        self, state: interfaces.LockState, failure: failures.Failure
+    ) -> None:
+        """Record that somebody else has acquired the lock, by the store.
+
+        Then its state must have changed when it is read again.
+        """
+        if failure.reason is not failures.Reason.STORE_CONFLICT:
+            return
+        is_same = state == self._refused_state
+        self.refused_takeovers = self.refused_takeovers + 1 if is_same else 1
+        self._refused_state = state
+        if self.refused_takeovers == STUCK_TAKEOVERS:
+            LOG.error(
+                'planner lock cannot be taken over; servers get no orders',
+                extra={
+                    'holder': state.holder,
+                    'revision': state.revision,
+                    'era': state.era,
+                    'reason': failure.detail,
+                },
+            )
+
     def _drop_lock(self, reason: str) -> None:
         LOG.warning(
             'planner lock lost',
--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -547,6 +547,10 @@
         self._metrics.gauge(
             'servers.unreadable_limits', lambda: self._limits.unreadable_count
         )
+        self._metrics.gauge(
+            'planner.refused_takeovers',
+            lambda: self._planner.refused_takeovers,
+        )
         self._metrics.gauge(
             'retries.slots_held', lambda: self._budget.held_count
         )
--- a/libs/platform/burdockmast/platform/retry_slots.py
+++ b/libs/platform/burdockmast/platform/retry_slots.py
@@ -12,6 +12,7 @@
 from burdockmast.base import timers
 from burdockmast.gateway import interfaces
 from burdockmast.platform import json_lists
+from burdockmast.platform import numbers
 from burdockmast.platform import store
 
 LOG = logs.get('store')
@@ -64,8 +65,8 @@
                     KIND, 'store was restored during a listing'
                 )
             for item in store.decode_objects(raw_items, KIND):
-                if item.metadata.name.isdecimal():
-                    number = int(item.metadata.name)
+                number = numbers.parse_whole(item.metadata.name)
+                if item.metadata.name == str(number):
                     record_by_number[number] = _record(item)
             if not page.has_more:
                 return interfaces.SlotListing(era, record_by_number)
--- a/libs/platform/burdockmast/platform/shared_records.py
+++ b/libs/platform/burdockmast/platform/shared_records.py
@@ -4,7 +4,6 @@
 import time
 
 import msgspec
-import urllib3
 
 from burdockmast.base import addresses
 from burdockmast.base import failures
@@ -17,9 +16,14 @@
 
 LOG = logs.get('store')
 
-# Revisions that a history of the store may have: fencing numbers of the next
-# one are greater.
-REVISIONS_PER_ERA = 1_000_000_000
+# Fencing numbers by which a restore of the store raises the next one. It takes
+# back the revisions of some seconds, which are far fewer.
+FENCES_PER_ERA = 1_000_000_000
+# Earlier versions of gateways take larger eras for the first one.
+FIRST_LARGE_ERA = 1_000_000_000
+# Number of large eras after which their part of a fencing number repeats, so
+# that it stays exact in servers that hold it as a double.
+LARGE_ERA_CYCLE = 2**23
 HTTP_NOT_FOUND = 404
 HTTP_CONFLICT = 409
 MS_PER_SECOND = 1000.0
@@ -181,9 +185,10 @@
 class PlannerLock:
     """A mutex, stored as one object of a kind that only gateways use.
 
-    The object's revision, which the store raises at each write, is the
-    fencing number, together with the store's era: a restored store gives
-    revisions out again.
+    The fencing number is made of the object's revision, which the store
+    raises at each write, and of the store's era, as a restored store gives
+    revisions out again. It is never taken apart: the revision is kept beside
+    it for the next write.
     """
 
     KIND = 'burdockmast-planner'
@@ -205,12 +210,16 @@
         if isinstance(lock, failures.Failure):
             return lock
         spec = lock.spec if isinstance(lock.spec, dict) else {}
+        era, revision = store.era_of(response), lock.metadata.revision
         return interfaces.LockState(
-            _fencing_number(response, lock), str(spec.get('holder', ''))
+            fencing_number(era, revision),
+            str(spec.get('holder', '')),
+            revision,
+            era,
         )
 
-    def acquire(self, revision: int) -> int | failures.Failure:
-        """Acquire the lock, unless somebody else did after ``revision``.
+    def acquire(self, before: interfaces.LockState) -> int | failures.Failure:
+        """Acquire the lock, unless somebody else did since it was read.
 
         :returns: the fencing number
         """
@@ -218,9 +227,9 @@
         # raises the revision only then.
         spec = {'holder': self._holder, 'at': timers.now()}
         metadata: dict[str, object] = {'name': self.NAME}
-        if revision:
-            era, metadata['revision'] = divmod(revision, REVISIONS_PER_ERA)
-            if era < self._client.era:
+        if before.fencing_number:
+            metadata['revision'] = before.revision
+            if before.era < self._client.era:
                 return self._client.conflict(
                     self.KIND, 'store was restored since the lock was read'
                 )
@@ -234,16 +243,32 @@
             response = self._client.call(
                 'POST', self.KIND, body={'metadata': metadata, 'spec': spec}
             )
+        if (
+            not isinstance(response, failures.Failure)
+            and response.status == HTTP_CONFLICT
+        ):
+            return self._client.conflict(
+                self.KIND,
+                f'the lock is not at revision {before.revision}: '
+                f'{response.data[:200]!r}',
+            )
         acquired = self._client.decode_response(
             response, store.Object, self.KIND
         )
         if isinstance(acquired, failures.Failure):
             return acquired
-        return _fencing_number(response, acquired)
+        return fencing_number(
+            store.era_of(response), acquired.metadata.revision
+        )
 
 
-def _fencing_number(
-    response: urllib3.BaseHTTPResponse, lock: store.Object
-) -> int:
-    """Return a number that rises with each write, in all histories."""
-    return store.era_of(response) * REVISIONS_PER_ERA + lock.metadata.revision
+def fencing_number(era: int, revision: int) -> int:
+    """Return a number that rises with each write, in all histories.
+
+    Servers refuse one that is lower than any that they have seen, of gateways
+    of earlier versions too, so that it is never below what those make of the
+    same write.
+    """
+    if era >= FIRST_LARGE_ERA:
+        era %= LARGE_ERA_CYCLE
+    return era * FENCES_PER_ERA + revision
--- a/libs/platform/burdockmast/platform/store.py
+++ b/libs/platform/burdockmast/platform/store.py
@@ -8,7 +8,7 @@
 from collections.abc import Iterator
 import contextlib
 import dataclasses
-import re
+from typing import Annotated
 from typing import Any
 from typing import Generic
 from typing import TypeVar
@@ -26,6 +26,7 @@
 from burdockmast.base import timers
 from burdockmast.gateway import interfaces
 from burdockmast.platform import json_lists
+from burdockmast.platform import numbers
 from burdockmast.replies import connections
 
 LOG = logs.get('store')
@@ -34,7 +35,6 @@
 # Number of the store's history, in all its answers. It rises when the store
 # comes back from an older copy.
 ERA = 'Store-Era'
-_ERA = re.compile(r'\d{1,9}')
 # Timeout of a call. The store responds in 4 ms when it is healthy and about 80
 # times slower during its disruptions.
 TIMEOUT_SECONDS = 1.0
@@ -55,11 +55,15 @@
 Decode = Callable[[str, object], T]
 
 
+# Gateways tell each other revisions as integers of 64 bits.
+Revision = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
 class Metadata(msgspec.Struct, frozen=True, rename='kebab'):
     """Name of an object, and the store's revision at its last change."""
 
     name: str
-    revision: int = 0
+    revision: Revision = 0
 
 
 class Object(msgspec.Struct, frozen=True):
@@ -73,7 +77,7 @@
     """``current_rev`` is the revision of the whole store."""
 
     items: list[msgspec.Raw]
-    current_rev: int
+    current_rev: Revision
     has_more: bool = False
 
 
@@ -92,7 +96,7 @@
 
 
 class _WatchResponse(msgspec.Struct, frozen=True, rename='kebab'):
-    current_rev: int
+    current_rev: Revision
     events: list[msgspec.Raw] = []
 
 
@@ -177,6 +181,15 @@
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             return self._failure(method, kind, outcomes.Outcome.UNKNOWN, error)
+        era_text = response.headers.get(ERA)
+        if era_text is not None and numbers.parse_whole(era_text) is None:
+            return self._failure(
+                method,
+                kind,
+                outcomes.Outcome.UNKNOWN,
+                f'{ERA} is no whole number: {era_text[:LOGGED_BYTES]!r}',
+                failures.Reason.PROTOCOL,
+            )
         self._record_era(era_of(response))
         match response.status:
             case status if status in (
@@ -293,9 +306,11 @@
 
 
 def era_of(response: urllib3.BaseHTTPResponse) -> int:
-    """Return the number of the store's history, 0 if it names none."""
-    text = response.headers.get(ERA, '').strip()
-    return int(text) if _ERA.fullmatch(text) else 0
+    """Return the number of the store's history, 0 if it names none.
+
+    A response whose number can't be read is a failure of its call.
+    """
+    return numbers.parse_whole(response.headers.get(ERA, '')) or 0
 
 
 class Feed(Generic[T]):
--- a/tests/test_gateway_planner.py
+++ b/tests/test_gateway_planner.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 
+import logbook
 import pytest
 
 from burdockmast.base import failures
@@ -34,6 +35,7 @@
     def __init__(self):
         self.revision = 0
         self.holder = ''
+        self.is_stuck = False
         self.unreachable = set()
         self.reads = collections.Counter()
 
@@ -49,10 +51,10 @@
                     )
                 return interfaces.LockState(lock.revision, lock.holder)
 
-            def acquire(self, revision):
-                if revision != lock.revision:
+            def acquire(self, before):
+                if before.fencing_number != lock.revision or lock.is_stuck:
                     return failures.Failure(
-                        failures.Reason.STORE_UNAVAILABLE, 'lock'
+                        failures.Reason.STORE_CONFLICT, 'lock'
                     )
                 lock.revision += 1
                 lock.holder = instance
@@ -293,3 +295,21 @@
     fleet.with_pending_order.clear()
     poll_for(clock, [start('g1')], 5)
     assert len(fleet.accepted) == 1
+
+
+def test_a_lock_that_cannot_be_taken_over_is_told(clock, fleet, lock, start):
+    """Guards against a conflict that repeats and looks like a race."""
+    first, second = start('g1'), start('g2')
+    fleet.add('s1')
+    poll_for(clock, [first], 3)
+    fleet.add('s2')
+    lock.is_stuck = True
+    with logbook.TestHandler() as handler:
+        poll_for(clock, [second], 4 * planner.TAKEOVER_SECONDS)
+    assert second.refused_takeovers >= planner.STUCK_TAKEOVERS
+    told = [r for r in handler.records if 'cannot be taken over' in r.message]
+    assert len(told) == 1
+    lock.is_stuck = False
+    poll_for(clock, [second], 2)
+    assert second.refused_takeovers == 0
+    assert fleet.accepted['s2']
--- a/tests/test_gateway_restored_store.py
+++ b/tests/test_gateway_restored_store.py
@@ -1,12 +1,11 @@
 """The store comes back from an older copy, and gives revisions out again."""
 
-import io
 import itertools
 
 import eventlet
 import platforms
 import pytest
-import urllib3
+import store_connections
 
 from burdockmast.base import failures
 from burdockmast.base import timers
@@ -32,34 +31,9 @@
     return standin.MetadataStore()
 
 
-class Connections:
-    """Calls the stand-in without a network."""
-
-    def __init__(self, metadata):
-        self._metadata = metadata
-
-    def request(self, method, url, body=b'', **options):
-        path, _, query = url.removeprefix('http://store').partition('?')
-        found = []
-        data = self._metadata(
-            {
-                'REQUEST_METHOD': method,
-                'PATH_INFO': path,
-                'QUERY_STRING': query,
-                'wsgi.input': io.BytesIO(body),
-            },
-            lambda status, headers: found.extend((status, headers)),
-        )
-        return urllib3.HTTPResponse(
-            body=b''.join(data),
-            headers=dict(found[1]),
-            status=int(found[0].split()[0]),
-        )
-
-
 @pytest.fixture
 def client(metadata):
-    return store.Client('store', _pool=Connections(metadata))
+    return store.Client('store', _pool=store_connections.Connections(metadata))
 
 
 def server_entry(sequence=1, state='ready', layers=(0, 80)):
@@ -261,14 +235,17 @@
     assert set(follower.item_by_name) == {'i-1'}
 
 
+NEVER_ACQUIRED = interfaces.LockState(0, '')
+
+
 def test_fencing_numbers_do_not_go_back_with_the_store(metadata, client):
     lock = shared_records.PlannerLock(client, 'a-0')
     saved = metadata.copy()
     for number in range(30):
         metadata.put('others', f'o-{number}', number)
-    before = lock.acquire(lock.read().revision)
+    before = lock.acquire(lock.read())
     metadata.restore(saved)
-    after = lock.acquire(lock.read().revision)
+    after = lock.acquire(lock.read())
     assert after > before
 
 
@@ -276,12 +253,12 @@
     """Another holder has the same revision in the new history."""
     holder = shared_records.PlannerLock(client, 'a-0')
     saved = metadata.copy()
-    fencing_number = holder.acquire(holder.read().revision)
+    fencing_number = holder.acquire(holder.read())
     metadata.restore(saved)
-    shared_records.PlannerLock(client, 'a-1').acquire(0)
+    shared_records.PlannerLock(client, 'a-1').acquire(NEVER_ACQUIRED)
     state = holder.read()
     assert state.holder == 'a-1'
-    assert state.revision != fencing_number
+    assert state.fencing_number != fencing_number
 
 
 def test_a_lock_is_not_acquired_by_a_revision_of_an_earlier_history(
@@ -289,11 +266,11 @@
 ):
     lock = shared_records.PlannerLock(client, 'a-0')
     saved = metadata.copy()
-    lock.acquire(0)
+    lock.acquire(NEVER_ACQUIRED)
     read = lock.read()
     metadata.restore(saved)
-    shared_records.PlannerLock(client, 'a-1').acquire(0)
-    assert isinstance(lock.acquire(read.revision), failures.Failure)
+    shared_records.PlannerLock(client, 'a-1').acquire(NEVER_ACQUIRED)
+    assert isinstance(lock.acquire(read), failures.Failure)
 
 
 def test_quarantines_that_a_restore_lost_are_written_again(metadata, client):
