Read the numbers of heads and events with less work

Short numbers are converted at once, without an expression, and ids of events stay bytes until somebody needs one.

--- a/libs/gateway/burdockmast/gateway/sse.py
+++ b/libs/gateway/burdockmast/gateway/sse.py
@@ -13,7 +13,6 @@
 LONGEST_END_BYTES = 4
 _ID_FIELD = re.compile(rb'^id: ?([^\r\n]*+)', re.MULTILINE)
 _DATA_FIELD = re.compile(rb'^data\b', re.MULTILINE)
-_NUMBER = re.compile(r'[0-9]+')
 # Longest id that a request to go on behind it names.
 MAX_ID_BYTES = 8192
 
@@ -22,7 +21,6 @@
     """Returns complete events and checks that their ids increase.
 
     :ivar incomplete: bytes of the event that is not complete yet
-    :ivar last_id: the last id that is a number
     :ivar completed_count: events that the last call of ``feed`` returned
     :ivar is_out_of_order: an event's id is not above the one before it
     :ivar is_numbered: no event with data came behind the one with ``last_id``,
@@ -32,11 +30,16 @@
     def __init__(self, last_id: ids.EventId | None):
         """Create a splitter of a stream that resumes after ``last_id``."""
         self.incomplete = b''
-        self.last_id = last_id
         self.completed_count = 0
         self.is_out_of_order = False
         self.is_numbered = True
-        self._last_rank = _rank(last_id) if last_id else None
+        self._last_id = last_id.encode('latin-1') if last_id else b''
+        self._last_rank = _rank(self._last_id)
+
+    @property
+    def last_id(self) -> ids.EventId | None:
+        """The last id that is a number, or the one to resume after."""
+        return ids.EventId(self._last_id.decode('latin-1')) or None
 
     def feed(self, data: bytes) -> bytes:
         """Return the events that ``data`` completes, none if out of order."""
@@ -57,7 +60,7 @@
     def _check_id(self, data: bytes, start: int, end: int) -> bool:
         """Take an event's id; return false if it isn't above the last one."""
         found = _ID_FIELD.search(data, start, end)
-        text = ids.EventId(found[1].strip().decode('latin-1')) if found else ''
+        text = found[1] if found else b''
         rank = _rank(text)
         if rank is None:
             if found or _DATA_FIELD.search(data, start, end):
@@ -65,14 +68,14 @@
             return True
         if self._last_rank is not None and rank <= self._last_rank:
             return False
-        self.last_id, self._last_rank = text, rank
+        self._last_id, self._last_rank = text, rank
         self.is_numbered = True
         return True
 
 
-def _rank(text: str) -> tuple[int, str] | None:
+def _rank(text: bytes) -> tuple[int, bytes] | None:
     """Return what orders ids as numbers, None if an id is no number."""
-    if len(text) > MAX_ID_BYTES or not _NUMBER.fullmatch(text):
+    if not text.isdigit() or len(text) > MAX_ID_BYTES:
         return None
-    significant = text.lstrip('0')
+    significant = text.lstrip(b'0')
     return len(significant), significant
--- a/libs/platform/burdockmast/platform/headers.py
+++ b/libs/platform/burdockmast/platform/headers.py
@@ -108,10 +108,16 @@
     ) -> interfaces.CallerRequest:
         """Read the head of a caller's request."""
         value_by_name = {name.lower(): value for name, value in headers}
-        found = _NumberReader(value_by_name)
-        timeout_ms = found.decimal(DEADLINE)
-        prompt_tokens, answer_tokens = found.token_counts()
-        length_hint = found.whole(LENGTH_HINT)
+        unreadable: list[str] = []
+        timeout_ms = _read_number(
+            value_by_name, DEADLINE, numbers.parse_decimal, unreadable
+        )
+        prompt_tokens, answer_tokens = _read_token_counts(
+            value_by_name, unreadable
+        )
+        length_hint = _read_number(
+            value_by_name, LENGTH_HINT, numbers.parse_whole, unreadable
+        )
         return interfaces.CallerRequest(
             id=ids.RequestId(value_by_name.get(REQUEST_ID.lower(), '')),
             method=method,
@@ -133,10 +139,10 @@
             prompt_parts=_parse_prompt_parts(
                 value_by_name.get(PROMPT_PARTS.lower(), '')
             ),
-            unreadable_headers=tuple(found.unreadable),
+            unreadable_headers=tuple(unreadable),
             invalid_deadline=(
                 value_by_name[DEADLINE.lower()]
-                if DEADLINE in found.unreadable
+                if DEADLINE in unreadable
                 else None
             ),
         )
@@ -165,18 +171,24 @@
     ) -> interfaces.ReplyMetadata:
         """Read the metadata of a backend server's reply."""
         value_by_name = {name.lower(): value for name, value in headers}
-        found = _NumberReader(value_by_name)
+        unreadable: list[str] = []
+        limit = _read_number(
+            value_by_name, LIMIT, numbers.parse_decimal, unreadable
+        )
+        rest_seconds = _read_number(
+            value_by_name, REST, numbers.parse_decimal, unreadable
+        )
         return interfaces.ReplyMetadata(
             request=value_by_name.get(REQUEST_ID.lower(), ''),
             is_signed=SIGNATURE.lower() in value_by_name,
             is_not_run=NOT_RUN.lower() in value_by_name,
             refused_by=ids.Address(value_by_name.get(REFUSED_BY.lower(), '')),
             is_encoded='content-encoding' in value_by_name,
-            limit=found.decimal(LIMIT),
-            rest_seconds=found.decimal(REST),
+            limit=limit,
+            rest_seconds=rest_seconds,
             is_leaving=value_by_name.get(LEAVING.lower(), '').strip() == '1',
-            is_limit_unreadable=LIMIT in found.unreadable,
-            is_rest_unreadable=REST in found.unreadable,
+            is_limit_unreadable=LIMIT in unreadable,
+            is_rest_unreadable=REST in unreadable,
         )
 
     def caller_headers(
@@ -224,43 +236,38 @@
     return ids.EventId(text.strip()) if text and text.strip() else None
 
 
-class _NumberReader:
-    """Reads numbers of a head, and notes the headers that hold none.
+def _read_number(
+    value_by_name: dict[str, str],
+    name: str,
+    parse: Callable[[str], float | None],
+    unreadable: list[str],
+) -> float | None:
+    """Return a header's number, None if it is absent or unreadable.
 
-    :ivar unreadable: names of the headers whose values are no numbers
+    :param unreadable: gets the name of a header that holds no number
     """
+    text = value_by_name.get(name.lower())
+    if text is None:
+        return None
+    number = parse(text)
+    if number is None:
+        unreadable.append(name)
+    return number
 
-    def __init__(self, value_by_name: dict[str, str]):
-        """Create a reader of values by the headers' names in lower case."""
-        self.unreadable: list[str] = []
-        self._value_by_name = value_by_name
-
-    def decimal(self, name: str) -> float | None:
-        """Return a decimal number, None if it is absent or unreadable."""
-        return self._parse(name, numbers.parse_decimal)
 
-    def whole(self, name: str) -> int | None:
-        """Return a whole number, None if it is absent or unreadable."""
-        return self._parse(name, numbers.parse_whole)
+def _read_token_counts(
+    value_by_name: dict[str, str], unreadable: list[str]
+) -> tuple[int, int]:
+    """Return the tokens of the prompt and of the answer, 0 if absent.
 
-    def token_counts(self) -> tuple[int, int]:
-        """Return the tokens of the prompt and of the answer, 0 if absent."""
-        text = self._value_by_name.get(TOKEN_COUNTS.lower(), '')
-        counts = [
-            numbers.parse_whole(part) if part.strip() else 0
-            for part in text.partition(',')[::2]
-        ]
-        if None in counts:
-            self.unreadable.append(TOKEN_COUNTS)
-        return counts[0] or 0, counts[1] or 0
-
-    def _parse(
-        self, name: str, parse: Callable[[str], float | None]
-    ) -> float | None:
-        text = self._value_by_name.get(name.lower())
-        if text is None:
-            return None
-        number = parse(text)
-        if number is None:
-            self.unreadable.append(name)
-        return number
+    :param unreadable: gets the name of the header if it holds no numbers
+    """
+    text = value_by_name.get(TOKEN_COUNTS.lower())
+    if text is None:
+        return 0, 0
+    prompt, _, answer = text.partition(',')
+    prompt_tokens = numbers.parse_whole(prompt or '0')
+    answer_tokens = numbers.parse_whole(answer or '0')
+    if prompt_tokens is None or answer_tokens is None:
+        unreadable.append(TOKEN_COUNTS)
+    return prompt_tokens or 0, answer_tokens or 0
--- a/libs/platform/burdockmast/platform/numbers.py
+++ b/libs/platform/burdockmast/platform/numbers.py
@@ -14,7 +14,6 @@
 # faster than their length.
 _MAX_DIGITS = len(str(MAX_EXACT))
 
-_WHOLE = re.compile(r'[0-9]+')
 _DECIMAL = re.compile(r'([0-9]*+)(?:\.([0-9]*+))?')
 
 
@@ -24,8 +23,10 @@
     :returns: None if the text is no whole number
     """
     text = text.strip()
-    if not _WHOLE.fullmatch(text):
+    if not (text.isascii() and text.isdigit()):
         return None
+    if len(text) < _MAX_DIGITS:
+        return int(text)
     significant = text.lstrip('0')
     if len(significant) > _MAX_DIGITS:
         return MAX_EXACT
@@ -37,6 +38,9 @@
 
     :returns: None if the text is no decimal number
     """
+    number = parse_whole(text)
+    if number is not None:
+        return float(number)
     found = _DECIMAL.fullmatch(text.strip())
     if not found or not (found[1] or found[2]):
         return None
