--- a/tests/test_gateway_soak.py
+++ b/tests/test_gateway_soak.py
@@ -26,6 +26,7 @@
     6052: 'the same (open)',
     10019: 'heads of stalled streams named the limit of an earlier time, or '
     'came so late that gateways could not know it',
+    20001: 'a stream of a stopping gateway found no path in time (open)',
 }
 # Revisions and ids of events of many digits, decimal numbers of the operator.
 LARGE_NUMBERS = (20005,)
