Let servers rest for as long as they ask

Cause: rests above 60 s were read as 60 s, so that a server that asks for more is tried again.

Fix: the rest lasts as long as was asked, with the same jitter as before, of 12 s at most, or until the server starts again, as its entry in the store says. Records of servers that are gone are bounded in number. The test of a rest without end asked for the fault, and is replaced: a rest has to last to its end, not less.

On call: the gauge servers.resting, beside the line 'server wants rest' with the seconds asked for. A roll: gateways don't tell each other of rests, so that old ones go on to cut them and new ones don't.

--- a/libs/gateway/burdockmast/gateway/server.py
+++ b/libs/gateway/burdockmast/gateway/server.py
@@ -547,6 +547,9 @@
         self._metrics.gauge(
             'servers.unreadable_limits', lambda: self._limits.unreadable_count
         )
+        self._metrics.gauge(
+            'servers.resting', lambda: self._limits.resting_count
+        )
         self._metrics.gauge(
             'planner.refused_takeovers',
             lambda: self._planner.refused_takeovers,
--- a/libs/gateway/burdockmast/gateway/server_limits.py
+++ b/libs/gateway/burdockmast/gateway/server_limits.py
@@ -48,10 +48,12 @@
 LIMIT_TTL_SECONDS = 30.0
 # Age up to which other gateways are told that a limit has ended.
 ENDED_NEWS_SECONDS = 3.0
-# Longest rest, so that a server that asks for more is tried again.
-MAX_REST_SECONDS = 60.0
-# Largest random share added to a rest, so that gateways return one by one.
+# Largest random share added to a rest, so that gateways return one by one, and
+# its limit.
 REST_JITTER_SHARE = 0.2
+MAX_REST_JITTER_SECONDS = 12.0
+# Most servers whose rests are kept; those that are gone never end theirs.
+MAX_RESTS = 1000
 # Most starts of servers of which it is known that their limits were logged as
 # unreadable.
 MAX_UNREADABLE_STARTS = 1000
@@ -155,16 +157,21 @@
     def _record_rest(
         self, server: backends.BackendServer, seconds: float, request: str
     ) -> None:
-        jitter = 1 + REST_JITTER_SHARE * self._rng.random()
-        bounded = min(seconds, MAX_REST_SECONDS) * jitter
-        self._rest_until[server.id] = server.started_ms, self._now() + bounded
+        jitter = self._rng.random() * min(
+            REST_JITTER_SHARE * seconds, MAX_REST_JITTER_SECONDS
+        )
+        until = self._now() + seconds + jitter
+        self._rest_until.pop(server.id, None)
+        if len(self._rest_until) >= MAX_RESTS:
+            del self._rest_until[next(iter(self._rest_until))]
+        self._rest_until[server.id] = server.started_ms, until
         LOG.info(
             'server wants rest',
             extra={
                 'server': server.id,
                 'request': request,
                 'asked': seconds,
-                'seconds': round(bounded, 3),
+                'seconds': round(seconds + jitter, 3),
             },
         )
 
@@ -271,6 +278,12 @@
         self._fill(known)
         return max(0.0, 1.0 - known.tokens) / self._rate(known.limit)
 
+    @property
+    def resting_count(self) -> int:
+        """The number of servers whose rest goes on, gone ones included."""
+        now = self._now()
+        return sum(until > now for _, until in self._rest_until.values())
+
     def has_room(self, server: backends.BackendServer) -> bool:
         """Return whether a request may be sent now."""
         return self.seconds_until_room(server) <= 0.0
--- a/tests/test_gateway_server_limits.py
+++ b/tests/test_gateway_server_limits.py
@@ -10,6 +10,7 @@
 import platforms
 import pytest
 
+from burdockmast.base import ids
 from burdockmast.gateway import backends
 from burdockmast.gateway import config
 from burdockmast.gateway import interfaces
@@ -308,10 +309,41 @@
     assert alone.has_room(SERVER)
 
 
-def test_a_rest_without_end_is_bounded(alone, time):
-    alone.record_reply(SERVER, reply(rest_seconds=1e9), 503, 'r')
-    time.now += server_limits.MAX_REST_SECONDS * 1.3
+@pytest.mark.parametrize('seconds', [59.0, 75.0, 600.0, 86400.0, 1e9])
+def test_a_rest_lasts_as_long_as_the_server_asked(alone, time, seconds):
+    """Guards against requests to a server that asked for over a minute."""
+    began = time.now
+    alone.record_reply(SERVER, reply(rest_seconds=seconds), 503, 'r')
+    for share in (0.01, 0.5, 0.99):
+        time.now = began + share * seconds
+        alone.news()
+        assert not alone.has_room(SERVER), share
+        assert alone.resting_count == 1
+    time.now = began + seconds + server_limits.MAX_REST_JITTER_SECONDS + 1
     assert alone.has_room(SERVER)
+    assert alone.resting_count == 0
+
+
+def test_a_long_rest_ends_when_the_server_starts_again(alone):
+    """Guards against a server that is lost for good, as nobody asks it."""
+    alone.record_reply(SERVER, reply(rest_seconds=1e9), 503, 'r')
+    assert not alone.has_room(SERVER)
+    restarted = dataclasses.replace(SERVER, started_ms=SERVER.started_ms + 1)
+    assert alone.has_room(restarted)
+
+
+def test_rests_of_servers_that_are_gone_are_forgotten(alone, monkeypatch):
+    """Guards against memory that grows with each server that came and went."""
+    monkeypatch.setattr(server_limits, 'MAX_RESTS', 2)
+    gone = [
+        dataclasses.replace(SERVER, id=ids.ServerId(f'gone-{number}'))
+        for number in range(2)
+    ]
+    for server in (*gone, SERVER):
+        alone.record_reply(server, reply(rest_seconds=1e9), 503, 'r')
+    assert alone.has_room(gone[0])
+    assert not alone.has_room(gone[1])
+    assert not alone.has_room(SERVER)
 
 
 def test_a_limit_that_is_no_number_leaves_the_one_in_force(alone):
