Refuse only the service whose model has too many layers

Seen by callers: a version with 10^18 layers in the engine of one service left the servers of all other services without layers as soon as they lost theirs: 503 for their streams.

Cause: any whole number is taken for a number of layers, and the planner keeps a count for each. The list does not fit in memory, the planner's timer fails, and with it the orders for all services. With fewer, as 10^9, the list would take 8 GB of a gateway; that was not tried.

Evidence: on the code before, the gateway as a process gave no server layers within 60 s, its log 'Timer planner failed', and the decoder told no fault at -1, 10^4 + 1, 10^9 and 10^18 layers (1e300 it told already).

Fix: 0 to 10,000 layers are read. Any other number is a field that can't be read: 503 for its service, no orders of it, a line and the gauge as for other fields. config check names the same range and effect. Its test of agreement with the decoder counts this range among the decoder's rules; it asks for the same equivalence as before, of one rule more.

--- a/libs/operator/burdockmast/operator/config_check/limits.py
+++ b/libs/operator/burdockmast/operator/config_check/limits.py
@@ -7,6 +7,8 @@
 from burdockmast.gateway import buffers
 from burdockmast.operator.config_check import errors
 from burdockmast.operator.config_check import findings
+from burdockmast.platform import configuration_faults
+from burdockmast.platform import configuration_types
 from burdockmast.platform import headers
 from burdockmast.platform import settings
 
@@ -62,7 +64,13 @@
     'priority': _PRIORITY,
 }
 _ENGINE_RANGES = {
-    'layers': _Range(0, True, True, 'no server can hold them'),
+    'layers': _Range(
+        0,
+        True,
+        True,
+        configuration_faults.Effect.SERVICE_REFUSED.value,
+        configuration_types.MAX_LAYERS,
+    ),
     'layer-mb': _SIZE,
     'kv-bytes': _SIZE,
     'act-bytes': _SIZE,
--- a/libs/platform/burdockmast/platform/configuration_faults.py
+++ b/libs/platform/burdockmast/platform/configuration_faults.py
@@ -101,7 +101,9 @@
     :raises msgspec.ValidationError: if it has to be rejected as a whole
     """
     try:
-        return Reading(convert(spec))
+        found = convert(spec)
+        _check_layers(found)
+        return Reading(found)
     except msgspec.ValidationError as error:
         if not isinstance(spec, dict):
             raise
@@ -128,6 +130,22 @@
     return json_values.convert(spec, configuration_types.Configuration)
 
 
+def _check_layers(found: configuration_types.Configuration) -> None:
+    """Check that gateways can plan the layers of all models.
+
+    :raises msgspec.ValidationError: if they can't
+    """
+    for service in found.services:
+        if service.engine and not _can_plan(service.engine.layers):
+            raise msgspec.ValidationError(
+                f'{service.engine.layers} layers are out of range'
+            )
+
+
+def _can_plan(layers: int) -> bool:
+    return 0 <= layers <= configuration_types.MAX_LAYERS
+
+
 class _Reader:
     """Reads one configuration, field by field."""
 
@@ -242,6 +260,14 @@
                     f'{location}.engine',
                     _ENGINE_EFFECTS,
                 )
+                if not _can_plan(engine.get('layers', 0)):
+                    del engine['layers']
+                    caused.add(Effect.SERVICE_REFUSED)
+                    self._add(
+                        f'{location}.engine.layers',
+                        f'Expected 0 to {configuration_types.MAX_LAYERS}',
+                        Effect.SERVICE_REFUSED,
+                    )
                 given = {**given, 'engine': engine}
             else:
                 caused = set()
--- a/libs/platform/burdockmast/platform/configuration_types.py
+++ b/libs/platform/burdockmast/platform/configuration_types.py
@@ -2,6 +2,9 @@
 
 import msgspec
 
+# Most layers of a model. Gateways keep counts for each layer.
+MAX_LAYERS = 10_000
+
 
 class Split(msgspec.Struct, frozen=True):
     """A share of a route's traffic, by the service that gets it."""
--- a/tests/test_config_check.py
+++ b/tests/test_config_check.py
@@ -226,6 +226,10 @@
          'warning out-of-range services[0].engine.kinds[0].pace',
          'warning out-of-range tenants[0].priority'],
     ),
+    'more layers than gateways plan': (
+        {f'{ENGINE}/layers': 10**18},
+        ['error out-of-range services[0].engine.layers'],
+    ),
     'timeout below the objectives': (
         {'routes/0/timeout-ms': 100},
         ['warning gap-above-timeout routes[0].gap-aim-ms',
@@ -297,6 +301,8 @@
      'tenants/0/priority', 'limits/max-header-bytes'],
 )  # fmt: skip
 DECODER_RULES = {'wrong-type', 'missing-key', 'rejected'}
+# The only range that the decoder checks.
+DECODER_RANGE = 'services[0].engine.layers'
 
 
 @hypothesis.settings(max_examples=300, deadline=None)
@@ -310,18 +316,19 @@
     except (KeyError, IndexError, TypeError, ValueError):
         # The first change has replaced what the second is in.
         hypothesis.reject()
-    rules = {
-        finding.rule
+    is_decoder_error = any(
+        finding.rule in DECODER_RULES
+        or (finding.rule, finding.location) == ('out-of-range', DECODER_RANGE)
         for finding in check.check(document)
         if finding.severity is findings.Severity.ERROR
-    }
+    )
     try:
         sent = json.dumps(document, allow_nan=False)
         decoded = configuration.decode('main', msgspec.json.decode(sent))
     except (msgspec.MsgspecError, ValueError):
-        assert rules & DECODER_RULES
+        assert is_decoder_error
     else:
-        assert bool(decoded.faults) == bool(rules & DECODER_RULES)
+        assert bool(decoded.faults) == is_decoder_error
 
 
 PARTS = strategies.text('ab/', max_size=3)
--- a/tests/test_configuration_faults.py
+++ b/tests/test_configuration_faults.py
@@ -22,6 +22,13 @@
     'kind': 'safe',
     'service': 'other',
 }
+ADDED = {
+    'name': 'added',
+    'host': 'h.example',
+    'path-prefix': '/added/',
+    'kind': 'safe',
+    'service': 'app',
+}
 DOCUMENT = {
     'version': 8,
     'routes': [
@@ -149,6 +156,17 @@
     assert service is None or service.engine.layers == 80
 
 
+@pytest.mark.parametrize('layers', [-1, 10**4 + 1, 10**9, 10**18, 1e300])
+def test_a_number_of_layers_that_no_model_has_takes_only_its_service(layers):
+    """Guards against a planner that plans no service for one of them."""
+    found = decoded('services/1/engine/layers', layers)
+    (fault,) = found.faults
+    assert fault.startswith('services[1].engine.layers: ')
+    assert services_of(found, '/draft/x') == set()
+    assert services_of(found, '/kept/x') == {'other'}
+    assert 'llm' not in found.service_by_id
+
+
 @pytest.mark.parametrize('path', KEYS_UNKNOWN)
 def test_a_key_that_may_be_in_force_is_not_called_unknown(path):
     """Guards against 401, after which callers give up."""
@@ -197,15 +215,7 @@
     changed['version'] = 8
     changed['routes'][0]['max-attempts'] = 'two'
     changed['routes'][-1]['kind'] = 7
-    changed['routes'].append(
-        {
-            'name': 'added',
-            'host': 'h.example',
-            'path-prefix': '/added/',
-            'kind': 'safe',
-            'service': 'app',
-        }
-    )
+    changed['routes'].append(ADDED)
     platform.store.put('config', 'main', changed)
     platform.wait_for(lambda: platform.ask('/added/x', 'GET')[0] == 200)
     assert platform.ask('/draft/x')[0] == 200
@@ -215,3 +225,18 @@
     (line,) = platform.logged('fields of the configuration cannot be read')
     assert line['count'] == 2
     assert line['first'][0].startswith('routes[0].max-attempts: ')
+
+
+def test_layers_are_ordered_beside_a_model_that_no_server_holds(platform):
+    """Guards against services that stay without servers for one of them."""
+    changed = json.loads(json.dumps(platforms.CONFIGURATION))
+    changed['version'] = 8
+    engine = {**changed['services'][0]['engine'], 'layers': 10**18}
+    changed['services'].insert(0, {'name': 'odd', 'engine': engine})
+    changed['routes'].append(ADDED)
+    platform.store.put('config', 'main', changed)
+    platform.wait_for(lambda: platform.ask('/added/x', 'GET')[0] == 200)
+    for server in platform.engines:
+        server.update_entry(layers=None)
+    platform.wait_for(lambda: any(s.layer_count for s in platform.engines))
+    platform.wait_for(lambda: platform.ask('/draft/x')[0] == 200)
