Keep the run of a test's stream alive while its path is changed

Cause: the test lets go of the stream's response, which closes the connection and ends the run, and the stream has but 20 events 5 ms apart. Orders that come later than that are for a run that the engine no longer knows. With a pause of 0.6 s before the last order it failed each time, also with only one of both mended; with both it passed.

The test now holds the response and has a longer stream. It asks for the same statuses as before.

--- a/tests/test_standin_paths.py
+++ b/tests/test_standin_paths.py
@@ -132,7 +132,10 @@
 def test_changes_that_can_not_be_carried_out_are_rejected(engine):
     """A change to a server that is down must not look like a success."""
     assert engine.change('a', 'b2', 'c')[0] == 404
-    engine.stream('a', 'b', 'c').read(20)
+    # Orders may take longer than a stream of the usual length.
+    engine.server_by_name['a'].event_count = 100 * EVENTS
+    response = engine.stream('a', 'b', 'c')
+    response.read(20)
     assert engine.change('a', 'b2', 'c', request='r2')[0] == 404
     engine.server_by_name['b2'].die(5.0)
     refused = engine.change('a', 'b2', 'c')
